Lay out the workspace: kernel types, result codes, configuration, wire schema

Cause: nothing stood yet; every crate needs the same ids, codes, configuration types and schema. Before: nothing. Conclusion: the whole path can be built against these interfaces.

--- /dev/null
+++ b/lovagedock-cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/lovagedock-wire/schema/lovagedock.capnp
@@ -0,0 +1,156 @@
+@0xd2b1c7f3a94e6051;
+# Protocol between lovagedock's own processes, version 1.
+#
+# A gateway opens sessions to the sidecars of its endpoints and to other gateways. Request ids are
+# 16 bytes, big endian. Times are remaining milliseconds, never wall-clock times.
+
+struct RequestKey {
+  # Names one attempt of one request at one life of a sidecar.
+  high @0 :UInt64;
+  low @1 :UInt64;
+  attempt @2 :UInt32;
+  incarnation @3 :UInt64;
+}
+
+struct PeerHello {
+  version @0 :UInt32;
+  name @1 :Text;
+  incarnation @2 :UInt64;
+  generation @3 :UInt64;
+}
+
+struct PeerWelcome {
+  version @0 :UInt32;
+  name @1 :Text;
+  incarnation @2 :UInt64;
+  generation @3 :UInt64;
+}
+
+struct HeaderField {
+  name @0 :Text;
+  value @1 :Data;
+}
+
+struct WorkOrder {
+  # One request as the sidecar needs it.
+  key @0 :RequestKey;
+  service @1 :Text;
+  organisation @2 :Text;
+  tier @3 :UInt8;
+  # 0 batch, 1 standard, 2 interactive.
+  remainingMs @4 :UInt64;
+  promptTokens @5 :UInt64;
+  # Estimate of the gateway; the engine's own count goes before it.
+  answerTokens @6 :UInt64;
+  # Upper bound asked for by the caller.
+  weight @7 :UInt32;
+  nonIdempotent @8 :Bool;
+  method @9 :Text;
+  path @10 :Text;
+  headers @11 :List(HeaderField);
+  body @12 :Data;
+  span @13 :List(Text);
+  # Endpoints whose memory was reserved for this request, first the one that decodes; empty for
+  # a request that fits one engine.
+  predictedMs @14 :UInt64;
+  # First-token time that the gateway predicted.
+}
+
+struct AnswerEnd {
+  # How a request ended. `code` is a number of the result-code table.
+  code @0 :UInt16;
+  length @1 :UInt64;
+  # Bytes of the whole answer.
+  digest @2 :Data;
+  # BLAKE3 of the whole answer; empty unless complete.
+  ran @3 :UInt8;
+  # 0 no, 1 yes, 2 unknown.
+  retryAfterMs @4 :UInt64;
+  detail @5 :Text;
+  promptTokens @6 :UInt64;
+  cachedTokens @7 :UInt64;
+  answerTokens @8 :UInt64;
+}
+
+struct AnswerHead {
+  status @0 :UInt16;
+  headers @1 :List(HeaderField);
+}
+
+enum RevokeVerdict {
+  revoked @0;
+  # It did not run and never will: a tombstone stands in its place.
+  running @1;
+  ended @2;
+  otherLife @3;
+  # The named life of the sidecar is over; nobody can tell.
+}
+
+struct LoadReport {
+  # What a sidecar knows of itself and its engine; sent with each heartbeat.
+  sequence @0 :UInt64;
+  state @1 :UInt8;
+  # 0 serving, 1 leaving, 2 engine down.
+  memoryTokens @2 :UInt64;
+  freeTokens @3 :UInt64;
+  queued @4 :UInt32;
+  queuedTokens @5 :UInt64;
+  running @6 :UInt32;
+  runningLong @7 :UInt32;
+  prefillTokensLeft @8 :UInt64;
+  prefillNsPerToken @9 :UInt64;
+  # Learned; 0 while unknown.
+  prefillNsPerTokenSquared @10 :Float64;
+  decodeNs @11 :UInt64;
+  # Learned interval between tokens.
+  generation @12 :UInt64;
+  # Configuration in force at the sidecar.
+  cachedPrefixes @13 :List(UInt64);
+  # Hashes of prompt prefixes that the engine lately held; preference only.
+}
+
+interface AnswerSink {
+  # Given by a gateway with a submit; called by the sidecar in order.
+  head @0 (head :AnswerHead);
+  chunk @1 (offset :UInt64, bytes :Data) -> stream;
+  done @2 (end :AnswerEnd);
+}
+
+interface EndpointSession {
+  # What a sidecar offers to a gateway.
+  hello @0 (hello :PeerHello) -> (welcome :PeerWelcome);
+  submit @1 (order :WorkOrder, sink :AnswerSink) -> (accepted :Bool, refusal :AnswerEnd);
+  # Answers as soon as the request is queued or refused; the answer itself goes to the sink.
+  resume @2 (key :RequestKey, offset :UInt64, sink :AnswerSink) -> (found :Bool);
+  revoke @3 (key :RequestKey) -> (verdict :RevokeVerdict);
+  cancel @4 (key :RequestKey);
+  heartbeat @5 (sequence :UInt64, generation :UInt64) -> (report :LoadReport);
+  offer @6 (generation :UInt64, rootDigest :Data) -> (wanted :Bool);
+  # Configuration relay: the sidecar says whether it lacks this generation.
+  configure @7 (generation :UInt64, config :Data) -> (generation :UInt64);
+  reserve @8 (key :RequestKey, tokens :UInt64, holdMs :UInt64) -> (granted :Bool, freeTokens :UInt64);
+  # Memory for one part of a span; it lapses by itself after holdMs without renewal.
+  release @9 (key :RequestKey);
+  segment @10 (order :WorkOrder, start :UInt64, tokens :UInt64) -> (end :AnswerEnd);
+  # Prefills one part of a span into reserved memory.
+  drain @11 (leaving :Bool) -> (inFlight :UInt32);
+  dump @12 () -> (json :Text);
+}
+
+interface PeerSession {
+  # What a gateway offers to another gateway.
+  hello @0 (hello :PeerHello) -> (welcome :PeerWelcome);
+  offer @1 (generation :UInt64, rootDigest :Data) -> (wanted :Bool);
+  configure @2 (generation :UInt64, config :Data) -> (generation :UInt64);
+  latest @3 (above :UInt64) -> (generation :UInt64, config :Data);
+  # The newest configuration that this gateway has, if it is above the given generation.
+  usage @4 (sequence :UInt64, entries :List(UsageEntry)) -> (sequence :UInt64);
+}
+
+struct UsageEntry {
+  # What one organisation used at one gateway since the last exchange.
+  organisation @0 :Text;
+  requests @1 :UInt64;
+  tokens @2 :UInt64;
+  inFlight @3 :UInt32;
+}
--- /dev/null
+++ b/lovagedock/src/lib.rs
@@ -0,0 +1,33 @@
+//! Kernel of lovagedock, a serving layer for fleets of language-model engines.
+//!
+//! Everything that lovagedock decides is here, and nothing that it does: each decision is a
+//! state machine that takes the time and an event and returns actions. There are no sockets, no
+//! clock reads and no ambient randomness, so each failure can be tested without waiting for it.
+//! The daemons in the crates beside this one turn actions into traffic and traffic into events.
+//!
+//! # Example
+//!
+//! ```
+//! use lovagedock::prelude::*;
+//!
+//! let code = ResultCode::NoCapacity;
+//! assert_eq!(code.number(), 2001);
+//! assert_eq!(code.ran(), RanState::No);
+//! ```
+
+mod codes;
+mod config;
+mod ids;
+pub mod prelude;
+
+pub use codes::{RanState, ResultCode};
+pub use config::{
+    AdapterSpec, CallRule, DomainSpec, EndpointSpec, FleetConfig, GatewaySpec, LengthRule,
+    ModelSpec, OrderCheck, OrganisationLimits, OrganisationSpec, PlacementSpec, PoolKind, PoolSpec,
+    PriorityTier, ServiceKind, ServiceSpec,
+};
+pub use ids::{
+    AttemptNumber, BlockCount, DomainId, EndpointId, Epoch, GatewayId, Generation, HostId,
+    Incarnation, ModelId, OrganisationId, PoolId, RequestId, ServiceId, Timestamp, TokenCount,
+    format_request_id, parse_request_id,
+};
--- /dev/null
+++ b/lovagedock/src/prelude.rs
@@ -0,0 +1,11 @@
+//! The types that nearly every module names.
+
+pub use crate::{
+    codes::{RanState, ResultCode},
+    config::{FleetConfig, PriorityTier},
+    ids::{
+        AttemptNumber, BlockCount, DomainId, EndpointId, Epoch, GatewayId, Generation, HostId,
+        Incarnation, ModelId, OrganisationId, PoolId, RequestId, ServiceId, Timestamp, TokenCount,
+        format_request_id, parse_request_id,
+    },
+};
