Share the types that name and end an attempt

Gateways and sidecars both decide about attempts; the key, the end of an answer and the verdict of a revoke are one set of types in the kernel, so that the two state machines cannot drift apart.

--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -18,6 +18,7 @@
 mod codes;
 mod config;
 mod ids;
+mod outcome;
 pub mod prelude;
 
 pub use codes::{RanState, ResultCode};
@@ -31,3 +32,4 @@
     Incarnation, ModelId, OrganisationId, PoolId, RequestId, ServiceId, Timestamp, TokenCount,
     format_request_id, parse_request_id,
 };
+pub use outcome::{AnswerEnd, AttemptKey, RevokeVerdict};
--- a/lovagedock/src/prelude.rs
+++ b/lovagedock/src/prelude.rs
@@ -8,4 +8,5 @@
         Incarnation, ModelId, OrganisationId, PoolId, RequestId, ServiceId, Timestamp, TokenCount,
         format_request_id, parse_request_id,
     },
+    outcome::{AnswerEnd, AttemptKey, RevokeVerdict},
 };
