Place requests through registered policies

Cause: the gateway needs an interface to placement before the policy is tuned. Change: the registry, the types of a decision, the pool state that a gateway keeps, four baseline policies and a first length-aware policy. Conclusion: the interface is settled; the policy is a starting point.

--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -17,9 +17,13 @@
 
 mod codes;
 mod config;
+mod cost;
 mod ids;
+mod length;
 mod outcome;
+mod placement;
 pub mod prelude;
+mod registry;
 
 pub use codes::{RanState, ResultCode};
 pub use config::{
@@ -27,9 +31,17 @@
     ModelSpec, OrderCheck, OrganisationLimits, OrganisationSpec, PlacementSpec, PoolKind, PoolSpec,
     PriorityTier, ServiceKind, ServiceSpec,
 };
+pub use cost::CostParameters;
 pub use ids::{
     AttemptNumber, BlockCount, DomainId, EndpointId, Epoch, GatewayId, Generation, HostId,
     Incarnation, ModelId, OrganisationId, PoolId, RequestId, ServiceId, Timestamp, TokenCount,
     format_request_id, parse_request_id,
 };
+pub use length::LengthBucket;
 pub use outcome::{AnswerEnd, AttemptKey, RevokeVerdict};
+pub use placement::{
+    EndpointReport, EndpointView, PREFIX_PIECE_TOKENS, PlacementChoice, PlacementPolicy,
+    PlacementReason, PlacementRequest, PoolState, PoolView, SentWork, SpanMember,
+    predict_first_token, predict_queue, prefix_hashes,
+};
+pub use registry::{PolicyPlugin, UnknownPolicy, build_policy, policies, policy_names};
--- /dev/null
+++ b/lovagedock/src/placement/layout.rs
@@ -0,0 +1,113 @@
+//! Where each endpoint of a pool stands in the order in which long prompts take endpoints.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::ids::{DomainId, EndpointId};
+
+use super::types::{EndpointView, PoolView};
+
+/// The usable endpoints of each failure domain in an order that all gateways agree on.
+///
+/// Long prompts may use the first few of each domain. The order comes from a hash of the names, so
+/// gateways that see different mixes use sets that contain each other, and a host that comes or
+/// goes moves at most one place of the set.
+#[derive(Debug, Default)]
+pub(super) struct PoolLayout {
+    entries: Vec<LayoutEntry>,
+    domains: Vec<LayoutDomain>,
+}
+
+#[derive(Debug)]
+struct LayoutEntry {
+    id: EndpointId,
+    takes_work: bool,
+    domain: usize,
+    rank: usize,
+}
+
+#[derive(Debug)]
+struct LayoutDomain {
+    id: DomainId,
+    usable: usize,
+}
+
+impl PoolLayout {
+    /// Works the order out again if endpoints came, went, or changed whether they take work.
+    pub(super) fn refresh(&mut self, pool: &PoolView<'_>) {
+        if !self.matches(pool) {
+            self.rebuild(pool);
+        }
+    }
+
+    /// Whether long prompts may use the endpoint when they hold `share` of each domain.
+    pub(super) fn in_long_share(&self, index: usize, share: f64) -> bool {
+        let entry = &self.entries[index];
+        let usable = self.domains[entry.domain].usable;
+        entry.rank < long_count(usable, share)
+    }
+
+    fn matches(&self, pool: &PoolView<'_>) -> bool {
+        self.entries.len() == pool.endpoints.len()
+            && self
+                .entries
+                .iter()
+                .zip(pool.endpoints)
+                .all(|(entry, view)| entry.matches(view))
+    }
+
+    fn rebuild(&mut self, pool: &PoolView<'_>) {
+        self.domains.clear();
+        self.entries.clear();
+        for view in pool.endpoints {
+            let domain = self.domain_index(&view.domain);
+            self.entries.push(LayoutEntry {
+                id: view.id.clone(),
+                takes_work: view.takes_work(),
+                domain,
+                rank: usize::MAX,
+            });
+        }
+        self.rank_usable();
+    }
+
+    fn rank_usable(&mut self) {
+        let mut order: Vec<(u64, usize)> = self
+            .entries
+            .iter()
+            .enumerate()
+            .filter(|(_, entry)| entry.takes_work)
+            .map(|(index, entry)| (xxh3_64(entry.id.as_bytes()), index))
+            .collect();
+        order.sort_unstable();
+        for (_, index) in order {
+            let entry = &mut self.entries[index];
+            let domain = &mut self.domains[entry.domain];
+            entry.rank = domain.usable;
+            domain.usable += 1;
+        }
+    }
+
+    fn domain_index(&mut self, id: &DomainId) -> usize {
+        let known = self.domains.iter().position(|domain| domain.id == *id);
+        known.unwrap_or_else(|| {
+            self.domains.push(LayoutDomain {
+                id: id.clone(),
+                usable: 0,
+            });
+            self.domains.len() - 1
+        })
+    }
+}
+
+impl LayoutEntry {
+    fn matches(&self, view: &EndpointView) -> bool {
+        let same_id = std::sync::Arc::ptr_eq(&self.id, &view.id) || self.id == view.id;
+        same_id && self.takes_work == view.takes_work()
+    }
+}
+
+/// At least one, so that long prompts have a place even in the smallest domain.
+fn long_count(usable: usize, share: f64) -> usize {
+    let count = (usable as f64 * share).round() as usize;
+    count.clamp(1, usable.max(1))
+}
--- a/lovagedock/src/prelude.rs
+++ b/lovagedock/src/prelude.rs
@@ -8,5 +8,7 @@
         Incarnation, ModelId, OrganisationId, PoolId, RequestId, ServiceId, Timestamp, TokenCount,
         format_request_id, parse_request_id,
     },
+    length::LengthBucket,
     outcome::{AnswerEnd, AttemptKey, RevokeVerdict},
+    placement::{PlacementChoice, PlacementPolicy, PlacementRequest, PoolState, PoolView},
 };
