--- /dev/null
+++ b/lovagedock-daemon/src/admin/server.rs
@@ -0,0 +1,202 @@
+//! Accepts operators' connections.
+
+use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use error_stack::{Report, ResultExt};
+use hyper::server::conn::http1;
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    service::TowerToHyperService,
+};
+use lovagedock::prelude::ResultCode;
+use slog::{debug, warn};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+    task::JoinHandle,
+    time,
+};
+use warp::{
+    Filter, Rejection,
+    http::{Method, Response},
+    path::FullPath,
+    reject::PayloadTooLarge,
+};
+
+use super::{
+    AdminSettings, AdminSurface,
+    routes::{AdminRequest, AdminState, problem},
+};
+use crate::{DaemonContext, Transport};
+
+const MAX_CONNECTIONS: usize = 64;
+const MAX_BODY_BYTES: u64 = 1024 * 1024;
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Serves operators until it is dropped.
+///
+/// It goes on while the daemon drains, so that operators can see the drain.
+pub struct AdminServer {
+    address: SocketAddr,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl AdminServer {
+    /// Listens and serves in the background.
+    pub async fn start(
+        process: &'static str,
+        settings: &AdminSettings,
+        surface: Arc<dyn AdminSurface>,
+        context: &DaemonContext,
+    ) -> Result<Self, Report<io::Error>> {
+        let transport = Transport::new(&settings.transport)
+            .map_err(|report| Report::new(io::Error::other(report.to_string())))
+            .attach("the operators' TLS files")?;
+        transport.watch_files(&context.logger, &context.shutdown);
+        let listener = TcpListener::bind(settings.address)
+            .await
+            .map_err(Report::new)
+            .attach_with(|| format!("operators' address {}", settings.address))?;
+        let address = listener.local_addr().map_err(Report::new)?;
+        let state = Arc::new(AdminState {
+            process,
+            surface,
+            metrics: context.metrics.clone(),
+            clock: context.clock,
+            token: settings
+                .operator_token
+                .as_ref()
+                .map(|token| blake3::hash(token.as_bytes())),
+        });
+        let metrics = context.metrics.clone();
+        let tasks = vec![
+            tokio::spawn(accept_forever(listener, transport, state, context.clone())),
+            tokio::spawn(async move {
+                let mut ticks = time::interval(UPKEEP_INTERVAL);
+                loop {
+                    ticks.tick().await;
+                    metrics.run_upkeep();
+                }
+            }),
+        ];
+        Ok(Self { address, tasks })
+    }
+
+    /// The address that the server listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for AdminServer {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+async fn accept_forever(
+    listener: TcpListener,
+    transport: Transport,
+    state: Arc<AdminState>,
+    context: DaemonContext,
+) {
+    let places = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    loop {
+        let Ok(place) = places.clone().acquire_owned().await else {
+            return;
+        };
+        let (stream, peer) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            // Out of file descriptors: the error repeats at once until some close, and without
+            // a pause the loop would take a core.
+            Err(error) => {
+                warn!(context.logger, "cannot accept operators"; "error" => %error);
+                time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let transport = transport.clone();
+        let state = state.clone();
+        let logger = context.logger.clone();
+        tokio::spawn(async move {
+            let served = serve_connection(stream, peer, &transport, state).await;
+            if let Err(error) = served {
+                debug!(logger, "operators' connection ended"; "peer" => %peer, "error" => %error);
+            }
+            drop(place);
+        });
+    }
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    peer: SocketAddr,
+    transport: &Transport,
+    state: Arc<AdminState>,
+) -> io::Result<()> {
+    let stream = transport.accept(stream).await?;
+    let service = TowerToHyperService::new(warp::service(filter(state, peer)));
+    http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), service)
+        .await
+        .map_err(io::Error::other)
+}
+
+fn filter(
+    state: Arc<AdminState>,
+    peer: SocketAddr,
+) -> impl Filter<Extract = (Response<Bytes>,), Error = Infallible> + Clone + Send + Sync + 'static {
+    let post_body = warp::post()
+        .and(warp::body::content_length_limit(MAX_BODY_BYTES))
+        .and(warp::body::bytes());
+    let no_body = warp::any().map(Bytes::new);
+    warp::method()
+        .and(warp::path::full())
+        .and(warp::header::optional::<String>("authorization"))
+        .and(post_body.or(no_body_unless_post(no_body)).unify())
+        .then(
+            move |method: Method, path: FullPath, authorization: Option<String>, body: Bytes| {
+                let state = state.clone();
+                let request = AdminRequest {
+                    peer,
+                    method,
+                    path: path.as_str().to_owned(),
+                    authorization,
+                    body,
+                };
+                async move { state.answer(request).await }
+            },
+        )
+        .recover(|rejection: Rejection| async move {
+            let response = match rejection.find::<PayloadTooLarge>() {
+                Some(_) => problem(ResultCode::BodyTooLarge, "at most 1 MiB"),
+                None => problem(ResultCode::MalformedRequest, &format!("{rejection:?}")),
+            };
+            Ok::<_, Infallible>(response)
+        })
+        .unify()
+}
+
+fn no_body_unless_post<F>(
+    empty: F,
+) -> impl Filter<Extract = (Bytes,), Error = Rejection> + Clone + Send + Sync + 'static
+where
+    F: Filter<Extract = (Bytes,), Error = Infallible> + Clone + Send + Sync + 'static,
+{
+    warp::method()
+        .and_then(|method: Method| async move {
+            match method {
+                Method::POST => Err(warp::reject::reject()),
+                _ => Ok(()),
+            }
+        })
+        .untuple_one()
+        .and(empty)
+}
--- a/lovagedock-daemon/src/lib.rs
+++ b/lovagedock-daemon/src/lib.rs
@@ -1,1 +1,29 @@
-//! Placeholder.
+//! What every lovagedock daemon shares: settings, logs, metrics, health, dump, TLS and shutdown.
+//!
+//! A daemon's `main` is one call of [`run_daemon`]. Inside, the daemon starts its own tasks with
+//! the [`DaemonContext`] that it gets and serves operators through an [`AdminServer`].
+
+mod admin;
+mod arguments;
+mod clock;
+mod logs;
+mod metrics;
+mod run;
+mod settings;
+mod shutdown;
+mod tls;
+mod transport;
+
+pub use admin::{
+    AdminCall, AdminMethod, AdminReply, AdminRoute, AdminServer, AdminSettings, AdminSurface,
+    DUMP_VERSION,
+};
+pub use arguments::{DaemonArguments, ExitStatus};
+pub use clock::ProcessClock;
+pub use logs::{LogFormat, LogLevel, LogSettings};
+pub use metrics::MetricsHandle;
+pub use run::{DaemonContext, DaemonSettings, run_daemon};
+pub use settings::{SettingsError, load_settings, parse_settings};
+pub use shutdown::ShutdownSignal;
+pub use tls::{ReloadingTls, TlsConfigs, TlsError, TlsSettings};
+pub use transport::{BoxedStream, ByteStream, PlainConsent, Transport, TransportSettings};
--- /dev/null
+++ b/lovagedock-daemon/src/logs.rs
@@ -0,0 +1,92 @@
+//! Structured logs on standard error.
+
+use std::io;
+
+use serde::{Deserialize, Serialize};
+use slog::{Drain, Level, Logger, o};
+
+const QUEUE_RECORDS: usize = 4096;
+
+/// How and how much a process logs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LogSettings {
+    /// Format of a record.
+    pub format: LogFormat,
+    /// Least severe level that is written.
+    pub level: LogLevel,
+}
+
+impl LogSettings {
+    /// Creates the logger of a process; records carry the process's name.
+    ///
+    /// A background thread writes. When it falls behind, records are dropped and their number is
+    /// logged, so that a stuck terminal never stops the daemon.
+    pub fn logger(&self, process: &'static str) -> Logger {
+        let level = self.level.as_level();
+        match self.format {
+            LogFormat::Json => {
+                let drain = slog_json::Json::default(io::stderr());
+                asynchronous(drain.fuse(), level, process)
+            }
+            LogFormat::Terminal => {
+                let decorator = slog_term::TermDecorator::new().stderr().build();
+                let drain = slog_term::FullFormat::new(decorator).build();
+                asynchronous(drain.fuse(), level, process)
+            }
+        }
+    }
+}
+
+/// Format of log records.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+    /// One JSON object a line.
+    #[default]
+    Json,
+    /// Coloured text for people.
+    Terminal,
+}
+
+/// Severity of log records.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogLevel {
+    /// The process cannot do its job.
+    Error,
+    /// Something failed and was dealt with.
+    Warning,
+    /// Starts, stops and changes.
+    #[default]
+    Info,
+    /// Each request.
+    Debug,
+    /// Each message; compiled out of release builds.
+    Trace,
+}
+
+impl LogLevel {
+    fn as_level(self) -> Level {
+        match self {
+            Self::Error => Level::Error,
+            Self::Warning => Level::Warning,
+            Self::Info => Level::Info,
+            Self::Debug => Level::Debug,
+            Self::Trace => Level::Trace,
+        }
+    }
+}
+
+fn asynchronous<D>(drain: D, level: Level, process: &'static str) -> Logger
+where
+    D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
+{
+    let queue = slog_async::Async::new(drain)
+        .chan_size(QUEUE_RECORDS)
+        .build();
+    Logger::root(
+        queue.filter_level(level).fuse(),
+        o!("process" => process, "version" => env!("CARGO_PKG_VERSION")),
+    )
+}
--- /dev/null
+++ b/lovagedock-daemon/src/run.rs
@@ -0,0 +1,128 @@
+//! The common `main` of the daemons.
+
+use std::{future::Future, process::ExitCode};
+
+use error_stack::Report;
+use serde::de::DeserializeOwned;
+use slog::{Logger, crit, info};
+
+use crate::{
+    DaemonArguments, ExitStatus, LogSettings, MetricsHandle, ProcessClock, ShutdownSignal,
+    load_settings,
+};
+
+/// Settings of one daemon.
+pub trait DaemonSettings: DeserializeOwned {
+    /// How the daemon logs.
+    fn log(&self) -> LogSettings;
+
+    /// What is wrong with values that are well formed one by one; one line for each error.
+    fn problems(&self) -> Vec<String> {
+        Vec::new()
+    }
+}
+
+/// What a daemon gets from its process.
+#[derive(Clone)]
+pub struct DaemonContext {
+    /// Logger of the process.
+    pub logger: Logger,
+    /// Monotonic clock of the process.
+    pub clock: ProcessClock,
+    /// Metrics of the process.
+    pub metrics: MetricsHandle,
+    /// Asks the daemon to drain.
+    pub shutdown: ShutdownSignal,
+}
+
+impl DaemonContext {
+    /// Makes a context; a daemon that shares its process with others gets its own signal.
+    pub fn new(logger: Logger) -> Self {
+        Self {
+            logger,
+            clock: ProcessClock::new(),
+            metrics: MetricsHandle::install(),
+            shutdown: ShutdownSignal::new(),
+        }
+    }
+}
+
+/// Reads arguments and settings, runs the daemon until its future ends and reports how it went.
+///
+/// `start` gets the settings and a context whose shutdown signal follows SIGTERM and SIGINT. Its
+/// future ends when the daemon has drained. An error that it returns exits with
+/// [`ExitStatus::Start`] when the drain had not been asked for and with [`ExitStatus::Failure`]
+/// afterwards.
+pub fn run_daemon<S, E, F, Fut>(process: &'static str, about: &'static str, start: F) -> ExitCode
+where
+    S: DaemonSettings,
+    E: std::error::Error + Send + Sync + 'static,
+    F: FnOnce(S, DaemonContext) -> Fut,
+    Fut: Future<Output = Result<(), Report<E>>>,
+{
+    let arguments = DaemonArguments::parse_for(process, about);
+    let settings = match load_checked::<S>(&arguments) {
+        Ok(settings) => settings,
+        Err(lines) => {
+            eprintln!("{lines}");
+            return ExitStatus::Settings.into();
+        }
+    };
+    if arguments.check_settings {
+        println!("{}: valid", arguments.settings.display());
+        return ExitStatus::Success.into();
+    }
+    let context = DaemonContext::new(settings.log().logger(process));
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            crit!(context.logger, "no runtime"; "error" => %error);
+            return ExitStatus::Start.into();
+        }
+    };
+    runtime
+        .block_on(run_started(settings, context, start))
+        .into()
+}
+
+async fn run_started<S, E, F, Fut>(settings: S, context: DaemonContext, start: F) -> ExitStatus
+where
+    E: std::error::Error + Send + Sync + 'static,
+    F: FnOnce(S, DaemonContext) -> Fut,
+    Fut: Future<Output = Result<(), Report<E>>>,
+{
+    let logger = context.logger.clone();
+    let shutdown = context.shutdown.clone();
+    if let Err(error) = shutdown.listen_to_process_signals() {
+        crit!(logger, "no signal handler"; "error" => %error);
+        return ExitStatus::Start;
+    }
+    info!(logger, "starting");
+    match start(settings, context).await {
+        Ok(()) => {
+            info!(logger, "stopped");
+            ExitStatus::Success
+        }
+        Err(report) => {
+            crit!(logger, "failed"; "error" => format!("{report:?}"));
+            match shutdown.is_triggered() {
+                true => ExitStatus::Failure,
+                false => ExitStatus::Start,
+            }
+        }
+    }
+}
+
+fn load_checked<S: DaemonSettings>(arguments: &DaemonArguments) -> Result<S, String> {
+    let settings: S = load_settings(&arguments.settings).map_err(|error| error.to_string())?;
+    let problems = settings.problems();
+    if problems.is_empty() {
+        return Ok(settings);
+    }
+    let file = arguments.settings.display();
+    let lines: Vec<String> = problems
+        .iter()
+        .map(|problem| format!("{file}: {problem}"))
+        .collect();
+    Err(lines.join("\n"))
+}
--- /dev/null
+++ b/lovagedock-daemon/src/shutdown.rs
@@ -0,0 +1,63 @@
+//! The request to drain and stop.
+
+use std::io;
+
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    sync::watch,
+};
+
+/// Tells every task of a daemon to drain; clones share one state.
+///
+/// It is triggered once, by SIGTERM, by SIGINT or by [`trigger`](Self::trigger), and never reset.
+#[derive(Clone, Debug)]
+pub struct ShutdownSignal {
+    sender: watch::Sender<bool>,
+}
+
+impl ShutdownSignal {
+    /// Creates a signal that has not been triggered.
+    pub fn new() -> Self {
+        Self {
+            sender: watch::Sender::new(false),
+        }
+    }
+
+    /// Triggers the signal when the process gets SIGTERM or SIGINT; needs a tokio runtime.
+    pub fn listen_to_process_signals(&self) -> io::Result<()> {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let shutdown = self.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+            shutdown.trigger();
+        });
+        Ok(())
+    }
+
+    /// Asks for the drain.
+    pub fn trigger(&self) {
+        self.sender.send_replace(true);
+    }
+
+    /// Whether the drain has been asked for.
+    pub fn is_triggered(&self) -> bool {
+        *self.sender.borrow()
+    }
+
+    /// Waits until the drain is asked for; returns at once afterwards.
+    pub async fn wait(&self) {
+        let mut receiver = self.sender.subscribe();
+        // The sender lives in `self`, so the channel cannot close while we wait.
+        let _ = receiver.wait_for(|triggered| *triggered).await;
+    }
+}
+
+impl Default for ShutdownSignal {
+    fn default() -> Self {
+        Self::new()
+    }
+}
