Add the object store port and the stand-in of the platform

Cause: configuration, claims and leases need the platform's object store, and the thin path needs something to run against.

Change: ObjectStore with an HTTP client and a store in memory with scripted faults; a write whose answer is lost is OutcomeUnknown. standin-platform keeps versions, watches, rates, the 1 MB limit, a lagging host list, a weight store and faults on command.

--- /dev/null
+++ b/lovagedock-platform/src/http.rs
@@ -0,0 +1,314 @@
+//! The platform's object store over HTTP.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Method, Request, Response, StatusCode, header};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+use parking_lot::Mutex;
+use serde::de::DeserializeOwned;
+use tokio::time::timeout;
+
+use crate::{
+    hosts::{HostDirectory, HostList},
+    store::{
+        CallPurpose, ChangeBatch, MAX_VALUE_BYTES, ObjectEntry, ObjectStore, ObjectVersion,
+        PutCondition, Revision, StoreError, StoredObject, is_valid_key, is_valid_prefix,
+    },
+};
+
+const MAX_LIST_BYTES: usize = 64 << 20;
+const MAX_IDLE_CONNECTIONS: usize = 8;
+
+type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+/// Client of the platform's HTTP object API.
+pub struct HttpObjectStore {
+    base: String,
+    timeouts: StoreTimeouts,
+    client: Mutex<HttpClient>,
+}
+
+/// How long a call may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoreTimeouts {
+    /// To open a connection.
+    pub connect: Duration,
+    /// From the call to its whole answer; a watch gets this on top of its wait.
+    pub call: Duration,
+    /// How long an unused connection is kept.
+    pub idle: Duration,
+}
+
+impl Default for StoreTimeouts {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_millis(500),
+            call: Duration::from_secs(2),
+            idle: Duration::from_secs(15),
+        }
+    }
+}
+
+/// A whole answer of the store.
+struct StoreAnswer {
+    status: StatusCode,
+    version: Option<ObjectVersion>,
+    body: Bytes,
+}
+
+/// Why no whole answer came.
+enum CallFailure {
+    /// No connection could be opened, so the call was never sent.
+    NotSent,
+    /// The call may have reached the store.
+    MayHaveReached,
+}
+
+impl HttpObjectStore {
+    /// A client of the store at `base`, such as `http://10.0.0.1:8300`.
+    pub fn new(base: &str) -> Self {
+        Self::with_timeouts(base, StoreTimeouts::default())
+    }
+
+    /// A client with its own timeouts.
+    pub fn with_timeouts(base: &str, timeouts: StoreTimeouts) -> Self {
+        Self {
+            base: base.trim_end_matches('/').to_owned(),
+            timeouts,
+            client: Mutex::new(new_client(timeouts)),
+        }
+    }
+
+    async fn read(&self, target: &str, limit: usize, wait: Duration) -> ReadResult {
+        let request = self.request(Method::GET, target, Bytes::new())?;
+        let answer = match self.call(request, limit, wait).await {
+            Ok(answer) => answer,
+            Err(CallFailure::NotSent | CallFailure::MayHaveReached) => {
+                return Err(StoreError::Unavailable);
+            }
+        };
+        match answer.status {
+            StatusCode::OK => Ok(Some(answer)),
+            StatusCode::NOT_FOUND => Ok(None),
+            StatusCode::TOO_MANY_REQUESTS => Err(StoreError::RateLimited),
+            status if status.is_server_error() => Err(StoreError::Unavailable),
+            _ => Err(StoreError::Malformed),
+        }
+    }
+
+    async fn read_json<T: DeserializeOwned>(
+        &self,
+        target: &str,
+        wait: Duration,
+    ) -> Result<T, StoreError> {
+        let answer = self.read(target, MAX_LIST_BYTES, wait).await?;
+        let answer = answer.ok_or(StoreError::Malformed)?;
+        serde_json::from_slice(&answer.body).map_err(|_| StoreError::Malformed)
+    }
+
+    async fn write(
+        &self,
+        method: Method,
+        key: &str,
+        value: Bytes,
+        condition: PutCondition,
+    ) -> Result<StoreAnswer, StoreError> {
+        if !is_valid_key(key) {
+            return Err(StoreError::Malformed);
+        }
+        let mut request = self.request(method, &format!("/v1/objects/{key}"), value)?;
+        add_condition(&mut request, condition);
+        let answer = match self.call(request, MAX_VALUE_BYTES, Duration::ZERO).await {
+            Ok(answer) => answer,
+            Err(CallFailure::NotSent) => return Err(StoreError::Unavailable),
+            Err(CallFailure::MayHaveReached) => return Err(StoreError::OutcomeUnknown),
+        };
+        match answer.status {
+            status if status.is_success() => Ok(answer),
+            StatusCode::PRECONDITION_FAILED => Err(StoreError::Conflict {
+                current: answer.version,
+            }),
+            StatusCode::TOO_MANY_REQUESTS => Err(StoreError::RateLimited),
+            StatusCode::PAYLOAD_TOO_LARGE => Err(StoreError::TooLarge),
+            // A proxy in front of the store also answers 502, 503 or 504 when the store was cut
+            // off after it had the call. Taken as "not written", a claim could run twice.
+            status if status.is_server_error() => Err(StoreError::OutcomeUnknown),
+            _ => Err(StoreError::Malformed),
+        }
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        target: &str,
+        body: Bytes,
+    ) -> Result<Request<Full<Bytes>>, StoreError> {
+        Request::builder()
+            .method(method)
+            .uri(format!("{}{target}", self.base))
+            .body(Full::new(body))
+            .map_err(|_| StoreError::Malformed)
+    }
+
+    async fn call(
+        &self,
+        request: Request<Full<Bytes>>,
+        limit: usize,
+        wait: Duration,
+    ) -> Result<StoreAnswer, CallFailure> {
+        let client = self.client.lock().clone();
+        match timeout(self.timeouts.call + wait, exchange(&client, request, limit)).await {
+            Ok(result) => result,
+            Err(_) => {
+                // A connection that went silent looks alive, and others to the same host may be
+                // as dead: every call would wait out its time. New connections work, so the pool
+                // is left behind with all that is in it.
+                *self.client.lock() = new_client(self.timeouts);
+                Err(CallFailure::MayHaveReached)
+            }
+        }
+    }
+}
+
+type ReadResult = Result<Option<StoreAnswer>, StoreError>;
+
+#[async_trait]
+impl ObjectStore for HttpObjectStore {
+    async fn get(
+        &self,
+        key: &str,
+        _purpose: CallPurpose,
+    ) -> Result<Option<StoredObject>, StoreError> {
+        if !is_valid_key(key) {
+            return Err(StoreError::Malformed);
+        }
+        let target = format!("/v1/objects/{key}");
+        let Some(answer) = self.read(&target, MAX_VALUE_BYTES, Duration::ZERO).await? else {
+            return Ok(None);
+        };
+        Ok(Some(StoredObject {
+            key: key.to_owned(),
+            version: answer.version.ok_or(StoreError::Malformed)?,
+            value: answer.body,
+        }))
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        value: Bytes,
+        condition: PutCondition,
+        _purpose: CallPurpose,
+    ) -> Result<ObjectVersion, StoreError> {
+        if value.len() > MAX_VALUE_BYTES {
+            return Err(StoreError::TooLarge);
+        }
+        let answer = self.write(Method::PUT, key, value, condition).await?;
+        // The write took effect, but which version it made is not known.
+        answer.version.ok_or(StoreError::OutcomeUnknown)
+    }
+
+    async fn delete(
+        &self,
+        key: &str,
+        condition: PutCondition,
+        _purpose: CallPurpose,
+    ) -> Result<(), StoreError> {
+        self.write(Method::DELETE, key, Bytes::new(), condition)
+            .await
+            .map(|_| ())
+    }
+
+    async fn list(
+        &self,
+        prefix: &str,
+        _purpose: CallPurpose,
+    ) -> Result<Vec<ObjectEntry>, StoreError> {
+        if !is_valid_prefix(prefix) {
+            return Err(StoreError::Malformed);
+        }
+        let target = format!("/v1/objects?prefix={prefix}");
+        self.read_json(&target, Duration::ZERO).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+        _purpose: CallPurpose,
+    ) -> Result<ChangeBatch, StoreError> {
+        if !is_valid_prefix(prefix) {
+            return Err(StoreError::Malformed);
+        }
+        let wait_ms = wait.as_millis();
+        let target = format!("/v1/watch?prefix={prefix}&after={after}&wait_ms={wait_ms}");
+        self.read_json(&target, wait).await
+    }
+}
+
+#[async_trait]
+impl HostDirectory for HttpObjectStore {
+    async fn hosts(&self) -> Result<HostList, StoreError> {
+        self.read_json("/v1/hosts", Duration::ZERO).await
+    }
+}
+
+fn new_client(timeouts: StoreTimeouts) -> HttpClient {
+    let mut connector = HttpConnector::new();
+    connector.set_connect_timeout(Some(timeouts.connect));
+    connector.set_nodelay(true);
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(timeouts.idle)
+        .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
+        .build(connector)
+}
+
+async fn exchange(
+    client: &HttpClient,
+    request: Request<Full<Bytes>>,
+    limit: usize,
+) -> Result<StoreAnswer, CallFailure> {
+    let response = client.request(request).await.map_err(|error| {
+        if error.is_connect() {
+            CallFailure::NotSent
+        } else {
+            CallFailure::MayHaveReached
+        }
+    })?;
+    let status = response.status();
+    let version = read_version(&response);
+    let body = Limited::new(response.into_body(), limit)
+        .collect()
+        .await
+        .map_err(|_| CallFailure::MayHaveReached)?
+        .to_bytes();
+    Ok(StoreAnswer {
+        status,
+        version,
+        body,
+    })
+}
+
+fn add_condition(request: &mut Request<Full<Bytes>>, condition: PutCondition) {
+    let (name, text) = match condition {
+        PutCondition::Any => return,
+        PutCondition::Absent => (header::IF_NONE_MATCH, "*".to_owned()),
+        PutCondition::Version(version) => (header::IF_MATCH, format!("\"{version}\"")),
+    };
+    if let Ok(value) = text.try_into() {
+        request.headers_mut().insert(name, value);
+    }
+}
+
+fn read_version<B>(response: &Response<B>) -> Option<ObjectVersion> {
+    let text = response.headers().get(header::ETAG)?.to_str().ok()?;
+    text.trim_matches('"').parse().ok()
+}
--- a/lovagedock-platform/src/lib.rs
+++ b/lovagedock-platform/src/lib.rs
@@ -1,1 +1,44 @@
-//! Placeholder.
+//! Port to the platform: its object store and its list of hosts, and what lovagedock keeps there.
+//!
+//! [`ObjectStore`] is the border: [`HttpObjectStore`] speaks the platform's HTTP API and
+//! [`MemoryStore`] stands in for it in tests, with scripted faults. A write whose answer was lost
+//! is [`StoreError::OutcomeUnknown`], and only what certainly did not take effect is
+//! [`StoreError::Unavailable`].
+//!
+//! # Example
+//!
+//! ```
+//! use std::sync::Arc;
+//!
+//! use lovagedock_platform::{CallPurpose, MemoryStore, ObjectStore, PutCondition, StoreError};
+//!
+//! # #[tokio::main(flavor = "current_thread")]
+//! # async fn main() -> Result<(), StoreError> {
+//! let store: Arc<dyn ObjectStore> = Arc::new(MemoryStore::new());
+//! let version = store
+//!     .put("leases/a", "holder".into(), PutCondition::Absent, CallPurpose::Lease)
+//!     .await?;
+//! let late = store
+//!     .put("leases/a", "other".into(), PutCondition::Absent, CallPurpose::Lease)
+//!     .await;
+//! assert_eq!(late, Err(StoreError::Conflict { current: Some(version) }));
+//! # Ok(())
+//! # }
+//! ```
+
+mod bucket;
+mod hosts;
+mod http;
+mod memory;
+mod store;
+mod table;
+
+pub use bucket::TokenBucket;
+pub use hosts::{HostDirectory, HostEntry, HostList, HostState};
+pub use http::{HttpObjectStore, StoreTimeouts};
+pub use memory::{CallCounts, CallKind, MemoryFault, MemoryStore};
+pub use store::{
+    CallPurpose, ChangeBatch, MAX_KEY_BYTES, MAX_VALUE_BYTES, ObjectEntry, ObjectStore,
+    ObjectVersion, PutCondition, Revision, StoreError, StoredObject, is_valid_key, is_valid_prefix,
+};
+pub use table::ObjectTable;
--- /dev/null
+++ b/lovagedock-standin/src/platform/hosts.rs
@@ -0,0 +1,64 @@
+//! The lagging host list of the stand-in platform.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use lovagedock::Timestamp;
+use lovagedock_platform::{HostEntry, HostList, HostState};
+
+/// What became of hosts, and when.
+#[derive(Debug)]
+pub(crate) struct HostJournal {
+    lag: Duration,
+    initial: Vec<String>,
+    changes: Vec<HostChange>,
+}
+
+#[derive(Debug)]
+struct HostChange {
+    at: Timestamp,
+    host: String,
+    state: Option<HostState>,
+}
+
+impl HostJournal {
+    pub(crate) fn new(initial: Vec<String>, lag: Duration) -> Self {
+        Self {
+            lag,
+            initial,
+            changes: Vec::new(),
+        }
+    }
+
+    /// Records a change; `None` for a host that is gone.
+    pub(crate) fn record(&mut self, host: &str, state: Option<HostState>, now: Timestamp) {
+        self.changes.push(HostChange {
+            at: now,
+            host: host.to_owned(),
+            state,
+        });
+    }
+
+    /// The list as it was a lag ago.
+    pub(crate) fn list(&self, now: Timestamp) -> HostList {
+        let mut hosts: BTreeMap<&str, HostState> = self
+            .initial
+            .iter()
+            .map(|host| (host.as_str(), HostState::Live))
+            .collect();
+        let visible = |change: &&HostChange| change.at + self.lag <= now;
+        for change in self.changes.iter().filter(visible) {
+            match change.state {
+                Some(state) => hosts.insert(&change.host, state),
+                None => hosts.remove(change.host.as_str()),
+            };
+        }
+        let hosts = hosts
+            .into_iter()
+            .map(|(host, state)| HostEntry {
+                host: host.into(),
+                state,
+            })
+            .collect();
+        HostList { hosts }
+    }
+}
--- /dev/null
+++ b/lovagedock-standin/src/platform/state.rs
@@ -0,0 +1,256 @@
+//! State of the stand-in platform behind one lock.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use lovagedock::Timestamp;
+use lovagedock_platform::{
+    ChangeBatch, HostList, HostState, ObjectEntry, ObjectTable, ObjectVersion, PutCondition,
+    Revision, StoreError, StoredObject, TokenBucket,
+};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use tokio::{
+    sync::watch,
+    time::{Instant, timeout_at},
+};
+
+use super::{
+    PlatformOptions,
+    faults::{CallFate, FaultOrder, FaultState},
+    hosts::HostJournal,
+};
+
+/// A waiting watch takes one read of the rate each time this much of its wait has begun.
+const WATCH_SLICE: Duration = Duration::from_secs(1);
+
+/// Calls that reached the stand-in; what `GET /v1/counters` answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlatformCounters {
+    /// Reads of one object.
+    pub reads: u64,
+    /// Lists.
+    pub lists: u64,
+    /// Puts and deletes.
+    pub writes: u64,
+    /// Watches begun.
+    pub watches: u64,
+    /// Watches that wait at this moment.
+    pub waiting_watches: u64,
+    /// Reads of the host list.
+    pub host_reads: u64,
+    /// Loads from the weight store.
+    pub weight_loads: u64,
+    /// Calls refused because of a rate.
+    pub rate_limited: u64,
+    /// Calls that a fault hit.
+    pub faulted: u64,
+    /// Bytes of the values put.
+    pub bytes_written: u64,
+    /// Bytes of the values read.
+    pub bytes_read: u64,
+}
+
+/// Kinds of calls, each with its counter and rate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CallClass {
+    Read,
+    List,
+    Write,
+    Watch,
+    Hosts,
+    Weights,
+}
+
+/// The stand-in's state, shared by its connections.
+pub(crate) struct SharedPlatform {
+    started: Instant,
+    inner: Mutex<PlatformState>,
+    changed: watch::Sender<Revision>,
+    weight_bytes: usize,
+}
+
+struct PlatformState {
+    table: ObjectTable,
+    reads: TokenBucket,
+    writes: TokenBucket,
+    loads: TokenBucket,
+    faults: FaultState,
+    hosts: HostJournal,
+    counters: PlatformCounters,
+}
+
+impl SharedPlatform {
+    pub(crate) fn new(options: PlatformOptions) -> Self {
+        let bucket = |rate: f64| TokenBucket::new(rate, rate.max(1.0), Timestamp::ZERO);
+        let state = PlatformState {
+            table: ObjectTable::new(),
+            reads: bucket(options.reads_per_second),
+            writes: bucket(options.writes_per_second),
+            loads: bucket(options.weight_loads_per_second),
+            faults: FaultState::new(),
+            hosts: HostJournal::new(options.hosts, options.host_lag),
+            counters: PlatformCounters::default(),
+        };
+        Self {
+            started: Instant::now(),
+            inner: Mutex::new(state),
+            changed: watch::Sender::new(0),
+            weight_bytes: options.weight_bytes,
+        }
+    }
+
+    /// Counts a call, then takes its share of the rate and decides its fate.
+    pub(crate) fn admit(&self, class: CallClass) -> Result<CallFate, StoreError> {
+        let now = self.now();
+        let mut state = self.inner.lock();
+        state.count(class);
+        let fate = state.faults.fate(class == CallClass::Write, now);
+        if fate != CallFate::Served {
+            state.counters.faulted += 1;
+        }
+        if fate == CallFate::Cut {
+            return Ok(fate);
+        }
+        if !state.bucket(class).try_take(now) {
+            state.counters.rate_limited += 1;
+            return Err(StoreError::RateLimited);
+        }
+        Ok(fate)
+    }
+
+    pub(crate) fn get(&self, key: &str) -> Option<StoredObject> {
+        let mut state = self.inner.lock();
+        let object = state.table.get(key)?;
+        state.counters.bytes_read += object.value.len() as u64;
+        Some(object)
+    }
+
+    pub(crate) fn put(
+        &self,
+        key: &str,
+        value: Bytes,
+        condition: PutCondition,
+    ) -> Result<ObjectVersion, StoreError> {
+        let mut state = self.inner.lock();
+        state.counters.bytes_written += value.len() as u64;
+        let version = state.table.put(key, value, condition)?;
+        self.changed.send_replace(version);
+        Ok(version)
+    }
+
+    pub(crate) fn delete(&self, key: &str, condition: PutCondition) -> Result<(), StoreError> {
+        let mut state = self.inner.lock();
+        state.table.delete(key, condition)?;
+        self.changed.send_replace(state.table.revision());
+        Ok(())
+    }
+
+    pub(crate) fn list(&self, prefix: &str) -> Vec<ObjectEntry> {
+        self.inner.lock().table.list(prefix)
+    }
+
+    /// Waits for a change; a watch that has to wait takes further reads from the rate.
+    pub(crate) async fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<ChangeBatch, StoreError> {
+        let mut changed = self.changed.subscribe();
+        let _waiting = WaitingWatch::new(self);
+        let deadline = Instant::now() + wait;
+        let mut charged_until = Instant::now() + WATCH_SLICE;
+        loop {
+            let batch = self.inner.lock().table.changes(prefix, after);
+            if !batch.keys.is_empty() || Instant::now() >= deadline {
+                return Ok(batch);
+            }
+            let wake = deadline.min(charged_until);
+            let _change_or_time = timeout_at(wake, changed.changed()).await;
+            if Instant::now() >= charged_until {
+                charged_until += WATCH_SLICE;
+                self.charge_waiting()?;
+            }
+        }
+    }
+
+    pub(crate) fn hosts(&self) -> HostList {
+        let now = self.now();
+        self.inner.lock().hosts.list(now)
+    }
+
+    pub(crate) fn set_host(&self, host: &str, host_state: Option<HostState>) {
+        let now = self.now();
+        self.inner.lock().hosts.record(host, host_state, now);
+    }
+
+    pub(crate) fn weights(&self) -> Bytes {
+        Bytes::from(vec![0; self.weight_bytes])
+    }
+
+    pub(crate) fn counters(&self) -> PlatformCounters {
+        self.inner.lock().counters
+    }
+
+    pub(crate) fn set_fault(&self, order: FaultOrder) {
+        let now = self.now();
+        self.inner.lock().faults.set(order, now);
+    }
+
+    fn charge_waiting(&self) -> Result<(), StoreError> {
+        let now = self.now();
+        let mut state = self.inner.lock();
+        if state.reads.try_take(now) {
+            return Ok(());
+        }
+        state.counters.rate_limited += 1;
+        Err(StoreError::RateLimited)
+    }
+
+    fn now(&self) -> Timestamp {
+        self.started.elapsed()
+    }
+}
+
+impl PlatformState {
+    fn count(&mut self, class: CallClass) {
+        let counter = match class {
+            CallClass::Read => &mut self.counters.reads,
+            CallClass::List => &mut self.counters.lists,
+            CallClass::Write => &mut self.counters.writes,
+            CallClass::Watch => &mut self.counters.watches,
+            CallClass::Hosts => &mut self.counters.host_reads,
+            CallClass::Weights => &mut self.counters.weight_loads,
+        };
+        *counter += 1;
+    }
+
+    fn bucket(&mut self, class: CallClass) -> &mut TokenBucket {
+        match class {
+            CallClass::Write => &mut self.writes,
+            CallClass::Weights => &mut self.loads,
+            CallClass::Read | CallClass::List | CallClass::Watch | CallClass::Hosts => {
+                &mut self.reads
+            }
+        }
+    }
+}
+
+/// Counts a watch while it waits, also when its caller goes away.
+struct WaitingWatch<'a> {
+    platform: &'a SharedPlatform,
+}
+
+impl<'a> WaitingWatch<'a> {
+    fn new(platform: &'a SharedPlatform) -> Self {
+        platform.inner.lock().counters.waiting_watches += 1;
+        Self { platform }
+    }
+}
+
+impl Drop for WaitingWatch<'_> {
+    fn drop(&mut self) {
+        self.platform.inner.lock().counters.waiting_watches -= 1;
+    }
+}
