--- /dev/null
+++ b/lovagedock/src/config/check.rs
@@ -0,0 +1,156 @@
+//! Holds the values of a configuration against each other.
+
+use std::{
+    collections::{HashMap, HashSet},
+    fmt::Display,
+};
+
+use super::{
+    check_fleet, check_traffic,
+    position::{ConfigProblem, SourceMap, name_hint, nearest_name},
+    types::{CONFIG_VERSION, FleetConfig},
+};
+
+const LONGEST_NAME: usize = 128;
+
+/// Finds what is wrong in a configuration that has the right shape.
+pub fn check_config(config: &FleetConfig, sources: &SourceMap) -> Vec<ConfigProblem> {
+    let mut checker = ConfigChecker::new(sources);
+    if config.version != CONFIG_VERSION {
+        let found = format!("file format version {}", config.version);
+        checker.refuse("version", found, format!("version {CONFIG_VERSION}"));
+    }
+    check_fleet::check_domains(config, &mut checker);
+    check_fleet::check_gateways(config, &mut checker);
+    check_fleet::check_models(config, &mut checker);
+    check_fleet::check_pools(config, &mut checker);
+    check_traffic::check_services(config, &mut checker);
+    check_traffic::check_organisations(config, &mut checker);
+    check_traffic::check_rules(config, &mut checker);
+    check_traffic::check_placement(config, &mut checker);
+    checker.problems
+}
+
+/// Collects problems and knows where each value stands.
+pub(crate) struct ConfigChecker<'a> {
+    sources: &'a SourceMap,
+    problems: Vec<ConfigProblem>,
+}
+
+impl<'a> ConfigChecker<'a> {
+    fn new(sources: &'a SourceMap) -> Self {
+        Self {
+            sources,
+            problems: Vec::new(),
+        }
+    }
+
+    pub(crate) fn refuse(
+        &mut self,
+        path: &str,
+        found: impl Into<String>,
+        expected: impl Into<String>,
+    ) {
+        self.refuse_with_hint(path, found, expected, None);
+    }
+
+    pub(crate) fn refuse_with_hint(
+        &mut self,
+        path: &str,
+        found: impl Into<String>,
+        expected: impl Into<String>,
+        hint: Option<String>,
+    ) {
+        let position = self.sources.position(path);
+        let problem = ConfigProblem::new(position, path, found, expected);
+        self.problems.push(problem.with_hint(hint));
+    }
+
+    pub(crate) fn require(&mut self, holds: bool, path: &str, found: impl Display, expected: &str) {
+        if !holds {
+            self.refuse(path, found.to_string(), expected);
+        }
+    }
+
+    /// Checks the form of a name and that its list has it once.
+    pub(crate) fn check_name(&mut self, names: &mut UniqueNames, name: &str, path: String) {
+        let is_plain = |c: char| c.is_ascii_graphic() && !matches!(c, '"' | '\\' | '`');
+        let is_sound = !name.is_empty() && name.len() <= LONGEST_NAME && name.chars().all(is_plain);
+        if !is_sound {
+            let expected = format!("1 to {LONGEST_NAME} printable ASCII characters without spaces");
+            self.refuse(&path, format!("the name {name:?}"), expected);
+            return;
+        }
+        self.check_unique(names, name, path);
+    }
+
+    /// Checks that a value is not taken yet.
+    pub(crate) fn check_unique(&mut self, names: &mut UniqueNames, name: &str, path: String) {
+        if let Some(first) = names.first.get(name) {
+            let place = self.sources.position(first);
+            let hint = format!("the first is at {}:{}", place.file, place.line);
+            let found = format!("`{name}` a second time");
+            let expected = format!("each {} once", names.kind);
+            self.refuse_with_hint(&path, found, expected, Some(hint));
+            return;
+        }
+        names.first.insert(name.to_owned(), path);
+    }
+
+    /// Checks that a name is one of those that the configuration gives.
+    pub(crate) fn check_reference(&mut self, known: &KnownNames<'_>, name: &str, path: &str) {
+        if known.names.contains(name) {
+            return;
+        }
+        let hint = name_hint(nearest_name(name, known.names.iter().copied()));
+        let found = format!("`{name}`, which is not in `{}`", known.list);
+        let expected = format!("the id of a {}", known.kind);
+        self.refuse_with_hint(path, found, expected, hint);
+    }
+}
+
+/// Names seen so far, with the path of the first use.
+pub(crate) struct UniqueNames {
+    kind: &'static str,
+    first: HashMap<String, String>,
+}
+
+impl UniqueNames {
+    pub(crate) fn new(kind: &'static str) -> Self {
+        Self {
+            kind,
+            first: HashMap::new(),
+        }
+    }
+}
+
+/// Names that one list of the configuration gives.
+pub(crate) struct KnownNames<'a> {
+    kind: &'static str,
+    list: &'static str,
+    names: HashSet<&'a str>,
+}
+
+impl<'a> KnownNames<'a> {
+    pub(crate) fn new(
+        kind: &'static str,
+        list: &'static str,
+        names: impl Iterator<Item = &'a str>,
+    ) -> Self {
+        Self {
+            kind,
+            list,
+            names: names.collect(),
+        }
+    }
+}
+
+pub(crate) fn known_domains(config: &FleetConfig) -> KnownNames<'_> {
+    let names = config.failure_domains.iter().map(|domain| &*domain.id);
+    KnownNames::new("failure domain", "failure_domains", names)
+}
+
+pub(crate) fn known_models(config: &FleetConfig) -> KnownNames<'_> {
+    let names = config.models.iter().map(|model| &*model.id);
+    KnownNames::new("model", "models", names)
+}
--- /dev/null
+++ b/lovagedock/src/config/document.rs
@@ -0,0 +1,214 @@
+//! Reads files of JSON with comments into typed values.
+
+use std::cmp::Ordering;
+
+use jsonc_parser::{CollectOptions, ParseOptions, ast, parse_to_ast};
+use schemars::{JsonSchema, schema_for};
+use serde::de::DeserializeOwned;
+use serde_json::{Map, Value};
+
+use super::{
+    check::check_config,
+    position::{ConfigProblem, LineIndex, SourceFile, SourceMap},
+    shape::ShapeReader,
+    types::{CONFIG_VERSION, FleetConfig},
+};
+
+/// A value and where each part of it was written.
+#[derive(Clone, Debug)]
+pub struct ConfigDocument<T> {
+    /// The value.
+    pub value: T,
+    /// Places in the text.
+    pub sources: SourceMap,
+}
+
+/// Reads and checks a configuration that is one file.
+///
+/// # Errors
+///
+/// Every problem of the file, in the order of the text.
+pub fn parse_config(file_name: &str, text: &str) -> Result<FleetConfig, Vec<ConfigProblem>> {
+    let file = SourceFile::new(file_name, text);
+    parse_files(std::slice::from_ref(&file)).map(|document| document.value)
+}
+
+/// Reads and checks a configuration that is spread over files: arrays are put together in the
+/// order of the files, anything else may be given once.
+///
+/// # Errors
+///
+/// Every problem of all files, in the order of the text.
+pub fn parse_files(
+    files: &[SourceFile],
+) -> Result<ConfigDocument<FleetConfig>, Vec<ConfigProblem>> {
+    let schema = schema_for!(FleetConfig).to_value();
+    let mut reading = read_files(&schema, files, Some(CONFIG_VERSION));
+    let config = to_typed::<FleetConfig>(&mut reading);
+    if let Some(config) = &config {
+        let found = check_config(config, &reading.sources);
+        let damaged = &reading.damaged;
+        reading.problems.extend(found.into_iter().filter(|problem| {
+            !damaged
+                .iter()
+                .any(|path| problem.path.starts_with(path.as_str()))
+        }));
+    }
+    finish(reading, config, files)
+}
+
+/// Reads a settings file of any type that has a schema, by the same rules as a configuration.
+///
+/// # Errors
+///
+/// Every problem of the file, in the order of the text.
+pub fn parse_settings<T: JsonSchema + DeserializeOwned>(
+    file_name: &str,
+    text: &str,
+) -> Result<ConfigDocument<T>, Vec<ConfigProblem>> {
+    let schema = schema_for!(T).to_value();
+    let files = [SourceFile::new(file_name, text)];
+    let mut reading = read_files(&schema, &files, None);
+    let value = to_typed::<T>(&mut reading);
+    finish(reading, value, &files)
+}
+
+/// What was read so far, good or bad.
+struct DocumentReading {
+    value: Option<Value>,
+    sources: SourceMap,
+    problems: Vec<ConfigProblem>,
+    damaged: Vec<String>,
+}
+
+fn read_files(schema: &Value, files: &[SourceFile], version: Option<u32>) -> DocumentReading {
+    let mut sources = SourceMap::default();
+    let mut problems = Vec::new();
+    let mut damaged = Vec::new();
+    let mut merged = Map::new();
+    let mut whole = !files.is_empty();
+    for file in files {
+        let lines = LineIndex::new(file);
+        let Some(node) = parse_text(file, &lines, &mut problems) else {
+            whole = false;
+            continue;
+        };
+        if let Some(problem) = version.and_then(|version| other_version(&node, version, &lines)) {
+            problems.push(problem);
+            whole = false;
+            continue;
+        }
+        let mut reader =
+            ShapeReader::new(schema, &lines, &mut sources, &mut problems, &mut damaged);
+        whole &= reader.read_root(&node, &mut merged);
+    }
+    if whole {
+        let lines = LineIndex::new(&files[0]);
+        let mut reader =
+            ShapeReader::new(schema, &lines, &mut sources, &mut problems, &mut damaged);
+        whole = reader.finish_root(&merged);
+    }
+    DocumentReading {
+        value: whole.then_some(Value::Object(merged)),
+        sources,
+        problems,
+        damaged,
+    }
+}
+
+fn parse_text<'a>(
+    file: &'a SourceFile,
+    lines: &LineIndex<'_>,
+    problems: &mut Vec<ConfigProblem>,
+) -> Option<ast::Value<'a>> {
+    let options = ParseOptions {
+        allow_comments: true,
+        allow_loose_object_property_names: false,
+        allow_trailing_commas: true,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+    };
+    match parse_to_ast(&file.text, &CollectOptions::default(), &options) {
+        Ok(result) if result.value.is_some() => result.value,
+        Ok(_) => {
+            let position = lines.position(0);
+            problems.push(ConfigProblem::new(
+                position,
+                "",
+                "an empty file",
+                "an object",
+            ));
+            None
+        }
+        Err(error) => {
+            let position = lines.position(error.range().start);
+            let found = format!("text that does not parse ({})", error.kind());
+            problems.push(ConfigProblem::new(
+                position,
+                "",
+                found,
+                "JSON with comments",
+            ));
+            None
+        }
+    }
+}
+
+/// A file of another version is not held against this version's schema: its fields may mean
+/// something else, and a list of unknown fields would hide the one thing that is wrong.
+fn other_version(
+    node: &ast::Value<'_>,
+    version: u32,
+    lines: &LineIndex<'_>,
+) -> Option<ConfigProblem> {
+    let literal = node.as_object()?.get_number("version")?;
+    let found = literal.value.parse::<u64>().ok()?;
+    let hint = match found.cmp(&u64::from(version)) {
+        Ordering::Equal => return None,
+        Ordering::Greater => "the file was written for a newer lovagedock",
+        Ordering::Less => "the file was written for an older lovagedock",
+    };
+    let position = lines.position(literal.range.start);
+    let found = format!("file format version {found}");
+    let expected = format!("version {version}");
+    let problem = ConfigProblem::new(position, "version", found, expected);
+    Some(problem.with_hint(Some(hint.to_owned())))
+}
+
+fn to_typed<T: DeserializeOwned>(reading: &mut DocumentReading) -> Option<T> {
+    let value = reading.value.take()?;
+    match serde_json::from_value(value) {
+        Ok(value) => Some(value),
+        Err(error) => {
+            let position = reading.sources.position("");
+            let problem = ConfigProblem::new(position, "", error.to_string(), "a valid file");
+            reading.problems.push(problem);
+            None
+        }
+    }
+}
+
+fn finish<T>(
+    reading: DocumentReading,
+    value: Option<T>,
+    files: &[SourceFile],
+) -> Result<ConfigDocument<T>, Vec<ConfigProblem>> {
+    let DocumentReading {
+        sources,
+        mut problems,
+        ..
+    } = reading;
+    if let Some(value) = value
+        && problems.is_empty()
+    {
+        return Ok(ConfigDocument { value, sources });
+    }
+    let rank = |name: &str| files.iter().position(|file| file.name == name);
+    problems.sort_by_key(|problem| (rank(&problem.file), problem.line, problem.column));
+    Err(problems)
+}
--- /dev/null
+++ b/lovagedock/src/config/mod.rs
@@ -0,0 +1,22 @@
+//! The complete desired state of a fleet, as one value, and the language it is written in.
+//!
+//! A configuration is one file or a folder of files of JSON with comments. Reading it has two
+//! stages: the shape of the text is held against the schema of the types, then the values are
+//! held against each other. Both stages report every problem with its place in the text.
+
+mod check;
+mod check_fleet;
+mod check_traffic;
+mod document;
+mod position;
+mod shape;
+mod types;
+
+pub use check::check_config;
+pub use document::{ConfigDocument, parse_config, parse_files, parse_settings};
+pub use position::{ConfigProblem, SourceFile, SourceMap, SourcePosition};
+pub use types::{
+    AdapterSpec, CONFIG_VERSION, CallRule, DomainSpec, EndpointSpec, FleetConfig, GatewaySpec,
+    LengthRule, ModelSpec, OrderCheck, OrganisationLimits, OrganisationSpec, PlacementSpec,
+    PoolKind, PoolSpec, PriorityTier, ServiceKind, ServiceSpec,
+};
--- /dev/null
+++ b/lovagedock/src/config/shape.rs
@@ -0,0 +1,488 @@
+//! Holds the text of a file against the JSON Schema of the type it is to become.
+//!
+//! The schema is generated from the types, so that a field that is added there is known here.
+//! Reading goes on after a problem: a bad value yields `None`, and its siblings are still read.
+
+use std::net::SocketAddr;
+
+use jsonc_parser::{ast, common::Ranged};
+use serde_json::{Map, Value};
+
+use super::position::{
+    ConfigProblem, LineIndex, SourceMap, SourcePosition, name_hint, nearest_name,
+};
+
+const ADDRESS_FORMAT: &str = "ip-port";
+const LONGEST_SHOWN: usize = 60;
+
+pub(crate) struct ShapeReader<'a> {
+    root: &'a Value,
+    lines: &'a LineIndex<'a>,
+    sources: &'a mut SourceMap,
+    problems: &'a mut Vec<ConfigProblem>,
+    damaged: &'a mut Vec<String>,
+}
+
+impl<'a> ShapeReader<'a> {
+    pub(crate) fn new(
+        root: &'a Value,
+        lines: &'a LineIndex<'a>,
+        sources: &'a mut SourceMap,
+        problems: &'a mut Vec<ConfigProblem>,
+        damaged: &'a mut Vec<String>,
+    ) -> Self {
+        Self {
+            root,
+            lines,
+            sources,
+            problems,
+            damaged,
+        }
+    }
+
+    /// Reads one file into what earlier files gave; false when something could not be read.
+    pub(crate) fn read_root(
+        &mut self,
+        node: &ast::Value<'_>,
+        merged: &mut Map<String, Value>,
+    ) -> bool {
+        let position = self.position(node);
+        self.sources.insert("", position);
+        let ast::Value::Object(object) = node else {
+            self.refuse(node, "", "an object");
+            return false;
+        };
+        let mut whole = true;
+        for property in self.known_properties(self.root, object, "").0 {
+            let name = property.name.as_str();
+            let schema = &self.root["properties"][name];
+            whole &= self.merge_property(schema, property, merged);
+        }
+        whole
+    }
+
+    /// Refuses what no file gave.
+    pub(crate) fn finish_root(&mut self, merged: &Map<String, Value>) -> bool {
+        let missing: Vec<_> = required_names(self.root)
+            .filter(|name| !merged.contains_key(*name))
+            .collect();
+        for name in &missing {
+            let found = "nothing";
+            let expected = format!("the field `{name}`");
+            let position = self.sources.position("");
+            self.problems
+                .push(ConfigProblem::new(position, name, found, expected));
+        }
+        missing.is_empty()
+    }
+
+    fn merge_property(
+        &mut self,
+        schema: &'a Value,
+        property: &ast::ObjectProp<'_>,
+        merged: &mut Map<String, Value>,
+    ) -> bool {
+        let name = property.name.as_str();
+        let earlier = merged.get(name);
+        if let (Some(Value::Array(earlier)), ast::Value::Array(array)) = (earlier, &property.value)
+        {
+            let items = self.read_items(schema, array, name, earlier.len());
+            return match (items, merged.get_mut(name)) {
+                (Some(items), Some(Value::Array(earlier))) => {
+                    earlier.extend(items);
+                    true
+                }
+                _ => false,
+            };
+        }
+        if earlier.is_some() && name != "version" {
+            let first = self.sources.position(name);
+            let expected = "it once in all files";
+            let found = format!("a second `{name}`");
+            let hint = format!("the first is at {}:{}", first.file, first.line);
+            self.push(&property.value, name, found, expected, Some(hint));
+            return true;
+        }
+        match self.read(schema, &property.value, name) {
+            Some(value) => {
+                merged.insert(name.to_owned(), value);
+                true
+            }
+            None => self.skip_damaged(schema, name, name),
+        }
+    }
+
+    fn read(&mut self, schema: &'a Value, node: &ast::Value<'_>, path: &str) -> Option<Value> {
+        if !self.sources.contains(path) {
+            let position = self.position(node);
+            self.sources.insert(path, position);
+        }
+        let schema = self.resolve(schema);
+        if let Some(variants) = schema["oneOf"].as_array() {
+            return self.read_variant(variants, node, path);
+        }
+        if let Some(variants) = schema["anyOf"].as_array() {
+            return self.read_nullable(variants, node, path);
+        }
+        if let Some(names) = schema["enum"].as_array() {
+            let names: Vec<_> = names.iter().filter_map(Value::as_str).collect();
+            return self.read_name(&names, node, path);
+        }
+        match type_name(schema, node) {
+            "object" => self.read_object(schema, node, path),
+            "array" => self.read_array(schema, node, path),
+            "integer" => self.read_integer(schema, node, path),
+            "number" => self.read_number(node, path),
+            "boolean" => match node {
+                ast::Value::BooleanLit(literal) => Some(Value::Bool(literal.value)),
+                _ => self.refuse(node, path, "true or false"),
+            },
+            "string" => self.read_string(schema, node, path),
+            "null" => Some(Value::Null),
+            _ => Some(plain_value(node)),
+        }
+    }
+
+    fn resolve(&self, schema: &'a Value) -> &'a Value {
+        match schema["$ref"]
+            .as_str()
+            .and_then(|name| name.strip_prefix("#/$defs/"))
+        {
+            Some(name) => &self.root["$defs"][name],
+            None => schema,
+        }
+    }
+
+    fn read_nullable(
+        &mut self,
+        variants: &'a [Value],
+        node: &ast::Value<'_>,
+        path: &str,
+    ) -> Option<Value> {
+        if matches!(node, ast::Value::NullKeyword(_)) {
+            return Some(Value::Null);
+        }
+        let variant = variants.iter().find(|variant| variant["type"] != "null")?;
+        self.read(variant, node, path)
+    }
+
+    /// An enum: a bare name, or an object with one field that names the variant.
+    fn read_variant(
+        &mut self,
+        variants: &'a [Value],
+        node: &ast::Value<'_>,
+        path: &str,
+    ) -> Option<Value> {
+        let names: Vec<&str> = variants.iter().filter_map(variant_name).collect();
+        let ast::Value::Object(object) = node else {
+            return self.read_name(&names, node, path);
+        };
+        let [property] = object.properties.as_slice() else {
+            let expected = format!("an object with one field: {}", name_list(&names));
+            return self.refuse(node, path, expected);
+        };
+        let name = property.name.as_str();
+        let Some(variant) = variants
+            .iter()
+            .find(|variant| variant["properties"].get(name).is_some())
+        else {
+            let found = format!("the field `{name}`");
+            let expected = name_list(&names);
+            let hint = name_hint(nearest_name(name, names));
+            return self.push(node, path, found, expected, hint);
+        };
+        let path = join_path(path, name);
+        let value = self.read(&variant["properties"][name], &property.value, &path)?;
+        Some(Value::Object(Map::from_iter([(name.to_owned(), value)])))
+    }
+
+    fn read_name(&mut self, names: &[&str], node: &ast::Value<'_>, path: &str) -> Option<Value> {
+        let expected = name_list(names);
+        let ast::Value::StringLit(literal) = node else {
+            return self.refuse(node, path, expected);
+        };
+        if names.contains(&literal.value.as_ref()) {
+            return Some(Value::String(literal.value.to_string()));
+        }
+        let hint = name_hint(nearest_name(&literal.value, names.iter().copied()));
+        self.push(node, path, describe(node), expected, hint)
+    }
+
+    fn read_object(
+        &mut self,
+        schema: &'a Value,
+        node: &ast::Value<'_>,
+        path: &str,
+    ) -> Option<Value> {
+        let ast::Value::Object(object) = node else {
+            return self.refuse(node, path, "an object");
+        };
+        let mut whole = true;
+        let mut fields = Map::new();
+        let (properties, guessed) = self.known_properties(schema, object, path);
+        for property in &properties {
+            let name = property.name.as_str();
+            let field_schema = schema["properties"]
+                .get(name)
+                .unwrap_or(&schema["additionalProperties"]);
+            let field_path = join_path(path, name);
+            match self.read(field_schema, &property.value, &field_path) {
+                Some(value) => _ = fields.insert(name.to_owned(), value),
+                None if required_names(schema).any(|required| required == name) => whole = false,
+                None => whole &= self.skip_damaged(field_schema, name, &field_path),
+            }
+        }
+        for name in required_names(schema) {
+            if properties
+                .iter()
+                .any(|property| property.name.as_str() == name)
+            {
+                continue;
+            }
+            whole = false;
+            // A misspelt required field was reported with this name as its hint.
+            if !guessed.contains(&name) {
+                let expected = format!("the field `{name}`");
+                let path = join_path(path, name);
+                self.push(node, &path, "nothing", expected, None);
+            }
+        }
+        whole.then_some(Value::Object(fields))
+    }
+
+    /// Fields that the schema has, and the names that unknown fields were probably meant to be.
+    fn known_properties<'n, 't>(
+        &mut self,
+        schema: &'a Value,
+        object: &'n ast::Object<'t>,
+        path: &str,
+    ) -> (Vec<&'n ast::ObjectProp<'t>>, Vec<&'a str>) {
+        let names: Vec<&'a str> = schema["properties"]
+            .as_object()
+            .map(|properties| properties.keys().map(String::as_str).collect())
+            .unwrap_or_default();
+        let open = schema["additionalProperties"] != Value::Bool(false);
+        let mut known: Vec<&ast::ObjectProp<'_>> = Vec::new();
+        let mut guessed = Vec::new();
+        for property in &object.properties {
+            let name = property.name.as_str();
+            let field_path = join_path(path, name);
+            let position = self.lines.position(property.range.start);
+            if known.iter().any(|earlier| earlier.name.as_str() == name) {
+                let found = format!("a second `{name}`");
+                let problem = ConfigProblem::new(position, &field_path, found, "each field once");
+                self.problems.push(problem);
+                continue;
+            }
+            if open || names.contains(&name) {
+                known.push(property);
+                continue;
+            }
+            let nearest = nearest_name(name, names.iter().copied());
+            guessed.extend(nearest);
+            let found = format!("the unknown field `{name}`");
+            let expected = match names.is_empty() {
+                true => "no field".to_owned(),
+                false => name_list(&names),
+            };
+            let problem = ConfigProblem::new(position, &field_path, found, expected);
+            self.problems.push(problem.with_hint(name_hint(nearest)));
+        }
+        (known, guessed)
+    }
+
+    fn read_array(
+        &mut self,
+        schema: &'a Value,
+        node: &ast::Value<'_>,
+        path: &str,
+    ) -> Option<Value> {
+        let ast::Value::Array(array) = node else {
+            return self.refuse(node, path, "an array");
+        };
+        let least = schema["minItems"].as_u64().unwrap_or(0);
+        let most = schema["maxItems"].as_u64().unwrap_or(u64::MAX);
+        let count = array.elements.len() as u64;
+        if count < least || count > most {
+            let found = format!("an array of {count}");
+            return self.push(node, path, found, format!("an array of {least}"), None);
+        }
+        self.read_items(schema, array, path, 0).map(Value::Array)
+    }
+
+    fn read_items(
+        &mut self,
+        schema: &'a Value,
+        array: &ast::Array<'_>,
+        path: &str,
+        offset: usize,
+    ) -> Option<Vec<Value>> {
+        let mut items = Vec::with_capacity(array.elements.len());
+        for (index, element) in array.elements.iter().enumerate() {
+            let item_schema = schema["prefixItems"].get(index).unwrap_or(&schema["items"]);
+            let item_path = format!("{path}[{}]", offset + index);
+            items.push(self.read(item_schema, element, &item_path));
+        }
+        items.into_iter().collect()
+    }
+
+    fn read_integer(
+        &mut self,
+        schema: &'a Value,
+        node: &ast::Value<'_>,
+        path: &str,
+    ) -> Option<Value> {
+        let least = schema["minimum"].as_i64().unwrap_or(i64::MIN);
+        let most = schema["maximum"]
+            .as_u64()
+            .unwrap_or(match schema["format"].as_str() {
+                Some("uint32") => u64::from(u32::MAX),
+                Some("uint16") => u64::from(u16::MAX),
+                _ => u64::MAX,
+            });
+        let expected = match most {
+            u64::MAX => format!("a whole number of at least {least}"),
+            _ => format!("a whole number from {least} to {most}"),
+        };
+        let ast::Value::NumberLit(literal) = node else {
+            return self.refuse(node, path, expected);
+        };
+        match literal.value.parse::<i128>() {
+            Ok(number) if number >= i128::from(least) && number <= i128::from(most) => {
+                serde_json::from_str(&number.to_string()).ok()
+            }
+            _ => self.refuse(node, path, expected),
+        }
+    }
+
+    fn read_number(&mut self, node: &ast::Value<'_>, path: &str) -> Option<Value> {
+        let ast::Value::NumberLit(literal) = node else {
+            return self.refuse(node, path, "a number");
+        };
+        match serde_json::from_str::<serde_json::Number>(literal.value) {
+            Ok(number) => Some(Value::Number(number)),
+            Err(_) => self.refuse(node, path, "a number"),
+        }
+    }
+
+    fn read_string(
+        &mut self,
+        schema: &'a Value,
+        node: &ast::Value<'_>,
+        path: &str,
+    ) -> Option<Value> {
+        let is_address = schema["format"] == ADDRESS_FORMAT;
+        let expected = match is_address {
+            true => "an IP number and port, such as \"10.0.0.1:7000\"",
+            false => "a string",
+        };
+        match node {
+            ast::Value::StringLit(literal)
+                if !is_address || literal.value.parse::<SocketAddr>().is_ok() =>
+            {
+                Some(Value::String(literal.value.to_string()))
+            }
+            _ => self.refuse(node, path, expected),
+        }
+    }
+
+    /// Leaves a bad optional value out, unless others may refer to what is in it.
+    fn skip_damaged(&mut self, schema: &'a Value, name: &str, path: &str) -> bool {
+        self.damaged.push(path.to_owned());
+        name != "version" && self.resolve(schema)["type"] != "array"
+    }
+
+    fn position(&self, node: &ast::Value<'_>) -> SourcePosition {
+        self.lines.position(node.range().start)
+    }
+
+    fn refuse(
+        &mut self,
+        node: &ast::Value<'_>,
+        path: &str,
+        expected: impl Into<String>,
+    ) -> Option<Value> {
+        self.push(node, path, describe(node), expected, None)
+    }
+
+    fn push(
+        &mut self,
+        node: &ast::Value<'_>,
+        path: &str,
+        found: impl Into<String>,
+        expected: impl Into<String>,
+        hint: Option<String>,
+    ) -> Option<Value> {
+        let problem = ConfigProblem::new(self.position(node), path, found, expected);
+        self.problems.push(problem.with_hint(hint));
+        None
+    }
+}
+
+fn required_names(schema: &Value) -> impl Iterator<Item = &str> {
+    let names = schema["required"].as_array();
+    names.into_iter().flatten().filter_map(Value::as_str)
+}
+
+/// The type that the schema asks for; of two (a type or null) the one that fits the value.
+fn type_name<'s>(schema: &'s Value, node: &ast::Value<'_>) -> &'s str {
+    let Some(names) = schema["type"].as_array() else {
+        return schema["type"].as_str().unwrap_or_default();
+    };
+    let is_null = matches!(node, ast::Value::NullKeyword(_));
+    let names = names.iter().filter_map(Value::as_str);
+    let mut fitting = names.filter(|name| (*name == "null") == is_null);
+    fitting.next().unwrap_or_default()
+}
+
+fn variant_name(variant: &Value) -> Option<&str> {
+    let bare = variant["const"].as_str();
+    bare.or_else(|| required_names(variant).next())
+}
+
+fn join_path(path: &str, name: &str) -> String {
+    match path {
+        "" => name.to_owned(),
+        _ => format!("{path}.{name}"),
+    }
+}
+
+fn name_list(names: &[&str]) -> String {
+    let quoted: Vec<_> = names.iter().map(|name| format!("`{name}`")).collect();
+    match quoted.as_slice() {
+        [one] => one.clone(),
+        _ => format!("one of {}", quoted.join(", ")),
+    }
+}
+
+fn describe(node: &ast::Value<'_>) -> String {
+    match node {
+        ast::Value::StringLit(literal) => {
+            let shown: String = literal.value.chars().take(LONGEST_SHOWN).collect();
+            format!("the string {shown:?}")
+        }
+        ast::Value::NumberLit(literal) => format!("the number {}", literal.value),
+        ast::Value::BooleanLit(literal) => literal.value.to_string(),
+        ast::Value::Object(_) => "an object".to_owned(),
+        ast::Value::Array(_) => "an array".to_owned(),
+        ast::Value::NullKeyword(_) => "null".to_owned(),
+    }
+}
+
+fn plain_value(node: &ast::Value<'_>) -> Value {
+    match node {
+        ast::Value::StringLit(literal) => Value::String(literal.value.to_string()),
+        ast::Value::NumberLit(literal) => {
+            serde_json::from_str(literal.value).unwrap_or(Value::Null)
+        }
+        ast::Value::BooleanLit(literal) => Value::Bool(literal.value),
+        ast::Value::NullKeyword(_) => Value::Null,
+        ast::Value::Array(array) => array.elements.iter().map(plain_value).collect(),
+        ast::Value::Object(object) => {
+            let fields = object.properties.iter();
+            fields
+                .map(|field| (field.name.as_str().to_owned(), plain_value(&field.value)))
+                .collect()
+        }
+    }
+}
--- a/lovagedock/src/config.rs
+++ b/lovagedock/src/config/types.rs
@@ -1,6 +1,4 @@
-//! The complete desired state of a fleet, as one value.
-//!
-//! The types mirror the file that operators apply; field names are the file's names.
+//! The types of the configuration; field names are the file's names.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -11,6 +9,9 @@
     DomainId, EndpointId, GatewayId, HostId, ModelId, OrganisationId, PoolId, ServiceId, TokenCount,
 };
 
+/// Version of the file format that this build reads and writes.
+pub const CONFIG_VERSION: u32 = 1;
+
 /// The whole configuration: an accepted file replaces everything before it.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -65,6 +66,7 @@
     /// Failure domain that the host is in.
     pub failure_domain: DomainId,
     /// Where other gateways reach it.
+    #[schemars(extend("format" = "ip-port"))]
     pub peer_address: SocketAddr,
 }
 
@@ -134,6 +136,7 @@
     /// Failure domain that the host is in.
     pub failure_domain: DomainId,
     /// Where gateways reach the sidecar.
+    #[schemars(extend("format" = "ip-port"))]
     pub sidecar: SocketAddr,
     /// KV memory of the engine in tokens; 0 for a plain service.
     #[serde(default)]
--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -27,9 +27,10 @@
 
 pub use codes::{RanState, ResultCode};
 pub use config::{
-    AdapterSpec, CallRule, DomainSpec, EndpointSpec, FleetConfig, GatewaySpec, LengthRule,
-    ModelSpec, OrderCheck, OrganisationLimits, OrganisationSpec, PlacementSpec, PoolKind, PoolSpec,
-    PriorityTier, ServiceKind, ServiceSpec,
+    AdapterSpec, CONFIG_VERSION, CallRule, ConfigDocument, ConfigProblem, DomainSpec, EndpointSpec,
+    FleetConfig, GatewaySpec, LengthRule, ModelSpec, OrderCheck, OrganisationLimits,
+    OrganisationSpec, PlacementSpec, PoolKind, PoolSpec, PriorityTier, ServiceKind, ServiceSpec,
+    SourceFile, SourceMap, SourcePosition, check_config, parse_config, parse_files, parse_settings,
 };
 pub use cost::CostParameters;
 pub use ids::{
