--- a/lovagedock-wire/schema/lovagedock.capnp
+++ b/lovagedock-wire/schema/lovagedock.capnp
@@ -98,15 +98,17 @@
   running @6 :UInt32;
   runningLong @7 :UInt32;
   prefillTokensLeft @8 :UInt64;
-  prefillNsPerToken @9 :UInt64;
+  prefillNsPerToken @9 :Float64;
   # Learned; 0 while unknown.
   prefillNsPerTokenSquared @10 :Float64;
-  decodeNs @11 :UInt64;
+  decodeNs @11 :Float64;
   # Learned interval between tokens.
   generation @12 :UInt64;
   # Configuration in force at the sidecar.
   cachedPrefixes @13 :List(UInt64);
   # Hashes of prompt prefixes that the engine lately held; preference only.
+  backlogMs @14 :UInt64;
+  # Predicted time until all that waits or runs is prefilled.
 }
 
 interface AnswerSink {
@@ -125,22 +127,20 @@
   revoke @3 (key :RequestKey) -> (verdict :RevokeVerdict);
   cancel @4 (key :RequestKey);
   heartbeat @5 (sequence :UInt64, generation :UInt64) -> (report :LoadReport);
-  offer @6 (generation :UInt64, rootDigest :Data) -> (wanted :Bool);
-  # Configuration relay: the sidecar says whether it lacks this generation.
-  configure @7 (generation :UInt64, config :Data) -> (generation :UInt64);
-  reserve @8 (key :RequestKey, tokens :UInt64, holdMs :UInt64) -> (granted :Bool, freeTokens :UInt64);
+  configure @6 (generation :UInt64, config :Data) -> (generation :UInt64);
+  # Configuration relay: heartbeats tell who lacks a generation.
+  reserve @7 (key :RequestKey, tokens :UInt64, holdMs :UInt64) -> (granted :Bool, freeTokens :UInt64);
   # Memory for one part of a span; it lapses by itself after holdMs without renewal.
-  release @9 (key :RequestKey);
-  segment @10 (order :WorkOrder, start :UInt64, tokens :UInt64) -> (end :AnswerEnd);
+  release @8 (key :RequestKey);
+  segment @9 (order :WorkOrder, start :UInt64, tokens :UInt64) -> (end :AnswerEnd);
   # Prefills one part of a span into reserved memory.
-  drain @11 (leaving :Bool) -> (inFlight :UInt32);
-  dump @12 () -> (json :Text);
+  drain @10 (leaving :Bool) -> (inFlight :UInt32);
 }
 
 interface PeerSession {
   # What a gateway offers to another gateway.
   hello @0 (hello :PeerHello) -> (welcome :PeerWelcome);
-  offer @1 (generation :UInt64, rootDigest :Data) -> (wanted :Bool);
+  offer @1 (generation :UInt64) -> (wanted :Bool);
   configure @2 (generation :UInt64, config :Data) -> (generation :UInt64);
   latest @3 (above :UInt64) -> (generation :UInt64, config :Data);
   # The newest configuration that this gateway has, if it is above the given generation.
--- /dev/null
+++ b/lovagedock-wire/src/codec.rs
@@ -0,0 +1,333 @@
+//! Typed messages to generated types and back.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use lovagedock::{AnswerEnd, AttemptKey, CostParameters, RevokeVerdict, prelude::*};
+
+use crate::{
+    lovagedock_capnp as schema,
+    messages::{
+        AnswerHead, HeaderField, LoadMessage, PeerIdentity, UsageMessage, WireError, WorkMessage,
+    },
+};
+
+const STATE_SERVING: u8 = 0;
+const STATE_LEAVING: u8 = 1;
+const STATE_ENGINE_DOWN: u8 = 2;
+const RAN_NO: u8 = 0;
+const RAN_YES: u8 = 1;
+const RAN_UNKNOWN: u8 = 2;
+const TIER_BATCH: u8 = 0;
+const TIER_STANDARD: u8 = 1;
+const TIER_INTERACTIVE: u8 = 2;
+
+type Decoded<T> = Result<T, WireError>;
+
+pub(crate) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn read_text(text: capnp::Result<capnp::text::Reader<'_>>) -> Decoded<String> {
+    let text = text?;
+    match text.to_str() {
+        Ok(text) => Ok(text.to_owned()),
+        Err(_) => Err(WireError::Malformed("text is not UTF-8".to_owned())),
+    }
+}
+
+pub(crate) fn write_key(key: AttemptKey, mut builder: schema::request_key::Builder<'_>) {
+    builder.set_high((key.request >> 64) as u64);
+    builder.set_low(key.request as u64);
+    builder.set_attempt(key.attempt);
+    builder.set_incarnation(key.incarnation);
+}
+
+pub(crate) fn read_key(reader: schema::request_key::Reader<'_>) -> AttemptKey {
+    AttemptKey {
+        request: (RequestId::from(reader.get_high()) << 64) | RequestId::from(reader.get_low()),
+        attempt: reader.get_attempt(),
+        incarnation: reader.get_incarnation(),
+    }
+}
+
+pub(crate) fn write_hello(identity: &PeerIdentity, mut builder: schema::peer_hello::Builder<'_>) {
+    builder.set_version(identity.version);
+    builder.set_name(identity.name.as_str());
+    builder.set_incarnation(identity.incarnation);
+    builder.set_generation(identity.generation);
+}
+
+pub(crate) fn read_hello(reader: schema::peer_hello::Reader<'_>) -> Decoded<PeerIdentity> {
+    Ok(PeerIdentity {
+        version: reader.get_version(),
+        name: read_text(reader.get_name())?,
+        incarnation: reader.get_incarnation(),
+        generation: reader.get_generation(),
+    })
+}
+
+pub(crate) fn write_welcome(
+    identity: &PeerIdentity,
+    mut builder: schema::peer_welcome::Builder<'_>,
+) {
+    builder.set_version(identity.version);
+    builder.set_name(identity.name.as_str());
+    builder.set_incarnation(identity.incarnation);
+    builder.set_generation(identity.generation);
+}
+
+/// Reads a welcome and refuses a peer of another protocol version.
+pub(crate) fn read_welcome(reader: schema::peer_welcome::Reader<'_>) -> Decoded<PeerIdentity> {
+    let version = reader.get_version();
+    if version != crate::PROTOCOL_VERSION {
+        return Err(WireError::OtherVersion(version));
+    }
+    Ok(PeerIdentity {
+        version,
+        name: read_text(reader.get_name())?,
+        incarnation: reader.get_incarnation(),
+        generation: reader.get_generation(),
+    })
+}
+
+type HeaderListBuilder<'a> = capnp::struct_list::Builder<'a, schema::header_field::Owned>;
+type HeaderListReader<'a> = capnp::struct_list::Reader<'a, schema::header_field::Owned>;
+
+fn write_headers(headers: &[HeaderField], mut builder: HeaderListBuilder<'_>) {
+    for (index, header) in (0_u32..).zip(headers) {
+        let mut field = builder.reborrow().get(index);
+        field.set_name(header.name.as_str());
+        field.set_value(&header.value);
+    }
+}
+
+fn read_headers(reader: HeaderListReader<'_>) -> Decoded<Vec<HeaderField>> {
+    let mut headers = Vec::with_capacity(reader.len() as usize);
+    for field in reader {
+        headers.push(HeaderField {
+            name: read_text(field.get_name())?,
+            value: Bytes::copy_from_slice(field.get_value()?),
+        });
+    }
+    Ok(headers)
+}
+
+fn tier_number(tier: PriorityTier) -> u8 {
+    match tier {
+        PriorityTier::Batch => TIER_BATCH,
+        PriorityTier::Standard => TIER_STANDARD,
+        PriorityTier::Interactive => TIER_INTERACTIVE,
+    }
+}
+
+fn read_tier(number: u8) -> Decoded<PriorityTier> {
+    match number {
+        TIER_BATCH => Ok(PriorityTier::Batch),
+        TIER_STANDARD => Ok(PriorityTier::Standard),
+        TIER_INTERACTIVE => Ok(PriorityTier::Interactive),
+        other => Err(WireError::Malformed(format!("unknown tier {other}"))),
+    }
+}
+
+pub(crate) fn write_work(work: &WorkMessage, mut builder: schema::work_order::Builder<'_>) {
+    write_key(work.key, builder.reborrow().init_key());
+    builder.set_service(&*work.service);
+    builder.set_organisation(&*work.organisation);
+    builder.set_tier(tier_number(work.tier));
+    builder.set_remaining_ms(millis(work.remaining));
+    builder.set_prompt_tokens(work.prompt_tokens);
+    builder.set_answer_tokens(work.answer_tokens);
+    builder.set_weight(work.weight);
+    builder.set_non_idempotent(work.non_idempotent);
+    builder.set_predicted_ms(millis(work.predicted));
+    builder.set_method(work.method.as_str());
+    builder.set_path(work.path.as_str());
+    builder.set_body(&work.body);
+    let mut span = builder.reborrow().init_span(list_length(work.span.len()));
+    for (index, endpoint) in (0_u32..).zip(&work.span) {
+        span.set(index, &**endpoint);
+    }
+    write_headers(
+        &work.headers,
+        builder.init_headers(list_length(work.headers.len())),
+    );
+}
+
+pub(crate) fn read_work(reader: schema::work_order::Reader<'_>) -> Decoded<WorkMessage> {
+    let mut span = Vec::new();
+    for endpoint in reader.get_span()? {
+        span.push(EndpointId::from(read_text(endpoint)?));
+    }
+    Ok(WorkMessage {
+        key: read_key(reader.get_key()?),
+        service: read_text(reader.get_service())?.into(),
+        organisation: read_text(reader.get_organisation())?.into(),
+        tier: read_tier(reader.get_tier())?,
+        weight: reader.get_weight(),
+        remaining: Duration::from_millis(reader.get_remaining_ms()),
+        prompt_tokens: reader.get_prompt_tokens(),
+        answer_tokens: reader.get_answer_tokens(),
+        non_idempotent: reader.get_non_idempotent(),
+        predicted: Duration::from_millis(reader.get_predicted_ms()),
+        span,
+        method: read_text(reader.get_method())?,
+        path: read_text(reader.get_path())?,
+        headers: read_headers(reader.get_headers()?)?,
+        body: Bytes::copy_from_slice(reader.get_body()?),
+    })
+}
+
+pub(crate) fn write_head(head: &AnswerHead, mut builder: schema::answer_head::Builder<'_>) {
+    builder.set_status(head.status);
+    write_headers(
+        &head.headers,
+        builder.init_headers(list_length(head.headers.len())),
+    );
+}
+
+pub(crate) fn read_head(reader: schema::answer_head::Reader<'_>) -> Decoded<AnswerHead> {
+    Ok(AnswerHead {
+        status: reader.get_status(),
+        headers: read_headers(reader.get_headers()?)?,
+    })
+}
+
+fn ran_number(ran: RanState) -> u8 {
+    match ran {
+        RanState::No => RAN_NO,
+        RanState::Yes => RAN_YES,
+        RanState::Unknown => RAN_UNKNOWN,
+    }
+}
+
+/// Anything that is not plainly "no" or "yes" counts as unknown: a peer that is newer than this
+/// process must not turn a doubt into a promise.
+fn read_ran(number: u8) -> RanState {
+    match number {
+        RAN_NO => RanState::No,
+        RAN_YES => RanState::Yes,
+        _ => RanState::Unknown,
+    }
+}
+
+pub(crate) fn write_end(end: &AnswerEnd, mut builder: schema::answer_end::Builder<'_>) {
+    builder.set_code(end.code.number());
+    builder.set_length(end.length);
+    if let Some(digest) = &end.digest {
+        builder.set_digest(digest);
+    }
+    builder.set_ran(ran_number(end.ran));
+    builder.set_retry_after_ms(millis(end.retry_after));
+    builder.set_detail(end.detail.as_str());
+    builder.set_prompt_tokens(end.prompt_tokens);
+    builder.set_cached_tokens(end.cached_tokens);
+    builder.set_answer_tokens(end.answer_tokens);
+}
+
+pub(crate) fn read_end(reader: schema::answer_end::Reader<'_>) -> Decoded<AnswerEnd> {
+    let number = reader.get_code();
+    let Some(code) = ResultCode::from_number(number) else {
+        return Err(WireError::Malformed(format!(
+            "unknown result code {number}"
+        )));
+    };
+    Ok(AnswerEnd {
+        code,
+        ran: read_ran(reader.get_ran()),
+        length: reader.get_length(),
+        digest: reader.get_digest()?.try_into().ok(),
+        retry_after: Duration::from_millis(reader.get_retry_after_ms()),
+        detail: read_text(reader.get_detail())?,
+        prompt_tokens: reader.get_prompt_tokens(),
+        cached_tokens: reader.get_cached_tokens(),
+        answer_tokens: reader.get_answer_tokens(),
+    })
+}
+
+pub(crate) fn write_verdict(verdict: RevokeVerdict) -> schema::RevokeVerdict {
+    match verdict {
+        RevokeVerdict::Revoked => schema::RevokeVerdict::Revoked,
+        RevokeVerdict::Running => schema::RevokeVerdict::Running,
+        RevokeVerdict::Ended => schema::RevokeVerdict::Ended,
+        RevokeVerdict::OtherLife => schema::RevokeVerdict::OtherLife,
+    }
+}
+
+pub(crate) fn read_verdict(verdict: schema::RevokeVerdict) -> RevokeVerdict {
+    match verdict {
+        schema::RevokeVerdict::Revoked => RevokeVerdict::Revoked,
+        schema::RevokeVerdict::Running => RevokeVerdict::Running,
+        schema::RevokeVerdict::Ended => RevokeVerdict::Ended,
+        schema::RevokeVerdict::OtherLife => RevokeVerdict::OtherLife,
+    }
+}
+
+pub(crate) fn write_load(load: &LoadMessage, mut builder: schema::load_report::Builder<'_>) {
+    let state = match (load.engine_down, load.leaving) {
+        (true, _) => STATE_ENGINE_DOWN,
+        (false, true) => STATE_LEAVING,
+        (false, false) => STATE_SERVING,
+    };
+    builder.set_sequence(load.sequence);
+    builder.set_state(state);
+    builder.set_memory_tokens(load.memory_tokens);
+    builder.set_free_tokens(load.free_tokens);
+    builder.set_queued(load.queued);
+    builder.set_queued_tokens(load.queued_tokens);
+    builder.set_running(load.running);
+    builder.set_running_long(load.running_long);
+    builder.set_prefill_tokens_left(load.prefill_tokens_left);
+    builder.set_backlog_ms(millis(load.backlog));
+    builder.set_prefill_ns_per_token(load.cost.prefill_ns_per_token);
+    builder.set_prefill_ns_per_token_squared(load.cost.prefill_ns_per_token_squared);
+    builder.set_decode_ns(load.cost.decode_ns);
+    builder.set_generation(load.generation);
+    let mut prefixes = builder.init_cached_prefixes(list_length(load.cached_prefixes.len()));
+    for (index, prefix) in (0_u32..).zip(&load.cached_prefixes) {
+        prefixes.set(index, *prefix);
+    }
+}
+
+pub(crate) fn read_load(reader: schema::load_report::Reader<'_>) -> Decoded<LoadMessage> {
+    Ok(LoadMessage {
+        sequence: reader.get_sequence(),
+        leaving: reader.get_state() == STATE_LEAVING,
+        engine_down: reader.get_state() == STATE_ENGINE_DOWN,
+        memory_tokens: reader.get_memory_tokens(),
+        free_tokens: reader.get_free_tokens(),
+        queued: reader.get_queued(),
+        queued_tokens: reader.get_queued_tokens(),
+        running: reader.get_running(),
+        running_long: reader.get_running_long(),
+        prefill_tokens_left: reader.get_prefill_tokens_left(),
+        backlog: Duration::from_millis(reader.get_backlog_ms()),
+        cost: CostParameters {
+            prefill_ns_per_token: reader.get_prefill_ns_per_token(),
+            prefill_ns_per_token_squared: reader.get_prefill_ns_per_token_squared(),
+            decode_ns: reader.get_decode_ns(),
+        },
+        generation: reader.get_generation(),
+        cached_prefixes: reader.get_cached_prefixes()?.iter().collect(),
+    })
+}
+
+pub(crate) fn write_usage(usage: &UsageMessage, mut builder: schema::usage_entry::Builder<'_>) {
+    builder.set_organisation(&*usage.organisation);
+    builder.set_requests(usage.requests);
+    builder.set_tokens(usage.tokens);
+    builder.set_in_flight(usage.in_flight);
+}
+
+pub(crate) fn read_usage(reader: schema::usage_entry::Reader<'_>) -> Decoded<UsageMessage> {
+    Ok(UsageMessage {
+        organisation: read_text(reader.get_organisation())?.into(),
+        requests: reader.get_requests(),
+        tokens: reader.get_tokens(),
+        in_flight: reader.get_in_flight(),
+    })
+}
+
+pub(crate) fn list_length(length: usize) -> u32 {
+    u32::try_from(length).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/lovagedock-wire/src/endpoint_client.rs
@@ -0,0 +1,276 @@
+//! A gateway's end of a session to a sidecar.
+
+use std::{cell::Cell, future::Future, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use lovagedock::{AnswerEnd, AttemptKey, RevokeVerdict, prelude::*};
+use tokio::{task::JoinHandle, time::timeout};
+
+use crate::{
+    codec,
+    lovagedock_capnp::{answer_sink, endpoint_session},
+    messages::{
+        AnswerHead, ConfigMessage, LoadMessage, PeerIdentity, ReserveReply, SegmentRange,
+        SubmitReply, WireError, WorkMessage,
+    },
+    stream::{SessionSystem, WireStream, client_system},
+};
+
+/// Takes an answer as it arrives; called in order.
+pub trait AnswerReceiver: 'static {
+    /// Status and headers.
+    fn head(&self, head: AnswerHead) -> impl Future<Output = ()> + 'static;
+    /// Bytes at an offset of the answer.
+    ///
+    /// The sidecar sends more only after the future ends, so that a slow caller holds its own
+    /// answer back and nothing else.
+    fn chunk(&self, offset: u64, bytes: Bytes) -> impl Future<Output = ()> + 'static;
+    /// How the request ended.
+    fn done(&self, end: AnswerEnd) -> impl Future<Output = ()> + 'static;
+}
+
+/// A session from a gateway to one sidecar.
+///
+/// Dropping it closes the connection.
+pub struct EndpointClient {
+    session: endpoint_session::Client,
+    driver: JoinHandle<()>,
+    lost: Rc<Cell<bool>>,
+}
+
+impl EndpointClient {
+    /// Starts a session on a connection; must be called on a `LocalSet`.
+    pub fn new(stream: Box<dyn WireStream>) -> Self {
+        let (system, session): (SessionSystem, endpoint_session::Client) = client_system(stream);
+        let lost = Rc::new(Cell::new(false));
+        let marker = Rc::clone(&lost);
+        let driver = tokio::task::spawn_local(async move {
+            let _ended: Result<(), capnp::Error> = system.await;
+            marker.set(true);
+        });
+        Self {
+            session,
+            driver,
+            lost,
+        }
+    }
+
+    /// Whether the connection is known to be gone.
+    pub fn is_lost(&self) -> bool {
+        self.lost.get()
+    }
+
+    /// Introduces this process and learns who the other end is.
+    pub async fn hello(
+        &self,
+        identity: &PeerIdentity,
+        limit: Duration,
+    ) -> Result<PeerIdentity, WireError> {
+        let mut request = self.session.hello_request();
+        codec::write_hello(identity, request.get().init_hello());
+        let response = within(limit, request.send().promise).await?;
+        codec::read_welcome(response.get()?.get_welcome()?)
+    }
+
+    /// Hands over a request; the answer goes to `receiver`.
+    ///
+    /// An error leaves open whether the sidecar has the request: only a revoke tells.
+    pub async fn submit<R: AnswerReceiver>(
+        &self,
+        work: &WorkMessage,
+        receiver: R,
+        limit: Duration,
+    ) -> Result<SubmitReply, WireError> {
+        let mut request = self.session.submit_request();
+        codec::write_work(work, request.get().init_order());
+        request.get().set_sink(new_sink(receiver));
+        let response = within(limit, request.send().promise).await?;
+        let reply = response.get()?;
+        if reply.get_accepted() {
+            return Ok(SubmitReply::Accepted);
+        }
+        Ok(SubmitReply::Refused(codec::read_end(reply.get_refusal()?)?))
+    }
+
+    /// Asks for the rest of an answer from an offset; false if the sidecar does not have it.
+    pub async fn resume<R: AnswerReceiver>(
+        &self,
+        key: AttemptKey,
+        offset: u64,
+        receiver: R,
+        limit: Duration,
+    ) -> Result<bool, WireError> {
+        let mut request = self.session.resume_request();
+        codec::write_key(key, request.get().init_key());
+        request.get().set_offset(offset);
+        request.get().set_sink(new_sink(receiver));
+        let response = within(limit, request.send().promise).await?;
+        Ok(response.get()?.get_found())
+    }
+
+    /// Asks that a request never runs, and learns whether it has.
+    pub async fn revoke(
+        &self,
+        key: AttemptKey,
+        limit: Duration,
+    ) -> Result<RevokeVerdict, WireError> {
+        let mut request = self.session.revoke_request();
+        codec::write_key(key, request.get().init_key());
+        let response = within(limit, request.send().promise).await?;
+        let verdict = response.get()?.get_verdict();
+        match verdict {
+            Ok(verdict) => Ok(codec::read_verdict(verdict)),
+            Err(unknown) => Err(WireError::Malformed(format!("verdict {}", unknown.0))),
+        }
+    }
+
+    /// Ends a request that nobody waits for.
+    pub async fn cancel(&self, key: AttemptKey, limit: Duration) -> Result<(), WireError> {
+        let mut request = self.session.cancel_request();
+        codec::write_key(key, request.get().init_key());
+        within(limit, request.send().promise).await?;
+        Ok(())
+    }
+
+    /// Proves that both ends live and fetches the endpoint's load.
+    pub async fn heartbeat(
+        &self,
+        sequence: u64,
+        generation: Generation,
+        limit: Duration,
+    ) -> Result<LoadMessage, WireError> {
+        let mut request = self.session.heartbeat_request();
+        request.get().set_sequence(sequence);
+        request.get().set_generation(generation);
+        let response = within(limit, request.send().promise).await?;
+        codec::read_load(response.get()?.get_report()?)
+    }
+
+    /// Hands over a configuration; returns the generation in force at the sidecar.
+    pub async fn configure(
+        &self,
+        message: &ConfigMessage,
+        limit: Duration,
+    ) -> Result<Generation, WireError> {
+        let mut request = self.session.configure_request();
+        request.get().set_generation(message.generation);
+        request.get().set_config(&message.config);
+        let response = within(limit, request.send().promise).await?;
+        Ok(response.get()?.get_generation())
+    }
+
+    /// Holds memory for one part of a span.
+    pub async fn reserve(
+        &self,
+        key: AttemptKey,
+        tokens: TokenCount,
+        hold: Duration,
+        limit: Duration,
+    ) -> Result<ReserveReply, WireError> {
+        let mut request = self.session.reserve_request();
+        codec::write_key(key, request.get().init_key());
+        request.get().set_tokens(tokens);
+        request.get().set_hold_ms(codec::millis(hold));
+        let response = within(limit, request.send().promise).await?;
+        let reply = response.get()?;
+        Ok(ReserveReply {
+            granted: reply.get_granted(),
+            free_tokens: reply.get_free_tokens(),
+        })
+    }
+
+    /// Gives a reservation back, with whatever was prefilled into it.
+    pub async fn release(&self, key: AttemptKey, limit: Duration) -> Result<(), WireError> {
+        let mut request = self.session.release_request();
+        codec::write_key(key, request.get().init_key());
+        within(limit, request.send().promise).await?;
+        Ok(())
+    }
+
+    /// Prefills one part of a span into reserved memory.
+    pub async fn segment(
+        &self,
+        work: &WorkMessage,
+        range: SegmentRange,
+        limit: Duration,
+    ) -> Result<AnswerEnd, WireError> {
+        let mut request = self.session.segment_request();
+        codec::write_work(work, request.get().init_order());
+        request.get().set_start(range.start);
+        request.get().set_tokens(range.tokens);
+        let response = within(limit, request.send().promise).await?;
+        codec::read_end(response.get()?.get_end()?)
+    }
+
+    /// Starts or ends the endpoint's leaving; returns the requests still in flight.
+    pub async fn drain(&self, leaving: bool, limit: Duration) -> Result<u32, WireError> {
+        let mut request = self.session.drain_request();
+        request.get().set_leaving(leaving);
+        let response = within(limit, request.send().promise).await?;
+        Ok(response.get()?.get_in_flight())
+    }
+}
+
+impl Drop for EndpointClient {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Bounds a call by time.
+///
+/// A connection that something between the ends has forgotten swallows calls without an error;
+/// the symptom is a call that never returns. The limit turns it into a [`WireError::TimedOut`].
+pub(crate) async fn within<T>(
+    limit: Duration,
+    call: impl Future<Output = Result<T, capnp::Error>>,
+) -> Result<T, WireError> {
+    match timeout(limit, call).await {
+        Ok(Ok(response)) => Ok(response),
+        Ok(Err(error)) => Err(error.into()),
+        Err(_) => Err(WireError::TimedOut),
+    }
+}
+
+fn new_sink<R: AnswerReceiver>(receiver: R) -> answer_sink::Client {
+    capnp_rpc::new_client(SinkServer { receiver })
+}
+
+struct SinkServer<R> {
+    receiver: R,
+}
+
+impl<R: AnswerReceiver> answer_sink::Server for SinkServer<R> {
+    async fn head(
+        self: Rc<Self>,
+        params: answer_sink::HeadParams,
+        _results: answer_sink::HeadResults,
+    ) -> Result<(), capnp::Error> {
+        let head = codec::read_head(params.get()?.get_head()?).map_err(failed)?;
+        self.receiver.head(head).await;
+        Ok(())
+    }
+
+    async fn chunk(self: Rc<Self>, params: answer_sink::ChunkParams) -> Result<(), capnp::Error> {
+        let chunk = params.get()?;
+        let offset = chunk.get_offset();
+        let bytes = Bytes::copy_from_slice(chunk.get_bytes()?);
+        drop(params);
+        self.receiver.chunk(offset, bytes).await;
+        Ok(())
+    }
+
+    async fn done(
+        self: Rc<Self>,
+        params: answer_sink::DoneParams,
+        _results: answer_sink::DoneResults,
+    ) -> Result<(), capnp::Error> {
+        let end = codec::read_end(params.get()?.get_end()?).map_err(failed)?;
+        self.receiver.done(end).await;
+        Ok(())
+    }
+}
+
+pub(crate) fn failed(error: WireError) -> capnp::Error {
+    capnp::Error::failed(error.to_string())
+}
--- /dev/null
+++ b/lovagedock-wire/src/endpoint_server.rs
@@ -0,0 +1,248 @@
+//! A sidecar's end of a session.
+
+use std::{future::Future, rc::Rc};
+
+use bytes::Bytes;
+use lovagedock::{AnswerEnd, AttemptKey, RevokeVerdict, prelude::*};
+
+use crate::{
+    codec,
+    endpoint_client::failed,
+    lovagedock_capnp::{answer_sink, endpoint_session},
+    messages::{
+        AnswerHead, ConfigMessage, LoadMessage, PeerIdentity, ReserveReply, SegmentRange,
+        SubmitReply, WireError, WorkMessage,
+    },
+    stream::{WireStream, server_system},
+};
+
+/// What a sidecar does with the calls of a session.
+pub trait EndpointHandler: 'static {
+    /// Answers an introduction.
+    fn hello(&self, identity: PeerIdentity) -> PeerIdentity;
+    /// Takes or refuses a request; the answer goes to `sender`.
+    fn submit(
+        &self,
+        work: WorkMessage,
+        sender: AnswerSender,
+    ) -> impl Future<Output = SubmitReply> + 'static;
+    /// Sends the rest of an answer from an offset; false if it is not there.
+    fn resume(&self, key: AttemptKey, offset: u64, sender: AnswerSender) -> bool;
+    /// Takes a request back if it has not run.
+    fn revoke(&self, key: AttemptKey) -> RevokeVerdict;
+    /// Ends a request that nobody waits for.
+    fn cancel(&self, key: AttemptKey);
+    /// Reports the load.
+    fn heartbeat(&self, sequence: u64, generation: Generation) -> LoadMessage;
+    /// Takes a configuration; returns the generation in force.
+    fn configure(&self, message: ConfigMessage) -> Generation;
+    /// Holds memory for one part of a span.
+    fn reserve(
+        &self,
+        key: AttemptKey,
+        tokens: TokenCount,
+        hold: std::time::Duration,
+    ) -> ReserveReply;
+    /// Gives a reservation back.
+    fn release(&self, key: AttemptKey);
+    /// Prefills one part of a span.
+    fn segment(
+        &self,
+        work: WorkMessage,
+        range: SegmentRange,
+    ) -> impl Future<Output = AnswerEnd> + 'static;
+    /// Starts or ends leaving; returns the requests in flight.
+    fn drain(&self, leaving: bool) -> u32;
+}
+
+/// Runs one session until its connection ends; must be called on a `LocalSet`.
+pub async fn serve_endpoint<H: EndpointHandler>(
+    stream: Box<dyn WireStream>,
+    handler: Rc<H>,
+) -> Result<(), WireError> {
+    let client: endpoint_session::Client = capnp_rpc::new_client(SessionServer { handler });
+    let system = server_system(stream, client.client);
+    system.await?;
+    Ok(())
+}
+
+/// Sends an answer to the gateway that asked for it.
+#[derive(Clone)]
+pub struct AnswerSender {
+    sink: answer_sink::Client,
+}
+
+impl AnswerSender {
+    /// Sends status and headers.
+    pub async fn head(&self, head: &AnswerHead) -> Result<(), WireError> {
+        let mut request = self.sink.head_request();
+        codec::write_head(head, request.get().init_head());
+        request.send().promise.await?;
+        Ok(())
+    }
+
+    /// Sends bytes; returns as soon as flow control allows more.
+    pub async fn chunk(&self, offset: u64, bytes: &Bytes) -> Result<(), WireError> {
+        let mut request = self.sink.chunk_request();
+        request.get().set_offset(offset);
+        request.get().set_bytes(bytes);
+        request.send().await?;
+        Ok(())
+    }
+
+    /// Sends how the request ended; returns when the gateway has it.
+    pub async fn done(&self, end: &AnswerEnd) -> Result<(), WireError> {
+        let mut request = self.sink.done_request();
+        codec::write_end(end, request.get().init_end());
+        request.send().promise.await?;
+        Ok(())
+    }
+}
+
+struct SessionServer<H> {
+    handler: Rc<H>,
+}
+
+impl<H: EndpointHandler> endpoint_session::Server for SessionServer<H> {
+    async fn hello(
+        self: Rc<Self>,
+        params: endpoint_session::HelloParams,
+        mut results: endpoint_session::HelloResults,
+    ) -> Result<(), capnp::Error> {
+        let identity = codec::read_hello(params.get()?.get_hello()?).map_err(failed)?;
+        let own = self.handler.hello(identity);
+        codec::write_welcome(&own, results.get().init_welcome());
+        Ok(())
+    }
+
+    async fn submit(
+        self: Rc<Self>,
+        params: endpoint_session::SubmitParams,
+        mut results: endpoint_session::SubmitResults,
+    ) -> Result<(), capnp::Error> {
+        let work = codec::read_work(params.get()?.get_order()?).map_err(failed)?;
+        let sink = params.get()?.get_sink()?;
+        drop(params);
+        match self.handler.submit(work, AnswerSender { sink }).await {
+            SubmitReply::Accepted => results.get().set_accepted(true),
+            SubmitReply::Refused(end) => codec::write_end(&end, results.get().init_refusal()),
+        }
+        Ok(())
+    }
+
+    async fn resume(
+        self: Rc<Self>,
+        params: endpoint_session::ResumeParams,
+        mut results: endpoint_session::ResumeResults,
+    ) -> Result<(), capnp::Error> {
+        let call = params.get()?;
+        let sender = AnswerSender {
+            sink: call.get_sink()?,
+        };
+        let key = codec::read_key(call.get_key()?);
+        let found = self.handler.resume(key, call.get_offset(), sender);
+        results.get().set_found(found);
+        Ok(())
+    }
+
+    async fn revoke(
+        self: Rc<Self>,
+        params: endpoint_session::RevokeParams,
+        mut results: endpoint_session::RevokeResults,
+    ) -> Result<(), capnp::Error> {
+        let key = codec::read_key(params.get()?.get_key()?);
+        let verdict = self.handler.revoke(key);
+        results.get().set_verdict(codec::write_verdict(verdict));
+        Ok(())
+    }
+
+    async fn cancel(
+        self: Rc<Self>,
+        params: endpoint_session::CancelParams,
+        _results: endpoint_session::CancelResults,
+    ) -> Result<(), capnp::Error> {
+        self.handler
+            .cancel(codec::read_key(params.get()?.get_key()?));
+        Ok(())
+    }
+
+    async fn heartbeat(
+        self: Rc<Self>,
+        params: endpoint_session::HeartbeatParams,
+        mut results: endpoint_session::HeartbeatResults,
+    ) -> Result<(), capnp::Error> {
+        let call = params.get()?;
+        let report = self
+            .handler
+            .heartbeat(call.get_sequence(), call.get_generation());
+        codec::write_load(&report, results.get().init_report());
+        Ok(())
+    }
+
+    async fn configure(
+        self: Rc<Self>,
+        params: endpoint_session::ConfigureParams,
+        mut results: endpoint_session::ConfigureResults,
+    ) -> Result<(), capnp::Error> {
+        let call = params.get()?;
+        let message = ConfigMessage {
+            generation: call.get_generation(),
+            config: Bytes::copy_from_slice(call.get_config()?),
+        };
+        results
+            .get()
+            .set_generation(self.handler.configure(message));
+        Ok(())
+    }
+
+    async fn reserve(
+        self: Rc<Self>,
+        params: endpoint_session::ReserveParams,
+        mut results: endpoint_session::ReserveResults,
+    ) -> Result<(), capnp::Error> {
+        let call = params.get()?;
+        let key = codec::read_key(call.get_key()?);
+        let hold = std::time::Duration::from_millis(call.get_hold_ms());
+        let reply = self.handler.reserve(key, call.get_tokens(), hold);
+        results.get().set_granted(reply.granted);
+        results.get().set_free_tokens(reply.free_tokens);
+        Ok(())
+    }
+
+    async fn release(
+        self: Rc<Self>,
+        params: endpoint_session::ReleaseParams,
+        _results: endpoint_session::ReleaseResults,
+    ) -> Result<(), capnp::Error> {
+        self.handler
+            .release(codec::read_key(params.get()?.get_key()?));
+        Ok(())
+    }
+
+    async fn segment(
+        self: Rc<Self>,
+        params: endpoint_session::SegmentParams,
+        mut results: endpoint_session::SegmentResults,
+    ) -> Result<(), capnp::Error> {
+        let call = params.get()?;
+        let work = codec::read_work(call.get_order()?).map_err(failed)?;
+        let range = SegmentRange {
+            start: call.get_start(),
+            tokens: call.get_tokens(),
+        };
+        drop(params);
+        let end = self.handler.segment(work, range).await;
+        codec::write_end(&end, results.get().init_end());
+        Ok(())
+    }
+
+    async fn drain(
+        self: Rc<Self>,
+        params: endpoint_session::DrainParams,
+        mut results: endpoint_session::DrainResults,
+    ) -> Result<(), capnp::Error> {
+        let in_flight = self.handler.drain(params.get()?.get_leaving());
+        results.get().set_in_flight(in_flight);
+        Ok(())
+    }
+}
--- a/lovagedock-wire/src/lovagedock_capnp.rs
+++ b/lovagedock-wire/src/lovagedock_capnp.rs
@@ -2687,16 +2687,16 @@
             self.reader.get_data_field::<u64>(6)
         }
         #[inline]
-        pub fn get_prefill_ns_per_token(self) -> u64 {
-            self.reader.get_data_field::<u64>(7)
+        pub fn get_prefill_ns_per_token(self) -> f64 {
+            self.reader.get_data_field::<f64>(7)
         }
         #[inline]
         pub fn get_prefill_ns_per_token_squared(self) -> f64 {
             self.reader.get_data_field::<f64>(8)
         }
         #[inline]
-        pub fn get_decode_ns(self) -> u64 {
-            self.reader.get_data_field::<u64>(9)
+        pub fn get_decode_ns(self) -> f64 {
+            self.reader.get_data_field::<f64>(9)
         }
         #[inline]
         pub fn get_generation(self) -> u64 {
@@ -2710,11 +2710,15 @@
         pub fn has_cached_prefixes(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
+        #[inline]
+        pub fn get_backlog_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(11)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 11, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 12, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2837,12 +2841,12 @@
             self.builder.set_data_field::<u64>(6, value);
         }
         #[inline]
-        pub fn get_prefill_ns_per_token(self) -> u64 {
-            self.builder.get_data_field::<u64>(7)
+        pub fn get_prefill_ns_per_token(self) -> f64 {
+            self.builder.get_data_field::<f64>(7)
         }
         #[inline]
-        pub fn set_prefill_ns_per_token(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(7, value);
+        pub fn set_prefill_ns_per_token(&mut self, value: f64)  {
+            self.builder.set_data_field::<f64>(7, value);
         }
         #[inline]
         pub fn get_prefill_ns_per_token_squared(self) -> f64 {
@@ -2853,12 +2857,12 @@
             self.builder.set_data_field::<f64>(8, value);
         }
         #[inline]
-        pub fn get_decode_ns(self) -> u64 {
-            self.builder.get_data_field::<u64>(9)
+        pub fn get_decode_ns(self) -> f64 {
+            self.builder.get_data_field::<f64>(9)
         }
         #[inline]
-        pub fn set_decode_ns(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(9, value);
+        pub fn set_decode_ns(&mut self, value: f64)  {
+            self.builder.set_data_field::<f64>(9, value);
         }
         #[inline]
         pub fn get_generation(self) -> u64 {
@@ -2884,6 +2888,14 @@
         pub fn has_cached_prefixes(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
+        #[inline]
+        pub fn get_backlog_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(11)
+        }
+        #[inline]
+        pub fn set_backlog_ms(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(11, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2895,17 +2907,17 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 247] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 263] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(52, 135, 231, 183, 69, 233, 116, 196),
-            ::capnp::word(17, 0, 0, 0, 1, 0, 11, 0),
+            ::capnp::word(17, 0, 0, 0, 1, 0, 12, 0),
             ::capnp::word(81, 96, 78, 169, 243, 199, 177, 210),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 23, 3, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 79, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
@@ -2913,105 +2925,112 @@
             ::capnp::word(58, 76, 111, 97, 100, 82, 101, 112),
             ::capnp::word(111, 114, 116, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(56, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(60, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(157, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(161, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(169, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(189, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(193, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 1, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(201, 1, 0, 0, 146, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 1, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 146, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 1, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 202, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(241, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(249, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(1, 2, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(14, 0, 0, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -3094,11 +3113,11 @@
             ::capnp::word(112, 114, 101, 102, 105, 108, 108, 78),
             ::capnp::word(115, 80, 101, 114, 84, 111, 107, 101),
             ::capnp::word(110, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 114, 101, 102, 105, 108, 108, 78),
@@ -3114,11 +3133,11 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(100, 101, 99, 111, 100, 101, 78, 115),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 101, 110, 101, 114, 97, 116, 105),
@@ -3143,6 +3162,15 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 97, 99, 107, 108, 111, 103, 77),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3155,11 +3183,12 @@
                 6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 7 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                9 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                9 => <f64 as ::capnp::introspect::Introspect>::introspect(),
                 10 => <f64 as ::capnp::introspect::Introspect>::introspect(),
-                11 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                11 => <f64 as ::capnp::introspect::Introspect>::introspect(),
                 12 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 13 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
+                14 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3173,9 +3202,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[13,11,3,12,2,9,10,8,4,5,6,7,0,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[14,13,11,3,12,2,9,10,8,4,5,6,7,0,1];
         pub(crate) const TYPE_ID: u64 = 0xc474_e945_b7e7_8734;
     }
 }
@@ -4298,8 +4327,6 @@
     pub type CancelResults<> = ::capnp::capability::Results<crate::lovagedock_capnp::endpoint_session::cancel_results::Owned>;
     pub type HeartbeatParams<> = ::capnp::capability::Params<crate::lovagedock_capnp::endpoint_session::heartbeat_params::Owned>;
     pub type HeartbeatResults<> = ::capnp::capability::Results<crate::lovagedock_capnp::endpoint_session::heartbeat_results::Owned>;
-    pub type OfferParams<> = ::capnp::capability::Params<crate::lovagedock_capnp::endpoint_session::offer_params::Owned>;
-    pub type OfferResults<> = ::capnp::capability::Results<crate::lovagedock_capnp::endpoint_session::offer_results::Owned>;
     pub type ConfigureParams<> = ::capnp::capability::Params<crate::lovagedock_capnp::endpoint_session::configure_params::Owned>;
     pub type ConfigureResults<> = ::capnp::capability::Results<crate::lovagedock_capnp::endpoint_session::configure_results::Owned>;
     pub type ReserveParams<> = ::capnp::capability::Params<crate::lovagedock_capnp::endpoint_session::reserve_params::Owned>;
@@ -4310,8 +4337,6 @@
     pub type SegmentResults<> = ::capnp::capability::Results<crate::lovagedock_capnp::endpoint_session::segment_results::Owned>;
     pub type DrainParams<> = ::capnp::capability::Params<crate::lovagedock_capnp::endpoint_session::drain_params::Owned>;
     pub type DrainResults<> = ::capnp::capability::Results<crate::lovagedock_capnp::endpoint_session::drain_results::Owned>;
-    pub type DumpParams<> = ::capnp::capability::Params<crate::lovagedock_capnp::endpoint_session::dump_params::Owned>;
-    pub type DumpResults<> = ::capnp::capability::Results<crate::lovagedock_capnp::endpoint_session::dump_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -4379,26 +4404,20 @@
         pub fn heartbeat_request(&self) -> ::capnp::capability::Request<crate::lovagedock_capnp::endpoint_session::heartbeat_params::Owned,crate::lovagedock_capnp::endpoint_session::heartbeat_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
         }
-        pub fn offer_request(&self) -> ::capnp::capability::Request<crate::lovagedock_capnp::endpoint_session::offer_params::Owned,crate::lovagedock_capnp::endpoint_session::offer_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 6, ::core::option::Option::None)
-        }
         pub fn configure_request(&self) -> ::capnp::capability::Request<crate::lovagedock_capnp::endpoint_session::configure_params::Owned,crate::lovagedock_capnp::endpoint_session::configure_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 7, ::core::option::Option::None)
+            self.client.new_call(_private::TYPE_ID, 6, ::core::option::Option::None)
         }
         pub fn reserve_request(&self) -> ::capnp::capability::Request<crate::lovagedock_capnp::endpoint_session::reserve_params::Owned,crate::lovagedock_capnp::endpoint_session::reserve_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 8, ::core::option::Option::None)
+            self.client.new_call(_private::TYPE_ID, 7, ::core::option::Option::None)
         }
         pub fn release_request(&self) -> ::capnp::capability::Request<crate::lovagedock_capnp::endpoint_session::release_params::Owned,crate::lovagedock_capnp::endpoint_session::release_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 9, ::core::option::Option::None)
+            self.client.new_call(_private::TYPE_ID, 8, ::core::option::Option::None)
         }
         pub fn segment_request(&self) -> ::capnp::capability::Request<crate::lovagedock_capnp::endpoint_session::segment_params::Owned,crate::lovagedock_capnp::endpoint_session::segment_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 10, ::core::option::Option::None)
+            self.client.new_call(_private::TYPE_ID, 9, ::core::option::Option::None)
         }
         pub fn drain_request(&self) -> ::capnp::capability::Request<crate::lovagedock_capnp::endpoint_session::drain_params::Owned,crate::lovagedock_capnp::endpoint_session::drain_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 11, ::core::option::Option::None)
-        }
-        pub fn dump_request(&self) -> ::capnp::capability::Request<crate::lovagedock_capnp::endpoint_session::dump_params::Owned,crate::lovagedock_capnp::endpoint_session::dump_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 12, ::core::option::Option::None)
+            self.client.new_call(_private::TYPE_ID, 10, ::core::option::Option::None)
         }
     }
     pub trait Server<> : 'static  {
@@ -4408,13 +4427,11 @@
         fn revoke(self: ::capnp::capability::Rc<Self>, _: RevokeParams<>, _: RevokeResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method endpoint_session::Server::revoke not implemented".to_string()))) }
         fn cancel(self: ::capnp::capability::Rc<Self>, _: CancelParams<>, _: CancelResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method endpoint_session::Server::cancel not implemented".to_string()))) }
         fn heartbeat(self: ::capnp::capability::Rc<Self>, _: HeartbeatParams<>, _: HeartbeatResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method endpoint_session::Server::heartbeat not implemented".to_string()))) }
-        fn offer(self: ::capnp::capability::Rc<Self>, _: OfferParams<>, _: OfferResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method endpoint_session::Server::offer not implemented".to_string()))) }
         fn configure(self: ::capnp::capability::Rc<Self>, _: ConfigureParams<>, _: ConfigureResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method endpoint_session::Server::configure not implemented".to_string()))) }
         fn reserve(self: ::capnp::capability::Rc<Self>, _: ReserveParams<>, _: ReserveResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method endpoint_session::Server::reserve not implemented".to_string()))) }
         fn release(self: ::capnp::capability::Rc<Self>, _: ReleaseParams<>, _: ReleaseResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method endpoint_session::Server::release not implemented".to_string()))) }
         fn segment(self: ::capnp::capability::Rc<Self>, _: SegmentParams<>, _: SegmentResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method endpoint_session::Server::segment not implemented".to_string()))) }
         fn drain(self: ::capnp::capability::Rc<Self>, _: DrainParams<>, _: DrainResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method endpoint_session::Server::drain not implemented".to_string()))) }
-        fn dump(self: ::capnp::capability::Rc<Self>, _: DumpParams<>, _: DumpResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method endpoint_session::Server::dump not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -4450,13 +4467,11 @@
                 3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::revoke(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::cancel(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::heartbeat(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                6 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::offer(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                7 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::configure(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                8 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::reserve(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                9 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::release(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                10 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::segment(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                11 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::drain(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                12 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::dump(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                6 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::configure(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                7 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::reserve(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                8 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::release(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                9 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::segment(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                10 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::drain(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -7085,7 +7100,7 @@
         }
     }
 
-    pub mod offer_params {
+    pub mod configure_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -7151,11 +7166,11 @@
                 self.reader.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn get_root_digest(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            pub fn get_config(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_root_digest(&self) -> bool {
+            pub fn has_config(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -7221,19 +7236,19 @@
                 self.builder.set_data_field::<u64>(0, value);
             }
             #[inline]
-            pub fn get_root_digest(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            pub fn get_config(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_root_digest(&mut self, value: ::capnp::data::Reader<'_>)  {
+            pub fn set_config(&mut self, value: ::capnp::data::Reader<'_>)  {
                 self.builder.reborrow().get_pointer_field(0).set_data(value);
             }
             #[inline]
-            pub fn init_root_digest(self, size: u32) -> ::capnp::data::Builder<'a> {
+            pub fn init_config(self, size: u32) -> ::capnp::data::Builder<'a> {
                 self.builder.get_pointer_field(0).init_data(size)
             }
             #[inline]
-            pub fn has_root_digest(&self) -> bool {
+            pub fn has_config(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -7254,18 +7269,19 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 114, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 146, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(33, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(37, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
                 ::capnp::word(99, 107, 46, 99, 97, 112, 110, 112),
                 ::capnp::word(58, 69, 110, 100, 112, 111, 105, 110),
                 ::capnp::word(116, 83, 101, 115, 115, 105, 111, 110),
-                ::capnp::word(46, 111, 102, 102, 101, 114, 36, 80),
-                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
+                ::capnp::word(46, 99, 111, 110, 102, 105, 103, 117),
+                ::capnp::word(114, 101, 36, 80, 97, 114, 97, 109),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
@@ -7277,10 +7293,10 @@
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(49, 0, 0, 0, 90, 0, 0, 0),
+                ::capnp::word(49, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(48, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(60, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(103, 101, 110, 101, 114, 97, 116, 105),
                 ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -7290,8 +7306,7 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(114, 111, 111, 116, 68, 105, 103, 101),
-                ::capnp::word(115, 116, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 111, 110, 102, 105, 103, 0, 0),
                 ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7319,12 +7334,12 @@
             );
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
             pub(crate) const TYPE_ID: u64 = 0xcae5_5064_7ba1_69b1;
         }
     }
 
-    pub mod offer_results {
+    pub mod configure_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -7386,8 +7401,8 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_wanted(self) -> bool {
-                self.reader.get_bool_field(0)
+            pub fn get_generation(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
             }
         }
 
@@ -7444,12 +7459,12 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_wanted(self) -> bool {
-                self.builder.get_bool_field(0)
+            pub fn get_generation(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn set_wanted(&mut self, value: bool)  {
-                self.builder.set_bool_field(0, value);
+            pub fn set_generation(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
             }
         }
 
@@ -7462,45 +7477,47 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(84, 85, 232, 242, 209, 8, 37, 163),
                 ::capnp::word(33, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 122, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 154, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(37, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
                 ::capnp::word(99, 107, 46, 99, 97, 112, 110, 112),
                 ::capnp::word(58, 69, 110, 100, 112, 111, 105, 110),
                 ::capnp::word(116, 83, 101, 115, 115, 105, 111, 110),
-                ::capnp::word(46, 111, 102, 102, 101, 114, 36, 82),
-                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
+                ::capnp::word(46, 99, 111, 110, 102, 105, 103, 117),
+                ::capnp::word(114, 101, 36, 82, 101, 115, 117, 108),
+                ::capnp::word(116, 115, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 90, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(119, 97, 110, 116, 101, 100, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(103, 101, 110, 101, 114, 97, 116, 105),
+                ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -7521,7 +7538,7 @@
         }
     }
 
-    pub mod configure_params {
+    pub mod reserve_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -7583,22 +7600,26 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_generation(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn get_config(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            pub fn get_key(self) -> ::capnp::Result<crate::lovagedock_capnp::request_key::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_config(&self) -> bool {
+            pub fn has_key(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_tokens(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn get_hold_ms(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7649,28 +7670,36 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_generation(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
+            pub fn get_key(self) -> ::capnp::Result<crate::lovagedock_capnp::request_key::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_generation(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(0, value);
+            pub fn set_key(&mut self, value: crate::lovagedock_capnp::request_key::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn get_config(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            pub fn init_key(self, ) -> crate::lovagedock_capnp::request_key::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn set_config(&mut self, value: ::capnp::data::Reader<'_>)  {
-                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            pub fn has_key(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
             }
             #[inline]
-            pub fn init_config(self, size: u32) -> ::capnp::data::Builder<'a> {
-                self.builder.get_pointer_field(0).init_data(size)
+            pub fn get_tokens(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn has_config(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
+            pub fn set_tokens(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
+            pub fn get_hold_ms(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_hold_ms(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
             }
         }
 
@@ -7681,45 +7710,61 @@
             }
         }
         impl Pipeline  {
+            pub fn get_key(&self) -> crate::lovagedock_capnp::request_key::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 51] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(172, 29, 182, 227, 8, 123, 18, 229),
-                ::capnp::word(33, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(33, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 146, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 130, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(37, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
                 ::capnp::word(99, 107, 46, 99, 97, 112, 110, 112),
                 ::capnp::word(58, 69, 110, 100, 112, 111, 105, 110),
                 ::capnp::word(116, 83, 101, 115, 115, 105, 111, 110),
-                ::capnp::word(46, 99, 111, 110, 102, 105, 103, 117),
-                ::capnp::word(114, 101, 36, 80, 97, 114, 97, 109),
-                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(46, 114, 101, 115, 101, 114, 118, 101),
+                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 90, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 34, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(49, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(103, 101, 110, 101, 114, 97, 116, 105),
-                ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(80, 67, 77, 195, 114, 129, 50, 208),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(116, 111, 107, 101, 110, 115, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7727,19 +7772,20 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(99, 111, 110, 102, 105, 103, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 111, 108, 100, 77, 115, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::lovagedock_capnp::request_key::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -7753,14 +7799,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
             pub(crate) const TYPE_ID: u64 = 0xe512_7b08_e3b6_1dac;
         }
     }
 
-    pub mod configure_results {
+    pub mod reserve_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -7822,14 +7868,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_generation(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
+            pub fn get_granted(self) -> bool {
+                self.reader.get_bool_field(0)
             }
-        }
-
-        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+            #[inline]
+            pub fn get_free_tokens(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7880,12 +7930,20 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_generation(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
+            pub fn get_granted(self) -> bool {
+                self.builder.get_bool_field(0)
             }
             #[inline]
-            pub fn set_generation(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(0, value);
+            pub fn set_granted(&mut self, value: bool)  {
+                self.builder.set_bool_field(0, value);
+            }
+            #[inline]
+            pub fn get_free_tokens(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_free_tokens(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
             }
         }
 
@@ -7898,36 +7956,51 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 51] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(108, 84, 74, 226, 97, 61, 186, 138),
-                ::capnp::word(33, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(33, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 154, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 138, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(37, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(37, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
                 ::capnp::word(99, 107, 46, 99, 97, 112, 110, 112),
                 ::capnp::word(58, 69, 110, 100, 112, 111, 105, 110),
                 ::capnp::word(116, 83, 101, 115, 115, 105, 111, 110),
-                ::capnp::word(46, 99, 111, 110, 102, 105, 103, 117),
-                ::capnp::word(114, 101, 36, 82, 101, 115, 117, 108),
-                ::capnp::word(116, 115, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(46, 114, 101, 115, 101, 114, 118, 101),
+                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 90, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(103, 101, 110, 101, 114, 97, 116, 105),
-                ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 90, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 114, 101, 101, 84, 111, 107, 101),
+                ::capnp::word(110, 115, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7938,7 +8011,8 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -7952,14 +8026,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
             pub(crate) const TYPE_ID: u64 = 0x8aba_3d61_e24a_546c;
         }
     }
 
-    pub mod reserve_params {
+    pub mod release_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -8028,19 +8102,11 @@
             pub fn has_key(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
-            #[inline]
-            pub fn get_tokens(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn get_hold_ms(self) -> u64 {
-                self.reader.get_data_field::<u64>(1)
-            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8106,22 +8172,6 @@
             pub fn has_key(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
-            #[inline]
-            pub fn get_tokens(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn set_tokens(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(0, value);
-            }
-            #[inline]
-            pub fn get_hold_ms(self) -> u64 {
-                self.builder.get_data_field::<u64>(1)
-            }
-            #[inline]
-            pub fn set_hold_ms(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(1, value);
-            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -8136,47 +8186,33 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(134, 222, 202, 148, 234, 120, 121, 184),
-                ::capnp::word(33, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(33, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 130, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(33, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
                 ::capnp::word(99, 107, 46, 99, 97, 112, 110, 112),
                 ::capnp::word(58, 69, 110, 100, 112, 111, 105, 110),
                 ::capnp::word(116, 83, 101, 115, 115, 105, 111, 110),
-                ::capnp::word(46, 114, 101, 115, 101, 114, 118, 101),
+                ::capnp::word(46, 114, 101, 108, 101, 97, 115, 101),
                 ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 34, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 34, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(80, 67, 77, 195, 114, 129, 50, 208),
@@ -8185,28 +8221,10 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(116, 111, 107, 101, 110, 115, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 111, 108, 100, 77, 115, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::lovagedock_capnp::request_key::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -8220,14 +8238,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0xb879_78ea_94ca_de86;
         }
     }
 
-    pub mod reserve_results {
+    pub mod release_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -8288,19 +8306,11 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
-            #[inline]
-            pub fn get_granted(self) -> bool {
-                self.reader.get_bool_field(0)
-            }
-            #[inline]
-            pub fn get_free_tokens(self) -> u64 {
-                self.reader.get_data_field::<u64>(1)
-            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8350,22 +8360,6 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
-            #[inline]
-            pub fn get_granted(self) -> bool {
-                self.builder.get_bool_field(0)
-            }
-            #[inline]
-            pub fn set_granted(&mut self, value: bool)  {
-                self.builder.set_bool_field(0, value);
-            }
-            #[inline]
-            pub fn get_free_tokens(self) -> u64 {
-                self.builder.get_data_field::<u64>(1)
-            }
-            #[inline]
-            pub fn set_free_tokens(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(1, value);
-            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -8377,65 +8371,29 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 51] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 19] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(179, 156, 86, 41, 132, 28, 49, 188),
-                ::capnp::word(33, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(33, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 138, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(37, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
                 ::capnp::word(99, 107, 46, 99, 97, 112, 110, 112),
                 ::capnp::word(58, 69, 110, 100, 112, 111, 105, 110),
                 ::capnp::word(116, 83, 101, 115, 115, 105, 111, 110),
-                ::capnp::word(46, 114, 101, 115, 101, 114, 118, 101),
+                ::capnp::word(46, 114, 101, 108, 101, 97, 115, 101),
                 ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 90, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(102, 114, 101, 101, 84, 111, 107, 101),
-                ::capnp::word(110, 115, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                match index {
-                    0 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    _ => ::capnp::introspect::panic_invalid_field_index(index),
-                }
+                ::capnp::introspect::panic_invalid_field_index(index)
             }
             pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -8447,14 +8405,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
             pub(crate) const TYPE_ID: u64 = 0xbc31_1c84_2956_9cb3;
         }
     }
 
-    pub mod release_params {
+    pub mod segment_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -8516,18 +8474,26 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_key(self) -> ::capnp::Result<crate::lovagedock_capnp::request_key::Reader<'a>> {
+            pub fn get_order(self) -> ::capnp::Result<crate::lovagedock_capnp::work_order::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_key(&self) -> bool {
+            pub fn has_order(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_start(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn get_tokens(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8578,667 +8544,36 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_key(self) -> ::capnp::Result<crate::lovagedock_capnp::request_key::Builder<'a>> {
+            pub fn get_order(self) -> ::capnp::Result<crate::lovagedock_capnp::work_order::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_key(&mut self, value: crate::lovagedock_capnp::request_key::Reader<'_>) -> ::capnp::Result<()> {
+            pub fn set_order(&mut self, value: crate::lovagedock_capnp::work_order::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_key(self, ) -> crate::lovagedock_capnp::request_key::Builder<'a> {
+            pub fn init_order(self, ) -> crate::lovagedock_capnp::work_order::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn has_key(&self) -> bool {
+            pub fn has_order(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
-        }
-
-        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
-        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless,  }
-            }
-        }
-        impl Pipeline  {
-            pub fn get_key(&self) -> crate::lovagedock_capnp::request_key::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-            }
-        }
-        mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
-                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(130, 17, 209, 169, 22, 47, 208, 205),
-                ::capnp::word(33, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 130, 1, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
-                ::capnp::word(99, 107, 46, 99, 97, 112, 110, 112),
-                ::capnp::word(58, 69, 110, 100, 112, 111, 105, 110),
-                ::capnp::word(116, 83, 101, 115, 115, 105, 111, 110),
-                ::capnp::word(46, 114, 101, 108, 101, 97, 115, 101),
-                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 34, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(80, 67, 77, 195, 114, 129, 50, 208),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ];
-            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                match index {
-                    0 => <crate::lovagedock_capnp::request_key::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    _ => ::capnp::introspect::panic_invalid_field_index(index),
-                }
-            }
-            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
-            }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-                &ARENA,
-                NONUNION_MEMBERS,
-                MEMBERS_BY_DISCRIMINANT,
-                MEMBERS_BY_NAME
-            );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xcdd0_2f16_a9d1_1182;
-        }
-    }
-
-    pub mod release_results {
-        #[derive(Copy, Clone)]
-        pub struct Owned(());
-        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
-
-        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-        impl <> ::core::marker::Copy for Reader<'_,>  {}
-        impl <> ::core::clone::Clone for Reader<'_,>  {
-            fn clone(&self) -> Self { *self }
-        }
-
-        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
-            const TYPE_ID: u64 = _private::TYPE_ID;
-        }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
-            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-                Self { reader,  }
-            }
-        }
-
-        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-            fn from(reader: Reader<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-            }
-        }
-
-        impl <> ::core::fmt::Debug for Reader<'_,>  {
-            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
-            }
-        }
-
-        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(reader.get_struct(default)?.into())
-            }
-        }
-
-        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
-            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
-                self.reader
-            }
-        }
-
-        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
-            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
-            }
-        }
-
-        impl <> Reader<'_,>  {
-            pub fn reborrow(&self) -> Reader<'_,> {
-                Self { .. *self }
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.reader.total_size()
-            }
-        }
-
-        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
-        }
-        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
-            const TYPE_ID: u64 = _private::TYPE_ID;
-        }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
-            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-                Self { builder,  }
-            }
-        }
-
-        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-            fn from(builder: Builder<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-            }
-        }
-
-        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
-            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
-            }
-        }
-
-        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
-            }
-            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
-            }
-        }
-
-        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
-        }
-
-        impl <'a,> Builder<'a,>  {
-            pub fn into_reader(self) -> Reader<'a,> {
-                self.builder.into_reader().into()
-            }
-            pub fn reborrow(&mut self) -> Builder<'_,> {
-                Builder { builder: self.builder.reborrow() }
-            }
-            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
-                self.builder.as_reader().into()
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.builder.as_reader().total_size()
-            }
-        }
-
-        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
-        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless,  }
-            }
-        }
-        impl Pipeline  {
-        }
-        mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 19] = [
-                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(133, 241, 5, 42, 67, 42, 91, 186),
-                ::capnp::word(33, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 138, 1, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
-                ::capnp::word(99, 107, 46, 99, 97, 112, 110, 112),
-                ::capnp::word(58, 69, 110, 100, 112, 111, 105, 110),
-                ::capnp::word(116, 83, 101, 115, 115, 105, 111, 110),
-                ::capnp::word(46, 114, 101, 108, 101, 97, 115, 101),
-                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ];
-            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
-            }
-            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
-            }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-                &ARENA,
-                NONUNION_MEMBERS,
-                MEMBERS_BY_DISCRIMINANT,
-                MEMBERS_BY_NAME
-            );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0xba5b_2a43_2a05_f185;
-        }
-    }
-
-    pub mod segment_params {
-        #[derive(Copy, Clone)]
-        pub struct Owned(());
-        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
-
-        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-        impl <> ::core::marker::Copy for Reader<'_,>  {}
-        impl <> ::core::clone::Clone for Reader<'_,>  {
-            fn clone(&self) -> Self { *self }
-        }
-
-        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
-            const TYPE_ID: u64 = _private::TYPE_ID;
-        }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
-            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-                Self { reader,  }
-            }
-        }
-
-        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-            fn from(reader: Reader<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-            }
-        }
-
-        impl <> ::core::fmt::Debug for Reader<'_,>  {
-            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
-            }
-        }
-
-        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(reader.get_struct(default)?.into())
-            }
-        }
-
-        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
-            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
-                self.reader
-            }
-        }
-
-        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
-            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
-            }
-        }
-
-        impl <'a,> Reader<'a,>  {
-            pub fn reborrow(&self) -> Reader<'_,> {
-                Self { .. *self }
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.reader.total_size()
-            }
-            #[inline]
-            pub fn get_order(self) -> ::capnp::Result<crate::lovagedock_capnp::work_order::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_order(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
-            }
-            #[inline]
-            pub fn get_start(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn get_tokens(self) -> u64 {
-                self.reader.get_data_field::<u64>(1)
-            }
-        }
-
-        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
-        }
-        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
-            const TYPE_ID: u64 = _private::TYPE_ID;
-        }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
-            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-                Self { builder,  }
-            }
-        }
-
-        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-            fn from(builder: Builder<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-            }
-        }
-
-        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
-            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
-            }
-        }
-
-        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
-            }
-            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
-            }
-        }
-
-        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
-        }
-
-        impl <'a,> Builder<'a,>  {
-            pub fn into_reader(self) -> Reader<'a,> {
-                self.builder.into_reader().into()
-            }
-            pub fn reborrow(&mut self) -> Builder<'_,> {
-                Builder { builder: self.builder.reborrow() }
-            }
-            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
-                self.builder.as_reader().into()
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.builder.as_reader().total_size()
-            }
-            #[inline]
-            pub fn get_order(self) -> ::capnp::Result<crate::lovagedock_capnp::work_order::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_order(&mut self, value: crate::lovagedock_capnp::work_order::Reader<'_>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
-            }
-            #[inline]
-            pub fn init_order(self, ) -> crate::lovagedock_capnp::work_order::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
-            }
-            #[inline]
-            pub fn has_order(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
-            }
-            #[inline]
-            pub fn get_start(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn set_start(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(0, value);
-            }
-            #[inline]
-            pub fn get_tokens(self) -> u64 {
-                self.builder.get_data_field::<u64>(1)
-            }
-            #[inline]
-            pub fn set_tokens(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(1, value);
-            }
-        }
-
-        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
-        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless,  }
-            }
-        }
-        impl Pipeline  {
-            pub fn get_order(&self) -> crate::lovagedock_capnp::work_order::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-            }
-        }
-        mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
-                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(202, 104, 230, 33, 60, 32, 237, 239),
-                ::capnp::word(33, 0, 0, 0, 1, 0, 2, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 130, 1, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(33, 0, 0, 0, 175, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
-                ::capnp::word(99, 107, 46, 99, 97, 112, 110, 112),
-                ::capnp::word(58, 69, 110, 100, 112, 111, 105, 110),
-                ::capnp::word(116, 83, 101, 115, 115, 105, 111, 110),
-                ::capnp::word(46, 115, 101, 103, 109, 101, 110, 116),
-                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(111, 114, 100, 101, 114, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(78, 33, 137, 2, 224, 25, 103, 161),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(115, 116, 97, 114, 116, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(116, 111, 107, 101, 110, 115, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ];
-            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                match index {
-                    0 => <crate::lovagedock_capnp::work_order::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    _ => ::capnp::introspect::panic_invalid_field_index(index),
-                }
-            }
-            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
-            }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-                &ARENA,
-                NONUNION_MEMBERS,
-                MEMBERS_BY_DISCRIMINANT,
-                MEMBERS_BY_NAME
-            );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
-            pub(crate) const TYPE_ID: u64 = 0xefed_203c_21e6_68ca;
-        }
-    }
-
-    pub mod segment_results {
-        #[derive(Copy, Clone)]
-        pub struct Owned(());
-        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
-
-        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-        impl <> ::core::marker::Copy for Reader<'_,>  {}
-        impl <> ::core::clone::Clone for Reader<'_,>  {
-            fn clone(&self) -> Self { *self }
-        }
-
-        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
-            const TYPE_ID: u64 = _private::TYPE_ID;
-        }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
-            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-                Self { reader,  }
-            }
-        }
-
-        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-            fn from(reader: Reader<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-            }
-        }
-
-        impl <> ::core::fmt::Debug for Reader<'_,>  {
-            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
-            }
-        }
-
-        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(reader.get_struct(default)?.into())
-            }
-        }
-
-        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
-            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
-                self.reader
-            }
-        }
-
-        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
-            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
-            }
-        }
-
-        impl <'a,> Reader<'a,>  {
-            pub fn reborrow(&self) -> Reader<'_,> {
-                Self { .. *self }
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.reader.total_size()
-            }
-            #[inline]
-            pub fn get_end(self) -> ::capnp::Result<crate::lovagedock_capnp::answer_end::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_end(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
-            }
-        }
-
-        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
-        }
-        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
-            const TYPE_ID: u64 = _private::TYPE_ID;
-        }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
-            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-                Self { builder,  }
-            }
-        }
-
-        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-            fn from(builder: Builder<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-            }
-        }
-
-        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
-            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
-            }
-        }
-
-        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
-            }
-            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
-            }
-        }
-
-        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
-        }
-
-        impl <'a,> Builder<'a,>  {
-            pub fn into_reader(self) -> Reader<'a,> {
-                self.builder.into_reader().into()
-            }
-            pub fn reborrow(&mut self) -> Builder<'_,> {
-                Builder { builder: self.builder.reborrow() }
-            }
-            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
-                self.builder.as_reader().into()
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.builder.as_reader().total_size()
-            }
             #[inline]
-            pub fn get_end(self) -> ::capnp::Result<crate::lovagedock_capnp::answer_end::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            pub fn get_start(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn set_end(&mut self, value: crate::lovagedock_capnp::answer_end::Reader<'_>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            pub fn set_start(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
             }
             #[inline]
-            pub fn init_end(self, ) -> crate::lovagedock_capnp::answer_end::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            pub fn get_tokens(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
             }
             #[inline]
-            pub fn has_end(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
+            pub fn set_tokens(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
             }
         }
 
@@ -9249,22 +8584,22 @@
             }
         }
         impl Pipeline  {
-            pub fn get_end(&self) -> crate::lovagedock_capnp::answer_end::Pipeline {
+            pub fn get_order(&self) -> crate::lovagedock_capnp::work_order::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 35] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(55, 76, 189, 254, 143, 125, 142, 179),
-                ::capnp::word(33, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(130, 17, 209, 169, 22, 47, 208, 205),
+                ::capnp::word(33, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 138, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 130, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(37, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
@@ -9272,225 +8607,59 @@
                 ::capnp::word(58, 69, 110, 100, 112, 111, 105, 110),
                 ::capnp::word(116, 83, 101, 115, 115, 105, 111, 110),
                 ::capnp::word(46, 115, 101, 103, 109, 101, 110, 116),
-                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 34, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(101, 110, 100, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(157, 149, 189, 55, 186, 59, 130, 214),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ];
-            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                match index {
-                    0 => <crate::lovagedock_capnp::answer_end::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    _ => ::capnp::introspect::panic_invalid_field_index(index),
-                }
-            }
-            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
-            }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-                &ARENA,
-                NONUNION_MEMBERS,
-                MEMBERS_BY_DISCRIMINANT,
-                MEMBERS_BY_NAME
-            );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xb38e_7d8f_febd_4c37;
-        }
-    }
-
-    pub mod drain_params {
-        #[derive(Copy, Clone)]
-        pub struct Owned(());
-        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
-
-        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-        impl <> ::core::marker::Copy for Reader<'_,>  {}
-        impl <> ::core::clone::Clone for Reader<'_,>  {
-            fn clone(&self) -> Self { *self }
-        }
-
-        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
-            const TYPE_ID: u64 = _private::TYPE_ID;
-        }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
-            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-                Self { reader,  }
-            }
-        }
-
-        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-            fn from(reader: Reader<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-            }
-        }
-
-        impl <> ::core::fmt::Debug for Reader<'_,>  {
-            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
-            }
-        }
-
-        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(reader.get_struct(default)?.into())
-            }
-        }
-
-        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
-            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
-                self.reader
-            }
-        }
-
-        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
-            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
-            }
-        }
-
-        impl <> Reader<'_,>  {
-            pub fn reborrow(&self) -> Reader<'_,> {
-                Self { .. *self }
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.reader.total_size()
-            }
-            #[inline]
-            pub fn get_leaving(self) -> bool {
-                self.reader.get_bool_field(0)
-            }
-        }
-
-        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
-        }
-        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
-            const TYPE_ID: u64 = _private::TYPE_ID;
-        }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
-            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-                Self { builder,  }
-            }
-        }
-
-        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-            fn from(builder: Builder<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-            }
-        }
-
-        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
-            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
-            }
-        }
-
-        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
-            }
-            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
-            }
-        }
-
-        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
-        }
-
-        impl <'a,> Builder<'a,>  {
-            pub fn into_reader(self) -> Reader<'a,> {
-                self.builder.into_reader().into()
-            }
-            pub fn reborrow(&mut self) -> Builder<'_,> {
-                Builder { builder: self.builder.reborrow() }
-            }
-            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
-                self.builder.as_reader().into()
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.builder.as_reader().total_size()
-            }
-            #[inline]
-            pub fn get_leaving(self) -> bool {
-                self.builder.get_bool_field(0)
-            }
-            #[inline]
-            pub fn set_leaving(&mut self, value: bool)  {
-                self.builder.set_bool_field(0, value);
-            }
-        }
-
-        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
-        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless,  }
-            }
-        }
-        impl Pipeline  {
-        }
-        mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
-                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(24, 155, 225, 28, 167, 82, 144, 164),
-                ::capnp::word(33, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 114, 1, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(111, 114, 100, 101, 114, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(78, 33, 137, 2, 224, 25, 103, 161),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
-                ::capnp::word(99, 107, 46, 99, 97, 112, 110, 112),
-                ::capnp::word(58, 69, 110, 100, 112, 111, 105, 110),
-                ::capnp::word(116, 83, 101, 115, 115, 105, 111, 110),
-                ::capnp::word(46, 100, 114, 97, 105, 110, 36, 80),
-                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(115, 116, 97, 114, 116, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(108, 101, 97, 118, 105, 110, 103, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(116, 111, 107, 101, 110, 115, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::lovagedock_capnp::work_order::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -9504,14 +8673,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xa490_52a7_1ce1_9b18;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
+            pub(crate) const TYPE_ID: u64 = 0xcdd0_2f16_a9d1_1182;
         }
     }
 
-    pub mod drain_results {
+    pub mod segment_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -9564,7 +8733,7 @@
             }
         }
 
-        impl <> Reader<'_,>  {
+        impl <'a,> Reader<'a,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -9573,14 +8742,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_in_flight(self) -> u32 {
-                self.reader.get_data_field::<u32>(0)
+            pub fn get_end(self) -> ::capnp::Result<crate::lovagedock_capnp::answer_end::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_end(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -9631,12 +8804,20 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_in_flight(self) -> u32 {
-                self.builder.get_data_field::<u32>(0)
+            pub fn get_end(self) -> ::capnp::Result<crate::lovagedock_capnp::answer_end::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_in_flight(&mut self, value: u32)  {
-                self.builder.set_data_field::<u32>(0, value);
+            pub fn set_end(&mut self, value: crate::lovagedock_capnp::answer_end::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_end(self, ) -> crate::lovagedock_capnp::answer_end::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            }
+            #[inline]
+            pub fn has_end(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
             }
         }
 
@@ -9647,48 +8828,51 @@
             }
         }
         impl Pipeline  {
+            pub fn get_end(&self) -> crate::lovagedock_capnp::answer_end::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
         }
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 35] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(114, 192, 60, 232, 95, 118, 118, 173),
-                ::capnp::word(33, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(133, 241, 5, 42, 67, 42, 91, 186),
+                ::capnp::word(33, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 122, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 138, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(37, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
                 ::capnp::word(99, 107, 46, 99, 97, 112, 110, 112),
                 ::capnp::word(58, 69, 110, 100, 112, 111, 105, 110),
                 ::capnp::word(116, 83, 101, 115, 115, 105, 111, 110),
-                ::capnp::word(46, 100, 114, 97, 105, 110, 36, 82),
-                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
+                ::capnp::word(46, 115, 101, 103, 109, 101, 110, 116),
+                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(105, 110, 70, 108, 105, 103, 104, 116),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 34, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(101, 110, 100, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(157, 149, 189, 55, 186, 59, 130, 214),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::lovagedock_capnp::answer_end::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -9705,11 +8889,11 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xad76_765f_e83c_c072;
+            pub(crate) const TYPE_ID: u64 = 0xba5b_2a43_2a05_f185;
         }
     }
 
-    pub mod dump_params {
+    pub mod drain_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -9770,11 +8954,15 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
+            #[inline]
+            pub fn get_leaving(self) -> bool {
+                self.reader.get_bool_field(0)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -9824,6 +9012,14 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
+            #[inline]
+            pub fn get_leaving(self) -> bool {
+                self.builder.get_bool_field(0)
+            }
+            #[inline]
+            pub fn set_leaving(&mut self, value: bool)  {
+                self.builder.set_bool_field(0, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -9835,28 +9031,47 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 18] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(119, 9, 107, 38, 152, 19, 42, 186),
-                ::capnp::word(33, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(202, 104, 230, 33, 60, 32, 237, 239),
+                ::capnp::word(33, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 106, 1, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 114, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
                 ::capnp::word(99, 107, 46, 99, 97, 112, 110, 112),
                 ::capnp::word(58, 69, 110, 100, 112, 111, 105, 110),
                 ::capnp::word(116, 83, 101, 115, 115, 105, 111, 110),
-                ::capnp::word(46, 100, 117, 109, 112, 36, 80, 97),
-                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
+                ::capnp::word(46, 100, 114, 97, 105, 110, 36, 80),
+                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(108, 101, 97, 118, 105, 110, 103, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
+                match index {
+                    0 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
             }
             pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -9868,14 +9083,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0xba2a_1398_266b_0977;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xefed_203c_21e6_68ca;
         }
     }
 
-    pub mod dump_results {
+    pub mod drain_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -9928,7 +9143,7 @@
             }
         }
 
-        impl <'a,> Reader<'a,>  {
+        impl <> Reader<'_,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -9937,18 +9152,14 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_json(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_json(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
+            pub fn get_in_flight(self) -> u32 {
+                self.reader.get_data_field::<u32>(0)
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -9999,20 +9210,12 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_json(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_json(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
-            }
-            #[inline]
-            pub fn init_json(self, size: u32) -> ::capnp::text::Builder<'a> {
-                self.builder.get_pointer_field(0).init_text(size)
+            pub fn get_in_flight(self) -> u32 {
+                self.builder.get_data_field::<u32>(0)
             }
             #[inline]
-            pub fn has_json(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
+            pub fn set_in_flight(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(0, value);
             }
         }
 
@@ -10025,14 +9228,14 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 35] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(237, 253, 113, 113, 91, 11, 253, 154),
-                ::capnp::word(33, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(55, 76, 189, 254, 143, 125, 142, 179),
+                ::capnp::word(33, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 114, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 122, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
@@ -10042,28 +9245,29 @@
                 ::capnp::word(99, 107, 46, 99, 97, 112, 110, 112),
                 ::capnp::word(58, 69, 110, 100, 112, 111, 105, 110),
                 ::capnp::word(116, 83, 101, 115, 115, 105, 111, 110),
-                ::capnp::word(46, 100, 117, 109, 112, 36, 82, 101),
-                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+                ::capnp::word(46, 100, 114, 97, 105, 110, 36, 82),
+                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(106, 115, 111, 110, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(105, 110, 70, 108, 105, 103, 104, 116),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -10080,7 +9284,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0x9afd_0b5b_7171_fded;
+            pub(crate) const TYPE_ID: u64 = 0xb38e_7d8f_febd_4c37;
         }
     }
 }
@@ -10688,7 +9892,7 @@
             }
         }
 
-        impl <'a,> Reader<'a,>  {
+        impl <> Reader<'_,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -10700,19 +9904,11 @@
             pub fn get_generation(self) -> u64 {
                 self.reader.get_data_field::<u64>(0)
             }
-            #[inline]
-            pub fn get_root_digest(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_root_digest(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
-            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -10770,22 +9966,6 @@
             pub fn set_generation(&mut self, value: u64)  {
                 self.builder.set_data_field::<u64>(0, value);
             }
-            #[inline]
-            pub fn get_root_digest(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_root_digest(&mut self, value: ::capnp::data::Reader<'_>)  {
-                self.builder.reborrow().get_pointer_field(0).set_data(value);
-            }
-            #[inline]
-            pub fn init_root_digest(self, size: u32) -> ::capnp::data::Builder<'a> {
-                self.builder.get_pointer_field(0).init_data(size)
-            }
-            #[inline]
-            pub fn has_root_digest(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
-            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -10797,17 +9977,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 51] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 35] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(43, 203, 100, 205, 121, 133, 13, 140),
                 ::capnp::word(29, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 82, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(33, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
@@ -10816,21 +9996,14 @@
                 ::capnp::word(115, 105, 111, 110, 46, 111, 102, 102),
                 ::capnp::word(101, 114, 36, 80, 97, 114, 97, 109),
                 ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 90, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(49, 0, 0, 0, 90, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 90, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(48, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(60, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(103, 101, 110, 101, 114, 97, 116, 105),
                 ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -10840,20 +10013,10 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(114, 111, 111, 116, 68, 105, 103, 101),
-                ::capnp::word(115, 116, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -10867,9 +10030,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0x8c0d_8579_cd64_cb2b;
         }
     }
