Decide about one caller's request in a pure state machine

Cause: a gateway has to give each request exactly one final answer by its deadline and never run a non-idempotent one twice, whatever goes silent, late or missing between it and a sidecar. Change: RequestMachine (placement, submit, revoke on a new connection, resume by offset, end check, retries, deadline, caller gone, shutdown), RetryBudget and BackoffCurve. Code 2012 tells a passed deadline when it is not known whether the request ran; 2002 and 2003 would have claimed to know.

--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -24,6 +24,8 @@
 mod placement;
 pub mod prelude;
 mod registry;
+mod request;
+mod retry;
 
 pub use codes::{RanState, ResultCode};
 pub use config::{
@@ -46,3 +48,8 @@
     predict_first_token, predict_queue, prefix_hashes,
 };
 pub use registry::{PolicyPlugin, UnknownPolicy, build_policy, policies, policy_names};
+pub use request::{
+    Outcome, PlacedOn, RequestAction, RequestEvent, RequestMachine, RequestSpec, RequestTiming,
+    Safeguards, SpanPart,
+};
+pub use retry::{BackoffCurve, RetryAllowance, RetryBudget};
--- /dev/null
+++ b/lovagedock/src/request/finish.rs
@@ -0,0 +1,247 @@
+//! When a request is tried again, and what its caller is told in the end.
+
+use std::time::Duration;
+
+use super::{
+    attempt::{Attempt, worst_ran},
+    event::{Outcome, RequestAction},
+    machine::RequestMachine,
+    phase::RequestPhase,
+};
+use crate::{
+    codes::{RanState, ResultCode},
+    ids::{AttemptNumber, Timestamp},
+    outcome::AnswerEnd,
+};
+
+/// Advice for a request that was given up when nobody gave better.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+impl RequestMachine {
+    pub(super) fn submit_refused(&mut self, now: Timestamp, number: AttemptNumber, end: AnswerEnd) {
+        let waiting = matches!(
+            self.phase,
+            RequestPhase::Submitting | RequestPhase::Revoking { .. }
+        );
+        if waiting && number == self.attempts {
+            self.attempt_failed(now, end);
+        }
+    }
+
+    pub(super) fn span_failed(&mut self, now: Timestamp, number: AttemptNumber, end: AnswerEnd) {
+        if number != self.attempts {
+            return;
+        }
+        match self.phase {
+            RequestPhase::Spanning => self.attempt_failed(now, end),
+            RequestPhase::Submitting | RequestPhase::Attached | RequestPhase::Resuming { .. } => {
+                self.settle(now);
+            }
+            _ => {}
+        }
+    }
+
+    /// The current attempt ended without an answer: tries again where that is safe and worth it.
+    pub(super) fn attempt_failed(&mut self, now: Timestamp, end: AnswerEnd) {
+        // A frame or a verdict goes before the word of a later message that says "not run".
+        let started = self.attempt.as_ref().is_some_and(|attempt| attempt.started);
+        let ran = if started && self.safeguards.remember_ran {
+            RanState::Yes
+        } else {
+            end.ran
+        };
+        let end = end.with_ran(ran);
+        let prefilling = matches!(self.phase, RequestPhase::Spanning);
+        if !self.may_try_again(&end, prefilling) {
+            self.abandon_attempt_unless(end.ran == RanState::No || ends_work(&end));
+            self.conclude(end);
+            return;
+        }
+        self.abandon_attempt_unless(end.ran == RanState::No || prefilling);
+        self.exclude(&end);
+        self.earlier_ran = worst_ran(self.earlier_ran, end.ran);
+        if end.ran != RanState::No {
+            self.earlier_failure = Some(end.clone());
+        }
+        self.release_span();
+        self.attempt = None;
+        if now + self.spec.timing.backoff.base >= self.deadline {
+            self.conclude(end);
+            return;
+        }
+        self.phase = RequestPhase::AskingRetry { failure: end };
+        self.actions.push(RequestAction::AskRetry);
+    }
+
+    fn may_try_again(&self, end: &AnswerEnd, prefilling: bool) -> bool {
+        let given_up = self.caller_gone || self.stopping;
+        let spent = self.attempts >= self.spec.timing.max_attempts;
+        if given_up || spent || self.answer.delivered > 0 {
+            return false;
+        }
+        let engine_side = matches!(
+            end.code,
+            ResultCode::EndpointLost | ResultCode::EngineFailed | ResultCode::AnswerDamaged
+        );
+        // Prefill makes no answer and has no effect outside the engine, so it may be repeated even
+        // for a request that must not run twice.
+        let repeatable = end.ran == RanState::No
+            || prefilling
+            || !self.spec.non_idempotent
+            || !self.safeguards.revoke_before_retry;
+        (engine_side || end.code.may_go_elsewhere()) && repeatable
+    }
+
+    fn exclude(&mut self, end: &AnswerEnd) {
+        let restarted = end.code == ResultCode::StaleIncarnation;
+        if let Some(attempt) = self.attempt.as_ref().filter(|_| !restarted) {
+            self.excluded.push(attempt.endpoint.clone());
+        }
+    }
+
+    pub(super) fn retry_answered(&mut self, now: Timestamp, granted: bool, jitter_permille: u16) {
+        let RequestPhase::AskingRetry { failure } = &self.phase else {
+            return;
+        };
+        let failure = failure.clone();
+        if !granted {
+            let detail = format!("last refusal: {}", failure.code.title());
+            let end = AnswerEnd::new(ResultCode::RetriesExhausted)
+                .with_retry_after(failure.retry_after)
+                .with_detail(detail);
+            self.conclude(end);
+            return;
+        }
+        let jitter = f64::from(jitter_permille) / 1000.0;
+        let until = now + self.spec.timing.backoff.delay(self.attempts, jitter);
+        if until >= self.deadline {
+            self.conclude(failure);
+        } else {
+            self.phase = RequestPhase::BackingOff { until };
+        }
+    }
+
+    /// The deadline passed: the caller gets the final answer at once.
+    pub(super) fn expire(&mut self) {
+        let code = match self.ran_so_far() {
+            RanState::No if self.stopping => ResultCode::GatewayStopping,
+            RanState::No => ResultCode::ExpiredWaiting,
+            RanState::Yes => ResultCode::ExpiredRunning,
+            RanState::Unknown => ResultCode::ExpiredUnknown,
+        };
+        self.abandon_attempt_unless(false);
+        self.conclude(AnswerEnd::new(code).with_ran(self.ran_so_far()));
+    }
+
+    pub(super) fn caller_left(&mut self) {
+        if self.caller_gone {
+            return;
+        }
+        self.caller_gone = true;
+        let submitted = self
+            .attempt
+            .as_ref()
+            .is_some_and(|attempt| attempt.submitted);
+        if submitted && self.spec.non_idempotent {
+            // Its answer must be recorded for the caller that comes back with the same key, so
+            // only a revoke is sent, which stops what has not started and nothing else.
+            self.abandon_attempt_unless(matches!(self.phase, RequestPhase::Checking { .. }));
+            return;
+        }
+        self.abandon_attempt_unless(false);
+        let ran = self.ran_so_far();
+        self.conclude(AnswerEnd::new(ResultCode::CallerGone).with_ran(ran));
+    }
+
+    pub(super) fn stop(&mut self, now: Timestamp, grace: Duration) {
+        self.stopping = true;
+        self.deadline = self.deadline.min(now.saturating_add(grace));
+        let idle = matches!(
+            self.phase,
+            RequestPhase::Placing
+                | RequestPhase::AskingRetry { .. }
+                | RequestPhase::BackingOff { .. }
+        );
+        if idle {
+            self.conclude(AnswerEnd::new(ResultCode::GatewayStopping));
+        }
+    }
+
+    /// Gives the final answer.
+    pub(super) fn conclude(&mut self, end: AnswerEnd) {
+        let ran = match end.code {
+            ResultCode::Complete => RanState::Yes,
+            _ if !self.safeguards.remember_ran => end.ran,
+            // One attempt that was refused does not undo an earlier one that may have run; told
+            // "not run", the caller would repeat a request that ran.
+            _ => worst_ran(self.earlier_ran, end.ran),
+        };
+        let decisive = match &self.earlier_failure {
+            Some(failure) if end.code.ran() == RanState::No && ran != RanState::No => {
+                failure.clone()
+            }
+            _ => end,
+        };
+        let retry_after = match decisive.code.number() / 1000 {
+            2 | 3 if decisive.retry_after.is_zero() => DEFAULT_RETRY_AFTER,
+            _ => decisive.retry_after,
+        };
+        self.release_span();
+        self.phase = RequestPhase::Finished;
+        self.actions.push(RequestAction::Finish(Outcome {
+            code: decisive.code,
+            ran,
+            retry_after,
+            detail: decisive.detail.clone(),
+            attempts: self.attempts,
+            end: Some(decisive),
+        }));
+    }
+
+    fn release_span(&mut self) {
+        let attempt = self
+            .attempt
+            .as_ref()
+            .filter(|attempt| !attempt.span.is_empty());
+        self.actions
+            .extend(attempt.map(|attempt| RequestAction::ReleaseSpan {
+                attempt: attempt.number,
+            }));
+    }
+
+    fn ran_so_far(&self) -> RanState {
+        let current = self.attempt.as_ref().map_or(RanState::No, Attempt::ran);
+        worst_ran(self.earlier_ran, current)
+    }
+
+    /// Frees what the current attempt holds, unless it is known to hold nothing.
+    ///
+    /// A non-idempotent attempt is revoked and not cancelled: once started it runs to its end, so
+    /// that its answer can be recorded.
+    fn abandon_attempt_unless(&mut self, is_over: bool) {
+        let Some(attempt) = &self.attempt else {
+            return;
+        };
+        let revoking = matches!(self.phase, RequestPhase::Revoking { .. });
+        if is_over || !attempt.submitted {
+            return;
+        }
+        if !self.spec.non_idempotent {
+            self.actions.push(RequestAction::Cancel {
+                endpoint: attempt.endpoint.clone(),
+                attempt: attempt.number,
+                incarnation: attempt.incarnation,
+            });
+        } else if !attempt.started && !revoking {
+            self.push_revoke();
+        }
+    }
+}
+
+/// Whether a sidecar's own end frame brought this, so that it holds nothing any more.
+fn ends_work(end: &AnswerEnd) -> bool {
+    matches!(
+        end.code,
+        ResultCode::EngineFailed | ResultCode::ExpiredRunning | ResultCode::Complete
+    )
+}
--- /dev/null
+++ b/lovagedock/src/request/phase.rs
@@ -0,0 +1,60 @@
+//! What a request waits for.
+
+use crate::{ids::Timestamp, outcome::AnswerEnd};
+
+/// What a request waits for.
+#[derive(Clone, Debug)]
+pub(super) enum RequestPhase {
+    Placing,
+    AskingRetry {
+        failure: AnswerEnd,
+    },
+    BackingOff {
+        until: Timestamp,
+    },
+    Spanning,
+    Submitting,
+    Attached,
+    /// A resume was sent, or is to be sent again at `again_at`.
+    Resuming {
+        until: Timestamp,
+        again_at: Option<Timestamp>,
+    },
+    /// A revoke was sent, or is to be sent again at `again_at`.
+    Revoking {
+        until: Timestamp,
+        again_at: Option<Timestamp>,
+    },
+    Checking {
+        end: AnswerEnd,
+    },
+    Finished,
+}
+
+impl RequestPhase {
+    pub(super) fn name(&self) -> &'static str {
+        match self {
+            Self::Placing => "placing",
+            Self::AskingRetry { .. } => "asking_retry",
+            Self::BackingOff { .. } => "backing_off",
+            Self::Spanning => "spanning",
+            Self::Submitting => "submitting",
+            Self::Attached => "attached",
+            Self::Resuming { .. } => "resuming",
+            Self::Revoking { .. } => "revoking",
+            Self::Checking { .. } => "checking",
+            Self::Finished => "finished",
+        }
+    }
+
+    /// When the phase wants to be woken before the deadline.
+    pub(super) fn wake_at(&self) -> Option<Timestamp> {
+        match *self {
+            Self::BackingOff { until } => Some(until),
+            Self::Resuming { until, again_at } | Self::Revoking { until, again_at } => {
+                Some(again_at.unwrap_or(until).min(until))
+            }
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/lovagedock/src/request/recover.rs
@@ -0,0 +1,275 @@
+//! What a request does when a connection goes silent, frames are missing or a sidecar is gone.
+
+use super::{attempt::Attempt, event::RequestAction, machine::RequestMachine, phase::RequestPhase};
+use crate::{
+    codes::{RanState, ResultCode},
+    ids::{AttemptNumber, EndpointId, Incarnation, Timestamp},
+    outcome::{AnswerEnd, RevokeVerdict},
+};
+
+impl RequestMachine {
+    pub(super) fn session_lost(
+        &mut self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        life: Incarnation,
+    ) {
+        let Some(attempt) = self
+            .attempt
+            .as_ref()
+            .filter(|attempt| attempt.is_on(endpoint, life))
+        else {
+            return;
+        };
+        let accepted = attempt.accepted || attempt.started;
+        match self.phase {
+            // A long prefill that goes on behind a silent connection is worth more than a new one.
+            RequestPhase::Submitting | RequestPhase::Attached if accepted => self.resume(now),
+            RequestPhase::Submitting => self.settle(now),
+            _ => {}
+        }
+    }
+
+    pub(super) fn session_back(
+        &mut self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        life: Incarnation,
+    ) {
+        let Some(attempt) = self
+            .attempt
+            .as_ref()
+            .filter(|attempt| attempt.endpoint == *endpoint)
+        else {
+            return;
+        };
+        let same_life = attempt.incarnation == life;
+        match self.phase {
+            RequestPhase::Resuming {
+                until,
+                again_at: Some(_),
+            } if same_life => {
+                self.send_resume(until);
+            }
+            RequestPhase::Revoking {
+                until,
+                again_at: Some(_),
+            } if same_life => {
+                self.send_revoke(until);
+            }
+            RequestPhase::Attached
+            | RequestPhase::Resuming { .. }
+            | RequestPhase::Revoking { .. }
+                if !same_life =>
+            {
+                self.life_over(now);
+            }
+            _ => {}
+        }
+    }
+
+    /// Asks the same sidecar for the rest of the answer.
+    pub(super) fn resume(&mut self, now: Timestamp) {
+        self.send_resume(now + self.spec.timing.resume_wait);
+    }
+
+    pub(super) fn resume_answered(&mut self, now: Timestamp, number: AttemptNumber, found: bool) {
+        if !self.is_resuming(number) {
+            return;
+        }
+        if found {
+            self.phase = RequestPhase::Attached;
+            if let Some(attempt) = &mut self.attempt {
+                attempt.accepted = true;
+            }
+            return;
+        }
+        if self.attempt.as_ref().is_some_and(|attempt| attempt.ended) {
+            self.attempt_failed(
+                now,
+                AnswerEnd::new(ResultCode::AnswerLost).with_ran(RanState::Yes),
+            );
+            return;
+        }
+        self.settle(now);
+    }
+
+    pub(super) fn resume_failed(&mut self, now: Timestamp, number: AttemptNumber) {
+        if !self.is_resuming(number) {
+            return;
+        }
+        let pause = self.spec.timing.reconnect_pause;
+        if let RequestPhase::Resuming { again_at, .. } = &mut self.phase {
+            *again_at = Some(now + pause);
+        }
+    }
+
+    pub(super) fn resume_tick(
+        &mut self,
+        now: Timestamp,
+        until: Timestamp,
+        again_at: Option<Timestamp>,
+    ) {
+        if now >= until {
+            self.settle(now);
+        } else if again_at.is_some_and(|again_at| now >= again_at) {
+            self.send_resume(until);
+        }
+    }
+
+    /// Frames are missing: reads on from the last byte that the caller has.
+    pub(super) fn repair_gap(&mut self, now: Timestamp) {
+        if matches!(
+            self.phase,
+            RequestPhase::Resuming { .. } | RequestPhase::Revoking { .. }
+        ) {
+            return;
+        }
+        if self.spend_repair() {
+            self.resume(now);
+        } else {
+            self.attempt_failed(now, AnswerEnd::new(ResultCode::AnswerDamaged));
+        }
+    }
+
+    /// Finds out what became of an attempt that no connection tells about any more.
+    ///
+    /// A non-idempotent request whose connection went silent may still be running; sent elsewhere
+    /// as well it would run twice. A revoke on a new connection leaves a tombstone, after which
+    /// the attempt can never start, so only then may it go elsewhere.
+    pub(super) fn settle(&mut self, now: Timestamp) {
+        let revokes = self.spec.non_idempotent && self.safeguards.revoke_before_retry;
+        if !revokes {
+            self.life_over(now);
+            return;
+        }
+        if self.spend_repair() {
+            self.send_revoke(now + self.spec.timing.revoke_wait);
+        } else {
+            self.life_over(now);
+        }
+    }
+
+    pub(super) fn revoke_answered(
+        &mut self,
+        now: Timestamp,
+        number: AttemptNumber,
+        life: Incarnation,
+        verdict: RevokeVerdict,
+    ) {
+        let Some(attempt) = self
+            .attempt
+            .as_mut()
+            .filter(|attempt| attempt.number == number)
+        else {
+            return;
+        };
+        // A restarted sidecar knows nothing of what its former life did, and its "revoked" would
+        // let a request that ran run again. The incarnation tells the two lives apart.
+        let other_life = verdict == RevokeVerdict::OtherLife || life != attempt.incarnation;
+        let verdict = match (other_life, self.safeguards.check_verdict_life) {
+            (true, true) => RevokeVerdict::OtherLife,
+            (true, false) => RevokeVerdict::Revoked,
+            (false, _) => verdict,
+        };
+        attempt.started |= matches!(verdict, RevokeVerdict::Running | RevokeVerdict::Ended);
+        attempt.ended |= verdict == RevokeVerdict::Ended;
+        if self.caller_gone && verdict == RevokeVerdict::Revoked {
+            self.attempt_failed(
+                now,
+                AnswerEnd::new(ResultCode::CallerGone).with_ran(RanState::No),
+            );
+            return;
+        }
+        if !matches!(self.phase, RequestPhase::Revoking { .. }) {
+            return;
+        }
+        match verdict {
+            RevokeVerdict::Revoked => self.attempt_failed(now, revoked()),
+            RevokeVerdict::Running | RevokeVerdict::Ended => self.resume(now),
+            RevokeVerdict::OtherLife => self.life_over(now),
+        }
+    }
+
+    pub(super) fn revoke_failed(&mut self, now: Timestamp, number: AttemptNumber) {
+        let pause = self.spec.timing.reconnect_pause;
+        if number != self.attempts {
+            return;
+        }
+        if let RequestPhase::Revoking { again_at, .. } = &mut self.phase {
+            *again_at = Some(now + pause);
+        }
+    }
+
+    pub(super) fn revoke_tick(
+        &mut self,
+        now: Timestamp,
+        until: Timestamp,
+        again_at: Option<Timestamp>,
+    ) {
+        if now >= until {
+            self.life_over(now);
+        } else if again_at.is_some_and(|again_at| now >= again_at) {
+            self.send_revoke(until);
+        }
+    }
+
+    /// Nobody is left who could tell what became of the attempt.
+    fn life_over(&mut self, now: Timestamp) {
+        let ran = self
+            .attempt
+            .as_ref()
+            .map_or(RanState::Unknown, Attempt::ran);
+        self.attempt_failed(now, AnswerEnd::new(ResultCode::EndpointLost).with_ran(ran));
+    }
+
+    fn send_resume(&mut self, until: Timestamp) {
+        self.phase = RequestPhase::Resuming {
+            until,
+            again_at: None,
+        };
+        let offset = self.answer.delivered;
+        self.actions
+            .extend(self.attempt.as_ref().map(|attempt| RequestAction::Resume {
+                endpoint: attempt.endpoint.clone(),
+                attempt: attempt.number,
+                incarnation: attempt.incarnation,
+                offset,
+            }));
+    }
+
+    fn send_revoke(&mut self, until: Timestamp) {
+        self.phase = RequestPhase::Revoking {
+            until,
+            again_at: None,
+        };
+        self.push_revoke();
+    }
+
+    pub(super) fn push_revoke(&mut self) {
+        self.actions
+            .extend(self.attempt.as_ref().map(|attempt| RequestAction::Revoke {
+                endpoint: attempt.endpoint.clone(),
+                attempt: attempt.number,
+                incarnation: attempt.incarnation,
+            }));
+    }
+
+    fn spend_repair(&mut self) -> bool {
+        let limit = self.spec.timing.max_repairs;
+        self.attempt.as_mut().is_some_and(|attempt| {
+            attempt.repairs += 1;
+            attempt.repairs <= limit
+        })
+    }
+
+    fn is_resuming(&self, number: AttemptNumber) -> bool {
+        matches!(self.phase, RequestPhase::Resuming { .. }) && number == self.attempts
+    }
+}
+
+fn revoked() -> AnswerEnd {
+    AnswerEnd::new(ResultCode::EndpointUnreachable)
+        .with_ran(RanState::No)
+        .with_detail("the connection went silent and the attempt was revoked")
+}
