Decide claims of idempotency keys as a group-commit machine

Cause: a keyed call must run at most once and read the same answer on each delivery, over several gateways, a store with outages and lost confirmations, and a write budget of a few hundred a second.

Change: ClaimPartition puts all claims, records and abandoned claims of a partition into one conditional update with one write in flight. A claim is granted only when the store is known to hold it; a lost confirmation is read back. A claim whose owner fell silent stays claimed. Ages are counted by a partition clock that is never ahead, so no two wall clocks are compared.

--- /dev/null
+++ b/lovagedock/src/claim/entry.rs
@@ -0,0 +1,88 @@
+//! One claim as the store keeps it.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use super::types::BodyDigest;
+use crate::ids::{Incarnation, RequestId};
+
+/// Upper bound of an encoded entry without an inline answer, in bytes.
+pub(crate) const ENTRY_BYTES: usize = 136;
+
+/// A key that was claimed, and what is known of its run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ClaimEntry {
+    pub(crate) body: BodyDigest,
+    #[serde(with = "postcard::fixint::le")]
+    pub(crate) owner: Incarnation,
+    #[serde(with = "postcard::fixint::le")]
+    pub(crate) request: RequestId,
+    /// Partition time of the claim.
+    pub(crate) claimed_ms: u64,
+    /// Time that the owner has to run the request, from the claim.
+    pub(crate) stated_ms: u64,
+    pub(crate) run: RunState,
+}
+
+/// What is known of a claimed run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum RunState {
+    /// It may have run.
+    Claimed,
+    /// It ran, and this is its answer.
+    Inline(Bytes),
+    /// It ran, and its answer is in objects of its own.
+    Split(SplitAnswer),
+}
+
+/// An answer that is kept in several objects.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct SplitAnswer {
+    pub(crate) parts: u16,
+    pub(crate) length: u64,
+    pub(crate) digest: [u8; 32],
+}
+
+impl ClaimEntry {
+    pub(crate) fn is_of(&self, owner: Incarnation, request: RequestId) -> bool {
+        self.owner == owner && self.request == request
+    }
+
+    pub(crate) fn is_answered(&self) -> bool {
+        !matches!(self.run, RunState::Claimed)
+    }
+
+    /// Whether the owner's stated time is over.
+    pub(crate) fn has_lapsed(&self, clock_ms: u64) -> bool {
+        clock_ms.saturating_sub(self.claimed_ms) >= self.stated_ms
+    }
+
+    pub(crate) fn time_to_lapse(&self, clock_ms: u64) -> Duration {
+        let lapses_ms = self.claimed_ms.saturating_add(self.stated_ms);
+        Duration::from_millis(lapses_ms.saturating_sub(clock_ms))
+    }
+
+    /// Whether the claim has been kept for its window.
+    pub(crate) fn has_expired(&self, clock_ms: u64, window_ms: u64) -> bool {
+        clock_ms.saturating_sub(self.claimed_ms) >= window_ms
+    }
+
+    pub(crate) fn bytes(&self) -> usize {
+        match &self.run {
+            RunState::Inline(answer) => ENTRY_BYTES + answer.len(),
+            RunState::Claimed | RunState::Split(_) => ENTRY_BYTES,
+        }
+    }
+
+    /// Objects that may hold parts of the answer.
+    pub(crate) fn parts(&self, max_parts: u16) -> u16 {
+        match &self.run {
+            // The owner may have died between the parts and the entry.
+            RunState::Claimed => max_parts,
+            RunState::Inline(_) => 0,
+            RunState::Split(split) => split.parts,
+        }
+    }
+}
--- /dev/null
+++ b/lovagedock/src/claim/partition.rs
@@ -0,0 +1,249 @@
+//! The group-commit machine of one partition.
+
+use std::collections::BTreeSet;
+
+use bytes::Bytes;
+
+use super::{
+    answer::{ReplayRead, parts_needed},
+    clock::PartitionClock,
+    object::PartitionObject,
+    pending::{PendingAbandon, PendingRecord, SplitProgress, WaitingClaim},
+    store::StoreCall,
+    sweep::StrayDeletion,
+    types::{
+        ClaimAction, ClaimEvent, ClaimLimits, ClaimRequest, ClaimStatus, KeyHash, PartitionIndex,
+    },
+};
+use crate::{
+    codes::ResultCode,
+    ids::{Incarnation, RequestId, Timestamp},
+    safeguards::DurableSafeguards,
+    store_call::{NonceSource, ObjectName, ObjectVersion},
+};
+
+/// Claims of one partition at one gateway.
+///
+/// At most one read or write of the partition's object is in flight; what arrives meanwhile goes
+/// into the next write together. The write names the version that it replaces, so of two gateways
+/// that write the same partition one is refused, reads the other's value and tries again on it.
+///
+/// The machine speaks of one request until it is granted, replayed or refused. A granted one stays
+/// claimed until [`ClaimEvent::Record`] or [`ClaimEvent::Abandon`]. If neither comes, the key stays
+/// claimed as one that may have run, and repeats are refused as [`ResultCode::AnswerLost`] once
+/// the time that the request had is over.
+#[derive(Debug)]
+pub struct ClaimPartition {
+    pub(super) index: PartitionIndex,
+    pub(super) owner: Incarnation,
+    pub(super) object: ObjectName,
+    pub(super) limits: ClaimLimits,
+    pub(super) safeguards: DurableSafeguards,
+    pub(super) nonces: NonceSource,
+    pub(super) known: Option<KnownObject>,
+    pub(super) call: StoreCall,
+    /// The last value may be out of date: it has to be read before the next write.
+    pub(super) stale: bool,
+    /// A write on this version may still take effect.
+    pub(super) unsettled: Option<Option<ObjectVersion>>,
+    pub(super) damaged: bool,
+    pub(super) claims: Vec<WaitingClaim>,
+    pub(super) records: Vec<PendingRecord>,
+    pub(super) abandons: Vec<PendingAbandon>,
+    pub(super) replays: Vec<ReplayRead>,
+    pub(super) deletion: Option<StrayDeletion>,
+    pub(super) deleted: Vec<RequestId>,
+    /// Strays that this gateway's own writes found.
+    pub(super) own_strays: BTreeSet<RequestId>,
+    pub(super) failures: u32,
+    pub(super) conflicts: u32,
+    pub(super) retry_at: Timestamp,
+    pub(super) write_at: Timestamp,
+    wake_at: Option<Timestamp>,
+}
+
+/// The last value of the object that this gateway knows.
+#[derive(Debug)]
+pub(super) struct KnownObject {
+    /// `None` while there is no object.
+    pub(super) version: Option<ObjectVersion>,
+    pub(super) value: PartitionObject,
+    pub(super) clock: PartitionClock,
+    /// When the call that brought it was sent.
+    pub(super) as_of: Timestamp,
+}
+
+impl ClaimPartition {
+    /// A partition of which nothing is known yet; `owner` is the random id of this process's life.
+    pub fn new(index: PartitionIndex, owner: Incarnation, limits: ClaimLimits) -> Self {
+        Self {
+            index,
+            owner,
+            object: format!("claims/partitions/{index}").into(),
+            limits,
+            safeguards: DurableSafeguards::default(),
+            nonces: NonceSource::new(owner),
+            known: None,
+            call: StoreCall::Idle,
+            stale: false,
+            unsettled: None,
+            damaged: false,
+            claims: Vec::new(),
+            records: Vec::new(),
+            abandons: Vec::new(),
+            replays: Vec::new(),
+            deletion: None,
+            deleted: Vec::new(),
+            own_strays: BTreeSet::new(),
+            failures: 0,
+            conflicts: 0,
+            retry_at: Timestamp::ZERO,
+            write_at: Timestamp::ZERO,
+            wake_at: None,
+        }
+    }
+
+    /// Replaces the safeguards; for tests only.
+    pub fn with_safeguards(mut self, safeguards: DurableSafeguards) -> Self {
+        self.safeguards = safeguards;
+        self
+    }
+
+    /// Name of the partition's object.
+    pub fn object(&self) -> &ObjectName {
+        &self.object
+    }
+
+    /// What a dump shows.
+    pub fn status(&self) -> ClaimStatus {
+        let value = self.known.as_ref().map(|known| &known.value);
+        ClaimStatus {
+            partition: self.index,
+            keys: value.map_or(0, |value| value.entries.len()),
+            bytes: value.map_or(0, PartitionObject::bytes),
+            waiting: self.claims.len() + self.replays.len(),
+            recording: self.records.len(),
+            damaged: self.damaged,
+        }
+    }
+
+    /// Takes an event and returns what to do.
+    pub fn handle(&mut self, now: Timestamp, event: ClaimEvent) -> Vec<ClaimAction> {
+        let mut actions = Vec::new();
+        match event {
+            ClaimEvent::Claim(claim) => self.on_claim(now, claim, &mut actions),
+            ClaimEvent::Record {
+                key,
+                request,
+                answer,
+                deadline,
+            } => self.on_record(key, request, answer, deadline, &mut actions),
+            ClaimEvent::Abandon { key, request } => self.abandon(key, request),
+            ClaimEvent::Withdraw { request } => self.on_withdraw(request),
+            ClaimEvent::StoreAnswered { nonce, outcome } => {
+                self.on_answered(now, nonce, outcome);
+            }
+            ClaimEvent::StoreRead { object, outcome } => {
+                self.on_read(now, &object, outcome, &mut actions);
+            }
+            ClaimEvent::Tick => {}
+        }
+        self.advance(now, &mut actions);
+        actions
+    }
+
+    fn on_claim(&mut self, now: Timestamp, claim: ClaimRequest, actions: &mut Vec<ClaimAction>) {
+        let too_long = claim.deadline.saturating_sub(now) >= self.limits.window;
+        let crowded = self.claims.len() >= self.limits.max_waiting;
+        // A request that may outlive its claim could run beside a repeat that found none.
+        if too_long || crowded {
+            actions.push(ClaimAction::Refuse {
+                request: claim.request,
+                code: ResultCode::ClaimUnavailable,
+            });
+            return;
+        }
+        self.claims.push(WaitingClaim::new(claim, now));
+    }
+
+    fn on_record(
+        &mut self,
+        key: KeyHash,
+        request: RequestId,
+        answer: Bytes,
+        deadline: Timestamp,
+        actions: &mut Vec<ClaimAction>,
+    ) {
+        let Ok(parts) = parts_needed(answer.len(), &self.limits) else {
+            actions.push(ClaimAction::NotRecorded { request });
+            return;
+        };
+        self.records.push(PendingRecord {
+            key,
+            request,
+            answer,
+            deadline,
+            late: false,
+            split: parts.map(SplitProgress::new),
+        });
+    }
+
+    pub(super) fn abandon(&mut self, key: KeyHash, request: RequestId) {
+        let abandon = PendingAbandon { key, request };
+        if !self.abandons.contains(&abandon) {
+            self.abandons.push(abandon);
+        }
+    }
+
+    fn on_withdraw(&mut self, request: RequestId) {
+        self.replays.retain(|replay| replay.request != request);
+        let Some(at) = self.claims.iter().position(|w| w.claim.request == request) else {
+            return;
+        };
+        let waiting = self.claims.remove(at);
+        self.take_back(&waiting);
+    }
+
+    /// Gives up a claim that was not granted and may or may not be in the store.
+    pub(super) fn take_back(&mut self, waiting: &WaitingClaim) {
+        if waiting.sent {
+            self.abandon(waiting.claim.key, waiting.claim.request);
+        }
+    }
+
+    fn advance(&mut self, now: Timestamp, actions: &mut Vec<ClaimAction>) {
+        self.expire(now, actions);
+        self.settle(now, actions);
+        self.drive(now, actions);
+        let wake_at = self.next_wake(now);
+        if wake_at != self.wake_at {
+            self.wake_at = wake_at;
+            actions.extend(wake_at.map(ClaimAction::WakeAt));
+        }
+    }
+
+    fn next_wake(&self, now: Timestamp) -> Option<Timestamp> {
+        let deadlines = self.claims.iter().map(|waiting| waiting.claim.deadline);
+        let replays = self.replays.iter().map(|replay| replay.deadline);
+        let records = self.records.iter().filter(|record| !record.late);
+        let records = records.map(|record| record.deadline);
+        let reads = self.claims.iter().filter_map(|waiting| waiting.read_due);
+        let pauses = [self.retry_at, self.write_at].into_iter();
+        let pauses = pauses.filter(|_| self.has_work());
+        deadlines
+            .chain(replays)
+            .chain(records)
+            .chain(reads)
+            .chain(pauses)
+            .filter(|at| *at > now)
+            .min()
+    }
+
+    fn has_work(&self) -> bool {
+        let waits = !self.claims.is_empty() || !self.replays.is_empty();
+        waits
+            || !self.records.is_empty()
+            || !self.abandons.is_empty()
+            || !self.own_strays.is_empty()
+    }
+}
--- /dev/null
+++ b/lovagedock/src/claim/settle.rs
@@ -0,0 +1,225 @@
+//! What the last known value means for each request that waits.
+
+use super::{
+    answer::ReplayRead,
+    clock::whole_ms,
+    entry::{ClaimEntry, RunState},
+    partition::{ClaimPartition, KnownObject},
+    pending::{PendingRecord, WaitingClaim},
+    types::{ClaimAction, KeyHash},
+};
+use crate::{codes::ResultCode, ids::Timestamp};
+use bytes::{Bytes, BytesMut};
+
+/// What the last known value says about a waiting claim.
+enum Verdict {
+    /// The key is free; the claim goes into the next write.
+    Free,
+    /// The claim is in the store.
+    Granted,
+    /// The recorded answer.
+    Answer(Bytes),
+    /// The recorded answer is in other objects.
+    Split(Box<ReplayRead>),
+    /// Another request holds the key.
+    Running { due: Timestamp },
+    /// The end of the request.
+    Refused(ResultCode),
+    /// The value is older than the claim; it has to be read again.
+    Reread,
+}
+
+impl ClaimPartition {
+    /// Ends what ran out of time.
+    pub(super) fn expire(&mut self, now: Timestamp, actions: &mut Vec<ClaimAction>) {
+        let (over, claims) = std::mem::take(&mut self.claims)
+            .into_iter()
+            .partition(|waiting| waiting.claim.deadline <= now);
+        self.claims = claims;
+        let over: Vec<WaitingClaim> = over;
+        for waiting in over {
+            self.take_back(&waiting);
+            let code = match waiting.announced {
+                true => ResultCode::KeyInProgress,
+                false => ResultCode::ClaimUnavailable,
+            };
+            actions.push(refuse(&waiting, code));
+        }
+        self.replays.retain(|replay| {
+            let over = replay.deadline <= now;
+            if over {
+                actions.push(ClaimAction::Refuse {
+                    request: replay.request,
+                    code: ResultCode::ClaimUnavailable,
+                });
+            }
+            !over
+        });
+        let late = self.records.iter_mut().filter(|record| !record.late);
+        for record in late.filter(|record| record.deadline <= now) {
+            record.late = true;
+            let request = record.request;
+            actions.push(ClaimAction::NotRecorded { request });
+        }
+    }
+
+    /// Ends what the last known value decides.
+    pub(super) fn settle(&mut self, now: Timestamp, actions: &mut Vec<ClaimAction>) {
+        if self.known.is_none() {
+            return;
+        }
+        let claims = std::mem::take(&mut self.claims);
+        for waiting in claims {
+            self.settle_claim(now, waiting, actions);
+        }
+        let records = std::mem::take(&mut self.records);
+        for record in records {
+            self.settle_record(now, record, actions);
+        }
+        self.settle_abandons();
+    }
+
+    fn settle_claim(
+        &mut self,
+        now: Timestamp,
+        mut waiting: WaitingClaim,
+        actions: &mut Vec<ClaimAction>,
+    ) {
+        let request = waiting.claim.request;
+        waiting.read_due = None;
+        waiting.free = false;
+        match self.verdict(now, &waiting) {
+            Verdict::Free => {
+                waiting.free = true;
+                self.claims.push(waiting);
+            }
+            Verdict::Granted => actions.push(ClaimAction::Grant { request }),
+            Verdict::Answer(answer) => actions.push(ClaimAction::Replay { request, answer }),
+            Verdict::Split(replay) => self.replays.push(*replay),
+            Verdict::Refused(code) => actions.push(refuse(&waiting, code)),
+            Verdict::Reread => {
+                waiting.read_due = Some(now);
+                self.claims.push(waiting);
+            }
+            Verdict::Running { due } => {
+                waiting.read_due = Some(due);
+                self.announce(&mut waiting, actions);
+                self.claims.push(waiting);
+            }
+        }
+    }
+
+    fn verdict(&self, now: Timestamp, waiting: &WaitingClaim) -> Verdict {
+        let claim = &waiting.claim;
+        let Some((known, entry)) = self.live_entry(now, &claim.key) else {
+            return Verdict::Free;
+        };
+        if entry.is_of(self.owner, claim.request) {
+            return Verdict::Granted;
+        }
+        let is_current = known.as_of >= waiting.arrived || entry.owner == self.owner;
+        if !is_current && !entry.is_answered() {
+            return Verdict::Reread;
+        }
+        if entry.body != claim.body {
+            return Verdict::Refused(ResultCode::KeyReused);
+        }
+        match &entry.run {
+            RunState::Inline(answer) => Verdict::Answer(answer.clone()),
+            RunState::Split(split) => Verdict::Split(Box::new(ReplayRead {
+                request: claim.request,
+                deadline: claim.deadline,
+                source: entry.request,
+                split: split.clone(),
+                bytes: BytesMut::new(),
+                next: 0,
+                in_flight: false,
+            })),
+            RunState::Claimed => self.running_verdict(now, known, entry),
+        }
+    }
+
+    /// A lapsed claim is never taken over: its owner may be paused or cut off, and its request may
+    /// have run. The caller of the repeat sees that the answer is lost and that the run is unknown;
+    /// that is enough, since whoever knows better abandons the claim or records the answer.
+    fn running_verdict(&self, now: Timestamp, known: &KnownObject, entry: &ClaimEntry) -> Verdict {
+        if entry.has_lapsed(known.clock.read(now)) {
+            return match self.safeguards.lapsed_claims_stay {
+                true => Verdict::Refused(ResultCode::AnswerLost),
+                false => Verdict::Free,
+            };
+        }
+        let due = match entry.owner == self.owner {
+            true => now + entry.time_to_lapse(known.clock.read(now)),
+            false => now.max(known.as_of + self.limits.poll_interval),
+        };
+        Verdict::Running { due }
+    }
+
+    fn announce(&self, waiting: &mut WaitingClaim, actions: &mut Vec<ClaimAction>) {
+        let known = self.known.as_ref();
+        let entry = known.and_then(|known| known.value.entries.get(&waiting.claim.key));
+        let Some(entry) = entry.filter(|_| !waiting.announced) else {
+            return;
+        };
+        waiting.announced = true;
+        actions.push(ClaimAction::InProgress {
+            request: waiting.claim.request,
+            owner: entry.owner,
+            running: entry.request,
+        });
+    }
+
+    fn settle_record(
+        &mut self,
+        now: Timestamp,
+        record: PendingRecord,
+        actions: &mut Vec<ClaimAction>,
+    ) {
+        let request = record.request;
+        let entry = self.live_entry(now, &record.key).map(|(_, entry)| entry);
+        let entry = entry.filter(|entry| entry.is_of(self.owner, request));
+        let end = match entry {
+            Some(entry) if !entry.is_answered() => {
+                self.records.push(record);
+                return;
+            }
+            Some(_) => ClaimAction::Recorded { request },
+            None => ClaimAction::NotRecorded { request },
+        };
+        if !record.late {
+            actions.push(end);
+        }
+    }
+
+    /// Drops what is no longer in the store and cannot come into it by a write that is under way.
+    fn settle_abandons(&mut self) {
+        if self.unsettled.is_some() || self.is_writing() {
+            return;
+        }
+        let Some(known) = &self.known else {
+            return;
+        };
+        let owner = self.owner;
+        self.abandons.retain(|abandon| {
+            let entry = known.value.entries.get(&abandon.key);
+            entry.is_some_and(|entry| entry.is_of(owner, abandon.request) && !entry.is_answered())
+        });
+    }
+
+    /// The entry of a key, unless its window is over.
+    fn live_entry(&self, now: Timestamp, key: &KeyHash) -> Option<(&KnownObject, &ClaimEntry)> {
+        let known = self.known.as_ref()?;
+        let entry = known.value.entries.get(key)?;
+        let clock_ms = known.clock.read(now);
+        let expired = entry.has_expired(clock_ms, whole_ms(self.limits.window));
+        (!expired).then_some((known, entry))
+    }
+}
+
+fn refuse(waiting: &WaitingClaim, code: ResultCode) -> ClaimAction {
+    ClaimAction::Refuse {
+        request: waiting.claim.request,
+        code,
+    }
+}
--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -15,6 +15,7 @@
 //! assert_eq!(code.ran(), RanState::No);
 //! ```
 
+mod claim;
 mod codes;
 mod config;
 mod cost;
@@ -26,7 +27,13 @@
 mod registry;
 mod request;
 mod retry;
+mod safeguards;
+mod store_call;
 
+pub use claim::{
+    BodyDigest, ClaimAction, ClaimEvent, ClaimKey, ClaimLimits, ClaimPartition, ClaimRequest,
+    ClaimStatus, KeyHash, PartitionIndex, PartitionMap, PartitionPlan,
+};
 pub use codes::{RanState, ResultCode};
 pub use config::{
     AdapterSpec, CONFIG_VERSION, CallRule, ConfigDocument, ConfigProblem, DomainSpec, EndpointSpec,
@@ -53,3 +60,7 @@
     Safeguards, SpanPart,
 };
 pub use retry::{BackoffCurve, RetryAllowance, RetryBudget};
+pub use safeguards::DurableSafeguards;
+pub use store_call::{
+    ObjectName, ObjectVersion, ReadOutcome, WriteCondition, WriteNonce, WriteOutcome,
+};
--- /dev/null
+++ b/lovagedock/tests/support/claim_world.rs
@@ -0,0 +1,442 @@
+//! Several gateways, one faulty store and an endpoint that counts what runs, in virtual time.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use lovagedock::{
+    ClaimAction, ClaimEvent, ClaimLimits, ClaimPartition, ClaimRequest, DurableSafeguards, KeyHash,
+    ReadOutcome, RequestId, Timestamp, WriteOutcome,
+};
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::store::FakeStore;
+
+/// How often things go wrong, in percent.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FaultRates {
+    pub(crate) lost_confirmation: u32,
+    pub(crate) unavailable: u32,
+    pub(crate) crash: u32,
+    pub(crate) pause: u32,
+    pub(crate) owner_silent: u32,
+    pub(crate) abandon: u32,
+}
+
+/// One schedule.
+#[derive(Clone, Debug)]
+pub(crate) struct Schedule {
+    pub(crate) seed: u64,
+    pub(crate) gateways: usize,
+    pub(crate) keys: u8,
+    pub(crate) requests: usize,
+    pub(crate) faults: FaultRates,
+    pub(crate) safeguards: DurableSafeguards,
+    pub(crate) limits: ClaimLimits,
+}
+
+/// What the callers and the endpoint saw.
+#[derive(Debug, Default)]
+pub(crate) struct WorldReport {
+    pub(crate) violations: Vec<String>,
+    pub(crate) granted: usize,
+    pub(crate) replayed: usize,
+    pub(crate) recorded: usize,
+    pub(crate) refused: BTreeMap<u16, usize>,
+    pub(crate) partition_writes: usize,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Step {
+    Arrive(usize),
+    Land(u64),
+    Report(u64),
+    Tick(usize, u32),
+    Finish(RequestId),
+    Crash(usize),
+    Resume(usize),
+}
+
+#[derive(Debug)]
+struct Call {
+    gateway: usize,
+    life: u32,
+    action: ClaimAction,
+    outcome: Option<ClaimEvent>,
+    lands: bool,
+    confirmed: bool,
+}
+
+#[derive(Debug)]
+struct Gateway {
+    machine: ClaimPartition,
+    life: u32,
+    started: Timestamp,
+    paused: bool,
+    held: Vec<(u32, ClaimEvent)>,
+}
+
+#[derive(Debug)]
+struct Delivery {
+    key: KeyHash,
+    gateway: usize,
+    life: u32,
+    deadline: Timestamp,
+    ended: bool,
+    ran: bool,
+}
+
+/// The whole world of one schedule.
+pub(crate) struct World {
+    schedule: Schedule,
+    rng: ChaCha8Rng,
+    now: Timestamp,
+    queue: BinaryHeap<Reverse<(Timestamp, u64, Step)>>,
+    count: u64,
+    store: FakeStore,
+    calls: BTreeMap<u64, Call>,
+    gateways: Vec<Gateway>,
+    deliveries: BTreeMap<RequestId, Delivery>,
+    runs: BTreeMap<KeyHash, Vec<RequestId>>,
+    answers: BTreeMap<KeyHash, BTreeSet<Bytes>>,
+    made: BTreeMap<RequestId, Bytes>,
+    report: WorldReport,
+}
+
+impl World {
+    pub(crate) fn new(schedule: Schedule) -> Self {
+        let rng = ChaCha8Rng::seed_from_u64(schedule.seed);
+        let mut world = Self {
+            rng,
+            now: Duration::from_secs(1_000),
+            queue: BinaryHeap::new(),
+            count: 0,
+            store: FakeStore::default(),
+            calls: BTreeMap::new(),
+            gateways: Vec::new(),
+            deliveries: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            answers: BTreeMap::new(),
+            made: BTreeMap::new(),
+            report: WorldReport::default(),
+            schedule,
+        };
+        for index in 0..world.schedule.gateways {
+            let gateway = world.start_gateway(index, 0);
+            world.gateways.push(gateway);
+        }
+        for index in 0..world.schedule.requests {
+            let at = world.now + world.millis(0..3_000);
+            world.push(at, Step::Arrive(index));
+        }
+        world
+    }
+
+    /// Runs the schedule to its end.
+    pub(crate) fn run(mut self) -> WorldReport {
+        while let Some(Reverse((at, _, step))) = self.queue.pop() {
+            self.now = at;
+            if at > Duration::from_secs(1_000 + 120) {
+                break;
+            }
+            self.step(step);
+        }
+        self.check_end();
+        self.report
+    }
+
+    fn start_gateway(&mut self, index: usize, life: u32) -> Gateway {
+        let owner = (index as u64 + 1) * 1_000 + u64::from(life);
+        let machine = ClaimPartition::new(0, owner, self.schedule.limits.clone())
+            .with_safeguards(self.schedule.safeguards);
+        Gateway {
+            machine,
+            life,
+            // No two processes have the same clock.
+            started: self.now - Duration::from_secs(17 * (index as u64 + 1)),
+            paused: false,
+            held: Vec::new(),
+        }
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Arrive(index) => self.arrive(index),
+            Step::Land(call) => self.land(call),
+            Step::Report(call) => self.answer(call),
+            Step::Tick(gateway, life) => self.deliver(gateway, life, ClaimEvent::Tick),
+            Step::Finish(request) => self.finish(request),
+            Step::Crash(gateway) => self.crash(gateway),
+            Step::Resume(gateway) => self.resume(gateway),
+        }
+    }
+
+    fn arrive(&mut self, index: usize) {
+        let gateway = self.rng.random_range(0..self.schedule.gateways);
+        if self.chance(self.schedule.faults.crash) {
+            let at = self.now + self.millis(0..40);
+            self.push(at, Step::Crash(gateway));
+        }
+        if self.chance(self.schedule.faults.pause) {
+            self.gateways[gateway].paused = true;
+            let at = self.now + self.millis(100..6_000);
+            self.push(at, Step::Resume(gateway));
+        }
+        let key = [self.rng.random_range(0..self.schedule.keys); 16];
+        let request = index as RequestId + 1;
+        let time = self.millis(200..4_000);
+        let local = self.now - self.gateways[gateway].started;
+        let life = self.gateways[gateway].life;
+        let delivery = Delivery {
+            key,
+            gateway,
+            life,
+            deadline: self.now + time,
+            ended: false,
+            ran: false,
+        };
+        self.deliveries.insert(request, delivery);
+        let claim = ClaimRequest {
+            key,
+            request,
+            body: key,
+            deadline: local + time,
+        };
+        self.deliver(gateway, life, ClaimEvent::Claim(claim));
+    }
+
+    fn deliver(&mut self, gateway: usize, life: u32, event: ClaimEvent) {
+        let target = &mut self.gateways[gateway];
+        if target.life != life {
+            return;
+        }
+        if target.paused {
+            target.held.push((life, event));
+            return;
+        }
+        let local = self.now - target.started;
+        let actions = target.machine.handle(local, event);
+        for action in actions {
+            self.act(gateway, life, action);
+        }
+    }
+
+    fn act(&mut self, gateway: usize, life: u32, action: ClaimAction) {
+        match action {
+            ClaimAction::Grant { request } => self.grant(request),
+            ClaimAction::Replay { request, answer } => {
+                self.report.replayed += 1;
+                self.end(request);
+                self.delivered(request, answer);
+            }
+            ClaimAction::Refuse { request, code } => {
+                *self.report.refused.entry(code.number()).or_default() += 1;
+                self.end(request);
+            }
+            ClaimAction::Recorded { request } => {
+                self.report.recorded += 1;
+                let answer = self.made[&request].clone();
+                self.delivered(request, answer);
+            }
+            ClaimAction::NotRecorded { .. } | ClaimAction::InProgress { .. } => {}
+            ClaimAction::WakeAt(at) => {
+                let at = self.gateways[gateway].started + at;
+                self.push(at, Step::Tick(gateway, life));
+            }
+            ClaimAction::Read { .. } | ClaimAction::Write { .. } | ClaimAction::Delete { .. } => {
+                self.call(gateway, life, action);
+            }
+        }
+    }
+
+    fn call(&mut self, gateway: usize, life: u32, action: ClaimAction) {
+        if matches!(&action, ClaimAction::Write { object, .. } if object.contains("partitions")) {
+            self.report.partition_writes += 1;
+        }
+        let id = self.count;
+        let is_write = !matches!(action, ClaimAction::Read { .. });
+        let down = self.chance(self.schedule.faults.unavailable);
+        let lost = is_write && self.chance(self.schedule.faults.lost_confirmation);
+        let lands = !down && (!lost || self.chance(60));
+        let lands_at = self.now + self.millis(1..30);
+        let reports_at = match lost {
+            // The write may still be under way when the daemon gives up on its answer.
+            true => self.now + self.millis(1..60),
+            false => lands_at + self.millis(1..10),
+        };
+        let call = Call {
+            gateway,
+            life,
+            action,
+            outcome: None,
+            lands,
+            confirmed: !lost,
+        };
+        self.calls.insert(id, call);
+        self.push(lands_at, Step::Land(id));
+        self.push(reports_at, Step::Report(id));
+    }
+
+    fn land(&mut self, id: u64) {
+        let call = self.calls.get_mut(&id).expect("call is known");
+        let event = match &call.action {
+            ClaimAction::Read { object } => {
+                let outcome = match call.lands {
+                    true => self.store.read(object),
+                    false => ReadOutcome::Unavailable,
+                };
+                let object = object.clone();
+                ClaimEvent::StoreRead { object, outcome }
+            }
+            ClaimAction::Write {
+                object,
+                condition,
+                bytes,
+                nonce,
+            } => {
+                let outcome = match call.lands {
+                    true => self.store.write(object, *condition, bytes.clone()),
+                    false => WriteOutcome::Unavailable,
+                };
+                let nonce = *nonce;
+                ClaimEvent::StoreAnswered { nonce, outcome }
+            }
+            ClaimAction::Delete { object, nonce } => {
+                let outcome = match call.lands {
+                    true => self.store.delete(object),
+                    false => WriteOutcome::Unavailable,
+                };
+                let nonce = *nonce;
+                ClaimEvent::StoreAnswered { nonce, outcome }
+            }
+            other => panic!("{other:?} is no call"),
+        };
+        call.outcome = Some(event);
+    }
+
+    fn answer(&mut self, id: u64) {
+        let call = &self.calls[&id];
+        let (gateway, life) = (call.gateway, call.life);
+        let event = match (&call.action, call.confirmed) {
+            (ClaimAction::Write { nonce, .. } | ClaimAction::Delete { nonce, .. }, false) => {
+                ClaimEvent::StoreAnswered {
+                    nonce: *nonce,
+                    outcome: WriteOutcome::Unknown,
+                }
+            }
+            _ => call.outcome.clone().expect("the call has landed"),
+        };
+        self.deliver(gateway, life, event);
+    }
+
+    fn grant(&mut self, request: RequestId) {
+        self.report.granted += 1;
+        self.end(request);
+        let delivery = self.deliveries.get_mut(&request).expect("request is known");
+        if self.now >= delivery.deadline {
+            let text = format!("request {request} granted after its deadline");
+            self.report.violations.push(text);
+        }
+        let (key, gateway, life) = (delivery.key, delivery.gateway, delivery.life);
+        if self.chance(self.schedule.faults.abandon) {
+            self.deliver(gateway, life, ClaimEvent::Abandon { key, request });
+            return;
+        }
+        self.deliveries.get_mut(&request).expect("known").ran = true;
+        let runs = self.runs.entry(key).or_default();
+        runs.push(request);
+        if runs.len() > 1 {
+            let text = format!("key {} ran twice: {runs:?}", key[0]);
+            self.report.violations.push(text);
+        }
+        if !self.chance(self.schedule.faults.owner_silent) {
+            let at = self.now + self.millis(1..800);
+            self.push(at, Step::Finish(request));
+        }
+    }
+
+    fn finish(&mut self, request: RequestId) {
+        let length = match self.rng.random_range(0..4) {
+            0 => self.rng.random_range(3_000..9_000),
+            _ => self.rng.random_range(1..200),
+        };
+        let mut bytes = vec![0; length];
+        self.rng.fill_bytes(&mut bytes);
+        let answer = Bytes::from(bytes);
+        self.made.insert(request, answer.clone());
+        let delivery = &self.deliveries[&request];
+        let (key, gateway, life) = (delivery.key, delivery.gateway, delivery.life);
+        let local = self.now - self.gateways[gateway].started;
+        let event = ClaimEvent::Record {
+            key,
+            request,
+            answer,
+            deadline: local + Duration::from_secs(5),
+        };
+        self.deliver(gateway, life, event);
+    }
+
+    fn crash(&mut self, gateway: usize) {
+        let life = self.gateways[gateway].life + 1;
+        self.gateways[gateway] = self.start_gateway(gateway, life);
+        let lost = |d: &&mut Delivery| d.gateway == gateway && d.life < life;
+        for delivery in self.deliveries.values_mut().filter(lost) {
+            delivery.ended = true;
+        }
+    }
+
+    fn resume(&mut self, gateway: usize) {
+        self.gateways[gateway].paused = false;
+        for (life, event) in std::mem::take(&mut self.gateways[gateway].held) {
+            self.deliver(gateway, life, event);
+        }
+    }
+
+    fn end(&mut self, request: RequestId) {
+        let delivery = self.deliveries.get_mut(&request).expect("request is known");
+        if std::mem::replace(&mut delivery.ended, true) {
+            let text = format!("request {request} ended twice");
+            self.report.violations.push(text);
+        }
+    }
+
+    fn delivered(&mut self, request: RequestId, answer: Bytes) {
+        let key = self.deliveries[&request].key;
+        let answers = self.answers.entry(key).or_default();
+        answers.insert(answer);
+        if answers.len() > 1 {
+            let text = format!("key {} was answered with different bytes", key[0]);
+            self.report.violations.push(text);
+        }
+    }
+
+    fn check_end(&mut self) {
+        for (request, delivery) in &self.deliveries {
+            if !delivery.ended {
+                let text = format!("request {request} never ended");
+                self.report.violations.push(text);
+            }
+        }
+        if self.store.largest() > self.schedule.limits.partition_bytes {
+            let text = format!("an object has {} bytes", self.store.largest());
+            self.report.violations.push(text);
+        }
+    }
+
+    fn push(&mut self, at: Timestamp, step: Step) {
+        self.count += 1;
+        self.queue.push(Reverse((at, self.count, step)));
+    }
+
+    fn chance(&mut self, percent: u32) -> bool {
+        self.rng.random_range(0..100) < percent
+    }
+
+    fn millis(&mut self, range: std::ops::Range<u64>) -> Duration {
+        Duration::from_millis(self.rng.random_range(range))
+    }
+}
--- /dev/null
+++ b/lovagedock/tests/support/mod.rs
@@ -0,0 +1,5 @@
+//! Fakes that the tests of claims, leases and adoption share.
+#![allow(dead_code)]
+
+pub(crate) mod claim_world;
+pub(crate) mod store;
