--- /dev/null
+++ b/lovagedock-sidecar/src/adapter/client.rs
@@ -0,0 +1,209 @@
+//! HTTP to an endpoint, one connection per call, with every wait bounded.
+
+use std::{future::Future, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    Method, Request, Response, StatusCode,
+    body::Incoming,
+    client::conn::http1,
+    header::{CONTENT_TYPE, HOST},
+};
+use hyper_util::rt::TokioIo;
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::{net::TcpStream, time::timeout};
+use tokio_util::task::AbortOnDropHandle;
+
+use super::{error::EngineError, registry::AdapterOptions};
+
+const MAX_CONTROL_BYTES: usize = 64 << 20;
+const MAX_DETAIL_CHARS: usize = 300;
+
+/// An answer whose connection ends with it.
+pub(crate) struct EngineResponse {
+    pub(crate) response: Response<Incoming>,
+    pub(crate) connection: AbortOnDropHandle<()>,
+}
+
+/// Client of one endpoint.
+#[derive(Clone, Debug)]
+pub(crate) struct EngineClient {
+    options: AdapterOptions,
+}
+
+impl EngineClient {
+    pub(crate) fn new(options: &AdapterOptions) -> Self {
+        Self {
+            options: options.clone(),
+        }
+    }
+
+    /// Sends a request and waits for the head of the answer without a bound of its own.
+    pub(crate) async fn send(
+        &self,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<EngineResponse, EngineError> {
+        let host = self.options.address.to_string();
+        if let Ok(host) = host.parse() {
+            request.headers_mut().insert(HOST, host);
+        }
+        let stream = self.connect().await?;
+        let (mut sender, connection) =
+            http1::handshake(TokioIo::new(stream))
+                .await
+                .map_err(|error| EngineError::Unreachable {
+                    detail: error.to_string(),
+                })?;
+        let task = tokio::spawn(async move {
+            // A broken connection shows at the request that uses it.
+            let _ = connection.await;
+        });
+        let connection = AbortOnDropHandle::new(task);
+        let response = sender
+            .send_request(request)
+            .await
+            .map_err(EngineError::lost)?;
+        Ok(EngineResponse {
+            response,
+            connection,
+        })
+    }
+
+    /// Sends a request; a head that takes longer than the idle timeout counts as lost.
+    pub(crate) async fn send_bounded(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<EngineResponse, EngineError> {
+        self.bounded(self.send(request)).await?
+    }
+
+    /// One control call whose answer is JSON.
+    pub(crate) async fn call<B: Serialize, T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: &B,
+    ) -> Result<T, EngineError> {
+        let bytes = self.call_bytes(method, path, json_bytes(body)?).await?;
+        serde_json::from_slice(&bytes).map_err(EngineError::failed)
+    }
+
+    /// One control call without a body whose answer is JSON.
+    pub(crate) async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, EngineError> {
+        let bytes = self.call_bytes(Method::GET, path, Bytes::new()).await?;
+        serde_json::from_slice(&bytes).map_err(EngineError::failed)
+    }
+
+    /// One control call.
+    pub(crate) async fn call_bytes(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Bytes, EngineError> {
+        let answer = self.send_bounded(json_request(method, path, body)?).await?;
+        let answer = checked(answer, self).await?;
+        self.bounded(read_all(answer)).await?
+    }
+
+    /// Waits no longer than the idle timeout.
+    ///
+    /// A connection can go silent for good without any error; the wait would never end. Nothing
+    /// that an engine sends is further apart than this while it lives.
+    pub(crate) async fn bounded<F: Future>(&self, future: F) -> Result<F::Output, EngineError> {
+        timeout(self.options.idle_timeout, future)
+            .await
+            .map_err(|_| self.silent())
+    }
+
+    pub(crate) fn idle_timeout(&self) -> Duration {
+        self.options.idle_timeout
+    }
+
+    fn silent(&self) -> EngineError {
+        let limit = self.idle_timeout();
+        EngineError::lost(format!("the endpoint was silent for {limit:?}"))
+    }
+
+    async fn connect(&self) -> Result<TcpStream, EngineError> {
+        let connecting = TcpStream::connect(self.options.address);
+        let stream = match timeout(self.options.connect_timeout, connecting).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => {
+                return Err(EngineError::Unreachable {
+                    detail: error.to_string(),
+                });
+            }
+            Err(_) => {
+                return Err(EngineError::Unreachable {
+                    detail: "the connection did not come about in time".to_owned(),
+                });
+            }
+        };
+        let _ = stream.set_nodelay(true);
+        Ok(stream)
+    }
+}
+
+/// A JSON request.
+pub(crate) fn json_request(
+    method: Method,
+    path: &str,
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>, EngineError> {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header(CONTENT_TYPE, "application/json")
+        .body(Full::new(body))
+        .map_err(bad_request)
+}
+
+/// Serialises a body; an error means that nothing was sent.
+pub(crate) fn json_bytes<B: Serialize>(body: &B) -> Result<Bytes, EngineError> {
+    serde_json::to_vec(body)
+        .map(Bytes::from)
+        .map_err(bad_request)
+}
+
+pub(crate) fn bad_request(error: impl ToString) -> EngineError {
+    EngineError::Refused {
+        status: StatusCode::BAD_REQUEST.as_u16(),
+        detail: error.to_string(),
+    }
+}
+
+/// Turns an error answer into an error.
+///
+/// Engines answer 4xx and 503 before they start anything; any other error status may come from
+/// work that started.
+pub(crate) async fn checked(
+    answer: EngineResponse,
+    client: &EngineClient,
+) -> Result<EngineResponse, EngineError> {
+    let status = answer.response.status();
+    if status.is_success() {
+        return Ok(answer);
+    }
+    let body = client.bounded(read_all(answer)).await??;
+    let detail: String = String::from_utf8_lossy(&body)
+        .chars()
+        .take(MAX_DETAIL_CHARS)
+        .collect();
+    if status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE {
+        return Err(EngineError::Refused {
+            status: status.as_u16(),
+            detail,
+        });
+    }
+    Err(EngineError::failed(detail))
+}
+
+/// Reads a whole body.
+pub(crate) async fn read_all(answer: EngineResponse) -> Result<Bytes, EngineError> {
+    let _connection = answer.connection;
+    let body = Limited::new(answer.response.into_body(), MAX_CONTROL_BYTES);
+    let collected = body.collect().await.map_err(EngineError::lost)?;
+    Ok(collected.to_bytes())
+}
--- /dev/null
+++ b/lovagedock-sidecar/src/adapter/dialect.rs
@@ -0,0 +1,17 @@
+//! Where vendors differ: how an engine reports its load and its account.
+
+use async_trait::async_trait;
+
+use super::{
+    client::EngineClient,
+    error::EngineError,
+    message::{EngineHolding, EngineLoad},
+};
+
+/// One vendor's way of reporting.
+#[async_trait]
+pub(crate) trait VendorDialect: Send + Sync + 'static {
+    async fn account(&self, client: &EngineClient) -> Result<Vec<EngineHolding>, EngineError>;
+
+    async fn load(&self, client: &EngineClient) -> Result<EngineLoad, EngineError>;
+}
--- /dev/null
+++ b/lovagedock-sidecar/src/adapter/error.rs
@@ -0,0 +1,75 @@
+//! What can go wrong at an endpoint, told apart by whether the work ran.
+
+use std::fmt;
+
+use lovagedock::prelude::RanState;
+
+/// Why an endpoint did not do what it was asked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EngineError {
+    /// The endpoint answered that it will not; the work certainly did not start.
+    Refused {
+        /// HTTP status of the answer; 501 for what the adapter cannot do.
+        status: u16,
+        /// What the endpoint said.
+        detail: String,
+    },
+    /// No connection came about, so nothing was sent and nothing started.
+    Unreachable {
+        /// What the connection attempt said.
+        detail: String,
+    },
+    /// The connection broke or went silent after the request was sent; the work may have run.
+    Lost {
+        /// What was seen last.
+        detail: String,
+    },
+    /// The work started and failed.
+    Failed {
+        /// What the endpoint said.
+        detail: String,
+    },
+}
+
+impl EngineError {
+    /// Whether the work ran.
+    pub fn ran(&self) -> RanState {
+        match self {
+            Self::Refused { .. } | Self::Unreachable { .. } => RanState::No,
+            Self::Lost { .. } => RanState::Unknown,
+            Self::Failed { .. } => RanState::Yes,
+        }
+    }
+
+    pub(crate) fn lost(detail: impl ToString) -> Self {
+        Self::Lost {
+            detail: detail.to_string(),
+        }
+    }
+
+    pub(crate) fn failed(detail: impl ToString) -> Self {
+        Self::Failed {
+            detail: detail.to_string(),
+        }
+    }
+
+    pub(crate) fn unsupported(what: &str) -> Self {
+        Self::Refused {
+            status: 501,
+            detail: format!("this endpoint has no {what}"),
+        }
+    }
+}
+
+impl fmt::Display for EngineError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Refused { status, detail } => write!(f, "refused ({status}): {detail}"),
+            Self::Unreachable { detail } => write!(f, "unreachable: {detail}"),
+            Self::Lost { detail } => write!(f, "lost: {detail}"),
+            Self::Failed { detail } => write!(f, "failed: {detail}"),
+        }
+    }
+}
+
+impl std::error::Error for EngineError {}
--- /dev/null
+++ b/lovagedock-sidecar/src/adapter/mod.rs
@@ -0,0 +1,26 @@
+//! Adapters to endpoints: vendors' engines and plain services behind one trait.
+//!
+//! An adapter registers itself as an [`AdapterPlugin`]; [`build_adapter`] finds it by the name
+//! that the sidecar's settings give.
+
+mod client;
+mod dialect;
+mod error;
+mod json_report;
+mod message;
+mod model;
+mod plain;
+mod port;
+mod prometheus_report;
+mod registry;
+mod request_body;
+mod sse;
+
+pub use error::EngineError;
+pub use message::{
+    CacheChange, CacheEvent, CacheReport, CacheSnapshot, EngineEnd, EngineEvent, EngineHead,
+    EngineHeader, EngineHolding, EngineLoad, EngineOrder, EngineRequest, OrderKind, SegmentHolder,
+    SegmentRequest,
+};
+pub use port::{EngineAdapter, EngineStream};
+pub use registry::{AdapterOptions, AdapterPlugin, BuildError, adapter_names, build_adapter};
--- /dev/null
+++ b/lovagedock-sidecar/src/adapter/plain.rs
@@ -0,0 +1,200 @@
+//! Plain services: the caller's request goes through as it is.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use futures::{StreamExt, stream};
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    Request,
+    header::{
+        CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TE, TRAILER,
+        TRANSFER_ENCODING, UPGRADE,
+    },
+};
+use serde::Deserialize;
+use tokio::time::Instant;
+
+use lovagedock::prelude::{RequestId, format_request_id};
+
+use super::{
+    client::{EngineClient, EngineResponse, bad_request},
+    error::EngineError,
+    message::{
+        CacheReport, CacheSnapshot, EngineEnd, EngineEvent, EngineHead, EngineHeader,
+        EngineHolding, EngineLoad, EngineOrder, EngineRequest, SegmentHolder, SegmentRequest,
+    },
+    port::{EngineAdapter, EngineStream},
+    registry::{AdapterOptions, AdapterPlugin},
+};
+
+inventory::submit! {
+    AdapterPlugin {
+        name: "plain",
+        build: |options| Ok(Arc::new(PlainAdapter::new(options))),
+    }
+}
+
+const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("x-request-id");
+const KEEP_ALIVE_HEADER: HeaderName = HeaderName::from_static("keep-alive");
+
+/// Headers that belong to one connection and are never passed on.
+const HOP_HEADERS: [HeaderName; 8] = [
+    CONNECTION,
+    CONTENT_LENGTH,
+    HOST,
+    KEEP_ALIVE_HEADER,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+
+/// Adapter to a plain HTTP service.
+pub(crate) struct PlainAdapter {
+    client: EngineClient,
+}
+
+impl PlainAdapter {
+    pub(crate) fn new(options: &AdapterOptions) -> Self {
+        Self {
+            client: EngineClient::new(options),
+        }
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct LoadAnswer {
+    #[serde(default)]
+    running: u32,
+    #[serde(default)]
+    waiting: u32,
+}
+
+#[async_trait]
+impl EngineAdapter for PlainAdapter {
+    async fn start(&self, request: EngineRequest) -> Result<EngineStream, EngineError> {
+        let started = Instant::now();
+        let answer = self.client.send(http_request(request)?).await?;
+        let head = EngineEvent::Head(EngineHead {
+            status: answer.response.status().as_u16(),
+            headers: passed_headers(answer.response.headers()),
+        });
+        let reader = BodyReader {
+            client: self.client.clone(),
+            answer,
+            end: EngineEnd {
+                first_token_after: started.elapsed(),
+                ..EngineEnd::default()
+            },
+            is_over: false,
+        };
+        Ok(stream::iter([Ok(head)]).chain(reader.into_stream()).boxed())
+    }
+
+    async fn cancel(&self, _request_id: RequestId) -> Result<(), EngineError> {
+        Ok(())
+    }
+
+    async fn account(&self) -> Result<Vec<EngineHolding>, EngineError> {
+        Ok(Vec::new())
+    }
+
+    async fn load(&self) -> Result<EngineLoad, EngineError> {
+        let answer: LoadAnswer = self.client.get("/load").await?;
+        Ok(EngineLoad {
+            running: answer.running,
+            waiting: answer.waiting,
+            ..EngineLoad::default()
+        })
+    }
+
+    async fn segment(&self, _request: SegmentRequest) -> Result<SegmentHolder, EngineError> {
+        Err(EngineError::unsupported("segments"))
+    }
+
+    async fn export(&self, _request_id: RequestId) -> Result<Bytes, EngineError> {
+        Err(EngineError::unsupported("state to export"))
+    }
+
+    async fn import(&self, _state: Bytes) -> Result<(), EngineError> {
+        Err(EngineError::unsupported("state to import"))
+    }
+
+    async fn order(&self, _order: EngineOrder) -> Result<(), EngineError> {
+        Err(EngineError::unsupported("orders"))
+    }
+
+    async fn cache_events(&self, _after: u64) -> Result<CacheReport, EngineError> {
+        Ok(CacheReport::default())
+    }
+
+    async fn cache_snapshot(&self) -> Result<CacheSnapshot, EngineError> {
+        Ok(CacheSnapshot::default())
+    }
+}
+
+struct BodyReader {
+    client: EngineClient,
+    answer: EngineResponse,
+    end: EngineEnd,
+    is_over: bool,
+}
+
+impl BodyReader {
+    fn into_stream(self) -> EngineStream {
+        stream::try_unfold(self, |mut reader| async move {
+            let event = reader.next_event().await?;
+            Ok(event.map(|event| (event, reader)))
+        })
+        .boxed()
+    }
+
+    async fn next_event(&mut self) -> Result<Option<EngineEvent>, EngineError> {
+        if self.is_over {
+            return Ok(None);
+        }
+        loop {
+            let body = self.answer.response.body_mut();
+            let frame = match self.client.bounded(body.frame()).await? {
+                None => break,
+                Some(frame) => frame.map_err(EngineError::lost)?,
+            };
+            if let Ok(data) = frame.into_data() {
+                return Ok(Some(EngineEvent::Bytes(data)));
+            }
+        }
+        self.is_over = true;
+        Ok(Some(EngineEvent::End(self.end)))
+    }
+}
+
+fn http_request(request: EngineRequest) -> Result<Request<Full<Bytes>>, EngineError> {
+    let mut builder = Request::builder()
+        .method(request.method.as_str())
+        .uri(request.path.as_str());
+    for header in &request.headers {
+        let name = HeaderName::from_bytes(header.name.as_bytes()).map_err(bad_request)?;
+        if HOP_HEADERS.contains(&name) || name == REQUEST_ID_HEADER {
+            continue;
+        }
+        let value = HeaderValue::from_bytes(&header.value).map_err(bad_request)?;
+        builder = builder.header(name, value);
+    }
+    builder
+        .header(REQUEST_ID_HEADER, format_request_id(request.request_id))
+        .body(Full::new(request.body))
+        .map_err(bad_request)
+}
+
+fn passed_headers(headers: &HeaderMap) -> Vec<EngineHeader> {
+    headers
+        .iter()
+        .filter(|(name, _)| !HOP_HEADERS.contains(name))
+        .map(|(name, value)| EngineHeader {
+            name: name.as_str().to_owned(),
+            value: Bytes::copy_from_slice(value.as_bytes()),
+        })
+        .collect()
+}
--- /dev/null
+++ b/lovagedock-sidecar/src/adapter/registry.rs
@@ -0,0 +1,105 @@
+//! Adapters by name.
+
+use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
+
+use super::port::EngineAdapter;
+
+const DEFAULT_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// What an adapter needs to reach its endpoint.
+#[derive(Clone, Debug)]
+pub struct AdapterOptions {
+    /// Where the endpoint listens.
+    pub address: SocketAddr,
+    /// How long a connection may take to come about.
+    pub connect_timeout: Duration,
+    /// How long an endpoint may stay silent before it counts as lost.
+    pub idle_timeout: Duration,
+}
+
+impl AdapterOptions {
+    /// Options with the default timeouts.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            connect_timeout: DEFAULT_CONNECT_TIMEOUT,
+            idle_timeout: DEFAULT_IDLE_TIMEOUT,
+        }
+    }
+
+    /// The same with another idle timeout.
+    pub fn with_idle_timeout(self, idle_timeout: Duration) -> Self {
+        Self {
+            idle_timeout,
+            ..self
+        }
+    }
+}
+
+/// An adapter that registered itself.
+pub struct AdapterPlugin {
+    /// Name in the sidecar's settings.
+    pub name: &'static str,
+    /// Builds an adapter.
+    pub build: fn(&AdapterOptions) -> Result<Arc<dyn EngineAdapter>, BuildError>,
+}
+
+inventory::collect!(AdapterPlugin);
+
+/// Why an adapter could not be built.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BuildError {
+    /// No adapter has this name.
+    UnknownName {
+        /// Name that was asked for.
+        name: String,
+        /// Names that there are.
+        known: Vec<&'static str>,
+    },
+    /// The options do not suit the adapter.
+    BadOptions {
+        /// What is wrong.
+        detail: String,
+    },
+}
+
+impl fmt::Display for BuildError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::UnknownName { name, known } => {
+                write!(f, "no adapter \"{name}\"; there are {}", known.join(", "))
+            }
+            Self::BadOptions { detail } => f.write_str(detail),
+        }
+    }
+}
+
+impl std::error::Error for BuildError {}
+
+/// Names of all registered adapters, sorted.
+pub fn adapter_names() -> Vec<&'static str> {
+    let mut names: Vec<_> = inventory::iter::<AdapterPlugin>
+        .into_iter()
+        .map(|plugin| plugin.name)
+        .collect();
+    names.sort_unstable();
+    names
+}
+
+/// Builds the adapter with the given name.
+pub fn build_adapter(
+    name: &str,
+    options: &AdapterOptions,
+) -> Result<Arc<dyn EngineAdapter>, BuildError> {
+    let plugin = inventory::iter::<AdapterPlugin>
+        .into_iter()
+        .find(|plugin| plugin.name == name);
+    match plugin {
+        Some(plugin) => (plugin.build)(options),
+        None => Err(BuildError::UnknownName {
+            name: name.to_owned(),
+            known: adapter_names(),
+        }),
+    }
+}
--- /dev/null
+++ b/lovagedock-sidecar/src/adapter/sse.rs
@@ -0,0 +1,190 @@
+//! Reads a streamed answer event by event and checks whose it is.
+
+use bytes::{Bytes, BytesMut};
+use futures::{StreamExt, stream};
+use http_body_util::BodyExt;
+use serde::Deserialize;
+use tokio::time::Instant;
+
+use lovagedock::prelude::TokenCount;
+
+use super::{
+    client::{EngineClient, EngineResponse},
+    error::EngineError,
+    message::{EngineEnd, EngineEvent},
+    port::EngineStream,
+};
+
+const EVENT_END: &[u8] = b"\n\n";
+const DATA_PREFIX: &[u8] = b"data: ";
+const STREAM_END: &[u8] = b"[DONE]";
+
+/// The fields of a chunk or a whole answer that the sidecar looks at.
+#[derive(Debug, Deserialize)]
+pub(crate) struct AnswerFields {
+    #[serde(default)]
+    id: String,
+    #[serde(default)]
+    error: Option<ErrorField>,
+    #[serde(default)]
+    usage: Option<UsageField>,
+}
+
+#[derive(Debug, Deserialize)]
+struct ErrorField {
+    #[serde(default)]
+    message: String,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct UsageField {
+    prompt_tokens: TokenCount,
+    completion_tokens: TokenCount,
+    #[serde(default)]
+    prompt_tokens_details: CachedField,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct CachedField {
+    #[serde(default)]
+    cached_tokens: TokenCount,
+}
+
+impl AnswerFields {
+    /// Reads the fields and makes sure that they are of the request with this id.
+    ///
+    /// An engine under load was seen to cross answers: a caller would get another's text with a
+    /// clean end. Each chunk names its request, so none that names another is passed on.
+    pub(crate) fn parse(json: &[u8], request_id: &str) -> Result<Self, EngineError> {
+        let fields: Self = serde_json::from_slice(json).map_err(EngineError::failed)?;
+        if let Some(error) = fields.error {
+            return Err(EngineError::failed(error.message));
+        }
+        if !fields.id.ends_with(request_id) {
+            let detail = format!("the answer is of another request: {}", fields.id);
+            return Err(EngineError::failed(detail));
+        }
+        Ok(fields)
+    }
+
+    /// Copies the usage, if there is one, into the end.
+    pub(crate) fn fill(&self, end: &mut EngineEnd) {
+        if let Some(usage) = &self.usage {
+            end.prompt_tokens = usage.prompt_tokens;
+            end.answer_tokens = usage.completion_tokens;
+            end.cached_tokens = usage.prompt_tokens_details.cached_tokens;
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum ReaderPhase {
+    Reading,
+    /// The end mark went to the caller; the end follows it.
+    Ending,
+    Over,
+}
+
+/// Reads one streamed answer.
+pub(crate) struct SseReader {
+    client: EngineClient,
+    answer: EngineResponse,
+    request_id: String,
+    started: Instant,
+    buffer: BytesMut,
+    end: EngineEnd,
+    has_token: bool,
+    phase: ReaderPhase,
+}
+
+impl SseReader {
+    pub(crate) fn new(
+        client: EngineClient,
+        answer: EngineResponse,
+        request_id: String,
+        started: Instant,
+    ) -> Self {
+        Self {
+            client,
+            answer,
+            request_id,
+            started,
+            buffer: BytesMut::new(),
+            end: EngineEnd::default(),
+            has_token: false,
+            phase: ReaderPhase::Reading,
+        }
+    }
+
+    /// The body's events and the end, without the head.
+    pub(crate) fn into_stream(self) -> EngineStream {
+        stream::try_unfold(self, |mut reader| async move {
+            let event = reader.next_event().await?;
+            Ok(event.map(|event| (event, reader)))
+        })
+        .boxed()
+    }
+
+    async fn next_event(&mut self) -> Result<Option<EngineEvent>, EngineError> {
+        match self.phase {
+            ReaderPhase::Reading => self.next_bytes().await.map(Some),
+            ReaderPhase::Ending => {
+                self.phase = ReaderPhase::Over;
+                Ok(Some(EngineEvent::End(self.end)))
+            }
+            ReaderPhase::Over => Ok(None),
+        }
+    }
+
+    async fn next_bytes(&mut self) -> Result<EngineEvent, EngineError> {
+        loop {
+            let Some(event) = self.take_event() else {
+                self.read_more().await?;
+                continue;
+            };
+            // Comments are keep-alives of the engine; they are no part of the answer.
+            let Some(data) = event.strip_prefix(DATA_PREFIX) else {
+                continue;
+            };
+            let data = data.trim_ascii_end();
+            if data == STREAM_END {
+                self.phase = ReaderPhase::Ending;
+                return Ok(EngineEvent::Bytes(event));
+            }
+            self.look_at(data)?;
+            return Ok(EngineEvent::Bytes(event));
+        }
+    }
+
+    fn look_at(&mut self, data: &[u8]) -> Result<(), EngineError> {
+        let fields = AnswerFields::parse(data, &self.request_id)?;
+        fields.fill(&mut self.end);
+        if !self.has_token {
+            self.has_token = true;
+            self.end.first_token_after = self.started.elapsed();
+        }
+        Ok(())
+    }
+
+    fn take_event(&mut self) -> Option<Bytes> {
+        let end = self
+            .buffer
+            .windows(EVENT_END.len())
+            .position(|window| window == EVENT_END)?;
+        Some(self.buffer.split_to(end + EVENT_END.len()).freeze())
+    }
+
+    async fn read_more(&mut self) -> Result<(), EngineError> {
+        let body = self.answer.response.body_mut();
+        match self.client.bounded(body.frame()).await? {
+            None => Err(EngineError::lost("the answer was cut")),
+            Some(Err(error)) => Err(EngineError::lost(error)),
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    self.buffer.extend_from_slice(&data);
+                }
+                Ok(())
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lovagedock-standin/src/bin/standin-engine.rs
@@ -0,0 +1,63 @@
+//! Stand-in of a vendor's engine as a program.
+
+use std::{net::SocketAddr, process::ExitCode};
+
+use clap::{Parser, ValueEnum};
+
+use lovagedock_standin::engine::{EngineOptions, EngineStandin, ReportStyle};
+
+/// Stand-in engine: batches in scaled model time and answers deterministic text.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct EngineArgs {
+    /// Address to listen at; port 0 takes a free one.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    listen: SocketAddr,
+    /// Model that it runs.
+    #[arg(long, default_value = "register-reader")]
+    model: String,
+    /// Model time that passes in one unit of real time.
+    #[arg(long, default_value_t = 20.0)]
+    time_scale: f64,
+    /// KV memory in tokens.
+    #[arg(long, default_value_t = 400_000)]
+    memory_tokens: u64,
+    /// How it reports its load.
+    #[arg(long, value_enum, default_value = "json-report")]
+    report: ReportArg,
+    /// Carry out orders whatever their fencing number.
+    #[arg(long)]
+    ignore_fences: bool,
+}
+
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum ReportArg {
+    JsonReport,
+    PrometheusReport,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args = EngineArgs::parse();
+    let options = EngineOptions {
+        model: args.model,
+        time_scale: args.time_scale,
+        memory_tokens: args.memory_tokens,
+        report_style: match args.report {
+            ReportArg::JsonReport => ReportStyle::JsonReport,
+            ReportArg::PrometheusReport => ReportStyle::PrometheusReport,
+        },
+        checks_fences: !args.ignore_fences,
+        ..EngineOptions::default()
+    };
+    let engine = match EngineStandin::start_at(args.listen, options).await {
+        Ok(engine) => engine,
+        Err(error) => {
+            eprintln!("cannot listen at {}: {error}", args.listen);
+            return ExitCode::FAILURE;
+        }
+    };
+    println!("listening at {}", engine.address);
+    let _ = tokio::signal::ctrl_c().await;
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/lovagedock-standin/src/engine/batch.rs
@@ -0,0 +1,414 @@
+//! Continuous batching in model time, as a pure state machine.
+
+use std::{sync::Arc, time::Duration};
+
+use lovagedock::prelude::{BlockCount, TokenCount};
+
+use super::{
+    answer::BYTES_PER_TOKEN,
+    journal::{EngineJournal, JournalEntry, JournalEvent},
+    memory::KvMemory,
+    options::EngineOptions,
+};
+
+/// What a sequence is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SequenceKind {
+    /// Prefill the prompt, then decode the answer.
+    Answer,
+    /// Prefill one part of a longer prompt and hold it until it is cancelled.
+    Segment,
+}
+
+/// One request as the batch sees it.
+#[derive(Clone, Debug)]
+pub struct SequenceRequest {
+    /// Id that the request came with.
+    pub request_id: Arc<str>,
+    /// What it is for.
+    pub kind: SequenceKind,
+    /// Higher goes first.
+    pub priority: i32,
+    /// Position of its first own token; those before are held by other engines.
+    pub start: TokenCount,
+    /// Prompt tokens that this engine prefills.
+    pub prompt_tokens: TokenCount,
+    /// Answer tokens that exist already: their state is prefilled, not decoded.
+    pub resume_offset: TokenCount,
+    /// Answer tokens in all.
+    pub max_tokens: TokenCount,
+    /// Hashes of the prompt's pieces; empty for one that the cache may not serve.
+    pub prefix_hashes: Vec<u64>,
+    /// Whether the state came from another engine, so that nothing is left to prefill.
+    pub imported: bool,
+}
+
+/// Why a request was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SubmitError {
+    /// It needs more than the whole memory.
+    TooLarge,
+    /// A request with this id is there already.
+    Duplicate,
+}
+
+/// What a step did for one sequence.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StepOutput {
+    /// Id that the request came with.
+    pub request_id: Arc<str>,
+    /// Answer tokens generated so far, resumed ones included.
+    pub produced: TokenCount,
+    /// Prompt tokens that the cache spared.
+    pub cached_tokens: TokenCount,
+    /// Whether all is done.
+    pub finished: bool,
+}
+
+/// Blocks that one request holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BlockHolding {
+    /// Id that the request came with.
+    pub request_id: Arc<str>,
+    /// Blocks; 0 while it waits.
+    pub blocks: BlockCount,
+}
+
+/// The scheduler of one engine.
+#[derive(Debug)]
+pub struct BatchEngine {
+    options: EngineOptions,
+    now: Duration,
+    arrivals: u64,
+    sequences: Vec<Sequence>,
+    memory: KvMemory,
+    journal: EngineJournal,
+}
+
+impl BatchEngine {
+    /// An idle engine.
+    pub fn new(options: EngineOptions, journal: EngineJournal) -> Self {
+        Self {
+            memory: KvMemory::new(options.memory_tokens),
+            options,
+            now: Duration::ZERO,
+            arrivals: 0,
+            sequences: Vec::new(),
+            journal,
+        }
+    }
+
+    /// Model time: the end of the step that was last begun.
+    pub fn now(&self) -> Duration {
+        self.now
+    }
+
+    /// The engine's memory.
+    pub fn memory(&self) -> &KvMemory {
+        &self.memory
+    }
+
+    /// Lets model time pass while there is nothing to do; time never goes back.
+    pub fn advance_to(&mut self, now: Duration) {
+        self.now = self.now.max(now);
+    }
+
+    /// Takes a request in; it enters the batch with a later step.
+    pub fn submit(&mut self, request: SequenceRequest) -> Result<(), SubmitError> {
+        let blocks = needed_blocks(&request);
+        if blocks > self.memory.total() {
+            return Err(SubmitError::TooLarge);
+        }
+        if self.find(&request.request_id).is_some() {
+            return Err(SubmitError::Duplicate);
+        }
+        self.arrivals += 1;
+        self.sequences.push(Sequence {
+            arrival: self.arrivals,
+            blocks,
+            phase: Phase::Waiting,
+            prefilled: 0,
+            produced: request.resume_offset,
+            cached_tokens: 0,
+            advanced: false,
+            request,
+        });
+        Ok(())
+    }
+
+    /// Ends a request and frees its blocks; `false` if it is not there.
+    pub fn cancel(&mut self, request_id: &str) -> bool {
+        let Some(index) = self.position(request_id) else {
+            return false;
+        };
+        self.remove(index, JournalEvent::Cancelled);
+        true
+    }
+
+    /// Loses everything, as a process that dies does.
+    pub fn lose_all(&mut self) {
+        while !self.sequences.is_empty() {
+            self.remove(0, JournalEvent::Lost);
+        }
+        self.memory = KvMemory::new(self.options.memory_tokens);
+    }
+
+    /// Stops decoding a request and tells how far it is; it holds its blocks until cancelled.
+    pub fn pause(&mut self, request_id: &str) -> Option<(SequenceRequest, TokenCount)> {
+        let index = self.position(request_id)?;
+        let sequence = &mut self.sequences[index];
+        if sequence.phase != Phase::Decoding {
+            return None;
+        }
+        sequence.phase = Phase::Paused;
+        Some((sequence.request.clone(), sequence.produced))
+    }
+
+    /// Answer tokens that a request has so far.
+    pub fn produced(&self, request_id: &str) -> Option<TokenCount> {
+        self.find(request_id).map(|sequence| sequence.produced)
+    }
+
+    /// What each request holds.
+    pub fn holdings(&self) -> Vec<BlockHolding> {
+        self.sequences
+            .iter()
+            .map(|sequence| BlockHolding {
+                request_id: sequence.request.request_id.clone(),
+                blocks: sequence.held_blocks(),
+            })
+            .collect()
+    }
+
+    /// Requests in the batch.
+    pub fn running(&self) -> usize {
+        self.sequences
+            .iter()
+            .filter(|sequence| sequence.is_active())
+            .count()
+    }
+
+    /// Requests that wait to enter the batch.
+    pub fn waiting(&self) -> usize {
+        self.sequences
+            .iter()
+            .filter(|sequence| sequence.phase == Phase::Waiting)
+            .count()
+    }
+
+    /// Changes of the prefix cache since the last call.
+    pub fn take_cache_changes(&mut self) -> Vec<super::memory::CacheChange> {
+        self.memory.take_changes()
+    }
+
+    /// Runs one step; `None` if there is nothing to do. Time moves to the end of the step.
+    pub fn step(&mut self, slowdown: f64) -> Option<Vec<StepOutput>> {
+        self.admit();
+        if self.running() == 0 {
+            return None;
+        }
+        let decode = self.decode();
+        let prefill = self.prefill();
+        let duration = self.options.step_base + decode + prefill;
+        self.now += duration.mul_f64(slowdown);
+        Some(self.collect_outputs())
+    }
+
+    fn admit(&mut self) {
+        self.sequences
+            .sort_by_key(|sequence| (-sequence.request.priority, sequence.arrival));
+        let mut running = self.running();
+        for sequence in &mut self.sequences {
+            if sequence.phase != Phase::Waiting {
+                continue;
+            }
+            if running >= self.options.max_running || !self.memory.hold(sequence.blocks) {
+                return;
+            }
+            running += 1;
+            sequence.enter(&mut self.memory);
+            self.journal.record(JournalEntry {
+                request_id: sequence.request.request_id.to_string(),
+                event: sequence.entry_event(),
+                model_time: self.now,
+                bytes: sequence.produced * BYTES_PER_TOKEN,
+            });
+        }
+    }
+
+    fn decode(&mut self) -> Duration {
+        let mut cost = Duration::ZERO;
+        for sequence in &mut self.sequences {
+            if sequence.phase == Phase::Decoding {
+                sequence.produced += 1;
+                sequence.advanced = true;
+                cost += self.options.decode_cost;
+            }
+        }
+        cost
+    }
+
+    fn prefill(&mut self) -> Duration {
+        let mut budget = self.options.step_tokens;
+        let mut cost = Duration::ZERO;
+        for sequence in &mut self.sequences {
+            if budget == 0 {
+                break;
+            }
+            if sequence.phase != Phase::Prefilling {
+                continue;
+            }
+            let tokens = sequence.prefill_left().min(budget);
+            cost += prefill_time(
+                &self.options,
+                sequence.request.start + sequence.prefilled,
+                tokens,
+            );
+            sequence.prefilled += tokens;
+            budget -= tokens;
+            if sequence.prefill_left() == 0 {
+                sequence.finish_prefill();
+                self.memory.keep(&sequence.request.prefix_hashes);
+            }
+        }
+        cost
+    }
+
+    fn collect_outputs(&mut self) -> Vec<StepOutput> {
+        let mut outputs = Vec::new();
+        let mut index = 0;
+        while index < self.sequences.len() {
+            let sequence = &mut self.sequences[index];
+            let advanced = std::mem::take(&mut sequence.advanced);
+            if !advanced {
+                index += 1;
+                continue;
+            }
+            let finished = sequence.is_finished();
+            outputs.push(StepOutput {
+                request_id: sequence.request.request_id.clone(),
+                produced: sequence.produced,
+                cached_tokens: sequence.cached_tokens,
+                finished,
+            });
+            if finished && sequence.request.kind == SequenceKind::Answer {
+                self.remove(index, JournalEvent::Ended);
+            } else {
+                index += 1;
+            }
+        }
+        outputs
+    }
+
+    fn remove(&mut self, index: usize, event: JournalEvent) {
+        let sequence = self.sequences.remove(index);
+        self.memory.release(sequence.held_blocks());
+        if sequence.phase == Phase::Waiting {
+            return;
+        }
+        self.journal.record(JournalEntry {
+            request_id: sequence.request.request_id.to_string(),
+            event,
+            model_time: self.now,
+            bytes: sequence.produced * BYTES_PER_TOKEN,
+        });
+    }
+
+    fn find(&self, request_id: &str) -> Option<&Sequence> {
+        self.position(request_id)
+            .map(|index| &self.sequences[index])
+    }
+
+    fn position(&self, request_id: &str) -> Option<usize> {
+        self.sequences
+            .iter()
+            .position(|sequence| &*sequence.request.request_id == request_id)
+    }
+}
+
+/// Time to prefill `tokens` from `position` on; attention makes a token dearer by its position.
+pub fn prefill_time(options: &EngineOptions, position: TokenCount, tokens: TokenCount) -> Duration {
+    let middle = position as f64 + tokens as f64 / 2.0;
+    let growth = 1.0 + middle / options.attention_span as f64;
+    options.prefill_cost.mul_f64(tokens as f64 * growth)
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Waiting,
+    Prefilling,
+    Decoding,
+    Paused,
+    Held,
+}
+
+#[derive(Debug)]
+struct Sequence {
+    request: SequenceRequest,
+    arrival: u64,
+    blocks: BlockCount,
+    phase: Phase,
+    prefilled: TokenCount,
+    produced: TokenCount,
+    cached_tokens: TokenCount,
+    advanced: bool,
+}
+
+impl Sequence {
+    fn enter(&mut self, memory: &mut KvMemory) {
+        self.phase = Phase::Prefilling;
+        if self.request.imported {
+            self.phase = Phase::Decoding;
+            return;
+        }
+        let cached = memory.cached_tokens(&self.request.prefix_hashes);
+        // The last token is always computed: its output starts the answer.
+        self.cached_tokens = cached.min(self.request.prompt_tokens - 1);
+        self.prefilled = self.cached_tokens;
+    }
+
+    fn entry_event(&self) -> JournalEvent {
+        match self.request.imported || self.request.resume_offset > 0 {
+            true => JournalEvent::Resumed,
+            false => JournalEvent::Started,
+        }
+    }
+
+    fn prefill_left(&self) -> TokenCount {
+        self.request.prompt_tokens + self.request.resume_offset - self.prefilled
+    }
+
+    /// The step that ends the prefill also gives the first token of the answer.
+    fn finish_prefill(&mut self) {
+        self.advanced = true;
+        match self.request.kind {
+            SequenceKind::Segment => self.phase = Phase::Held,
+            SequenceKind::Answer => {
+                self.phase = Phase::Decoding;
+                self.produced = (self.produced + 1).min(self.request.max_tokens);
+            }
+        }
+    }
+
+    fn is_active(&self) -> bool {
+        matches!(self.phase, Phase::Prefilling | Phase::Decoding)
+    }
+
+    fn is_finished(&self) -> bool {
+        match self.request.kind {
+            SequenceKind::Segment => self.phase == Phase::Held,
+            SequenceKind::Answer => self.produced >= self.request.max_tokens,
+        }
+    }
+
+    fn held_blocks(&self) -> BlockCount {
+        match self.phase {
+            Phase::Waiting => 0,
+            _ => self.blocks,
+        }
+    }
+}
+
+fn needed_blocks(request: &SequenceRequest) -> BlockCount {
+    KvMemory::blocks_for(request.prompt_tokens + request.max_tokens)
+}
--- /dev/null
+++ b/lovagedock-standin/src/engine/completion.rs
@@ -0,0 +1,242 @@
+//! Completions: from a request's body to its streamed or whole answer.
+
+use std::{io, sync::Arc};
+
+use bytes::Bytes;
+use futures::{Stream, stream};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::{
+    Request, StatusCode,
+    body::{Frame, Incoming},
+};
+
+use lovagedock::prelude::TokenCount;
+
+use super::{
+    answer::{chat_prompt, prefix_hashes, prompt_digest, prompt_tokens},
+    batch::{SequenceKind, SequenceRequest, SubmitError},
+    fault::EngineFault,
+    protocol::CompletionBody,
+    render::{AnswerSource, KEEP_ALIVE, STREAM_END},
+    routes::{EngineAnswer, RouteError, RouteResult, answer, body_answer, read_json},
+    state::{EngineState, Progress, ProgressReceiver},
+};
+
+pub(crate) async fn complete(
+    state: Arc<EngineState>,
+    request: Request<Incoming>,
+    chat: bool,
+) -> RouteResult {
+    let mut body: CompletionBody = read_json(request).await?;
+    if body.model != state.options.model {
+        return Err(RouteError::new(StatusCode::NOT_FOUND, "no such model"));
+    }
+    if chat {
+        body.prompt = chat_prompt(&body.messages);
+    }
+    let follower = open(&state, &body, chat)?;
+    state.wake.notify_one();
+    if body.stream {
+        return Ok(streamed(follower));
+    }
+    whole(follower).await
+}
+
+fn open(
+    state: &Arc<EngineState>,
+    body: &CompletionBody,
+    chat: bool,
+) -> Result<AnswerFollower, RouteError> {
+    let source = answer_source(body, chat);
+    let request = sequence_request(body, &source)?;
+    let mut core = state.core.lock();
+    let attached = match body.resume_offset {
+        0 => None,
+        _ => core.attach(&source.request_id),
+    };
+    let (source, receiver) = match attached {
+        Some(attached) => attached,
+        None => {
+            let receiver = core.submit(request, source.clone()).map_err(refusal)?;
+            (source, receiver)
+        }
+    };
+    Ok(AnswerFollower {
+        state: state.clone(),
+        source,
+        receiver,
+        start: body.resume_offset,
+        sent: body.resume_offset,
+        cached_tokens: 0,
+        over: false,
+    })
+}
+
+fn answer_source(body: &CompletionBody, chat: bool) -> AnswerSource {
+    let digest = prompt_digest(&body.prompt);
+    let request_id = match &body.request_id {
+        Some(id) => id.as_str().into(),
+        None => format!("anonymous-{digest:016x}").into(),
+    };
+    AnswerSource {
+        request_id,
+        model: body.model.clone(),
+        chat,
+        digest,
+        prompt_tokens: prompt_tokens(&body.prompt),
+        max_tokens: body.max_tokens.max(1),
+    }
+}
+
+fn sequence_request(
+    body: &CompletionBody,
+    source: &AnswerSource,
+) -> Result<SequenceRequest, RouteError> {
+    let elsewhere: TokenCount = body.segments.iter().map(|segment| segment.tokens).sum();
+    if elsewhere >= source.prompt_tokens {
+        let message = "the segments leave no token of the prompt to this engine";
+        return Err(RouteError::new(StatusCode::BAD_REQUEST, message));
+    }
+    let hashes = match elsewhere {
+        0 => prefix_hashes(&body.prompt),
+        _ => Vec::new(),
+    };
+    Ok(SequenceRequest {
+        request_id: source.request_id.clone(),
+        kind: SequenceKind::Answer,
+        priority: body.priority,
+        start: elsewhere,
+        prompt_tokens: source.prompt_tokens - elsewhere,
+        resume_offset: body.resume_offset.min(source.max_tokens),
+        max_tokens: source.max_tokens,
+        prefix_hashes: hashes,
+        imported: false,
+    })
+}
+
+pub(crate) fn refusal(error: SubmitError) -> RouteError {
+    match error {
+        SubmitError::TooLarge => RouteError::new(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "the request is larger than the memory",
+        ),
+        SubmitError::Duplicate => {
+            RouteError::new(StatusCode::CONFLICT, "a request with this id is there")
+        }
+    }
+}
+
+/// Turns a request's progress into the bytes of its answer.
+struct AnswerFollower {
+    state: Arc<EngineState>,
+    source: AnswerSource,
+    receiver: ProgressReceiver,
+    start: TokenCount,
+    sent: TokenCount,
+    cached_tokens: TokenCount,
+    over: bool,
+}
+
+impl AnswerFollower {
+    /// The next bytes of a streamed answer; an error breaks the connection.
+    async fn next_text(&mut self) -> Option<io::Result<String>> {
+        if self.over {
+            return None;
+        }
+        loop {
+            match self.receiver.recv().await {
+                None => {
+                    self.over = true;
+                    return Some(Err(io::ErrorKind::ConnectionReset.into()));
+                }
+                Some(Progress::Alive) => return Some(Ok(KEEP_ALIVE.to_owned())),
+                Some(Progress::Cancelled) => {
+                    self.over = true;
+                    let text = "data: {\"error\":{\"type\":\"cancelled\",\
+                                \"message\":\"the request was cancelled\"}}\n\n";
+                    return Some(Ok(text.to_owned()));
+                }
+                Some(Progress::Produced {
+                    produced,
+                    cached_tokens,
+                    finished,
+                }) => {
+                    self.cached_tokens = self.cached_tokens.max(cached_tokens);
+                    if produced <= self.sent && !finished {
+                        continue;
+                    }
+                    return Some(Ok(self.event(produced, finished)));
+                }
+            }
+        }
+    }
+
+    fn event(&mut self, produced: TokenCount, finished: bool) -> String {
+        let source = self.visible_source();
+        let mut text = source.event(self.sent, produced, self.cached_tokens);
+        self.sent = produced;
+        if finished {
+            self.over = true;
+            text.push_str(STREAM_END);
+        }
+        text
+    }
+
+    fn visible_source(&self) -> AnswerSource {
+        let crossed = *self.state.fault.borrow() == EngineFault::Crossed;
+        match crossed {
+            true => self.state.core.lock().other_source(&self.source),
+            false => self.source.clone(),
+        }
+    }
+}
+
+fn streamed(follower: AnswerFollower) -> EngineAnswer {
+    let body = StreamBody::new(frames(follower));
+    body_answer(StatusCode::OK, "text/event-stream", BodyExt::boxed(body))
+}
+
+fn frames(follower: AnswerFollower) -> impl Stream<Item = io::Result<Frame<Bytes>>> + Send + Sync {
+    stream::unfold(follower, |mut follower| async move {
+        let text = follower.next_text().await?;
+        Some((text.map(|text| Frame::data(Bytes::from(text))), follower))
+    })
+}
+
+async fn whole(mut follower: AnswerFollower) -> RouteResult {
+    loop {
+        match follower.receiver.recv().await {
+            None => return Ok(broken_answer()),
+            Some(Progress::Alive) => {}
+            Some(Progress::Cancelled) => {
+                return Err(RouteError::new(
+                    StatusCode::INTERNAL_SERVER_ERROR,
+                    "the request was cancelled",
+                ));
+            }
+            Some(Progress::Produced {
+                cached_tokens,
+                finished,
+                ..
+            }) => {
+                follower.cached_tokens = follower.cached_tokens.max(cached_tokens);
+                if finished {
+                    let source = follower.visible_source();
+                    let text = source.whole(follower.start, follower.cached_tokens);
+                    return Ok(answer(StatusCode::OK, "application/json", text));
+                }
+            }
+        }
+    }
+}
+
+/// An answer whose body breaks: the caller sees a cut connection.
+fn broken_answer() -> EngineAnswer {
+    let error = io::Error::from(io::ErrorKind::ConnectionReset);
+    let frames = stream::iter([Err::<Frame<Bytes>, _>(error)]);
+    body_answer(
+        StatusCode::OK,
+        "application/json",
+        BodyExt::boxed(StreamBody::new(frames)),
+    )
+}
--- /dev/null
+++ b/lovagedock-standin/src/engine/driver.rs
@@ -0,0 +1,47 @@
+//! Runs an engine's steps at the pace of scaled real time.
+
+use std::{sync::Arc, time::Duration};
+
+use super::state::EngineState;
+
+const IDLE_TICK: Duration = Duration::from_millis(500);
+
+pub(crate) async fn drive(state: Arc<EngineState>) {
+    loop {
+        wait_while_stopped(&state).await;
+        let slowdown = state.fault.borrow().slowdown();
+        let stepped = {
+            let mut core = state.core.lock();
+            core.batch
+                .step(slowdown)
+                .map(|outputs| (outputs, core.batch.now()))
+        };
+        let Some((outputs, end)) = stepped else {
+            wait_for_work(&state).await;
+            continue;
+        };
+        tokio::time::sleep_until(state.real_instant(end)).await;
+        wait_while_stopped(&state).await;
+        state.core.lock().deliver(&outputs);
+    }
+}
+
+async fn wait_while_stopped(state: &EngineState) {
+    if !state.fault.borrow().stops_steps() {
+        return;
+    }
+    let mut fault = state.fault.subscribe();
+    let _ = fault.wait_for(|fault| !fault.stops_steps()).await;
+    let now = state.model_now();
+    state.core.lock().batch.advance_to(now);
+}
+
+async fn wait_for_work(state: &EngineState) {
+    let tick = state.real_duration(IDLE_TICK);
+    let _ = tokio::time::timeout(tick, state.wake.notified()).await;
+    let now = state.model_now();
+    let mut core = state.core.lock();
+    core.batch.advance_to(now);
+    core.keep_alive();
+    core.sample_load();
+}
--- /dev/null
+++ b/lovagedock-standin/src/engine/memory.rs
@@ -0,0 +1,127 @@
+//! KV memory in blocks, with a prefix cache in what requests leave over.
+
+use std::collections::BTreeMap;
+
+use lovagedock::prelude::{BlockCount, TokenCount};
+
+use super::answer::PREFIX_PIECE_TOKENS;
+
+/// Tokens in one block.
+pub const BLOCK_TOKENS: u64 = 16;
+
+const PIECE_BLOCKS: BlockCount = PREFIX_PIECE_TOKENS / BLOCK_TOKENS;
+
+/// A change of the prefix cache.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CacheChange {
+    /// A piece was stored.
+    Stored(u64),
+    /// A piece was evicted.
+    Removed(u64),
+}
+
+/// Blocks of one engine.
+#[derive(Debug)]
+pub struct KvMemory {
+    total: BlockCount,
+    held: BlockCount,
+    cache: BTreeMap<u64, u64>,
+    clock: u64,
+    changes: Vec<CacheChange>,
+}
+
+impl KvMemory {
+    /// Memory for the given number of tokens.
+    pub fn new(tokens: TokenCount) -> Self {
+        Self {
+            total: tokens / BLOCK_TOKENS,
+            held: 0,
+            cache: BTreeMap::new(),
+            clock: 0,
+            changes: Vec::new(),
+        }
+    }
+
+    /// Blocks that `tokens` need.
+    pub fn blocks_for(tokens: TokenCount) -> BlockCount {
+        tokens.div_ceil(BLOCK_TOKENS)
+    }
+
+    /// Blocks in all.
+    pub fn total(&self) -> BlockCount {
+        self.total
+    }
+
+    /// Blocks that requests hold.
+    pub fn held(&self) -> BlockCount {
+        self.held
+    }
+
+    /// Blocks that the prefix cache fills.
+    pub fn cached(&self) -> BlockCount {
+        self.cache.len() as u64 * PIECE_BLOCKS
+    }
+
+    /// Hashes of the cached pieces.
+    pub fn cached_hashes(&self) -> Vec<u64> {
+        self.cache.keys().copied().collect()
+    }
+
+    /// Takes blocks for a request, evicting cached pieces as needed; `false` if they are not there.
+    pub fn hold(&mut self, blocks: BlockCount) -> bool {
+        if self.held + blocks > self.total {
+            return false;
+        }
+        self.held += blocks;
+        while self.held + self.cached() > self.total {
+            self.evict_oldest();
+        }
+        true
+    }
+
+    /// Gives blocks of a request back.
+    pub fn release(&mut self, blocks: BlockCount) {
+        self.held -= blocks;
+    }
+
+    /// Tokens of the longest cached prefix; what it finds counts as used.
+    pub fn cached_tokens(&mut self, hashes: &[u64]) -> TokenCount {
+        let mut pieces = 0;
+        for hash in hashes {
+            let Some(used) = self.cache.get_mut(hash) else {
+                break;
+            };
+            self.clock += 1;
+            *used = self.clock;
+            pieces += 1;
+        }
+        pieces * PREFIX_PIECE_TOKENS
+    }
+
+    /// Keeps a prompt's pieces as far as memory is left over, oldest use evicted first.
+    pub fn keep(&mut self, hashes: &[u64]) {
+        let room = (self.total - self.held) / PIECE_BLOCKS;
+        for hash in hashes.iter().take(room as usize) {
+            self.clock += 1;
+            if self.cache.insert(*hash, self.clock).is_none() {
+                self.changes.push(CacheChange::Stored(*hash));
+            }
+        }
+        while self.held + self.cached() > self.total {
+            self.evict_oldest();
+        }
+    }
+
+    /// Changes of the cache since the last call.
+    pub fn take_changes(&mut self) -> Vec<CacheChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    fn evict_oldest(&mut self) {
+        let oldest = self.cache.iter().min_by_key(|(_, used)| **used);
+        if let Some(hash) = oldest.map(|(hash, _)| *hash) {
+            self.cache.remove(&hash);
+            self.changes.push(CacheChange::Removed(hash));
+        }
+    }
+}
--- /dev/null
+++ b/lovagedock-standin/src/engine/mod.rs
@@ -0,0 +1,30 @@
+//! Stand-in engine: batches in model time, at the interface of a vendor's engine.
+
+mod answer;
+mod batch;
+mod completion;
+mod driver;
+mod fault;
+mod journal;
+mod load;
+mod memory;
+mod options;
+mod protocol;
+mod render;
+mod routes;
+mod running;
+mod serve;
+mod state;
+
+pub use answer::{
+    BYTES_PER_TOKEN, ChatMessage, PREFIX_PIECE_TOKENS, chat_prompt, expected_answer, prefix_hashes,
+    prompt_tokens,
+};
+pub use batch::{
+    BatchEngine, BlockHolding, SequenceKind, SequenceRequest, StepOutput, SubmitError, prefill_time,
+};
+pub use fault::EngineFault;
+pub use journal::{EngineJournal, JournalEntry, JournalEvent};
+pub use memory::{BLOCK_TOKENS, CacheChange, KvMemory};
+pub use options::{EngineOptions, ReportStyle};
+pub use running::{EngineHandle, EngineStandin, RunningEngine};
--- /dev/null
+++ b/lovagedock-standin/src/engine/protocol.rs
@@ -0,0 +1,138 @@
+//! Messages of the stand-in engine's HTTP interface.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use lovagedock::prelude::TokenCount;
+
+use super::answer::ChatMessage;
+
+const DEFAULT_MAX_TOKENS: TokenCount = 16;
+
+#[derive(Debug, Deserialize)]
+pub(crate) struct CompletionBody {
+    #[serde(default)]
+    pub(crate) request_id: Option<String>,
+    pub(crate) model: String,
+    #[serde(default)]
+    pub(crate) prompt: String,
+    #[serde(default)]
+    pub(crate) messages: Vec<ChatMessage>,
+    #[serde(default = "default_max_tokens", alias = "max_completion_tokens")]
+    pub(crate) max_tokens: TokenCount,
+    #[serde(default)]
+    pub(crate) priority: i32,
+    #[serde(default)]
+    pub(crate) stream: bool,
+    #[serde(default)]
+    pub(crate) resume_offset: TokenCount,
+    #[serde(default)]
+    pub(crate) segments: Vec<SegmentLocation>,
+}
+
+fn default_max_tokens() -> TokenCount {
+    DEFAULT_MAX_TOKENS
+}
+
+/// Where one part of a prompt is held.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct SegmentLocation {
+    pub(crate) engine: SocketAddr,
+    pub(crate) request_id: String,
+    pub(crate) tokens: TokenCount,
+}
+
+#[derive(Debug, Deserialize)]
+pub(crate) struct CancelBody {
+    pub(crate) request_id: String,
+}
+
+#[derive(Debug, Serialize)]
+pub(crate) struct CancelAnswer {
+    pub(crate) cancelled: bool,
+}
+
+#[derive(Debug, Serialize)]
+pub(crate) struct ErrorBody {
+    pub(crate) error: ErrorDetail,
+}
+
+#[derive(Debug, Serialize)]
+pub(crate) struct ErrorDetail {
+    #[serde(rename = "type")]
+    pub(crate) kind: &'static str,
+    pub(crate) message: String,
+}
+
+#[derive(Debug, Serialize)]
+pub(crate) struct CompletionAnswer<'a> {
+    pub(crate) id: &'a str,
+    pub(crate) object: &'static str,
+    pub(crate) created: u64,
+    pub(crate) model: &'a str,
+    pub(crate) choices: [AnswerChoice; 1],
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) usage: Option<AnswerUsage>,
+}
+
+#[derive(Debug, Serialize)]
+pub(crate) struct AnswerChoice {
+    pub(crate) index: u32,
+    #[serde(flatten)]
+    pub(crate) text: ChoiceText,
+    pub(crate) finish_reason: Option<&'static str>,
+}
+
+/// The text of a choice under the name that its protocol gives it.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub(crate) enum ChoiceText {
+    Text(String),
+    Delta(AnswerMessage),
+    Message(AnswerMessage),
+}
+
+#[derive(Debug, Serialize)]
+pub(crate) struct AnswerMessage {
+    pub(crate) role: &'static str,
+    pub(crate) content: String,
+}
+
+#[derive(Clone, Copy, Debug, Serialize)]
+pub(crate) struct AnswerUsage {
+    pub(crate) prompt_tokens: TokenCount,
+    pub(crate) completion_tokens: TokenCount,
+    pub(crate) total_tokens: TokenCount,
+    pub(crate) prompt_tokens_details: CachedUsage,
+}
+
+#[derive(Clone, Copy, Debug, Serialize)]
+pub(crate) struct CachedUsage {
+    pub(crate) cached_tokens: TokenCount,
+}
+
+/// The account of an engine that reports in JSON.
+#[derive(Debug, Serialize)]
+pub(crate) struct RequestAccount {
+    pub(crate) requests: Vec<RequestHolding>,
+}
+
+#[derive(Debug, Serialize)]
+pub(crate) struct RequestHolding {
+    pub(crate) request_id: String,
+    pub(crate) blocks: u64,
+    pub(crate) block_tokens: u64,
+}
+
+/// The account of an engine that reports in Prometheus text.
+#[derive(Debug, Serialize)]
+pub(crate) struct SequenceAccount {
+    pub(crate) sequences: Vec<SequenceHolding>,
+}
+
+#[derive(Debug, Serialize)]
+pub(crate) struct SequenceHolding {
+    pub(crate) id: String,
+    pub(crate) kv_tokens: TokenCount,
+}
--- /dev/null
+++ b/lovagedock-standin/src/engine/render.rs
@@ -0,0 +1,102 @@
+//! Answers as callers see them: server-sent events, or one JSON document.
+
+use std::sync::Arc;
+
+use lovagedock::prelude::TokenCount;
+
+use super::{
+    answer::answer_text,
+    protocol::{
+        AnswerChoice, AnswerMessage, AnswerUsage, CachedUsage, ChoiceText, CompletionAnswer,
+    },
+};
+
+/// Last line of a streamed answer.
+pub(crate) const STREAM_END: &str = "data: [DONE]\n\n";
+/// A comment line that shows a waiting caller that the engine is alive.
+pub(crate) const KEEP_ALIVE: &str = ": keep-alive\n\n";
+
+const FINISHED: &str = "length";
+
+/// Everything about an answer that its text depends on.
+#[derive(Clone, Debug)]
+pub(crate) struct AnswerSource {
+    pub(crate) request_id: Arc<str>,
+    pub(crate) model: String,
+    pub(crate) chat: bool,
+    pub(crate) digest: u64,
+    pub(crate) prompt_tokens: TokenCount,
+    pub(crate) max_tokens: TokenCount,
+}
+
+impl AnswerSource {
+    /// One event with the answer tokens from `start` to `end`.
+    pub(crate) fn event(&self, start: TokenCount, end: TokenCount, cached: TokenCount) -> String {
+        let text = answer_text(self.digest, start, end);
+        let choice = match self.chat {
+            true => ChoiceText::Delta(assistant(text)),
+            false => ChoiceText::Text(text),
+        };
+        let object = match self.chat {
+            true => "chat.completion.chunk",
+            false => "text_completion",
+        };
+        let finished = end >= self.max_tokens;
+        format!("data: {}\n\n", self.json(object, choice, finished, cached))
+    }
+
+    /// The whole answer from token `start` on.
+    pub(crate) fn whole(&self, start: TokenCount, cached: TokenCount) -> String {
+        let text = answer_text(self.digest, start, self.max_tokens);
+        let choice = match self.chat {
+            true => ChoiceText::Message(assistant(text)),
+            false => ChoiceText::Text(text),
+        };
+        let object = match self.chat {
+            true => "chat.completion",
+            false => "text_completion",
+        };
+        self.json(object, choice, true, cached)
+    }
+
+    fn json(
+        &self,
+        object: &'static str,
+        text: ChoiceText,
+        finished: bool,
+        cached: TokenCount,
+    ) -> String {
+        let choice = AnswerChoice {
+            index: 0,
+            text,
+            finish_reason: finished.then_some(FINISHED),
+        };
+        let answer = CompletionAnswer {
+            id: &self.request_id,
+            object,
+            created: 0,
+            model: &self.model,
+            choices: [choice],
+            usage: finished.then(|| self.usage(cached)),
+        };
+        serde_json::to_string(&answer).unwrap_or_default()
+    }
+
+    fn usage(&self, cached: TokenCount) -> AnswerUsage {
+        AnswerUsage {
+            prompt_tokens: self.prompt_tokens,
+            completion_tokens: self.max_tokens,
+            total_tokens: self.prompt_tokens + self.max_tokens,
+            prompt_tokens_details: CachedUsage {
+                cached_tokens: cached,
+            },
+        }
+    }
+}
+
+fn assistant(content: String) -> AnswerMessage {
+    AnswerMessage {
+        role: "assistant",
+        content,
+    }
+}
--- /dev/null
+++ b/lovagedock-standin/src/engine/routes.rs
@@ -0,0 +1,168 @@
+//! The stand-in engine's HTTP interface.
+
+use std::{io, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, combinators::BoxBody};
+use hyper::{
+    Method, Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONTENT_TYPE, HeaderValue},
+};
+use serde::{Serialize, de::DeserializeOwned};
+
+use super::{
+    completion,
+    fault::FaultOrder,
+    memory::BLOCK_TOKENS,
+    options::ReportStyle,
+    protocol::{
+        CancelAnswer, CancelBody, ErrorBody, ErrorDetail, RequestAccount, RequestHolding,
+        SequenceAccount, SequenceHolding,
+    },
+    state::EngineState,
+};
+
+pub(crate) type EngineBody = BoxBody<Bytes, io::Error>;
+pub(crate) type EngineAnswer = Response<EngineBody>;
+pub(crate) type RouteResult = Result<EngineAnswer, RouteError>;
+
+/// Why a call gets an error answer.
+#[derive(Debug)]
+pub(crate) struct RouteError {
+    status: StatusCode,
+    message: String,
+}
+
+impl RouteError {
+    pub(crate) fn new(status: StatusCode, message: &str) -> Self {
+        Self {
+            status,
+            message: message.to_owned(),
+        }
+    }
+}
+
+pub(crate) async fn route(state: Arc<EngineState>, request: Request<Incoming>) -> EngineAnswer {
+    let method = request.method().clone();
+    let path = request.uri().path().to_owned();
+    if path == "/faults" {
+        return settle(set_fault(state, request).await);
+    }
+    state.pass_faults().await;
+    let result = match (&method, path.as_str()) {
+        (&Method::POST, "/v1/completions") => completion::complete(state, request, false).await,
+        (&Method::POST, "/v1/chat/completions") => completion::complete(state, request, true).await,
+        (&Method::POST, "/v1/cancel") => cancel(&state, request).await,
+        (&Method::GET, "/v1/requests") => Ok(account(&state)),
+        (&Method::GET, "/journal") => Ok(json_answer(&state.journal.entries())),
+        (&Method::GET, "/load") if state.options.report_style == ReportStyle::JsonReport => {
+            Ok(json_answer(&state.core.lock().reported_load()))
+        }
+        (&Method::GET, "/metrics")
+            if state.options.report_style == ReportStyle::PrometheusReport =>
+        {
+            let text = state.core.lock().reported_load().prometheus();
+            Ok(answer(StatusCode::OK, "text/plain; version=0.0.4", text))
+        }
+        _ => Err(RouteError::new(StatusCode::NOT_FOUND, "no such path")),
+    };
+    settle(result)
+}
+
+/// Reads and parses a JSON body.
+pub(crate) async fn read_json<T: DeserializeOwned>(
+    request: Request<Incoming>,
+) -> Result<T, RouteError> {
+    let body = request
+        .into_body()
+        .collect()
+        .await
+        .map_err(|error| RouteError::new(StatusCode::BAD_REQUEST, &error.to_string()))?;
+    serde_json::from_slice(&body.to_bytes())
+        .map_err(|error| RouteError::new(StatusCode::BAD_REQUEST, &error.to_string()))
+}
+
+pub(crate) fn json_answer<T: Serialize>(value: &T) -> EngineAnswer {
+    let text = serde_json::to_string(value).unwrap_or_default();
+    answer(StatusCode::OK, "application/json", text)
+}
+
+pub(crate) fn answer(status: StatusCode, content_type: &'static str, text: String) -> EngineAnswer {
+    let body = Full::new(Bytes::from(text))
+        .map_err(|never| match never {})
+        .boxed();
+    body_answer(status, content_type, body)
+}
+
+pub(crate) fn body_answer(
+    status: StatusCode,
+    content_type: &'static str,
+    body: EngineBody,
+) -> EngineAnswer {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    response
+}
+
+fn settle(result: RouteResult) -> EngineAnswer {
+    result.unwrap_or_else(error_answer)
+}
+
+fn error_answer(error: RouteError) -> EngineAnswer {
+    let body = ErrorBody {
+        error: ErrorDetail {
+            kind: "engine_error",
+            message: error.message,
+        },
+    };
+    let text = serde_json::to_string(&body).unwrap_or_default();
+    answer(error.status, "application/json", text)
+}
+
+async fn cancel(state: &EngineState, request: Request<Incoming>) -> RouteResult {
+    let body: CancelBody = read_json(request).await?;
+    let cancelled = state.core.lock().cancel(&body.request_id);
+    state.wake.notify_one();
+    Ok(json_answer(&CancelAnswer { cancelled }))
+}
+
+fn account(state: &EngineState) -> EngineAnswer {
+    let holdings = state.core.lock().batch.holdings();
+    match state.options.report_style {
+        ReportStyle::JsonReport => json_answer(&RequestAccount {
+            requests: holdings
+                .into_iter()
+                .map(|holding| RequestHolding {
+                    request_id: holding.request_id.to_string(),
+                    blocks: holding.blocks,
+                    block_tokens: BLOCK_TOKENS,
+                })
+                .collect(),
+        }),
+        ReportStyle::PrometheusReport => json_answer(&SequenceAccount {
+            sequences: holdings
+                .into_iter()
+                .map(|holding| SequenceHolding {
+                    id: holding.request_id.to_string(),
+                    kv_tokens: holding.blocks * BLOCK_TOKENS,
+                })
+                .collect(),
+        }),
+    }
+}
+
+async fn set_fault(state: Arc<EngineState>, request: Request<Incoming>) -> RouteResult {
+    let order: FaultOrder = read_json(request).await?;
+    state.set_fault(order.fault);
+    if let Some(for_ms) = order.for_ms {
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(for_ms)).await;
+            state.set_fault(super::fault::EngineFault::None);
+        });
+    }
+    Ok(json_answer(&order.fault))
+}
--- a/lovagedock-standin/src/lib.rs
+++ b/lovagedock-standin/src/lib.rs
@@ -1,6 +1,8 @@
 //! Stand-ins of the platform, of engines and of plain services; the product never depends on them.
 
+pub mod engine;
 mod platform;
+pub mod service;
 
 pub use platform::{
     FaultKind, FaultOrder, PlatformCounters, PlatformOptions, PlatformStandin, RunningStandin,
--- /dev/null
+++ b/lovagedock-standin/src/service/mod.rs
@@ -0,0 +1,6 @@
+//! Stand-in of a plain HTTP service: echoes a digest of each call and journals what it ran.
+
+mod routes;
+mod running;
+
+pub use running::{RunningService, ServiceJournal, ServiceOptions, ServiceRun, ServiceStandin};
--- /dev/null
+++ b/lovagedock-standin/src/service/routes.rs
@@ -0,0 +1,107 @@
+//! The stand-in service's HTTP interface.
+
+use std::{
+    convert::Infallible,
+    sync::{Arc, atomic::Ordering},
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    Method, Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONTENT_TYPE, HeaderValue},
+    service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use tokio::net::{TcpListener, TcpStream};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::running::{ServiceRun, ServiceState};
+
+const REQUEST_ID_HEADER: &str = "x-request-id";
+
+type ServiceAnswer = Response<Full<Bytes>>;
+
+#[derive(Debug, Serialize)]
+struct LoadReport {
+    running: usize,
+    waiting: usize,
+}
+
+pub(crate) async fn serve(state: Arc<ServiceState>, listener: TcpListener) {
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    tokio::spawn(serve_connection(state.clone(), stream));
+                }
+            }
+            () = state.died() => return,
+        }
+    }
+}
+
+async fn serve_connection(state: Arc<ServiceState>, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let shared = state.clone();
+    let service = service_fn(move |request| {
+        let state = shared.clone();
+        async move { Ok::<_, Infallible>(route(&state, request).await) }
+    });
+    let connection =
+        hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        () = state.died() => {}
+        _ = connection => {}
+    }
+}
+
+async fn route(state: &ServiceState, request: Request<Incoming>) -> ServiceAnswer {
+    match (request.method(), request.uri().path()) {
+        (&Method::GET, "/load") => json_answer(&LoadReport {
+            running: state.running(),
+            waiting: 0,
+        }),
+        (&Method::GET, "/journal") => json_answer(&state.journal.runs()),
+        _ => run(state, request).await,
+    }
+}
+
+async fn run(state: &ServiceState, request: Request<Incoming>) -> ServiceAnswer {
+    let (parts, body) = request.into_parts();
+    let Ok(body) = body.collect().await else {
+        return answer(StatusCode::BAD_REQUEST, Bytes::new());
+    };
+    let run = ServiceRun {
+        request_id: parts
+            .headers
+            .get(REQUEST_ID_HEADER)
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default()
+            .to_owned(),
+        method: parts.method.to_string(),
+        path: parts.uri.to_string(),
+        body_digest: format!("{:016x}", xxh3_64(&body.to_bytes())),
+    };
+    state.journal.record(run.clone());
+    state.running.fetch_add(1, Ordering::Relaxed);
+    tokio::time::sleep(state.options.service_time).await;
+    state.running.fetch_sub(1, Ordering::Relaxed);
+    json_answer(&run)
+}
+
+fn json_answer<T: Serialize>(value: &T) -> ServiceAnswer {
+    let text = serde_json::to_vec(value).unwrap_or_default();
+    answer(StatusCode::OK, Bytes::from(text))
+}
+
+fn answer(status: StatusCode, body: Bytes) -> ServiceAnswer {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
--- /dev/null
+++ b/lovagedock-standin/src/service/running.rs
@@ -0,0 +1,122 @@
+//! Starting a stand-in service and reading what it ran.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use tokio::{net::TcpListener, sync::watch};
+
+use super::routes;
+
+/// Options of a stand-in service; times are real.
+#[derive(Clone, Debug, Default)]
+pub struct ServiceOptions {
+    /// How long each call takes.
+    pub service_time: Duration,
+}
+
+/// One call that ran.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceRun {
+    /// Value of `x-request-id`; empty if there was none.
+    pub request_id: String,
+    /// HTTP method.
+    pub method: String,
+    /// Path with its query.
+    pub path: String,
+    /// XXH3 of the body, 16 hexadecimal digits.
+    pub body_digest: String,
+}
+
+/// Every call that the service began, in order.
+#[derive(Clone, Debug, Default)]
+pub struct ServiceJournal {
+    runs: Arc<Mutex<Vec<ServiceRun>>>,
+}
+
+impl ServiceJournal {
+    /// All calls so far.
+    pub fn runs(&self) -> Vec<ServiceRun> {
+        self.runs.lock().clone()
+    }
+
+    pub(crate) fn record(&self, run: ServiceRun) {
+        self.runs.lock().push(run);
+    }
+}
+
+/// Entry point of the stand-in service.
+#[derive(Debug)]
+pub struct ServiceStandin;
+
+impl ServiceStandin {
+    /// Starts a service on a free loopback port; needs a `tokio` runtime.
+    pub async fn start(options: ServiceOptions) -> io::Result<RunningService> {
+        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), options).await
+    }
+
+    /// Starts a service at the given address.
+    pub async fn start_at(
+        address: SocketAddr,
+        options: ServiceOptions,
+    ) -> io::Result<RunningService> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(ServiceState {
+            options,
+            running: AtomicUsize::new(0),
+            journal: ServiceJournal::default(),
+            is_dead: watch::Sender::new(false),
+        });
+        tokio::spawn(routes::serve(state.clone(), listener));
+        Ok(RunningService {
+            address,
+            journal: state.journal.clone(),
+            state,
+        })
+    }
+}
+
+/// A service that answers; it runs as long as its runtime.
+#[derive(Clone, Debug)]
+pub struct RunningService {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// What it ran.
+    pub journal: ServiceJournal,
+    state: Arc<ServiceState>,
+}
+
+impl RunningService {
+    /// Breaks all connections and refuses new ones, as a process that died.
+    pub fn kill(&self) {
+        self.state.is_dead.send_replace(true);
+    }
+}
+
+#[derive(Debug)]
+pub(crate) struct ServiceState {
+    pub(crate) options: ServiceOptions,
+    pub(crate) running: AtomicUsize,
+    pub(crate) journal: ServiceJournal,
+    is_dead: watch::Sender<bool>,
+}
+
+impl ServiceState {
+    pub(crate) async fn died(&self) {
+        let mut is_dead = self.is_dead.subscribe();
+        let _ = is_dead.wait_for(|is_dead| *is_dead).await;
+    }
+
+    pub(crate) fn running(&self) -> usize {
+        self.running.load(Ordering::Relaxed)
+    }
+}
