--- a/lovagedock-cli/src/files.rs
+++ b/lovagedock-cli/src/files.rs
@@ -16,7 +16,7 @@
 pub(crate) fn load_config(paths: &[PathBuf]) -> Result<FleetConfig, CommandReport> {
     let files = read_sources(paths)?;
     match parse_files(&files) {
-        Ok(document) => Ok(document.value),
+        Ok(document) => Ok(document.config),
         Err(problems) => Err(report_problems(&problems)),
     }
 }
--- a/lovagedock/src/config/check.rs
+++ b/lovagedock/src/config/check.rs
@@ -1,6 +1,7 @@
 //! Holds the values of a configuration against each other.
 
 use std::{
+    borrow::Cow,
     collections::{HashMap, HashSet},
     fmt::Display,
 };
@@ -102,7 +103,7 @@
         if known.names.contains(name) {
             return;
         }
-        let hint = name_hint(nearest_name(name, known.names.iter().copied()));
+        let hint = name_hint(nearest_name(name, known.names.iter().map(|name| &**name)));
         let found = format!("`{name}`, which is not in `{}`", known.list);
         let expected = format!("the id of a {}", known.kind);
         self.refuse_with_hint(path, found, expected, hint);
@@ -128,19 +129,19 @@
 pub(crate) struct KnownNames<'a> {
     kind: &'static str,
     list: &'static str,
-    names: HashSet<&'a str>,
+    names: HashSet<Cow<'a, str>>,
 }
 
 impl<'a> KnownNames<'a> {
-    pub(crate) fn new(
+    pub(crate) fn new<N: Into<Cow<'a, str>>>(
         kind: &'static str,
         list: &'static str,
-        names: impl Iterator<Item = &'a str>,
+        names: impl Iterator<Item = N>,
     ) -> Self {
         Self {
             kind,
             list,
-            names: names.collect(),
+            names: names.map(Into::into).collect(),
         }
     }
 }
--- a/lovagedock/src/config/check_traffic.rs
+++ b/lovagedock/src/config/check_traffic.rs
@@ -1,7 +1,10 @@
 //! Checks of who may send what: services, organisations, rules, placement.
 
+use crate::registry::{build_policy, policy_names};
+
 use super::{
-    check::{ConfigChecker, KnownNames, UniqueNames, known_models},
+    check::{ConfigChecker, KnownNames, UniqueNames},
+    position::name_hint,
     types::{CallRule, FleetConfig, OrganisationSpec, PoolKind, ServiceKind, ServiceSpec},
 };
 
@@ -9,6 +12,7 @@
 const KEY_HASH_DIGITS: usize = 64;
 const MOST_WEIGHT: u32 = 1_000_000;
 const HOURS_OF_DAY: u8 = 24;
+const ADAPTER_MARK: char = ':';
 const METHODS: &[&str] = &[
     "*", "DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT",
 ];
@@ -25,7 +29,7 @@
         check_deadlines(service, &path, checker);
         if let ServiceKind::Model { model } = &service.kind {
             let path = format!("{path}.kind.model.model");
-            checker.check_reference(&known_models(config), model, &path);
+            checker.check_reference(&known_model_names(config), model, &path);
             checker.check_unique(&mut models, model, path);
         }
         for (index, rule) in service.non_idempotent.iter().enumerate() {
@@ -36,6 +40,20 @@
     check_prefixes(config, checker);
 }
 
+/// Names that a service may have callers put into `model`: models, and models with an adapter.
+fn known_model_names(config: &FleetConfig) -> KnownNames<'_> {
+    let plain = config.models.iter().map(|model| model.id.to_string());
+    let adapted = config.models.iter().flat_map(|model| {
+        let adapters = model.adapters.iter();
+        adapters.map(|adapter| format!("{}{ADAPTER_MARK}{}", model.id, adapter.id))
+    });
+    KnownNames::new("model, or model:adapter", "models", plain.chain(adapted))
+}
+
+fn adapter_base(name: &str) -> Option<&str> {
+    name.rsplit_once(ADAPTER_MARK).map(|(model, _)| model)
+}
+
 fn check_pool(
     config: &FleetConfig,
     service: &ServiceSpec,
@@ -54,7 +72,7 @@
     };
     match (&service.kind, &pool.kind) {
         (ServiceKind::Model { model }, PoolKind::Engines { model: of_pool }) => checker.require(
-            model == of_pool,
+            model == of_pool || adapter_base(model) == Some(&**of_pool),
             &path,
             format!("pool `{}`, whose engines run `{of_pool}`", pool.id),
             &format!("a pool that runs `{model}`"),
@@ -241,12 +259,12 @@
 
 pub(crate) fn check_placement(config: &FleetConfig, checker: &mut ConfigChecker<'_>) {
     let placement = &config.placement;
-    checker.require(
-        !placement.policy.is_empty(),
-        "placement.policy",
-        "an empty name",
-        "the name of a placement policy",
-    );
+    if let Err(unknown) = build_policy(placement) {
+        let hint = name_hint(unknown.nearest);
+        let found = format!("the policy `{}`", unknown.name);
+        let expected = format!("one of {}", policy_names().join(", "));
+        checker.refuse_with_hint("placement.policy", found, expected, hint);
+    }
     checker.require(
         placement.long_tokens > 0,
         "placement.long_tokens",
--- /dev/null
+++ b/lovagedock/src/config/diff.rs
@@ -0,0 +1,159 @@
+//! What an operator's file would change.
+
+use std::fmt;
+
+use serde::Serialize;
+use serde_json::{Map, Value};
+
+use super::types::FleetConfig;
+
+const LONGEST_SHOWN: usize = 80;
+
+/// One difference between two configurations.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct ConfigChange {
+    /// What happened to the value.
+    pub kind: ChangeKind,
+    /// Path of the value; elements of a list go by their id, such as `pools[a].endpoints[e-1]`.
+    pub path: String,
+    /// The old value, unless it is new.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub before: Option<Value>,
+    /// The new value, unless it is gone.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub after: Option<Value>,
+}
+
+/// What happened to a value.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ChangeKind {
+    /// It is new.
+    Added,
+    /// It is gone.
+    Removed,
+    /// It is another value.
+    Changed,
+    /// The elements of a list are the same in another order.
+    Reordered,
+}
+
+impl fmt::Display for ConfigChange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let path = &self.path;
+        let before = self.before.as_ref().map(show).unwrap_or_default();
+        let after = self.after.as_ref().map(show).unwrap_or_default();
+        match self.kind {
+            ChangeKind::Added => write!(f, "+ {path}: {after}"),
+            ChangeKind::Removed => write!(f, "- {path}: {before}"),
+            ChangeKind::Changed => write!(f, "~ {path}: {before} -> {after}"),
+            ChangeKind::Reordered => write!(f, "~ {path}: in another order"),
+        }
+    }
+}
+
+/// Lists what differs; empty when the two are the same.
+pub fn diff_config(old: &FleetConfig, new: &FleetConfig) -> Vec<ConfigChange> {
+    let old = serde_json::to_value(old).unwrap_or_default();
+    let new = serde_json::to_value(new).unwrap_or_default();
+    let mut changes = Vec::new();
+    diff_values("", &old, &new, &mut changes);
+    changes
+}
+
+fn diff_values(path: &str, old: &Value, new: &Value, changes: &mut Vec<ConfigChange>) {
+    match (old, new) {
+        _ if old == new => {}
+        (Value::Object(old), Value::Object(new)) => diff_objects(path, old, new, changes),
+        (Value::Array(old), Value::Array(new)) => diff_arrays(path, old, new, changes),
+        _ => push(ChangeKind::Changed, path, Some(old), Some(new), changes),
+    }
+}
+
+fn diff_objects(
+    path: &str,
+    old: &Map<String, Value>,
+    new: &Map<String, Value>,
+    changes: &mut Vec<ConfigChange>,
+) {
+    let join = |name: &str| match path {
+        "" => name.to_owned(),
+        _ => format!("{path}.{name}"),
+    };
+    for (name, value) in old {
+        match new.get(name) {
+            Some(other) => diff_values(&join(name), value, other, changes),
+            None => push(ChangeKind::Removed, &join(name), Some(value), None, changes),
+        }
+    }
+    for (name, value) in new {
+        if !old.contains_key(name) {
+            push(ChangeKind::Added, &join(name), None, Some(value), changes);
+        }
+    }
+}
+
+/// Elements with an id are compared with the element of the same id. Others are whole values that
+/// are in the list or not.
+fn diff_arrays(path: &str, old: &[Value], new: &[Value], changes: &mut Vec<ConfigChange>) {
+    let mut unmatched: Vec<(String, &Value)> = new.iter().map(|it| (label(it), it)).collect();
+    let mut kept = Vec::new();
+    for value in old {
+        let label = label(value);
+        let path = format!("{path}[{label}]");
+        match unmatched.iter().position(|(other, _)| *other == label) {
+            Some(index) => {
+                diff_values(&path, value, unmatched.remove(index).1, changes);
+                kept.push(label);
+            }
+            None => push(ChangeKind::Removed, &path, Some(value), None, changes),
+        }
+    }
+    for (label, value) in &unmatched {
+        let path = format!("{path}[{label}]");
+        push(ChangeKind::Added, &path, None, Some(value), changes);
+    }
+    let mut order = new.iter().map(label).filter(|label| kept.contains(label));
+    if !kept
+        .iter()
+        .all(|label| order.next().as_ref() == Some(label))
+    {
+        push(ChangeKind::Reordered, path, None, None, changes);
+    }
+}
+
+fn label(value: &Value) -> String {
+    match value.get("id").and_then(Value::as_str) {
+        Some(id) => id.to_owned(),
+        None => match value {
+            Value::String(text) => text.clone(),
+            _ => value.to_string(),
+        },
+    }
+}
+
+fn push(
+    kind: ChangeKind,
+    path: &str,
+    before: Option<&Value>,
+    after: Option<&Value>,
+    changes: &mut Vec<ConfigChange>,
+) {
+    changes.push(ConfigChange {
+        kind,
+        path: path.to_owned(),
+        before: before.cloned(),
+        after: after.cloned(),
+    });
+}
+
+fn show(value: &Value) -> String {
+    let text = value.to_string();
+    if text.chars().count() <= LONGEST_SHOWN {
+        return text;
+    }
+    text.chars()
+        .take(LONGEST_SHOWN)
+        .chain("...".chars())
+        .collect()
+}
--- a/lovagedock/src/config/document.rs
+++ b/lovagedock/src/config/document.rs
@@ -3,8 +3,7 @@
 use std::cmp::Ordering;
 
 use jsonc_parser::{CollectOptions, ParseOptions, ast, parse_to_ast};
-use schemars::{JsonSchema, schema_for};
-use serde::de::DeserializeOwned;
+use schemars::schema_for;
 use serde_json::{Map, Value};
 
 use super::{
@@ -14,11 +13,11 @@
     types::{CONFIG_VERSION, FleetConfig},
 };
 
-/// A value and where each part of it was written.
+/// A configuration and where each part of it was written.
 #[derive(Clone, Debug)]
-pub struct ConfigDocument<T> {
-    /// The value.
-    pub value: T,
+pub struct ConfigDocument {
+    /// The configuration.
+    pub config: FleetConfig,
     /// Places in the text.
     pub sources: SourceMap,
 }
@@ -30,7 +29,7 @@
 /// Every problem of the file, in the order of the text.
 pub fn parse_config(file_name: &str, text: &str) -> Result<FleetConfig, Vec<ConfigProblem>> {
     let file = SourceFile::new(file_name, text);
-    parse_files(std::slice::from_ref(&file)).map(|document| document.value)
+    parse_files(std::slice::from_ref(&file)).map(|document| document.config)
 }
 
 /// Reads and checks a configuration that is spread over files: arrays are put together in the
@@ -39,12 +38,10 @@
 /// # Errors
 ///
 /// Every problem of all files, in the order of the text.
-pub fn parse_files(
-    files: &[SourceFile],
-) -> Result<ConfigDocument<FleetConfig>, Vec<ConfigProblem>> {
+pub fn parse_files(files: &[SourceFile]) -> Result<ConfigDocument, Vec<ConfigProblem>> {
     let schema = schema_for!(FleetConfig).to_value();
-    let mut reading = read_files(&schema, files, Some(CONFIG_VERSION));
-    let config = to_typed::<FleetConfig>(&mut reading);
+    let mut reading = read_files(&schema, files);
+    let config = to_typed(&mut reading);
     if let Some(config) = &config {
         let found = check_config(config, &reading.sources);
         let damaged = &reading.damaged;
@@ -57,22 +54,6 @@
     finish(reading, config, files)
 }
 
-/// Reads a settings file of any type that has a schema, by the same rules as a configuration.
-///
-/// # Errors
-///
-/// Every problem of the file, in the order of the text.
-pub fn parse_settings<T: JsonSchema + DeserializeOwned>(
-    file_name: &str,
-    text: &str,
-) -> Result<ConfigDocument<T>, Vec<ConfigProblem>> {
-    let schema = schema_for!(T).to_value();
-    let files = [SourceFile::new(file_name, text)];
-    let mut reading = read_files(&schema, &files, None);
-    let value = to_typed::<T>(&mut reading);
-    finish(reading, value, &files)
-}
-
 /// What was read so far, good or bad.
 struct DocumentReading {
     value: Option<Value>,
@@ -81,7 +62,7 @@
     damaged: Vec<String>,
 }
 
-fn read_files(schema: &Value, files: &[SourceFile], version: Option<u32>) -> DocumentReading {
+fn read_files(schema: &Value, files: &[SourceFile]) -> DocumentReading {
     let mut sources = SourceMap::default();
     let mut problems = Vec::new();
     let mut damaged = Vec::new();
@@ -93,7 +74,7 @@
             whole = false;
             continue;
         };
-        if let Some(problem) = version.and_then(|version| other_version(&node, version, &lines)) {
+        if let Some(problem) = other_version(&node, &lines) {
             problems.push(problem);
             whole = false;
             continue;
@@ -161,29 +142,25 @@
 
 /// A file of another version is not held against this version's schema: its fields may mean
 /// something else, and a list of unknown fields would hide the one thing that is wrong.
-fn other_version(
-    node: &ast::Value<'_>,
-    version: u32,
-    lines: &LineIndex<'_>,
-) -> Option<ConfigProblem> {
+fn other_version(node: &ast::Value<'_>, lines: &LineIndex<'_>) -> Option<ConfigProblem> {
     let literal = node.as_object()?.get_number("version")?;
     let found = literal.value.parse::<u64>().ok()?;
-    let hint = match found.cmp(&u64::from(version)) {
+    let hint = match found.cmp(&u64::from(CONFIG_VERSION)) {
         Ordering::Equal => return None,
         Ordering::Greater => "the file was written for a newer lovagedock",
         Ordering::Less => "the file was written for an older lovagedock",
     };
     let position = lines.position(literal.range.start);
     let found = format!("file format version {found}");
-    let expected = format!("version {version}");
+    let expected = format!("version {CONFIG_VERSION}");
     let problem = ConfigProblem::new(position, "version", found, expected);
     Some(problem.with_hint(Some(hint.to_owned())))
 }
 
-fn to_typed<T: DeserializeOwned>(reading: &mut DocumentReading) -> Option<T> {
+fn to_typed(reading: &mut DocumentReading) -> Option<FleetConfig> {
     let value = reading.value.take()?;
     match serde_json::from_value(value) {
-        Ok(value) => Some(value),
+        Ok(config) => Some(config),
         Err(error) => {
             let position = reading.sources.position("");
             let problem = ConfigProblem::new(position, "", error.to_string(), "a valid file");
@@ -193,20 +170,20 @@
     }
 }
 
-fn finish<T>(
+fn finish(
     reading: DocumentReading,
-    value: Option<T>,
+    config: Option<FleetConfig>,
     files: &[SourceFile],
-) -> Result<ConfigDocument<T>, Vec<ConfigProblem>> {
+) -> Result<ConfigDocument, Vec<ConfigProblem>> {
     let DocumentReading {
         sources,
         mut problems,
         ..
     } = reading;
-    if let Some(value) = value
+    if let Some(config) = config
         && problems.is_empty()
     {
-        return Ok(ConfigDocument { value, sources });
+        return Ok(ConfigDocument { config, sources });
     }
     let rank = |name: &str| files.iter().position(|file| file.name == name);
     problems.sort_by_key(|problem| (rank(&problem.file), problem.line, problem.column));
--- a/lovagedock/src/config/mod.rs
+++ b/lovagedock/src/config/mod.rs
@@ -7,14 +7,20 @@
 mod check;
 mod check_fleet;
 mod check_traffic;
+mod diff;
 mod document;
+mod node_text;
 mod position;
+mod scalar;
+mod schema;
 mod shape;
 mod types;
 
 pub use check::check_config;
-pub use document::{ConfigDocument, parse_config, parse_files, parse_settings};
+pub use diff::{ChangeKind, ConfigChange, diff_config};
+pub use document::{ConfigDocument, parse_config, parse_files};
 pub use position::{ConfigProblem, SourceFile, SourceMap, SourcePosition};
+pub use schema::{config_reference, config_schema};
 pub use types::{
     AdapterSpec, CONFIG_VERSION, CallRule, DomainSpec, EndpointSpec, FleetConfig, GatewaySpec,
     LengthRule, ModelSpec, OrderCheck, OrganisationLimits, OrganisationSpec, PlacementSpec,
--- a/lovagedock/src/config/shape.rs
+++ b/lovagedock/src/config/shape.rs
@@ -3,18 +3,16 @@
 //! The schema is generated from the types, so that a field that is added there is known here.
 //! Reading goes on after a problem: a bad value yields `None`, and its siblings are still read.
 
-use std::net::SocketAddr;
-
 use jsonc_parser::{ast, common::Ranged};
 use serde_json::{Map, Value};
 
-use super::position::{
-    ConfigProblem, LineIndex, SourceMap, SourcePosition, name_hint, nearest_name,
+use super::{
+    node_text::{
+        describe, join_path, name_list, plain_value, required_names, type_name, variant_name,
+    },
+    position::{ConfigProblem, LineIndex, SourceMap, SourcePosition, name_hint, nearest_name},
 };
 
-const ADDRESS_FORMAT: &str = "ip-port";
-const LONGEST_SHOWN: usize = 60;
-
 pub(crate) struct ShapeReader<'a> {
     root: &'a Value,
     lines: &'a LineIndex<'a>,
@@ -326,66 +324,6 @@
         items.into_iter().collect()
     }
 
-    fn read_integer(
-        &mut self,
-        schema: &'a Value,
-        node: &ast::Value<'_>,
-        path: &str,
-    ) -> Option<Value> {
-        let least = schema["minimum"].as_i64().unwrap_or(i64::MIN);
-        let most = schema["maximum"]
-            .as_u64()
-            .unwrap_or(match schema["format"].as_str() {
-                Some("uint32") => u64::from(u32::MAX),
-                Some("uint16") => u64::from(u16::MAX),
-                _ => u64::MAX,
-            });
-        let expected = match most {
-            u64::MAX => format!("a whole number of at least {least}"),
-            _ => format!("a whole number from {least} to {most}"),
-        };
-        let ast::Value::NumberLit(literal) = node else {
-            return self.refuse(node, path, expected);
-        };
-        match literal.value.parse::<i128>() {
-            Ok(number) if number >= i128::from(least) && number <= i128::from(most) => {
-                serde_json::from_str(&number.to_string()).ok()
-            }
-            _ => self.refuse(node, path, expected),
-        }
-    }
-
-    fn read_number(&mut self, node: &ast::Value<'_>, path: &str) -> Option<Value> {
-        let ast::Value::NumberLit(literal) = node else {
-            return self.refuse(node, path, "a number");
-        };
-        match serde_json::from_str::<serde_json::Number>(literal.value) {
-            Ok(number) => Some(Value::Number(number)),
-            Err(_) => self.refuse(node, path, "a number"),
-        }
-    }
-
-    fn read_string(
-        &mut self,
-        schema: &'a Value,
-        node: &ast::Value<'_>,
-        path: &str,
-    ) -> Option<Value> {
-        let is_address = schema["format"] == ADDRESS_FORMAT;
-        let expected = match is_address {
-            true => "an IP number and port, such as \"10.0.0.1:7000\"",
-            false => "a string",
-        };
-        match node {
-            ast::Value::StringLit(literal)
-                if !is_address || literal.value.parse::<SocketAddr>().is_ok() =>
-            {
-                Some(Value::String(literal.value.to_string()))
-            }
-            _ => self.refuse(node, path, expected),
-        }
-    }
-
     /// Leaves a bad optional value out, unless others may refer to what is in it.
     fn skip_damaged(&mut self, schema: &'a Value, name: &str, path: &str) -> bool {
         self.damaged.push(path.to_owned());
@@ -396,7 +334,7 @@
         self.lines.position(node.range().start)
     }
 
-    fn refuse(
+    pub(super) fn refuse(
         &mut self,
         node: &ast::Value<'_>,
         path: &str,
@@ -418,71 +356,3 @@
         None
     }
 }
-
-fn required_names(schema: &Value) -> impl Iterator<Item = &str> {
-    let names = schema["required"].as_array();
-    names.into_iter().flatten().filter_map(Value::as_str)
-}
-
-/// The type that the schema asks for; of two (a type or null) the one that fits the value.
-fn type_name<'s>(schema: &'s Value, node: &ast::Value<'_>) -> &'s str {
-    let Some(names) = schema["type"].as_array() else {
-        return schema["type"].as_str().unwrap_or_default();
-    };
-    let is_null = matches!(node, ast::Value::NullKeyword(_));
-    let names = names.iter().filter_map(Value::as_str);
-    let mut fitting = names.filter(|name| (*name == "null") == is_null);
-    fitting.next().unwrap_or_default()
-}
-
-fn variant_name(variant: &Value) -> Option<&str> {
-    let bare = variant["const"].as_str();
-    bare.or_else(|| required_names(variant).next())
-}
-
-fn join_path(path: &str, name: &str) -> String {
-    match path {
-        "" => name.to_owned(),
-        _ => format!("{path}.{name}"),
-    }
-}
-
-fn name_list(names: &[&str]) -> String {
-    let quoted: Vec<_> = names.iter().map(|name| format!("`{name}`")).collect();
-    match quoted.as_slice() {
-        [one] => one.clone(),
-        _ => format!("one of {}", quoted.join(", ")),
-    }
-}
-
-fn describe(node: &ast::Value<'_>) -> String {
-    match node {
-        ast::Value::StringLit(literal) => {
-            let shown: String = literal.value.chars().take(LONGEST_SHOWN).collect();
-            format!("the string {shown:?}")
-        }
-        ast::Value::NumberLit(literal) => format!("the number {}", literal.value),
-        ast::Value::BooleanLit(literal) => literal.value.to_string(),
-        ast::Value::Object(_) => "an object".to_owned(),
-        ast::Value::Array(_) => "an array".to_owned(),
-        ast::Value::NullKeyword(_) => "null".to_owned(),
-    }
-}
-
-fn plain_value(node: &ast::Value<'_>) -> Value {
-    match node {
-        ast::Value::StringLit(literal) => Value::String(literal.value.to_string()),
-        ast::Value::NumberLit(literal) => {
-            serde_json::from_str(literal.value).unwrap_or(Value::Null)
-        }
-        ast::Value::BooleanLit(literal) => Value::Bool(literal.value),
-        ast::Value::NullKeyword(_) => Value::Null,
-        ast::Value::Array(array) => array.elements.iter().map(plain_value).collect(),
-        ast::Value::Object(object) => {
-            let fields = object.properties.iter();
-            fields
-                .map(|field| (field.name.as_str().to_owned(), plain_value(&field.value)))
-                .collect()
-        }
-    }
-}
--- a/lovagedock/src/config/types.rs
+++ b/lovagedock/src/config/types.rs
@@ -196,7 +196,8 @@
 pub enum ServiceKind {
     /// By the `model` field of a chat or completion request.
     Model {
-        /// Name that callers put into `model`.
+        /// Name that callers put into `model`: a model's, or `MODEL:ADAPTER` for one with an
+        /// adapter.
         model: ModelId,
     },
     /// By the beginning of the path.
--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -36,10 +36,11 @@
 };
 pub use codes::{RanState, ResultCode};
 pub use config::{
-    AdapterSpec, CONFIG_VERSION, CallRule, ConfigDocument, ConfigProblem, DomainSpec, EndpointSpec,
-    FleetConfig, GatewaySpec, LengthRule, ModelSpec, OrderCheck, OrganisationLimits,
-    OrganisationSpec, PlacementSpec, PoolKind, PoolSpec, PriorityTier, ServiceKind, ServiceSpec,
-    SourceFile, SourceMap, SourcePosition, check_config, parse_config, parse_files, parse_settings,
+    AdapterSpec, CONFIG_VERSION, CallRule, ChangeKind, ConfigChange, ConfigDocument, ConfigProblem,
+    DomainSpec, EndpointSpec, FleetConfig, GatewaySpec, LengthRule, ModelSpec, OrderCheck,
+    OrganisationLimits, OrganisationSpec, PlacementSpec, PoolKind, PoolSpec, PriorityTier,
+    ServiceKind, ServiceSpec, SourceFile, SourceMap, SourcePosition, check_config,
+    config_reference, config_schema, diff_config, parse_config, parse_files,
 };
 pub use cost::CostParameters;
 pub use ids::{
--- a/lovagedock/tests/config_problems.rs
+++ b/lovagedock/tests/config_problems.rs
@@ -222,11 +222,12 @@
         },
         ProblemCase {
             from: "\"services\": [",
-            to: "\"rules\": [{ \"min_tokens\": 9, \"max_tokens\": 3, \"hours\": [8, 25] }], \"placement\": { \"long_share_percent\": 101 }, \"services\": [",
+            to: "\"rules\": [{ \"min_tokens\": 9, \"max_tokens\": 3, \"hours\": [8, 25] }], \"placement\": { \"long_share_percent\": 101, \"policy\": \"lenght-aware\" }, \"services\": [",
             problems: expect![[r#"
                 fleet.jsonc:38:46: rules[0].max_tokens: found 3, expected 0, or at least min_tokens, 9
                 fleet.jsonc:38:62: rules[0].hours[1]: found 25, expected an hour from 0 to 24
                 fleet.jsonc:38:107: placement.long_share_percent: found 101, expected 1 to 100 percent
+                fleet.jsonc:38:122: placement.policy: found the policy `lenght-aware`, expected one of least-outstanding, length-aware, random, round-robin, two-choices; did you mean `length-aware`?
             "#]],
         },
     ]);
@@ -258,7 +259,7 @@
     let more = r#"{ "organisations": [{ "id": "more", "key_hashes": ["HASH"] }] }"#;
     let sound = SourceFile::new("b.jsonc", more.replace("HASH", &"0".repeat(64)));
     let document = parse_files(&[base.clone(), sound]).expect("both files are sound");
-    assert_eq!(document.value.organisations.len(), 2);
+    assert_eq!(document.config.organisations.len(), 2);
     assert_eq!(document.sources.position("organisations[1].id").line, 1);
 
     let wrong = more.replace("\"id\": \"more\"", "\"id\": \"local\", \"weight\": 0");
