Decide at the sidecar what a request becomes

Cause: a sidecar is the one door to its endpoint and needs one place that decides on admission, memory and the outcome of each request. Change: EndpointCore takes wire calls, engine traffic and time as events and returns actions. Conclusion: the daemon can be built against this interface.

--- /dev/null
+++ b/lovagedock/src/endpoint/answers.rs
@@ -0,0 +1,105 @@
+//! Ended answers that a gateway may still resume.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use crate::{
+    endpoint::messages::{AnswerEnd, AttemptKey},
+    ids::{RequestId, Timestamp},
+};
+
+/// An answer that has ended and is still kept by the daemon.
+#[derive(Clone, Debug)]
+pub(crate) struct EndedAnswer {
+    /// The newest attempt that took it.
+    pub(crate) key: AttemptKey,
+    /// How it ended.
+    pub(crate) end: AnswerEnd,
+    until: Timestamp,
+}
+
+/// Keeps ended answers for a bounded time, count and number of bytes.
+#[derive(Debug)]
+pub(crate) struct AnswerTable {
+    hold: Duration,
+    count: usize,
+    bytes: u64,
+    held_bytes: u64,
+    answers: BTreeMap<RequestId, EndedAnswer>,
+    order: VecDeque<RequestId>,
+}
+
+impl AnswerTable {
+    /// An empty table with its bounds.
+    pub(crate) fn new(hold: Duration, count: usize, bytes: u64) -> Self {
+        Self {
+            hold,
+            count,
+            bytes,
+            held_bytes: 0,
+            answers: BTreeMap::new(),
+            order: VecDeque::new(),
+        }
+    }
+
+    /// Replaces the bounds; what is over them goes with the next expiry.
+    pub(crate) fn set_bounds(&mut self, hold: Duration, count: usize, bytes: u64) {
+        self.hold = hold;
+        self.count = count;
+        self.bytes = bytes;
+    }
+
+    /// Keeps an answer; a request ends only once.
+    pub(crate) fn insert(&mut self, now: Timestamp, key: AttemptKey, end: AnswerEnd) {
+        self.held_bytes += end.length;
+        let until = now + self.hold;
+        let answer = EndedAnswer { key, end, until };
+        self.answers.insert(key.request, answer);
+        self.order.push_back(key.request);
+    }
+
+    /// The answer of a request.
+    pub(crate) fn get(&self, request: RequestId) -> Option<&EndedAnswer> {
+        self.answers.get(&request)
+    }
+
+    /// Lets a newer attempt take the answer.
+    pub(crate) fn attach(&mut self, key: AttemptKey) {
+        if let Some(answer) = self.answers.get_mut(&key.request) {
+            answer.key = key;
+        }
+    }
+
+    /// Takes out what is past its time or over the bounds, oldest first.
+    pub(crate) fn expire(&mut self, now: Timestamp) -> Vec<EndedAnswer> {
+        let mut gone = Vec::new();
+        while self.oldest_is_over(now) {
+            let Some(request) = self.order.pop_front() else {
+                break;
+            };
+            if let Some(answer) = self.answers.remove(&request) {
+                self.held_bytes -= answer.end.length;
+                gone.push(answer);
+            }
+        }
+        gone
+    }
+
+    /// When the oldest answer is past its time.
+    pub(crate) fn next_due(&self) -> Option<Timestamp> {
+        let oldest = self.order.front()?;
+        self.answers.get(oldest).map(|answer| answer.until)
+    }
+
+    /// Number of answers kept.
+    pub(crate) fn len(&self) -> usize {
+        self.answers.len()
+    }
+
+    fn oldest_is_over(&self, now: Timestamp) -> bool {
+        let over_bounds = self.answers.len() > self.count || self.held_bytes > self.bytes;
+        over_bounds || self.next_due().is_some_and(|due| due <= now)
+    }
+}
--- /dev/null
+++ b/lovagedock/src/endpoint/engine.rs
@@ -0,0 +1,215 @@
+//! What the engine says: starts, bytes, ends, its account of memory, its death.
+
+use crate::{
+    codes::{RanState, ResultCode},
+    endpoint::{
+        core::EndpointCore,
+        entry::{RequestEntry, RequestPhase},
+        limits::{EndpointLimits, OrganisationShare},
+        messages::{
+            AnswerEnd, AttemptKey, EndpointAction, EngineAnswer, EngineHolding, EngineReport,
+            EngineResult,
+        },
+        speed::RunSample,
+    },
+    ids::{RequestId, Timestamp},
+};
+
+impl EndpointCore {
+    pub(super) fn engine_started(&mut self, key: AttemptKey) {
+        if let Some(entry) = self.started_entry(key) {
+            entry.phase = RequestPhase::Running;
+        }
+    }
+
+    pub(super) fn engine_bytes(&mut self, now: Timestamp, key: AttemptKey, length: u64) {
+        let Some(entry) = self.started_entry(key) else {
+            return;
+        };
+        entry.phase = RequestPhase::Running;
+        entry.first_bytes.get_or_insert(now);
+        let offset = entry.delivered;
+        entry.delivered += length;
+        let key = entry.key;
+        self.actions.push(EndpointAction::Deliver {
+            key,
+            offset,
+            length,
+        });
+    }
+
+    pub(super) fn engine_ended(&mut self, now: Timestamp, key: AttemptKey, result: EngineResult) {
+        let Some(entry) = self.started_entry(key) else {
+            return self.late_end(key);
+        };
+        let delivered = entry.delivered;
+        let started = entry.phase == RequestPhase::Running;
+        let end = match result {
+            EngineResult::Finished(answer) => {
+                self.learn(now, key.request, &answer);
+                finished_end(&answer, delivered)
+            }
+            EngineResult::Refused { detail } if !started => {
+                AnswerEnd::new(ResultCode::EngineRefused)
+                    .with_detail(detail)
+                    .with_retry_after(self.retry_after())
+            }
+            EngineResult::Refused { detail } | EngineResult::Failed { detail } => {
+                AnswerEnd::new(ResultCode::EngineFailed).with_detail(detail)
+            }
+            EngineResult::Cancelled => {
+                AnswerEnd::new(ResultCode::EngineFailed).with_detail("cancelled on the engine")
+            }
+        };
+        self.finish(now, key.request, end, true);
+    }
+
+    /// The engine's word on a request that has got its end here before: its memory is free. An
+    /// end of another attempt than the one that holds the memory says nothing.
+    fn late_end(&mut self, key: AttemptKey) {
+        let here = self.table.contains_key(&key.request);
+        if !here && key.incarnation == self.incarnation {
+            self.free_memory(key.request);
+        }
+    }
+
+    pub(super) fn engine_account(&mut self, now: Timestamp, account: &[EngineHolding]) {
+        let grace = self.limits.orphan_grace;
+        let lost = self.ledger.reconcile(now, account, grace);
+        for request in lost {
+            // The engine forgot it; waiting for its deadline would hold the caller for nothing.
+            let end = AnswerEnd::new(ResultCode::EngineFailed)
+                .with_detail("the engine does not hold the request any more");
+            self.finish(now, request, end, false);
+        }
+    }
+
+    pub(super) fn engine_report(&mut self, now: Timestamp, report: EngineReport) {
+        self.speed.set_report(report);
+        self.batch_size = report.batch_size;
+        if report.memory_tokens > 0 {
+            self.ledger.set_memory(report.memory_tokens);
+            self.refuse_too_large(now);
+        }
+    }
+
+    pub(super) fn engine_down(&mut self, now: Timestamp) {
+        self.engine_up = false;
+        self.ledger.clear();
+        let running = self.table.values().filter(|entry| !entry.is_queued());
+        let running: Vec<_> = running
+            .map(|entry| (entry.key.request, lost_end(entry)))
+            .collect();
+        for (request, end) in running {
+            self.finish(now, request, end, true);
+        }
+        self.finish_queued(now, ResultCode::EngineRefused);
+    }
+
+    pub(super) fn configure(
+        &mut self,
+        now: Timestamp,
+        limits: EndpointLimits,
+        shares: Vec<OrganisationShare>,
+    ) {
+        let bounds = (limits.tombstone_hold, limits.tombstone_count);
+        self.revoked.set_bounds(bounds.0, bounds.1);
+        self.refused.set_bounds(bounds.0, bounds.1);
+        self.answers
+            .set_bounds(limits.answer_hold, limits.answer_count, limits.answer_bytes);
+        if limits.memory_tokens != self.limits.memory_tokens {
+            self.ledger.set_memory(limits.memory_tokens);
+        }
+        self.limits = limits;
+        let shares = shares.into_iter();
+        self.shares = shares
+            .map(|share| (share.organisation.clone(), share))
+            .collect();
+        self.refuse_too_large(now);
+    }
+
+    /// What waits for more memory than the engine turned out to have never starts.
+    fn refuse_too_large(&mut self, now: Timestamp) {
+        for request in self.queue.too_large(self.ledger.memory()) {
+            let end = AnswerEnd::new(ResultCode::NoCapacity)
+                .with_detail("it does not fit the memory of this engine any more");
+            self.finish(now, request, end, false);
+        }
+    }
+
+    pub(super) fn collect_memory(&mut self, now: Timestamp) {
+        if !self.safeguards.orphan_collection {
+            return;
+        }
+        let limits = &self.limits;
+        let due = self
+            .ledger
+            .collect(now, limits.orphan_grace, limits.cancel_retry);
+        let cancels = due.into_iter().map(EndpointAction::CancelOnEngine);
+        self.actions.extend(cancels);
+    }
+
+    pub(super) fn free_memory(&mut self, request: RequestId) {
+        self.ledger.release(request);
+        self.queue.note_end(request);
+    }
+
+    /// Tells the engine to free what a request holds; the lease stays until it has.
+    pub(super) fn close_memory(&mut self, now: Timestamp, request: RequestId) {
+        self.queue.note_end(request);
+        let retry = self.limits.cancel_retry;
+        if self.ledger.close(now, request, retry) {
+            self.actions.push(EndpointAction::CancelOnEngine(request));
+        }
+    }
+
+    /// The entry that the engine means. Bytes and ends of another attempt, or of a request that
+    /// has got its end, never reach a caller.
+    fn started_entry(&mut self, key: AttemptKey) -> Option<&mut RequestEntry> {
+        let entry = self.table.get_mut(&key.request)?;
+        (entry.started == Some(key)).then_some(entry)
+    }
+
+    fn learn(&mut self, now: Timestamp, request: RequestId, answer: &EngineAnswer) {
+        let Some(entry) = self.table.get(&request) else {
+            return;
+        };
+        let Some(first) = entry.first_bytes else {
+            return;
+        };
+        self.speed.observe(RunSample {
+            prefilled: answer.prompt_tokens.saturating_sub(answer.cached_tokens),
+            prefill: first - entry.started_at,
+            decode: now - first,
+            answered: answer.answer_tokens,
+            asked: entry.order.answer_tokens,
+        });
+    }
+}
+
+/// A whole answer, unless bytes are missing: then its digest would vouch for what the caller
+/// never got.
+fn finished_end(answer: &EngineAnswer, delivered: u64) -> AnswerEnd {
+    if answer.length != delivered {
+        let detail = format!("{} bytes of {} came", delivered, answer.length);
+        return AnswerEnd::new(ResultCode::AnswerDamaged).with_detail(detail);
+    }
+    AnswerEnd {
+        digest: Some(answer.digest),
+        prompt_tokens: answer.prompt_tokens,
+        cached_tokens: answer.cached_tokens,
+        answer_tokens: answer.answer_tokens,
+        ..AnswerEnd::new(ResultCode::Complete)
+    }
+}
+
+fn lost_end(entry: &RequestEntry) -> AnswerEnd {
+    match entry.phase {
+        RequestPhase::Running => {
+            AnswerEnd::new(ResultCode::EngineFailed).with_detail("the engine died")
+        }
+        RequestPhase::Queued | RequestPhase::Starting => AnswerEnd::new(ResultCode::EndpointLost)
+            .with_ran(RanState::Unknown)
+            .with_detail("the engine died before it confirmed the start"),
+    }
+}
--- /dev/null
+++ b/lovagedock/src/endpoint/ledger.rs
@@ -0,0 +1,308 @@
+//! Leases on an engine's memory, reconciled with the engine's own account.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use crate::{
+    endpoint::messages::EngineHolding,
+    ids::{RequestId, Timestamp, TokenCount},
+};
+
+/// Why memory is leased.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeaseState {
+    /// A request that was started, or a span's request that waits for its start.
+    Running,
+    /// A reservation for a span that lapses by itself.
+    Reserved {
+        /// When it lapses without renewal.
+        until: Timestamp,
+    },
+    /// The owner is gone and the engine was told to free it.
+    Closing {
+        /// When the engine was told first.
+        since: Timestamp,
+        /// When the engine is told again.
+        retry_at: Timestamp,
+    },
+}
+
+/// A lease on memory of an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MemoryLease {
+    /// Tokens of KV memory.
+    pub tokens: TokenCount,
+    /// Why it is leased.
+    pub state: LeaseState,
+    /// Whether the engine's account has shown it.
+    seen: bool,
+    /// Since when the account, which showed it before, lacks it.
+    missing_since: Option<Timestamp>,
+}
+
+/// Memory that the engine holds and no lease explains.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct OrphanHolding {
+    tokens: TokenCount,
+    cancel_at: Timestamp,
+}
+
+/// A lease for everything that holds memory of the engine.
+///
+/// The ledger decides what fits, the engine's account what is true: without the account, memory
+/// of a request whose owner died (a crash of this sidecar, a lost cancellation) would stay
+/// occupied for good and the engine would fill up. Whatever no lease explains for a stated time
+/// is cancelled again and again until the account lacks it, so no block stays without an owner.
+#[derive(Debug, Default)]
+pub struct MemoryLedger {
+    memory: TokenCount,
+    leased: TokenCount,
+    orphaned: TokenCount,
+    leases: BTreeMap<RequestId, MemoryLease>,
+    orphans: BTreeMap<RequestId, OrphanHolding>,
+    accounted: bool,
+}
+
+impl MemoryLedger {
+    /// An empty ledger of an engine with so much memory.
+    pub fn new(memory: TokenCount) -> Self {
+        Self {
+            memory,
+            ..Self::default()
+        }
+    }
+
+    /// Changes the size of the memory; leases stay.
+    pub fn set_memory(&mut self, memory: TokenCount) {
+        self.memory = memory;
+    }
+
+    /// All memory, in tokens.
+    pub fn memory(&self) -> TokenCount {
+        self.memory
+    }
+
+    /// Sum of all leases.
+    pub fn leased(&self) -> TokenCount {
+        self.leased
+    }
+
+    /// Memory that the engine holds without a lease.
+    pub fn orphaned(&self) -> TokenCount {
+        self.orphaned
+    }
+
+    /// Memory that a new lease may take.
+    pub fn free(&self) -> TokenCount {
+        self.memory.saturating_sub(self.leased + self.orphaned)
+    }
+
+    /// All leases by request.
+    pub fn leases(&self) -> impl Iterator<Item = (RequestId, &MemoryLease)> {
+        self.leases.iter().map(|(request, lease)| (*request, lease))
+    }
+
+    /// The lease of a request.
+    pub fn lease(&self, request: RequestId) -> Option<&MemoryLease> {
+        self.leases.get(&request)
+    }
+
+    /// Whether the engine holds memory under this request that no lease explains.
+    pub fn is_orphan(&self, request: RequestId) -> bool {
+        self.orphans.contains_key(&request)
+    }
+
+    /// Requests whose memory no lease explains.
+    pub fn orphans(&self) -> impl Iterator<Item = RequestId> {
+        self.orphans.keys().copied()
+    }
+
+    /// Memory reserved for spans that have not started.
+    pub fn reserved(&self) -> TokenCount {
+        self.leases
+            .values()
+            .filter(|lease| matches!(lease.state, LeaseState::Reserved { .. }))
+            .map(|lease| lease.tokens)
+            .sum()
+    }
+
+    /// Grants a lease if it fits; a lease that the request has already changes its state only.
+    pub fn grant(&mut self, request: RequestId, tokens: TokenCount, state: LeaseState) -> bool {
+        if let Some(lease) = self.leases.get_mut(&request) {
+            lease.state = state;
+            return true;
+        }
+        if tokens > self.free() {
+            return false;
+        }
+        let lease = MemoryLease {
+            tokens,
+            state,
+            seen: false,
+            missing_since: None,
+        };
+        self.leases.insert(request, lease);
+        self.leased += tokens;
+        true
+    }
+
+    /// The owner is gone: the lease stays until the engine has freed the memory.
+    ///
+    /// Returns whether there was a lease, that is, whether the engine has to be told.
+    pub fn close(&mut self, now: Timestamp, request: RequestId, retry: Duration) -> bool {
+        let Some(lease) = self.leases.get_mut(&request) else {
+            return false;
+        };
+        lease.state = LeaseState::Closing {
+            since: now,
+            retry_at: now + retry,
+        };
+        true
+    }
+
+    /// The engine has freed the memory.
+    pub fn release(&mut self, request: RequestId) {
+        if let Some(lease) = self.leases.remove(&request) {
+            self.leased -= lease.tokens;
+        }
+    }
+
+    /// The engine is dead, and its memory with it.
+    pub fn clear(&mut self) {
+        *self = Self::new(self.memory);
+    }
+
+    /// Takes the engine's complete account; returns running requests that it lacks for longer
+    /// than `grace` after it had shown them.
+    pub fn reconcile(
+        &mut self,
+        now: Timestamp,
+        account: &[EngineHolding],
+        grace: Duration,
+    ) -> Vec<RequestId> {
+        self.accounted = true;
+        let held: BTreeSet<_> = account.iter().map(|holding| holding.request).collect();
+        self.adopt_orphans(now, account, grace);
+        self.orphans.retain(|request, _| held.contains(request));
+        self.orphaned = self.orphans.values().map(|orphan| orphan.tokens).sum();
+        self.correct_leases(account);
+        self.drop_freed(&held);
+        self.note_missing(now, &held, grace)
+    }
+
+    /// Requests that the engine has to be told to cancel now, for the first time or again.
+    pub fn collect(&mut self, now: Timestamp, grace: Duration, retry: Duration) -> Vec<RequestId> {
+        let accounted = self.accounted;
+        let lost = |lease: &MemoryLease| match lease.state {
+            LeaseState::Closing { since, .. } => !accounted && since + grace <= now,
+            _ => false,
+        };
+        // An engine that gives no account and confirms no cancellation cannot be asked: the
+        // lease goes after the grace, or a lost confirmation would occupy it for good.
+        let unconfirmed = self.leases.iter().filter(|(_, lease)| lost(lease));
+        let unconfirmed: Vec<_> = unconfirmed.map(|(request, _)| *request).collect();
+        for request in unconfirmed {
+            self.release(request);
+        }
+        let mut due = Vec::new();
+        for (request, lease) in &mut self.leases {
+            if let LeaseState::Closing { retry_at, .. } = &mut lease.state
+                && *retry_at <= now
+            {
+                *retry_at = now + retry;
+                due.push(*request);
+            }
+        }
+        for (request, orphan) in &mut self.orphans {
+            if orphan.cancel_at <= now {
+                orphan.cancel_at = now + retry;
+                due.push(*request);
+            }
+        }
+        due
+    }
+
+    /// Reservations that have lapsed.
+    pub fn lapsed(&self, now: Timestamp) -> Vec<RequestId> {
+        let lapsed = |lease: &MemoryLease| match lease.state {
+            LeaseState::Reserved { until } => until <= now,
+            _ => false,
+        };
+        let leases = self.leases.iter().filter(|(_, lease)| lapsed(lease));
+        leases.map(|(request, _)| *request).collect()
+    }
+
+    /// When [`Self::collect`] or [`Self::lapsed`] has something to say, at the earliest.
+    pub fn next_due(&self) -> Option<Timestamp> {
+        let leases = self.leases.values().filter_map(|lease| match lease.state {
+            LeaseState::Running => None,
+            LeaseState::Reserved { until } => Some(until),
+            LeaseState::Closing { retry_at, .. } => Some(retry_at),
+        });
+        let orphans = self.orphans.values().map(|orphan| orphan.cancel_at);
+        leases.chain(orphans).min()
+    }
+
+    fn adopt_orphans(&mut self, now: Timestamp, account: &[EngineHolding], grace: Duration) {
+        for holding in account {
+            if self.leases.contains_key(&holding.request) {
+                continue;
+            }
+            let orphan = self
+                .orphans
+                .entry(holding.request)
+                .or_insert(OrphanHolding {
+                    tokens: 0,
+                    cancel_at: now + grace,
+                });
+            orphan.tokens = holding.tokens;
+        }
+    }
+
+    /// A prompt that was estimated too short holds more than its lease: the lease grows as far
+    /// as memory is free, so that nothing else is admitted into blocks that are taken.
+    fn correct_leases(&mut self, account: &[EngineHolding]) {
+        for holding in account {
+            let free = self.free();
+            let Some(lease) = self.leases.get_mut(&holding.request) else {
+                continue;
+            };
+            lease.seen = true;
+            lease.missing_since = None;
+            let growth = holding.tokens.saturating_sub(lease.tokens).min(free);
+            lease.tokens += growth;
+            self.leased += growth;
+        }
+    }
+
+    fn drop_freed(&mut self, held: &BTreeSet<RequestId>) {
+        let closed = |lease: &MemoryLease| matches!(lease.state, LeaseState::Closing { .. });
+        let freed = self.leases.iter();
+        let freed = freed.filter(|(request, lease)| closed(lease) && !held.contains(request));
+        let freed: Vec<_> = freed.map(|(request, _)| *request).collect();
+        for request in freed {
+            self.release(request);
+        }
+    }
+
+    fn note_missing(
+        &mut self,
+        now: Timestamp,
+        held: &BTreeSet<RequestId>,
+        grace: Duration,
+    ) -> Vec<RequestId> {
+        let mut lost = Vec::new();
+        for (request, lease) in &mut self.leases {
+            if lease.state != LeaseState::Running || !lease.seen || held.contains(request) {
+                continue;
+            }
+            let since = *lease.missing_since.get_or_insert(now);
+            if since + grace <= now {
+                lost.push(*request);
+            }
+        }
+        lost
+    }
+}
--- /dev/null
+++ b/lovagedock/src/endpoint/mod.rs
@@ -0,0 +1,29 @@
+//! What a sidecar decides: admission, memory, and what became of each request.
+//!
+//! A sidecar is the one door to its endpoint, so it alone can tell whether a request has run,
+//! account for the engine's memory and order what waits. [`EndpointCore`] composes the parts.
+
+mod answers;
+mod core;
+mod engine;
+mod entry;
+mod fair;
+mod head;
+mod ledger;
+mod limits;
+mod messages;
+mod queue;
+mod reserve;
+mod snapshot;
+mod speed;
+mod submit;
+mod tombstones;
+
+pub use self::core::EndpointCore;
+pub use ledger::{LeaseState, MemoryLease, MemoryLedger};
+pub use limits::{EndpointLimits, OrganisationShare, Safeguards};
+pub use messages::{
+    AnswerEnd, AttemptKey, EndpointAction, EndpointEvent, EngineAnswer, EngineHolding,
+    EngineReport, EngineResult, RevokeVerdict, WorkOrder,
+};
+pub use snapshot::{EndpointLoad, EndpointSnapshot, RequestSnapshot};
--- /dev/null
+++ b/lovagedock/src/endpoint/queue.rs
@@ -0,0 +1,286 @@
+//! Requests that wait for the engine, and which goes next.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use crate::{
+    config::PriorityTier,
+    endpoint::{
+        fair::{FairTags, VirtualTime},
+        head::HeadReservation,
+        limits::EndpointLimits,
+        speed::RunCost,
+    },
+    ids::{OrganisationId, RequestId, Timestamp, TokenCount},
+};
+
+/// Candidates looked at behind one that waits for memory.
+const SCAN_DEPTH: usize = 64;
+const TIER_COUNT: usize = 3;
+
+/// A request that waits.
+#[derive(Clone, Debug)]
+pub(crate) struct QueuedWork {
+    /// The request.
+    pub(crate) request: RequestId,
+    /// Organisation that pays for it.
+    pub(crate) organisation: OrganisationId,
+    /// Its priority.
+    pub(crate) tier: PriorityTier,
+    /// Share of the organisation.
+    pub(crate) weight: u32,
+    /// What it is predicted to take.
+    pub(crate) cost: RunCost,
+    /// Memory that it needs.
+    pub(crate) need: TokenCount,
+}
+
+/// What is left of the engine for a start.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct EngineRoom {
+    /// All memory.
+    pub(crate) memory: TokenCount,
+    /// Memory that no lease takes.
+    pub(crate) free: TokenCount,
+}
+
+/// Work that goes before a new request of some tier and organisation.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct WorkAhead {
+    /// Sum of prefill times.
+    pub(crate) prefill: Duration,
+    /// Sum of whole run times.
+    pub(crate) total: Duration,
+}
+
+impl WorkAhead {
+    fn add(&mut self, cost: RunCost) {
+        self.prefill += cost.prefill;
+        self.total += cost.total();
+    }
+}
+
+#[derive(Debug)]
+struct QueueSlot {
+    work: QueuedWork,
+    tag: VirtualTime,
+    sequence: u64,
+    queued_at: Timestamp,
+}
+
+#[derive(Debug, Default)]
+struct TierQueue {
+    by_tag: BTreeSet<TagPlace>,
+    ahead: WorkAhead,
+    tags: FairTags,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct TagPlace {
+    tag: VirtualTime,
+    sequence: u64,
+    request: RequestId,
+}
+
+/// Orders what waits: tiers first, within a tier start-time fair by organisation, with a bounded
+/// share of starts for what has waited longest and a reservation for what waits for memory.
+#[derive(Debug, Default)]
+pub(crate) struct AdmissionQueue {
+    slots: BTreeMap<RequestId, QueueSlot>,
+    tiers: [TierQueue; TIER_COUNT],
+    by_age: BTreeMap<u64, RequestId>,
+    next_sequence: u64,
+    starts_since_aged: u32,
+    tokens: TokenCount,
+    head: HeadReservation,
+}
+
+impl AdmissionQueue {
+    /// Puts a request at the end of its organisation's line.
+    pub(crate) fn push(&mut self, now: Timestamp, work: QueuedWork) {
+        let sequence = self.next_sequence;
+        self.next_sequence += 1;
+        let request = work.request;
+        let tier = &mut self.tiers[work.tier as usize];
+        let cost = work.cost.total();
+        let tag = tier.tags.push(&work.organisation, cost, work.weight);
+        tier.ahead.add(work.cost);
+        tier.by_tag.insert(TagPlace {
+            tag,
+            sequence,
+            request,
+        });
+        self.by_age.insert(sequence, request);
+        self.tokens += work.need;
+        let slot = QueueSlot {
+            work,
+            tag,
+            sequence,
+            queued_at: now,
+        };
+        self.slots.insert(request, slot);
+    }
+
+    /// Takes out the request that is to start now, if any fits.
+    pub(crate) fn pop(
+        &mut self,
+        now: Timestamp,
+        room: EngineRoom,
+        limits: &EndpointLimits,
+        reserve: bool,
+    ) -> Option<QueuedWork> {
+        let (request, aged) = self.choose(now, room, limits, reserve)?;
+        let tag = self.slots.get(&request)?.tag;
+        let was_head = self.head.is(request);
+        let work = self.remove(request)?;
+        self.tiers[work.tier as usize].tags.start(tag);
+        self.starts_since_aged = if aged { 0 } else { self.starts_since_aged + 1 };
+        if !was_head {
+            self.head.note_start(request, work.need);
+        }
+        Some(work)
+    }
+
+    /// Takes a request out.
+    pub(crate) fn remove(&mut self, request: RequestId) -> Option<QueuedWork> {
+        let slot = self.slots.remove(&request)?;
+        let tier = &mut self.tiers[slot.work.tier as usize];
+        tier.by_tag.remove(&TagPlace {
+            tag: slot.tag,
+            sequence: slot.sequence,
+            request,
+        });
+        tier.ahead.prefill -= slot.work.cost.prefill;
+        tier.ahead.total -= slot.work.cost.total();
+        if tier.by_tag.is_empty() {
+            tier.tags.clear();
+        }
+        self.by_age.remove(&slot.sequence);
+        self.tokens -= slot.work.need;
+        self.head.clear_if(request);
+        Some(slot.work)
+    }
+
+    /// A started request has left the engine.
+    pub(crate) fn note_end(&mut self, request: RequestId) {
+        self.head.note_end(request);
+    }
+
+    /// Whether memory may be given to something outside of the queue beside the waiting head.
+    pub(crate) fn leaves_room(&self, need: TokenCount, room: EngineRoom) -> bool {
+        need <= room.free && self.head.leaves_room(need, room.memory)
+    }
+
+    /// Memory was given to something outside of the queue.
+    pub(crate) fn note_taken(&mut self, request: RequestId, need: TokenCount) {
+        self.head.note_start(request, need);
+    }
+
+    /// The request to shed for a new one: the last in the order of the lowest tier, if the new
+    /// one would go before it.
+    pub(crate) fn victim(&self, tier: PriorityTier, organisation: &str) -> Option<RequestId> {
+        let lowest = self.tiers.iter().position(|tier| !tier.by_tag.is_empty())?;
+        let last = self.tiers[lowest].by_tag.last()?;
+        let goes_before = match lowest.cmp(&(tier as usize)) {
+            std::cmp::Ordering::Less => true,
+            std::cmp::Ordering::Equal => self.tiers[lowest].tags.next(organisation) < last.tag,
+            std::cmp::Ordering::Greater => false,
+        };
+        goes_before.then_some(last.request)
+    }
+
+    /// Work that goes before a new request.
+    pub(crate) fn ahead_of(&self, tier: PriorityTier, organisation: &str) -> WorkAhead {
+        let rank = tier as usize;
+        let mut ahead = WorkAhead::default();
+        for higher in &self.tiers[rank + 1..] {
+            ahead.prefill += higher.ahead.prefill;
+            ahead.total += higher.ahead.total;
+        }
+        let own = &self.tiers[rank];
+        let tag = own.tags.next(organisation);
+        if own.by_tag.last().is_none_or(|last| last.tag <= tag) {
+            ahead.prefill += own.ahead.prefill;
+            ahead.total += own.ahead.total;
+            return ahead;
+        }
+        for place in own.by_tag.iter().take_while(|place| place.tag <= tag) {
+            ahead.add(self.slots[&place.request].work.cost);
+        }
+        ahead
+    }
+
+    /// Requests that need more memory than there is.
+    pub(crate) fn too_large(&self, memory: TokenCount) -> Vec<RequestId> {
+        let slots = self.slots.values();
+        let slots = slots.filter(|slot| slot.work.need > memory);
+        slots.map(|slot| slot.work.request).collect()
+    }
+
+    /// Number of requests that wait.
+    pub(crate) fn len(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// Memory that all of them need.
+    pub(crate) fn tokens(&self) -> TokenCount {
+        self.tokens
+    }
+
+    /// The request that memory is being kept free for.
+    pub(crate) fn waiting_head(&self) -> Option<RequestId> {
+        self.head.request()
+    }
+
+    fn choose(
+        &mut self,
+        now: Timestamp,
+        room: EngineRoom,
+        limits: &EndpointLimits,
+        reserve: bool,
+    ) -> Option<(RequestId, bool)> {
+        if let Some(head) = self.head.request()
+            && self.need(head) <= room.free
+        {
+            return Some((head, false));
+        }
+        for (request, aged) in self.candidates(now, limits) {
+            let need = self.need(request);
+            let fits = need <= room.free;
+            if fits && (!reserve || self.head.lets_pass(now, need, room.memory, limits.bypass)) {
+                return Some((request, aged));
+            }
+            if !fits && reserve {
+                self.head.set_if_none(now, request, need);
+            }
+        }
+        None
+    }
+
+    /// The order in which requests are tried.
+    fn candidates(&self, now: Timestamp, limits: &EndpointLimits) -> Vec<(RequestId, bool)> {
+        let aged = self.aged(now, limits);
+        let by_tier = self.tiers.iter().rev().flat_map(|tier| tier.by_tag.iter());
+        let by_tier = by_tier.map(|place| (place.request, false));
+        let aged = aged.map(|request| (request, true));
+        aged.into_iter().chain(by_tier).take(SCAN_DEPTH).collect()
+    }
+
+    /// What has waited longest goes first in one of a few starts. Strict tiers alone would let a
+    /// steady stream of short interactive requests starve a long batch prompt until its
+    /// deadline; the bounded share keeps the tiers from turning into one line under overload.
+    fn aged(&self, now: Timestamp, limits: &EndpointLimits) -> Option<RequestId> {
+        if limits.aged_interval == 0 || self.starts_since_aged + 1 < limits.aged_interval {
+            return None;
+        }
+        let (_, request) = self.by_age.first_key_value()?;
+        let slot = self.slots.get(request)?;
+        (slot.queued_at + limits.ageing <= now).then_some(*request)
+    }
+
+    fn need(&self, request: RequestId) -> TokenCount {
+        self.slots.get(&request).map_or(0, |slot| slot.work.need)
+    }
+}
--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -19,6 +19,7 @@
 mod codes;
 mod config;
 mod cost;
+pub mod endpoint;
 mod ids;
 mod length;
 mod outcome;
