Use the shared outcome and cost types at the endpoint

Cause: the types of attempts, ends and costs landed beside this one. Change: the endpoint takes them over; code 2013 tells a revoked attempt; its switches are named EndpointSafeguards. Conclusion: one definition of each type.

--- a/lovagedock/src/codes.rs
+++ b/lovagedock/src/codes.rs
@@ -112,13 +112,10 @@
     NotConfigured = 2010, 503, No, "no configuration is in force yet";
     /// The retry budget is spent; the attempt did not run.
     RetriesExhausted = 2011, 503, No, "no attempt was accepted and the retry budget is spent";
-<<<<<<< HEAD
     /// The time of the request passed and nobody told whether it had started.
     ExpiredUnknown = 2012, 504, Unknown, "the deadline passed and it is not known whether the request ran";
-=======
     /// The gateway gave the attempt up before it started; it never will.
-    Revoked = 2012, 409, No, "the attempt was given up before it started";
->>>>>>> a5d1372 (Decide at the sidecar what a request becomes)
+    Revoked = 2013, 409, No, "the attempt was given up before it started";
 
     /// The endpoint was lost while the request may have been running.
     EndpointLost = 3001, 502, Unknown, "the endpoint was lost while the request may have run";
--- a/lovagedock/src/endpoint/answers.rs
+++ b/lovagedock/src/endpoint/answers.rs
@@ -6,8 +6,8 @@
 };
 
 use crate::{
-    endpoint::messages::{AnswerEnd, AttemptKey},
     ids::{RequestId, Timestamp},
+    outcome::{AnswerEnd, AttemptKey},
 };
 
 /// An answer that has ended and is still kept by the daemon.
--- a/lovagedock/src/endpoint/core.rs
+++ b/lovagedock/src/endpoint/core.rs
@@ -12,13 +12,14 @@
         answers::AnswerTable,
         entry::{RequestEntry, RequestPhase},
         ledger::{LeaseState, MemoryLedger},
-        limits::{EndpointLimits, OrganisationShare, Safeguards},
-        messages::{AnswerEnd, AttemptKey, EndpointAction, EndpointEvent, RevokeVerdict},
+        limits::{EndpointLimits, EndpointSafeguards, OrganisationShare},
+        messages::{EndpointAction, EndpointEvent},
         queue::{AdmissionQueue, EngineRoom},
         speed::EngineSpeed,
         tombstones::{Tombstone, TombstoneTable},
     },
     ids::{Incarnation, OrganisationId, RequestId, Timestamp},
+    outcome::{AnswerEnd, AttemptKey, RevokeVerdict},
 };
 
 /// Everything that a sidecar decides about the work of its endpoint.
@@ -29,7 +30,7 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use lovagedock::endpoint::{EndpointCore, EndpointEvent, EndpointLimits};
+/// use lovagedock::{EndpointCore, EndpointEvent, EndpointLimits};
 ///
 /// let mut core = EndpointCore::new(7, EndpointLimits::default());
 /// let actions = core.handle(Duration::ZERO, EndpointEvent::Tick);
@@ -39,7 +40,7 @@
 pub struct EndpointCore {
     pub(super) incarnation: Incarnation,
     pub(super) limits: EndpointLimits,
-    pub(super) safeguards: Safeguards,
+    pub(super) safeguards: EndpointSafeguards,
     pub(super) shares: BTreeMap<OrganisationId, OrganisationShare>,
     pub(super) table: BTreeMap<RequestId, RequestEntry>,
     pub(super) running: usize,
@@ -70,7 +71,7 @@
     pub fn new(incarnation: Incarnation, limits: EndpointLimits) -> Self {
         Self {
             incarnation,
-            safeguards: Safeguards::default(),
+            safeguards: EndpointSafeguards::default(),
             shares: BTreeMap::new(),
             table: BTreeMap::new(),
             running: 0,
@@ -93,7 +94,7 @@
     }
 
     /// Switches safeguards, for tests that show what happens without one.
-    pub fn with_safeguards(mut self, safeguards: Safeguards) -> Self {
+    pub fn with_safeguards(mut self, safeguards: EndpointSafeguards) -> Self {
         self.safeguards = safeguards;
         self
     }
--- a/lovagedock/src/endpoint/engine.rs
+++ b/lovagedock/src/endpoint/engine.rs
@@ -6,13 +6,11 @@
         core::EndpointCore,
         entry::{RequestEntry, RequestPhase},
         limits::{EndpointLimits, OrganisationShare},
-        messages::{
-            AnswerEnd, AttemptKey, EndpointAction, EngineAnswer, EngineHolding, EngineReport,
-            EngineResult,
-        },
+        messages::{EndpointAction, EngineAnswer, EngineHolding, EngineReport, EngineResult},
         speed::RunSample,
     },
     ids::{RequestId, Timestamp},
+    outcome::{AnswerEnd, AttemptKey},
 };
 
 impl EndpointCore {
@@ -85,7 +83,7 @@
     }
 
     pub(super) fn engine_report(&mut self, now: Timestamp, report: EngineReport) {
-        self.speed.set_report(report);
+        self.speed.set_reported(report.cost);
         self.batch_size = report.batch_size;
         if report.memory_tokens > 0 {
             self.ledger.set_memory(report.memory_tokens);
--- a/lovagedock/src/endpoint/entry.rs
+++ b/lovagedock/src/endpoint/entry.rs
@@ -1,11 +1,9 @@
 //! A request that waits or runs.
 
 use crate::{
-    endpoint::{
-        messages::{AttemptKey, WorkOrder},
-        speed::RunCost,
-    },
+    endpoint::{messages::WorkOrder, speed::RunCost},
     ids::{Timestamp, TokenCount},
+    outcome::AttemptKey,
 };
 
 /// How far a request has come.
--- a/lovagedock/src/endpoint/limits.rs
+++ b/lovagedock/src/endpoint/limits.rs
@@ -105,7 +105,7 @@
 ///
 /// All are on by default; nothing but a test has a reason to switch one off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Safeguards {
+pub struct EndpointSafeguards {
     /// Remember attempts that must not run.
     pub tombstones: bool,
     /// Attach or refuse another attempt of a request that is here.
@@ -120,7 +120,7 @@
     pub head_reservation: bool,
 }
 
-impl Default for Safeguards {
+impl Default for EndpointSafeguards {
     fn default() -> Self {
         Self {
             tombstones: true,
--- a/lovagedock/src/endpoint/messages.rs
+++ b/lovagedock/src/endpoint/messages.rs
@@ -2,31 +2,16 @@
 
 use std::time::Duration;
 
-use serde::Serialize;
-
 use crate::{
-    codes::{RanState, ResultCode},
     config::PriorityTier,
+    cost::CostParameters,
     endpoint::limits::{EndpointLimits, OrganisationShare},
-    ids::{
-        AttemptNumber, EndpointId, Incarnation, OrganisationId, RequestId, ServiceId, Timestamp,
-        TokenCount,
-    },
+    ids::{EndpointId, OrganisationId, RequestId, ServiceId, Timestamp, TokenCount},
+    outcome::{AnswerEnd, AttemptKey, RevokeVerdict},
 };
 
-/// Names one attempt of one request at one life of a sidecar.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize)]
-pub struct AttemptKey {
-    /// The caller's request.
-    pub request: RequestId,
-    /// Attempts of the request count from 1, over all endpoints.
-    pub attempt: AttemptNumber,
-    /// Life of the sidecar that the attempt is meant for.
-    pub incarnation: Incarnation,
-}
-
 /// One request as far as decisions need it; the daemon keeps the payload.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct WorkOrder {
     /// Which attempt this is.
     pub key: AttemptKey,
@@ -53,78 +38,6 @@
     pub span: Vec<EndpointId>,
 }
 
-/// How a request ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct AnswerEnd {
-    /// What became of the request.
-    pub code: ResultCode,
-    /// Bytes of the whole answer.
-    pub length: u64,
-    /// BLAKE3 of the whole answer; `None` unless complete.
-    pub digest: Option<[u8; 32]>,
-    /// Whether the request ran here.
-    pub ran: RanState,
-    /// When another try may succeed; zero when time makes no difference.
-    pub retry_after: Duration,
-    /// The reason, for people.
-    pub detail: String,
-    /// Prompt tokens as the engine counted them.
-    pub prompt_tokens: TokenCount,
-    /// Prompt tokens that the engine's prefix cache held.
-    pub cached_tokens: TokenCount,
-    /// Answer tokens as the engine counted them.
-    pub answer_tokens: TokenCount,
-}
-
-impl AnswerEnd {
-    /// An end without an answer; `ran` is what the code says.
-    pub fn new(code: ResultCode) -> Self {
-        Self {
-            code,
-            length: 0,
-            digest: None,
-            ran: code.ran(),
-            retry_after: Duration::ZERO,
-            detail: String::new(),
-            prompt_tokens: 0,
-            cached_tokens: 0,
-            answer_tokens: 0,
-        }
-    }
-
-    /// Replaces whether the request ran.
-    pub fn with_ran(mut self, ran: RanState) -> Self {
-        self.ran = ran;
-        self
-    }
-
-    /// Replaces the reason.
-    pub fn with_detail(mut self, detail: impl Into<String>) -> Self {
-        self.detail = detail.into();
-        self
-    }
-
-    /// Replaces the time after which another try may succeed.
-    pub fn with_retry_after(mut self, retry_after: Duration) -> Self {
-        self.retry_after = retry_after;
-        self
-    }
-}
-
-/// Answer to a revocation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum RevokeVerdict {
-    /// The attempt did not run and never will.
-    Revoked,
-    /// The request is running.
-    Running,
-    /// The request ran and has ended.
-    Ended,
-    /// The named life of the sidecar is over; nobody can tell.
-    OtherLife,
-}
-
 /// How the engine says that a request ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum EngineResult {
@@ -175,12 +88,8 @@
     pub memory_tokens: TokenCount,
     /// Requests that the engine batches at once.
     pub batch_size: usize,
-    /// Nanoseconds of prefill for each prompt token.
-    pub prefill_ns_per_token: f64,
-    /// Growth of prefill with the square of the prompt's length, in nanoseconds.
-    pub prefill_ns_per_token_squared: f64,
-    /// Nanoseconds between two answer tokens.
-    pub decode_ns: f64,
+    /// Speed as the engine or its adapter measured it.
+    pub cost: CostParameters,
 }
 
 /// Something that happened at a sidecar.
--- a/lovagedock/src/endpoint/mod.rs
+++ b/lovagedock/src/endpoint/mod.rs
@@ -21,9 +21,9 @@
 
 pub use self::core::EndpointCore;
 pub use ledger::{LeaseState, MemoryLease, MemoryLedger};
-pub use limits::{EndpointLimits, OrganisationShare, Safeguards};
+pub use limits::{EndpointLimits, EndpointSafeguards, OrganisationShare};
 pub use messages::{
-    AnswerEnd, AttemptKey, EndpointAction, EndpointEvent, EngineAnswer, EngineHolding,
-    EngineReport, EngineResult, RevokeVerdict, WorkOrder,
+    EndpointAction, EndpointEvent, EngineAnswer, EngineHolding, EngineReport, EngineResult,
+    WorkOrder,
 };
 pub use snapshot::{EndpointLoad, EndpointSnapshot, RequestSnapshot};
--- a/lovagedock/src/endpoint/reserve.rs
+++ b/lovagedock/src/endpoint/reserve.rs
@@ -3,12 +3,9 @@
 use std::time::Duration;
 
 use crate::{
-    endpoint::{
-        core::EndpointCore,
-        ledger::LeaseState,
-        messages::{AttemptKey, EndpointAction},
-    },
+    endpoint::{core::EndpointCore, ledger::LeaseState, messages::EndpointAction},
     ids::{RequestId, Timestamp, TokenCount},
+    outcome::AttemptKey,
 };
 
 impl EndpointCore {
--- a/lovagedock/src/endpoint/snapshot.rs
+++ b/lovagedock/src/endpoint/snapshot.rs
@@ -6,9 +6,10 @@
     endpoint::{
         core::EndpointCore,
         entry::{RequestEntry, RequestPhase},
-        messages::AttemptKey,
+        ledger::MemoryLedger,
     },
     ids::{OrganisationId, RequestId, ServiceId, TokenCount, format_request_id},
+    outcome::AttemptKey,
 };
 
 /// Counts for a load report.
@@ -113,7 +114,7 @@
     }
 
     /// The memory ledger.
-    pub fn ledger(&self) -> &crate::endpoint::MemoryLedger {
+    pub fn ledger(&self) -> &MemoryLedger {
         &self.ledger
     }
 
--- a/lovagedock/src/endpoint/speed.rs
+++ b/lovagedock/src/endpoint/speed.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::{endpoint::messages::EngineReport, ids::TokenCount};
+use crate::{cost::CostParameters, ids::TokenCount};
 
 /// Weight of the newest observation.
 const LEARNING_RATE: f64 = 0.2;
@@ -45,7 +45,7 @@
 /// The engine's own report goes before what was observed from outside.
 #[derive(Clone, Debug)]
 pub(crate) struct EngineSpeed {
-    report: EngineReport,
+    reported: CostParameters,
     prefill_ns: f64,
     decode_ns: f64,
     answer_share: f64,
@@ -55,7 +55,7 @@
     /// Nothing known.
     pub(crate) fn new() -> Self {
         Self {
-            report: EngineReport::default(),
+            reported: CostParameters::default(),
             prefill_ns: 0.0,
             decode_ns: 0.0,
             answer_share: FIRST_ANSWER_SHARE,
@@ -63,8 +63,8 @@
     }
 
     /// Takes over what the engine reports.
-    pub(crate) fn set_report(&mut self, report: EngineReport) {
-        self.report = report;
+    pub(crate) fn set_reported(&mut self, reported: CostParameters) {
+        self.reported = reported;
     }
 
     /// Learns from a run.
@@ -85,19 +85,23 @@
 
     /// Predicts a run; all zero while nothing is known.
     pub(crate) fn predict(&self, prompt: TokenCount, answer: TokenCount) -> RunCost {
-        let prompt = prompt as f64;
-        let square = self.report.prefill_ns_per_token_squared * prompt * prompt;
-        let prefill = known(self.report.prefill_ns_per_token, self.prefill_ns) * prompt;
-        let decode = known(self.report.decode_ns, self.decode_ns) * answer as f64;
+        let parameters = self.parameters();
         RunCost {
-            prefill: nanoseconds(prefill + square),
-            decode: nanoseconds(decode * self.answer_share),
+            prefill: parameters.prefill(prompt, 0),
+            decode: parameters.decode(answer).mul_f64(self.answer_share),
         }
     }
-}
 
-fn known(reported: f64, observed: f64) -> f64 {
-    if reported > 0.0 { reported } else { observed }
+    fn parameters(&self) -> CostParameters {
+        let mut parameters = self.reported;
+        if parameters.prefill_ns_per_token == 0.0 {
+            parameters.prefill_ns_per_token = self.prefill_ns;
+        }
+        if parameters.decode_ns == 0.0 {
+            parameters.decode_ns = self.decode_ns;
+        }
+        parameters
+    }
 }
 
 fn blend(old: f64, new: f64) -> f64 {
@@ -106,7 +110,3 @@
     }
     old + LEARNING_RATE * (new - old)
 }
-
-fn nanoseconds(value: f64) -> Duration {
-    Duration::from_nanos(value.max(0.0) as u64)
-}
--- a/lovagedock/src/endpoint/submit.rs
+++ b/lovagedock/src/endpoint/submit.rs
@@ -9,12 +9,13 @@
         core::EndpointCore,
         entry::{RequestEntry, RequestPhase},
         ledger::LeaseState,
-        messages::{AnswerEnd, AttemptKey, EndpointAction, RevokeVerdict, WorkOrder},
+        messages::{EndpointAction, WorkOrder},
         queue::QueuedWork,
         speed::RunCost,
         tombstones::Tombstone,
     },
     ids::{Timestamp, TokenCount},
+    outcome::{AnswerEnd, AttemptKey, RevokeVerdict},
 };
 
 impl EndpointCore {
--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -19,7 +19,7 @@
 mod codes;
 mod config;
 mod cost;
-pub mod endpoint;
+mod endpoint;
 mod ids;
 mod length;
 mod outcome;
@@ -44,6 +44,11 @@
     config_reference, config_schema, diff_config, parse_config, parse_files,
 };
 pub use cost::CostParameters;
+pub use endpoint::{
+    EndpointAction, EndpointCore, EndpointEvent, EndpointLimits, EndpointLoad, EndpointSafeguards,
+    EndpointSnapshot, EngineAnswer, EngineHolding, EngineReport, EngineResult, LeaseState,
+    MemoryLease, MemoryLedger, OrganisationShare, RequestSnapshot, WorkOrder,
+};
 pub use ids::{
     AttemptNumber, BlockCount, DomainId, EndpointId, Epoch, GatewayId, Generation, HostId,
     Incarnation, ModelId, OrganisationId, PoolId, RequestId, ServiceId, Timestamp, TokenCount,
