Decide which configuration is in force and how it spreads

Cause: an accepted configuration has to be in force everywhere within 6 s and never revert, while few processes may watch the store.

Change: AdoptionState for one process, RelayPlan for who watches and who feeds whom (rendezvous hash per region and failure domain, bounded heaps), bundles that carry only the chunks that the receiver lacks, comparisons with random peers as repair, AdoptionCounter for the status command.

Conclusion: 60 random schedules with crashes, lost and damaged messages, store outages and cut regions show no process going back and none adopting what was not accepted; with either safeguard off the same schedules show it.

--- /dev/null
+++ b/lovagedock/src/adoption/bundle.rs
@@ -0,0 +1,165 @@
+//! A configuration as one process hands it to another: what changed since a generation.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use super::manifest::{ChunkHash, ConfigManifest, ManifestDigest, chunk_hash};
+use crate::ids::Generation;
+
+/// A generation as a change of another one, or whole.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigBundle {
+    /// What the receiver will have.
+    pub generation: Generation,
+    /// Digest of the manifest that the receiver will have.
+    pub digest: ManifestDigest,
+    /// What the receiver must have; 0 when the bundle is whole.
+    pub base: Generation,
+    /// Chunks of the base that stay at the beginning.
+    pub prefix: u32,
+    /// Chunks of the base that stay at the end.
+    pub suffix: u32,
+    /// Hashes between the two.
+    pub middle: Vec<ChunkHash>,
+    /// Chunks that the base does not have.
+    pub chunks: Vec<Bytes>,
+}
+
+/// Why a bundle was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BundleError {
+    /// The bytes are not a bundle.
+    Malformed,
+    /// It changes a generation that the receiver does not have.
+    OtherBase,
+    /// The result is not what its digest names.
+    DigestMismatch,
+    /// It lacks a chunk.
+    MissingChunk,
+}
+
+/// A manifest with all its chunks.
+#[derive(Clone, Debug)]
+pub(crate) struct ConfigSnapshot {
+    pub(crate) manifest: ConfigManifest,
+    pub(crate) chunks: BTreeMap<ChunkHash, Bytes>,
+}
+
+impl ConfigBundle {
+    /// Encodes the bundle for the `config` field of the protocol.
+    pub fn encode(&self) -> Bytes {
+        let bytes = postcard::to_stdvec(self).expect("a vector takes every bundle");
+        Bytes::from(bytes)
+    }
+
+    /// Reads what [`Self::encode`] wrote.
+    pub fn decode(bytes: &[u8]) -> Result<Self, BundleError> {
+        postcard::from_bytes(bytes).map_err(|_| BundleError::Malformed)
+    }
+}
+
+impl ConfigSnapshot {
+    /// The whole configuration, one chunk after the other.
+    pub(crate) fn text(&self) -> Bytes {
+        let hashes = self.manifest.chunks.iter();
+        let chunks = hashes.filter_map(|hash| self.chunks.get(hash));
+        let parts: Vec<&[u8]> = chunks.map(|chunk| &chunk[..]).collect();
+        Bytes::from(parts.concat())
+    }
+
+    /// What a process at `base` lacks; the whole when there is no base.
+    pub(crate) fn bundle(&self, base: Option<&ConfigManifest>) -> ConfigBundle {
+        let none: Arc<[ChunkHash]> = Arc::new([]);
+        let old = base.map_or(&none, |base| &base.chunks);
+        let new = &self.manifest.chunks;
+        let prefix = common_length(old.iter(), new.iter());
+        let rest = old.len().min(new.len()) - prefix;
+        let suffix = common_length(old.iter().rev(), new.iter().rev()).min(rest);
+        let middle = new[prefix..new.len() - suffix].to_vec();
+        let mut seen: BTreeSet<&ChunkHash> = old.iter().collect();
+        let lacking = middle.iter().filter(|hash| seen.insert(*hash));
+        let chunks = lacking.map(|hash| self.chunks[hash].clone()).collect();
+        ConfigBundle {
+            generation: self.manifest.generation,
+            digest: self.manifest.digest(),
+            base: base.map_or(0, |base| base.generation),
+            prefix: prefix as u32,
+            suffix: suffix as u32,
+            middle,
+            chunks,
+        }
+    }
+
+    /// Applies a bundle to what a process has.
+    pub(crate) fn from_bundle(
+        base: Option<&ConfigSnapshot>,
+        bundle: &ConfigBundle,
+        verify: bool,
+    ) -> Result<Self, BundleError> {
+        let base = base.filter(|_| bundle.base > 0);
+        let has = base.map_or(0, |base| base.manifest.generation);
+        if has != bundle.base {
+            return Err(BundleError::OtherBase);
+        }
+        let chunks = splice(base, bundle)?;
+        let manifest = ConfigManifest {
+            generation: bundle.generation,
+            chunks,
+        };
+        // A bundle that was damaged, or built on another list of chunks, would come into force as
+        // a configuration that nobody accepted. The digest covers the generation, the order and,
+        // by their hashes, the content of all chunks.
+        if verify && manifest.digest() != bundle.digest {
+            return Err(BundleError::DigestMismatch);
+        }
+        Self::collect(manifest, base, &bundle.chunks)
+    }
+
+    /// Puts a manifest together with its chunks, from an older snapshot and new ones.
+    pub(crate) fn collect(
+        manifest: ConfigManifest,
+        base: Option<&ConfigSnapshot>,
+        fresh: &[Bytes],
+    ) -> Result<Self, BundleError> {
+        let fresh: BTreeMap<ChunkHash, &Bytes> = fresh
+            .iter()
+            .map(|chunk| (chunk_hash(chunk), chunk))
+            .collect();
+        let mut chunks = BTreeMap::new();
+        for hash in manifest.chunks.iter() {
+            let old = || base.and_then(|base| base.chunks.get(hash));
+            let chunk = fresh.get(hash).copied().or_else(old);
+            let chunk = chunk.ok_or(BundleError::MissingChunk)?;
+            chunks.insert(*hash, chunk.clone());
+        }
+        Ok(Self { manifest, chunks })
+    }
+}
+
+fn splice(
+    base: Option<&ConfigSnapshot>,
+    bundle: &ConfigBundle,
+) -> Result<Arc<[ChunkHash]>, BundleError> {
+    let none: Arc<[ChunkHash]> = Arc::new([]);
+    let old = base.map_or(&none, |base| &base.manifest.chunks);
+    let prefix = bundle.prefix as usize;
+    let suffix = bundle.suffix as usize;
+    if prefix + suffix > old.len() {
+        return Err(BundleError::DigestMismatch);
+    }
+    let head = old[..prefix].iter();
+    let tail = old[old.len() - suffix..].iter();
+    Ok(head.chain(&bundle.middle).chain(tail).copied().collect())
+}
+
+fn common_length<'a>(
+    left: impl Iterator<Item = &'a ChunkHash>,
+    right: impl Iterator<Item = &'a ChunkHash>,
+) -> usize {
+    left.zip(right).take_while(|(a, b)| a == b).count()
+}
--- /dev/null
+++ b/lovagedock/src/adoption/plan.rs
@@ -0,0 +1,213 @@
+//! Who watches the store, and who feeds whom.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::{
+    role::{RelayKind, RelayLimits, RelayMember, RelayRole},
+    types::ProcessId,
+};
+
+const WATCH_SEED: u64 = 1;
+const PUSH_SEED: u64 = 2;
+const OFFER_SEED: u64 = 3;
+const LEAF_SEED: u64 = 4;
+const PEER_SEED: u64 = 5;
+
+/// The relay of a fleet; the same at every process that knows the same members.
+///
+/// In each region a few watchers are the roots. Under them stand the heads of the region's failure
+/// domains and under each head the other relays of its domain, both as heaps of bounded width, so
+/// depth grows with the logarithm of a domain. Only watchers talk across regions. A second such
+/// tree with other heads carries offers, so that no single process cuts off those below it.
+#[derive(Clone, Debug)]
+pub struct RelayPlan {
+    roles: BTreeMap<ProcessId, RelayRole>,
+    watchers: Vec<ProcessId>,
+}
+
+type MemberList<'a> = Vec<&'a RelayMember>;
+
+impl RelayPlan {
+    /// Plans for these members.
+    pub fn new(members: &[RelayMember], limits: &RelayLimits) -> Self {
+        let mut plan = Self {
+            roles: BTreeMap::new(),
+            watchers: Vec::new(),
+        };
+        for member in members {
+            plan.roles
+                .insert(member.process.clone(), RelayRole::default());
+        }
+        let mut regions: BTreeMap<&str, MemberList<'_>> = BTreeMap::new();
+        for member in members {
+            regions.entry(&member.region).or_default().push(member);
+        }
+        for region in regions.values() {
+            plan.add_region(region, limits);
+        }
+        plan.join_watchers();
+        plan
+    }
+
+    /// What a process has to do; nothing when it is no member.
+    pub fn role_of(&self, process: &str) -> RelayRole {
+        self.roles.get(process).cloned().unwrap_or_default()
+    }
+
+    /// All processes that watch the store.
+    pub fn watchers(&self) -> &[ProcessId] {
+        &self.watchers
+    }
+
+    fn add_region(&mut self, region: &MemberList<'_>, limits: &RelayLimits) {
+        let is_relay = |member: &&&RelayMember| member.kind == RelayKind::Relay;
+        let relays: MemberList<'_> = region.iter().filter(is_relay).copied().collect();
+        let watchers = choose_watchers(&relays, limits.watchers_per_region);
+        for watcher in &watchers {
+            self.role(watcher).watches = true;
+            self.watchers.push(watcher.process.clone());
+        }
+        self.add_tree(&relays, &watchers, limits, PUSH_SEED);
+        self.add_tree(&relays, &watchers, limits, OFFER_SEED);
+        self.add_peers(&relays, limits);
+        self.add_leaves(region, &relays);
+    }
+
+    fn add_tree(
+        &mut self,
+        relays: &MemberList<'_>,
+        watchers: &MemberList<'_>,
+        limits: &RelayLimits,
+        seed: u64,
+    ) {
+        let mut domains: BTreeMap<&str, MemberList<'_>> = BTreeMap::new();
+        let roots: BTreeSet<&str> = watchers.iter().map(|w| &*w.process).collect();
+        for relay in relays.iter().filter(|r| !roots.contains(&*r.process)) {
+            domains.entry(&relay.domain).or_default().push(relay);
+        }
+        let mut upper = watchers.clone();
+        for domain in domains.values_mut() {
+            domain.sort_by_key(|member| Reverse(score(&member.process, seed)));
+            upper.push(domain[0]);
+        }
+        self.add_heap(&upper, watchers.len(), limits.fanout, seed);
+        for domain in domains.values() {
+            self.add_heap(domain, 1, limits.fanout, seed);
+        }
+    }
+
+    /// Links members as a heap with several roots.
+    fn add_heap(&mut self, members: &MemberList<'_>, roots: usize, fanout: usize, seed: u64) {
+        let fanout = fanout.max(1);
+        for (index, member) in members.iter().enumerate().skip(roots) {
+            let parent = members[heap_parent(index, roots, fanout)];
+            let role = self.role(parent);
+            match seed {
+                PUSH_SEED => role.children.push(member.process.clone()),
+                _ => role.offers.push(member.process.clone()),
+            }
+        }
+    }
+
+    /// Gives each relay random peers of its region, on other hosts.
+    fn add_peers(&mut self, relays: &MemberList<'_>, limits: &RelayLimits) {
+        let mut ring = relays.clone();
+        ring.sort_by_key(|member| score(&member.process, PEER_SEED));
+        let spread = spread_steps(ring.len(), limits.peers);
+        for (index, member) in ring.iter().enumerate() {
+            let at = |step: &usize| ring[(index + step) % ring.len()];
+            let others = spread
+                .iter()
+                .map(at)
+                .filter(|peer| peer.host != member.host);
+            let others: Vec<ProcessId> = others.map(|peer| peer.process.clone()).collect();
+            self.role(member).peers.extend(others);
+        }
+    }
+
+    /// Each leaf is fed by one relay and offered by another, of its own domain where possible.
+    fn add_leaves(&mut self, region: &MemberList<'_>, relays: &MemberList<'_>) {
+        for leaf in region.iter().filter(|m| m.kind == RelayKind::Leaf) {
+            let near: MemberList<'_> = relays
+                .iter()
+                .filter(|relay| relay.domain == leaf.domain)
+                .copied()
+                .collect();
+            let feeders = if near.is_empty() { relays } else { &near };
+            let mut ranked: Vec<(u64, &RelayMember)> = feeders
+                .iter()
+                .map(|relay| (pair_score(&relay.process, &leaf.process), *relay))
+                .collect();
+            ranked.sort_by_key(|(score, _)| Reverse(*score));
+            if let Some((_, feeder)) = ranked.first() {
+                self.role(feeder).children.push(leaf.process.clone());
+            }
+            if let Some((_, backup)) = ranked.get(1) {
+                self.role(backup).offers.push(leaf.process.clone());
+            }
+        }
+    }
+
+    /// Watchers of all regions know each other: a region that cannot reach the store is fed by one
+    /// that can, and nobody else crosses regions.
+    fn join_watchers(&mut self) {
+        for watcher in self.watchers.clone() {
+            let others = self.watchers.iter().filter(|other| **other != watcher);
+            let others: Vec<ProcessId> = others.cloned().collect();
+            let role = self.roles.entry(watcher).or_default();
+            role.offers.extend(others.iter().cloned());
+            role.peers.extend(others);
+        }
+    }
+
+    fn role(&mut self, member: &RelayMember) -> &mut RelayRole {
+        self.roles.entry(member.process.clone()).or_default()
+    }
+}
+
+fn score(process: &str, seed: u64) -> u64 {
+    xxh3_64_with_seed(process.as_bytes(), seed)
+}
+
+fn pair_score(relay: &str, leaf: &str) -> u64 {
+    xxh3_64_with_seed(
+        relay.as_bytes(),
+        xxh3_64_with_seed(leaf.as_bytes(), LEAF_SEED),
+    )
+}
+
+fn heap_parent(index: usize, roots: usize, fanout: usize) -> usize {
+    (index - roots) / fanout
+}
+
+/// The highest scores, first of different failure domains.
+fn choose_watchers<'a>(relays: &MemberList<'a>, count: usize) -> MemberList<'a> {
+    let mut ranked = relays.clone();
+    ranked.sort_by_key(|member| Reverse(score(&member.process, WATCH_SEED)));
+    let mut seen = BTreeSet::new();
+    let (first, rest): (MemberList<'a>, MemberList<'a>) = ranked
+        .into_iter()
+        .partition(|member| seen.insert(&member.domain));
+    first.into_iter().chain(rest).take(count).collect()
+}
+
+/// Steps around a ring that double, so that comparisons reach across it.
+fn spread_steps(length: usize, count: usize) -> Vec<usize> {
+    let mut steps: Vec<usize> = (0..count as u32)
+        .map(|power| 1usize << power.min(30))
+        .take_while(|step| *step < length)
+        .collect();
+    let mut next = 3;
+    while steps.len() < count && next < length {
+        if !steps.contains(&next) {
+            steps.push(next);
+        }
+        next += 1;
+    }
+    steps
+}
--- /dev/null
+++ b/lovagedock/src/adoption/push.rs
@@ -0,0 +1,113 @@
+//! Pushes a new generation to those that the plan names.
+
+use super::{
+    state::AdoptionState,
+    types::{AdoptionAction, AdoptionSource, ProcessId},
+};
+use crate::ids::{Generation, Timestamp};
+
+/// What is known of one receiver.
+#[derive(Clone, Debug, Default)]
+pub(super) struct PushProgress {
+    /// What it last said to have in force.
+    pub(super) has: Option<Generation>,
+    /// Pushes of the generation in force that were sent.
+    sent: u32,
+    in_flight: bool,
+    due: Option<Timestamp>,
+}
+
+impl AdoptionState {
+    /// Starts the pushes and offers of a generation that has just been adopted.
+    pub(super) fn spread(
+        &mut self,
+        now: Timestamp,
+        source: &AdoptionSource,
+        actions: &mut Vec<AdoptionAction>,
+    ) {
+        let generation = self.generation();
+        let giver = match source {
+            AdoptionSource::Store => None,
+            AdoptionSource::Push(peer) | AdoptionSource::Pull(peer) => Some(peer.clone()),
+        };
+        for child in self.role.children.clone() {
+            let progress = self.pushes.entry(child.clone()).or_default();
+            progress.sent = 0;
+            progress.due = (giver.as_ref() != Some(&child)).then_some(now);
+        }
+        let offers = self.role.offers.iter();
+        for to in offers.filter(|peer| giver.as_ref() != Some(*peer)) {
+            let to = to.clone();
+            actions.push(AdoptionAction::Offer { to, generation });
+        }
+    }
+
+    pub(super) fn drive_pushes(&mut self, now: Timestamp, actions: &mut Vec<AdoptionAction>) {
+        let generation = self.generation();
+        if generation == 0 {
+            return;
+        }
+        // Most receivers have the generation before this one; a wrong guess costs one answer.
+        let guess = self.history.back().map_or(0, |old| old.generation);
+        for to in self.role.children.clone() {
+            let max_pushes = self.limits.max_pushes;
+            let progress = self.pushes.entry(to.clone()).or_default();
+            let is_due = progress.due.is_some_and(|due| due <= now);
+            if !is_due || progress.in_flight {
+                continue;
+            }
+            progress.due = None;
+            let has = progress.has.unwrap_or(guess);
+            if has >= generation || progress.sent >= max_pushes {
+                continue;
+            }
+            progress.sent += 1;
+            progress.in_flight = true;
+            let bundle = self.bundle(has);
+            actions.extend(bundle.map(|bundle| AdoptionAction::Push { to, bundle }));
+        }
+    }
+
+    pub(super) fn on_push_answered(&mut self, now: Timestamp, to: ProcessId, has: Generation) {
+        self.hear(has);
+        let generation = self.generation();
+        if has > generation {
+            self.repair.pull_at(to.clone(), now);
+        }
+        let Some(progress) = self.pushes.get_mut(&to) else {
+            return;
+        };
+        progress.in_flight = false;
+        progress.has = Some(has);
+        if has < generation {
+            progress.due = Some(now);
+        }
+    }
+
+    pub(super) fn on_push_failed(&mut self, now: Timestamp, to: &ProcessId) {
+        let pause = self.jitter(self.limits.push_retry);
+        if let Some(progress) = self.pushes.get_mut(to) {
+            progress.in_flight = false;
+            progress.due = Some(now + pause);
+        }
+    }
+
+    /// A receiver told by itself what it has; one that lags is pushed again.
+    pub(super) fn note_receiver(&mut self, now: Timestamp, peer: &ProcessId, has: Generation) {
+        let generation = self.generation();
+        let retry = self.limits.push_retry;
+        let Some(progress) = self.pushes.get_mut(peer) else {
+            return;
+        };
+        progress.has = Some(has);
+        if has < generation && !progress.in_flight && progress.due.is_none() {
+            progress.sent = 0;
+            progress.due = Some(now + retry);
+        }
+    }
+
+    pub(super) fn next_push(&self) -> Option<Timestamp> {
+        let idle = self.pushes.values().filter(|progress| !progress.in_flight);
+        idle.filter_map(|progress| progress.due).min()
+    }
+}
--- /dev/null
+++ b/lovagedock/src/adoption/repair.rs
@@ -0,0 +1,116 @@
+//! Comparisons with random peers, and pulls of what they have more.
+
+use std::collections::BTreeMap;
+
+use rand::RngExt;
+
+use super::{
+    state::AdoptionState,
+    types::{AdoptionAction, AdoptionSource, ProcessId, PullAnswer},
+};
+use crate::ids::{Generation, Timestamp};
+
+/// Pulls that are due or under way.
+#[derive(Debug, Default)]
+pub(super) struct RepairState {
+    /// The next pull asks for the whole, since the last bundle was damaged.
+    pub(super) wants_whole: bool,
+    compare_at: Option<Timestamp>,
+    due: BTreeMap<ProcessId, Timestamp>,
+    in_flight: Option<ProcessId>,
+}
+
+impl RepairState {
+    pub(super) fn pull_at(&mut self, peer: ProcessId, at: Timestamp) {
+        let due = self.due.entry(peer).or_insert(at);
+        *due = at.min(*due);
+    }
+
+    pub(super) fn next_wake(&self) -> Option<Timestamp> {
+        let due = self.due.values().copied();
+        let due = due.filter(|_| self.in_flight.is_none()).min();
+        due.into_iter().chain(self.compare_at).min()
+    }
+}
+
+impl AdoptionState {
+    /// A peer told its generation. One ahead of us is pulled after a pause, in which the push that
+    /// is on its way from the parent usually arrives.
+    pub(super) fn on_told(&mut self, now: Timestamp, from: ProcessId, generation: Generation) {
+        self.hear(generation);
+        if generation > self.generation() {
+            let patience = self.jitter(self.limits.offer_patience);
+            self.repair.pull_at(from, now + patience);
+            return;
+        }
+        self.note_receiver(now, &from, generation);
+    }
+
+    pub(super) fn drive_repair(&mut self, now: Timestamp, actions: &mut Vec<AdoptionAction>) {
+        self.plan_comparison(now);
+        if self.repair.in_flight.is_some() {
+            return;
+        }
+        let due = self.repair.due.iter().find(|(_, due)| **due <= now);
+        let Some(from) = due.map(|(peer, _)| peer.clone()) else {
+            return;
+        };
+        self.repair.due.remove(&from);
+        self.repair.in_flight = Some(from.clone());
+        let above = match self.repair.wants_whole {
+            true => 0,
+            false => self.generation(),
+        };
+        actions.push(AdoptionAction::Pull { from, above });
+    }
+
+    /// Every process asks one random peer at a time, at a rate that no failure raises: when
+    /// regions find each other again, or the store comes back, there is no burst.
+    fn plan_comparison(&mut self, now: Timestamp) {
+        if self.role.peers.is_empty() || self.generation() == 0 {
+            self.repair.compare_at = None;
+            return;
+        }
+        match self.repair.compare_at {
+            None => {}
+            Some(at) if at > now => return,
+            Some(_) => {
+                let index = self.rng.random_range(0..self.role.peers.len());
+                let peer = self.role.peers[index].clone();
+                self.repair.pull_at(peer, now);
+            }
+        }
+        let pause = self.jitter(self.limits.compare_interval);
+        self.repair.compare_at = Some(now + pause);
+    }
+
+    pub(super) fn on_pulled(
+        &mut self,
+        now: Timestamp,
+        from: ProcessId,
+        answer: Option<PullAnswer>,
+        actions: &mut Vec<AdoptionAction>,
+    ) {
+        if self.repair.in_flight.as_ref() == Some(&from) {
+            self.repair.in_flight = None;
+        }
+        let Some(answer) = answer else {
+            self.note_start(&from, None);
+            return;
+        };
+        self.hear(answer.generation);
+        self.note_receiver(now, &from, answer.generation);
+        if self.note_start(&from, Some(&answer)) {
+            return;
+        }
+        let Some(bundle) = answer.bundle else {
+            return;
+        };
+        // What was due from others is most likely the same generation.
+        let source = AdoptionSource::Pull(from.clone());
+        self.take_bundle(now, from, &bundle, source, actions);
+        if self.generation() >= self.heard {
+            self.repair.due.clear();
+        }
+    }
+}
--- /dev/null
+++ b/lovagedock/src/adoption/upstream.rs
@@ -0,0 +1,226 @@
+//! The store: watched by few, polled seldom by the rest.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+
+use super::{
+    bundle::ConfigSnapshot,
+    manifest::{ChunkHash, ConfigManifest, chunk_hash},
+    state::AdoptionState,
+    types::{AdoptionAction, AdoptionSource, RootOutcome},
+};
+use crate::ids::{Generation, Timestamp};
+
+const MAX_BACKOFF_DOUBLINGS: u32 = 8;
+
+/// What is being read from the store.
+#[derive(Debug, Default)]
+pub(super) struct UpstreamState {
+    pub(super) failures: u32,
+    in_flight: bool,
+    next_at: Option<Timestamp>,
+    soon: bool,
+    /// The first read was answered, or a peer was faster.
+    started: bool,
+    fetch: Option<ChunkFetch>,
+}
+
+/// A manifest whose chunks are being read.
+#[derive(Debug)]
+struct ChunkFetch {
+    manifest: ConfigManifest,
+    missing: BTreeSet<ChunkHash>,
+    in_flight: BTreeSet<ChunkHash>,
+    /// Until when peers may bring the chunks; the store's reads are few.
+    patient_until: Timestamp,
+    read: BTreeMap<ChunkHash, Bytes>,
+}
+
+impl UpstreamState {
+    pub(super) fn poll_soon(&mut self, wanted: bool) {
+        self.soon |= wanted;
+    }
+
+    pub(super) fn next_wake(&self) -> Option<Timestamp> {
+        let next_at = self.next_at.filter(|_| !self.in_flight);
+        let waiting = self
+            .fetch
+            .as_ref()
+            .filter(|fetch| fetch.in_flight.is_empty());
+        let chunks_at = waiting.map(|fetch| fetch.patient_until);
+        let chunks_at = chunks_at.filter(|_| self.failures == 0);
+        next_at.into_iter().chain(chunks_at).min()
+    }
+}
+
+impl AdoptionState {
+    /// Reads at the start, then watches or polls. Only a failure, or a hint that there is more,
+    /// changes the pace, and failures slow it down.
+    pub(super) fn drive_upstream(&mut self, now: Timestamp, actions: &mut Vec<AdoptionAction>) {
+        if self.upstream.failures == 0 {
+            self.read_chunks(now, actions);
+        }
+        if self.upstream.in_flight {
+            return;
+        }
+        if self.upstream.next_at.is_none() && !self.role.watches {
+            // A domain that restarts as a whole spreads its reads, and most need none.
+            let pause = self.jitter(self.limits.start_patience);
+            self.upstream.next_at = Some(now + pause);
+        }
+        let is_soon = self.upstream.soon && self.upstream.failures == 0;
+        let is_due = self.upstream.next_at.is_none_or(|at| at <= now);
+        if !is_soon && !is_due {
+            return;
+        }
+        self.upstream.in_flight = true;
+        self.upstream.soon = false;
+        let above = self.generation();
+        let action = match self.role.watches && above > 0 && !is_soon {
+            true => AdoptionAction::WatchRoot { above },
+            false => AdoptionAction::ReadRoot,
+        };
+        actions.push(action);
+    }
+
+    pub(super) fn on_root(
+        &mut self,
+        now: Timestamp,
+        outcome: RootOutcome,
+        actions: &mut Vec<AdoptionAction>,
+    ) {
+        self.upstream.in_flight = false;
+        if outcome == RootOutcome::Unavailable {
+            self.back_off(now);
+            return;
+        }
+        self.upstream.failures = 0;
+        self.upstream.started = true;
+        let pause = match self.role.watches {
+            true => self.limits.watch_pause,
+            false => self.jitter(self.limits.poll_interval),
+        };
+        self.upstream.next_at = Some(now + pause);
+        let RootOutcome::Found(manifest) = outcome else {
+            return;
+        };
+        self.hear(manifest.generation);
+        if self.is_newer(manifest.generation) {
+            self.fetch(now, manifest, actions);
+        }
+    }
+
+    /// The generation that is being read from the store.
+    pub(super) fn wanted_generation(&self) -> Option<Generation> {
+        let fetch = self.upstream.fetch.as_ref();
+        fetch.map(|fetch| fetch.manifest.generation)
+    }
+
+    /// Gives up reads that a peer has made needless.
+    pub(super) fn note_adopted(&mut self, now: Timestamp) {
+        let generation = self.generation();
+        let needless = |fetch: &mut ChunkFetch| fetch.manifest.generation <= generation;
+        self.upstream.fetch.take_if(needless);
+        if !self.role.watches && !self.upstream.started && self.upstream.failures == 0 {
+            self.upstream.started = true;
+            let pause = self.jitter(self.limits.poll_interval);
+            self.upstream.next_at = Some(now + pause);
+        }
+    }
+
+    fn back_off(&mut self, now: Timestamp) {
+        let doublings = self.upstream.failures.min(MAX_BACKOFF_DOUBLINGS);
+        self.upstream.failures += 1;
+        let pause = self.limits.backoff * (1 << doublings);
+        let pause = self.jitter(pause.min(self.limits.max_backoff));
+        self.upstream.next_at = Some(now + pause);
+    }
+
+    fn fetch(
+        &mut self,
+        now: Timestamp,
+        manifest: ConfigManifest,
+        actions: &mut Vec<AdoptionAction>,
+    ) {
+        let has = |hash: &&ChunkHash| {
+            let current = self.current.as_ref();
+            current.is_some_and(|current| current.chunks.contains_key(*hash))
+        };
+        let missing = manifest.chunks.iter().filter(|hash| !has(hash));
+        let missing = missing.copied().collect();
+        let patience = match self.role.watches || self.role.peers.is_empty() {
+            true => Timestamp::ZERO,
+            false => self.jitter(self.limits.start_patience * 2),
+        };
+        let mut fetch = ChunkFetch {
+            missing,
+            in_flight: BTreeSet::new(),
+            patient_until: now + patience,
+            read: BTreeMap::new(),
+            manifest,
+        };
+        if let Some(old) = self.upstream.fetch.take() {
+            fetch.missing.retain(|hash| !old.read.contains_key(hash));
+            fetch.read = old.read;
+        }
+        self.upstream.fetch = Some(fetch);
+        self.finish_fetch(now, actions);
+    }
+
+    fn read_chunks(&mut self, now: Timestamp, actions: &mut Vec<AdoptionAction>) {
+        let due = |fetch: &&mut ChunkFetch| fetch.patient_until <= now;
+        let Some(fetch) = self.upstream.fetch.as_mut().filter(due) else {
+            return;
+        };
+        let room = self
+            .limits
+            .chunk_reads
+            .saturating_sub(fetch.in_flight.len());
+        let waiting = fetch.missing.difference(&fetch.in_flight);
+        let next: Vec<ChunkHash> = waiting.take(room).copied().collect();
+        for hash in next {
+            fetch.in_flight.insert(hash);
+            actions.push(AdoptionAction::ReadChunk { hash });
+        }
+    }
+
+    pub(super) fn on_chunk(
+        &mut self,
+        now: Timestamp,
+        hash: ChunkHash,
+        bytes: Option<Bytes>,
+        actions: &mut Vec<AdoptionAction>,
+    ) {
+        let verify = self.safeguards.digests_verified;
+        let Some(fetch) = &mut self.upstream.fetch else {
+            return;
+        };
+        fetch.in_flight.remove(&hash);
+        let whole = bytes.filter(|bytes| !verify || chunk_hash(bytes) == hash);
+        let Some(bytes) = whole else {
+            self.back_off(now);
+            return;
+        };
+        if fetch.missing.remove(&hash) {
+            fetch.read.insert(hash, bytes);
+        }
+        self.finish_fetch(now, actions);
+    }
+
+    fn finish_fetch(&mut self, now: Timestamp, actions: &mut Vec<AdoptionAction>) {
+        let done = |fetch: &mut ChunkFetch| fetch.missing.is_empty();
+        let Some(fetch) = self.upstream.fetch.take_if(done) else {
+            return;
+        };
+        // A peer may have been faster.
+        if !self.is_newer(fetch.manifest.generation) {
+            return;
+        }
+        let fresh: Vec<Bytes> = fetch.read.into_values().collect();
+        let base = self.current.as_ref();
+        if let Ok(snapshot) = ConfigSnapshot::collect(fetch.manifest, base, &fresh) {
+            self.adopt(now, snapshot, AdoptionSource::Store, actions);
+        }
+    }
+}
--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -15,6 +15,7 @@
 //! assert_eq!(code.ran(), RanState::No);
 //! ```
 
+mod adoption;
 mod claim;
 mod codes;
 mod config;
@@ -31,6 +32,12 @@
 mod safeguards;
 mod store_call;
 
+pub use adoption::{
+    AdoptionAction, AdoptionCount, AdoptionCounter, AdoptionEvent, AdoptionLimits, AdoptionSource,
+    AdoptionState, AdoptionStatus, BundleError, ChunkHash, ChunkLimits, ConfigBundle,
+    ConfigManifest, ManifestDigest, ProcessId, PullAnswer, RelayKind, RelayLimits, RelayMember,
+    RelayPlan, RelayRole, RootOutcome, chunk_hash, split_chunks,
+};
 pub use claim::{
     BodyDigest, ClaimAction, ClaimEvent, ClaimKey, ClaimLimits, ClaimPartition, ClaimRequest,
     ClaimStatus, KeyHash, PartitionIndex, PartitionMap, PartitionPlan,
--- /dev/null
+++ b/lovagedock/tests/adoption_properties.rs
@@ -0,0 +1,136 @@
+//! The configuration in force: never back, never unaccepted, soon everywhere.
+
+mod support;
+
+use std::time::Duration;
+
+use lovagedock::DurableSafeguards;
+use proptest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use support::relay_world::{RelaySetup, RelayWorld};
+
+const CASES: u32 = 60;
+const IN_FORCE: Duration = Duration::from_secs(6);
+
+/// Changes, crashes, restarts, outages and cut regions, one after the other.
+fn storm(setup: RelaySetup) -> RelayWorld {
+    let mut rng = ChaCha8Rng::seed_from_u64(setup.seed);
+    let regions = setup.regions;
+    let mut world = RelayWorld::new(setup);
+    for _ in 0..40 {
+        world.run(Duration::from_millis(rng.random_range(1..900)));
+        let position = rng.random_range(0..world.len());
+        match rng.random_range(0..9) {
+            0..3 => {
+                world.accept();
+            }
+            3 => world.kill(position),
+            4 => world.restart(position),
+            5 => world.store_up = false,
+            6 => world.store_up = true,
+            7 => {
+                world.cut.insert(rng.random_range(0..regions));
+            }
+            _ => world.cut.clear(),
+        }
+    }
+    world
+}
+
+/// Everything works again; the next change is in force everywhere in time.
+fn calm(world: &mut RelayWorld) {
+    world.store_up = true;
+    world.cut.clear();
+    world.setup.loss = 0;
+    world.setup.damage = 0;
+    for position in 0..world.len() {
+        if !world.is_alive(position) {
+            world.restart(position);
+        }
+    }
+    world.run(Duration::from_secs(12));
+    world.accept();
+    world.run(IN_FORCE);
+}
+
+fn setups() -> impl Strategy<Value = RelaySetup> {
+    let sizes = (any::<u64>(), 1..4usize, 3..20usize, 0..30usize);
+    let faults = (0..30u32, 0..20u32);
+    (sizes, faults).prop_map(
+        |((seed, regions, relays, leaves), (loss, damage))| RelaySetup {
+            seed,
+            regions,
+            domains: regions * 2,
+            relays,
+            leaves,
+            loss,
+            damage,
+            ..RelaySetup::default()
+        },
+    )
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: CASES,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(6),
+        ..ProptestConfig::default()
+    })]
+
+    // Operators apply changes while processes die, messages are lost and damaged, the store goes
+    // down and regions are cut off. No process ever goes back a generation or adopts anything but
+    // an accepted configuration; once all works again, a change is in force everywhere within 6 s.
+    #[test]
+    fn a_generation_never_goes_back(setup in setups()) {
+        let mut world = storm(setup);
+        calm(&mut world);
+        prop_assert!(world.violations.is_empty(), "{:?}", world.violations);
+        for position in 0..world.len() {
+            prop_assert_eq!(world.generation(position), world.accepted(), "process {}", position);
+        }
+    }
+}
+
+struct SafeguardCase {
+    name: &'static str,
+    switch_off: fn(&mut DurableSafeguards),
+    symptom: &'static str,
+}
+
+const SAFEGUARD_CASES: &[SafeguardCase] = &[
+    SafeguardCase {
+        name: "lower generations adopted",
+        switch_off: |safeguards| safeguards.generations_ascend = false,
+        symptom: "went back",
+    },
+    SafeguardCase {
+        name: "digests not verified",
+        switch_off: |safeguards| safeguards.digests_verified = false,
+        symptom: "what nobody accepted",
+    },
+];
+
+// With a safeguard off, some schedule shows the symptom that the safeguard prevents.
+#[test]
+fn each_safeguard_prevents_its_failure() {
+    for case in SAFEGUARD_CASES {
+        let mut safeguards = DurableSafeguards::default();
+        (case.switch_off)(&mut safeguards);
+        let seen = (0..20).any(|seed| {
+            let world = storm(RelaySetup {
+                seed,
+                regions: 2,
+                domains: 4,
+                relays: 10,
+                loss: 20,
+                damage: 10,
+                safeguards,
+                ..RelaySetup::default()
+            });
+            world.violations.iter().any(|v| v.contains(case.symptom))
+        });
+        assert!(seen, "{}: no schedule shows it", case.name);
+    }
+}
