Prove the promises of a request by scenarios and random fault schedules

Cause: the request machine had no tests, and its safeguards no evidence that they are needed. With any of the six safeguards off the matching property fails. Reading the scenarios found: a code that says not run beside ran=yes, a cancel or revoke of work that was known to be over, a placement asked for at the deadline, and a span whose lead was excluded for another member's death. All are mended.

--- a/lovagedock/src/request/attempt.rs
+++ b/lovagedock/src/request/attempt.rs
@@ -21,6 +21,8 @@
     pub(super) started: bool,
     /// Whether a verdict said that it ran to an end.
     pub(super) ended: bool,
+    /// Whether the life of the sidecar that had it is known to be over.
+    pub(super) life_over: bool,
     /// Resumes because of missing frames, and revokes.
     pub(super) repairs: u32,
 }
@@ -40,6 +42,7 @@
             accepted: false,
             started: false,
             ended: false,
+            life_over: false,
             repairs: 0,
         }
     }
--- a/lovagedock/src/request/finish.rs
+++ b/lovagedock/src/request/finish.rs
@@ -57,7 +57,7 @@
             self.conclude(end);
             return;
         }
-        self.abandon_attempt_unless(end.ran == RanState::No || prefilling);
+        self.abandon_attempt_unless(end.ran == RanState::No || ends_work(&end));
         self.exclude(&end);
         self.earlier_ran = worst_ran(self.earlier_ran, end.ran);
         if end.ran != RanState::No {
@@ -93,10 +93,15 @@
     }
 
     fn exclude(&mut self, end: &AnswerEnd) {
+        // The next life of a restarted sidecar is as good as any; and which engine broke a span
+        // that was not submitted is for placement to see, by its session.
         let restarted = end.code == ResultCode::StaleIncarnation;
-        if let Some(attempt) = self.attempt.as_ref().filter(|_| !restarted) {
-            self.excluded.push(attempt.endpoint.clone());
-        }
+        let attempt = self
+            .attempt
+            .as_ref()
+            .filter(|attempt| attempt.submitted && !restarted);
+        self.excluded
+            .extend(attempt.map(|attempt| attempt.endpoint.clone()));
     }
 
     pub(super) fn retry_answered(&mut self, now: Timestamp, granted: bool, jitter_permille: u16) {
@@ -176,11 +181,11 @@
             // "not run", the caller would repeat a request that ran.
             _ => worst_ran(self.earlier_ran, end.ran),
         };
-        let decisive = match &self.earlier_failure {
-            Some(failure) if end.code.ran() == RanState::No && ran != RanState::No => {
-                failure.clone()
-            }
-            _ => end,
+        let contradicts = end.code.ran() == RanState::No && ran != RanState::No;
+        let decisive = match (contradicts, &self.earlier_failure) {
+            (true, Some(failure)) => failure.clone(),
+            (true, None) => AnswerEnd::new(ResultCode::EndpointLost),
+            (false, _) => end,
         };
         let retry_after = match decisive.code.number() / 1000 {
             2 | 3 if decisive.retry_after.is_zero() => DEFAULT_RETRY_AFTER,
@@ -223,7 +228,7 @@
             return;
         };
         let revoking = matches!(self.phase, RequestPhase::Revoking { .. });
-        if is_over || !attempt.submitted {
+        if is_over || attempt.life_over || !attempt.submitted {
             return;
         }
         if !self.spec.non_idempotent {
--- a/lovagedock/src/request/machine.rs
+++ b/lovagedock/src/request/machine.rs
@@ -78,7 +78,9 @@
         if self.is_finished() {
             return Vec::new();
         }
-        self.dispatch(now, event);
+        if event != RequestEvent::Tick || now < self.deadline {
+            self.dispatch(now, event);
+        }
         if !self.is_finished() && now >= self.deadline {
             self.expire();
         }
--- a/lovagedock/src/request/recover.rs
+++ b/lovagedock/src/request/recover.rs
@@ -38,7 +38,7 @@
     ) {
         let Some(attempt) = self
             .attempt
-            .as_ref()
+            .as_mut()
             .filter(|attempt| attempt.endpoint == *endpoint)
         else {
             return;
@@ -62,7 +62,8 @@
             | RequestPhase::Revoking { .. }
                 if !same_life =>
             {
-                self.life_over(now);
+                attempt.life_over = true;
+                self.give_up_search(now);
             }
             _ => {}
         }
@@ -140,13 +141,13 @@
     pub(super) fn settle(&mut self, now: Timestamp) {
         let revokes = self.spec.non_idempotent && self.safeguards.revoke_before_retry;
         if !revokes {
-            self.life_over(now);
+            self.give_up_search(now);
             return;
         }
         if self.spend_repair() {
             self.send_revoke(now + self.spec.timing.revoke_wait);
         } else {
-            self.life_over(now);
+            self.give_up_search(now);
         }
     }
 
@@ -174,6 +175,7 @@
         };
         attempt.started |= matches!(verdict, RevokeVerdict::Running | RevokeVerdict::Ended);
         attempt.ended |= verdict == RevokeVerdict::Ended;
+        attempt.life_over |= verdict == RevokeVerdict::OtherLife;
         if self.caller_gone && verdict == RevokeVerdict::Revoked {
             self.attempt_failed(
                 now,
@@ -187,7 +189,7 @@
         match verdict {
             RevokeVerdict::Revoked => self.attempt_failed(now, revoked()),
             RevokeVerdict::Running | RevokeVerdict::Ended => self.resume(now),
-            RevokeVerdict::OtherLife => self.life_over(now),
+            RevokeVerdict::OtherLife => self.give_up_search(now),
         }
     }
 
@@ -208,14 +210,14 @@
         again_at: Option<Timestamp>,
     ) {
         if now >= until {
-            self.life_over(now);
+            self.give_up_search(now);
         } else if again_at.is_some_and(|again_at| now >= again_at) {
             self.send_revoke(until);
         }
     }
 
     /// Nobody is left who could tell what became of the attempt.
-    fn life_over(&mut self, now: Timestamp) {
+    fn give_up_search(&mut self, now: Timestamp) {
         let ran = self
             .attempt
             .as_ref()
--- /dev/null
+++ b/lovagedock/tests/request_properties.rs
@@ -0,0 +1,113 @@
+//! Properties of a request under random faults, and what each safeguard is for.
+
+mod request_support;
+
+use lovagedock::Safeguards;
+use proptest::{
+    prelude::*,
+    test_runner::{RngAlgorithm, TestCaseError, TestRng, TestRunner},
+};
+use request_support::{FaultSchedule, Violation, schedules, verdict};
+
+const CASES: u32 = 3000;
+const CASES_TO_FAIL: u32 = 20_000;
+
+fn runner(cases: u32) -> TestRunner {
+    let config = ProptestConfig {
+        cases,
+        failure_persistence: None,
+        max_shrink_iters: 500,
+        ..ProptestConfig::default()
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    TestRunner::new_with_rng(config, rng)
+}
+
+// The caller sends one request; connections go silent, sidecars restart, frames are lost, repeated,
+// late or damaged, the caller leaves, the gateway stops, in any order and several times. It gets
+// one truthful final answer by its deadline, a clean end only on a whole answer, and a
+// non-idempotent request never starts twice.
+#[test]
+fn promises_hold_under_any_schedule() {
+    let outcome = runner(CASES).run(&schedules(), |schedule| {
+        verdict(&schedule, Safeguards::ALL).map_err(|violation| fail(violation, &schedule))
+    });
+    if let Err(error) = outcome {
+        panic!("{error}");
+    }
+}
+
+struct SafeguardCase {
+    name: &'static str,
+    safeguards: Safeguards,
+    violation: Violation,
+}
+
+// The same schedules with one safeguard off: the promise that it keeps is broken.
+#[test]
+fn each_safeguard_is_needed() {
+    let all = Safeguards::ALL;
+    let cases = [
+        SafeguardCase {
+            name: "revoke_before_retry",
+            safeguards: Safeguards {
+                revoke_before_retry: false,
+                ..all
+            },
+            violation: Violation::RanTwice,
+        },
+        SafeguardCase {
+            name: "check_verdict_life",
+            safeguards: Safeguards {
+                check_verdict_life: false,
+                ..all
+            },
+            violation: Violation::RanTwice,
+        },
+        SafeguardCase {
+            name: "drop_old_attempts",
+            safeguards: Safeguards {
+                drop_old_attempts: false,
+                ..all
+            },
+            violation: Violation::MixedAnswer,
+        },
+        SafeguardCase {
+            name: "check_offsets",
+            safeguards: Safeguards {
+                check_offsets: false,
+                ..all
+            },
+            violation: Violation::MixedAnswer,
+        },
+        SafeguardCase {
+            name: "check_end",
+            safeguards: Safeguards {
+                check_end: false,
+                ..all
+            },
+            violation: Violation::WrongAnswer,
+        },
+        SafeguardCase {
+            name: "remember_ran",
+            safeguards: Safeguards {
+                remember_ran: false,
+                ..all
+            },
+            violation: Violation::RanAfterNotRun,
+        },
+    ];
+    for case in cases {
+        let outcome = runner(CASES_TO_FAIL).run(&schedules(), |schedule| {
+            match verdict(&schedule, case.safeguards) {
+                Err(violation) if violation == case.violation => Err(fail(violation, &schedule)),
+                _ => Ok(()),
+            }
+        });
+        assert!(outcome.is_err(), "without {} nothing went wrong", case.name);
+    }
+}
+
+fn fail(violation: Violation, schedule: &FaultSchedule) -> TestCaseError {
+    TestCaseError::fail(format!("{violation:?} by {schedule:?}"))
+}
--- /dev/null
+++ b/lovagedock/tests/request_support/journal.rs
@@ -0,0 +1,41 @@
+//! Judges a played schedule by what ran and what the caller read.
+
+use lovagedock::prelude::*;
+
+use super::{
+    FaultSchedule, Violation,
+    sidecar::{ANSWER_BYTES, answer_bytes},
+    world::World,
+};
+
+impl World {
+    pub(super) fn violations(&self, schedule: &FaultSchedule) -> Vec<Violation> {
+        let mut found = Vec::new();
+        if schedule.non_idempotent && self.starts.len() > 1 {
+            found.push(Violation::RanTwice);
+        }
+        match self.finishes.as_slice() {
+            [] => found.push(Violation::NoFinalAnswer),
+            [(at, outcome)] => {
+                if *at > schedule.deadline_ms {
+                    found.push(Violation::LateFinalAnswer);
+                }
+                if outcome.ran == RanState::No && !self.starts.is_empty() {
+                    found.push(Violation::RanAfterNotRun);
+                }
+                let whole = (1..=outcome.attempts)
+                    .any(|attempt| self.read == answer_bytes(attempt, 0, ANSWER_BYTES));
+                if outcome.code == ResultCode::Complete && !whole {
+                    found.push(Violation::WrongAnswer);
+                }
+            }
+            _ => found.push(Violation::SecondFinalAnswer),
+        }
+        let genuine = (1..=9u32)
+            .any(|attempt| answer_bytes(attempt, 0, ANSWER_BYTES).starts_with(&self.read));
+        if !self.corrupted && !genuine {
+            found.push(Violation::MixedAnswer);
+        }
+        found
+    }
+}
--- /dev/null
+++ b/lovagedock/tests/request_support/mod.rs
@@ -0,0 +1,111 @@
+//! A model of sidecars and links that plays a schedule of faults against a request machine.
+
+mod gateway;
+mod journal;
+mod sidecar;
+mod work;
+mod world;
+
+use lovagedock::Safeguards;
+use proptest::prelude::*;
+
+pub(crate) use world::play;
+
+/// One request and the faults that meet it.
+#[derive(Clone, Debug)]
+pub(crate) struct FaultSchedule {
+    pub(crate) non_idempotent: bool,
+    pub(crate) deadline_ms: u64,
+    pub(crate) faults: Vec<Fault>,
+    /// Delays of messages in milliseconds, used in turn.
+    pub(crate) delays: Vec<u64>,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Fault {
+    pub(crate) at_ms: u64,
+    pub(crate) endpoint: usize,
+    pub(crate) kind: FaultKind,
+    /// How long a silence or a partition lasts.
+    pub(crate) length_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum FaultKind {
+    /// The open connections stop to carry anything until much later; new ones work.
+    Silence,
+    /// No connection reaches the sidecar for a while.
+    Partition,
+    /// The sidecar restarts and knows nothing of its former life.
+    Restart,
+    /// The engine fails what it runs.
+    EngineFails,
+    /// The sidecar refuses new work.
+    Leaves,
+    /// The next frame is lost, sent twice, late or damaged.
+    DropFrame,
+    RepeatFrame,
+    DelayFrame,
+    CorruptFrame,
+    CallerGone,
+    Stopping,
+}
+
+/// What must never be seen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Violation {
+    RanTwice,
+    RanAfterNotRun,
+    NoFinalAnswer,
+    LateFinalAnswer,
+    SecondFinalAnswer,
+    /// A clean end on anything but one whole answer.
+    WrongAnswer,
+    /// Undamaged frames, and yet the caller read something that no attempt answered.
+    MixedAnswer,
+}
+
+pub(crate) const ENDPOINTS: usize = 3;
+
+pub(crate) fn schedules() -> impl Strategy<Value = FaultSchedule> {
+    let kind = prop_oneof![
+        3 => Just(FaultKind::Silence),
+        3 => Just(FaultKind::Partition),
+        3 => Just(FaultKind::Restart),
+        1 => Just(FaultKind::EngineFails),
+        1 => Just(FaultKind::Leaves),
+        1 => Just(FaultKind::DropFrame),
+        1 => Just(FaultKind::RepeatFrame),
+        1 => Just(FaultKind::DelayFrame),
+        1 => Just(FaultKind::CorruptFrame),
+        1 => Just(FaultKind::CallerGone),
+        1 => Just(FaultKind::Stopping),
+    ];
+    let length = prop_oneof![100..400u64, 400..4000u64];
+    let fault =
+        (0..300u64, 0..ENDPOINTS, kind, length).prop_map(|(at_ms, endpoint, kind, length_ms)| {
+            Fault {
+                at_ms,
+                endpoint,
+                kind,
+                length_ms,
+            }
+        });
+    let faults = prop::collection::vec(fault, 0..7);
+    let delays = prop::collection::vec(1..25u64, 8);
+    (any::<bool>(), 200..9000u64, faults, delays).prop_map(
+        |(non_idempotent, deadline_ms, faults, delays)| FaultSchedule {
+            non_idempotent,
+            deadline_ms,
+            faults,
+            delays,
+        },
+    )
+}
+
+pub(crate) fn verdict(schedule: &FaultSchedule, safeguards: Safeguards) -> Result<(), Violation> {
+    match play(schedule, safeguards).first() {
+        Some(violation) => Err(*violation),
+        None => Ok(()),
+    }
+}
--- /dev/null
+++ b/lovagedock/tests/request_support/world.rs
@@ -0,0 +1,250 @@
+//! Plays one schedule: links, late messages, restarts, and what the caller sees.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use lovagedock::{Outcome, RequestEvent, RequestMachine, RequestSpec, Safeguards, prelude::*};
+
+use super::{ENDPOINTS, Fault, FaultKind, FaultSchedule, Violation, sidecar::SidecarModel};
+
+const HEARTBEAT_LIMIT_MS: u64 = 120;
+const RECONNECT_MS: u64 = 150;
+const END_OF_PLAY_MS: u64 = 30_000;
+
+#[derive(Clone, Debug)]
+pub(super) enum Message {
+    Submit(AttemptNumber, Incarnation),
+    Revoke(AttemptNumber, Incarnation),
+    Resume(AttemptNumber, Incarnation, u64),
+    Cancel(AttemptNumber, Incarnation),
+}
+
+#[derive(Clone, Debug)]
+pub(super) enum Step {
+    Event(RequestEvent),
+    ToSidecar(usize, Message),
+    ToGateway(usize, RequestEvent, Vec<u8>),
+    Begin(usize, Incarnation, AttemptNumber),
+    Produce(usize, Incarnation, AttemptNumber),
+    Strike(Fault),
+    LoseSession(usize, usize),
+    Reconnect(usize),
+}
+
+pub(super) struct Link {
+    pub(super) endpoint: usize,
+    pub(super) life: Incarnation,
+    pub(super) silent_until: u64,
+}
+
+pub(super) struct World {
+    pub(super) now: u64,
+    pub(super) steps: BTreeMap<(u64, u64), Step>,
+    pub(super) sequence: u64,
+    pub(super) delays: Vec<u64>,
+    pub(super) sidecars: Vec<SidecarModel>,
+    pub(super) links: Vec<Link>,
+    pub(super) sessions: Vec<Option<usize>>,
+    pub(super) cut_until: Vec<u64>,
+    pub(super) next_frame: Option<FaultKind>,
+    pub(super) corrupted: bool,
+    pub(super) starts: Vec<AttemptNumber>,
+    pub(super) frame: Vec<u8>,
+    pub(super) read: Vec<u8>,
+    pub(super) finishes: Vec<(u64, Outcome)>,
+}
+
+/// Plays a schedule to its end and tells what was violated.
+pub(crate) fn play(schedule: &FaultSchedule, safeguards: Safeguards) -> Vec<Violation> {
+    let mut world = World::new(schedule);
+    let deadline = Duration::from_millis(schedule.deadline_ms);
+    let spec =
+        RequestSpec::new(1, "registry", deadline).with_non_idempotent(schedule.non_idempotent);
+    let mut machine = RequestMachine::new(Duration::ZERO, spec).with_safeguards(safeguards);
+    let first = machine.start();
+    world.carry_out(first);
+    while let Some(((at, _), step)) = world.steps.pop_first() {
+        if at > END_OF_PLAY_MS {
+            break;
+        }
+        world.now = at;
+        if let Some(event) = world.take_step(step) {
+            let actions = machine.handle(Duration::from_millis(at), event);
+            world.carry_out(actions);
+        }
+    }
+    world.violations(schedule)
+}
+
+impl World {
+    pub(super) fn new(schedule: &FaultSchedule) -> Self {
+        let mut world = Self {
+            now: 0,
+            steps: BTreeMap::new(),
+            sequence: 0,
+            delays: schedule.delays.clone(),
+            sidecars: (0..ENDPOINTS)
+                .map(|at| SidecarModel::new(100 * (at as u64 + 1)))
+                .collect(),
+            links: Vec::new(),
+            sessions: vec![None; ENDPOINTS],
+            cut_until: vec![0; ENDPOINTS],
+            next_frame: None,
+            corrupted: false,
+            starts: Vec::new(),
+            frame: Vec::new(),
+            read: Vec::new(),
+            finishes: Vec::new(),
+        };
+        for endpoint in 0..ENDPOINTS {
+            world.sessions[endpoint] = Some(world.connect(endpoint));
+        }
+        for fault in &schedule.faults {
+            world.after(fault.at_ms, Step::Strike(fault.clone()));
+        }
+        world
+    }
+
+    pub(super) fn connect(&mut self, endpoint: usize) -> usize {
+        let life = self.sidecars[endpoint].life;
+        self.links.push(Link {
+            endpoint,
+            life,
+            silent_until: 0,
+        });
+        self.links.len() - 1
+    }
+
+    pub(super) fn after(&mut self, delay: u64, step: Step) {
+        self.sequence += 1;
+        self.steps.insert((self.now + delay, self.sequence), step);
+    }
+
+    pub(super) fn delay(&mut self) -> u64 {
+        self.delays.rotate_left(1);
+        self.delays[0]
+    }
+
+    pub(super) fn send(&mut self, link: usize, step: Step) {
+        let delay = self.delay();
+        self.after(delay, step);
+        debug_assert!(link < self.links.len());
+    }
+
+    /// Whether a message passes now; one that does not is held on a silent link or lost.
+    pub(super) fn passes(&mut self, link: usize, step: Step) -> bool {
+        let (endpoint, life, until) = {
+            let link = &self.links[link];
+            (link.endpoint, link.life, link.silent_until)
+        };
+        if life != self.sidecars[endpoint].life && matches!(step, Step::ToSidecar(..)) {
+            return false;
+        }
+        if until > self.now {
+            self.after(until - self.now, step);
+            return false;
+        }
+        true
+    }
+
+    pub(super) fn take_step(&mut self, step: Step) -> Option<RequestEvent> {
+        match step.clone() {
+            Step::Event(event) => return Some(event),
+            Step::ToSidecar(link, message) => {
+                if self.passes(link, step) {
+                    self.receive(link, message);
+                }
+            }
+            Step::ToGateway(link, event, bytes) => {
+                if self.passes(link, step) {
+                    self.frame = bytes;
+                    return Some(event);
+                }
+            }
+            Step::Begin(endpoint, life, attempt) => self.begin(endpoint, life, attempt),
+            Step::Produce(endpoint, life, attempt) => self.produce(endpoint, life, attempt),
+            Step::Strike(fault) => return self.strike(fault),
+            Step::LoseSession(endpoint, link) => return self.lose_session(endpoint, link),
+            Step::Reconnect(endpoint) => return self.reconnect(endpoint),
+        }
+        None
+    }
+
+    pub(super) fn strike(&mut self, fault: Fault) -> Option<RequestEvent> {
+        let endpoint = fault.endpoint;
+        match fault.kind {
+            FaultKind::Silence => self.silence(endpoint, fault.length_ms),
+            FaultKind::Partition => {
+                self.cut_until[endpoint] = self.now + fault.length_ms;
+                self.silence(endpoint, fault.length_ms);
+            }
+            FaultKind::Restart => {
+                let life = self.sidecars[endpoint].life + 1;
+                self.sidecars[endpoint] = SidecarModel::new(life);
+                if let Some(link) = self.sessions[endpoint] {
+                    self.after(1, Step::LoseSession(endpoint, link));
+                }
+            }
+            FaultKind::EngineFails => self.fail_running(endpoint),
+            FaultKind::Leaves => self.sidecars[endpoint].leaving = true,
+            FaultKind::CallerGone => return Some(RequestEvent::CallerGone),
+            FaultKind::Stopping => {
+                return Some(RequestEvent::Stopping {
+                    grace: Duration::from_millis(500),
+                });
+            }
+            FaultKind::DropFrame
+            | FaultKind::RepeatFrame
+            | FaultKind::DelayFrame
+            | FaultKind::CorruptFrame => self.next_frame = Some(fault.kind),
+        }
+        None
+    }
+
+    pub(super) fn silence(&mut self, endpoint: usize, length: u64) {
+        let until = self.now + length;
+        for link in self
+            .links
+            .iter_mut()
+            .filter(|link| link.endpoint == endpoint)
+        {
+            link.silent_until = until;
+        }
+        if let Some(link) = self.sessions[endpoint] {
+            self.after(HEARTBEAT_LIMIT_MS, Step::LoseSession(endpoint, link));
+        }
+    }
+
+    pub(super) fn lose_session(&mut self, endpoint: usize, link: usize) -> Option<RequestEvent> {
+        if self.sessions[endpoint] != Some(link) {
+            return None;
+        }
+        self.sessions[endpoint] = None;
+        self.after(RECONNECT_MS, Step::Reconnect(endpoint));
+        let incarnation = self.links[link].life;
+        Some(RequestEvent::SessionLost {
+            endpoint: name(endpoint),
+            incarnation,
+        })
+    }
+
+    pub(super) fn reconnect(&mut self, endpoint: usize) -> Option<RequestEvent> {
+        if self.cut_until[endpoint] > self.now {
+            self.after(RECONNECT_MS, Step::Reconnect(endpoint));
+            return None;
+        }
+        self.sessions[endpoint] = Some(self.connect(endpoint));
+        let incarnation = self.sidecars[endpoint].life;
+        Some(RequestEvent::SessionBack {
+            endpoint: name(endpoint),
+            incarnation,
+        })
+    }
+}
+
+pub(super) fn name(endpoint: usize) -> EndpointId {
+    EndpointId::from(format!("e{endpoint}"))
+}
+
+pub(super) fn index(endpoint: &EndpointId) -> usize {
+    endpoint[1..].parse().expect("an endpoint of this model")
+}
