Keep the configuration in the store, and keep calls to it within a budget

Cause: an accepted file must be in force everywhere and never revert, operators race, and a confirmation can be lost; a fleet that starts or sees the store return at one moment would go over the store's rates.

Change: ConfigStore writes content-defined chunks and then one conditional update of the root. A lost confirmation is settled by the nonce and, while the old root stands, by the same conditional write again, so that a write that is still under way cannot make the outcome wrong. StoreBudget has a token bucket per purpose, probes during an outage, and spreads start and return.

Before and after: the test of thirty processes found 725 calls in the busiest second after an outage where 30 x 21 = 630 is the bound, because turns that passed while the process waited were sent together. Buckets now fill from the end of the wait on, and the test's limit of 700 holds.

Conclusion: no outcome of the fault table differs from what the store holds.

--- a/lovagedock-platform/src/bucket.rs
+++ b/lovagedock-platform/src/bucket.rs
@@ -1,5 +1,7 @@
 //! A token bucket with injected time.
 
+use std::time::Duration;
+
 use lovagedock::Timestamp;
 
 /// Admits calls at a steady rate with a bounded burst.
@@ -32,24 +34,23 @@
         true
     }
 
-    /// Takes one token, going into debt if need be, and returns how long its caller has to wait.
-    pub fn reserve(&mut self, now: Timestamp) -> Timestamp {
+    /// Takes one token, going into debt if need be, and returns how long its caller has to wait;
+    /// takes none and returns `None` when that would be longer than `longest`.
+    pub fn reserve(&mut self, now: Timestamp, longest: Duration) -> Option<Duration> {
         self.fill(now);
-        self.tokens -= 1.0;
-        if self.tokens >= 0.0 {
-            return Timestamp::ZERO;
+        let debt = (1.0 - self.tokens).max(0.0);
+        let filling = Duration::try_from_secs_f64(debt / self.rate).ok()?;
+        let wait = self.filled_at.saturating_sub(now) + filling;
+        if wait > longest {
+            return None;
         }
-        Timestamp::from_secs_f64(-self.tokens / self.rate)
-    }
-
-    /// Tokens that are left; negative while calls wait for theirs.
-    pub fn tokens(&self) -> f64 {
-        self.tokens
+        self.tokens -= 1.0;
+        Some(wait)
     }
 
-    /// Empties the bucket, so that a burst is not allowed before it has been earned again.
-    pub fn drain(&mut self, now: Timestamp) {
-        self.fill(now);
+    /// Empties the bucket, so that a burst has to be earned again, from `until` on.
+    pub fn drain(&mut self, until: Timestamp) {
+        self.fill(until);
         self.tokens = self.tokens.min(0.0);
     }
 
--- /dev/null
+++ b/lovagedock-platform/src/config/apply.rs
@@ -0,0 +1,363 @@
+//! Applying a configuration: chunks first, then one conditional update of the root.
+
+use std::{fmt, time::Duration};
+
+use bytes::Bytes;
+use futures::{StreamExt, TryStreamExt, stream};
+use lovagedock::Generation;
+use tokio::time::{Instant, sleep};
+
+use super::{
+    ROOT_KEY,
+    chunks::{ConfigChunk, chunk_key, hash_bytes, split_chunks},
+    load::{ConfigStore, LoadError, PARALLEL_CALLS, VersionedRoot},
+    root::{AcceptedRecord, ApplyNonce, ConfigRoot, Settlement, settle},
+};
+use crate::store::{CallPurpose, MAX_VALUE_BYTES, PutCondition, StoreError};
+
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(10);
+
+/// What an operator asks for.
+#[derive(Clone, Debug)]
+pub struct ApplyRequest {
+    /// Canonical JSON of the configuration.
+    pub config: Bytes,
+    /// Generation that it replaces; 0 for the first.
+    pub expected: Generation,
+    /// Who applies it.
+    pub author: String,
+    /// Random text that no other apply has.
+    pub nonce: ApplyNonce,
+    /// The time as text for people.
+    pub submitted_at: String,
+    /// How long the store may be tried before the outcome is given.
+    pub patience: Duration,
+    /// Whether chunks of the present configuration are trusted to be in the store as they were.
+    pub reuse_chunks: bool,
+}
+
+/// What became of an apply; never a guess.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ApplyOutcome {
+    /// It is the configuration now, or was until another replaced it.
+    Accepted {
+        /// Its generation.
+        generation: Generation,
+    },
+    /// Another apply was accepted in its place.
+    Conflict {
+        /// Generation of the other.
+        winner: Generation,
+        /// Who applied the other.
+        author: String,
+    },
+    /// This call did not change the configuration and never will. It says nothing of an earlier
+    /// call with the same nonce that ended as [`ApplyOutcome::Unknown`].
+    NotAccepted {
+        /// Why.
+        reason: NotAcceptedReason,
+    },
+    /// It may have been accepted; applying it again with the same nonce finds out.
+    Unknown,
+}
+
+/// Why a configuration was not accepted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NotAcceptedReason {
+    /// The store was out of reach, or its rate used up, for as long as the apply might take.
+    Unavailable(StoreError),
+    /// The expected generation is not the store's and the store does not know who replaced it.
+    WrongGeneration,
+    /// The configuration is too large for its root to fit into one value.
+    TooLarge,
+    /// The root in the store cannot be read.
+    CorruptRoot,
+}
+
+impl fmt::Display for NotAcceptedReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unavailable(error) => error.fmt(f),
+            Self::WrongGeneration => f.write_str("the expected generation is not the store's"),
+            Self::TooLarge => f.write_str("the configuration is too large"),
+            Self::CorruptRoot => f.write_str("the configuration's root cannot be read"),
+        }
+    }
+}
+
+impl ApplyRequest {
+    /// A request with the usual patience.
+    pub fn new(config: Bytes, expected: Generation, author: &str, nonce: ApplyNonce) -> Self {
+        Self {
+            config,
+            expected,
+            author: author.to_owned(),
+            nonce,
+            submitted_at: String::new(),
+            patience: DEFAULT_PATIENCE,
+            reuse_chunks: true,
+        }
+    }
+
+    /// Names the time for people.
+    pub fn with_submitted_at(mut self, text: &str) -> Self {
+        self.submitted_at = text.to_owned();
+        self
+    }
+
+    /// Bounds the time for which the store is tried.
+    pub fn with_patience(mut self, patience: Duration) -> Self {
+        self.patience = patience;
+        self
+    }
+
+    /// Writes every chunk again, which repairs one that was damaged in the store.
+    pub fn with_all_chunks(mut self) -> Self {
+        self.reuse_chunks = false;
+        self
+    }
+
+    fn next_root(&self, chunks: &[ConfigChunk], base: Option<&ConfigRoot>) -> ConfigRoot {
+        let root = ConfigRoot {
+            accepted: AcceptedRecord {
+                generation: self.expected + 1,
+                nonce: self.nonce.clone(),
+                author: self.author.clone(),
+            },
+            accepted_at: self.submitted_at.clone(),
+            length: self.config.len() as u64,
+            digest: hash_bytes(&self.config),
+            chunks: chunks.iter().map(|chunk| chunk.hash.clone()).collect(),
+            history: Vec::new(),
+            retired: Vec::new(),
+        };
+        root.with_base(base)
+    }
+
+    /// The outcome if `root` decides it; `None` while the generation is open.
+    fn outcome(&self, root: Option<&ConfigRoot>, may_have_written: bool) -> Option<ApplyOutcome> {
+        match settle(root, &self.nonce, self.expected) {
+            Settlement::Accepted(generation) => Some(ApplyOutcome::Accepted { generation }),
+            Settlement::Lost(winner) => Some(ApplyOutcome::Conflict {
+                winner: winner.generation,
+                author: winner.author,
+            }),
+            Settlement::Open => None,
+            Settlement::Forgotten if may_have_written => Some(ApplyOutcome::Unknown),
+            Settlement::Forgotten => Some(refused(NotAcceptedReason::WrongGeneration)),
+        }
+    }
+}
+
+impl ConfigStore {
+    /// Applies a configuration whole. The same request may be applied again at any time: it is
+    /// accepted at most once.
+    pub async fn apply(&self, request: &ApplyRequest) -> ApplyOutcome {
+        let mut patience = RetryPatience::new(request.patience);
+        let base = match self.read_base(&mut patience).await {
+            Ok(base) => base,
+            Err(error) => return not_loaded(error),
+        };
+        let base_root = base.as_ref().map(|versioned| &versioned.root);
+        if let Some(outcome) = request.outcome(base_root, false) {
+            return outcome;
+        }
+        let chunks = split_chunks(&request.config);
+        let root = request.next_root(&chunks, base_root);
+        let value = match serde_json::to_vec(&root) {
+            Ok(value) if value.len() <= MAX_VALUE_BYTES => Bytes::from(value),
+            _ => return refused(NotAcceptedReason::TooLarge),
+        };
+        let reusable = base_root.filter(|_| request.reuse_chunks);
+        if let Err(error) = self.write_chunks(&chunks, reusable, &patience).await {
+            return refused(NotAcceptedReason::Unavailable(error));
+        }
+        let condition = match &base {
+            Some(versioned) => PutCondition::Version(versioned.version),
+            None => PutCondition::Absent,
+        };
+        self.write_root(request, value, condition, &mut patience)
+            .await
+    }
+
+    async fn read_base(
+        &self,
+        patience: &mut RetryPatience,
+    ) -> Result<Option<VersionedRoot>, LoadError> {
+        loop {
+            match self.read_root().await {
+                Err(LoadError::Store(error)) if is_passing(&error) => {
+                    if !patience.pause().await {
+                        return Err(LoadError::Store(error));
+                    }
+                }
+                result => return result,
+            }
+        }
+    }
+
+    /// Writes the chunks that `reusable` does not name. Chunks that an older configuration left
+    /// behind are written again: the newer version keeps them from being collected.
+    async fn write_chunks(
+        &self,
+        chunks: &[ConfigChunk],
+        reusable: Option<&ConfigRoot>,
+        patience: &RetryPatience,
+    ) -> Result<(), StoreError> {
+        let is_there =
+            |chunk: &&ConfigChunk| reusable.is_some_and(|root| root.chunks.contains(&chunk.hash));
+        let writes: Vec<_> = chunks
+            .iter()
+            .filter(|chunk| !is_there(chunk))
+            .map(|chunk| self.write_chunk(chunk, patience.clone()))
+            .collect();
+        stream::iter(writes)
+            .buffer_unordered(PARALLEL_CALLS)
+            .try_collect()
+            .await
+    }
+
+    /// A chunk's key is its hash, so writing it twice changes nothing and a write whose outcome
+    /// is unknown is simply repeated.
+    async fn write_chunk(
+        &self,
+        chunk: &ConfigChunk,
+        mut patience: RetryPatience,
+    ) -> Result<(), StoreError> {
+        let key = chunk_key(&chunk.hash);
+        loop {
+            let bytes = chunk.bytes.clone();
+            let put = self
+                .store
+                .put(&key, bytes, PutCondition::Any, CallPurpose::Config);
+            match put.await {
+                Ok(_) => return Ok(()),
+                Err(error) if is_passing(&error) => {
+                    if !patience.pause().await {
+                        return Err(error);
+                    }
+                }
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
+    /// Puts the root until it is known what became of it.
+    ///
+    /// When the answer is lost the root is read back and looked through for the nonce. If the old
+    /// root is still there, the write may yet take effect, so "not accepted" would be a guess;
+    /// the same conditional write is sent again instead. Both carry the same condition, hence at
+    /// most one of them takes effect, and once any write moved the version neither can any more.
+    async fn write_root(
+        &self,
+        request: &ApplyRequest,
+        value: Bytes,
+        condition: PutCondition,
+        patience: &mut RetryPatience,
+    ) -> ApplyOutcome {
+        let mut may_have_written = false;
+        loop {
+            let put = self
+                .store
+                .put(ROOT_KEY, value.clone(), condition, CallPurpose::Config);
+            let error = match put.await {
+                Ok(_) => {
+                    return ApplyOutcome::Accepted {
+                        generation: request.expected + 1,
+                    };
+                }
+                Err(error) => error,
+            };
+            may_have_written |= error.may_have_written();
+            let is_conflict = matches!(error, StoreError::Conflict { .. });
+            if is_conflict || error.may_have_written() {
+                let settled = self.read_back(request, may_have_written, is_conflict).await;
+                if let Some(outcome) = settled {
+                    return outcome;
+                }
+            }
+            if is_lasting(&error) && !may_have_written {
+                return refused(NotAcceptedReason::Unavailable(error));
+            }
+            if !patience.pause().await {
+                return match may_have_written {
+                    true => ApplyOutcome::Unknown,
+                    false if is_conflict => refused(NotAcceptedReason::WrongGeneration),
+                    false => refused(NotAcceptedReason::Unavailable(error)),
+                };
+            }
+        }
+    }
+
+    /// Looks the outcome up in the store; `None` when it could not be read or is still open.
+    async fn read_back(
+        &self,
+        request: &ApplyRequest,
+        may_have_written: bool,
+        is_conflict: bool,
+    ) -> Option<ApplyOutcome> {
+        let versioned = self.read_root().await.ok()?;
+        let root = versioned.as_ref().map(|versioned| &versioned.root);
+        if let Some(outcome) = request.outcome(root, may_have_written) {
+            return Some(outcome);
+        }
+        // Somebody put the expected generation back in place under another version. The
+        // condition can never hold again, so waiting would not help.
+        is_conflict.then(|| match may_have_written {
+            true => ApplyOutcome::Unknown,
+            false => refused(NotAcceptedReason::WrongGeneration),
+        })
+    }
+}
+
+/// Pauses that grow, until a deadline.
+#[derive(Clone)]
+struct RetryPatience {
+    deadline: Instant,
+    next_pause: Duration,
+}
+
+impl RetryPatience {
+    fn new(patience: Duration) -> Self {
+        Self {
+            deadline: Instant::now() + patience,
+            next_pause: FIRST_PAUSE,
+        }
+    }
+
+    /// Pauses before a retry; false when the deadline leaves no time for one.
+    async fn pause(&mut self) -> bool {
+        // Operators are few, and the budget spreads the calls of the many: no jitter here.
+        let pause = self.next_pause;
+        if Instant::now() + pause >= self.deadline {
+            return false;
+        }
+        sleep(pause).await;
+        self.next_pause = (pause * 2).min(LONGEST_PAUSE);
+        true
+    }
+}
+
+fn is_passing(error: &StoreError) -> bool {
+    matches!(
+        error,
+        StoreError::Unavailable | StoreError::RateLimited | StoreError::OutcomeUnknown
+    )
+}
+
+fn is_lasting(error: &StoreError) -> bool {
+    matches!(error, StoreError::TooLarge | StoreError::Malformed)
+}
+
+fn refused(reason: NotAcceptedReason) -> ApplyOutcome {
+    ApplyOutcome::NotAccepted { reason }
+}
+
+fn not_loaded(error: LoadError) -> ApplyOutcome {
+    match error {
+        LoadError::Store(error) => refused(NotAcceptedReason::Unavailable(error)),
+        _ => refused(NotAcceptedReason::CorruptRoot),
+    }
+}
--- /dev/null
+++ b/lovagedock-platform/src/config/chunks.rs
@@ -0,0 +1,100 @@
+//! How a configuration is cut into chunks.
+
+use std::collections::HashMap;
+
+use bytes::Bytes;
+use fastcdc::v2020::FastCDC;
+use lovagedock::FleetConfig;
+
+use super::{
+    CHUNK_PREFIX,
+    root::{ChunkHash, ConfigRoot},
+};
+
+const MIN_CHUNK_BYTES: usize = 8 << 10;
+const AVERAGE_CHUNK_BYTES: usize = 32 << 10;
+const MAX_CHUNK_BYTES: usize = 128 << 10;
+
+/// A part of a configuration and its hash.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigChunk {
+    /// BLAKE3 of the bytes, in hexadecimal.
+    pub hash: ChunkHash,
+    /// The bytes.
+    pub bytes: Bytes,
+}
+
+/// Chunks that a process has already, by hash.
+#[derive(Clone, Debug, Default)]
+pub struct ChunkCache {
+    chunks: HashMap<ChunkHash, Bytes>,
+}
+
+impl ChunkCache {
+    /// An empty cache.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The bytes of a chunk, if they are here.
+    pub fn get(&self, hash: &ChunkHash) -> Option<Bytes> {
+        self.chunks.get(hash).cloned()
+    }
+
+    /// Keeps a chunk if its bytes have its hash, and says whether they have.
+    pub fn insert(&mut self, hash: &ChunkHash, bytes: Bytes) -> bool {
+        let matches = hash_bytes(&bytes) == *hash;
+        if matches {
+            self.chunks.insert(hash.clone(), bytes);
+        }
+        matches
+    }
+
+    /// Forgets every chunk that `root` does not name.
+    pub fn retain(&mut self, root: &ConfigRoot) {
+        self.chunks.retain(|hash, _| root.chunks.contains(hash));
+    }
+
+    /// Number of chunks.
+    pub fn len(&self) -> usize {
+        self.chunks.len()
+    }
+
+    /// Whether there is no chunk.
+    pub fn is_empty(&self) -> bool {
+        self.chunks.is_empty()
+    }
+}
+
+/// The form in which a configuration is kept: JSON without spaces, fields in the order of the
+/// types, so that equal configurations have equal bytes.
+pub fn canonical_json(config: &FleetConfig) -> Result<Bytes, serde_json::Error> {
+    serde_json::to_vec(config).map(Bytes::from)
+}
+
+/// Cuts a configuration where its content says so: the same bytes give the same chunks, and an
+/// edit changes the chunks that it touches and seldom more.
+pub fn split_chunks(config: &Bytes) -> Vec<ConfigChunk> {
+    FastCDC::new(
+        config,
+        MIN_CHUNK_BYTES,
+        AVERAGE_CHUNK_BYTES,
+        MAX_CHUNK_BYTES,
+    )
+    .map(|cut| {
+        let bytes = config.slice(cut.offset..cut.offset + cut.length);
+        ConfigChunk {
+            hash: hash_bytes(&bytes),
+            bytes,
+        }
+    })
+    .collect()
+}
+
+pub(crate) fn hash_bytes(bytes: &[u8]) -> ChunkHash {
+    blake3::hash(bytes).to_hex().as_str().into()
+}
+
+pub(crate) fn chunk_key(hash: &ChunkHash) -> String {
+    format!("{CHUNK_PREFIX}{hash}")
+}
--- /dev/null
+++ b/lovagedock-platform/src/config/mod.rs
@@ -0,0 +1,17 @@
+//! The configuration in the store: one root object and content-addressed chunks.
+
+mod apply;
+mod chunks;
+mod load;
+mod root;
+
+pub use apply::{ApplyOutcome, ApplyRequest, NotAcceptedReason};
+pub use chunks::{ChunkCache, ConfigChunk, canonical_json, split_chunks};
+pub use load::{ConfigStore, LoadError, LoadedConfig};
+pub use root::{AcceptedRecord, ApplyNonce, ChunkHash, ConfigRoot, RetiredChunk, Settlement};
+
+/// Key of the root object.
+pub const ROOT_KEY: &str = "config/root";
+
+/// Beginning of the keys of chunks.
+pub const CHUNK_PREFIX: &str = "config/chunks/";
--- /dev/null
+++ b/lovagedock-platform/src/config/root.rs
@@ -0,0 +1,146 @@
+//! The root object, and what it tells of an apply whose confirmation was lost.
+
+use std::{collections::HashSet, sync::Arc};
+
+use lovagedock::Generation;
+use serde::{Deserialize, Serialize};
+
+/// BLAKE3 of a chunk, in hexadecimal.
+pub type ChunkHash = Arc<str>;
+
+/// Random text of one apply; the operator's program draws it once and keeps it over its retries.
+pub type ApplyNonce = String;
+
+/// Past acceptances that the root names. A lost confirmation can be settled for as long as its
+/// generation is among them.
+const HISTORY_LENGTH: usize = 32;
+
+/// Generations for which a chunk that is no longer used is kept for processes that still read it.
+const RETAINED_GENERATIONS: Generation = 8;
+
+/// What `config/root` holds: the accepted configuration and who applied it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigRoot {
+    /// The acceptance that made this root.
+    pub accepted: AcceptedRecord,
+    /// When the operator's program sent it, as text for people; nothing is decided by it.
+    pub accepted_at: String,
+    /// Bytes of the whole configuration.
+    pub length: u64,
+    /// BLAKE3 of the whole configuration.
+    pub digest: ChunkHash,
+    /// Chunks in their order.
+    pub chunks: Vec<ChunkHash>,
+    /// Acceptances before this one, newest first.
+    pub history: Vec<AcceptedRecord>,
+    /// Chunks that left the configuration not long ago.
+    pub retired: Vec<RetiredChunk>,
+}
+
+/// One acceptance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AcceptedRecord {
+    /// Generation that it made.
+    pub generation: Generation,
+    /// Nonce of the apply.
+    pub nonce: ApplyNonce,
+    /// Who applied it.
+    pub author: String,
+}
+
+/// A chunk that left the configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RetiredChunk {
+    /// The chunk.
+    pub hash: ChunkHash,
+    /// First generation without it.
+    pub generation: Generation,
+}
+
+/// What a root tells of an apply.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Settlement {
+    /// It was accepted as this generation.
+    Accepted(Generation),
+    /// Another apply has the generation that this one was to make.
+    Lost(AcceptedRecord),
+    /// Nobody has made that generation yet.
+    Open,
+    /// The root no longer names who made that generation.
+    Forgotten,
+}
+
+impl ConfigRoot {
+    /// Generation of the configuration.
+    pub fn generation(&self) -> Generation {
+        self.accepted.generation
+    }
+
+    /// Whether collecting chunks must leave this one alone.
+    pub fn keeps(&self, hash: &str) -> bool {
+        let retired = || self.retired.iter().any(|chunk| &*chunk.hash == hash);
+        self.chunks.iter().any(|chunk| &**chunk == hash) || retired()
+    }
+
+    /// Makes this root the successor of `base`.
+    pub(crate) fn with_base(mut self, base: Option<&ConfigRoot>) -> Self {
+        let Some(base) = base else {
+            return self;
+        };
+        self.history = std::iter::once(&base.accepted)
+            .chain(&base.history)
+            .take(HISTORY_LENGTH)
+            .cloned()
+            .collect();
+        self.retired = self.retired_after(base);
+        self
+    }
+
+    fn retired_after(&self, base: &ConfigRoot) -> Vec<RetiredChunk> {
+        let generation = self.generation();
+        let mut seen: HashSet<&ChunkHash> = self.chunks.iter().collect();
+        let newly = base.chunks.iter().map(|hash| RetiredChunk {
+            hash: hash.clone(),
+            generation,
+        });
+        let before = base.retired.iter().cloned();
+        let mut retired: Vec<RetiredChunk> = newly.chain(before).collect();
+        retired.retain(|chunk| chunk.generation + RETAINED_GENERATIONS > generation);
+        let mut kept = Vec::new();
+        for chunk in &retired {
+            if seen.insert(&chunk.hash) {
+                kept.push(chunk.clone());
+            }
+        }
+        kept
+    }
+}
+
+/// Tells from the root that is in the store what became of the apply with `nonce`, which was to
+/// follow generation `expected`.
+pub(crate) fn settle(
+    root: Option<&ConfigRoot>,
+    nonce: &ApplyNonce,
+    expected: Generation,
+) -> Settlement {
+    let Some(root) = root else {
+        return match expected {
+            0 => Settlement::Open,
+            _ => Settlement::Forgotten,
+        };
+    };
+    let mut records = std::iter::once(&root.accepted).chain(&root.history);
+    if let Some(own) = records.clone().find(|record| record.nonce == *nonce) {
+        return Settlement::Accepted(own.generation);
+    }
+    if root.generation() <= expected {
+        return match root.generation() == expected {
+            true => Settlement::Open,
+            false => Settlement::Forgotten,
+        };
+    }
+    match records.find(|record| record.generation == expected + 1) {
+        Some(winner) => Settlement::Lost(winner.clone()),
+        None => Settlement::Forgotten,
+    }
+}
--- a/lovagedock-platform/src/lib.rs
+++ b/lovagedock-platform/src/lib.rs
@@ -27,6 +27,9 @@
 //! ```
 
 mod bucket;
+mod budget;
+mod budgeted;
+mod config;
 mod hosts;
 mod http;
 mod memory;
@@ -34,6 +37,13 @@
 mod table;
 
 pub use bucket::TokenBucket;
+pub use budget::{BudgetDecision, BudgetLimits, CallResult, SpendRate, StoreBudget};
+pub use budgeted::BudgetedStore;
+pub use config::{
+    AcceptedRecord, ApplyNonce, ApplyOutcome, ApplyRequest, CHUNK_PREFIX, ChunkCache, ChunkHash,
+    ConfigChunk, ConfigRoot, ConfigStore, LoadError, LoadedConfig, NotAcceptedReason, ROOT_KEY,
+    RetiredChunk, Settlement, canonical_json, split_chunks,
+};
 pub use hosts::{HostDirectory, HostEntry, HostList, HostState};
 pub use http::{HttpObjectStore, StoreTimeouts};
 pub use memory::{CallCounts, CallKind, MemoryFault, MemoryStore};
--- /dev/null
+++ b/lovagedock-platform/tests/config_store.rs
@@ -0,0 +1,407 @@
+//! The configuration store under races, lost confirmations, outages and damage.
+
+use std::{collections::HashSet, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use lovagedock::{FleetConfig, OrganisationSpec};
+use lovagedock_platform::{
+    ApplyOutcome, ApplyRequest, CHUNK_PREFIX, CallKind, CallPurpose, ChunkCache, ConfigStore,
+    LoadError, MAX_VALUE_BYTES, MemoryFault, MemoryStore, NotAcceptedReason, ObjectStore,
+    PutCondition, ROOT_KEY, StoreError, canonical_json, split_chunks,
+};
+
+const ALWAYS: u32 = u32::MAX;
+
+fn fleet(organisations: usize) -> FleetConfig {
+    let organisation = |n: usize| OrganisationSpec {
+        id: format!("organisation-{n:05}").into(),
+        key_hashes: vec![blake3::hash(&n.to_le_bytes()).to_hex().to_string()],
+        priority: Default::default(),
+        weight: 1,
+        limits: Default::default(),
+        services: Vec::new(),
+    };
+    FleetConfig {
+        version: 1,
+        organisations: (0..organisations).map(organisation).collect(),
+        ..FleetConfig::default()
+    }
+}
+
+fn bytes_of(config: &FleetConfig) -> Bytes {
+    canonical_json(config).expect("serialisable")
+}
+
+fn request(organisations: usize, expected: u64, author: &str) -> ApplyRequest {
+    let nonce = format!("nonce of {author} for {expected}");
+    ApplyRequest::new(bytes_of(&fleet(organisations)), expected, author, nonce)
+}
+
+struct Rig {
+    memory: Arc<MemoryStore>,
+    config: ConfigStore,
+}
+
+impl Rig {
+    fn new() -> Self {
+        let memory = Arc::new(MemoryStore::new());
+        let config = ConfigStore::new(memory.clone());
+        Self { memory, config }
+    }
+
+    /// A store in which generation 1 has one organisation.
+    async fn with_first() -> Self {
+        let rig = Self::new();
+        rig.accept(1, 0, "first").await;
+        rig
+    }
+
+    async fn accept(&self, organisations: usize, expected: u64, author: &str) {
+        let outcome = self
+            .config
+            .apply(&request(organisations, expected, author))
+            .await;
+        assert_eq!(outcome, accepted(expected + 1));
+    }
+
+    async fn load(&self) -> Result<(u64, usize), LoadError> {
+        let loaded = self.config.load_latest(&mut ChunkCache::new()).await?;
+        let loaded = loaded.expect("a configuration");
+        Ok((loaded.root.generation(), loaded.config.organisations.len()))
+    }
+
+    async fn chunk_keys(&self) -> Vec<String> {
+        let entries = self.memory.list(CHUNK_PREFIX, CallPurpose::Config).await;
+        entries
+            .expect("list")
+            .into_iter()
+            .map(|entry| entry.key)
+            .collect()
+    }
+}
+
+fn accepted(generation: u64) -> ApplyOutcome {
+    ApplyOutcome::Accepted { generation }
+}
+
+fn refused(reason: NotAcceptedReason) -> ApplyOutcome {
+    ApplyOutcome::NotAccepted { reason }
+}
+
+struct FaultCase {
+    name: &'static str,
+    kind: CallKind,
+    key: &'static str,
+    /// Calls that go through before the fault begins.
+    skip: u32,
+    times: u32,
+    fault: MemoryFault,
+    want: ApplyOutcome,
+    /// Generation and organisations in the store once the faults are over.
+    after: (u64, usize),
+}
+
+/// Generation 1 has one organisation; an apply of two organisations meets each fault. What the
+/// operator is told has to be what the store holds afterwards, with "unknown" only where the
+/// store could not be asked before the operator's patience ended.
+fn fault_cases() -> Vec<FaultCase> {
+    let down = || refused(NotAcceptedReason::Unavailable(StoreError::Unavailable));
+    let base = |name| FaultCase {
+        name,
+        kind: CallKind::Write,
+        key: ROOT_KEY,
+        skip: 0,
+        times: 1,
+        fault: MemoryFault::Down,
+        want: accepted(2),
+        after: (2, 2),
+    };
+    vec![
+        FaultCase {
+            fault: MemoryFault::LoseAnswer,
+            ..base("confirmation lost, took effect")
+        },
+        FaultCase {
+            fault: MemoryFault::LoseCall,
+            ..base("confirmation lost, did not take effect: sent again")
+        },
+        FaultCase {
+            fault: MemoryFault::LateEffect,
+            ..base("confirmation lost, takes effect later: sent again, once in effect")
+        },
+        FaultCase {
+            fault: MemoryFault::RateLimited,
+            times: 3,
+            ..base("rate used up for a while")
+        },
+        FaultCase {
+            kind: CallKind::Read,
+            times: 3,
+            ..base("outage before, shorter than the patience")
+        },
+        FaultCase {
+            kind: CallKind::Read,
+            times: ALWAYS,
+            want: down(),
+            after: (1, 1),
+            ..base("outage before, longer than the patience")
+        },
+        FaultCase {
+            key: CHUNK_PREFIX,
+            times: ALWAYS,
+            want: down(),
+            after: (1, 1),
+            ..base("outage while the chunks are written")
+        },
+        FaultCase {
+            key: CHUNK_PREFIX,
+            times: 2,
+            fault: MemoryFault::LoseAnswer,
+            ..base("confirmation of a chunk lost")
+        },
+        FaultCase {
+            times: ALWAYS,
+            want: down(),
+            after: (1, 1),
+            ..base("outage before the root is written")
+        },
+        FaultCase {
+            times: ALWAYS,
+            fault: MemoryFault::RateLimited,
+            want: refused(NotAcceptedReason::Unavailable(StoreError::RateLimited)),
+            after: (1, 1),
+            ..base("rate used up for good")
+        },
+        FaultCase {
+            times: ALWAYS,
+            fault: MemoryFault::LoseCall,
+            want: ApplyOutcome::Unknown,
+            after: (1, 1),
+            ..base("each call lost, though the store can be read: may still take effect")
+        },
+        FaultCase {
+            kind: CallKind::Read,
+            skip: 1,
+            times: ALWAYS,
+            ..base("outage of reads after the acceptance")
+        },
+    ]
+}
+
+#[tokio::test(start_paused = true)]
+async fn apply_tells_the_truth_under_each_fault() {
+    for case in fault_cases() {
+        let rig = Rig::with_first().await;
+        rig.memory
+            .script_fault(case.kind, case.key, case.skip, case.times, case.fault);
+        let outcome = rig.config.apply(&request(2, 1, "operator")).await;
+        assert_eq!(outcome, case.want, "{}", case.name);
+        rig.memory.clear_faults();
+        rig.memory.release_late();
+        assert_eq!(rig.load().await, Ok(case.after), "{}", case.name);
+    }
+}
+
+/// The root is written, its confirmation is lost, and the store goes down before it can be read
+/// back. The operator is told "unknown"; applying the same request again when the store is back
+/// finds the first acceptance and does not make a second generation.
+#[tokio::test(start_paused = true)]
+async fn unknown_apply_is_settled_by_applying_it_again() {
+    let rig = Rig::with_first().await;
+    let request = request(2, 1, "operator");
+    rig.memory
+        .script_fault(CallKind::Write, ROOT_KEY, 0, 1, MemoryFault::LoseAnswer);
+    rig.memory
+        .script_fault(CallKind::Write, ROOT_KEY, 0, ALWAYS, MemoryFault::Down);
+    rig.memory
+        .script_fault(CallKind::Read, ROOT_KEY, 1, ALWAYS, MemoryFault::Down);
+    assert_eq!(rig.config.apply(&request).await, ApplyOutcome::Unknown);
+    rig.memory.clear_faults();
+    assert_eq!(rig.config.apply(&request).await, accepted(2));
+    rig.accept(3, 2, "another").await;
+    assert_eq!(rig.config.apply(&request).await, accepted(2));
+    assert_eq!(rig.load().await, Ok((3, 3)));
+}
+
+/// The first operator's write hangs in the network, so it is unknown to her. A second operator's
+/// file is accepted. When the first write arrives at last its condition has passed: the accepted
+/// file stays, and the first operator learns who won.
+#[tokio::test(start_paused = true)]
+async fn late_write_does_not_undo_an_accepted_file() {
+    let rig = Rig::with_first().await;
+    let slow = request(2, 1, "slow").with_patience(Duration::from_secs(1));
+    rig.memory.script_fault(
+        CallKind::Write,
+        ROOT_KEY,
+        0,
+        ALWAYS,
+        MemoryFault::LateEffect,
+    );
+    assert_eq!(rig.config.apply(&slow).await, ApplyOutcome::Unknown);
+    rig.memory.clear_faults();
+    rig.accept(3, 1, "fast").await;
+    assert_eq!(rig.memory.release_late(), 0);
+    assert_eq!(rig.load().await, Ok((2, 3)));
+    let conflict = ApplyOutcome::Conflict {
+        winner: 2,
+        author: "fast".to_owned(),
+    };
+    assert_eq!(rig.config.apply(&slow).await, conflict);
+}
+
+/// Two operators read generation 1 and apply at once. One is accepted; the other is told who won
+/// and with which generation, also when further files were accepted meanwhile.
+#[tokio::test(start_paused = true)]
+async fn one_of_two_racing_operators_wins() {
+    let rig = Rig::with_first().await;
+    let (ann, bob) = (request(2, 1, "ann"), request(3, 1, "bob"));
+    let (first, second) = tokio::join!(rig.config.apply(&ann), rig.config.apply(&bob));
+    let (winner, loser) = match first {
+        ApplyOutcome::Accepted { .. } => ("ann", second),
+        _ => ("bob", first),
+    };
+    let conflict = ApplyOutcome::Conflict {
+        winner: 2,
+        author: winner.to_owned(),
+    };
+    assert_eq!(loser, conflict);
+    rig.accept(4, 2, "carla").await;
+    let late = request(5, 1, "dan");
+    assert_eq!(rig.config.apply(&late).await, conflict);
+    let ahead = request(5, 9, "eve");
+    let wrong = refused(NotAcceptedReason::WrongGeneration);
+    assert_eq!(rig.config.apply(&ahead).await, wrong);
+}
+
+/// The loser's write is refused and the store goes down before the winner can be read: it is
+/// certain that the file was not accepted, only not who won.
+#[tokio::test(start_paused = true)]
+async fn conflict_without_read_back_is_not_accepted() {
+    let rig = Rig::with_first().await;
+    let slow = request(2, 1, "slow");
+    rig.memory
+        .script_fault(CallKind::Write, ROOT_KEY, 0, 1, MemoryFault::RateLimited);
+    rig.memory
+        .script_fault(CallKind::Read, ROOT_KEY, 2, ALWAYS, MemoryFault::Down);
+    let fast = request(3, 1, "fast");
+    let (slow, fast) = tokio::join!(rig.config.apply(&slow), rig.config.apply(&fast));
+    assert_eq!(fast, accepted(2));
+    assert_eq!(slow, refused(NotAcceptedReason::WrongGeneration));
+}
+
+#[tokio::test]
+async fn damaged_objects_are_never_taken_for_a_configuration() {
+    let rig = Rig::with_first().await;
+    let key = rig.chunk_keys().await.remove(0);
+    let hash = key.strip_prefix(CHUNK_PREFIX).expect("prefix").into();
+    let put = |key: &'static str, value| {
+        rig.memory.put(
+            key,
+            Bytes::from(value),
+            PutCondition::Any,
+            CallPurpose::Config,
+        )
+    };
+    let key: &'static str = key.leak();
+    put(key, "damaged").await.expect("put");
+    assert_eq!(
+        rig.load().await,
+        Err(LoadError::CorruptChunk(Arc::clone(&hash)))
+    );
+    rig.memory
+        .delete(key, PutCondition::Any, CallPurpose::Config)
+        .await
+        .expect("delete");
+    assert_eq!(rig.load().await, Err(LoadError::MissingChunk(hash)));
+    let repair = request(1, 1, "repair").with_all_chunks();
+    assert_eq!(rig.config.apply(&repair).await, accepted(2));
+    assert_eq!(rig.load().await, Ok((2, 1)));
+    put(ROOT_KEY, "{").await.expect("put");
+    assert_eq!(rig.load().await, Err(LoadError::CorruptRoot));
+    let refused = refused(NotAcceptedReason::CorruptRoot);
+    assert_eq!(rig.config.apply(&request(2, 2, "operator")).await, refused);
+}
+
+/// Chunks of replaced configurations go after some generations, and never one that the newest
+/// configuration, a reader of a recent one, or an apply under way needs.
+#[tokio::test(start_paused = true)]
+async fn collecting_spares_what_may_be_needed() {
+    let rig = Rig::with_first().await;
+    for generation in 1..=9 {
+        assert_eq!(rig.config.collect_chunks(100).await, Ok(0));
+        rig.accept(1 + generation, generation as u64, "operator")
+            .await;
+    }
+    assert_eq!(rig.config.collect_chunks(100).await, Ok(1));
+    let recent = rig.chunk_keys().await;
+    assert_eq!(recent.len(), 9);
+    // An apply that has written its chunks and is then stopped short of its root.
+    rig.memory
+        .script_fault(CallKind::Write, ROOT_KEY, 0, 1, MemoryFault::LateEffect);
+    let stopped = request(1, 10, "stopped").with_patience(Duration::ZERO);
+    assert_eq!(rig.config.apply(&stopped).await, ApplyOutcome::Unknown);
+    assert_eq!(rig.config.collect_chunks(100).await, Ok(0));
+    assert_eq!(rig.memory.release_late(), 1);
+    assert_eq!(rig.load().await, Ok((11, 1)));
+    assert_eq!(rig.config.collect_chunks(100).await, Ok(1));
+    assert_eq!(rig.load().await, Ok((11, 1)));
+}
+
+/// 25,000 organisations are many megabytes: every value stays far under the store's limit, an
+/// edit of one organisation writes few chunks, and a process that has the old ones reads few.
+#[tokio::test(start_paused = true)]
+async fn large_configuration_changes_in_few_chunks() {
+    let rig = Rig::new();
+    rig.accept(25_000, 0, "first").await;
+    let mut cache = ChunkCache::new();
+    let loaded = rig
+        .config
+        .load_latest(&mut cache)
+        .await
+        .expect("load")
+        .expect("root");
+    assert_eq!(loaded.config, fleet(25_000));
+    assert!(loaded.bytes.len() > 4 * MAX_VALUE_BYTES);
+    let entries = rig
+        .memory
+        .list("config/", CallPurpose::Config)
+        .await
+        .expect("list");
+    assert!(entries.iter().all(|entry| entry.size < 256 << 10));
+
+    let mut edited = fleet(25_000);
+    edited.organisations[12_345].weight = 77;
+    edited.organisations.remove(20_000);
+    let before = rig.memory.counts();
+    let edit = ApplyRequest::new(bytes_of(&edited), 1, "editor", "edit".to_owned());
+    assert_eq!(rig.config.apply(&edit).await, accepted(2));
+    let written = rig.memory.counts().writes - before.writes;
+    assert!(written <= 8, "an edit wrote {written} objects");
+    let reads = rig.memory.counts().reads;
+    let reloaded = rig
+        .config
+        .load_latest(&mut cache)
+        .await
+        .expect("load")
+        .expect("root");
+    assert_eq!(reloaded.config, edited);
+    let reads = rig.memory.counts().reads - reads;
+    assert!(reads <= 8, "a reload read {reads} objects");
+    assert_eq!(cache.len(), reloaded.root.chunks.len());
+}
+
+#[test]
+fn chunks_join_to_the_same_bytes_and_depend_on_nothing_else() {
+    for organisations in [0, 1, 100, 3_000] {
+        let bytes = bytes_of(&fleet(organisations));
+        let chunks = split_chunks(&bytes);
+        let joined: Vec<u8> = chunks
+            .iter()
+            .flat_map(|chunk| chunk.bytes.to_vec())
+            .collect();
+        assert_eq!(joined, bytes);
+        assert_eq!(split_chunks(&Bytes::from(joined)), chunks);
+        let hashes: HashSet<_> = chunks.iter().map(|chunk| &chunk.hash).collect();
+        assert_eq!(hashes.len(), chunks.len());
+    }
+}
--- /dev/null
+++ b/lovagedock-platform/tests/store_budget.rs
@@ -0,0 +1,161 @@
+//! The budget of one process, and what many processes together do to the store.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use lovagedock_platform::{
+    BudgetDecision, BudgetLimits, BudgetedStore, CallKind, CallPurpose, CallResult, MemoryFault,
+    MemoryStore, ObjectStore, PutCondition, StoreBudget, StoreError,
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+const PROCESSES: usize = 30;
+/// Calls that each process wants to send at once.
+const CALLS: usize = 200;
+const TICK: Duration = Duration::from_millis(10);
+
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn limits() -> BudgetLimits {
+    BudgetLimits {
+        start_spread: Duration::ZERO,
+        ..BudgetLimits::default()
+    }
+}
+
+#[test]
+fn a_purpose_that_spends_too_much_does_not_starve_another() {
+    let mut budget = StoreBudget::new(limits(), Duration::ZERO, 0.5);
+    let mut decisions = (0..200).map(|_| budget.admit(CallPurpose::Config, at(0), 0.5));
+    assert!(
+        decisions
+            .by_ref()
+            .take(40)
+            .all(|decision| decision == BudgetDecision::Proceed)
+    );
+    assert_eq!(decisions.next(), Some(BudgetDecision::Wait(at(50))));
+    let refused = BudgetDecision::Refuse(StoreError::RateLimited);
+    assert_eq!(decisions.last(), Some(refused));
+    assert_eq!(
+        budget.admit(CallPurpose::Lease, at(0), 0.5),
+        BudgetDecision::Proceed
+    );
+}
+
+/// During an outage each process sends one probe at a time, ever more slowly, and its other calls
+/// fail at once as without effect; the first answer ends that.
+#[test]
+fn outage_is_probed_and_its_end_is_spread() {
+    let mut budget = StoreBudget::new(limits(), Duration::ZERO, 0.5);
+    let admit = |budget: &mut StoreBudget, now| budget.admit(CallPurpose::Claim, now, 0.5);
+    for _ in 0..3 {
+        assert!(!budget.in_outage());
+        assert_eq!(admit(&mut budget, at(0)), BudgetDecision::Proceed);
+        budget.record(CallPurpose::Claim, CallResult::Failed, at(0), 0.5);
+    }
+    let refused = BudgetDecision::Refuse(StoreError::Unavailable);
+    assert_eq!(admit(&mut budget, at(249)), refused);
+    assert_eq!(admit(&mut budget, at(250)), BudgetDecision::Proceed);
+    budget.record(CallPurpose::Claim, CallResult::Failed, at(260), 0.5);
+    assert_eq!(admit(&mut budget, at(499)), refused);
+    assert_eq!(admit(&mut budget, at(500)), BudgetDecision::Proceed);
+    assert_eq!(admit(&mut budget, at(999)), refused);
+    budget.record(CallPurpose::Claim, CallResult::Answered, at(999), 0.5);
+    // Half of the spread of a second, and the first turn at 30 claims a second after it.
+    assert_eq!(
+        admit(&mut budget, at(999)),
+        BudgetDecision::Wait(at(500) + Duration::from_secs(1) / 30)
+    );
+}
+
+struct Demand {
+    name: &'static str,
+    outage: bool,
+    /// Most calls that the store may see in any second.
+    most: usize,
+}
+
+/// Thirty processes want to load a large configuration at one moment: they all start, or the
+/// store returns after an outage. The store allows 2,000 reads a second and would see all 6,000
+/// at once. At the start it sees the bursts and the steady rates; at its return only the rates,
+/// since bursts saved up in the outage are forfeit.
+#[test]
+fn fleet_stays_under_the_rate_when_all_come_at_once() {
+    let cases = [
+        Demand {
+            name: "start",
+            outage: false,
+            most: 1_900,
+        },
+        Demand {
+            name: "return",
+            outage: true,
+            most: 700,
+        },
+    ];
+    for case in cases {
+        let mut rng = StdRng::seed_from_u64(7);
+        let mut sent_at = Vec::new();
+        for _ in 0..PROCESSES {
+            let mut budget = StoreBudget::new(BudgetLimits::default(), at(0), rng.random());
+            let mut now = at(0);
+            if case.outage {
+                for _ in 0..3 {
+                    budget.record(CallPurpose::Config, CallResult::Failed, now, rng.random());
+                }
+                while budget.admit(CallPurpose::Config, now, rng.random())
+                    != BudgetDecision::Proceed
+                {
+                    now += TICK;
+                }
+                budget.record(CallPurpose::Config, CallResult::Answered, now, rng.random());
+            }
+            let mut left = CALLS;
+            while left > 0 {
+                match budget.admit(CallPurpose::Config, now, rng.random()) {
+                    BudgetDecision::Proceed => sent_at.push(now),
+                    BudgetDecision::Wait(wait) => sent_at.push(now + wait),
+                    BudgetDecision::Refuse(_) => {
+                        now += at(500);
+                        continue;
+                    }
+                }
+                left -= 1;
+            }
+        }
+        assert_eq!(sent_at.len(), PROCESSES * CALLS);
+        let busiest = busiest_second(&mut sent_at);
+        assert!(busiest <= case.most, "{}: {busiest}", case.name);
+    }
+}
+
+fn busiest_second(sent_at: &mut [Duration]) -> usize {
+    sent_at.sort_unstable();
+    let in_second = |at: usize| {
+        let end = sent_at[at] + Duration::from_secs(1);
+        sent_at.partition_point(|sent| *sent < end) - at
+    };
+    (0..sent_at.len()).map(in_second).max().unwrap_or_default()
+}
+
+/// The store is down: three calls find out, the rest fail without reaching it, and once it is
+/// back a probe lets the calls through again.
+#[tokio::test(start_paused = true)]
+async fn calls_in_an_outage_do_not_reach_the_store() {
+    let memory = Arc::new(MemoryStore::new());
+    let store = BudgetedStore::new(memory.clone(), limits(), 7);
+    memory.script_fault(CallKind::Write, "", 0, u32::MAX, MemoryFault::Down);
+    let put = || store.put("a", Bytes::new(), PutCondition::Any, CallPurpose::Claim);
+    for _ in 0..50 {
+        assert_eq!(put().await, Err(StoreError::Unavailable));
+    }
+    assert_eq!(memory.counts().writes, 3);
+    assert!(store.in_outage());
+    memory.clear_faults();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(put().await, Ok(1));
+    assert!(!store.in_outage());
+    assert_eq!(put().await, Ok(2));
+}
--- a/lovagedock-standin/src/platform/mod.rs
+++ b/lovagedock-standin/src/platform/mod.rs
@@ -96,6 +96,11 @@
         self.platform.set_fault(order);
     }
 
+    /// Lets the calls go on that a slow fault holds back now, before their delay has passed.
+    pub fn release_delayed(&self) {
+        self.platform.release_delayed();
+    }
+
     /// Ends it and all its connections.
     pub fn stop(&self) {
         self.handle.abort();
--- a/lovagedock-standin/src/platform/routes.rs
+++ b/lovagedock-standin/src/platform/routes.rs
@@ -47,7 +47,7 @@
     let result = match class {
         CallClass::Write => write_detached(platform, call, fate).await?,
         _ => {
-            delay(fate).await;
+            let _delayed = platform.delay(fate).await;
             read(&platform, class, call).await
         }
     };
@@ -65,18 +65,12 @@
     fate: CallFate,
 ) -> io::Result<Result<HttpResponse, StoreError>> {
     let task = tokio::spawn(async move {
-        delay(fate).await;
+        let _delayed = platform.delay(fate).await;
         write(&platform, &call)
     });
     task.await.map_err(io::Error::other)
 }
 
-async fn delay(fate: CallFate) {
-    if let CallFate::Delayed(delay) = fate {
-        tokio::time::sleep(delay).await;
-    }
-}
-
 /// A call that has been read whole.
 struct ReceivedCall {
     method: Method,
--- a/lovagedock-standin/src/platform/state.rs
+++ b/lovagedock-standin/src/platform/state.rs
@@ -11,8 +11,8 @@
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use tokio::{
-    sync::watch,
-    time::{Instant, timeout_at},
+    sync::{Notify, watch},
+    time::{Instant, timeout, timeout_at},
 };
 
 use super::{
@@ -45,6 +45,8 @@
     pub rate_limited: u64,
     /// Calls that a fault hit.
     pub faulted: u64,
+    /// Calls that a fault holds back at this moment.
+    pub delayed_calls: u64,
     /// Bytes of the values put.
     pub bytes_written: u64,
     /// Bytes of the values read.
@@ -67,6 +69,7 @@
     started: Instant,
     inner: Mutex<PlatformState>,
     changed: watch::Sender<Revision>,
+    released: Notify,
     weight_bytes: usize,
 }
 
@@ -96,6 +99,7 @@
             started: Instant::now(),
             inner: Mutex::new(state),
             changed: watch::Sender::new(0),
+            released: Notify::new(),
             weight_bytes: options.weight_bytes,
         }
     }
@@ -158,7 +162,7 @@
         wait: Duration,
     ) -> Result<ChangeBatch, StoreError> {
         let mut changed = self.changed.subscribe();
-        let _waiting = WaitingWatch::new(self);
+        let _waiting = GaugedCall::new(self, |counters| &mut counters.waiting_watches);
         let deadline = Instant::now() + wait;
         let mut charged_until = Instant::now() + WATCH_SLICE;
         loop {
@@ -198,6 +202,21 @@
         self.inner.lock().faults.set(order, now);
     }
 
+    /// Holds a slow call back until its delay has passed or it is released.
+    pub(crate) async fn delay(&self, fate: CallFate) -> Option<GaugedCall<'_>> {
+        let CallFate::Delayed(delay) = fate else {
+            return None;
+        };
+        let gauged = GaugedCall::new(self, |counters| &mut counters.delayed_calls);
+        let _released_or_over = timeout(delay, self.released.notified()).await;
+        Some(gauged)
+    }
+
+    /// Lets the calls go on that are held back now.
+    pub(crate) fn release_delayed(&self) {
+        self.released.notify_waiters();
+    }
+
     fn charge_waiting(&self) -> Result<(), StoreError> {
         let now = self.now();
         let mut state = self.inner.lock();
@@ -237,20 +256,24 @@
     }
 }
 
-/// Counts a watch while it waits, also when its caller goes away.
-struct WaitingWatch<'a> {
+/// Which of the counters tells calls under way.
+type CallGauge = fn(&mut PlatformCounters) -> &mut u64;
+
+/// Counts a call while it is under way, also when its caller goes away.
+pub(crate) struct GaugedCall<'a> {
     platform: &'a SharedPlatform,
+    gauge: CallGauge,
 }
 
-impl<'a> WaitingWatch<'a> {
-    fn new(platform: &'a SharedPlatform) -> Self {
-        platform.inner.lock().counters.waiting_watches += 1;
-        Self { platform }
+impl<'a> GaugedCall<'a> {
+    fn new(platform: &'a SharedPlatform, gauge: CallGauge) -> Self {
+        *gauge(&mut platform.inner.lock().counters) += 1;
+        Self { platform, gauge }
     }
 }
 
-impl Drop for WaitingWatch<'_> {
+impl Drop for GaugedCall<'_> {
     fn drop(&mut self) {
-        self.platform.inner.lock().counters.waiting_watches -= 1;
+        *(self.gauge)(&mut self.platform.inner.lock().counters) -= 1;
     }
 }
