--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -21,6 +21,7 @@
 mod config;
 mod cost;
 mod endpoint;
+mod fence;
 mod ids;
 mod length;
 mod outcome;
@@ -56,6 +57,7 @@
     EndpointSnapshot, EngineAnswer, EngineHolding, EngineReport, EngineResult, LeaseState,
     MemoryLease, MemoryLedger, OrganisationShare, RequestSnapshot, WorkOrder,
 };
+pub use fence::{FenceAction, FenceEvent, FenceGate, FencedOrder};
 pub use ids::{
     AttemptNumber, BlockCount, DomainId, EndpointId, Epoch, GatewayId, Generation, HostId,
     Incarnation, ModelId, OrganisationId, PoolId, RequestId, ServiceId, Timestamp, TokenCount,
