Decide leases and their fencing numbers

Cause: orders to the engines of a pool need one giver at a time, also when a holder is paused past its lapse, a confirmation is lost or two contend.

Change: LeaseHolder over one object of the store. A holder counts from before it asked and a successor from when it first saw the last renewal, both with a margin for clock rates; the epoch grows with each holder. FenceMark is the receiver's side.

--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -23,6 +23,7 @@
 mod endpoint;
 mod fence;
 mod ids;
+mod lease;
 mod length;
 mod outcome;
 mod placement;
@@ -63,6 +64,7 @@
     Incarnation, ModelId, OrganisationId, PoolId, RequestId, ServiceId, Timestamp, TokenCount,
     format_request_id, parse_request_id,
 };
+pub use lease::{FenceMark, LeaseAction, LeaseEvent, LeaseHolder, LeaseLimits, LeaseStatus};
 pub use length::LengthBucket;
 pub use outcome::{AnswerEnd, AttemptKey, RevokeVerdict};
 pub use placement::{
