Apply, compare and read the accepted configuration; ask processes as an operator

An apply whose confirmation is lost must not be reported by a guess: apply says accepted, conflict (with the winner and what the file would change now), not accepted, or unknown with the nonce that settles it. With the nonce of an earlier apply, an outage leaves that one's outcome unknown and is reported so.

status counts who has the accepted generation in force, by what the gateways tell of themselves and of the sidecars; it shows what it heard when the store is down. explain, dump and drain ask one process. A drain without an answer is unknown.

--- a/lovagedock-cli/src/arguments.rs
+++ b/lovagedock-cli/src/arguments.rs
@@ -2,7 +2,9 @@
 
 use std::path::PathBuf;
 
-use clap::{Parser, Subcommand, ValueEnum};
+use clap::{Args, Parser, Subcommand, ValueEnum};
+use clap_complete::Shell;
+use lovagedock::Generation;
 
 const EXIT_STATUS_HELP: &str = "\
 Exit status:
@@ -11,7 +13,7 @@
   2  wrong usage or settings
   3  conflict: another operator's configuration was accepted first
   4  unknown: it may or may not have been done
-  5  unreachable: the platform or a process did not answer";
+  5  unreachable: the platform or a process did not answer; nothing was changed";
 
 /// Command line for operators of lovagedock.
 #[derive(Clone, Debug, Parser)]
@@ -20,9 +22,18 @@
     /// How to print the result.
     #[arg(long, value_enum, default_value_t = OutputFormat::Table, global = true)]
     pub output: OutputFormat,
+    /// Settings file, JSON with comments; absent, the file that LOVAGEDOCK_SETTINGS names.
+    #[arg(long, value_name = "FILE", global = true)]
+    pub settings: Option<PathBuf>,
+    /// URL of the platform's object API, in place of the settings' one.
+    #[arg(long, value_name = "URL", global = true)]
+    pub platform: Option<String>,
+    /// Check the settings and exit.
+    #[arg(long)]
+    pub check_settings: bool,
     /// What to do.
     #[command(subcommand)]
-    pub command: CommandArguments,
+    pub command: Option<CommandArguments>,
 }
 
 /// How results are printed.
@@ -40,12 +51,66 @@
     /// Check a configuration without applying it.
     Check {
         /// Files or folders that make up the configuration.
-        #[arg(required = true)]
+        #[arg(required = true, value_name = "FILE")]
         files: Vec<PathBuf>,
     },
+    /// Show what a configuration would change.
+    Diff {
+        /// Files or folders that make up the configuration.
+        #[arg(required = true, value_name = "FILE")]
+        files: Vec<PathBuf>,
+    },
+    /// Make a configuration the complete desired state.
+    Apply(ApplyArguments),
+    /// Print the accepted configuration.
+    Get,
+    /// Show which process has which configuration in force.
+    Status,
+    /// Tell where a request went and why.
+    Explain {
+        /// Id of the request, as in its answer.
+        request: String,
+    },
+    /// Print the state of a process.
+    Dump {
+        /// Operators' address of the process, or its id in the settings.
+        process: String,
+    },
+    /// Let a process finish its work and take no more.
+    Drain {
+        /// Operators' address of the process, or its id in the settings.
+        process: String,
+    },
     /// Explain a numbered result code.
     Code {
         /// Number of the code; absent lists all.
         number: Option<u16>,
     },
+    /// Print the JSON Schema of the configuration.
+    Schema,
+    /// Print a completion script.
+    Completions {
+        /// Shell that the script is for.
+        shell: Shell,
+    },
+}
+
+/// Arguments of `apply`.
+#[derive(Clone, Debug, Args)]
+pub struct ApplyArguments {
+    /// Files or folders that make up the configuration.
+    #[arg(required = true, value_name = "FILE")]
+    pub files: Vec<PathBuf>,
+    /// Who applies it; the others see it.
+    #[arg(long)]
+    pub author: String,
+    /// Generation that it replaces, as `get` and `diff` show it; 0 for the first.
+    #[arg(long, value_name = "NUMBER")]
+    pub expect_generation: Generation,
+    /// Nonce of an earlier apply whose outcome is unknown, to find out; the file must be the same.
+    #[arg(long)]
+    pub nonce: Option<String>,
+    /// How long to try the platform's store, in milliseconds.
+    #[arg(long, value_name = "MS", default_value_t = 10_000)]
+    pub patience_ms: u64,
 }
--- a/lovagedock-cli/src/codes.rs
+++ b/lovagedock-cli/src/codes.rs
@@ -46,3 +46,29 @@
         "title": code.title(),
     })
 }
+
+/// The page `docs/CODES.md`.
+pub fn codes_page() -> String {
+    let mut text = PAGE_HEAD.to_owned();
+    for code in ResultCode::ALL {
+        let (number, status, ran) = (code.number(), code.http_status(), code.ran().as_str());
+        text += &format!(
+            "| {number} | `{code:?}` | {status} | {ran} | {} |\n",
+            code.title()
+        );
+    }
+    text
+}
+
+const PAGE_HEAD: &str = "\
+# Result codes
+
+Every request and every operator's command ends with one of these. The first digit tells who has to
+act: 1 the caller, 2 nobody (try again later), 3 the operator of an endpoint, 4 the operator of the
+configuration. `ran` tells whether the work of the request was ever started: after `no` it did not
+run and never will under this request id; after `unknown` it may have run, and nobody who could tell
+is left. `lovagedock code NUMBER` shows one of them. The page is generated from the code.
+
+| code | name | HTTP status | ran | meaning |
+|---|---|---|---|---|
+";
--- a/lovagedock-cli/src/lib.rs
+++ b/lovagedock-cli/src/lib.rs
@@ -1,14 +1,25 @@
 //! The operators' command line.
 //!
 //! Each command is a function from its arguments to a [`CommandReport`]: text for people, a value
-//! for programs, and an [`ExitStatus`] that scripts can rely on.
+//! for programs, and an [`ExitStatus`] that scripts can rely on. [`CommandRunner`] gets the store
+//! and the way to processes from outside, so that tests can put fakes in their place.
 
 mod arguments;
 mod codes;
+mod config;
 mod files;
+mod fleet;
+mod port;
 mod report;
-mod run;
+mod runner;
+mod settings;
+mod start;
+mod status;
 
-pub use arguments::{CommandArguments, CommandLine, OutputFormat};
+pub use arguments::{ApplyArguments, CommandArguments, CommandLine, OutputFormat};
+pub use codes::codes_page;
+pub use port::{HttpProcessPort, ProcessError, ProcessMethod, ProcessPort};
 pub use report::{CommandReport, ExitStatus};
-pub use run::{run_command, run_command_line};
+pub use runner::CommandRunner;
+pub use settings::{OperatorSettings, ProcessAddress};
+pub use start::run_command_line;
--- /dev/null
+++ b/lovagedock-cli/src/runner.rs
@@ -0,0 +1,120 @@
+//! Runs commands.
+
+use std::sync::Arc;
+
+use clap::CommandFactory;
+use lovagedock::{ResultCode, config_schema};
+use lovagedock_daemon::Transport;
+use lovagedock_platform::{ConfigStore, HttpObjectStore, ObjectStore};
+use serde_json::{Value, json};
+
+use crate::{
+    arguments::{CommandArguments, CommandLine},
+    codes::show_code,
+    config, files, fleet,
+    port::{HttpProcessPort, ProcessPort},
+    report::{CommandReport, ExitStatus},
+    settings::OperatorSettings,
+    status,
+};
+
+/// Runs commands against a platform and processes.
+pub struct CommandRunner {
+    pub(crate) settings: OperatorSettings,
+    store: Option<Arc<dyn ObjectStore>>,
+    port: Option<Arc<dyn ProcessPort>>,
+}
+
+impl CommandRunner {
+    /// A runner that reaches what the settings name.
+    ///
+    /// # Errors
+    ///
+    /// A report when the TLS files that the settings name cannot be used.
+    pub fn new(settings: OperatorSettings) -> Result<Self, CommandReport> {
+        let store = settings.platform.as_deref().map(|url| {
+            let store: Arc<dyn ObjectStore> = Arc::new(HttpObjectStore::new(url));
+            store
+        });
+        let mut port: Option<Arc<dyn ProcessPort>> = None;
+        if let Some(transport) = &settings.transport {
+            let transport = Transport::new(transport)
+                .map_err(|report| report_settings(format!("transport: {report}")))?;
+            let token = settings.operator_token.clone();
+            port = Some(Arc::new(HttpProcessPort::new(transport, token)));
+        }
+        Ok(Self {
+            settings,
+            store,
+            port,
+        })
+    }
+
+    /// Uses another store.
+    pub fn with_store(mut self, store: Arc<dyn ObjectStore>) -> Self {
+        self.store = Some(store);
+        self
+    }
+
+    /// Uses another way to processes.
+    pub fn with_port(mut self, port: Arc<dyn ProcessPort>) -> Self {
+        self.port = Some(port);
+        self
+    }
+
+    /// Runs one command.
+    pub async fn run(&self, command: &CommandArguments) -> CommandReport {
+        let report = match command {
+            CommandArguments::Check { files } => Ok(files::check_files(files)),
+            CommandArguments::Diff { files } => config::diff_files(self, files).await,
+            CommandArguments::Apply(arguments) => config::apply_files(self, arguments).await,
+            CommandArguments::Get => config::get_config(self).await,
+            CommandArguments::Status => status::show_status(self).await,
+            CommandArguments::Explain { request } => fleet::explain_request(self, request).await,
+            CommandArguments::Dump { process } => fleet::dump_process(self, process).await,
+            CommandArguments::Drain { process } => fleet::drain_process(self, process).await,
+            CommandArguments::Code { number } => Ok(show_code(*number)),
+            CommandArguments::Schema => Ok(show_schema()),
+            CommandArguments::Completions { shell } => Ok(show_completions(*shell)),
+        };
+        report.unwrap_or_else(|report| report)
+    }
+
+    pub(crate) fn config_store(&self) -> Result<ConfigStore, CommandReport> {
+        match &self.store {
+            Some(store) => Ok(ConfigStore::new(store.clone())),
+            None => Err(report_settings("`platform` is not set".to_owned())),
+        }
+    }
+
+    pub(crate) fn process_port(&self) -> Result<&dyn ProcessPort, CommandReport> {
+        let missing = || report_settings("`transport` is not set".to_owned());
+        self.port.as_deref().ok_or_else(missing)
+    }
+}
+
+/// Reports what is wrong with the settings.
+pub(crate) fn report_settings(error: String) -> CommandReport {
+    let code = ResultCode::SettingsInvalid;
+    let value = json!({ "error": error, "code": code.number() });
+    CommandReport::new(ExitStatus::Usage, format!("settings: {error}\n"), value)
+}
+
+fn show_schema() -> CommandReport {
+    let text = config_schema();
+    let value = serde_json::from_str(&text).unwrap_or(Value::Null);
+    CommandReport::new(ExitStatus::Done, text, value)
+}
+
+fn show_completions(shell: clap_complete::Shell) -> CommandReport {
+    let mut script = Vec::new();
+    clap_complete::generate(
+        shell,
+        &mut CommandLine::command(),
+        "lovagedock",
+        &mut script,
+    );
+    let script = String::from_utf8_lossy(&script).into_owned();
+    let value = json!({ "shell": shell.to_string(), "script": script });
+    CommandReport::new(ExitStatus::Done, script, value)
+}
--- /dev/null
+++ b/lovagedock-cli/src/status.rs
@@ -0,0 +1,169 @@
+//! `status`: which process has which configuration in force.
+
+use std::collections::BTreeMap;
+
+use lovagedock::Generation;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use crate::{
+    config::report_load,
+    port::{ProcessError, ProcessMethod},
+    report::{CommandReport, ExitStatus, format_table},
+    runner::CommandRunner,
+    settings::ProcessAddress,
+};
+
+const HEADER: &[&str] = &["PROCESS", "ROLE", "GENERATION", "IN FORCE"];
+
+/// What `status` needs of a gateway's answer; a newer gateway may tell more.
+#[derive(Deserialize)]
+struct GatewayAnswer {
+    generation: Generation,
+    #[serde(default)]
+    endpoints: Vec<EndpointAnswer>,
+}
+
+/// What a gateway last heard from one sidecar.
+#[derive(Deserialize)]
+struct EndpointAnswer {
+    endpoint: String,
+    #[serde(default)]
+    generation: Generation,
+    #[serde(default)]
+    connected: bool,
+}
+
+/// One line of the status.
+#[derive(Serialize)]
+struct ProcessLine {
+    process: String,
+    role: &'static str,
+    /// `None` when the process could not be asked.
+    generation: Option<Generation>,
+    error: Option<String>,
+}
+
+pub(crate) async fn show_status(runner: &CommandRunner) -> Result<CommandReport, CommandReport> {
+    let accepted = load_generation(runner).await;
+    let mut lines = Vec::new();
+    let mut sidecars: BTreeMap<String, Option<Generation>> = BTreeMap::new();
+    for gateway in &runner.settings.gateways {
+        match ask_gateway(runner, gateway).await? {
+            Ok(answer) => {
+                note_sidecars(&mut sidecars, &answer.endpoints);
+                lines.push(gateway_line(gateway, Some(answer.generation), None));
+            }
+            Err(error) => lines.push(gateway_line(gateway, None, Some(error.to_string()))),
+        }
+    }
+    lines.extend(sidecars.into_iter().map(|(process, generation)| {
+        ProcessLine {
+            process,
+            role: "sidecar",
+            generation,
+            error: generation
+                .is_none()
+                .then(|| "no gateway has a session to it".to_owned()),
+        }
+    }));
+    Ok(report_status(accepted, &lines))
+}
+
+async fn load_generation(runner: &CommandRunner) -> Result<Generation, CommandReport> {
+    let root = runner.config_store()?.load_root().await;
+    match root {
+        Ok(root) => Ok(root.map_or(0, |root| root.generation())),
+        Err(error) => Err(report_load(&error)),
+    }
+}
+
+async fn ask_gateway(
+    runner: &CommandRunner,
+    gateway: &ProcessAddress,
+) -> Result<Result<GatewayAnswer, ProcessError>, CommandReport> {
+    let port = runner.process_port()?;
+    let answer = port
+        .call(gateway.address, ProcessMethod::Get, "/status")
+        .await;
+    Ok(answer.and_then(|document| {
+        serde_json::from_value(document).map_err(|error| ProcessError::NoAnswer(error.to_string()))
+    }))
+}
+
+/// Several gateways tell of one sidecar: the newest generation is what it has, since a process
+/// never goes back.
+fn note_sidecars(
+    sidecars: &mut BTreeMap<String, Option<Generation>>,
+    endpoints: &[EndpointAnswer],
+) {
+    for endpoint in endpoints {
+        let told = endpoint.connected.then_some(endpoint.generation);
+        let known = sidecars.entry(endpoint.endpoint.clone()).or_default();
+        *known = (*known).max(told);
+    }
+}
+
+fn gateway_line(
+    gateway: &ProcessAddress,
+    generation: Option<Generation>,
+    error: Option<String>,
+) -> ProcessLine {
+    ProcessLine {
+        process: gateway.id.clone(),
+        role: "gateway",
+        generation,
+        error,
+    }
+}
+
+fn report_status(
+    accepted: Result<Generation, CommandReport>,
+    lines: &[ProcessLine],
+) -> CommandReport {
+    let generation = accepted.as_ref().ok().copied();
+    let in_force = |line: &&ProcessLine| match (line.generation, generation) {
+        (Some(own), Some(accepted)) => own >= accepted,
+        _ => false,
+    };
+    let count = lines.iter().filter(in_force).count();
+    let rows: Vec<_> = lines
+        .iter()
+        .map(|line| line_row(line, generation))
+        .collect();
+    let mut text = match &accepted {
+        Ok(generation) => {
+            format!(
+                "accepted generation {generation}, in force at {count} of {}\n",
+                lines.len()
+            )
+        }
+        Err(report) => format!("the accepted generation is not known: {}", report.text),
+    };
+    text += &format_table(HEADER, &rows);
+    let value = json!({
+        "accepted_generation": generation,
+        "in_force": generation.map(|_| count),
+        "processes": lines,
+        "store_error": accepted.as_ref().err().map_or(Value::Null, |report| report.value.clone()),
+    });
+    let status = match &accepted {
+        Err(report) => report.status,
+        Ok(_) if lines.iter().any(|line| line.generation.is_none()) => ExitStatus::Unreachable,
+        Ok(_) => ExitStatus::Done,
+    };
+    CommandReport::new(status, text, value)
+}
+
+fn line_row(line: &ProcessLine, accepted: Option<Generation>) -> Vec<String> {
+    let shown = line
+        .generation
+        .map_or("-".to_owned(), |generation| generation.to_string());
+    let in_force = match (line.generation, accepted, &line.error) {
+        (Some(own), Some(accepted), _) if own >= accepted => "yes".to_owned(),
+        (Some(_), Some(_), _) => "no".to_owned(),
+        (_, _, Some(error)) => error.clone(),
+        _ => "unknown".to_owned(),
+    };
+    vec![line.process.clone(), line.role.to_owned(), shown, in_force]
+}
--- /dev/null
+++ b/lovagedock-cli/tests/cli/common.rs
@@ -0,0 +1,74 @@
+//! Command lines run against fakes.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+
+use async_trait::async_trait;
+use clap::Parser;
+use lovagedock_cli::{
+    CommandLine, CommandReport, CommandRunner, OperatorSettings, ProcessError, ProcessMethod,
+    ProcessPort,
+};
+use lovagedock_platform::MemoryStore;
+use serde_json::Value;
+
+/// Answers calls from a list; what is not in it cannot be reached.
+#[derive(Default)]
+pub(crate) struct ScriptedPort {
+    answers: HashMap<(SocketAddr, &'static str), Result<Value, ProcessError>>,
+}
+
+impl ScriptedPort {
+    /// Adds an answer to calls of `path` at `address`.
+    pub(crate) fn with_answer(
+        mut self,
+        address: &str,
+        path: &'static str,
+        answer: Result<Value, ProcessError>,
+    ) -> Self {
+        let address = address.parse().expect("an address");
+        self.answers.insert((address, path), answer);
+        self
+    }
+}
+
+#[async_trait]
+impl ProcessPort for ScriptedPort {
+    async fn call(
+        &self,
+        address: SocketAddr,
+        _method: ProcessMethod,
+        path: &str,
+    ) -> Result<Value, ProcessError> {
+        let mut answers = self.answers.iter();
+        match answers.find(|((at, name), _)| *at == address && *name == path) {
+            Some((_, answer)) => answer.clone(),
+            None => Err(ProcessError::Unreachable("connection refused".to_owned())),
+        }
+    }
+}
+
+/// A runner with two gateways and one sidecar in its settings.
+pub(crate) fn new_runner(store: Arc<MemoryStore>, port: ScriptedPort) -> CommandRunner {
+    let text = r#"{
+        "gateways": [
+            { "id": "gateway-1", "address": "127.0.0.1:7301" },
+            { "id": "gateway-2", "address": "127.0.0.1:7302" }
+        ],
+        "sidecars": [{ "id": "engine-1", "address": "127.0.0.1:7401" }]
+    }"#;
+    let settings: OperatorSettings = serde_json::from_str(text).expect("sound settings");
+    let runner = CommandRunner::new(settings).expect("no files to read");
+    runner.with_store(store).with_port(Arc::new(port))
+}
+
+/// Runs a command line as it would be typed after `lovagedock`.
+pub(crate) async fn run(runner: &CommandRunner, line: &str) -> CommandReport {
+    let words = std::iter::once("lovagedock").chain(line.split_whitespace());
+    let line = CommandLine::try_parse_from(words).expect("a sound command line");
+    runner.run(&line.command.expect("a command")).await
+}
+
+/// Exit status and text, as an operator sees them.
+pub(crate) fn show(report: &CommandReport) -> String {
+    format!("exit {}\n{}", report.status.number(), report.text)
+}
