Name the holders of a span on the wire

Cause: an engine that decodes a span has to be told where each part is held, in the engines' own words.

--- a/lovagedock-wire/schema/lovagedock.capnp
+++ b/lovagedock-wire/schema/lovagedock.capnp
@@ -31,6 +31,13 @@
   value @1 :Data;
 }
 
+struct SpanHolder {
+  # One engine's part of a prompt that is larger than any engine.
+  locator @0 :Text;
+  # What the engine called itself when it prefilled the part.
+  tokens @1 :UInt64;
+}
+
 struct WorkOrder {
   # One request as the sidecar needs it.
   key @0 :RequestKey;
@@ -49,9 +56,9 @@
   path @10 :Text;
   headers @11 :List(HeaderField);
   body @12 :Data;
-  span @13 :List(Text);
-  # Endpoints whose memory was reserved for this request, first the one that decodes; empty for
-  # a request that fits one engine.
+  span @13 :List(SpanHolder);
+  # Engines that hold parts of the prompt, in the order of the prompt; empty for a request that
+  # fits one engine.
   predictedMs @14 :UInt64;
   # First-token time that the gateway predicted.
 }
@@ -132,7 +139,7 @@
   reserve @7 (key :RequestKey, tokens :UInt64, holdMs :UInt64) -> (granted :Bool, freeTokens :UInt64);
   # Memory for one part of a span; it lapses by itself after holdMs without renewal.
   release @8 (key :RequestKey);
-  segment @9 (order :WorkOrder, start :UInt64, tokens :UInt64) -> (end :AnswerEnd);
+  segment @9 (order :WorkOrder, start :UInt64, tokens :UInt64) -> (end :AnswerEnd, locator :Text);
   # Prefills one part of a span into reserved memory.
   drain @10 (leaving :Bool) -> (inFlight :UInt32);
 }
--- a/lovagedock-wire/src/codec.rs
+++ b/lovagedock-wire/src/codec.rs
@@ -8,7 +8,8 @@
 use crate::{
     lovagedock_capnp as schema,
     messages::{
-        AnswerHead, HeaderField, LoadMessage, PeerIdentity, UsageMessage, WireError, WorkMessage,
+        AnswerHead, HeaderField, LoadMessage, PeerIdentity, SpanHolder, UsageMessage, WireError,
+        WorkMessage,
     },
 };
 
@@ -28,7 +29,7 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
-fn read_text(text: capnp::Result<capnp::text::Reader<'_>>) -> Decoded<String> {
+pub(crate) fn read_text(text: capnp::Result<capnp::text::Reader<'_>>) -> Decoded<String> {
     let text = text?;
     match text.to_str() {
         Ok(text) => Ok(text.to_owned()),
@@ -145,8 +146,10 @@
     builder.set_path(work.path.as_str());
     builder.set_body(&work.body);
     let mut span = builder.reborrow().init_span(list_length(work.span.len()));
-    for (index, endpoint) in (0_u32..).zip(&work.span) {
-        span.set(index, &**endpoint);
+    for (index, holder) in (0_u32..).zip(&work.span) {
+        let mut part = span.reborrow().get(index);
+        part.set_locator(holder.locator.as_str());
+        part.set_tokens(holder.tokens);
     }
     write_headers(
         &work.headers,
@@ -156,8 +159,11 @@
 
 pub(crate) fn read_work(reader: schema::work_order::Reader<'_>) -> Decoded<WorkMessage> {
     let mut span = Vec::new();
-    for endpoint in reader.get_span()? {
-        span.push(EndpointId::from(read_text(endpoint)?));
+    for holder in reader.get_span()? {
+        span.push(SpanHolder {
+            locator: read_text(holder.get_locator())?,
+            tokens: holder.get_tokens(),
+        });
     }
     Ok(WorkMessage {
         key: read_key(reader.get_key()?),
--- a/lovagedock-wire/src/endpoint_client.rs
+++ b/lovagedock-wire/src/endpoint_client.rs
@@ -11,7 +11,7 @@
     lovagedock_capnp::{answer_sink, endpoint_session},
     messages::{
         AnswerHead, ConfigMessage, LoadMessage, PeerIdentity, ReserveReply, SegmentRange,
-        SubmitReply, WireError, WorkMessage,
+        SegmentReply, SubmitReply, WireError, WorkMessage,
     },
     stream::{SessionSystem, WireStream, client_system},
 };
@@ -193,13 +193,17 @@
         work: &WorkMessage,
         range: SegmentRange,
         limit: Duration,
-    ) -> Result<AnswerEnd, WireError> {
+    ) -> Result<SegmentReply, WireError> {
         let mut request = self.session.segment_request();
         codec::write_work(work, request.get().init_order());
         request.get().set_start(range.start);
         request.get().set_tokens(range.tokens);
         let response = within(limit, request.send().promise).await?;
-        codec::read_end(response.get()?.get_end()?)
+        let reply = response.get()?;
+        Ok(SegmentReply {
+            end: codec::read_end(reply.get_end()?)?,
+            locator: codec::read_text(reply.get_locator())?,
+        })
     }
 
     /// Starts or ends the endpoint's leaving; returns the requests still in flight.
--- a/lovagedock-wire/src/endpoint_server.rs
+++ b/lovagedock-wire/src/endpoint_server.rs
@@ -11,7 +11,7 @@
     lovagedock_capnp::{answer_sink, endpoint_session},
     messages::{
         AnswerHead, ConfigMessage, LoadMessage, PeerIdentity, ReserveReply, SegmentRange,
-        SubmitReply, WireError, WorkMessage,
+        SegmentReply, SubmitReply, WireError, WorkMessage,
     },
     stream::{WireStream, server_system},
 };
@@ -50,7 +50,7 @@
         &self,
         work: WorkMessage,
         range: SegmentRange,
-    ) -> impl Future<Output = AnswerEnd> + 'static;
+    ) -> impl Future<Output = SegmentReply> + 'static;
     /// Starts or ends leaving; returns the requests in flight.
     fn drain(&self, leaving: bool) -> u32;
 }
@@ -231,8 +231,9 @@
             tokens: call.get_tokens(),
         };
         drop(params);
-        let end = self.handler.segment(work, range).await;
-        codec::write_end(&end, results.get().init_end());
+        let reply = self.handler.segment(work, range).await;
+        results.get().set_locator(reply.locator.as_str());
+        codec::write_end(&reply.end, results.get().init_end());
         Ok(())
     }
 
--- a/lovagedock-wire/src/lovagedock_capnp.rs
+++ b/lovagedock-wire/src/lovagedock_capnp.rs
@@ -1122,6 +1122,242 @@
     }
 }
 
+pub mod span_holder {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_locator(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_locator(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_tokens(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_locator(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_locator(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_locator(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_locator(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_tokens(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_tokens(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(2, 27, 106, 22, 106, 242, 167, 211),
+            ::capnp::word(17, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(81, 96, 78, 169, 243, 199, 177, 210),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
+            ::capnp::word(99, 107, 46, 99, 97, 112, 110, 112),
+            ::capnp::word(58, 83, 112, 97, 110, 72, 111, 108),
+            ::capnp::word(100, 101, 114, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 111, 99, 97, 116, 111, 114, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 111, 107, 101, 110, 115, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+        pub(crate) const TYPE_ID: u64 = 0xd3a7_f26a_166a_1b02;
+    }
+}
+
 pub mod work_order {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -1264,7 +1500,7 @@
             !self.reader.get_pointer_field(6).is_null()
         }
         #[inline]
-        pub fn get_span(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+        pub fn get_span(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::lovagedock_capnp::span_holder::Owned>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(7), ::core::option::Option::None)
         }
         #[inline]
@@ -1490,15 +1726,15 @@
             !self.builder.is_pointer_field_null(6)
         }
         #[inline]
-        pub fn get_span(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+        pub fn get_span(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::lovagedock_capnp::span_holder::Owned>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(7), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_span(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+        pub fn set_span(&mut self, value: ::capnp::struct_list::Reader<'_,crate::lovagedock_capnp::span_holder::Owned>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(7), value, false)
         }
         #[inline]
-        pub fn init_span(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+        pub fn init_span(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::lovagedock_capnp::span_holder::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(7), size)
         }
         #[inline]
@@ -1769,8 +2005,8 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 27, 106, 22, 106, 242, 167, 211),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -1801,7 +2037,7 @@
                 10 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 11 => <::capnp::struct_list::Owned<crate::lovagedock_capnp::header_field::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 12 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
-                13 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                13 => <::capnp::struct_list::Owned<crate::lovagedock_capnp::span_holder::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 14 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
@@ -8749,11 +8985,19 @@
             pub fn has_end(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_locator(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_locator(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8819,6 +9063,22 @@
             pub fn has_end(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_locator(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_locator(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_locator(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(1).init_text(size)
+            }
+            #[inline]
+            pub fn has_locator(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -8833,17 +9093,17 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 35] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 50] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(133, 241, 5, 42, 67, 42, 91, 186),
                 ::capnp::word(33, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 138, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(37, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(37, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
@@ -8853,14 +9113,21 @@
                 ::capnp::word(46, 115, 101, 103, 109, 101, 110, 116),
                 ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 34, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(101, 110, 100, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(157, 149, 189, 55, 186, 59, 130, 214),
@@ -8869,10 +9136,19 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 111, 99, 97, 116, 111, 114, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::lovagedock_capnp::answer_end::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -8886,9 +9162,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
             pub(crate) const TYPE_ID: u64 = 0xba5b_2a43_2a05_f185;
         }
     }
--- a/lovagedock-wire/src/messages.rs
+++ b/lovagedock-wire/src/messages.rs
@@ -50,8 +50,8 @@
     pub non_idempotent: bool,
     /// First-token time that the gateway predicted.
     pub predicted: Duration,
-    /// Endpoints that hold parts of the prompt; empty unless a span.
-    pub span: Vec<EndpointId>,
+    /// Engines that hold parts of the prompt, in its order; empty unless a span.
+    pub span: Vec<SpanHolder>,
     /// HTTP method.
     pub method: String,
     /// HTTP path with query.
@@ -62,6 +62,24 @@
     pub body: Bytes,
 }
 
+/// One engine's part of a prompt that is larger than any engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SpanHolder {
+    /// What the engine called itself when it prefilled the part.
+    pub locator: String,
+    /// Tokens of the part.
+    pub tokens: TokenCount,
+}
+
+/// What a sidecar says when it has prefilled one part of a span.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SegmentReply {
+    /// How the prefill ended.
+    pub end: AnswerEnd,
+    /// What the engine calls itself; empty unless complete.
+    pub locator: String,
+}
+
 /// Status and headers of an answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AnswerHead {
