Serve gateways from the sidecar

Cause: the endpoint's decisions need a door: sessions, the engine's stream, the engine's account. Change: the daemon feeds wire calls and engine traffic to EndpointCore and carries its actions out; answers are kept in whole, so that a slow caller holds no engine and a cut one can go on from an offset; a silent gateway's session is given up by time; shutdown waits for every answer to be taken.

--- /dev/null
+++ b/lovagedock-sidecar/src/answers.rs
@@ -0,0 +1,188 @@
+//! Requests that a sidecar holds: what the caller sent and what the engine answered so far.
+//!
+//! Answers are kept here, not only passed on, so that a gateway can go on with one from an offset
+//! on another connection, and so that a slow caller holds no engine.
+
+use std::{collections::HashMap, sync::Arc};
+
+use bytes::{Bytes, BytesMut};
+use lovagedock::{AnswerEnd, AttemptKey, prelude::*};
+use lovagedock_wire::{AnswerHead, WorkMessage};
+use tokio::{sync::watch, task::AbortHandle};
+
+/// Largest piece of an answer in one message.
+const CHUNK_BYTES: usize = 64 * 1024;
+
+/// One request and its answer.
+pub(crate) struct AnswerRecord {
+    /// What the gateway sent.
+    pub(crate) work: Arc<WorkMessage>,
+    /// Status and headers from the engine.
+    pub(crate) head: Option<AnswerHead>,
+    bytes: BytesMut,
+    hasher: blake3::Hasher,
+    visible: u64,
+    end: Option<AnswerEnd>,
+    /// Grows with each connection that takes the answer; older ones stop.
+    sink: u64,
+    taken: bool,
+    changed: watch::Sender<()>,
+    /// The task that reads the engine's stream.
+    pub(crate) engine_task: Option<AbortHandle>,
+}
+
+/// What a sink sends next.
+pub(crate) enum SinkStep {
+    /// Status and headers.
+    Head(AnswerHead),
+    /// Bytes at the sink's offset.
+    Bytes(Bytes),
+    /// The end; nothing follows.
+    End(AnswerEnd),
+    /// Nothing yet.
+    Wait,
+    /// Another connection takes the answer now, or nobody does.
+    Stop,
+}
+
+/// What a sink has sent so far.
+#[derive(Clone, Debug)]
+pub(crate) struct SinkPlace {
+    /// The request.
+    pub(crate) request: RequestId,
+    /// Which sink of the request this is.
+    pub(crate) sink: u64,
+    /// Whether the head is sent.
+    pub(crate) head_sent: bool,
+    /// Bytes that are sent.
+    pub(crate) offset: u64,
+}
+
+/// All requests of a sidecar, by request.
+#[derive(Default)]
+pub(crate) struct AnswerTable {
+    records: HashMap<RequestId, AnswerRecord>,
+}
+
+impl AnswerTable {
+    /// Adds a request unless it is there: a newer attempt takes over what an older one began.
+    pub(crate) fn insert(&mut self, work: WorkMessage) {
+        let request = work.key.request;
+        self.records.entry(request).or_insert_with(|| AnswerRecord {
+            work: Arc::new(work),
+            head: None,
+            bytes: BytesMut::new(),
+            hasher: blake3::Hasher::new(),
+            visible: 0,
+            end: None,
+            sink: 0,
+            taken: false,
+            changed: watch::Sender::new(()),
+            engine_task: None,
+        });
+    }
+
+    /// One request.
+    pub(crate) fn get_mut(&mut self, request: RequestId) -> Option<&mut AnswerRecord> {
+        self.records.get_mut(&request)
+    }
+
+    /// Forgets a request; its sinks stop.
+    pub(crate) fn remove(&mut self, request: RequestId) {
+        self.records.remove(&request);
+    }
+
+    /// Makes a connection the one that takes the answer; the receiver tells it of changes.
+    pub(crate) fn attach(
+        &mut self,
+        key: AttemptKey,
+        offset: u64,
+    ) -> Option<(SinkPlace, watch::Receiver<()>)> {
+        let record = self.records.get_mut(&key.request)?;
+        record.sink += 1;
+        record.changed.send_replace(());
+        let place = SinkPlace {
+            request: key.request,
+            sink: record.sink,
+            head_sent: offset > 0,
+            offset,
+        };
+        Some((place, record.changed.subscribe()))
+    }
+
+    /// Whether a sink is still the one that takes the answer.
+    pub(crate) fn is_current(&self, place: &SinkPlace) -> bool {
+        let record = self.records.get(&place.request);
+        record.is_some_and(|record| record.sink == place.sink)
+    }
+
+    /// Whether an answer has ended that no sink has sent to its end.
+    pub(crate) fn has_unsent(&self) -> bool {
+        self.records
+            .values()
+            .any(|record| record.end.is_some() && !record.taken)
+    }
+
+    /// Notes that a gateway has the whole answer.
+    pub(crate) fn set_taken(&mut self, place: &SinkPlace) {
+        if let Some(record) = self.records.get_mut(&place.request) {
+            record.taken = true;
+        }
+    }
+
+    /// What a sink sends next.
+    pub(crate) fn next_step(&self, place: &SinkPlace) -> SinkStep {
+        let Some(record) = self.records.get(&place.request) else {
+            return SinkStep::Stop;
+        };
+        if record.sink != place.sink {
+            return SinkStep::Stop;
+        }
+        if let Some(head) = record.head.as_ref().filter(|_| !place.head_sent) {
+            return SinkStep::Head(head.clone());
+        }
+        if place.offset < record.visible {
+            return SinkStep::Bytes(record.piece(place.offset));
+        }
+        match &record.end {
+            Some(end) => SinkStep::End(end.clone()),
+            None => SinkStep::Wait,
+        }
+    }
+}
+
+impl AnswerRecord {
+    /// Takes bytes from the engine; sinks see them after [`AnswerRecord::show`].
+    pub(crate) fn append(&mut self, bytes: &[u8]) {
+        self.hasher.update(bytes);
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// Lets sinks send up to an offset.
+    pub(crate) fn show(&mut self, until: u64) {
+        self.visible = until.min(self.bytes.len() as u64);
+        self.changed.send_replace(());
+    }
+
+    /// Wakes sinks, after a head came.
+    pub(crate) fn wake(&self) {
+        self.changed.send_replace(());
+    }
+
+    /// Ends the answer.
+    pub(crate) fn finish(&mut self, end: AnswerEnd) {
+        self.end = Some(end);
+        self.changed.send_replace(());
+    }
+
+    /// Length and digest of what the engine sent.
+    pub(crate) fn length_and_digest(&self) -> (u64, [u8; 32]) {
+        (self.bytes.len() as u64, *self.hasher.finalize().as_bytes())
+    }
+
+    fn piece(&self, offset: u64) -> Bytes {
+        let from = usize::try_from(offset).unwrap_or(usize::MAX);
+        let until = (self.visible as usize).min(from.saturating_add(CHUNK_BYTES));
+        Bytes::copy_from_slice(&self.bytes[from.min(until)..until])
+    }
+}
--- /dev/null
+++ b/lovagedock-sidecar/src/config.rs
@@ -0,0 +1,101 @@
+//! The part of the configuration that a sidecar needs.
+
+use std::{sync::Arc, time::Duration};
+
+use lovagedock::{EndpointEvent, EndpointLimits, OrganisationShare, prelude::*};
+use lovagedock_wire::ConfigMessage;
+use parking_lot::Mutex;
+use slog::{info, warn};
+
+use crate::state::SidecarState;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct InForce {
+    generation: Generation,
+    long_tokens: TokenCount,
+}
+
+/// What is in force at this sidecar.
+///
+/// Lock order: this lock first, then the decision core.
+pub(crate) struct SidecarConfig {
+    limits: EndpointLimits,
+    in_force: Mutex<InForce>,
+}
+
+impl SidecarConfig {
+    /// Nothing in force; `limits` are the bounds that the settings give.
+    pub(crate) fn new(limits: EndpointLimits) -> Self {
+        Self {
+            limits,
+            in_force: Mutex::default(),
+        }
+    }
+
+    /// Number of the configuration in force; 0 for none.
+    pub(crate) fn generation(&self) -> Generation {
+        self.in_force.lock().generation
+    }
+
+    /// Prompts of at least this many tokens count as long.
+    pub(crate) fn long_tokens(&self) -> TokenCount {
+        self.in_force.lock().long_tokens
+    }
+
+    /// Puts a configuration in force if it is newer; returns the generation in force.
+    ///
+    /// Gateways of different generations feed the same sidecar. Without the check the last to
+    /// speak would win, and the configuration would revert.
+    pub(crate) fn adopt(&self, state: &Arc<SidecarState>, message: ConfigMessage) -> Generation {
+        let mut in_force = self.in_force.lock();
+        if message.generation <= in_force.generation {
+            return in_force.generation;
+        }
+        let fleet: FleetConfig = match serde_json::from_slice(&message.config) {
+            Ok(fleet) => fleet,
+            Err(error) => {
+                warn!(state.log, "configuration refused"; "error" => %error);
+                return in_force.generation;
+            }
+        };
+        state.decide(EndpointEvent::Configure {
+            limits: self.limits_for(&state.endpoint, &fleet),
+            shares: shares(&fleet),
+        });
+        *in_force = InForce {
+            generation: message.generation,
+            long_tokens: fleet.placement.long_tokens,
+        };
+        info!(state.log, "configuration in force"; "generation" => message.generation);
+        message.generation
+    }
+
+    fn limits_for(&self, endpoint: &EndpointId, fleet: &FleetConfig) -> EndpointLimits {
+        let longest = fleet.services.iter().map(|service| service.max_deadline_ms);
+        let mut limits = self.limits.clone();
+        if let Some(longest) = longest.max() {
+            limits.longest_deadline = Duration::from_millis(longest);
+        }
+        let spec = fleet
+            .pools
+            .iter()
+            .flat_map(|pool| &pool.endpoints)
+            .find(|spec| spec.id == *endpoint);
+        match spec {
+            Some(spec) => limits.with_memory_tokens(spec.memory_tokens),
+            None => limits,
+        }
+    }
+}
+
+fn shares(fleet: &FleetConfig) -> Vec<OrganisationShare> {
+    fleet
+        .organisations
+        .iter()
+        .map(|organisation| OrganisationShare {
+            organisation: organisation.id.clone(),
+            highest_tier: organisation.priority,
+            weight: organisation.weight,
+        })
+        .collect()
+}
--- /dev/null
+++ b/lovagedock-sidecar/src/engine_task.rs
@@ -0,0 +1,131 @@
+//! Reads one request's answer from the engine and tells the core.
+
+use std::sync::Arc;
+
+use futures::StreamExt;
+use lovagedock::{AttemptKey, EndpointEvent, EngineAnswer, EngineResult, prelude::*};
+use lovagedock_wire::{AnswerHead, HeaderField, WorkMessage};
+
+use crate::{
+    adapter::{
+        EngineEnd, EngineError, EngineEvent, EngineHead, EngineHeader, EngineRequest, SegmentHolder,
+    },
+    state::SidecarState,
+};
+
+/// Priorities that engines get, by tier.
+const PRIORITY_STEP: i32 = 10;
+
+/// Starts a request on the engine and follows it to its end.
+pub(crate) async fn run(state: Arc<SidecarState>, key: AttemptKey, work: Arc<WorkMessage>) {
+    let result = match follow(&state, key, &work).await {
+        Ok(end) => finished(&state, key, end),
+        Err(error) => failed(&error),
+    };
+    if let Some(record) = state.answers().get_mut(key.request) {
+        record.engine_task = None;
+    }
+    state.decide(EndpointEvent::EngineEnded { key, result });
+}
+
+/// Priority of a tier on an engine.
+pub(crate) fn engine_priority(tier: PriorityTier) -> i32 {
+    match tier {
+        PriorityTier::Batch => 0,
+        PriorityTier::Standard => PRIORITY_STEP,
+        PriorityTier::Interactive => 2 * PRIORITY_STEP,
+    }
+}
+
+async fn follow(
+    state: &Arc<SidecarState>,
+    key: AttemptKey,
+    work: &WorkMessage,
+) -> Result<EngineEnd, EngineError> {
+    let mut stream = state.adapter.start(engine_request(key, work)).await?;
+    state.decide(EndpointEvent::EngineStarted(key));
+    while let Some(event) = stream.next().await {
+        match event? {
+            EngineEvent::Head(head) => take_head(state, key, head),
+            EngineEvent::Bytes(bytes) => {
+                if let Some(record) = state.answers().get_mut(key.request) {
+                    record.append(&bytes);
+                }
+                let length = bytes.len() as u64;
+                state.decide(EndpointEvent::EngineBytes { key, length });
+            }
+            EngineEvent::End(end) => return Ok(end),
+        }
+    }
+    Err(EngineError::Lost {
+        detail: "the engine's answer was cut".to_owned(),
+    })
+}
+
+fn engine_request(key: AttemptKey, work: &WorkMessage) -> EngineRequest {
+    EngineRequest {
+        request_id: key.request,
+        priority: engine_priority(work.tier),
+        method: work.method.clone(),
+        path: work.path.clone(),
+        headers: work
+            .headers
+            .iter()
+            .map(|field| EngineHeader {
+                name: field.name.clone(),
+                value: field.value.clone(),
+            })
+            .collect(),
+        body: work.body.clone(),
+        resume_offset: 0,
+        segments: work
+            .span
+            .iter()
+            .map(|holder| SegmentHolder {
+                locator: holder.locator.clone(),
+                tokens: holder.tokens,
+            })
+            .collect(),
+    }
+}
+
+fn take_head(state: &SidecarState, key: AttemptKey, head: EngineHead) {
+    let head = AnswerHead {
+        status: head.status,
+        headers: head
+            .headers
+            .into_iter()
+            .map(|header| HeaderField {
+                name: header.name,
+                value: header.value,
+            })
+            .collect(),
+    };
+    if let Some(record) = state.answers().get_mut(key.request) {
+        record.head = Some(head);
+        record.wake();
+    }
+}
+
+fn finished(state: &SidecarState, key: AttemptKey, end: EngineEnd) -> EngineResult {
+    let mut answers = state.answers();
+    let Some(record) = answers.get_mut(key.request) else {
+        return EngineResult::Cancelled;
+    };
+    let (length, digest) = record.length_and_digest();
+    EngineResult::Finished(EngineAnswer {
+        length,
+        digest,
+        prompt_tokens: end.prompt_tokens,
+        cached_tokens: end.cached_tokens,
+        answer_tokens: end.answer_tokens,
+    })
+}
+
+fn failed(error: &EngineError) -> EngineResult {
+    let detail = error.to_string();
+    match error.ran() {
+        RanState::No => EngineResult::Refused { detail },
+        RanState::Yes | RanState::Unknown => EngineResult::Failed { detail },
+    }
+}
--- /dev/null
+++ b/lovagedock-sidecar/src/poll.rs
@@ -0,0 +1,56 @@
+//! Looks at the engine's load and at its own account of its memory.
+
+use std::{sync::Arc, time::Duration};
+
+use lovagedock::{EndpointEvent, EngineHolding, EngineReport};
+use slog::{info, warn};
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::{adapter::EngineError, state::SidecarState};
+
+/// Looks in a row that fail before the engine counts as down.
+const FAILURES_UNTIL_DOWN: u32 = 3;
+
+/// Looks at the engine again and again; never ends.
+pub(crate) async fn run(state: Arc<SidecarState>, every: Duration) {
+    let mut ticks = interval(every);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut failures = 0;
+    loop {
+        ticks.tick().await;
+        match look(&state).await {
+            Ok(()) => {
+                if failures >= FAILURES_UNTIL_DOWN {
+                    info!(state.log, "engine is up");
+                    state.decide(EndpointEvent::EngineUp);
+                }
+                failures = 0;
+            }
+            Err(error) => {
+                failures += 1;
+                if failures == FAILURES_UNTIL_DOWN {
+                    warn!(state.log, "engine is down"; "error" => %error);
+                    state.decide(EndpointEvent::EngineDown);
+                }
+            }
+        }
+    }
+}
+
+async fn look(state: &Arc<SidecarState>) -> Result<(), EngineError> {
+    let load = state.adapter.load().await?;
+    state.decide(EndpointEvent::EngineReport(EngineReport {
+        memory_tokens: load.memory_tokens,
+        ..EngineReport::default()
+    }));
+    let account = state.adapter.account().await?;
+    let holdings = account
+        .iter()
+        .map(|holding| EngineHolding {
+            request: holding.request_id,
+            tokens: holding.tokens,
+        })
+        .collect();
+    state.decide(EndpointEvent::EngineAccount(holdings));
+    Ok(())
+}
--- /dev/null
+++ b/lovagedock-sidecar/src/session.rs
@@ -0,0 +1,299 @@
+//! What a sidecar does with the calls of one gateway's session.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use lovagedock::{AnswerEnd, AttemptKey, EndpointEvent, RevokeVerdict, WorkOrder, prelude::*};
+use lovagedock_wire::{
+    AnswerSender, ConfigMessage, EndpointHandler, LoadMessage, PROTOCOL_VERSION, PeerIdentity,
+    ReserveReply, SegmentRange, SegmentReply, SubmitReply, WireError, WorkMessage,
+};
+use tokio::{sync::watch, task::spawn_local};
+
+use crate::{
+    adapter::SegmentRequest,
+    answers::{SinkPlace, SinkStep},
+    config::SidecarConfig,
+    engine_task::engine_priority,
+    report::LoadReporter,
+    state::{CoreReply, SidecarState},
+};
+
+/// One gateway's session.
+pub(crate) struct GatewaySession {
+    state: Arc<SidecarState>,
+    config: Arc<SidecarConfig>,
+    reporter: Rc<LoadReporter>,
+    heard_at: Cell<Timestamp>,
+    sinks: Rc<RefCell<Vec<SinkPlace>>>,
+}
+
+impl GatewaySession {
+    /// A session that was just accepted.
+    pub(crate) fn new(
+        state: Arc<SidecarState>,
+        config: Arc<SidecarConfig>,
+        reporter: Rc<LoadReporter>,
+    ) -> Self {
+        Self {
+            heard_at: Cell::new(state.clock.now()),
+            state,
+            config,
+            reporter,
+            sinks: Rc::default(),
+        }
+    }
+
+    /// Ends when nothing has come for `silence`.
+    ///
+    /// A gateway's host that vanished sends no end of its connection. Its requests would go on to
+    /// take engine time, and their answers memory, for nobody; silence is the only sign.
+    pub(crate) async fn silent_for(&self, silence: Duration) {
+        loop {
+            let quiet = self.state.clock.now().saturating_sub(self.heard_at.get());
+            if quiet >= silence {
+                return;
+            }
+            tokio::time::sleep(silence - quiet).await;
+        }
+    }
+
+    /// Tells the core that nobody takes the answers of this session any more.
+    pub(crate) fn close(&self) {
+        for place in self.sinks.borrow_mut().drain(..) {
+            lose_sink(&self.state, &place);
+        }
+    }
+
+    fn heard(&self) {
+        self.heard_at.set(self.state.clock.now());
+    }
+
+    fn attach(&self, key: AttemptKey, offset: u64, sender: AnswerSender) {
+        let attached = self.state.answers().attach(key, offset);
+        let Some((place, changes)) = attached else {
+            return;
+        };
+        self.sinks.borrow_mut().push(place.clone());
+        let pump = SinkPump {
+            state: Arc::clone(&self.state),
+            sinks: Rc::clone(&self.sinks),
+            sender,
+            changes,
+        };
+        spawn_local(pump.run(place));
+    }
+}
+
+impl EndpointHandler for GatewaySession {
+    fn hello(&self, _gateway: PeerIdentity) -> PeerIdentity {
+        self.heard();
+        PeerIdentity {
+            version: PROTOCOL_VERSION,
+            name: self.state.endpoint.to_string(),
+            incarnation: self.state.incarnation,
+            generation: self.config.generation(),
+        }
+    }
+
+    fn submit(
+        &self,
+        work: WorkMessage,
+        sender: AnswerSender,
+    ) -> impl Future<Output = SubmitReply> + 'static {
+        self.heard();
+        let key = work.key;
+        let order = work_order(&work);
+        let known = self.state.answers().get_mut(key.request).is_some();
+        self.state.answers().insert(work);
+        let reply = match self.state.decide(EndpointEvent::Submit(order)) {
+            Some(CoreReply::Refused(end)) => {
+                if !known {
+                    self.state.answers().remove(key.request);
+                }
+                SubmitReply::Refused(end)
+            }
+            _ => {
+                self.attach(key, 0, sender);
+                SubmitReply::Accepted
+            }
+        };
+        async move { reply }
+    }
+
+    fn resume(&self, key: AttemptKey, offset: u64, sender: AnswerSender) -> bool {
+        self.heard();
+        match self.state.decide(EndpointEvent::Resume { key, offset }) {
+            Some(CoreReply::ResumeFrom(offset)) => {
+                self.attach(key, offset, sender);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn revoke(&self, key: AttemptKey) -> RevokeVerdict {
+        self.heard();
+        match self.state.decide(EndpointEvent::Revoke(key)) {
+            Some(CoreReply::Verdict(verdict)) => verdict,
+            // The core answers every revoke; without its word nothing is promised.
+            _ => RevokeVerdict::OtherLife,
+        }
+    }
+
+    fn cancel(&self, key: AttemptKey) {
+        self.heard();
+        self.state.decide(EndpointEvent::Cancel(key));
+    }
+
+    fn heartbeat(&self, _sequence: u64, _generation: Generation) -> LoadMessage {
+        self.heard();
+        self.reporter.report(&self.state, &self.config)
+    }
+
+    fn configure(&self, message: ConfigMessage) -> Generation {
+        self.heard();
+        self.config.adopt(&self.state, message)
+    }
+
+    fn reserve(&self, key: AttemptKey, tokens: TokenCount, hold: Duration) -> ReserveReply {
+        self.heard();
+        let event = EndpointEvent::Reserve { key, tokens, hold };
+        match self.state.decide(event) {
+            Some(CoreReply::Granted(free_tokens)) => ReserveReply {
+                granted: true,
+                free_tokens,
+            },
+            Some(CoreReply::NotGranted(free_tokens)) => ReserveReply {
+                granted: false,
+                free_tokens,
+            },
+            _ => ReserveReply {
+                granted: false,
+                free_tokens: 0,
+            },
+        }
+    }
+
+    fn release(&self, key: AttemptKey) {
+        self.heard();
+        self.state.decide(EndpointEvent::Release(key));
+    }
+
+    fn segment(
+        &self,
+        work: WorkMessage,
+        range: SegmentRange,
+    ) -> impl Future<Output = SegmentReply> + 'static {
+        self.heard();
+        let state = Arc::clone(&self.state);
+        async move { prefill(&state, &work, range).await }
+    }
+
+    fn drain(&self, leaving: bool) -> u32 {
+        self.heard();
+        self.state.decide(EndpointEvent::Drain(leaving));
+        let load = self.state.read(lovagedock::EndpointCore::load);
+        (load.queued + load.running) as u32
+    }
+}
+
+/// Sends one answer to one gateway.
+struct SinkPump {
+    state: Arc<SidecarState>,
+    sinks: Rc<RefCell<Vec<SinkPlace>>>,
+    sender: AnswerSender,
+    changes: watch::Receiver<()>,
+}
+
+impl SinkPump {
+    async fn run(mut self, mut place: SinkPlace) {
+        let sent = self.send_all(&mut place).await;
+        self.sinks
+            .borrow_mut()
+            .retain(|other| other.request != place.request || other.sink != place.sink);
+        if sent.is_err() {
+            lose_sink(&self.state, &place);
+        }
+    }
+
+    async fn send_all(&mut self, place: &mut SinkPlace) -> Result<(), WireError> {
+        loop {
+            // Marked before the look, so that a change between the look and the wait is not missed.
+            self.changes.mark_unchanged();
+            let step = self.state.answers().next_step(place);
+            match step {
+                SinkStep::Stop => return Ok(()),
+                SinkStep::Head(head) => {
+                    self.sender.head(&head).await?;
+                    place.head_sent = true;
+                }
+                SinkStep::Bytes(bytes) => {
+                    self.sender.chunk(place.offset, &bytes).await?;
+                    place.offset += bytes.len() as u64;
+                }
+                SinkStep::End(end) => {
+                    self.sender.done(&end).await?;
+                    self.state.answers().set_taken(place);
+                    return Ok(());
+                }
+                SinkStep::Wait => {
+                    // An error means that the request was forgotten; the next look says so.
+                    let _forgotten = self.changes.changed().await;
+                }
+            }
+        }
+    }
+}
+
+fn lose_sink(state: &Arc<SidecarState>, place: &SinkPlace) {
+    if !state.answers().is_current(place) {
+        return;
+    }
+    let key = state.read(|core| core.current_attempt(place.request));
+    if let Some(key) = key {
+        state.decide(EndpointEvent::SinkLost(key));
+    }
+}
+
+fn work_order(work: &WorkMessage) -> WorkOrder {
+    WorkOrder {
+        key: work.key,
+        service: work.service.clone(),
+        organisation: work.organisation.clone(),
+        tier: work.tier,
+        weight: work.weight,
+        remaining: work.remaining,
+        prompt_tokens: work.prompt_tokens,
+        answer_tokens: work.answer_tokens,
+        non_idempotent: work.non_idempotent,
+        predicted: work.predicted,
+        span: Vec::new(),
+    }
+}
+
+async fn prefill(state: &SidecarState, work: &WorkMessage, range: SegmentRange) -> SegmentReply {
+    let request = SegmentRequest {
+        request_id: work.key.request,
+        priority: engine_priority(work.tier),
+        start: range.start,
+        tokens: range.tokens,
+        prompt_part: String::from_utf8_lossy(&work.body).into_owned(),
+    };
+    match state.adapter.segment(request).await {
+        Ok(holder) => SegmentReply {
+            end: AnswerEnd::new(ResultCode::Complete),
+            locator: holder.locator,
+        },
+        Err(error) => SegmentReply {
+            end: AnswerEnd::new(ResultCode::EngineFailed)
+                .with_ran(error.ran())
+                .with_detail(error.to_string()),
+            locator: String::new(),
+        },
+    }
+}
--- /dev/null
+++ b/lovagedock-sidecar/src/settings.rs
@@ -0,0 +1,134 @@
+//! Settings of a sidecar.
+
+use std::{net::SocketAddr, time::Duration};
+
+use lovagedock::prelude::*;
+use lovagedock_daemon::{AdminSettings, DaemonSettings, LogSettings, TransportSettings};
+use serde::{Deserialize, Serialize};
+
+use crate::adapter::{AdapterOptions, adapter_names};
+
+/// What a sidecar is told when it starts; everything else is in the configuration.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SidecarSettings {
+    /// Name of the endpoint, as in the configuration.
+    pub endpoint: EndpointId,
+    /// Where gateways connect.
+    pub gateways: SessionSettings,
+    /// Where operators connect.
+    pub admin: AdminSettings,
+    /// The endpoint beside this sidecar.
+    pub engine: EngineSettings,
+    /// Log.
+    #[serde(default)]
+    pub log: LogSettings,
+    /// Time that a shutdown waits for requests in flight, in milliseconds.
+    #[serde(default = "default_drain_ms")]
+    pub drain_ms: u64,
+}
+
+impl SidecarSettings {
+    /// Time that a shutdown waits for requests in flight.
+    pub fn drain_time(&self) -> Duration {
+        Duration::from_millis(self.drain_ms)
+    }
+}
+
+impl DaemonSettings for SidecarSettings {
+    fn log(&self) -> LogSettings {
+        self.log
+    }
+
+    fn problems(&self) -> Vec<String> {
+        let mut problems = Vec::new();
+        let adapter = self.engine.adapter.as_str();
+        if !adapter_names().contains(&adapter) {
+            problems.push(format!(
+                "engine.adapter: found {adapter:?}, expected one of {}",
+                adapter_names().join(", ")
+            ));
+        }
+        if self.engine.poll_ms == 0 {
+            problems.push("engine.poll_ms: found 0, expected at least 1".to_owned());
+        }
+        problems
+    }
+}
+
+/// How sessions of gateways are accepted.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SessionSettings {
+    /// Address to listen on; port 0 takes any free port.
+    pub address: SocketAddr,
+    /// TLS, or plain TCP where that is asked for.
+    pub transport: TransportSettings,
+    /// A session without a heartbeat for this long is given up, in milliseconds.
+    #[serde(default = "default_silence_ms")]
+    pub silence_ms: u64,
+}
+
+impl SessionSettings {
+    /// A session without a heartbeat for this long is given up.
+    pub fn silence(&self) -> Duration {
+        Duration::from_millis(self.silence_ms)
+    }
+}
+
+/// How the endpoint is reached.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EngineSettings {
+    /// Name of the adapter for the vendor's engine.
+    pub adapter: String,
+    /// Address of the endpoint.
+    pub address: SocketAddr,
+    /// Time that a connection may take, in milliseconds.
+    #[serde(default = "default_connect_ms")]
+    pub connect_ms: u64,
+    /// Time that the endpoint may stay silent in an answer, in milliseconds.
+    #[serde(default = "default_idle_ms")]
+    pub idle_ms: u64,
+    /// Time between looks at the endpoint's load and account, in milliseconds.
+    #[serde(default = "default_poll_ms")]
+    pub poll_ms: u64,
+    /// Requests that the endpoint gets at once; 0 leaves it to what the engine reports.
+    #[serde(default)]
+    pub concurrency: usize,
+}
+
+impl EngineSettings {
+    /// Time between looks at the endpoint's load and account.
+    pub fn poll(&self) -> Duration {
+        Duration::from_millis(self.poll_ms)
+    }
+
+    pub(crate) fn options(&self) -> AdapterOptions {
+        AdapterOptions {
+            address: self.address,
+            connect_timeout: Duration::from_millis(self.connect_ms),
+            idle_timeout: Duration::from_millis(self.idle_ms),
+        }
+    }
+}
+
+fn default_drain_ms() -> u64 {
+    600_000
+}
+
+fn default_silence_ms() -> u64 {
+    3_000
+}
+
+fn default_connect_ms() -> u64 {
+    1_000
+}
+
+fn default_idle_ms() -> u64 {
+    30_000
+}
+
+fn default_poll_ms() -> u64 {
+    250
+}
--- /dev/null
+++ b/lovagedock-sidecar/src/sidecar.rs
@@ -0,0 +1,229 @@
+//! Starts and stops a sidecar.
+
+use std::{fmt, io, net::SocketAddr, rc::Rc, sync::Arc, thread, time::Duration};
+
+use error_stack::{Report, ResultExt};
+use lovagedock::{EndpointCore, EndpointEvent, EndpointLimits};
+use lovagedock_daemon::{AdminServer, DaemonContext, ShutdownSignal, Transport};
+use lovagedock_wire::serve_endpoint;
+use slog::{Logger, debug, info, warn};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    runtime,
+    sync::oneshot,
+    task::{LocalSet, spawn_local},
+    time::{sleep, timeout},
+};
+
+use crate::{
+    adapter::build_adapter, admin::SidecarSurface, config::SidecarConfig, poll,
+    report::LoadReporter, session::GatewaySession, settings::SidecarSettings, state::SidecarState,
+};
+
+/// Pause after an accept that failed, since such errors repeat at once until files are closed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Pause between looks at whether all answers have reached their gateways.
+const DRAIN_PAUSE: Duration = Duration::from_millis(20);
+
+/// A sidecar could not start.
+#[derive(Debug)]
+pub struct SidecarError;
+
+impl fmt::Display for SidecarError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the sidecar could not start")
+    }
+}
+
+impl std::error::Error for SidecarError {}
+
+/// A sidecar that serves.
+pub struct Sidecar {
+    gateways: SocketAddr,
+    admin: AdminServer,
+    ended: oneshot::Receiver<()>,
+}
+
+impl Sidecar {
+    /// Listens and serves in the background, on a thread of its own.
+    pub async fn start(
+        settings: SidecarSettings,
+        daemon: DaemonContext,
+    ) -> Result<Self, Report<SidecarError>> {
+        let log = daemon
+            .logger
+            .new(slog::o!("endpoint" => settings.endpoint.to_string()));
+        let adapter = build_adapter(&settings.engine.adapter, &settings.engine.options())
+            .change_context(SidecarError)?;
+        let limits = limits(&settings);
+        let state = SidecarState::new(
+            settings.endpoint.clone(),
+            limits.clone(),
+            daemon.clock,
+            adapter,
+            log.clone(),
+        );
+        let config = Arc::new(SidecarConfig::new(limits));
+        let transport =
+            Transport::new(&settings.gateways.transport).change_context(SidecarError)?;
+        transport.watch_files(&daemon.logger, &daemon.shutdown);
+        let listener = std::net::TcpListener::bind(settings.gateways.address)
+            .and_then(|listener| listener.set_nonblocking(true).map(|()| listener))
+            .change_context(SidecarError)
+            .attach_with(|| format!("gateways' address {}", settings.gateways.address))?;
+        let gateways = listener.local_addr().change_context(SidecarError)?;
+        let surface = Arc::new(SidecarSurface::new(Arc::clone(&state), Arc::clone(&config)));
+        let admin = AdminServer::start("lovagedock-sidecar", &settings.admin, surface, &daemon)
+            .await
+            .change_context(SidecarError)?;
+        let server = SessionServer {
+            state,
+            config,
+            transport,
+            silence: settings.gateways.silence(),
+            poll: settings.engine.poll(),
+            drain_time: settings.drain_time(),
+            shutdown: daemon.shutdown.clone(),
+            log,
+        };
+        let (end, ended) = oneshot::channel();
+        thread::Builder::new()
+            .name("sessions".to_owned())
+            .spawn(move || {
+                server.run(listener);
+                let _nobody_waits = end.send(());
+            })
+            .change_context(SidecarError)?;
+        Ok(Self {
+            gateways,
+            admin,
+            ended,
+        })
+    }
+
+    /// Address that gateways connect to.
+    pub fn gateways_address(&self) -> SocketAddr {
+        self.gateways
+    }
+
+    /// Address that operators connect to.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.admin.address()
+    }
+
+    /// Waits until the shutdown was asked for and all requests have ended.
+    pub async fn wait(self) -> Result<(), Report<SidecarError>> {
+        self.ended.await.change_context(SidecarError)
+    }
+}
+
+fn limits(settings: &SidecarSettings) -> EndpointLimits {
+    let limits = EndpointLimits::default();
+    match settings.engine.concurrency {
+        0 => limits,
+        concurrency => limits.with_concurrency(concurrency),
+    }
+}
+
+/// Serves gateways' sessions on one thread.
+struct SessionServer {
+    state: Arc<SidecarState>,
+    config: Arc<SidecarConfig>,
+    transport: Transport,
+    silence: Duration,
+    poll: Duration,
+    drain_time: Duration,
+    shutdown: ShutdownSignal,
+    log: Logger,
+}
+
+impl SessionServer {
+    fn run(self, listener: std::net::TcpListener) {
+        let runtime = match runtime::Builder::new_current_thread().enable_all().build() {
+            Ok(runtime) => runtime,
+            Err(error) => {
+                warn!(self.log, "no runtime"; "error" => %error);
+                return;
+            }
+        };
+        if let Err(error) = LocalSet::new().block_on(&runtime, self.serve(listener)) {
+            warn!(self.log, "cannot serve gateways"; "error" => %error);
+        }
+    }
+
+    async fn serve(&self, listener: std::net::TcpListener) -> io::Result<()> {
+        let listener = TcpListener::from_std(listener)?;
+        tokio::spawn(Arc::clone(&self.state).run_ticks());
+        tokio::spawn(poll::run(Arc::clone(&self.state), self.poll));
+        tokio::select! {
+            () = self.accept(&listener) => {}
+            () = self.drained() => {}
+        }
+        Ok(())
+    }
+
+    async fn accept(&self, listener: &TcpListener) {
+        let reporter = Rc::new(LoadReporter::default());
+        loop {
+            match listener.accept().await {
+                Ok((stream, peer)) => {
+                    let session = GatewaySession::new(
+                        Arc::clone(&self.state),
+                        Arc::clone(&self.config),
+                        Rc::clone(&reporter),
+                    );
+                    let transport = self.transport.clone();
+                    let silence = self.silence;
+                    let log = self.log.clone();
+                    spawn_local(async move {
+                        let end = serve_session(stream, session, &transport, silence).await;
+                        debug!(log, "session ended"; "peer" => %peer, "end" => end);
+                    });
+                }
+                Err(error) => {
+                    warn!(self.log, "cannot accept a gateway"; "error" => %error);
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Ends when the shutdown was asked for, no request is left and every answer was taken.
+    async fn drained(&self) {
+        self.shutdown.wait().await;
+        let load = self.state.read(EndpointCore::load);
+        info!(self.log, "draining"; "queued" => load.queued, "running" => load.running);
+        self.state.decide(EndpointEvent::Drain(true));
+        let left = async {
+            self.state.drained().await;
+            while self.state.answers().has_unsent() {
+                sleep(DRAIN_PAUSE).await;
+            }
+        };
+        if timeout(self.drain_time, left).await.is_err() {
+            warn!(self.log, "drain time is over");
+        }
+    }
+}
+
+async fn serve_session(
+    stream: TcpStream,
+    session: GatewaySession,
+    transport: &Transport,
+    silence: Duration,
+) -> String {
+    let stream = match transport.accept(stream).await {
+        Ok(stream) => stream,
+        Err(error) => return error.to_string(),
+    };
+    let session = Rc::new(session);
+    let end = tokio::select! {
+        ended = serve_endpoint(Box::new(stream), Rc::clone(&session)) => match ended {
+            Ok(()) => "closed".to_owned(),
+            Err(error) => error.to_string(),
+        },
+        () = session.silent_for(silence) => "silent".to_owned(),
+    };
+    session.close();
+    end
+}
