--- /dev/null
+++ b/lovagedock-gateway/src/active.rs
@@ -0,0 +1,83 @@
+//! The configuration in force, with the tables that requests look things up in.
+
+use std::{collections::HashMap, sync::Arc};
+
+use bytes::Bytes;
+use lovagedock::{ModelSpec, OrganisationSpec, ServiceKind, ServiceSpec, prelude::*};
+
+/// One accepted configuration and its look-up tables.
+#[derive(Debug, Default)]
+pub(crate) struct ActiveConfig {
+    /// Its number; 0 before the first.
+    pub(crate) generation: Generation,
+    /// The configuration itself.
+    pub(crate) fleet: FleetConfig,
+    /// As JSON, to feed sidecars and other gateways.
+    pub(crate) text: Bytes,
+    organisations: HashMap<String, usize>,
+    models: HashMap<ModelId, usize>,
+}
+
+impl ActiveConfig {
+    /// Builds the tables.
+    pub(crate) fn new(generation: Generation, fleet: FleetConfig, text: Bytes) -> Self {
+        let mut organisations = HashMap::new();
+        for (index, organisation) in fleet.organisations.iter().enumerate() {
+            for hash in &organisation.key_hashes {
+                organisations.insert(hash.to_ascii_lowercase(), index);
+            }
+        }
+        let models = fleet
+            .models
+            .iter()
+            .enumerate()
+            .map(|(index, model)| (Arc::clone(&model.id), index))
+            .collect();
+        Self {
+            generation,
+            fleet,
+            text,
+            organisations,
+            models,
+        }
+    }
+
+    /// The organisation whose API key has this SHA-256.
+    pub(crate) fn organisation_by_key_hash(&self, hash: &str) -> Option<&OrganisationSpec> {
+        let index = self.organisations.get(hash)?;
+        self.fleet.organisations.get(*index)
+    }
+
+    /// The model of a name.
+    pub(crate) fn model(&self, id: &str) -> Option<&ModelSpec> {
+        let index = self.models.get(id)?;
+        self.fleet.models.get(*index)
+    }
+
+    /// The service that serves a model.
+    pub(crate) fn service_of_model(&self, id: &str) -> Option<&ServiceSpec> {
+        self.fleet
+            .services
+            .iter()
+            .find(|service| match &service.kind {
+                ServiceKind::Model { model } => &**model == id,
+                ServiceKind::Plain { .. } => false,
+            })
+    }
+
+    /// The plain service with the longest prefix of a path.
+    pub(crate) fn service_of_path(&self, path: &str) -> Option<&ServiceSpec> {
+        let prefix_length = |service: &ServiceSpec| match &service.kind {
+            ServiceKind::Plain { path_prefix } if path.starts_with(path_prefix.as_str()) => {
+                Some(path_prefix.len())
+            }
+            ServiceKind::Plain { .. } | ServiceKind::Model { .. } => None,
+        };
+        self.fleet
+            .services
+            .iter()
+            .filter_map(|service| Some((prefix_length(service)?, service)))
+            .max_by_key(|(length, _)| *length)
+            .map(|(_, service)| service)
+    }
+}
--- /dev/null
+++ b/lovagedock-gateway/src/adopt.rs
@@ -0,0 +1,138 @@
+//! Puts a configuration in force: the look-up tables, the pools, the links.
+
+use std::{collections::HashMap, sync::Arc};
+
+use bytes::Bytes;
+use lovagedock::{EndpointSpec, PoolSpec, build_policy, prelude::*};
+use parking_lot::Mutex;
+use slog::{Logger, info, warn};
+use tokio::sync::{mpsc, watch};
+
+use crate::{
+    active::ActiveConfig,
+    context::GatewayContext,
+    fleet::EndpointEntry,
+    workers::{LinkSeed, WorkerPool},
+};
+
+/// Why a configuration was not put in force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum AdoptError {
+    /// A newer one, or the same one, is in force.
+    NotNewer,
+    /// It cannot be read.
+    Malformed(String),
+}
+
+/// The one place where a configuration comes into force.
+///
+/// Lock order: the adoption lock first, then the fleet table.
+pub(crate) struct ConfigAdopter {
+    context: GatewayContext,
+    workers: WorkerPool,
+    adoption: Mutex<()>,
+    adopted: watch::Sender<Generation>,
+    log: Logger,
+}
+
+impl ConfigAdopter {
+    /// An adopter with nothing in force.
+    pub(crate) fn new(context: GatewayContext, workers: WorkerPool, log: Logger) -> Self {
+        Self {
+            context,
+            workers,
+            adoption: Mutex::new(()),
+            adopted: watch::Sender::new(0),
+            log,
+        }
+    }
+
+    /// Tells each generation that comes into force.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<Generation> {
+        self.adopted.subscribe()
+    }
+
+    /// Puts a configuration in force if it is newer than the one that is.
+    ///
+    /// Store, peers and polls race here, and an old answer may arrive last. Without the check
+    /// under the lock an accepted configuration would revert for a while.
+    pub(crate) fn adopt(&self, generation: Generation, text: Bytes) -> Result<(), AdoptError> {
+        if generation <= self.context.generation() {
+            return Err(AdoptError::NotNewer);
+        }
+        let fleet: FleetConfig = serde_json::from_slice(&text)
+            .map_err(|error| AdoptError::Malformed(error.to_string()))?;
+        let active = ActiveConfig::new(generation, fleet, text);
+        let adoption = self.adoption.lock();
+        if generation <= self.context.generation() {
+            return Err(AdoptError::NotNewer);
+        }
+        self.set_pools(&active.fleet);
+        self.set_links(&active.fleet);
+        self.context.config.store(Arc::new(active));
+        drop(adoption);
+        self.adopted.send_replace(generation);
+        metrics::gauge!("lovagedock_config_generation").set(generation as f64);
+        info!(self.log, "configuration in force"; "generation" => generation);
+        Ok(())
+    }
+
+    /// Logs that a configuration could not be read.
+    pub(crate) fn refused(&self, detail: &str) {
+        warn!(self.log, "configuration refused"; "detail" => detail);
+    }
+
+    fn set_pools(&self, fleet: &FleetConfig) {
+        for pool in &fleet.pools {
+            match build_policy(&fleet.placement) {
+                Ok(policy) => self.context.fleet.set_policy(&pool.id, policy),
+                // `lovagedock check` refuses an unknown name; this is a gateway older than the
+                // command line. The pool keeps the policy that it has.
+                Err(error) => warn!(self.log, "placement policy kept"; "error" => %error),
+            }
+        }
+    }
+
+    fn set_links(&self, config: &FleetConfig) {
+        let wanted: HashMap<&EndpointId, (&PoolSpec, &EndpointSpec)> = config
+            .pools
+            .iter()
+            .flat_map(|pool| pool.endpoints.iter().map(move |spec| (pool, spec)))
+            .map(|(pool, spec)| (&spec.id, (pool, spec)))
+            .collect();
+        let fleet = &self.context.fleet;
+        for (endpoint, entry) in fleet.entries() {
+            let kept = wanted
+                .get(&endpoint)
+                .is_some_and(|(pool, spec)| is_same(&entry, pool, spec));
+            if !kept {
+                fleet.remove(&endpoint);
+            }
+        }
+        for (endpoint, (pool, spec)) in wanted {
+            if fleet.get(endpoint).is_none() {
+                self.add_link(pool, spec);
+            }
+        }
+        fleet.retain_pools(|id| config.pools.iter().any(|pool| pool.id == *id));
+    }
+
+    fn add_link(&self, pool: &PoolSpec, spec: &EndpointSpec) {
+        let (commands, receiver) = mpsc::unbounded_channel();
+        let entry = EndpointEntry::new(pool.id.clone(), spec, commands);
+        self.context.fleet.insert(spec.id.clone(), entry);
+        self.workers.start_link(LinkSeed {
+            endpoint: spec.id.clone(),
+            address: spec.sidecar,
+            commands: receiver,
+        });
+    }
+}
+
+/// Whether a link can stay as it is under a new configuration.
+fn is_same(entry: &EndpointEntry, pool: &PoolSpec, spec: &EndpointSpec) -> bool {
+    entry.pool == pool.id
+        && entry.address == spec.sidecar
+        && entry.host == spec.host
+        && entry.domain == spec.failure_domain
+}
--- /dev/null
+++ b/lovagedock-gateway/src/connect.rs
@@ -0,0 +1,58 @@
+//! How links and peers open connections.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use async_trait::async_trait;
+use lovagedock_daemon::Transport;
+use lovagedock_wire::{WireError, WireStream};
+use tokio::time::timeout;
+
+/// Opens connections to other processes of the system.
+#[async_trait(?Send)]
+pub(crate) trait PeerConnector {
+    /// Opens one, within a time.
+    async fn connect(
+        &self,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Result<Box<dyn WireStream>, WireError>;
+}
+
+/// Makes connectors, one for each worker.
+#[derive(Clone)]
+pub(crate) struct ConnectorFactory {
+    transport: Transport,
+}
+
+impl ConnectorFactory {
+    /// Connectors over this transport.
+    pub(crate) fn new(transport: Transport) -> Self {
+        Self { transport }
+    }
+
+    /// One connector.
+    pub(crate) fn connector(&self) -> Rc<dyn PeerConnector> {
+        Rc::new(TransportConnector {
+            transport: self.transport.clone(),
+        })
+    }
+}
+
+struct TransportConnector {
+    transport: Transport,
+}
+
+#[async_trait(?Send)]
+impl PeerConnector for TransportConnector {
+    async fn connect(
+        &self,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Result<Box<dyn WireStream>, WireError> {
+        match timeout(limit, self.transport.connect(address)).await {
+            Ok(Ok(stream)) => Ok(Box::new(stream)),
+            Ok(Err(error)) => Err(WireError::Disconnected(error.to_string())),
+            Err(_) => Err(WireError::TimedOut),
+        }
+    }
+}
--- /dev/null
+++ b/lovagedock-gateway/src/driver.rs
@@ -0,0 +1,447 @@
+//! Carries out what the request machine decides about one caller's request.
+
+use std::{collections::VecDeque, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use lovagedock::{
+    AnswerEnd, AttemptKey, CostParameters, Outcome, PlacedOn, PlacementChoice, PlacementRequest,
+    RequestAction, RequestEvent, RequestMachine, RequestSpec, SentWork, SpanPart, prelude::*,
+};
+use lovagedock_wire::{AnswerHead, SpanHolder, WorkMessage};
+use rand::Rng;
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::sleep_until,
+};
+
+use crate::{
+    call::CallerCall,
+    front::{CallerEvent, CallerSink, RequestProblem},
+    link::{AttemptEvent, AttemptSender, LinkCommand},
+    shared::GatewayShared,
+};
+
+/// Events of attempts that may wait for the driver.
+const EVENT_QUEUE: usize = 64;
+
+/// One request on its way.
+pub(crate) struct RequestDriver {
+    shared: GatewayShared,
+    call: Arc<CallerCall>,
+    machine: RequestMachine,
+    caller: CallerSink,
+    sender: mpsc::Sender<(AttemptNumber, AttemptEvent)>,
+    events: mpsc::Receiver<(AttemptNumber, AttemptEvent)>,
+    notes: mpsc::UnboundedReceiver<RequestEvent>,
+    note_sender: mpsc::UnboundedSender<RequestEvent>,
+    deadline: Timestamp,
+    wake_at: Timestamp,
+    head: Option<AnswerHead>,
+    chunk: Bytes,
+    hasher: blake3::Hasher,
+    sent_to: Vec<EndpointId>,
+}
+
+impl RequestDriver {
+    /// A driver for a request that passed all checks.
+    pub(crate) fn new(shared: GatewayShared, call: Arc<CallerCall>, caller: CallerSink) -> Self {
+        let now = shared.context.clock.now();
+        let spec = RequestSpec::new(call.id, call.service.clone(), call.deadline)
+            .with_organisation(call.organisation.clone())
+            .with_tier(call.tier)
+            .with_non_idempotent(call.non_idempotent);
+        let (sender, events) = mpsc::channel(EVENT_QUEUE);
+        let (note_sender, notes) = mpsc::unbounded_channel();
+        Self {
+            machine: RequestMachine::new(now, spec),
+            deadline: now + call.deadline,
+            wake_at: now + call.deadline,
+            shared,
+            call,
+            caller,
+            sender,
+            events,
+            notes,
+            note_sender,
+            head: None,
+            chunk: Bytes::new(),
+            hasher: blake3::Hasher::new(),
+            sent_to: Vec::new(),
+        }
+    }
+
+    /// Runs the request to its final answer.
+    pub(crate) async fn run(mut self) -> Outcome {
+        let actions = self.machine.start();
+        let mut outcome = self.carry_out(actions).await;
+        let mut caller_gone = false;
+        while outcome.is_none() {
+            let event = self.next_event(&mut caller_gone).await;
+            let Some(event) = event else { continue };
+            let actions = self.machine.handle(self.now(), event);
+            outcome = self.carry_out(actions).await;
+        }
+        for endpoint in &self.sent_to {
+            self.shared.context.fleet.work_ended(endpoint);
+        }
+        outcome.unwrap_or_else(|| unreachable!("the loop ends with an outcome"))
+    }
+
+    async fn next_event(&mut self, caller_gone: &mut bool) -> Option<RequestEvent> {
+        let wake = self.shared.context.clock.instant_at(self.wake_at);
+        tokio::select! {
+            biased;
+            () = sleep_until(wake.into()) => Some(RequestEvent::Tick),
+            () = self.caller.closed(), if !*caller_gone => {
+                *caller_gone = true;
+                Some(RequestEvent::CallerGone)
+            }
+            Some(note) = self.notes.recv() => Some(note),
+            Some((attempt, event)) = self.events.recv() => self.attempt_event(attempt, event),
+        }
+    }
+
+    fn attempt_event(
+        &mut self,
+        attempt: AttemptNumber,
+        event: AttemptEvent,
+    ) -> Option<RequestEvent> {
+        Some(match event {
+            AttemptEvent::Accepted { incarnation } => RequestEvent::SubmitAccepted {
+                attempt,
+                incarnation,
+            },
+            AttemptEvent::Refused(end) => RequestEvent::SubmitRefused { attempt, end },
+            AttemptEvent::Lost { incarnation } => RequestEvent::SessionLost {
+                endpoint: self.machine.endpoint()?.clone(),
+                incarnation,
+            },
+            AttemptEvent::Resumed { found } => RequestEvent::ResumeAnswered { attempt, found },
+            AttemptEvent::ResumeFailed => RequestEvent::ResumeFailed { attempt },
+            AttemptEvent::Head(head) => {
+                self.head = Some(head);
+                RequestEvent::Head { attempt }
+            }
+            AttemptEvent::Chunk { offset, bytes } => {
+                let length = bytes.len() as u64;
+                self.chunk = bytes;
+                RequestEvent::Chunk {
+                    attempt,
+                    offset,
+                    length,
+                }
+            }
+            AttemptEvent::Done(end) => RequestEvent::End { attempt, end },
+        })
+    }
+
+    async fn carry_out(&mut self, actions: Vec<RequestAction>) -> Option<Outcome> {
+        let mut queue = VecDeque::from(actions);
+        while let Some(action) = queue.pop_front() {
+            match action {
+                RequestAction::Place { excluded } => {
+                    let placed = self.place(&excluded);
+                    queue.extend(self.feed(RequestEvent::Placed(placed)));
+                }
+                RequestAction::AskRetry => {
+                    let answer = self.ask_retry();
+                    queue.extend(self.feed(answer));
+                }
+                RequestAction::CheckDigest { expected } => {
+                    let matches = *self.hasher.finalize().as_bytes() == expected;
+                    queue.extend(self.feed(RequestEvent::DigestChecked { matches }));
+                }
+                RequestAction::Deliver { skip, .. } => self.deliver(skip).await,
+                RequestAction::DeliverHead { .. } => self.deliver_head().await,
+                RequestAction::WakeAt(wake_at) => self.wake_at = wake_at,
+                RequestAction::Finish(outcome) => return Some(outcome),
+                other => self.command(other),
+            }
+        }
+        None
+    }
+
+    fn feed(&mut self, event: RequestEvent) -> Vec<RequestAction> {
+        self.machine.handle(self.now(), event)
+    }
+
+    fn place(&mut self, excluded: &[EndpointId]) -> PlacedOn {
+        let now = self.now();
+        let request = PlacementRequest {
+            id: self.call.id,
+            organisation: self.call.organisation.clone(),
+            tier: self.call.tier,
+            prompt_tokens: self.call.prompt.tokens,
+            answer_tokens: self.call.prompt.answer_tokens,
+            remaining: self.deadline.saturating_sub(now),
+            prefix_hashes: &self.call.prompt.prefix_hashes,
+            own_domain: self.shared.context.domain.clone(),
+            excluded,
+        };
+        let fleet = &self.shared.context.fleet;
+        let choice = fleet.place(now, &self.call.pool, &request, &mut rand::rng());
+        self.placed(choice)
+    }
+
+    fn placed(&mut self, choice: Option<PlacementChoice>) -> PlacedOn {
+        match choice {
+            None => refused(ResultCode::NotConfigured, Duration::ZERO),
+            Some(PlacementChoice::Refuse {
+                code,
+                retry_after,
+                reason,
+            }) => {
+                self.step(format!("refused with code {}: {reason}", code.number()));
+                refused(code, retry_after)
+            }
+            Some(PlacementChoice::One {
+                endpoint,
+                predicted_first_token,
+                predicted_prefill,
+                reason,
+            }) => {
+                self.step(format!(
+                    "placed on {endpoint}: {reason}, first token predicted in {predicted_first_token:?}"
+                ));
+                let tokens = self.call.prompt.tokens;
+                self.count_sent(&endpoint, tokens, predicted_prefill);
+                match self.incarnation(&endpoint) {
+                    Some(incarnation) => PlacedOn::One {
+                        endpoint,
+                        incarnation,
+                    },
+                    None => refused(ResultCode::EndpointUnreachable, Duration::ZERO),
+                }
+            }
+            Some(PlacementChoice::Span {
+                members, reason, ..
+            }) => {
+                let mut parts = Vec::with_capacity(members.len());
+                for member in members {
+                    let Some(incarnation) = self.incarnation(&member.endpoint) else {
+                        return refused(ResultCode::EndpointUnreachable, Duration::ZERO);
+                    };
+                    let prefill = CostParameters::ASSUMED.prefill(member.tokens, 0);
+                    self.count_sent(&member.endpoint, member.tokens, prefill);
+                    parts.push(SpanPart {
+                        endpoint: member.endpoint,
+                        incarnation,
+                        tokens: member.tokens,
+                    });
+                }
+                self.step(format!("placed on {} engines: {reason}", parts.len()));
+                PlacedOn::Span(parts)
+            }
+        }
+    }
+
+    fn count_sent(&mut self, endpoint: &EndpointId, tokens: TokenCount, prefill: Duration) {
+        let long_tokens = self
+            .shared
+            .context
+            .config
+            .load()
+            .fleet
+            .placement
+            .long_tokens;
+        let work = SentWork {
+            requests: 1,
+            long_requests: u32::from(self.call.prompt.tokens >= long_tokens),
+            tokens: tokens + self.call.prompt.answer_tokens,
+            prefill,
+        };
+        self.shared.context.fleet.work_sent(endpoint, work);
+        self.sent_to.push(endpoint.clone());
+    }
+
+    fn incarnation(&self, endpoint: &EndpointId) -> Option<Incarnation> {
+        self.shared.context.fleet.get(endpoint)?.incarnation
+    }
+
+    fn ask_retry(&self) -> RequestEvent {
+        let granted = self.shared.take_retry(&self.call.service, self.now());
+        self.step(match granted {
+            true => "retry granted",
+            false => "retry budget is spent",
+        });
+        RequestEvent::RetryAnswered {
+            granted,
+            jitter_permille: rand::rng().next_u32() as u16 % 1_000,
+        }
+    }
+
+    fn command(&mut self, action: RequestAction) {
+        match action {
+            RequestAction::Submit {
+                endpoint,
+                incarnation,
+                attempt,
+                remaining,
+                ..
+            } => {
+                self.step(format!("attempt {attempt} submitted to {endpoint}"));
+                let key = self.key(attempt, incarnation);
+                let work = Box::new(self.work(key, remaining, Vec::new()));
+                let events = self.attempt_sender(attempt);
+                self.send(&endpoint, LinkCommand::Submit { work, events });
+            }
+            RequestAction::Resume {
+                endpoint,
+                attempt,
+                incarnation,
+                offset,
+            } => {
+                self.step(format!(
+                    "attempt {attempt} resumed on {endpoint} at byte {offset}"
+                ));
+                let command = LinkCommand::Resume {
+                    key: self.key(attempt, incarnation),
+                    offset,
+                    events: self.attempt_sender(attempt),
+                };
+                self.send(&endpoint, command);
+            }
+            RequestAction::Revoke {
+                endpoint,
+                attempt,
+                incarnation,
+            } => self.revoke(&endpoint, attempt, incarnation),
+            RequestAction::Cancel {
+                endpoint,
+                attempt,
+                incarnation,
+            } => {
+                let key = self.key(attempt, incarnation);
+                self.send(&endpoint, LinkCommand::Cancel { key });
+            }
+            RequestAction::StartSpan { .. } | RequestAction::ReleaseSpan { .. } => {
+                self.span_command(action);
+            }
+            RequestAction::Place { .. }
+            | RequestAction::AskRetry
+            | RequestAction::CheckDigest { .. }
+            | RequestAction::Deliver { .. }
+            | RequestAction::DeliverHead { .. }
+            | RequestAction::WakeAt(_)
+            | RequestAction::Finish(_) => unreachable!("carry_out handles these"),
+        }
+    }
+
+    fn span_command(&mut self, action: RequestAction) {
+        if let RequestAction::StartSpan { attempt, .. } = action {
+            let end = AnswerEnd::new(ResultCode::PromptTooLong)
+                .with_detail("the prompt needs more memory than one engine has");
+            let _own = self
+                .note_sender
+                .send(RequestEvent::SpanFailed { attempt, end });
+        }
+    }
+
+    fn revoke(&self, endpoint: &EndpointId, attempt: AttemptNumber, incarnation: Incarnation) {
+        self.step(format!("attempt {attempt} on {endpoint} revoked"));
+        let (reply, verdict) = oneshot::channel();
+        let key = self.key(attempt, incarnation);
+        self.send(endpoint, LinkCommand::Revoke { key, reply });
+        let notes = self.note_sender.clone();
+        tokio::spawn(async move {
+            let event = match verdict.await {
+                Ok(Ok(verdict)) => RequestEvent::RevokeAnswered {
+                    attempt,
+                    incarnation,
+                    verdict,
+                },
+                Ok(Err(_)) | Err(_) => RequestEvent::RevokeFailed { attempt },
+            };
+            // A driver that has finished does not need the verdict.
+            let _finished = notes.send(event);
+        });
+    }
+
+    fn key(&self, attempt: AttemptNumber, incarnation: Incarnation) -> AttemptKey {
+        AttemptKey {
+            request: self.call.id,
+            attempt,
+            incarnation,
+        }
+    }
+
+    fn work(&self, key: AttemptKey, remaining: Duration, span: Vec<SpanHolder>) -> WorkMessage {
+        let call = &self.call;
+        WorkMessage {
+            key,
+            service: call.service.clone(),
+            organisation: call.organisation.clone(),
+            tier: call.tier,
+            weight: call.weight,
+            remaining,
+            prompt_tokens: call.prompt.tokens,
+            answer_tokens: call.prompt.answer_tokens,
+            non_idempotent: call.non_idempotent,
+            predicted: Duration::ZERO,
+            span,
+            method: call.method.clone(),
+            path: call.path.clone(),
+            headers: call.headers.clone(),
+            body: call.body.clone(),
+        }
+    }
+
+    fn attempt_sender(&self, attempt: AttemptNumber) -> AttemptSender {
+        AttemptSender {
+            attempt,
+            sender: self.sender.clone(),
+        }
+    }
+
+    /// Gives a command to the endpoint's link; an endpoint that has left the configuration has
+    /// none, and the machine's own times end the wait.
+    fn send(&self, endpoint: &EndpointId, command: LinkCommand) {
+        if let Some(entry) = self.shared.context.fleet.get(endpoint) {
+            let _link_ended = entry.commands.send(command);
+        }
+    }
+
+    async fn deliver_head(&mut self) {
+        if let Some(head) = self.head.take() {
+            self.send_to_caller(CallerEvent::Head(head)).await;
+        }
+    }
+
+    async fn deliver(&mut self, skip: u64) {
+        let skip = usize::try_from(skip).unwrap_or(usize::MAX);
+        let bytes = self.chunk.slice(skip.min(self.chunk.len())..);
+        self.hasher.update(&bytes);
+        self.send_to_caller(CallerEvent::Bytes(bytes)).await;
+    }
+
+    /// Waits for a slow caller, but not past the deadline: the next tick then ends the request.
+    async fn send_to_caller(&self, event: CallerEvent) {
+        let deadline = self.shared.context.clock.instant_at(self.deadline);
+        tokio::select! {
+            _sent = self.caller.send(event) => {}
+            () = sleep_until(deadline.into()) => {}
+        }
+    }
+
+    fn now(&self) -> Timestamp {
+        self.shared.context.clock.now()
+    }
+
+    fn step(&self, step: impl Into<String>) {
+        self.shared.trails.step(self.call.id, self.now(), step);
+    }
+}
+
+fn refused(code: ResultCode, retry_after: Duration) -> PlacedOn {
+    PlacedOn::Refused { code, retry_after }
+}
+
+/// What a caller is told about an outcome that is not a whole answer.
+pub(crate) fn problem_of(outcome: &Outcome) -> RequestProblem {
+    RequestProblem {
+        code: outcome.code,
+        ran: outcome.ran,
+        retry_after: outcome.retry_after,
+        detail: outcome.detail.clone(),
+    }
+}
--- /dev/null
+++ b/lovagedock-gateway/src/fleet.rs
@@ -0,0 +1,285 @@
+//! What this gateway knows of each endpoint, shared by all its workers.
+//!
+//! Lock order: the endpoint table first, then one pool; never two pools. Nobody waits for
+//! anything else while holding either.
+
+use std::{
+    collections::{BTreeMap, HashSet},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use lovagedock::{
+    EndpointReport, EndpointSpec, EndpointView, PlacementChoice, PlacementPolicy, PlacementRequest,
+    PoolState, SentWork, prelude::*,
+};
+use lovagedock_wire::LoadMessage;
+use parking_lot::{Mutex, RwLock};
+use rand::Rng;
+use tokio::sync::mpsc;
+
+use crate::link::LinkCommand;
+
+/// One endpoint as this gateway reaches it.
+#[derive(Clone, Debug)]
+pub(crate) struct EndpointEntry {
+    /// Pool that the endpoint is in.
+    pub(crate) pool: PoolId,
+    /// Failure domain of its host.
+    pub(crate) domain: DomainId,
+    /// Host that it runs on.
+    pub(crate) host: HostId,
+    /// Address of its sidecar.
+    pub(crate) address: SocketAddr,
+    /// Life of the sidecar, while there is a session to it.
+    pub(crate) incarnation: Option<Incarnation>,
+    /// Configuration in force at the sidecar, by its last report.
+    pub(crate) generation: Generation,
+    /// Whether it said that it takes no new work.
+    pub(crate) closed: bool,
+    /// Requests of this gateway in flight there.
+    pub(crate) in_flight: u32,
+    /// Sent after the heartbeat that is under way, so not in its answer.
+    pub(crate) since_beat: SentWork,
+    /// How to reach the task that owns the session.
+    pub(crate) commands: mpsc::UnboundedSender<LinkCommand>,
+}
+
+impl EndpointEntry {
+    /// An endpoint without a session.
+    pub(crate) fn new(
+        pool: PoolId,
+        spec: &EndpointSpec,
+        commands: mpsc::UnboundedSender<LinkCommand>,
+    ) -> Self {
+        Self {
+            pool,
+            domain: spec.failure_domain.clone(),
+            host: spec.host.clone(),
+            address: spec.sidecar,
+            incarnation: None,
+            generation: 0,
+            closed: false,
+            in_flight: 0,
+            since_beat: SentWork::default(),
+            commands,
+        }
+    }
+}
+
+struct PoolEntry {
+    state: PoolState,
+    policy: Box<dyn PlacementPolicy>,
+}
+
+#[derive(Default)]
+struct FleetState {
+    endpoints: BTreeMap<EndpointId, EndpointEntry>,
+    pools: BTreeMap<PoolId, Arc<Mutex<PoolEntry>>>,
+    leaving_hosts: HashSet<HostId>,
+}
+
+/// The table of endpoints; cheap to clone.
+#[derive(Clone, Default)]
+pub(crate) struct FleetTable {
+    state: Arc<RwLock<FleetState>>,
+}
+
+impl FleetTable {
+    /// Sets the policy of a pool, and adds the pool if it is new.
+    pub(crate) fn set_policy(&self, pool: &PoolId, policy: Box<dyn PlacementPolicy>) {
+        let mut state = self.state.write();
+        if let Some(entry) = state.pools.get(pool) {
+            entry.lock().policy = policy;
+            return;
+        }
+        let entry = PoolEntry {
+            state: PoolState::new(),
+            policy,
+        };
+        state
+            .pools
+            .insert(pool.clone(), Arc::new(Mutex::new(entry)));
+    }
+
+    /// Takes out the pools that `keep` does not name.
+    pub(crate) fn retain_pools(&self, keep: impl Fn(&PoolId) -> bool) {
+        self.state.write().pools.retain(|pool, _| keep(pool));
+    }
+
+    /// Adds an endpoint that the configuration names.
+    pub(crate) fn insert(&self, endpoint: EndpointId, entry: EndpointEntry) {
+        let mut state = self.state.write();
+        if let Some(pool) = state.pools.get(&entry.pool) {
+            let domain = entry.domain.clone();
+            pool.lock().state.insert(endpoint.clone(), domain);
+        }
+        state.endpoints.insert(endpoint, entry);
+    }
+
+    /// Takes out an endpoint that the configuration no longer names; its link ends.
+    pub(crate) fn remove(&self, endpoint: &EndpointId) {
+        let mut state = self.state.write();
+        let Some(entry) = state.endpoints.remove(endpoint) else {
+            return;
+        };
+        if let Some(pool) = state.pools.get(&entry.pool) {
+            pool.lock().state.remove(endpoint);
+        }
+    }
+
+    /// Copies of all entries.
+    pub(crate) fn entries(&self) -> Vec<(EndpointId, EndpointEntry)> {
+        let state = self.state.read();
+        state
+            .endpoints
+            .iter()
+            .map(|(endpoint, entry)| (endpoint.clone(), entry.clone()))
+            .collect()
+    }
+
+    /// Copy of one entry.
+    pub(crate) fn get(&self, endpoint: &EndpointId) -> Option<EndpointEntry> {
+        self.state.read().endpoints.get(endpoint).cloned()
+    }
+
+    /// What the policy of a pool sees of an endpoint.
+    pub(crate) fn view(&self, endpoint: &EndpointId) -> Option<EndpointView> {
+        let state = self.state.read();
+        let entry = state.endpoints.get(endpoint)?;
+        let pool = state.pools.get(&entry.pool)?.lock();
+        pool.state.endpoint(endpoint).cloned()
+    }
+
+    /// Lets the policy of a pool choose; `None` if there is no such pool.
+    pub(crate) fn place(
+        &self,
+        now: Timestamp,
+        pool: &PoolId,
+        request: &PlacementRequest<'_>,
+        rng: &mut dyn Rng,
+    ) -> Option<PlacementChoice> {
+        let pool = Arc::clone(self.state.read().pools.get(pool)?);
+        let mut pool = pool.lock();
+        let PoolEntry { state, policy } = &mut *pool;
+        Some(policy.place(now, request, &state.view(), rng))
+    }
+
+    /// Notes a new session.
+    pub(crate) fn session_opened(&self, endpoint: &EndpointId, incarnation: Incarnation) {
+        let mut state = self.state.write();
+        if let Some(entry) = state.endpoints.get_mut(endpoint) {
+            entry.incarnation = Some(incarnation);
+        }
+        state.refresh(endpoint);
+    }
+
+    /// Notes that there is no session.
+    pub(crate) fn session_lost(&self, endpoint: &EndpointId) {
+        let mut state = self.state.write();
+        if let Some(entry) = state.endpoints.get_mut(endpoint) {
+            entry.incarnation = None;
+        }
+        state.refresh(endpoint);
+    }
+
+    /// Notes that a heartbeat goes out: what is sent from now on is not in its answer.
+    pub(crate) fn heartbeat_sent(&self, endpoint: &EndpointId) {
+        if let Some(entry) = self.state.write().endpoints.get_mut(endpoint) {
+            entry.since_beat = SentWork::default();
+        }
+    }
+
+    /// Takes the report that answers a heartbeat.
+    pub(crate) fn report(&self, endpoint: &EndpointId, now: Timestamp, load: &LoadMessage) {
+        let mut state = self.state.write();
+        let Some(entry) = state.endpoints.get_mut(endpoint) else {
+            return;
+        };
+        entry.generation = load.generation;
+        entry.closed = load.leaving || load.engine_down;
+        let unreported = entry.since_beat;
+        let pool = entry.pool.clone();
+        if let Some(pool) = state.pools.get(&pool) {
+            let report = Arc::new(endpoint_report(load));
+            pool.lock()
+                .state
+                .record_report(now, endpoint, report, unreported);
+        }
+        state.refresh(endpoint);
+    }
+
+    /// Counts a request that goes to an endpoint.
+    pub(crate) fn work_sent(&self, endpoint: &EndpointId, work: SentWork) {
+        let mut state = self.state.write();
+        let Some(entry) = state.endpoints.get_mut(endpoint) else {
+            return;
+        };
+        entry.in_flight += 1;
+        entry.since_beat.add(&work);
+        let pool = entry.pool.clone();
+        if let Some(pool) = state.pools.get(&pool) {
+            pool.lock().state.record_sent(endpoint, work);
+        }
+    }
+
+    /// Counts a request that has ended there.
+    pub(crate) fn work_ended(&self, endpoint: &EndpointId) {
+        if let Some(entry) = self.state.write().endpoints.get_mut(endpoint) {
+            entry.in_flight = entry.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Sets whether an endpoint is ejected after failures.
+    #[allow(dead_code)]
+    pub(crate) fn set_ejected(&self, endpoint: &EndpointId, ejected: bool) {
+        let state = self.state.read();
+        let Some(entry) = state.endpoints.get(endpoint) else {
+            return;
+        };
+        if let Some(pool) = state.pools.get(&entry.pool) {
+            pool.lock().state.set_ejected(endpoint, ejected);
+        }
+    }
+
+    /// Takes the platform's list of leaving hosts.
+    ///
+    /// The list is a backstop: a sidecar says itself that it is leaving. One that cannot, because
+    /// nobody told it, would go on to get work until its host is gone.
+    pub(crate) fn set_leaving_hosts(&self, hosts: HashSet<HostId>) {
+        let mut state = self.state.write();
+        state.leaving_hosts = hosts;
+        let names: Vec<EndpointId> = state.endpoints.keys().cloned().collect();
+        for endpoint in names {
+            state.refresh(&endpoint);
+        }
+    }
+}
+
+impl FleetState {
+    fn refresh(&self, endpoint: &EndpointId) {
+        let Some(entry) = self.endpoints.get(endpoint) else {
+            return;
+        };
+        let leaving = entry.closed || self.leaving_hosts.contains(&entry.host);
+        let usable = entry.incarnation.is_some() && !leaving;
+        if let Some(pool) = self.pools.get(&entry.pool) {
+            pool.lock().state.set_usable(endpoint, usable);
+        }
+    }
+}
+
+fn endpoint_report(load: &LoadMessage) -> EndpointReport {
+    EndpointReport {
+        memory_tokens: load.memory_tokens,
+        free_tokens: load.free_tokens,
+        queued: load.queued,
+        queued_tokens: load.queued_tokens,
+        running: load.running,
+        running_long: load.running_long,
+        prefill_tokens_left: load.prefill_tokens_left,
+        backlog: load.backlog,
+        cost: load.cost,
+        cached_prefixes: load.cached_prefixes.clone(),
+    }
+}
--- /dev/null
+++ b/lovagedock-gateway/src/front/intake.rs
@@ -0,0 +1,199 @@
+//! Turns a caller's HTTP request into a checked call.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::{HeaderMap, Method, Request, body::Incoming, http::request::Parts};
+use lovagedock::{LengthRule, OrganisationSpec, ServiceSpec, prelude::*};
+use tokio::time::timeout;
+
+use super::{
+    checks,
+    problem::{REQUEST_ID_HEADER, RequestProblem},
+    prompt::ModelBody,
+};
+use crate::{
+    active::ActiveConfig,
+    call::{CallerCall, PromptSummary},
+    settings::CallerLimits,
+};
+
+/// Header by which a plain service learns whose call it is.
+const ORGANISATION_HEADER: &str = "x-lovagedock-organisation";
+const SECONDS_PER_HOUR: u64 = 3_600;
+const HOURS_PER_DAY: u64 = 24;
+
+/// Checks one request against one configuration.
+pub(super) struct CallIntake<'a> {
+    /// Id that the request got.
+    pub(super) id: RequestId,
+    /// Configuration that decides about it.
+    pub(super) config: &'a ActiveConfig,
+    /// Limits of the gateway.
+    pub(super) limits: &'a CallerLimits,
+    /// Wall-clock time since the epoch, for rules by the hour.
+    pub(super) since_epoch: Duration,
+}
+
+impl CallIntake<'_> {
+    /// A chat or completion request.
+    pub(super) async fn model_call(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<CallerCall, RequestProblem> {
+        let (parts, body) = request.into_parts();
+        let organisation = self.check_caller(&parts.headers)?;
+        let body = self.read_body(body).await?;
+        let parsed: ModelBody<'_> = serde_json::from_slice(&body).map_err(|error| {
+            RequestProblem::new(ResultCode::MalformedRequest).with_detail(error.to_string())
+        })?;
+        if !parsed.has_prompt() {
+            return Err(RequestProblem::new(ResultCode::MalformedRequest)
+                .with_detail("expected a prompt or messages"));
+        }
+        let unknown = || {
+            RequestProblem::new(ResultCode::UnknownService)
+                .with_detail(format!("no service has model {:?}", parsed.model))
+        };
+        let service = self
+            .config
+            .service_of_model(&parsed.model)
+            .ok_or_else(unknown)?;
+        let model = self.config.model(&parsed.model).ok_or_else(unknown)?;
+        checks::authorise(organisation, service)?;
+        let prompt = parsed.summary(model);
+        check_length(&prompt, model.max_context_tokens, organisation)?;
+        let rule = checks::length_rule(&self.config.fleet.rules, prompt.tokens, self.hour());
+        self.assemble(&parts, body, organisation, service, prompt, rule)
+    }
+
+    /// A call of a plain service.
+    pub(super) async fn plain_call(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<CallerCall, RequestProblem> {
+        let (parts, body) = request.into_parts();
+        let organisation = self.check_caller(&parts.headers)?;
+        let path = parts.uri.path();
+        let service = self.config.service_of_path(path).ok_or_else(|| {
+            RequestProblem::new(ResultCode::UnknownService)
+                .with_detail(format!("no service has path {path:?}"))
+        })?;
+        checks::authorise(organisation, service)?;
+        let body = self.read_body(body).await?;
+        let prompt = PromptSummary::default();
+        self.assemble(&parts, body, organisation, service, prompt, None)
+    }
+
+    /// The organisation, after the checks that need no body.
+    pub(super) fn check_caller(
+        &self,
+        headers: &HeaderMap,
+    ) -> Result<&OrganisationSpec, RequestProblem> {
+        checks::check_header_size(headers, self.limits.header_bytes)?;
+        checks::authenticate(headers, self.config)
+    }
+
+    fn assemble(
+        &self,
+        parts: &Parts,
+        body: Bytes,
+        organisation: &OrganisationSpec,
+        service: &ServiceSpec,
+        prompt: PromptSummary,
+        rule: Option<&LengthRule>,
+    ) -> Result<CallerCall, RequestProblem> {
+        let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+        let method = parts.method.as_str();
+        let key = checks::idempotency_key(&parts.headers)?;
+        let listed = checks::is_listed(&service.non_idempotent, method, parts.uri.path());
+        Ok(CallerCall {
+            id: self.id,
+            organisation: organisation.id.clone(),
+            tier: checks::tier(&parts.headers, organisation, rule)?,
+            weight: organisation.weight,
+            service: service.id.clone(),
+            pool: service.pool.clone(),
+            deadline: checks::deadline(&parts.headers, service, rule)?,
+            // A caller that sends a key counts on one run, whatever the configuration lists.
+            non_idempotent: listed || key.is_some(),
+            idempotency_key: key,
+            prompt,
+            method: method.to_owned(),
+            path: path.to_owned(),
+            headers: self.headers(&parts.headers, organisation),
+            body,
+        })
+    }
+
+    fn headers(
+        &self,
+        headers: &HeaderMap,
+        organisation: &OrganisationSpec,
+    ) -> Vec<lovagedock_wire::HeaderField> {
+        let mut passed = checks::passed_headers(headers);
+        passed.retain(|field| field.name != REQUEST_ID_HEADER && field.name != ORGANISATION_HEADER);
+        let mut add = |name: &str, value: &str| {
+            passed.push(lovagedock_wire::HeaderField {
+                name: name.to_owned(),
+                value: Bytes::copy_from_slice(value.as_bytes()),
+            });
+        };
+        add(REQUEST_ID_HEADER, &format_request_id(self.id));
+        add(ORGANISATION_HEADER, &organisation.id);
+        passed
+    }
+
+    async fn read_body(&self, body: Incoming) -> Result<Bytes, RequestProblem> {
+        let limited = Limited::new(body, self.limits.body_bytes);
+        let too_slow = || {
+            RequestProblem::new(ResultCode::MalformedRequest)
+                .with_detail("the body did not arrive in time")
+        };
+        let collected = timeout(self.limits.body_time(), limited.collect())
+            .await
+            .map_err(|_| too_slow())?;
+        match collected {
+            Ok(collected) => Ok(collected.to_bytes()),
+            Err(error) if error.is::<LengthLimitError>() => {
+                Err(RequestProblem::new(ResultCode::BodyTooLarge)
+                    .with_detail(format!("at most {} bytes", self.limits.body_bytes)))
+            }
+            Err(error) => {
+                Err(RequestProblem::new(ResultCode::MalformedRequest)
+                    .with_detail(error.to_string()))
+            }
+        }
+    }
+
+    fn hour(&self) -> u8 {
+        (self.since_epoch.as_secs() / SECONDS_PER_HOUR % HOURS_PER_DAY) as u8
+    }
+}
+
+/// Whether a request is a chat or completion request.
+pub(super) fn is_model_path(method: &Method, path: &str) -> bool {
+    method == Method::POST && matches!(path, "/v1/chat/completions" | "/v1/completions")
+}
+
+fn check_length(
+    prompt: &PromptSummary,
+    context: TokenCount,
+    organisation: &OrganisationSpec,
+) -> Result<(), RequestProblem> {
+    let own = organisation.limits.max_prompt_tokens;
+    let too_long = |limit: TokenCount, whose: &str| {
+        RequestProblem::new(ResultCode::PromptTooLong).with_detail(format!(
+            "about {} tokens of prompt and {} of answer, {whose} limit is {limit}",
+            prompt.tokens, prompt.answer_tokens
+        ))
+    };
+    if prompt.tokens + prompt.answer_tokens > context {
+        return Err(too_long(context, "the model's"));
+    }
+    if own > 0 && prompt.tokens > own {
+        return Err(too_long(own, "the organisation's"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/lovagedock-gateway/src/front/problem.rs
@@ -0,0 +1,133 @@
+//! `application/problem+json` documents (RFC 9457).
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{Response, StatusCode, header};
+use lovagedock::prelude::*;
+use serde::Serialize;
+
+use super::reply::{AnswerBody, whole_body};
+
+/// Header that carries the request's id in every answer.
+pub(crate) const REQUEST_ID_HEADER: &str = "x-request-id";
+
+/// How a request ended, when not with an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct RequestProblem {
+    /// Numbered code.
+    pub(crate) code: ResultCode,
+    /// Whether it ran.
+    pub(crate) ran: RanState,
+    /// When another try may help.
+    pub(crate) retry_after: Duration,
+    /// One line about this case.
+    pub(crate) detail: String,
+}
+
+impl RequestProblem {
+    /// A problem with what the code says.
+    pub(crate) fn new(code: ResultCode) -> Self {
+        Self {
+            code,
+            ran: code.ran(),
+            retry_after: Duration::ZERO,
+            detail: String::new(),
+        }
+    }
+
+    /// Sets the line about this case.
+    pub(crate) fn with_detail(mut self, detail: impl Into<String>) -> Self {
+        self.detail = detail.into();
+        self
+    }
+
+    /// Sets when another try may help.
+    pub(crate) fn with_retry_after(mut self, retry_after: Duration) -> Self {
+        self.retry_after = retry_after;
+        self
+    }
+
+    /// The document.
+    pub(crate) fn document(&self, id: RequestId) -> ProblemDocument<'_> {
+        ProblemDocument {
+            kind: format!("urn:lovagedock:code:{}", self.code.number()),
+            title: self.code.title(),
+            status: self.code.http_status(),
+            detail: &self.detail,
+            code: self.code.number(),
+            ran: self.ran,
+            request_id: format_request_id(id),
+            retry_after_ms: u64::try_from(self.retry_after.as_millis()).unwrap_or(u64::MAX),
+            error: ClientError {
+                message: self.client_message(),
+                kind: "lovagedock_error",
+                code: self.code.number().to_string(),
+            },
+        }
+    }
+
+    /// The whole answer.
+    pub(crate) fn response(&self, id: RequestId) -> Response<AnswerBody> {
+        let document = serde_json::to_vec(&self.document(id)).unwrap_or_default();
+        let mut response = Response::new(whole_body(Bytes::from(document)));
+        *response.status_mut() = status(self.code.http_status());
+        let headers = response.headers_mut();
+        headers.insert(
+            header::CONTENT_TYPE,
+            header::HeaderValue::from_static("application/problem+json"),
+        );
+        if !self.retry_after.is_zero() {
+            let seconds = self.retry_after.as_millis().div_ceil(1000);
+            headers.insert(
+                header::RETRY_AFTER,
+                header::HeaderValue::from(seconds as u64),
+            );
+        }
+        set_request_id(&mut response, id);
+        response
+    }
+
+    fn client_message(&self) -> String {
+        if self.detail.is_empty() {
+            return self.code.title().to_owned();
+        }
+        format!("{}: {}", self.code.title(), self.detail)
+    }
+}
+
+/// Puts the request's id into an answer.
+pub(crate) fn set_request_id<B>(response: &mut Response<B>, id: RequestId) {
+    if let Ok(value) = header::HeaderValue::from_str(&format_request_id(id)) {
+        response.headers_mut().insert(REQUEST_ID_HEADER, value);
+    }
+}
+
+/// The status of a number; 502 for a number that HTTP does not have.
+pub(crate) fn status(number: u16) -> StatusCode {
+    StatusCode::from_u16(number).unwrap_or(StatusCode::BAD_GATEWAY)
+}
+
+/// Fields of a problem document.
+#[derive(Serialize)]
+pub(crate) struct ProblemDocument<'a> {
+    #[serde(rename = "type")]
+    kind: String,
+    title: &'static str,
+    status: u16,
+    detail: &'a str,
+    code: u16,
+    ran: RanState,
+    request_id: String,
+    retry_after_ms: u64,
+    error: ClientError,
+}
+
+/// What the usual client libraries show to people.
+#[derive(Serialize)]
+struct ClientError {
+    message: String,
+    #[serde(rename = "type")]
+    kind: &'static str,
+    code: String,
+}
--- /dev/null
+++ b/lovagedock-gateway/src/front/router.rs
@@ -0,0 +1,255 @@
+//! Decides by method and path who answers a caller.
+
+use std::{
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use bytes::Bytes;
+use hyper::{Method, Request, Response, body::Incoming, header};
+use lovagedock::{ServiceKind, prelude::*};
+use serde::Serialize;
+use slog::{Logger, info};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio_util::task::TaskTracker;
+
+use super::{
+    intake::{CallIntake, is_model_path},
+    problem::{RequestProblem, set_request_id},
+    reply::{AnswerBody, CallerEvent, CallerSink, response, whole_body},
+};
+use crate::{
+    call::CallerCall,
+    driver::{RequestDriver, problem_of},
+    settings::CallerLimits,
+    shared::GatewayShared,
+    trail::RequestTrail,
+};
+
+const MODELS_PATH: &str = "/v1/models";
+
+/// Answers callers' requests.
+pub(super) struct CallRouter {
+    shared: GatewayShared,
+    limits: CallerLimits,
+    streams: Arc<Semaphore>,
+    drivers: TaskTracker,
+    log: Logger,
+}
+
+impl CallRouter {
+    /// A router without requests in flight.
+    pub(super) fn new(shared: GatewayShared, limits: CallerLimits, log: Logger) -> Self {
+        Self {
+            streams: Arc::new(Semaphore::new(limits.streams)),
+            drivers: TaskTracker::new(),
+            shared,
+            limits,
+            log,
+        }
+    }
+
+    /// Requests in flight.
+    pub(super) fn drivers(&self) -> &TaskTracker {
+        &self.drivers
+    }
+
+    /// Answers one request.
+    pub(super) async fn answer(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let id: RequestId = rand::random();
+        match self.route(id, request).await {
+            Ok(response) => response,
+            Err(problem) => {
+                info!(self.log, "request refused";
+                    "request" => format_request_id(id),
+                    "code" => problem.code.number(),
+                    "detail" => &problem.detail);
+                count_outcome(problem.code);
+                problem.response(id)
+            }
+        }
+    }
+
+    async fn route(
+        &self,
+        id: RequestId,
+        request: Request<Incoming>,
+    ) -> Result<Response<AnswerBody>, RequestProblem> {
+        let config = self.shared.context.config.load_full();
+        if config.generation == 0 {
+            return Err(RequestProblem::new(ResultCode::NotConfigured)
+                .with_retry_after(Duration::from_secs(1)));
+        }
+        let intake = CallIntake {
+            id,
+            config: &config,
+            limits: &self.limits,
+            since_epoch: since_epoch(),
+        };
+        if request.method() == Method::GET && request.uri().path().starts_with(MODELS_PATH) {
+            return models(&intake, &request);
+        }
+        if self.drivers.is_closed() {
+            return Err(RequestProblem::new(ResultCode::GatewayStopping)
+                .with_retry_after(Duration::from_secs(1)));
+        }
+        let permit = self.take_stream()?;
+        let call = match is_model_path(request.method(), request.uri().path()) {
+            true => intake.model_call(request).await?,
+            false => intake.plain_call(request).await?,
+        };
+        Ok(self.drive(Arc::new(call), permit).await)
+    }
+
+    fn take_stream(&self) -> Result<OwnedSemaphorePermit, RequestProblem> {
+        let permit = Arc::clone(&self.streams).try_acquire_owned();
+        permit.map_err(|_| {
+            RequestProblem::new(ResultCode::TooManyStreams).with_retry_after(Duration::from_secs(1))
+        })
+    }
+
+    async fn drive(
+        &self,
+        call: Arc<CallerCall>,
+        permit: OwnedSemaphorePermit,
+    ) -> Response<AnswerBody> {
+        self.shared.trails.begin(call.id, new_trail(&call));
+        let (caller, events) = CallerSink::channel();
+        let task = CallTask {
+            shared: self.shared.clone(),
+            call: Arc::clone(&call),
+            caller,
+            log: self.log.clone(),
+        };
+        self.drivers.spawn(async move {
+            task.run().await;
+            drop(permit);
+        });
+        response(call.id, call.prompt.stream, events).await
+    }
+}
+
+/// One call from its admission to the last word to its caller.
+struct CallTask {
+    shared: GatewayShared,
+    call: Arc<CallerCall>,
+    caller: CallerSink,
+    log: Logger,
+}
+
+impl CallTask {
+    async fn run(self) {
+        let started = self.shared.context.clock.now();
+        let driver = RequestDriver::new(
+            self.shared.clone(),
+            Arc::clone(&self.call),
+            self.caller.clone(),
+        );
+        let outcome = driver.run().await;
+        let now = self.shared.context.clock.now();
+        let last = match outcome.code {
+            ResultCode::Complete => {
+                self.shared.record_success(&self.call.service, now);
+                CallerEvent::Complete
+            }
+            _ => CallerEvent::Problem(problem_of(&outcome)),
+        };
+        self.caller.send(last).await;
+        count_outcome(outcome.code);
+        let step = format!("ended with code {}", outcome.code.number());
+        self.shared.trails.step(self.call.id, now, step);
+        info!(self.log, "request ended";
+            "request" => format_request_id(self.call.id),
+            "organisation" => &*self.call.organisation,
+            "service" => &*self.call.service,
+            "code" => outcome.code.number(),
+            "ran" => outcome.ran.as_str(),
+            "attempts" => outcome.attempts,
+            "prompt_tokens" => self.call.prompt.tokens,
+            "ms" => (now - started).as_millis() as u64,
+            "detail" => outcome.detail);
+    }
+}
+
+fn new_trail(call: &CallerCall) -> RequestTrail {
+    RequestTrail {
+        request_id: format_request_id(call.id),
+        service: call.service.clone(),
+        organisation: call.organisation.clone(),
+        prompt_tokens: call.prompt.tokens,
+        steps: Vec::new(),
+    }
+}
+
+fn count_outcome(code: ResultCode) {
+    metrics::counter!("lovagedock_requests_total", "code" => code.number().to_string())
+        .increment(1);
+}
+
+fn since_epoch() -> Duration {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+}
+
+#[derive(Serialize)]
+struct ModelList<'a> {
+    object: &'static str,
+    data: Vec<ModelEntry<'a>>,
+}
+
+#[derive(Serialize)]
+struct ModelEntry<'a> {
+    id: &'a str,
+    object: &'static str,
+    created: u64,
+    owned_by: &'static str,
+}
+
+/// The models that the organisation may use, or one of them.
+fn models(
+    intake: &CallIntake<'_>,
+    request: &Request<Incoming>,
+) -> Result<Response<AnswerBody>, RequestProblem> {
+    let organisation = intake.check_caller(request.headers())?;
+    let allowed = |service: &ServiceId| {
+        organisation.services.is_empty() || organisation.services.contains(service)
+    };
+    let entries: Vec<ModelEntry<'_>> = intake
+        .config
+        .fleet
+        .services
+        .iter()
+        .filter(|service| allowed(&service.id))
+        .filter_map(|service| match &service.kind {
+            ServiceKind::Model { model } => Some(model_entry(model)),
+            ServiceKind::Plain { .. } => None,
+        })
+        .collect();
+    let wanted = request.uri().path().strip_prefix("/v1/models/");
+    let document = match wanted {
+        None => serde_json::to_vec(&ModelList {
+            object: "list",
+            data: entries,
+        }),
+        Some(name) => {
+            let entry = entries.into_iter().find(|entry| entry.id == name);
+            let entry = entry.ok_or_else(|| RequestProblem::new(ResultCode::UnknownService))?;
+            serde_json::to_vec(&entry)
+        }
+    };
+    let mut response = Response::new(whole_body(Bytes::from(document.unwrap_or_default())));
+    let json = header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    set_request_id(&mut response, intake.id);
+    Ok(response)
+}
+
+fn model_entry(model: &str) -> ModelEntry<'_> {
+    ModelEntry {
+        id: model,
+        object: "model",
+        created: 0,
+        owned_by: "lovagedock",
+    }
+}
--- /dev/null
+++ b/lovagedock-gateway/src/front/server.rs
@@ -0,0 +1,156 @@
+//! Accepts callers' connections.
+
+use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
+
+use error_stack::{Report, ResultExt};
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful::GracefulShutdown,
+};
+use lovagedock_daemon::{ShutdownSignal, Transport};
+use slog::{Logger, debug, info, warn};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+    time::{sleep, timeout},
+};
+
+use super::router::CallRouter;
+use crate::{settings::CallerLimits, shared::GatewayShared};
+
+/// Pause after an accept that failed, since such errors repeat at once until files are closed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Room for header lines beside the values that the header limit counts.
+const HEADER_SLACK_BYTES: usize = 64 * 1024;
+
+/// Serves callers until the shutdown, and then until all requests have ended.
+pub(crate) struct FrontServer {
+    listener: TcpListener,
+    transport: Transport,
+    router: Arc<CallRouter>,
+    limits: CallerLimits,
+    shutdown: ShutdownSignal,
+    log: Logger,
+}
+
+impl FrontServer {
+    /// Listens.
+    pub(crate) async fn bind(
+        address: SocketAddr,
+        transport: Transport,
+        shared: GatewayShared,
+        limits: CallerLimits,
+        shutdown: ShutdownSignal,
+        log: Logger,
+    ) -> Result<Self, Report<io::Error>> {
+        let listener = TcpListener::bind(address)
+            .await
+            .map_err(Report::new)
+            .attach_with(|| format!("callers' address {address}"))?;
+        let router = Arc::new(CallRouter::new(shared, limits.clone(), log.clone()));
+        Ok(Self {
+            listener,
+            transport,
+            router,
+            limits,
+            shutdown,
+            log,
+        })
+    }
+
+    /// The address that callers connect to.
+    pub(crate) fn address(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Serves until the shutdown; returns when no request is in flight, or the drain time is over.
+    ///
+    /// The listener stays open while requests are in flight, so that a balancer that has not
+    /// noticed yet gets "not run" instead of a refused connection.
+    pub(crate) async fn run(self) {
+        let connections = GracefulShutdown::new();
+        let places = Arc::new(Semaphore::new(self.limits.connections));
+        let accept = async {
+            loop {
+                let Ok(place) = Arc::clone(&places).acquire_owned().await else {
+                    return;
+                };
+                match self.listener.accept().await {
+                    Ok((stream, peer)) => {
+                        let watcher = connections.watcher();
+                        let connection = CallerConnection {
+                            router: Arc::clone(&self.router),
+                            transport: self.transport.clone(),
+                            limits: self.limits.clone(),
+                            log: self.log.clone(),
+                        };
+                        tokio::spawn(async move {
+                            connection.serve(stream, peer, watcher).await;
+                            drop(place);
+                        });
+                    }
+                    Err(error) => {
+                        warn!(self.log, "cannot accept a caller"; "error" => %error);
+                        sleep(ACCEPT_PAUSE).await;
+                    }
+                }
+            }
+        };
+        tokio::select! {
+            () = accept => {}
+            () = self.drained() => {}
+        }
+        let _unfinished = timeout(ACCEPT_PAUSE, connections.shutdown()).await;
+    }
+
+    async fn drained(&self) {
+        self.shutdown.wait().await;
+        let drivers = self.router.drivers();
+        drivers.close();
+        info!(self.log, "draining"; "requests" => drivers.len());
+        if timeout(self.limits.drain_time(), drivers.wait())
+            .await
+            .is_err()
+        {
+            warn!(self.log, "drain time is over"; "requests" => drivers.len());
+        }
+    }
+}
+
+struct CallerConnection {
+    router: Arc<CallRouter>,
+    transport: Transport,
+    limits: CallerLimits,
+    log: Logger,
+}
+
+impl CallerConnection {
+    async fn serve(
+        self,
+        stream: TcpStream,
+        peer: SocketAddr,
+        watcher: hyper_util::server::graceful::Watcher,
+    ) {
+        let stream = match self.transport.accept(stream).await {
+            Ok(stream) => stream,
+            Err(error) => {
+                debug!(self.log, "no TLS with a caller"; "peer" => %peer, "error" => %error);
+                return;
+            }
+        };
+        let router = Arc::clone(&self.router);
+        let service = service_fn(move |request| {
+            let router = Arc::clone(&router);
+            async move { Ok::<_, Infallible>(router.answer(request).await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(self.limits.header_time())
+            .max_buf_size(self.limits.header_bytes + HEADER_SLACK_BYTES)
+            .serve_connection(TokioIo::new(stream), service);
+        if let Err(error) = watcher.watch(connection).await {
+            debug!(self.log, "caller's connection ended"; "peer" => %peer, "error" => %error);
+        }
+    }
+}
--- /dev/null
+++ b/lovagedock-gateway/src/gateway.rs
@@ -0,0 +1,127 @@
+//! Starts and stops a gateway.
+
+use std::{fmt, net::SocketAddr, sync::Arc};
+
+use arc_swap::ArcSwap;
+use error_stack::{Report, ResultExt};
+use lovagedock_daemon::{AdminServer, DaemonContext, Transport};
+use tokio::task::JoinHandle;
+
+use crate::{
+    active::ActiveConfig, admin::GatewaySurface, adopt::ConfigAdopter, connect::ConnectorFactory,
+    context::GatewayContext, fleet::FleetTable, front::FrontServer, settings::GatewaySettings,
+    shared::GatewayShared, sources::ConfigSources, workers::WorkerPool,
+};
+
+/// A gateway could not start.
+#[derive(Debug)]
+pub struct GatewayError;
+
+impl fmt::Display for GatewayError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the gateway could not start")
+    }
+}
+
+impl std::error::Error for GatewayError {}
+
+/// A gateway that serves.
+pub struct Gateway {
+    callers: SocketAddr,
+    context: GatewayContext,
+    admin: AdminServer,
+    front: JoinHandle<()>,
+    sources: ConfigSources,
+    // Ends the links when the gateway goes.
+    _adopter: Arc<ConfigAdopter>,
+}
+
+impl Gateway {
+    /// Listens, connects to the platform and serves in the background.
+    pub async fn start(
+        settings: GatewaySettings,
+        daemon: DaemonContext,
+    ) -> Result<Self, Report<GatewayError>> {
+        let log = daemon
+            .logger
+            .new(slog::o!("gateway" => settings.name.to_string()));
+        let context = GatewayContext {
+            name: settings.name.clone(),
+            domain: settings.failure_domain.clone(),
+            incarnation: rand::random(),
+            clock: daemon.clock,
+            config: Arc::new(ArcSwap::from_pointee(ActiveConfig::default())),
+            fleet: FleetTable::default(),
+        };
+        let links = open_transport(&settings.links.transport, &daemon)?;
+        let connectors = ConnectorFactory::new(links);
+        let times = settings.links.times();
+        let workers = WorkerPool::new(settings.links.workers, &context, &connectors, times, &log)
+            .change_context(GatewayError)?;
+        let adopter = Arc::new(ConfigAdopter::new(context.clone(), workers, log.clone()));
+        let shared = GatewayShared::new(context.clone());
+        let front = FrontServer::bind(
+            settings.callers.address,
+            open_transport(&settings.callers.transport, &daemon)?,
+            shared.clone(),
+            settings.limits.clone(),
+            daemon.shutdown.clone(),
+            log.clone(),
+        )
+        .await
+        .change_context(GatewayError)?;
+        let callers = front.address().change_context(GatewayError)?;
+        let surface = Arc::new(GatewaySurface::new(shared, daemon.shutdown.clone()));
+        let admin = AdminServer::start("lovagedock-gateway", &settings.admin, surface, &daemon)
+            .await
+            .change_context(GatewayError)?;
+        let sources =
+            ConfigSources::start(&settings, &context, &adopter, &connectors, &daemon, &log)
+                .await
+                .change_context(GatewayError)?;
+        Ok(Self {
+            callers,
+            context,
+            admin,
+            front: tokio::spawn(front.run()),
+            sources,
+            _adopter: adopter,
+        })
+    }
+
+    /// Address that callers connect to.
+    pub fn callers_address(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Address that other gateways connect to.
+    pub fn peers_address(&self) -> SocketAddr {
+        self.sources.peers_address()
+    }
+
+    /// Address that operators connect to.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.admin.address()
+    }
+
+    /// Whether a configuration is in force and there is a session to each of its endpoints.
+    pub fn is_connected(&self) -> bool {
+        let entries = self.context.fleet.entries();
+        let connected = entries.iter().all(|(_, entry)| entry.incarnation.is_some());
+        self.context.generation() > 0 && connected
+    }
+
+    /// Waits until the shutdown was asked for and all requests have ended.
+    pub async fn wait(self) -> Result<(), Report<GatewayError>> {
+        self.front.await.change_context(GatewayError)
+    }
+}
+
+fn open_transport(
+    settings: &lovagedock_daemon::TransportSettings,
+    daemon: &DaemonContext,
+) -> Result<Transport, Report<GatewayError>> {
+    let transport = Transport::new(settings).change_context(GatewayError)?;
+    transport.watch_files(&daemon.logger, &daemon.shutdown);
+    Ok(transport)
+}
--- a/lovagedock-gateway/src/lib.rs
+++ b/lovagedock-gateway/src/lib.rs
@@ -1,1 +1,28 @@
-//! Placeholder.
+//! Daemon on the entry hosts: callers' HTTP, placement, retries, configuration relay.
+//!
+//! [`Gateway::start`] serves until its shutdown signal. A request passes the checks of the front,
+//! gets a driver of its own, and the driver carries out what the kernel's
+//! [`RequestMachine`](lovagedock::RequestMachine) decides. Sessions to sidecars live on workers.
+
+mod active;
+mod admin;
+mod adopt;
+mod call;
+mod connect;
+mod context;
+mod driver;
+mod fleet;
+mod front;
+mod gateway;
+mod link;
+mod peers;
+mod settings;
+mod shared;
+mod sources;
+mod trail;
+mod workers;
+
+pub use gateway::{Gateway, GatewayError};
+pub use settings::{
+    CallerLimits, GatewaySettings, LinkSettings, ListenerSettings, PlatformSettings,
+};
--- /dev/null
+++ b/lovagedock-gateway/src/settings.rs
@@ -0,0 +1,177 @@
+//! Settings of a gateway.
+
+use std::{net::SocketAddr, time::Duration};
+
+use lovagedock::prelude::*;
+use lovagedock_daemon::{AdminSettings, DaemonSettings, LogSettings, TransportSettings};
+use serde::{Deserialize, Serialize};
+
+use crate::link::LinkTimes;
+
+/// What a gateway is told when it starts; everything else is in the configuration.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewaySettings {
+    /// Name of the gateway, as in the configuration.
+    pub name: GatewayId,
+    /// Failure domain of its host.
+    pub failure_domain: DomainId,
+    /// Where callers connect.
+    pub callers: ListenerSettings,
+    /// Where other gateways connect.
+    pub peers: ListenerSettings,
+    /// How to reach sidecars and other gateways.
+    pub links: LinkSettings,
+    /// Gateways to ask for a configuration while the platform's store is out of reach.
+    #[serde(default)]
+    pub seed_peers: Vec<SocketAddr>,
+    /// Where operators connect.
+    pub admin: AdminSettings,
+    /// The platform.
+    pub platform: PlatformSettings,
+    /// Log.
+    #[serde(default)]
+    pub log: LogSettings,
+    /// Limits towards callers.
+    #[serde(default)]
+    pub limits: CallerLimits,
+}
+
+impl DaemonSettings for GatewaySettings {
+    fn log(&self) -> LogSettings {
+        self.log
+    }
+
+    fn problems(&self) -> Vec<String> {
+        let mut problems = Vec::new();
+        let links = &self.links;
+        if links.heartbeat_ms == 0 {
+            problems.push("links.heartbeat_ms: found 0, expected at least 1".to_owned());
+        }
+        if links.silence_ms <= links.heartbeat_ms {
+            problems.push(format!(
+                "links.silence_ms: found {}, expected more than links.heartbeat_ms ({})",
+                links.silence_ms, links.heartbeat_ms
+            ));
+        }
+        if links.workers == 0 {
+            problems.push("links.workers: found 0, expected at least 1".to_owned());
+        }
+        problems
+    }
+}
+
+/// An address to listen on, and how.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListenerSettings {
+    /// Address; port 0 takes any free port.
+    pub address: SocketAddr,
+    /// TLS, or plain TCP where that is asked for.
+    pub transport: TransportSettings,
+}
+
+/// How sessions to sidecars and other gateways are kept.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LinkSettings {
+    /// TLS, or plain TCP where that is asked for.
+    pub transport: TransportSettings,
+    /// Threads that own sessions.
+    #[serde(default = "default_workers")]
+    pub workers: usize,
+    /// Time between heartbeats, in milliseconds.
+    #[serde(default = "default_heartbeat_ms")]
+    pub heartbeat_ms: u64,
+    /// A session without an answer for this long is given up, in milliseconds.
+    #[serde(default = "default_silence_ms")]
+    pub silence_ms: u64,
+    /// Time between attempts to connect, in milliseconds.
+    #[serde(default = "default_reconnect_ms")]
+    pub reconnect_ms: u64,
+}
+
+impl LinkSettings {
+    pub(crate) fn times(&self) -> LinkTimes {
+        LinkTimes {
+            heartbeat: Duration::from_millis(self.heartbeat_ms),
+            silence: Duration::from_millis(self.silence_ms),
+            reconnect: Duration::from_millis(self.reconnect_ms),
+        }
+    }
+}
+
+/// Where the platform is.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// Base of its HTTP API, such as `http://10.0.0.1:8080`.
+    pub base: String,
+}
+
+/// Limits towards callers.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct CallerLimits {
+    /// Open connections.
+    pub connections: usize,
+    /// Requests in flight.
+    pub streams: usize,
+    /// Bytes of all headers of a request.
+    pub header_bytes: usize,
+    /// Bytes of the body of a request.
+    pub body_bytes: usize,
+    /// Time to read the headers of a request, in milliseconds.
+    pub header_ms: u64,
+    /// Time to read the body of a request, in milliseconds.
+    pub body_ms: u64,
+    /// Time that a shutdown waits for requests in flight, in milliseconds.
+    pub drain_ms: u64,
+}
+
+impl CallerLimits {
+    /// Time to read the headers of a request.
+    pub fn header_time(&self) -> Duration {
+        Duration::from_millis(self.header_ms)
+    }
+
+    /// Time to read the body of a request.
+    pub fn body_time(&self) -> Duration {
+        Duration::from_millis(self.body_ms)
+    }
+
+    /// Time that a shutdown waits for requests in flight.
+    pub fn drain_time(&self) -> Duration {
+        Duration::from_millis(self.drain_ms)
+    }
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            connections: 20_000,
+            streams: 10_000,
+            header_bytes: 32 * 1024,
+            body_bytes: 16 * 1024 * 1024,
+            header_ms: 10_000,
+            body_ms: 60_000,
+            drain_ms: 600_000,
+        }
+    }
+}
+
+fn default_workers() -> usize {
+    2
+}
+
+fn default_heartbeat_ms() -> u64 {
+    500
+}
+
+fn default_silence_ms() -> u64 {
+    2_000
+}
+
+fn default_reconnect_ms() -> u64 {
+    250
+}
--- /dev/null
+++ b/lovagedock-gateway/src/shared.rs
@@ -0,0 +1,54 @@
+//! What request drivers share beside the context.
+
+use std::{collections::HashMap, sync::Arc};
+
+use lovagedock::{RetryAllowance, RetryBudget, prelude::*};
+use parking_lot::Mutex;
+
+use crate::{context::GatewayContext, trail::TrailBook};
+
+/// Shared by all drivers of a gateway; cheap to clone.
+///
+/// Lock order: the retry budgets and the trail book are leaves.
+#[derive(Clone)]
+pub(crate) struct GatewayShared {
+    /// Configuration, fleet, clock.
+    pub(crate) context: GatewayContext,
+    /// What was decided about recent requests.
+    pub(crate) trails: TrailBook,
+    budgets: Arc<Mutex<HashMap<ServiceId, RetryBudget>>>,
+}
+
+impl GatewayShared {
+    /// Shared state of a gateway that has served nothing yet.
+    pub(crate) fn new(context: GatewayContext) -> Self {
+        Self {
+            context,
+            trails: TrailBook::default(),
+            budgets: Arc::default(),
+        }
+    }
+
+    /// Takes a retry from the service's budget, if there is one.
+    pub(crate) fn take_retry(&self, service: &ServiceId, now: Timestamp) -> bool {
+        self.with_budget(service, now, |budget| budget.try_take(now))
+    }
+
+    /// Counts a request that completed.
+    pub(crate) fn record_success(&self, service: &ServiceId, now: Timestamp) {
+        self.with_budget(service, now, |budget| budget.record_success(now));
+    }
+
+    fn with_budget<T>(
+        &self,
+        service: &ServiceId,
+        now: Timestamp,
+        act: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
+        let mut budgets = self.budgets.lock();
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new(now, RetryAllowance::default()));
+        act(budget)
+    }
+}
--- /dev/null
+++ b/lovagedock-gateway/src/sources.rs
@@ -0,0 +1,161 @@
+//! Where configurations and the list of leaving hosts come from.
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use error_stack::{Report, ResultExt};
+use lovagedock_daemon::{DaemonContext, Transport};
+use lovagedock_platform::{
+    CallPurpose, ChunkCache, ConfigStore, HostDirectory, HostState, HttpObjectStore, ObjectStore,
+    ROOT_KEY,
+};
+use slog::{Logger, debug, warn};
+use tokio::{sync::watch, task::JoinHandle, time::sleep};
+
+use crate::{
+    adopt::{AdoptError, ConfigAdopter},
+    connect::ConnectorFactory,
+    context::GatewayContext,
+    peers::PeerWorker,
+    settings::GatewaySettings,
+};
+
+/// Time that a watch of the store waits for a change.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// Pause after the store did not answer.
+const STORE_PAUSE: Duration = Duration::from_secs(1);
+/// Time between readings of the platform's host list.
+const HOSTS_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Tasks that feed a gateway; they end when this is dropped.
+pub(crate) struct ConfigSources {
+    peers: SocketAddr,
+    tasks: Vec<JoinHandle<()>>,
+    _stop: watch::Sender<()>,
+}
+
+impl ConfigSources {
+    /// Listens for peers and begins to watch the platform.
+    pub(crate) async fn start(
+        settings: &GatewaySettings,
+        context: &GatewayContext,
+        adopter: &Arc<ConfigAdopter>,
+        connectors: &ConnectorFactory,
+        daemon: &DaemonContext,
+        log: &Logger,
+    ) -> Result<Self, Report<io::Error>> {
+        let transport = Transport::new(&settings.peers.transport)
+            .map_err(|report| Report::new(io::Error::other(format!("{report:?}"))))?;
+        transport.watch_files(&daemon.logger, &daemon.shutdown);
+        let listener = std::net::TcpListener::bind(settings.peers.address)
+            .map_err(Report::new)
+            .attach_with(|| format!("peers' address {}", settings.peers.address))?;
+        let peers = listener.local_addr()?;
+        let (stop, stopped) = watch::channel(());
+        let worker = PeerWorker {
+            context: context.clone(),
+            adopter: Arc::clone(adopter),
+            connectors: connectors.clone(),
+            transport,
+            seeds: settings.seed_peers.clone(),
+            log: log.clone(),
+        };
+        worker.start(listener, stopped)?;
+        let store = Arc::new(HttpObjectStore::new(&settings.platform.base));
+        let watcher = StoreWatcher {
+            store: Arc::clone(&store) as Arc<dyn ObjectStore>,
+            adopter: Arc::clone(adopter),
+            log: log.clone(),
+        };
+        let hosts = HostWatcher {
+            directory: store,
+            context: context.clone(),
+            log: log.clone(),
+        };
+        Ok(Self {
+            peers,
+            tasks: vec![tokio::spawn(watcher.run()), tokio::spawn(hosts.run())],
+            _stop: stop,
+        })
+    }
+
+    /// Address that peers connect to.
+    pub(crate) fn peers_address(&self) -> SocketAddr {
+        self.peers
+    }
+}
+
+impl Drop for ConfigSources {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+struct StoreWatcher {
+    store: Arc<dyn ObjectStore>,
+    adopter: Arc<ConfigAdopter>,
+    log: Logger,
+}
+
+impl StoreWatcher {
+    /// Reads the configuration and then each that replaces it; never ends.
+    async fn run(self) {
+        let config = ConfigStore::new(Arc::clone(&self.store));
+        let mut cache = ChunkCache::new();
+        let mut revision = 0;
+        loop {
+            match config.load_latest(&mut cache).await {
+                Ok(Some(loaded)) => self.adopt(loaded.root.generation(), loaded.bytes),
+                Ok(None) => {}
+                Err(error) => {
+                    debug!(self.log, "no configuration from the store"; "error" => %error);
+                    sleep(STORE_PAUSE).await;
+                    continue;
+                }
+            }
+            let change = self
+                .store
+                .watch(ROOT_KEY, revision, WATCH_WAIT, CallPurpose::Config)
+                .await;
+            match change {
+                Ok(change) => revision = change.revision,
+                Err(error) => {
+                    debug!(self.log, "no watch of the store"; "error" => %error);
+                    sleep(STORE_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn adopt(&self, generation: lovagedock::Generation, text: bytes::Bytes) {
+        match self.adopter.adopt(generation, text) {
+            Ok(()) | Err(AdoptError::NotNewer) => {}
+            Err(AdoptError::Malformed(detail)) => self.adopter.refused(&detail),
+        }
+    }
+}
+
+struct HostWatcher {
+    directory: Arc<dyn HostDirectory>,
+    context: GatewayContext,
+    log: Logger,
+}
+
+impl HostWatcher {
+    /// Reads the list of hosts again and again; never ends.
+    async fn run(self) {
+        loop {
+            match self.directory.hosts().await {
+                Ok(list) => {
+                    let leaving = list.hosts.into_iter();
+                    let leaving = leaving.filter(|entry| entry.state == HostState::Leaving);
+                    let leaving = leaving.map(|entry| entry.host).collect();
+                    self.context.fleet.set_leaving_hosts(leaving);
+                }
+                Err(error) => warn!(self.log, "no list of hosts"; "error" => %error),
+            }
+            sleep(HOSTS_INTERVAL).await;
+        }
+    }
+}
--- /dev/null
+++ b/lovagedock-gateway/src/trail.rs
@@ -0,0 +1,98 @@
+//! What was decided about recent requests and why, for `explain` and dumps.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::Arc,
+};
+
+use lovagedock::prelude::*;
+use parking_lot::Mutex;
+use serde::Serialize;
+
+/// Requests that are remembered.
+const REMEMBERED_REQUESTS: usize = 4_096;
+/// Steps that are remembered of one request.
+const REMEMBERED_STEPS: usize = 64;
+
+/// One decision about a request.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct TrailStep {
+    /// Milliseconds since the gateway started.
+    pub(crate) at_ms: u64,
+    /// What happened or was decided.
+    pub(crate) step: String,
+}
+
+/// The decisions about one request.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct RequestTrail {
+    /// Id that the caller saw.
+    pub(crate) request_id: String,
+    /// Service that it addressed.
+    pub(crate) service: ServiceId,
+    /// Organisation that it belongs to.
+    pub(crate) organisation: OrganisationId,
+    /// Estimated prompt length.
+    pub(crate) prompt_tokens: TokenCount,
+    /// The decisions, oldest first.
+    pub(crate) steps: Vec<TrailStep>,
+}
+
+#[derive(Default)]
+struct TrailState {
+    trails: HashMap<RequestId, RequestTrail>,
+    order: VecDeque<RequestId>,
+}
+
+/// Bounded memory of recent requests; cheap to clone.
+///
+/// Lock order: a leaf.
+#[derive(Clone, Default)]
+pub(crate) struct TrailBook {
+    state: Arc<Mutex<TrailState>>,
+}
+
+impl TrailBook {
+    /// Begins the trail of a request and forgets the oldest one when there are too many.
+    pub(crate) fn begin(&self, id: RequestId, trail: RequestTrail) {
+        let mut state = self.state.lock();
+        if state.order.len() >= REMEMBERED_REQUESTS
+            && let Some(oldest) = state.order.pop_front()
+        {
+            state.trails.remove(&oldest);
+        }
+        state.order.push_back(id);
+        state.trails.insert(id, trail);
+    }
+
+    /// Adds a step.
+    pub(crate) fn step(&self, id: RequestId, now: Timestamp, step: impl Into<String>) {
+        let mut state = self.state.lock();
+        let Some(trail) = state.trails.get_mut(&id) else {
+            return;
+        };
+        if trail.steps.len() < REMEMBERED_STEPS {
+            trail.steps.push(TrailStep {
+                at_ms: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
+                step: step.into(),
+            });
+        }
+    }
+
+    /// The trail of a request, if it is still remembered.
+    pub(crate) fn get(&self, id: RequestId) -> Option<RequestTrail> {
+        self.state.lock().trails.get(&id).cloned()
+    }
+
+    /// The newest trails, newest first.
+    pub(crate) fn newest(&self, count: usize) -> Vec<RequestTrail> {
+        let state = self.state.lock();
+        state
+            .order
+            .iter()
+            .rev()
+            .take(count)
+            .filter_map(|id| state.trails.get(id).cloned())
+            .collect()
+    }
+}
