Run the whole path in one process

Cause: the parts were only tested one by one. Change: LocalFleet starts the stand-ins and the real daemons on loopback and applies a configuration through the store; a test sends a streamed completion, a plain call and five refusals through it. Conclusion: the thin path stands; it is thickened from here.

--- /dev/null
+++ b/lovagedock-standin/src/fleet.rs
@@ -0,0 +1,348 @@
+//! A whole fleet in one process: stand-ins for the platform and the endpoints, and the product's
+//! own daemons on loopback ports.
+
+use std::{fmt, net::SocketAddr, time::Duration};
+
+use error_stack::{Report, ResultExt};
+use lovagedock::{EndpointSpec, FleetConfig, GatewaySpec, PoolKind, prelude::*};
+use lovagedock_daemon::{
+    AdminSettings, DaemonContext, LogSettings, PlainConsent, TransportSettings,
+};
+use lovagedock_gateway::{
+    CallerLimits, Gateway, GatewaySettings, LinkSettings, ListenerSettings, PlatformSettings,
+};
+use lovagedock_platform::{
+    ApplyOutcome, ApplyRequest, ConfigStore, HttpObjectStore, canonical_json,
+};
+use lovagedock_sidecar::{EngineSettings, SessionSettings, Sidecar, SidecarSettings};
+use slog::Logger;
+use tokio::time::sleep;
+
+use crate::{
+    PlatformOptions, PlatformStandin, RunningStandin,
+    engine::{EngineOptions, EngineStandin, ReportStyle, RunningEngine},
+    service::{RunningService, ServiceOptions, ServiceStandin},
+};
+
+const LOOPBACK: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+/// Looks until the fleet is ready.
+const READY_LOOKS: usize = 600;
+const READY_PAUSE: Duration = Duration::from_millis(25);
+
+/// A fleet could not start.
+#[derive(Debug)]
+pub struct FleetError;
+
+impl fmt::Display for FleetError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the fleet could not start")
+    }
+}
+
+impl std::error::Error for FleetError {}
+
+/// What a fleet is made of.
+#[derive(Clone)]
+pub struct FleetPlan {
+    /// The configuration; addresses in it are replaced by free loopback ports.
+    pub config: FleetConfig,
+    /// Model time that passes in one unit of real time.
+    pub time_scale: f64,
+    /// Time that a plain service takes for a call.
+    pub service_time: Duration,
+    /// Time between heartbeats of gateways.
+    pub heartbeat: Duration,
+    /// Time without an answer after which a session is given up.
+    pub silence: Duration,
+    /// Log of the daemons.
+    pub log: Logger,
+}
+
+impl FleetPlan {
+    /// A plan with a time scale of 1 and the daemons' default times.
+    pub fn new(config: FleetConfig, log: Logger) -> Self {
+        Self {
+            config,
+            time_scale: 1.0,
+            service_time: Duration::from_millis(5),
+            heartbeat: Duration::from_millis(500),
+            silence: Duration::from_secs(2),
+            log,
+        }
+    }
+
+    /// Sets the model time that passes in one unit of real time.
+    pub fn with_time_scale(mut self, time_scale: f64) -> Self {
+        self.time_scale = time_scale;
+        self
+    }
+
+    /// Sets how sessions are kept.
+    pub fn with_heartbeat(mut self, heartbeat: Duration, silence: Duration) -> Self {
+        self.heartbeat = heartbeat;
+        self.silence = silence;
+        self
+    }
+}
+
+/// The endpoint beside a sidecar.
+#[derive(Clone, Debug)]
+pub enum EndpointStandin {
+    /// A model engine.
+    Engine(RunningEngine),
+    /// A plain service.
+    Service(RunningService),
+}
+
+impl EndpointStandin {
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        match self {
+            Self::Engine(engine) => engine.address,
+            Self::Service(service) => service.address,
+        }
+    }
+}
+
+/// One endpoint with its sidecar.
+pub struct RunningEndpoint {
+    /// Name in the configuration.
+    pub id: EndpointId,
+    /// Host in the configuration.
+    pub host: HostId,
+    /// The endpoint itself.
+    pub standin: EndpointStandin,
+    /// The sidecar, until it is stopped.
+    pub sidecar: Option<Sidecar>,
+    /// Stops the sidecar.
+    pub daemon: DaemonContext,
+    /// What the sidecar was started with; its address is the one that it got.
+    pub settings: SidecarSettings,
+}
+
+/// One gateway.
+pub struct RunningGateway {
+    /// Name in the configuration.
+    pub id: GatewayId,
+    /// The gateway.
+    pub gateway: Gateway,
+    /// Stops the gateway.
+    pub daemon: DaemonContext,
+}
+
+/// A fleet that serves.
+pub struct LocalFleet {
+    /// The platform.
+    pub platform: RunningStandin,
+    /// Endpoints in the order of the configuration.
+    pub endpoints: Vec<RunningEndpoint>,
+    /// Gateways in the order of the configuration.
+    pub gateways: Vec<RunningGateway>,
+    /// The configuration with the addresses that the processes got.
+    pub config: FleetConfig,
+}
+
+impl LocalFleet {
+    /// Starts everything, applies the configuration and waits until it is in force everywhere.
+    pub async fn start(plan: FleetPlan) -> Result<Self, Report<FleetError>> {
+        let hosts = plan.config.pools.iter().flat_map(|pool| &pool.endpoints);
+        let platform = PlatformStandin::start(PlatformOptions {
+            hosts: hosts.map(|spec| spec.host.to_string()).collect(),
+            ..PlatformOptions::default()
+        })
+        .await
+        .change_context(FleetError)?;
+        let mut config = plan.config.clone();
+        let mut endpoints = Vec::new();
+        for pool in &mut config.pools {
+            for spec in &mut pool.endpoints {
+                let endpoint = start_endpoint(&plan, &pool.kind, spec, endpoints.len()).await?;
+                spec.sidecar = endpoint.settings.gateways.address;
+                endpoints.push(endpoint);
+            }
+        }
+        let mut gateways = Vec::new();
+        for spec in &mut config.gateways {
+            let gateway = start_gateway(&plan, spec, &platform).await?;
+            spec.peer_address = gateway.gateway.peers_address();
+            gateways.push(gateway);
+        }
+        let fleet = Self {
+            platform,
+            endpoints,
+            gateways,
+            config,
+        };
+        fleet.apply(0).await?;
+        fleet.ready().await?;
+        Ok(fleet)
+    }
+
+    /// Applies the fleet's configuration over the generation that is expected in the store.
+    pub async fn apply(&self, expected: Generation) -> Result<Generation, Report<FleetError>> {
+        let store = ConfigStore::new(std::sync::Arc::new(HttpObjectStore::new(
+            &self.platform.url(),
+        )));
+        let text = canonical_json(&self.config).change_context(FleetError)?;
+        let request = ApplyRequest::new(text, expected, "demo", "demo-apply".into());
+        match store.apply(&request).await {
+            ApplyOutcome::Accepted { generation } => Ok(generation),
+            other => Err(Report::new(FleetError).attach(format!("apply: {other:?}"))),
+        }
+    }
+
+    /// Waits until every gateway is connected to every endpoint.
+    pub async fn ready(&self) -> Result<(), Report<FleetError>> {
+        for _ in 0..READY_LOOKS {
+            if self
+                .gateways
+                .iter()
+                .all(|entry| entry.gateway.is_connected())
+            {
+                return Ok(());
+            }
+            sleep(READY_PAUSE).await;
+        }
+        Err(Report::new(FleetError).attach("a gateway has not reached all endpoints"))
+    }
+}
+
+async fn start_endpoint(
+    plan: &FleetPlan,
+    kind: &PoolKind,
+    spec: &EndpointSpec,
+    number: usize,
+) -> Result<RunningEndpoint, Report<FleetError>> {
+    let (standin, adapter) = match kind {
+        PoolKind::Engines { model } => {
+            let style = match number % 2 {
+                0 => ReportStyle::JsonReport,
+                _ => ReportStyle::PrometheusReport,
+            };
+            let engine = start_engine(plan, model, spec, style).await?;
+            (EndpointStandin::Engine(engine), adapter_name(style))
+        }
+        PoolKind::Plain {} => {
+            let options = ServiceOptions {
+                service_time: plan.service_time,
+            };
+            let service = ServiceStandin::start(options).await;
+            let service = service.change_context(FleetError)?;
+            (EndpointStandin::Service(service), "plain")
+        }
+    };
+    let mut settings = sidecar_settings(spec, standin.address(), adapter);
+    let daemon = DaemonContext::new(plan.log.clone());
+    let sidecar = Sidecar::start(settings.clone(), daemon.clone())
+        .await
+        .change_context(FleetError)?;
+    settings.gateways.address = sidecar.gateways_address();
+    Ok(RunningEndpoint {
+        id: spec.id.clone(),
+        host: spec.host.clone(),
+        standin,
+        sidecar: Some(sidecar),
+        daemon,
+        settings,
+    })
+}
+
+async fn start_engine(
+    plan: &FleetPlan,
+    model: &ModelId,
+    spec: &EndpointSpec,
+    report_style: ReportStyle,
+) -> Result<RunningEngine, Report<FleetError>> {
+    let options = EngineOptions {
+        model: model.to_string(),
+        time_scale: plan.time_scale,
+        memory_tokens: spec.memory_tokens,
+        report_style,
+        ..EngineOptions::default()
+    };
+    EngineStandin::start(options)
+        .await
+        .change_context(FleetError)
+}
+
+fn adapter_name(style: ReportStyle) -> &'static str {
+    match style {
+        ReportStyle::JsonReport => "json-report",
+        ReportStyle::PrometheusReport => "prometheus-report",
+    }
+}
+
+fn sidecar_settings(spec: &EndpointSpec, engine: SocketAddr, adapter: &str) -> SidecarSettings {
+    SidecarSettings {
+        endpoint: spec.id.clone(),
+        gateways: SessionSettings {
+            address: LOOPBACK,
+            transport: plain(),
+            silence_ms: 3_000,
+        },
+        admin: admin(),
+        engine: EngineSettings {
+            adapter: adapter.to_owned(),
+            address: engine,
+            connect_ms: 1_000,
+            idle_ms: 30_000,
+            poll_ms: 250,
+            concurrency: 0,
+        },
+        log: LogSettings::default(),
+        drain_ms: 60_000,
+    }
+}
+
+async fn start_gateway(
+    plan: &FleetPlan,
+    spec: &GatewaySpec,
+    platform: &RunningStandin,
+) -> Result<RunningGateway, Report<FleetError>> {
+    let listener = || ListenerSettings {
+        address: LOOPBACK,
+        transport: plain(),
+    };
+    let settings = GatewaySettings {
+        name: spec.id.clone(),
+        failure_domain: spec.failure_domain.clone(),
+        callers: listener(),
+        peers: listener(),
+        links: LinkSettings {
+            transport: plain(),
+            workers: 1,
+            heartbeat_ms: plan.heartbeat.as_millis() as u64,
+            silence_ms: plan.silence.as_millis() as u64,
+            reconnect_ms: 100,
+        },
+        seed_peers: Vec::new(),
+        admin: admin(),
+        platform: PlatformSettings {
+            base: platform.url(),
+        },
+        log: LogSettings::default(),
+        limits: CallerLimits::default(),
+    };
+    let daemon = DaemonContext::new(plan.log.clone());
+    let gateway = Gateway::start(settings, daemon.clone())
+        .await
+        .change_context(FleetError)?;
+    Ok(RunningGateway {
+        id: spec.id.clone(),
+        gateway,
+        daemon,
+    })
+}
+
+fn plain() -> TransportSettings {
+    TransportSettings::PlainTcp(PlainConsent::Demo)
+}
+
+fn admin() -> AdminSettings {
+    AdminSettings {
+        address: LOOPBACK,
+        operator_token: None,
+        transport: plain(),
+    }
+}
--- a/lovagedock-standin/src/lib.rs
+++ b/lovagedock-standin/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins of the platform, of engines and of plain services; the product never depends on them.
 
 pub mod engine;
+pub mod fleet;
 mod platform;
 pub mod service;
 
--- /dev/null
+++ b/lovagedock-standin/tests/whole_path.rs
@@ -0,0 +1,177 @@
+//! One request from a caller to an engine and back, through the real daemons on loopback.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use hyper_util::{client::legacy::Client, rt::TokioExecutor};
+use lovagedock::parse_config;
+use lovagedock_standin::{
+    engine::expected_answer,
+    fleet::{FleetPlan, LocalFleet},
+};
+use serde_json::{Value, json};
+use slog::{Discard, Logger, o};
+
+const CONFIG: &str = r#"{
+    "version": 1,
+    "failure_domains": [{ "id": "north", "region": "r" }],
+    "gateways": [{ "id": "g1", "host": "entry-1", "failure_domain": "north",
+        "peer_address": "127.0.0.1:1" }],
+    "models": [{ "id": "reader", "max_context_tokens": 1200000 }],
+    "pools": [
+        { "id": "readers", "kind": { "engines": { "model": "reader" } }, "endpoints": [
+            { "id": "e1", "host": "h1", "failure_domain": "north", "sidecar": "127.0.0.1:2",
+                "memory_tokens": 400000 },
+            { "id": "e2", "host": "h2", "failure_domain": "north", "sidecar": "127.0.0.1:3",
+                "memory_tokens": 400000 }] },
+        { "id": "desk", "kind": { "plain": {} }, "endpoints": [
+            { "id": "p1", "host": "h3", "failure_domain": "north", "sidecar": "127.0.0.1:4" }] }
+    ],
+    "services": [
+        { "id": "reading", "kind": { "model": { "model": "reader" } }, "pool": "readers" },
+        { "id": "registry", "kind": { "plain": { "path_prefix": "/registry/" } }, "pool": "desk",
+            "non_idempotent": [{ "method": "POST", "path": "/registry/receipts" }] }
+    ],
+    "organisations": [
+        { "id": "museum", "key_hashes": [
+            "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"] }
+    ]
+}"#;
+/// Its SHA-256 is in the configuration.
+const API_KEY: &str = "secret";
+
+async fn start() -> LocalFleet {
+    let config = parse_config("test", CONFIG).expect("the configuration is valid");
+    let plan = FleetPlan::new(config, Logger::root(Discard, o!())).with_time_scale(200.0);
+    LocalFleet::start(plan).await.expect("the fleet starts")
+}
+
+async fn call(address: SocketAddr, request: Request<Full<Bytes>>) -> Response<Incoming> {
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let (mut parts, body) = request.into_parts();
+    parts.uri = format!("http://{address}{}", parts.uri)
+        .parse()
+        .expect("uri");
+    let request = Request::from_parts(parts, body);
+    let answered = client.request(request);
+    tokio::time::timeout(Duration::from_secs(30), answered)
+        .await
+        .expect("the gateway answers")
+        .expect("the connection holds")
+}
+
+fn post(path: &str, body: &Value) -> Request<Full<Bytes>> {
+    Request::post(path)
+        .header("authorization", format!("Bearer {API_KEY}"))
+        .body(Full::new(Bytes::from(body.to_string())))
+        .expect("request")
+}
+
+async fn text(response: Response<Incoming>) -> String {
+    let bytes = response
+        .into_body()
+        .collect()
+        .await
+        .expect("whole body")
+        .to_bytes();
+    String::from_utf8(bytes.to_vec()).expect("text")
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_streamed_answer_is_the_whole_answer() {
+    let fleet = start().await;
+    let callers = fleet.gateways[0].gateway.callers_address();
+    let prompt = "wreck of the Sala ".repeat(400);
+    let body = json!({ "model": "reader", "prompt": prompt, "max_tokens": 40, "stream": true });
+    let response = call(callers, post("/v1/completions", &body)).await;
+    assert_eq!(response.status(), StatusCode::OK);
+    assert!(response.headers().contains_key("x-request-id"));
+    let stream = text(response).await;
+    let answer: String = stream
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "))
+        .filter_map(|data| serde_json::from_str::<Value>(data).ok())
+        .filter_map(|event| event["choices"][0]["text"].as_str().map(str::to_owned))
+        .collect();
+    assert_eq!(answer, expected_answer(&prompt, 40));
+    assert!(stream.trim_end().ends_with("data: [DONE]"));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_plain_call_reaches_the_service_once() {
+    let fleet = start().await;
+    let callers = fleet.gateways[0].gateway.callers_address();
+    let response = call(callers, post("/registry/receipts", &json!({ "amount": 5 }))).await;
+    assert_eq!(response.status(), StatusCode::OK);
+    let lovagedock_standin::fleet::EndpointStandin::Service(service) = &fleet.endpoints[2].standin
+    else {
+        panic!("the third endpoint is the service");
+    };
+    let runs = service.journal.runs();
+    assert_eq!(runs.len(), 1);
+    assert_eq!(runs[0].path, "/registry/receipts");
+}
+
+/// One refusal and what the caller is told.
+struct Refusal {
+    name: &'static str,
+    request: Request<Full<Bytes>>,
+    status: u16,
+    code: u16,
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refusals_say_that_nothing_ran() {
+    let fleet = start().await;
+    let callers = fleet.gateways[0].gateway.callers_address();
+    let prompt = json!({ "model": "reader", "prompt": "x" });
+    let cases = [
+        Refusal {
+            name: "no key",
+            request: Request::post("/v1/completions")
+                .body(Full::new(Bytes::from(prompt.to_string())))
+                .expect("request"),
+            status: 401,
+            code: 1002,
+        },
+        Refusal {
+            name: "not JSON",
+            request: post("/v1/completions", &json!("text")),
+            status: 400,
+            code: 1001,
+        },
+        Refusal {
+            name: "no such model",
+            request: post(
+                "/v1/completions",
+                &json!({ "model": "other", "prompt": "x" }),
+            ),
+            status: 404,
+            code: 1004,
+        },
+        Refusal {
+            name: "no such path",
+            request: post("/nowhere", &json!({})),
+            status: 404,
+            code: 1004,
+        },
+        Refusal {
+            name: "longer than the model takes",
+            request: post(
+                "/v1/completions",
+                &json!({ "model": "reader", "prompt": "x".repeat(5_000_000) }),
+            ),
+            status: 400,
+            code: 1006,
+        },
+    ];
+    for case in cases {
+        let response = call(callers, case.request).await;
+        assert_eq!(response.status().as_u16(), case.status, "{}", case.name);
+        let problem: Value = serde_json::from_str(&text(response).await).expect("a document");
+        assert_eq!(problem["code"], case.code, "{}", case.name);
+        assert_eq!(problem["ran"], "no", "{}", case.name);
+    }
+}
