--- /dev/null
+++ b/lovagedock-standin/src/bin/lovagedock-load.rs
@@ -0,0 +1,169 @@
+//! Open-loop load generator.
+
+use std::{
+    fs, io,
+    io::{IsTerminal, Write},
+    net::SocketAddr,
+    path::PathBuf,
+    process::ExitCode,
+    sync::Arc,
+    time::Duration,
+};
+
+use clap::Parser;
+use error_stack::{Report, ResultExt};
+use lovagedock_daemon::{ExitStatus, ProcessClock, load_settings};
+use lovagedock_standin::load::{
+    CallerClient, ControlFigures, ExecutionJournal, FleetJournal, GatewayTarget, LoadReport,
+    LoadRunner, MixSpec, ReportTags, RunProgress, StandinTarget, ViolationLimits, count_violations,
+    fetch_engine, fetch_service, long_from, plan_calls, render_table,
+};
+
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
+/// Time after the last answer in which engines may still free what is cancelled.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+
+/// Sends a seeded mix of calls to gateways and reports latency, outcomes and broken promises.
+///
+/// Exit codes: 0 no violation; 1 violations, or the run failed; 2 wrong arguments; 3 the mix has
+/// errors.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct LoadArgs {
+    /// Mix of calls, JSON with comments.
+    #[arg(long, value_name = "FILE")]
+    mix: PathBuf,
+    /// Address where a gateway listens for callers; several may be given.
+    #[arg(long = "gateway", value_name = "ADDRESS", required = true)]
+    gateways: Vec<SocketAddr>,
+    /// Stand-in engine whose journal is joined in the end.
+    #[arg(long = "engine", value_name = "NAME=ADDRESS")]
+    engines: Vec<StandinTarget>,
+    /// Stand-in service whose journal is joined in the end.
+    #[arg(long = "service", value_name = "NAME=ADDRESS")]
+    services: Vec<StandinTarget>,
+    /// Seed of the plan.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Length of the plan in seconds; the answers to the last calls come after it.
+    #[arg(long, default_value_t = 30)]
+    seconds: u64,
+    /// Model time of the engines that passes in one unit of real time.
+    #[arg(long, default_value_t = 1.0)]
+    time_scale: f64,
+    /// Name of the placement policy, for the report.
+    #[arg(long, default_value = "")]
+    policy: String,
+    /// Writes the report as JSON.
+    #[arg(long, value_name = "FILE")]
+    report: Option<PathBuf>,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args = LoadArgs::parse();
+    let mix: MixSpec = match load_settings(&args.mix) {
+        Ok(mix) => mix,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitStatus::Settings.into();
+        }
+    };
+    let problems = mix.problems();
+    if !problems.is_empty() {
+        eprintln!("{}: {}", args.mix.display(), problems.join("; "));
+        return ExitStatus::Settings.into();
+    }
+    match run(&args, mix).await {
+        Ok(report) if report.violations.total() == 0 => ExitStatus::Success.into(),
+        Ok(_) => ExitStatus::Failure.into(),
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitStatus::Failure.into()
+        }
+    }
+}
+
+async fn run(args: &LoadArgs, mix: MixSpec) -> Result<LoadReport, Report<io::Error>> {
+    let real = Duration::from_secs(args.seconds);
+    let model = real.mul_f64(args.time_scale);
+    let plan = plan_calls(&mix, args.seed, model)
+        .into_iter()
+        .map(|call| call.with_time_scale(args.time_scale))
+        .collect();
+    let clock = ProcessClock::new();
+    let client = CallerClient::new(gateway_targets(&args.gateways), clock)
+        .map_err(|error| Report::new(io::Error::other(error)))?;
+    let runner = LoadRunner::new(mix.clone(), client, clock);
+    let shown = tokio::spawn(show_progress(runner.progress()));
+    let start = clock.now();
+    let callers = runner.run(plan, start).await;
+    shown.abort();
+    let executions = collect(args).await?;
+    let violations = count_violations(
+        &callers,
+        &executions,
+        &FleetJournal::default(),
+        &ViolationLimits::default(),
+    );
+    let tags = ReportTags {
+        seed: args.seed,
+        policy: args.policy.clone(),
+        mix: mix.name.clone(),
+        duration: real,
+        long_from: start + long_from(&mix, real),
+        time_scale: args.time_scale,
+    };
+    let report = LoadReport::new(&tags, &callers, violations, ControlFigures::default());
+    println!("{}", render_table(&report));
+    if let Some(file) = &args.report {
+        let text = serde_json::to_string_pretty(&report).map_err(io::Error::other);
+        fs::write(file, text.map_err(Report::new)?)
+            .map_err(Report::new)
+            .attach_with(|| file.display().to_string())?;
+    }
+    Ok(report)
+}
+
+async fn collect(args: &LoadArgs) -> Result<ExecutionJournal, Report<io::Error>> {
+    let mut executions = ExecutionJournal::default();
+    if args.engines.is_empty() && args.services.is_empty() {
+        return Ok(executions);
+    }
+    tokio::time::sleep(SETTLE_TIME).await;
+    for target in &args.engines {
+        fetch_engine(&mut executions, target)
+            .await
+            .map_err(Report::new)
+            .attach_with(|| format!("journal of {}", target.endpoint))?;
+    }
+    for target in &args.services {
+        fetch_service(&mut executions, target)
+            .await
+            .map_err(Report::new)
+            .attach_with(|| format!("journal of {}", target.endpoint))?;
+    }
+    Ok(executions)
+}
+
+fn gateway_targets(addresses: &[SocketAddr]) -> Vec<GatewayTarget> {
+    addresses
+        .iter()
+        .map(|address| GatewayTarget {
+            name: address.to_string(),
+            address: *address,
+        })
+        .collect()
+}
+
+async fn show_progress(progress: Arc<RunProgress>) {
+    if !io::stderr().is_terminal() {
+        return;
+    }
+    let mut ticks = tokio::time::interval(PROGRESS_INTERVAL);
+    loop {
+        ticks.tick().await;
+        eprint!("\r{}  ", progress.line());
+        let _ = io::stderr().flush();
+    }
+}
--- a/lovagedock-standin/src/lib.rs
+++ b/lovagedock-standin/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod engine;
 pub mod fleet;
+pub mod load;
 mod platform;
 pub mod service;
 
--- /dev/null
+++ b/lovagedock-standin/src/load/caller.rs
@@ -0,0 +1,311 @@
+//! Sends calls as callers behind the platform's balancer do, and writes down what they see.
+
+use std::{
+    fmt::{self, Display, Formatter},
+    net::SocketAddr,
+    sync::atomic::{AtomicUsize, Ordering},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    header::{AUTHORIZATION, CONTENT_TYPE, HeaderMap},
+};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use lovagedock::{RanState, Timestamp, parse_request_id};
+use lovagedock_daemon::ProcessClock;
+use serde::Deserialize;
+use tokio::time;
+
+use super::{
+    journal::{AnswerCheck, CallEnding, CallRecord},
+    message::{CallMessage, ModelAnswer},
+    mix::MixSpec,
+    schedule::PlannedCall,
+    sse::SseParser,
+};
+
+/// Header that names the request in every answer.
+const REQUEST_ID_HEADER: &str = "x-request-id";
+/// Header with the time that a call asks for, in milliseconds.
+const DEADLINE_HEADER: &str = "x-lovagedock-deadline-ms";
+const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
+const STREAM_END: &str = "[DONE]";
+/// How long after its deadline a caller still listens, so that a late outcome can be told from none.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// An address that callers can send to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GatewayTarget {
+    /// Name in the callers' journal.
+    pub name: String,
+    /// Where it listens for callers.
+    pub address: SocketAddr,
+}
+
+/// Why no caller can be made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallerError {
+    /// There is no gateway to call.
+    NoGateways,
+}
+
+impl Display for CallerError {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NoGateways => f.write_str("no gateway to call"),
+        }
+    }
+}
+
+impl std::error::Error for CallerError {}
+
+/// Sends calls to gateways in turn, past those that refuse a connection.
+pub struct CallerClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+    gateways: Vec<GatewayTarget>,
+    next: AtomicUsize,
+    clock: ProcessClock,
+}
+
+impl CallerClient {
+    /// Creates a client whose journal is on `clock`.
+    pub fn new(gateways: Vec<GatewayTarget>, clock: ProcessClock) -> Result<Self, CallerError> {
+        if gateways.is_empty() {
+            return Err(CallerError::NoGateways);
+        }
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(Duration::from_secs(1)));
+        Ok(Self {
+            client: Client::builder(TokioExecutor::new()).build(connector),
+            gateways,
+            next: AtomicUsize::new(0),
+            clock,
+        })
+    }
+
+    /// Sends one call and waits until it has ended.
+    pub(crate) async fn call(
+        &self,
+        mix: &MixSpec,
+        call: &PlannedCall,
+        message: CallMessage,
+        intended_at: Timestamp,
+    ) -> CallRecord {
+        let organisation = &mix.organisations[call.organisation];
+        let sent_at = self.clock.now();
+        let mut record = CallRecord {
+            number: call.number,
+            request: None,
+            organisation: organisation.id.clone(),
+            service: message.service.clone(),
+            bucket: message.bucket,
+            key: call.key.clone(),
+            non_idempotent: message.non_idempotent,
+            gateway: String::new(),
+            intended_at,
+            sent_at,
+            first_token_at: None,
+            token_gaps: Vec::new(),
+            ended_at: sent_at,
+            deadline: call.deadline,
+            ending: CallEnding::Nothing,
+            answer: AnswerCheck::Beginning,
+            answer_digest: None,
+        };
+        let limit = call.deadline + PATIENCE;
+        let exchange = self.exchange(call, &organisation.key, &message, &mut record);
+        // On the timeout the record keeps what was seen so far, and its ending is `Nothing`.
+        let _ = time::timeout(limit, exchange).await;
+        record.ended_at = self.clock.now();
+        record
+    }
+
+    async fn exchange(
+        &self,
+        call: &PlannedCall,
+        api_key: &str,
+        message: &CallMessage,
+        record: &mut CallRecord,
+    ) {
+        let response = match self.send(call, api_key, message, record).await {
+            Ok(response) => response,
+            Err(ending) => {
+                record.ending = ending;
+                return;
+            }
+        };
+        record.request = request_id(response.headers());
+        if !response.status().is_success() {
+            record.ending = read_problem(response).await;
+            return;
+        }
+        let mut reader = AnswerReader {
+            clock: &self.clock,
+            content: Vec::new(),
+            last_piece_at: None,
+        };
+        record.ending = match message.streamed {
+            true => reader.read_stream(response, record).await,
+            false => reader.read_whole(response, message).await,
+        };
+        record.answer = message.rule.check(&reader.content);
+        if record.ending == CallEnding::Complete {
+            record.answer_digest = Some(*blake3::hash(&reader.content).as_bytes());
+        }
+    }
+
+    async fn send(
+        &self,
+        call: &PlannedCall,
+        api_key: &str,
+        message: &CallMessage,
+        record: &mut CallRecord,
+    ) -> Result<Response<Incoming>, CallEnding> {
+        let first = self.next.fetch_add(1, Ordering::Relaxed);
+        for turn in 0..self.gateways.len() {
+            let gateway = &self.gateways[(first + turn) % self.gateways.len()];
+            record.gateway.clone_from(&gateway.name);
+            let request = request_to(gateway.address, call, api_key, message);
+            match self.client.request(request).await {
+                Ok(response) => return Ok(response),
+                // Nothing was sent, so the balancer may try the next.
+                Err(error) if error.is_connect() => continue,
+                Err(_) => return Err(CallEnding::Broken),
+            }
+        }
+        Err(CallEnding::Unsent)
+    }
+}
+
+struct AnswerReader<'a> {
+    clock: &'a ProcessClock,
+    content: Vec<u8>,
+    last_piece_at: Option<Timestamp>,
+}
+
+impl AnswerReader<'_> {
+    async fn read_stream(
+        &mut self,
+        mut response: Response<Incoming>,
+        record: &mut CallRecord,
+    ) -> CallEnding {
+        let mut parser = SseParser::new();
+        let mut ending = CallEnding::Broken;
+        while let Some(frame) = response.body_mut().frame().await {
+            let Ok(frame) = frame else {
+                return ending;
+            };
+            let Ok(bytes) = frame.into_data() else {
+                continue;
+            };
+            for event in parser.push(&bytes) {
+                if event.data == STREAM_END {
+                    ending = CallEnding::Complete;
+                } else if let Some(problem) = parse_problem(event.data.as_bytes()) {
+                    ending = problem;
+                } else {
+                    self.add_piece(&event.data, record);
+                }
+            }
+        }
+        ending
+    }
+
+    fn add_piece(&mut self, data: &str, record: &mut CallRecord) {
+        let Ok(answer) = serde_json::from_str::<ModelAnswer>(data) else {
+            return;
+        };
+        if answer.text().is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        match self.last_piece_at {
+            Some(last) => record.token_gaps.push(now.saturating_sub(last)),
+            None => record.first_token_at = Some(now),
+        }
+        self.last_piece_at = Some(now);
+        self.content.extend_from_slice(answer.text().as_bytes());
+    }
+
+    async fn read_whole(
+        &mut self,
+        response: Response<Incoming>,
+        message: &CallMessage,
+    ) -> CallEnding {
+        let Ok(body) = response.into_body().collect().await else {
+            return CallEnding::Broken;
+        };
+        let bytes = body.to_bytes();
+        if message.bucket.is_none() {
+            self.content = bytes.to_vec();
+            return CallEnding::Complete;
+        }
+        if let Ok(answer) = serde_json::from_slice::<ModelAnswer>(&bytes) {
+            self.content = answer.text().as_bytes().to_vec();
+        }
+        CallEnding::Complete
+    }
+}
+
+fn request_to(
+    address: SocketAddr,
+    call: &PlannedCall,
+    api_key: &str,
+    message: &CallMessage,
+) -> Request<Full<Bytes>> {
+    let mut request = Request::builder()
+        .method(message.method.as_str())
+        .uri(format!("http://{address}{}", message.path))
+        .header(AUTHORIZATION, format!("Bearer {api_key}"))
+        .header(CONTENT_TYPE, "application/json")
+        .header(DEADLINE_HEADER, call.deadline.as_millis().to_string());
+    if let Some(key) = &call.key {
+        request = request.header(IDEMPOTENCY_KEY_HEADER, key);
+    }
+    request
+        .body(Full::new(message.body.clone()))
+        .expect("the mix gives a valid method and path")
+}
+
+fn request_id(headers: &HeaderMap) -> Option<u128> {
+    let value = headers.get(REQUEST_ID_HEADER)?;
+    parse_request_id(value.to_str().ok()?)
+}
+
+async fn read_problem(response: Response<Incoming>) -> CallEnding {
+    let Ok(body) = response.into_body().collect().await else {
+        return CallEnding::Broken;
+    };
+    // An error that does not say whether the request ran leaves its caller without knowledge.
+    parse_problem(&body.to_bytes()).unwrap_or(CallEnding::Broken)
+}
+
+#[derive(Deserialize)]
+struct ProblemBody {
+    code: u16,
+    ran: RanState,
+}
+
+#[derive(Deserialize)]
+struct WrappedProblem {
+    error: ProblemBody,
+}
+
+/// Reads a problem document, on its own or as the `error` of a stream's last event.
+fn parse_problem(bytes: &[u8]) -> Option<CallEnding> {
+    let problem = serde_json::from_slice::<ProblemBody>(bytes)
+        .or_else(|_| serde_json::from_slice::<WrappedProblem>(bytes).map(|wrapped| wrapped.error))
+        .ok()?;
+    Some(CallEnding::Problem {
+        code: problem.code,
+        ran: problem.ran,
+    })
+}
--- /dev/null
+++ b/lovagedock-standin/src/load/mod.rs
@@ -0,0 +1,37 @@
+//! Load generator: seeded arrivals, callers, journals, violations and the report.
+//!
+//! Arrivals are planned before the run and never wait for answers (open loop). Latency counts from
+//! the planned time, so that a stall of the system shows in the figures of all who would have come
+//! during it.
+
+mod caller;
+mod collect;
+mod fetch;
+mod journal;
+mod message;
+mod mix;
+mod prompt;
+mod quantiles;
+mod report;
+mod runner;
+mod schedule;
+mod sse;
+mod table;
+mod violations;
+
+pub use caller::{CallerClient, CallerError, GatewayTarget};
+pub use collect::ClockOrigin;
+pub use fetch::{StandinTarget, fetch_engine, fetch_service};
+pub use journal::{
+    AnswerCheck, CallEnding, CallRecord, CallerJournal, ConfigChange, ExecutionJournal,
+    ExecutionRecord, FleetJournal, HoldingRecord, LeaveRecord, LeavingParty, RuledOut,
+};
+pub use mix::{BucketMix, CallerMix, KeyedMix, MixSpec, ModelPath, PlainMix, TokenRange};
+pub use prompt::{PromptSeed, prompt_text};
+pub use quantiles::{LengthTable, QuantileSummary};
+pub use report::{ControlFigures, IntervalSummary, LoadReport, OutcomeCounts, ReportTags};
+pub use runner::{LoadRunner, RunProgress};
+pub use schedule::{CallBody, ModelCall, PlannedCall, long_from, plan_calls};
+pub use sse::{SseEvent, SseParser};
+pub use table::render_table;
+pub use violations::{ViolationCounts, ViolationLimits, count_violations};
--- /dev/null
+++ b/lovagedock-standin/src/load/report.rs
@@ -0,0 +1,204 @@
+//! The report of one run.
+
+use std::time::Duration;
+
+use lovagedock::{LengthBucket, RanState, ResultCode, Timestamp};
+use serde::Serialize;
+
+use super::{
+    journal::{CallEnding, CallRecord, CallerJournal},
+    quantiles::{LengthTable, QuantileSummary},
+    violations::ViolationCounts,
+};
+
+/// Version of the report's format.
+const SCHEMA: u32 = 1;
+/// The buckets whose slowdown by long prompts is reported.
+const SHORT_BUCKETS: [LengthBucket; 2] = [LengthBucket::K1, LengthBucket::K4];
+
+/// What tells a run from others.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReportTags {
+    /// Seed of the plan.
+    pub seed: u64,
+    /// Placement policy in force.
+    pub policy: String,
+    /// Name of the mix.
+    pub mix: String,
+    /// Length of the plan.
+    pub duration: Duration,
+    /// When the first long prompt could be sent, on the clock of the journal.
+    pub long_from: Timestamp,
+    /// Model time of the stand-in engines that passes in one unit of real time; latencies are
+    /// reported in model time.
+    pub time_scale: f64,
+}
+
+/// The figures of one run.
+#[derive(Clone, Debug, Serialize)]
+pub struct LoadReport {
+    /// Version of the format.
+    pub schema: u32,
+    /// Seed of the plan.
+    pub seed: u64,
+    /// Placement policy.
+    pub policy: String,
+    /// Name of the mix.
+    pub mix: String,
+    /// Length of the plan in seconds.
+    pub duration_s: f64,
+    /// Model time in one unit of real time; `ttft_ms` and `itl_ms` are model time.
+    pub time_scale: f64,
+    /// Time from the planned sending to the first token of streamed answers.
+    pub ttft_ms: LengthTable<QuantileSummary>,
+    /// Time between two pieces of a streamed answer.
+    pub itl_ms: IntervalSummary,
+    /// p95 of the short prompts' first token while long prompts are sent, divided by that before;
+    /// 0 when one of the two parts has no sample.
+    pub short_slowdown_p95: f64,
+    /// What became of the calls.
+    pub outcomes: OutcomeCounts,
+    /// Broken promises.
+    pub violations: ViolationCounts,
+    /// What control cost.
+    pub control: ControlFigures,
+}
+
+/// Quantiles of the time between pieces, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct IntervalSummary {
+    /// Half of the gaps are at most this.
+    pub p50: f64,
+    /// 95 in 100 are at most this.
+    pub p95: f64,
+}
+
+/// What became of the calls; they add up to the number sent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct OutcomeCounts {
+    /// Whole answers.
+    pub complete: u64,
+    /// Refused as not run, or no gateway could be reached.
+    pub refused_not_run: u64,
+    /// Failed after running.
+    pub failed: u64,
+    /// It is not known whether they ran.
+    pub unknown: u64,
+    /// Out of their time.
+    pub timed_out: u64,
+}
+
+impl OutcomeCounts {
+    /// Counts the calls of a journal.
+    pub fn new(journal: &CallerJournal) -> Self {
+        let mut counts = Self::default();
+        for call in &journal.calls {
+            *counts.counter(call.ending) += 1;
+        }
+        counts
+    }
+
+    /// All calls.
+    pub fn total(&self) -> u64 {
+        self.complete + self.refused_not_run + self.failed + self.unknown + self.timed_out
+    }
+
+    fn counter(&mut self, ending: CallEnding) -> &mut u64 {
+        match ending {
+            CallEnding::Complete => &mut self.complete,
+            CallEnding::Problem { code, .. } if is_out_of_time(code) => &mut self.timed_out,
+            CallEnding::Problem { ran, .. } => match ran {
+                RanState::No => &mut self.refused_not_run,
+                RanState::Yes => &mut self.failed,
+                RanState::Unknown => &mut self.unknown,
+            },
+            CallEnding::Unsent => &mut self.refused_not_run,
+            CallEnding::Broken | CallEnding::Nothing => &mut self.unknown,
+        }
+    }
+}
+
+/// What the system's own processes used for control.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct ControlFigures {
+    /// Processor time, in percent of one core.
+    pub cpu_pct: f64,
+    /// Resident memory.
+    pub rss_mb: f64,
+    /// Bytes that one process sends and receives for control.
+    pub bytes_per_s: f64,
+    /// Reads of the platform's store by all processes, waiting watches included.
+    pub store_reads_per_s: f64,
+    /// Writes to the platform's store by all processes.
+    pub store_writes_per_s: f64,
+}
+
+impl LoadReport {
+    /// Computes the figures of a run.
+    pub fn new(
+        tags: &ReportTags,
+        journal: &CallerJournal,
+        violations: ViolationCounts,
+        control: ControlFigures,
+    ) -> Self {
+        let gaps = journal.calls.iter().flat_map(|call| &call.token_gaps);
+        let gaps = QuantileSummary::new(gaps.map(|gap| gap.mul_f64(tags.time_scale)));
+        Self {
+            schema: SCHEMA,
+            seed: tags.seed,
+            policy: tags.policy.clone(),
+            mix: tags.mix.clone(),
+            duration_s: tags.duration.as_secs_f64(),
+            time_scale: tags.time_scale,
+            ttft_ms: LengthTable::from_buckets(|bucket| {
+                first_tokens(journal, tags, |call| call.bucket == Some(bucket))
+            }),
+            itl_ms: IntervalSummary {
+                p50: gaps.p50,
+                p95: gaps.p95,
+            },
+            short_slowdown_p95: short_slowdown(journal, tags),
+            outcomes: OutcomeCounts::new(journal),
+            violations,
+            control,
+        }
+    }
+}
+
+fn first_tokens(
+    journal: &CallerJournal,
+    tags: &ReportTags,
+    chosen: impl Fn(&CallRecord) -> bool,
+) -> QuantileSummary {
+    let samples = journal
+        .calls
+        .iter()
+        .filter(|call| chosen(call))
+        .filter_map(|call| {
+            let waited = call.first_token_at?.saturating_sub(call.intended_at);
+            Some(waited.mul_f64(tags.time_scale))
+        });
+    QuantileSummary::new(samples)
+}
+
+fn short_slowdown(journal: &CallerJournal, tags: &ReportTags) -> f64 {
+    let is_short = |call: &CallRecord| call.bucket.is_some_and(|it| SHORT_BUCKETS.contains(&it));
+    let alone = first_tokens(journal, tags, |call| {
+        is_short(call) && call.intended_at < tags.long_from
+    });
+    let mixed = first_tokens(journal, tags, |call| {
+        is_short(call) && call.intended_at >= tags.long_from
+    });
+    if alone.n == 0 || mixed.n == 0 {
+        return 0.0;
+    }
+    mixed.p95 / alone.p95
+}
+
+fn is_out_of_time(code: u16) -> bool {
+    let code = ResultCode::from_number(code);
+    matches!(
+        code,
+        Some(ResultCode::ExpiredWaiting | ResultCode::ExpiredRunning)
+    )
+}
--- /dev/null
+++ b/lovagedock-standin/src/load/runner.rs
@@ -0,0 +1,127 @@
+//! Sends every planned call at its time.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use lovagedock::Timestamp;
+use lovagedock_daemon::ProcessClock;
+use tokio::{task::JoinSet, time};
+
+use super::{
+    caller::CallerClient,
+    journal::{CallEnding, CallRecord, CallerJournal},
+    message::CallMessage,
+    mix::MixSpec,
+    schedule::PlannedCall,
+};
+
+/// How long before its time a call is written out, so that a large body does not delay it.
+const PREPARATION: Duration = Duration::from_millis(300);
+
+/// Numbers that grow during a run, for whoever shows them.
+#[derive(Debug, Default)]
+pub struct RunProgress {
+    planned: AtomicU64,
+    sent: AtomicU64,
+    complete: AtomicU64,
+    ended: AtomicU64,
+}
+
+impl RunProgress {
+    /// One line for a terminal.
+    pub fn line(&self) -> String {
+        let get = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        let (sent, ended, complete) = (get(&self.sent), get(&self.ended), get(&self.complete));
+        format!(
+            "sent {sent}/{}  in flight {}  complete {complete}  other {}",
+            get(&self.planned),
+            sent.saturating_sub(ended),
+            ended.saturating_sub(complete),
+        )
+    }
+
+    fn count_end(&self, record: &CallRecord) {
+        self.ended.fetch_add(1, Ordering::Relaxed);
+        if record.ending == CallEnding::Complete {
+            self.complete.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Runs a plan.
+pub struct LoadRunner {
+    mix: Arc<MixSpec>,
+    client: Arc<CallerClient>,
+    clock: ProcessClock,
+    progress: Arc<RunProgress>,
+}
+
+impl LoadRunner {
+    /// Creates a runner; `clock` has to be the client's.
+    pub fn new(mix: MixSpec, client: CallerClient, clock: ProcessClock) -> Self {
+        Self {
+            mix: Arc::new(mix),
+            client: Arc::new(client),
+            clock,
+            progress: Arc::new(RunProgress::default()),
+        }
+    }
+
+    /// Numbers of the run, also while it goes on.
+    pub fn progress(&self) -> Arc<RunProgress> {
+        self.progress.clone()
+    }
+
+    /// Sends every call, the plan's zero being `start` on the clock, and waits for the last end.
+    pub async fn run(&self, plan: Vec<PlannedCall>, start: Timestamp) -> CallerJournal {
+        let planned = plan.len() as u64;
+        self.progress.planned.store(planned, Ordering::Relaxed);
+        let mut tasks = JoinSet::new();
+        for call in plan {
+            let intended_at = start + call.at;
+            self.sleep_until(intended_at.saturating_sub(PREPARATION))
+                .await;
+            tasks.spawn(self.one_call(call, intended_at));
+        }
+        let mut calls = tasks.join_all().await;
+        calls.sort_by_key(|call| call.number);
+        CallerJournal { calls }
+    }
+
+    fn one_call(
+        &self,
+        call: PlannedCall,
+        intended_at: Timestamp,
+    ) -> impl Future<Output = CallRecord> + Send + 'static {
+        let mix = self.mix.clone();
+        let client = self.client.clone();
+        let progress = self.progress.clone();
+        let clock = self.clock;
+        async move {
+            let prepared = {
+                let mix = mix.clone();
+                let call = call.clone();
+                tokio::task::spawn_blocking(move || CallMessage::new(&mix, &call)).await
+            };
+            let message = prepared.expect("writing a call out does not panic");
+            sleep_until(&clock, intended_at).await;
+            progress.sent.fetch_add(1, Ordering::Relaxed);
+            let record = client.call(&mix, &call, message, intended_at).await;
+            progress.count_end(&record);
+            record
+        }
+    }
+
+    async fn sleep_until(&self, at: Timestamp) {
+        sleep_until(&self.clock, at).await;
+    }
+}
+
+async fn sleep_until(clock: &ProcessClock, at: Timestamp) {
+    time::sleep(at.saturating_sub(clock.now())).await;
+}
--- /dev/null
+++ b/lovagedock-standin/src/load/schedule.rs
@@ -0,0 +1,298 @@
+//! Plans every call of a run before the run.
+
+use std::time::Duration;
+
+use lovagedock::{LengthBucket, OrganisationId, Timestamp, TokenCount};
+use rand::{Rng, RngExt, SeedableRng, seq::SliceRandom};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, Exp};
+
+use super::{
+    mix::{BucketMix, KeyedMix, MixSpec, ModelPath, PlainMix},
+    prompt::PromptSeed,
+};
+
+/// Prompts of this length and longer are left out of the first part of a run.
+const LONG_BUCKET: LengthBucket = LengthBucket::K64;
+/// Texts that prompts have in common.
+const COMMON_TEXTS: u16 = 8;
+/// Part of the second part of a run in which the longest prompts are sent, so that they can end.
+const LONG_SENDING_SHARE: f64 = 0.7;
+
+/// One call that will be sent at its time, whatever became of the others.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlannedCall {
+    /// Number in the order of time, from 0.
+    pub number: u64,
+    /// When it is sent.
+    pub at: Timestamp,
+    /// Index of the organisation in the mix.
+    pub organisation: usize,
+    /// Idempotency key; a repeat has that of the first delivery.
+    pub key: Option<String>,
+    /// Time that it asks for.
+    pub deadline: Duration,
+    /// What it sends.
+    pub body: CallBody,
+}
+
+/// What a call sends.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CallBody {
+    /// A request to a model.
+    Model(ModelCall),
+    /// A call of a plain service.
+    Plain {
+        /// Index in [`MixSpec::plain`].
+        plain: usize,
+        /// Number that stands in its path and body; a repeat has that of the first delivery.
+        subject: u64,
+    },
+}
+
+/// A request to a model.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ModelCall {
+    /// Index in [`MixSpec::keyed`]; `None` for an ordinary request.
+    pub keyed: Option<usize>,
+    /// Interface that is used.
+    pub path: ModelPath,
+    /// What the prompt is made from.
+    pub prompt: PromptSeed,
+    /// Most tokens of the answer.
+    pub answer_tokens: TokenCount,
+    /// Whether the answer is streamed.
+    pub streamed: bool,
+}
+
+impl PlannedCall {
+    /// Speeds the call up, as the stand-in engines are sped up.
+    pub fn with_time_scale(mut self, time_scale: f64) -> Self {
+        self.at = self.at.div_f64(time_scale);
+        self.deadline = self.deadline.div_f64(time_scale);
+        self
+    }
+}
+
+/// When the first long prompt may be sent in a run of this length.
+pub fn long_from(mix: &MixSpec, duration: Duration) -> Timestamp {
+    duration.mul_f64(f64::from(mix.baseline_percent) / 100.0)
+}
+
+/// Plans the calls of one run in the order of time.
+///
+/// The same mix, seed and duration give the same plan. Each bucket with a share gets at least one
+/// request, so that no length is missing from a report.
+pub fn plan_calls(mix: &MixSpec, seed: u64, duration: Duration) -> Vec<PlannedCall> {
+    let mut planner = Planner {
+        mix,
+        seed,
+        duration,
+        random: ChaCha8Rng::seed_from_u64(seed),
+        next_unique: 0,
+        calls: Vec::new(),
+    };
+    planner.plan_ordinary();
+    for (index, keyed) in mix.keyed.iter().enumerate() {
+        planner.plan_keyed(index, keyed);
+    }
+    for (index, plain) in mix.plain.iter().enumerate() {
+        planner.plan_plain(index, plain);
+    }
+    let mut calls = planner.calls;
+    calls.sort_by_key(|call| call.at);
+    for (number, call) in calls.iter_mut().enumerate() {
+        call.number = number as u64;
+    }
+    calls
+}
+
+struct Planner<'a> {
+    mix: &'a MixSpec,
+    seed: u64,
+    duration: Duration,
+    random: ChaCha8Rng,
+    next_unique: u64,
+    calls: Vec<PlannedCall>,
+}
+
+impl Planner<'_> {
+    /// Numbers of requests are fixed by the shares and only their times are drawn: two seeds then
+    /// differ in the order of arrivals, not in how much long work there happens to be.
+    fn plan_ordinary(&mut self) {
+        let mix = self.mix;
+        let total_share: f64 = mix.buckets.iter().map(|bucket| bucket.share).sum();
+        let baseline = self
+            .duration
+            .mul_f64(f64::from(mix.baseline_percent) / 100.0);
+        for bucket in &mix.buckets {
+            let Some(length) = bucket.length().filter(|_| bucket.share > 0.0) else {
+                continue;
+            };
+            let rate = mix.model_requests_per_second * bucket.share / total_share;
+            let (from, to) = match length >= LONG_BUCKET {
+                true => {
+                    let second = self.duration - baseline;
+                    (baseline, baseline + second.mul_f64(LONG_SENDING_SHARE))
+                }
+                false => (Duration::ZERO, self.duration),
+            };
+            // The rate is that of the whole second part, also where sending ends early.
+            let sending = match length >= LONG_BUCKET {
+                true => self.duration - baseline,
+                false => self.duration,
+            };
+            let count = (rate * sending.as_secs_f64()).round().max(1.0) as u64;
+            for _ in 0..count {
+                let at = draw_between(&mut self.random, from, to);
+                self.push_ordinary(bucket, at);
+            }
+        }
+        self.calls.shuffle(&mut self.random);
+    }
+
+    fn push_ordinary(&mut self, bucket: &BucketMix, at: Timestamp) {
+        let tokens = bucket.prompt_tokens.draw(&mut self.random);
+        let common = percent(&mut self.random, bucket.common_prefix_percent)
+            .then(|| self.random.random_range(0..COMMON_TEXTS));
+        let body = CallBody::Model(ModelCall {
+            keyed: None,
+            path: ModelPath::Chat,
+            prompt: PromptSeed {
+                unique: self.unique(),
+                common,
+                tokens,
+            },
+            answer_tokens: bucket.answer_tokens.draw(&mut self.random),
+            streamed: percent(&mut self.random, bucket.streamed_percent),
+        });
+        let call = PlannedCall {
+            number: 0,
+            at,
+            organisation: self.draw_organisation(&bucket.callers),
+            key: None,
+            deadline: Duration::from_millis(bucket.deadline_ms),
+            body,
+        };
+        self.calls.push(call);
+    }
+
+    fn plan_keyed(&mut self, index: usize, keyed: &KeyedMix) {
+        for at in self.arrivals(keyed.per_second) {
+            let unique = self.unique();
+            let body = CallBody::Model(ModelCall {
+                keyed: Some(index),
+                path: keyed.path,
+                prompt: PromptSeed {
+                    unique,
+                    common: None,
+                    tokens: keyed.prompt_tokens.draw(&mut self.random),
+                },
+                answer_tokens: keyed.answer_tokens.draw(&mut self.random),
+                streamed: percent(&mut self.random, keyed.streamed_percent),
+            });
+            let call = PlannedCall {
+                number: 0,
+                at,
+                organisation: self.draw_organisation(&keyed.callers),
+                key: Some(format!("trace-{index}-{}-{unique}", self.seed)),
+                deadline: Duration::from_millis(keyed.deadline_ms),
+                body,
+            };
+            self.push_with_repeat(call, keyed.repeat_percent, keyed.repeat_after_ms);
+        }
+    }
+
+    fn plan_plain(&mut self, index: usize, plain: &PlainMix) {
+        for at in self.arrivals(plain.per_second) {
+            let subject = self.unique();
+            let key = plain
+                .non_idempotent
+                .then(|| format!("call-{index}-{}-{subject}", self.seed));
+            let call = PlannedCall {
+                number: 0,
+                at,
+                organisation: self.draw_organisation(&plain.callers),
+                key,
+                deadline: Duration::from_millis(plain.deadline_ms),
+                body: CallBody::Plain {
+                    plain: index,
+                    subject,
+                },
+            };
+            self.push_with_repeat(call, plain.repeat_percent, plain.repeat_after_ms);
+        }
+    }
+
+    /// Sends a call, and perhaps again: a caller that lost the answer, or did not wait for it.
+    fn push_with_repeat(&mut self, call: PlannedCall, repeat_percent: u8, after_ms: (u64, u64)) {
+        if percent(&mut self.random, repeat_percent) {
+            let after = self
+                .random
+                .random_range(after_ms.0..=after_ms.1.max(after_ms.0));
+            let mut repeat = call.clone();
+            repeat.at = call.at + Duration::from_millis(after);
+            self.calls.push(repeat);
+        }
+        self.calls.push(call);
+    }
+
+    /// Poisson arrivals over the run; at least one when the rate is not zero.
+    fn arrivals(&mut self, per_second: f64) -> Vec<Timestamp> {
+        let Ok(gaps) = Exp::new(per_second) else {
+            return Vec::new();
+        };
+        if per_second <= 0.0 {
+            return Vec::new();
+        }
+        let mut arrivals = Vec::new();
+        let mut seconds = gaps.sample(&mut self.random);
+        while seconds < self.duration.as_secs_f64() {
+            arrivals.push(Duration::from_secs_f64(seconds));
+            seconds += gaps.sample(&mut self.random);
+        }
+        if arrivals.is_empty() {
+            arrivals.push(draw_between(
+                &mut self.random,
+                Duration::ZERO,
+                self.duration,
+            ));
+        }
+        arrivals
+    }
+
+    /// Draws one of the callers, or one of all when there are none, by their shares.
+    fn draw_organisation(&mut self, callers: &[OrganisationId]) -> usize {
+        let chosen: Vec<(usize, f64)> = self
+            .mix
+            .organisations
+            .iter()
+            .enumerate()
+            .filter(|(_, caller)| callers.is_empty() || callers.contains(&caller.id))
+            .map(|(index, caller)| (index, caller.share))
+            .collect();
+        let total: f64 = chosen.iter().map(|(_, share)| share).sum();
+        let mut rest = self.random.random_range(0.0..total.max(f64::MIN_POSITIVE));
+        for (index, share) in &chosen {
+            rest -= share;
+            if rest < 0.0 {
+                return *index;
+            }
+        }
+        chosen.last().map_or(0, |(index, _)| *index)
+    }
+
+    fn unique(&mut self) -> u64 {
+        self.next_unique += 1;
+        (self.seed << 32) | self.next_unique
+    }
+}
+
+fn percent(random: &mut impl Rng, percent: u8) -> bool {
+    random.random_range(0..100) < percent
+}
+
+fn draw_between(random: &mut impl Rng, from: Timestamp, to: Timestamp) -> Timestamp {
+    let span = to.saturating_sub(from);
+    from + span.mul_f64(random.random_range(0.0..1.0))
+}
--- a/lovagedock-standin/src/service/mod.rs
+++ b/lovagedock-standin/src/service/mod.rs
@@ -3,4 +3,6 @@
 mod routes;
 mod running;
 
-pub use running::{RunningService, ServiceJournal, ServiceOptions, ServiceRun, ServiceStandin};
+pub use running::{
+    RunningService, ServiceEntry, ServiceJournal, ServiceOptions, ServiceRun, ServiceStandin,
+};
--- a/lovagedock-standin/src/service/routes.rs
+++ b/lovagedock-standin/src/service/routes.rs
@@ -18,9 +18,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::running::{ServiceRun, ServiceState};
+use super::running::{ServiceEntry, ServiceRun, ServiceState};
 
 const REQUEST_ID_HEADER: &str = "x-request-id";
+const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
 
 type ServiceAnswer = Response<Full<Bytes>>;
 
@@ -74,21 +75,26 @@
     let Ok(body) = body.collect().await else {
         return answer(StatusCode::BAD_REQUEST, Bytes::new());
     };
+    let header = |name: &str| {
+        let value = parts.headers.get(name)?;
+        value.to_str().ok().map(str::to_owned)
+    };
     let run = ServiceRun {
-        request_id: parts
-            .headers
-            .get(REQUEST_ID_HEADER)
-            .and_then(|value| value.to_str().ok())
-            .unwrap_or_default()
-            .to_owned(),
+        request_id: header(REQUEST_ID_HEADER).unwrap_or_default(),
         method: parts.method.to_string(),
         path: parts.uri.to_string(),
         body_digest: format!("{:016x}", xxh3_64(&body.to_bytes())),
     };
-    state.journal.record(run.clone());
+    let place = state.journal.begin(ServiceEntry {
+        run: run.clone(),
+        key: header(IDEMPOTENCY_KEY_HEADER),
+        started_at: state.started.elapsed(),
+        ended_at: None,
+    });
     state.running.fetch_add(1, Ordering::Relaxed);
     tokio::time::sleep(state.options.service_time).await;
     state.running.fetch_sub(1, Ordering::Relaxed);
+    state.journal.end(place, state.started.elapsed());
     json_answer(&run)
 }
 
--- a/lovagedock-standin/src/service/running.rs
+++ b/lovagedock-standin/src/service/running.rs
@@ -12,7 +12,7 @@
 
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
-use tokio::{net::TcpListener, sync::watch};
+use tokio::{net::TcpListener, sync::watch, time::Instant};
 
 use super::routes;
 
@@ -36,20 +36,46 @@
     pub body_digest: String,
 }
 
+/// One call with what its answer does not tell; times are since the service's start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceEntry {
+    /// The call.
+    pub run: ServiceRun,
+    /// Value of `idempotency-key`.
+    pub key: Option<String>,
+    /// When it began.
+    pub started_at: Duration,
+    /// When it ended; `None` while it runs, and when its caller went away first.
+    pub ended_at: Option<Duration>,
+}
+
 /// Every call that the service began, in order.
 #[derive(Clone, Debug, Default)]
 pub struct ServiceJournal {
-    runs: Arc<Mutex<Vec<ServiceRun>>>,
+    entries: Arc<Mutex<Vec<ServiceEntry>>>,
 }
 
 impl ServiceJournal {
     /// All calls so far.
     pub fn runs(&self) -> Vec<ServiceRun> {
-        self.runs.lock().clone()
+        let entries = self.entries.lock();
+        entries.iter().map(|entry| entry.run.clone()).collect()
+    }
+
+    /// All calls so far, with their keys and times.
+    pub fn entries(&self) -> Vec<ServiceEntry> {
+        self.entries.lock().clone()
+    }
+
+    /// Records a call that begins and returns its place in the journal.
+    pub(crate) fn begin(&self, entry: ServiceEntry) -> usize {
+        let mut entries = self.entries.lock();
+        entries.push(entry);
+        entries.len() - 1
     }
 
-    pub(crate) fn record(&self, run: ServiceRun) {
-        self.runs.lock().push(run);
+    pub(crate) fn end(&self, place: usize, at: Duration) {
+        self.entries.lock()[place].ended_at = Some(at);
     }
 }
 
@@ -72,6 +98,7 @@
         let address = listener.local_addr()?;
         let state = Arc::new(ServiceState {
             options,
+            started: Instant::now(),
             running: AtomicUsize::new(0),
             journal: ServiceJournal::default(),
             is_dead: watch::Sender::new(false),
@@ -105,6 +132,7 @@
 #[derive(Debug)]
 pub(crate) struct ServiceState {
     pub(crate) options: ServiceOptions,
+    pub(crate) started: Instant,
     pub(crate) running: AtomicUsize,
     pub(crate) journal: ServiceJournal,
     is_dead: watch::Sender<bool>,
--- /dev/null
+++ b/lovagedock-standin/tests/violations.rs
@@ -0,0 +1,535 @@
+//! Each violation counter can count, and counts nothing in journals that keep the promises.
+
+use std::time::Duration;
+
+use lovagedock::{LengthBucket, RanState, RequestId, ResultCode};
+use lovagedock_standin::load::{
+    AnswerCheck, CallEnding, CallRecord, CallerJournal, ConfigChange, ExecutionJournal,
+    ExecutionRecord, FleetJournal, HoldingRecord, LeaveRecord, LeavingParty, RuledOut,
+    ViolationCounts, ViolationLimits, count_violations,
+};
+
+const fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+/// A complete call of request `id`, sent at 1 s and ended at 2 s.
+fn call(id: RequestId) -> CallRecord {
+    CallRecord {
+        number: id as u64,
+        request: Some(id),
+        organisation: "outlets".into(),
+        service: "counter".into(),
+        bucket: Some(LengthBucket::K1),
+        key: None,
+        non_idempotent: false,
+        gateway: "gateway-1".to_owned(),
+        intended_at: seconds(1),
+        sent_at: seconds(1),
+        first_token_at: Some(seconds(1)),
+        token_gaps: Vec::new(),
+        ended_at: seconds(2),
+        deadline: seconds(5),
+        ending: CallEnding::Complete,
+        answer: AnswerCheck::Whole,
+        answer_digest: Some([1; 32]),
+    }
+}
+
+fn keyed(id: RequestId, key: &str) -> CallRecord {
+    CallRecord {
+        key: Some(key.to_owned()),
+        non_idempotent: true,
+        ..call(id)
+    }
+}
+
+fn refused(id: RequestId) -> CallRecord {
+    failed(id, ResultCode::NoCapacity, RanState::No)
+}
+
+fn failed(id: RequestId, code: ResultCode, ran: RanState) -> CallRecord {
+    CallRecord {
+        ending: CallEnding::Problem {
+            code: code.number(),
+            ran,
+        },
+        answer: AnswerCheck::Beginning,
+        answer_digest: None,
+        ..call(id)
+    }
+}
+
+/// Request `id` ran on `engine-1` from 1 s to 2 s.
+fn start(id: RequestId) -> ExecutionRecord {
+    start_at(id, seconds(1))
+}
+
+fn start_at(id: RequestId, at: Duration) -> ExecutionRecord {
+    ExecutionRecord {
+        request: id,
+        key: None,
+        endpoint: "engine-1".into(),
+        started_at: at,
+        ended_at: Some(at + seconds(1)),
+    }
+}
+
+fn leave(party: LeavingParty, at: Duration) -> LeaveRecord {
+    LeaveRecord {
+        party,
+        began_at: at,
+        gone_at: None,
+    }
+}
+
+fn engine_leaves(at: Duration) -> LeaveRecord {
+    leave(LeavingParty::Endpoint("engine-1".into()), at)
+}
+
+fn rules_out(ruled_out: RuledOut, at: Duration) -> ConfigChange {
+    ConfigChange {
+        accepted_at: at,
+        lifted_at: None,
+        ruled_out,
+    }
+}
+
+#[derive(Default)]
+struct Journals {
+    calls: Vec<CallRecord>,
+    starts: Vec<ExecutionRecord>,
+    holdings: Vec<HoldingRecord>,
+    leaves: Vec<LeaveRecord>,
+    changes: Vec<ConfigChange>,
+}
+
+impl Journals {
+    fn count(self) -> ViolationCounts {
+        let callers = CallerJournal { calls: self.calls };
+        let executions = ExecutionJournal {
+            starts: self.starts,
+            holdings: self.holdings,
+        };
+        let fleet = FleetJournal {
+            leaves: self.leaves,
+            changes: self.changes,
+        };
+        count_violations(&callers, &executions, &fleet, &ViolationLimits::default())
+    }
+}
+
+struct CountCase {
+    name: &'static str,
+    journals: fn() -> Journals,
+    expected: ViolationCounts,
+}
+
+const NONE: ViolationCounts = ViolationCounts {
+    no_outcome_in_time: 0,
+    cut_answers: 0,
+    wrong_answers: 0,
+    ran_after_not_run: 0,
+    ran_twice: 0,
+    differing_redelivery: 0,
+    work_after_leaving: 0,
+    cut_by_shutdown: 0,
+    stale_config: 0,
+    leaked_blocks: 0,
+};
+
+const CASES: &[CountCase] = &[
+    CountCase {
+        name: "a complete call",
+        journals: || Journals {
+            calls: vec![call(1)],
+            starts: vec![start(1)],
+            ..Journals::default()
+        },
+        expected: NONE,
+    },
+    CountCase {
+        name: "a call that nobody answered",
+        journals: || Journals {
+            calls: vec![CallRecord {
+                ending: CallEnding::Nothing,
+                answer: AnswerCheck::Beginning,
+                ended_at: seconds(11),
+                ..call(1)
+            }],
+            ..Journals::default()
+        },
+        expected: ViolationCounts {
+            no_outcome_in_time: 1,
+            ..NONE
+        },
+    },
+    CountCase {
+        name: "an answer that came after the deadline and its grace",
+        journals: || Journals {
+            calls: vec![CallRecord {
+                ended_at: Duration::from_millis(7001),
+                ..call(1)
+            }],
+            ..Journals::default()
+        },
+        expected: ViolationCounts {
+            no_outcome_in_time: 1,
+            ..NONE
+        },
+    },
+    CountCase {
+        name: "an answer just within the grace",
+        journals: || Journals {
+            calls: vec![CallRecord {
+                ended_at: seconds(7),
+                ..call(1)
+            }],
+            ..Journals::default()
+        },
+        expected: NONE,
+    },
+    CountCase {
+        name: "a clean end on half an answer",
+        journals: || Journals {
+            calls: vec![CallRecord {
+                answer: AnswerCheck::Beginning,
+                ..call(1)
+            }],
+            ..Journals::default()
+        },
+        expected: ViolationCounts {
+            cut_answers: 1,
+            ..NONE
+        },
+    },
+    CountCase {
+        name: "half an answer that ends as a failure is no cut answer",
+        journals: || Journals {
+            calls: vec![failed(1, ResultCode::ExpiredRunning, RanState::Yes)],
+            starts: vec![start(1)],
+            ..Journals::default()
+        },
+        expected: NONE,
+    },
+    CountCase {
+        name: "another request's answer",
+        journals: || Journals {
+            calls: vec![CallRecord {
+                answer: AnswerCheck::Different,
+                ..call(1)
+            }],
+            ..Journals::default()
+        },
+        expected: ViolationCounts {
+            wrong_answers: 1,
+            ..NONE
+        },
+    },
+    CountCase {
+        name: "wrong bytes before a failure count too",
+        journals: || Journals {
+            calls: vec![CallRecord {
+                answer: AnswerCheck::Different,
+                ..failed(1, ResultCode::ExpiredRunning, RanState::Yes)
+            }],
+            ..Journals::default()
+        },
+        expected: ViolationCounts {
+            wrong_answers: 1,
+            ..NONE
+        },
+    },
+    CountCase {
+        name: "refused as not run, and run",
+        journals: || Journals {
+            calls: vec![refused(1)],
+            starts: vec![start(1)],
+            ..Journals::default()
+        },
+        expected: ViolationCounts {
+            ran_after_not_run: 1,
+            ..NONE
+        },
+    },
+    CountCase {
+        name: "refused as not run, and another request ran",
+        journals: || Journals {
+            calls: vec![refused(1), call(2)],
+            starts: vec![start(2)],
+            ..Journals::default()
+        },
+        expected: NONE,
+    },
+    CountCase {
+        name: "a receipt that ran on two endpoints under one request id",
+        journals: || Journals {
+            calls: vec![keyed(1, "receipt")],
+            starts: vec![start(1), start(1)],
+            ..Journals::default()
+        },
+        expected: ViolationCounts {
+            ran_twice: 1,
+            ..NONE
+        },
+    },
+    CountCase {
+        name: "a receipt and its repeat that both ran, each under its request id",
+        journals: || Journals {
+            calls: vec![keyed(1, "receipt"), keyed(2, "receipt")],
+            starts: vec![start(1), start(2)],
+            ..Journals::default()
+        },
+        expected: ViolationCounts {
+            ran_twice: 1,
+            ..NONE
+        },
+    },
+    CountCase {
+        name: "a repeat whose first caller never learnt the request id",
+        journals: || Journals {
+            calls: vec![
+                CallRecord {
+                    request: None,
+                    ending: CallEnding::Broken,
+                    answer: AnswerCheck::Beginning,
+                    ..keyed(1, "receipt")
+                },
+                keyed(2, "receipt"),
+            ],
+            starts: [1, 2]
+                .map(|id| ExecutionRecord {
+                    key: Some("receipt".to_owned()),
+                    ..start(id)
+                })
+                .to_vec(),
+            ..Journals::default()
+        },
+        expected: ViolationCounts {
+            ran_twice: 1,
+            ..NONE
+        },
+    },
+    CountCase {
+        name: "a repeat that was answered from the record",
+        journals: || Journals {
+            calls: vec![keyed(1, "receipt"), keyed(2, "receipt")],
+            starts: vec![start(1)],
+            ..Journals::default()
+        },
+        expected: NONE,
+    },
+    CountCase {
+        name: "an idempotent request that ran again after its engine died",
+        journals: || Journals {
+            calls: vec![call(1)],
+            starts: vec![start(1), start(1)],
+            ..Journals::default()
+        },
+        expected: NONE,
+    },
+    CountCase {
+        name: "a redelivery with other bytes",
+        journals: || Journals {
+            calls: vec![
+                keyed(1, "trace"),
+                CallRecord {
+                    answer_digest: Some([2; 32]),
+                    ..keyed(2, "trace")
+                },
+            ],
+            starts: vec![start(1)],
+            ..Journals::default()
+        },
+        expected: ViolationCounts {
+            differing_redelivery: 1,
+            ..NONE
+        },
+    },
+    CountCase {
+        name: "two organisations may use the same key",
+        journals: || Journals {
+            calls: vec![
+                keyed(1, "trace"),
+                CallRecord {
+                    organisation: "lawyers".into(),
+                    answer_digest: Some([2; 32]),
+                    ..keyed(2, "trace")
+                },
+            ],
+            starts: vec![start(1)],
+            ..Journals::default()
+        },
+        expected: NONE,
+    },
+    CountCase {
+        name: "work that starts six seconds after its endpoint began to leave",
+        journals: || Journals {
+            calls: vec![call(1)],
+            starts: vec![start_at(1, seconds(9))],
+            leaves: vec![engine_leaves(seconds(3))],
+            ..Journals::default()
+        },
+        expected: ViolationCounts {
+            work_after_leaving: 1,
+            ..NONE
+        },
+    },
+    CountCase {
+        name: "work that starts four seconds after its endpoint began to leave",
+        journals: || Journals {
+            calls: vec![call(1)],
+            starts: vec![start_at(1, seconds(7))],
+            leaves: vec![engine_leaves(seconds(3))],
+            ..Journals::default()
+        },
+        expected: NONE,
+    },
+    CountCase {
+        name: "work that starts after the endpoint came back",
+        journals: || Journals {
+            calls: vec![call(1)],
+            starts: vec![start_at(1, seconds(20))],
+            leaves: vec![LeaveRecord {
+                gone_at: Some(seconds(15)),
+                ..engine_leaves(seconds(3))
+            }],
+            ..Journals::default()
+        },
+        expected: NONE,
+    },
+    CountCase {
+        name: "a request that runs when its endpoint begins to leave and is lost",
+        journals: || Journals {
+            calls: vec![failed(1, ResultCode::EngineFailed, RanState::Yes)],
+            starts: vec![start(1)],
+            leaves: vec![engine_leaves(Duration::from_millis(1500))],
+            ..Journals::default()
+        },
+        expected: ViolationCounts {
+            cut_by_shutdown: 1,
+            ..NONE
+        },
+    },
+    CountCase {
+        name: "a request whose gateway leaves and whose connection breaks",
+        journals: || Journals {
+            calls: vec![CallRecord {
+                ending: CallEnding::Broken,
+                answer: AnswerCheck::Beginning,
+                answer_digest: None,
+                ..call(1)
+            }],
+            leaves: vec![leave(
+                LeavingParty::Gateway("gateway-1".to_owned()),
+                Duration::from_millis(1500),
+            )],
+            ..Journals::default()
+        },
+        expected: ViolationCounts {
+            cut_by_shutdown: 1,
+            ..NONE
+        },
+    },
+    CountCase {
+        name: "a request that fails at another gateway than the one that leaves",
+        journals: || Journals {
+            calls: vec![failed(1, ResultCode::EngineFailed, RanState::Yes)],
+            starts: vec![start(1)],
+            leaves: vec![leave(
+                LeavingParty::Gateway("gateway-2".to_owned()),
+                Duration::from_millis(1500),
+            )],
+            ..Journals::default()
+        },
+        expected: NONE,
+    },
+    CountCase {
+        name: "a request that had ended when its endpoint began to leave",
+        journals: || Journals {
+            calls: vec![failed(1, ResultCode::EngineFailed, RanState::Yes)],
+            starts: vec![start(1)],
+            leaves: vec![engine_leaves(seconds(3))],
+            ..Journals::default()
+        },
+        expected: NONE,
+    },
+    CountCase {
+        name: "work on an endpoint that a configuration took out seven seconds before",
+        journals: || Journals {
+            calls: vec![call(1)],
+            starts: vec![start_at(1, seconds(10))],
+            changes: vec![rules_out(RuledOut::Endpoint("engine-1".into()), seconds(3))],
+            ..Journals::default()
+        },
+        expected: ViolationCounts {
+            stale_config: 1,
+            ..NONE
+        },
+    },
+    CountCase {
+        name: "work of an organisation that a configuration took out seven seconds before",
+        journals: || Journals {
+            calls: vec![call(1)],
+            starts: vec![start_at(1, seconds(10))],
+            changes: vec![rules_out(
+                RuledOut::Organisation("outlets".into()),
+                seconds(3),
+            )],
+            ..Journals::default()
+        },
+        expected: ViolationCounts {
+            stale_config: 1,
+            ..NONE
+        },
+    },
+    CountCase {
+        name: "work within six seconds of the acceptance, and after it was lifted",
+        journals: || Journals {
+            calls: vec![call(1), call(2)],
+            starts: vec![start_at(1, seconds(9)), start_at(2, seconds(20))],
+            changes: vec![ConfigChange {
+                lifted_at: Some(seconds(15)),
+                ..rules_out(RuledOut::Organisation("outlets".into()), seconds(3))
+            }],
+            ..Journals::default()
+        },
+        expected: NONE,
+    },
+    CountCase {
+        name: "blocks that nobody waits for",
+        journals: || Journals {
+            holdings: vec![
+                HoldingRecord {
+                    endpoint: "engine-1".into(),
+                    blocks: 3,
+                },
+                HoldingRecord {
+                    endpoint: "engine-2".into(),
+                    blocks: 4,
+                },
+            ],
+            ..Journals::default()
+        },
+        expected: ViolationCounts {
+            leaked_blocks: 7,
+            ..NONE
+        },
+    },
+];
+
+#[test]
+fn each_violation_is_counted_once_and_nothing_else_is() {
+    for case in CASES {
+        let counts = (case.journals)().count();
+        assert_eq!(counts, case.expected, "{}", case.name);
+    }
+}
+
+#[test]
+fn every_counter_has_a_case_that_moves_it() {
+    for (index, (name, _)) in NONE.named().iter().enumerate() {
+        let moved = CASES.iter().any(|case| case.expected.named()[index].1 > 0);
+        assert!(moved, "{name}");
+    }
+}
