Reserve, prefill and keep spans of engines for prompts larger than one

Cause: a prompt of more than one engine's memory needs several engines at once, from gateways that do not know of each other's spans. Change: SpanPlan and SpanCoordinator (all-or-none reservation with a back-off that shrinks by age, segments, renewal by a lease rule, silent members kept for the hold). A span that could not reserve in time is final for its request, as not run. The property test found two faults on the way, both mended: a segment sent to a returning member before its reservation was renewed, and a member that restarted between its grant and the prefill.

--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -32,6 +32,7 @@
 mod request;
 mod retry;
 mod safeguards;
+mod span;
 mod store_call;
 
 pub use adoption::{
@@ -79,6 +80,9 @@
 };
 pub use retry::{BackoffCurve, RetryAllowance, RetryBudget};
 pub use safeguards::DurableSafeguards;
+pub use span::{
+    ReserveBackoff, SpanAction, SpanCoordinator, SpanEvent, SpanPlan, SpanSegment, SpanTiming,
+};
 pub use store_call::{
     ObjectName, ObjectVersion, ReadOutcome, WriteCondition, WriteNonce, WriteOutcome,
 };
--- a/lovagedock/src/request/finish.rs
+++ b/lovagedock/src/request/finish.rs
@@ -89,7 +89,9 @@
             || prefilling
             || !self.spec.non_idempotent
             || !self.safeguards.revoke_before_retry;
-        (engine_side || end.code.may_go_elsewhere()) && repeatable
+        // A span has tried other engines itself for as long as made sense.
+        let span_in_vain = prefilling && end.code == ResultCode::NoCapacity;
+        (engine_side || end.code.may_go_elsewhere()) && repeatable && !span_in_vain
     }
 
     fn exclude(&mut self, end: &AnswerEnd) {
--- /dev/null
+++ b/lovagedock/src/span/coordinator.rs
@@ -0,0 +1,257 @@
+//! The state machine of one span.
+
+use std::{collections::VecDeque, mem, time::Duration};
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::{
+    event::{SpanAction, SpanEvent},
+    member::SpanMember,
+    plan::{SpanPlan, SpanSegment},
+};
+use crate::{
+    codes::{RanState, ResultCode},
+    ids::{EndpointId, Timestamp, TokenCount},
+    outcome::AnswerEnd,
+    request::SpanPart,
+};
+
+/// Reserves several engines, all or none, prefills a prompt over them and keeps them reserved
+/// until the answer is decoded.
+///
+/// While it lacks one engine it holds none: a refusal frees all the others, so spans can neither
+/// deadlock nor keep memory idle. Each reservation lapses by itself when this process dies.
+#[derive(Debug)]
+pub struct SpanCoordinator {
+    pub(super) plan: SpanPlan,
+    began: Timestamp,
+    rng: ChaCha8Rng,
+    pub(super) state: SpanState,
+    pub(super) round: u32,
+    pub(super) members: Vec<SpanMember>,
+    pub(super) segments: VecDeque<SpanSegment>,
+    /// Whether any segment was sent to an engine.
+    pub(super) computed: bool,
+    pub(super) renew_at: Timestamp,
+    pub(super) actions: Vec<SpanAction>,
+    wake_at: Option<Timestamp>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum SpanState {
+    Choosing,
+    Reserving { until: Timestamp },
+    BackingOff { until: Timestamp },
+    Prefilling,
+    Decoding,
+    Over,
+}
+
+impl SpanCoordinator {
+    /// A span whose first choice of engines is given to [`SpanCoordinator::start`]; `seed` spreads
+    /// its pauses.
+    pub fn new(now: Timestamp, plan: SpanPlan, seed: u64) -> Self {
+        Self {
+            plan,
+            began: now,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            state: SpanState::Choosing,
+            round: 0,
+            members: Vec::new(),
+            segments: VecDeque::new(),
+            computed: false,
+            renew_at: now,
+            actions: Vec::new(),
+            wake_at: None,
+        }
+    }
+
+    /// Reserves the engines of the first choice.
+    pub fn start(&mut self, now: Timestamp, parts: Vec<SpanPart>) -> Vec<SpanAction> {
+        self.handle(now, SpanEvent::Chosen(parts))
+    }
+
+    /// Answers an event with actions.
+    pub fn handle(&mut self, now: Timestamp, event: SpanEvent) -> Vec<SpanAction> {
+        if self.is_over() {
+            return Vec::new();
+        }
+        if event != SpanEvent::Released && self.has_lapsed(now) {
+            self.fail_lost();
+            return self.take_actions();
+        }
+        match event {
+            SpanEvent::Chosen(parts) => self.chosen(now, parts),
+            SpanEvent::Reserved {
+                endpoint,
+                round,
+                granted,
+            } => {
+                self.reserved(now, &endpoint, round, granted);
+            }
+            SpanEvent::SegmentDone {
+                endpoint,
+                start,
+                end,
+            } => {
+                self.segment_done(&endpoint, start, end);
+            }
+            SpanEvent::MemberLost {
+                endpoint,
+                incarnation,
+            } => {
+                self.member_lost(now, &endpoint, incarnation);
+            }
+            SpanEvent::MemberBack {
+                endpoint,
+                incarnation,
+            } => {
+                self.member_back(now, &endpoint, incarnation);
+            }
+            SpanEvent::Released => self.finish(),
+            SpanEvent::Tick => self.tick(now),
+        }
+        self.take_actions()
+    }
+
+    /// Whether the span holds nothing any more.
+    pub fn is_over(&self) -> bool {
+        self.state == SpanState::Over
+    }
+
+    fn chosen(&mut self, now: Timestamp, parts: Vec<SpanPart>) {
+        if self.state != SpanState::Choosing {
+            return;
+        }
+        let room: TokenCount = parts.iter().map(|part| part.tokens).sum();
+        if room < self.plan.prompt_tokens {
+            self.back_off(now);
+            return;
+        }
+        self.round += 1;
+        self.members = parts.into_iter().map(SpanMember::new).collect();
+        self.state = SpanState::Reserving {
+            until: now + self.plan.timing.answer_limit,
+        };
+        self.renew_at = now + self.renew_pause();
+        self.reserve_missing(now);
+    }
+
+    fn reserved(&mut self, now: Timestamp, endpoint: &EndpointId, round: u32, granted: bool) {
+        if round != self.round {
+            return;
+        }
+        let reserving = matches!(self.state, SpanState::Reserving { .. });
+        let hold = self.plan.timing.hold;
+        let Some(member) = self
+            .members
+            .iter_mut()
+            .find(|member| member.is_at(endpoint))
+        else {
+            return;
+        };
+        if !granted && reserving {
+            self.step_back(now);
+            return;
+        }
+        // The sidecar gave the memory to others because a renewal came too late; the KV blocks of
+        // this part are gone.
+        if !granted {
+            self.fail_lost();
+            return;
+        }
+        let came_back = member.grant(hold);
+        if reserving && self.members.iter().all(SpanMember::is_granted) {
+            self.begin_prefill();
+        } else if came_back
+            && self
+                .segments
+                .front()
+                .is_some_and(|next| next.endpoint == *endpoint)
+        {
+            self.send_segment();
+        }
+    }
+
+    fn tick(&mut self, now: Timestamp) {
+        match self.state {
+            SpanState::Reserving { until } if now >= until => self.step_back(now),
+            SpanState::BackingOff { until } if now >= until => {
+                self.state = SpanState::Choosing;
+                self.actions.push(SpanAction::Choose);
+            }
+            SpanState::Prefilling | SpanState::Decoding => self.renew(now),
+            _ => {}
+        }
+    }
+
+    pub(super) fn step_back(&mut self, now: Timestamp) {
+        self.release_all();
+        self.back_off(now);
+    }
+
+    fn back_off(&mut self, now: Timestamp) {
+        let (waited, patience) = (now.saturating_sub(self.began), self.plan.patience());
+        if waited >= patience {
+            self.fail(AnswerEnd::new(ResultCode::NoCapacity));
+            return;
+        }
+        let jitter = self.rng.random::<f64>();
+        let pause = self
+            .plan
+            .timing
+            .backoff
+            .delay(self.round.max(1), waited, patience, jitter);
+        self.state = SpanState::BackingOff { until: now + pause };
+    }
+
+    pub(super) fn fail_lost(&mut self) {
+        let ran = if self.computed {
+            RanState::Yes
+        } else {
+            RanState::No
+        };
+        self.fail(AnswerEnd::new(ResultCode::EndpointLost).with_ran(ran));
+    }
+
+    /// Frees all members: blocks of a span are worth nothing once one part is gone.
+    pub(super) fn fail(&mut self, end: AnswerEnd) {
+        self.finish();
+        self.actions.push(SpanAction::Fail(end));
+    }
+
+    fn finish(&mut self) {
+        self.release_all();
+        self.state = SpanState::Over;
+    }
+
+    fn release_all(&mut self) {
+        let members = mem::take(&mut self.members);
+        self.actions.extend(members.iter().map(SpanMember::release));
+    }
+
+    pub(super) fn parts(&self) -> Vec<SpanPart> {
+        self.members
+            .iter()
+            .map(|member| member.part.clone())
+            .collect()
+    }
+
+    pub(super) fn renew_pause(&self) -> Duration {
+        self.plan.timing.hold / 3
+    }
+
+    fn take_actions(&mut self) -> Vec<SpanAction> {
+        let wake_at = match self.state {
+            SpanState::Choosing | SpanState::Over => None,
+            SpanState::Reserving { until } | SpanState::BackingOff { until } => Some(until),
+            SpanState::Prefilling | SpanState::Decoding => Some(self.next_check()),
+        };
+        if wake_at.is_some() && wake_at != self.wake_at {
+            self.actions.extend(wake_at.map(SpanAction::WakeAt));
+        }
+        self.wake_at = wake_at;
+        mem::take(&mut self.actions)
+    }
+}
--- /dev/null
+++ b/lovagedock/src/span/member.rs
@@ -0,0 +1,90 @@
+//! The engines of one round of a span.
+
+use std::{mem, time::Duration};
+
+use super::event::SpanAction;
+use crate::{
+    ids::{EndpointId, Incarnation, Timestamp},
+    request::SpanPart,
+};
+
+/// One engine and what is known of its reservation.
+#[derive(Clone, Debug)]
+pub(super) struct SpanMember {
+    pub(super) part: SpanPart,
+    /// When the latest reservation or renewal was asked for.
+    asked_at: Timestamp,
+    awaits_answer: bool,
+    /// Until when the sidecar surely holds the memory; counted from before it was asked.
+    held_until: Option<Timestamp>,
+    /// Whether no session reaches it.
+    pub(super) is_lost: bool,
+    /// Whether a new session awaits its first grant; a segment is sent again after it.
+    came_back: bool,
+}
+
+impl SpanMember {
+    pub(super) fn new(part: SpanPart) -> Self {
+        Self {
+            part,
+            asked_at: Timestamp::ZERO,
+            awaits_answer: false,
+            held_until: None,
+            is_lost: false,
+            came_back: false,
+        }
+    }
+
+    pub(super) fn is_at(&self, endpoint: &EndpointId) -> bool {
+        self.part.endpoint == *endpoint
+    }
+
+    pub(super) fn is_on(&self, endpoint: &EndpointId, life: Incarnation) -> bool {
+        self.is_at(endpoint) && self.part.incarnation == life
+    }
+
+    pub(super) fn is_granted(&self) -> bool {
+        self.held_until.is_some()
+    }
+
+    pub(super) fn held_until(&self) -> Option<Timestamp> {
+        self.held_until
+    }
+
+    /// Whether a renewal makes sense now: one at a time, or it is not known which was granted.
+    pub(super) fn may_ask(&self) -> bool {
+        !self.awaits_answer && !self.is_lost
+    }
+
+    pub(super) fn reserve(&mut self, now: Timestamp, round: u32, hold: Duration) -> SpanAction {
+        self.asked_at = now;
+        self.awaits_answer = true;
+        SpanAction::Reserve {
+            endpoint: self.part.endpoint.clone(),
+            incarnation: self.part.incarnation,
+            round,
+            tokens: self.part.tokens,
+            hold,
+        }
+    }
+
+    /// Notes a grant; tells whether it is the first since the session came back.
+    pub(super) fn grant(&mut self, hold: Duration) -> bool {
+        self.awaits_answer = false;
+        self.held_until = Some(self.asked_at + hold);
+        mem::take(&mut self.came_back)
+    }
+
+    pub(super) fn come_back(&mut self) {
+        self.is_lost = false;
+        self.came_back = true;
+        self.awaits_answer = false;
+    }
+
+    pub(super) fn release(&self) -> SpanAction {
+        SpanAction::Release {
+            endpoint: self.part.endpoint.clone(),
+            incarnation: self.part.incarnation,
+        }
+    }
+}
--- /dev/null
+++ b/lovagedock/src/span/mod.rs
@@ -0,0 +1,14 @@
+//! Prompts that are larger than any engine: several engines hold parts of one prompt.
+
+mod backoff;
+mod coordinator;
+mod event;
+mod keep;
+mod member;
+mod plan;
+mod prefill;
+
+pub use backoff::ReserveBackoff;
+pub use coordinator::SpanCoordinator;
+pub use event::{SpanAction, SpanEvent};
+pub use plan::{SpanPlan, SpanSegment, SpanTiming};
--- /dev/null
+++ b/lovagedock/tests/span_model/mod.rs
@@ -0,0 +1,208 @@
+//! Engines that grant, forget and lose reservations, for one span.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use lovagedock::{SpanAction, SpanEvent, SpanPart, prelude::*};
+
+pub(crate) const ENGINES: usize = 4;
+pub(crate) const PROMPT: TokenCount = 100_000;
+pub(crate) const STEP_MS: u64 = 50;
+pub(crate) const REMAINING: Duration = Duration::from_secs(60);
+pub(crate) const HOLD: Duration = Duration::from_secs(3);
+
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Fault {
+    /// The engine has no memory to reserve for a while.
+    Busy,
+    /// The connection goes silent; reservations last.
+    Silent,
+    /// The session is up again, to the same life.
+    Back,
+    /// The sidecar restarts and has forgotten its reservations.
+    Restart,
+    /// The engine fails the segment that it prefills.
+    SegmentFails,
+    Released,
+}
+
+/// Engines that grant, lapse and forget reservations, and answer at once.
+pub(crate) struct Engines {
+    pub(crate) now: Duration,
+    pub(crate) lives: [Incarnation; ENGINES],
+    pub(crate) busy_until: [Duration; ENGINES],
+    pub(crate) reachable: [bool; ENGINES],
+    pub(crate) held_until: BTreeMap<usize, Duration>,
+    pub(crate) segment_fails: bool,
+    pub(crate) answers: Vec<SpanEvent>,
+    pub(crate) wake_at: Option<Duration>,
+    pub(crate) prefilled: TokenCount,
+    pub(crate) decoded: u32,
+    pub(crate) failed: Vec<AnswerEnd>,
+}
+
+impl Engines {
+    pub(crate) fn new() -> Self {
+        Self {
+            now: Duration::ZERO,
+            lives: [7; ENGINES],
+            busy_until: [Duration::ZERO; ENGINES],
+            reachable: [true; ENGINES],
+            held_until: BTreeMap::new(),
+            segment_fails: false,
+            answers: Vec::new(),
+            wake_at: None,
+            prefilled: 0,
+            decoded: 0,
+            failed: Vec::new(),
+        }
+    }
+
+    pub(crate) fn parts(&self) -> Vec<SpanPart> {
+        let part = |at: usize| SpanPart {
+            endpoint: name(at),
+            incarnation: self.lives[at],
+            tokens: PROMPT / 3 + 1,
+        };
+        (0..ENGINES)
+            .filter(|at| self.reachable[*at])
+            .take(3)
+            .map(part)
+            .collect()
+    }
+
+    pub(crate) fn lapse(&mut self) {
+        let now = self.now;
+        self.held_until.retain(|_, until| *until > now);
+    }
+
+    pub(crate) fn strike(&mut self, at: usize, fault: Fault) -> Option<SpanEvent> {
+        let (endpoint, incarnation) = (name(at), self.lives[at]);
+        match fault {
+            Fault::Busy => self.busy_until[at] = self.now + Duration::from_secs(2),
+            Fault::Silent if self.reachable[at] => {
+                self.reachable[at] = false;
+                self.answers.retain(|answer| !is_from(answer, &endpoint));
+                return Some(SpanEvent::MemberLost {
+                    endpoint,
+                    incarnation,
+                });
+            }
+            Fault::Back if !self.reachable[at] => {
+                self.reachable[at] = true;
+                return Some(SpanEvent::MemberBack {
+                    endpoint,
+                    incarnation,
+                });
+            }
+            Fault::Restart => {
+                self.lives[at] += 1;
+                self.held_until.remove(&at);
+                self.reachable[at] = true;
+                self.answers.retain(|answer| !is_from(answer, &endpoint));
+                let incarnation = self.lives[at];
+                return Some(SpanEvent::MemberBack {
+                    endpoint,
+                    incarnation,
+                });
+            }
+            Fault::SegmentFails => self.segment_fails = true,
+            Fault::Released => return Some(SpanEvent::Released),
+            Fault::Silent | Fault::Back => {}
+        }
+        None
+    }
+
+    pub(crate) fn carry_out(&mut self, actions: Vec<SpanAction>) {
+        for action in actions {
+            match action {
+                SpanAction::Choose => self.answers.push(SpanEvent::Chosen(self.parts())),
+                SpanAction::Reserve {
+                    endpoint,
+                    incarnation,
+                    round,
+                    hold,
+                    ..
+                } => {
+                    self.reserve(endpoint, incarnation, round, hold);
+                }
+                SpanAction::Release {
+                    endpoint,
+                    incarnation,
+                } => {
+                    let at = index(&endpoint);
+                    if self.reachable[at] && self.lives[at] == incarnation {
+                        self.held_until.remove(&at);
+                    }
+                }
+                SpanAction::Segment(segment) => {
+                    let at = index(&segment.endpoint);
+                    if !self.reachable[at] || self.lives[at] != segment.incarnation {
+                        continue;
+                    }
+                    assert!(
+                        self.held_until.contains_key(&at),
+                        "prefill without a reservation"
+                    );
+                    let code = match self.segment_fails {
+                        true => ResultCode::EngineFailed,
+                        false => ResultCode::Complete,
+                    };
+                    if code == ResultCode::Complete && segment.start == self.prefilled {
+                        self.prefilled += segment.tokens;
+                    }
+                    self.answers.push(SpanEvent::SegmentDone {
+                        endpoint: segment.endpoint,
+                        start: segment.start,
+                        end: AnswerEnd::new(code),
+                    });
+                }
+                SpanAction::Decode { members } => {
+                    self.decoded += 1;
+                    assert_eq!(self.prefilled, PROMPT, "decode before the whole prompt");
+                    assert_eq!(members.len(), 3);
+                }
+                SpanAction::Fail(end) => self.failed.push(end),
+                SpanAction::WakeAt(at) => self.wake_at = Some(at),
+            }
+        }
+    }
+
+    pub(crate) fn reserve(
+        &mut self,
+        endpoint: EndpointId,
+        life: Incarnation,
+        round: u32,
+        hold: Duration,
+    ) {
+        let at = index(&endpoint);
+        if !self.reachable[at] || self.lives[at] != life {
+            return;
+        }
+        let granted = self.held_until.contains_key(&at) || self.busy_until[at] <= self.now;
+        if granted {
+            self.held_until.insert(at, self.now + hold);
+        }
+        self.answers.push(SpanEvent::Reserved {
+            endpoint,
+            round,
+            granted,
+        });
+    }
+}
+
+fn name(at: usize) -> EndpointId {
+    EndpointId::from(format!("e{at}"))
+}
+
+fn index(endpoint: &EndpointId) -> usize {
+    endpoint[1..].parse().expect("an endpoint of this test")
+}
+
+fn is_from(answer: &SpanEvent, from: &EndpointId) -> bool {
+    match answer {
+        SpanEvent::Reserved { endpoint, .. } | SpanEvent::SegmentDone { endpoint, .. } => {
+            endpoint == from
+        }
+        _ => false,
+    }
+}
--- /dev/null
+++ b/lovagedock/tests/span_properties.rs
@@ -0,0 +1,208 @@
+//! A span takes all its engines or none, and gives every one back whatever dies.
+
+mod span_model;
+
+use std::time::Duration;
+
+use lovagedock::{SpanCoordinator, SpanEvent, SpanPlan, prelude::*};
+use proptest::{
+    prelude::*,
+    test_runner::{RngAlgorithm, TestRng, TestRunner},
+};
+use span_model::{ENGINES, Engines, Fault, HOLD, PROMPT, REMAINING, STEP_MS};
+
+fn play(faults: &[(u64, usize, Fault)], seed: u64) -> Result<(), TestCaseError> {
+    let mut engines = Engines::new();
+    let plan = SpanPlan::new(1, 1, PROMPT, REMAINING);
+    let mut span = SpanCoordinator::new(Duration::ZERO, plan, seed);
+    let first = span.start(Duration::ZERO, engines.parts());
+    engines.carry_out(first);
+    let mut faults = faults.iter().peekable();
+    for step in 0..(REMAINING.as_millis() as u64 / STEP_MS) {
+        engines.now = Duration::from_millis(step * STEP_MS);
+        engines.lapse();
+        let mut events = Vec::new();
+        // One answer a step, so that faults fall between the segments.
+        if !engines.answers.is_empty() {
+            events.push(engines.answers.remove(0));
+        }
+        if engines.wake_at.is_some_and(|at| at <= engines.now) {
+            engines.wake_at = None;
+            events.push(SpanEvent::Tick);
+        }
+        if let Some((_, at, fault)) = faults.next_if(|(at_step, _, _)| *at_step <= step) {
+            events.extend(engines.strike(*at, *fault));
+        }
+        // The answer is read and the engines are not needed any more.
+        if step == 800 {
+            events.push(SpanEvent::Released);
+        }
+        for event in events {
+            let over = span.is_over();
+            let actions = span.handle(engines.now, event);
+            prop_assert!(!over || actions.is_empty(), "actions after the end");
+            engines.carry_out(actions);
+        }
+    }
+    prop_assert!(span.is_over(), "the span never ended");
+    prop_assert!(
+        engines.held_until.is_empty(),
+        "memory was kept: {:?}",
+        engines.held_until
+    );
+    prop_assert!(engines.decoded <= 1 && engines.failed.len() <= 1);
+    if let Some(end) = engines.failed.first() {
+        let computed = engines.prefilled > 0;
+        prop_assert!(
+            !computed || end.ran != RanState::No,
+            "not run, yet it was prefilled"
+        );
+    }
+    Ok(())
+}
+
+// Engines are busy, restart, fail or cannot be reached, and the caller may leave, at any step of
+// reserve, prefill and decode. The span ends in time, never works on memory that it does not hold,
+// and holds nothing afterwards: what cannot be released lapses.
+#[test]
+fn no_engine_keeps_memory_of_a_span() {
+    let fault = prop_oneof![
+        3 => Just(Fault::Busy),
+        3 => Just(Fault::Silent),
+        3 => Just(Fault::Back),
+        1 => Just(Fault::Restart),
+        1 => Just(Fault::SegmentFails),
+        1 => Just(Fault::Released),
+    ];
+    let faults =
+        prop::collection::vec((0..120u64, 0..ENGINES, fault), 0..8).prop_map(|mut faults| {
+            faults.sort_by_key(|(at, _, _)| *at);
+            faults
+        });
+    let config = ProptestConfig {
+        cases: 500,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let outcome = TestRunner::new_with_rng(config, rng)
+        .run(&(faults, any::<u64>()), |(faults, seed)| {
+            play(&faults, seed)
+        });
+    if let Err(error) = outcome {
+        panic!("{error}");
+    }
+}
+
+struct EndCase {
+    name: &'static str,
+    faults: &'static [(u64, usize, Fault)],
+    decoded: u32,
+    failed: Option<(ResultCode, RanState)>,
+}
+
+// One failure at a time: what the request is told.
+#[test]
+fn each_failure_has_its_end() {
+    let cases = [
+        EndCase {
+            name: "nothing fails",
+            faults: &[],
+            decoded: 1,
+            failed: None,
+        },
+        EndCase {
+            name: "an engine is busy at first",
+            faults: &[(0, 1, Fault::Busy)],
+            decoded: 1,
+            failed: None,
+        },
+        EndCase {
+            name: "a silent connection is replaced in time",
+            faults: &[(5, 1, Fault::Silent), (40, 1, Fault::Back)],
+            decoded: 1,
+            failed: None,
+        },
+        EndCase {
+            name: "a member stays away during the prefill",
+            faults: &[(5, 1, Fault::Silent)],
+            decoded: 0,
+            failed: Some((ResultCode::EndpointLost, RanState::Yes)),
+        },
+        EndCase {
+            name: "a member restarts during the decode",
+            faults: &[(60, 1, Fault::Restart)],
+            decoded: 1,
+            failed: Some((ResultCode::EndpointLost, RanState::Yes)),
+        },
+        EndCase {
+            name: "an engine fails its segment",
+            faults: &[(4, 0, Fault::SegmentFails)],
+            decoded: 0,
+            failed: Some((ResultCode::EngineFailed, RanState::Yes)),
+        },
+    ];
+    for case in cases {
+        let mut engines = Engines::new();
+        let mut span =
+            SpanCoordinator::new(Duration::ZERO, SpanPlan::new(1, 1, PROMPT, REMAINING), 3);
+        if let Some((0, at, fault)) = case.faults.first() {
+            engines.strike(*at, *fault);
+        }
+        let first = span.start(Duration::ZERO, engines.parts());
+        engines.carry_out(first);
+        run_case(&case, &mut span, &mut engines);
+        let failed = engines.failed.first().map(|end| (end.code, end.ran));
+        assert_eq!(
+            (engines.decoded, failed),
+            (case.decoded, case.failed),
+            "{}",
+            case.name
+        );
+    }
+}
+
+fn run_case(case: &EndCase, span: &mut SpanCoordinator, engines: &mut Engines) {
+    for step in 1..400 {
+        engines.now = Duration::from_millis(step * STEP_MS);
+        engines.lapse();
+        let fault = case.faults.iter().find(|(at, _, _)| *at == step);
+        let mut events: Vec<SpanEvent> = fault
+            .and_then(|(_, at, fault)| engines.strike(*at, *fault))
+            .into_iter()
+            .collect();
+        if !engines.answers.is_empty() {
+            events.push(engines.answers.remove(0));
+        }
+        events.push(SpanEvent::Tick);
+        for event in events {
+            let actions = span.handle(engines.now, event);
+            engines.carry_out(actions);
+        }
+    }
+}
+
+// Nobody has room: the span gives up after its share of the time, as not run, and holds nothing.
+#[test]
+fn a_span_without_room_is_given_up_in_time() {
+    let mut engines = Engines::new();
+    engines.busy_until = [REMAINING; ENGINES];
+    let plan = SpanPlan::new(1, 1, PROMPT, REMAINING);
+    let patience = plan.patience();
+    let mut span = SpanCoordinator::new(Duration::ZERO, plan, 3);
+    let first = span.start(Duration::ZERO, engines.parts());
+    engines.carry_out(first);
+    while !span.is_over() {
+        engines.now += Duration::from_millis(1);
+        let event = match engines.answers.is_empty() {
+            true => SpanEvent::Tick,
+            false => engines.answers.remove(0),
+        };
+        let actions = span.handle(engines.now, event);
+        engines.carry_out(actions);
+    }
+    assert!(engines.now < patience + HOLD);
+    assert!(engines.held_until.is_empty());
+    let end = &engines.failed[0];
+    assert_eq!((end.code, end.ran), (ResultCode::NoCapacity, RanState::No));
+}
--- /dev/null
+++ b/lovagedock/tests/span_support/arbiter.rs
@@ -0,0 +1,65 @@
+//! One engine's side: who holds its memory and who waits for it.
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Verdict {
+    Granted,
+    Refused,
+    /// An older span needs the engine; give everything free.
+    Wounded,
+}
+
+/// Spans are numbered by arrival, so the lower number is the older span.
+#[derive(Debug, Default)]
+pub(super) struct EngineArbiter {
+    holder: Option<(usize, u32)>,
+    wounded: bool,
+    waiting: Vec<(usize, u32)>,
+}
+
+impl EngineArbiter {
+    pub(super) fn holder(&self) -> Option<usize> {
+        self.holder.map(|(span, _)| span)
+    }
+
+    /// Answers to send; an answer that waits comes with a later [`EngineArbiter::free`].
+    pub(super) fn ask(
+        &mut self,
+        span: usize,
+        round: u32,
+        waits: bool,
+        wounds: bool,
+        begun: impl Fn(usize) -> bool,
+    ) -> Vec<(usize, u32, Verdict)> {
+        let Some((holder, holder_round)) = self.holder else {
+            self.holder = Some((span, round));
+            return vec![(span, round, Verdict::Granted)];
+        };
+        if !waits {
+            return vec![(span, round, Verdict::Refused)];
+        }
+        self.waiting.push((span, round));
+        let wound = wounds && span < holder && !begun(holder) && !self.wounded;
+        if !wound {
+            return Vec::new();
+        }
+        self.wounded = true;
+        vec![(holder, holder_round, Verdict::Wounded)]
+    }
+
+    /// Frees what the span holds or waits for; tells who holds the engine next.
+    pub(super) fn free(&mut self, key: (usize, u32), by_age: bool) -> Option<(usize, u32)> {
+        self.waiting.retain(|waiting| *waiting != key);
+        if self.holder != Some(key) {
+            return None;
+        }
+        self.holder = None;
+        self.wounded = false;
+        if self.waiting.is_empty() {
+            return None;
+        }
+        let oldest = (0..self.waiting.len()).min_by_key(|at| self.waiting[*at].0);
+        let next = self.waiting.remove(oldest.filter(|_| by_age).unwrap_or(0));
+        self.holder = Some(next);
+        Some(next)
+    }
+}
