Claim keyed requests before they run and record their answers

Cause: a caller that retries a receipt through another gateway would have run it twice, and a trace that was delivered again would have read whatever the second run said. Change: a task for each claim partition drives ClaimPartition against the store, within the store budget of the process; a keyed call runs only after its claim is confirmed, its answer is recorded before its clean end, and a repeat reads the recorded bytes. Before: two deliveries of one key ran twice. Conclusion: at most once holds over gateways as long as the store answers; without it keyed work is refused as not run.

--- a/lovagedock-gateway/src/call.rs
+++ b/lovagedock-gateway/src/call.rs
@@ -26,7 +26,6 @@
     /// Whether it must not run twice.
     pub(crate) non_idempotent: bool,
     /// The caller's key for it.
-    #[allow(dead_code)]
     pub(crate) idempotency_key: Option<String>,
     /// What is known of the prompt; empty for a plain service.
     pub(crate) prompt: PromptSummary,
--- /dev/null
+++ b/lovagedock-gateway/src/call_task.rs
@@ -0,0 +1,198 @@
+//! One call from its admission to the last word to its caller.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use lovagedock::{ClaimKey, ClaimRequest, KeyHash, Outcome, prelude::*};
+use slog::{Logger, info};
+
+use crate::{
+    call::CallerCall,
+    claims::ClaimAnswer,
+    driver::{KeptAnswer, RequestDriver},
+    front::{CallerEvent, CallerSink, RequestProblem},
+    recorded::RecordedAnswer,
+    shared::GatewayShared,
+};
+
+/// Runs a call: claims its key if it has one, drives it, records its answer.
+pub(crate) struct CallTask {
+    shared: GatewayShared,
+    call: Arc<CallerCall>,
+    caller: CallerSink,
+    deadline: Timestamp,
+    log: Logger,
+}
+
+impl CallTask {
+    /// A task for a call that passed all checks.
+    pub(crate) fn new(
+        shared: GatewayShared,
+        call: Arc<CallerCall>,
+        caller: CallerSink,
+        log: Logger,
+    ) -> Self {
+        let deadline = shared.context.clock.now() + call.deadline;
+        Self {
+            shared,
+            call,
+            caller,
+            deadline,
+            log,
+        }
+    }
+
+    /// Runs the call to the last word to its caller.
+    pub(crate) async fn run(self) {
+        let started = self.shared.context.clock.now();
+        let last = match &self.call.idempotency_key {
+            None => {
+                let (outcome, _) = self.drive(false).await;
+                last_word(&outcome)
+            }
+            Some(key) => self.run_keyed(key.clone()).await,
+        };
+        let code = last.code();
+        self.caller.send(last).await;
+        self.note_end(code, started);
+    }
+
+    async fn run_keyed(&self, key: String) -> CallerEvent {
+        let key = ClaimKey {
+            organisation: self.call.organisation.clone(),
+            service: self.call.service.clone(),
+            key,
+        }
+        .hash();
+        match self.claim(key).await {
+            Some(ClaimAnswer::Granted) => self.run_granted(key).await,
+            Some(ClaimAnswer::Replay(answer)) => self.replay(&answer).await,
+            Some(ClaimAnswer::Refused(code)) => {
+                self.step(format!("key refused with code {}", code.number()));
+                CallerEvent::Problem(RequestProblem::new(code))
+            }
+            None => CallerEvent::Problem(
+                RequestProblem::new(ResultCode::CallerGone).with_ran(RanState::No),
+            ),
+        }
+    }
+
+    /// Claims the key; `None` if the caller went away before it was granted.
+    async fn claim(&self, key: KeyHash) -> Option<ClaimAnswer> {
+        let call = &self.call;
+        let claim = ClaimRequest {
+            key,
+            request: call.id,
+            body: ClaimKey::body_digest(&call.method, &call.path, &call.body),
+            deadline: self.deadline,
+        };
+        tokio::select! {
+            answer = self.shared.claims.claim(claim) => Some(answer),
+            () = self.caller.closed() => {
+                self.shared.claims.withdraw(key, call.id);
+                None
+            }
+        }
+    }
+
+    async fn run_granted(&self, key: KeyHash) -> CallerEvent {
+        self.step("key claimed");
+        let (outcome, kept) = self.drive(true).await;
+        if outcome.ran == RanState::No {
+            self.shared.claims.abandon(key, self.call.id);
+        }
+        match (outcome.code, kept) {
+            (ResultCode::Complete, Some(kept)) => self.record(key, kept).await,
+            _ => last_word(&outcome),
+        }
+    }
+
+    /// Records the answer before its clean end.
+    ///
+    /// A caller that saw a clean end may ask again and count on the same bytes. If the answer is
+    /// not in the store, the end is a failure that says so.
+    async fn record(&self, key: KeyHash, kept: KeptAnswer) -> CallerEvent {
+        let answer = RecordedAnswer::new(&kept.head, kept.body);
+        let recorded = match answer.encode() {
+            Ok(bytes) => {
+                let claims = &self.shared.claims;
+                claims.record(key, self.call.id, bytes, self.deadline).await
+            }
+            Err(_) => false,
+        };
+        if recorded {
+            self.step("answer recorded");
+            return CallerEvent::Complete;
+        }
+        self.step("answer not recorded");
+        CallerEvent::Problem(RequestProblem::new(ResultCode::AnswerLost).with_ran(RanState::Yes))
+    }
+
+    async fn replay(&self, recorded: &Bytes) -> CallerEvent {
+        self.step("key was used before; its recorded answer is delivered");
+        let Ok(answer) = RecordedAnswer::decode(recorded) else {
+            let problem = RequestProblem::new(ResultCode::AnswerLost);
+            return CallerEvent::Problem(problem.with_detail("the recorded answer is damaged"));
+        };
+        let (head, body) = answer.into_parts();
+        self.caller.send(CallerEvent::Head(head)).await;
+        self.caller.send(CallerEvent::Bytes(body)).await;
+        CallerEvent::Complete
+    }
+
+    async fn drive(&self, keep: bool) -> (Outcome, Option<KeptAnswer>) {
+        let shared = self.shared.clone();
+        let driver = RequestDriver::new(
+            shared,
+            Arc::clone(&self.call),
+            self.caller.clone(),
+            self.deadline,
+        );
+        let (outcome, kept) = driver.with_kept_answer(keep).run().await;
+        info!(self.log, "request driven";
+            "request" => format_request_id(self.call.id),
+            "code" => outcome.code.number(),
+            "ran" => outcome.ran.as_str(),
+            "attempts" => outcome.attempts,
+            "detail" => &outcome.detail);
+        (outcome, kept)
+    }
+
+    fn note_end(&self, code: ResultCode, started: Timestamp) {
+        let now = self.shared.context.clock.now();
+        if code == ResultCode::Complete {
+            self.shared.record_success(&self.call.service, now);
+        }
+        count_outcome(code);
+        self.step(format!("ended with code {}", code.number()));
+        info!(self.log, "request ended";
+            "request" => format_request_id(self.call.id),
+            "organisation" => &*self.call.organisation,
+            "service" => &*self.call.service,
+            "code" => code.number(),
+            "prompt_tokens" => self.call.prompt.tokens,
+            "ms" => (now - started).as_millis() as u64);
+    }
+
+    fn step(&self, step: impl Into<String>) {
+        let now = self.shared.context.clock.now();
+        self.shared.trails.step(self.call.id, now, step);
+    }
+}
+
+/// Counts how a request ended.
+pub(crate) fn count_outcome(code: ResultCode) {
+    metrics::counter!("lovagedock_requests_total", "code" => code.number().to_string())
+        .increment(1);
+}
+
+fn last_word(outcome: &Outcome) -> CallerEvent {
+    if outcome.code == ResultCode::Complete {
+        return CallerEvent::Complete;
+    }
+    let problem = RequestProblem::new(outcome.code)
+        .with_ran(outcome.ran)
+        .with_retry_after(outcome.retry_after)
+        .with_detail(&outcome.detail);
+    CallerEvent::Problem(problem)
+}
--- a/lovagedock-gateway/src/driver.rs
+++ b/lovagedock-gateway/src/driver.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     call::CallerCall,
-    front::{CallerEvent, CallerSink, RequestProblem},
+    front::{CallerEvent, CallerSink},
     link::{AttemptEvent, AttemptSender, LinkCommand},
     shared::GatewayShared,
 };
@@ -24,6 +24,15 @@
 /// Events of attempts that may wait for the driver.
 const EVENT_QUEUE: usize = 64;
 
+/// The answer of a keyed request, to be recorded.
+#[derive(Clone, Debug)]
+pub(crate) struct KeptAnswer {
+    /// Status and headers.
+    pub(crate) head: AnswerHead,
+    /// The whole body.
+    pub(crate) body: Vec<u8>,
+}
+
 /// One request on its way.
 pub(crate) struct RequestDriver {
     shared: GatewayShared,
@@ -40,13 +49,21 @@
     chunk: Bytes,
     hasher: blake3::Hasher,
     sent_to: Vec<EndpointId>,
+    keep: bool,
+    kept: Option<KeptAnswer>,
 }
 
 impl RequestDriver {
     /// A driver for a request that passed all checks.
-    pub(crate) fn new(shared: GatewayShared, call: Arc<CallerCall>, caller: CallerSink) -> Self {
+    pub(crate) fn new(
+        shared: GatewayShared,
+        call: Arc<CallerCall>,
+        caller: CallerSink,
+        deadline: Timestamp,
+    ) -> Self {
         let now = shared.context.clock.now();
-        let spec = RequestSpec::new(call.id, call.service.clone(), call.deadline)
+        let remaining = deadline.saturating_sub(now);
+        let spec = RequestSpec::new(call.id, call.service.clone(), remaining)
             .with_organisation(call.organisation.clone())
             .with_tier(call.tier)
             .with_non_idempotent(call.non_idempotent);
@@ -54,8 +71,8 @@
         let (note_sender, notes) = mpsc::unbounded_channel();
         Self {
             machine: RequestMachine::new(now, spec),
-            deadline: now + call.deadline,
-            wake_at: now + call.deadline,
+            deadline,
+            wake_at: deadline,
             shared,
             call,
             caller,
@@ -67,24 +84,35 @@
             chunk: Bytes::new(),
             hasher: blake3::Hasher::new(),
             sent_to: Vec::new(),
+            keep: false,
+            kept: None,
         }
     }
 
+    /// Sets whether the whole answer is returned at the end.
+    pub(crate) fn with_kept_answer(mut self, keep: bool) -> Self {
+        self.keep = keep;
+        self
+    }
+
     /// Runs the request to its final answer.
-    pub(crate) async fn run(mut self) -> Outcome {
+    pub(crate) async fn run(mut self) -> (Outcome, Option<KeptAnswer>) {
         let actions = self.machine.start();
-        let mut outcome = self.carry_out(actions).await;
+        let mut finished = self.carry_out(actions).await;
         let mut caller_gone = false;
-        while outcome.is_none() {
+        let outcome = loop {
+            if let Some(outcome) = finished {
+                break outcome;
+            }
             let event = self.next_event(&mut caller_gone).await;
             let Some(event) = event else { continue };
             let actions = self.machine.handle(self.now(), event);
-            outcome = self.carry_out(actions).await;
-        }
+            finished = self.carry_out(actions).await;
+        };
         for endpoint in &self.sent_to {
             self.shared.context.fleet.work_ended(endpoint);
         }
-        outcome.unwrap_or_else(|| unreachable!("the loop ends with an outcome"))
+        (outcome, self.kept)
     }
 
     async fn next_event(&mut self, caller_gone: &mut bool) -> Option<RequestEvent> {
@@ -403,6 +431,12 @@
 
     async fn deliver_head(&mut self) {
         if let Some(head) = self.head.take() {
+            if self.keep {
+                self.kept = Some(KeptAnswer {
+                    head: head.clone(),
+                    body: Vec::new(),
+                });
+            }
             self.send_to_caller(CallerEvent::Head(head)).await;
         }
     }
@@ -411,6 +445,9 @@
         let skip = usize::try_from(skip).unwrap_or(usize::MAX);
         let bytes = self.chunk.slice(skip.min(self.chunk.len())..);
         self.hasher.update(&bytes);
+        if let Some(kept) = &mut self.kept {
+            kept.body.extend_from_slice(&bytes);
+        }
         self.send_to_caller(CallerEvent::Bytes(bytes)).await;
     }
 
@@ -435,13 +472,3 @@
 fn refused(code: ResultCode, retry_after: Duration) -> PlacedOn {
     PlacedOn::Refused { code, retry_after }
 }
-
-/// What a caller is told about an outcome that is not a whole answer.
-pub(crate) fn problem_of(outcome: &Outcome) -> RequestProblem {
-    RequestProblem {
-        code: outcome.code,
-        ran: outcome.ran,
-        retry_after: outcome.retry_after,
-        detail: outcome.detail.clone(),
-    }
-}
--- a/lovagedock-gateway/src/front/problem.rs
+++ b/lovagedock-gateway/src/front/problem.rs
@@ -42,6 +42,12 @@
         self
     }
 
+    /// Sets whether it ran.
+    pub(crate) fn with_ran(mut self, ran: RanState) -> Self {
+        self.ran = ran;
+        self
+    }
+
     /// Sets when another try may help.
     pub(crate) fn with_retry_after(mut self, retry_after: Duration) -> Self {
         self.retry_after = retry_after;
--- a/lovagedock-gateway/src/front/reply.rs
+++ b/lovagedock-gateway/src/front/reply.rs
@@ -39,6 +39,16 @@
     Problem(RequestProblem),
 }
 
+impl CallerEvent {
+    /// The code that the caller sees at the end.
+    pub(crate) fn code(&self) -> ResultCode {
+        match self {
+            Self::Problem(problem) => problem.code,
+            Self::Head(_) | Self::Bytes(_) | Self::Complete => ResultCode::Complete,
+        }
+    }
+}
+
 /// A driver's end of the way to its caller.
 #[derive(Clone, Debug)]
 pub(crate) struct CallerSink {
--- a/lovagedock-gateway/src/front/router.rs
+++ b/lovagedock-gateway/src/front/router.rs
@@ -16,11 +16,11 @@
 use super::{
     intake::{CallIntake, is_model_path},
     problem::{RequestProblem, set_request_id},
-    reply::{AnswerBody, CallerEvent, CallerSink, response, whole_body},
+    reply::{AnswerBody, CallerSink, response, whole_body},
 };
 use crate::{
     call::CallerCall,
-    driver::{RequestDriver, problem_of},
+    call_task::{CallTask, count_outcome},
     settings::CallerLimits,
     shared::GatewayShared,
     trail::RequestTrail,
@@ -115,12 +115,8 @@
     ) -> Response<AnswerBody> {
         self.shared.trails.begin(call.id, new_trail(&call));
         let (caller, events) = CallerSink::channel();
-        let task = CallTask {
-            shared: self.shared.clone(),
-            call: Arc::clone(&call),
-            caller,
-            log: self.log.clone(),
-        };
+        let shared = self.shared.clone();
+        let task = CallTask::new(shared, Arc::clone(&call), caller, self.log.clone());
         self.drivers.spawn(async move {
             task.run().await;
             drop(permit);
@@ -129,48 +125,6 @@
     }
 }
 
-/// One call from its admission to the last word to its caller.
-struct CallTask {
-    shared: GatewayShared,
-    call: Arc<CallerCall>,
-    caller: CallerSink,
-    log: Logger,
-}
-
-impl CallTask {
-    async fn run(self) {
-        let started = self.shared.context.clock.now();
-        let driver = RequestDriver::new(
-            self.shared.clone(),
-            Arc::clone(&self.call),
-            self.caller.clone(),
-        );
-        let outcome = driver.run().await;
-        let now = self.shared.context.clock.now();
-        let last = match outcome.code {
-            ResultCode::Complete => {
-                self.shared.record_success(&self.call.service, now);
-                CallerEvent::Complete
-            }
-            _ => CallerEvent::Problem(problem_of(&outcome)),
-        };
-        self.caller.send(last).await;
-        count_outcome(outcome.code);
-        let step = format!("ended with code {}", outcome.code.number());
-        self.shared.trails.step(self.call.id, now, step);
-        info!(self.log, "request ended";
-            "request" => format_request_id(self.call.id),
-            "organisation" => &*self.call.organisation,
-            "service" => &*self.call.service,
-            "code" => outcome.code.number(),
-            "ran" => outcome.ran.as_str(),
-            "attempts" => outcome.attempts,
-            "prompt_tokens" => self.call.prompt.tokens,
-            "ms" => (now - started).as_millis() as u64,
-            "detail" => outcome.detail);
-    }
-}
-
 fn new_trail(call: &CallerCall) -> RequestTrail {
     RequestTrail {
         request_id: format_request_id(call.id),
@@ -181,11 +135,6 @@
     }
 }
 
-fn count_outcome(code: ResultCode) {
-    metrics::counter!("lovagedock_requests_total", "code" => code.number().to_string())
-        .increment(1);
-}
-
 fn since_epoch() -> Duration {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
--- a/lovagedock-gateway/src/gateway.rs
+++ b/lovagedock-gateway/src/gateway.rs
@@ -5,12 +5,22 @@
 use arc_swap::ArcSwap;
 use error_stack::{Report, ResultExt};
 use lovagedock_daemon::{AdminServer, DaemonContext, Transport};
+use lovagedock_platform::{BudgetLimits, BudgetedStore, HttpObjectStore, ObjectStore};
 use tokio::task::JoinHandle;
 
 use crate::{
-    active::ActiveConfig, admin::GatewaySurface, adopt::ConfigAdopter, connect::ConnectorFactory,
-    context::GatewayContext, fleet::FleetTable, front::FrontServer, settings::GatewaySettings,
-    shared::GatewayShared, sources::ConfigSources, workers::WorkerPool,
+    active::ActiveConfig,
+    admin::GatewaySurface,
+    adopt::ConfigAdopter,
+    claims::ClaimDesk,
+    connect::ConnectorFactory,
+    context::GatewayContext,
+    fleet::FleetTable,
+    front::FrontServer,
+    settings::GatewaySettings,
+    shared::GatewayShared,
+    sources::{ConfigSources, PlatformPorts},
+    workers::WorkerPool,
 };
 
 /// A gateway could not start.
@@ -59,7 +69,14 @@
         let workers = WorkerPool::new(settings.links.workers, &context, &connectors, times, &log)
             .change_context(GatewayError)?;
         let adopter = Arc::new(ConfigAdopter::new(context.clone(), workers, log.clone()));
-        let shared = GatewayShared::new(context.clone());
+        let platform = Arc::new(HttpObjectStore::new(&settings.platform.base));
+        let store: Arc<dyn ObjectStore> = Arc::new(BudgetedStore::new(
+            Arc::clone(&platform) as Arc<dyn ObjectStore>,
+            BudgetLimits::default(),
+            context.incarnation,
+        ));
+        let claims = ClaimDesk::start(context.incarnation, &store, daemon.clock);
+        let shared = GatewayShared::new(context.clone(), claims);
         let front = FrontServer::bind(
             settings.callers.address,
             open_transport(&settings.callers.transport, &daemon)?,
@@ -75,10 +92,21 @@
         let admin = AdminServer::start("lovagedock-gateway", &settings.admin, surface, &daemon)
             .await
             .change_context(GatewayError)?;
-        let sources =
-            ConfigSources::start(&settings, &context, &adopter, &connectors, &daemon, &log)
-                .await
-                .change_context(GatewayError)?;
+        let platform = PlatformPorts {
+            store,
+            hosts: platform,
+        };
+        let sources = ConfigSources::start(
+            &settings,
+            platform,
+            &context,
+            &adopter,
+            &connectors,
+            &daemon,
+            &log,
+        )
+        .await
+        .change_context(GatewayError)?;
         Ok(Self {
             callers,
             context,
--- /dev/null
+++ b/lovagedock-gateway/src/recorded.rs
@@ -0,0 +1,65 @@
+//! The form in which the answer of a keyed request is kept in the store.
+
+use bytes::Bytes;
+use lovagedock_wire::{AnswerHead, HeaderField};
+use serde::{Deserialize, Serialize};
+
+/// Headers that belong to one delivery, not to the answer.
+const NOT_RECORDED: &[&str] = &["connection", "content-length", "date", "transfer-encoding"];
+
+/// An answer as each delivery of it reads.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct RecordedAnswer {
+    status: u16,
+    headers: Vec<RecordedHeader>,
+    body: Vec<u8>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct RecordedHeader {
+    name: String,
+    value: Vec<u8>,
+}
+
+impl RecordedAnswer {
+    /// An answer that ended cleanly.
+    pub(crate) fn new(head: &AnswerHead, body: Vec<u8>) -> Self {
+        let headers = head.headers.iter();
+        let headers = headers.filter(|field| !NOT_RECORDED.contains(&field.name.as_str()));
+        Self {
+            status: head.status,
+            headers: headers
+                .map(|field| RecordedHeader {
+                    name: field.name.clone(),
+                    value: field.value.to_vec(),
+                })
+                .collect(),
+            body,
+        }
+    }
+
+    /// The bytes for the store.
+    pub(crate) fn encode(&self) -> Result<Bytes, postcard::Error> {
+        postcard::to_stdvec(self).map(Bytes::from)
+    }
+
+    /// Reads what [`RecordedAnswer::encode`] wrote.
+    pub(crate) fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        postcard::from_bytes(bytes)
+    }
+
+    /// Head and body for a delivery.
+    pub(crate) fn into_parts(self) -> (AnswerHead, Bytes) {
+        let headers = self.headers.into_iter();
+        let head = AnswerHead {
+            status: self.status,
+            headers: headers
+                .map(|header| HeaderField {
+                    name: header.name,
+                    value: Bytes::from(header.value),
+                })
+                .collect(),
+        };
+        (head, Bytes::from(self.body))
+    }
+}
--- a/lovagedock-gateway/src/shared.rs
+++ b/lovagedock-gateway/src/shared.rs
@@ -5,7 +5,7 @@
 use lovagedock::{RetryAllowance, RetryBudget, prelude::*};
 use parking_lot::Mutex;
 
-use crate::{context::GatewayContext, trail::TrailBook};
+use crate::{claims::ClaimDesk, context::GatewayContext, trail::TrailBook};
 
 /// Shared by all drivers of a gateway; cheap to clone.
 ///
@@ -16,15 +16,18 @@
     pub(crate) context: GatewayContext,
     /// What was decided about recent requests.
     pub(crate) trails: TrailBook,
+    /// Claims of idempotency keys.
+    pub(crate) claims: ClaimDesk,
     budgets: Arc<Mutex<HashMap<ServiceId, RetryBudget>>>,
 }
 
 impl GatewayShared {
     /// Shared state of a gateway that has served nothing yet.
-    pub(crate) fn new(context: GatewayContext) -> Self {
+    pub(crate) fn new(context: GatewayContext, claims: ClaimDesk) -> Self {
         Self {
             context,
             trails: TrailBook::default(),
+            claims,
             budgets: Arc::default(),
         }
     }
--- a/lovagedock-gateway/src/sources.rs
+++ b/lovagedock-gateway/src/sources.rs
@@ -5,8 +5,7 @@
 use error_stack::{Report, ResultExt};
 use lovagedock_daemon::{DaemonContext, Transport};
 use lovagedock_platform::{
-    CallPurpose, ChunkCache, ConfigStore, HostDirectory, HostState, HttpObjectStore, ObjectStore,
-    ROOT_KEY,
+    CallPurpose, ChunkCache, ConfigStore, HostDirectory, HostState, ObjectStore, ROOT_KEY,
 };
 use slog::{Logger, debug, warn};
 use tokio::{sync::watch, task::JoinHandle, time::sleep};
@@ -26,6 +25,14 @@
 /// Time between readings of the platform's host list.
 const HOSTS_INTERVAL: Duration = Duration::from_secs(2);
 
+/// The platform as a gateway uses it.
+pub(crate) struct PlatformPorts {
+    /// The object store, within the process's budget.
+    pub(crate) store: Arc<dyn ObjectStore>,
+    /// The list of hosts.
+    pub(crate) hosts: Arc<dyn HostDirectory>,
+}
+
 /// Tasks that feed a gateway; they end when this is dropped.
 pub(crate) struct ConfigSources {
     peers: SocketAddr,
@@ -37,6 +44,7 @@
     /// Listens for peers and begins to watch the platform.
     pub(crate) async fn start(
         settings: &GatewaySettings,
+        platform: PlatformPorts,
         context: &GatewayContext,
         adopter: &Arc<ConfigAdopter>,
         connectors: &ConnectorFactory,
@@ -60,14 +68,13 @@
             log: log.clone(),
         };
         worker.start(listener, stopped)?;
-        let store = Arc::new(HttpObjectStore::new(&settings.platform.base));
         let watcher = StoreWatcher {
-            store: Arc::clone(&store) as Arc<dyn ObjectStore>,
+            store: platform.store,
             adopter: Arc::clone(adopter),
             log: log.clone(),
         };
         let hosts = HostWatcher {
-            directory: store,
+            directory: platform.hosts,
             context: context.clone(),
             log: log.clone(),
         };
--- a/lovagedock-standin/tests/whole_path.rs
+++ b/lovagedock-standin/tests/whole_path.rs
@@ -9,7 +9,8 @@
 use lovagedock::parse_config;
 use lovagedock_standin::{
     engine::expected_answer,
-    fleet::{FleetPlan, LocalFleet},
+    fleet::{EndpointStandin, FleetPlan, LocalFleet},
+    service::RunningService,
 };
 use serde_json::{Value, json};
 use slog::{Discard, Logger, o};
@@ -18,7 +19,9 @@
     "version": 1,
     "failure_domains": [{ "id": "north", "region": "r" }],
     "gateways": [{ "id": "g1", "host": "entry-1", "failure_domain": "north",
-        "peer_address": "127.0.0.1:1" }],
+        "peer_address": "127.0.0.1:1" },
+        { "id": "g2", "host": "entry-2", "failure_domain": "north",
+        "peer_address": "127.0.0.1:9" }],
     "models": [{ "id": "reader", "max_context_tokens": 1200000 }],
     "pools": [
         { "id": "readers", "kind": { "engines": { "model": "reader" } }, "endpoints": [
@@ -105,15 +108,51 @@
     let callers = fleet.gateways[0].gateway.callers_address();
     let response = call(callers, post("/registry/receipts", &json!({ "amount": 5 }))).await;
     assert_eq!(response.status(), StatusCode::OK);
-    let lovagedock_standin::fleet::EndpointStandin::Service(service) = &fleet.endpoints[2].standin
-    else {
-        panic!("the third endpoint is the service");
-    };
-    let runs = service.journal.runs();
+    let runs = service(&fleet).journal.runs();
     assert_eq!(runs.len(), 1);
     assert_eq!(runs[0].path, "/registry/receipts");
 }
 
+/// A lawyer's client retries a receipt with the same key, through another gateway and after the
+/// answer was delivered. The receipt must run once, both deliveries must read the same bytes, and
+/// the key with another body must be refused. The claim in the store is what makes it hold.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_keyed_call_runs_once_and_reads_the_same_again() {
+    let fleet = start().await;
+    let first = fleet.gateways[0].gateway.callers_address();
+    let second = fleet.gateways[1].gateway.callers_address();
+    let receipt = json!({ "amount": 5 });
+    let one = call(first, keyed("/registry/receipts", "k-1", &receipt)).await;
+    assert_eq!(one.status(), StatusCode::OK);
+    let one = text(one).await;
+    let two = call(second, keyed("/registry/receipts", "k-1", &receipt)).await;
+    assert_eq!(two.status(), StatusCode::OK);
+    assert_eq!(text(two).await, one);
+    let other = keyed("/registry/receipts", "k-1", &json!({ "amount": 6 }));
+    let other = call(second, other).await;
+    assert_eq!(other.status().as_u16(), 422);
+    let problem: Value = serde_json::from_str(&text(other).await).expect("a document");
+    assert_eq!(
+        (&problem["code"], &problem["ran"]),
+        (&json!(1008), &json!("no"))
+    );
+    assert_eq!(service(&fleet).journal.runs().len(), 1);
+}
+
+fn keyed(path: &str, key: &str, body: &Value) -> Request<Full<Bytes>> {
+    let mut request = post(path, body);
+    let key = key.parse().expect("header");
+    request.headers_mut().insert("idempotency-key", key);
+    request
+}
+
+fn service(fleet: &LocalFleet) -> &RunningService {
+    match &fleet.endpoints[2].standin {
+        EndpointStandin::Service(service) => service,
+        EndpointStandin::Engine(_) => panic!("the third endpoint is the service"),
+    }
+}
+
 /// One refusal and what the caller is told.
 struct Refusal {
     name: &'static str,
