Learn costs, plan subsets, eject outliers, and choose length-aware by measurement

Cause: the first length-aware policy kept long prompts to a fixed 35% of the pool. Change: the share of long prompts follows the mix, how busy the pool is, how far engines let short prompts overtake, and the wait of short prompts. Reports may carry the waits of a long and of a short prompt. Spans take equal parts, wait for their last member, and are refused like all others when late. The cost model, the subset planner and the outlier detector are new, and so is the comparison of policies in virtual time (examples/compare). Conclusion: the moving share works without a cap, so the default cap is now 100%.

--- a/lovagedock-gateway/src/driver.rs
+++ b/lovagedock-gateway/src/driver.rs
@@ -272,11 +272,13 @@
             .fleet
             .placement
             .long_tokens;
+        let long = self.call.prompt.tokens >= long_tokens;
         let work = SentWork {
             requests: 1,
-            long_requests: u32::from(self.call.prompt.tokens >= long_tokens),
+            long_requests: u32::from(long),
             tokens: tokens + self.call.prompt.answer_tokens,
             prefill,
+            long_prefill: if long { prefill } else { Duration::ZERO },
         };
         self.shared.context.fleet.work_sent(endpoint, work);
         self.sent_to.push(endpoint.clone());
--- /dev/null
+++ b/lovagedock/examples/compare/main.rs
@@ -0,0 +1,110 @@
+//! Compares the registered placement policies over seeds.
+//!
+//! `cargo run --release -p lovagedock --example compare -- [LOAD] [SEEDS] [fifo|short-first] [SHARE]`
+//! prints one row for each policy: the p95 first token of each bucket in seconds of virtual time
+//! (median over the seeds), the short slowdown with its range, and what was refused or late.
+
+mod engine;
+mod fleet;
+mod traffic;
+
+use std::env;
+
+use engine::EngineOrder;
+use fleet::{FleetResult, FleetSetup, run};
+use lovagedock::{LengthBucket, PlacementSpec, policy_names};
+
+fn main() {
+    let mut args = env::args().skip(1);
+    let load: f64 = args.next().map_or(0.8, |a| a.parse().expect("LOAD"));
+    let seeds: u64 = args.next().map_or(5, |a| a.parse().expect("SEEDS"));
+    let order = match args.next().as_deref() {
+        None | Some("fifo") => EngineOrder::Fifo,
+        Some("short-first") => EngineOrder::ShortFirst,
+        Some(other) => panic!("no engine order is named {other}"),
+    };
+    let default = PlacementSpec::default();
+    let share = args
+        .next()
+        .map_or(default.long_share_percent, |a| a.parse().expect("SHARE"));
+    let with_backlog = env::var_os("TOKENS_ONLY").is_none();
+    println!("load {load}, {seeds} seeds, engines {order:?}, long share {share}%");
+    println!(
+        "| policy | 1k | 4k | 16k | 64k | 256k | 1m | slowdown 1k | slowdown 4k | refused | late | good Mtok |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|---|---|");
+    for policy in policy_names() {
+        let runs: Vec<Pair> = (1..=seeds)
+            .map(|seed| {
+                let setup = FleetSetup {
+                    spec: PlacementSpec {
+                        policy: policy.to_owned(),
+                        long_share_percent: share,
+                        ..default.clone()
+                    },
+                    seed,
+                    load,
+                    engines: 20,
+                    gateways: 3,
+                    seconds: 1_200.0,
+                    order,
+                    with_long: true,
+                    with_backlog,
+                };
+                Pair::new(&setup)
+            })
+            .collect();
+        print_row(policy, &runs);
+    }
+}
+
+/// The same short requests with and without the long ones.
+struct Pair {
+    mixed: FleetResult,
+    short: FleetResult,
+}
+
+impl Pair {
+    fn new(setup: &FleetSetup) -> Self {
+        let short = FleetSetup {
+            with_long: false,
+            ..setup.clone()
+        };
+        Self {
+            mixed: run(setup),
+            short: run(&short),
+        }
+    }
+
+    fn slowdown(&self, bucket: LengthBucket) -> f64 {
+        self.mixed.p95(bucket) / self.short.p95(bucket)
+    }
+}
+
+fn print_row(policy: &str, runs: &[Pair]) {
+    print!("| {policy} ");
+    for bucket in LengthBucket::ALL {
+        print!("| {:.2} ", spread(runs, |pair| pair.mixed.p95(bucket)).1);
+    }
+    for bucket in [LengthBucket::K1, LengthBucket::K4] {
+        let (low, mid, high) = spread(runs, |pair| pair.slowdown(bucket));
+        print!("| {mid:.2} ({low:.2}-{high:.2}) ");
+    }
+    let refused: Vec<u64> = (0..6)
+        .map(|bucket| runs.iter().map(|pair| pair.mixed.refused[bucket]).sum())
+        .collect();
+    let late: u64 = runs.iter().map(|pair| pair.mixed.late).sum();
+    let good = spread(runs, |pair| pair.mixed.good_tokens as f64 / 1e6).1;
+    println!("| {refused:?} | {late} | {good:.1} |");
+}
+
+/// Least, median and greatest value over the runs.
+fn spread(runs: &[Pair], value: impl Fn(&Pair) -> f64) -> (f64, f64, f64) {
+    let mut values: Vec<f64> = runs.iter().map(value).collect();
+    values.sort_by(f64::total_cmp);
+    (
+        values[0],
+        values[values.len() / 2],
+        values[values.len() - 1],
+    )
+}
--- a/lovagedock/src/config/types.rs
+++ b/lovagedock/src/config/types.rs
@@ -317,7 +317,7 @@
         Self {
             policy: "length-aware".to_owned(),
             long_tokens: 32_000,
-            long_share_percent: 35,
+            long_share_percent: 100,
         }
     }
 }
--- /dev/null
+++ b/lovagedock/src/cost/decode.rs
@@ -0,0 +1,59 @@
+//! Interval between the tokens of an answer against the batch size.
+
+/// A smoothed interval for each power of two of the batch size.
+#[derive(Clone, Debug, Default)]
+pub(super) struct DecodeTable {
+    slots: [DecodeSlot; DECODE_SLOTS],
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct DecodeSlot {
+    seconds: f64,
+    observations: u32,
+}
+
+impl DecodeTable {
+    pub(super) fn observe(&mut self, batch: u32, seconds: f64) {
+        let slot = &mut self.slots[slot_of(batch)];
+        slot.observations = slot.observations.saturating_add(1);
+        if slot.observations == 1 {
+            slot.seconds = seconds;
+            return;
+        }
+        // A stalled engine or a late report must not pass for a slow batch.
+        let limited = seconds.min(slot.seconds * MAX_STEP_RATIO);
+        let gain = DECODE_GAIN.max(1.0 / f64::from(slot.observations));
+        slot.seconds += gain * (limited - slot.seconds);
+    }
+
+    /// The interval at a batch size, from the nearest sizes that were seen.
+    pub(super) fn seconds(&self, batch: u32) -> Option<f64> {
+        let at = slot_of(batch);
+        let below = (0..=at).rev().find(|slot| self.seen(*slot));
+        let above = (at..DECODE_SLOTS).find(|slot| self.seen(*slot));
+        match (below, above) {
+            (Some(low), Some(high)) if low < high => Some(self.interpolate(low, high, at)),
+            (Some(slot), _) | (None, Some(slot)) => Some(self.slots[slot].seconds),
+            (None, None) => None,
+        }
+    }
+
+    fn seen(&self, slot: usize) -> bool {
+        self.slots[slot].observations > 0
+    }
+
+    fn interpolate(&self, low: usize, high: usize, at: usize) -> f64 {
+        let share = (at - low) as f64 / (high - low) as f64;
+        let low = self.slots[low].seconds;
+        low + share * (self.slots[high].seconds - low)
+    }
+}
+
+fn slot_of(batch: u32) -> usize {
+    (batch.max(1).ilog2() as usize).min(DECODE_SLOTS - 1)
+}
+
+/// Batch sizes of 1 to 1,023.
+const DECODE_SLOTS: usize = 10;
+const DECODE_GAIN: f64 = 0.1;
+const MAX_STEP_RATIO: f64 = 3.0;
--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -26,6 +26,7 @@
 mod lease;
 mod length;
 mod outcome;
+mod outlier;
 mod placement;
 pub mod prelude;
 mod registry;
@@ -34,6 +35,7 @@
 mod safeguards;
 mod span;
 mod store_call;
+mod subset;
 
 pub use adoption::{
     AdoptionAction, AdoptionCount, AdoptionCounter, AdoptionEvent, AdoptionLimits, AdoptionSource,
@@ -53,7 +55,7 @@
     ServiceKind, ServiceSpec, SourceFile, SourceMap, SourcePosition, check_config,
     config_reference, config_schema, diff_config, parse_config, parse_files,
 };
-pub use cost::CostParameters;
+pub use cost::{CostModel, CostParameters, PredictionError, PrefillObservation};
 pub use endpoint::{
     EndpointAction, EndpointCore, EndpointEvent, EndpointLimits, EndpointLoad, EndpointSafeguards,
     EndpointSnapshot, EngineAnswer, EngineHolding, EngineReport, EngineResult, LeaseState,
@@ -68,10 +70,11 @@
 pub use lease::{FenceMark, LeaseAction, LeaseEvent, LeaseHolder, LeaseLimits, LeaseStatus};
 pub use length::LengthBucket;
 pub use outcome::{AnswerEnd, AttemptKey, RevokeVerdict};
+pub use outlier::{OutlierAction, OutlierCause, OutlierDetector, OutlierEvent, OutlierSettings};
 pub use placement::{
-    EndpointReport, EndpointView, PREFIX_PIECE_TOKENS, PlacementChoice, PlacementPolicy,
-    PlacementReason, PlacementRequest, PoolState, PoolView, SentWork, SpanMember,
-    predict_first_token, predict_queue, prefix_hashes,
+    EndpointBacklog, EndpointReport, EndpointView, LengthClass, PREFIX_PIECE_TOKENS,
+    PlacementChoice, PlacementPolicy, PlacementReason, PlacementRequest, PoolState, PoolView,
+    SentWork, SpanMember, predict_first_token, predict_queue, prefix_hashes,
 };
 pub use registry::{PolicyPlugin, UnknownPolicy, build_policy, policies, policy_names};
 pub use request::{
@@ -86,3 +89,4 @@
 pub use store_call::{
     ObjectName, ObjectVersion, ReadOutcome, WriteCondition, WriteNonce, WriteOutcome,
 };
+pub use subset::{SubsetMember, SubsetPlan, SubsetPlanner, SubsetSettings};
--- a/lovagedock/src/placement/baseline.rs
+++ b/lovagedock/src/placement/baseline.rs
@@ -7,7 +7,7 @@
 use crate::{codes::ResultCode, config::PlacementSpec, ids::Timestamp, registry::PolicyPlugin};
 
 use super::{
-    predict::{cost_of, predict_first_token},
+    predict::{LengthClass, cost_of, predict_first_token},
     span::{eligible, fits, take_span},
     types::{
         EndpointView, PlacementChoice, PlacementPolicy, PlacementReason, PlacementRequest, PoolView,
@@ -96,6 +96,7 @@
                 predicted_first_token: predict_first_token(
                     now,
                     &pool.endpoints[first],
+                    LengthClass::Long,
                     request.prompt_tokens,
                     0,
                 ),
@@ -122,7 +123,13 @@
         let view = &pool.endpoints[index];
         PlacementChoice::One {
             endpoint: view.id.clone(),
-            predicted_first_token: predict_first_token(now, view, request.prompt_tokens, 0),
+            predicted_first_token: predict_first_token(
+                now,
+                view,
+                LengthClass::Long,
+                request.prompt_tokens,
+                0,
+            ),
             predicted_prefill: cost_of(view).prefill(request.prompt_tokens, 0),
             reason: PlacementReason::BaselineOrder,
         }
--- a/lovagedock/src/placement/layout.rs
+++ b/lovagedock/src/placement/layout.rs
@@ -106,8 +106,9 @@
     }
 }
 
-/// At least one, so that long prompts have a place even in the smallest domain.
+/// Rounded down in favour of short prompts, but at least one, so that long prompts have a place
+/// even in the smallest domain.
 fn long_count(usable: usize, share: f64) -> usize {
-    let count = (usable as f64 * share).round() as usize;
+    let count = (usable as f64 * share) as usize;
     count.clamp(1, usable.max(1))
 }
--- a/lovagedock/src/placement/length_aware.rs
+++ b/lovagedock/src/placement/length_aware.rs
@@ -13,12 +13,13 @@
 
 use super::{
     layout::PoolLayout,
-    mix::MixTracker,
-    predict::{cost_of, queue_seconds},
+    mix::{MixTracker, PoolPulse},
+    predict::{LengthClass, cost_of, queue_seconds},
     prefix::PREFIX_PIECE_TOKENS,
-    span::{eligible, fits, memory_need, memory_of, take_span},
+    span::{eligible, fits, memory_need, take_span},
     types::{
-        EndpointView, PlacementChoice, PlacementPolicy, PlacementReason, PlacementRequest, PoolView,
+        EndpointReport, EndpointView, PlacementChoice, PlacementPolicy, PlacementReason,
+        PlacementRequest, PoolView,
     },
 };
 
@@ -39,6 +40,14 @@
         }
     }
 
+    fn class(&self, request: &PlacementRequest<'_>) -> LengthClass {
+        if request.prompt_tokens >= self.long_tokens {
+            LengthClass::Long
+        } else {
+            LengthClass::Short
+        }
+    }
+
     fn scan(
         &self,
         now: Timestamp,
@@ -47,6 +56,7 @@
         confined: bool,
     ) -> Shortlist {
         let share = self.mix.long_share(self.long_share_limit);
+        let class = self.class(request);
         let mut shortlist = Shortlist::default();
         for (index, view) in pool.endpoints.iter().enumerate() {
             if !eligible(request, view) || !fits(request, view) {
@@ -55,7 +65,7 @@
             if confined && !self.layout.in_long_share(index, share) {
                 continue;
             }
-            shortlist.offer(Candidate::new(now, request, view, index));
+            shortlist.offer(Candidate::new(now, request, class, view, index));
         }
         shortlist
     }
@@ -70,17 +80,16 @@
     ) -> PlacementChoice {
         let chosen = shortlist.pick(rng);
         let view = &pool.endpoints[chosen.index];
+        if self.class(request) == LengthClass::Short {
+            let wait = chosen.first_token - chosen.prefill;
+            self.mix.record_short_wait(now, wait);
+        }
         let finish = chosen.first_token + cost_of(view).decode(request.answer_tokens).as_secs_f64();
-        let remaining = request.remaining.as_secs_f64();
-        if finish > remaining {
-            return PlacementChoice::Refuse {
-                code: ResultCode::NoCapacity,
-                retry_after: retry_after(finish - remaining),
-                reason: PlacementReason::OutOfTime,
-            };
+        if let Some(refusal) = refuse_late(finish, request) {
+            return refusal;
         }
-        let long = request.prompt_tokens >= self.long_tokens;
-        self.mix.record(now, chosen.prefill, long);
+        let long = self.class(request) == LengthClass::Long;
+        self.mix.record(now, chosen.prefill, long, pool_pulse(pool));
         PlacementChoice::One {
             endpoint: view.id.clone(),
             predicted_first_token: Duration::from_secs_f64(chosen.first_token),
@@ -95,30 +104,39 @@
         request: &PlacementRequest<'_>,
         pool: &PoolView<'_>,
     ) -> PlacementChoice {
+        let share = self.mix.long_share(self.long_share_limit);
         let mut order: Vec<(bool, f64, usize)> = pool
             .endpoints
             .iter()
             .enumerate()
             .filter(|(_, view)| eligible(request, view))
             .map(|(index, view)| {
-                let outside = !self.layout.in_long_share(index, self.long_share_limit);
-                (outside, queue_seconds(now, view), index)
+                let outside = !self.layout.in_long_share(index, share);
+                (outside, queue_seconds(now, view, LengthClass::Long), index)
             })
             .collect();
         order.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         let Some(&(_, _, first)) = order.first() else {
             return refusal(PlacementReason::NoEndpoint);
         };
+        // The span begins when the last of its members is free.
+        let queues = running_maximum(order.iter().map(|(_, queue, _)| *queue));
         let indices = order.into_iter().map(|(_, _, index)| index);
         let Some(members) = take_span(request, pool, indices) else {
             return refusal(PlacementReason::ExceedsPool);
         };
-        let view = &pool.endpoints[first];
-        let prefill = cost_of(view).prefill_seconds(request.prompt_tokens, 0);
-        self.mix.record(now, prefill, true);
+        let cost = cost_of(&pool.endpoints[first]);
+        let prefill = cost.prefill_seconds(request.prompt_tokens, 0);
+        let each = prefill / members.len() as f64;
+        let first_token = queues[members.len() - 1] + each;
+        let finish = first_token + cost.decode(request.answer_tokens).as_secs_f64();
+        if let Some(refusal) = refuse_late(finish, request) {
+            return refusal;
+        }
+        self.mix.record(now, prefill, true, pool_pulse(pool));
         PlacementChoice::Span {
             members,
-            predicted_first_token: Duration::from_secs_f64(queue_seconds(now, view) + prefill),
+            predicted_first_token: Duration::from_secs_f64(first_token),
             reason: PlacementReason::ExceedsOneEngine,
         }
     }
@@ -133,7 +151,7 @@
         rng: &mut dyn Rng,
     ) -> PlacementChoice {
         self.layout.refresh(pool);
-        let long = request.prompt_tokens >= self.long_tokens;
+        let long = self.class(request) == LengthClass::Long;
         let mut shortlist = self.scan(now, request, pool, long);
         if long && shortlist.is_empty() {
             // All of the long share is excluded or too small; elsewhere is better than nowhere.
@@ -160,12 +178,15 @@
     fn new(
         now: Timestamp,
         request: &PlacementRequest<'_>,
+        class: LengthClass,
         view: &EndpointView,
         index: usize,
     ) -> Self {
         let cached = cached_tokens(request, view);
         let prefill = cost_of(view).prefill_seconds(request.prompt_tokens, cached);
-        let first_token = queue_seconds(now, view) + memory_wait(request, view) + prefill;
+        let queue = queue_seconds(now, view, class);
+        let wait = queue.max(memory_wait(now, request, view));
+        let first_token = wait + prefill;
         let away = if view.domain == request.own_domain {
             0.0
         } else {
@@ -242,19 +263,63 @@
     pieces.map_or(0, |last| (last as u64 + 1) * PREFIX_PIECE_TOKENS)
 }
 
-/// Expected wait for memory that others hold: the missing part of the engine's memory, at the rate
-/// at which a typical answer gives it back.
-fn memory_wait(request: &PlacementRequest<'_>, view: &EndpointView) -> f64 {
+/// Expected wait for memory that others hold: until what is there is prefilled and a typical
+/// answer has ended. Zero when there is enough.
+fn memory_wait(now: Timestamp, request: &PlacementRequest<'_>, view: &EndpointView) -> f64 {
     let Some(report) = &view.report else {
         return 0.0;
     };
     let free = report.free_tokens.saturating_sub(view.sent_since.tokens);
-    let missing = memory_need(request).saturating_sub(free);
-    if missing == 0 || report.memory_tokens == 0 {
+    if report.memory_tokens == 0 || memory_need(request) <= free {
         return 0.0;
     }
-    let turnover = report.cost.or_assumed().decode(TYPICAL_ANSWER_TOKENS);
-    missing as f64 / memory_of(view) as f64 * turnover.as_secs_f64()
+    let answer = report.cost.or_assumed().decode(TYPICAL_ANSWER_TOKENS);
+    queue_seconds(now, view, LengthClass::Long) + answer.as_secs_f64()
+}
+
+fn pool_pulse(pool: &PoolView<'_>) -> PoolPulse {
+    let mut usable = 0_u32;
+    let mut busy = 0_u32;
+    let mut all = 0.0;
+    let mut short = 0.0;
+    for view in pool.endpoints.iter().filter(|view| view.takes_work()) {
+        usable += 1;
+        let Some(report) = &view.report else {
+            continue;
+        };
+        busy += u32::from(has_prefill(report));
+        if let Some(backlog) = report.backlog {
+            all += backlog.all.as_secs_f64();
+            short += backlog.short.as_secs_f64();
+        }
+    }
+    PoolPulse {
+        busy: f64::from(busy) / f64::from(usable.max(1)),
+        overtaking: (all > 0.0).then(|| (1.0 - short / all).clamp(0.0, 1.0)),
+    }
+}
+
+fn has_prefill(report: &EndpointReport) -> bool {
+    report.queued > 0 || report.prefill_tokens_left > 0
+}
+
+fn running_maximum(values: impl Iterator<Item = f64>) -> Vec<f64> {
+    values
+        .scan(0.0, |highest: &mut f64, value| {
+            *highest = highest.max(value);
+            Some(*highest)
+        })
+        .collect()
+}
+
+/// Refuses what is predicted to end after its time, with the time that it would lack.
+fn refuse_late(finish: f64, request: &PlacementRequest<'_>) -> Option<PlacementChoice> {
+    let lacking = finish - request.remaining.as_secs_f64();
+    (lacking > 0.0).then(|| PlacementChoice::Refuse {
+        code: ResultCode::NoCapacity,
+        retry_after: retry_after(lacking),
+        reason: PlacementReason::OutOfTime,
+    })
 }
 
 fn retry_after(seconds: f64) -> Duration {
@@ -281,7 +346,7 @@
 /// Round trip to another failure domain.
 const OTHER_DOMAIN_SECONDS: f64 = 0.003;
 /// Length of an answer that holds memory, for the wait until memory is free.
-const TYPICAL_ANSWER_TOKENS: TokenCount = 256;
+const TYPICAL_ANSWER_TOKENS: TokenCount = 128;
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
 
--- a/lovagedock/src/placement/mod.rs
+++ b/lovagedock/src/placement/mod.rs
@@ -14,10 +14,10 @@
 mod state;
 mod types;
 
-pub use predict::{predict_first_token, predict_queue};
+pub use predict::{LengthClass, predict_first_token, predict_queue};
 pub use prefix::{PREFIX_PIECE_TOKENS, prefix_hashes};
 pub use state::PoolState;
 pub use types::{
-    EndpointReport, EndpointView, PlacementChoice, PlacementPolicy, PlacementReason,
-    PlacementRequest, PoolView, SentWork, SpanMember,
+    EndpointBacklog, EndpointReport, EndpointView, PlacementChoice, PlacementPolicy,
+    PlacementReason, PlacementRequest, PoolView, SentWork, SpanMember,
 };
--- a/lovagedock/src/placement/predict.rs
+++ b/lovagedock/src/placement/predict.rs
@@ -7,20 +7,30 @@
 
 use super::types::{EndpointReport, EndpointView};
 
-/// Time until an endpoint has prefilled all that it was last known to have, plus what this gateway
-/// sent since.
-pub fn predict_queue(now: Timestamp, view: &EndpointView) -> Duration {
-    Duration::from_secs_f64(queue_seconds(now, view))
+/// Time that a prompt waits for its prefill to begin, behind what the endpoint was last known to
+/// have and what this gateway sent since.
+pub fn predict_queue(now: Timestamp, view: &EndpointView, class: LengthClass) -> Duration {
+    Duration::from_secs_f64(queue_seconds(now, view, class))
 }
 
 /// First-token time of a prompt on an endpoint, with `cached` tokens of it in the engine's cache.
 pub fn predict_first_token(
     now: Timestamp,
     view: &EndpointView,
+    class: LengthClass,
     prompt: TokenCount,
     cached: TokenCount,
 ) -> Duration {
-    cost_of(view).predict_first_token(predict_queue(now, view), prompt, cached)
+    cost_of(view).predict_first_token(predict_queue(now, view, class), prompt, cached)
+}
+
+/// Whether a prompt counts as long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LengthClass {
+    /// It may overtake long ones where the sidecar and the engine let it.
+    Short,
+    /// It waits behind all that is there.
+    Long,
 }
 
 pub(super) fn cost_of(view: &EndpointView) -> CostParameters {
@@ -30,22 +40,27 @@
     }
 }
 
-pub(super) fn queue_seconds(now: Timestamp, view: &EndpointView) -> f64 {
-    let sent = view.sent_since.prefill.as_secs_f64();
+pub(super) fn queue_seconds(now: Timestamp, view: &EndpointView, class: LengthClass) -> f64 {
     let Some(report) = &view.report else {
-        return sent;
+        return view.sent_since.prefill.as_secs_f64();
     };
     if report.memory_tokens == 0 {
         return view.outstanding() as f64 * PLAIN_CALL_SECONDS;
     }
+    let (backlog, sent) = match (report.backlog, class) {
+        (Some(backlog), LengthClass::Short) => {
+            let sent = view.sent_since.prefill;
+            let short = sent.saturating_sub(view.sent_since.long_prefill);
+            (backlog.short.as_secs_f64(), short)
+        }
+        (Some(backlog), LengthClass::Long) => (backlog.all.as_secs_f64(), view.sent_since.prefill),
+        (None, _) => (estimate_backlog(report), view.sent_since.prefill),
+    };
     let age = view.report_age(now).as_secs_f64();
-    (backlog_seconds(report) - age).max(0.0) + sent
+    (backlog - age).max(0.0) + sent.as_secs_f64()
 }
 
-fn backlog_seconds(report: &EndpointReport) -> f64 {
-    if !report.backlog.is_zero() {
-        return report.backlog.as_secs_f64();
-    }
+fn estimate_backlog(report: &EndpointReport) -> f64 {
     let cost = report.cost.or_assumed();
     let running = group_seconds(&cost, report.prefill_tokens_left, report.running_long);
     running + group_seconds(&cost, report.queued_tokens, report.queued)
--- a/lovagedock/src/placement/span.rs
+++ b/lovagedock/src/placement/span.rs
@@ -26,28 +26,51 @@
     memory == 0 || memory_need(request) <= memory
 }
 
-/// Takes endpoints in the given order until their memory is enough; `None` if it never is.
+/// Takes the fewest endpoints, in the given order, whose memory together is enough, and shares the
+/// request evenly among them, so that each keeps some memory for short requests; `None` if the
+/// memory of all is too little.
 pub(super) fn take_span(
     request: &PlacementRequest<'_>,
     pool: &PoolView<'_>,
     order: impl Iterator<Item = usize>,
 ) -> Option<Vec<SpanMember>> {
-    let mut left = memory_need(request);
-    let mut members = Vec::new();
+    let need = memory_need(request);
+    let mut taken: Vec<(usize, TokenCount)> = Vec::new();
+    let mut memory = 0;
     for index in order {
-        let view = &pool.endpoints[index];
-        let tokens = memory_of(view).min(left);
-        if tokens == 0 {
+        let available = memory_of(&pool.endpoints[index]);
+        if available == 0 {
             continue;
         }
-        members.push(SpanMember {
-            endpoint: view.id.clone(),
-            tokens,
-        });
-        left -= tokens;
-        if left == 0 {
-            return Some(members);
+        taken.push((index, available));
+        memory += available;
+        if memory >= need {
+            return Some(share_evenly(need, &taken, pool));
         }
     }
     None
 }
+
+/// Gives each endpoint an equal part, or all of its memory where that is less.
+fn share_evenly(
+    need: TokenCount,
+    taken: &[(usize, TokenCount)],
+    pool: &PoolView<'_>,
+) -> Vec<SpanMember> {
+    let mut smallest_first: Vec<usize> = (0..taken.len()).collect();
+    smallest_first.sort_by_key(|place| taken[*place].1);
+    let mut parts = vec![0; taken.len()];
+    let mut left = need;
+    for (done, place) in smallest_first.into_iter().enumerate() {
+        let others = (taken.len() - done) as TokenCount;
+        parts[place] = left.div_ceil(others).min(taken[place].1);
+        left -= parts[place];
+    }
+    let members = taken.iter().zip(parts);
+    members
+        .map(|((index, _), tokens)| SpanMember {
+            endpoint: pool.endpoints[*index].id.clone(),
+            tokens,
+        })
+        .collect()
+}
--- a/lovagedock/src/placement/types.rs
+++ b/lovagedock/src/placement/types.rs
@@ -117,6 +117,8 @@
     pub tokens: TokenCount,
     /// Predicted prefill time.
     pub prefill: Duration,
+    /// The part of it that long requests take.
+    pub long_prefill: Duration,
 }
 
 impl SentWork {
@@ -126,6 +128,7 @@
         self.long_requests = self.long_requests.saturating_add(other.long_requests);
         self.tokens = self.tokens.saturating_add(other.tokens);
         self.prefill = self.prefill.saturating_add(other.prefill);
+        self.long_prefill = self.long_prefill.saturating_add(other.long_prefill);
     }
 }
 
@@ -146,15 +149,23 @@
     pub running_long: u32,
     /// Prompt tokens of running requests that are not prefilled yet.
     pub prefill_tokens_left: TokenCount,
-    /// Predicted time until all that waits or runs is prefilled; zero if the sidecar does not say,
-    /// in which case it is estimated from the tokens.
-    pub backlog: Duration,
+    /// Predicted waits, if the sidecar tells them; otherwise they are estimated from the tokens.
+    pub backlog: Option<EndpointBacklog>,
     /// Learned cost of work.
     pub cost: CostParameters,
     /// Hashes of prompt prefixes that the engine lately held; for preference only.
     pub cached_prefixes: Vec<u64>,
 }
 
+/// How long a prompt that arrives now is predicted to wait for its prefill to begin.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EndpointBacklog {
+    /// Behind all that waits or runs, as a long prompt does.
+    pub all: Duration,
+    /// As a short prompt does, which may overtake or interrupt long ones.
+    pub short: Duration,
+}
+
 /// Where a request goes.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PlacementChoice {
--- /dev/null
+++ b/lovagedock/src/subset.rs
@@ -0,0 +1,289 @@
+//! Which gateways keep a session to which endpoints.
+
+use std::{cmp::Reverse, sync::Arc};
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::ids::DomainId;
+
+/// How many gateways each endpoint gets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SubsetSettings {
+    /// Fleets of at most this many endpoints are seen whole by every gateway.
+    pub full_view_endpoints: usize,
+    /// Gateways of each endpoint in its own failure domain.
+    pub own_domain_gateways: usize,
+    /// Gateways of each endpoint in other failure domains, each in another one where possible.
+    pub other_domain_gateways: usize,
+    /// How far the load of a gateway may be above the mean, in percent.
+    pub slack_percent: usize,
+}
+
+impl Default for SubsetSettings {
+    fn default() -> Self {
+        Self {
+            full_view_endpoints: 256,
+            own_domain_gateways: 12,
+            other_domain_gateways: 4,
+            slack_percent: 10,
+        }
+    }
+}
+
+/// A gateway or an endpoint, and where it is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SubsetMember {
+    /// Unique name.
+    pub id: Arc<str>,
+    /// Failure domain.
+    pub domain: DomainId,
+    /// Region of the failure domain.
+    pub region: Arc<str>,
+}
+
+/// Plans the subsets of a fleet.
+///
+/// Every process that knows the same members works out the same plan. Each endpoint ranks the
+/// gateways by rendezvous hashing and takes the best ones that are not full; the bound on a
+/// gateway's load keeps subsets equal, and the hashing keeps most of a plan when members change.
+#[derive(Clone, Debug, Default)]
+pub struct SubsetPlanner {
+    settings: SubsetSettings,
+}
+
+/// The gateways of each endpoint and the endpoints of each gateway, by their positions in the
+/// lists that were planned for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SubsetPlan {
+    gateways_of: Vec<Vec<usize>>,
+    endpoints_of: Vec<Vec<usize>>,
+}
+
+impl SubsetPlan {
+    /// Gateways of the endpoint at a position.
+    pub fn gateways_of(&self, endpoint: usize) -> &[usize] {
+        &self.gateways_of[endpoint]
+    }
+
+    /// Endpoints of the gateway at a position, in ascending order.
+    pub fn endpoints_of(&self, gateway: usize) -> &[usize] {
+        &self.endpoints_of[gateway]
+    }
+}
+
+impl SubsetPlanner {
+    /// A planner with the given settings.
+    pub fn new(settings: SubsetSettings) -> Self {
+        Self { settings }
+    }
+
+    /// Plans for all gateways and endpoints.
+    pub fn plan(&self, gateways: &[SubsetMember], endpoints: &[SubsetMember]) -> SubsetPlan {
+        let gateways_of = if endpoints.len() <= self.settings.full_view_endpoints {
+            vec![(0..gateways.len()).collect(); endpoints.len()]
+        } else {
+            self.assign(gateways, endpoints)
+        };
+        let mut endpoints_of = vec![Vec::new(); gateways.len()];
+        for (endpoint, chosen) in gateways_of.iter().enumerate() {
+            for gateway in chosen {
+                endpoints_of[*gateway].push(endpoint);
+            }
+        }
+        SubsetPlan {
+            gateways_of,
+            endpoints_of,
+        }
+    }
+
+    fn assign(&self, gateways: &[SubsetMember], endpoints: &[SubsetMember]) -> Vec<Vec<usize>> {
+        let domains = group_domains(gateways);
+        let mut own_loads = self.own_loads(&domains, gateways.len(), endpoints);
+        let mut other_loads = self.other_loads(&domains, gateways.len(), endpoints);
+        let mut plan = vec![Vec::new(); endpoints.len()];
+        for endpoint in order_by_hash(endpoints) {
+            let member = &endpoints[endpoint];
+            let hash = xxh3_64(member.id.as_bytes());
+            let chosen = &mut plan[endpoint];
+            if let Some(own) = domains.iter().find(|domain| domain.id == member.domain) {
+                own.take(
+                    hash,
+                    self.settings.own_domain_gateways,
+                    &mut own_loads,
+                    chosen,
+                );
+            }
+            let missing = self.total_gateways().saturating_sub(chosen.len());
+            take_elsewhere(&domains, member, hash, missing, &mut other_loads, chosen);
+        }
+        plan
+    }
+
+    fn total_gateways(&self) -> usize {
+        self.settings.own_domain_gateways + self.settings.other_domain_gateways
+    }
+
+    fn own_loads(
+        &self,
+        domains: &[GatewayDomain],
+        gateways: usize,
+        endpoints: &[SubsetMember],
+    ) -> LoadTable {
+        let mut table = LoadTable::new(gateways);
+        for domain in domains {
+            let count = endpoints.iter().filter(|e| e.domain == domain.id).count();
+            let picks = count * self.settings.own_domain_gateways.min(domain.members.len());
+            let limit = self.load_limit(picks, domain.members.len());
+            for (gateway, _) in &domain.members {
+                table.limits[*gateway] = limit;
+            }
+        }
+        table
+    }
+
+    fn other_loads(
+        &self,
+        domains: &[GatewayDomain],
+        gateways: usize,
+        endpoints: &[SubsetMember],
+    ) -> LoadTable {
+        let picks = endpoints
+            .iter()
+            .map(|endpoint| {
+                let own = domains.iter().find(|domain| domain.id == endpoint.domain);
+                let local = own.map_or(0, |own| own.members.len());
+                let wanted = self.total_gateways();
+                wanted - local.min(self.settings.own_domain_gateways)
+            })
+            .sum();
+        let mut table = LoadTable::new(gateways);
+        table.limits.fill(self.load_limit(picks, gateways));
+        table
+    }
+
+    fn load_limit(&self, picks: usize, gateways: usize) -> usize {
+        let slack = 100 + self.settings.slack_percent;
+        (picks * slack).div_ceil(100 * gateways.max(1)).max(1)
+    }
+}
+
+/// The gateways of one failure domain, each with the hash of its name.
+struct GatewayDomain {
+    id: DomainId,
+    region: Arc<str>,
+    hash: u64,
+    members: Vec<(usize, u64)>,
+}
+
+impl GatewayDomain {
+    /// Takes the `count` best gateways for an endpoint, those that are not full first.
+    fn take(&self, endpoint: u64, count: usize, loads: &mut LoadTable, chosen: &mut Vec<usize>) {
+        let mut ranked: Vec<_> = self
+            .members
+            .iter()
+            .filter(|(gateway, _)| !chosen.contains(gateway))
+            .map(|(gateway, hash)| {
+                (
+                    loads.full(*gateway),
+                    Reverse(mix(*hash, endpoint)),
+                    *gateway,
+                )
+            })
+            .collect();
+        let count = count.min(ranked.len());
+        if count == 0 {
+            return;
+        }
+        ranked.select_nth_unstable(count - 1);
+        for (_, _, gateway) in &ranked[..count] {
+            loads.counts[*gateway] += 1;
+            chosen.push(*gateway);
+        }
+    }
+}
+
+struct LoadTable {
+    counts: Vec<usize>,
+    limits: Vec<usize>,
+}
+
+impl LoadTable {
+    fn new(gateways: usize) -> Self {
+        Self {
+            counts: vec![0; gateways],
+            limits: vec![0; gateways],
+        }
+    }
+
+    fn full(&self, gateway: usize) -> bool {
+        self.counts[gateway] >= self.limits[gateway]
+    }
+}
+
+fn group_domains(gateways: &[SubsetMember]) -> Vec<GatewayDomain> {
+    let mut domains: Vec<GatewayDomain> = Vec::new();
+    for (index, gateway) in gateways.iter().enumerate() {
+        let hash = xxh3_64(gateway.id.as_bytes());
+        let known = domains
+            .iter_mut()
+            .find(|domain| domain.id == gateway.domain);
+        match known {
+            Some(domain) => domain.members.push((index, hash)),
+            None => domains.push(GatewayDomain {
+                id: gateway.domain.clone(),
+                region: gateway.region.clone(),
+                hash: xxh3_64(gateway.domain.as_bytes()),
+                members: vec![(index, hash)],
+            }),
+        }
+    }
+    domains
+}
+
+/// Takes one gateway from each other domain in turn, those of the same region first, until
+/// `missing` are found or there are no more.
+fn take_elsewhere(
+    domains: &[GatewayDomain],
+    endpoint: &SubsetMember,
+    hash: u64,
+    missing: usize,
+    loads: &mut LoadTable,
+    chosen: &mut Vec<usize>,
+) {
+    let mut order: Vec<&GatewayDomain> = domains
+        .iter()
+        .filter(|domain| domain.id != endpoint.domain)
+        .collect();
+    order.sort_by_key(|domain| {
+        let full = domain.members.iter().all(|(index, _)| loads.full(*index));
+        (
+            full,
+            domain.region != endpoint.region,
+            mix(domain.hash, hash),
+        )
+    });
+    let wanted = chosen.len() + missing;
+    let mut before = usize::MAX;
+    while chosen.len() < wanted && chosen.len() != before {
+        before = chosen.len();
+        for domain in &order {
+            if chosen.len() < wanted {
+                domain.take(hash, 1, loads, chosen);
+            }
+        }
+    }
+}
+
+/// An order that does not change when other endpoints come or go.
+fn order_by_hash(endpoints: &[SubsetMember]) -> Vec<usize> {
+    let mut order: Vec<usize> = (0..endpoints.len()).collect();
+    order.sort_by_cached_key(|index| {
+        let id = &endpoints[*index].id;
+        (xxh3_64(id.as_bytes()), id.clone())
+    });
+    order
+}
+
+fn mix(hash: u64, endpoint: u64) -> u64 {
+    xxh3_64_with_seed(&hash.to_le_bytes(), endpoint)
+}
