Tell what an endpoint can do, and keep a former request's step from its successor

A request that was cancelled and sent again under its id during a step could be told of tokens that its former self got. Steps now name the request by the number it was taken in under. Headers that a caller's Connection header limits to its own connection stay behind, Expect too. The stand-in can put several tokens into one event, so that a load run is not bound by framing.

--- a/lovagedock-sidecar/src/adapter/message.rs
+++ b/lovagedock-sidecar/src/adapter/message.rs
@@ -6,6 +6,19 @@
 
 use lovagedock::prelude::{Epoch, RequestId, TokenCount};
 
+/// What an endpoint can do besides answering requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AdapterCapabilities {
+    /// It accounts for memory, and cancels by request id.
+    pub holds_memory: bool,
+    /// It prefills parts of prompts and decodes with parts that others hold.
+    pub takes_segments: bool,
+    /// It exports and imports the state of requests.
+    pub moves_requests: bool,
+    /// It takes orders.
+    pub takes_orders: bool,
+}
+
 /// One header of a request or an answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EngineHeader {
--- a/lovagedock-sidecar/src/adapter/mod.rs
+++ b/lovagedock-sidecar/src/adapter/mod.rs
@@ -18,9 +18,9 @@
 
 pub use error::EngineError;
 pub use message::{
-    CacheChange, CacheEvent, CacheReport, CacheSnapshot, EngineEnd, EngineEvent, EngineHead,
-    EngineHeader, EngineHolding, EngineLoad, EngineOrder, EngineRequest, OrderKind, SegmentHolder,
-    SegmentRequest,
+    AdapterCapabilities, CacheChange, CacheEvent, CacheReport, CacheSnapshot, EngineEnd,
+    EngineEvent, EngineHead, EngineHeader, EngineHolding, EngineLoad, EngineOrder, EngineRequest,
+    OrderKind, SegmentHolder, SegmentRequest,
 };
 pub use port::{EngineAdapter, EngineStream};
 pub use registry::{AdapterOptions, AdapterPlugin, BuildError, adapter_names, build_adapter};
--- a/lovagedock-sidecar/src/adapter/model.rs
+++ b/lovagedock-sidecar/src/adapter/model.rs
@@ -14,9 +14,9 @@
     dialect::VendorDialect,
     error::EngineError,
     message::{
-        CacheChange, CacheEvent, CacheReport, CacheSnapshot, EngineEnd, EngineEvent, EngineHead,
-        EngineHeader, EngineHolding, EngineLoad, EngineOrder, EngineRequest, OrderKind,
-        SegmentHolder, SegmentRequest,
+        AdapterCapabilities, CacheChange, CacheEvent, CacheReport, CacheSnapshot, EngineEnd,
+        EngineEvent, EngineHead, EngineHeader, EngineHolding, EngineLoad, EngineOrder,
+        EngineRequest, OrderKind, SegmentHolder, SegmentRequest,
     },
     port::{EngineAdapter, EngineStream},
     registry::AdapterOptions,
@@ -41,6 +41,15 @@
 
 #[async_trait]
 impl<D: VendorDialect> EngineAdapter for ModelAdapter<D> {
+    fn capabilities(&self) -> AdapterCapabilities {
+        AdapterCapabilities {
+            holds_memory: true,
+            takes_segments: true,
+            moves_requests: true,
+            takes_orders: true,
+        }
+    }
+
     async fn start(&self, request: EngineRequest) -> Result<EngineStream, EngineError> {
         let started = Instant::now();
         let body = EngineBody::new(&request)?;
--- a/lovagedock-sidecar/src/adapter/plain.rs
+++ b/lovagedock-sidecar/src/adapter/plain.rs
@@ -9,7 +9,7 @@
 use hyper::{
     Request,
     header::{
-        CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TE, TRAILER,
+        CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue, TE, TRAILER,
         TRANSFER_ENCODING, UPGRADE,
     },
 };
@@ -22,8 +22,9 @@
     client::{EngineClient, EngineResponse, bad_request},
     error::EngineError,
     message::{
-        CacheReport, CacheSnapshot, EngineEnd, EngineEvent, EngineHead, EngineHeader,
-        EngineHolding, EngineLoad, EngineOrder, EngineRequest, SegmentHolder, SegmentRequest,
+        AdapterCapabilities, CacheReport, CacheSnapshot, EngineEnd, EngineEvent, EngineHead,
+        EngineHeader, EngineHolding, EngineLoad, EngineOrder, EngineRequest, SegmentHolder,
+        SegmentRequest,
     },
     port::{EngineAdapter, EngineStream},
     registry::{AdapterOptions, AdapterPlugin},
@@ -40,9 +41,10 @@
 const KEEP_ALIVE_HEADER: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Headers that belong to one connection and are never passed on.
-const HOP_HEADERS: [HeaderName; 8] = [
+const HOP_HEADERS: [HeaderName; 9] = [
     CONNECTION,
     CONTENT_LENGTH,
+    EXPECT,
     HOST,
     KEEP_ALIVE_HEADER,
     TE,
@@ -74,6 +76,10 @@
 
 #[async_trait]
 impl EngineAdapter for PlainAdapter {
+    fn capabilities(&self) -> AdapterCapabilities {
+        AdapterCapabilities::default()
+    }
+
     async fn start(&self, request: EngineRequest) -> Result<EngineStream, EngineError> {
         let started = Instant::now();
         let answer = self.client.send(http_request(request)?).await?;
@@ -174,9 +180,10 @@
     let mut builder = Request::builder()
         .method(request.method.as_str())
         .uri(request.path.as_str());
+    let named = connection_names(&request.headers);
     for header in &request.headers {
         let name = HeaderName::from_bytes(header.name.as_bytes()).map_err(bad_request)?;
-        if HOP_HEADERS.contains(&name) || name == REQUEST_ID_HEADER {
+        if HOP_HEADERS.contains(&name) || name == REQUEST_ID_HEADER || named.contains(&name) {
             continue;
         }
         let value = HeaderValue::from_bytes(&header.value).map_err(bad_request)?;
@@ -188,6 +195,16 @@
         .map_err(bad_request)
 }
 
+/// Headers that the caller's `Connection` header limits to its own connection.
+fn connection_names(headers: &[EngineHeader]) -> Vec<HeaderName> {
+    headers
+        .iter()
+        .filter(|header| header.name.eq_ignore_ascii_case(CONNECTION.as_str()))
+        .flat_map(|header| header.value.split(|byte| *byte == b','))
+        .filter_map(|name| HeaderName::from_bytes(name.trim_ascii()).ok())
+        .collect()
+}
+
 fn passed_headers(headers: &HeaderMap) -> Vec<EngineHeader> {
     headers
         .iter()
--- a/lovagedock-sidecar/src/adapter/port.rs
+++ b/lovagedock-sidecar/src/adapter/port.rs
@@ -11,8 +11,8 @@
 use super::{
     error::EngineError,
     message::{
-        CacheReport, CacheSnapshot, EngineEvent, EngineHolding, EngineLoad, EngineOrder,
-        EngineRequest, SegmentHolder, SegmentRequest,
+        AdapterCapabilities, CacheReport, CacheSnapshot, EngineEvent, EngineHolding, EngineLoad,
+        EngineOrder, EngineRequest, SegmentHolder, SegmentRequest,
     },
 };
 
@@ -27,6 +27,9 @@
 /// bounds that, and a silent engine shows in the next [`EngineAdapter::load`].
 #[async_trait]
 pub trait EngineAdapter: Send + Sync {
+    /// What the endpoint can do; the calls that it cannot answer are `Refused` with status 501.
+    fn capabilities(&self) -> AdapterCapabilities;
+
     /// Starts a request, or goes on with one from its `resume_offset`.
     ///
     /// `Refused` with status 409 says that a request with this id is there already: nothing new
--- a/lovagedock-standin/src/bin/standin-engine.rs
+++ b/lovagedock-standin/src/bin/standin-engine.rs
@@ -22,6 +22,12 @@
     /// KV memory in tokens.
     #[arg(long, default_value_t = 400_000)]
     memory_tokens: u64,
+    /// Answer tokens in one event of a stream.
+    #[arg(long, default_value_t = 1)]
+    stream_interval: u64,
+    /// End a request when its caller goes away.
+    #[arg(long)]
+    cancel_on_disconnect: bool,
     /// How it reports its load.
     #[arg(long, value_enum, default_value = "json-report")]
     report: ReportArg,
@@ -42,6 +48,8 @@
     let options = EngineOptions {
         model: args.model,
         time_scale: args.time_scale,
+        stream_interval: args.stream_interval,
+        cancels_on_disconnect: args.cancel_on_disconnect,
         memory_tokens: args.memory_tokens,
         report_style: match args.report {
             ReportArg::JsonReport => ReportStyle::JsonReport,
--- a/lovagedock-standin/src/engine/batch.rs
+++ b/lovagedock-standin/src/engine/batch.rs
@@ -12,6 +12,9 @@
     sequence::{Phase, Sequence, needed_blocks},
 };
 
+/// Counts the requests that an engine took in, over all its lives.
+pub type SequenceNumber = u64;
+
 /// What a sequence is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SequenceKind {
@@ -66,6 +69,8 @@
 /// What a step did for one sequence.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StepOutput {
+    /// Number that the request got.
+    pub number: SequenceNumber,
     /// Id that the request came with.
     pub request_id: Arc<str>,
     /// Answer tokens generated so far, resumed ones included.
@@ -90,7 +95,7 @@
 pub struct BatchEngine {
     options: EngineOptions,
     now: Duration,
-    arrivals: u64,
+    arrivals: SequenceNumber,
     sequences: Vec<Sequence>,
     memory: KvMemory,
     journal: EngineJournal,
@@ -124,8 +129,8 @@
         self.now = self.now.max(now);
     }
 
-    /// Takes a request in; it enters the batch with a later step.
-    pub fn submit(&mut self, request: SequenceRequest) -> Result<(), SubmitError> {
+    /// Takes a request in and numbers it; it enters the batch with a later step.
+    pub fn submit(&mut self, request: SequenceRequest) -> Result<SequenceNumber, SubmitError> {
         let blocks = needed_blocks(&request);
         if blocks > self.memory.total() {
             return Err(SubmitError::TooLarge);
@@ -145,7 +150,7 @@
             is_parked: request.imported,
             request,
         });
-        Ok(())
+        Ok(self.arrivals)
     }
 
     /// Ends a request and frees its blocks; `false` if it is not there.
@@ -312,6 +317,7 @@
             }
             let finished = sequence.is_finished();
             outputs.push(StepOutput {
+                number: sequence.arrival,
                 request_id: sequence.request.request_id.clone(),
                 produced: sequence.produced,
                 cached_tokens: sequence.cached_tokens,
--- a/lovagedock-standin/src/engine/completion.rs
+++ b/lovagedock-standin/src/engine/completion.rs
@@ -167,7 +167,7 @@
                     finished,
                 }) => {
                     self.cached_tokens = self.cached_tokens.max(cached_tokens);
-                    if produced <= self.sent && !finished {
+                    if !finished && !self.is_event_due(produced) {
                         continue;
                     }
                     return Some(Ok(self.event(produced, finished)));
@@ -176,6 +176,14 @@
         }
     }
 
+    fn is_event_due(&self, produced: TokenCount) -> bool {
+        let interval = match self.sent == self.start {
+            true => 1,
+            false => self.state.options.stream_interval.max(1),
+        };
+        produced >= self.sent + interval
+    }
+
     fn event(&mut self, produced: TokenCount, finished: bool) -> String {
         let source = self.visible_source();
         let mut text = source.event(self.sent, produced, self.cached_tokens);
--- a/lovagedock-standin/src/engine/mod.rs
+++ b/lovagedock-standin/src/engine/mod.rs
@@ -26,8 +26,8 @@
     prompt_tokens,
 };
 pub use batch::{
-    BatchEngine, BlockHolding, PauseError, SequenceKind, SequenceRequest, StepOutput, SubmitError,
-    prefill_time,
+    BatchEngine, BlockHolding, PauseError, SequenceKind, SequenceNumber, SequenceRequest,
+    StepOutput, SubmitError, prefill_time,
 };
 pub use fault::EngineFault;
 pub use journal::{EngineJournal, JournalEntry, JournalEvent, OrderEntry};
--- a/lovagedock-standin/src/engine/options.rs
+++ b/lovagedock-standin/src/engine/options.rs
@@ -34,6 +34,8 @@
     pub attention_span: TokenCount,
     /// Prompt tokens that one step prefills at most.
     pub step_tokens: TokenCount,
+    /// Answer tokens in one event of a stream; the first token is always an event of its own.
+    pub stream_interval: TokenCount,
     /// Sequences in a batch at most.
     pub max_running: usize,
     /// KV memory in tokens.
@@ -66,6 +68,7 @@
             prefill_cost: Duration::from_micros(40),
             attention_span: 200_000,
             step_tokens: 2_048,
+            stream_interval: 1,
             max_running: 64,
             memory_tokens: 400_000,
             transfer_cost: Duration::from_micros(10),
--- a/lovagedock-standin/src/engine/routes.rs
+++ b/lovagedock-standin/src/engine/routes.rs
@@ -67,6 +67,7 @@
         (&Method::GET, "/cache/snapshot") => Ok(cache_feed::snapshot(&state)),
         (&Method::GET, "/v1/requests") => Ok(account(&state)),
         (&Method::GET, "/journal") => Ok(json_answer(&state.journal.entries())),
+        (&Method::GET, "/journal/orders") => Ok(json_answer(&state.journal.orders())),
         (&Method::GET, "/load") if state.options.report_style == ReportStyle::JsonReport => {
             Ok(json_answer(&state.core.lock().reported_load()))
         }
--- a/lovagedock-standin/src/engine/sequence.rs
+++ b/lovagedock-standin/src/engine/sequence.rs
@@ -3,7 +3,7 @@
 use lovagedock::prelude::{BlockCount, TokenCount};
 
 use super::{
-    batch::{SequenceKind, SequenceRequest},
+    batch::{SequenceKind, SequenceNumber, SequenceRequest},
     journal::JournalEvent,
     memory::KvMemory,
 };
@@ -19,7 +19,7 @@
 #[derive(Debug)]
 pub(super) struct Sequence {
     pub(super) request: SequenceRequest,
-    pub(super) arrival: u64,
+    pub(super) arrival: SequenceNumber,
     pub(super) blocks: BlockCount,
     pub(super) phase: Phase,
     pub(super) prefilled: TokenCount,
--- a/lovagedock-standin/src/engine/serve.rs
+++ b/lovagedock-standin/src/engine/serve.rs
@@ -1,6 +1,6 @@
 //! Accepts connections, and breaks them when the engine dies.
 
-use std::{convert::Infallible, io, net::SocketAddr, sync::Arc};
+use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::rt::TokioIo;
@@ -9,14 +9,19 @@
 use super::{routes, state::EngineState};
 
 const BACKLOG: u32 = 1_024;
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 pub(crate) async fn serve(state: Arc<EngineState>, mut listener: TcpListener) -> io::Result<()> {
     let address = listener.local_addr()?;
     loop {
         tokio::select! {
             accepted = listener.accept() => {
-                if let Ok((stream, _)) = accepted {
-                    tokio::spawn(serve_connection(state.clone(), stream));
+                match accepted {
+                    Ok((stream, _)) => {
+                        tokio::spawn(serve_connection(state.clone(), stream));
+                    }
+                    // Out of descriptors: trying again at once would only spin.
+                    Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
                 }
             }
             () = state.died() => {
--- a/lovagedock-standin/src/engine/state.rs
+++ b/lovagedock-standin/src/engine/state.rs
@@ -11,7 +11,7 @@
 use lovagedock::prelude::{Epoch, TokenCount};
 
 use super::{
-    batch::{BatchEngine, PauseError, SequenceRequest, StepOutput, SubmitError},
+    batch::{BatchEngine, PauseError, SequenceNumber, SequenceRequest, StepOutput, SubmitError},
     cache_feed::CacheFeed,
     fault::EngineFault,
     journal::EngineJournal,
@@ -58,6 +58,7 @@
 
 #[derive(Debug)]
 struct AnswerEntry {
+    number: SequenceNumber,
     source: AnswerSource,
     /// Absent until a caller attaches to an imported request.
     sender: Option<mpsc::UnboundedSender<Progress>>,
@@ -94,9 +95,10 @@
         request: SequenceRequest,
         source: AnswerSource,
     ) -> Result<ProgressReceiver, SubmitError> {
-        self.batch.submit(request)?;
+        let number = self.batch.submit(request)?;
         let (sender, receiver) = mpsc::unbounded_channel();
         let entry = AnswerEntry {
+            number,
             source,
             sender: Some(sender),
         };
@@ -110,10 +112,12 @@
         request: SequenceRequest,
         source: AnswerSource,
     ) -> Result<(), SubmitError> {
-        self.batch.submit(request)?;
-        let id = source.request_id.clone();
-        let sender = None;
-        self.answers.insert(id, AnswerEntry { source, sender });
+        let entry = AnswerEntry {
+            number: self.batch.submit(request)?,
+            source,
+            sender: None,
+        };
+        self.answers.insert(entry.source.request_id.clone(), entry);
         Ok(())
     }
 
@@ -230,6 +234,10 @@
         let Some(entry) = self.answers.get(&output.request_id) else {
             return;
         };
+        // A request that was cancelled and sent again during the step has nothing of it.
+        if entry.number != output.number {
+            return;
+        }
         let progress = Progress::Produced {
             produced: output.produced,
             cached_tokens: output.cached_tokens,
--- a/lovagedock-standin/src/service/routes.rs
+++ b/lovagedock-standin/src/service/routes.rs
@@ -3,6 +3,7 @@
 use std::{
     convert::Infallible,
     sync::{Arc, atomic::Ordering},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -20,6 +21,7 @@
 
 use super::running::{ServiceEntry, ServiceRun, ServiceState};
 
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 const REQUEST_ID_HEADER: &str = "x-request-id";
 const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
 
@@ -35,8 +37,12 @@
     loop {
         tokio::select! {
             accepted = listener.accept() => {
-                if let Ok((stream, _)) = accepted {
-                    tokio::spawn(serve_connection(state.clone(), stream));
+                match accepted {
+                    Ok((stream, _)) => {
+                        tokio::spawn(serve_connection(state.clone(), stream));
+                    }
+                    // Out of descriptors: trying again at once would only spin.
+                    Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
                 }
             }
             () = state.died() => return,
--- a/lovagedock-standin/tests/adapter_faults.rs
+++ b/lovagedock-standin/tests/adapter_faults.rs
@@ -9,8 +9,8 @@
 
 use lovagedock::prelude::{RanState, format_request_id};
 use lovagedock_sidecar::adapter::{
-    AdapterOptions, EngineAdapter, EngineError, EngineRequest, SegmentHolder, SegmentRequest,
-    build_adapter,
+    AdapterCapabilities, AdapterOptions, EngineAdapter, EngineError, EngineHeader, EngineOrder,
+    EngineRequest, OrderKind, SegmentHolder, SegmentRequest, build_adapter,
 };
 use lovagedock_standin::{
     engine::{EngineFault, EngineOptions, JournalEvent, expected_answer},
@@ -401,15 +401,72 @@
     assert_eq!(bench.service.journal.runs().len(), 1);
 }
 
+/// Headers of the caller's own connection must not reach the service, where they would end its
+/// connection or change its framing; nor may a caller choose the request id that is journaled.
 #[tokio::test]
-async fn a_plain_service_takes_no_engine_calls() {
+async fn headers_of_the_callers_connection_stay_behind() {
+    let headers = [
+        ("content-type", "application/json"),
+        ("connection", "close, x-hop"),
+        ("x-hop", "1"),
+        ("transfer-encoding", "chunked"),
+        ("content-length", "99"),
+        ("host", "example.org"),
+        ("x-request-id", "mine"),
+        ("x-outlet", "kochi"),
+    ];
+    let address = support::echo_head(receipt().body.len()).await;
+    let adapter = build_adapter("plain", &AdapterOptions::new(address)).unwrap();
+    let request = EngineRequest {
+        headers: headers
+            .map(|(name, value)| EngineHeader {
+                name: name.to_owned(),
+                value: Bytes::from_static(value.as_bytes()),
+            })
+            .to_vec(),
+        ..receipt()
+    };
+    let head = answer(&*adapter, request).await.unwrap().body;
+    let mut lines: Vec<_> = head.lines().filter(|line| !line.is_empty()).collect();
+    lines.sort_unstable();
+    let host = format!("host: {address}");
+    let id = format!("x-request-id: {}", format_request_id(ID));
+    let expected = [
+        "PUT /receipts/7?outlet=kochi HTTP/1.1",
+        "content-length: 17",
+        "content-type: application/json",
+        &host,
+        "x-outlet: kochi",
+        &id,
+    ];
+    assert_eq!(lines, expected);
+}
+
+#[tokio::test]
+async fn what_an_endpoint_cannot_do_is_refused() {
     let bench = service_bench(Duration::ZERO).await;
+    assert_eq!(bench.adapter.capabilities(), AdapterCapabilities::default());
+    let segment = SegmentRequest {
+        request_id: ID,
+        priority: 0,
+        start: 0,
+        tokens: 1,
+        prompt_part: "part".to_owned(),
+    };
+    let order = EngineOrder {
+        fence: 1,
+        kind: OrderKind::SetRole {
+            role: "long".to_owned(),
+        },
+    };
     let errors = [
         bench.adapter.export(ID).await.err(),
         bench.adapter.import(Bytes::new()).await.err(),
+        bench.adapter.segment(segment).await.err(),
+        bench.adapter.order(order).await.err(),
     ];
     for error in errors {
-        let refused = matches!(error, Some(EngineError::Refused { status: 501, .. }));
-        assert!(refused);
+        let is_refused = matches!(error, Some(EngineError::Refused { status: 501, .. }));
+        assert!(is_refused, "{error:?}");
     }
 }
--- a/lovagedock-standin/tests/engine_batch.rs
+++ b/lovagedock-standin/tests/engine_batch.rs
@@ -75,6 +75,7 @@
     batch.submit(request("a", 0, 2_048, 3)).unwrap();
     let outputs = batch.step(1.0).unwrap();
     let expected = StepOutput {
+        number: 1,
         request_id: "a".into(),
         produced: 1,
         cached_tokens: 0,
@@ -236,6 +237,8 @@
 enum ScheduleStep {
     Submit {
         id: u8,
+        /// Requests of one family share their prefix.
+        family: u64,
         priority: i32,
         prompt: u64,
         answer: u64,
@@ -246,21 +249,26 @@
     Pause {
         id: u8,
     },
+    Unpause {
+        id: u8,
+    },
     Step,
 }
 
 fn schedule_step() -> impl Strategy<Value = ScheduleStep> {
     prop_oneof![
-        (0..6u8, 0..3i32, 1..9_000u64, 1..20u64).prop_map(|(id, priority, prompt, answer)| {
-            ScheduleStep::Submit {
+        (0..6u8, 0..3u64, 0..3i32, 1..9_000u64, 1..20u64).prop_map(
+            |(id, family, priority, prompt, answer)| ScheduleStep::Submit {
                 id,
+                family,
                 priority,
                 prompt,
                 answer,
             }
-        }),
+        ),
         (0..6u8).prop_map(|id| ScheduleStep::Cancel { id }),
         (0..6u8).prop_map(|id| ScheduleStep::Pause { id }),
+        (0..6u8).prop_map(|id| ScheduleStep::Unpause { id }),
         Just(ScheduleStep::Step),
         Just(ScheduleStep::Step),
     ]
@@ -281,8 +289,12 @@
         let mut batch = bench().batch;
         for step in steps {
             match step {
-                ScheduleStep::Submit { id, priority, prompt, answer } => {
-                    let _ = batch.submit(request(&id.to_string(), priority, prompt, answer));
+                ScheduleStep::Submit { id, family, priority, prompt, answer } => {
+                    let pieces = prompt / PREFIX_PIECE_TOKENS;
+                    let _ = batch.submit(SequenceRequest {
+                        prefix_hashes: (0..pieces).map(|piece| family * 100 + piece).collect(),
+                        ..request(&id.to_string(), priority, prompt, answer)
+                    });
                 }
                 ScheduleStep::Cancel { id } => {
                     batch.cancel(&id.to_string());
@@ -290,6 +302,7 @@
                 ScheduleStep::Pause { id } => {
                     let _ = batch.pause(&id.to_string());
                 }
+                ScheduleStep::Unpause { id } => batch.unpause(&id.to_string()),
                 ScheduleStep::Step => {
                     batch.step(1.0);
                 }
--- a/lovagedock-standin/tests/engine_contract.rs
+++ b/lovagedock-standin/tests/engine_contract.rs
@@ -59,6 +59,26 @@
     }
 }
 
+/// With an interval the first token still comes alone and the text is the same.
+#[tokio::test]
+async fn events_can_carry_several_tokens() {
+    for vendor in &VENDORS {
+        let options = EngineOptions {
+            stream_interval: 5,
+            ..EngineOptions::default()
+        };
+        let bench = bench_with(vendor, options).await;
+        let request = request(PROMPT, ANSWER_TOKENS, true);
+        let answer = answer(&*bench.adapter, request).await.unwrap();
+        assert_eq!(
+            streamed_text(&answer.body),
+            expected_answer(PROMPT, ANSWER_TOKENS)
+        );
+        // One token, two times five, the last one, and the end mark.
+        assert_eq!(answer.body.matches("data: ").count(), 5);
+    }
+}
+
 #[tokio::test]
 async fn a_whole_answer_is_whole() {
     for vendor in &VENDORS {
@@ -448,6 +468,31 @@
     }
 }
 
+/// A request is cancelled and sent again under its id while a step is under way: what the step
+/// did for the former one is not told to the new one, which runs from its start.
+#[tokio::test]
+async fn a_request_that_is_sent_again_starts_anew() {
+    for vendor in &VENDORS {
+        let bench = bench(vendor).await;
+        bench.engine.handle.set_fault(SLOW);
+        let mut first = bench.adapter.start(endless_request()).await.unwrap();
+        first_bytes(&mut first).await;
+        bench.adapter.cancel(ID).await.unwrap();
+        let again = request(PROMPT, 2_000, true);
+        let mut again = bench.adapter.start(again).await.unwrap();
+        bench.engine.handle.set_fault(EngineFault::None);
+        let text = streamed_text(&first_bytes(&mut again).await);
+        assert_eq!(text, expected_answer(PROMPT, 1), "{}", vendor.adapter);
+        let rest = read_answer(again).await.unwrap();
+        assert_eq!(
+            text + &streamed_text(&rest.body),
+            expected_answer(PROMPT, 2_000)
+        );
+        let id = format_request_id(ID);
+        assert_eq!(bench.engine.journal.count(&id, JournalEvent::Started), 2);
+    }
+}
+
 #[tokio::test]
 async fn only_a_decoding_request_can_be_exported() {
     for vendor in &VENDORS {
--- a/lovagedock-standin/tests/support/mod.rs
+++ b/lovagedock-standin/tests/support/mod.rs
@@ -1,11 +1,15 @@
 //! What the contract suites of the adapters share.
 #![allow(dead_code, reason = "each suite uses its own part")]
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use futures::StreamExt;
 use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
 
 use lovagedock::prelude::RequestId;
 use lovagedock_sidecar::adapter::{
@@ -14,6 +18,8 @@
 };
 use lovagedock_standin::engine::{EngineOptions, EngineStandin, ReportStyle, RunningEngine};
 
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
 pub(crate) const MODEL: &str = "register-reader";
 pub(crate) const PROMPT: &str = "The brig Salamander, lost off Aqaba in the winter gales.";
 pub(crate) const ID: RequestId = 0x5a;
@@ -143,3 +149,25 @@
         tokio::time::sleep(Duration::from_millis(1)).await;
     }
 }
+
+/// A server that answers one request, whose body has `body_bytes`, with that request's head.
+pub(crate) async fn echo_head(body_bytes: usize) -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut request = Vec::new();
+        let mut head_bytes = None;
+        while head_bytes.is_none_or(|head| request.len() < head + HEAD_END.len() + body_bytes) {
+            stream.read_buf(&mut request).await.unwrap();
+            head_bytes = request
+                .windows(HEAD_END.len())
+                .position(|bytes| bytes == HEAD_END);
+        }
+        let head = String::from_utf8_lossy(&request[..head_bytes.unwrap()]).into_owned();
+        let answer = format!("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n{head}");
+        stream.write_all(answer.as_bytes()).await.unwrap();
+        stream.shutdown().await.unwrap();
+    });
+    address
+}
