Sample the stand-in's load from its start; let the test of waiting see keep-alives

The test of the reported load failed once in four runs of its file: the first sample was taken at the first idle tick, which on a busy machine came after the first request. An engine now has a sample from its start. The test of waiting did not read its stream while it waited, so it passed with the keep-alives switched off; it reads now, and fails without them.

--- a/lovagedock-standin/src/engine/state.rs
+++ b/lovagedock-standin/src/engine/state.rs
@@ -75,7 +75,7 @@
 
 impl EngineCore {
     fn new(options: EngineOptions, journal: EngineJournal) -> Self {
-        Self {
+        let mut core = Self {
             batch: BatchEngine::new(options.clone(), journal),
             role: INITIAL_ROLE.to_owned(),
             model: options.model.clone(),
@@ -86,7 +86,10 @@
             loads: LoadHistory::default(),
             options,
             kept_alive: Duration::ZERO,
-        }
+        };
+        // An engine reports from its start on, so the first sample is never one of later load.
+        core.sample_load();
+        core
     }
 
     /// Takes a request in and gives the channel on which its progress is told.
@@ -217,6 +220,7 @@
         self.model = self.options.model.clone();
         self.fence = 0;
         self.feed = CacheFeed::default();
+        self.sample_load();
     }
 
     pub(crate) fn keep_alive(&mut self) {
--- a/lovagedock-standin/tests/adapter_faults.rs
+++ b/lovagedock-standin/tests/adapter_faults.rs
@@ -230,9 +230,10 @@
         let options = AdapterOptions::new(bench.engine.address).with_idle_timeout(idle);
         let adapter = build_adapter(vendor.adapter, &options).unwrap();
         let mut waiting = adapter.start(second).await.unwrap();
+        let reader = tokio::spawn(async move { first_bytes(&mut waiting).await });
         tokio::time::sleep(idle * 3 / 2).await;
         bench.adapter.cancel(ID).await.unwrap();
-        let bytes = first_bytes(&mut waiting).await;
+        let bytes = reader.await.unwrap();
         assert!(bytes.starts_with("data: {"), "{bytes}");
     }
 }
--- a/lovagedock-standin/tests/engine_contract.rs
+++ b/lovagedock-standin/tests/engine_contract.rs
@@ -276,8 +276,6 @@
 
         let mut streams = Vec::new();
         for bench in [&lagging, &current] {
-            // The first sample is taken while the engine is idle.
-            until(async || bench.engine.handle.model_time() > Duration::from_secs(1)).await;
             let mut stream = bench.adapter.start(endless_request()).await.unwrap();
             first_bytes(&mut stream).await;
             streams.push(stream);
