--- /dev/null
+++ b/fuzz/fuzz_targets/settings.rs
@@ -0,0 +1,14 @@
+//! Settings files of the operators' program, which share their reader with the daemons'.
+#![no_main]
+
+use std::path::Path;
+
+use libfuzzer_sys::fuzz_target;
+use lovagedock_cli::OperatorSettings;
+use lovagedock_daemon::parse_settings;
+
+fuzz_target!(|text: &str| {
+    if let Err(error) = parse_settings::<OperatorSettings>(Path::new("fuzzed"), text) {
+        assert!(error.line >= 1 && error.line <= text.split('\n').count());
+    }
+});
--- a/lovagedock-cli/src/config.rs
+++ b/lovagedock-cli/src/config.rs
@@ -98,7 +98,7 @@
 ) -> CommandReport {
     let author = one_line(author);
     let mut text = format!(
-        "not accepted: {author} was accepted as generation {winner} in its place ({})\n",
+        "not accepted: the file of {author} was accepted as generation {winner} in its place ({})\n",
         ResultCode::ConfigConflict.number(),
     );
     let mut value = json!({
