--- a/lovagedock-daemon/src/settings.rs
+++ b/lovagedock-daemon/src/settings.rs
@@ -65,12 +65,16 @@
 /// Reads settings from the text of a file; `file` only names it in errors.
 pub fn parse_settings<T: DeserializeOwned>(file: &Path, text: &str) -> Result<T, SettingsError> {
     let options = parse_options();
-    let syntax_error = |error: ParseError| SettingsError {
-        file: file.to_owned(),
-        line: error.line_display(),
-        column: error.column_display(),
-        path: String::new(),
-        message: error.kind().to_string(),
+    let syntax_error = |error: ParseError| {
+        // The parser's own count also takes a carriage return for the end of a line.
+        let (line, column) = line_column(text, error.range().start);
+        SettingsError {
+            file: file.to_owned(),
+            line,
+            column,
+            path: String::new(),
+            message: error.kind().to_string(),
+        }
     };
     let tree = parse_to_ast(text, &Default::default(), &options).map_err(syntax_error)?;
     let value: serde_json::Value = parse_to_serde_value(text, &options).map_err(syntax_error)?;
