--- a/lovagedock/src/config/document.rs
+++ b/lovagedock/src/config/document.rs
@@ -1,6 +1,6 @@
 //! Reads files of JSON with comments into typed values.
 
-use std::cmp::Ordering;
+use std::{cmp::Ordering, sync::LazyLock};
 
 use jsonc_parser::{CollectOptions, ParseOptions, ast, parse_to_ast};
 use schemars::schema_for;
@@ -13,6 +13,8 @@
     types::{CONFIG_VERSION, FleetConfig},
 };
 
+static CONFIG_SCHEMA: LazyLock<Value> = LazyLock::new(|| schema_for!(FleetConfig).to_value());
+
 /// A configuration and where each part of it was written.
 #[derive(Clone, Debug)]
 pub struct ConfigDocument {
@@ -39,8 +41,7 @@
 ///
 /// Every problem of all files, in the order of the text.
 pub fn parse_files(files: &[SourceFile]) -> Result<ConfigDocument, Vec<ConfigProblem>> {
-    let schema = schema_for!(FleetConfig).to_value();
-    let mut reading = read_files(&schema, files);
+    let mut reading = read_files(&CONFIG_SCHEMA, files);
     let config = to_typed(&mut reading);
     if let Some(config) = &config {
         let found = check_config(config, &reading.sources);
