--- /dev/null
+++ b/lovagedock-platform/tests/config_property.rs
@@ -0,0 +1,207 @@
+//! Random schedules of applies, faults and collections against the configuration store.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use lovagedock::{DomainSpec, FleetConfig};
+use lovagedock_platform::{
+    ApplyOutcome, ApplyRequest, CHUNK_PREFIX, CallKind, ChunkCache, ConfigStore, MemoryFault,
+    MemoryStore, ROOT_KEY, canonical_json,
+};
+use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
+
+const CASES: u32 = 256;
+const SEED: u64 = 20_261;
+
+#[derive(Clone, Debug)]
+struct PlannedFault {
+    kind: CallKind,
+    key: &'static str,
+    skip: u32,
+    times: u32,
+    fault: MemoryFault,
+}
+
+/// Two operators apply at the same time under some faults; afterwards writes that hung may arrive
+/// and chunks may be collected.
+#[derive(Clone, Debug)]
+struct PlannedRound {
+    faults: Vec<PlannedFault>,
+    /// How far behind the newest generation each operator is.
+    behind: [u64; 2],
+    release: bool,
+    collect: bool,
+}
+
+fn planned_fault() -> impl Strategy<Value = PlannedFault> {
+    let kind = prop_oneof![Just(CallKind::Read), Just(CallKind::Write)];
+    let key = prop_oneof![4 => Just(ROOT_KEY), 1 => Just(CHUNK_PREFIX)];
+    let fault = prop_oneof![
+        Just(MemoryFault::Down),
+        Just(MemoryFault::LoseAnswer),
+        Just(MemoryFault::LoseCall),
+        Just(MemoryFault::LateEffect),
+        Just(MemoryFault::RateLimited),
+    ];
+    (kind, key, 0..4u32, 1..12u32, fault).prop_map(|(kind, key, skip, times, fault)| PlannedFault {
+        kind,
+        key,
+        skip,
+        times,
+        fault,
+    })
+}
+
+fn planned_round() -> impl Strategy<Value = PlannedRound> {
+    let behind = prop_oneof![4 => Just(0u64), 1 => 1..3u64];
+    let behind = [behind.clone(), behind];
+    (
+        vec(planned_fault(), 0..4),
+        behind,
+        any::<bool>(),
+        any::<bool>(),
+    )
+        .prop_map(|(faults, behind, release, collect)| PlannedRound {
+            faults,
+            behind,
+            release,
+            collect,
+        })
+}
+
+fn config(name: &str) -> Bytes {
+    let config = FleetConfig {
+        failure_domains: vec![DomainSpec {
+            id: name.into(),
+            region: String::new(),
+        }],
+        ..FleetConfig::default()
+    };
+    canonical_json(&config).expect("serialisable")
+}
+
+struct Schedule {
+    memory: Arc<MemoryStore>,
+    config: ConfigStore,
+    /// Nonce of each generation, as the store showed it while nothing failed.
+    seen: HashMap<u64, String>,
+    newest: u64,
+    told: Vec<(String, ApplyOutcome)>,
+}
+
+impl Schedule {
+    fn new() -> Self {
+        let memory = Arc::new(MemoryStore::new());
+        Self {
+            config: ConfigStore::new(memory.clone()),
+            memory,
+            seen: HashMap::new(),
+            newest: 0,
+            told: Vec::new(),
+        }
+    }
+
+    async fn play(&mut self, at: usize, round: &PlannedRound) {
+        for plan in &round.faults {
+            self.memory
+                .script_fault(plan.kind, plan.key, plan.skip, plan.times, plan.fault);
+        }
+        let request = |operator: usize| {
+            let nonce = format!("{at}-{operator}");
+            let expected = self.newest.saturating_sub(round.behind[operator]);
+            ApplyRequest::new(config(&nonce), expected, "operator", nonce)
+                .with_patience(Duration::from_secs(2))
+        };
+        let (one, two) = (request(0), request(1));
+        let (first, second) = tokio::join!(self.config.apply(&one), self.config.apply(&two));
+        self.told.push((one.nonce, first));
+        self.told.push((two.nonce, second));
+        self.memory.clear_faults();
+        if round.collect {
+            self.config
+                .collect_chunks(usize::MAX)
+                .await
+                .expect("collect");
+        }
+        if round.release {
+            self.memory.release_late();
+        }
+        self.look().await;
+    }
+
+    /// The store has a whole configuration, no generation went back, and none changed hands.
+    async fn look(&mut self) {
+        let loaded = self.config.load_latest(&mut ChunkCache::new()).await;
+        let Some(loaded) = loaded.expect("whole") else {
+            assert_eq!(self.newest, 0);
+            return;
+        };
+        let root = loaded.root;
+        assert!(root.generation() >= self.newest, "a generation went back");
+        self.newest = root.generation();
+        assert_eq!(
+            loaded.bytes,
+            config(&root.accepted.nonce),
+            "another's configuration"
+        );
+        for record in root.history.iter().chain([&root.accepted]) {
+            let known = self
+                .seen
+                .entry(record.generation)
+                .or_insert(record.nonce.clone());
+            assert_eq!(*known, record.nonce, "a generation changed hands");
+        }
+    }
+
+    async fn check(&mut self) {
+        self.memory.release_late();
+        self.look().await;
+        for (nonce, outcome) in &self.told {
+            let mut made = self.seen.iter().filter(|(_, by)| *by == nonce);
+            let generation = made.next().map(|(generation, _)| *generation);
+            assert_eq!(made.next(), None, "{nonce} was accepted twice");
+            match outcome {
+                ApplyOutcome::Accepted { generation: told } => {
+                    assert_eq!(generation, Some(*told), "{nonce}");
+                }
+                ApplyOutcome::Conflict { winner, .. } => {
+                    assert_eq!(generation, None, "{nonce}");
+                    assert!(self.seen.contains_key(winner), "{nonce}");
+                }
+                ApplyOutcome::NotAccepted { .. } => assert_eq!(generation, None, "{nonce}"),
+                ApplyOutcome::Unknown => {}
+            }
+        }
+    }
+}
+
+fn paused_runtime() -> tokio::runtime::Runtime {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("runtime")
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: CASES,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(SEED),
+        ..ProptestConfig::default()
+    })]
+
+    /// Operators race under lost answers, late writes, outages and refusals. Whatever they are
+    /// told stays true: accepted means in the history once, refused means never in it, and the
+    /// newest configuration can always be read whole.
+    #[test]
+    fn no_outcome_is_a_guess(rounds in vec(planned_round(), 1..12)) {
+        paused_runtime().block_on(async {
+            let mut schedule = Schedule::new();
+            for (at, round) in rounds.iter().enumerate() {
+                schedule.play(at, round).await;
+            }
+            schedule.check().await;
+        });
+    }
+}
