--- a/lovagedock-standin/tests/support/mod.rs
+++ b/lovagedock-standin/tests/support/mod.rs
@@ -18,6 +18,7 @@
 };
 use lovagedock_standin::engine::{EngineOptions, EngineStandin, ReportStyle, RunningEngine};
 
+const UNTIL_LIMIT: Duration = Duration::from_secs(60);
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
 pub(crate) const MODEL: &str = "register-reader";
@@ -143,11 +144,16 @@
         .collect()
 }
 
-/// Asks again until `done`; only how long it takes depends on the machine.
+/// Asks again until `done`. The limit only turns a wait without end into a failure; it is far
+/// above what a busy machine needs.
 pub(crate) async fn until(mut done: impl AsyncFnMut() -> bool) {
-    while !done().await {
-        tokio::time::sleep(Duration::from_millis(1)).await;
-    }
+    let asking = async {
+        while !done().await {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    let result = tokio::time::timeout(UNTIL_LIMIT, asking).await;
+    result.expect("what was waited for never came about");
 }
 
 /// A server that answers one request, whose body has `body_bytes`, with that request's head.
