Script claims, leases and adoption; let stand-ins watch the store

Cause: a scripted fleet in which both watchers of the only region died had an accepted generation in force at 0 of 15 living processes after 6 s: nobody noticed that nobody watched.

Change: the next relays in rank compare with the watchers once a second, watch in their place after 2.5 s of silence and feed those that the watchers fed. One that only offers to a lagging receiver pushes to it too. Leaves are spread over relays with a bound.

--- a/lovagedock/src/adoption/mod.rs
+++ b/lovagedock/src/adoption/mod.rs
@@ -15,6 +15,7 @@
 mod push;
 mod repair;
 mod role;
+mod senior;
 mod start;
 mod state;
 mod types;
--- a/lovagedock/src/adoption/plan.rs
+++ b/lovagedock/src/adoption/plan.rs
@@ -17,6 +17,7 @@
 const OFFER_SEED: u64 = 3;
 const LEAF_SEED: u64 = 4;
 const PEER_SEED: u64 = 5;
+const LEAF_SLACK_PERCENT: usize = 25;
 
 /// The relay of a fleet; the same at every process that knows the same members.
 ///
@@ -67,7 +68,9 @@
     fn add_region(&mut self, region: &MemberList<'_>, limits: &RelayLimits) {
         let is_relay = |member: &&&RelayMember| member.kind == RelayKind::Relay;
         let relays: MemberList<'_> = region.iter().filter(is_relay).copied().collect();
-        let watchers = choose_watchers(&relays, limits.watchers_per_region);
+        let wanted = limits.watchers_per_region;
+        let ranked = rank_watchers(&relays, wanted + limits.stand_ins_per_region);
+        let watchers: MemberList<'_> = ranked.iter().take(wanted).copied().collect();
         for watcher in &watchers {
             self.role(watcher).watches = true;
             self.watchers.push(watcher.process.clone());
@@ -76,6 +79,23 @@
         self.add_tree(&relays, &watchers, limits, OFFER_SEED);
         self.add_peers(&relays, limits);
         self.add_leaves(region, &relays);
+        self.add_stand_ins(&ranked, wanted);
+    }
+
+    fn add_stand_ins(&mut self, ranked: &MemberList<'_>, wanted: usize) {
+        let watchers = ranked.iter().take(wanted);
+        let fed: BTreeSet<ProcessId> = watchers
+            .flat_map(|watcher| self.role_of(&watcher.process).children)
+            .collect();
+        for (rank, member) in ranked.iter().enumerate().skip(wanted) {
+            let seniors = ranked[..rank].iter().map(|m| m.process.clone()).collect();
+            let others = fed.iter().filter(|child| **child != member.process);
+            let others = others.cloned().collect();
+            let role = self.role(member);
+            role.seniors = seniors;
+            role.wanted_watchers = wanted;
+            role.stand_in_children = others;
+        }
     }
 
     fn add_tree(
@@ -132,22 +152,38 @@
 
     /// Each leaf is fed by one relay and offered by another, of its own domain where possible.
     fn add_leaves(&mut self, region: &MemberList<'_>, relays: &MemberList<'_>) {
+        let mut domains: BTreeMap<&str, MemberList<'_>> = BTreeMap::new();
         for leaf in region.iter().filter(|m| m.kind == RelayKind::Leaf) {
-            let near: MemberList<'_> = relays
-                .iter()
-                .filter(|relay| relay.domain == leaf.domain)
-                .copied()
-                .collect();
+            domains.entry(&leaf.domain).or_default().push(leaf);
+        }
+        for (domain, leaves) in domains {
+            let near = relays.iter().filter(|relay| &*relay.domain == domain);
+            let near: MemberList<'_> = near.copied().collect();
             let feeders = if near.is_empty() { relays } else { &near };
-            let mut ranked: Vec<(u64, &RelayMember)> = feeders
-                .iter()
-                .map(|relay| (pair_score(&relay.process, &leaf.process), *relay))
-                .collect();
-            ranked.sort_by_key(|(score, _)| Reverse(*score));
-            if let Some((_, feeder)) = ranked.first() {
-                self.role(feeder).children.push(leaf.process.clone());
-            }
-            if let Some((_, backup)) = ranked.get(1) {
+            self.feed_leaves(&leaves, feeders);
+        }
+    }
+
+    /// Rendezvous hash with a bound on what one relay feeds, its children in the tree included:
+    /// without the bound the busiest relay sends twice as much as the mean and breaks its budget.
+    fn feed_leaves(&mut self, leaves: &MemberList<'_>, feeders: &MemberList<'_>) {
+        let edges = leaves.len() + feeders.len();
+        let bound = (edges * (100 + LEAF_SLACK_PERCENT)).div_ceil(100 * feeders.len().max(1));
+        for leaf in leaves {
+            let mut ranked = feeders.clone();
+            ranked.sort_by_cached_key(|r| Reverse(pair_score(&r.process, &leaf.process)));
+            let has_room = |relay: &&RelayMember| {
+                let role = self.roles.get(&relay.process);
+                role.is_some_and(|role| role.children.len() < bound)
+            };
+            let first = ranked.iter().position(|relay| has_room(relay));
+            let Some(first) = first.or((!ranked.is_empty()).then_some(0)) else {
+                continue;
+            };
+            let backup = ranked.get((first + 1) % ranked.len());
+            let backup = backup.filter(|_| ranked.len() > 1).copied();
+            self.role(ranked[first]).children.push(leaf.process.clone());
+            if let Some(backup) = backup {
                 self.role(backup).offers.push(leaf.process.clone());
             }
         }
@@ -186,7 +222,7 @@
 }
 
 /// The highest scores, first of different failure domains.
-fn choose_watchers<'a>(relays: &MemberList<'a>, count: usize) -> MemberList<'a> {
+fn rank_watchers<'a>(relays: &MemberList<'a>, count: usize) -> MemberList<'a> {
     let mut ranked = relays.clone();
     ranked.sort_by_key(|member| Reverse(score(&member.process, WATCH_SEED)));
     let mut seen = BTreeSet::new();
--- a/lovagedock/src/adoption/push.rs
+++ b/lovagedock/src/adoption/push.rs
@@ -30,7 +30,7 @@
             AdoptionSource::Store => None,
             AdoptionSource::Push(peer) | AdoptionSource::Pull(peer) => Some(peer.clone()),
         };
-        for child in self.role.children.clone() {
+        for child in self.receivers() {
             let progress = self.pushes.entry(child.clone()).or_default();
             progress.sent = 0;
             progress.due = (giver.as_ref() != Some(&child)).then_some(now);
@@ -42,6 +42,13 @@
         }
     }
 
+    /// Those that the plan names, and as a stand-in those of the watchers.
+    fn receivers(&self) -> Vec<ProcessId> {
+        let stands_in = self.upstream.watching && !self.role.watches;
+        let others = self.role.stand_in_children.iter().filter(|_| stands_in);
+        self.role.children.iter().chain(others).cloned().collect()
+    }
+
     pub(super) fn drive_pushes(&mut self, now: Timestamp, actions: &mut Vec<AdoptionAction>) {
         let generation = self.generation();
         if generation == 0 {
@@ -49,13 +56,14 @@
         }
         // Most receivers have the generation before this one; a wrong guess costs one answer.
         let guess = self.history.back().map_or(0, |old| old.generation);
-        for to in self.role.children.clone() {
-            let max_pushes = self.limits.max_pushes;
-            let progress = self.pushes.entry(to.clone()).or_default();
+        let due = self.pushes.iter().filter(|(_, progress)| {
             let is_due = progress.due.is_some_and(|due| due <= now);
-            if !is_due || progress.in_flight {
-                continue;
-            }
+            is_due && !progress.in_flight
+        });
+        let due: Vec<ProcessId> = due.map(|(peer, _)| peer.clone()).collect();
+        let max_pushes = self.limits.max_pushes;
+        for to in due {
+            let progress = self.pushes.entry(to.clone()).or_default();
             progress.due = None;
             let has = progress.has.unwrap_or(guess);
             if has >= generation || progress.sent >= max_pushes {
@@ -92,10 +100,14 @@
         }
     }
 
-    /// A receiver told by itself what it has; one that lags is pushed again.
+    /// A receiver told by itself what it has; one that lags is pushed again, also by the process
+    /// that only offers to it: the one that should push may be gone.
     pub(super) fn note_receiver(&mut self, now: Timestamp, peer: &ProcessId, has: Generation) {
         let generation = self.generation();
         let retry = self.limits.push_retry;
+        if self.role.offers.contains(peer) && has < generation {
+            self.pushes.entry(peer.clone()).or_default();
+        }
         let Some(progress) = self.pushes.get_mut(peer) else {
             return;
         };
--- a/lovagedock/src/adoption/repair.rs
+++ b/lovagedock/src/adoption/repair.rs
@@ -38,6 +38,7 @@
     /// is on its way from the parent usually arrives.
     pub(super) fn on_told(&mut self, now: Timestamp, from: ProcessId, generation: Generation) {
         self.hear(generation);
+        self.note_contact(now, &from);
         if generation > self.generation() {
             let patience = self.jitter(self.limits.offer_patience);
             self.repair.pull_at(from, now + patience);
@@ -51,8 +52,9 @@
         if self.repair.in_flight.is_some() {
             return;
         }
-        let due = self.repair.due.iter().find(|(_, due)| **due <= now);
-        let Some(from) = due.map(|(peer, _)| peer.clone()) else {
+        let due = self.repair.due.iter().filter(|(_, due)| **due <= now);
+        let first = due.min_by_key(|(_, due)| **due);
+        let Some(from) = first.map(|(peer, _)| peer.clone()) else {
             return;
         };
         self.repair.due.remove(&from);
@@ -98,6 +100,7 @@
             self.note_start(&from, None);
             return;
         };
+        self.note_contact(now, &from);
         self.hear(answer.generation);
         self.note_receiver(now, &from, answer.generation);
         if self.note_start(&from, Some(&answer)) {
@@ -110,7 +113,9 @@
         let source = AdoptionSource::Pull(from.clone());
         self.take_bundle(now, from, &bundle, source, actions);
         if self.generation() >= self.heard {
-            self.repair.due.clear();
+            self.repair
+                .due
+                .retain(|peer, _| self.role.seniors.contains(peer));
         }
     }
 }
--- a/lovagedock/src/adoption/role.rs
+++ b/lovagedock/src/adoption/role.rs
@@ -35,6 +35,8 @@
     pub watchers_per_region: usize,
     /// Relays that one relay feeds at each of its two places in the tree.
     pub fanout: usize,
+    /// Relays per region that watch when too few of those before them answer.
+    pub stand_ins_per_region: usize,
     /// Random peers that a relay knows for its comparisons.
     pub peers: usize,
 }
@@ -44,6 +46,7 @@
         Self {
             watchers_per_region: 2,
             fanout: 4,
+            stand_ins_per_region: 3,
             peers: 8,
         }
     }
@@ -60,4 +63,10 @@
     pub offers: Vec<ProcessId>,
     /// Processes that it compares itself with; hosts other than its own.
     pub peers: Vec<ProcessId>,
+    /// Watchers and stand-ins that are ranked before it; empty unless it is a stand-in.
+    pub seniors: Vec<ProcessId>,
+    /// How many of the seniors have to answer, or it watches too.
+    pub wanted_watchers: usize,
+    /// Processes that it pushes to while it stands in: those that the watchers feed.
+    pub stand_in_children: Vec<ProcessId>,
 }
--- /dev/null
+++ b/lovagedock/src/adoption/senior.rs
@@ -0,0 +1,66 @@
+//! Stand-ins: relays that watch the store when too few of those ranked before them answer.
+
+use std::collections::BTreeMap;
+
+use super::{state::AdoptionState, types::ProcessId};
+use crate::ids::Timestamp;
+
+/// When each process that is ranked before this one was last heard.
+#[derive(Debug, Default)]
+pub(super) struct SeniorState {
+    heard_at: BTreeMap<ProcessId, Timestamp>,
+    check_at: Option<Timestamp>,
+}
+
+impl SeniorState {
+    pub(super) fn next_wake(&self) -> Option<Timestamp> {
+        self.check_at
+    }
+}
+
+impl AdoptionState {
+    /// Forgets seniors of an older plan; new ones get the benefit of the doubt.
+    pub(super) fn set_seniors(&mut self, now: Timestamp) {
+        let old = std::mem::take(&mut self.senior.heard_at);
+        let seniors = self.role.seniors.iter();
+        let heard_at = seniors.map(|senior| {
+            let at = old.get(senior).copied().unwrap_or(now);
+            (senior.clone(), at)
+        });
+        self.senior.heard_at = heard_at.collect();
+        self.senior.check_at = (!self.role.seniors.is_empty()).then_some(now);
+    }
+
+    pub(super) fn note_contact(&mut self, now: Timestamp, peer: &ProcessId) {
+        if let Some(at) = self.senior.heard_at.get_mut(peer) {
+            *at = now;
+        }
+    }
+
+    /// Compares with each senior from time to time and decides whether to watch in its place.
+    ///
+    /// When all watchers of a region die, nobody there hears of a change until a poll, minutes
+    /// later. The next in rank notices by their silence; a stand-in that is wrong about it costs
+    /// the store one more watch and nothing else.
+    pub(super) fn drive_seniors(&mut self, now: Timestamp) {
+        if self.senior.check_at.is_some_and(|at| at <= now) {
+            self.check_seniors(now);
+        }
+        let patience = self.limits.senior_patience;
+        let heard = self.senior.heard_at.values();
+        let alive = heard.filter(|at| **at + patience > now).count();
+        let stands_in = !self.role.seniors.is_empty() && alive < self.role.wanted_watchers;
+        self.set_watching(now, self.role.watches || stands_in);
+    }
+
+    fn check_seniors(&mut self, now: Timestamp) {
+        let interval = self.limits.senior_interval;
+        let heard = self.senior.heard_at.iter();
+        let quiet = heard.filter(|(_, at)| **at + interval / 2 <= now);
+        let quiet: Vec<ProcessId> = quiet.map(|(senior, _)| senior.clone()).collect();
+        for senior in quiet {
+            self.repair.pull_at(senior, now);
+        }
+        self.senior.check_at = Some(now + interval);
+    }
+}
--- a/lovagedock/src/adoption/state.rs
+++ b/lovagedock/src/adoption/state.rs
@@ -12,6 +12,7 @@
     push::PushProgress,
     repair::RepairState,
     role::RelayRole,
+    senior::SeniorState,
     start::StartState,
     types::{
         AdoptionAction, AdoptionEvent, AdoptionLimits, AdoptionSource, AdoptionStatus, ProcessId,
@@ -42,6 +43,7 @@
     pub(super) repair: RepairState,
     pub(super) upstream: UpstreamState,
     pub(super) start: StartState,
+    pub(super) senior: SeniorState,
     source: Option<AdoptionSource>,
     wake_at: Option<Timestamp>,
 }
@@ -61,6 +63,7 @@
             repair: RepairState::default(),
             upstream: UpstreamState::default(),
             start: StartState::default(),
+            senior: SeniorState::default(),
             source: None,
             wake_at: None,
         }
@@ -105,7 +108,7 @@
             generation: self.generation(),
             heard: self.heard,
             source: self.source.clone(),
-            watches: self.role.watches,
+            watches: self.upstream.watching,
             store_failures: self.upstream.failures,
         }
     }
@@ -114,6 +117,7 @@
     pub fn handle(&mut self, now: Timestamp, event: AdoptionEvent) -> Vec<AdoptionAction> {
         let mut actions = Vec::new();
         self.take(now, event, &mut actions);
+        self.drive_seniors(now);
         self.drive_start(now, &mut actions);
         self.drive_upstream(now, &mut actions);
         self.drive_repair(now, &mut actions);
@@ -125,13 +129,17 @@
     fn take(&mut self, now: Timestamp, event: AdoptionEvent, actions: &mut Vec<AdoptionAction>) {
         match event {
             AdoptionEvent::Role(role) => {
-                self.pushes.retain(|peer, _| role.children.contains(peer));
+                let lists = [&role.children, &role.offers, &role.stand_in_children];
+                let has = |peer: &ProcessId| lists.iter().any(|list| list.contains(peer));
+                self.pushes.retain(|peer, _| has(peer));
                 self.role = role;
+                self.set_seniors(now);
             }
             AdoptionEvent::RootRead(outcome) => self.on_root(now, outcome, actions),
             AdoptionEvent::ChunkRead { hash, bytes } => self.on_chunk(now, hash, bytes, actions),
             AdoptionEvent::Pushed { from, bundle } => {
                 self.hear(bundle.generation);
+                self.note_contact(now, &from);
                 let source = AdoptionSource::Push(from.clone());
                 self.take_bundle(now, from, &bundle, source, actions);
             }
@@ -223,6 +231,7 @@
             self.repair.next_wake(),
             self.start.next_wake(),
             self.next_push(),
+            self.senior.next_wake(),
         ];
         let wake_at = times.into_iter().flatten().min().map(|at| at.max(now));
         if wake_at != self.wake_at {
--- a/lovagedock/src/adoption/types.rs
+++ b/lovagedock/src/adoption/types.rs
@@ -177,6 +177,10 @@
     pub max_pushes: u32,
     /// How long an offer waits for the push that is expected from another peer.
     pub offer_patience: Duration,
+    /// Time between a stand-in's comparisons with each of its seniors.
+    pub senior_interval: Duration,
+    /// Silence after which a senior counts as gone.
+    pub senior_patience: Duration,
     /// Peers that a process without configuration asks at once.
     pub start_peers: usize,
     /// How long such a process waits for the rest of them after the first answer.
@@ -198,6 +202,8 @@
             push_retry: Duration::from_millis(300),
             max_pushes: 4,
             offer_patience: Duration::from_millis(300),
+            senior_interval: Duration::from_secs(1),
+            senior_patience: Duration::from_millis(2_500),
             start_peers: 3,
             start_patience: Duration::from_millis(500),
             chunk_reads: 8,
--- a/lovagedock/src/adoption/upstream.rs
+++ b/lovagedock/src/adoption/upstream.rs
@@ -21,6 +21,8 @@
     in_flight: bool,
     next_at: Option<Timestamp>,
     soon: bool,
+    /// This process watches, by plan or as a stand-in.
+    pub(super) watching: bool,
     /// The first read was answered, or a peer was faster.
     started: bool,
     fetch: Option<ChunkFetch>,
@@ -55,6 +57,13 @@
 }
 
 impl AdoptionState {
+    pub(super) fn set_watching(&mut self, now: Timestamp, watching: bool) {
+        if watching && !self.upstream.watching && self.upstream.failures == 0 {
+            self.upstream.next_at = Some(now);
+        }
+        self.upstream.watching = watching;
+    }
+
     /// Reads at the start, then watches or polls. Only a failure, or a hint that there is more,
     /// changes the pace, and failures slow it down.
     pub(super) fn drive_upstream(&mut self, now: Timestamp, actions: &mut Vec<AdoptionAction>) {
@@ -64,7 +73,7 @@
         if self.upstream.in_flight {
             return;
         }
-        if self.upstream.next_at.is_none() && !self.role.watches {
+        if self.upstream.next_at.is_none() && !self.upstream.watching {
             // A domain that restarts as a whole spreads its reads, and most need none.
             let pause = self.jitter(self.limits.start_patience);
             self.upstream.next_at = Some(now + pause);
@@ -77,7 +86,7 @@
         self.upstream.in_flight = true;
         self.upstream.soon = false;
         let above = self.generation();
-        let action = match self.role.watches && above > 0 && !is_soon {
+        let action = match self.upstream.watching && above > 0 && !is_soon {
             true => AdoptionAction::WatchRoot { above },
             false => AdoptionAction::ReadRoot,
         };
@@ -97,7 +106,7 @@
         }
         self.upstream.failures = 0;
         self.upstream.started = true;
-        let pause = match self.role.watches {
+        let pause = match self.upstream.watching {
             true => self.limits.watch_pause,
             false => self.jitter(self.limits.poll_interval),
         };
@@ -122,7 +131,7 @@
         let generation = self.generation();
         let needless = |fetch: &mut ChunkFetch| fetch.manifest.generation <= generation;
         self.upstream.fetch.take_if(needless);
-        if !self.role.watches && !self.upstream.started && self.upstream.failures == 0 {
+        if !self.upstream.watching && !self.upstream.started && self.upstream.failures == 0 {
             self.upstream.started = true;
             let pause = self.jitter(self.limits.poll_interval);
             self.upstream.next_at = Some(now + pause);
@@ -149,7 +158,7 @@
         };
         let missing = manifest.chunks.iter().filter(|hash| !has(hash));
         let missing = missing.copied().collect();
-        let patience = match self.role.watches || self.role.peers.is_empty() {
+        let patience = match self.upstream.watching || self.role.peers.is_empty() {
             true => Timestamp::ZERO,
             false => self.jitter(self.limits.start_patience * 2),
         };
--- /dev/null
+++ b/lovagedock/tests/adoption_scenarios.rs
@@ -0,0 +1,102 @@
+//! Scripted scenarios of the configuration in force, with all processes of a small fleet.
+//!
+//! `fleet relays=N leaves=N domains=N regions=N` starts processes and accepts generation 1.
+//! `steps` plays one step a line: `accept`, `run MS`, `store down|up`, `cut REGION`, `heal`,
+//! `kill NAME`, `restart NAME`, `status`.
+
+mod support;
+
+use std::time::Duration;
+
+use datadriven::TestCase;
+use lovagedock::AdoptionCounter;
+use support::relay_world::{RelaySetup, RelayWorld};
+
+#[test]
+fn scenarios() {
+    datadriven::walk("tests/scenarios/adoption", |file| {
+        let mut world = None;
+        file.run(|case| match case.directive.as_str() {
+            "fleet" => {
+                let started = world.insert(RelayWorld::new(setup(case)));
+                format!(
+                    "watching the store: {}\n",
+                    started.watcher_names().join(" ")
+                )
+            }
+            "steps" => {
+                let world = world.as_mut().expect("a fleet comes first");
+                case.input.lines().map(|line| play(world, line)).collect()
+            }
+            other => panic!("unknown directive {other}"),
+        });
+    });
+}
+
+fn setup(case: &TestCase) -> RelaySetup {
+    let number = |name: &str, default: usize| {
+        let values = case.args.get(name);
+        values.map_or(default, |values| values[0].parse().expect("a number"))
+    };
+    RelaySetup {
+        relays: number("relays", 4),
+        leaves: number("leaves", 0),
+        domains: number("domains", 3),
+        regions: number("regions", 1),
+        loss: number("loss", 0) as u32,
+        ..RelaySetup::default()
+    }
+}
+
+fn play(world: &mut RelayWorld, line: &str) -> String {
+    let words: Vec<&str> = line.split_whitespace().collect();
+    let mut shown = String::new();
+    match words[0] {
+        "accept" => {
+            let generation = world.accept();
+            shown = format!("    generation {generation} is accepted\n");
+        }
+        "run" => world.run(Duration::from_millis(
+            words[1].parse().expect("milliseconds"),
+        )),
+        "store" => world.store_up = words[1] == "up",
+        "cut" => {
+            world.cut.insert(words[1].parse().expect("a region"));
+        }
+        "heal" => world.cut.clear(),
+        "kill" => {
+            let position = world.position(words[1]);
+            world.kill(position);
+        }
+        "restart" => {
+            let position = world.position(words[1]);
+            world.restart(position);
+        }
+        "status" => shown = status(world),
+        other => panic!("unknown step {other}"),
+    }
+    format!("{line}\n{shown}")
+}
+
+/// What `status` tells the operator: the counter sees only processes that answer.
+fn status(world: &RelayWorld) -> String {
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+    let names = (0..world.len()).map(|position| world.name(position));
+    let mut counter = AdoptionCounter::new(names);
+    for position in (0..world.len()).filter(|position| world.is_alive(*position)) {
+        counter.report(world.name(position), world.generation(position));
+    }
+    let count = counter.count(world.accepted());
+    let mut text = format!(
+        "    generation {} in force at {} of {}\n",
+        world.accepted(),
+        count.in_force,
+        world.len()
+    );
+    for (title, names) in [("behind", &count.behind), ("silent", &count.silent)] {
+        if !names.is_empty() {
+            text += &format!("    {title}: {}\n", names.join(" "));
+        }
+    }
+    text
+}
--- /dev/null
+++ b/lovagedock/tests/support/relay_world/mod.rs
@@ -0,0 +1,319 @@
+//! Many processes that adopt configurations over a lossy network, in virtual time.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use lovagedock::{
+    AdoptionEvent, AdoptionState, ChunkHash, ConfigBundle, ConfigManifest, Generation, ProcessId,
+    RelayKind, RelayMember, RelayPlan, Timestamp, chunk_hash,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+mod setup;
+mod store;
+mod traffic;
+
+pub(crate) use setup::RelaySetup;
+use setup::{chunk_text, members};
+
+const CALL_TIMEOUT: Duration = Duration::from_millis(400);
+const WATCH_TIME: Duration = Duration::from_secs(20);
+const HEARTBEAT: Duration = Duration::from_secs(1);
+const CONTROL_BYTES: usize = 64;
+
+/// What one process saw and sent.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ProcessTally {
+    pub(crate) messages: usize,
+    pub(crate) bytes: usize,
+    pub(crate) store_reads: usize,
+    pub(crate) adopted_at: BTreeMap<Generation, Timestamp>,
+    pub(crate) hops: usize,
+}
+
+enum Step {
+    Event(usize, u32, AdoptionEvent, usize),
+    Push(usize, u32, usize, ConfigBundle, usize),
+    Pull(usize, u32, usize, Generation),
+    Root(usize, u32),
+    Watch(usize, u32, Generation, Timestamp),
+    Chunk(usize, u32, ChunkHash),
+    Heartbeat(usize),
+    Tick(usize, u32),
+}
+
+struct Process {
+    member: RelayMember,
+    region: usize,
+    state: AdoptionState,
+    life: u32,
+    alive: bool,
+    watching: bool,
+    feeders: Vec<usize>,
+}
+
+/// All processes, the store and the network.
+pub(crate) struct RelayWorld {
+    pub(crate) setup: RelaySetup,
+    pub(crate) now: Timestamp,
+    pub(crate) tallies: Vec<ProcessTally>,
+    pub(crate) violations: Vec<String>,
+    pub(crate) cut: BTreeSet<usize>,
+    pub(crate) store_up: bool,
+    pub(crate) plan: RelayPlan,
+    rng: ChaCha8Rng,
+    count: u64,
+    queue: BinaryHeap<Reverse<(Timestamp, u64)>>,
+    steps: BTreeMap<u64, Step>,
+    processes: Vec<Process>,
+    index: BTreeMap<ProcessId, usize>,
+    accepted: ConfigManifest,
+    texts: Vec<Bytes>,
+    chunks: BTreeMap<ChunkHash, Bytes>,
+    digests: BTreeMap<Generation, [u8; 32]>,
+}
+
+impl RelayWorld {
+    /// Starts all processes; nothing is accepted yet.
+    pub(crate) fn new(setup: RelaySetup) -> Self {
+        let members = members(&setup);
+        let plan = RelayPlan::new(&members, &setup.relay);
+        let index: BTreeMap<ProcessId, usize> = members
+            .iter()
+            .enumerate()
+            .map(|(index, member)| (member.process.clone(), index))
+            .collect();
+        let texts = (0..setup.chunks)
+            .map(|chunk| chunk_text(0, chunk, setup.chunk_bytes))
+            .collect();
+        let mut world = Self {
+            now: Duration::from_secs(10),
+            tallies: vec![ProcessTally::default(); members.len()],
+            violations: Vec::new(),
+            cut: BTreeSet::new(),
+            store_up: true,
+            rng: ChaCha8Rng::seed_from_u64(setup.seed),
+            count: 0,
+            queue: BinaryHeap::new(),
+            steps: BTreeMap::new(),
+            processes: Vec::new(),
+            accepted: ConfigManifest::new(0, &[]),
+            chunks: BTreeMap::new(),
+            digests: BTreeMap::new(),
+            plan,
+            index,
+            texts,
+            setup,
+        };
+        for (position, member) in members.into_iter().enumerate() {
+            world.add(position, member);
+        }
+        world.link_leaves();
+        world.accept();
+        for position in 0..world.processes.len() {
+            world.start(position);
+        }
+        world
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.processes.len()
+    }
+
+    pub(crate) fn is_alive(&self, position: usize) -> bool {
+        self.processes[position].alive
+    }
+
+    pub(crate) fn name(&self, position: usize) -> ProcessId {
+        self.processes[position].member.process.clone()
+    }
+
+    pub(crate) fn position(&self, name: &str) -> usize {
+        self.index[name]
+    }
+
+    /// Names of the processes that watch the store.
+    pub(crate) fn watcher_names(&self) -> Vec<ProcessId> {
+        self.plan.watchers().to_vec()
+    }
+
+    pub(crate) fn region_of(&self, position: usize) -> usize {
+        self.processes[position].region
+    }
+
+    pub(crate) fn generation(&self, position: usize) -> Generation {
+        self.processes[position].state.generation()
+    }
+
+    pub(crate) fn accepted(&self) -> Generation {
+        self.accepted.generation
+    }
+
+    /// The store accepts a change of one chunk; watchers learn of it.
+    pub(crate) fn accept(&mut self) -> Generation {
+        let generation = self.accepted.generation + 1;
+        let chunk = self.rng.random_range(0..self.texts.len());
+        self.texts[chunk] = chunk_text(generation, chunk, self.setup.chunk_bytes);
+        self.accepted = ConfigManifest::new(generation, &self.texts);
+        for text in &self.texts {
+            self.chunks.insert(chunk_hash(text), text.clone());
+        }
+        self.digests.insert(generation, self.accepted.digest());
+        for position in 0..self.processes.len() {
+            if std::mem::take(&mut self.processes[position].watching) {
+                let life = self.processes[position].life;
+                let at = self.now + self.store_latency();
+                self.push(at, Step::Root(position, life));
+            }
+        }
+        generation
+    }
+
+    /// Ends a process.
+    pub(crate) fn kill(&mut self, position: usize) {
+        self.processes[position].alive = false;
+        self.processes[position].life += 1;
+        self.processes[position].watching = false;
+    }
+
+    /// Starts a process anew, with nothing in force.
+    pub(crate) fn restart(&mut self, position: usize) {
+        self.kill(position);
+        let seed = self.rng.random();
+        let process = &mut self.processes[position];
+        process.alive = true;
+        process.state = AdoptionState::new(self.setup.limits.clone(), seed)
+            .with_safeguards(self.setup.safeguards);
+        self.tallies[position].adopted_at.clear();
+        self.start(position);
+    }
+
+    /// Forgets what was counted.
+    pub(crate) fn reset_tallies(&mut self) {
+        for tally in &mut self.tallies {
+            let adopted_at = std::mem::take(&mut tally.adopted_at);
+            *tally = ProcessTally {
+                adopted_at,
+                ..ProcessTally::default()
+            };
+        }
+    }
+
+    /// Lets time pass.
+    pub(crate) fn run(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        while let Some(Reverse((at, id))) = self.queue.peek().copied() {
+            if at > end {
+                break;
+            }
+            self.queue.pop();
+            self.now = at;
+            let step = self.steps.remove(&id).expect("step is queued once");
+            self.step(step);
+        }
+        self.now = end;
+    }
+
+    fn add(&mut self, position: usize, member: RelayMember) {
+        let state =
+            AdoptionState::new(self.setup.limits.clone(), self.setup.seed + position as u64)
+                .with_safeguards(self.setup.safeguards);
+        self.processes.push(Process {
+            region: member.region.parse().expect("regions are numbers"),
+            member,
+            state,
+            life: 0,
+            alive: true,
+            watching: false,
+            feeders: Vec::new(),
+        });
+    }
+
+    fn link_leaves(&mut self) {
+        for position in 0..self.processes.len() {
+            let role = self.plan.role_of(&self.processes[position].member.process);
+            for fed in role.children.iter().chain(&role.offers) {
+                let fed = self.index[fed];
+                if self.processes[fed].member.kind == RelayKind::Leaf {
+                    self.processes[fed].feeders.push(position);
+                }
+            }
+        }
+        for position in 0..self.processes.len() {
+            if !self.processes[position].feeders.is_empty() {
+                let at = self.now + self.millis(0..1_000);
+                self.push(at, Step::Heartbeat(position));
+            }
+        }
+    }
+
+    fn start(&mut self, position: usize) {
+        let role = self.plan.role_of(&self.processes[position].member.process);
+        self.deliver(position, AdoptionEvent::Role(role), 0);
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Event(to, life, event, hops) => {
+                if self.lives(to, life) {
+                    self.deliver(to, event, hops);
+                }
+            }
+            Step::Push(from, life, to, bundle, hops) => self.arrive(from, life, to, bundle, hops),
+            Step::Pull(from, life, to, above) => self.pulled(from, life, to, above),
+            Step::Root(position, life) => {
+                let event = AdoptionEvent::RootRead(self.root_of(position));
+                self.push(self.now, Step::Event(position, life, event, 0));
+            }
+            Step::Watch(position, life, above, since) => self.watch(position, life, above, since),
+            Step::Chunk(position, life, hash) => {
+                let bytes = self.chunks.get(&hash).cloned();
+                let bytes = bytes.filter(|_| self.reaches_store(position));
+                let event = AdoptionEvent::ChunkRead { hash, bytes };
+                self.push(self.now, Step::Event(position, life, event, 0));
+            }
+            Step::Heartbeat(position) => self.heartbeat(position),
+            Step::Tick(position, life) => {
+                if self.lives(position, life) {
+                    let hops = self.tallies[position].hops;
+                    self.deliver(position, AdoptionEvent::Tick, hops);
+                }
+            }
+        }
+    }
+
+    fn lives(&self, position: usize, life: u32) -> bool {
+        self.processes[position].alive && self.processes[position].life == life
+    }
+
+    fn deliver(&mut self, position: usize, event: AdoptionEvent, hops: usize) {
+        let before = self.processes[position].state.generation();
+        let actions = self.processes[position].state.handle(self.now, event);
+        let after = self.processes[position].state.generation();
+        if after < before {
+            let text = format!("process {position} went back from {before} to {after}");
+            self.violations.push(text);
+        }
+        if after != before {
+            self.tallies[position].hops = hops;
+        }
+        for action in actions {
+            self.act(position, action);
+        }
+    }
+
+    fn millis(&mut self, range: std::ops::Range<u64>) -> Duration {
+        Duration::from_millis(self.rng.random_range(range))
+    }
+
+    fn push(&mut self, at: Timestamp, step: Step) {
+        self.count += 1;
+        self.queue.push(Reverse((at.max(self.now), self.count)));
+        self.steps.insert(self.count, step);
+    }
+}
--- /dev/null
+++ b/lovagedock/tests/support/relay_world/store.rs
@@ -0,0 +1,55 @@
+//! The store as the processes see it.
+
+use std::time::Duration;
+
+use lovagedock::{AdoptionEvent, Generation, RootOutcome, Timestamp};
+
+use super::{RelayWorld, Step, WATCH_TIME};
+
+impl RelayWorld {
+    pub(super) fn watch(
+        &mut self,
+        position: usize,
+        life: u32,
+        above: Generation,
+        since: Timestamp,
+    ) {
+        if !self.lives(position, life) {
+            return;
+        }
+        let outcome = self.root_of(position);
+        let is_new = matches!(&outcome, RootOutcome::Found(m) if m.generation > above);
+        let is_over = self.now >= since + WATCH_TIME;
+        if is_new || is_over || outcome == RootOutcome::Unavailable {
+            let outcome = match is_new || outcome == RootOutcome::Unavailable {
+                true => outcome,
+                false => RootOutcome::Unchanged,
+            };
+            self.push(
+                self.now,
+                Step::Event(position, life, AdoptionEvent::RootRead(outcome), 0),
+            );
+            return;
+        }
+        // The store notices a broken watch as slowly as a caller does.
+        let at = self.now + Duration::from_millis(100);
+        self.push(at, Step::Watch(position, life, above, since));
+    }
+
+    pub(super) fn root_of(&self, position: usize) -> RootOutcome {
+        match self.reaches_store(position) {
+            true if self.accepted.generation > 0 => RootOutcome::Found(self.accepted.clone()),
+            true => RootOutcome::Unchanged,
+            false => RootOutcome::Unavailable,
+        }
+    }
+
+    /// The store is in region 0.
+    pub(super) fn reaches_store(&self, position: usize) -> bool {
+        self.store_up && !self.cut.contains(&self.processes[position].region)
+    }
+
+    pub(super) fn store_latency(&mut self) -> Duration {
+        self.millis(3..15)
+    }
+}
