Serve prompts that are larger than any engine

Cause: a season audit of 540,000 tokens was refused with code 1006: spans were decided but not carried out. Change: the gateway's driver carries the span coordinator's actions out; the sidecar prefills a part only into memory that the attempt has reserved; the lead prefills its own part when it decodes. Placement and sidecar now share one constant for the share of memory that spans may hold: placement filled whole engines and each reservation was refused until the span gave up (found by the new test: 503 after 18 s). A lost session is closed, so that calls under way on a silent connection end. Conclusion: one segment a part; engines prefill in chunks of their own.

--- a/lovagedock-gateway/src/driver.rs
+++ b/lovagedock-gateway/src/driver.rs
@@ -4,10 +4,11 @@
 
 use bytes::Bytes;
 use lovagedock::{
-    AnswerEnd, AttemptKey, CostParameters, Outcome, PlacedOn, PlacementChoice, PlacementRequest,
-    RequestAction, RequestEvent, RequestMachine, RequestSpec, SentWork, SpanPart, prelude::*,
+    AttemptKey, CostParameters, Outcome, PlacedOn, PlacementChoice, PlacementRequest,
+    RequestAction, RequestEvent, RequestMachine, RequestSpec, SentWork, SpanEvent, SpanMember,
+    SpanPart, prelude::*,
 };
-use lovagedock_wire::{AnswerHead, SpanHolder, WorkMessage};
+use lovagedock_wire::{AnswerHead, SegmentReply, SpanHolder, WorkMessage};
 use rand::Rng;
 use tokio::{
     sync::{mpsc, oneshot},
@@ -19,6 +20,7 @@
     front::{CallerEvent, CallerSink},
     link::{AttemptEvent, AttemptSender, LinkCommand},
     shared::GatewayShared,
+    span_run::SpanRun,
 };
 
 /// Events of attempts that may wait for the driver.
@@ -33,16 +35,36 @@
     pub(crate) body: Vec<u8>,
 }
 
+/// What a task that the driver started tells it.
+pub(crate) enum DriverNote {
+    /// Something for the request machine.
+    Request(RequestEvent),
+    /// Something for the span coordinator.
+    Span(SpanEvent),
+    /// An engine has prefilled its part of the span.
+    Prefilled {
+        /// The engine's endpoint.
+        endpoint: EndpointId,
+        /// First token of the part.
+        start: TokenCount,
+        /// How it ended, and what the engine calls itself.
+        reply: SegmentReply,
+        /// Tokens of the part.
+        tokens: TokenCount,
+    },
+}
+
 /// One request on its way.
 pub(crate) struct RequestDriver {
-    shared: GatewayShared,
-    call: Arc<CallerCall>,
+    pub(crate) shared: GatewayShared,
+    pub(crate) call: Arc<CallerCall>,
     machine: RequestMachine,
     caller: CallerSink,
     sender: mpsc::Sender<(AttemptNumber, AttemptEvent)>,
     events: mpsc::Receiver<(AttemptNumber, AttemptEvent)>,
-    notes: mpsc::UnboundedReceiver<RequestEvent>,
-    note_sender: mpsc::UnboundedSender<RequestEvent>,
+    notes: mpsc::UnboundedReceiver<DriverNote>,
+    pub(crate) note_sender: mpsc::UnboundedSender<DriverNote>,
+    pub(crate) span: Option<SpanRun>,
     deadline: Timestamp,
     wake_at: Timestamp,
     head: Option<AnswerHead>,
@@ -80,6 +102,7 @@
             events,
             notes,
             note_sender,
+            span: None,
             head: None,
             chunk: Bytes::new(),
             hasher: blake3::Hasher::new(),
@@ -117,6 +140,8 @@
 
     async fn next_event(&mut self, caller_gone: &mut bool) -> Option<RequestEvent> {
         let wake = self.shared.context.clock.instant_at(self.wake_at);
+        let span_wake = self.span.as_ref().map_or(self.wake_at, |span| span.wake_at);
+        let span_wake = self.shared.context.clock.instant_at(span_wake);
         tokio::select! {
             biased;
             () = sleep_until(wake.into()) => Some(RequestEvent::Tick),
@@ -124,11 +149,27 @@
                 *caller_gone = true;
                 Some(RequestEvent::CallerGone)
             }
-            Some(note) = self.notes.recv() => Some(note),
+            () = sleep_until(span_wake.into()), if self.span.is_some() => {
+                self.span_event(SpanEvent::Tick)
+            }
+            Some(note) = self.notes.recv() => self.note(note),
             Some((attempt, event)) = self.events.recv() => self.attempt_event(attempt, event),
         }
     }
 
+    fn note(&mut self, note: DriverNote) -> Option<RequestEvent> {
+        match note {
+            DriverNote::Request(event) => Some(event),
+            DriverNote::Span(event) => self.span_event(event),
+            DriverNote::Prefilled {
+                endpoint,
+                start,
+                reply,
+                tokens,
+            } => self.prefilled(endpoint, start, tokens, reply),
+        }
+    }
+
     fn attempt_event(
         &mut self,
         attempt: AttemptNumber,
@@ -179,6 +220,15 @@
                     let matches = *self.hasher.finalize().as_bytes() == expected;
                     queue.extend(self.feed(RequestEvent::DigestChecked { matches }));
                 }
+                RequestAction::StartSpan {
+                    attempt,
+                    members,
+                    remaining,
+                } => {
+                    let event = self.start_span(attempt, members, remaining);
+                    queue.extend(event.map_or_else(Vec::new, |event| self.feed(event)));
+                }
+                RequestAction::ReleaseSpan { .. } => self.release_span(),
                 RequestAction::Deliver { skip, .. } => self.deliver(skip).await,
                 RequestAction::DeliverHead { .. } => self.deliver_head().await,
                 RequestAction::WakeAt(wake_at) => self.wake_at = wake_at,
@@ -194,6 +244,11 @@
     }
 
     fn place(&mut self, excluded: &[EndpointId]) -> PlacedOn {
+        let choice = self.choose(excluded);
+        self.placed(choice)
+    }
+
+    pub(crate) fn choose(&self, excluded: &[EndpointId]) -> Option<PlacementChoice> {
         let now = self.now();
         let request = PlacementRequest {
             id: self.call.id,
@@ -207,8 +262,7 @@
             excluded,
         };
         let fleet = &self.shared.context.fleet;
-        let choice = fleet.place(now, &self.call.pool, &request, &mut rand::rng());
-        self.placed(choice)
+        fleet.place(now, &self.call.pool, &request, &mut rand::rng())
     }
 
     fn placed(&mut self, choice: Option<PlacementChoice>) -> PlacedOn {
@@ -244,18 +298,9 @@
             Some(PlacementChoice::Span {
                 members, reason, ..
             }) => {
-                let mut parts = Vec::with_capacity(members.len());
-                for member in members {
-                    let Some(incarnation) = self.incarnation(&member.endpoint) else {
-                        return refused(ResultCode::EndpointUnreachable, Duration::ZERO);
-                    };
-                    let prefill = CostParameters::ASSUMED.prefill(member.tokens, 0);
-                    self.count_sent(&member.endpoint, member.tokens, prefill);
-                    parts.push(SpanPart {
-                        endpoint: member.endpoint,
-                        incarnation,
-                        tokens: member.tokens,
-                    });
+                let parts = self.span_parts(members);
+                if parts.is_empty() {
+                    return refused(ResultCode::EndpointUnreachable, Duration::ZERO);
                 }
                 self.step(format!("placed on {} engines: {reason}", parts.len()));
                 PlacedOn::Span(parts)
@@ -263,7 +308,32 @@
         }
     }
 
-    fn count_sent(&mut self, endpoint: &EndpointId, tokens: TokenCount, prefill: Duration) {
+    /// Engines of a span with the lives of their sidecars; empty if one is out of reach.
+    pub(crate) fn span_parts(&mut self, members: Vec<SpanMember>) -> Vec<SpanPart> {
+        let mut parts = Vec::with_capacity(members.len());
+        for member in members {
+            let Some(incarnation) = self.incarnation(&member.endpoint) else {
+                return Vec::new();
+            };
+            parts.push(SpanPart {
+                endpoint: member.endpoint,
+                incarnation,
+                tokens: member.tokens,
+            });
+        }
+        for part in &parts {
+            let prefill = CostParameters::ASSUMED.prefill(part.tokens, 0);
+            self.count_sent(&part.endpoint, part.tokens, prefill);
+        }
+        parts
+    }
+
+    pub(crate) fn count_sent(
+        &mut self,
+        endpoint: &EndpointId,
+        tokens: TokenCount,
+        prefill: Duration,
+    ) {
         let long_tokens = self
             .shared
             .context
@@ -284,7 +354,7 @@
         self.sent_to.push(endpoint.clone());
     }
 
-    fn incarnation(&self, endpoint: &EndpointId) -> Option<Incarnation> {
+    pub(crate) fn incarnation(&self, endpoint: &EndpointId) -> Option<Incarnation> {
         self.shared.context.fleet.get(endpoint)?.incarnation
     }
 
@@ -311,7 +381,8 @@
             } => {
                 self.step(format!("attempt {attempt} submitted to {endpoint}"));
                 let key = self.key(attempt, incarnation);
-                let work = Box::new(self.work(key, remaining, Vec::new()));
+                let holders = self.span.as_ref().map_or_else(Vec::new, SpanRun::holders);
+                let work = Box::new(self.work(key, remaining, holders));
                 let events = self.attempt_sender(attempt);
                 self.send(&endpoint, LinkCommand::Submit { work, events });
             }
@@ -344,11 +415,10 @@
                 let key = self.key(attempt, incarnation);
                 self.send(&endpoint, LinkCommand::Cancel { key });
             }
-            RequestAction::StartSpan { .. } | RequestAction::ReleaseSpan { .. } => {
-                self.span_command(action);
-            }
             RequestAction::Place { .. }
             | RequestAction::AskRetry
+            | RequestAction::StartSpan { .. }
+            | RequestAction::ReleaseSpan { .. }
             | RequestAction::CheckDigest { .. }
             | RequestAction::Deliver { .. }
             | RequestAction::DeliverHead { .. }
@@ -357,16 +427,6 @@
         }
     }
 
-    fn span_command(&mut self, action: RequestAction) {
-        if let RequestAction::StartSpan { attempt, .. } = action {
-            let end = AnswerEnd::new(ResultCode::PromptTooLong)
-                .with_detail("the prompt needs more memory than one engine has");
-            let _own = self
-                .note_sender
-                .send(RequestEvent::SpanFailed { attempt, end });
-        }
-    }
-
     fn revoke(&self, endpoint: &EndpointId, attempt: AttemptNumber, incarnation: Incarnation) {
         self.step(format!("attempt {attempt} on {endpoint} revoked"));
         let (reply, verdict) = oneshot::channel();
@@ -383,11 +443,11 @@
                 Ok(Err(_)) | Err(_) => RequestEvent::RevokeFailed { attempt },
             };
             // A driver that has finished does not need the verdict.
-            let _finished = notes.send(event);
+            let _finished = notes.send(DriverNote::Request(event));
         });
     }
 
-    fn key(&self, attempt: AttemptNumber, incarnation: Incarnation) -> AttemptKey {
+    pub(crate) fn key(&self, attempt: AttemptNumber, incarnation: Incarnation) -> AttemptKey {
         AttemptKey {
             request: self.call.id,
             attempt,
@@ -395,7 +455,12 @@
         }
     }
 
-    fn work(&self, key: AttemptKey, remaining: Duration, span: Vec<SpanHolder>) -> WorkMessage {
+    pub(crate) fn work(
+        &self,
+        key: AttemptKey,
+        remaining: Duration,
+        span: Vec<SpanHolder>,
+    ) -> WorkMessage {
         let call = &self.call;
         WorkMessage {
             key,
@@ -425,7 +490,7 @@
 
     /// Gives a command to the endpoint's link; an endpoint that has left the configuration has
     /// none, and the machine's own times end the wait.
-    fn send(&self, endpoint: &EndpointId, command: LinkCommand) {
+    pub(crate) fn send(&self, endpoint: &EndpointId, command: LinkCommand) {
         if let Some(entry) = self.shared.context.fleet.get(endpoint) {
             let _link_ended = entry.commands.send(command);
         }
@@ -462,11 +527,16 @@
         }
     }
 
-    fn now(&self) -> Timestamp {
+    /// Time left until the deadline.
+    pub(crate) fn remaining(&self) -> Duration {
+        self.deadline.saturating_sub(self.now())
+    }
+
+    pub(crate) fn now(&self) -> Timestamp {
         self.shared.context.clock.now()
     }
 
-    fn step(&self, step: impl Into<String>) {
+    pub(crate) fn step(&self, step: impl Into<String>) {
         self.shared.trails.step(self.call.id, self.now(), step);
     }
 }
--- a/lovagedock-gateway/src/lib.rs
+++ b/lovagedock-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod settings;
 mod shared;
 mod sources;
+mod span_run;
 mod trail;
 mod workers;
 
--- a/lovagedock-gateway/src/link.rs
+++ b/lovagedock-gateway/src/link.rs
@@ -63,7 +63,6 @@
         key: AttemptKey,
     },
     /// Hold memory for one part of a span.
-    #[allow(dead_code)]
     Reserve {
         /// Names the reservation.
         key: AttemptKey,
@@ -75,13 +74,11 @@
         reply: oneshot::Sender<Result<ReserveReply, WireError>>,
     },
     /// Give a reservation back.
-    #[allow(dead_code)]
     Release {
         /// Names the reservation.
         key: AttemptKey,
     },
     /// Prefill one part of a span.
-    #[allow(dead_code)]
     Segment {
         /// The request.
         work: Box<WorkMessage>,
@@ -234,6 +231,9 @@
         let session = Rc::new(session);
         let mut in_flight = InFlight::new();
         let end = self.serve(&session, &mut in_flight).await;
+        // Calls under way hold the session; without the close they would wait on a connection
+        // that may be silent for good.
+        session.client.close();
         self.context.fleet.session_lost(&self.endpoint);
         for events in in_flight.into_values() {
             let incarnation = session.incarnation;
--- /dev/null
+++ b/lovagedock-gateway/src/span_run.rs
@@ -0,0 +1,315 @@
+//! Carries out what the span coordinator decides about one prompt that needs several engines.
+
+use std::time::Duration;
+
+use lovagedock::{
+    AnswerEnd, PlacementChoice, RequestEvent, SpanAction, SpanCoordinator, SpanEvent, SpanPart,
+    SpanPlan, SpanSegment, SpanTiming, prelude::*,
+};
+use lovagedock_wire::{SegmentRange, SegmentReply, SpanHolder};
+use tokio::sync::oneshot;
+
+use crate::{
+    driver::{DriverNote, RequestDriver},
+    link::LinkCommand,
+};
+
+/// A span of one request.
+pub(crate) struct SpanRun {
+    attempt: AttemptNumber,
+    coordinator: SpanCoordinator,
+    /// When the coordinator wants its next tick.
+    pub(crate) wake_at: Timestamp,
+    members: Vec<SpanPart>,
+    holders: Vec<SpanHolder>,
+    decoding: bool,
+}
+
+impl SpanRun {
+    /// The engines that hold parts of the prompt, in its order; the lead's own part is not here.
+    pub(crate) fn holders(&self) -> Vec<SpanHolder> {
+        self.holders.clone()
+    }
+
+    fn is_lead(&self, endpoint: &EndpointId) -> bool {
+        self.members
+            .first()
+            .is_some_and(|lead| lead.endpoint == *endpoint)
+    }
+}
+
+/// A part of a prompt is one segment: engines prefill in chunks of their own between other work,
+/// and a second cut would only add a round trip for each piece.
+fn timing() -> SpanTiming {
+    SpanTiming {
+        segment_tokens: TokenCount::MAX,
+        ..SpanTiming::default()
+    }
+}
+
+impl RequestDriver {
+    /// Begins to reserve the engines of a span.
+    pub(crate) fn start_span(
+        &mut self,
+        attempt: AttemptNumber,
+        members: Vec<SpanPart>,
+        remaining: Duration,
+    ) -> Option<RequestEvent> {
+        let now = self.now();
+        let tokens = self.call.prompt.tokens;
+        let plan = SpanPlan::new(self.call.id, attempt, tokens, remaining).with_timing(timing());
+        let mut coordinator = SpanCoordinator::new(now, plan, rand::random());
+        let actions = coordinator.start(now, members.clone());
+        self.span = Some(SpanRun {
+            attempt,
+            coordinator,
+            wake_at: Timestamp::MAX,
+            members,
+            holders: Vec::new(),
+            decoding: false,
+        });
+        self.span_actions(actions)
+    }
+
+    /// Gives all engines of the span free.
+    pub(crate) fn release_span(&mut self) {
+        let now = self.now();
+        let Some(span) = &mut self.span else { return };
+        let actions = span.coordinator.handle(now, SpanEvent::Released);
+        self.span_actions(actions);
+        self.span = None;
+    }
+
+    /// Tells the coordinator; a tick also tells it which members' sessions came or went.
+    pub(crate) fn span_event(&mut self, event: SpanEvent) -> Option<RequestEvent> {
+        let now = self.now();
+        let mut told = None;
+        if event == SpanEvent::Tick {
+            for event in self.member_events() {
+                let span = self.span.as_mut()?;
+                let actions = span.coordinator.handle(now, event);
+                told = told.or(self.span_actions(actions));
+            }
+        }
+        let span = self.span.as_mut()?;
+        if event == SpanEvent::Tick {
+            span.wake_at = now + LONGEST_PAUSE;
+        }
+        let actions = span.coordinator.handle(now, event);
+        told.or(self.span_actions(actions))
+    }
+
+    /// Notes what an engine calls itself when it has prefilled its part.
+    pub(crate) fn prefilled(
+        &mut self,
+        endpoint: EndpointId,
+        start: TokenCount,
+        tokens: TokenCount,
+        reply: SegmentReply,
+    ) -> Option<RequestEvent> {
+        let span = self.span.as_mut()?;
+        if reply.end.code == ResultCode::Complete {
+            span.holders.push(SpanHolder {
+                locator: reply.locator,
+                tokens,
+            });
+        }
+        self.span_event(SpanEvent::SegmentDone {
+            endpoint,
+            start,
+            end: reply.end,
+        })
+    }
+
+    fn member_events(&self) -> Vec<SpanEvent> {
+        let Some(span) = &self.span else {
+            return Vec::new();
+        };
+        let members = span.members.iter();
+        members
+            .map(|member| {
+                let endpoint = member.endpoint.clone();
+                match self.incarnation(&endpoint) {
+                    Some(incarnation) => SpanEvent::MemberBack {
+                        endpoint,
+                        incarnation,
+                    },
+                    None => SpanEvent::MemberLost {
+                        endpoint,
+                        incarnation: member.incarnation,
+                    },
+                }
+            })
+            .collect()
+    }
+
+    fn span_actions(&mut self, actions: Vec<SpanAction>) -> Option<RequestEvent> {
+        let mut told = None;
+        for action in actions {
+            let event = match action {
+                SpanAction::Choose => self.choose_again(),
+                SpanAction::Reserve {
+                    endpoint,
+                    incarnation,
+                    round,
+                    tokens,
+                    hold,
+                } => {
+                    self.reserve(endpoint, incarnation, round, tokens, hold);
+                    None
+                }
+                SpanAction::Release {
+                    endpoint,
+                    incarnation,
+                } => {
+                    self.release(&endpoint, incarnation);
+                    None
+                }
+                SpanAction::Segment(segment) => {
+                    self.segment(segment);
+                    None
+                }
+                SpanAction::Decode { .. } => self.decode(),
+                SpanAction::Fail(end) => self.span_failed(end),
+                SpanAction::WakeAt(at) => {
+                    if let Some(span) = &mut self.span {
+                        span.wake_at = at;
+                    }
+                    None
+                }
+            };
+            told = told.or(event);
+        }
+        told
+    }
+
+    fn choose_again(&mut self) -> Option<RequestEvent> {
+        let parts = match self.choose(&[]) {
+            Some(PlacementChoice::Span { members, .. }) => self.span_parts(members),
+            Some(PlacementChoice::One { .. } | PlacementChoice::Refuse { .. }) | None => Vec::new(),
+        };
+        if let Some(span) = &mut self.span {
+            span.members.clone_from(&parts);
+            span.holders.clear();
+        }
+        self.span_event(SpanEvent::Chosen(parts))
+    }
+
+    fn reserve(
+        &self,
+        endpoint: EndpointId,
+        incarnation: Incarnation,
+        round: u32,
+        tokens: TokenCount,
+        hold: Duration,
+    ) {
+        let Some(span) = &self.span else { return };
+        let notes = self.note_sender.clone();
+        // From the submit on the lead's reservation lasts as long as the request.
+        if span.decoding && span.is_lead(&endpoint) {
+            let granted = SpanEvent::Reserved {
+                endpoint,
+                round,
+                granted: true,
+            };
+            let _own = notes.send(DriverNote::Span(granted));
+            return;
+        }
+        let (reply, answer) = oneshot::channel();
+        let command = LinkCommand::Reserve {
+            key: self.key(span.attempt, incarnation),
+            tokens,
+            hold,
+            reply,
+        };
+        self.send(&endpoint, command);
+        tokio::spawn(async move {
+            let event = match answer.await {
+                Ok(Ok(reply)) => SpanEvent::Reserved {
+                    endpoint,
+                    round,
+                    granted: reply.granted,
+                },
+                Ok(Err(_)) | Err(_) => SpanEvent::MemberLost {
+                    endpoint,
+                    incarnation,
+                },
+            };
+            // A driver that has finished does not need it.
+            let _finished = notes.send(DriverNote::Span(event));
+        });
+    }
+
+    fn release(&self, endpoint: &EndpointId, incarnation: Incarnation) {
+        let Some(span) = &self.span else { return };
+        let key = self.key(span.attempt, incarnation);
+        self.send(endpoint, LinkCommand::Release { key });
+    }
+
+    fn segment(&mut self, segment: SpanSegment) {
+        let Some(span) = &self.span else { return };
+        let SpanSegment {
+            endpoint,
+            incarnation,
+            start,
+            tokens,
+        } = segment;
+        let notes = self.note_sender.clone();
+        if span.is_lead(&endpoint) {
+            // The lead prefills its own part when it decodes.
+            let done = SpanEvent::SegmentDone {
+                endpoint,
+                start,
+                end: AnswerEnd::new(ResultCode::Complete),
+            };
+            let _own = notes.send(DriverNote::Span(done));
+            return;
+        }
+        self.step(format!("{tokens} tokens from {start} go to {endpoint}"));
+        let limit = self.remaining();
+        let key = self.key(span.attempt, incarnation);
+        let (reply, answer) = oneshot::channel();
+        let command = LinkCommand::Segment {
+            work: Box::new(self.work(key, limit, Vec::new())),
+            range: SegmentRange { start, tokens },
+            limit,
+            reply,
+        };
+        self.send(&endpoint, command);
+        tokio::spawn(async move {
+            let note = match answer.await {
+                Ok(Ok(reply)) => DriverNote::Prefilled {
+                    endpoint,
+                    start,
+                    reply,
+                    tokens,
+                },
+                Ok(Err(_)) | Err(_) => DriverNote::Span(SpanEvent::MemberLost {
+                    endpoint,
+                    incarnation,
+                }),
+            };
+            let _finished = notes.send(note);
+        });
+    }
+
+    fn decode(&mut self) -> Option<RequestEvent> {
+        let span = self.span.as_mut()?;
+        span.decoding = true;
+        Some(RequestEvent::SpanReady {
+            attempt: span.attempt,
+        })
+    }
+
+    fn span_failed(&mut self, end: AnswerEnd) -> Option<RequestEvent> {
+        let span = self.span.take()?;
+        self.step(format!("span ended with code {}", end.code.number()));
+        Some(RequestEvent::SpanFailed {
+            attempt: span.attempt,
+            end,
+        })
+    }
+}
+
+/// Longest time between looks at the members' sessions.
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
--- a/lovagedock-sidecar/src/config.rs
+++ b/lovagedock-sidecar/src/config.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use lovagedock::{EndpointEvent, EndpointLimits, OrganisationShare, prelude::*};
+use lovagedock::{EndpointEvent, EndpointLimits, OrganisationShare, PoolKind, prelude::*};
 use lovagedock_wire::ConfigMessage;
 use parking_lot::Mutex;
 use slog::{info, warn};
@@ -13,6 +13,7 @@
 struct InForce {
     generation: Generation,
     long_tokens: TokenCount,
+    bytes_per_token: f64,
 }
 
 /// What is in force at this sidecar.
@@ -42,6 +43,11 @@
         self.in_force.lock().long_tokens
     }
 
+    /// Bytes of prompt text that make one token of the endpoint's model; 0 while unknown.
+    pub(crate) fn bytes_per_token(&self) -> f64 {
+        self.in_force.lock().bytes_per_token
+    }
+
     /// Puts a configuration in force if it is newer; returns the generation in force.
     ///
     /// Gateways of different generations feed the same sidecar. Without the check the last to
@@ -65,6 +71,7 @@
         *in_force = InForce {
             generation: message.generation,
             long_tokens: fleet.placement.long_tokens,
+            bytes_per_token: bytes_per_token(&state.endpoint, &fleet),
         };
         info!(state.log, "configuration in force"; "generation" => message.generation);
         message.generation
@@ -88,6 +95,19 @@
     }
 }
 
+/// Bytes per token of the model that the endpoint's pool runs; 0 for a plain service.
+fn bytes_per_token(endpoint: &EndpointId, fleet: &FleetConfig) -> f64 {
+    let pool = fleet
+        .pools
+        .iter()
+        .find(|pool| pool.endpoints.iter().any(|spec| spec.id == *endpoint));
+    let Some(PoolKind::Engines { model }) = pool.map(|pool| &pool.kind) else {
+        return 0.0;
+    };
+    let model = fleet.models.iter().find(|spec| spec.id == *model);
+    model.map_or(0.0, |spec| spec.bytes_per_token)
+}
+
 fn shares(fleet: &FleetConfig) -> Vec<OrganisationShare> {
     fleet
         .organisations
--- a/lovagedock-sidecar/src/lib.rs
+++ b/lovagedock-sidecar/src/lib.rs
@@ -11,6 +11,7 @@
 mod engine_task;
 mod poll;
 mod report;
+mod segment;
 mod session;
 mod settings;
 mod sidecar;
--- a/lovagedock-sidecar/src/session.rs
+++ b/lovagedock-sidecar/src/session.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use lovagedock::{AnswerEnd, AttemptKey, EndpointEvent, RevokeVerdict, WorkOrder, prelude::*};
+use lovagedock::{AttemptKey, EndpointEvent, RevokeVerdict, WorkOrder, prelude::*};
 use lovagedock_wire::{
     AnswerSender, ConfigMessage, EndpointHandler, LoadMessage, PROTOCOL_VERSION, PeerIdentity,
     ReserveReply, SegmentRange, SegmentReply, SubmitReply, WireError, WorkMessage,
@@ -15,11 +15,10 @@
 use tokio::{sync::watch, task::spawn_local};
 
 use crate::{
-    adapter::SegmentRequest,
     answers::{SinkPlace, SinkStep},
     config::SidecarConfig,
-    engine_task::engine_priority,
     report::LoadReporter,
+    segment,
     state::{CoreReply, SidecarState},
 };
 
@@ -191,7 +190,8 @@
     ) -> impl Future<Output = SegmentReply> + 'static {
         self.heard();
         let state = Arc::clone(&self.state);
-        async move { prefill(&state, &work, range).await }
+        let bytes_per_token = self.config.bytes_per_token();
+        async move { segment::prefill(&state, &work, range, bytes_per_token).await }
     }
 
     fn drain(&self, leaving: bool) -> u32 {
@@ -272,28 +272,10 @@
         answer_tokens: work.answer_tokens,
         non_idempotent: work.non_idempotent,
         predicted: work.predicted,
-        span: Vec::new(),
-    }
-}
-
-async fn prefill(state: &SidecarState, work: &WorkMessage, range: SegmentRange) -> SegmentReply {
-    let request = SegmentRequest {
-        request_id: work.key.request,
-        priority: engine_priority(work.tier),
-        start: range.start,
-        tokens: range.tokens,
-        prompt_part: String::from_utf8_lossy(&work.body).into_owned(),
-    };
-    match state.adapter.segment(request).await {
-        Ok(holder) => SegmentReply {
-            end: AnswerEnd::new(ResultCode::Complete),
-            locator: holder.locator,
-        },
-        Err(error) => SegmentReply {
-            end: AnswerEnd::new(ResultCode::EngineFailed)
-                .with_ran(error.ran())
-                .with_detail(error.to_string()),
-            locator: String::new(),
-        },
+        span: work
+            .span
+            .iter()
+            .map(|holder| holder.locator.as_str().into())
+            .collect(),
     }
 }
--- a/lovagedock-standin/tests/whole_path.rs
+++ b/lovagedock-standin/tests/whole_path.rs
@@ -28,6 +28,8 @@
             { "id": "e1", "host": "h1", "failure_domain": "north", "sidecar": "127.0.0.1:2",
                 "memory_tokens": 400000 },
             { "id": "e2", "host": "h2", "failure_domain": "north", "sidecar": "127.0.0.1:3",
+                "memory_tokens": 400000 },
+            { "id": "e3", "host": "h4", "failure_domain": "north", "sidecar": "127.0.0.1:5",
                 "memory_tokens": 400000 }] },
         { "id": "desk", "kind": { "plain": {} }, "endpoints": [
             { "id": "p1", "host": "h3", "failure_domain": "north", "sidecar": "127.0.0.1:4" }] }
@@ -102,6 +104,20 @@
     assert!(stream.trim_end().ends_with("data: [DONE]"));
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_prompt_larger_than_any_engine_is_answered_whole() {
+    let fleet = start().await;
+    let callers = fleet.gateways[0].gateway.callers_address();
+    let prompt = "log of the season ".repeat(120_000);
+    let body = json!({ "model": "reader", "prompt": prompt, "max_tokens": 20 });
+    let response = call(callers, post("/v1/completions", &body)).await;
+    let status = response.status();
+    let answer = text(response).await;
+    assert_eq!(status, StatusCode::OK, "{answer}");
+    let answer: Value = serde_json::from_str(&answer).expect("a document");
+    assert_eq!(answer["choices"][0]["text"], expected_answer(&prompt, 20));
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_plain_call_reaches_the_service_once() {
     let fleet = start().await;
@@ -147,9 +163,9 @@
 }
 
 fn service(fleet: &LocalFleet) -> &RunningService {
-    match &fleet.endpoints[2].standin {
+    match &fleet.endpoints[3].standin {
         EndpointStandin::Service(service) => service,
-        EndpointStandin::Engine(_) => panic!("the third endpoint is the service"),
+        EndpointStandin::Engine(_) => panic!("the fourth endpoint is the service"),
     }
 }
 
--- a/lovagedock-wire/src/endpoint_client.rs
+++ b/lovagedock-wire/src/endpoint_client.rs
@@ -1,6 +1,6 @@
 //! A gateway's end of a session to a sidecar.
 
-use std::{cell::Cell, future::Future, rc::Rc, time::Duration};
+use std::{future::Future, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use lovagedock::{AnswerEnd, AttemptKey, RevokeVerdict, prelude::*};
@@ -35,29 +35,21 @@
 pub struct EndpointClient {
     session: endpoint_session::Client,
     driver: JoinHandle<()>,
-    lost: Rc<Cell<bool>>,
 }
 
 impl EndpointClient {
     /// Starts a session on a connection; must be called on a `LocalSet`.
     pub fn new(stream: Box<dyn WireStream>) -> Self {
         let (system, session): (SessionSystem, endpoint_session::Client) = client_system(stream);
-        let lost = Rc::new(Cell::new(false));
-        let marker = Rc::clone(&lost);
         let driver = tokio::task::spawn_local(async move {
             let _ended: Result<(), capnp::Error> = system.await;
-            marker.set(true);
         });
-        Self {
-            session,
-            driver,
-            lost,
-        }
+        Self { session, driver }
     }
 
-    /// Whether the connection is known to be gone.
-    pub fn is_lost(&self) -> bool {
-        self.lost.get()
+    /// Closes the connection: calls under way end with an error, and no more frames come.
+    pub fn close(&self) {
+        self.driver.abort();
     }
 
     /// Introduces this process and learns who the other end is.
--- a/lovagedock/src/endpoint/limits.rs
+++ b/lovagedock/src/endpoint/limits.rs
@@ -5,6 +5,7 @@
 use crate::{
     config::PriorityTier,
     ids::{OrganisationId, TokenCount},
+    span::SPAN_SHARE_PERCENT,
 };
 
 /// Bounds of a sidecar's decisions; each has a default that suits a model engine.
@@ -66,7 +67,7 @@
             orphan_grace: Duration::from_secs(5),
             account_wait: Duration::from_secs(1),
             cancel_retry: Duration::from_secs(1),
-            span_share_percent: 50,
+            span_share_percent: SPAN_SHARE_PERCENT,
             reservation_hold: Duration::from_secs(60),
             longest_deadline: Duration::from_secs(3_600),
         }
--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -84,7 +84,8 @@
 pub use retry::{BackoffCurve, RetryAllowance, RetryBudget};
 pub use safeguards::DurableSafeguards;
 pub use span::{
-    ReserveBackoff, SpanAction, SpanCoordinator, SpanEvent, SpanPlan, SpanSegment, SpanTiming,
+    ReserveBackoff, SPAN_SHARE_PERCENT, SpanAction, SpanCoordinator, SpanEvent, SpanPlan,
+    SpanSegment, SpanTiming,
 };
 pub use store_call::{
     ObjectName, ObjectVersion, ReadOutcome, WriteCondition, WriteNonce, WriteOutcome,
--- a/lovagedock/src/placement/span.rs
+++ b/lovagedock/src/placement/span.rs
@@ -1,4 +1,4 @@
-use crate::ids::TokenCount;
+use crate::{ids::TokenCount, span::SPAN_SHARE_PERCENT};
 
 use super::types::{EndpointView, PlacementRequest, PoolView, SpanMember};
 
@@ -26,19 +26,43 @@
     memory == 0 || memory_need(request) <= memory
 }
 
-/// Takes the fewest endpoints, in the given order, whose memory together is enough, and shares the
-/// request evenly among them, so that each keeps some memory for short requests; `None` if the
-/// memory of all is too little.
+/// Takes the fewest endpoints, in the given order, whose memory for spans together is enough, and
+/// shares the request evenly among them; `None` if the memory of all is too little.
+///
+/// Endpoints whose memory is free now go first. When these are too few, the others are asked too,
+/// and the span backs off until they have room.
 pub(super) fn take_span(
+    request: &PlacementRequest<'_>,
+    pool: &PoolView<'_>,
+    order: impl Iterator<Item = usize> + Clone,
+) -> Option<Vec<SpanMember>> {
+    let free = |view: &EndpointView| span_memory(view).min(free_of(view));
+    take_enough(request, pool, order.clone(), free)
+        .or_else(|| take_enough(request, pool, order, span_memory))
+}
+
+/// Memory of an endpoint that spans may hold; the sidecar refuses a reservation beyond it.
+fn span_memory(view: &EndpointView) -> TokenCount {
+    memory_of(view) * TokenCount::from(SPAN_SHARE_PERCENT) / 100
+}
+
+fn free_of(view: &EndpointView) -> TokenCount {
+    let report = view.report.as_ref();
+    let free = report.map_or(0, |report| report.free_tokens);
+    free.saturating_sub(view.sent_since.tokens)
+}
+
+fn take_enough(
     request: &PlacementRequest<'_>,
     pool: &PoolView<'_>,
     order: impl Iterator<Item = usize>,
+    memory_for: impl Fn(&EndpointView) -> TokenCount,
 ) -> Option<Vec<SpanMember>> {
     let need = memory_need(request);
     let mut taken: Vec<(usize, TokenCount)> = Vec::new();
     let mut memory = 0;
     for index in order {
-        let available = memory_of(&pool.endpoints[index]);
+        let available = memory_for(&pool.endpoints[index]);
         if available == 0 {
             continue;
         }
--- a/lovagedock/src/span/mod.rs
+++ b/lovagedock/src/span/mod.rs
@@ -11,4 +11,4 @@
 pub use backoff::ReserveBackoff;
 pub use coordinator::SpanCoordinator;
 pub use event::{SpanAction, SpanEvent};
-pub use plan::{SpanPlan, SpanSegment, SpanTiming};
+pub use plan::{SPAN_SHARE_PERCENT, SpanPlan, SpanSegment, SpanTiming};
--- a/lovagedock/src/span/plan.rs
+++ b/lovagedock/src/span/plan.rs
@@ -8,6 +8,10 @@
     request::SpanPart,
 };
 
+/// Largest share of an engine's memory that spans may hold, in percent; the rest stays for
+/// requests that fit one engine.
+pub const SPAN_SHARE_PERCENT: u8 = 50;
+
 /// A prompt that needs several engines.
 #[derive(Clone, Debug)]
 pub struct SpanPlan {
