Check the sidecar's promises over random schedules

Cause: the outcome of a request must hold under any order of gateway calls, engine traffic and faults, and each safeguard must be shown to be needed. Change: a world of one sidecar, its engine and gateways with lost cancellations, engine and sidecar restarts, stale accounts and spans; with each of five safeguards off, its violation is seen. Played-out streams show starvation with the head reservation or ageing off. Found and mended: memory of a run was forgotten when the engine was cut off, so a flapping engine link restarted the orphan grace each time; an orphan could be dropped just before the first account after a cut.

--- a/lovagedock/src/endpoint/engine.rs
+++ b/lovagedock/src/endpoint/engine.rs
@@ -119,7 +119,7 @@
 
     pub(super) fn engine_down(&mut self, now: Timestamp) {
         self.engine_up = false;
-        self.ledger.clear();
+        self.ledger.disown(now);
         let running = self.table.values().filter(|entry| !entry.is_queued());
         let running: Vec<_> = running
             .map(|entry| (entry.key.request, lost_end(entry)))
@@ -162,7 +162,7 @@
     }
 
     pub(super) fn collect_memory(&mut self, now: Timestamp) {
-        if !self.safeguards.orphan_collection {
+        if !self.engine_up || !self.safeguards.orphan_collection {
             return;
         }
         let limits = &self.limits;
--- a/lovagedock/src/endpoint/expiry.rs
+++ b/lovagedock/src/endpoint/expiry.rs
@@ -82,8 +82,10 @@
         let waits = self.queue.len() > 0 && !self.knows_engine(self.now);
         let account = waits.then_some(self.account_due);
         let answer = self.answers.next_due();
-        let times = [request, account, answer, self.ledger.next_due()];
+        let memory = self.ledger.next_due().filter(|_| self.engine_up);
+        let times = [request, account, answer, memory];
         let wake = times.into_iter().flatten().min();
+        let wake = wake.map(|at| at.max(self.now));
         if let Some(at) = wake
             && self.wake != wake
         {
--- a/lovagedock/src/endpoint/ledger.rs
+++ b/lovagedock/src/endpoint/ledger.rs
@@ -42,6 +42,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct OrphanHolding {
     pub(super) tokens: TokenCount,
+    /// Since when no account was there to tell whether it is still held.
+    pub(super) since: Timestamp,
     pub(super) cancel_at: Timestamp,
 }
 
@@ -176,9 +178,25 @@
         }
     }
 
-    /// The engine is dead, and its memory with it.
-    pub fn clear(&mut self) {
-        *self = Self::new(self.memory);
+    /// The engine is dead or cut off: what it held is ownerless from now on.
+    ///
+    /// If it was only cut off, everything is still there when it comes back and is cancelled at
+    /// once; if it died, its next account lacks it.
+    pub fn disown(&mut self, now: Timestamp) {
+        for orphan in self.orphans.values_mut() {
+            orphan.since = now;
+        }
+        for (request, lease) in std::mem::take(&mut self.leases) {
+            let orphan = OrphanHolding {
+                tokens: lease.tokens,
+                since: now,
+                cancel_at: now,
+            };
+            self.orphans.insert(request, orphan);
+        }
+        self.leased = 0;
+        self.orphaned = self.orphans.values().map(|orphan| orphan.tokens).sum();
+        self.accounted = false;
     }
 
     /// Reservations that have lapsed.
--- a/lovagedock/src/endpoint/queue.rs
+++ b/lovagedock/src/endpoint/queue.rs
@@ -102,9 +102,10 @@
 impl AdmissionQueue {
     /// Puts a request at the end of its organisation's line.
     pub(crate) fn push(&mut self, now: Timestamp, work: QueuedWork) {
+        let request = work.request;
+        self.remove(request);
         let sequence = self.next_sequence;
         self.next_sequence += 1;
-        let request = work.request;
         let tier = &mut self.tiers[work.tier as usize];
         let cost = work.cost.total();
         let tag = tier.tags.push(&work.organisation, cost, work.weight);
--- a/lovagedock/src/endpoint/reconcile.rs
+++ b/lovagedock/src/endpoint/reconcile.rs
@@ -43,6 +43,10 @@
         for request in unconfirmed {
             self.release(request);
         }
+        if !accounted {
+            self.orphans.retain(|_, orphan| orphan.since + grace > now);
+            self.orphaned = self.orphans.values().map(|orphan| orphan.tokens).sum();
+        }
         let mut due = Vec::new();
         for (request, lease) in &mut self.leases {
             if let LeaseState::Closing { retry_at, .. } = &mut lease.state
@@ -71,6 +75,7 @@
                 .entry(holding.request)
                 .or_insert(OrphanHolding {
                     tokens: 0,
+                    since: now,
                     cancel_at: now + grace,
                 });
             orphan.tokens = holding.tokens;
--- /dev/null
+++ b/lovagedock/tests/endpoint_admission.rs
@@ -0,0 +1,212 @@
+//! Fairness and starvation at a sidecar, played out against an engine with known run times.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use lovagedock::{
+    AttemptKey, CostParameters, EndpointAction, EndpointCore, EndpointEvent, EndpointLimits,
+    EndpointSafeguards, EngineAnswer, EngineReport, EngineResult, PriorityTier, RequestId,
+    Timestamp, WorkOrder,
+};
+
+const MEMORY: u64 = 100_000;
+const STEP: Duration = Duration::from_millis(100);
+
+/// Plays arrivals against an engine on which each request takes a fixed time.
+struct Fleet {
+    core: EndpointCore,
+    now: Timestamp,
+    run_time: Duration,
+    ends: BTreeSet<(Timestamp, RequestId)>,
+    started: BTreeMap<RequestId, Timestamp>,
+    organisations: BTreeMap<RequestId, &'static str>,
+    next: RequestId,
+}
+
+impl Fleet {
+    fn new(limits: EndpointLimits, safeguards: EndpointSafeguards, run_time: Duration) -> Self {
+        let mut fleet = Self {
+            core: EndpointCore::new(1, limits).with_safeguards(safeguards),
+            now: Timestamp::ZERO,
+            run_time,
+            ends: BTreeSet::new(),
+            started: BTreeMap::new(),
+            organisations: BTreeMap::new(),
+            next: 0,
+        };
+        fleet.tell(EndpointEvent::EngineAccount(Vec::new()));
+        fleet
+    }
+
+    fn submit(&mut self, organisation: &'static str, tier: PriorityTier, prompt: u64) -> RequestId {
+        self.next += 1;
+        let request = self.next;
+        self.organisations.insert(request, organisation);
+        self.tell(EndpointEvent::Submit(WorkOrder {
+            key: key(request),
+            service: "service".into(),
+            organisation: organisation.into(),
+            tier,
+            weight: 1,
+            remaining: Duration::from_secs(600),
+            prompt_tokens: prompt,
+            answer_tokens: 0,
+            non_idempotent: false,
+            predicted: Duration::ZERO,
+            span: Vec::new(),
+        }));
+        request
+    }
+
+    fn advance(&mut self, by: Duration) {
+        let until = self.now + by;
+        while let Some(&(at, request)) = self.ends.first().filter(|end| end.0 <= until) {
+            self.ends.remove(&(at, request));
+            self.now = at;
+            let answer = EngineAnswer {
+                length: 0,
+                digest: [0; 32],
+                prompt_tokens: 0,
+                cached_tokens: 0,
+                answer_tokens: 0,
+            };
+            self.tell(EndpointEvent::EngineEnded {
+                key: key(request),
+                result: EngineResult::Finished(answer),
+            });
+        }
+        self.now = until;
+        self.tell(EndpointEvent::Tick);
+    }
+
+    fn tell(&mut self, event: EndpointEvent) {
+        for action in self.core.handle(self.now, event) {
+            if let EndpointAction::Start(key) = action {
+                self.started.insert(key.request, self.now);
+                self.ends.insert((self.now + self.run_time, key.request));
+            }
+        }
+    }
+
+    fn started_of(&self, organisation: &str) -> usize {
+        let started = self.started.keys();
+        let own = started.filter(|request| self.organisations[request] == organisation);
+        own.count()
+    }
+}
+
+fn key(request: RequestId) -> AttemptKey {
+    AttemptKey {
+        request,
+        attempt: 1,
+        incarnation: 1,
+    }
+}
+
+// Short prompts arrive so fast that they would take each block that comes free. A prompt that
+// needs nine tenths of the memory starts soon all the same, and it does not without the
+// reservation.
+#[test]
+fn a_stream_of_short_prompts_does_not_starve_a_long_one() {
+    struct Case {
+        reserve: bool,
+        starts: bool,
+    }
+    let cases = [
+        Case {
+            reserve: true,
+            starts: true,
+        },
+        Case {
+            reserve: false,
+            starts: false,
+        },
+    ];
+    for case in cases {
+        let limits = EndpointLimits::default()
+            .with_memory_tokens(MEMORY)
+            .with_concurrency(200);
+        let safeguards = EndpointSafeguards {
+            head_reservation: case.reserve,
+            ..EndpointSafeguards::default()
+        };
+        let mut fleet = Fleet::new(limits, safeguards, Duration::from_secs(1));
+        let mut long = None;
+        for round in 0..300 {
+            for _ in 0..10 {
+                fleet.submit("shop", PriorityTier::Standard, 1_000);
+            }
+            if round == 20 {
+                long = Some(fleet.submit("audit", PriorityTier::Standard, 90_000));
+            }
+            fleet.advance(STEP);
+        }
+        let started = fleet.started.contains_key(&long.unwrap());
+        assert_eq!(started, case.starts, "reserve: {}", case.reserve);
+    }
+}
+
+// An interactive stream keeps the only slot busy for two minutes. The batch request starts within
+// its ageing time and a few starts; with ageing switched off it does not start at all.
+#[test]
+fn a_stream_of_higher_tier_does_not_starve_a_batch_request() {
+    struct Case {
+        aged_interval: u32,
+        starts: bool,
+    }
+    let cases = [
+        Case {
+            aged_interval: 4,
+            starts: true,
+        },
+        Case {
+            aged_interval: 0,
+            starts: false,
+        },
+    ];
+    for case in cases {
+        let mut limits = EndpointLimits::default().with_concurrency(1);
+        limits.aged_interval = case.aged_interval;
+        let run_time = Duration::from_millis(500);
+        let mut fleet = Fleet::new(limits, EndpointSafeguards::default(), run_time);
+        fleet.submit("shop", PriorityTier::Interactive, 100);
+        let batch = fleet.submit("audit", PriorityTier::Batch, 100);
+        for _ in 0..240 {
+            fleet.submit("shop", PriorityTier::Interactive, 100);
+            fleet.advance(Duration::from_millis(500));
+        }
+        let started = fleet.started.get(&batch);
+        assert_eq!(started.is_some(), case.starts, "{}", case.aged_interval);
+        let bound = Duration::from_secs(13);
+        assert!(started.is_none_or(|at| *at <= bound), "{started:?}");
+    }
+}
+
+// One organisation sends nine requests for each one of another; both always wait. The engine's
+// time is shared by weight and predicted cost, not by who sends more.
+#[test]
+fn a_large_organisation_does_not_spoil_a_small_one() {
+    let limits = EndpointLimits::default()
+        .with_concurrency(1)
+        .with_queue_length(10_000);
+    let run_time = Duration::from_millis(500);
+    let mut fleet = Fleet::new(limits, EndpointSafeguards::default(), run_time);
+    fleet.tell(EndpointEvent::EngineReport(EngineReport {
+        cost: CostParameters {
+            prefill_ns_per_token: 500_000.0,
+            ..CostParameters::default()
+        },
+        ..EngineReport::default()
+    }));
+    for _ in 0..100 {
+        for _ in 0..9 {
+            fleet.submit("large", PriorityTier::Standard, 1_000);
+        }
+        fleet.submit("small", PriorityTier::Standard, 1_000);
+        fleet.advance(run_time);
+    }
+    let (large, small) = (fleet.started_of("large"), fleet.started_of("small"));
+    assert!(large.abs_diff(small) <= 2, "{large} large, {small} small");
+}
--- /dev/null
+++ b/lovagedock/tests/support/endpoint_world.rs
@@ -0,0 +1,469 @@
+//! A sidecar, its engine and the gateways before it, with faults; it checks what must hold.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use lovagedock::{
+    AnswerEnd, AttemptKey, EndpointAction, EndpointCore, EndpointEvent, EndpointLimits,
+    EndpointSafeguards, EngineAnswer, EngineHolding, EngineResult, PriorityTier, RanState,
+    RequestId, RevokeVerdict, Timestamp, WorkOrder,
+};
+
+use crate::endpoint_steps::{Step, StepKey, StepOrder};
+
+const MEMORY: u64 = 1_000;
+const POLL: Duration = Duration::from_secs(1);
+const FIRST_POLL: Duration = Duration::from_millis(500);
+const SETTLE: Duration = Duration::from_secs(90);
+/// Grace, one poll to notice, one repetition of the cancellation.
+const ORPHAN_BOUND: Duration = Duration::from_millis(7_100);
+
+/// What must never be seen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Violation {
+    StartedTwice,
+    StartedAfterNotRun,
+    StartedWhileLeaving,
+    LedgerWrong,
+    NoEndInTime,
+    EndedTwice,
+    OrphanKept,
+    NotEmptyAtLast,
+}
+
+struct EngineRun {
+    key: AttemptKey,
+    tokens: u64,
+    started: bool,
+    bytes: u64,
+}
+
+struct OpenRequest {
+    deadline: Timestamp,
+    ended: bool,
+}
+
+/// The world of one schedule.
+pub(crate) struct EndpointWorld {
+    core: EndpointCore,
+    safeguards: EndpointSafeguards,
+    life: u64,
+    born: Timestamp,
+    now: Timestamp,
+    wake: Option<Timestamp>,
+    next_poll: Timestamp,
+    engine: BTreeMap<RequestId, EngineRun>,
+    last_account: Vec<EngineHolding>,
+    last_end: Option<EndpointEvent>,
+    lose_cancels: u32,
+    pending: Vec<EndpointEvent>,
+    remaining: Duration,
+    open: BTreeMap<RequestId, OpenRequest>,
+    not_run: BTreeMap<RequestId, u32>,
+    starts: BTreeSet<AttemptKey>,
+    ran: BTreeSet<RequestId>,
+    ownerless: BTreeMap<RequestId, Timestamp>,
+    draining: bool,
+    pub(crate) started: usize,
+    pub(crate) violations: BTreeSet<Violation>,
+}
+
+impl EndpointWorld {
+    pub(crate) fn new(safeguards: EndpointSafeguards) -> Self {
+        Self {
+            core: new_core(1, safeguards),
+            safeguards,
+            life: 1,
+            born: Timestamp::ZERO,
+            now: Timestamp::ZERO,
+            wake: None,
+            next_poll: FIRST_POLL,
+            engine: BTreeMap::new(),
+            last_account: Vec::new(),
+            last_end: None,
+            lose_cancels: 0,
+            pending: Vec::new(),
+            remaining: Duration::ZERO,
+            open: BTreeMap::new(),
+            not_run: BTreeMap::new(),
+            starts: BTreeSet::new(),
+            ran: BTreeSet::new(),
+            ownerless: BTreeMap::new(),
+            draining: false,
+            started: 0,
+            violations: BTreeSet::new(),
+        }
+    }
+
+    /// Plays a schedule, then lets everything settle.
+    pub(crate) fn run(mut self, steps: &[Step]) -> Self {
+        for step in steps {
+            self.play(step);
+        }
+        self.lose_cancels = 0;
+        self.advance(self.now + SETTLE);
+        if !self.engine.is_empty() || self.core.ledger().leased() > 0 {
+            self.violations.insert(Violation::NotEmptyAtLast);
+        }
+        self
+    }
+
+    fn play(&mut self, step: &Step) {
+        let own = |key: &StepKey| AttemptKey {
+            request: key.request,
+            attempt: key.attempt,
+            incarnation: self.life,
+        };
+        match step {
+            Step::Wait(ms) => self.advance(self.now + Duration::from_millis(*ms)),
+            Step::Submit(order) => self.submit(order),
+            Step::Revoke(key) => self.tell(EndpointEvent::Revoke(own(key))),
+            Step::Cancel(key) => self.tell(EndpointEvent::Cancel(own(key))),
+            Step::Resume(key, offset) => {
+                let key = own(key);
+                let offset = *offset;
+                self.tell(EndpointEvent::Resume { key, offset });
+            }
+            Step::SinkLost(key) => self.tell(EndpointEvent::SinkLost(own(key))),
+            Step::Started(run) => self.engine_started(*run),
+            Step::Bytes(run, length) => self.engine_bytes(*run, *length),
+            Step::Finish(run) => self.engine_ends(*run, |run| {
+                EngineResult::Finished(EngineAnswer {
+                    length: run.bytes,
+                    digest: [0; 32],
+                    prompt_tokens: run.tokens,
+                    cached_tokens: 0,
+                    answer_tokens: run.bytes,
+                })
+            }),
+            Step::Fail(run) => self.engine_ends(*run, |_| EngineResult::Failed {
+                detail: String::new(),
+            }),
+            Step::RefuseRun(run) => self.engine_refuses(*run),
+            Step::RepeatEnd => self.last_end.clone().into_iter().for_each(|e| self.tell(e)),
+            Step::StaleAccount => {
+                self.tell(EndpointEvent::EngineAccount(self.last_account.clone()))
+            }
+            Step::LoseCancels(count) => self.lose_cancels = *count,
+            Step::EngineDies => {
+                self.engine.clear();
+                self.blip();
+            }
+            Step::EngineBlip => self.blip(),
+            Step::Restart => self.restart(),
+            Step::Reserve(key, tokens, hold) => {
+                let (key, tokens, hold) = (own(key), *tokens, Duration::from_millis(*hold));
+                self.tell(EndpointEvent::Reserve { key, tokens, hold });
+            }
+            Step::Renew(key, hold) => {
+                let (key, hold) = (own(key), Duration::from_millis(*hold));
+                self.tell(EndpointEvent::Renew { key, hold });
+            }
+            Step::Release(key) => self.tell(EndpointEvent::Release(own(key))),
+            Step::Segment(key) => self.segment(own(key)),
+            Step::Drain(leaving) => {
+                self.draining = *leaving;
+                self.tell(EndpointEvent::Drain(*leaving));
+            }
+        }
+    }
+
+    fn submit(&mut self, order: &StepOrder) {
+        let incarnation = self.life + u64::from(order.other_life);
+        self.remaining = Duration::from_millis(order.remaining_ms);
+        let tiers = [
+            PriorityTier::Batch,
+            PriorityTier::Standard,
+            PriorityTier::Interactive,
+        ];
+        self.tell(EndpointEvent::Submit(WorkOrder {
+            key: AttemptKey {
+                request: order.key.request,
+                attempt: order.key.attempt,
+                incarnation,
+            },
+            service: "service".into(),
+            organisation: format!("org{}", order.prompt % 3).into(),
+            tier: tiers[usize::from(order.tier)],
+            weight: 1,
+            remaining: self.remaining,
+            prompt_tokens: order.prompt,
+            answer_tokens: 10,
+            non_idempotent: order.non_idempotent,
+            predicted: Duration::ZERO,
+            span: order.span.then(|| "a".into()).into_iter().collect(),
+        }));
+    }
+
+    fn nth_run(&self, index: usize) -> Option<RequestId> {
+        let count = self.engine.len().max(1);
+        self.engine.keys().nth(index % count).copied()
+    }
+
+    fn engine_started(&mut self, index: usize) {
+        let Some(request) = self.nth_run(index) else {
+            return;
+        };
+        let run = self.engine.get_mut(&request).unwrap();
+        run.started = true;
+        let key = run.key;
+        self.tell(EndpointEvent::EngineStarted(key));
+    }
+
+    fn engine_bytes(&mut self, index: usize, length: u64) {
+        let Some(request) = self.nth_run(index) else {
+            return;
+        };
+        let run = self.engine.get_mut(&request).unwrap();
+        run.started = true;
+        run.bytes += length;
+        let key = run.key;
+        self.tell(EndpointEvent::EngineBytes { key, length });
+    }
+
+    fn engine_ends(&mut self, index: usize, result: impl Fn(&EngineRun) -> EngineResult) {
+        let Some(request) = self.nth_run(index) else {
+            return;
+        };
+        let run = self.engine.remove(&request).unwrap();
+        let result = result(&run);
+        let event = EndpointEvent::EngineEnded {
+            key: run.key,
+            result,
+        };
+        self.last_end = Some(event.clone());
+        self.tell(event);
+    }
+
+    fn engine_refuses(&mut self, index: usize) {
+        let request = self.nth_run(index);
+        if request.is_some_and(|request| !self.engine[&request].started) {
+            self.ran.remove(&request.unwrap());
+            let detail = String::new();
+            self.engine_ends(index, |_| EngineResult::Refused {
+                detail: detail.clone(),
+            });
+        }
+    }
+
+    fn blip(&mut self) {
+        self.tell(EndpointEvent::EngineDown);
+        self.tell(EndpointEvent::EngineUp);
+        self.next_poll = self.now + FIRST_POLL;
+    }
+
+    /// The sidecar loses all that it knew; the engine goes on.
+    fn restart(&mut self) {
+        self.life += 2;
+        self.core = new_core(self.life, self.safeguards);
+        self.born = self.now;
+        self.wake = None;
+        self.next_poll = self.now + FIRST_POLL;
+        // A process reads each account itself, so none is older than its start.
+        self.last_account = self.account();
+        self.open.clear();
+        self.not_run.clear();
+        self.ran.clear();
+        // The bound counts from the sidecar's last start, since it remembers nothing from before.
+        self.ownerless.clear();
+        self.draining = false;
+    }
+
+    /// A part of a span is prefilled into reserved memory.
+    fn segment(&mut self, key: AttemptKey) {
+        if self.core.holds_reservation(key) {
+            self.engine.entry(key.request).or_insert(EngineRun {
+                key,
+                tokens: 50,
+                started: false,
+                bytes: 0,
+            });
+        }
+    }
+
+    fn advance(&mut self, until: Timestamp) {
+        loop {
+            let wake = self.wake.map_or(until, |wake| wake + self.born);
+            let next = wake.min(self.next_poll).min(until);
+            self.now = next.max(self.now);
+            if self.next_poll <= self.now {
+                self.poll();
+            } else if wake <= self.now && self.wake.is_some() {
+                self.tell(EndpointEvent::Tick);
+            } else {
+                return;
+            }
+        }
+    }
+
+    fn poll(&mut self) {
+        self.next_poll = self.now + POLL;
+        self.last_account = self.account();
+        self.tell(EndpointEvent::EngineAccount(self.last_account.clone()));
+    }
+
+    fn account(&self) -> Vec<EngineHolding> {
+        let holdings = self.engine.iter().map(|(request, run)| EngineHolding {
+            request: *request,
+            tokens: run.tokens,
+        });
+        holdings.collect()
+    }
+
+    fn tell(&mut self, event: EndpointEvent) {
+        self.pending.push(event);
+        while let Some(event) = self.pending.pop() {
+            let now = self.now - self.born;
+            self.wake = self.wake.filter(|wake| *wake > now);
+            let actions = self.core.handle(now, event);
+            for (index, action) in actions.iter().enumerate() {
+                self.see(action, actions.get(index + 1));
+            }
+            self.check();
+        }
+    }
+
+    fn see(&mut self, action: &EndpointAction, next: Option<&EndpointAction>) {
+        match action {
+            EndpointAction::Accept(key)
+                if !matches!(next, Some(EndpointAction::ResumeFrom { .. })) =>
+            {
+                self.open_request(key);
+            }
+            EndpointAction::Refuse { key, end } if end.ran == RanState::No => {
+                self.see_not_run(key);
+            }
+            EndpointAction::Start(key) => self.see_start(key),
+            EndpointAction::CancelOnEngine(request) => self.see_cancel(*request),
+            EndpointAction::EndAnswer { key, end } => self.see_end(key, end),
+            EndpointAction::Verdict {
+                key,
+                verdict: RevokeVerdict::Revoked,
+            } => self.see_not_run(key),
+            EndpointAction::WakeAt(at) => self.wake = Some(*at),
+            _ => {}
+        }
+    }
+
+    fn open_request(&mut self, key: &AttemptKey) {
+        let request = OpenRequest {
+            deadline: self.now + self.remaining,
+            ended: false,
+        };
+        let before = self.open.insert(key.request, request);
+        if before.is_some_and(|request| !request.ended) {
+            self.violations.insert(Violation::StartedTwice);
+        }
+    }
+
+    fn see_not_run(&mut self, key: &AttemptKey) {
+        if key.incarnation != self.life {
+            return;
+        }
+        let attempt = self.not_run.entry(key.request).or_default();
+        *attempt = key.attempt.max(*attempt);
+        let run = self.engine.get(&key.request);
+        if run.is_some_and(|run| run.key == *key && self.starts.contains(key)) {
+            self.violations.insert(Violation::StartedAfterNotRun);
+        }
+    }
+
+    fn see_start(&mut self, key: &AttemptKey) {
+        self.started += 1;
+        let told = self.not_run.get(&key.request).copied().unwrap_or(0);
+        if key.attempt <= told {
+            self.violations.insert(Violation::StartedAfterNotRun);
+        }
+        if self.draining {
+            self.violations.insert(Violation::StartedWhileLeaving);
+        }
+        let segment = |run: &EngineRun| !self.starts.contains(&run.key);
+        let beside = self.engine.get(&key.request);
+        let beside = beside.is_some_and(|run| !segment(run));
+        let again = !self.ran.insert(key.request);
+        if !self.starts.insert(*key) || beside || again {
+            self.violations.insert(Violation::StartedTwice);
+        }
+        let run = EngineRun {
+            key: *key,
+            tokens: 50,
+            started: false,
+            bytes: 0,
+        };
+        self.engine.insert(key.request, run);
+    }
+
+    fn see_cancel(&mut self, request: RequestId) {
+        self.ownerless.insert(request, self.now);
+        if self.lose_cancels > 0 {
+            self.lose_cancels -= 1;
+            return;
+        }
+        let Some(run) = self.engine.remove(&request) else {
+            return;
+        };
+        // Half of the engines confirm a cancellation, the others only by their account.
+        if request.is_multiple_of(2) {
+            let result = EngineResult::Cancelled;
+            let key = run.key;
+            self.pending
+                .push(EndpointEvent::EngineEnded { key, result });
+        }
+    }
+
+    fn see_end(&mut self, key: &AttemptKey, end: &AnswerEnd) {
+        let Some(request) = self.open.get_mut(&key.request) else {
+            self.violations.insert(Violation::EndedTwice);
+            return;
+        };
+        if request.ended {
+            self.violations.insert(Violation::EndedTwice);
+        }
+        request.ended = true;
+        if end.ran == RanState::No {
+            self.see_not_run(key);
+        }
+    }
+
+    fn check(&mut self) {
+        let ledger = self.core.ledger();
+        let sum: u64 = ledger.leases().map(|(_, lease)| lease.tokens).sum();
+        if sum != ledger.leased() || sum > MEMORY {
+            self.violations.insert(Violation::LedgerWrong);
+        }
+        let mut open = self.open.values();
+        if open.any(|request| !request.ended && request.deadline < self.now) {
+            self.violations.insert(Violation::NoEndInTime);
+        }
+        self.check_owners();
+    }
+
+    fn check_owners(&mut self) {
+        for (request, run) in &self.engine {
+            let open = self.open.get(request).is_some_and(|open| !open.ended);
+            let started = run.key.incarnation == self.life && open;
+            // A newer attempt takes its request's reservation over, with what it holds.
+            if started || self.core.ledger().is_reserved(*request) {
+                self.ownerless.remove(request);
+                continue;
+            }
+            let since = *self.ownerless.entry(*request).or_insert(self.now);
+            if since + ORPHAN_BOUND < self.now {
+                self.violations.insert(Violation::OrphanKept);
+            }
+        }
+        let engine = &self.engine;
+        self.ownerless
+            .retain(|request, _| engine.contains_key(request));
+    }
+}
+
+fn new_core(life: u64, safeguards: EndpointSafeguards) -> EndpointCore {
+    let limits = EndpointLimits::default()
+        .with_memory_tokens(MEMORY)
+        .with_concurrency(4)
+        .with_queue_length(6);
+    EndpointCore::new(life, limits).with_safeguards(safeguards)
+}
