--- a/lovagedock-standin/tests/platform_standin.rs
+++ b/lovagedock-standin/tests/platform_standin.rs
@@ -3,6 +3,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, http};
+use hyper_util::{client::legacy::Client, rt::TokioExecutor};
 use lovagedock_platform::{
     CallPurpose, HostDirectory, HostState, HttpObjectStore, ObjectStore, PutCondition, StoreError,
 };
@@ -11,19 +14,19 @@
 /// One token in the bucket, and the next comes after far longer than any test takes.
 const ONE_CALL: f64 = 0.000_1;
 
-async fn post(url: &str, path: &str, body: &'static str) -> u16 {
-    use http_body_util::Full;
-    use hyper_util::{client::legacy::Client, rt::TokioExecutor};
+async fn send(request: http::request::Builder, body: &'static str) -> u16 {
     let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
-    let request = hyper::Request::post(format!("{url}{path}"))
-        .body(Full::new(Bytes::from(body)))
-        .expect("request");
-    client
-        .request(request)
-        .await
-        .expect("answer")
-        .status()
-        .as_u16()
+    let request = request.body(Full::from(body)).expect("request");
+    let response = client.request(request).await.expect("answer");
+    response.status().as_u16()
+}
+
+async fn post(url: &str, path: &str, body: &'static str) -> u16 {
+    send(Request::post(format!("{url}{path}")), body).await
+}
+
+async fn get(url: &str, path: &str) -> u16 {
+    send(Request::get(format!("{url}{path}")), "").await
 }
 
 #[tokio::test]
@@ -135,3 +138,16 @@
     });
     assert_eq!(store.get("a", CallPurpose::Status).await, Ok(None));
 }
+
+#[tokio::test]
+async fn weight_loads_keep_to_their_rate() {
+    let options = PlatformOptions {
+        weight_loads_per_second: ONE_CALL,
+        ..PlatformOptions::default()
+    };
+    let running = PlatformStandin::start(options).await.expect("loopback");
+    let url = running.url();
+    assert_eq!(get(&url, "/v1/weights/a").await, 200);
+    assert_eq!(get(&url, "/v1/weights/a").await, 429);
+    assert_eq!(running.counters().weight_loads, 2);
+}
