Keep an organisation's limits over all gateways by shares that follow demand

Cause: limits hold for an organisation, its requests come through any gateway, and a store write for each request is out of the question. Change: UsageLimiter. Gateways report demand to each other; a share shrinks at once and grows only when all peers have confirmed; a lost peer leads to equal shares by way of a stage in which no two rules can overlap. Before the report carried its base, a restart let the shares add up to 1.2.

--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -25,6 +25,7 @@
 mod ids;
 mod lease;
 mod length;
+mod limits;
 mod outcome;
 mod outlier;
 mod placement;
@@ -69,6 +70,10 @@
 };
 pub use lease::{FenceMark, LeaseAction, LeaseEvent, LeaseHolder, LeaseLimits, LeaseStatus};
 pub use length::LengthBucket;
+pub use limits::{
+    LimitAction, LimitDecision, LimitEvent, LimitKind, LimitTiming, ShareStage, UsageAck,
+    UsageEntry, UsageLimiter, UsageReport,
+};
 pub use outcome::{AnswerEnd, AttemptKey, RevokeVerdict};
 pub use outlier::{OutlierAction, OutlierCause, OutlierDetector, OutlierEvent, OutlierSettings};
 pub use placement::{
--- /dev/null
+++ b/lovagedock/src/limits/limiter.rs
@@ -0,0 +1,258 @@
+//! Admits requests within an organisation's limits.
+
+use std::{collections::HashMap, time::Duration};
+
+use super::{
+    demand::DemandVector,
+    message::{LimitAction, LimitEvent, UsageAck, UsageEntry, UsageReport},
+    peers::{LimitTiming, PeerTable, ShareStage},
+    usage::{LimitShares, OrganisationUse},
+};
+use crate::{
+    config::OrganisationLimits,
+    ids::{GatewayId, OrganisationId, Timestamp, TokenCount},
+};
+
+/// Which limit a request would pass.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum LimitKind {
+    /// Requests a second.
+    Requests,
+    /// Tokens a minute.
+    Tokens,
+    /// Requests in flight.
+    Concurrency,
+}
+
+/// Whether a request is within its organisation's limits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LimitDecision {
+    /// It is, and it is counted.
+    Admitted,
+    /// It is not.
+    Refused {
+        /// The limit that it would pass.
+        limit: LimitKind,
+        /// When another try makes sense.
+        retry_after: Duration,
+    },
+}
+
+/// Keeps the limits of organisations over all gateways together.
+///
+/// Each gateway has a share of each limit. Shares follow the demand that gateways report to each
+/// other, and never add up to more than one. Over any time `w` all gateways together admit at most
+/// `limit * (w + 1 s)` requests and one more for each gateway, and tokens of `limit * (w + 10 s)`
+/// and one more request for each gateway. Concurrency may be passed by what was admitted before a
+/// share moved; see the design record.
+#[derive(Debug)]
+pub struct UsageLimiter {
+    timing: LimitTiming,
+    peers: PeerTable,
+    sequence: u64,
+    organisations: HashMap<OrganisationId, OrganisationUse>,
+}
+
+impl UsageLimiter {
+    /// A limiter of one gateway among these peers.
+    pub fn new(now: Timestamp, peers: Vec<GatewayId>, timing: LimitTiming) -> Self {
+        Self {
+            timing,
+            peers: PeerTable::new(now, peers, timing),
+            sequence: 0,
+            organisations: HashMap::new(),
+        }
+    }
+
+    /// Sets an organisation's limits, as the configuration has them.
+    pub fn set_limits(
+        &mut self,
+        now: Timestamp,
+        organisation: &OrganisationId,
+        limits: OrganisationLimits,
+    ) {
+        let entry = self.organisations.entry(organisation.clone());
+        entry.or_insert_with(|| OrganisationUse::new(now)).limits = limits;
+    }
+
+    /// Decides about a request of this many tokens, and counts it when it is admitted.
+    pub fn admit(
+        &mut self,
+        now: Timestamp,
+        organisation: &OrganisationId,
+        tokens: TokenCount,
+    ) -> LimitDecision {
+        self.peers.advance(now);
+        let shares = self.shares(organisation);
+        let Some(usage) = self.organisations.get_mut(organisation) else {
+            return LimitDecision::Admitted;
+        };
+        usage.apply(now, &shares);
+        usage.admit(&shares, tokens)
+    }
+
+    /// Counts a request that ended, with the tokens that its admission did not know of.
+    pub fn finish(&mut self, organisation: &OrganisationId, more_tokens: TokenCount) {
+        if let Some(usage) = self.organisations.get_mut(organisation) {
+            usage.finish(more_tokens);
+        }
+    }
+
+    /// Answers an event with actions.
+    pub fn handle(&mut self, now: Timestamp, event: LimitEvent) -> Vec<LimitAction> {
+        self.peers.advance(now);
+        let actions = match event {
+            LimitEvent::PeerConnected { peer, incarnation } => {
+                self.peers.connect(&peer, incarnation);
+                Vec::new()
+            }
+            LimitEvent::ReportReceived { peer, report } => self.receive(now, peer, &report),
+            LimitEvent::AckReceived { peer, ack } => {
+                if ack.sequence <= self.sequence {
+                    self.peers.confirm(&peer, ack.sequence, ack.stage);
+                }
+                Vec::new()
+            }
+            LimitEvent::Tick => self.exchange(now),
+        };
+        self.peers.advance(now);
+        self.apply_all(now);
+        actions
+    }
+
+    /// How shares are computed now.
+    pub fn stage(&self) -> ShareStage {
+        self.peers.stage()
+    }
+
+    /// Share of a limit that this gateway has now, `0.0..=1.0`.
+    pub fn share(&mut self, now: Timestamp, organisation: &OrganisationId, kind: LimitKind) -> f64 {
+        self.peers.advance(now);
+        let shares = self.shares(organisation);
+        match kind {
+            LimitKind::Requests => shares.requests,
+            LimitKind::Tokens => shares.tokens,
+            LimitKind::Concurrency => shares.concurrency,
+        }
+    }
+
+    /// Requests of an organisation that are in flight at this gateway.
+    pub fn in_flight(&self, organisation: &OrganisationId) -> u32 {
+        self.organisations
+            .get(organisation)
+            .map_or(0, |usage| usage.in_flight)
+    }
+
+    fn receive(
+        &mut self,
+        now: Timestamp,
+        peer: GatewayId,
+        report: &UsageReport,
+    ) -> Vec<LimitAction> {
+        if !self.peers.receive(now, &peer, report) || !self.peers.speaks() {
+            return Vec::new();
+        }
+        // Shares shrink before the confirmation lets the peer's grow.
+        self.peers.advance(now);
+        self.apply_all(now);
+        let ack = UsageAck {
+            sequence: report.sequence,
+            stage: self.peers.stage(),
+        };
+        vec![LimitAction::Acknowledge { peer, ack }]
+    }
+
+    fn exchange(&mut self, now: Timestamp) -> Vec<LimitAction> {
+        self.sequence += 1;
+        for usage in self.organisations.values_mut() {
+            usage.close(self.sequence);
+        }
+        // A demand that shrank counts here before a peer hears of it.
+        self.apply_all(now);
+        if !self.peers.speaks() {
+            return Vec::new();
+        }
+        self.peers.note_sent(now, self.sequence);
+        let peers: Vec<GatewayId> = self.peers.names().cloned().collect();
+        let report = |peer: GatewayId| LimitAction::Report {
+            report: self.report_to(&peer),
+            peer,
+        };
+        peers.into_iter().map(report).collect()
+    }
+
+    fn report_to(&self, peer: &GatewayId) -> UsageReport {
+        let confirmed = self.peers.confirmed_by(peer);
+        let changed = self.organisations.iter();
+        let changed = changed.filter(|(_, usage)| usage.demand.changed_since(confirmed));
+        let entries = changed.map(|(organisation, usage)| {
+            let demand = usage.demand.latest();
+            UsageEntry {
+                organisation: organisation.clone(),
+                requests: demand.requests,
+                tokens: demand.tokens,
+                in_flight: demand.in_flight,
+            }
+        });
+        UsageReport {
+            sequence: self.sequence,
+            base: confirmed,
+            stage: self.peers.stage(),
+            entries: entries.collect(),
+        }
+    }
+
+    fn apply_all(&mut self, now: Timestamp) {
+        let busy = self
+            .organisations
+            .iter()
+            .filter(|(_, usage)| !usage.is_idle());
+        let busy: Vec<OrganisationId> = busy.map(|(name, _)| name.clone()).collect();
+        for organisation in busy {
+            let shares = self.shares(&organisation);
+            if let Some(usage) = self.organisations.get_mut(&organisation) {
+                usage.apply(now, &shares);
+            }
+        }
+    }
+
+    fn shares(&mut self, organisation: &OrganisationId) -> LimitShares {
+        let confirmed = self.peers.confirmed_by_all();
+        let peers = self.peers.demands(organisation);
+        let usage = self.organisations.get_mut(organisation);
+        let own = usage.map_or(DemandVector::default(), |usage| {
+            usage.demand.counted(confirmed)
+        });
+        let share = |field: fn(&DemandVector) -> u64| {
+            let others = peers
+                .as_ref()
+                .map(|peers| peers.iter().map(field).sum::<u64>());
+            self.staged_share(field(&own), others)
+        };
+        LimitShares {
+            requests: share(|demand| demand.requests),
+            tokens: share(|demand| demand.tokens),
+            concurrency: share(DemandVector::places),
+            peers_in_flight: peers
+                .iter()
+                .flatten()
+                .map(|demand| u64::from(demand.in_flight))
+                .sum(),
+        }
+    }
+
+    fn staged_share(&self, own: u64, others: Option<u64>) -> f64 {
+        let by_demand = match others {
+            Some(others) if own > 0 => own as f64 / (own + others) as f64,
+            _ => 0.0,
+        };
+        let equal = 1.0 / self.peers.gateways() as f64;
+        let moving = match self.peers.stage() {
+            ShareStage::ByDemand => by_demand,
+            ShareStage::Lesser | ShareStage::Silent => by_demand.min(equal),
+            ShareStage::Equal => equal,
+        };
+        let floor = f64::from(self.timing.floor_percent) / 100.0;
+        floor * equal + (1.0 - floor) * moving
+    }
+}
--- /dev/null
+++ b/lovagedock/src/limits/mod.rs
@@ -0,0 +1,12 @@
+//! Limits of organisations over all gateways together, without a store write for each request.
+
+mod bucket;
+mod demand;
+mod limiter;
+mod message;
+mod peers;
+mod usage;
+
+pub use limiter::{LimitDecision, LimitKind, UsageLimiter};
+pub use message::{LimitAction, LimitEvent, UsageAck, UsageEntry, UsageReport};
+pub use peers::{LimitTiming, ShareStage};
--- /dev/null
+++ b/lovagedock/src/limits/peers.rs
@@ -0,0 +1,238 @@
+//! The other gateways: what they confirmed, and whether shares may follow demand.
+
+use std::{collections::HashMap, time::Duration};
+
+use super::{demand::DemandVector, message::UsageReport};
+use crate::ids::{GatewayId, Incarnation, OrganisationId, Timestamp};
+
+/// Times of the exchange between gateways.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LimitTiming {
+    /// Time between two reports.
+    pub interval: Duration,
+    /// How long a confirmation allows to follow demand, counted from before the report was sent.
+    pub lease: Duration,
+    /// Longest time that a message may take and still be taken for current.
+    pub max_delay: Duration,
+    /// Part of each limit that is split equally whatever the demand, in percent.
+    pub floor_percent: u32,
+}
+
+impl Default for LimitTiming {
+    fn default() -> Self {
+        Self {
+            interval: Duration::from_millis(500),
+            lease: Duration::from_secs(3),
+            max_delay: Duration::from_secs(1),
+            floor_percent: 20,
+        }
+    }
+}
+
+/// How a gateway computes its share of each limit.
+///
+/// Shares that follow demand add up to one, and equal shares add up to one, but a mix of both does
+/// not: the sum would be up to twice the limit while a partition begins or ends. Between the two
+/// lies a stage that takes the lesser of both, and a gateway enters either side only when no other
+/// can be on the opposite side any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum ShareStage {
+    /// By demand: all peers confirm.
+    ByDemand,
+    /// The lesser of both, while peers confirm or are about to.
+    Lesser,
+    /// The lesser of both, and silent, so that no peer counts on this gateway any more.
+    Silent,
+    /// An equal part: some peer is out of reach.
+    Equal,
+}
+
+#[derive(Debug, Default)]
+struct PeerState {
+    incarnation: Option<Incarnation>,
+    /// Latest report that it confirmed, and when that was sent.
+    confirmed: u64,
+    confirmed_sent_at: Option<Timestamp>,
+    /// Latest report from it.
+    received: u64,
+    heard_at: Option<Timestamp>,
+    stage: Option<ShareStage>,
+    demands: HashMap<OrganisationId, DemandVector>,
+}
+
+/// All other gateways of the configuration.
+#[derive(Debug)]
+pub(super) struct PeerTable {
+    timing: LimitTiming,
+    peers: HashMap<GatewayId, PeerState>,
+    sent_at: HashMap<u64, Timestamp>,
+    stage: ShareStage,
+    stage_since: Timestamp,
+}
+
+impl PeerTable {
+    pub(super) fn new(now: Timestamp, peers: Vec<GatewayId>, timing: LimitTiming) -> Self {
+        let alone = peers.is_empty();
+        let peers = peers.into_iter().map(|peer| (peer, PeerState::default()));
+        Self {
+            timing,
+            peers: peers.collect(),
+            sent_at: HashMap::new(),
+            stage: if alone {
+                ShareStage::Equal
+            } else {
+                ShareStage::Lesser
+            },
+            stage_since: now,
+        }
+    }
+
+    pub(super) fn stage(&self) -> ShareStage {
+        self.stage
+    }
+
+    pub(super) fn gateways(&self) -> usize {
+        self.peers.len() + 1
+    }
+
+    pub(super) fn names(&self) -> impl Iterator<Item = &GatewayId> {
+        self.peers.keys()
+    }
+
+    pub(super) fn confirmed_by(&self, peer: &GatewayId) -> u64 {
+        self.peers.get(peer).map_or(0, |state| state.confirmed)
+    }
+
+    /// The report that every peer has confirmed; 0 while one has confirmed none.
+    pub(super) fn confirmed_by_all(&self) -> u64 {
+        self.peers
+            .values()
+            .map(|state| state.confirmed)
+            .min()
+            .unwrap_or(0)
+    }
+
+    /// What the peers want together; `None` until each has told.
+    pub(super) fn demands(&self, organisation: &OrganisationId) -> Option<Vec<DemandVector>> {
+        let told = |state: &PeerState| {
+            let demand = state.demands.get(organisation).copied().unwrap_or_default();
+            (state.received > 0).then_some(demand)
+        };
+        self.peers.values().map(told).collect()
+    }
+
+    pub(super) fn connect(&mut self, peer: &GatewayId, life: Incarnation) {
+        let Some(state) = self.peers.get_mut(peer) else {
+            return;
+        };
+        if state.incarnation != Some(life) {
+            *state = PeerState {
+                incarnation: Some(life),
+                ..PeerState::default()
+            };
+        }
+    }
+
+    pub(super) fn note_sent(&mut self, now: Timestamp, sequence: u64) {
+        let lease = self.timing.lease;
+        self.sent_at.retain(|_, sent_at| now < *sent_at + lease);
+        self.sent_at.insert(sequence, now);
+    }
+
+    /// Whether the report is new and its sender known.
+    pub(super) fn receive(
+        &mut self,
+        now: Timestamp,
+        peer: &GatewayId,
+        report: &UsageReport,
+    ) -> bool {
+        let Some(state) = self.peers.get_mut(peer) else {
+            return false;
+        };
+        // Changes to a report that this gateway does not have, as after its restart, would leave
+        // out demand that did not change since, and this gateway's share would come out too large.
+        if report.sequence <= state.received || report.base > state.received {
+            return false;
+        }
+        state.received = report.sequence;
+        state.heard_at = Some(now);
+        state.stage = Some(report.stage);
+        for entry in &report.entries {
+            let demand = DemandVector {
+                requests: entry.requests,
+                tokens: entry.tokens,
+                in_flight: entry.in_flight,
+            };
+            state.demands.insert(entry.organisation.clone(), demand);
+        }
+        true
+    }
+
+    pub(super) fn confirm(&mut self, peer: &GatewayId, sequence: u64, stage: ShareStage) {
+        let sent_at = self.sent_at.get(&sequence).copied();
+        let Some(state) = self.peers.get_mut(peer) else {
+            return;
+        };
+        state.stage = Some(stage);
+        if sequence < state.confirmed {
+            return;
+        }
+        state.confirmed = sequence;
+        if may_share(stage) {
+            state.confirmed_sent_at = state.confirmed_sent_at.max(sent_at);
+        }
+    }
+
+    /// Moves to the stage that is safe now; to be called before any share is used.
+    pub(super) fn advance(&mut self, now: Timestamp) {
+        let next = match self.stage {
+            ShareStage::ByDemand if !self.all_confirm(now) => ShareStage::Lesser,
+            ShareStage::Lesser if self.all_confirm(now) => ShareStage::ByDemand,
+            ShareStage::Lesser if self.is_overdue(now, self.timing.lease) => ShareStage::Silent,
+            ShareStage::Silent if self.is_overdue(now, self.silence()) => ShareStage::Equal,
+            ShareStage::Equal if self.all_heard(now) => ShareStage::Lesser,
+            same => same,
+        };
+        if next != self.stage {
+            self.stage = next;
+            self.stage_since = now;
+        }
+    }
+
+    /// Whether peers may count on this gateway's reports and confirmations.
+    pub(super) fn speaks(&self) -> bool {
+        self.stage != ShareStage::Silent
+    }
+
+    fn is_overdue(&self, now: Timestamp, time: Duration) -> bool {
+        !self.peers.is_empty() && now >= self.stage_since + time
+    }
+
+    /// After this much silence no peer's lease rests on a confirmation of this gateway.
+    fn silence(&self) -> Duration {
+        self.timing.lease + self.timing.max_delay
+    }
+
+    /// No peer can be on equal shares: each confirmed lately that it is not, and a peer goes there
+    /// only after a silence that outlasts this.
+    fn all_confirm(&self, now: Timestamp) -> bool {
+        let lease = self.timing.lease;
+        let confirms = |state: &PeerState| {
+            state
+                .confirmed_sent_at
+                .is_some_and(|sent_at| now < sent_at + lease)
+                && state.stage.is_some_and(may_share)
+        };
+        !self.peers.is_empty() && self.peers.values().all(confirms)
+    }
+
+    fn all_heard(&self, now: Timestamp) -> bool {
+        let lease = self.timing.lease;
+        let heard = |state: &PeerState| state.heard_at.is_some_and(|heard| now < heard + lease);
+        !self.peers.is_empty() && self.peers.values().all(heard)
+    }
+}
+
+fn may_share(stage: ShareStage) -> bool {
+    matches!(stage, ShareStage::ByDemand | ShareStage::Lesser)
+}
--- /dev/null
+++ b/lovagedock/tests/limit_properties.rs
@@ -0,0 +1,222 @@
+//! All gateways together keep an organisation's limits within the stated error.
+
+mod limit_support;
+
+use limit_support::{GatewayGroup, LIMITS, REQUEST_TOKENS, STEP_MS};
+use lovagedock::{LimitKind, ShareStage};
+use proptest::{
+    prelude::*,
+    test_runner::{RngAlgorithm, TestRng, TestRunner},
+};
+
+const GATEWAYS: usize = 4;
+const PHASE_STEPS: u64 = 60;
+
+/// Three seconds in which demand and links stay as they are.
+#[derive(Clone, Debug)]
+struct Phase {
+    /// Requests in each step at each gateway.
+    arrivals: Vec<u64>,
+    /// Links that lose messages, one way.
+    cuts: Vec<(usize, usize)>,
+    restart: Option<usize>,
+}
+
+/// Time and burst that were used up: what leaks at the limit's rate and never exceeds the burst.
+struct LeakyMeter {
+    level: f64,
+    leak: f64,
+    highest: f64,
+}
+
+impl LeakyMeter {
+    fn new(per_second: f64) -> Self {
+        Self {
+            level: 0.0,
+            leak: per_second * STEP_MS as f64 / 1000.0,
+            highest: 0.0,
+        }
+    }
+
+    fn add(&mut self, amount: f64) {
+        self.level = (self.level - self.leak).max(0.0) + amount;
+        self.highest = self.highest.max(self.level);
+    }
+}
+
+#[derive(Debug, Default)]
+struct Excess {
+    share_sum: f64,
+    requests: f64,
+    tokens: f64,
+    in_flight: u32,
+}
+
+fn play(phases: &[Phase], delays: &[u64], hold_ms: u64) -> Excess {
+    let mut group = GatewayGroup::new(GATEWAYS, delays.to_vec());
+    let mut requests = LeakyMeter::new(f64::from(LIMITS.requests_per_second));
+    let mut tokens = LeakyMeter::new(LIMITS.tokens_per_minute as f64 / 60.0);
+    let mut excess = Excess::default();
+    for phase in phases {
+        group.cut = vec![vec![false; GATEWAYS]; GATEWAYS];
+        for (from, to) in &phase.cuts {
+            group.cut[*from][*to] = true;
+        }
+        if let Some(at) = phase.restart {
+            group.restart(at);
+        }
+        for _ in 0..PHASE_STEPS {
+            group.step(&phase.arrivals, hold_ms);
+            requests.add(group.admitted_in_step as f64);
+            tokens.add((group.admitted_in_step * REQUEST_TOKENS) as f64);
+            for kind in [
+                LimitKind::Requests,
+                LimitKind::Tokens,
+                LimitKind::Concurrency,
+            ] {
+                excess.share_sum = excess.share_sum.max(group.share_sum(kind));
+            }
+            excess.in_flight = excess.in_flight.max(group.in_flight());
+        }
+    }
+    excess.requests = requests.highest;
+    excess.tokens = tokens.highest;
+    excess
+}
+
+fn phases() -> impl Strategy<Value = Vec<Phase>> {
+    let arrivals = prop::collection::vec(prop_oneof![Just(0u64), 0..3u64, 5..20u64], GATEWAYS);
+    let cuts = prop::collection::vec((0..GATEWAYS, 0..GATEWAYS), 0..4);
+    let cuts = prop_oneof![Just(Vec::new()), cuts];
+    let restart = prop_oneof![4 => Just(None), 1 => (0..GATEWAYS).prop_map(Some)];
+    let phase = (arrivals, cuts, restart).prop_map(|(arrivals, cuts, restart)| Phase {
+        arrivals,
+        cuts,
+        restart,
+    });
+    prop::collection::vec(phase, 1..10)
+}
+
+// An organisation's callers come through all gateways, now here, now there, far above its limits;
+// links between gateways fail one way or both, and gateways restart. The shares never add up to
+// more than one, so the limits hold within the burst that is stated.
+#[test]
+fn limits_hold_over_all_gateways_within_the_stated_error() {
+    let config = ProptestConfig {
+        cases: 60,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let hold_ms = prop_oneof![Just(600u64), Just(4000u64)];
+    let strategy = (phases(), prop::collection::vec(1..400u64, 7), hold_ms);
+    let outcome =
+        TestRunner::new_with_rng(config, rng).run(&strategy, |(phases, delays, hold_ms)| {
+            let excess = play(&phases, &delays, hold_ms);
+            let restarts = phases
+                .iter()
+                .filter(|phase| phase.restart.is_some())
+                .count();
+            let starts = (GATEWAYS + restarts) as f64;
+            let rate = f64::from(LIMITS.requests_per_second);
+            let token_rate = LIMITS.tokens_per_minute as f64 / 60.0;
+            // A gateway that starts begins with a full bucket of its share.
+            prop_assert!(
+                excess.share_sum <= 1.0 + 1e-9,
+                "shares add up to {}",
+                excess.share_sum
+            );
+            prop_assert!(
+                excess.requests <= rate * (1.0 + restarts as f64) + starts,
+                "{excess:?}"
+            );
+            let burst = token_rate * 10.0 * (1.0 + restarts as f64);
+            prop_assert!(
+                excess.tokens <= burst + starts * REQUEST_TOKENS as f64,
+                "{excess:?}"
+            );
+            prop_assert!(
+                excess.in_flight <= 2 * LIMITS.concurrency + GATEWAYS as u32,
+                "{excess:?}"
+            );
+            Ok(())
+        });
+    if let Err(error) = outcome {
+        panic!("{error}");
+    }
+}
+
+struct ShareCase {
+    name: &'static str,
+    arrivals: [u64; GATEWAYS],
+    cut_off: Option<usize>,
+    stage: ShareStage,
+    /// Requests a second that are admitted in the end.
+    at_least: f64,
+}
+
+// Ten seconds of demand, then ten seconds that are counted: how much of the limit is used.
+#[test]
+fn shares_follow_demand_and_survive_a_lost_peer() {
+    let cases = [
+        ShareCase {
+            name: "all demand at one gateway",
+            arrivals: [10, 0, 0, 0],
+            cut_off: None,
+            stage: ShareStage::ByDemand,
+            at_least: 80.0,
+        },
+        ShareCase {
+            name: "demand spread",
+            arrivals: [10, 10, 10, 10],
+            cut_off: None,
+            stage: ShareStage::ByDemand,
+            at_least: 90.0,
+        },
+        ShareCase {
+            name: "a peer out of reach: equal shares, its own part unused",
+            arrivals: [10, 10, 10, 0],
+            cut_off: Some(3),
+            stage: ShareStage::Equal,
+            at_least: 70.0,
+        },
+        ShareCase {
+            name: "a peer out of reach, all demand at one gateway: only its equal share",
+            arrivals: [10, 0, 0, 0],
+            cut_off: Some(3),
+            stage: ShareStage::Equal,
+            at_least: 23.0,
+        },
+    ];
+    for case in cases {
+        let mut group = GatewayGroup::new(GATEWAYS, vec![3, 2, 4]);
+        for peer in 0..GATEWAYS {
+            if let Some(at) = case.cut_off {
+                group.cut[at][peer] = true;
+                group.cut[peer][at] = true;
+            }
+        }
+        let run = |group: &mut GatewayGroup| {
+            (0..200)
+                .map(|_| {
+                    group.step(&case.arrivals, 100);
+                    group.admitted_in_step
+                })
+                .sum::<u64>()
+        };
+        run(&mut group);
+        let admitted = run(&mut group) as f64 / 10.0;
+        assert_eq!(
+            group.gateways[0].limiter.stage(),
+            case.stage,
+            "{}",
+            case.name
+        );
+        assert!(
+            admitted >= case.at_least,
+            "{}: {admitted} a second",
+            case.name
+        );
+        assert!(admitted <= 101.0, "{}: {admitted} a second", case.name);
+    }
+}
--- /dev/null
+++ b/lovagedock/tests/limit_support/mod.rs
@@ -0,0 +1,206 @@
+//! Several gateways' limiters, the messages between them, and callers, in virtual time.
+
+use std::time::Duration;
+
+use lovagedock::{
+    LimitAction, LimitDecision, LimitEvent, LimitKind, LimitTiming, OrganisationLimits,
+    UsageLimiter, prelude::*,
+};
+
+pub(crate) const STEP_MS: u64 = 50;
+pub(crate) const LIMITS: OrganisationLimits = OrganisationLimits {
+    requests_per_second: 100,
+    tokens_per_minute: 900_000,
+    concurrency: 40,
+    max_prompt_tokens: 0,
+};
+pub(crate) const REQUEST_TOKENS: TokenCount = 150;
+
+struct Mail {
+    due: u64,
+    from: usize,
+    from_life: Incarnation,
+    to: usize,
+    to_life: Incarnation,
+    event: LimitEvent,
+}
+
+pub(crate) struct Gateway {
+    pub(crate) limiter: UsageLimiter,
+    life: Incarnation,
+    known: Vec<Incarnation>,
+    /// When each request in flight ends.
+    ends: Vec<u64>,
+    pub(crate) admitted: u64,
+    pub(crate) refused: u64,
+}
+
+pub(crate) struct GatewayGroup {
+    pub(crate) now: u64,
+    pub(crate) gateways: Vec<Gateway>,
+    /// `cut[from][to]`: messages are lost.
+    pub(crate) cut: Vec<Vec<bool>>,
+    mail: Vec<Mail>,
+    delays: Vec<u64>,
+    pub(crate) admitted_in_step: u64,
+}
+
+impl GatewayGroup {
+    pub(crate) fn new(count: usize, delays: Vec<u64>) -> Self {
+        let mut group = Self {
+            now: 0,
+            gateways: Vec::new(),
+            cut: vec![vec![false; count]; count],
+            mail: Vec::new(),
+            delays,
+            admitted_in_step: 0,
+        };
+        for at in 0..count {
+            let gateway = group.start(at, count, 1);
+            group.gateways.push(gateway);
+        }
+        group
+    }
+
+    fn start(&self, at: usize, count: usize, life: Incarnation) -> Gateway {
+        let now = Duration::from_millis(self.now);
+        let peers = (0..count).filter(|peer| *peer != at).map(name).collect();
+        let mut limiter = UsageLimiter::new(now, peers, LimitTiming::default());
+        limiter.set_limits(now, &organisation(), LIMITS);
+        Gateway {
+            limiter,
+            life,
+            known: vec![0; count],
+            ends: Vec::new(),
+            admitted: 0,
+            refused: 0,
+        }
+    }
+
+    /// The gateway dies with its requests and starts again, knowing nothing.
+    pub(crate) fn restart(&mut self, at: usize) {
+        let life = self.gateways[at].life + 1;
+        self.gateways[at] = self.start(at, self.gateways.len(), life);
+    }
+
+    /// One step: messages, ends of requests, new requests, and now and then an exchange.
+    pub(crate) fn step(&mut self, arrivals: &[u64], hold_ms: u64) {
+        self.now += STEP_MS;
+        self.admitted_in_step = 0;
+        self.deliver();
+        let now = Duration::from_millis(self.now);
+        for (at, arrivals) in arrivals.iter().enumerate().take(self.gateways.len()) {
+            self.end_requests(at);
+            for _ in 0..*arrivals {
+                self.arrive(at, hold_ms);
+            }
+            // Gateways do not exchange at the same moment.
+            if (self.now / STEP_MS + 3 * at as u64).is_multiple_of(10) {
+                let actions = self.gateways[at].limiter.handle(now, LimitEvent::Tick);
+                self.post(at, actions);
+            }
+        }
+    }
+
+    fn arrive(&mut self, at: usize, hold_ms: u64) {
+        let now = Duration::from_millis(self.now);
+        let gateway = &mut self.gateways[at];
+        match gateway.limiter.admit(now, &organisation(), REQUEST_TOKENS) {
+            LimitDecision::Admitted => {
+                gateway.admitted += 1;
+                gateway.ends.push(self.now + hold_ms);
+                self.admitted_in_step += 1;
+            }
+            LimitDecision::Refused { .. } => gateway.refused += 1,
+        }
+    }
+
+    fn end_requests(&mut self, at: usize) {
+        let now = self.now;
+        let gateway = &mut self.gateways[at];
+        let ended = gateway.ends.iter().filter(|end| **end <= now).count();
+        gateway.ends.retain(|end| *end > now);
+        for _ in 0..ended {
+            gateway.limiter.finish(&organisation(), 0);
+        }
+    }
+
+    fn deliver(&mut self) {
+        let due: Vec<Mail> = self
+            .mail
+            .extract_if(.., |mail| mail.due <= self.now)
+            .collect();
+        for mail in due {
+            let now = Duration::from_millis(self.now);
+            let receiver = &mut self.gateways[mail.to];
+            if receiver.life != mail.to_life || mail.from_life < receiver.known[mail.from] {
+                continue;
+            }
+            if receiver.known[mail.from] != mail.from_life {
+                receiver.known[mail.from] = mail.from_life;
+                let peer = name(mail.from);
+                let incarnation = mail.from_life;
+                receiver
+                    .limiter
+                    .handle(now, LimitEvent::PeerConnected { peer, incarnation });
+            }
+            let actions = receiver.limiter.handle(now, mail.event);
+            self.post(mail.to, actions);
+        }
+    }
+
+    fn post(&mut self, from: usize, actions: Vec<LimitAction>) {
+        for action in actions {
+            let peer = name(from);
+            let (to, event) = match action {
+                LimitAction::Report { peer: to, report } => {
+                    (to, LimitEvent::ReportReceived { peer, report })
+                }
+                LimitAction::Acknowledge { peer: to, ack } => {
+                    (to, LimitEvent::AckReceived { peer, ack })
+                }
+            };
+            let is_reply = matches!(event, LimitEvent::AckReceived { .. });
+            let to: usize = to[1..].parse().expect("a gateway of this test");
+            self.delays.rotate_left(1);
+            if self.cut[from][to] {
+                continue;
+            }
+            self.mail.push(Mail {
+                due: self.now + self.delays[0],
+                from,
+                from_life: self.gateways[from].life,
+                to,
+                // A reply reaches only the life that asked.
+                to_life: match is_reply {
+                    true => self.gateways[from].known[to],
+                    false => self.gateways[to].life,
+                },
+                event,
+            });
+        }
+    }
+
+    pub(crate) fn share_sum(&mut self, kind: LimitKind) -> f64 {
+        let now = Duration::from_millis(self.now);
+        let shares = self.gateways.iter_mut();
+        shares
+            .map(|gateway| gateway.limiter.share(now, &organisation(), kind))
+            .sum()
+    }
+
+    pub(crate) fn in_flight(&self) -> u32 {
+        let gateways = self.gateways.iter();
+        gateways
+            .map(|gateway| gateway.limiter.in_flight(&organisation()))
+            .sum()
+    }
+}
+
+fn name(at: usize) -> GatewayId {
+    GatewayId::from(format!("g{at}"))
+}
+
+pub(crate) fn organisation() -> OrganisationId {
+    OrganisationId::from("franchise")
+}
