Run a whole deployment in one process

The demo starts a deployment's sidecars and gateways over stand-ins, applies its configuration, sends its mix and prints first-token times by length, outcomes with their codes, and violations. Faults come from a timeline file: engines that die, hang, answer late or cross answers, sidecars, endpoints and gateways that leave in an orderly way, a store that is down, slow or loses confirmations, and configurations that take an endpoint or an organisation out. Control is measured on the idle fleet before the first call; transports count what they move for that.

--- a/lovagedock-daemon/src/lib.rs
+++ b/lovagedock-daemon/src/lib.rs
@@ -12,6 +12,7 @@
 mod settings;
 mod shutdown;
 mod tls;
+mod traffic;
 mod transport;
 
 pub use admin::{
--- a/lovagedock-daemon/src/transport.rs
+++ b/lovagedock-daemon/src/transport.rs
@@ -13,7 +13,10 @@
 };
 use tokio_rustls::{TlsAcceptor, TlsConnector};
 
-use crate::{ReloadingTls, ShutdownSignal, TlsError, TlsSettings};
+use crate::{
+    ReloadingTls, ShutdownSignal, TlsError, TlsSettings,
+    traffic::{CountedStream, bytes_moved},
+};
 
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(10);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
@@ -97,14 +100,19 @@
         self.tls.as_deref()
     }
 
+    /// Bytes that all transports of this process have sent and received so far.
+    pub fn bytes_moved() -> u64 {
+        bytes_moved()
+    }
+
     /// Completes the server's side of a connection that a listener accepted.
     pub async fn accept(&self, stream: TcpStream) -> io::Result<BoxedStream> {
         stream.set_nodelay(true)?;
         let Some(tls) = &self.tls else {
-            return Ok(Box::new(stream));
+            return Ok(counted(stream));
         };
         let acceptor = TlsAcceptor::from(tls.configs().server.clone());
-        let stream = in_time(HANDSHAKE_TIMEOUT, acceptor.accept(stream)).await?;
+        let stream = in_time(HANDSHAKE_TIMEOUT, acceptor.accept(counted(stream))).await?;
         Ok(Box::new(stream))
     }
 
@@ -113,7 +121,7 @@
         let stream = in_time(CONNECT_TIMEOUT, TcpStream::connect(address)).await?;
         stream.set_nodelay(true)?;
         let Some(tls) = &self.tls else {
-            return Ok(Box::new(stream));
+            return Ok(counted(stream));
         };
         let Some(config) = tls.configs().client.clone() else {
             return Err(io::Error::new(
@@ -123,11 +131,15 @@
         };
         let name = server_name(tls.settings(), address)?;
         let connector = TlsConnector::from(config);
-        let stream = in_time(HANDSHAKE_TIMEOUT, connector.connect(name, stream)).await?;
+        let stream = in_time(HANDSHAKE_TIMEOUT, connector.connect(name, counted(stream))).await?;
         Ok(Box::new(stream))
     }
 }
 
+fn counted(stream: TcpStream) -> BoxedStream {
+    Box::new(CountedStream::new(stream))
+}
+
 fn server_name(settings: &TlsSettings, address: SocketAddr) -> io::Result<ServerName<'static>> {
     match &settings.server_name {
         Some(name) => ServerName::try_from(name.clone())
--- /dev/null
+++ b/lovagedock-standin/src/bin/lovagedock-demo.rs
@@ -0,0 +1,123 @@
+//! A whole deployment in one process: the demonstration.
+
+use std::{
+    fs,
+    io::{self, IsTerminal, Write},
+    path::PathBuf,
+    process::ExitCode,
+    sync::Arc,
+    time::Duration,
+};
+
+use clap::Parser;
+use lovagedock_daemon::{ExitStatus, LogFormat, LogLevel, LogSettings, load_settings};
+use lovagedock_standin::{
+    demo::{DemoOptions, Deployment, FaultPlan, run_demo},
+    load::{LoadReport, RunProgress, render_table},
+};
+use slog::{Discard, Logger, o};
+
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Starts stand-ins of the platform and of a deployment's endpoints, the deployment's sidecars and
+/// gateways, applies its configuration, sends its mix of calls and prints what came of them.
+///
+/// Exit codes: 0 no violation; 1 violations, or the run failed; 2 wrong arguments; 3 the fault file
+/// has errors.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct DemoArgs {
+    /// Seed of the calls.
+    #[arg(long, default_value_t = 7)]
+    seed: u64,
+    /// Deployment to run.
+    #[arg(long, value_enum, default_value_t)]
+    deployment: Deployment,
+    /// Placement policy instead of the deployment's own.
+    #[arg(long)]
+    policy: Option<String>,
+    /// Timeline of faults, JSON with comments.
+    #[arg(long, value_name = "FILE")]
+    faults: Option<PathBuf>,
+    /// Seconds in which calls are sent; the answers to the last come after them.
+    #[arg(long, default_value_t = 30)]
+    seconds: u64,
+    /// Writes the report as JSON.
+    #[arg(long, value_name = "FILE")]
+    report: Option<PathBuf>,
+    /// Prints the daemons' logs.
+    #[arg(long)]
+    logs: bool,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args = DemoArgs::parse();
+    let faults = match &args.faults {
+        None => FaultPlan::default(),
+        Some(file) => match load_settings(file) {
+            Ok(faults) => faults,
+            Err(error) => {
+                eprintln!("{error}");
+                return ExitStatus::Settings.into();
+            }
+        },
+    };
+    let options = DemoOptions {
+        deployment: args.deployment,
+        policy: args.policy.clone(),
+        seed: args.seed,
+        duration: Duration::from_secs(args.seconds),
+        faults,
+        log: logger(args.logs),
+    };
+    let report = match run_demo(&options, watch).await {
+        Ok(report) => report,
+        Err(report) => {
+            eprintln!("{report:?}");
+            return ExitStatus::Failure.into();
+        }
+    };
+    println!("\n{}", render_table(&report));
+    if let Err(error) = write_report(&args, &report) {
+        eprintln!("{error}");
+        return ExitStatus::Failure.into();
+    }
+    match report.violations.total() {
+        0 => ExitStatus::Success.into(),
+        _ => ExitStatus::Failure.into(),
+    }
+}
+
+fn logger(wanted: bool) -> Logger {
+    if !wanted {
+        return Logger::root(Discard, o!());
+    }
+    let settings = LogSettings {
+        format: LogFormat::Terminal,
+        level: LogLevel::Info,
+    };
+    settings.logger("lovagedock-demo")
+}
+
+fn write_report(args: &DemoArgs, report: &LoadReport) -> io::Result<()> {
+    let Some(file) = &args.report else {
+        return Ok(());
+    };
+    let text = serde_json::to_string_pretty(report).map_err(io::Error::other)?;
+    fs::write(file, text)
+}
+
+fn watch(progress: Arc<RunProgress>) {
+    if !io::stderr().is_terminal() {
+        return;
+    }
+    tokio::spawn(async move {
+        let mut ticks = tokio::time::interval(PROGRESS_INTERVAL);
+        loop {
+            ticks.tick().await;
+            eprint!("\r{}  ", progress.line());
+            let _ = io::stderr().flush();
+        }
+    });
+}
--- /dev/null
+++ b/lovagedock-standin/src/demo/control.rs
@@ -0,0 +1,78 @@
+//! What control costs, measured on the idle fleet.
+
+use std::{fs, time::Duration};
+
+use crate::{PlatformCounters, load::ControlFigures};
+
+/// Ticks a second of the times in `/proc`; fixed by the kernel's interface.
+const CLOCK_TICKS: f64 = 100.0;
+/// Fields of `/proc/self/stat` after the name in parentheses.
+const USER_TIME_FIELD: usize = 11;
+const SYSTEM_TIME_FIELD: usize = 12;
+const RESIDENT_LINE: &str = "VmRSS:";
+const KIB_PER_MIB: f64 = 1024.0;
+
+/// A look at the process and the platform.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ControlSample {
+    at: Duration,
+    processor_s: f64,
+    link_bytes: u64,
+    platform: PlatformCounters,
+}
+
+impl ControlSample {
+    /// Looks at this process now.
+    pub(crate) fn take(at: Duration, platform: PlatformCounters) -> Self {
+        Self {
+            at,
+            processor_s: processor_seconds(),
+            link_bytes: lovagedock_daemon::Transport::bytes_moved(),
+            platform,
+        }
+    }
+
+    /// What `daemons` daemons used between two looks, for each of them.
+    ///
+    /// The stand-ins share the process, so processor time and memory are upper bounds.
+    pub(crate) fn figures_until(&self, later: &Self, daemons: usize) -> ControlFigures {
+        let seconds = (later.at - self.at).as_secs_f64();
+        let each = daemons.max(1) as f64;
+        // Both ends of a connection are in this process, and each counts what it moves.
+        let bytes = (later.link_bytes - self.link_bytes) as f64;
+        ControlFigures {
+            cpu_pct: (later.processor_s - self.processor_s) / seconds * 100.0 / each,
+            rss_mb: resident_mib() / each,
+            bytes_per_s: bytes / seconds / each,
+            store_reads_per_s: (reads(&later.platform) - reads(&self.platform)) as f64 / seconds
+                + later.platform.waiting_watches as f64,
+            store_writes_per_s: (later.platform.writes - self.platform.writes) as f64 / seconds,
+        }
+    }
+}
+
+fn reads(counters: &PlatformCounters) -> u64 {
+    counters.reads + counters.lists + counters.watches + counters.host_reads
+}
+
+fn processor_seconds() -> f64 {
+    let stat = fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let after_name = stat.rsplit(')').next().unwrap_or_default();
+    let fields: Vec<&str> = after_name.split_whitespace().collect();
+    let ticks = |field: usize| -> f64 {
+        let text = fields.get(field).copied().unwrap_or_default();
+        text.parse().unwrap_or_default()
+    };
+    (ticks(USER_TIME_FIELD) + ticks(SYSTEM_TIME_FIELD)) / CLOCK_TICKS
+}
+
+fn resident_mib() -> f64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status
+        .lines()
+        .find_map(|line| line.strip_prefix(RESIDENT_LINE));
+    let kib = line.and_then(|line| line.split_whitespace().next());
+    kib.and_then(|kib| kib.parse::<f64>().ok())
+        .unwrap_or_default()
+        / KIB_PER_MIB
+}
--- /dev/null
+++ b/lovagedock-standin/src/demo/run.rs
@@ -0,0 +1,172 @@
+//! One run of the demonstration.
+
+use std::{
+    fmt::{self, Display, Formatter},
+    sync::Arc,
+    time::Duration,
+};
+
+use error_stack::{Report, ResultExt};
+use lovagedock_daemon::ProcessClock;
+use slog::Logger;
+use tokio::time;
+
+use super::{
+    control::ControlSample, deployment::Deployment, faults::FaultPlan, inject::FaultInjector,
+};
+use crate::{
+    fleet::{EndpointStandin, FleetPlan, LocalFleet},
+    load::{
+        CallerClient, ClockOrigin, ControlFigures, ExecutionJournal, GatewayTarget, LoadReport,
+        LoadRunner, ReportTags, RunProgress, ViolationLimits, count_violations, long_from,
+        plan_calls,
+    },
+};
+
+/// Model time of the engines in one unit of real time, so that a million tokens fit into a run.
+const TIME_SCALE: f64 = 8.0;
+/// How long the idle fleet is watched for what control costs.
+const IDLE_TIME: Duration = Duration::from_secs(2);
+/// Time after the last answer in which engines may still free what was cancelled.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+/// Generation of a fleet's first configuration.
+const FIRST_GENERATION: u64 = 1;
+
+/// What a run is told.
+#[derive(Clone, Debug)]
+pub struct DemoOptions {
+    /// Which deployment.
+    pub deployment: Deployment,
+    /// Placement policy; the deployment's own when absent.
+    pub policy: Option<String>,
+    /// Seed of the plan.
+    pub seed: u64,
+    /// Length of the plan.
+    pub duration: Duration,
+    /// What goes wrong.
+    pub faults: FaultPlan,
+    /// Log of the daemons.
+    pub log: Logger,
+}
+
+/// Why a run failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DemoError {
+    /// The deployment's files have errors.
+    Deployment,
+    /// The fleet could not start.
+    Fleet,
+    /// A fault could not be brought about.
+    Fault,
+    /// The callers could not start.
+    Callers,
+}
+
+impl Display for DemoError {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Deployment => "the deployment has errors",
+            Self::Fleet => "the fleet could not start",
+            Self::Fault => "a fault could not be brought about",
+            Self::Callers => "the callers could not start",
+        })
+    }
+}
+
+impl std::error::Error for DemoError {}
+
+/// Starts the deployment, sends its mix and reports; `watch` gets the numbers that grow.
+pub async fn run_demo(
+    options: &DemoOptions,
+    watch: impl FnOnce(Arc<RunProgress>),
+) -> Result<LoadReport, Report<DemoError>> {
+    let config = options
+        .deployment
+        .config(options.policy.as_deref())
+        .change_context(DemoError::Deployment)?;
+    let mix = options
+        .deployment
+        .mix()
+        .change_context(DemoError::Deployment)?;
+    let policy = config.placement.policy.clone();
+    let plan = FleetPlan::new(config, options.log.clone()).with_time_scale(TIME_SCALE);
+    // Before the stand-ins, so that none of their times lies before the clock's zero.
+    let clock = ProcessClock::new();
+    let mut fleet = LocalFleet::start(plan)
+        .await
+        .change_context(DemoError::Fleet)?;
+    let control = measure_control(&fleet, &clock).await;
+
+    let model_time = options.duration.mul_f64(TIME_SCALE);
+    let calls = plan_calls(&mix, options.seed, model_time)
+        .into_iter()
+        .map(|call| call.with_time_scale(TIME_SCALE))
+        .collect();
+    let client =
+        CallerClient::new(gateway_targets(&fleet), clock).change_context(DemoError::Callers)?;
+    let runner = LoadRunner::new(mix.clone(), client, clock);
+    watch(runner.progress());
+    let start = clock.now();
+    let injector = FaultInjector::new(&mut fleet, FIRST_GENERATION, clock, options.log.clone());
+    let (callers, faults) = tokio::join!(
+        runner.run(calls, start),
+        injector.run(&options.faults, start)
+    );
+    let fleet_journal = faults?;
+    time::sleep(SETTLE_TIME).await;
+
+    let executions = collect(&fleet, &clock);
+    let limits = ViolationLimits::default();
+    let violations = count_violations(&callers, &executions, &fleet_journal, &limits);
+    let tags = ReportTags {
+        seed: options.seed,
+        policy,
+        mix: mix.name.clone(),
+        duration: options.duration,
+        long_from: start + long_from(&mix, options.duration),
+        time_scale: TIME_SCALE,
+    };
+    Ok(LoadReport::new(&tags, &callers, violations, control))
+}
+
+async fn measure_control(fleet: &LocalFleet, clock: &ProcessClock) -> ControlFigures {
+    let before = ControlSample::take(clock.now(), fleet.platform.counters());
+    time::sleep(IDLE_TIME).await;
+    let after = ControlSample::take(clock.now(), fleet.platform.counters());
+    before.figures_until(&after, fleet.endpoints.len() + fleet.gateways.len())
+}
+
+fn gateway_targets(fleet: &LocalFleet) -> Vec<GatewayTarget> {
+    fleet
+        .gateways
+        .iter()
+        .map(|entry| GatewayTarget {
+            name: entry.id.to_string(),
+            address: entry.gateway.callers_address(),
+        })
+        .collect()
+}
+
+fn collect(fleet: &LocalFleet, clock: &ProcessClock) -> ExecutionJournal {
+    let mut executions = ExecutionJournal::default();
+    for endpoint in &fleet.endpoints {
+        match &endpoint.standin {
+            EndpointStandin::Engine(engine) => {
+                let own = engine.handle.model_time().div_f64(TIME_SCALE);
+                executions.add_engine(&endpoint.id, engine, origin(clock, own, TIME_SCALE));
+            }
+            EndpointStandin::Service(service) => {
+                let own = service.uptime();
+                executions.add_service(&endpoint.id, service, origin(clock, own, 1.0));
+            }
+        }
+    }
+    executions
+}
+
+fn origin(clock: &ProcessClock, uptime: Duration, time_scale: f64) -> ClockOrigin {
+    ClockOrigin {
+        started_at: clock.now().saturating_sub(uptime),
+        time_scale,
+    }
+}
--- a/lovagedock-standin/src/fleet.rs
+++ b/lovagedock-standin/src/fleet.rs
@@ -185,7 +185,7 @@
             &self.platform.url(),
         )));
         let text = canonical_json(&self.config).change_context(FleetError)?;
-        let request = ApplyRequest::new(text, expected, "demo", "demo-apply".into());
+        let request = ApplyRequest::new(text, expected, "demo", format!("demo-{expected}"));
         match store.apply(&request).await {
             ApplyOutcome::Accepted { generation } => Ok(generation),
             other => Err(Report::new(FleetError).attach(format!("apply: {other:?}"))),
--- a/lovagedock-standin/src/lib.rs
+++ b/lovagedock-standin/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins of the platform, of engines and of plain services; the product never depends on them.
 
+pub mod demo;
 pub mod engine;
 pub mod fleet;
 pub mod load;
--- a/lovagedock-standin/src/load/mod.rs
+++ b/lovagedock-standin/src/load/mod.rs
@@ -29,7 +29,9 @@
 pub use mix::{BucketMix, CallerMix, KeyedMix, MixSpec, ModelPath, PlainMix, TokenRange};
 pub use prompt::{PromptSeed, prompt_text};
 pub use quantiles::{LengthTable, QuantileSummary};
-pub use report::{ControlFigures, IntervalSummary, LoadReport, OutcomeCounts, ReportTags};
+pub use report::{
+    ControlFigures, IntervalSummary, LoadReport, OutcomeCounts, ProblemCount, ReportTags,
+};
 pub use runner::{LoadRunner, RunProgress};
 pub use schedule::{CallBody, ModelCall, PlannedCall, long_from, plan_calls};
 pub use sse::{SseEvent, SseParser};
--- a/lovagedock-standin/src/load/report.rs
+++ b/lovagedock-standin/src/load/report.rs
@@ -1,6 +1,6 @@
 //! The report of one run.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use lovagedock::{LengthBucket, RanState, ResultCode, Timestamp};
 use serde::Serialize;
@@ -58,6 +58,8 @@
     pub short_slowdown_p95: f64,
     /// What became of the calls.
     pub outcomes: OutcomeCounts,
+    /// Calls that did not complete, by length and code.
+    pub problems: Vec<ProblemCount>,
     /// Broken promises.
     pub violations: ViolationCounts,
     /// What control cost.
@@ -118,6 +120,17 @@
     }
 }
 
+/// Calls of one length that ended with one code.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct ProblemCount {
+    /// Length of the prompt; `plain` for a plain call.
+    pub bucket: &'static str,
+    /// Number of the result code; 0 when the connection broke or nothing came.
+    pub code: u16,
+    /// How many.
+    pub n: u64,
+}
+
 /// What the system's own processes used for control.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
 pub struct ControlFigures {
@@ -159,12 +172,33 @@
             },
             short_slowdown_p95: short_slowdown(journal, tags),
             outcomes: OutcomeCounts::new(journal),
+            problems: count_problems(journal),
             violations,
             control,
         }
     }
 }
 
+fn count_problems(journal: &CallerJournal) -> Vec<ProblemCount> {
+    let mut counts: BTreeMap<(Option<LengthBucket>, u16), u64> = BTreeMap::new();
+    for call in &journal.calls {
+        let code = match call.ending {
+            CallEnding::Complete => continue,
+            CallEnding::Problem { code, .. } => code,
+            CallEnding::Broken | CallEnding::Unsent | CallEnding::Nothing => 0,
+        };
+        *counts.entry((call.bucket, code)).or_default() += 1;
+    }
+    counts
+        .into_iter()
+        .map(|((bucket, code), n)| ProblemCount {
+            bucket: bucket.map_or("plain", LengthBucket::as_str),
+            code,
+            n,
+        })
+        .collect()
+}
+
 fn first_tokens(
     journal: &CallerJournal,
     tags: &ReportTags,
--- a/lovagedock-standin/src/load/table.rs
+++ b/lovagedock-standin/src/load/table.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write;
 
-use lovagedock::LengthBucket;
+use lovagedock::{LengthBucket, ResultCode};
 
 use super::report::LoadReport;
 
@@ -69,6 +69,14 @@
     for (name, count) in rows {
         writeln!(text, "  {name:<22}{count:>8}")?;
     }
+    for problem in &report.problems {
+        let title = ResultCode::from_number(problem.code).map_or("no answer", ResultCode::title);
+        writeln!(
+            text,
+            "    {:<8}{:>8}  {} {title}",
+            problem.bucket, problem.n, problem.code
+        )?;
+    }
     writeln!(text, "violations: {}", report.violations.total())?;
     for (name, count) in report.violations.named() {
         writeln!(text, "  {name:<22}{count:>8}")?;
--- a/lovagedock-standin/src/service/running.rs
+++ b/lovagedock-standin/src/service/running.rs
@@ -123,6 +123,11 @@
 }
 
 impl RunningService {
+    /// Time since the start, on which the journal's times are.
+    pub fn uptime(&self) -> Duration {
+        self.state.started.elapsed()
+    }
+
     /// Breaks all connections and refuses new ones, as a process that died.
     pub fn kill(&self) {
         self.state.is_dead.send_replace(true);
--- a/lovagedock-standin/tests/load_report.rs
+++ b/lovagedock-standin/tests/load_report.rs
@@ -123,6 +123,7 @@
             "unknown": 0,
             "timed_out": 0
           },
+          "problems": [],
           "violations": {
             "no_outcome_in_time": 0,
             "cut_answers": 0,
