Leave the lead's reservation to the request once it is submitted

Cause: a sidecar turns the lead's reservation into the running request's memory at the submit, so a renewal there is refused, and the span took that for lost memory and failed a healthy request; a lead that was silent for longer than the hold failed it too, while its request was being resumed. Change: after the submit the span neither renews nor judges the lead; the request machine does. Conclusion: found by reading the sidecar's side, now in the model.

--- a/lovagedock/src/span/coordinator.rs
+++ b/lovagedock/src/span/coordinator.rs
@@ -151,6 +151,10 @@
         else {
             return;
         };
+        // Its reservation belongs to the running request now; a late answer says nothing.
+        if member.is_submitted() {
+            return;
+        }
         if !granted && reserving {
             self.step_back(now);
             return;
--- a/lovagedock/src/span/keep.rs
+++ b/lovagedock/src/span/keep.rs
@@ -48,6 +48,9 @@
         else {
             return;
         };
+        if member.is_submitted() {
+            return;
+        }
         let same_life = member.part.incarnation == life;
         match self.state {
             SpanState::Reserving { .. } if !same_life => self.step_back(now),
--- a/lovagedock/src/span/member.rs
+++ b/lovagedock/src/span/member.rs
@@ -19,6 +19,8 @@
     held_until: Option<Timestamp>,
     /// Whether no session reaches it.
     pub(super) is_lost: bool,
+    /// Whether the request was submitted there, which took the reservation over.
+    is_submitted: bool,
     /// Whether a new session awaits its first grant; a segment is sent again after it.
     came_back: bool,
 }
@@ -31,6 +33,7 @@
             awaits_answer: false,
             held_until: None,
             is_lost: false,
+            is_submitted: false,
             came_back: false,
         }
     }
@@ -53,7 +56,7 @@
 
     /// Whether a renewal makes sense now: one at a time, or it is not known which was granted.
     pub(super) fn may_ask(&self) -> bool {
-        !self.awaits_answer && !self.is_lost
+        !self.awaits_answer && !self.is_lost && !self.is_submitted
     }
 
     pub(super) fn reserve(&mut self, now: Timestamp, round: u32, hold: Duration) -> SpanAction {
@@ -75,6 +78,16 @@
         mem::take(&mut self.came_back)
     }
 
+    /// The request itself holds the memory from now on, and the request machine looks after it.
+    pub(super) fn submit(&mut self) {
+        self.is_submitted = true;
+        self.held_until = None;
+    }
+
+    pub(super) fn is_submitted(&self) -> bool {
+        self.is_submitted
+    }
+
     pub(super) fn come_back(&mut self) {
         self.is_lost = false;
         self.came_back = true;
--- a/lovagedock/src/span/prefill.rs
+++ b/lovagedock/src/span/prefill.rs
@@ -23,6 +23,9 @@
         if self.segments.is_empty() {
             self.state = SpanState::Decoding;
             let members = self.parts();
+            if let Some(lead) = self.members.first_mut() {
+                lead.submit();
+            }
             self.actions.push(SpanAction::Decode { members });
         } else {
             self.send_segment();
--- a/lovagedock/tests/span_model/mod.rs
+++ b/lovagedock/tests/span_model/mod.rs
@@ -36,6 +36,8 @@
     pub(crate) answers: Vec<SpanEvent>,
     pub(crate) wake_at: Option<Duration>,
     pub(crate) prefilled: TokenCount,
+    /// The lead, once the request runs there and has taken the reservation over.
+    pub(crate) runs_on: Option<usize>,
     pub(crate) decoded: u32,
     pub(crate) failed: Vec<AnswerEnd>,
 }
@@ -52,6 +54,7 @@
             answers: Vec::new(),
             wake_at: None,
             prefilled: 0,
+            runs_on: None,
             decoded: 0,
             failed: Vec::new(),
         }
@@ -160,6 +163,9 @@
                     self.decoded += 1;
                     assert_eq!(self.prefilled, PROMPT, "decode before the whole prompt");
                     assert_eq!(members.len(), 3);
+                    let lead = index(&members[0].endpoint);
+                    self.held_until.remove(&lead);
+                    self.runs_on = Some(lead);
                 }
                 SpanAction::Fail(end) => self.failed.push(end),
                 SpanAction::WakeAt(at) => self.wake_at = Some(at),
@@ -178,7 +184,9 @@
         if !self.reachable[at] || self.lives[at] != life {
             return;
         }
-        let granted = self.held_until.contains_key(&at) || self.busy_until[at] <= self.now;
+        let held = self.held_until.contains_key(&at);
+        // A reservation that the running request took over is not renewed.
+        let granted = (held || self.busy_until[at] <= self.now) && self.runs_on != Some(at);
         if granted {
             self.held_until.insert(at, self.now + hold);
         }
--- a/lovagedock/tests/span_properties.rs
+++ b/lovagedock/tests/span_properties.rs
@@ -129,6 +129,12 @@
             decoded: 0,
             failed: Some((ResultCode::EndpointLost, RanState::Yes)),
         },
+        EndCase {
+            name: "the lead is silent during the decode: its request is resumed, the span stays",
+            faults: &[(60, 0, Fault::Silent), (150, 0, Fault::Back)],
+            decoded: 1,
+            failed: None,
+        },
         EndCase {
             name: "a member restarts during the decode",
             faults: &[(60, 1, Fault::Restart)],
