Learn costs once, and give short prompts their turn on the engine

Cause: the sidecar had a second, simpler estimate of speed beside CostModel, without the square of the length, and reported neither cost nor backlog; and within a tier an engine prefilled a prompt of a thousand tokens behind all chunks of one of a million. Change: the endpoint's decisions learn with CostModel and leave out answers that came in one piece; load reports carry the learned cost and the predicted wait for short and for long prompts; the engine's priority is the tier and then the shorter prompt.

--- a/lovagedock-gateway/src/fleet.rs
+++ b/lovagedock-gateway/src/fleet.rs
@@ -10,8 +10,8 @@
 };
 
 use lovagedock::{
-    EndpointBacklog, EndpointReport, EndpointSpec, EndpointView, PlacementChoice, PlacementPolicy,
-    PlacementRequest, PoolState, SentWork, prelude::*,
+    EndpointReport, EndpointSpec, EndpointView, PlacementChoice, PlacementPolicy, PlacementRequest,
+    PoolState, SentWork, prelude::*,
 };
 use lovagedock_wire::LoadMessage;
 use parking_lot::{Mutex, RwLock};
@@ -278,10 +278,7 @@
         running: load.running,
         running_long: load.running_long,
         prefill_tokens_left: load.prefill_tokens_left,
-        backlog: (!load.backlog.is_zero()).then_some(EndpointBacklog {
-            all: load.backlog,
-            short: load.backlog,
-        }),
+        backlog: Some(load.backlog),
         cost: load.cost,
         cached_prefixes: load.cached_prefixes.clone(),
     }
--- a/lovagedock-sidecar/src/engine_task.rs
+++ b/lovagedock-sidecar/src/engine_task.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use futures::StreamExt;
-use lovagedock::{AttemptKey, EndpointEvent, EngineAnswer, EngineResult, prelude::*};
+use lovagedock::{AttemptKey, EndpointEvent, EngineAnswer, EngineResult, LengthBucket, prelude::*};
 use lovagedock_wire::{AnswerHead, HeaderField, WorkMessage};
 
 use crate::{
@@ -13,7 +13,7 @@
     state::SidecarState,
 };
 
-/// Priorities that engines get, by tier.
+/// Difference between the priorities of two tiers; more than the lengths make.
 const PRIORITY_STEP: i32 = 10;
 
 /// Starts a request on the engine and follows it to its end.
@@ -28,13 +28,18 @@
     state.decide(EndpointEvent::EngineEnded { key, result });
 }
 
-/// Priority of a tier on an engine.
-pub(crate) fn engine_priority(tier: PriorityTier) -> i32 {
-    match tier {
+/// Priority of a request on an engine: the tier first, then the shorter prompt.
+///
+/// Engines prefill in chunks, the highest priority first. Without the length in it, a prompt of a
+/// thousand tokens that comes behind one of a million waits for all of its chunks.
+pub(crate) fn engine_priority(tier: PriorityTier, prompt_tokens: TokenCount) -> i32 {
+    let tier = match tier {
         PriorityTier::Batch => 0,
         PriorityTier::Standard => PRIORITY_STEP,
         PriorityTier::Interactive => 2 * PRIORITY_STEP,
-    }
+    };
+    let longer = LengthBucket::ALL.len() - 1 - LengthBucket::of(prompt_tokens).index();
+    tier + longer as i32
 }
 
 async fn follow(
@@ -65,7 +70,7 @@
 fn engine_request(key: AttemptKey, work: &WorkMessage) -> EngineRequest {
     EngineRequest {
         request_id: key.request,
-        priority: engine_priority(work.tier),
+        priority: engine_priority(work.tier, work.prompt_tokens),
         method: work.method.clone(),
         path: work.path.clone(),
         headers: work
--- a/lovagedock-sidecar/src/report.rs
+++ b/lovagedock-sidecar/src/report.rs
@@ -1,8 +1,8 @@
 //! The load report that a sidecar sends with each heartbeat.
 
-use std::{cell::Cell, time::Duration};
+use std::cell::Cell;
 
-use lovagedock::{CostParameters, EndpointCore};
+use lovagedock::EndpointCore;
 use lovagedock_wire::LoadMessage;
 
 use crate::{config::SidecarConfig, state::SidecarState};
@@ -18,13 +18,18 @@
     pub(crate) fn report(&self, state: &SidecarState, config: &SidecarConfig) -> LoadMessage {
         self.sequence.set(self.sequence.get() + 1);
         let long_tokens = config.long_tokens();
-        let (load, running_long) = state.read(|core: &EndpointCore| {
-            let long = if long_tokens > 0 {
-                core.running_long(long_tokens)
-            } else {
-                0
+        let now = state.clock.now();
+        let (load, running_long, backlog, cost) = state.read(|core: &EndpointCore| {
+            let long = match long_tokens {
+                0 => 0,
+                tokens => core.running_long(tokens),
             };
-            (core.load(), long)
+            (
+                core.load(),
+                long,
+                core.backlog(now, long_tokens),
+                core.cost_parameters(),
+            )
         });
         LoadMessage {
             sequence: self.sequence.get(),
@@ -37,8 +42,8 @@
             running: load.running as u32,
             running_long: running_long as u32,
             prefill_tokens_left: load.prefill_tokens_left,
-            backlog: Duration::ZERO,
-            cost: CostParameters::default(),
+            backlog,
+            cost,
             generation: config.generation(),
             cached_prefixes: Vec::new(),
         }
--- a/lovagedock-sidecar/src/segment.rs
+++ b/lovagedock-sidecar/src/segment.rs
@@ -24,7 +24,7 @@
     };
     let request = SegmentRequest {
         request_id: work.key.request,
-        priority: engine_priority(work.tier),
+        priority: engine_priority(work.tier, work.prompt_tokens),
         start: range.start,
         tokens: range.tokens,
         prompt_part: part_of(&prompt, range, bytes_per_token).to_owned(),
--- a/lovagedock-wire/schema/lovagedock.capnp
+++ b/lovagedock-wire/schema/lovagedock.capnp
@@ -114,8 +114,10 @@
   # Configuration in force at the sidecar.
   cachedPrefixes @13 :List(UInt64);
   # Hashes of prompt prefixes that the engine lately held; preference only.
-  backlogMs @14 :UInt64;
-  # Predicted time until all that waits or runs is prefilled.
+  backlogAllUs @14 :UInt64;
+  # Predicted microseconds until a long prompt that comes now would begin.
+  backlogShortUs @15 :UInt64;
+  # The same for a short prompt, which overtakes long ones.
 }
 
 interface AnswerSink {
--- a/lovagedock-wire/src/codec.rs
+++ b/lovagedock-wire/src/codec.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use lovagedock::{AnswerEnd, AttemptKey, CostParameters, RevokeVerdict, prelude::*};
+use lovagedock::{
+    AnswerEnd, AttemptKey, CostParameters, EndpointBacklog, RevokeVerdict, prelude::*,
+};
 
 use crate::{
     lovagedock_capnp as schema,
@@ -29,6 +31,10 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
+
 pub(crate) fn read_text(text: capnp::Result<capnp::text::Reader<'_>>) -> Decoded<String> {
     let text = text?;
     match text.to_str() {
@@ -284,7 +290,8 @@
     builder.set_running(load.running);
     builder.set_running_long(load.running_long);
     builder.set_prefill_tokens_left(load.prefill_tokens_left);
-    builder.set_backlog_ms(millis(load.backlog));
+    builder.set_backlog_all_us(micros(load.backlog.all));
+    builder.set_backlog_short_us(micros(load.backlog.short));
     builder.set_prefill_ns_per_token(load.cost.prefill_ns_per_token);
     builder.set_prefill_ns_per_token_squared(load.cost.prefill_ns_per_token_squared);
     builder.set_decode_ns(load.cost.decode_ns);
@@ -307,7 +314,10 @@
         running: reader.get_running(),
         running_long: reader.get_running_long(),
         prefill_tokens_left: reader.get_prefill_tokens_left(),
-        backlog: Duration::from_millis(reader.get_backlog_ms()),
+        backlog: EndpointBacklog {
+            all: Duration::from_micros(reader.get_backlog_all_us()),
+            short: Duration::from_micros(reader.get_backlog_short_us()),
+        },
         cost: CostParameters {
             prefill_ns_per_token: reader.get_prefill_ns_per_token(),
             prefill_ns_per_token_squared: reader.get_prefill_ns_per_token_squared(),
--- a/lovagedock-wire/src/lovagedock_capnp.rs
+++ b/lovagedock-wire/src/lovagedock_capnp.rs
@@ -2947,14 +2947,18 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_backlog_ms(self) -> u64 {
+        pub fn get_backlog_all_us(self) -> u64 {
             self.reader.get_data_field::<u64>(11)
         }
+        #[inline]
+        pub fn get_backlog_short_us(self) -> u64 {
+            self.reader.get_data_field::<u64>(12)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 12, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 13, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3125,13 +3129,21 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_backlog_ms(self) -> u64 {
+        pub fn get_backlog_all_us(self) -> u64 {
             self.builder.get_data_field::<u64>(11)
         }
         #[inline]
-        pub fn set_backlog_ms(&mut self, value: u64)  {
+        pub fn set_backlog_all_us(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(11, value);
         }
+        #[inline]
+        pub fn get_backlog_short_us(self) -> u64 {
+            self.builder.get_data_field::<u64>(12)
+        }
+        #[inline]
+        pub fn set_backlog_short_us(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(12, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3143,17 +3155,17 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 263] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 279] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(52, 135, 231, 183, 69, 233, 116, 196),
-            ::capnp::word(17, 0, 0, 0, 1, 0, 12, 0),
+            ::capnp::word(17, 0, 0, 0, 1, 0, 13, 0),
             ::capnp::word(81, 96, 78, 169, 243, 199, 177, 210),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 79, 3, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 135, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
@@ -3161,112 +3173,119 @@
             ::capnp::word(58, 76, 111, 97, 100, 82, 101, 112),
             ::capnp::word(111, 114, 116, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(60, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(185, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(189, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(197, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(221, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 1, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(229, 1, 0, 0, 146, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 1, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(241, 1, 0, 0, 146, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 1, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(253, 1, 0, 0, 202, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(13, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(21, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 2, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(29, 2, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(53, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(15, 0, 0, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(61, 2, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(60, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -3398,8 +3417,17 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(98, 97, 99, 107, 108, 111, 103, 77),
-            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 97, 99, 107, 108, 111, 103, 65),
+            ::capnp::word(108, 108, 85, 115, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 97, 99, 107, 108, 111, 103, 83),
+            ::capnp::word(104, 111, 114, 116, 85, 115, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3425,6 +3453,7 @@
                 12 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 13 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
                 14 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                15 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3438,9 +3467,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[14,13,11,3,12,2,9,10,8,4,5,6,7,0,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[14,15,13,11,3,12,2,9,10,8,4,5,6,7,0,1];
         pub(crate) const TYPE_ID: u64 = 0xc474_e945_b7e7_8734;
     }
 }
--- a/lovagedock-wire/src/messages.rs
+++ b/lovagedock-wire/src/messages.rs
@@ -3,7 +3,7 @@
 use std::{fmt, time::Duration};
 
 use bytes::Bytes;
-use lovagedock::{AnswerEnd, AttemptKey, CostParameters, prelude::*};
+use lovagedock::{AnswerEnd, AttemptKey, CostParameters, EndpointBacklog, prelude::*};
 
 /// Who speaks at one end of a session.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -139,8 +139,8 @@
     pub running_long: u32,
     /// Prompt tokens on the engine that are not prefilled yet.
     pub prefill_tokens_left: TokenCount,
-    /// Predicted time until all that waits or runs is prefilled.
-    pub backlog: Duration,
+    /// Predicted time until a prompt that comes now would begin to be prefilled.
+    pub backlog: EndpointBacklog,
     /// Learned cost of work.
     pub cost: CostParameters,
     /// Configuration in force at the sidecar.
--- a/lovagedock/src/adoption/plan.rs
+++ b/lovagedock/src/adoption/plan.rs
@@ -176,7 +176,7 @@
                 let role = self.roles.get(&relay.process);
                 role.is_some_and(|role| role.children.len() < bound)
             };
-            let first = ranked.iter().position(|relay| has_room(relay));
+            let first = ranked.iter().position(has_room);
             let Some(first) = first.or((!ranked.is_empty()).then_some(0)) else {
                 continue;
             };
--- a/lovagedock/src/endpoint/engine.rs
+++ b/lovagedock/src/endpoint/engine.rs
@@ -201,8 +201,11 @@
         let Some(first) = entry.first_bytes else {
             return;
         };
+        let batch = u32::try_from(self.running).unwrap_or(u32::MAX);
         self.speed.observe(RunSample {
-            prefilled: answer.prompt_tokens.saturating_sub(answer.cached_tokens),
+            prompt: answer.prompt_tokens,
+            cached: answer.cached_tokens,
+            batch,
             prefill: first - entry.started_at,
             decode: now - first,
             answered: answer.answer_tokens,
--- a/lovagedock/src/endpoint/entry.rs
+++ b/lovagedock/src/endpoint/entry.rs
@@ -1,5 +1,7 @@
 //! A request that waits or runs.
 
+use std::time::Duration;
+
 use crate::{
     endpoint::{messages::WorkOrder, speed::RunCost},
     ids::{Timestamp, TokenCount},
@@ -90,4 +92,16 @@
         }
         Some(self.deadline.saturating_sub(total))
     }
+
+    /// Prefill time that is predicted to be left.
+    pub(crate) fn prefill_left(&self, now: Timestamp) -> Duration {
+        match (self.phase, self.first_bytes) {
+            (_, Some(_)) => Duration::ZERO,
+            (RequestPhase::Queued, None) => self.cost.prefill,
+            (RequestPhase::Starting | RequestPhase::Running, None) => self
+                .cost
+                .prefill
+                .saturating_sub(now.saturating_sub(self.started_at)),
+        }
+    }
 }
--- a/lovagedock/src/endpoint/snapshot.rs
+++ b/lovagedock/src/endpoint/snapshot.rs
@@ -3,13 +3,16 @@
 use serde::Serialize;
 
 use crate::{
+    cost::{CostParameters, PredictionError},
     endpoint::{
         core::EndpointCore,
         entry::{RequestEntry, RequestPhase},
         ledger::MemoryLedger,
     },
-    ids::{OrganisationId, RequestId, ServiceId, TokenCount, format_request_id},
+    ids::{OrganisationId, RequestId, ServiceId, Timestamp, TokenCount, format_request_id},
+    length::LengthBucket,
     outcome::AttemptKey,
+    placement::EndpointBacklog,
 };
 
 /// Counts for a load report.
@@ -113,6 +116,30 @@
         long.count()
     }
 
+    /// Learned cost of work on the engine; zeros where nothing is known.
+    pub fn cost_parameters(&self) -> CostParameters {
+        self.speed.parameters()
+    }
+
+    /// How far first-token predictions for a length were off.
+    pub fn prediction_error(&self, bucket: LengthBucket) -> PredictionError {
+        self.speed.error(bucket)
+    }
+
+    /// Time until a prompt that comes now would begin to be prefilled. Long prompts wait behind
+    /// all others; short ones overtake the long ones, here and on the engine.
+    pub fn backlog(&self, now: Timestamp, long_tokens: TokenCount) -> EndpointBacklog {
+        let mut backlog = EndpointBacklog::default();
+        for entry in self.table.values() {
+            let left = entry.prefill_left(now);
+            backlog.all += left;
+            if long_tokens == 0 || entry.order.prompt_tokens < long_tokens {
+                backlog.short += left;
+            }
+        }
+        backlog
+    }
+
     /// The memory ledger.
     pub fn ledger(&self) -> &MemoryLedger {
         &self.ledger
--- a/lovagedock/src/endpoint/speed.rs
+++ b/lovagedock/src/endpoint/speed.rs
@@ -2,10 +2,16 @@
 
 use std::time::Duration;
 
-use crate::{cost::CostParameters, ids::TokenCount};
+use crate::{
+    cost::{CostModel, CostParameters, PredictionError, PrefillObservation},
+    ids::TokenCount,
+    length::LengthBucket,
+};
 
 /// Weight of the newest observation.
 const LEARNING_RATE: f64 = 0.2;
+/// An answer whose bytes all came within this time came in one piece.
+const WHOLE_ANSWER_DECODE: Duration = Duration::from_micros(200);
 /// Share of the answer bound that is expected to be used before anything is known.
 const FIRST_ANSWER_SHARE: f64 = 0.5;
 
@@ -28,8 +34,12 @@
 /// One run, as seen from outside of the engine.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RunSample {
-    /// Prompt tokens that had to be prefilled.
-    pub(crate) prefilled: TokenCount,
+    /// Prompt tokens as the engine counted them.
+    pub(crate) prompt: TokenCount,
+    /// Those of them that its cache spared.
+    pub(crate) cached: TokenCount,
+    /// Requests that ran with it.
+    pub(crate) batch: u32,
     /// From the start to the first bytes.
     pub(crate) prefill: Duration,
     /// From the first bytes to the end.
@@ -40,14 +50,21 @@
     pub(crate) asked: TokenCount,
 }
 
-/// Learned speed of an engine; zero means not known yet.
+impl RunSample {
+    /// Whether the answer came in one piece, so that its first bytes say nothing about its first
+    /// token.
+    fn came_whole(&self) -> bool {
+        self.answered > 1 && self.decode < WHOLE_ANSWER_DECODE
+    }
+}
+
+/// Learned speed of an engine; nothing is predicted while nothing is known.
 ///
 /// The engine's own report goes before what was observed from outside.
 #[derive(Clone, Debug)]
 pub(crate) struct EngineSpeed {
     reported: CostParameters,
-    prefill_ns: f64,
-    decode_ns: f64,
+    model: CostModel,
     answer_share: f64,
 }
 
@@ -56,8 +73,7 @@
     pub(crate) fn new() -> Self {
         Self {
             reported: CostParameters::default(),
-            prefill_ns: 0.0,
-            decode_ns: 0.0,
+            model: CostModel::new(),
             answer_share: FIRST_ANSWER_SHARE,
         }
     }
@@ -69,17 +85,21 @@
 
     /// Learns from a run.
     pub(crate) fn observe(&mut self, sample: RunSample) {
-        if sample.prefilled > 0 {
-            let ns = sample.prefill.as_nanos() as f64 / sample.prefilled as f64;
-            self.prefill_ns = blend(self.prefill_ns, ns);
-        }
-        if sample.answered > 1 {
-            let ns = sample.decode.as_nanos() as f64 / (sample.answered - 1) as f64;
-            self.decode_ns = blend(self.decode_ns, ns);
+        if !sample.came_whole() {
+            self.model.observe_prefill(&PrefillObservation {
+                prompt_tokens: sample.prompt,
+                cached_tokens: sample.cached,
+                queue_wait: Duration::ZERO,
+                first_token: sample.prefill,
+                batch: sample.batch,
+            });
+            if let Some(interval) = interval(sample) {
+                self.model.observe_decode(sample.batch, interval);
+            }
         }
         if sample.asked > 0 {
             let share = sample.answered as f64 / sample.asked as f64;
-            self.answer_share = blend(self.answer_share, share.min(1.0));
+            self.answer_share += LEARNING_RATE * (share.min(1.0) - self.answer_share);
         }
     }
 
@@ -92,21 +112,27 @@
         }
     }
 
-    fn parameters(&self) -> CostParameters {
+    /// What is known of the cost of work; zeros where nothing is.
+    pub(crate) fn parameters(&self) -> CostParameters {
+        let learned = self.model.parameters();
         let mut parameters = self.reported;
         if parameters.prefill_ns_per_token == 0.0 {
-            parameters.prefill_ns_per_token = self.prefill_ns;
+            parameters.prefill_ns_per_token = learned.prefill_ns_per_token;
+            parameters.prefill_ns_per_token_squared = learned.prefill_ns_per_token_squared;
         }
         if parameters.decode_ns == 0.0 {
-            parameters.decode_ns = self.decode_ns;
+            parameters.decode_ns = learned.decode_ns;
         }
         parameters
     }
-}
 
-fn blend(old: f64, new: f64) -> f64 {
-    if old == 0.0 {
-        return new;
+    /// How far predictions for a length were off.
+    pub(crate) fn error(&self, bucket: LengthBucket) -> PredictionError {
+        self.model.error(bucket)
     }
-    old + LEARNING_RATE * (new - old)
+}
+
+fn interval(sample: RunSample) -> Option<Duration> {
+    let gaps = u32::try_from(sample.answered.checked_sub(1)?).ok()?;
+    sample.decode.checked_div(gaps)
 }
