--- a/lovagedock-standin/tests/support/mod.rs
+++ b/lovagedock-standin/tests/support/mod.rs
@@ -177,3 +177,20 @@
     });
     address
 }
+
+/// What the adapter may say of a fault.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Verdict {
+    Unreachable,
+    Lost,
+    Failed,
+}
+
+pub(crate) fn verdict(error: &EngineError) -> Verdict {
+    match error {
+        EngineError::Unreachable { .. } => Verdict::Unreachable,
+        EngineError::Lost { .. } => Verdict::Lost,
+        EngineError::Failed { .. } => Verdict::Failed,
+        EngineError::Refused { .. } => panic!("no endpoint refused: {error}"),
+    }
+}
