--- a/lovagedock-cli/src/lib.rs
+++ b/lovagedock-cli/src/lib.rs
@@ -22,4 +22,4 @@
 pub use report::{CommandReport, ExitStatus};
 pub use runner::CommandRunner;
 pub use settings::{OperatorSettings, ProcessAddress};
-pub use start::run_command_line;
+pub use start::{run_command_line, run_line};
--- a/lovagedock-cli/src/start.rs
+++ b/lovagedock-cli/src/start.rs
@@ -23,7 +23,7 @@
 /// Runs the process's own command line.
 pub fn run_command_line() -> ExitCode {
     let line = CommandLine::parse();
-    let report = run_line(&line).unwrap_or_else(|report| report);
+    let report = run_line(&line);
     let text = match line.output {
         OutputFormat::Table => report.text,
         OutputFormat::Json => format!("{:#}\n", report.value),
@@ -33,7 +33,12 @@
     ExitCode::from(report.status.number())
 }
 
-fn run_line(line: &CommandLine) -> Result<CommandReport, CommandReport> {
+/// Runs a command line that was read; blocks until it is done.
+pub fn run_line(line: &CommandLine) -> CommandReport {
+    try_line(line).unwrap_or_else(|report| report)
+}
+
+fn try_line(line: &CommandLine) -> Result<CommandReport, CommandReport> {
     let mut settings = load(line)?;
     if line.platform.is_some() {
         settings.platform = line.platform.clone();
--- a/lovagedock-cli/tests/cli/main.rs
+++ b/lovagedock-cli/tests/cli/main.rs
@@ -4,3 +4,4 @@
 mod commands;
 mod common;
 mod http_port;
+mod settings;
--- /dev/null
+++ b/lovagedock-cli/tests/cli/settings.rs
@@ -0,0 +1,93 @@
+//! Where settings come from, and what is said when they are wrong or missing.
+
+use std::{env, fs, path::PathBuf, process};
+
+use super::common::show;
+use clap::Parser;
+use expect_test::{Expect, expect};
+use lovagedock_cli::{CommandLine, run_line};
+
+/// A settings file, the command line beside it, and what the operator sees.
+struct SettingsCase {
+    name: &'static str,
+    settings: &'static str,
+    line: &'static str,
+    sees: Expect,
+}
+
+fn write_settings(name: &str, text: &str) -> PathBuf {
+    let file = env::temp_dir().join(format!("lovagedock-{}-{name}.jsonc", process::id()));
+    fs::write(&file, text).expect("a writable folder");
+    file
+}
+
+#[test]
+fn settings_are_checked_before_anything_is_done() {
+    let cases = [
+        SettingsCase {
+            name: "sound",
+            settings: include_str!("../../../examples/local/settings/operator.jsonc"),
+            line: "--check-settings",
+            sees: expect![[r#"
+                exit 0
+                the settings are valid
+            "#]],
+        },
+        SettingsCase {
+            name: "misspelt",
+            settings: "{\n  \"platfrom\": \"http://127.0.0.1:1\"\n}",
+            line: "--check-settings",
+            sees: expect![[r#"
+                exit 2
+                settings: FILE:2:3: platfrom: unknown field `platfrom`, expected one of `platform`, `gateways`, `sidecars`, `operator_token`, `transport`; did you mean `platform`?
+            "#]],
+        },
+        SettingsCase {
+            name: "without-platform",
+            settings: "{}",
+            line: "get",
+            sees: expect![[r#"
+                exit 2
+                settings: `platform` is not set
+            "#]],
+        },
+        SettingsCase {
+            name: "without-transport",
+            settings: "{}",
+            line: "dump 127.0.0.1:1",
+            sees: expect![[r#"
+                exit 2
+                settings: `transport` is not set
+            "#]],
+        },
+        SettingsCase {
+            name: "without-keys",
+            settings: "{ \"transport\": { \"tls\": { \"certificate_file\": \"none.pem\", \
+                       \"key_file\": \"none.key\" } } }",
+            line: "status",
+            sees: expect![[r#"
+                exit 2
+                settings: transport: a TLS file cannot be read
+            "#]],
+        },
+        SettingsCase {
+            name: "not-needed",
+            settings: "{}",
+            line: "code 1000",
+            sees: expect![[r#"
+                exit 0
+                CODE  HTTP  RAN  TITLE
+                1000  200   yes  complete
+            "#]],
+        },
+    ];
+    for case in cases {
+        let file = write_settings(case.name, case.settings);
+        let shown = file.display().to_string();
+        let words = ["lovagedock", "--settings", shown.as_str()].into_iter();
+        let line = CommandLine::try_parse_from(words.chain(case.line.split(' ')));
+        let report = run_line(&line.expect(case.name));
+        fs::remove_file(&file).expect("the file is there");
+        case.sees.assert_eq(&show(&report).replace(&shown, "FILE"));
+    }
+}
