--- a/lovagedock/src/cost/decode.rs
+++ b/lovagedock/src/cost/decode.rs
@@ -56,4 +56,4 @@
 /// Batch sizes of 1 to 1,023.
 const DECODE_SLOTS: usize = 10;
 const DECODE_GAIN: f64 = 0.1;
-const MAX_STEP_RATIO: f64 = 3.0;
+const MAX_STEP_RATIO: f64 = 1.5;
--- a/lovagedock/src/cost/prefill.rs
+++ b/lovagedock/src/cost/prefill.rs
@@ -4,15 +4,17 @@
 
 /// Learns `seconds = a * linear + b * squared`.
 ///
-/// Each observation is divided by its own duration, so that the error is relative: a prompt of a
-/// thousand tokens counts as much as one of a million, and an observation that is late by a factor
-/// pulls the less, the later it is. Observations that are too fast for the model (a cache hit that
-/// nobody reported) are limited by a Huber weight.
+/// Errors are relative: a prompt of a thousand tokens counts as much as one of a million. An
+/// observation is divided by its own duration, so that one that is late by a factor pulls the less,
+/// the later it is; one that is far too fast for the model (a cache hit that nobody reported) is
+/// divided by part of the prediction instead. A Huber weight limits what is left of both.
 #[derive(Clone, Debug)]
 pub(super) struct PrefillEstimator {
     theta: [f64; 2],
     covariance: [[f64; 2]; 2],
     residual_scale: f64,
+    /// Limited residuals of one sign in a row; negative when the engine was faster each time.
+    streak: i32,
     observations: u64,
 }
 
@@ -25,6 +27,7 @@
             ],
             covariance: [[0.0; 2]; 2],
             residual_scale: INITIAL_RESIDUAL,
+            streak: 0,
             observations: 0,
         }
     }
@@ -47,8 +50,10 @@
             self.start(features, seconds);
         }
         self.observations += 1;
-        let scaled = [features[0] / seconds, features[1] / seconds];
-        let residual = 1.0 - dot(scaled, self.theta);
+        let predicted = dot(features, self.theta);
+        let scale = seconds.max(predicted * MIN_OBSERVED_RATIO);
+        let scaled = [features[0] / scale, features[1] / scale];
+        let residual = (seconds - predicted) / scale;
         let weight = self.huber_weight(residual);
         self.update(scaled, residual, weight);
     }
@@ -75,37 +80,49 @@
         let clipped = size.min(limit);
         self.residual_scale += RESIDUAL_GAIN * (clipped - self.residual_scale);
         self.residual_scale = self.residual_scale.max(MIN_RESIDUAL);
-        if size <= limit { 1.0 } else { limit / size }
+        if size <= limit {
+            self.streak = 0;
+            return 1.0;
+        }
+        self.note_streak(residual);
+        limit / size
     }
 
+    /// Outliers come now and then and on both sides; several in a row on one side mean that the
+    /// engine has changed, and what was learned before is in the way.
+    fn note_streak(&mut self, residual: f64) {
+        let sign = if residual > 0.0 { 1 } else { -1 };
+        let continued = self.streak.signum() == sign;
+        self.streak = if continued { self.streak + sign } else { sign };
+        if self.streak.abs() >= CHANGE_STREAK {
+            self.streak = 0;
+            self.residual_scale = INITIAL_RESIDUAL;
+            self.covariance = self.prior_covariance();
+        }
+    }
+
+    /// A least-squares step with directional forgetting.
+    ///
+    /// Plain forgetting lets the variance grow without end in a direction that is not observed, for
+    /// instance that of the squared term while there are only short prompts; noise then moves it
+    /// far off, and the first long prompt is mispredicted. Here the variance is kept up only in the
+    /// direction of the observation itself.
     fn update(&mut self, x: [f64; 2], residual: f64, weight: f64) {
         let p = self.covariance;
         let px = [dot(p[0], x), dot(p[1], x)];
-        let gain_divisor = FORGETTING * NOISE_VARIANCE / weight + dot(x, px);
-        let gain = [px[0] / gain_divisor, px[1] / gain_divisor];
+        let spread = dot(x, px);
+        if spread <= 0.0 {
+            return;
+        }
+        let noise = NOISE_VARIANCE / weight;
+        let left = (spread * noise / (noise + spread)).max(NOISE_VARIANCE * STEADY_GAIN);
+        let shrink = (1.0 - left / spread) / spread;
         for i in 0..2 {
+            let gain = px[i] / (noise + spread);
             // Neither more tokens nor a longer context can save time.
-            self.theta[i] = (self.theta[i] + gain[i] * residual).max(0.0);
+            self.theta[i] = (self.theta[i] + gain * residual).max(0.0);
             for (j, pxj) in px.iter().enumerate() {
-                self.covariance[i][j] = (p[i][j] - gain[i] * pxj) / FORGETTING;
-            }
-        }
-        self.limit_covariance();
-    }
-
-    /// Forgetting lets the variance grow without end where nothing is observed, for instance that
-    /// of the squared term while there are only short prompts; the first long one would then throw
-    /// the estimate far off.
-    fn limit_covariance(&mut self) {
-        let floor = self.theta[0] * MIN_RATIO;
-        let limits = [self.theta[0], self.theta[1].max(floor)].map(|t| (t * PRIOR_SPREAD).powi(2));
-        for (i, limit) in limits.into_iter().enumerate() {
-            let variance = self.covariance[i][i];
-            if variance > limit {
-                let scale = (limit / variance).sqrt();
-                self.covariance[i][i] = limit;
-                self.covariance[0][1] *= scale;
-                self.covariance[1][0] *= scale;
+                self.covariance[i][j] = p[i][j] - shrink * px[i] * pxj;
             }
         }
     }
@@ -118,14 +135,16 @@
 /// Units that keep both features near one for typical prompts.
 const LINEAR_UNIT: f64 = 1e4;
 const SQUARED_UNIT: f64 = 1e8;
-/// Share of its weight that an observation keeps at each further one.
-const FORGETTING: f64 = 0.99;
+/// Part of its error that an observation still corrects after many others.
+const STEADY_GAIN: f64 = 0.01;
+/// Least share of the prediction that an observation is divided by.
+const MIN_OBSERVED_RATIO: f64 = 0.5;
+/// Limited residuals in a row that mean that the engine has changed.
+const CHANGE_STREAK: i32 = 6;
 /// Variance of the relative error of one observation.
 const NOISE_VARIANCE: f64 = 0.01;
 /// Spread of the prior relative to its mean.
 const PRIOR_SPREAD: f64 = 1.0;
-/// Least ratio of the squared coefficient's spread to the linear coefficient, in feature units.
-const MIN_RATIO: f64 = 0.001;
 /// Residuals beyond this many typical residuals are limited.
 const HUBER_SCALES: f64 = 2.5;
 const INITIAL_RESIDUAL: f64 = 0.5;
