--- a/lovagedock/src/claim/partition.rs
+++ b/lovagedock/src/claim/partition.rs
@@ -9,6 +9,7 @@
     clock::PartitionClock,
     object::PartitionObject,
     pending::{PendingAbandon, PendingRecord, SplitProgress, WaitingClaim},
+    settle::SettleScope,
     store::StoreCall,
     sweep::StrayDeletion,
     types::{
@@ -130,6 +131,11 @@
     /// Takes an event and returns what to do.
     pub fn handle(&mut self, now: Timestamp, event: ClaimEvent) -> Vec<ClaimAction> {
         let mut actions = Vec::new();
+        let scope = match &event {
+            ClaimEvent::Claim(_) => SettleScope::LastClaim,
+            ClaimEvent::Record { .. } => SettleScope::LastRecord,
+            _ => SettleScope::All,
+        };
         match event {
             ClaimEvent::Claim(claim) => self.on_claim(now, claim, &mut actions),
             ClaimEvent::Record {
@@ -148,7 +154,7 @@
             }
             ClaimEvent::Tick => {}
         }
-        self.advance(now, &mut actions);
+        self.advance(now, scope, &mut actions);
         actions
     }
 
@@ -211,9 +217,9 @@
         }
     }
 
-    fn advance(&mut self, now: Timestamp, actions: &mut Vec<ClaimAction>) {
+    fn advance(&mut self, now: Timestamp, scope: SettleScope, actions: &mut Vec<ClaimAction>) {
         self.expire(now, actions);
-        self.settle(now, actions);
+        self.settle(now, scope, actions);
         self.drive(now, actions);
         let wake_at = self.next_wake(now);
         if wake_at != self.wake_at {
--- a/lovagedock/src/claim/settle.rs
+++ b/lovagedock/src/claim/settle.rs
@@ -11,6 +11,14 @@
 use crate::{codes::ResultCode, ids::Timestamp};
 use bytes::{Bytes, BytesMut};
 
+/// What an event can have changed; an arrival says nothing about those that wait already.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum SettleScope {
+    All,
+    LastClaim,
+    LastRecord,
+}
+
 /// What the last known value says about a waiting claim.
 enum Verdict {
     /// The key is free; the claim goes into the next write.
@@ -32,11 +40,8 @@
 impl ClaimPartition {
     /// Ends what ran out of time.
     pub(super) fn expire(&mut self, now: Timestamp, actions: &mut Vec<ClaimAction>) {
-        let (over, claims) = std::mem::take(&mut self.claims)
-            .into_iter()
-            .partition(|waiting| waiting.claim.deadline <= now);
-        self.claims = claims;
-        let over: Vec<WaitingClaim> = over;
+        let is_over = |waiting: &mut WaitingClaim| waiting.claim.deadline <= now;
+        let over: Vec<WaitingClaim> = self.claims.extract_if(.., is_over).collect();
         for waiting in over {
             self.take_back(&waiting);
             let code = match waiting.announced {
@@ -64,16 +69,24 @@
     }
 
     /// Ends what the last known value decides.
-    pub(super) fn settle(&mut self, now: Timestamp, actions: &mut Vec<ClaimAction>) {
+    pub(super) fn settle(
+        &mut self,
+        now: Timestamp,
+        scope: SettleScope,
+        actions: &mut Vec<ClaimAction>,
+    ) {
         if self.known.is_none() {
             return;
         }
-        let claims = std::mem::take(&mut self.claims);
-        for waiting in claims {
+        let (claims, records) = match scope {
+            SettleScope::All => (0, 0),
+            SettleScope::LastClaim => (self.claims.len().saturating_sub(1), self.records.len()),
+            SettleScope::LastRecord => (self.claims.len(), self.records.len().saturating_sub(1)),
+        };
+        for waiting in self.claims.split_off(claims) {
             self.settle_claim(now, waiting, actions);
         }
-        let records = std::mem::take(&mut self.records);
-        for record in records {
+        for record in self.records.split_off(records) {
             self.settle_record(now, record, actions);
         }
         self.settle_abandons();
--- a/lovagedock/src/claim/store.rs
+++ b/lovagedock/src/claim/store.rs
@@ -21,6 +21,7 @@
 
 /// Conflicts in a row after which a gateway pauses, so that another one gets its turn.
 const PATIENT_CONFLICTS: u32 = 2;
+const MAX_CONFLICT_DOUBLINGS: u32 = 3;
 const MAX_BACKOFF_DOUBLINGS: u32 = 6;
 
 /// The one call of the partition's object that may be in flight.
@@ -190,7 +191,7 @@
         self.stale = true;
         self.conflicts += 1;
         if self.conflicts > PATIENT_CONFLICTS {
-            let doublings = (self.conflicts - PATIENT_CONFLICTS).min(MAX_BACKOFF_DOUBLINGS);
+            let doublings = (self.conflicts - PATIENT_CONFLICTS).min(MAX_CONFLICT_DOUBLINGS);
             self.retry_at = now + self.jitter(self.limits.backoff / 10 * (1 << doublings));
         }
     }
