Play the request's fault schedules against the sidecar's real decisions

Cause: the promises were proved against a model of the sidecar, which could agree with the gateway by mistake.

--- /dev/null
+++ b/lovagedock/tests/request_support/core_engine.rs
@@ -0,0 +1,100 @@
+//! An engine beside a sidecar that decides by the real kernel.
+
+use lovagedock::{EndpointEvent, EngineAnswer, EngineResult, RequestEvent, prelude::*};
+
+use super::{
+    core_sidecar::key,
+    sidecar::{ANSWER_BYTES, FRAME_BYTES, WorkState, answer_bytes, clean_end},
+    world::{Step, World},
+};
+
+impl World {
+    /// The engine starts, or goes on with, what the sidecar gave it.
+    pub(super) fn begin_core(
+        &mut self,
+        endpoint: usize,
+        life: Incarnation,
+        attempt: AttemptNumber,
+    ) {
+        let sidecar = &mut self.sidecars[endpoint];
+        let Some(work) = sidecar.work.get_mut(&attempt) else {
+            return;
+        };
+        if sidecar.life != life || work.state != WorkState::Queued {
+            return;
+        }
+        work.state = WorkState::Running;
+        let link = work.link;
+        self.starts.push(attempt);
+        self.tell_core(
+            endpoint,
+            link,
+            EndpointEvent::EngineStarted(key(attempt, life)),
+        );
+        self.after(
+            1,
+            Step::ToGateway(link, RequestEvent::Head { attempt }, vec![]),
+        );
+        let delay = self.delay();
+        self.after(delay, Step::Produce(endpoint, life, attempt));
+    }
+
+    pub(super) fn produce_core(
+        &mut self,
+        endpoint: usize,
+        life: Incarnation,
+        attempt: AttemptNumber,
+    ) {
+        let sidecar = &mut self.sidecars[endpoint];
+        let Some(work) = sidecar.work.get_mut(&attempt) else {
+            return;
+        };
+        if sidecar.life != life || work.state != WorkState::Running {
+            return;
+        }
+        let link = work.link;
+        let key = key(attempt, life);
+        if work.produced == ANSWER_BYTES {
+            work.state = WorkState::Ended;
+            let result = EngineResult::Finished(finished(attempt));
+            self.tell_core(endpoint, link, EndpointEvent::EngineEnded { key, result });
+            return;
+        }
+        work.produced += FRAME_BYTES;
+        let length = FRAME_BYTES;
+        self.tell_core(endpoint, link, EndpointEvent::EngineBytes { key, length });
+        let delay = self.delay().max(2);
+        self.after(delay, Step::Produce(endpoint, life, attempt));
+    }
+
+    pub(super) fn fail_core(&mut self, endpoint: usize) {
+        let life = self.sidecars[endpoint].life;
+        let works = self.sidecars[endpoint].work.iter_mut();
+        let running = works.filter(|(_, work)| work.state == WorkState::Running);
+        let failed: Vec<(AttemptNumber, usize)> = running
+            .map(|(attempt, work)| {
+                work.state = WorkState::Failed;
+                (*attempt, work.link)
+            })
+            .collect();
+        for (attempt, link) in failed {
+            let key = key(attempt, life);
+            let result = EngineResult::Failed {
+                detail: String::new(),
+            };
+            self.tell_core(endpoint, link, EndpointEvent::EngineEnded { key, result });
+        }
+    }
+}
+
+fn finished(attempt: AttemptNumber) -> EngineAnswer {
+    let bytes = answer_bytes(attempt, 0, ANSWER_BYTES);
+    let end = clean_end(attempt);
+    EngineAnswer {
+        length: end.length,
+        digest: *blake3::hash(&bytes).as_bytes(),
+        prompt_tokens: 1_000,
+        cached_tokens: 0,
+        answer_tokens: 10,
+    }
+}
--- a/lovagedock/tests/request_support/sidecar.rs
+++ b/lovagedock/tests/request_support/sidecar.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use lovagedock::prelude::*;
+use lovagedock::{EndpointCore, prelude::*};
 
 pub(crate) const FRAME_BYTES: u64 = 8;
 pub(crate) const ANSWER_BYTES: u64 = 32;
@@ -26,6 +26,8 @@
 }
 
 pub(crate) struct SidecarModel {
+    /// The real decisions, where they take the model's place.
+    pub(crate) core: Option<EndpointCore>,
     pub(crate) life: Incarnation,
     pub(crate) leaving: bool,
     pub(crate) work: BTreeMap<AttemptNumber, Work>,
@@ -34,6 +36,7 @@
 impl SidecarModel {
     pub(crate) fn new(life: Incarnation) -> Self {
         Self {
+            core: None,
             life,
             leaving: false,
             work: BTreeMap::new(),
