Split files that had grown, drop a second chunk cutter

Change: pauses of claims in a file of their own, the tests' worlds by job; the chunk cutter of adoption is gone, the configuration store's is the one.

--- a/lovagedock/src/adoption/mod.rs
+++ b/lovagedock/src/adoption/mod.rs
@@ -8,7 +8,6 @@
 //! [`AdoptionState`] decides all this for one process.
 
 mod bundle;
-mod chunking;
 mod counter;
 mod manifest;
 mod plan;
@@ -22,7 +21,6 @@
 mod upstream;
 
 pub use bundle::{BundleError, ConfigBundle};
-pub use chunking::{ChunkLimits, split_chunks};
 pub use counter::{AdoptionCount, AdoptionCounter};
 pub use manifest::{ChunkHash, ConfigManifest, ManifestDigest, chunk_hash};
 pub use plan::RelayPlan;
--- /dev/null
+++ b/lovagedock/src/claim/backoff.rs
@@ -0,0 +1,38 @@
+//! Pauses after the store failed or refused, and between gateways that conflict.
+
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::partition::ClaimPartition;
+use crate::ids::Timestamp;
+
+/// Conflicts in a row after which a gateway pauses, so that another one gets its turn.
+const PATIENT_CONFLICTS: u32 = 2;
+const MAX_CONFLICT_DOUBLINGS: u32 = 3;
+const MAX_BACKOFF_DOUBLINGS: u32 = 6;
+
+impl ClaimPartition {
+    pub(super) fn on_conflict(&mut self, now: Timestamp) {
+        self.stale = true;
+        self.conflicts += 1;
+        if self.conflicts > PATIENT_CONFLICTS {
+            let doublings = (self.conflicts - PATIENT_CONFLICTS).min(MAX_CONFLICT_DOUBLINGS);
+            self.retry_at = now + self.jitter(self.limits.backoff / 10 * (1 << doublings));
+        }
+    }
+
+    pub(super) fn back_off(&mut self, now: Timestamp) {
+        let doublings = self.failures.min(MAX_BACKOFF_DOUBLINGS);
+        self.failures += 1;
+        let pause = self.limits.backoff * (1 << doublings);
+        self.retry_at = now + self.jitter(pause.min(self.limits.max_backoff));
+    }
+
+    /// Spreads the gateways' retries over the second half of a pause.
+    fn jitter(&self, pause: Duration) -> Duration {
+        let seed = u64::from(self.failures) << 32 | u64::from(self.conflicts);
+        let drawn = xxh3_64_with_seed(&self.owner.to_le_bytes(), seed ^ u64::from(self.index));
+        pause / 2 + pause / 2 * (drawn % 1024) as u32 / 1024
+    }
+}
--- a/lovagedock/src/claim/mod.rs
+++ b/lovagedock/src/claim/mod.rs
@@ -7,6 +7,7 @@
 //! conditional update of it ([`ClaimPartition`]).
 
 mod answer;
+mod backoff;
 mod batch;
 mod clock;
 mod entry;
--- a/lovagedock/src/claim/store.rs
+++ b/lovagedock/src/claim/store.rs
@@ -1,9 +1,5 @@
 //! Calls of the partition's object: when to read, when to write, what each answer means.
 
-use std::time::Duration;
-
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
 use super::{
     batch::{BatchDraft, BatchInput},
     clock::PartitionClock,
@@ -19,11 +15,6 @@
     },
 };
 
-/// Conflicts in a row after which a gateway pauses, so that another one gets its turn.
-const PATIENT_CONFLICTS: u32 = 2;
-const MAX_CONFLICT_DOUBLINGS: u32 = 3;
-const MAX_BACKOFF_DOUBLINGS: u32 = 6;
-
 /// The one call of the partition's object that may be in flight.
 #[derive(Debug)]
 pub(super) enum StoreCall {
@@ -187,15 +178,6 @@
         self.install(sent_at, sent_at, Some(version), value);
     }
 
-    fn on_conflict(&mut self, now: Timestamp) {
-        self.stale = true;
-        self.conflicts += 1;
-        if self.conflicts > PATIENT_CONFLICTS {
-            let doublings = (self.conflicts - PATIENT_CONFLICTS).min(MAX_CONFLICT_DOUBLINGS);
-            self.retry_at = now + self.jitter(self.limits.backoff / 10 * (1 << doublings));
-        }
-    }
-
     /// The confirmation was lost: the value that is read back tells by the owner and request of
     /// each entry, which no other write can contain, whether the claims are in the store.
     fn on_unknown(&mut self, now: Timestamp) {
@@ -205,20 +187,6 @@
         self.back_off(now);
     }
 
-    pub(super) fn back_off(&mut self, now: Timestamp) {
-        let doublings = self.failures.min(MAX_BACKOFF_DOUBLINGS);
-        self.failures += 1;
-        let pause = self.limits.backoff * (1 << doublings);
-        self.retry_at = now + self.jitter(pause.min(self.limits.max_backoff));
-    }
-
-    /// Spreads the gateways' retries over the second half of a pause.
-    fn jitter(&self, pause: Duration) -> Duration {
-        let seed = u64::from(self.failures) << 32 | u64::from(self.conflicts);
-        let drawn = xxh3_64_with_seed(&self.owner.to_le_bytes(), seed ^ u64::from(self.index));
-        pause / 2 + pause / 2 * (drawn % 1024) as u32 / 1024
-    }
-
     pub(super) fn on_read(
         &mut self,
         now: Timestamp,
--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -40,9 +40,9 @@
 
 pub use adoption::{
     AdoptionAction, AdoptionCount, AdoptionCounter, AdoptionEvent, AdoptionLimits, AdoptionSource,
-    AdoptionState, AdoptionStatus, BundleError, ChunkHash, ChunkLimits, ConfigBundle,
-    ConfigManifest, ManifestDigest, ProcessId, PullAnswer, RelayKind, RelayLimits, RelayMember,
-    RelayPlan, RelayRole, RootOutcome, chunk_hash, split_chunks,
+    AdoptionState, AdoptionStatus, BundleError, ChunkHash, ConfigBundle, ConfigManifest,
+    ManifestDigest, ProcessId, PullAnswer, RelayKind, RelayLimits, RelayMember, RelayPlan,
+    RelayRole, RootOutcome, chunk_hash,
 };
 pub use claim::{
     BodyDigest, ClaimAction, ClaimEvent, ClaimKey, ClaimLimits, ClaimPartition, ClaimRequest,
--- a/lovagedock/tests/relay_plan.rs
+++ b/lovagedock/tests/relay_plan.rs
@@ -1,12 +1,8 @@
-//! The relay's plan, chunks of a configuration and the count of adoption.
+//! The relay's plan and the count of adoption.
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use bytes::Bytes;
-use lovagedock::{
-    AdoptionCounter, ChunkLimits, ProcessId, RelayKind, RelayLimits, RelayMember, RelayPlan,
-    chunk_hash, split_chunks,
-};
+use lovagedock::{AdoptionCounter, ProcessId, RelayKind, RelayLimits, RelayMember, RelayPlan};
 
 struct FleetCase {
     relays: usize,
@@ -138,33 +134,6 @@
     assert_eq!(before.watchers(), after.watchers());
 }
 
-// An organisation is added in the middle of a large file: few chunks change.
-#[test]
-fn a_small_change_touches_few_chunks() {
-    let lines: Vec<String> = (0..5_000)
-        .map(|i| format!("{{\"id\": \"organisation-{i}\", \"weight\": {}}}\n", i % 7))
-        .collect();
-    let mut changed = lines.clone();
-    changed.insert(2_500, "{\"id\": \"new\"}\n".to_owned());
-    let limits = ChunkLimits::default();
-    let old = Bytes::from(lines.concat());
-    let new = Bytes::from(changed.concat());
-    let old_chunks = split_chunks(&old, &limits);
-    let new_chunks = split_chunks(&new, &limits);
-    assert_eq!(new_chunks.concat(), new);
-    let known: BTreeSet<[u8; 32]> = old_chunks.iter().map(|c| chunk_hash(c)).collect();
-    let fresh = new_chunks
-        .iter()
-        .filter(|c| !known.contains(&chunk_hash(c)));
-    let fresh = fresh.count();
-    assert!((1..=2).contains(&fresh), "{fresh} of {}", new_chunks.len());
-    assert!(
-        new_chunks
-            .iter()
-            .all(|chunk| chunk.len() <= limits.max_bytes)
-    );
-}
-
 // The operator asks who has generation 5: reports come late and out of order.
 #[test]
 fn the_counter_tells_who_is_behind() {
--- /dev/null
+++ b/lovagedock/tests/support/claim_world/calls.rs
@@ -0,0 +1,87 @@
+//! Calls of the store and how they end.
+
+use lovagedock::{ClaimAction, ClaimEvent, ReadOutcome, WriteOutcome};
+
+use super::{Call, Step, World};
+
+impl World {
+    pub(super) fn call(&mut self, gateway: usize, life: u32, action: ClaimAction) {
+        if matches!(&action, ClaimAction::Write { object, .. } if object.contains("partitions")) {
+            self.report.partition_writes += 1;
+        }
+        let id = self.count;
+        let is_write = !matches!(action, ClaimAction::Read { .. });
+        let down = self.chance(self.schedule.faults.unavailable);
+        let lost = is_write && self.chance(self.schedule.faults.lost_confirmation);
+        let lands = !down && (!lost || self.chance(60));
+        let lands_at = self.now + self.millis(1..30);
+        let reports_at = match lost {
+            // The write may still be under way when the daemon gives up on its answer.
+            true => self.now + self.millis(1..60),
+            false => lands_at + self.millis(1..10),
+        };
+        let call = Call {
+            gateway,
+            life,
+            action,
+            outcome: None,
+            lands,
+            confirmed: !lost,
+        };
+        self.calls.insert(id, call);
+        self.push(lands_at, Step::Land(id));
+        self.push(reports_at, Step::Report(id));
+    }
+
+    pub(super) fn land(&mut self, id: u64) {
+        let call = self.calls.get_mut(&id).expect("call is known");
+        let event = match &call.action {
+            ClaimAction::Read { object } => {
+                let outcome = match call.lands {
+                    true => self.store.read(object),
+                    false => ReadOutcome::Unavailable,
+                };
+                let object = object.clone();
+                ClaimEvent::StoreRead { object, outcome }
+            }
+            ClaimAction::Write {
+                object,
+                condition,
+                bytes,
+                nonce,
+            } => {
+                let outcome = match call.lands {
+                    true => self.store.write(object, *condition, bytes.clone()),
+                    false => WriteOutcome::Unavailable,
+                };
+                let nonce = *nonce;
+                ClaimEvent::StoreAnswered { nonce, outcome }
+            }
+            ClaimAction::Delete { object, nonce } => {
+                let outcome = match call.lands {
+                    true => self.store.delete(object),
+                    false => WriteOutcome::Unavailable,
+                };
+                let nonce = *nonce;
+                ClaimEvent::StoreAnswered { nonce, outcome }
+            }
+            other => panic!("{other:?} is no call"),
+        };
+        call.outcome = Some(event);
+    }
+
+    pub(super) fn answer(&mut self, id: u64) {
+        let call = &self.calls[&id];
+        let (gateway, life) = (call.gateway, call.life);
+        let event = match (&call.action, call.confirmed) {
+            (ClaimAction::Write { nonce, .. } | ClaimAction::Delete { nonce, .. }, false) => {
+                ClaimEvent::StoreAnswered {
+                    nonce: *nonce,
+                    outcome: WriteOutcome::Unknown,
+                }
+            }
+            _ => call.outcome.clone().expect("the call has landed"),
+        };
+        self.deliver(gateway, life, event);
+    }
+}
--- a/lovagedock/tests/support/claim_world.rs
+++ b/lovagedock/tests/support/claim_world/mod.rs
@@ -9,13 +9,16 @@
 use bytes::Bytes;
 use lovagedock::{
     ClaimAction, ClaimEvent, ClaimLimits, ClaimPartition, ClaimRequest, DurableSafeguards, KeyHash,
-    ReadOutcome, RequestId, Timestamp, WriteOutcome,
+    RequestId, Timestamp,
 };
-use rand::{Rng, RngExt, SeedableRng};
+use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use super::store::FakeStore;
 
+mod calls;
+mod endpoint;
+
 /// How often things go wrong, in percent.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct FaultRates {
@@ -253,133 +256,6 @@
         }
     }
 
-    fn call(&mut self, gateway: usize, life: u32, action: ClaimAction) {
-        if matches!(&action, ClaimAction::Write { object, .. } if object.contains("partitions")) {
-            self.report.partition_writes += 1;
-        }
-        let id = self.count;
-        let is_write = !matches!(action, ClaimAction::Read { .. });
-        let down = self.chance(self.schedule.faults.unavailable);
-        let lost = is_write && self.chance(self.schedule.faults.lost_confirmation);
-        let lands = !down && (!lost || self.chance(60));
-        let lands_at = self.now + self.millis(1..30);
-        let reports_at = match lost {
-            // The write may still be under way when the daemon gives up on its answer.
-            true => self.now + self.millis(1..60),
-            false => lands_at + self.millis(1..10),
-        };
-        let call = Call {
-            gateway,
-            life,
-            action,
-            outcome: None,
-            lands,
-            confirmed: !lost,
-        };
-        self.calls.insert(id, call);
-        self.push(lands_at, Step::Land(id));
-        self.push(reports_at, Step::Report(id));
-    }
-
-    fn land(&mut self, id: u64) {
-        let call = self.calls.get_mut(&id).expect("call is known");
-        let event = match &call.action {
-            ClaimAction::Read { object } => {
-                let outcome = match call.lands {
-                    true => self.store.read(object),
-                    false => ReadOutcome::Unavailable,
-                };
-                let object = object.clone();
-                ClaimEvent::StoreRead { object, outcome }
-            }
-            ClaimAction::Write {
-                object,
-                condition,
-                bytes,
-                nonce,
-            } => {
-                let outcome = match call.lands {
-                    true => self.store.write(object, *condition, bytes.clone()),
-                    false => WriteOutcome::Unavailable,
-                };
-                let nonce = *nonce;
-                ClaimEvent::StoreAnswered { nonce, outcome }
-            }
-            ClaimAction::Delete { object, nonce } => {
-                let outcome = match call.lands {
-                    true => self.store.delete(object),
-                    false => WriteOutcome::Unavailable,
-                };
-                let nonce = *nonce;
-                ClaimEvent::StoreAnswered { nonce, outcome }
-            }
-            other => panic!("{other:?} is no call"),
-        };
-        call.outcome = Some(event);
-    }
-
-    fn answer(&mut self, id: u64) {
-        let call = &self.calls[&id];
-        let (gateway, life) = (call.gateway, call.life);
-        let event = match (&call.action, call.confirmed) {
-            (ClaimAction::Write { nonce, .. } | ClaimAction::Delete { nonce, .. }, false) => {
-                ClaimEvent::StoreAnswered {
-                    nonce: *nonce,
-                    outcome: WriteOutcome::Unknown,
-                }
-            }
-            _ => call.outcome.clone().expect("the call has landed"),
-        };
-        self.deliver(gateway, life, event);
-    }
-
-    fn grant(&mut self, request: RequestId) {
-        self.report.granted += 1;
-        self.end(request);
-        let delivery = self.deliveries.get_mut(&request).expect("request is known");
-        if self.now >= delivery.deadline {
-            let text = format!("request {request} granted after its deadline");
-            self.report.violations.push(text);
-        }
-        let (key, gateway, life) = (delivery.key, delivery.gateway, delivery.life);
-        if self.chance(self.schedule.faults.abandon) {
-            self.deliver(gateway, life, ClaimEvent::Abandon { key, request });
-            return;
-        }
-        self.deliveries.get_mut(&request).expect("known").ran = true;
-        let runs = self.runs.entry(key).or_default();
-        runs.push(request);
-        if runs.len() > 1 {
-            let text = format!("key {} ran twice: {runs:?}", key[0]);
-            self.report.violations.push(text);
-        }
-        if !self.chance(self.schedule.faults.owner_silent) {
-            let at = self.now + self.millis(1..800);
-            self.push(at, Step::Finish(request));
-        }
-    }
-
-    fn finish(&mut self, request: RequestId) {
-        let length = match self.rng.random_range(0..4) {
-            0 => self.rng.random_range(3_000..9_000),
-            _ => self.rng.random_range(1..200),
-        };
-        let mut bytes = vec![0; length];
-        self.rng.fill_bytes(&mut bytes);
-        let answer = Bytes::from(bytes);
-        self.made.insert(request, answer.clone());
-        let delivery = &self.deliveries[&request];
-        let (key, gateway, life) = (delivery.key, delivery.gateway, delivery.life);
-        let local = self.now - self.gateways[gateway].started;
-        let event = ClaimEvent::Record {
-            key,
-            request,
-            answer,
-            deadline: local + Duration::from_secs(5),
-        };
-        self.deliver(gateway, life, event);
-    }
-
     fn crash(&mut self, gateway: usize) {
         let life = self.gateways[gateway].life + 1;
         self.gateways[gateway] = self.start_gateway(gateway, life);
@@ -396,37 +272,6 @@
         }
     }
 
-    fn end(&mut self, request: RequestId) {
-        let delivery = self.deliveries.get_mut(&request).expect("request is known");
-        if std::mem::replace(&mut delivery.ended, true) {
-            let text = format!("request {request} ended twice");
-            self.report.violations.push(text);
-        }
-    }
-
-    fn delivered(&mut self, request: RequestId, answer: Bytes) {
-        let key = self.deliveries[&request].key;
-        let answers = self.answers.entry(key).or_default();
-        answers.insert(answer);
-        if answers.len() > 1 {
-            let text = format!("key {} was answered with different bytes", key[0]);
-            self.report.violations.push(text);
-        }
-    }
-
-    fn check_end(&mut self) {
-        for (request, delivery) in &self.deliveries {
-            if !delivery.ended {
-                let text = format!("request {request} never ended");
-                self.report.violations.push(text);
-            }
-        }
-        if self.store.largest() > self.schedule.limits.partition_bytes {
-            let text = format!("an object has {} bytes", self.store.largest());
-            self.report.violations.push(text);
-        }
-    }
-
     fn push(&mut self, at: Timestamp, step: Step) {
         self.count += 1;
         self.queue.push(Reverse((at, self.count, step)));
--- a/lovagedock/tests/support/lease_world.rs
+++ b/lovagedock/tests/support/lease_world.rs
@@ -17,6 +17,7 @@
 
 const CONTENDERS: usize = 3;
 const SCHEDULE: Duration = Duration::from_secs(240);
+const RELEASE_PAUSE: Duration = Duration::from_secs(3);
 const ORDER_INTERVAL: Duration = Duration::from_millis(200);
 
 /// How often things go wrong, in percent.
@@ -243,7 +244,7 @@
         if fence.is_some() && self.chance(self.faults.release) {
             self.deliver(index, LeaseEvent::Release);
             self.push(
-                self.now + self.pause(),
+                self.now + RELEASE_PAUSE,
                 Step::Event(index, LeaseEvent::Want),
             );
         }
@@ -254,10 +255,6 @@
         }
     }
 
-    fn pause(&self) -> Duration {
-        Duration::from_secs(3)
-    }
-
     fn order(&mut self, index: usize, epoch: Epoch) {
         if !self.receiver.admit(epoch) {
             self.report.refused += 1;
--- a/lovagedock/tests/support/relay_world/mod.rs
+++ b/lovagedock/tests/support/relay_world/mod.rs
@@ -9,11 +9,12 @@
 use bytes::Bytes;
 use lovagedock::{
     AdoptionEvent, AdoptionState, ChunkHash, ConfigBundle, ConfigManifest, Generation, ProcessId,
-    RelayKind, RelayMember, RelayPlan, Timestamp, chunk_hash,
+    RelayMember, RelayPlan, Timestamp,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+mod lifecycle;
 mod setup;
 mod store;
 mod traffic;
@@ -154,45 +155,6 @@
         self.accepted.generation
     }
 
-    /// The store accepts a change of one chunk; watchers learn of it.
-    pub(crate) fn accept(&mut self) -> Generation {
-        let generation = self.accepted.generation + 1;
-        let chunk = self.rng.random_range(0..self.texts.len());
-        self.texts[chunk] = chunk_text(generation, chunk, self.setup.chunk_bytes);
-        self.accepted = ConfigManifest::new(generation, &self.texts);
-        for text in &self.texts {
-            self.chunks.insert(chunk_hash(text), text.clone());
-        }
-        self.digests.insert(generation, self.accepted.digest());
-        for position in 0..self.processes.len() {
-            if std::mem::take(&mut self.processes[position].watching) {
-                let life = self.processes[position].life;
-                let at = self.now + self.store_latency();
-                self.push(at, Step::Root(position, life));
-            }
-        }
-        generation
-    }
-
-    /// Ends a process.
-    pub(crate) fn kill(&mut self, position: usize) {
-        self.processes[position].alive = false;
-        self.processes[position].life += 1;
-        self.processes[position].watching = false;
-    }
-
-    /// Starts a process anew, with nothing in force.
-    pub(crate) fn restart(&mut self, position: usize) {
-        self.kill(position);
-        let seed = self.rng.random();
-        let process = &mut self.processes[position];
-        process.alive = true;
-        process.state = AdoptionState::new(self.setup.limits.clone(), seed)
-            .with_safeguards(self.setup.safeguards);
-        self.tallies[position].adopted_at.clear();
-        self.start(position);
-    }
-
     /// Forgets what was counted.
     pub(crate) fn reset_tallies(&mut self) {
         for tally in &mut self.tallies {
@@ -219,44 +181,6 @@
         self.now = end;
     }
 
-    fn add(&mut self, position: usize, member: RelayMember) {
-        let state =
-            AdoptionState::new(self.setup.limits.clone(), self.setup.seed + position as u64)
-                .with_safeguards(self.setup.safeguards);
-        self.processes.push(Process {
-            region: member.region.parse().expect("regions are numbers"),
-            member,
-            state,
-            life: 0,
-            alive: true,
-            watching: false,
-            feeders: Vec::new(),
-        });
-    }
-
-    fn link_leaves(&mut self) {
-        for position in 0..self.processes.len() {
-            let role = self.plan.role_of(&self.processes[position].member.process);
-            for fed in role.children.iter().chain(&role.offers) {
-                let fed = self.index[fed];
-                if self.processes[fed].member.kind == RelayKind::Leaf {
-                    self.processes[fed].feeders.push(position);
-                }
-            }
-        }
-        for position in 0..self.processes.len() {
-            if !self.processes[position].feeders.is_empty() {
-                let at = self.now + self.millis(0..1_000);
-                self.push(at, Step::Heartbeat(position));
-            }
-        }
-    }
-
-    fn start(&mut self, position: usize) {
-        let role = self.plan.role_of(&self.processes[position].member.process);
-        self.deliver(position, AdoptionEvent::Role(role), 0);
-    }
-
     fn step(&mut self, step: Step) {
         match step {
             Step::Event(to, life, event, hops) => {
