Take a revoked attempt's end for the verdict that it is

Cause: the sidecar ends a revoked attempt with 2013 on its old connection, and that end may come before the verdict; the request then finished as 2013 in place of going elsewhere, and as 2013 in place of 1009 when the caller had left. Change: such an end counts like the verdict.

--- a/lovagedock/src/request/finish.rs
+++ b/lovagedock/src/request/finish.rs
@@ -50,7 +50,10 @@
         } else {
             end.ran
         };
-        let end = end.with_ran(ran);
+        let mut end = end.with_ran(ran);
+        if end.code == ResultCode::Revoked && self.caller_gone {
+            end.code = ResultCode::CallerGone;
+        }
         let prefilling = matches!(self.phase, RequestPhase::Spanning);
         if !self.may_try_again(&end, prefilling) {
             self.abandon_attempt_unless(end.ran == RanState::No || ends_work(&end));
@@ -79,9 +82,14 @@
         if given_up || spent || self.answer.delivered > 0 {
             return false;
         }
+        // An attempt that this request revoked may end on its old connection before the verdict
+        // comes; that is as good as the verdict.
         let engine_side = matches!(
             end.code,
-            ResultCode::EndpointLost | ResultCode::EngineFailed | ResultCode::AnswerDamaged
+            ResultCode::EndpointLost
+                | ResultCode::EngineFailed
+                | ResultCode::AnswerDamaged
+                | ResultCode::Revoked
         );
         // Prefill makes no answer and has no effect outside the engine, so it may be repeated even
         // for a request that must not run twice.
