Take operators' writes that give no length

A drain that was ordered without a body got 400: the operators' interface asked for a Content-Length, which clients leave out when there is nothing to send. The body is read up to its limit instead.

--- a/lovagedock-daemon/src/admin/server.rs
+++ b/lovagedock-daemon/src/admin/server.rs
@@ -1,9 +1,10 @@
 //! Accepts operators' connections.
 
-use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{convert::Infallible, io, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use error_stack::{Report, ResultExt};
+use futures::{Stream, StreamExt};
 use hyper::server::conn::http1;
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
@@ -21,7 +22,7 @@
     Filter, Rejection,
     http::{Method, Response},
     path::FullPath,
-    reject::PayloadTooLarge,
+    reject::Reject,
 };
 
 use super::{
@@ -153,14 +154,10 @@
     state: Arc<AdminState>,
     peer: SocketAddr,
 ) -> impl Filter<Extract = (Response<Bytes>,), Error = Infallible> + Clone + Send + Sync + 'static {
-    let post_body = warp::post()
-        .and(warp::body::content_length_limit(MAX_BODY_BYTES))
-        .and(warp::body::bytes());
-    let no_body = warp::any().map(Bytes::new);
     warp::method()
         .and(warp::path::full())
         .and(warp::header::optional::<String>("authorization"))
-        .and(post_body.or(no_body_unless_post(no_body)).unify())
+        .and(limited_body())
         .then(
             move |method: Method, path: FullPath, authorization: Option<String>, body: Bytes| {
                 let state = state.clone();
@@ -175,8 +172,8 @@
             },
         )
         .recover(|rejection: Rejection| async move {
-            let response = match rejection.find::<PayloadTooLarge>() {
-                Some(_) => problem(ResultCode::BodyTooLarge, "at most 1 MiB"),
+            let response = match rejection.find::<BodyTooLarge>() {
+                Some(BodyTooLarge) => problem(ResultCode::BodyTooLarge, "at most 1 MiB"),
                 None => problem(ResultCode::MalformedRequest, &format!("{rejection:?}")),
             };
             Ok::<_, Infallible>(response)
@@ -184,19 +181,35 @@
         .unify()
 }
 
-fn no_body_unless_post<F>(
-    empty: F,
-) -> impl Filter<Extract = (Bytes,), Error = Rejection> + Clone + Send + Sync + 'static
-where
-    F: Filter<Extract = (Bytes,), Error = Infallible> + Clone + Send + Sync + 'static,
-{
-    warp::method()
-        .and_then(|method: Method| async move {
-            match method {
-                Method::POST => Err(warp::reject::reject()),
-                _ => Ok(()),
+#[derive(Debug)]
+struct BodyTooLarge;
+
+impl Reject for BodyTooLarge {}
+
+/// The body, with or without a length in its headers: operators' tools send neither a length nor
+/// a body with a POST that needs none.
+fn limited_body() -> impl Filter<Extract = (Bytes,), Error = Rejection> + Clone {
+    warp::header::optional::<u64>("content-length")
+        .and(warp::body::stream())
+        .and_then(|length: Option<u64>, pieces| async move {
+            if length.is_some_and(|length| length > MAX_BODY_BYTES) {
+                return Err(warp::reject::custom(BodyTooLarge));
             }
+            read_limited(pieces).await
         })
-        .untuple_one()
-        .and(empty)
+}
+
+async fn read_limited<B: Buf>(
+    pieces: impl Stream<Item = Result<B, warp::Error>>,
+) -> Result<Bytes, Rejection> {
+    let mut body = BytesMut::new();
+    let mut pieces = pin!(pieces);
+    while let Some(piece) = pieces.next().await {
+        let piece = piece.map_err(|_| warp::reject())?;
+        if (body.len() + piece.remaining()) as u64 > MAX_BODY_BYTES {
+            return Err(warp::reject::custom(BodyTooLarge));
+        }
+        body.put(piece);
+    }
+    Ok(body.freeze())
 }
--- a/lovagedock-daemon/tests/admin.rs
+++ b/lovagedock-daemon/tests/admin.rs
@@ -198,6 +198,17 @@
     assert_eq!(surface.drains.load(Ordering::SeqCst), 0);
 }
 
+// A tool that sends a POST without a body gives no length either (`curl -X POST`).
+#[tokio::test]
+async fn a_write_without_a_body_or_a_length_is_taken() {
+    let (server, surface) = start(None).await;
+    let mut case = CallCase::drain("no body", None, 200);
+    case.body = 0;
+    case.contains = "\"body\":0";
+    check(server.address(), &[case]).await;
+    assert_eq!(surface.drains.load(Ordering::SeqCst), 1);
+}
+
 #[test]
 fn daemons_that_share_a_process_share_the_recorder() {
     let first = MetricsHandle::install();
