--- a/lovagedock-gateway/src/adopt.rs
+++ b/lovagedock-gateway/src/adopt.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, sync::Arc};
 
 use bytes::Bytes;
-use lovagedock::{EndpointSpec, PoolSpec, build_policy, prelude::*};
+use lovagedock::{EndpointSpec, PoolSpec, SubsetMember, SubsetPlanner, build_policy, prelude::*};
 use parking_lot::Mutex;
 use slog::{Logger, info, warn};
 use tokio::sync::{mpsc, watch};
@@ -12,6 +12,7 @@
     active::ActiveConfig,
     context::GatewayContext,
     fleet::EndpointEntry,
+    limits::LimitDesk,
     workers::{LinkSeed, WorkerPool},
 };
 
@@ -29,6 +30,7 @@
 /// Lock order: the adoption lock first, then the fleet table.
 pub(crate) struct ConfigAdopter {
     context: GatewayContext,
+    limits: LimitDesk,
     workers: WorkerPool,
     adoption: Mutex<()>,
     adopted: watch::Sender<Generation>,
@@ -37,9 +39,15 @@
 
 impl ConfigAdopter {
     /// An adopter with nothing in force.
-    pub(crate) fn new(context: GatewayContext, workers: WorkerPool, log: Logger) -> Self {
+    pub(crate) fn new(
+        context: GatewayContext,
+        limits: LimitDesk,
+        workers: WorkerPool,
+        log: Logger,
+    ) -> Self {
         Self {
             context,
+            limits,
             workers,
             adoption: Mutex::new(()),
             adopted: watch::Sender::new(0),
@@ -69,6 +77,8 @@
         }
         self.set_pools(&active.fleet);
         self.set_links(&active.fleet);
+        self.limits
+            .configure(self.context.clock.now(), &active.fleet);
         self.context.config.store(Arc::new(active));
         drop(adoption);
         self.adopted.send_replace(generation);
@@ -94,12 +104,7 @@
     }
 
     fn set_links(&self, config: &FleetConfig) {
-        let wanted: HashMap<&EndpointId, (&PoolSpec, &EndpointSpec)> = config
-            .pools
-            .iter()
-            .flat_map(|pool| pool.endpoints.iter().map(move |spec| (pool, spec)))
-            .map(|(pool, spec)| (&spec.id, (pool, spec)))
-            .collect();
+        let wanted = self.subset(config);
         let fleet = &self.context.fleet;
         for (endpoint, entry) in fleet.entries() {
             let kept = wanted
@@ -117,6 +122,47 @@
         fleet.retain_pools(|id| config.pools.iter().any(|pool| pool.id == *id));
     }
 
+    /// The endpoints that this gateway keeps a session to, with their pools.
+    fn subset<'a>(
+        &self,
+        config: &'a FleetConfig,
+    ) -> HashMap<&'a EndpointId, (&'a PoolSpec, &'a EndpointSpec)> {
+        let all: Vec<(&PoolSpec, &EndpointSpec)> = config
+            .pools
+            .iter()
+            .flat_map(|pool| pool.endpoints.iter().map(move |spec| (pool, spec)))
+            .collect();
+        let own = config
+            .gateways
+            .iter()
+            .position(|gateway| gateway.id == self.context.name);
+        let Some(own) = own else {
+            // A gateway that the configuration does not name has no place in the plan.
+            return all
+                .into_iter()
+                .map(|(pool, spec)| (&spec.id, (pool, spec)))
+                .collect();
+        };
+        let member = |id: &Arc<str>, domain: &DomainId| SubsetMember {
+            id: id.clone(),
+            domain: domain.clone(),
+            region: region_of(config, domain),
+        };
+        let gateways = config.gateways.iter();
+        let gateways: Vec<SubsetMember> = gateways
+            .map(|gateway| member(&gateway.id, &gateway.failure_domain))
+            .collect();
+        let endpoints: Vec<SubsetMember> = all
+            .iter()
+            .map(|(_, spec)| member(&spec.id, &spec.failure_domain))
+            .collect();
+        let plan = SubsetPlanner::default().plan(&gateways, &endpoints);
+        let chosen = plan.endpoints_of(own).iter().map(|index| all[*index]);
+        chosen
+            .map(|(pool, spec)| (&spec.id, (pool, spec)))
+            .collect()
+    }
+
     fn add_link(&self, pool: &PoolSpec, spec: &EndpointSpec) {
         let (commands, receiver) = mpsc::unbounded_channel();
         let entry = EndpointEntry::new(pool.id.clone(), spec, commands);
@@ -129,6 +175,14 @@
     }
 }
 
+fn region_of(config: &FleetConfig, domain: &DomainId) -> Arc<str> {
+    let spec = config
+        .failure_domains
+        .iter()
+        .find(|spec| spec.id == *domain);
+    spec.map_or_else(|| Arc::from(""), |spec| Arc::from(spec.region.as_str()))
+}
+
 /// Whether a link can stay as it is under a new configuration.
 fn is_same(entry: &EndpointEntry, pool: &PoolSpec, spec: &EndpointSpec) -> bool {
     entry.pool == pool.id
--- a/lovagedock-gateway/src/call_task.rs
+++ b/lovagedock-gateway/src/call_task.rs
@@ -53,6 +53,7 @@
             Some(key) => self.run_keyed(key.clone()).await,
         };
         let code = last.code();
+        self.shared.limits.finish(&self.call.organisation);
         self.caller.send(last).await;
         self.note_end(code, started);
     }
--- a/lovagedock-gateway/src/driver.rs
+++ b/lovagedock-gateway/src/driver.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use lovagedock::{
-    AttemptKey, CostParameters, Outcome, PlacedOn, PlacementChoice, PlacementRequest,
+    AttemptKey, CostParameters, Outcome, OutlierEvent, PlacedOn, PlacementChoice, PlacementRequest,
     RequestAction, RequestEvent, RequestMachine, RequestSpec, SentWork, SpanEvent, SpanMember,
     SpanPart, prelude::*,
 };
@@ -175,6 +175,7 @@
         attempt: AttemptNumber,
         event: AttemptEvent,
     ) -> Option<RequestEvent> {
+        self.watch_outlier(&event);
         Some(match event {
             AttemptEvent::Accepted { incarnation } => RequestEvent::SubmitAccepted {
                 attempt,
@@ -204,6 +205,20 @@
         })
     }
 
+    /// Tells the outlier detector what the endpoint of the current attempt did.
+    fn watch_outlier(&self, event: &AttemptEvent) {
+        let Some(endpoint) = self.machine.endpoint() else {
+            return;
+        };
+        let Some(event) = outlier_event(endpoint, event) else {
+            return;
+        };
+        let now = self.now();
+        for action in self.shared.context.fleet.watch(now, endpoint, event) {
+            self.step(format!("{}: {:?}", action.endpoint, action.cause));
+        }
+    }
+
     async fn carry_out(&mut self, actions: Vec<RequestAction>) -> Option<Outcome> {
         let mut queue = VecDeque::from(actions);
         while let Some(action) = queue.pop_front() {
@@ -350,7 +365,10 @@
             prefill,
             long_prefill: if long { prefill } else { Duration::ZERO },
         };
-        self.shared.context.fleet.work_sent(endpoint, work);
+        self.shared
+            .context
+            .fleet
+            .work_sent(self.now(), endpoint, work);
         self.sent_to.push(endpoint.clone());
     }
 
@@ -541,6 +559,27 @@
     }
 }
 
+/// What an event of an attempt says about the endpoint, if anything.
+fn outlier_event(endpoint: &EndpointId, event: &AttemptEvent) -> Option<OutlierEvent> {
+    let endpoint = endpoint.clone();
+    match event {
+        AttemptEvent::Lost { .. } => Some(OutlierEvent::WentSilent(endpoint)),
+        AttemptEvent::Done(end) | AttemptEvent::Refused(end) => match end.code {
+            ResultCode::Complete => Some(OutlierEvent::Succeeded(endpoint)),
+            ResultCode::EngineFailed
+            | ResultCode::EngineRefused
+            | ResultCode::EndpointLost
+            | ResultCode::AnswerDamaged => Some(OutlierEvent::Failed(endpoint)),
+            _ => None,
+        },
+        AttemptEvent::Accepted { .. }
+        | AttemptEvent::Resumed { .. }
+        | AttemptEvent::ResumeFailed
+        | AttemptEvent::Head(_)
+        | AttemptEvent::Chunk { .. } => None,
+    }
+}
+
 fn refused(code: ResultCode, retry_after: Duration) -> PlacedOn {
     PlacedOn::Refused { code, retry_after }
 }
--- a/lovagedock-gateway/src/fleet.rs
+++ b/lovagedock-gateway/src/fleet.rs
@@ -10,8 +10,9 @@
 };
 
 use lovagedock::{
-    EndpointReport, EndpointSpec, EndpointView, PlacementChoice, PlacementPolicy, PlacementRequest,
-    PoolState, SentWork, prelude::*,
+    EndpointReport, EndpointSpec, EndpointView, OutlierAction, OutlierDetector, OutlierEvent,
+    OutlierSettings, PlacementChoice, PlacementPolicy, PlacementRequest, PoolState, SentWork,
+    prelude::*,
 };
 use lovagedock_wire::LoadMessage;
 use parking_lot::{Mutex, RwLock};
@@ -70,6 +71,18 @@
 struct PoolEntry {
     state: PoolState,
     policy: Box<dyn PlacementPolicy>,
+    outliers: OutlierDetector,
+}
+
+impl PoolEntry {
+    /// Lets the detector decide and puts it into force for placement.
+    fn watch(&mut self, now: Timestamp, event: OutlierEvent) -> Vec<OutlierAction> {
+        let actions = self.outliers.handle(now, event);
+        for action in &actions {
+            self.state.set_ejected(&action.endpoint, action.ejected);
+        }
+        actions
+    }
 }
 
 #[derive(Default)]
@@ -96,6 +109,7 @@
         let entry = PoolEntry {
             state: PoolState::new(),
             policy,
+            outliers: OutlierDetector::new(OutlierSettings::default()),
         };
         state
             .pools
@@ -112,7 +126,9 @@
         let mut state = self.state.write();
         if let Some(pool) = state.pools.get(&entry.pool) {
             let domain = entry.domain.clone();
-            pool.lock().state.insert(endpoint.clone(), domain);
+            let mut pool = pool.lock();
+            pool.state.insert(endpoint.clone(), domain);
+            pool.watch(Timestamp::ZERO, OutlierEvent::Joined(endpoint.clone()));
         }
         state.endpoints.insert(endpoint, entry);
     }
@@ -124,7 +140,9 @@
             return;
         };
         if let Some(pool) = state.pools.get(&entry.pool) {
-            pool.lock().state.remove(endpoint);
+            let mut pool = pool.lock();
+            pool.state.remove(endpoint);
+            pool.watch(Timestamp::ZERO, OutlierEvent::Left(endpoint.clone()));
         }
     }
 
@@ -161,7 +179,7 @@
     ) -> Option<PlacementChoice> {
         let pool = Arc::clone(self.state.read().pools.get(pool)?);
         let mut pool = pool.lock();
-        let PoolEntry { state, policy } = &mut *pool;
+        let PoolEntry { state, policy, .. } = &mut *pool;
         Some(policy.place(now, request, &state.view(), rng))
     }
 
@@ -210,7 +228,7 @@
     }
 
     /// Counts a request that goes to an endpoint.
-    pub(crate) fn work_sent(&self, endpoint: &EndpointId, work: SentWork) {
+    pub(crate) fn work_sent(&self, now: Timestamp, endpoint: &EndpointId, work: SentWork) {
         let mut state = self.state.write();
         let Some(entry) = state.endpoints.get_mut(endpoint) else {
             return;
@@ -219,7 +237,9 @@
         entry.since_beat.add(&work);
         let pool = entry.pool.clone();
         if let Some(pool) = state.pools.get(&pool) {
-            pool.lock().state.record_sent(endpoint, work);
+            let mut pool = pool.lock();
+            pool.state.record_sent(endpoint, work);
+            pool.watch(now, OutlierEvent::ProbeSent(endpoint.clone()));
         }
     }
 
@@ -230,16 +250,28 @@
         }
     }
 
-    /// Sets whether an endpoint is ejected after failures.
-    #[allow(dead_code)]
-    pub(crate) fn set_ejected(&self, endpoint: &EndpointId, ejected: bool) {
+    /// Tells the outlier detector of the endpoint's pool; returns whose admission changed.
+    pub(crate) fn watch(
+        &self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        event: OutlierEvent,
+    ) -> Vec<OutlierAction> {
         let state = self.state.read();
-        let Some(entry) = state.endpoints.get(endpoint) else {
-            return;
-        };
-        if let Some(pool) = state.pools.get(&entry.pool) {
-            pool.lock().state.set_ejected(endpoint, ejected);
-        }
+        let pool = state
+            .endpoints
+            .get(endpoint)
+            .and_then(|entry| state.pools.get(&entry.pool));
+        pool.map_or_else(Vec::new, |pool| pool.lock().watch(now, event))
+    }
+
+    /// Tells all outlier detectors that time passed; returns whose admission changed.
+    pub(crate) fn watch_tick(&self, now: Timestamp) -> Vec<OutlierAction> {
+        let state = self.state.read();
+        let pools = state.pools.values();
+        pools
+            .flat_map(|pool| pool.lock().watch(now, OutlierEvent::Tick))
+            .collect()
     }
 
     /// Takes the platform's list of leaving hosts.
--- a/lovagedock-gateway/src/front/router.rs
+++ b/lovagedock-gateway/src/front/router.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use hyper::{Method, Request, Response, body::Incoming, header};
-use lovagedock::{ServiceKind, prelude::*};
+use lovagedock::{LimitDecision, LimitKind, ServiceKind, prelude::*};
 use serde::Serialize;
 use slog::{Logger, info};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
@@ -98,9 +98,28 @@
             true => intake.model_call(request).await?,
             false => intake.plain_call(request).await?,
         };
+        self.check_limits(&call)?;
         Ok(self.drive(Arc::new(call), permit).await)
     }
 
+    fn check_limits(&self, call: &CallerCall) -> Result<(), RequestProblem> {
+        let now = self.shared.context.clock.now();
+        let tokens = call.prompt.tokens + call.prompt.answer_tokens;
+        match self.shared.limits.admit(now, &call.organisation, tokens) {
+            LimitDecision::Admitted => Ok(()),
+            LimitDecision::Refused { limit, retry_after } => {
+                let what = match limit {
+                    LimitKind::Requests => "requests a second",
+                    LimitKind::Tokens => "tokens a minute",
+                    LimitKind::Concurrency => "requests in flight",
+                };
+                Err(RequestProblem::new(ResultCode::OverLimit)
+                    .with_retry_after(retry_after)
+                    .with_detail(format!("the limit of {} for {what}", call.organisation)))
+            }
+        }
+    }
+
     fn take_stream(&self) -> Result<OwnedSemaphorePermit, RequestProblem> {
         let permit = Arc::clone(&self.streams).try_acquire_owned();
         permit.map_err(|_| {
--- a/lovagedock-gateway/src/gateway.rs
+++ b/lovagedock-gateway/src/gateway.rs
@@ -17,9 +17,10 @@
     context::GatewayContext,
     fleet::FleetTable,
     front::FrontServer,
+    limits::LimitDesk,
     settings::GatewaySettings,
     shared::GatewayShared,
-    sources::{ConfigSources, PlatformPorts},
+    sources::{ConfigSources, PlatformPorts, SourceParts},
     workers::WorkerPool,
 };
 
@@ -63,12 +64,18 @@
             config: Arc::new(ArcSwap::from_pointee(ActiveConfig::default())),
             fleet: FleetTable::default(),
         };
+        let limits = LimitDesk::new(settings.name.clone(), daemon.clock.now());
         let links = open_transport(&settings.links.transport, &daemon)?;
         let connectors = ConnectorFactory::new(links);
         let times = settings.links.times();
         let workers = WorkerPool::new(settings.links.workers, &context, &connectors, times, &log)
             .change_context(GatewayError)?;
-        let adopter = Arc::new(ConfigAdopter::new(context.clone(), workers, log.clone()));
+        let adopter = Arc::new(ConfigAdopter::new(
+            context.clone(),
+            limits.clone(),
+            workers,
+            log.clone(),
+        ));
         let platform = Arc::new(HttpObjectStore::new(&settings.platform.base));
         let store: Arc<dyn ObjectStore> = Arc::new(BudgetedStore::new(
             Arc::clone(&platform) as Arc<dyn ObjectStore>,
@@ -76,7 +83,7 @@
             context.incarnation,
         ));
         let claims = ClaimDesk::start(context.incarnation, &store, daemon.clock);
-        let shared = GatewayShared::new(context.clone(), claims);
+        let shared = GatewayShared::new(context.clone(), claims, limits.clone());
         let front = FrontServer::bind(
             settings.callers.address,
             open_transport(&settings.callers.transport, &daemon)?,
@@ -92,21 +99,19 @@
         let admin = AdminServer::start("lovagedock-gateway", &settings.admin, surface, &daemon)
             .await
             .change_context(GatewayError)?;
-        let platform = PlatformPorts {
-            store,
-            hosts: platform,
+        let parts = SourceParts {
+            platform: PlatformPorts {
+                store,
+                hosts: platform,
+            },
+            context: context.clone(),
+            adopter: Arc::clone(&adopter),
+            connectors,
+            limits,
         };
-        let sources = ConfigSources::start(
-            &settings,
-            platform,
-            &context,
-            &adopter,
-            &connectors,
-            &daemon,
-            &log,
-        )
-        .await
-        .change_context(GatewayError)?;
+        let sources = ConfigSources::start(&settings, parts, &daemon, &log)
+            .await
+            .change_context(GatewayError)?;
         Ok(Self {
             callers,
             context,
--- a/lovagedock-gateway/src/lib.rs
+++ b/lovagedock-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod fleet;
 mod front;
 mod gateway;
+mod limits;
 mod link;
 mod peers;
 mod recorded;
--- /dev/null
+++ b/lovagedock-gateway/src/limits.rs
@@ -0,0 +1,119 @@
+//! Limits of organisations at this gateway.
+
+use std::sync::Arc;
+
+use lovagedock::{
+    LimitAction, LimitDecision, LimitEvent, LimitTiming, UsageAck, UsageLimiter, UsageReport,
+    prelude::*,
+};
+use parking_lot::Mutex;
+
+/// A report for a peer.
+pub(crate) struct PeerReport {
+    /// The peer.
+    pub(crate) peer: GatewayId,
+    /// The report.
+    pub(crate) report: UsageReport,
+}
+
+/// The usage limiter of a gateway; cheap to clone.
+///
+/// Lock order: a leaf.
+#[derive(Clone)]
+pub(crate) struct LimitDesk {
+    own: GatewayId,
+    state: Arc<Mutex<DeskState>>,
+}
+
+struct DeskState {
+    peers: Vec<GatewayId>,
+    limiter: UsageLimiter,
+}
+
+impl LimitDesk {
+    /// A desk without limits, before the first configuration.
+    pub(crate) fn new(own: GatewayId, now: Timestamp) -> Self {
+        let state = DeskState {
+            peers: Vec::new(),
+            limiter: UsageLimiter::new(now, Vec::new(), LimitTiming::default()),
+        };
+        Self {
+            own,
+            state: Arc::new(Mutex::new(state)),
+        }
+    }
+
+    /// Takes over the gateways and the limits of a configuration.
+    ///
+    /// Other gateways mean other shares: the limiter begins anew, with equal shares.
+    pub(crate) fn configure(&self, now: Timestamp, fleet: &FleetConfig) {
+        let gateways = fleet.gateways.iter().map(|gateway| gateway.id.clone());
+        let peers: Vec<GatewayId> = gateways.filter(|id| *id != self.own).collect();
+        let mut state = self.state.lock();
+        if state.peers != peers {
+            state.limiter = UsageLimiter::new(now, peers.clone(), LimitTiming::default());
+            state.peers = peers;
+        }
+        for organisation in &fleet.organisations {
+            let limits = organisation.limits;
+            state.limiter.set_limits(now, &organisation.id, limits);
+        }
+    }
+
+    /// Decides about a request and counts it if it is admitted.
+    pub(crate) fn admit(
+        &self,
+        now: Timestamp,
+        organisation: &OrganisationId,
+        tokens: TokenCount,
+    ) -> LimitDecision {
+        self.state.lock().limiter.admit(now, organisation, tokens)
+    }
+
+    /// Counts an admitted request that has ended.
+    pub(crate) fn finish(&self, organisation: &OrganisationId) {
+        self.state.lock().limiter.finish(organisation, 0);
+    }
+
+    /// Time for an exchange: what to tell each peer.
+    pub(crate) fn reports(&self, now: Timestamp) -> Vec<PeerReport> {
+        let actions = self.state.lock().limiter.handle(now, LimitEvent::Tick);
+        let reports = actions.into_iter().filter_map(|action| match action {
+            LimitAction::Report { peer, report } => Some(PeerReport { peer, report }),
+            LimitAction::Acknowledge { .. } => None,
+        });
+        reports.collect()
+    }
+
+    /// Notes that a peer answered, and in which life.
+    pub(crate) fn connected(&self, now: Timestamp, peer: GatewayId, incarnation: Incarnation) {
+        let event = LimitEvent::PeerConnected { peer, incarnation };
+        self.state.lock().limiter.handle(now, event);
+    }
+
+    /// Takes a peer's report; the confirmation for it, if it is of use.
+    pub(crate) fn received(
+        &self,
+        now: Timestamp,
+        peer: GatewayId,
+        report: UsageReport,
+    ) -> Option<UsageAck> {
+        let event = LimitEvent::ReportReceived { peer, report };
+        let actions = self.state.lock().limiter.handle(now, event);
+        actions.into_iter().find_map(|action| match action {
+            LimitAction::Acknowledge { ack, .. } => Some(ack),
+            LimitAction::Report { .. } => None,
+        })
+    }
+
+    /// Takes a peer's confirmation.
+    pub(crate) fn confirmed(&self, now: Timestamp, peer: GatewayId, ack: UsageAck) {
+        let event = LimitEvent::AckReceived { peer, ack };
+        self.state.lock().limiter.handle(now, event);
+    }
+}
+
+/// Time between two exchanges.
+pub(crate) fn exchange_interval() -> std::time::Duration {
+    LimitTiming::default().interval
+}
--- a/lovagedock-gateway/src/peers.rs
+++ b/lovagedock-gateway/src/peers.rs
@@ -1,12 +1,14 @@
 //! Sessions between gateways: configuration goes from peer to peer, not from the store to each.
 
-use std::{io, net::SocketAddr, rc::Rc, sync::Arc, thread, time::Duration};
+use std::{
+    cell::RefCell, collections::HashMap, io, net::SocketAddr, rc::Rc, sync::Arc, thread,
+    time::Duration,
+};
 
-use lovagedock::prelude::*;
+use lovagedock::{UsageAck, UsageReport, prelude::*};
 use lovagedock_daemon::Transport;
 use lovagedock_wire::{
-    ConfigMessage, PROTOCOL_VERSION, PeerClient, PeerHandler, PeerIdentity, UsageMessage,
-    WireError, serve_peer,
+    ConfigMessage, PROTOCOL_VERSION, PeerClient, PeerHandler, PeerIdentity, WireError, serve_peer,
 };
 use slog::{Logger, debug, info, warn};
 use tokio::{
@@ -21,12 +23,14 @@
     adopt::{AdoptError, ConfigAdopter},
     connect::{ConnectorFactory, PeerConnector},
     context::GatewayContext,
+    limits::{LimitDesk, PeerReport, exchange_interval},
 };
 
 /// Pause after an accept that failed, since such errors repeat at once until files are closed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// Longest life of a session that another gateway opened; each exchange opens a new one.
-const SESSION_LIFE: Duration = Duration::from_secs(30);
+/// Longest life of a session that another gateway opened. One whose other end vanished without a
+/// word is gone after it; a gateway that lives opens another.
+const SESSION_LIFE: Duration = Duration::from_secs(60);
 /// Time for one call.
 const CALL_TIME: Duration = Duration::from_secs(2);
 /// Time between comparisons with peers, the backstop for a push that was lost.
@@ -42,6 +46,8 @@
     pub(crate) connectors: ConnectorFactory,
     /// How peers connect here.
     pub(crate) transport: Transport,
+    /// Limits of organisations.
+    pub(crate) limits: LimitDesk,
     /// Gateways to ask before there is a configuration.
     pub(crate) seeds: Vec<SocketAddr>,
     /// Log.
@@ -76,6 +82,7 @@
                 () = Rc::clone(&worker).accept(listener) => {}
                 () = Rc::clone(&worker).push_adopted() => {}
                 () = Rc::clone(&worker).compare() => {}
+                () = Rc::clone(&worker).exchange_usage() => {}
                 _ = stop.changed() => {}
             }
         });
@@ -113,6 +120,8 @@
         let session = Rc::new(PeerSession {
             context: self.context.clone(),
             adopter: Arc::clone(&self.adopter),
+            limits: self.limits.clone(),
+            peer: RefCell::new(None),
         });
         match timeout(SESSION_LIFE, serve_peer(Box::new(stream), session)).await {
             Ok(ended) => ended,
@@ -187,10 +196,67 @@
         Ok(())
     }
 
+    /// Tells the other gateways what organisations use here, so that limits hold over all.
+    async fn exchange_usage(self: Rc<Self>) {
+        let mut ticks = interval(exchange_interval());
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let clients: Rc<RefCell<HashMap<GatewayId, Rc<PeerClient>>>> = Rc::default();
+        loop {
+            ticks.tick().await;
+            for report in self.limits.reports(self.context.clock.now()) {
+                let worker = Rc::clone(&self);
+                let clients = Rc::clone(&clients);
+                spawn_local(async move {
+                    let peer = report.peer.clone();
+                    if let Err(error) = worker.send_usage(report, &clients).await {
+                        clients.borrow_mut().remove(&peer);
+                        debug!(worker.log, "no exchange with a peer"; "peer" => &*peer, "error" => %error);
+                    }
+                });
+            }
+        }
+    }
+
+    async fn send_usage(
+        &self,
+        PeerReport { peer, report }: PeerReport,
+        clients: &RefCell<HashMap<GatewayId, Rc<PeerClient>>>,
+    ) -> Result<(), WireError> {
+        let known = clients.borrow().get(&peer).cloned();
+        let client = match known {
+            Some(client) => client,
+            None => {
+                let address = self.address_of(&peer)?;
+                let client = Rc::new(self.open(address).await?);
+                clients
+                    .borrow_mut()
+                    .insert(peer.clone(), Rc::clone(&client));
+                client
+            }
+        };
+        let ack = client.usage(&report, CALL_TIME).await?;
+        self.limits.confirmed(self.context.clock.now(), peer, ack);
+        Ok(())
+    }
+
+    fn address_of(&self, peer: &GatewayId) -> Result<SocketAddr, WireError> {
+        let active = self.context.config.load();
+        let named = active
+            .fleet
+            .gateways
+            .iter()
+            .find(|gateway| gateway.id == *peer);
+        let gone = || WireError::Disconnected("not in the configuration".to_owned());
+        named.map(|gateway| gateway.peer_address).ok_or_else(gone)
+    }
+
     async fn open(&self, address: SocketAddr) -> Result<PeerClient, WireError> {
         let connector: Rc<dyn PeerConnector> = self.connectors.connector();
         let client = PeerClient::new(connector.connect(address, CALL_TIME).await?);
-        client.hello(&identity(&self.context), CALL_TIME).await?;
+        let welcome = client.hello(&identity(&self.context), CALL_TIME).await?;
+        let now = self.context.clock.now();
+        self.limits
+            .connected(now, welcome.name.into(), welcome.incarnation);
         Ok(client)
     }
 
@@ -214,10 +280,17 @@
 struct PeerSession {
     context: GatewayContext,
     adopter: Arc<ConfigAdopter>,
+    limits: LimitDesk,
+    /// Who is at the other end, once it has said so.
+    peer: RefCell<Option<GatewayId>>,
 }
 
 impl PeerHandler for PeerSession {
-    fn hello(&self, _peer: PeerIdentity) -> PeerIdentity {
+    fn hello(&self, peer: PeerIdentity) -> PeerIdentity {
+        let name = GatewayId::from(peer.name);
+        let now = self.context.clock.now();
+        self.limits.connected(now, name.clone(), peer.incarnation);
+        self.peer.replace(Some(name));
         identity(&self.context)
     }
 
@@ -238,7 +311,10 @@
         })
     }
 
-    fn usage(&self, _sequence: u64, _entries: Vec<UsageMessage>) {}
+    fn usage(&self, report: UsageReport) -> Option<UsageAck> {
+        let peer = self.peer.borrow().clone()?;
+        self.limits.received(self.context.clock.now(), peer, report)
+    }
 }
 
 fn identity(context: &GatewayContext) -> PeerIdentity {
--- a/lovagedock-gateway/src/shared.rs
+++ b/lovagedock-gateway/src/shared.rs
@@ -5,7 +5,7 @@
 use lovagedock::{RetryAllowance, RetryBudget, prelude::*};
 use parking_lot::Mutex;
 
-use crate::{claims::ClaimDesk, context::GatewayContext, trail::TrailBook};
+use crate::{claims::ClaimDesk, context::GatewayContext, limits::LimitDesk, trail::TrailBook};
 
 /// Shared by all drivers of a gateway; cheap to clone.
 ///
@@ -18,16 +18,19 @@
     pub(crate) trails: TrailBook,
     /// Claims of idempotency keys.
     pub(crate) claims: ClaimDesk,
+    /// Limits of organisations.
+    pub(crate) limits: LimitDesk,
     budgets: Arc<Mutex<HashMap<ServiceId, RetryBudget>>>,
 }
 
 impl GatewayShared {
     /// Shared state of a gateway that has served nothing yet.
-    pub(crate) fn new(context: GatewayContext, claims: ClaimDesk) -> Self {
+    pub(crate) fn new(context: GatewayContext, claims: ClaimDesk, limits: LimitDesk) -> Self {
         Self {
             context,
             trails: TrailBook::default(),
             claims,
+            limits,
             budgets: Arc::default(),
         }
     }
--- a/lovagedock-gateway/src/sources.rs
+++ b/lovagedock-gateway/src/sources.rs
@@ -7,13 +7,14 @@
 use lovagedock_platform::{
     CallPurpose, ChunkCache, ConfigStore, HostDirectory, HostState, ObjectStore, ROOT_KEY,
 };
-use slog::{Logger, debug, warn};
+use slog::{Logger, debug, info, warn};
 use tokio::{sync::watch, task::JoinHandle, time::sleep};
 
 use crate::{
     adopt::{AdoptError, ConfigAdopter},
     connect::ConnectorFactory,
     context::GatewayContext,
+    limits::LimitDesk,
     peers::PeerWorker,
     settings::GatewaySettings,
 };
@@ -22,6 +23,8 @@
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 /// Pause after the store did not answer.
 const STORE_PAUSE: Duration = Duration::from_secs(1);
+/// Time between ticks of the outlier detectors.
+const OUTLIER_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between readings of the platform's host list.
 const HOSTS_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -33,6 +36,20 @@
     pub(crate) hosts: Arc<dyn HostDirectory>,
 }
 
+/// What the sources feed, and through what.
+pub(crate) struct SourceParts {
+    /// The platform.
+    pub(crate) platform: PlatformPorts,
+    /// Configuration and fleet.
+    pub(crate) context: GatewayContext,
+    /// Where configurations come into force.
+    pub(crate) adopter: Arc<ConfigAdopter>,
+    /// How to connect to peers.
+    pub(crate) connectors: ConnectorFactory,
+    /// Limits of organisations.
+    pub(crate) limits: LimitDesk,
+}
+
 /// Tasks that feed a gateway; they end when this is dropped.
 pub(crate) struct ConfigSources {
     peers: SocketAddr,
@@ -44,10 +61,7 @@
     /// Listens for peers and begins to watch the platform.
     pub(crate) async fn start(
         settings: &GatewaySettings,
-        platform: PlatformPorts,
-        context: &GatewayContext,
-        adopter: &Arc<ConfigAdopter>,
-        connectors: &ConnectorFactory,
+        parts: SourceParts,
         daemon: &DaemonContext,
         log: &Logger,
     ) -> Result<Self, Report<io::Error>> {
@@ -60,27 +74,33 @@
         let peers = listener.local_addr()?;
         let (stop, stopped) = watch::channel(());
         let worker = PeerWorker {
-            context: context.clone(),
-            adopter: Arc::clone(adopter),
-            connectors: connectors.clone(),
+            context: parts.context.clone(),
+            adopter: Arc::clone(&parts.adopter),
+            connectors: parts.connectors,
             transport,
+            limits: parts.limits,
             seeds: settings.seed_peers.clone(),
             log: log.clone(),
         };
         worker.start(listener, stopped)?;
+        let outliers = parts.context.clone();
         let watcher = StoreWatcher {
-            store: platform.store,
-            adopter: Arc::clone(adopter),
+            store: parts.platform.store,
+            adopter: parts.adopter,
             log: log.clone(),
         };
         let hosts = HostWatcher {
-            directory: platform.hosts,
-            context: context.clone(),
+            directory: parts.platform.hosts,
+            context: parts.context,
             log: log.clone(),
         };
         Ok(Self {
             peers,
-            tasks: vec![tokio::spawn(watcher.run()), tokio::spawn(hosts.run())],
+            tasks: vec![
+                tokio::spawn(watcher.run()),
+                tokio::spawn(hosts.run()),
+                tokio::spawn(run_outlier_ticks(outliers, log.clone())),
+            ],
             _stop: stop,
         })
     }
@@ -166,3 +186,16 @@
         }
     }
 }
+
+/// Tells the outlier detectors that time passes; never ends.
+async fn run_outlier_ticks(context: GatewayContext, log: Logger) {
+    loop {
+        sleep(OUTLIER_INTERVAL).await;
+        for action in context.fleet.watch_tick(context.clock.now()) {
+            info!(log, "ejection changed";
+                "endpoint" => &*action.endpoint,
+                "ejected" => action.ejected,
+                "cause" => format!("{:?}", action.cause));
+        }
+    }
+}
--- a/lovagedock-standin/tests/whole_path.rs
+++ b/lovagedock-standin/tests/whole_path.rs
@@ -44,7 +44,9 @@
     ],
     "organisations": [
         { "id": "museum", "key_hashes": [
-            "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"] }
+            "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"] },
+        { "id": "visitor", "limits": { "tokens_per_minute": 600 }, "key_hashes": [
+            "5f14f9e6d80f802a65269804f2552ef9889f2c7ccec5067214e58a1e48e0b3ff"] }
     ]
 }"#;
 /// Its SHA-256 is in the configuration.
@@ -197,6 +199,33 @@
     }
 }
 
+/// An organisation that is over its own limit is refused at once, told when to come back, and its
+/// request has not run; another organisation is served meanwhile.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_organisation_over_its_limit_is_told_when_to_come_back() {
+    let fleet = start().await;
+    let callers = fleet.gateways[0].gateway.callers_address();
+    let body = json!({ "model": "reader", "prompt": "x".repeat(4_000), "max_tokens": 10 });
+    let visit = || {
+        let mut request = post("/v1/completions", &body);
+        let key = "Bearer visitor".parse().expect("header");
+        request.headers_mut().insert("authorization", key);
+        request
+    };
+    // More than a minute's tokens in one request: it takes what was saved up, and more.
+    assert_eq!(call(callers, visit()).await.status(), StatusCode::OK);
+    let refused = call(callers, visit()).await;
+    assert_eq!(refused.status().as_u16(), 429);
+    assert!(refused.headers().contains_key("retry-after"));
+    let problem: Value = serde_json::from_str(&text(refused).await).expect("a document");
+    assert_eq!(
+        (&problem["code"], &problem["ran"]),
+        (&json!(1011), &json!("no"))
+    );
+    let served = call(callers, post("/v1/completions", &body)).await;
+    assert_eq!(served.status(), StatusCode::OK);
+}
+
 /// One refusal and what the caller is told.
 struct Refusal {
     name: &'static str,
--- a/lovagedock-wire/schema/lovagedock.capnp
+++ b/lovagedock-wire/schema/lovagedock.capnp
@@ -153,13 +153,28 @@
   configure @2 (generation :UInt64, config :Data) -> (generation :UInt64);
   latest @3 (above :UInt64) -> (generation :UInt64, config :Data);
   # The newest configuration that this gateway has, if it is above the given generation.
-  usage @4 (sequence :UInt64, entries :List(UsageEntry)) -> (sequence :UInt64);
+  usage @4 (report :UsageReport) -> (ack :UsageAck);
+  # What organisations use at the calling gateway.
 }
 
 struct UsageEntry {
-  # What one organisation used at one gateway since the last exchange.
+  # What one organisation wants at one gateway; absolute values.
   organisation @0 :Text;
   requests @1 :UInt64;
   tokens @2 :UInt64;
   inFlight @3 :UInt32;
 }
+
+struct UsageReport {
+  sequence @0 :UInt64;
+  base @1 :UInt64;
+  # Report that the entries are changes to; 0 for a whole one.
+  stage @2 :UInt8;
+  # How the sender computes its shares.
+  entries @3 :List(UsageEntry);
+}
+
+struct UsageAck {
+  sequence @0 :UInt64;
+  stage @1 :UInt8;
+}
--- a/lovagedock-wire/src/codec.rs
+++ b/lovagedock-wire/src/codec.rs
@@ -4,14 +4,14 @@
 
 use bytes::Bytes;
 use lovagedock::{
-    AnswerEnd, AttemptKey, CostParameters, EndpointBacklog, RevokeVerdict, prelude::*,
+    AnswerEnd, AttemptKey, CostParameters, EndpointBacklog, RevokeVerdict, ShareStage, UsageAck,
+    UsageEntry, UsageReport, prelude::*,
 };
 
 use crate::{
     lovagedock_capnp as schema,
     messages::{
-        AnswerHead, HeaderField, LoadMessage, PeerIdentity, SpanHolder, UsageMessage, WireError,
-        WorkMessage,
+        AnswerHead, HeaderField, LoadMessage, PeerIdentity, SpanHolder, WireError, WorkMessage,
     },
 };
 
@@ -24,6 +24,10 @@
 const TIER_BATCH: u8 = 0;
 const TIER_STANDARD: u8 = 1;
 const TIER_INTERACTIVE: u8 = 2;
+const STAGE_BY_DEMAND: u8 = 0;
+const STAGE_LESSER: u8 = 1;
+const STAGE_SILENT: u8 = 2;
+const STAGE_EQUAL: u8 = 3;
 
 type Decoded<T> = Result<T, WireError>;
 
@@ -328,22 +332,69 @@
     })
 }
 
-pub(crate) fn write_usage(usage: &UsageMessage, mut builder: schema::usage_entry::Builder<'_>) {
-    builder.set_organisation(&*usage.organisation);
-    builder.set_requests(usage.requests);
-    builder.set_tokens(usage.tokens);
-    builder.set_in_flight(usage.in_flight);
+pub(crate) fn write_usage(report: &UsageReport, mut builder: schema::usage_report::Builder<'_>) {
+    builder.set_sequence(report.sequence);
+    builder.set_base(report.base);
+    builder.set_stage(stage_number(report.stage));
+    let mut list = builder.init_entries(list_length(report.entries.len()));
+    for (index, entry) in (0_u32..).zip(&report.entries) {
+        let mut item = list.reborrow().get(index);
+        item.set_organisation(&*entry.organisation);
+        item.set_requests(entry.requests);
+        item.set_tokens(entry.tokens);
+        item.set_in_flight(entry.in_flight);
+    }
 }
 
-pub(crate) fn read_usage(reader: schema::usage_entry::Reader<'_>) -> Decoded<UsageMessage> {
-    Ok(UsageMessage {
-        organisation: read_text(reader.get_organisation())?.into(),
-        requests: reader.get_requests(),
-        tokens: reader.get_tokens(),
-        in_flight: reader.get_in_flight(),
+pub(crate) fn read_usage(reader: schema::usage_report::Reader<'_>) -> Decoded<UsageReport> {
+    let mut entries = Vec::new();
+    for entry in reader.get_entries()? {
+        entries.push(UsageEntry {
+            organisation: read_text(entry.get_organisation())?.into(),
+            requests: entry.get_requests(),
+            tokens: entry.get_tokens(),
+            in_flight: entry.get_in_flight(),
+        });
+    }
+    Ok(UsageReport {
+        sequence: reader.get_sequence(),
+        base: reader.get_base(),
+        stage: read_stage(reader.get_stage())?,
+        entries,
+    })
+}
+
+pub(crate) fn write_ack(ack: UsageAck, mut builder: schema::usage_ack::Builder<'_>) {
+    builder.set_sequence(ack.sequence);
+    builder.set_stage(stage_number(ack.stage));
+}
+
+pub(crate) fn read_ack(reader: schema::usage_ack::Reader<'_>) -> Decoded<UsageAck> {
+    Ok(UsageAck {
+        sequence: reader.get_sequence(),
+        stage: read_stage(reader.get_stage())?,
     })
 }
 
+fn stage_number(stage: ShareStage) -> u8 {
+    match stage {
+        ShareStage::ByDemand => STAGE_BY_DEMAND,
+        ShareStage::Lesser => STAGE_LESSER,
+        ShareStage::Silent => STAGE_SILENT,
+        ShareStage::Equal => STAGE_EQUAL,
+    }
+}
+
+fn read_stage(number: u8) -> Decoded<ShareStage> {
+    match number {
+        STAGE_BY_DEMAND => Ok(ShareStage::ByDemand),
+        STAGE_LESSER => Ok(ShareStage::Lesser),
+        STAGE_SILENT => Ok(ShareStage::Silent),
+        STAGE_EQUAL => Ok(ShareStage::Equal),
+        other => Err(WireError::Malformed(format!("unknown share stage {other}"))),
+    }
+}
+
 pub(crate) fn list_length(length: usize) -> u32 {
     u32::try_from(length).unwrap_or(u32::MAX)
 }
--- a/lovagedock-wire/src/lib.rs
+++ b/lovagedock-wire/src/lib.rs
@@ -30,7 +30,7 @@
 pub use endpoint_server::{AnswerSender, EndpointHandler, serve_endpoint};
 pub use messages::{
     AnswerHead, ConfigMessage, HeaderField, LoadMessage, PeerIdentity, ReserveReply, SegmentRange,
-    SegmentReply, SpanHolder, SubmitReply, UsageMessage, WireError, WorkMessage,
+    SegmentReply, SpanHolder, SubmitReply, WireError, WorkMessage,
 };
 pub use peer::{PeerClient, PeerHandler, serve_peer};
 pub use stream::WireStream;
--- a/lovagedock-wire/src/lovagedock_capnp.rs
+++ b/lovagedock-wire/src/lovagedock_capnp.rs
@@ -11472,22 +11472,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_sequence(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn get_entries(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::lovagedock_capnp::usage_entry::Owned>> {
+            pub fn get_report(self) -> ::capnp::Result<crate::lovagedock_capnp::usage_report::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_entries(&self) -> bool {
+            pub fn has_report(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -11538,27 +11534,19 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_sequence(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn set_sequence(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(0, value);
-            }
-            #[inline]
-            pub fn get_entries(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::lovagedock_capnp::usage_entry::Owned>> {
+            pub fn get_report(self) -> ::capnp::Result<crate::lovagedock_capnp::usage_report::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_entries(&mut self, value: ::capnp::struct_list::Reader<'_,crate::lovagedock_capnp::usage_entry::Owned>) -> ::capnp::Result<()> {
+            pub fn set_report(&mut self, value: crate::lovagedock_capnp::usage_report::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_entries(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::lovagedock_capnp::usage_entry::Owned> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            pub fn init_report(self, ) -> crate::lovagedock_capnp::usage_report::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn has_entries(&self) -> bool {
+            pub fn has_report(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -11570,19 +11558,22 @@
             }
         }
         impl Pipeline  {
+            pub fn get_report(&self) -> crate::lovagedock_capnp::usage_report::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 54] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(70, 103, 40, 240, 163, 166, 32, 177),
-                ::capnp::word(29, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(29, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 82, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(33, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
@@ -11591,47 +11582,26 @@
                 ::capnp::word(115, 105, 111, 110, 46, 117, 115, 97),
                 ::capnp::word(103, 101, 36, 80, 97, 114, 97, 109),
                 ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(49, 0, 0, 0, 66, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(72, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 110, 116, 114, 105, 101, 115, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 101, 112, 111, 114, 116, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(17, 246, 18, 201, 47, 207, 162, 201),
+                ::capnp::word(84, 41, 222, 66, 15, 232, 20, 158),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <::capnp::struct_list::Owned<crate::lovagedock_capnp::usage_entry::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::lovagedock_capnp::usage_report::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -11645,9 +11615,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0xb120_a6a3_f028_6746;
         }
     }
@@ -11705,7 +11675,7 @@
             }
         }
 
-        impl <> Reader<'_,>  {
+        impl <'a,> Reader<'a,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -11714,14 +11684,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_sequence(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
+            pub fn get_ack(self) -> ::capnp::Result<crate::lovagedock_capnp::usage_ack::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_ack(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -11772,12 +11746,20 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_sequence(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
+            pub fn get_ack(self) -> ::capnp::Result<crate::lovagedock_capnp::usage_ack::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_sequence(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(0, value);
+            pub fn set_ack(&mut self, value: crate::lovagedock_capnp::usage_ack::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_ack(self, ) -> crate::lovagedock_capnp::usage_ack::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            }
+            #[inline]
+            pub fn has_ack(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
             }
         }
 
@@ -11788,14 +11770,17 @@
             }
         }
         impl Pipeline  {
+            pub fn get_ack(&self) -> crate::lovagedock_capnp::usage_ack::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 35] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(215, 88, 125, 162, 225, 105, 147, 239),
-                ::capnp::word(29, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(29, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 90, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -11813,23 +11798,22 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 34, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(97, 99, 107, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(51, 102, 72, 23, 151, 222, 148, 242),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::lovagedock_capnp::usage_ack::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -12145,3 +12129,525 @@
         pub(crate) const TYPE_ID: u64 = 0xc9a2_cf2f_c912_f611;
     }
 }
+
+pub mod usage_report {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_sequence(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_base(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_stage(self) -> u8 {
+            self.reader.get_data_field::<u8>(16)
+        }
+        #[inline]
+        pub fn get_entries(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::lovagedock_capnp::usage_entry::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_entries(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_sequence(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_sequence(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_base(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_base(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_stage(self) -> u8 {
+            self.builder.get_data_field::<u8>(16)
+        }
+        #[inline]
+        pub fn set_stage(&mut self, value: u8)  {
+            self.builder.set_data_field::<u8>(16, value);
+        }
+        #[inline]
+        pub fn get_entries(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::lovagedock_capnp::usage_entry::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_entries(&mut self, value: ::capnp::struct_list::Reader<'_,crate::lovagedock_capnp::usage_entry::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_entries(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::lovagedock_capnp::usage_entry::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_entries(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 83] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(84, 41, 222, 66, 15, 232, 20, 158),
+            ::capnp::word(17, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(81, 96, 78, 169, 243, 199, 177, 210),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
+            ::capnp::word(99, 107, 46, 99, 97, 112, 110, 112),
+            ::capnp::word(58, 85, 115, 97, 103, 101, 82, 101),
+            ::capnp::word(112, 111, 114, 116, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 16, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 97, 115, 101, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 97, 103, 101, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 116, 114, 105, 101, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(17, 246, 18, 201, 47, 207, 162, 201),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u8 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::struct_list::Owned<crate::lovagedock_capnp::usage_entry::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,3,0,2];
+        pub(crate) const TYPE_ID: u64 = 0x9e14_e80f_42de_2954;
+    }
+}
+
+pub mod usage_ack {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_sequence(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_stage(self) -> u8 {
+            self.reader.get_data_field::<u8>(8)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_sequence(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_sequence(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_stage(self) -> u8 {
+            self.builder.get_data_field::<u8>(8)
+        }
+        #[inline]
+        pub fn set_stage(&mut self, value: u8)  {
+            self.builder.set_data_field::<u8>(8, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(51, 102, 72, 23, 151, 222, 148, 242),
+            ::capnp::word(17, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(81, 96, 78, 169, 243, 199, 177, 210),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
+            ::capnp::word(99, 107, 46, 99, 97, 112, 110, 112),
+            ::capnp::word(58, 85, 115, 97, 103, 101, 65, 99),
+            ::capnp::word(107, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(49, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 97, 103, 101, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u8 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+        pub(crate) const TYPE_ID: u64 = 0xf294_de97_1748_6633;
+    }
+}
--- a/lovagedock-wire/src/messages.rs
+++ b/lovagedock-wire/src/messages.rs
@@ -158,19 +158,6 @@
     pub config: Bytes,
 }
 
-/// What one organisation used at one gateway since the last exchange.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct UsageMessage {
-    /// The organisation.
-    pub organisation: OrganisationId,
-    /// Requests admitted.
-    pub requests: u64,
-    /// Prompt and answer tokens.
-    pub tokens: u64,
-    /// Requests in flight now.
-    pub in_flight: u32,
-}
-
 /// Why a call over a session brought no answer.
 ///
 /// The call may have taken effect at the other end: only a verdict of the other end tells.
--- a/lovagedock-wire/src/peer.rs
+++ b/lovagedock-wire/src/peer.rs
@@ -3,14 +3,14 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use lovagedock::prelude::*;
+use lovagedock::{UsageAck, UsageReport, prelude::*};
 use tokio::task::JoinHandle;
 
 use crate::{
-    codec::{self, list_length},
+    codec,
     endpoint_client::{failed, within},
     lovagedock_capnp::peer_session,
-    messages::{ConfigMessage, PeerIdentity, UsageMessage, WireError},
+    messages::{ConfigMessage, PeerIdentity, WireError},
     stream::{SessionSystem, WireStream, client_system, server_system},
 };
 
@@ -24,8 +24,8 @@
     fn configure(&self, message: ConfigMessage) -> Generation;
     /// The newest configuration, if it is above a generation.
     fn latest(&self, above: Generation) -> Option<ConfigMessage>;
-    /// Takes what organisations used at the other gateway.
-    fn usage(&self, sequence: u64, entries: Vec<UsageMessage>);
+    /// Takes what organisations use at the other gateway; confirms it unless it is of no use.
+    fn usage(&self, report: UsageReport) -> Option<UsageAck>;
 }
 
 /// A session from one gateway to another; dropping it closes the connection.
@@ -96,21 +96,16 @@
         }))
     }
 
-    /// Tells the peer what organisations used here.
+    /// Tells the peer what organisations use here, and returns its confirmation.
     pub async fn usage(
         &self,
-        sequence: u64,
-        entries: &[UsageMessage],
+        report: &UsageReport,
         limit: Duration,
-    ) -> Result<(), WireError> {
+    ) -> Result<UsageAck, WireError> {
         let mut request = self.session.usage_request();
-        request.get().set_sequence(sequence);
-        let mut list = request.get().init_entries(list_length(entries.len()));
-        for (index, entry) in (0_u32..).zip(entries) {
-            codec::write_usage(entry, list.reborrow().get(index));
-        }
-        within(limit, request.send().promise).await?;
-        Ok(())
+        codec::write_usage(report, request.get().init_report());
+        let response = within(limit, request.send().promise).await?;
+        codec::read_ack(response.get()?.get_ack()?)
     }
 }
 
@@ -189,14 +184,13 @@
         params: peer_session::UsageParams,
         mut results: peer_session::UsageResults,
     ) -> Result<(), capnp::Error> {
-        let call = params.get()?;
-        let sequence = call.get_sequence();
-        let mut entries = Vec::new();
-        for entry in call.get_entries()? {
-            entries.push(codec::read_usage(entry).map_err(failed)?);
+        let report = codec::read_usage(params.get()?.get_report()?).map_err(failed)?;
+        match self.handler.usage(report) {
+            Some(ack) => {
+                codec::write_ack(ack, results.get().init_ack());
+                Ok(())
+            }
+            None => Err(capnp::Error::failed("the report is not current".to_owned())),
         }
-        self.handler.usage(sequence, entries);
-        results.get().set_sequence(sequence);
-        Ok(())
     }
 }
