Split the gateway's driver and link by job

Change: placing, commands, delivery and spans of a driver, and messages, heartbeats, resume and frames of a link stand in files of their own; nothing else changes.

--- /dev/null
+++ b/lovagedock-gateway/src/driver/command.rs
@@ -0,0 +1,138 @@
+//! Commands to the links of endpoints.
+
+use std::time::Duration;
+
+use lovagedock::{AttemptKey, RequestAction, RequestEvent, prelude::*};
+use lovagedock_wire::{SpanHolder, WorkMessage};
+use tokio::sync::oneshot;
+
+use super::{DriverNote, RequestDriver, span::SpanRun};
+use crate::link::{AttemptSender, LinkCommand};
+
+impl RequestDriver {
+    pub(super) fn command(&mut self, action: RequestAction) {
+        match action {
+            RequestAction::Submit {
+                endpoint,
+                incarnation,
+                attempt,
+                remaining,
+                ..
+            } => {
+                self.step(format!("attempt {attempt} submitted to {endpoint}"));
+                let key = self.key(attempt, incarnation);
+                let holders = self.span.as_ref().map_or_else(Vec::new, SpanRun::holders);
+                let work = Box::new(self.work(key, remaining, holders));
+                let events = self.attempt_sender(attempt);
+                self.send(&endpoint, LinkCommand::Submit { work, events });
+            }
+            RequestAction::Resume {
+                endpoint,
+                attempt,
+                incarnation,
+                offset,
+            } => {
+                self.step(format!(
+                    "attempt {attempt} resumed on {endpoint} at byte {offset}"
+                ));
+                let command = LinkCommand::Resume {
+                    key: self.key(attempt, incarnation),
+                    offset,
+                    events: self.attempt_sender(attempt),
+                };
+                self.send(&endpoint, command);
+            }
+            RequestAction::Revoke {
+                endpoint,
+                attempt,
+                incarnation,
+            } => self.revoke(&endpoint, attempt, incarnation),
+            RequestAction::Cancel {
+                endpoint,
+                attempt,
+                incarnation,
+            } => {
+                let key = self.key(attempt, incarnation);
+                self.send(&endpoint, LinkCommand::Cancel { key });
+            }
+            RequestAction::Place { .. }
+            | RequestAction::AskRetry
+            | RequestAction::StartSpan { .. }
+            | RequestAction::ReleaseSpan { .. }
+            | RequestAction::CheckDigest { .. }
+            | RequestAction::Deliver { .. }
+            | RequestAction::DeliverHead { .. }
+            | RequestAction::WakeAt(_)
+            | RequestAction::Finish(_) => unreachable!("carry_out handles these"),
+        }
+    }
+
+    fn revoke(&self, endpoint: &EndpointId, attempt: AttemptNumber, incarnation: Incarnation) {
+        self.step(format!("attempt {attempt} on {endpoint} revoked"));
+        let (reply, verdict) = oneshot::channel();
+        let key = self.key(attempt, incarnation);
+        self.send(endpoint, LinkCommand::Revoke { key, reply });
+        let notes = self.note_sender.clone();
+        tokio::spawn(async move {
+            let event = match verdict.await {
+                Ok(Ok(verdict)) => RequestEvent::RevokeAnswered {
+                    attempt,
+                    incarnation,
+                    verdict,
+                },
+                Ok(Err(_)) | Err(_) => RequestEvent::RevokeFailed { attempt },
+            };
+            // A driver that has finished does not need the verdict.
+            let _finished = notes.send(DriverNote::Request(event));
+        });
+    }
+
+    pub(crate) fn key(&self, attempt: AttemptNumber, incarnation: Incarnation) -> AttemptKey {
+        AttemptKey {
+            request: self.call.id,
+            attempt,
+            incarnation,
+        }
+    }
+
+    pub(crate) fn work(
+        &self,
+        key: AttemptKey,
+        remaining: Duration,
+        span: Vec<SpanHolder>,
+    ) -> WorkMessage {
+        let call = &self.call;
+        WorkMessage {
+            key,
+            service: call.service.clone(),
+            organisation: call.organisation.clone(),
+            tier: call.tier,
+            weight: call.weight,
+            remaining,
+            prompt_tokens: call.prompt.tokens,
+            answer_tokens: call.prompt.answer_tokens,
+            non_idempotent: call.non_idempotent,
+            predicted: Duration::ZERO,
+            span,
+            method: call.method.clone(),
+            path: call.path.clone(),
+            headers: call.headers.clone(),
+            body: call.body.clone(),
+        }
+    }
+
+    fn attempt_sender(&self, attempt: AttemptNumber) -> AttemptSender {
+        AttemptSender {
+            attempt,
+            sender: self.sender.clone(),
+        }
+    }
+
+    /// Gives a command to the endpoint's link; an endpoint that has left the configuration has
+    /// none, and the machine's own times end the wait.
+    pub(crate) fn send(&self, endpoint: &EndpointId, command: LinkCommand) {
+        if let Some(entry) = self.shared.context.fleet.get(endpoint) {
+            let _link_ended = entry.commands.send(command);
+        }
+    }
+}
--- /dev/null
+++ b/lovagedock-gateway/src/driver/deliver.rs
@@ -0,0 +1,39 @@
+//! Bytes on their way to the caller.
+
+use tokio::time::sleep_until;
+
+use super::{KeptAnswer, RequestDriver};
+use crate::front::CallerEvent;
+
+impl RequestDriver {
+    pub(super) async fn deliver_head(&mut self) {
+        if let Some(head) = self.head.take() {
+            if self.keep {
+                self.kept = Some(KeptAnswer {
+                    head: head.clone(),
+                    body: Vec::new(),
+                });
+            }
+            self.send_to_caller(CallerEvent::Head(head)).await;
+        }
+    }
+
+    pub(super) async fn deliver(&mut self, skip: u64) {
+        let skip = usize::try_from(skip).unwrap_or(usize::MAX);
+        let bytes = self.chunk.slice(skip.min(self.chunk.len())..);
+        self.hasher.update(&bytes);
+        if let Some(kept) = &mut self.kept {
+            kept.body.extend_from_slice(&bytes);
+        }
+        self.send_to_caller(CallerEvent::Bytes(bytes)).await;
+    }
+
+    /// Waits for a slow caller, but not past the deadline: the next tick then ends the request.
+    async fn send_to_caller(&self, event: CallerEvent) {
+        let deadline = self.shared.context.clock.instant_at(self.deadline);
+        tokio::select! {
+            _sent = self.caller.send(event) => {}
+            () = sleep_until(deadline.into()) => {}
+        }
+    }
+}
--- /dev/null
+++ b/lovagedock-gateway/src/driver/mod.rs
@@ -0,0 +1,289 @@
+//! Carries out what the request machine decides about one caller's request.
+
+mod command;
+mod deliver;
+mod place;
+mod span;
+
+use std::{collections::VecDeque, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use lovagedock::{
+    Outcome, OutlierEvent, RequestAction, RequestEvent, RequestMachine, RequestSpec, SpanEvent,
+    prelude::*,
+};
+use lovagedock_wire::{AnswerHead, SegmentReply};
+use tokio::{sync::mpsc, time::sleep_until};
+
+use self::span::SpanRun;
+use crate::{call::CallerCall, front::CallerSink, link::AttemptEvent, shared::GatewayShared};
+
+/// Events of attempts that may wait for the driver.
+const EVENT_QUEUE: usize = 64;
+
+/// The answer of a keyed request, to be recorded.
+#[derive(Clone, Debug)]
+pub(crate) struct KeptAnswer {
+    /// Status and headers.
+    pub(crate) head: AnswerHead,
+    /// The whole body.
+    pub(crate) body: Vec<u8>,
+}
+
+/// What a task that the driver started tells it.
+pub(crate) enum DriverNote {
+    /// Something for the request machine.
+    Request(RequestEvent),
+    /// Something for the span coordinator.
+    Span(SpanEvent),
+    /// An engine has prefilled its part of the span.
+    Prefilled {
+        /// The engine's endpoint.
+        endpoint: EndpointId,
+        /// First token of the part.
+        start: TokenCount,
+        /// How it ended, and what the engine calls itself.
+        reply: SegmentReply,
+        /// Tokens of the part.
+        tokens: TokenCount,
+    },
+}
+
+/// One request on its way.
+pub(crate) struct RequestDriver {
+    pub(crate) shared: GatewayShared,
+    pub(crate) call: Arc<CallerCall>,
+    machine: RequestMachine,
+    caller: CallerSink,
+    sender: mpsc::Sender<(AttemptNumber, AttemptEvent)>,
+    events: mpsc::Receiver<(AttemptNumber, AttemptEvent)>,
+    notes: mpsc::UnboundedReceiver<DriverNote>,
+    pub(crate) note_sender: mpsc::UnboundedSender<DriverNote>,
+    pub(crate) span: Option<SpanRun>,
+    deadline: Timestamp,
+    wake_at: Timestamp,
+    head: Option<AnswerHead>,
+    chunk: Bytes,
+    hasher: blake3::Hasher,
+    sent_to: Vec<EndpointId>,
+    keep: bool,
+    kept: Option<KeptAnswer>,
+}
+
+impl RequestDriver {
+    /// A driver for a request that passed all checks.
+    pub(crate) fn new(
+        shared: GatewayShared,
+        call: Arc<CallerCall>,
+        caller: CallerSink,
+        deadline: Timestamp,
+    ) -> Self {
+        let now = shared.context.clock.now();
+        let remaining = deadline.saturating_sub(now);
+        let spec = RequestSpec::new(call.id, call.service.clone(), remaining)
+            .with_organisation(call.organisation.clone())
+            .with_tier(call.tier)
+            .with_non_idempotent(call.non_idempotent);
+        let (sender, events) = mpsc::channel(EVENT_QUEUE);
+        let (note_sender, notes) = mpsc::unbounded_channel();
+        Self {
+            machine: RequestMachine::new(now, spec),
+            deadline,
+            wake_at: deadline,
+            shared,
+            call,
+            caller,
+            sender,
+            events,
+            notes,
+            note_sender,
+            span: None,
+            head: None,
+            chunk: Bytes::new(),
+            hasher: blake3::Hasher::new(),
+            sent_to: Vec::new(),
+            keep: false,
+            kept: None,
+        }
+    }
+
+    /// Sets whether the whole answer is returned at the end.
+    pub(crate) fn with_kept_answer(mut self, keep: bool) -> Self {
+        self.keep = keep;
+        self
+    }
+
+    /// Runs the request to its final answer.
+    pub(crate) async fn run(mut self) -> (Outcome, Option<KeptAnswer>) {
+        let actions = self.machine.start();
+        let mut finished = self.carry_out(actions).await;
+        let mut caller_gone = false;
+        let outcome = loop {
+            if let Some(outcome) = finished {
+                break outcome;
+            }
+            let event = self.next_event(&mut caller_gone).await;
+            let Some(event) = event else { continue };
+            let actions = self.machine.handle(self.now(), event);
+            finished = self.carry_out(actions).await;
+        };
+        for endpoint in &self.sent_to {
+            self.shared.context.fleet.work_ended(endpoint);
+        }
+        (outcome, self.kept)
+    }
+
+    async fn next_event(&mut self, caller_gone: &mut bool) -> Option<RequestEvent> {
+        let wake = self.shared.context.clock.instant_at(self.wake_at);
+        let span_wake = self.span.as_ref().map_or(self.wake_at, |span| span.wake_at);
+        let span_wake = self.shared.context.clock.instant_at(span_wake);
+        tokio::select! {
+            biased;
+            () = sleep_until(wake.into()) => Some(RequestEvent::Tick),
+            () = self.caller.closed(), if !*caller_gone => {
+                *caller_gone = true;
+                Some(RequestEvent::CallerGone)
+            }
+            () = sleep_until(span_wake.into()), if self.span.is_some() => {
+                self.span_event(SpanEvent::Tick)
+            }
+            Some(note) = self.notes.recv() => self.note(note),
+            Some((attempt, event)) = self.events.recv() => self.attempt_event(attempt, event),
+        }
+    }
+
+    fn note(&mut self, note: DriverNote) -> Option<RequestEvent> {
+        match note {
+            DriverNote::Request(event) => Some(event),
+            DriverNote::Span(event) => self.span_event(event),
+            DriverNote::Prefilled {
+                endpoint,
+                start,
+                reply,
+                tokens,
+            } => self.prefilled(endpoint, start, tokens, reply),
+        }
+    }
+
+    fn attempt_event(
+        &mut self,
+        attempt: AttemptNumber,
+        event: AttemptEvent,
+    ) -> Option<RequestEvent> {
+        self.watch_outlier(&event);
+        Some(match event {
+            AttemptEvent::Accepted { incarnation } => RequestEvent::SubmitAccepted {
+                attempt,
+                incarnation,
+            },
+            AttemptEvent::Refused(end) => RequestEvent::SubmitRefused { attempt, end },
+            AttemptEvent::Lost { incarnation } => RequestEvent::SessionLost {
+                endpoint: self.machine.endpoint()?.clone(),
+                incarnation,
+            },
+            AttemptEvent::Resumed { found } => RequestEvent::ResumeAnswered { attempt, found },
+            AttemptEvent::ResumeFailed => RequestEvent::ResumeFailed { attempt },
+            AttemptEvent::Head(head) => {
+                self.head = Some(head);
+                RequestEvent::Head { attempt }
+            }
+            AttemptEvent::Chunk { offset, bytes } => {
+                let length = bytes.len() as u64;
+                self.chunk = bytes;
+                RequestEvent::Chunk {
+                    attempt,
+                    offset,
+                    length,
+                }
+            }
+            AttemptEvent::Done(end) => RequestEvent::End { attempt, end },
+        })
+    }
+
+    /// Tells the outlier detector what the endpoint of the current attempt did.
+    fn watch_outlier(&self, event: &AttemptEvent) {
+        let Some(endpoint) = self.machine.endpoint() else {
+            return;
+        };
+        let Some(event) = outlier_event(endpoint, event) else {
+            return;
+        };
+        let now = self.now();
+        for action in self.shared.context.fleet.watch(now, endpoint, event) {
+            self.step(format!("{}: {:?}", action.endpoint, action.cause));
+        }
+    }
+
+    async fn carry_out(&mut self, actions: Vec<RequestAction>) -> Option<Outcome> {
+        let mut queue = VecDeque::from(actions);
+        while let Some(action) = queue.pop_front() {
+            match action {
+                RequestAction::Place { excluded } => {
+                    let placed = self.place(&excluded);
+                    queue.extend(self.feed(RequestEvent::Placed(placed)));
+                }
+                RequestAction::AskRetry => {
+                    let answer = self.ask_retry();
+                    queue.extend(self.feed(answer));
+                }
+                RequestAction::CheckDigest { expected } => {
+                    let matches = *self.hasher.finalize().as_bytes() == expected;
+                    queue.extend(self.feed(RequestEvent::DigestChecked { matches }));
+                }
+                RequestAction::StartSpan {
+                    attempt,
+                    members,
+                    remaining,
+                } => {
+                    let event = self.start_span(attempt, members, remaining);
+                    queue.extend(event.map_or_else(Vec::new, |event| self.feed(event)));
+                }
+                RequestAction::ReleaseSpan { .. } => self.release_span(),
+                RequestAction::Deliver { skip, .. } => self.deliver(skip).await,
+                RequestAction::DeliverHead { .. } => self.deliver_head().await,
+                RequestAction::WakeAt(wake_at) => self.wake_at = wake_at,
+                RequestAction::Finish(outcome) => return Some(outcome),
+                other => self.command(other),
+            }
+        }
+        None
+    }
+
+    fn feed(&mut self, event: RequestEvent) -> Vec<RequestAction> {
+        self.machine.handle(self.now(), event)
+    }
+
+    /// Time left until the deadline.
+    pub(crate) fn remaining(&self) -> Duration {
+        self.deadline.saturating_sub(self.now())
+    }
+
+    pub(crate) fn now(&self) -> Timestamp {
+        self.shared.context.clock.now()
+    }
+
+    pub(crate) fn step(&self, step: impl Into<String>) {
+        self.shared.trails.step(self.call.id, self.now(), step);
+    }
+}
+
+/// What an event of an attempt says about the endpoint, if anything.
+fn outlier_event(endpoint: &EndpointId, event: &AttemptEvent) -> Option<OutlierEvent> {
+    let endpoint = endpoint.clone();
+    match event {
+        AttemptEvent::Lost { .. } => Some(OutlierEvent::WentSilent(endpoint)),
+        AttemptEvent::Done(end) | AttemptEvent::Refused(end) => match end.code {
+            ResultCode::Complete => Some(OutlierEvent::Succeeded(endpoint)),
+            ResultCode::EngineFailed
+            | ResultCode::EngineRefused
+            | ResultCode::EndpointLost
+            | ResultCode::AnswerDamaged => Some(OutlierEvent::Failed(endpoint)),
+            _ => None,
+        },
+        AttemptEvent::Accepted { .. }
+        | AttemptEvent::Resumed { .. }
+        | AttemptEvent::ResumeFailed
+        | AttemptEvent::Head(_)
+        | AttemptEvent::Chunk { .. } => None,
+    }
+}
--- /dev/null
+++ b/lovagedock-gateway/src/driver/place.rs
@@ -0,0 +1,147 @@
+//! Placing a request and counting what was sent where.
+
+use std::time::Duration;
+
+use lovagedock::{
+    CostParameters, PlacedOn, PlacementChoice, PlacementRequest, RequestEvent, SentWork,
+    SpanMember, SpanPart, prelude::*,
+};
+use rand::Rng;
+
+use super::RequestDriver;
+
+impl RequestDriver {
+    pub(super) fn place(&mut self, excluded: &[EndpointId]) -> PlacedOn {
+        let choice = self.choose(excluded);
+        self.placed(choice)
+    }
+
+    pub(crate) fn choose(&self, excluded: &[EndpointId]) -> Option<PlacementChoice> {
+        let now = self.now();
+        let request = PlacementRequest {
+            id: self.call.id,
+            organisation: self.call.organisation.clone(),
+            tier: self.call.tier,
+            prompt_tokens: self.call.prompt.tokens,
+            answer_tokens: self.call.prompt.answer_tokens,
+            remaining: self.deadline.saturating_sub(now),
+            prefix_hashes: &self.call.prompt.prefix_hashes,
+            own_domain: self.shared.context.domain.clone(),
+            excluded,
+        };
+        let fleet = &self.shared.context.fleet;
+        fleet.place(now, &self.call.pool, &request, &mut rand::rng())
+    }
+
+    fn placed(&mut self, choice: Option<PlacementChoice>) -> PlacedOn {
+        match choice {
+            None => refused(ResultCode::NotConfigured, Duration::ZERO),
+            Some(PlacementChoice::Refuse {
+                code,
+                retry_after,
+                reason,
+            }) => {
+                self.step(format!("refused with code {}: {reason}", code.number()));
+                refused(code, retry_after)
+            }
+            Some(PlacementChoice::One {
+                endpoint,
+                predicted_first_token,
+                predicted_prefill,
+                reason,
+            }) => {
+                self.step(format!(
+                    "placed on {endpoint}: {reason}, first token predicted in {predicted_first_token:?}"
+                ));
+                let tokens = self.call.prompt.tokens;
+                self.count_sent(&endpoint, tokens, predicted_prefill);
+                match self.incarnation(&endpoint) {
+                    Some(incarnation) => PlacedOn::One {
+                        endpoint,
+                        incarnation,
+                    },
+                    None => refused(ResultCode::EndpointUnreachable, Duration::ZERO),
+                }
+            }
+            Some(PlacementChoice::Span {
+                members, reason, ..
+            }) => {
+                let parts = self.span_parts(members);
+                if parts.is_empty() {
+                    return refused(ResultCode::EndpointUnreachable, Duration::ZERO);
+                }
+                self.step(format!("placed on {} engines: {reason}", parts.len()));
+                PlacedOn::Span(parts)
+            }
+        }
+    }
+
+    /// Engines of a span with the lives of their sidecars; empty if one is out of reach.
+    pub(crate) fn span_parts(&mut self, members: Vec<SpanMember>) -> Vec<SpanPart> {
+        let mut parts = Vec::with_capacity(members.len());
+        for member in members {
+            let Some(incarnation) = self.incarnation(&member.endpoint) else {
+                return Vec::new();
+            };
+            parts.push(SpanPart {
+                endpoint: member.endpoint,
+                incarnation,
+                tokens: member.tokens,
+            });
+        }
+        for part in &parts {
+            let prefill = CostParameters::ASSUMED.prefill(part.tokens, 0);
+            self.count_sent(&part.endpoint, part.tokens, prefill);
+        }
+        parts
+    }
+
+    pub(crate) fn count_sent(
+        &mut self,
+        endpoint: &EndpointId,
+        tokens: TokenCount,
+        prefill: Duration,
+    ) {
+        let long_tokens = self
+            .shared
+            .context
+            .config
+            .load()
+            .fleet
+            .placement
+            .long_tokens;
+        let long = self.call.prompt.tokens >= long_tokens;
+        let work = SentWork {
+            requests: 1,
+            long_requests: u32::from(long),
+            tokens: tokens + self.call.prompt.answer_tokens,
+            prefill,
+            long_prefill: if long { prefill } else { Duration::ZERO },
+        };
+        self.shared
+            .context
+            .fleet
+            .work_sent(self.now(), endpoint, work);
+        self.sent_to.push(endpoint.clone());
+    }
+
+    pub(crate) fn incarnation(&self, endpoint: &EndpointId) -> Option<Incarnation> {
+        self.shared.context.fleet.get(endpoint)?.incarnation
+    }
+
+    pub(super) fn ask_retry(&self) -> RequestEvent {
+        let granted = self.shared.take_retry(&self.call.service, self.now());
+        self.step(match granted {
+            true => "retry granted",
+            false => "retry budget is spent",
+        });
+        RequestEvent::RetryAnswered {
+            granted,
+            jitter_permille: rand::rng().next_u32() as u16 % 1_000,
+        }
+    }
+}
+
+fn refused(code: ResultCode, retry_after: Duration) -> PlacedOn {
+    PlacedOn::Refused { code, retry_after }
+}
--- a/lovagedock-gateway/src/span_run.rs
+++ b/lovagedock-gateway/src/driver/span.rs
@@ -9,10 +9,8 @@
 use lovagedock_wire::{SegmentRange, SegmentReply, SpanHolder};
 use tokio::sync::oneshot;
 
-use crate::{
-    driver::{DriverNote, RequestDriver},
-    link::LinkCommand,
-};
+use super::{DriverNote, RequestDriver};
+use crate::link::LinkCommand;
 
 /// A span of one request.
 pub(crate) struct SpanRun {
--- a/lovagedock-gateway/src/lib.rs
+++ b/lovagedock-gateway/src/lib.rs
@@ -23,7 +23,6 @@
 mod settings;
 mod shared;
 mod sources;
-mod span_run;
 mod trail;
 mod workers;
 
--- a/lovagedock-gateway/src/link.rs
+++ b/lovagedock-gateway/src/link/mod.rs
@@ -4,14 +4,17 @@
 //! it, and carries commands of request drivers out. A session without a heartbeat's answer within
 //! [`LinkTimes::silence`] is given up, and each request on it is told.
 
-use std::{cell::Cell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+mod beat;
+mod message;
+mod receive;
+mod resume;
+
+use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use futures::{FutureExt, future::LocalBoxFuture};
 use lovagedock::{AnswerEnd, AttemptKey, RevokeVerdict, prelude::*};
 use lovagedock_wire::{
-    AnswerHead, AnswerReceiver, ConfigMessage, EndpointClient, PROTOCOL_VERSION, PeerIdentity,
-    ReserveReply, SegmentRange, SegmentReply, SubmitReply, WireError, WorkMessage,
+    EndpointClient, PROTOCOL_VERSION, PeerIdentity, SubmitReply, WireError, WorkMessage,
 };
 use slog::{Logger, debug, info};
 use tokio::{
@@ -19,6 +22,8 @@
     time::{MissedTickBehavior, interval, sleep},
 };
 
+pub(crate) use self::message::{AttemptEvent, AttemptSender, LinkCommand};
+use self::{beat::SessionBeater, receive::AttemptReceiver, resume::ResumedAnswer};
 use crate::{connect::PeerConnector, context::GatewayContext};
 
 /// Times that a link keeps.
@@ -32,118 +37,6 @@
     pub(crate) reconnect: Duration,
 }
 
-/// What a request driver asks of a link.
-pub(crate) enum LinkCommand {
-    /// Hand a request over; the link fills the incarnation in.
-    Submit {
-        /// The request.
-        work: Box<WorkMessage>,
-        /// Where its events go.
-        events: AttemptSender,
-    },
-    /// Go on with an answer from an offset, on a new connection.
-    Resume {
-        /// The attempt.
-        key: AttemptKey,
-        /// Bytes that the driver already has.
-        offset: u64,
-        /// Where its events go.
-        events: AttemptSender,
-    },
-    /// Ask on a new connection that an attempt never runs.
-    Revoke {
-        /// The attempt.
-        key: AttemptKey,
-        /// Where the verdict goes.
-        reply: oneshot::Sender<Result<RevokeVerdict, WireError>>,
-    },
-    /// End an attempt that nobody waits for.
-    Cancel {
-        /// The attempt.
-        key: AttemptKey,
-    },
-    /// Hold memory for one part of a span.
-    Reserve {
-        /// Names the reservation.
-        key: AttemptKey,
-        /// How much.
-        tokens: TokenCount,
-        /// How long it stays without being used.
-        hold: Duration,
-        /// Where the answer goes.
-        reply: oneshot::Sender<Result<ReserveReply, WireError>>,
-    },
-    /// Give a reservation back.
-    Release {
-        /// Names the reservation.
-        key: AttemptKey,
-    },
-    /// Prefill one part of a span.
-    Segment {
-        /// The request.
-        work: Box<WorkMessage>,
-        /// Its part.
-        range: SegmentRange,
-        /// Time that the part may take.
-        limit: Duration,
-        /// Where the answer goes.
-        reply: oneshot::Sender<Result<SegmentReply, WireError>>,
-    },
-}
-
-/// What a link tells a request driver about one attempt.
-#[derive(Debug)]
-pub(crate) enum AttemptEvent {
-    /// The sidecar has queued or started it.
-    Accepted {
-        /// Life of the sidecar.
-        incarnation: Incarnation,
-    },
-    /// The sidecar did not take it.
-    Refused(AnswerEnd),
-    /// The session went away while the sidecar may have had the request.
-    Lost {
-        /// Life of the sidecar.
-        incarnation: Incarnation,
-    },
-    /// The sidecar answered a resume.
-    Resumed {
-        /// Whether it has the answer.
-        found: bool,
-    },
-    /// The resume could not be delivered.
-    ResumeFailed,
-    /// Status and headers.
-    Head(AnswerHead),
-    /// Bytes of the answer.
-    Chunk {
-        /// Offset of the first byte.
-        offset: u64,
-        /// The bytes.
-        bytes: Bytes,
-    },
-    /// How it ended.
-    Done(AnswerEnd),
-}
-
-/// Where the events of one attempt go, with the attempt's number.
-///
-/// Bounded, so that a slow caller holds back its own answer and no other.
-#[derive(Clone, Debug)]
-pub(crate) struct AttemptSender {
-    /// Number of the attempt.
-    pub(crate) attempt: AttemptNumber,
-    /// The driver's end.
-    pub(crate) sender: mpsc::Sender<(AttemptNumber, AttemptEvent)>,
-}
-
-impl AttemptSender {
-    async fn send(&self, event: AttemptEvent) {
-        // A driver that is gone has finished its request; nobody needs the event.
-        let _gone = self.sender.send((self.attempt, event)).await;
-    }
-}
-
 /// One endpoint's link.
 pub(crate) struct EndpointLink {
     /// Endpoint at the other end.
@@ -400,43 +293,6 @@
     }
 }
 
-/// Sends heartbeats and feeds configuration on one session.
-struct SessionBeater {
-    endpoint: EndpointId,
-    context: Rc<GatewayContext>,
-    silence: Duration,
-}
-
-impl SessionBeater {
-    async fn beat(&self, session: &LinkSession, sequence: u64) -> Result<(), WireError> {
-        let generation = self.context.generation();
-        let limit = self.silence;
-        let fleet = &self.context.fleet;
-        fleet.heartbeat_sent(&self.endpoint);
-        let load = session
-            .client
-            .heartbeat(sequence, generation, limit)
-            .await?;
-        let lacking = load.generation < generation;
-        fleet.report(&self.endpoint, self.context.clock.now(), &load);
-        if lacking {
-            self.feed(session).await?;
-        }
-        Ok(())
-    }
-
-    /// Hands the configuration in force to a sidecar that has an older one.
-    async fn feed(&self, session: &LinkSession) -> Result<(), WireError> {
-        let active = self.context.config.load_full();
-        let message = ConfigMessage {
-            generation: active.generation,
-            config: active.text.clone(),
-        };
-        session.client.configure(&message, self.silence).await?;
-        Ok(())
-    }
-}
-
 async fn open_client(
     connector: &dyn PeerConnector,
     address: SocketAddr,
@@ -481,96 +337,3 @@
         Err(_) => events.send(AttemptEvent::Lost { incarnation }).await,
     }
 }
-
-/// The rest of one answer, on a connection of its own.
-struct ResumedAnswer {
-    connector: Rc<dyn PeerConnector>,
-    identity: PeerIdentity,
-    address: SocketAddr,
-    times: LinkTimes,
-    events: AttemptSender,
-}
-
-impl ResumedAnswer {
-    async fn run(self, key: AttemptKey, offset: u64) {
-        let receiver = AttemptReceiver::new(self.events.clone());
-        let ended = Rc::clone(&receiver.ended);
-        match self.open(key, offset, receiver).await {
-            Ok(None) => {
-                self.events
-                    .send(AttemptEvent::Resumed { found: false })
-                    .await
-            }
-            Ok(Some(client)) => {
-                self.events
-                    .send(AttemptEvent::Resumed { found: true })
-                    .await;
-                self.watch(&client, key, &ended).await;
-            }
-            Err(_) => self.events.send(AttemptEvent::ResumeFailed).await,
-        }
-    }
-
-    async fn open(
-        &self,
-        key: AttemptKey,
-        offset: u64,
-        receiver: AttemptReceiver,
-    ) -> Result<Option<EndpointClient>, WireError> {
-        let limit = self.times.silence;
-        let client = open_client(&*self.connector, self.address, limit).await?;
-        let welcome = client.hello(&self.identity, limit).await?;
-        if welcome.incarnation != key.incarnation {
-            return Ok(None);
-        }
-        let found = client.resume(key, offset, receiver, limit).await?;
-        Ok(found.then_some(client))
-    }
-
-    /// Sends heartbeats until the answer ends: this connection may go silent like any other.
-    async fn watch(&self, client: &EndpointClient, key: AttemptKey, ended: &Cell<bool>) {
-        let mut sequence = 0;
-        while !ended.get() && !self.events.sender.is_closed() {
-            sleep(self.times.heartbeat).await;
-            sequence += 1;
-            let beat = client.heartbeat(sequence, self.identity.generation, self.times.silence);
-            if beat.await.is_err() && !ended.get() {
-                let incarnation = key.incarnation;
-                self.events.send(AttemptEvent::Lost { incarnation }).await;
-                return;
-            }
-        }
-    }
-}
-
-struct AttemptReceiver {
-    events: AttemptSender,
-    ended: Rc<Cell<bool>>,
-}
-
-impl AttemptReceiver {
-    fn new(events: AttemptSender) -> Self {
-        Self {
-            events,
-            ended: Rc::default(),
-        }
-    }
-}
-
-impl AnswerReceiver for AttemptReceiver {
-    fn head(&self, head: AnswerHead) -> impl Future<Output = ()> + 'static {
-        let events = self.events.clone();
-        async move { events.send(AttemptEvent::Head(head)).await }
-    }
-
-    fn chunk(&self, offset: u64, bytes: Bytes) -> impl Future<Output = ()> + 'static {
-        let events = self.events.clone();
-        async move { events.send(AttemptEvent::Chunk { offset, bytes }).await }
-    }
-
-    fn done(&self, end: AnswerEnd) -> impl Future<Output = ()> + 'static {
-        let events = self.events.clone();
-        self.ended.set(true);
-        async move { events.send(AttemptEvent::Done(end)).await }
-    }
-}
--- /dev/null
+++ b/lovagedock-gateway/src/link/resume.rs
@@ -0,0 +1,82 @@
+//! The rest of an answer whose session was lost.
+
+use std::{cell::Cell, net::SocketAddr, rc::Rc};
+
+use lovagedock::AttemptKey;
+use lovagedock_wire::{EndpointClient, PeerIdentity, WireError};
+use tokio::time::sleep;
+
+use super::{
+    LinkTimes,
+    message::{AttemptEvent, AttemptSender},
+    open_client,
+    receive::AttemptReceiver,
+};
+use crate::connect::PeerConnector;
+
+/// The rest of one answer, on a connection of its own.
+pub(super) struct ResumedAnswer {
+    /// How to connect.
+    pub(super) connector: Rc<dyn PeerConnector>,
+    /// How this gateway introduces itself.
+    pub(super) identity: PeerIdentity,
+    /// Address of the sidecar.
+    pub(super) address: SocketAddr,
+    /// Times to keep.
+    pub(super) times: LinkTimes,
+    /// Where the answer goes.
+    pub(super) events: AttemptSender,
+}
+
+impl ResumedAnswer {
+    /// Resumes and follows the answer to its end.
+    pub(super) async fn run(self, key: AttemptKey, offset: u64) {
+        let receiver = AttemptReceiver::new(self.events.clone());
+        let ended = Rc::clone(&receiver.ended);
+        match self.open(key, offset, receiver).await {
+            Ok(None) => {
+                self.events
+                    .send(AttemptEvent::Resumed { found: false })
+                    .await
+            }
+            Ok(Some(client)) => {
+                self.events
+                    .send(AttemptEvent::Resumed { found: true })
+                    .await;
+                self.watch(&client, key, &ended).await;
+            }
+            Err(_) => self.events.send(AttemptEvent::ResumeFailed).await,
+        }
+    }
+
+    async fn open(
+        &self,
+        key: AttemptKey,
+        offset: u64,
+        receiver: AttemptReceiver,
+    ) -> Result<Option<EndpointClient>, WireError> {
+        let limit = self.times.silence;
+        let client = open_client(&*self.connector, self.address, limit).await?;
+        let welcome = client.hello(&self.identity, limit).await?;
+        if welcome.incarnation != key.incarnation {
+            return Ok(None);
+        }
+        let found = client.resume(key, offset, receiver, limit).await?;
+        Ok(found.then_some(client))
+    }
+
+    /// Sends heartbeats until the answer ends: this connection may go silent like any other.
+    async fn watch(&self, client: &EndpointClient, key: AttemptKey, ended: &Cell<bool>) {
+        let mut sequence = 0;
+        while !ended.get() && !self.events.sender.is_closed() {
+            sleep(self.times.heartbeat).await;
+            sequence += 1;
+            let beat = client.heartbeat(sequence, self.identity.generation, self.times.silence);
+            if beat.await.is_err() && !ended.get() {
+                let incarnation = key.incarnation;
+                self.events.send(AttemptEvent::Lost { incarnation }).await;
+                return;
+            }
+        }
+    }
+}
