Say truthfully what became of a request whose engine was lost

Cause: a connection to the engine that broke or went silent ended its request as 3002, ran "yes", though nobody can tell. Its memory counted as free at once while the engine may still hold it. An engine's 409 (it has a request with this id) was told as "not run". Looks at a hung engine waited as long as an answer may (30 s each, three until it counts as down), so a whole answer from it ended about a minute and a half later or at its deadline, and its task and connection stayed.

Change: EngineResult::Lost ends as 3001 "unknown", or as 3002 when bytes came; the memory stays taken until the engine's account lacks the request. 409 counts as lost. A look has two seconds. The end of a request ends its engine task.

--- a/lovagedock-sidecar/src/engine_task.rs
+++ b/lovagedock-sidecar/src/engine_task.rs
@@ -15,6 +15,8 @@
 
 /// Difference between the priorities of two tiers; more than the lengths make.
 const PRIORITY_STEP: i32 = 10;
+/// HTTP status of an engine that has a request with the same id.
+const ALREADY_THERE: u16 = 409;
 
 /// Starts a request on the engine and follows it to its end.
 pub(crate) async fn run(state: Arc<SidecarState>, key: AttemptKey, work: Arc<WorkMessage>) {
@@ -129,8 +131,16 @@
 
 fn failed(error: &EngineError) -> EngineResult {
     let detail = error.to_string();
-    match error.ran() {
-        RanState::No => EngineResult::Refused { detail },
-        RanState::Yes | RanState::Unknown => EngineResult::Failed { detail },
+    match error {
+        // An earlier run under this id is on the engine. Told as "not run", a call that must not
+        // be repeated would be sent to another engine while that run goes on.
+        EngineError::Refused { status, .. } if *status == ALREADY_THERE => {
+            EngineResult::Lost { detail }
+        }
+        EngineError::Refused { .. } | EngineError::Unreachable { .. } => {
+            EngineResult::Refused { detail }
+        }
+        EngineError::Lost { .. } => EngineResult::Lost { detail },
+        EngineError::Failed { .. } => EngineResult::Failed { detail },
     }
 }
--- a/lovagedock-sidecar/src/poll.rs
+++ b/lovagedock-sidecar/src/poll.rs
@@ -4,12 +4,17 @@
 
 use lovagedock::{EndpointEvent, EngineHolding, EngineReport};
 use slog::{info, warn};
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, timeout};
 
 use crate::{adapter::EngineError, state::SidecarState};
 
 /// Looks in a row that fail before the engine counts as down.
 const FAILURES_UNTIL_DOWN: u32 = 3;
+/// Time of one look.
+///
+/// A hung engine keeps its connections open and says nothing. Requests that wait for a whole answer
+/// are ended by no other sign than these looks, so a look must not wait as long as an answer may.
+const LOOK_LIMIT: Duration = Duration::from_secs(2);
 
 /// Looks at the engine again and again; never ends.
 pub(crate) async fn run(state: Arc<SidecarState>, every: Duration) {
@@ -38,6 +43,11 @@
 }
 
 async fn look(state: &Arc<SidecarState>) -> Result<(), EngineError> {
+    let looked = timeout(LOOK_LIMIT, take_report(state)).await;
+    looked.unwrap_or_else(|_| Err(EngineError::lost(format!("no report in {LOOK_LIMIT:?}"))))
+}
+
+async fn take_report(state: &Arc<SidecarState>) -> Result<(), EngineError> {
     let load = state.adapter.load().await?;
     state.decide(EndpointEvent::EngineReport(EngineReport {
         memory_tokens: load.memory_tokens,
--- a/lovagedock-sidecar/src/state.rs
+++ b/lovagedock-sidecar/src/state.rs
@@ -214,6 +214,10 @@
             .increment(1);
         if let Some(record) = self.answers().get_mut(key.request) {
             record.finish(end);
+            // A hung engine never ends its side; the task and its connection would stay for good.
+            if let Some(task) = record.engine_task.take() {
+                task.abort();
+            }
         }
     }
 }
--- a/lovagedock/src/endpoint/engine.rs
+++ b/lovagedock/src/endpoint/engine.rs
@@ -55,6 +55,12 @@
             EngineResult::Refused { detail } | EngineResult::Failed { detail } => {
                 AnswerEnd::new(ResultCode::EngineFailed).with_detail(detail)
             }
+            EngineResult::Lost { detail } => {
+                let end = lost_answer(entry).with_detail(detail);
+                // The engine may live and still hold the memory: it is freed when the engine's
+                // account says so. Freed at once, new work would be let into taken blocks.
+                return self.finish(now, key.request, end, false);
+            }
             EngineResult::Cancelled => {
                 AnswerEnd::new(ResultCode::EngineFailed).with_detail("cancelled on the engine")
             }
@@ -230,6 +236,15 @@
     }
 }
 
+/// The end of a request whose engine stopped talking: only bytes prove that it ran. Told "ran" or
+/// "not run" without them, a caller would act on a guess.
+fn lost_answer(entry: &RequestEntry) -> AnswerEnd {
+    match entry.first_bytes {
+        Some(_) => AnswerEnd::new(ResultCode::EngineFailed),
+        None => AnswerEnd::new(ResultCode::EndpointLost),
+    }
+}
+
 fn lost_end(entry: &RequestEntry) -> AnswerEnd {
     match entry.phase {
         RequestPhase::Running => {
--- a/lovagedock/src/endpoint/messages.rs
+++ b/lovagedock/src/endpoint/messages.rs
@@ -53,6 +53,11 @@
         /// The engine's reason.
         detail: String,
     },
+    /// The connection to the engine broke or went silent after the request was sent.
+    Lost {
+        /// What was seen last.
+        detail: String,
+    },
     /// The engine stopped because it was told to.
     Cancelled,
 }
--- a/lovagedock/tests/endpoint_scenarios.rs
+++ b/lovagedock/tests/endpoint_scenarios.rs
@@ -170,6 +170,7 @@
         })),
         "refused" => ended(EngineResult::Refused { detail }),
         "failed" => ended(EngineResult::Failed { detail }),
+        "lost" => ended(EngineResult::Lost { detail }),
         "cancelled" => ended(EngineResult::Cancelled),
         "holds" => EndpointEvent::EngineAccount(parse_account(line)),
         "reports" => EndpointEvent::EngineReport(parse_report(line)),
