Let a broken stream tell its reason before it breaks

Cause: the problem event and the error of the body came in one poll, and the connection drops what it has not written when a body fails. Callers saw a stream that broke without the event that names the code.

Change: the body pauses once between the event and the break.

Before: the event reached no caller in the two cases that look for it (engine dies, engine hangs, after the first byte).

--- a/lovagedock-gateway/src/front/reply.rs
+++ b/lovagedock-gateway/src/front/reply.rs
@@ -113,7 +113,7 @@
         id,
         stream,
         events,
-        ended: false,
+        ending: BodyEnding::Open,
     };
     let mut response = Response::new(body.boxed_unsync());
     *response.status_mut() = status(head.status);
@@ -142,13 +142,21 @@
     id: RequestId,
     stream: bool,
     events: mpsc::Receiver<CallerEvent>,
-    ended: bool,
+    ending: BodyEnding,
+}
+
+#[derive(Clone, Copy)]
+enum BodyEnding {
+    Open,
+    /// The problem was handed over and is to be written before the break.
+    Told,
+    Broken,
 }
 
 impl EventBody {
     /// Tells a streaming client why its stream breaks, as one more event before the break.
     fn problem_frame(&mut self, problem: &RequestProblem) -> Frame<Bytes> {
-        self.ended = true;
+        self.ending = BodyEnding::Told;
         let document = serde_json::to_string(&problem.document(self.id)).unwrap_or_default();
         Frame::data(Bytes::from(format!("event: error\ndata: {document}\n\n")))
     }
@@ -162,8 +170,16 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        if self.ended {
-            return Poll::Ready(Some(Err(cut())));
+        match self.ending {
+            BodyEnding::Open => {}
+            // The error of a body drops what the connection has not written yet, and the caller
+            // would see a break without its reason. A pause lets the connection write first.
+            BodyEnding::Told => {
+                self.ending = BodyEnding::Broken;
+                context.waker().wake_by_ref();
+                return Poll::Pending;
+            }
+            BodyEnding::Broken => return Poll::Ready(Some(Err(cut()))),
         }
         match self.events.poll_recv(context) {
             Poll::Pending => Poll::Pending,
