Answer a repeat of a failed key at once with the same failure

Cause: a keyed request that may have run and failed left its claim as running until its deadline.

Change: after its caller was told, the gateway records the failure under the key, as it does an answer. A repeat reads the same problem document, through any gateway. A failure that did not run gives the key back, as before. When the store is down for five seconds the claim stands until its deadline, as before.

Before: the repeat in a_keyed_repeat_after_a_death_does_not_run took the whole deadline of the first. After: it is answered within the test's ten seconds, with a deadline of ten minutes.

--- a/lovagedock-gateway/src/call_task.rs
+++ b/lovagedock-gateway/src/call_task.rs
@@ -1,6 +1,6 @@
 //! One call from its admission to the last word to its caller.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use lovagedock::{ClaimKey, ClaimRequest, KeyHash, Outcome, prelude::*};
@@ -15,6 +15,9 @@
     shared::GatewayShared,
 };
 
+/// Time to record a failure; a store that is down for longer leaves the claim to its deadline.
+const FAILURE_TIME: Duration = Duration::from_secs(5);
+
 /// Runs a call: claims its key if it has one, drives it, records its answer.
 pub(crate) struct CallTask {
     shared: GatewayShared,
@@ -45,20 +48,23 @@
     /// Runs the call to the last word to its caller.
     pub(crate) async fn run(self) {
         let started = self.shared.context.clock.now();
-        let last = match &self.call.idempotency_key {
+        let end = match &self.call.idempotency_key {
             None => {
                 let (outcome, _) = self.drive(false).await;
-                last_word(&outcome)
+                CallEnd::told(last_word(&outcome))
             }
             Some(key) => self.run_keyed(key.clone()).await,
         };
-        let code = last.code();
+        let code = end.last.code();
         self.shared.limits.finish(&self.call.organisation);
-        self.caller.send(last).await;
+        self.caller.send(end.last).await;
         self.note_end(code, started);
+        if let Some(failure) = end.failure {
+            self.record_failure(failure).await;
+        }
     }
 
-    async fn run_keyed(&self, key: String) -> CallerEvent {
+    async fn run_keyed(&self, key: String) -> CallEnd {
         let key = ClaimKey {
             organisation: self.call.organisation.clone(),
             service: self.call.service.clone(),
@@ -67,14 +73,14 @@
         .hash();
         match self.claim(key).await {
             Some(ClaimAnswer::Granted) => self.run_granted(key).await,
-            Some(ClaimAnswer::Replay(answer)) => self.replay(&answer).await,
+            Some(ClaimAnswer::Replay(answer)) => CallEnd::told(self.replay(&answer).await),
             Some(ClaimAnswer::Refused(code)) => {
                 self.step(format!("key refused with code {}", code.number()));
-                CallerEvent::Problem(RequestProblem::new(code))
+                CallEnd::told(CallerEvent::Problem(RequestProblem::new(code)))
             }
-            None => CallerEvent::Problem(
+            None => CallEnd::told(CallerEvent::Problem(
                 RequestProblem::new(ResultCode::CallerGone).with_ran(RanState::No),
-            ),
+            )),
         }
     }
 
@@ -96,18 +102,37 @@
         }
     }
 
-    async fn run_granted(&self, key: KeyHash) -> CallerEvent {
+    async fn run_granted(&self, key: KeyHash) -> CallEnd {
         self.step("key claimed");
         let (outcome, kept) = self.drive(true).await;
         if outcome.ran == RanState::No {
             self.shared.claims.abandon(key, self.call.id);
         }
-        match (outcome.code, kept) {
-            (ResultCode::Complete, Some(kept)) => self.record(key, kept).await,
-            _ => last_word(&outcome),
+        if let (ResultCode::Complete, Some(kept)) = (outcome.code, kept) {
+            return CallEnd::told(self.record(key, kept).await);
+        }
+        CallEnd {
+            last: last_word(&outcome),
+            failure: ClaimFailure::new(key, &outcome),
         }
     }
 
+    /// Records how a request failed, after its caller was told.
+    ///
+    /// The claim of a request that may have run stays until its deadline. Until then a repeat with
+    /// the key would wait, though its answer is known: the same failure.
+    async fn record_failure(&self, failure: ClaimFailure) {
+        let answer = RecordedAnswer::failure(&failure.problem, self.call.id);
+        let Ok(bytes) = answer.encode() else { return };
+        let deadline = self.shared.context.clock.now() + FAILURE_TIME;
+        let claims = &self.shared.claims;
+        let recorded = claims.record(failure.key, self.call.id, bytes, deadline);
+        self.step(match recorded.await {
+            true => "failure recorded",
+            false => "failure not recorded",
+        });
+    }
+
     /// Records the answer before its clean end.
     ///
     /// A caller that saw a clean end may ask again and count on the same bytes. If the answer is
@@ -181,6 +206,42 @@
     }
 }
 
+/// How a call ended.
+struct CallEnd {
+    last: CallerEvent,
+    failure: Option<ClaimFailure>,
+}
+
+impl CallEnd {
+    fn told(last: CallerEvent) -> Self {
+        Self {
+            last,
+            failure: None,
+        }
+    }
+}
+
+/// The failure that each repeat of a key reads.
+struct ClaimFailure {
+    key: KeyHash,
+    problem: RequestProblem,
+}
+
+impl ClaimFailure {
+    /// `None` if the request did not run, so that a repeat may.
+    fn new(key: KeyHash, outcome: &Outcome) -> Option<Self> {
+        let code = match outcome.code {
+            // The repeat's caller is there; what it lacks is the answer.
+            ResultCode::CallerGone | ResultCode::Complete => ResultCode::AnswerLost,
+            code => code,
+        };
+        let problem = RequestProblem::new(code)
+            .with_ran(outcome.ran)
+            .with_detail(&outcome.detail);
+        (outcome.ran != RanState::No).then_some(Self { key, problem })
+    }
+}
+
 /// Counts how a request ended.
 pub(crate) fn count_outcome(code: ResultCode) {
     metrics::counter!("lovagedock_requests_total", "code" => code.number().to_string())
--- a/lovagedock-gateway/src/front/mod.rs
+++ b/lovagedock-gateway/src/front/mod.rs
@@ -8,6 +8,6 @@
 mod router;
 mod server;
 
-pub(crate) use problem::RequestProblem;
+pub(crate) use problem::{PROBLEM_TYPE, RequestProblem};
 pub(crate) use reply::{CallerEvent, CallerSink};
 pub(crate) use server::FrontServer;
--- a/lovagedock-gateway/src/front/problem.rs
+++ b/lovagedock-gateway/src/front/problem.rs
@@ -11,6 +11,8 @@
 
 /// Header that carries the request's id in every answer.
 pub(crate) const REQUEST_ID_HEADER: &str = "x-request-id";
+/// Content type of the documents.
+pub(crate) const PROBLEM_TYPE: &str = "application/problem+json";
 
 /// How a request ended, when not with an answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -73,15 +75,19 @@
         }
     }
 
+    /// The document as its bytes.
+    pub(crate) fn bytes(&self, id: RequestId) -> Vec<u8> {
+        serde_json::to_vec(&self.document(id)).unwrap_or_default()
+    }
+
     /// The whole answer.
     pub(crate) fn response(&self, id: RequestId) -> Response<AnswerBody> {
-        let document = serde_json::to_vec(&self.document(id)).unwrap_or_default();
-        let mut response = Response::new(whole_body(Bytes::from(document)));
+        let mut response = Response::new(whole_body(Bytes::from(self.bytes(id))));
         *response.status_mut() = status(self.code.http_status());
         let headers = response.headers_mut();
         headers.insert(
             header::CONTENT_TYPE,
-            header::HeaderValue::from_static("application/problem+json"),
+            header::HeaderValue::from_static(PROBLEM_TYPE),
         );
         if !self.retry_after.is_zero() {
             let seconds = self.retry_after.as_millis().div_ceil(1000);
--- a/lovagedock-gateway/src/recorded.rs
+++ b/lovagedock-gateway/src/recorded.rs
@@ -1,9 +1,12 @@
 //! The form in which the answer of a keyed request is kept in the store.
 
 use bytes::Bytes;
+use lovagedock::prelude::RequestId;
 use lovagedock_wire::{AnswerHead, HeaderField};
 use serde::{Deserialize, Serialize};
 
+use crate::front::{PROBLEM_TYPE, RequestProblem};
+
 /// Headers that belong to one delivery, not to the answer.
 const NOT_RECORDED: &[&str] = &["connection", "content-length", "date", "transfer-encoding"];
 
@@ -38,6 +41,19 @@
         }
     }
 
+    /// A failure of a request that ran or may have run.
+    pub(crate) fn failure(problem: &RequestProblem, id: RequestId) -> Self {
+        let content_type = RecordedHeader {
+            name: "content-type".to_owned(),
+            value: PROBLEM_TYPE.into(),
+        };
+        Self {
+            status: problem.code.http_status(),
+            headers: vec![content_type],
+            body: problem.bytes(id),
+        }
+    }
+
     /// The bytes for the store.
     pub(crate) fn encode(&self) -> Result<Bytes, postcard::Error> {
         postcard::to_stdvec(self).map(Bytes::from)
