--- a/lovagedock-standin/src/fleet.rs
+++ b/lovagedock-standin/src/fleet.rs
@@ -55,6 +55,11 @@
     pub heartbeat: Duration,
     /// Time without an answer after which a session is given up.
     pub silence: Duration,
+    /// Longest time that a stopped sidecar waits for its requests; zero cuts them off, as a process
+    /// that is killed does.
+    pub drain: Duration,
+    /// Requests that an endpoint gets at once; 0 leaves it to the sidecar's defaults.
+    pub concurrency: usize,
     /// Log of the daemons.
     pub log: Logger,
 }
@@ -68,6 +73,8 @@
             service_time: Duration::from_millis(5),
             heartbeat: Duration::from_millis(500),
             silence: Duration::from_secs(2),
+            drain: Duration::from_secs(60),
+            concurrency: 0,
             log,
         }
     }
@@ -84,6 +91,45 @@
         self.silence = silence;
         self
     }
+
+    /// Sets the time that a plain service takes for a call.
+    pub fn with_service_time(mut self, service_time: Duration) -> Self {
+        self.service_time = service_time;
+        self
+    }
+
+    /// Sets the longest time that a stopped sidecar waits for its requests.
+    pub fn with_drain(mut self, drain: Duration) -> Self {
+        self.drain = drain;
+        self
+    }
+
+    /// Sets how many requests an endpoint gets at once.
+    pub fn with_concurrency(mut self, concurrency: usize) -> Self {
+        self.concurrency = concurrency;
+        self
+    }
+
+    /// Starts a gateway that is told the platform's base URL and the peers to ask for a
+    /// configuration.
+    pub async fn start_gateway(
+        &self,
+        spec: &GatewaySpec,
+        platform: String,
+        seed_peers: Vec<SocketAddr>,
+    ) -> Result<RunningGateway, Report<FleetError>> {
+        let mut settings = gateway_settings(self, spec, platform);
+        settings.seed_peers = seed_peers;
+        let daemon = DaemonContext::new(self.log.clone());
+        let gateway = Gateway::start(settings, daemon.clone())
+            .await
+            .change_context(FleetError)?;
+        Ok(RunningGateway {
+            id: spec.id.clone(),
+            gateway,
+            daemon,
+        })
+    }
 }
 
 /// The endpoint beside a sidecar.
@@ -164,7 +210,7 @@
         }
         let mut gateways = Vec::new();
         for spec in &mut config.gateways {
-            let gateway = start_gateway(&plan, spec, &platform).await?;
+            let gateway = plan.start_gateway(spec, platform.url(), Vec::new()).await?;
             spec.peer_address = gateway.gateway.peers_address();
             gateways.push(gateway);
         }
@@ -232,7 +278,7 @@
             (EndpointStandin::Service(service), "plain")
         }
     };
-    let mut settings = sidecar_settings(spec, standin.address(), adapter);
+    let mut settings = sidecar_settings(plan, spec, standin.address(), adapter);
     let daemon = DaemonContext::new(plan.log.clone());
     let sidecar = Sidecar::start(settings.clone(), daemon.clone())
         .await
@@ -273,7 +319,12 @@
     }
 }
 
-fn sidecar_settings(spec: &EndpointSpec, engine: SocketAddr, adapter: &str) -> SidecarSettings {
+fn sidecar_settings(
+    plan: &FleetPlan,
+    spec: &EndpointSpec,
+    engine: SocketAddr,
+    adapter: &str,
+) -> SidecarSettings {
     SidecarSettings {
         endpoint: spec.id.clone(),
         gateways: SessionSettings {
@@ -288,23 +339,19 @@
             connect_ms: 1_000,
             idle_ms: 30_000,
             poll_ms: 250,
-            concurrency: 0,
+            concurrency: plan.concurrency,
         },
         log: LogSettings::default(),
-        drain_ms: 60_000,
+        drain_ms: plan.drain.as_millis() as u64,
     }
 }
 
-async fn start_gateway(
-    plan: &FleetPlan,
-    spec: &GatewaySpec,
-    platform: &RunningStandin,
-) -> Result<RunningGateway, Report<FleetError>> {
+fn gateway_settings(plan: &FleetPlan, spec: &GatewaySpec, platform: String) -> GatewaySettings {
     let listener = || ListenerSettings {
         address: LOOPBACK,
         transport: plain(),
     };
-    let settings = GatewaySettings {
+    GatewaySettings {
         name: spec.id.clone(),
         failure_domain: spec.failure_domain.clone(),
         callers: listener(),
@@ -318,21 +365,10 @@
         },
         seed_peers: Vec::new(),
         admin: admin(),
-        platform: PlatformSettings {
-            base: platform.url(),
-        },
+        platform: PlatformSettings { base: platform },
         log: LogSettings::default(),
         limits: CallerLimits::default(),
-    };
-    let daemon = DaemonContext::new(plan.log.clone());
-    let gateway = Gateway::start(settings, daemon.clone())
-        .await
-        .change_context(FleetError)?;
-    Ok(RunningGateway {
-        id: spec.id.clone(),
-        gateway,
-        daemon,
-    })
+    }
 }
 
 fn plain() -> TransportSettings {
