Forget the end of a drain that was called off

Cause: a sidecar that was drained while idle, and then brought back, kept the news that it was empty. A later SIGTERM took that for the end of its own drain, so the process stopped at once and cut off what ran.

Change: each order to drain, or not to, clears the news.

--- a/lovagedock-sidecar/src/state.rs
+++ b/lovagedock-sidecar/src/state.rs
@@ -13,7 +13,7 @@
 use lovagedock_daemon::ProcessClock;
 use parking_lot::{Mutex, MutexGuard};
 use slog::{Logger, debug, info, warn};
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 
 use crate::{adapter::EngineAdapter, answers::AnswerTable, engine_task};
 
@@ -51,7 +51,7 @@
     core: Mutex<EndpointCore>,
     answers: Mutex<AnswerTable>,
     wake_at: watch::Sender<Timestamp>,
-    drained: Notify,
+    drained: watch::Sender<bool>,
 }
 
 impl SidecarState {
@@ -73,13 +73,18 @@
             core: Mutex::new(EndpointCore::new(incarnation, limits)),
             answers: Mutex::default(),
             wake_at: watch::Sender::new(Timestamp::MAX),
-            drained: Notify::new(),
+            drained: watch::Sender::new(false),
         })
     }
 
     /// Decides on an event, carries the actions out and returns what the asker is told.
     pub(crate) fn decide(self: &Arc<Self>, event: EndpointEvent) -> Option<CoreReply> {
         let mut core = self.core.lock();
+        if let EndpointEvent::Drain(_) = &event {
+            // A drain that was called off before has told its end already; kept, it would end the
+            // next one at once and cut off what runs.
+            self.drained.send_replace(false);
+        }
         let actions = core.handle(self.clock.now(), event);
         let mut reply = None;
         for action in actions {
@@ -102,7 +107,9 @@
 
     /// Ends when the endpoint is leaving and nothing is left on it.
     pub(crate) async fn drained(&self) {
-        self.drained.notified().await;
+        let mut drained = self.drained.subscribe();
+        // The sender lives in `self`, so the channel cannot close while we wait.
+        let _open = drained.wait_for(|drained| *drained).await;
     }
 
     /// Sends the core the ticks that it asks for; never ends.
@@ -163,7 +170,7 @@
             }
             EndpointAction::Drained => {
                 info!(self.log, "drained");
-                self.drained.notify_one();
+                self.drained.send_replace(true);
             }
         }
         None
