Name the calls behind violations; let the balancer heed a stopping gateway

A violation count alone did not say whom to ask; the demo now prints request, ending and endpoints, so that explain can be asked.

--- a/lovagedock-standin/src/bin/lovagedock-demo.rs
+++ b/lovagedock-standin/src/bin/lovagedock-demo.rs
@@ -10,13 +10,16 @@
 };
 
 use clap::Parser;
+use lovagedock::format_request_id;
 use lovagedock_daemon::{ExitStatus, LogFormat, LogLevel, LogSettings, load_settings};
 use lovagedock_standin::{
-    demo::{DemoOptions, Deployment, FaultPlan, run_demo},
-    load::{LoadReport, RunProgress, render_table},
+    demo::{DemoOptions, DemoOutcome, Deployment, FaultPlan, run_demo},
+    load::{CallEnding, LoadReport, RunProgress, ViolationNote, render_table},
 };
 use slog::{Discard, Logger, o};
 
+/// Calls behind violations that are printed at most.
+const MAX_NOTES: usize = 20;
 const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Starts stand-ins of the platform and of a deployment's endpoints, the deployment's sidecars and
@@ -71,14 +74,17 @@
         faults,
         log: logger(args.logs),
     };
-    let report = match run_demo(&options, watch).await {
-        Ok(report) => report,
+    let DemoOutcome { report, notes } = match run_demo(&options, watch).await {
+        Ok(outcome) => outcome,
         Err(report) => {
             eprintln!("{report:?}");
             return ExitStatus::Failure.into();
         }
     };
     println!("\n{}", render_table(&report));
+    for note in notes.iter().take(MAX_NOTES) {
+        println!("{}", note_line(note));
+    }
     if let Err(error) = write_report(&args, &report) {
         eprintln!("{error}");
         return ExitStatus::Failure.into();
@@ -89,6 +95,20 @@
     }
 }
 
+fn note_line(note: &ViolationNote) -> String {
+    let request = note.request.map_or("unknown".to_owned(), format_request_id);
+    let endpoints = note.endpoints.join(", ");
+    let ending = match note.ending {
+        CallEnding::Problem { code, ran } => format!("code {code}, ran: {}", ran.as_str()),
+        CallEnding::Complete => "a clean end".to_owned(),
+        CallEnding::Broken => "a broken connection".to_owned(),
+        CallEnding::Unsent => "no connection".to_owned(),
+        CallEnding::Nothing => "no end".to_owned(),
+    };
+    let counter = note.counter;
+    format!("{counter}: request {request} ended with {ending}; started on [{endpoints}]")
+}
+
 fn logger(wanted: bool) -> Logger {
     if !wanted {
         return Logger::root(Discard, o!());
--- a/lovagedock-standin/src/demo/run.rs
+++ b/lovagedock-standin/src/demo/run.rs
@@ -18,8 +18,8 @@
     fleet::{EndpointStandin, FleetPlan, LocalFleet},
     load::{
         CallerClient, ClockOrigin, ControlFigures, ExecutionJournal, GatewayTarget, LoadReport,
-        LoadRunner, ReportTags, RunProgress, ViolationLimits, count_violations, long_from,
-        plan_calls,
+        LoadRunner, ReportTags, RunProgress, ViolationLimits, ViolationNote, count_violations,
+        long_from, note_violations, plan_calls,
     },
 };
 
@@ -49,6 +49,15 @@
     pub log: Logger,
 }
 
+/// What a run found.
+#[derive(Clone, Debug)]
+pub struct DemoOutcome {
+    /// The figures.
+    pub report: LoadReport,
+    /// The calls behind the violations that count calls.
+    pub notes: Vec<ViolationNote>,
+}
+
 /// Why a run failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DemoError {
@@ -79,7 +88,7 @@
 pub async fn run_demo(
     options: &DemoOptions,
     watch: impl FnOnce(Arc<RunProgress>),
-) -> Result<LoadReport, Report<DemoError>> {
+) -> Result<DemoOutcome, Report<DemoError>> {
     let config = options
         .deployment
         .config(options.policy.as_deref())
@@ -126,7 +135,10 @@
         long_from: start + long_from(&mix, options.duration),
         time_scale: TIME_SCALE,
     };
-    Ok(LoadReport::new(&tags, &callers, violations, control))
+    Ok(DemoOutcome {
+        report: LoadReport::new(&tags, &callers, violations, control),
+        notes: note_violations(&callers, &executions, &fleet_journal, &limits),
+    })
 }
 
 async fn measure_control(fleet: &LocalFleet, clock: &ProcessClock) -> ControlFigures {
--- a/lovagedock-standin/src/load/caller.rs
+++ b/lovagedock-standin/src/load/caller.rs
@@ -3,7 +3,7 @@
 use std::{
     fmt::{self, Display, Formatter},
     net::SocketAddr,
-    sync::atomic::{AtomicUsize, Ordering},
+    sync::atomic::{AtomicBool, AtomicUsize, Ordering},
     time::Duration,
 };
 
@@ -18,7 +18,7 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
-use lovagedock::{RanState, Timestamp, parse_request_id};
+use lovagedock::{RanState, ResultCode, Timestamp, parse_request_id};
 use lovagedock_daemon::ProcessClock;
 use serde::Deserialize;
 use tokio::time;
@@ -66,14 +66,30 @@
 
 impl std::error::Error for CallerError {}
 
-/// Sends calls to gateways in turn, past those that refuse a connection.
+/// A gateway as the platform's balancer knows it.
+struct BalancedGateway {
+    target: GatewayTarget,
+    /// It said that it is stopping, so the balancer sends it nothing more.
+    is_out: AtomicBool,
+}
+
+/// Sends calls to gateways in turn, past those that refuse a connection or said that they stop.
 pub struct CallerClient {
     client: Client<HttpConnector, Full<Bytes>>,
-    gateways: Vec<GatewayTarget>,
+    gateways: Vec<BalancedGateway>,
     next: AtomicUsize,
     clock: ProcessClock,
 }
 
+impl BalancedGateway {
+    fn new(target: GatewayTarget) -> Self {
+        Self {
+            target,
+            is_out: AtomicBool::new(false),
+        }
+    }
+}
+
 impl CallerClient {
     /// Creates a client whose journal is on `clock`.
     pub fn new(gateways: Vec<GatewayTarget>, clock: ProcessClock) -> Result<Self, CallerError> {
@@ -85,7 +101,7 @@
         connector.set_connect_timeout(Some(Duration::from_secs(1)));
         Ok(Self {
             client: Client::builder(TokioExecutor::new()).build(connector),
-            gateways,
+            gateways: gateways.into_iter().map(BalancedGateway::new).collect(),
             next: AtomicUsize::new(0),
             clock,
         })
@@ -145,6 +161,7 @@
         record.request = request_id(response.headers());
         if !response.status().is_success() {
             record.ending = read_problem(response).await;
+            self.heed(record);
             return;
         }
         let mut reader = AnswerReader {
@@ -162,6 +179,18 @@
         }
     }
 
+    /// Takes a gateway that says it is stopping out, as the balancer's health checks would.
+    fn heed(&self, record: &CallRecord) {
+        let stopping = ResultCode::GatewayStopping.number();
+        if !matches!(record.ending, CallEnding::Problem { code, .. } if code == stopping) {
+            return;
+        }
+        let mut gateways = self.gateways.iter();
+        if let Some(gateway) = gateways.find(|it| it.target.name == record.gateway) {
+            gateway.is_out.store(true, Ordering::Relaxed);
+        }
+    }
+
     async fn send(
         &self,
         call: &PlannedCall,
@@ -172,8 +201,11 @@
         let first = self.next.fetch_add(1, Ordering::Relaxed);
         for turn in 0..self.gateways.len() {
             let gateway = &self.gateways[(first + turn) % self.gateways.len()];
-            record.gateway.clone_from(&gateway.name);
-            let request = request_to(gateway.address, call, api_key, message);
+            if gateway.is_out.load(Ordering::Relaxed) {
+                continue;
+            }
+            record.gateway.clone_from(&gateway.target.name);
+            let request = request_to(gateway.target.address, call, api_key, message);
             match self.client.request(request).await {
                 Ok(response) => return Ok(response),
                 // Nothing was sent, so the balancer may try the next.
--- a/lovagedock-standin/src/load/mod.rs
+++ b/lovagedock-standin/src/load/mod.rs
@@ -36,4 +36,6 @@
 pub use schedule::{CallBody, ModelCall, PlannedCall, long_from, plan_calls};
 pub use sse::{SseEvent, SseParser};
 pub use table::render_table;
-pub use violations::{ViolationCounts, ViolationLimits, count_violations};
+pub use violations::{
+    ViolationCounts, ViolationLimits, ViolationNote, count_violations, note_violations,
+};
--- a/lovagedock-standin/src/load/violations.rs
+++ b/lovagedock-standin/src/load/violations.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use lovagedock::{RanState, RequestId, Timestamp};
+use lovagedock::{EndpointId, RanState, RequestId, Timestamp};
 use serde::Serialize;
 
 use super::journal::{
@@ -95,16 +95,59 @@
         no_outcome_in_time: joined.count_calls(|call| outcome_is_late(call, limits)),
         cut_answers: joined.count_calls(is_cut),
         wrong_answers: joined.count_calls(|call| call.answer == AnswerCheck::Different),
-        ran_after_not_run: joined.ran_after_not_run(),
+        ran_after_not_run: joined.count_calls(|call| joined.ran_though_refused(call)),
         ran_twice: joined.ran_twice(),
         differing_redelivery: joined.differing_redeliveries(),
         work_after_leaving: joined.work_after_leaving(fleet, limits),
-        cut_by_shutdown: joined.cut_by_shutdown(fleet),
+        cut_by_shutdown: joined.count_calls(|call| joined.is_cut_by_shutdown(call, fleet)),
         stale_config: joined.stale_config(fleet, limits),
         leaked_blocks: executions.holdings.iter().map(|held| held.blocks).sum(),
     }
 }
 
+/// One call that a promise was broken to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ViolationNote {
+    /// Name of the counter.
+    pub counter: &'static str,
+    /// Request id, if the caller knows it.
+    pub request: Option<RequestId>,
+    /// How the call ended for its caller.
+    pub ending: CallEnding,
+    /// Endpoints that started it, in the order of the journals.
+    pub endpoints: Vec<EndpointId>,
+}
+
+/// Names the calls behind the counters that count calls, for whoever looks into them.
+pub fn note_violations(
+    callers: &CallerJournal,
+    executions: &ExecutionJournal,
+    fleet: &FleetJournal,
+    limits: &ViolationLimits,
+) -> Vec<ViolationNote> {
+    let joined = JoinedJournals::new(callers, executions);
+    let mut notes = Vec::new();
+    for call in joined.calls {
+        let broken = [
+            ("no_outcome_in_time", outcome_is_late(call, limits)),
+            ("cut_answers", is_cut(call)),
+            ("wrong_answers", call.answer == AnswerCheck::Different),
+            ("ran_after_not_run", joined.ran_though_refused(call)),
+            ("cut_by_shutdown", joined.is_cut_by_shutdown(call, fleet)),
+        ];
+        let endpoints = joined.starts_of(call).iter();
+        let endpoints: Vec<EndpointId> = endpoints.map(|start| start.endpoint.clone()).collect();
+        let counters = broken.into_iter().filter(|(_, broken)| *broken);
+        notes.extend(counters.map(|(counter, _)| ViolationNote {
+            counter,
+            request: call.request,
+            ending: call.ending,
+            endpoints: endpoints.clone(),
+        }));
+    }
+    notes
+}
+
 struct JoinedJournals<'a> {
     calls: &'a [CallRecord],
     starts: &'a [ExecutionRecord],
@@ -144,17 +187,15 @@
         starts.map_or(&[], Vec::as_slice)
     }
 
-    fn ran_after_not_run(&self) -> u64 {
-        self.count_calls(|call| {
-            let refused = matches!(
-                call.ending,
-                CallEnding::Problem {
-                    ran: RanState::No,
-                    ..
-                }
-            );
-            refused && !self.starts_of(call).is_empty()
-        })
+    fn ran_though_refused(&self, call: &CallRecord) -> bool {
+        let refused = matches!(
+            call.ending,
+            CallEnding::Problem {
+                ran: RanState::No,
+                ..
+            }
+        );
+        refused && !self.starts_of(call).is_empty()
     }
 
     /// A redelivery has another request id than the first delivery, and a call whose connection
@@ -210,14 +251,9 @@
         })
     }
 
-    fn cut_by_shutdown(&self, fleet: &FleetJournal) -> u64 {
-        self.count_calls(|call| {
-            is_cut_off(call)
-                && fleet
-                    .leaves
-                    .iter()
-                    .any(|leave| self.was_in_flight(call, leave))
-        })
+    fn is_cut_by_shutdown(&self, call: &CallRecord, fleet: &FleetJournal) -> bool {
+        let mut leaves = fleet.leaves.iter();
+        is_cut_off(call) && leaves.any(|leave| self.was_in_flight(call, leave))
     }
 
     /// Whether the call was at the leaving party when the departure began.
--- a/lovagedock-standin/tests/load_caller.rs
+++ b/lovagedock-standin/tests/load_caller.rs
@@ -138,11 +138,23 @@
 }
 
 async fn run(gateways: Vec<GatewayTarget>, plan: Vec<PlannedCall>) -> Vec<CallRecord> {
+    run_in_turn(gateways, vec![plan]).await
+}
+
+/// Runs plans one after the other with the same callers.
+async fn run_in_turn(
+    gateways: Vec<GatewayTarget>,
+    plans: Vec<Vec<PlannedCall>>,
+) -> Vec<CallRecord> {
     let mix: MixSpec = load_settings(Path::new("../examples/mixes/mafraq.jsonc")).unwrap();
     let clock = ProcessClock::new();
     let client = CallerClient::new(gateways, clock).unwrap();
     let runner = LoadRunner::new(mix, client, clock);
-    runner.run(plan, clock.now()).await.calls
+    let mut records = Vec::new();
+    for plan in plans {
+        records.extend(runner.run(plan, clock.now()).await.calls);
+    }
+    records
 }
 
 fn target(address: SocketAddr) -> GatewayTarget {
@@ -286,6 +298,25 @@
     assert_eq!(records[0].ending, CallEnding::Unsent);
 }
 
+// One gateway of two says that it is stopping. The call that heard it was refused; the balancer sends
+// those after it to the other.
+#[tokio::test]
+async fn a_gateway_that_is_stopping_gets_no_further_calls() {
+    let stopping = serve(Script {
+        status: 503,
+        ..Script::new(&[problem(2008, "no")], true)
+    })
+    .await;
+    let serving = serve(Script::new(&[event(&expected()), done()], true)).await;
+    let mut gateways = vec![target(stopping), target(serving)];
+    gateways[0].name = "stopping".to_owned();
+    let plans = (0..6).map(|_| vec![planned(true)]).collect();
+    let records = run_in_turn(gateways, plans).await;
+    let refused = records.iter().filter(|it| it.gateway == "stopping");
+    assert_eq!(refused.count(), 1);
+    assert_eq!(records[0].gateway, "stopping");
+}
+
 // The server answers nobody before all twenty calls are there. A generator that waits for answers
 // before it goes on (closed loop) never gets there; one that keeps to its plan does.
 #[tokio::test]
--- a/lovagedock-standin/tests/violations.rs
+++ b/lovagedock-standin/tests/violations.rs
@@ -6,7 +6,7 @@
 use lovagedock_standin::load::{
     AnswerCheck, CallEnding, CallRecord, CallerJournal, ConfigChange, ExecutionJournal,
     ExecutionRecord, FleetJournal, HoldingRecord, LeaveRecord, LeavingParty, RuledOut,
-    ViolationCounts, ViolationLimits, count_violations,
+    ViolationCounts, ViolationLimits, ViolationNote, count_violations, note_violations,
 };
 
 const fn seconds(seconds: u64) -> Duration {
@@ -106,6 +106,10 @@
 
 impl Journals {
     fn count(self) -> ViolationCounts {
+        self.examine().0
+    }
+
+    fn examine(self) -> (ViolationCounts, Vec<ViolationNote>) {
         let callers = CallerJournal { calls: self.calls };
         let executions = ExecutionJournal {
             starts: self.starts,
@@ -115,7 +119,11 @@
             leaves: self.leaves,
             changes: self.changes,
         };
-        count_violations(&callers, &executions, &fleet, &ViolationLimits::default())
+        let limits = ViolationLimits::default();
+        (
+            count_violations(&callers, &executions, &fleet, &limits),
+            note_violations(&callers, &executions, &fleet, &limits),
+        )
     }
 }
 
@@ -526,6 +534,30 @@
     }
 }
 
+/// Counters that count calls; the others count starts, deliveries and blocks.
+const CALL_COUNTERS: [&str; 5] = [
+    "no_outcome_in_time",
+    "cut_answers",
+    "wrong_answers",
+    "ran_after_not_run",
+    "cut_by_shutdown",
+];
+
+#[test]
+fn each_counted_call_is_named() {
+    for case in CASES {
+        let (counts, notes) = (case.journals)().examine();
+        let named = counts.named();
+        let calls = named
+            .iter()
+            .filter(|(name, _)| CALL_COUNTERS.contains(name));
+        for (counter, count) in calls {
+            let noted = notes.iter().filter(|note| note.counter == *counter);
+            assert_eq!(noted.count() as u64, *count, "{}: {counter}", case.name);
+        }
+    }
+}
+
 #[test]
 fn every_counter_has_a_case_that_moves_it() {
     for (index, (name, _)) in NONE.named().iter().enumerate() {
