--- /dev/null
+++ b/lovagedock-standin/tests/promises_leaving.rs
@@ -0,0 +1,200 @@
+//! Endpoints that leave: what runs is not cut off, and nothing new begins there.
+
+mod promise_support;
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use lovagedock_standin::fleet::LocalFleet;
+use promise_support::{
+    caller,
+    caller::{Call, Reply, post},
+    engines, generations, plan, running_engine, start, starts_at, until,
+};
+use tokio::task::JoinHandle;
+
+const PROMPT: &str = "The brig Salamander, lost off Aqaba in the winter gales.";
+/// Callers that call again and again.
+const CALLERS: u64 = 12;
+/// Starts on each engine before something begins to leave, and on the others afterwards.
+const WARM_STARTS: usize = 4;
+
+/// Callers that go on until they are told to stop, half streamed and half whole.
+struct SteadyLoad {
+    stop: Arc<AtomicBool>,
+    callers: Vec<JoinHandle<Vec<Reply>>>,
+}
+
+impl SteadyLoad {
+    fn start(fleet: &LocalFleet) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let callers = (0..CALLERS).map(|number| {
+            let caller = caller(fleet, number as usize % 2);
+            let stop = Arc::clone(&stop);
+            tokio::spawn(async move {
+                let mut replies = Vec::new();
+                while !stop.load(Ordering::SeqCst) {
+                    let prompt = format!("{PROMPT} {number} {}", replies.len());
+                    let call = match number % 2 {
+                        0 => Call::streamed(&prompt, 20),
+                        _ => Call::whole(&prompt, 20),
+                    };
+                    replies.push(caller.call(&call).await);
+                }
+                replies
+            })
+        });
+        Self {
+            callers: callers.collect(),
+            stop,
+        }
+    }
+
+    /// Stops and returns every answer.
+    async fn end(self) -> Vec<Reply> {
+        self.stop.store(true, Ordering::SeqCst);
+        let mut replies = Vec::new();
+        for caller in self.callers {
+            replies.extend(caller.await.expect("the calls are judged"));
+        }
+        replies
+    }
+}
+
+fn counts(fleet: &LocalFleet) -> Vec<usize> {
+    engines(fleet).into_iter().map(starts_at).collect()
+}
+
+async fn warm(fleet: &LocalFleet) {
+    until(async || counts(fleet).iter().all(|count| *count >= WARM_STARTS)).await;
+}
+
+/// Waits until the other engines have started more, so that a start on the first one would show.
+async fn others_go_on(fleet: &LocalFleet) {
+    let before: usize = counts(fleet)[1..].iter().sum();
+    let enough = before + 5 * WARM_STARTS;
+    until(async || counts(fleet)[1..].iter().sum::<usize>() >= enough).await;
+}
+
+fn assert_all_whole(replies: &[Reply]) {
+    assert!(!replies.is_empty());
+    for reply in replies {
+        assert!(reply.is_whole(), "{reply:?}");
+    }
+}
+
+/// An operator drains an endpoint under load. Callers notice nothing: what waits there goes
+/// elsewhere, what runs ends, and the engine starts nothing once the sidecar has the order.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_drained_endpoint_cuts_nothing_off_and_starts_nothing() {
+    let fleet = start(plan().with_concurrency(2)).await;
+    let load = SteadyLoad::start(&fleet);
+    warm(&fleet).await;
+    let sidecar = fleet.endpoints[0].sidecar.as_ref().expect("it runs");
+    let engine = engines(&fleet)[0];
+    post(sidecar.admin_address(), "/drain").await;
+    // A start that was decided before the order may reach the engine after it; it is there once
+    // the engine holds what the sidecar says it runs, and gone once the engine is empty.
+    until(async || engine.handle.held_blocks() == 0).await;
+    let after = starts_at(engine);
+    others_go_on(&fleet).await;
+    assert_eq!(starts_at(engine), after, "a start after the drain");
+    assert_all_whole(&load.end().await);
+}
+
+/// SIGTERM reaches a sidecar under load. The process ends by itself, after everything on it has
+/// ended and was delivered; no caller sees it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stopped_sidecar_cuts_nothing_off() {
+    let mut fleet = start(plan().with_concurrency(2)).await;
+    let load = SteadyLoad::start(&fleet);
+    warm(&fleet).await;
+    let sidecar = fleet.endpoints[0].sidecar.take().expect("it runs");
+    fleet.endpoints[0].daemon.shutdown.trigger();
+    sidecar.wait().await.expect("it ends");
+    let after = starts_at(engines(&fleet)[0]);
+    others_go_on(&fleet).await;
+    assert_eq!(starts_at(engines(&fleet)[0]), after);
+    assert_all_whole(&load.end().await);
+}
+
+/// An idle endpoint is drained, brought back, and stopped while it works. The first drain had
+/// ended at once; if its end counted for the second, the process would stop in the middle of the
+/// answer, and a call that must not run twice would be lost.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_drain_that_was_called_off_does_not_end_the_next() {
+    let mut fleet = start(plan()).await;
+    for endpoint in &fleet.endpoints {
+        let admin = endpoint.sidecar.as_ref().expect("it runs").admin_address();
+        post(admin, "/drain").await;
+        post(admin, "/undrain").await;
+    }
+    let calling = caller(&fleet, 0).spawn(Call::once(PROMPT, 200));
+    let place = running_engine(&fleet).await;
+    let sidecar = fleet.endpoints[place].sidecar.take().expect("it runs");
+    fleet.endpoints[place].daemon.shutdown.trigger();
+    sidecar.wait().await.expect("it ends");
+    let reply = calling.await.expect("the call is judged");
+    assert!(reply.is_whole(), "{reply:?}");
+}
+
+/// A gateway is stopped under load, as its balancer stops to choose it. What it has admitted ends
+/// whole; what comes later is refused as not run, or finds no connection.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stopped_gateway_cuts_nothing_off() {
+    let mut fleet = start(plan()).await;
+    let leaving = caller(&fleet, 0);
+    let calling: Vec<_> = (0..8)
+        .map(|number| leaving.spawn(Call::whole(&format!("{PROMPT} {number}"), 100)))
+        .collect();
+    until(async || counts(&fleet).iter().sum::<usize>() == 8).await;
+    fleet.gateways[0].daemon.shutdown.trigger();
+    let late = leaving.call(&Call::whole(PROMPT, 5)).await;
+    assert!(!late.is_whole(), "{late:?}");
+    if let Some(problem) = late.problem() {
+        assert_eq!((problem.code, problem.ran.as_str()), (2008, "no"));
+    }
+    for call in calling {
+        let reply = call.await.expect("the call is judged");
+        assert!(reply.is_whole(), "{reply:?}");
+    }
+    let gateway = fleet.gateways.remove(0);
+    gateway.gateway.wait().await.expect("it ends");
+}
+
+/// The platform lists a host as leaving and nobody tells the sidecar on it. Once the lagging list
+/// says so, gateways send nothing more there; what runs there ends whole.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_on_the_leaving_list_gets_no_new_work() {
+    let fleet = start(plan().with_concurrency(2)).await;
+    let load = SteadyLoad::start(&fleet);
+    warm(&fleet).await;
+    let host = &fleet.endpoints[0].host;
+    post(fleet.platform.address, &format!("/v1/hosts/{host}/leaving")).await;
+    let id = &fleet.endpoints[0].id;
+    for gateway in 0..fleet.gateways.len() {
+        let admin = fleet.gateways[gateway].gateway.admin_address();
+        until(async || {
+            let status = promise_support::caller::get_json(admin, "/status").await;
+            let endpoints = status["endpoints"].as_array().expect("a list").clone();
+            let entry = endpoints
+                .into_iter()
+                .find(|entry| entry["endpoint"] == **id);
+            entry.expect("it is listed")["usable"] == false
+        })
+        .await;
+    }
+    let engine = engines(&fleet)[0];
+    until(async || engine.handle.held_blocks() == 0).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let after = starts_at(engine);
+    others_go_on(&fleet).await;
+    assert_eq!(starts_at(engine), after, "a start after the gateways knew");
+    assert_all_whole(&load.end().await);
+    assert!(generations(&fleet, 0).await.iter().all(|it| *it == 1));
+}
