Tell a caller's fault from an engine's refusal

Cause: an engine that answers 400, 413 or 422 was taken for one that refuses by its own state. The request went to the other engines as well, each refusal counted towards ejecting the engine, and the caller got 503.

--- a/lovagedock-sidecar/src/adapter/error.rs
+++ b/lovagedock-sidecar/src/adapter/error.rs
@@ -41,6 +41,15 @@
         }
     }
 
+    /// Whether the endpoint refused the request for what it says, as any other would.
+    ///
+    /// Other refusals, such as 404 for a model that is not loaded or 429, may be this endpoint's
+    /// own.
+    pub fn is_callers_fault(&self) -> bool {
+        const STATUSES: [u16; 3] = [400, 413, 422];
+        matches!(self, Self::Refused { status, .. } if STATUSES.contains(status))
+    }
+
     pub(crate) fn lost(detail: impl ToString) -> Self {
         Self::Lost {
             detail: detail.to_string(),
--- a/lovagedock-sidecar/src/engine_task.rs
+++ b/lovagedock-sidecar/src/engine_task.rs
@@ -137,6 +137,7 @@
         EngineError::Refused { status, .. } if *status == ALREADY_THERE => {
             EngineResult::Lost { detail }
         }
+        EngineError::Refused { .. } if error.is_callers_fault() => EngineResult::Invalid { detail },
         EngineError::Refused { .. } | EngineError::Unreachable { .. } => {
             EngineResult::Refused { detail }
         }
--- a/lovagedock/src/endpoint/engine.rs
+++ b/lovagedock/src/endpoint/engine.rs
@@ -52,7 +52,12 @@
                     .with_detail(detail)
                     .with_retry_after(self.retry_after())
             }
-            EngineResult::Refused { detail } | EngineResult::Failed { detail } => {
+            EngineResult::Invalid { detail } if !started => {
+                AnswerEnd::new(ResultCode::MalformedRequest).with_detail(detail)
+            }
+            EngineResult::Refused { detail }
+            | EngineResult::Invalid { detail }
+            | EngineResult::Failed { detail } => {
                 AnswerEnd::new(ResultCode::EngineFailed).with_detail(detail)
             }
             EngineResult::Lost { detail } => {
--- a/lovagedock/src/endpoint/messages.rs
+++ b/lovagedock/src/endpoint/messages.rs
@@ -48,6 +48,11 @@
         /// The engine's reason.
         detail: String,
     },
+    /// The engine refused the request for what it says; no other engine would take it.
+    Invalid {
+        /// The engine's reason.
+        detail: String,
+    },
     /// The engine failed after it may have started.
     Failed {
         /// The engine's reason.
--- a/lovagedock/tests/endpoint_scenarios.rs
+++ b/lovagedock/tests/endpoint_scenarios.rs
@@ -169,6 +169,7 @@
             answer_tokens: 0,
         })),
         "refused" => ended(EngineResult::Refused { detail }),
+        "invalid" => ended(EngineResult::Invalid { detail }),
         "failed" => ended(EngineResult::Failed { detail }),
         "lost" => ended(EngineResult::Lost { detail }),
         "cancelled" => ended(EngineResult::Cancelled),
