Refuse a long answer by learned speeds only, and by the endpoint that ends first

Cause: four of six requests for 4,000 tokens on an idle pair of engines were refused with 2001. One engine had run nothing, so its decoding was judged by the assumed 30 ms a token, and the request was refused if the one chosen endpoint would be late although the other was not. An engine that gets nothing is never learned, so the refusals would have gone on. Change: without a learned decode interval the answer's time does not count towards a refusal, and before a refusal the candidate that ends first is tried. Conclusion: a table in the policy's tests has the four combinations.

--- a/lovagedock/src/placement/length_aware.rs
+++ b/lovagedock/src/placement/length_aware.rs
@@ -79,13 +79,16 @@
         rng: &mut dyn Rng,
     ) -> PlacementChoice {
         let chosen = shortlist.pick(rng);
+        let chosen = match refuse_late(chosen.finish, request) {
+            Some(_) => shortlist.soonest_finish(),
+            None => chosen,
+        };
         let view = &pool.endpoints[chosen.index];
         if self.class(request) == LengthClass::Short {
             let wait = chosen.first_token - chosen.prefill;
             self.mix.record_short_wait(now, wait);
         }
-        let finish = chosen.first_token + cost_of(view).decode(request.answer_tokens).as_secs_f64();
-        if let Some(refusal) = refuse_late(finish, request) {
+        if let Some(refusal) = refuse_late(chosen.finish, request) {
             return refusal;
         }
         let long = self.class(request) == LengthClass::Long;
@@ -129,7 +132,7 @@
         let prefill = cost.prefill_seconds(request.prompt_tokens, 0);
         let each = prefill / members.len() as f64;
         let first_token = queues[members.len() - 1] + each;
-        let finish = first_token + cost.decode(request.answer_tokens).as_secs_f64();
+        let finish = first_token + learned_decode(request, &pool.endpoints[first]);
         if let Some(refusal) = refuse_late(finish, request) {
             return refusal;
         }
@@ -170,6 +173,7 @@
     index: usize,
     score: f64,
     first_token: f64,
+    finish: f64,
     prefill: f64,
     cached: TokenCount,
 }
@@ -196,6 +200,7 @@
             index,
             score: first_token + away + unseen,
             first_token: first_token + away,
+            finish: first_token + away + learned_decode(request, view),
             prefill,
             cached,
         }
@@ -238,6 +243,13 @@
         self.length = (self.length + 1).min(SHORTLIST_LENGTH);
     }
 
+    /// The one that ends the answer first.
+    fn soonest_finish(&self) -> Candidate {
+        let candidates = self.candidates[..self.length].iter();
+        let soonest = candidates.min_by(|a, b| a.finish.total_cmp(&b.finish));
+        soonest.copied().unwrap_or_default()
+    }
+
     /// Any one of those that are nearly as good as the best.
     ///
     /// Gateways that see the same old reports would otherwise all choose the same endpoint.
@@ -251,6 +263,17 @@
     }
 }
 
+/// Time to decode the answer, in seconds; zero on an engine whose speed is not known yet.
+///
+/// A refusal rests on it. An assumed speed would refuse long answers on an idle engine that has
+/// run nothing, and since nothing is sent there its speed would never be learned. Without one the
+/// request is tried; its deadline bounds what a slow engine can cost.
+fn learned_decode(request: &PlacementRequest<'_>, view: &EndpointView) -> f64 {
+    let decode = |report: &EndpointReport| report.cost.decode(request.answer_tokens);
+    let report = view.report.as_deref();
+    report.map_or(0.0, |report| decode(report).as_secs_f64())
+}
+
 /// Tokens of the prompt that the endpoint was last known to have in its cache.
 fn cached_tokens(request: &PlacementRequest<'_>, view: &EndpointView) -> TokenCount {
     let Some(report) = &view.report else {
--- a/lovagedock/tests/placement.rs
+++ b/lovagedock/tests/placement.rs
@@ -363,3 +363,68 @@
         }
     }
 }
+
+/// A long answer arrives at an idle pool. An engine whose decoding is known to be too slow must
+/// not get it refused while another can finish in time, and an engine that has run nothing must
+/// not be judged by an assumed speed: it would never be tried, and so never be known.
+#[test]
+fn an_answer_goes_where_it_can_end_in_time() {
+    struct Case {
+        name: &'static str,
+        decode_ns: [f64; 2],
+        endpoints: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            name: "one is too slow",
+            decode_ns: [20_000_000.0, 2_000_000.0],
+            endpoints: &["e01"],
+        },
+        Case {
+            name: "nothing is known of one",
+            decode_ns: [20_000_000.0, 0.0],
+            endpoints: &["e01"],
+        },
+        Case {
+            name: "nothing is known of either",
+            decode_ns: [0.0, 0.0],
+            endpoints: &["e00", "e01"],
+        },
+        Case {
+            name: "both are too slow",
+            decode_ns: [20_000_000.0, 20_000_000.0],
+            endpoints: &[],
+        },
+    ];
+    for case in cases {
+        let pool = pool(2, |index| EndpointReport {
+            cost: match case.decode_ns[index] {
+                0.0 => CostParameters::default(),
+                decode_ns => CostParameters {
+                    decode_ns,
+                    ..idle_report().cost
+                },
+            },
+            ..idle_report()
+        });
+        let request = PlacementRequest {
+            answer_tokens: 4_000,
+            remaining: Duration::from_secs(60),
+            ..request(100)
+        };
+        for seed in 0..20 {
+            let choice = place_with(&mut *policy("length-aware"), &pool, &request, seed);
+            match choice {
+                PlacementChoice::Refuse { code, .. } => {
+                    assert_eq!(code, ResultCode::NoCapacity, "{}", case.name);
+                    assert!(case.endpoints.is_empty(), "{}, seed {seed}", case.name);
+                }
+                other => {
+                    let endpoint = chosen(&other);
+                    let expected = case.endpoints.contains(&endpoint);
+                    assert!(expected, "{}, seed {seed}: {endpoint}", case.name);
+                }
+            }
+        }
+    }
+}
