--- a/lovagedock-gateway/src/front/router.rs
+++ b/lovagedock-gateway/src/front/router.rs
@@ -86,7 +86,7 @@
             limits: &self.limits,
             since_epoch: since_epoch(),
         };
-        if request.method() == Method::GET && request.uri().path().starts_with(MODELS_PATH) {
+        if request.method() == Method::GET && is_models_path(request.uri().path()) {
             return models(&intake, &request);
         }
         if self.drivers.is_closed() {
@@ -174,6 +174,11 @@
     owned_by: &'static str,
 }
 
+fn is_models_path(path: &str) -> bool {
+    let rest = path.strip_prefix(MODELS_PATH);
+    rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+}
+
 /// The models that the organisation may use, or one of them.
 fn models(
     intake: &CallIntake<'_>,
--- a/lovagedock-standin/src/fleet.rs
+++ b/lovagedock-standin/src/fleet.rs
@@ -60,6 +60,8 @@
     pub drain: Duration,
     /// Requests that an endpoint gets at once; 0 leaves it to the sidecar's defaults.
     pub concurrency: usize,
+    /// Limits of the gateways towards callers.
+    pub limits: CallerLimits,
     /// Log of the daemons.
     pub log: Logger,
 }
@@ -75,6 +77,7 @@
             silence: Duration::from_secs(2),
             drain: Duration::from_secs(60),
             concurrency: 0,
+            limits: CallerLimits::default(),
             log,
         }
     }
@@ -85,6 +88,12 @@
         self
     }
 
+    /// Sets the gateways' limits towards callers.
+    pub fn with_limits(mut self, limits: CallerLimits) -> Self {
+        self.limits = limits;
+        self
+    }
+
     /// Sets how sessions are kept.
     pub fn with_heartbeat(mut self, heartbeat: Duration, silence: Duration) -> Self {
         self.heartbeat = heartbeat;
@@ -367,7 +376,7 @@
         admin: admin(),
         platform: PlatformSettings { base: platform },
         log: LogSettings::default(),
-        limits: CallerLimits::default(),
+        limits: plan.limits.clone(),
     }
 }
 
