Drop result code 1010, which nothing issues

A listed call that may not be repeated and comes without a key is run at most once by the gateway and never repeated, so no key is required of the caller.

--- a/lovagedock/src/codes.rs
+++ b/lovagedock/src/codes.rs
@@ -85,8 +85,6 @@
     KeyReused = 1008, 422, No, "the idempotency key was used with a different request";
     /// The caller closed its connection before the end.
     CallerGone = 1009, 499, Unknown, "the caller went away";
-    /// A call that must not be repeated came without an idempotency key.
-    KeyRequired = 1010, 400, No, "this call needs an Idempotency-Key";
     /// The organisation is over its own limit.
     OverLimit = 1011, 429, No, "the organisation is over its limit";
 
