--- a/lovagedock-cli/src/arguments.rs
+++ b/lovagedock-cli/src/arguments.rs
@@ -80,6 +80,9 @@
     Drain {
         /// Operators' address of the process, or its id in the settings.
         process: String,
+        /// Let a drained sidecar take work again.
+        #[arg(long)]
+        undo: bool,
     },
     /// Explain a numbered result code.
     Code {
--- a/lovagedock-cli/src/fleet.rs
+++ b/lovagedock-cli/src/fleet.rs
@@ -76,9 +76,17 @@
     Ok(CommandReport::new(ExitStatus::Done, text, document))
 }
 
-pub(crate) async fn drain_process(runner: &CommandRunner, process: &str) -> CommandResult {
-    let document = call_process(runner, process, ProcessMethod::Post, "/drain").await?;
-    let text = format!("{process} is draining\n");
+pub(crate) async fn drain_process(
+    runner: &CommandRunner,
+    process: &str,
+    undo: bool,
+) -> CommandResult {
+    let (path, what) = match undo {
+        false => ("/drain", "is draining"),
+        true => ("/undrain", "takes work"),
+    };
+    let document = call_process(runner, process, ProcessMethod::Post, path).await?;
+    let text = format!("{process} {what}\n");
     Ok(CommandReport::new(ExitStatus::Done, text, document))
 }
 
--- a/lovagedock-cli/src/runner.rs
+++ b/lovagedock-cli/src/runner.rs
@@ -72,7 +72,9 @@
             CommandArguments::Status => status::show_status(self).await,
             CommandArguments::Explain { request } => fleet::explain_request(self, request).await,
             CommandArguments::Dump { process } => fleet::dump_process(self, process).await,
-            CommandArguments::Drain { process } => fleet::drain_process(self, process).await,
+            CommandArguments::Drain { process, undo } => {
+                fleet::drain_process(self, process, *undo).await
+            }
             CommandArguments::Code { number } => Ok(show_code(*number)),
             CommandArguments::Schema => Ok(show_schema()),
             CommandArguments::Completions { shell } => Ok(show_completions(*shell)),
--- a/lovagedock-cli/tests/cli/commands.rs
+++ b/lovagedock-cli/tests/cli/commands.rs
@@ -149,6 +149,14 @@
                 engine-1 is draining
             "#]],
         },
+        CommandCase {
+            line: "drain engine-1 --undo",
+            port: port().with_answer(SIDECAR, "/undrain", Ok(json!({ "draining": false }))),
+            sees: expect![[r#"
+                exit 0
+                engine-1 takes work
+            "#]],
+        },
         // The call may have been carried out: a drain without an answer is not "not done".
         CommandCase {
             line: "drain engine-1",
