Name chunks by the kernel's hash and give out the manifest

The platform's crate hashed chunks on its own and called the hexadecimal text a hash, so a root could not be handed to the kernel's relay. Names are now the kernel's hash in hexadecimal, `ConfigRoot::manifest` gives the kernel's manifest, and the root, a chunk and a watch can be read one by one. Bytes in the store stay as they were.

--- a/lovagedock-platform/src/config/apply.rs
+++ b/lovagedock-platform/src/config/apply.rs
@@ -9,7 +9,7 @@
 
 use super::{
     ROOT_KEY,
-    chunks::{ConfigChunk, chunk_key, hash_bytes, split_chunks},
+    chunks::{ConfigChunk, chunk_key, name_bytes, split_chunks},
     load::{ConfigStore, LoadError, PARALLEL_CALLS, VersionedRoot},
     root::{AcceptedRecord, ApplyNonce, ConfigRoot, Settlement, settle},
 };
@@ -128,7 +128,7 @@
             },
             accepted_at: self.submitted_at.clone(),
             length: self.config.len() as u64,
-            digest: hash_bytes(&self.config),
+            digest: name_bytes(&self.config),
             chunks: chunks.iter().map(|chunk| chunk.hash.clone()).collect(),
             history: Vec::new(),
             retired: Vec::new(),
--- a/lovagedock-platform/src/config/chunks.rs
+++ b/lovagedock-platform/src/config/chunks.rs
@@ -4,11 +4,11 @@
 
 use bytes::Bytes;
 use fastcdc::v2020::FastCDC;
-use lovagedock::FleetConfig;
+use lovagedock::{ChunkHash, FleetConfig, chunk_hash};
 
 use super::{
     CHUNK_PREFIX,
-    root::{ChunkHash, ConfigRoot},
+    root::{ChunkName, ConfigRoot},
 };
 
 const MIN_CHUNK_BYTES: usize = 8 << 10;
@@ -18,8 +18,8 @@
 /// A part of a configuration and its hash.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ConfigChunk {
-    /// BLAKE3 of the bytes, in hexadecimal.
-    pub hash: ChunkHash,
+    /// The chunk's hash, in hexadecimal.
+    pub hash: ChunkName,
     /// The bytes.
     pub bytes: Bytes,
 }
@@ -27,7 +27,7 @@
 /// Chunks that a process has already, by hash.
 #[derive(Clone, Debug, Default)]
 pub struct ChunkCache {
-    chunks: HashMap<ChunkHash, Bytes>,
+    chunks: HashMap<ChunkName, Bytes>,
 }
 
 impl ChunkCache {
@@ -37,13 +37,13 @@
     }
 
     /// The bytes of a chunk, if they are here.
-    pub fn get(&self, hash: &ChunkHash) -> Option<Bytes> {
+    pub fn get(&self, hash: &ChunkName) -> Option<Bytes> {
         self.chunks.get(hash).cloned()
     }
 
     /// Keeps a chunk if its bytes have its hash, and says whether they have.
-    pub fn insert(&mut self, hash: &ChunkHash, bytes: Bytes) -> bool {
-        let matches = hash_bytes(&bytes) == *hash;
+    pub fn insert(&mut self, hash: &ChunkName, bytes: Bytes) -> bool {
+        let matches = name_bytes(&bytes) == *hash;
         if matches {
             self.chunks.insert(hash.clone(), bytes);
         }
@@ -84,17 +84,28 @@
     .map(|cut| {
         let bytes = config.slice(cut.offset..cut.offset + cut.length);
         ConfigChunk {
-            hash: hash_bytes(&bytes),
+            hash: name_bytes(&bytes),
             bytes,
         }
     })
     .collect()
 }
 
-pub(crate) fn hash_bytes(bytes: &[u8]) -> ChunkHash {
-    blake3::hash(bytes).to_hex().as_str().into()
+/// The name under which the store keeps a chunk.
+pub fn chunk_name(hash: &ChunkHash) -> ChunkName {
+    blake3::Hash::from_bytes(*hash).to_hex().as_str().into()
 }
 
-pub(crate) fn chunk_key(hash: &ChunkHash) -> String {
+/// The hash that a name tells; `None` when it is no such name.
+pub(crate) fn parse_name(name: &ChunkName) -> Option<ChunkHash> {
+    let hash = blake3::Hash::from_hex(name.as_bytes()).ok()?;
+    Some(*hash.as_bytes())
+}
+
+pub(crate) fn name_bytes(bytes: &[u8]) -> ChunkName {
+    chunk_name(&chunk_hash(bytes))
+}
+
+pub(crate) fn chunk_key(hash: &ChunkName) -> String {
     format!("{CHUNK_PREFIX}{hash}")
 }
--- a/lovagedock-platform/src/config/load.rs
+++ b/lovagedock-platform/src/config/load.rs
@@ -1,6 +1,6 @@
 //! Reading the configuration from the store, and collecting chunks that nobody needs.
 
-use std::{fmt, sync::Arc};
+use std::{fmt, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use futures::{StreamExt, TryStreamExt, stream};
@@ -8,10 +8,12 @@
 
 use super::{
     CHUNK_PREFIX, ROOT_KEY,
-    chunks::{ChunkCache, chunk_key, hash_bytes},
-    root::{ChunkHash, ConfigRoot},
+    chunks::{ChunkCache, chunk_key, name_bytes},
+    root::{ChunkName, ConfigRoot},
+};
+use crate::store::{
+    CallPurpose, ChangeBatch, ObjectStore, ObjectVersion, PutCondition, Revision, StoreError,
 };
-use crate::store::{CallPurpose, ObjectStore, ObjectVersion, PutCondition, StoreError};
 
 /// Chunks that are read or written at the same time.
 pub(crate) const PARALLEL_CALLS: usize = 16;
@@ -44,9 +46,9 @@
     /// The root cannot be read.
     CorruptRoot,
     /// A chunk that the root names is not there.
-    MissingChunk(ChunkHash),
+    MissingChunk(ChunkName),
     /// A chunk does not have its hash.
-    CorruptChunk(ChunkHash),
+    CorruptChunk(ChunkName),
     /// The chunks together are not what the root names, or not a configuration.
     CorruptConfig,
 }
@@ -72,9 +74,12 @@
 }
 
 /// A root and the version of its object.
-pub(crate) struct VersionedRoot {
-    pub(crate) version: ObjectVersion,
-    pub(crate) root: ConfigRoot,
+#[derive(Clone, Debug)]
+pub struct VersionedRoot {
+    /// Version of the object.
+    pub version: ObjectVersion,
+    /// The root.
+    pub root: ConfigRoot,
 }
 
 impl ConfigStore {
@@ -158,7 +163,8 @@
         Ok(deleted)
     }
 
-    pub(crate) async fn read_root(&self) -> Result<Option<VersionedRoot>, LoadError> {
+    /// Reads the root; `None` when nothing was accepted yet.
+    pub async fn read_root(&self) -> Result<Option<VersionedRoot>, LoadError> {
         let Some(object) = self.store.get(ROOT_KEY, CallPurpose::Config).await? else {
             return Ok(None);
         };
@@ -169,7 +175,24 @@
         }))
     }
 
-    async fn read_chunk(&self, hash: ChunkHash) -> Result<(ChunkHash, Bytes), LoadError> {
+    /// Waits up to `wait` for a write of the root after a revision.
+    pub async fn watch_root(
+        &self,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<ChangeBatch, StoreError> {
+        self.store
+            .watch(ROOT_KEY, after, wait, CallPurpose::Config)
+            .await
+    }
+
+    /// Reads one chunk; whether its bytes have its hash is for the caller to check.
+    pub async fn read_chunk_bytes(&self, name: &ChunkName) -> Result<Bytes, LoadError> {
+        let (_, bytes) = self.read_chunk(name.clone()).await?;
+        Ok(bytes)
+    }
+
+    async fn read_chunk(&self, hash: ChunkName) -> Result<(ChunkName, Bytes), LoadError> {
         let object = self
             .store
             .get(&chunk_key(&hash), CallPurpose::Config)
@@ -188,7 +211,7 @@
         bytes.extend_from_slice(&chunk.ok_or_else(|| LoadError::MissingChunk(hash.clone()))?);
     }
     let bytes = bytes.freeze();
-    if hash_bytes(&bytes) != root.digest {
+    if name_bytes(&bytes) != root.digest {
         return Err(LoadError::CorruptConfig);
     }
     let config = serde_json::from_slice(&bytes).map_err(|_| LoadError::CorruptConfig)?;
--- a/lovagedock-platform/src/config/mod.rs
+++ b/lovagedock-platform/src/config/mod.rs
@@ -6,9 +6,9 @@
 mod root;
 
 pub use apply::{ApplyOutcome, ApplyRequest, NotAcceptedReason};
-pub use chunks::{ChunkCache, ConfigChunk, canonical_json, split_chunks};
-pub use load::{ConfigStore, LoadError, LoadedConfig};
-pub use root::{AcceptedRecord, ApplyNonce, ChunkHash, ConfigRoot, RetiredChunk, Settlement};
+pub use chunks::{ChunkCache, ConfigChunk, canonical_json, chunk_name, split_chunks};
+pub use load::{ConfigStore, LoadError, LoadedConfig, VersionedRoot};
+pub use root::{AcceptedRecord, ApplyNonce, ChunkName, ConfigRoot, RetiredChunk, Settlement};
 
 /// Key of the root object.
 pub const ROOT_KEY: &str = "config/root";
--- a/lovagedock-platform/src/config/root.rs
+++ b/lovagedock-platform/src/config/root.rs
@@ -2,11 +2,13 @@
 
 use std::{collections::HashSet, sync::Arc};
 
-use lovagedock::Generation;
+use lovagedock::{ConfigManifest, Generation};
 use serde::{Deserialize, Serialize};
 
-/// BLAKE3 of a chunk, in hexadecimal.
-pub type ChunkHash = Arc<str>;
+use super::chunks::parse_name;
+
+/// A [`ChunkHash`](lovagedock::ChunkHash) in hexadecimal.
+pub type ChunkName = Arc<str>;
 
 /// Random text of one apply; the operator's program draws it once and keeps it over its retries.
 pub type ApplyNonce = String;
@@ -28,9 +30,9 @@
     /// Bytes of the whole configuration.
     pub length: u64,
     /// BLAKE3 of the whole configuration.
-    pub digest: ChunkHash,
+    pub digest: ChunkName,
     /// Chunks in their order.
-    pub chunks: Vec<ChunkHash>,
+    pub chunks: Vec<ChunkName>,
     /// Acceptances before this one, newest first.
     pub history: Vec<AcceptedRecord>,
     /// Chunks that left the configuration not long ago.
@@ -52,7 +54,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RetiredChunk {
     /// The chunk.
-    pub hash: ChunkHash,
+    pub hash: ChunkName,
     /// First generation without it.
     pub generation: Generation,
 }
@@ -76,6 +78,15 @@
         self.accepted.generation
     }
 
+    /// What processes hand to each other of this root; `None` when a chunk's name is no hash.
+    pub fn manifest(&self) -> Option<ConfigManifest> {
+        let chunks: Option<_> = self.chunks.iter().map(parse_name).collect();
+        Some(ConfigManifest {
+            generation: self.generation(),
+            chunks: chunks?,
+        })
+    }
+
     /// Whether collecting chunks must leave this one alone.
     pub fn keeps(&self, hash: &str) -> bool {
         let retired = || self.retired.iter().any(|chunk| &*chunk.hash == hash);
@@ -98,7 +109,7 @@
 
     fn retired_after(&self, base: &ConfigRoot) -> Vec<RetiredChunk> {
         let generation = self.generation();
-        let mut seen: HashSet<&ChunkHash> = self.chunks.iter().collect();
+        let mut seen: HashSet<&ChunkName> = self.chunks.iter().collect();
         let newly = base.chunks.iter().map(|hash| RetiredChunk {
             hash: hash.clone(),
             generation,
--- a/lovagedock-platform/src/lib.rs
+++ b/lovagedock-platform/src/lib.rs
@@ -40,9 +40,9 @@
 pub use budget::{BudgetDecision, BudgetLimits, CallResult, SpendRate, StoreBudget};
 pub use budgeted::BudgetedStore;
 pub use config::{
-    AcceptedRecord, ApplyNonce, ApplyOutcome, ApplyRequest, CHUNK_PREFIX, ChunkCache, ChunkHash,
+    AcceptedRecord, ApplyNonce, ApplyOutcome, ApplyRequest, CHUNK_PREFIX, ChunkCache, ChunkName,
     ConfigChunk, ConfigRoot, ConfigStore, LoadError, LoadedConfig, NotAcceptedReason, ROOT_KEY,
-    RetiredChunk, Settlement, canonical_json, split_chunks,
+    RetiredChunk, Settlement, VersionedRoot, canonical_json, chunk_name, split_chunks,
 };
 pub use hosts::{HostDirectory, HostEntry, HostList, HostState};
 pub use http::{HttpObjectStore, StoreTimeouts};
