Watch a store in which nothing was accepted yet

A process that found no root polled again after ten minutes on average, or read every 20 ms if it was a watcher, since a watch was only begun above a generation. Before the first acceptance nobody can push to it, so it now waits for the first root at the store. The test fails without the rule: the second call is a read.

--- a/lovagedock/src/adoption/types.rs
+++ b/lovagedock/src/adoption/types.rs
@@ -213,7 +213,7 @@
 }
 
 /// What a dump shows of adoption.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize)]
 pub struct AdoptionStatus {
     /// In force here; 0 for nothing.
     pub generation: Generation,
--- a/lovagedock/src/adoption/upstream.rs
+++ b/lovagedock/src/adoption/upstream.rs
@@ -25,6 +25,8 @@
     pub(super) watching: bool,
     /// The first read was answered, or a peer was faster.
     started: bool,
+    /// The store said that nothing was accepted yet.
+    is_empty: bool,
     fetch: Option<ChunkFetch>,
 }
 
@@ -86,7 +88,13 @@
         self.upstream.in_flight = true;
         self.upstream.soon = false;
         let above = self.generation();
-        let action = match self.upstream.watching && above > 0 && !is_soon {
+        // Before the first acceptance there is no plan and no peer to hear from, so every process
+        // watches; a poll would notice the first configuration minutes later.
+        let may_watch = match above {
+            0 => self.upstream.is_empty,
+            _ => self.upstream.watching,
+        };
+        let action = match may_watch && !is_soon {
             true => AdoptionAction::WatchRoot { above },
             false => AdoptionAction::ReadRoot,
         };
@@ -106,7 +114,8 @@
         }
         self.upstream.failures = 0;
         self.upstream.started = true;
-        let pause = match self.upstream.watching {
+        self.upstream.is_empty = outcome == RootOutcome::Unchanged && self.generation() == 0;
+        let pause = match self.upstream.watching || self.upstream.is_empty {
             true => self.limits.watch_pause,
             false => self.jitter(self.limits.poll_interval),
         };
--- /dev/null
+++ b/lovagedock/tests/adoption_first.rs
@@ -0,0 +1,120 @@
+//! The first acceptance of all, when there is neither a plan nor a peer to hear from.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use lovagedock::{
+    AdoptionAction, AdoptionEvent, AdoptionLimits, AdoptionState, ConfigManifest, RelayRole,
+    RootOutcome, Timestamp, chunk_hash,
+};
+
+struct FirstCase {
+    name: &'static str,
+    role: fn() -> RelayRole,
+}
+
+const CASES: &[FirstCase] = &[
+    FirstCase {
+        name: "no peer is known and the role says that it watches",
+        role: || RelayRole {
+            watches: true,
+            ..RelayRole::default()
+        },
+    },
+    FirstCase {
+        name: "peers are known from the settings",
+        role: || RelayRole {
+            peers: vec!["a".into(), "b".into()],
+            ..RelayRole::default()
+        },
+    },
+];
+
+/// A process with its clock; goes from wake to wake.
+struct Driven {
+    state: AdoptionState,
+    now: Timestamp,
+    wake_at: Option<Timestamp>,
+}
+
+impl Driven {
+    fn new() -> Self {
+        Self {
+            state: AdoptionState::new(AdoptionLimits::default(), 7),
+            now: Timestamp::ZERO,
+            wake_at: None,
+        }
+    }
+
+    fn take(&mut self, event: AdoptionEvent) -> Vec<AdoptionAction> {
+        let actions = self.state.handle(self.now, event);
+        for action in &actions {
+            if let AdoptionAction::WakeAt(at) = action {
+                self.wake_at = Some(*at);
+            }
+        }
+        actions
+    }
+
+    /// Ticks until `limit` has passed and returns the first store call; peers do not answer.
+    fn next_store_call(
+        &mut self,
+        mut actions: Vec<AdoptionAction>,
+        limit: Duration,
+    ) -> Option<AdoptionAction> {
+        let end = self.now + limit;
+        loop {
+            for action in actions {
+                match action {
+                    AdoptionAction::ReadRoot
+                    | AdoptionAction::WatchRoot { .. }
+                    | AdoptionAction::ReadChunk { .. } => return Some(action),
+                    AdoptionAction::Pull { from, .. } => {
+                        self.take(AdoptionEvent::Pulled { from, answer: None });
+                    }
+                    _ => {}
+                }
+            }
+            let wake_at = self.wake_at.filter(|at| *at <= end)?;
+            self.now = wake_at.max(self.now + Duration::from_millis(1));
+            actions = self.take(AdoptionEvent::Tick);
+        }
+    }
+}
+
+/// A fleet is installed: its gateways run before the operator applies anything. The store says
+/// that nothing was accepted yet. Each of them has to wait for the first acceptance at the store,
+/// since nobody can push to it; with the pace of a poll the first configuration would come into
+/// force minutes after it was accepted. Once it has one, it stops watching unless the plan says so.
+#[test]
+fn a_process_with_nothing_in_force_watches_an_empty_store() {
+    for case in CASES {
+        let mut driven = Driven::new();
+        let actions = driven.take(AdoptionEvent::Role((case.role)()));
+        let soon = Duration::from_secs(1);
+        let first = driven.next_store_call(actions, soon);
+        assert_eq!(first, Some(AdoptionAction::ReadRoot), "{}", case.name);
+        let actions = driven.take(AdoptionEvent::RootRead(RootOutcome::Unchanged));
+        let second = driven.next_store_call(actions, soon);
+        let watch = AdoptionAction::WatchRoot { above: 0 };
+        assert_eq!(second, Some(watch), "{}", case.name);
+
+        let chunk = Bytes::from_static(b"{}");
+        let manifest = ConfigManifest::new(1, std::slice::from_ref(&chunk));
+        let actions = driven.take(AdoptionEvent::RootRead(RootOutcome::Found(manifest)));
+        let hash = chunk_hash(&chunk);
+        let third = driven.next_store_call(actions, soon * 2);
+        assert_eq!(
+            third,
+            Some(AdoptionAction::ReadChunk { hash }),
+            "{}",
+            case.name
+        );
+        let bytes = Some(chunk);
+        driven.take(AdoptionEvent::ChunkRead { hash, bytes });
+        assert_eq!(driven.state.generation(), 1, "{}", case.name);
+        let actions = driven.take(AdoptionEvent::Role(RelayRole::default()));
+        let fourth = driven.next_store_call(actions, Duration::from_secs(3_600));
+        assert_eq!(fourth, Some(AdoptionAction::ReadRoot), "{}", case.name);
+    }
+}
