--- a/lovagedock-gateway/src/admin.rs
+++ b/lovagedock-gateway/src/admin.rs
@@ -1,7 +1,7 @@
 //! What a gateway shows to operators.
 
 use async_trait::async_trait;
-use lovagedock::prelude::*;
+use lovagedock::{AdoptionStatus, prelude::*};
 use lovagedock_daemon::{
     AdminCall, AdminMethod, AdminReply, AdminRoute, AdminSurface, ShutdownSignal,
 };
@@ -48,6 +48,7 @@
     gateway: GatewayId,
     failure_domain: DomainId,
     generation: Generation,
+    adoption: AdoptionStatus,
     endpoints: Vec<EndpointStatus>,
 }
 
@@ -63,6 +64,7 @@
             gateway: context.name.clone(),
             failure_domain: context.domain.clone(),
             generation: context.generation(),
+            adoption: AdoptionStatus::clone(&context.adoption.load()),
             endpoints: self.endpoints(),
         }
     }
--- a/lovagedock-gateway/src/context.rs
+++ b/lovagedock-gateway/src/context.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use lovagedock::prelude::*;
+use lovagedock::{AdoptionStatus, prelude::*};
 use lovagedock_daemon::ProcessClock;
 
 use crate::{active::ActiveConfig, fleet::FleetTable};
@@ -24,6 +24,8 @@
     pub(crate) clock: ProcessClock,
     /// Configuration in force.
     pub(crate) config: Arc<ArcSwap<ActiveConfig>>,
+    /// What the relay knows of configurations.
+    pub(crate) adoption: Arc<ArcSwap<AdoptionStatus>>,
     /// Endpoints.
     pub(crate) fleet: FleetTable,
 }
--- a/lovagedock-gateway/src/gateway.rs
+++ b/lovagedock-gateway/src/gateway.rs
@@ -62,6 +62,7 @@
             incarnation: rand::random(),
             clock: daemon.clock,
             config: Arc::new(ArcSwap::from_pointee(ActiveConfig::default())),
+            adoption: Arc::default(),
             fleet: FleetTable::default(),
         };
         let limits = LimitDesk::new(settings.name.clone(), daemon.clock.now());
--- a/lovagedock-gateway/src/lib.rs
+++ b/lovagedock-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod link;
 mod peers;
 mod recorded;
+mod relay;
 mod settings;
 mod shared;
 mod sources;
--- /dev/null
+++ b/lovagedock-gateway/src/peers/clients.rs
@@ -0,0 +1,121 @@
+//! Sessions to other gateways, opened when they are needed.
+
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use lovagedock::{ProcessId, prelude::*};
+use lovagedock_wire::{PROTOCOL_VERSION, PeerClient, PeerIdentity, WireError};
+
+use super::CALL_TIME;
+use crate::{connect::PeerConnector, context::GatewayContext, limits::LimitDesk, relay::seed_name};
+
+/// A session is replaced after this time: the other end closes its side after twice as long.
+const CLIENT_LIFE: Duration = Duration::from_secs(30);
+
+/// Sessions that this gateway opened; lives on the peers' thread.
+pub(crate) struct PeerClients {
+    context: GatewayContext,
+    limits: LimitDesk,
+    connector: Rc<dyn PeerConnector>,
+    seeds: HashMap<ProcessId, SocketAddr>,
+    open: RefCell<HashMap<ProcessId, OpenClient>>,
+}
+
+#[derive(Clone)]
+struct OpenClient {
+    address: SocketAddr,
+    opened_at: Timestamp,
+    client: Rc<PeerClient>,
+}
+
+impl PeerClients {
+    /// No session yet; `seeds` can be called by their address.
+    pub(crate) fn new(
+        context: GatewayContext,
+        limits: LimitDesk,
+        connector: Rc<dyn PeerConnector>,
+        seeds: &[SocketAddr],
+    ) -> Self {
+        let seeds = seeds.iter().map(|address| (seed_name(address), *address));
+        Self {
+            context,
+            limits,
+            connector,
+            seeds: seeds.collect(),
+            open: RefCell::default(),
+        }
+    }
+
+    /// Makes a call over the session to a peer.
+    ///
+    /// A session may have gone silent for good while new ones work. The call then fails by its
+    /// time limit, and giving the session up makes the repeat go over another.
+    pub(crate) async fn call<T>(
+        &self,
+        peer: &ProcessId,
+        call: impl AsyncFnOnce(&PeerClient) -> Result<T, WireError>,
+    ) -> Result<T, WireError> {
+        let client = self.client(peer).await?;
+        let result = call(&client).await;
+        if result.is_err() {
+            self.give_up(peer, &client);
+        }
+        result
+    }
+
+    async fn client(&self, peer: &ProcessId) -> Result<Rc<PeerClient>, WireError> {
+        let address = self.address_of(peer)?;
+        let known = self.open.borrow().get(peer).cloned();
+        let now = self.context.clock.now();
+        let is_good = |open: &OpenClient| {
+            open.address == address && now.saturating_sub(open.opened_at) < CLIENT_LIFE
+        };
+        if let Some(open) = known.filter(is_good) {
+            return Ok(open.client);
+        }
+        let client = Rc::new(self.connect(address).await?);
+        let open = OpenClient {
+            address,
+            opened_at: now,
+            client: Rc::clone(&client),
+        };
+        self.open.borrow_mut().insert(peer.clone(), open);
+        Ok(client)
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<PeerClient, WireError> {
+        let stream = self.connector.connect(address, CALL_TIME).await?;
+        let client = PeerClient::new(stream);
+        let welcome = client.hello(&identity(&self.context), CALL_TIME).await?;
+        let now = self.context.clock.now();
+        self.limits
+            .connected(now, welcome.name.into(), welcome.incarnation);
+        Ok(client)
+    }
+
+    fn give_up(&self, peer: &ProcessId, client: &Rc<PeerClient>) {
+        let mut open = self.open.borrow_mut();
+        let is_it = |open: &OpenClient| Rc::ptr_eq(&open.client, client);
+        if open.get(peer).is_some_and(is_it) {
+            open.remove(peer);
+        }
+    }
+
+    fn address_of(&self, peer: &ProcessId) -> Result<SocketAddr, WireError> {
+        let active = self.context.config.load();
+        let mut gateways = active.fleet.gateways.iter();
+        let named = gateways.find(|gateway| gateway.id == *peer);
+        let named = named.map(|gateway| gateway.peer_address);
+        let address = named.or_else(|| self.seeds.get(peer).copied());
+        address.ok_or_else(|| WireError::Disconnected("not in the configuration".to_owned()))
+    }
+}
+
+/// How this gateway introduces itself.
+pub(super) fn identity(context: &GatewayContext) -> PeerIdentity {
+    PeerIdentity {
+        version: PROTOCOL_VERSION,
+        name: context.name.to_string(),
+        incarnation: context.incarnation,
+        generation: context.adoption.load().generation,
+    }
+}
--- /dev/null
+++ b/lovagedock-gateway/src/peers/mod.rs
@@ -0,0 +1,201 @@
+//! Sessions between gateways: configuration and use of limits go from peer to peer.
+
+mod clients;
+mod session;
+
+use std::{io, net::SocketAddr, rc::Rc, sync::Arc, thread, time::Duration};
+
+use lovagedock::AdoptionEvent;
+use lovagedock_daemon::Transport;
+use lovagedock_wire::{PeerClient, WireError, serve_peer};
+use slog::{Logger, debug, warn};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    runtime,
+    sync::{
+        mpsc::{UnboundedReceiver, UnboundedSender},
+        watch,
+    },
+    task::{LocalSet, spawn_local},
+    time::{MissedTickBehavior, interval, sleep, timeout},
+};
+
+pub(crate) use clients::PeerClients;
+
+use crate::{
+    adopt::ConfigAdopter,
+    connect::ConnectorFactory,
+    context::GatewayContext,
+    limits::{LimitDesk, PeerReport, exchange_interval},
+    relay::{ConfigRelay, RelayParts, StoreOrder},
+};
+use session::PeerSession;
+
+/// Pause after an accept that failed, since such errors repeat at once until files are closed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Longest life of a session that another gateway opened. One whose other end vanished without a
+/// word is gone after it; a gateway that lives opens another.
+const SESSION_LIFE: Duration = Duration::from_secs(60);
+/// Time for one call.
+pub(crate) const CALL_TIME: Duration = Duration::from_secs(2);
+
+/// What the thread for peers needs.
+pub(crate) struct PeerWorker {
+    /// Configuration and fleet.
+    pub(crate) context: GatewayContext,
+    /// Where configurations come into force.
+    pub(crate) adopter: Arc<ConfigAdopter>,
+    /// How to connect to peers.
+    pub(crate) connectors: ConnectorFactory,
+    /// How peers connect here.
+    pub(crate) transport: Transport,
+    /// Limits of organisations.
+    pub(crate) limits: LimitDesk,
+    /// Gateways to ask before there is a configuration.
+    pub(crate) seeds: Vec<SocketAddr>,
+    /// Takes the relay's store calls.
+    pub(crate) orders: UnboundedSender<StoreOrder>,
+    /// Log.
+    pub(crate) log: Logger,
+}
+
+/// What the tasks on the thread share.
+struct PeerDesk {
+    worker: PeerWorker,
+    clients: Rc<PeerClients>,
+    relay: Rc<ConfigRelay>,
+}
+
+impl PeerWorker {
+    /// Serves peers and exchanges configuration until `stop` is dropped; `events` are the ends of
+    /// the store calls.
+    pub(crate) fn start(
+        self,
+        listener: std::net::TcpListener,
+        events: UnboundedReceiver<AdoptionEvent>,
+        stop: watch::Receiver<()>,
+    ) -> io::Result<()> {
+        listener.set_nonblocking(true)?;
+        thread::Builder::new()
+            .name("peers".to_owned())
+            .spawn(move || self.run(listener, events, stop))?;
+        Ok(())
+    }
+
+    fn run(
+        self,
+        listener: std::net::TcpListener,
+        events: UnboundedReceiver<AdoptionEvent>,
+        mut stop: watch::Receiver<()>,
+    ) {
+        let runtime = match runtime::Builder::new_current_thread().enable_all().build() {
+            Ok(runtime) => runtime,
+            Err(error) => {
+                warn!(self.log, "no runtime for peers"; "error" => %error);
+                return;
+            }
+        };
+        let desk = Rc::new(PeerDesk::new(self));
+        LocalSet::new().block_on(&runtime, async {
+            tokio::select! {
+                () = Rc::clone(&desk).accept(listener) => {}
+                () = Rc::clone(&desk.relay).run(events) => {}
+                () = Rc::clone(&desk).exchange_usage() => {}
+                _ = stop.changed() => {}
+            }
+        });
+    }
+}
+
+impl PeerDesk {
+    fn new(worker: PeerWorker) -> Self {
+        let clients = Rc::new(PeerClients::new(
+            worker.context.clone(),
+            worker.limits.clone(),
+            worker.connectors.connector(),
+            &worker.seeds,
+        ));
+        let relay = Rc::new(ConfigRelay::new(RelayParts {
+            context: worker.context.clone(),
+            adopter: Arc::clone(&worker.adopter),
+            clients: Rc::clone(&clients),
+            seeds: worker.seeds.clone(),
+            orders: worker.orders.clone(),
+            log: worker.log.clone(),
+        }));
+        Self {
+            worker,
+            clients,
+            relay,
+        }
+    }
+
+    async fn accept(self: Rc<Self>, listener: std::net::TcpListener) {
+        let log = &self.worker.log;
+        let listener = match TcpListener::from_std(listener) {
+            Ok(listener) => listener,
+            Err(error) => {
+                warn!(log, "cannot listen for peers"; "error" => %error);
+                return std::future::pending().await;
+            }
+        };
+        loop {
+            match listener.accept().await {
+                Ok((stream, peer)) => {
+                    let desk = Rc::clone(&self);
+                    spawn_local(async move {
+                        let end = desk.serve(stream).await;
+                        debug!(desk.worker.log, "peer's session ended";
+                            "peer" => %peer, "end" => format!("{end:?}"));
+                    });
+                }
+                Err(error) => {
+                    warn!(log, "cannot accept a peer"; "error" => %error);
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn serve(&self, stream: TcpStream) -> Result<(), WireError> {
+        let stream = self.worker.transport.accept(stream).await;
+        let stream = stream.map_err(|error| WireError::Disconnected(error.to_string()))?;
+        let session = Rc::new(PeerSession::new(
+            self.worker.context.clone(),
+            self.worker.limits.clone(),
+            Rc::clone(&self.relay),
+        ));
+        match timeout(SESSION_LIFE, serve_peer(Box::new(stream), session)).await {
+            Ok(ended) => ended,
+            Err(_) => Ok(()),
+        }
+    }
+
+    /// Tells the other gateways what organisations use here, so that limits hold over all.
+    async fn exchange_usage(self: Rc<Self>) {
+        let mut ticks = interval(exchange_interval());
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let now = self.worker.context.clock.now();
+            for report in self.worker.limits.reports(now) {
+                let desk = Rc::clone(&self);
+                spawn_local(async move {
+                    let peer = report.peer.clone();
+                    if let Err(error) = desk.send_usage(report).await {
+                        debug!(desk.worker.log, "no exchange with a peer";
+                            "peer" => &*peer, "error" => %error);
+                    }
+                });
+            }
+        }
+    }
+
+    async fn send_usage(&self, PeerReport { peer, report }: PeerReport) -> Result<(), WireError> {
+        let call = async |client: &PeerClient| client.usage(&report, CALL_TIME).await;
+        let ack = self.clients.call(&peer, call).await?;
+        let now = self.worker.context.clock.now();
+        self.worker.limits.confirmed(now, peer, ack);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/lovagedock-gateway/src/peers/session.rs
@@ -0,0 +1,67 @@
+//! What this gateway does with the calls of another one.
+
+use std::{cell::RefCell, rc::Rc};
+
+use lovagedock::{ConfigBundle, PullAnswer, UsageAck, UsageReport, prelude::*};
+use lovagedock_wire::{PeerHandler, PeerIdentity};
+
+use super::clients::identity;
+use crate::{context::GatewayContext, limits::LimitDesk, relay::ConfigRelay};
+
+/// One session that another gateway opened.
+pub(super) struct PeerSession {
+    context: GatewayContext,
+    limits: LimitDesk,
+    relay: Rc<ConfigRelay>,
+    /// Who is at the other end, once it has said so.
+    peer: RefCell<Option<GatewayId>>,
+}
+
+impl PeerSession {
+    /// A session of a gateway that has not introduced itself.
+    pub(super) fn new(context: GatewayContext, limits: LimitDesk, relay: Rc<ConfigRelay>) -> Self {
+        Self {
+            context,
+            limits,
+            relay,
+            peer: RefCell::new(None),
+        }
+    }
+
+    fn peer(&self) -> Option<GatewayId> {
+        self.peer.borrow().clone()
+    }
+}
+
+impl PeerHandler for PeerSession {
+    fn hello(&self, peer: PeerIdentity) -> PeerIdentity {
+        let name = GatewayId::from(peer.name);
+        let now = self.context.clock.now();
+        self.limits.connected(now, name.clone(), peer.incarnation);
+        self.peer.replace(Some(name.clone()));
+        self.relay.told(name, peer.generation);
+        identity(&self.context)
+    }
+
+    fn push(&self, bundle: ConfigBundle) -> Generation {
+        match self.peer() {
+            Some(peer) => self.relay.pushed(peer, bundle),
+            None => self.context.adoption.load().generation,
+        }
+    }
+
+    fn offer(&self, generation: Generation) {
+        if let Some(peer) = self.peer() {
+            self.relay.told(peer, generation);
+        }
+    }
+
+    fn pull(&self, above: Generation) -> PullAnswer {
+        self.relay.answer_pull(above)
+    }
+
+    fn usage(&self, report: UsageReport) -> Option<UsageAck> {
+        let peer = self.peer()?;
+        self.limits.received(self.context.clock.now(), peer, report)
+    }
+}
--- /dev/null
+++ b/lovagedock-gateway/src/relay/mod.rs
@@ -0,0 +1,233 @@
+//! Configuration relay: carries out what [`AdoptionState`] decides.
+
+mod role;
+mod store;
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use lovagedock::{
+    AdoptionAction, AdoptionEvent, AdoptionLimits, AdoptionState, ConfigBundle, ProcessId,
+    PullAnswer, RelayRole, prelude::*,
+};
+use lovagedock_wire::PeerClient;
+use slog::{Logger, debug, info, warn};
+use tokio::{
+    sync::{
+        Notify,
+        mpsc::{UnboundedReceiver, UnboundedSender},
+    },
+    task::spawn_local,
+    time::sleep,
+};
+
+pub(crate) use role::seed_name;
+pub(crate) use store::{StoreOrder, StoreReader};
+
+use crate::{
+    adopt::{AdoptError, ConfigAdopter},
+    context::GatewayContext,
+    peers::{CALL_TIME, PeerClients},
+};
+use role::relay_role;
+
+/// Shortest sleep before a tick; timers have a resolution of a millisecond.
+const SHORTEST_SLEEP: Duration = Duration::from_millis(1);
+
+/// What the relay works with.
+pub(crate) struct RelayParts {
+    /// Configuration and fleet.
+    pub(crate) context: GatewayContext,
+    /// Where configurations come into force.
+    pub(crate) adopter: Arc<ConfigAdopter>,
+    /// Sessions to other gateways.
+    pub(crate) clients: Rc<PeerClients>,
+    /// Gateways to ask before there is a configuration.
+    pub(crate) seeds: Vec<SocketAddr>,
+    /// Takes store calls; their ends come as events.
+    pub(crate) orders: UnboundedSender<StoreOrder>,
+    /// Log.
+    pub(crate) log: Logger,
+}
+
+/// The relay of one gateway; lives on the peers' thread.
+pub(crate) struct ConfigRelay {
+    parts: RelayParts,
+    state: RefCell<AdoptionState>,
+    role: RefCell<RelayRole>,
+    wake_at: Cell<Option<Timestamp>>,
+    rescheduled: Notify,
+}
+
+impl ConfigRelay {
+    /// A relay with nothing in force.
+    pub(crate) fn new(parts: RelayParts) -> Self {
+        let seed = parts.context.incarnation;
+        Self {
+            parts,
+            state: RefCell::new(AdoptionState::new(AdoptionLimits::default(), seed)),
+            role: RefCell::default(),
+            wake_at: Cell::new(None),
+            rescheduled: Notify::new(),
+        }
+    }
+
+    /// Takes events and ticks; never ends.
+    pub(crate) async fn run(self: Rc<Self>, mut events: UnboundedReceiver<AdoptionEvent>) {
+        self.update_role();
+        loop {
+            tokio::select! {
+                Some(event) = events.recv() => self.take(event),
+                () = self.sleep_until_wake() => self.tick(),
+                () = self.rescheduled.notified() => {}
+            }
+        }
+    }
+
+    /// Takes what a peer pushed; returns what is here then.
+    pub(crate) fn pushed(self: &Rc<Self>, from: ProcessId, bundle: ConfigBundle) -> Generation {
+        self.take(AdoptionEvent::Pushed { from, bundle });
+        self.state.borrow().generation()
+    }
+
+    /// Takes note of what a peer has.
+    pub(crate) fn told(self: &Rc<Self>, from: ProcessId, generation: Generation) {
+        self.take(AdoptionEvent::Told { from, generation });
+    }
+
+    /// Tells a peer at `above` what it lacks.
+    pub(crate) fn answer_pull(&self, above: Generation) -> PullAnswer {
+        self.state.borrow().answer_pull(above)
+    }
+
+    fn take(self: &Rc<Self>, event: AdoptionEvent) {
+        let now = self.parts.context.clock.now();
+        let actions = self.state.borrow_mut().handle(now, event);
+        let mut has_adopted = false;
+        for action in actions {
+            has_adopted |= matches!(action, AdoptionAction::Adopt { .. });
+            self.carry_out(action);
+        }
+        self.publish();
+        if has_adopted {
+            self.update_role();
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, action: AdoptionAction) {
+        match action {
+            AdoptionAction::ReadRoot => self.order(StoreOrder::ReadRoot),
+            AdoptionAction::WatchRoot { above } => self.order(StoreOrder::WatchRoot { above }),
+            AdoptionAction::ReadChunk { hash } => self.order(StoreOrder::ReadChunk { hash }),
+            AdoptionAction::Push { to, bundle } => {
+                spawn_local(Rc::clone(self).push(to, bundle));
+            }
+            AdoptionAction::Offer { to, generation } => {
+                spawn_local(Rc::clone(self).offer(to, generation));
+            }
+            AdoptionAction::Pull { from, above } => {
+                spawn_local(Rc::clone(self).pull(from, above));
+            }
+            AdoptionAction::Adopt {
+                generation, source, ..
+            } => {
+                info!(self.parts.log, "newer configuration";
+                    "generation" => generation, "source" => format!("{source:?}"));
+                self.put_in_force(generation);
+            }
+            AdoptionAction::Rejected { from, error } => {
+                warn!(self.parts.log, "configuration of a peer not taken";
+                    "peer" => &*from, "error" => format!("{error:?}"));
+            }
+            AdoptionAction::WakeAt(at) => {
+                self.wake_at.set(Some(at));
+                self.rescheduled.notify_one();
+            }
+        }
+    }
+
+    fn order(&self, order: StoreOrder) {
+        // The reader ends only with the gateway.
+        let _gone = self.parts.orders.send(order);
+    }
+
+    /// A configuration that this gateway is too old to read is kept for the peers, since newer
+    /// ones below it in the tree depend on it; requests go on under the one in force.
+    fn put_in_force(&self, generation: Generation) {
+        let Some(text) = self.state.borrow().text() else {
+            return;
+        };
+        match self.parts.adopter.adopt(generation, text) {
+            Ok(()) | Err(AdoptError::NotNewer) => {}
+            Err(AdoptError::Malformed(detail)) => self.parts.adopter.refused(&detail),
+        }
+    }
+
+    fn update_role(self: &Rc<Self>) {
+        let context = &self.parts.context;
+        let active = context.config.load_full();
+        let role = relay_role(&active.fleet, &context.name, &self.parts.seeds);
+        if *self.role.borrow() != role {
+            self.role.replace(role.clone());
+            self.take(AdoptionEvent::Role(role));
+        }
+    }
+
+    fn publish(&self) {
+        let status = self.state.borrow().status();
+        let adoption = &self.parts.context.adoption;
+        if **adoption.load() != status {
+            adoption.store(Arc::new(status));
+        }
+    }
+
+    async fn sleep_until_wake(&self) {
+        let Some(wake_at) = self.wake_at.get() else {
+            return std::future::pending().await;
+        };
+        let now = self.parts.context.clock.now();
+        sleep(wake_at.saturating_sub(now).max(SHORTEST_SLEEP)).await;
+    }
+
+    fn tick(self: &Rc<Self>) {
+        let now = self.parts.context.clock.now();
+        if self.wake_at.get().is_some_and(|at| at <= now) {
+            self.wake_at.set(None);
+        }
+        self.take(AdoptionEvent::Tick);
+    }
+
+    async fn push(self: Rc<Self>, to: ProcessId, bundle: ConfigBundle) {
+        let call = async |client: &PeerClient| client.push(&bundle, CALL_TIME).await;
+        let event = match self.parts.clients.call(&to, call).await {
+            Ok(generation) => AdoptionEvent::PushAnswered { to, generation },
+            Err(error) => {
+                debug!(self.parts.log, "no push to a peer"; "peer" => &*to, "error" => %error);
+                AdoptionEvent::PushFailed { to }
+            }
+        };
+        self.take(event);
+    }
+
+    async fn offer(self: Rc<Self>, to: ProcessId, generation: Generation) {
+        let call = async |client: &PeerClient| client.offer(generation, CALL_TIME).await;
+        if let Err(error) = self.parts.clients.call(&to, call).await {
+            debug!(self.parts.log, "no offer to a peer"; "peer" => &*to, "error" => %error);
+        }
+    }
+
+    async fn pull(self: Rc<Self>, from: ProcessId, above: Generation) {
+        let call = async |client: &PeerClient| client.pull(above, CALL_TIME).await;
+        let answer = self.parts.clients.call(&from, call).await;
+        if let Err(error) = &answer {
+            debug!(self.parts.log, "no answer from a peer"; "peer" => &*from, "error" => %error);
+        }
+        let answer = answer.ok();
+        self.take(AdoptionEvent::Pulled { from, answer });
+    }
+}
--- a/lovagedock-gateway/src/sources.rs
+++ b/lovagedock-gateway/src/sources.rs
@@ -4,25 +4,19 @@
 
 use error_stack::{Report, ResultExt};
 use lovagedock_daemon::{DaemonContext, Transport};
-use lovagedock_platform::{
-    CallPurpose, ChunkCache, ConfigStore, HostDirectory, HostState, ObjectStore, ROOT_KEY,
+use lovagedock_platform::{ConfigStore, HostDirectory, HostState, ObjectStore};
+use slog::{Logger, info, warn};
+use tokio::{
+    sync::{mpsc, watch},
+    task::JoinHandle,
+    time::sleep,
 };
-use slog::{Logger, debug, info, warn};
-use tokio::{sync::watch, task::JoinHandle, time::sleep};
 
 use crate::{
-    adopt::{AdoptError, ConfigAdopter},
-    connect::ConnectorFactory,
-    context::GatewayContext,
-    limits::LimitDesk,
-    peers::PeerWorker,
-    settings::GatewaySettings,
+    adopt::ConfigAdopter, connect::ConnectorFactory, context::GatewayContext, limits::LimitDesk,
+    peers::PeerWorker, relay::StoreReader, settings::GatewaySettings,
 };
 
-/// Time that a watch of the store waits for a change.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
-/// Pause after the store did not answer.
-const STORE_PAUSE: Duration = Duration::from_secs(1);
 /// Time between ticks of the outlier detectors.
 const OUTLIER_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between readings of the platform's host list.
@@ -73,22 +67,22 @@
             .attach_with(|| format!("peers' address {}", settings.peers.address))?;
         let peers = listener.local_addr()?;
         let (stop, stopped) = watch::channel(());
+        let (orders, ordered) = mpsc::unbounded_channel();
+        let (ends, ended) = mpsc::unbounded_channel();
         let worker = PeerWorker {
             context: parts.context.clone(),
-            adopter: Arc::clone(&parts.adopter),
+            adopter: parts.adopter,
             connectors: parts.connectors,
             transport,
             limits: parts.limits,
             seeds: settings.seed_peers.clone(),
+            orders,
             log: log.clone(),
         };
-        worker.start(listener, stopped)?;
+        worker.start(listener, ended, stopped)?;
         let outliers = parts.context.clone();
-        let watcher = StoreWatcher {
-            store: parts.platform.store,
-            adopter: parts.adopter,
-            log: log.clone(),
-        };
+        let config = ConfigStore::new(parts.platform.store);
+        let reader = StoreReader::new(config, log.clone());
         let hosts = HostWatcher {
             directory: parts.platform.hosts,
             context: parts.context,
@@ -97,7 +91,7 @@
         Ok(Self {
             peers,
             tasks: vec![
-                tokio::spawn(watcher.run()),
+                tokio::spawn(reader.run(ordered, ends)),
                 tokio::spawn(hosts.run()),
                 tokio::spawn(run_outlier_ticks(outliers, log.clone())),
             ],
@@ -119,50 +113,6 @@
     }
 }
 
-struct StoreWatcher {
-    store: Arc<dyn ObjectStore>,
-    adopter: Arc<ConfigAdopter>,
-    log: Logger,
-}
-
-impl StoreWatcher {
-    /// Reads the configuration and then each that replaces it; never ends.
-    async fn run(self) {
-        let config = ConfigStore::new(Arc::clone(&self.store));
-        let mut cache = ChunkCache::new();
-        let mut revision = 0;
-        loop {
-            match config.load_latest(&mut cache).await {
-                Ok(Some(loaded)) => self.adopt(loaded.root.generation(), loaded.bytes),
-                Ok(None) => {}
-                Err(error) => {
-                    debug!(self.log, "no configuration from the store"; "error" => %error);
-                    sleep(STORE_PAUSE).await;
-                    continue;
-                }
-            }
-            let change = self
-                .store
-                .watch(ROOT_KEY, revision, WATCH_WAIT, CallPurpose::Config)
-                .await;
-            match change {
-                Ok(change) => revision = change.revision,
-                Err(error) => {
-                    debug!(self.log, "no watch of the store"; "error" => %error);
-                    sleep(STORE_PAUSE).await;
-                }
-            }
-        }
-    }
-
-    fn adopt(&self, generation: lovagedock::Generation, text: bytes::Bytes) {
-        match self.adopter.adopt(generation, text) {
-            Ok(()) | Err(AdoptError::NotNewer) => {}
-            Err(AdoptError::Malformed(detail)) => self.adopter.refused(&detail),
-        }
-    }
-}
-
 struct HostWatcher {
     directory: Arc<dyn HostDirectory>,
     context: GatewayContext,
--- a/lovagedock-wire/schema/lovagedock.capnp
+++ b/lovagedock-wire/schema/lovagedock.capnp
@@ -149,10 +149,13 @@
 interface PeerSession {
   # What a gateway offers to another gateway.
   hello @0 (hello :PeerHello) -> (welcome :PeerWelcome);
-  offer @1 (generation :UInt64) -> (wanted :Bool);
-  configure @2 (generation :UInt64, config :Data) -> (generation :UInt64);
-  latest @3 (above :UInt64) -> (generation :UInt64, config :Data);
-  # The newest configuration that this gateway has, if it is above the given generation.
+  push @1 (bundle :Data) -> (generation :UInt64);
+  # What the receiver lacks of a configuration; the answer tells what it has now.
+  offer @2 (generation :UInt64);
+  # Tells what the caller has; a receiver that has less asks for it.
+  pull @3 (above :UInt64) -> (generation :UInt64, bundle :Data);
+  # What this gateway has, and what a caller at the given generation lacks; no bundle when that is
+  # nothing.
   usage @4 (report :UsageReport) -> (ack :UsageAck);
   # What organisations use at the calling gateway.
 }
--- a/lovagedock-wire/src/codec.rs
+++ b/lovagedock-wire/src/codec.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use lovagedock::{
-    AnswerEnd, AttemptKey, CostParameters, EndpointBacklog, RevokeVerdict, ShareStage, UsageAck,
-    UsageEntry, UsageReport, prelude::*,
+    AnswerEnd, AttemptKey, ConfigBundle, CostParameters, EndpointBacklog, PullAnswer,
+    RevokeVerdict, ShareStage, UsageAck, UsageEntry, UsageReport, prelude::*,
 };
 
 use crate::{
@@ -364,6 +364,31 @@
     })
 }
 
+pub(crate) fn read_bundle(bytes: &[u8]) -> Decoded<ConfigBundle> {
+    ConfigBundle::decode(bytes).map_err(|_| WireError::Malformed("configuration bundle".to_owned()))
+}
+
+pub(crate) fn write_pull_answer(
+    answer: &PullAnswer,
+    mut builder: schema::peer_session::pull_results::Builder<'_>,
+) {
+    builder.set_generation(answer.generation);
+    if let Some(bundle) = &answer.bundle {
+        builder.set_bundle(&bundle.encode());
+    }
+}
+
+pub(crate) fn read_pull_answer(
+    reader: schema::peer_session::pull_results::Reader<'_>,
+) -> Decoded<PullAnswer> {
+    let bytes = reader.get_bundle()?;
+    let bundle = (!bytes.is_empty()).then(|| read_bundle(bytes));
+    Ok(PullAnswer {
+        generation: reader.get_generation(),
+        bundle: bundle.transpose()?,
+    })
+}
+
 pub(crate) fn write_ack(ack: UsageAck, mut builder: schema::usage_ack::Builder<'_>) {
     builder.set_sequence(ack.sequence);
     builder.set_stage(stage_number(ack.stage));
--- a/lovagedock-wire/src/lovagedock_capnp.rs
+++ b/lovagedock-wire/src/lovagedock_capnp.rs
@@ -9599,12 +9599,12 @@
     #![allow(unused_variables)]
     pub type HelloParams<> = ::capnp::capability::Params<crate::lovagedock_capnp::peer_session::hello_params::Owned>;
     pub type HelloResults<> = ::capnp::capability::Results<crate::lovagedock_capnp::peer_session::hello_results::Owned>;
+    pub type PushParams<> = ::capnp::capability::Params<crate::lovagedock_capnp::peer_session::push_params::Owned>;
+    pub type PushResults<> = ::capnp::capability::Results<crate::lovagedock_capnp::peer_session::push_results::Owned>;
     pub type OfferParams<> = ::capnp::capability::Params<crate::lovagedock_capnp::peer_session::offer_params::Owned>;
     pub type OfferResults<> = ::capnp::capability::Results<crate::lovagedock_capnp::peer_session::offer_results::Owned>;
-    pub type ConfigureParams<> = ::capnp::capability::Params<crate::lovagedock_capnp::peer_session::configure_params::Owned>;
-    pub type ConfigureResults<> = ::capnp::capability::Results<crate::lovagedock_capnp::peer_session::configure_results::Owned>;
-    pub type LatestParams<> = ::capnp::capability::Params<crate::lovagedock_capnp::peer_session::latest_params::Owned>;
-    pub type LatestResults<> = ::capnp::capability::Results<crate::lovagedock_capnp::peer_session::latest_results::Owned>;
+    pub type PullParams<> = ::capnp::capability::Params<crate::lovagedock_capnp::peer_session::pull_params::Owned>;
+    pub type PullResults<> = ::capnp::capability::Results<crate::lovagedock_capnp::peer_session::pull_results::Owned>;
     pub type UsageParams<> = ::capnp::capability::Params<crate::lovagedock_capnp::peer_session::usage_params::Owned>;
     pub type UsageResults<> = ::capnp::capability::Results<crate::lovagedock_capnp::peer_session::usage_results::Owned>;
 
@@ -9659,13 +9659,13 @@
         pub fn hello_request(&self) -> ::capnp::capability::Request<crate::lovagedock_capnp::peer_session::hello_params::Owned,crate::lovagedock_capnp::peer_session::hello_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
         }
-        pub fn offer_request(&self) -> ::capnp::capability::Request<crate::lovagedock_capnp::peer_session::offer_params::Owned,crate::lovagedock_capnp::peer_session::offer_results::Owned> {
+        pub fn push_request(&self) -> ::capnp::capability::Request<crate::lovagedock_capnp::peer_session::push_params::Owned,crate::lovagedock_capnp::peer_session::push_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
         }
-        pub fn configure_request(&self) -> ::capnp::capability::Request<crate::lovagedock_capnp::peer_session::configure_params::Owned,crate::lovagedock_capnp::peer_session::configure_results::Owned> {
+        pub fn offer_request(&self) -> ::capnp::capability::Request<crate::lovagedock_capnp::peer_session::offer_params::Owned,crate::lovagedock_capnp::peer_session::offer_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
         }
-        pub fn latest_request(&self) -> ::capnp::capability::Request<crate::lovagedock_capnp::peer_session::latest_params::Owned,crate::lovagedock_capnp::peer_session::latest_results::Owned> {
+        pub fn pull_request(&self) -> ::capnp::capability::Request<crate::lovagedock_capnp::peer_session::pull_params::Owned,crate::lovagedock_capnp::peer_session::pull_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
         }
         pub fn usage_request(&self) -> ::capnp::capability::Request<crate::lovagedock_capnp::peer_session::usage_params::Owned,crate::lovagedock_capnp::peer_session::usage_results::Owned> {
@@ -9674,9 +9674,9 @@
     }
     pub trait Server<> : 'static  {
         fn hello(self: ::capnp::capability::Rc<Self>, _: HelloParams<>, _: HelloResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer_session::Server::hello not implemented".to_string()))) }
+        fn push(self: ::capnp::capability::Rc<Self>, _: PushParams<>, _: PushResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer_session::Server::push not implemented".to_string()))) }
         fn offer(self: ::capnp::capability::Rc<Self>, _: OfferParams<>, _: OfferResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer_session::Server::offer not implemented".to_string()))) }
-        fn configure(self: ::capnp::capability::Rc<Self>, _: ConfigureParams<>, _: ConfigureResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer_session::Server::configure not implemented".to_string()))) }
-        fn latest(self: ::capnp::capability::Rc<Self>, _: LatestParams<>, _: LatestResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer_session::Server::latest not implemented".to_string()))) }
+        fn pull(self: ::capnp::capability::Rc<Self>, _: PullParams<>, _: PullResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer_session::Server::pull not implemented".to_string()))) }
         fn usage(self: ::capnp::capability::Rc<Self>, _: UsageParams<>, _: UsageResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer_session::Server::usage not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
@@ -9708,9 +9708,9 @@
         pub fn dispatch_call_internal(this: ::capnp::capability::Rc<_T>, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
             match method_id {
                 0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::hello(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::offer(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::configure(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::latest(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::push(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::offer(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::pull(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::usage(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
@@ -10144,7 +10144,7 @@
         }
     }
 
-    pub mod offer_params {
+    pub mod push_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -10197,7 +10197,7 @@
             }
         }
 
-        impl <> Reader<'_,>  {
+        impl <'a,> Reader<'a,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -10206,14 +10206,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_generation(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
+            pub fn get_bundle(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_bundle(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -10264,12 +10268,20 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_generation(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
+            pub fn get_bundle(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_generation(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(0, value);
+            pub fn set_bundle(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_bundle(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_bundle(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
             }
         }
 
@@ -10282,14 +10294,14 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 35] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(43, 203, 100, 205, 121, 133, 13, 140),
-                ::capnp::word(29, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(29, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 82, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 74, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
@@ -10298,30 +10310,29 @@
                 ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
                 ::capnp::word(99, 107, 46, 99, 97, 112, 110, 112),
                 ::capnp::word(58, 80, 101, 101, 114, 83, 101, 115),
-                ::capnp::word(115, 105, 111, 110, 46, 111, 102, 102),
-                ::capnp::word(101, 114, 36, 80, 97, 114, 97, 109),
-                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 105, 111, 110, 46, 112, 117, 115),
+                ::capnp::word(104, 36, 80, 97, 114, 97, 109, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 90, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(103, 101, 110, 101, 114, 97, 116, 105),
-                ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(98, 117, 110, 100, 108, 101, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -10342,7 +10353,7 @@
         }
     }
 
-    pub mod offer_results {
+    pub mod push_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -10404,8 +10415,8 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_wanted(self) -> bool {
-                self.reader.get_bool_field(0)
+            pub fn get_generation(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
             }
         }
 
@@ -10462,12 +10473,12 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_wanted(self) -> bool {
-                self.builder.get_bool_field(0)
+            pub fn get_generation(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn set_wanted(&mut self, value: bool)  {
-                self.builder.set_bool_field(0, value);
+            pub fn set_generation(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
             }
         }
 
@@ -10480,14 +10491,14 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 35] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(234, 85, 205, 222, 253, 178, 136, 192),
                 ::capnp::word(29, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 90, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 82, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
@@ -10496,29 +10507,30 @@
                 ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
                 ::capnp::word(99, 107, 46, 99, 97, 112, 110, 112),
                 ::capnp::word(58, 80, 101, 101, 114, 83, 101, 115),
-                ::capnp::word(115, 105, 111, 110, 46, 111, 102, 102),
-                ::capnp::word(101, 114, 36, 82, 101, 115, 117, 108),
-                ::capnp::word(116, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 105, 111, 110, 46, 112, 117, 115),
+                ::capnp::word(104, 36, 82, 101, 115, 117, 108, 116),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 90, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(119, 97, 110, 116, 101, 100, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(103, 101, 110, 101, 114, 97, 116, 105),
+                ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -10539,7 +10551,7 @@
         }
     }
 
-    pub mod configure_params {
+    pub mod offer_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -10592,7 +10604,7 @@
             }
         }
 
-        impl <'a,> Reader<'a,>  {
+        impl <> Reader<'_,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -10604,19 +10616,11 @@
             pub fn get_generation(self) -> u64 {
                 self.reader.get_data_field::<u64>(0)
             }
-            #[inline]
-            pub fn get_config(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_config(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
-            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -10674,22 +10678,6 @@
             pub fn set_generation(&mut self, value: u64)  {
                 self.builder.set_data_field::<u64>(0, value);
             }
-            #[inline]
-            pub fn get_config(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_config(&mut self, value: ::capnp::data::Reader<'_>)  {
-                self.builder.reborrow().get_pointer_field(0).set_data(value);
-            }
-            #[inline]
-            pub fn init_config(self, size: u32) -> ::capnp::data::Builder<'a> {
-                self.builder.get_pointer_field(0).init_data(size)
-            }
-            #[inline]
-            pub fn has_config(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
-            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -10701,40 +10689,33 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 50] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 35] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(102, 144, 71, 75, 56, 50, 165, 151),
                 ::capnp::word(29, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 114, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 82, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(33, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
                 ::capnp::word(99, 107, 46, 99, 97, 112, 110, 112),
                 ::capnp::word(58, 80, 101, 101, 114, 83, 101, 115),
-                ::capnp::word(115, 105, 111, 110, 46, 99, 111, 110),
-                ::capnp::word(102, 105, 103, 117, 114, 101, 36, 80),
-                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(115, 105, 111, 110, 46, 111, 102, 102),
+                ::capnp::word(101, 114, 36, 80, 97, 114, 97, 109),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 90, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(49, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 90, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(103, 101, 110, 101, 114, 97, 116, 105),
                 ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -10744,19 +10725,10 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(99, 111, 110, 102, 105, 103, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -10770,14 +10742,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0x97a5_3238_4b47_9066;
         }
     }
 
-    pub mod configure_results {
+    pub mod offer_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -10838,15 +10810,11 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
-            #[inline]
-            pub fn get_generation(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
-            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -10896,14 +10864,6 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
-            #[inline]
-            pub fn get_generation(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn set_generation(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(0, value);
-            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -10915,48 +10875,28 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 35] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 18] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(241, 55, 204, 43, 174, 12, 55, 132),
-                ::capnp::word(29, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(29, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 122, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 90, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
                 ::capnp::word(99, 107, 46, 99, 97, 112, 110, 112),
                 ::capnp::word(58, 80, 101, 101, 114, 83, 101, 115),
-                ::capnp::word(115, 105, 111, 110, 46, 99, 111, 110),
-                ::capnp::word(102, 105, 103, 117, 114, 101, 36, 82),
-                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 90, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(103, 101, 110, 101, 114, 97, 116, 105),
-                ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 105, 111, 110, 46, 111, 102, 102),
+                ::capnp::word(101, 114, 36, 82, 101, 115, 117, 108),
+                ::capnp::word(116, 115, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    _ => ::capnp::introspect::panic_invalid_field_index(index),
-                }
+                ::capnp::introspect::panic_invalid_field_index(index)
             }
             pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -10968,14 +10908,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
             pub(crate) const TYPE_ID: u64 = 0x8437_0cae_2bcc_37f1;
         }
     }
 
-    pub mod latest_params {
+    pub mod pull_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -11120,7 +11060,7 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 90, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 74, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
@@ -11129,9 +11069,9 @@
                 ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
                 ::capnp::word(99, 107, 46, 99, 97, 112, 110, 112),
                 ::capnp::word(58, 80, 101, 101, 114, 83, 101, 115),
-                ::capnp::word(115, 105, 111, 110, 46, 108, 97, 116),
-                ::capnp::word(101, 115, 116, 36, 80, 97, 114, 97),
-                ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 105, 111, 110, 46, 112, 117, 108),
+                ::capnp::word(108, 36, 80, 97, 114, 97, 109, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
@@ -11172,7 +11112,7 @@
         }
     }
 
-    pub mod latest_results {
+    pub mod pull_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -11238,11 +11178,11 @@
                 self.reader.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn get_config(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            pub fn get_bundle(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_config(&self) -> bool {
+            pub fn has_bundle(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -11308,19 +11248,19 @@
                 self.builder.set_data_field::<u64>(0, value);
             }
             #[inline]
-            pub fn get_config(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            pub fn get_bundle(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_config(&mut self, value: ::capnp::data::Reader<'_>)  {
+            pub fn set_bundle(&mut self, value: ::capnp::data::Reader<'_>)  {
                 self.builder.reborrow().get_pointer_field(0).set_data(value);
             }
             #[inline]
-            pub fn init_config(self, size: u32) -> ::capnp::data::Builder<'a> {
+            pub fn init_bundle(self, size: u32) -> ::capnp::data::Builder<'a> {
                 self.builder.get_pointer_field(0).init_data(size)
             }
             #[inline]
-            pub fn has_config(&self) -> bool {
+            pub fn has_bundle(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -11341,7 +11281,7 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 98, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 82, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(33, 0, 0, 0, 119, 0, 0, 0),
@@ -11350,9 +11290,9 @@
                 ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
                 ::capnp::word(99, 107, 46, 99, 97, 112, 110, 112),
                 ::capnp::word(58, 80, 101, 101, 114, 83, 101, 115),
-                ::capnp::word(115, 105, 111, 110, 46, 108, 97, 116),
-                ::capnp::word(101, 115, 116, 36, 82, 101, 115, 117),
-                ::capnp::word(108, 116, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 105, 111, 110, 46, 112, 117, 108),
+                ::capnp::word(108, 36, 82, 101, 115, 117, 108, 116),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
@@ -11377,7 +11317,7 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(99, 111, 110, 102, 105, 103, 0, 0),
+                ::capnp::word(98, 117, 110, 100, 108, 101, 0, 0),
                 ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
--- a/lovagedock-wire/src/peer.rs
+++ b/lovagedock-wire/src/peer.rs
@@ -2,15 +2,14 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bytes::Bytes;
-use lovagedock::{UsageAck, UsageReport, prelude::*};
+use lovagedock::{ConfigBundle, PullAnswer, UsageAck, UsageReport, prelude::*};
 use tokio::task::JoinHandle;
 
 use crate::{
     codec,
     endpoint_client::{failed, within},
     lovagedock_capnp::peer_session,
-    messages::{ConfigMessage, PeerIdentity, WireError},
+    messages::{PeerIdentity, WireError},
     stream::{SessionSystem, WireStream, client_system, server_system},
 };
 
@@ -18,12 +17,12 @@
 pub trait PeerHandler: 'static {
     /// Answers an introduction.
     fn hello(&self, identity: PeerIdentity) -> PeerIdentity;
-    /// Whether a configuration of this generation is wanted.
-    fn wants(&self, generation: Generation) -> bool;
-    /// Takes a configuration; returns the generation in force.
-    fn configure(&self, message: ConfigMessage) -> Generation;
-    /// The newest configuration, if it is above a generation.
-    fn latest(&self, above: Generation) -> Option<ConfigMessage>;
+    /// Takes a configuration, whole or as a change; returns the generation that is here now.
+    fn push(&self, bundle: ConfigBundle) -> Generation;
+    /// Takes note of what the other gateway has.
+    fn offer(&self, generation: Generation);
+    /// Tells what is here, with what a gateway at this generation lacks.
+    fn pull(&self, above: Generation) -> PullAnswer;
     /// Takes what organisations use at the other gateway; confirms it unless it is of no use.
     fn usage(&self, report: UsageReport) -> Option<UsageAck>;
 }
@@ -56,44 +55,32 @@
         codec::read_welcome(response.get()?.get_welcome()?)
     }
 
-    /// Asks whether the peer lacks a generation.
-    pub async fn offer(&self, generation: Generation, limit: Duration) -> Result<bool, WireError> {
-        let mut request = self.session.offer_request();
-        request.get().set_generation(generation);
-        let response = within(limit, request.send().promise).await?;
-        Ok(response.get()?.get_wanted())
-    }
-
-    /// Hands over a configuration; returns the generation in force at the peer.
-    pub async fn configure(
+    /// Hands over what the peer lacks; returns the generation that it has now.
+    pub async fn push(
         &self,
-        message: &ConfigMessage,
+        bundle: &ConfigBundle,
         limit: Duration,
     ) -> Result<Generation, WireError> {
-        let mut request = self.session.configure_request();
-        request.get().set_generation(message.generation);
-        request.get().set_config(&message.config);
+        let mut request = self.session.push_request();
+        request.get().set_bundle(&bundle.encode());
         let response = within(limit, request.send().promise).await?;
         Ok(response.get()?.get_generation())
     }
 
-    /// Fetches the peer's newest configuration, if it is above a generation.
-    pub async fn latest(
-        &self,
-        above: Generation,
-        limit: Duration,
-    ) -> Result<Option<ConfigMessage>, WireError> {
-        let mut request = self.session.latest_request();
+    /// Tells the peer what is here.
+    pub async fn offer(&self, generation: Generation, limit: Duration) -> Result<(), WireError> {
+        let mut request = self.session.offer_request();
+        request.get().set_generation(generation);
+        within(limit, request.send().promise).await?;
+        Ok(())
+    }
+
+    /// Asks the peer for what it has above a generation.
+    pub async fn pull(&self, above: Generation, limit: Duration) -> Result<PullAnswer, WireError> {
+        let mut request = self.session.pull_request();
         request.get().set_above(above);
         let response = within(limit, request.send().promise).await?;
-        let reply = response.get()?;
-        if reply.get_generation() <= above {
-            return Ok(None);
-        }
-        Ok(Some(ConfigMessage {
-            generation: reply.get_generation(),
-            config: Bytes::copy_from_slice(reply.get_config()?),
-        }))
+        codec::read_pull_answer(response.get()?)
     }
 
     /// Tells the peer what organisations use here, and returns its confirmation.
@@ -141,41 +128,32 @@
         Ok(())
     }
 
-    async fn offer(
+    async fn push(
         self: Rc<Self>,
-        params: peer_session::OfferParams,
-        mut results: peer_session::OfferResults,
+        params: peer_session::PushParams,
+        mut results: peer_session::PushResults,
     ) -> Result<(), capnp::Error> {
-        let wanted = self.handler.wants(params.get()?.get_generation());
-        results.get().set_wanted(wanted);
+        let bundle = codec::read_bundle(params.get()?.get_bundle()?).map_err(failed)?;
+        results.get().set_generation(self.handler.push(bundle));
         Ok(())
     }
 
-    async fn configure(
+    async fn offer(
         self: Rc<Self>,
-        params: peer_session::ConfigureParams,
-        mut results: peer_session::ConfigureResults,
+        params: peer_session::OfferParams,
+        _results: peer_session::OfferResults,
     ) -> Result<(), capnp::Error> {
-        let call = params.get()?;
-        let message = ConfigMessage {
-            generation: call.get_generation(),
-            config: Bytes::copy_from_slice(call.get_config()?),
-        };
-        results
-            .get()
-            .set_generation(self.handler.configure(message));
+        self.handler.offer(params.get()?.get_generation());
         Ok(())
     }
 
-    async fn latest(
+    async fn pull(
         self: Rc<Self>,
-        params: peer_session::LatestParams,
-        mut results: peer_session::LatestResults,
+        params: peer_session::PullParams,
+        mut results: peer_session::PullResults,
     ) -> Result<(), capnp::Error> {
-        if let Some(message) = self.handler.latest(params.get()?.get_above()) {
-            results.get().set_generation(message.generation);
-            results.get().set_config(&message.config);
-        }
+        let answer = self.handler.pull(params.get()?.get_above());
+        codec::write_pull_answer(&answer, results.get());
         Ok(())
     }
 
