--- a/lovagedock-standin/tests/promise_support/caller.rs
+++ b/lovagedock-standin/tests/promise_support/caller.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::{Method, Request, Response, body::Incoming};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use hyper_util::{client::legacy::Client, rt::TokioExecutor};
 use lovagedock_standin::engine::expected_answer;
 use serde_json::{Value, json};
@@ -265,14 +265,23 @@
     control(Method::POST, address, path).await
 }
 
-async fn control(method: Method, address: SocketAddr, path: &str) -> Value {
+/// The status that a control surface answers with.
+pub(crate) async fn status(address: SocketAddr, path: &str) -> StatusCode {
+    respond(Method::GET, address, path).await.status()
+}
+
+async fn respond(method: Method, address: SocketAddr, path: &str) -> Response<Incoming> {
     let request = Request::builder()
         .method(method)
         .uri(format!("http://{address}{path}"))
         .body(Full::<Bytes>::default())
         .expect("request");
     let client = Client::builder(TokioExecutor::new()).build_http();
-    let response = client.request(request).await.expect("an answer");
+    client.request(request).await.expect("an answer")
+}
+
+async fn control(method: Method, address: SocketAddr, path: &str) -> Value {
+    let response = respond(method, address, path).await;
     assert!(response.status().is_success(), "{path}: {response:?}");
     let body = response.into_body().collect().await.expect("a body");
     serde_json::from_slice(&body.to_bytes()).unwrap_or_default()
