Report only memory that a new request can have

Cause: memory that is kept for a long prompt at the head of the queue was reported as free, so gateways sent short prompts to wait behind it. Change: the report's free memory leaves out what the waiting request and its passers need.

--- a/lovagedock/src/endpoint/head.rs
+++ b/lovagedock/src/endpoint/head.rs
@@ -85,6 +85,14 @@
         head.need + self.passed + need <= memory
     }
 
+    /// Memory that is left beside the head and all that passed it.
+    pub(crate) fn room(&self, memory: TokenCount) -> TokenCount {
+        match &self.head {
+            Some(head) => memory.saturating_sub(head.need + self.passed),
+            None => memory,
+        }
+    }
+
     /// A request started before the head.
     pub(crate) fn note_start(&mut self, request: RequestId, need: TokenCount) {
         if self.head.is_none() {
--- a/lovagedock/src/endpoint/queue.rs
+++ b/lovagedock/src/endpoint/queue.rs
@@ -136,6 +136,11 @@
         self.head.leaves_room(need, memory)
     }
 
+    /// Memory that is left beside the waiting head.
+    pub(crate) fn room(&self, memory: TokenCount) -> TokenCount {
+        self.head.room(memory)
+    }
+
     /// Memory was given to something outside of the queue.
     pub(crate) fn note_taken(&mut self, request: RequestId, need: TokenCount) {
         self.head.note_start(request, need);
--- a/lovagedock/src/endpoint/snapshot.rs
+++ b/lovagedock/src/endpoint/snapshot.rs
@@ -94,7 +94,9 @@
             draining: self.draining,
             engine_up: self.engine_up,
             memory_tokens: self.ledger.memory(),
-            free_tokens: self.ledger.free(),
+            // What is kept for a waiting request is free and yet not to be had: a gateway that
+            // counted on it would send short prompts to wait behind a long one.
+            free_tokens: self.ledger.free().min(self.queue.room(self.ledger.memory())),
             orphaned_tokens: self.ledger.orphaned(),
             reserved_tokens: self.ledger.reserved(),
             queued: self.queue.len(),
