Count parts of spans in load reports, and cost a span by its own part

Cause: trails of slow calls in the demo (83 calls of up to 8k tokens over 0.8 s in 15 s) showed streaks of short prompts on one engine after the other, each predicted at 5 to 60 ms: an engine that prefilled a part of a span reported no backlog. The lead of a span was also costed with the whole prompt, so that prompts of a million tokens were refused as too late after their parts were prefilled, and the model learned that the whole prompt had been prefilled in the time of a part. Change: the report counts parts under way; a span costs its own part and teaches nothing; a full batch counts as backlog; a long prefill under way breaks ties against an engine.

--- a/lovagedock-sidecar/src/report.rs
+++ b/lovagedock-sidecar/src/report.rs
@@ -19,7 +19,7 @@
         self.sequence.set(self.sequence.get() + 1);
         let long_tokens = config.long_tokens();
         let now = state.clock.now();
-        let (load, running_long, backlog, cost) = state.read(|core: &EndpointCore| {
+        let (load, running_long, mut backlog, cost) = state.read(|core: &EndpointCore| {
             let long = match long_tokens {
                 0 => 0,
                 tokens => core.running_long(tokens),
@@ -31,6 +31,8 @@
                 core.cost_parameters(),
             )
         });
+        backlog.all += state.segments.prefill_left(now, cost);
+        let running_long = running_long + state.segments.count();
         LoadMessage {
             sequence: self.sequence.get(),
             leaving: load.draining,
--- a/lovagedock-sidecar/src/segment.rs
+++ b/lovagedock-sidecar/src/segment.rs
@@ -1,9 +1,10 @@
 //! Prefills one part of a prompt that is larger than any engine.
 
-use std::borrow::Cow;
+use std::{borrow::Cow, collections::BTreeMap, time::Duration};
 
-use lovagedock::{AnswerEnd, prelude::*};
+use lovagedock::{AnswerEnd, CostParameters, prelude::*};
 use lovagedock_wire::{SegmentRange, SegmentReply, WorkMessage};
+use parking_lot::Mutex;
 use serde::Deserialize;
 
 use crate::{adapter::SegmentRequest, engine_task::engine_priority, state::SidecarState};
@@ -29,7 +30,13 @@
         tokens: range.tokens,
         prompt_part: part_of(&prompt, range, bytes_per_token).to_owned(),
     };
-    match state.adapter.segment(request).await {
+    let prefilled = {
+        let _active = state
+            .segments
+            .begin(work.key.request, range, state.clock.now());
+        state.adapter.segment(request).await
+    };
+    match prefilled {
         Ok(holder) => SegmentReply {
             end: AnswerEnd::new(ResultCode::Complete),
             locator: holder.locator,
@@ -43,6 +50,70 @@
     }
 }
 
+/// Parts of spans that the engine prefills now; the load report counts them.
+///
+/// They are no requests of this endpoint. Without them a report shows an idle engine while it is
+/// busy with a long part, and gateways send it the short prompts.
+///
+/// Lock order: a leaf.
+#[derive(Default)]
+pub(crate) struct ActiveSegments {
+    parts: Mutex<BTreeMap<RequestId, ActiveSegment>>,
+}
+
+struct ActiveSegment {
+    range: SegmentRange,
+    begun_at: Timestamp,
+}
+
+impl ActiveSegments {
+    /// Counts a part until the guard is dropped, also when its gateway goes away.
+    pub(crate) fn begin(
+        &self,
+        request: RequestId,
+        range: SegmentRange,
+        now: Timestamp,
+    ) -> SegmentGuard<'_> {
+        let part = ActiveSegment {
+            range,
+            begun_at: now,
+        };
+        self.parts.lock().insert(request, part);
+        SegmentGuard {
+            segments: self,
+            request,
+        }
+    }
+
+    /// Number of parts.
+    pub(crate) fn count(&self) -> usize {
+        self.parts.lock().len()
+    }
+
+    /// Prefill time that is predicted to be left.
+    pub(crate) fn prefill_left(&self, now: Timestamp, cost: CostParameters) -> Duration {
+        let parts = self.parts.lock();
+        let left = parts.values().map(|part| {
+            let end = part.range.start + part.range.tokens;
+            let whole = cost.or_assumed().prefill(end, part.range.start);
+            whole.saturating_sub(now.saturating_sub(part.begun_at))
+        });
+        left.sum()
+    }
+}
+
+/// Ends the count of a part when it is dropped.
+pub(crate) struct SegmentGuard<'a> {
+    segments: &'a ActiveSegments,
+    request: RequestId,
+}
+
+impl Drop for SegmentGuard<'_> {
+    fn drop(&mut self) {
+        self.segments.parts.lock().remove(&self.request);
+    }
+}
+
 fn refused(detail: &str) -> SegmentReply {
     SegmentReply {
         end: AnswerEnd::new(ResultCode::EngineRefused).with_detail(detail),
--- a/lovagedock-sidecar/src/state.rs
+++ b/lovagedock-sidecar/src/state.rs
@@ -15,7 +15,7 @@
 use slog::{Logger, debug, info, warn};
 use tokio::sync::watch;
 
-use crate::{adapter::EngineAdapter, answers::AnswerTable, engine_task};
+use crate::{adapter::EngineAdapter, answers::AnswerTable, engine_task, segment::ActiveSegments};
 
 /// What the core says to whoever asked.
 #[derive(Clone, Debug, PartialEq)]
@@ -46,6 +46,8 @@
     pub(crate) clock: ProcessClock,
     /// The endpoint.
     pub(crate) adapter: Arc<dyn EngineAdapter>,
+    /// Parts of spans that the engine prefills now.
+    pub(crate) segments: ActiveSegments,
     /// Log.
     pub(crate) log: Logger,
     core: Mutex<EndpointCore>,
@@ -69,6 +71,7 @@
             incarnation,
             clock,
             adapter,
+            segments: ActiveSegments::default(),
             log,
             core: Mutex::new(EndpointCore::new(incarnation, limits)),
             answers: Mutex::default(),
--- a/lovagedock/src/endpoint/engine.rs
+++ b/lovagedock/src/endpoint/engine.rs
@@ -212,6 +212,10 @@
         let Some(first) = entry.first_bytes else {
             return;
         };
+        // The engine counts the whole prompt of a span and prefilled a part of it.
+        if !entry.order.span.is_empty() {
+            return;
+        }
         let batch = u32::try_from(self.started.len()).unwrap_or(u32::MAX);
         self.speed.observe(RunSample {
             prompt: answer.prompt_tokens,
--- a/lovagedock/src/endpoint/snapshot.rs
+++ b/lovagedock/src/endpoint/snapshot.rs
@@ -1,5 +1,7 @@
 //! What a sidecar shows of its decisions in dumps and load reports.
 
+use std::time::Duration;
+
 use serde::Serialize;
 
 use crate::{
@@ -96,7 +98,10 @@
             memory_tokens: self.ledger.memory(),
             // What is kept for a waiting request is free and yet not to be had: a gateway that
             // counted on it would send short prompts to wait behind a long one.
-            free_tokens: self.ledger.free().min(self.queue.room(self.ledger.memory())),
+            free_tokens: self
+                .ledger
+                .free()
+                .min(self.queue.room(self.ledger.memory())),
             orphaned_tokens: self.ledger.orphaned(),
             reserved_tokens: self.ledger.reserved(),
             queued: self.queue.len(),
@@ -131,7 +136,11 @@
     /// Time until a prompt that comes now would begin to be prefilled. Long prompts wait behind
     /// all others; short ones overtake the long ones, here and on the engine.
     pub fn backlog(&self, now: Timestamp, long_tokens: TokenCount) -> EndpointBacklog {
-        let mut backlog = EndpointBacklog::default();
+        let slot = self.slot_wait();
+        let mut backlog = EndpointBacklog {
+            all: slot,
+            short: slot,
+        };
         for entry in self.table.values() {
             let left = entry.prefill_left(now);
             backlog.all += left;
@@ -142,6 +151,18 @@
         backlog
     }
 
+    /// Time until a place in the engine's batch is free, when all are taken.
+    fn slot_wait(&self) -> Duration {
+        let slots = self.concurrency().max(1);
+        if self.running().count() < slots {
+            return Duration::ZERO;
+        }
+        let total: Duration = self.running().map(|entry| entry.cost.total()).sum();
+        let mean = total / u32::try_from(slots).unwrap_or(u32::MAX);
+        let ahead = u32::try_from(self.queue.len() + 1).unwrap_or(u32::MAX);
+        mean.saturating_mul(ahead) / u32::try_from(slots).unwrap_or(u32::MAX)
+    }
+
     /// The memory ledger.
     pub fn ledger(&self) -> &MemoryLedger {
         &self.ledger
--- a/lovagedock/src/endpoint/speed.rs
+++ b/lovagedock/src/endpoint/speed.rs
@@ -103,11 +103,17 @@
         }
     }
 
-    /// Predicts a run; all zero while nothing is known.
-    pub(crate) fn predict(&self, prompt: TokenCount, answer: TokenCount) -> RunCost {
+    /// Predicts a run whose first `elsewhere` prompt tokens other engines hold; all zero while
+    /// nothing is known.
+    pub(crate) fn predict(
+        &self,
+        prompt: TokenCount,
+        elsewhere: TokenCount,
+        answer: TokenCount,
+    ) -> RunCost {
         let parameters = self.parameters();
         RunCost {
-            prefill: parameters.prefill(prompt, 0),
+            prefill: parameters.prefill(prompt, elsewhere),
             decode: parameters.decode(answer).mul_f64(self.answer_share),
         }
     }
--- a/lovagedock/src/endpoint/submit.rs
+++ b/lovagedock/src/endpoint/submit.rs
@@ -12,7 +12,7 @@
         speed::RunCost,
         work::QueuedWork,
     },
-    ids::{Timestamp, TokenCount},
+    ids::{RequestId, Timestamp, TokenCount},
     outcome::{AnswerEnd, AttemptKey},
 };
 
@@ -222,7 +222,19 @@
         order.prompt_tokens.saturating_add(order.answer_tokens)
     }
 
+    /// Predicted time of an order; of a span only its own part is prefilled here.
     fn cost(&self, order: &WorkOrder) -> RunCost {
-        self.speed.predict(order.prompt_tokens, order.answer_tokens)
+        let elsewhere = match order.span.is_empty() {
+            true => 0,
+            false => order
+                .prompt_tokens
+                .saturating_sub(self.held_tokens(order.key.request)),
+        };
+        self.speed
+            .predict(order.prompt_tokens, elsewhere, order.answer_tokens)
+    }
+
+    fn held_tokens(&self, request: RequestId) -> TokenCount {
+        self.ledger.lease(request).map_or(0, |lease| lease.tokens)
     }
 }
--- a/lovagedock/src/placement/length_aware.rs
+++ b/lovagedock/src/placement/length_aware.rs
@@ -196,9 +196,13 @@
         } else {
             (OTHER_DOMAIN_SECONDS, OTHER_DOMAIN_UNSEEN_SECONDS)
         };
+        let disturbed = match class {
+            LengthClass::Short => disturbance(view),
+            LengthClass::Long => 0.0,
+        };
         Self {
             index,
-            score: first_token + away + unseen,
+            score: first_token + away + unseen + disturbed,
             first_token: first_token + away,
             finish: first_token + away + learned_decode(request, view),
             prefill,
@@ -300,6 +304,22 @@
     queue_seconds(now, view, LengthClass::Long) + answer.as_secs_f64()
 }
 
+/// What a long prefill under way costs a short prompt that overtakes it: engines work in steps, so
+/// it waits for the step that runs, and each of its own may carry a chunk of the long one.
+fn disturbance(view: &EndpointView) -> f64 {
+    let Some(report) = &view.report else {
+        return 0.0;
+    };
+    let long_under_way = report
+        .backlog
+        .is_some_and(|backlog| backlog.all > backlog.short);
+    if !long_under_way {
+        return 0.0;
+    }
+    let cost = cost_of(view);
+    DISTURBED_STEPS * cost.prefill_seconds(CHUNK_DEPTH + CHUNK_TOKENS, CHUNK_DEPTH)
+}
+
 fn pool_pulse(pool: &PoolView<'_>) -> PoolPulse {
     let mut usable = 0_u32;
     let mut busy = 0_u32;
@@ -361,6 +381,14 @@
     }
 }
 
+/// Tokens that an engine is assumed to prefill in one step.
+const CHUNK_TOKENS: TokenCount = 2_048;
+/// Position in a long prompt at which a chunk is assumed to be.
+const CHUNK_DEPTH: TokenCount = 200_000;
+/// Steps of a short prompt that count as lost to a long prefill. It breaks ties and no more: with a
+/// whole step or two, short prompts crowd on the few engines without a long one and wait there for
+/// each other (`policy_comparison` fails).
+const DISTURBED_STEPS: f64 = 0.25;
 /// Candidates that are kept for the random choice.
 const SHORTLIST_LENGTH: usize = 8;
 /// A candidate is as good as the best when its score is within this ratio and time of it.
