Tell that a span's prefill ran, and give its parts their turn

And prompts of a million tokens hardly ever completed: each part waited behind everything that came meanwhile, on one engine after the other. Change: once its parts are prefilled, a span that is refused counts as run; it may still go elsewhere, since prefill has no effect outside the engine. A part has the engine's priority of a 16k prompt.

--- a/lovagedock-sidecar/src/segment.rs
+++ b/lovagedock-sidecar/src/segment.rs
@@ -9,6 +9,13 @@
 
 use crate::{adapter::SegmentRequest, engine_task::engine_priority, state::SidecarState};
 
+/// Length that a part of a span counts as for the engine's priority.
+///
+/// A span holds memory on several engines for as long as its parts take, one after the other. At
+/// the rank of its whole length each part would wait behind all that comes meanwhile, on one
+/// engine after the other, and the prompt would run out of time.
+const SEGMENT_RANK: TokenCount = 16_000;
+
 /// Prefills a part into memory that its attempt has reserved here.
 pub(crate) async fn prefill(
     state: &SidecarState,
@@ -25,7 +32,7 @@
     };
     let request = SegmentRequest {
         request_id: work.key.request,
-        priority: engine_priority(work.tier, work.prompt_tokens),
+        priority: engine_priority(work.tier, SEGMENT_RANK),
         start: range.start,
         tokens: range.tokens,
         prompt_part: part_of(&prompt, range, bytes_per_token).to_owned(),
--- a/lovagedock/src/request/finish.rs
+++ b/lovagedock/src/request/finish.rs
@@ -45,7 +45,15 @@
     pub(super) fn attempt_failed(&mut self, now: Timestamp, end: AnswerEnd) {
         // A frame or a verdict goes before the word of a later message that says "not run".
         let started = self.attempt.as_ref().is_some_and(|attempt| attempt.started);
-        let ran = if started && self.safeguards.remember_ran {
+        let prefilling = matches!(self.phase, RequestPhase::Spanning);
+        // The parts of a span are prefilled before its submit: a refusal of the submit says that
+        // nothing was answered, and not that no engine has worked on the request.
+        let is_span = self
+            .attempt
+            .as_ref()
+            .is_some_and(|attempt| !attempt.span.is_empty());
+        let only_prefilled = is_span && !prefilling && !started && end.ran == RanState::No;
+        let ran = if only_prefilled || started && self.safeguards.remember_ran {
             RanState::Yes
         } else {
             end.ran
@@ -54,8 +62,7 @@
         if end.code == ResultCode::Revoked && self.caller_gone {
             end.code = ResultCode::CallerGone;
         }
-        let prefilling = matches!(self.phase, RequestPhase::Spanning);
-        if !self.may_try_again(&end, prefilling) {
+        if !self.may_try_again(&end, prefilling, only_prefilled) {
             self.abandon_attempt_unless(end.ran == RanState::No || ends_work(&end));
             self.conclude(end);
             return;
@@ -76,7 +83,7 @@
         self.actions.push(RequestAction::AskRetry);
     }
 
-    fn may_try_again(&self, end: &AnswerEnd, prefilling: bool) -> bool {
+    fn may_try_again(&self, end: &AnswerEnd, prefilling: bool, only_prefilled: bool) -> bool {
         let given_up = self.caller_gone || self.stopping;
         let spent = self.attempts >= self.spec.timing.max_attempts;
         if given_up || spent || self.answer.delivered > 0 {
@@ -95,6 +102,7 @@
         // for a request that must not run twice.
         let repeatable = end.ran == RanState::No
             || prefilling
+            || only_prefilled
             || !self.spec.non_idempotent
             || !self.safeguards.revoke_before_retry;
         // A span has tried other engines itself for as long as made sense.
