Predict only the answer of a span that is prefilled

Cause: the sidecar that decodes predicted a span's submit as if its own part had still to be prefilled. It has been: the lead's segments are the last that are prefilled, and the submit follows them. A span whose time is short was refused as too late when only the answer was left. The part also counted as prefill that is left.

Change: a span's order costs its answer alone and is not counted as prefill left.

--- a/lovagedock/src/endpoint/snapshot.rs
+++ b/lovagedock/src/endpoint/snapshot.rs
@@ -91,7 +91,8 @@
     /// Counts for a load report.
     pub fn load(&self) -> EndpointLoad {
         let running = self.running();
-        let prefilling = running.filter(|entry| entry.first_bytes.is_none());
+        let prefilling =
+            running.filter(|entry| entry.first_bytes.is_none() && entry.order.span.is_empty());
         EndpointLoad {
             draining: self.draining,
             engine_up: self.engine_up,
--- a/lovagedock/src/endpoint/submit.rs
+++ b/lovagedock/src/endpoint/submit.rs
@@ -12,7 +12,7 @@
         speed::RunCost,
         work::QueuedWork,
     },
-    ids::{RequestId, Timestamp, TokenCount},
+    ids::{Timestamp, TokenCount},
     outcome::{AnswerEnd, AttemptKey},
 };
 
@@ -222,19 +222,15 @@
         order.prompt_tokens.saturating_add(order.answer_tokens)
     }
 
-    /// Predicted time of an order; of a span only its own part is prefilled here.
+    /// Predicted time of an order; of a span that of its answer alone.
     fn cost(&self, order: &WorkOrder) -> RunCost {
-        let elsewhere = match order.span.is_empty() {
+        // The engines of a span, this one included, have prefilled the prompt before the submit.
+        // Counted again, it would be refused as too late when all that is left is the answer.
+        let prefilled = match order.span.is_empty() {
             true => 0,
-            false => order
-                .prompt_tokens
-                .saturating_sub(self.held_tokens(order.key.request)),
+            false => order.prompt_tokens,
         };
         self.speed
-            .predict(order.prompt_tokens, elsewhere, order.answer_tokens)
-    }
-
-    fn held_tokens(&self, request: RequestId) -> TokenCount {
-        self.ledger.lease(request).map_or(0, |lease| lease.tokens)
+            .predict(order.prompt_tokens, prefilled, order.answer_tokens)
     }
 }
