Give a leaving sidecar's gateways time to hear of it, and tell drivers of a shutdown

Cause: a sidecar with nothing left closed its sessions as soon as it had drained; a submit on its way from a gateway that had not heard of the drain was lost with the connection, and a receipt in it ended as unknown. A gateway's drain told new callers only; requests that waited for a retry went on. Change: a drained sidecar goes on to refuse for three heartbeats before it exits; each driver tells its machine of the shutdown; the demo's limits by time run at the model's speed like its callers. Ruled out: revoking after the exit, which nobody is left to answer.

--- a/lovagedock-gateway/src/driver/mod.rs
+++ b/lovagedock-gateway/src/driver/mod.rs
@@ -70,6 +70,13 @@
     kept: Option<KeptAnswer>,
 }
 
+/// What the machine has been told that stays true.
+#[derive(Default)]
+struct ToldOnce {
+    caller_gone: bool,
+    stopping: bool,
+}
+
 impl RequestDriver {
     /// A driver for a request that passed all checks.
     pub(crate) fn new(
@@ -117,12 +124,12 @@
     pub(crate) async fn run(mut self) -> (Outcome, Option<KeptAnswer>) {
         let actions = self.machine.start();
         let mut finished = self.carry_out(actions).await;
-        let mut caller_gone = false;
+        let mut told = ToldOnce::default();
         let outcome = loop {
             if let Some(outcome) = finished {
                 break outcome;
             }
-            let event = self.next_event(&mut caller_gone).await;
+            let event = self.next_event(&mut told).await;
             let Some(event) = event else { continue };
             let actions = self.machine.handle(self.now(), event);
             finished = self.carry_out(actions).await;
@@ -133,17 +140,22 @@
         (outcome, self.kept)
     }
 
-    async fn next_event(&mut self, caller_gone: &mut bool) -> Option<RequestEvent> {
+    async fn next_event(&mut self, told: &mut ToldOnce) -> Option<RequestEvent> {
         let wake = self.shared.context.clock.instant_at(self.wake_at);
         let span_wake = self.span.as_ref().map_or(self.wake_at, |span| span.wake_at);
         let span_wake = self.shared.context.clock.instant_at(span_wake);
         tokio::select! {
             biased;
             () = sleep_until(wake.into()) => Some(RequestEvent::Tick),
-            () = self.caller.closed(), if !*caller_gone => {
-                *caller_gone = true;
+            () = self.caller.closed(), if !told.caller_gone => {
+                told.caller_gone = true;
                 Some(RequestEvent::CallerGone)
             }
+            () = self.shared.shutdown.wait(), if !told.stopping => {
+                told.stopping = true;
+                let grace = self.shared.drain_time;
+                Some(RequestEvent::Stopping { grace })
+            }
             () = sleep_until(span_wake.into()), if self.span.is_some() => {
                 self.span_event(SpanEvent::Tick)
             }
--- a/lovagedock-gateway/src/gateway.rs
+++ b/lovagedock-gateway/src/gateway.rs
@@ -84,7 +84,8 @@
             context.incarnation,
         ));
         let claims = ClaimDesk::start(context.incarnation, &store, daemon.clock);
-        let shared = GatewayShared::new(context.clone(), claims, limits.clone());
+        let shared = GatewayShared::new(context.clone(), claims, limits.clone())
+            .with_shutdown(daemon.shutdown.clone(), settings.limits.drain_time());
         let front = FrontServer::bind(
             settings.callers.address,
             open_transport(&settings.callers.transport, &daemon)?,
--- a/lovagedock-gateway/src/shared.rs
+++ b/lovagedock-gateway/src/shared.rs
@@ -1,8 +1,9 @@
 //! What request drivers share beside the context.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use lovagedock::{RetryAllowance, RetryBudget, prelude::*};
+use lovagedock_daemon::ShutdownSignal;
 use parking_lot::Mutex;
 
 use crate::{claims::ClaimDesk, context::GatewayContext, limits::LimitDesk, trail::TrailBook};
@@ -20,6 +21,10 @@
     pub(crate) claims: ClaimDesk,
     /// Limits of organisations.
     pub(crate) limits: LimitDesk,
+    /// Tells that the gateway drains.
+    pub(crate) shutdown: ShutdownSignal,
+    /// Time that requests in flight get when it does.
+    pub(crate) drain_time: Duration,
     budgets: Arc<Mutex<HashMap<ServiceId, RetryBudget>>>,
 }
 
@@ -31,10 +36,19 @@
             trails: TrailBook::default(),
             claims,
             limits,
+            shutdown: ShutdownSignal::new(),
+            drain_time: Duration::ZERO,
             budgets: Arc::default(),
         }
     }
 
+    /// Sets what tells that the gateway drains, and how long requests in flight get then.
+    pub(crate) fn with_shutdown(mut self, shutdown: ShutdownSignal, drain_time: Duration) -> Self {
+        self.shutdown = shutdown;
+        self.drain_time = drain_time;
+        self
+    }
+
     /// Takes a retry from the service's budget, if there is one.
     pub(crate) fn take_retry(&self, service: &ServiceId, now: Timestamp) -> bool {
         self.with_budget(service, now, |budget| budget.try_take(now))
--- a/lovagedock-sidecar/src/settings.rs
+++ b/lovagedock-sidecar/src/settings.rs
@@ -26,6 +26,10 @@
     /// Time that a shutdown waits for requests in flight, in milliseconds.
     #[serde(default = "default_drain_ms")]
     pub drain_ms: u64,
+    /// Time that a sidecar with nothing left goes on to refuse requests before it exits, in
+    /// milliseconds; longer than the gateways' heartbeat interval.
+    #[serde(default = "default_linger_ms")]
+    pub linger_ms: u64,
 }
 
 impl SidecarSettings {
@@ -33,6 +37,11 @@
     pub fn drain_time(&self) -> Duration {
         Duration::from_millis(self.drain_ms)
     }
+
+    /// Time that a sidecar with nothing left goes on to refuse requests before it exits.
+    pub fn linger(&self) -> Duration {
+        Duration::from_millis(self.linger_ms)
+    }
 }
 
 impl DaemonSettings for SidecarSettings {
@@ -117,6 +126,10 @@
     600_000
 }
 
+fn default_linger_ms() -> u64 {
+    1_500
+}
+
 fn default_silence_ms() -> u64 {
     3_000
 }
--- a/lovagedock-sidecar/src/sidecar.rs
+++ b/lovagedock-sidecar/src/sidecar.rs
@@ -83,6 +83,7 @@
             silence: settings.gateways.silence(),
             poll: settings.engine.poll(),
             drain_time: settings.drain_time(),
+            linger: settings.linger(),
             shutdown: daemon.shutdown.clone(),
             log,
         };
@@ -133,6 +134,7 @@
     silence: Duration,
     poll: Duration,
     drain_time: Duration,
+    linger: Duration,
     shutdown: ShutdownSignal,
     log: Logger,
 }
@@ -202,7 +204,11 @@
         };
         if timeout(self.drain_time, left).await.is_err() {
             warn!(self.log, "drain time is over");
+            return;
         }
+        // A submit may be on its way from a gateway that has not heard of the drain. Refused here
+        // it did not run; on a connection that closes under it nobody could tell.
+        sleep(self.linger).await;
     }
 }
 
--- a/lovagedock-standin/src/demo/run.rs
+++ b/lovagedock-standin/src/demo/run.rs
@@ -7,6 +7,7 @@
 };
 
 use error_stack::{Report, ResultExt};
+use lovagedock::FleetConfig;
 use lovagedock_daemon::ProcessClock;
 use slog::Logger;
 use tokio::time;
@@ -97,6 +98,7 @@
         .deployment
         .mix()
         .change_context(DemoError::Deployment)?;
+    let config = with_limits_at(config, TIME_SCALE);
     let policy = config.placement.policy.clone();
     let plan = FleetPlan::new(config, options.log.clone()).with_time_scale(TIME_SCALE);
     // Before the stand-ins, so that none of their times lies before the clock's zero.
@@ -176,6 +178,16 @@
     executions
 }
 
+/// Limits by time at the speed of the model's clock: callers come as much faster.
+fn with_limits_at(mut config: FleetConfig, time_scale: f64) -> FleetConfig {
+    for organisation in &mut config.organisations {
+        let limits = &mut organisation.limits;
+        limits.requests_per_second = (f64::from(limits.requests_per_second) * time_scale) as u32;
+        limits.tokens_per_minute = (limits.tokens_per_minute as f64 * time_scale) as u64;
+    }
+    config
+}
+
 fn origin(clock: &ProcessClock, uptime: Duration, time_scale: f64) -> ClockOrigin {
     ClockOrigin {
         started_at: clock.now().saturating_sub(uptime),
--- a/lovagedock-standin/src/fleet.rs
+++ b/lovagedock-standin/src/fleet.rs
@@ -352,6 +352,7 @@
         },
         log: LogSettings::default(),
         drain_ms: plan.drain.as_millis() as u64,
+        linger_ms: (3 * plan.heartbeat).as_millis() as u64,
     }
 }
 
