Bound the answer that a sidecar keeps

Cause: a sidecar keeps an answer whole until it was taken, and only the deadline bounded it: a plain service that never ends its body, or a long body for a slow caller, could fill the host's memory.

Change: an answer of more than 64 MiB, which is what a whole answer of a model engine may have, ends as 3002. What has reached the caller breaks off.

--- a/lovagedock-sidecar/src/engine_task.rs
+++ b/lovagedock-sidecar/src/engine_task.rs
@@ -15,6 +15,8 @@
 
 /// Difference between the priorities of two tiers; more than the lengths make.
 const PRIORITY_STEP: i32 = 10;
+/// Longest answer; as long as what a whole answer of a model engine may be.
+const ANSWER_LIMIT_BYTES: usize = 64 << 20;
 /// HTTP status of an engine that has a request with the same id.
 const ALREADY_THERE: u16 = 409;
 
@@ -51,6 +53,7 @@
 ) -> Result<EngineEnd, EngineError> {
     let mut stream = state.adapter.start(engine_request(key, work)).await?;
     state.decide(EndpointEvent::EngineStarted(key));
+    let mut room = ANSWER_LIMIT_BYTES;
     while let Some(event) = stream.next().await {
         match event? {
             EngineEvent::Head(head) => take_head(state, key, head),
@@ -58,6 +61,14 @@
                 if let Some(record) = state.answers().get_mut(key.request) {
                     record.append(&bytes);
                 }
+                // An answer is kept whole until it was taken. A service that never ends its body,
+                // or a caller that reads slowly, would fill the host's memory with it.
+                room = room.saturating_sub(bytes.len());
+                if room == 0 {
+                    return Err(EngineError::failed(format!(
+                        "the answer is longer than {ANSWER_LIMIT_BYTES} bytes"
+                    )));
+                }
                 let length = bytes.len() as u64;
                 state.decide(EndpointEvent::EngineBytes { key, length });
             }
--- a/lovagedock-standin/tests/promises_load.rs
+++ b/lovagedock-standin/tests/promises_load.rs
@@ -2,16 +2,23 @@
 
 mod promise_support;
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
+use lovagedock_daemon::DaemonContext;
+use lovagedock_sidecar::Sidecar;
 use lovagedock_standin::fleet::LocalFleet;
 use promise_support::{
     caller,
-    caller::{Call, Reply},
+    caller::{Call, Ending, Reply},
     engines, plan, start, starts, until,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use slog::{Discard, Logger, o};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
 
 /// Calls of the burst; far more than the fleet can finish within their time.
 const BURST: u64 = 200;
@@ -71,6 +78,60 @@
     }
 }
 
+/// A service never ends the body of an answer. The sidecar keeps an answer whole until it was taken,
+/// so without a bound the body would fill the host; the caller sees the answer break off.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_endless_answer_breaks_off() {
+    let mut fleet = start(plan().with_drain(Duration::ZERO)).await;
+    let endpoint = fleet.endpoints.last_mut().expect("the service");
+    endpoint.daemon.shutdown.trigger();
+    let sidecar = endpoint.sidecar.take().expect("it runs");
+    sidecar.wait().await.expect("it ends");
+    endpoint.settings.engine.address = endless_service().await;
+    endpoint.daemon = DaemonContext::new(Logger::root(Discard, o!()));
+    let started = Sidecar::start(endpoint.settings.clone(), endpoint.daemon.clone()).await;
+    endpoint.sidecar = Some(started.expect("it starts again"));
+    fleet.ready().await.expect("the gateways find it");
+    let caller = caller(&fleet, 0);
+    let call = Call::receipt(1).with_deadline_ms(600_000);
+    let mut reply = caller.call(&call).await;
+    while matches!(reply.ending, Ending::Refused(_)) {
+        // The gateway has not noticed the new life yet.
+        reply = caller.call(&call).await;
+    }
+    assert_eq!(reply.ending, Ending::Broken(None));
+}
+
+/// Answers `/load` and sends an endless body to everything else.
+async fn endless_service() -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        loop {
+            let (stream, _) = listener.accept().await.expect("a connection");
+            tokio::spawn(answer_endlessly(stream));
+        }
+    });
+    address
+}
+
+async fn answer_endlessly(mut stream: TcpStream) {
+    let mut head = vec![0; 4_096];
+    let Ok(length) = stream.read(&mut head).await else {
+        return;
+    };
+    if head[..length].starts_with(b"GET /load") {
+        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\nconnection: close\r\n\r\n{}";
+        let _ended = stream.write_all(answer).await;
+        return;
+    }
+    let begun = stream
+        .write_all(b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n")
+        .await;
+    let piece = vec![b'x'; 1 << 20];
+    while begun.is_ok() && stream.write_all(&piece).await.is_ok() {}
+}
+
 /// Hundreds of long histories pass, many of whose callers vanish before the status or in the
 /// middle of the answer. The engines' memory is the scarce thing: when all is over, no block of it
 /// is held, by the engines' own account.
