--- a/lovagedock-standin/tests/promises_pairs.rs
+++ b/lovagedock-standin/tests/promises_pairs.rs
@@ -156,6 +156,28 @@
     assert_eq!(service(&fleet).journal.runs().len(), 1);
 }
 
+/// The engine under a keyed trace dies while the store is down, so that its failure cannot be
+/// recorded. The caller is told "unknown". When the store is back, a repeat through another gateway
+/// waits for the claim's end and does not run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_engine_dies_while_the_store_is_down() {
+    let fleet = start(plan()).await;
+    let call = Call::once(PROMPT, TOKENS)
+        .with_key("trace-9")
+        .with_deadline_ms(8_000);
+    let calling = caller(&fleet, 0).spawn(call.clone());
+    let place = running_engine(&fleet).await;
+    fleet.platform.set_fault(FaultOrder::new(FaultKind::Down));
+    engines(&fleet)[place].handle.set_fault(EngineFault::Die);
+    let reply = calling.await.expect("the call is judged");
+    let expected = Ending::Refused(Problem::new(3001, "unknown"));
+    assert_eq!(reply.ending, expected);
+    fleet.platform.set_fault(FaultOrder::new(FaultKind::None));
+    let again = caller(&fleet, 1).call(&call).await;
+    assert!(!again.is_whole(), "{again:?}");
+    assert_eq!(starts(&fleet).into_values().collect::<Vec<_>>(), [1]);
+}
+
 /// Every host of a pool leaves at once. What runs ends whole; what comes is refused as not run, and
 /// no engine starts it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
