Delete old configuration chunks after an apply

Cause: nothing called the collection, so each apply left its chunks in the platform's store for good. Change: an accepted apply deletes up to 256 chunks that no process can need. Before (a trial without the call): the new test fails. After: it passes. Conclusion: what cannot be deleted now goes with the next apply.

--- a/lovagedock-cli/src/config.rs
+++ b/lovagedock-cli/src/config.rs
@@ -57,6 +57,9 @@
     Ok(CommandReport::new(ExitStatus::Done, text, value))
 }
 
+/// Old chunks that one apply deletes at most; more than a file of 25,000 organisations has.
+const COLLECTED_CHUNKS: usize = 256;
+
 pub(crate) async fn apply_files(
     runner: &CommandRunner,
     arguments: &ApplyArguments,
@@ -72,7 +75,11 @@
         .with_submitted_at(&httpdate::fmt_http_date(SystemTime::now()))
         .with_patience(Duration::from_millis(arguments.patience_ms));
     Ok(match store.apply(&request).await {
-        ApplyOutcome::Accepted { generation } => report_accepted(generation),
+        ApplyOutcome::Accepted { generation } => {
+            // Old chunks that stay for want of an answer are deleted after the next apply.
+            let _later = store.collect_chunks(COLLECTED_CHUNKS).await;
+            report_accepted(generation)
+        }
         ApplyOutcome::Conflict { winner, author } => {
             report_conflict(&store, &config, winner, &author).await
         }
--- a/lovagedock-cli/tests/cli/apply.rs
+++ b/lovagedock-cli/tests/cli/apply.rs
@@ -4,7 +4,10 @@
 
 use super::common::{ScriptedPort, new_runner, run, show};
 use expect_test::{Expect, expect};
-use lovagedock_platform::{CallKind, MemoryFault, MemoryStore};
+use lovagedock_cli::ExitStatus;
+use lovagedock_platform::{
+    CHUNK_PREFIX, CallKind, CallPurpose, MemoryFault, MemoryStore, ObjectStore,
+};
 
 const LOCAL: &str = "../examples/local/fleet.jsonc";
 const MAFRAQ: &str = "../examples/mafraq";
@@ -277,3 +280,26 @@
     ])
     .await;
 }
+
+/// Operators apply file after file. Without collection each leaves its chunks in the platform's
+/// store for good; the newest and those that slow readers may still need stay.
+#[tokio::test(start_paused = true)]
+async fn applies_leave_no_chunks_that_nobody_needs() {
+    let store = Arc::new(MemoryStore::new());
+    let runner = new_runner(store.clone(), ScriptedPort::default());
+    let text = std::fs::read_to_string(LOCAL).expect("the example");
+    let file = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("collected.jsonc");
+    let mut sizes = Vec::new();
+    for generation in 0..24 {
+        let context = format!("\"max_context_tokens\": {}", 1_500_000 + generation);
+        let edited = text.replacen("\"max_context_tokens\": 1000000", &context, 1);
+        assert_ne!(edited, text);
+        std::fs::write(&file, edited).expect("a file");
+        let file = file.to_str().expect("a path");
+        let line = apply(file, "asha", generation, &format!("n{generation}"));
+        assert_eq!(run(&runner, &line).await.status, ExitStatus::Done);
+        let chunks = store.list(CHUNK_PREFIX, CallPurpose::Config).await;
+        sizes.push(chunks.expect("a list").len());
+    }
+    assert!(sizes[23] <= sizes[11], "{sizes:?}");
+}
