--- a/bench/src/config.rs
+++ b/bench/src/config.rs
@@ -4,8 +4,9 @@
 
 use bytes::Bytes;
 use lovagedock::{
-    EndpointCore, EndpointEvent, EndpointLimits, EndpointSpec, FleetConfig, ModelSpec, OrderCheck,
-    OrganisationLimits, OrganisationShare, OrganisationSpec, PoolKind, PoolSpec, prelude::*,
+    DomainSpec, EndpointCore, EndpointEvent, EndpointLimits, EndpointSpec, FleetConfig, ModelSpec,
+    OrderCheck, OrganisationLimits, OrganisationShare, OrganisationSpec, PoolKind, PoolSpec,
+    ServiceKind, ServiceSpec, parse_config, prelude::*,
 };
 use lovagedock_platform::canonical_json;
 use rand::{RngExt, SeedableRng};
@@ -19,6 +20,7 @@
 const REPEATS: usize = 3;
 const SEED: u64 = 7;
 const DOMAINS: usize = 16;
+const REGIONS: usize = 7;
 const MODELS: usize = 9;
 /// Sizes of organisations that are measured.
 pub(crate) const ORGANISATIONS: [usize; 4] = [250, 2_500, 12_500, 25_000];
@@ -38,6 +40,10 @@
     pub(crate) sidecar_peak: SlopeSeries,
     /// Processor time to read a text and build the tables, over organisations.
     pub(crate) read_cpu: SlopeSeries,
+    /// Processor time to check a file, over organisations.
+    pub(crate) check_cpu: SlopeSeries,
+    /// Most heap while a file is checked, over organisations.
+    pub(crate) check_peak: SlopeSeries,
     /// Text, over endpoints.
     pub(crate) endpoint_text: SlopeSeries,
     /// Heap with the text, over endpoints.
@@ -53,7 +59,7 @@
             SlopeSeries::new(name, "organisations", unit).with_points(
                 &ORGANISATIONS,
                 REPEATS,
-                |count| measure(&text_of(&fleet(count, 0))),
+                |count| measure(&text_of(&fleet(count, MODELS))),
             )
         };
         let of_endpoints = |name, unit, measure: fn(&Bytes) -> f64| {
@@ -69,6 +75,8 @@
             sidecar_heap: of_organisations("heap of a sidecar's configuration", "B", sidecar_heap),
             sidecar_peak: of_organisations("heap of a sidecar during a change", "B", sidecar_peak),
             read_cpu: of_organisations("processor time to take a change", "µs", read_cpu),
+            check_cpu: of_organisations("processor time of `check`", "µs", check_cpu),
+            check_peak: of_organisations("heap of `check`", "B", check_peak),
             endpoint_text: of_endpoints("configuration's text", "B", length),
             endpoint_heap: of_endpoints("heap of a gateway's configuration", "B", gateway_heap),
             endpoint_cpu: of_endpoints("processor time to take a change", "µs", read_cpu),
@@ -84,6 +92,8 @@
             &self.sidecar_heap,
             &self.sidecar_peak,
             &self.read_cpu,
+            &self.check_cpu,
+            &self.check_peak,
             &self.endpoint_text,
             &self.endpoint_heap,
             &self.endpoint_cpu,
@@ -170,6 +180,26 @@
     })
 }
 
+fn check_cpu(text: &Bytes) -> f64 {
+    let file = file_of(text);
+    cpu_micros(1, || check(&file))
+}
+
+fn check_peak(text: &Bytes) -> f64 {
+    let file = file_of(text);
+    heap_peak(|| check(&file))
+}
+
+/// The configuration as operators write it, a field a line.
+fn file_of(text: &Bytes) -> String {
+    serde_json::to_string_pretty(&parse(text)).expect("serialisable")
+}
+
+fn check(file: &str) {
+    let checked = parse_config("fleet.json", file);
+    assert!(checked.is_ok(), "{:?}", checked.err());
+}
+
 fn parse(text: &Bytes) -> FleetConfig {
     serde_json::from_slice(text).expect("canonical text")
 }
@@ -184,8 +214,10 @@
     let mut rng = ChaCha8Rng::seed_from_u64(SEED);
     FleetConfig {
         version: 1,
+        failure_domains: (0..DOMAINS).map(domain).collect(),
         models: (0..MODELS).map(model).collect(),
         pools: (0..MODELS).map(|pool| pool_spec(pool, endpoints)).collect(),
+        services: (0..MODELS).map(service).collect(),
         organisations: (0..organisations)
             .map(|number| organisation(number, &mut rng))
             .collect(),
@@ -193,6 +225,26 @@
     }
 }
 
+fn domain(number: usize) -> DomainSpec {
+    DomainSpec {
+        id: format!("domain-{number}").into(),
+        region: format!("region-{}", number % REGIONS),
+    }
+}
+
+fn service(number: usize) -> ServiceSpec {
+    ServiceSpec {
+        id: format!("service-{number}").into(),
+        kind: ServiceKind::Model {
+            model: format!("model-{number}").into(),
+        },
+        pool: format!("pool-{number}").into(),
+        default_deadline_ms: 60_000,
+        max_deadline_ms: 600_000,
+        non_idempotent: Vec::new(),
+    }
+}
+
 fn model(number: usize) -> ModelSpec {
     ModelSpec {
         id: format!("model-{number}").into(),
@@ -239,7 +291,7 @@
             requests_per_second: 50,
             ..OrganisationLimits::default()
         },
-        services: vec!["summaries".into()],
+        services: vec!["service-0".into()],
     }
 }
 
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,37 +1,75 @@
 //! Measures the slopes behind `docs/CAPACITY.md` and prints them with what they give at the size
 //! to design for, as Markdown. `bench/capacity` writes the page's tables with it.
 
+mod budget;
+mod changes;
 mod config;
 mod kernel;
+mod limits;
 mod meter;
+mod peer;
+mod relay;
 mod scale;
 mod slope;
+mod store;
+mod subset;
 mod wire;
 
 use std::{fs, time::SystemTime};
 
+use budget::MeasuredSlopes;
+use changes::ChangeSlopes;
 use config::ConfigSlopes;
 use kernel::KernelSlopes;
+use limits::LimitSlopes;
+use relay::RelaySlopes;
 use slope::SlopeSeries;
+use store::StoreSlopes;
+use subset::SubsetSlopes;
 use wire::WireSlopes;
 
 fn main() {
-    print_machine();
-    let wire = WireSlopes::measure();
-    print_slopes("Sessions", &wire.series());
-    let kernel = KernelSlopes::measure();
-    print_slopes("Decisions", &kernel.series());
-    let config = ConfigSlopes::measure();
-    print_slopes("Configuration", &config.series());
+    print_machine("start");
+    let slopes = MeasuredSlopes {
+        wire: WireSlopes::measure(),
+        kernel: KernelSlopes::measure(),
+        config: ConfigSlopes::measure(),
+        changes: ChangeSlopes::measure(),
+        subset: SubsetSlopes::measure(),
+        limits: LimitSlopes::measure(),
+        usage_bytes: peer::usage_bytes(),
+        relay: RelaySlopes::measure(),
+        store: StoreSlopes::measure(),
+    };
+    print_machine("end");
+    println!("\n## At the size to design for\n");
+    budget::print_budget(&slopes);
+    print_slopes("Sessions", &slopes.wire.series());
+    print_slopes("Decisions", &slopes.kernel.series());
+    print_slopes("Configuration in memory", &slopes.config.series());
+    print_slopes("Changes of the configuration", &slopes.changes.series());
+    println!("\nA change at 25,000 organisations and 10,000 endpoints, by size of chunk:\n");
+    changes::print_levels();
+    print_slopes("Subsets", &slopes.subset.series());
+    println!();
+    subset::print_movement();
+    let mut limits = slopes.limits.series();
+    limits.push(&slopes.usage_bytes);
+    print_slopes("Limits of organisations", &limits);
+    print_slopes("Configuration relay", &slopes.relay.series());
+    println!("\nA region is cut off for 60 s while 13 changes are accepted, then returns:\n");
+    relay::print_cut();
+    print_slopes("Calls to the store", &slopes.store.series());
 }
 
-fn print_machine() {
+fn print_machine(moment: &str) {
     let load = fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    let load: Vec<&str> = load.split(' ').take(3).collect();
     let cores = std::thread::available_parallelism().map_or(0, usize::from);
-    println!("Run on {}.", httpdate::fmt_http_date(SystemTime::now()));
     println!(
-        "{cores} cores; load average at the start {}.",
-        load.split(' ').take(3).collect::<Vec<_>>().join(", ")
+        "{}, {moment}: {cores} cores, load average {}.\n",
+        httpdate::fmt_http_date(SystemTime::now()),
+        load.join(", ")
     );
 }
 
--- a/bench/src/scale.rs
+++ b/bench/src/scale.rs
@@ -13,8 +13,6 @@
     pub(crate) pools: f64,
     /// Requests a second.
     pub(crate) requests: f64,
-    /// Tokens generated a second.
-    pub(crate) tokens: f64,
     /// Accepted configurations a second.
     pub(crate) changes: f64,
 }
@@ -26,7 +24,6 @@
     organisations: 25_000.0,
     pools: 9.0,
     requests: 43_000.0,
-    tokens: 19_000_000.0,
     changes: 19_000.0 / 86_400.0,
 };
 
--- a/bench/src/wire.rs
+++ b/bench/src/wire.rs
@@ -16,7 +16,7 @@
 use lovagedock_wire::{
     AnswerHead, AnswerReceiver, AnswerSender, ConfigMessage, EndpointClient, EndpointHandler,
     HeaderField, LoadMessage, PROTOCOL_VERSION, PeerIdentity, ReserveReply, SegmentRange,
-    SegmentReply, SubmitReply, WorkMessage, serve_endpoint,
+    SegmentReply, SubmitReply, WireStream, WorkMessage, serve_endpoint,
 };
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -30,7 +30,7 @@
     slope::SlopeSeries,
 };
 
-const CALL_TIME: Duration = Duration::from_secs(10);
+pub(crate) const CALL_TIME: Duration = Duration::from_secs(10);
 const REPEATS: usize = 5;
 /// Bytes of IP and TCP headers of a segment, with timestamps.
 pub(crate) const SEGMENT_HEADER_BYTES: f64 = 52.0;
@@ -285,17 +285,58 @@
     cpu_micros: f64,
 }
 
-struct WireBench {
+/// Connections over loopback whose traffic is counted, both directions together.
+pub(crate) struct CountedPair {
     listener: TcpListener,
     count: Rc<TrafficCount>,
+}
+
+impl CountedPair {
+    /// Listens on a free port.
+    pub(crate) async fn new() -> Self {
+        Self {
+            listener: TcpListener::bind("127.0.0.1:0").await.expect("loopback"),
+            count: Rc::default(),
+        }
+    }
+
+    /// Both ends of a new connection.
+    pub(crate) async fn streams(&self) -> (Box<dyn WireStream>, Box<dyn WireStream>) {
+        let address = self.listener.local_addr().expect("bound");
+        let (near, far) = tokio::join!(TcpStream::connect(address), self.listener.accept());
+        let (near, far) = (near.expect("connects"), far.expect("accepts").0);
+        (self.counted(near), self.counted(far))
+    }
+
+    /// Begins to count anew.
+    pub(crate) fn reset(&self) {
+        self.count.bytes.set(0);
+        self.count.writes.set(0);
+    }
+
+    /// Bytes since the reset.
+    pub(crate) fn bytes(&self) -> f64 {
+        self.count.bytes.get() as f64
+    }
+
+    fn counted(&self, inner: TcpStream) -> Box<dyn WireStream> {
+        inner.set_nodelay(true).expect("nodelay");
+        Box::new(CountedStream {
+            inner,
+            count: Rc::clone(&self.count),
+        })
+    }
+}
+
+struct WireBench {
+    pair: CountedPair,
     sidecar: Rc<SidecarFake>,
 }
 
 impl WireBench {
     async fn new(prefixes: usize, chunks: usize) -> Self {
         Self {
-            listener: TcpListener::bind("127.0.0.1:0").await.expect("loopback"),
-            count: Rc::default(),
+            pair: CountedPair::new().await,
             sidecar: Rc::new(SidecarFake {
                 load: load_message(prefixes),
                 chunks,
@@ -305,35 +346,19 @@
 
     /// Opens a session and sends its first heartbeat.
     async fn session(&self) -> EndpointClient {
-        let address = self.listener.local_addr().expect("bound");
-        let (inner, accepted) = tokio::join!(TcpStream::connect(address), self.listener.accept());
-        let (inner, accepted) = (inner.expect("connects"), accepted.expect("accepts").0);
-        let served = self.counted(accepted);
-        tokio::task::spawn_local(serve_endpoint(served, Rc::clone(&self.sidecar)));
-        let client = EndpointClient::new(self.counted(inner));
+        let (near, far) = self.pair.streams().await;
+        tokio::task::spawn_local(serve_endpoint(far, Rc::clone(&self.sidecar)));
+        let client = EndpointClient::new(near);
         let identity = identity("gateway-0731");
         client.hello(&identity, CALL_TIME).await.expect("welcome");
         client.heartbeat(0, 1, CALL_TIME).await.expect("report");
         client
     }
 
-    fn counted(&self, inner: TcpStream) -> Box<CountedStream> {
-        inner.set_nodelay(true).expect("nodelay");
-        Box::new(CountedStream {
-            inner,
-            count: Rc::clone(&self.count),
-        })
-    }
-
-    fn reset(&self) {
-        self.count.bytes.set(0);
-        self.count.writes.set(0);
-    }
-
     fn cost(&self, cpu_micros: f64) -> RunCost {
         RunCost {
-            bytes: self.count.bytes.get() as f64,
-            writes: self.count.writes.get() as f64,
+            bytes: self.pair.bytes(),
+            writes: self.pair.count.writes.get() as f64,
             cpu_micros,
         }
     }
@@ -343,7 +368,7 @@
     block_on(async move {
         let bench = WireBench::new(prefixes, 0).await;
         let client = bench.session().await;
-        bench.reset();
+        bench.pair.reset();
         let start = cpu_start();
         for sequence in 1..=beats as u64 {
             let beat = client.heartbeat(sequence, 1, CALL_TIME);
@@ -374,7 +399,7 @@
     let cost = block_on(async move {
         let bench = WireBench::new(0, chunks).await;
         let client = bench.session().await;
-        bench.reset();
+        bench.pair.reset();
         let start = cpu_start();
         for _ in 0..requests {
             let done = Rc::new(Notify::new());
@@ -393,7 +418,7 @@
     }
 }
 
-fn block_on<T>(work: impl Future<Output = T>) -> T {
+pub(crate) fn block_on<T>(work: impl Future<Output = T>) -> T {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -401,7 +426,7 @@
     LocalSet::new().block_on(&runtime, work)
 }
 
-fn identity(name: &str) -> PeerIdentity {
+pub(crate) fn identity(name: &str) -> PeerIdentity {
     PeerIdentity {
         version: PROTOCOL_VERSION,
         name: name.to_owned(),
