Work out the capacity page from measured slopes

The size to design for had no page: nobody could say which mechanism carries which role there, nor what would break first.

It measures slopes at three sizes or more: sessions over loopback, placement, admission, request machines, limits, configuration in memory, bytes of a change, subset plans, the relay over 28 to 11,600 processes, store budgets and claims.

--- a/bench/src/changes.rs
+++ b/bench/src/changes.rs
@@ -32,6 +32,7 @@
     pub(crate) chunks: SlopeSeries,
     /// Bundle between peers, over the average chunk size at 25,000 organisations.
     pub(crate) bundle_by_average: SlopeSeries,
+    levels: Vec<ChunkLevels>,
 }
 
 impl ChangeSlopes {
@@ -46,6 +47,7 @@
                 "average chunk, B",
                 "B",
             ),
+            levels: Vec::new(),
         };
         for count in ORGANISATIONS {
             let config = fleet(count, 9);
@@ -57,13 +59,23 @@
             slopes.bundle_bytes.push(count, edits);
         }
         let config = fleet(25_000, ENDPOINTS);
+        let text = text_of(&config);
         for average in AVERAGES {
             let edits = edit_bytes(&config, average);
+            let chunks = cut(&text, average).len();
+            slopes
+                .levels
+                .push(ChunkLevels::new(average, chunks, &edits));
             slopes.bundle_by_average.push(average, edits);
         }
         slopes
     }
 
+    /// What each size of chunk costs at the size to design for, in the order of their sizes.
+    pub(crate) fn levels(&self) -> &[ChunkLevels] {
+        &self.levels
+    }
+
     /// All series, for the table.
     pub(crate) fn series(&self) -> Vec<&SlopeSeries> {
         vec![
@@ -75,28 +87,47 @@
     }
 }
 
+/// What a change costs with one size of chunk.
+pub(crate) struct ChunkLevels {
+    average: usize,
+    chunks: usize,
+    /// Bundle of a change, mean over edits, in bytes.
+    pub(crate) changed: f64,
+    /// Hashes in a root that names all chunks, in bytes.
+    pub(crate) flat_root: f64,
+    /// Hashes in a root that names groups, and in one group, in bytes; worked out.
+    pub(crate) two_levels: f64,
+}
+
+impl ChunkLevels {
+    fn new(average: usize, chunks: usize, edits: &[f64]) -> Self {
+        let per_chunk = ROOT_BYTES_PER_CHUNK as f64;
+        Self {
+            average,
+            chunks,
+            changed: edits.iter().sum::<f64>() / edits.len() as f64,
+            flat_root: chunks as f64 * per_chunk,
+            two_levels: 2.0 * (chunks as f64).sqrt() * per_chunk,
+        }
+    }
+}
+
 /// Prints, for each size of chunk, what the store's readers pay with one root and with two levels.
-pub(crate) fn print_levels() {
-    let config = fleet(25_000, ENDPOINTS);
-    let text = text_of(&config);
+pub(crate) fn print_levels(levels: &[ChunkLevels]) {
     println!(
-        "| average chunk, B | chunks | changed chunks, mean B | flat root, B | root and group in \
-         two levels, B | read of a change, flat, B | two levels, B |\n|---|---|---|---|---|---|---|"
+        "| average chunk, B | chunks | bundle, mean B | flat root, B | root and group in two \
+         levels, B | read of a change, flat, B | two levels, B |\n|---|---|---|---|---|---|---|"
     );
-    for average in AVERAGES {
-        let chunks = cut(&text, average).len();
-        let edits = edit_bytes(&config, average);
-        let changed = edits.iter().sum::<f64>() / edits.len() as f64;
-        let flat = (chunks * ROOT_BYTES_PER_CHUNK) as f64;
-        let width = (chunks as f64).sqrt();
-        let levels = 2.0 * width * ROOT_BYTES_PER_CHUNK as f64;
+    for level in levels {
         println!(
-            "| {average} | {chunks} | {} | {} | {} | {} | {} |",
-            short(changed),
-            short(flat),
-            short(levels),
-            short(changed + flat),
-            short(changed + levels),
+            "| {} | {} | {} | {} | {} | {} | {} |",
+            level.average,
+            level.chunks,
+            short(level.changed),
+            short(level.flat_root),
+            short(level.two_levels),
+            short(level.changed + level.flat_root),
+            short(level.changed + level.two_levels),
         );
     }
 }
--- a/bench/src/limits.rs
+++ b/bench/src/limits.rs
@@ -16,7 +16,7 @@
 
 /// What limits cost.
 pub(crate) struct LimitSlopes {
-    /// Processor time of an exchange: reports to all peers and their answers, over peers.
+    /// Processor time of an exchange: reports to all peers and their answers, over the square of peers.
     pub(crate) exchange_cpu: SlopeSeries,
     /// Processor time of one admission, over peers.
     pub(crate) admit_cpu: SlopeSeries,
@@ -28,8 +28,7 @@
     /// Measures all of them.
     pub(crate) fn measure() -> Self {
         Self {
-            exchange_cpu: SlopeSeries::new("processor time of a usage exchange", "peers", "µs")
-                .with_points(&PEERS, REPEATS, exchange_cpu),
+            exchange_cpu: squared_series(),
             admit_cpu: SlopeSeries::new("processor time of an admission", "peers", "µs")
                 .with_points(&PEERS, REPEATS, admit_cpu),
             peers_heap: SlopeSeries::new("heap of a limiter", "peers", "B").with_points(
@@ -46,6 +45,16 @@
     }
 }
 
+/// Over the square of the peers, since each of their messages is handled over all of them.
+fn squared_series() -> SlopeSeries {
+    let mut series = SlopeSeries::new("processor time of a usage exchange", "peers x peers", "µs");
+    for peers in PEERS {
+        let values = (0..REPEATS).map(|_| exchange_cpu(peers)).collect();
+        series.push(peers * peers, values);
+    }
+    series
+}
+
 fn peer_id(number: usize) -> GatewayId {
     format!("gateway-{number:04}").into()
 }
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,22 +3,27 @@
 
 mod budget;
 mod changes;
+mod claims;
 mod config;
+mod days;
 mod kernel;
 mod limits;
 mod meter;
+mod page;
 mod peer;
 mod relay;
 mod scale;
 mod slope;
 mod store;
 mod subset;
+mod traffic;
 mod wire;
 
-use std::{fs, time::SystemTime};
+use std::{env, fs, path::Path, time::SystemTime};
 
 use budget::MeasuredSlopes;
 use changes::ChangeSlopes;
+use claims::ClaimSlopes;
 use config::ConfigSlopes;
 use kernel::KernelSlopes;
 use limits::LimitSlopes;
@@ -39,17 +44,24 @@
         limits: LimitSlopes::measure(),
         usage_bytes: peer::usage_bytes(),
         relay: RelaySlopes::measure(),
+        claims: ClaimSlopes::measure(),
         store: StoreSlopes::measure(),
     };
     print_machine("end");
-    println!("\n## At the size to design for\n");
-    budget::print_budget(&slopes);
+    let table = budget::table(&slopes);
+    let days = days::table(&slopes);
+    println!("\n## At the size to design for\n\n{table}\n{days}");
+    if let Some(page) = env::args_os().nth(1) {
+        let page = Path::new(&page);
+        page::replace_table(page, "table", &table).expect("page with markers");
+        page::replace_table(page, "days", &days).expect("page with markers");
+    }
     print_slopes("Sessions", &slopes.wire.series());
     print_slopes("Decisions", &slopes.kernel.series());
     print_slopes("Configuration in memory", &slopes.config.series());
     print_slopes("Changes of the configuration", &slopes.changes.series());
     println!("\nA change at 25,000 organisations and 10,000 endpoints, by size of chunk:\n");
-    changes::print_levels();
+    changes::print_levels(slopes.changes.levels());
     print_slopes("Subsets", &slopes.subset.series());
     println!();
     subset::print_movement();
@@ -59,6 +71,7 @@
     print_slopes("Configuration relay", &slopes.relay.series());
     println!("\nA region is cut off for 60 s while 13 changes are accepted, then returns:\n");
     relay::print_cut();
+    print_slopes("Claims", &slopes.claims.series());
     print_slopes("Calls to the store", &slopes.store.series());
 }
 
--- a/bench/src/peer.rs
+++ b/bench/src/peer.rs
@@ -7,7 +7,8 @@
 
 use crate::{
     slope::SlopeSeries,
-    wire::{CALL_TIME, CountedPair, block_on, identity},
+    traffic::CountedPair,
+    wire::{CALL_TIME, block_on, identity},
 };
 
 const REPEATS: usize = 3;
--- a/bench/src/wire.rs
+++ b/bench/src/wire.rs
@@ -1,13 +1,6 @@
 //! Sessions between a gateway and a sidecar, over loopback and with both ends in this process.
 
-use std::{
-    cell::Cell,
-    io,
-    pin::Pin,
-    rc::Rc,
-    task::{Context, Poll},
-    time::Duration,
-};
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use lovagedock::{
@@ -16,18 +9,14 @@
 use lovagedock_wire::{
     AnswerHead, AnswerReceiver, AnswerSender, ConfigMessage, EndpointClient, EndpointHandler,
     HeaderField, LoadMessage, PROTOCOL_VERSION, PeerIdentity, ReserveReply, SegmentRange,
-    SegmentReply, SubmitReply, WireStream, WorkMessage, serve_endpoint,
-};
-use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::{TcpListener, TcpStream},
-    sync::Notify,
-    task::LocalSet,
+    SegmentReply, SubmitReply, WorkMessage, serve_endpoint,
 };
+use tokio::{sync::Notify, task::LocalSet};
 
 use crate::{
     meter::{cpu_start, heap_bytes},
     slope::SlopeSeries,
+    traffic::CountedPair,
 };
 
 pub(crate) const CALL_TIME: Duration = Duration::from_secs(10);
@@ -46,6 +35,8 @@
     pub(crate) beat_cpu: SlopeSeries,
     /// Bytes of one heartbeat, over cached prefixes in the report.
     pub(crate) prefix_bytes: SlopeSeries,
+    /// Bytes of opening, with greeting and first heartbeat, over sessions.
+    pub(crate) open_bytes: SlopeSeries,
     /// Heap of both ends, over sessions.
     pub(crate) session_heap: SlopeSeries,
     /// Bytes beside body and answer, over requests of one chunk.
@@ -91,8 +82,14 @@
                 "B",
             )
             .with_points(&prefixes, REPEATS, |n| run_beats(200, n).bytes / 200.0),
+            open_bytes: SlopeSeries::new(
+                "bytes to open sessions, with a first heartbeat",
+                "sessions",
+                "B",
+            )
+            .with_points(&sessions, REPEATS, |n| run_sessions(n).bytes),
             session_heap: SlopeSeries::new("heap of sessions, both ends", "sessions", "B")
-                .with_points(&sessions, REPEATS, run_sessions),
+                .with_points(&sessions, REPEATS, |n| run_sessions(n).heap),
             request_bytes: SlopeSeries::new(
                 "bytes beside body and answer",
                 "requests of one chunk",
@@ -123,6 +120,7 @@
             &self.beat_writes,
             &self.beat_cpu,
             &self.prefix_bytes,
+            &self.open_bytes,
             &self.session_heap,
             &self.request_bytes,
             &self.request_cpu,
@@ -132,51 +130,6 @@
     }
 }
 
-#[derive(Default)]
-struct TrafficCount {
-    bytes: Cell<usize>,
-    writes: Cell<usize>,
-}
-
-/// A connection whose bytes and writes are counted.
-struct CountedStream {
-    inner: TcpStream,
-    count: Rc<TrafficCount>,
-}
-
-impl AsyncRead for CountedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_read(context, buffer)
-    }
-}
-
-impl AsyncWrite for CountedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.inner).poll_write(context, bytes);
-        if let Poll::Ready(Ok(length)) = &written {
-            self.count.bytes.set(self.count.bytes.get() + length);
-            self.count.writes.set(self.count.writes.get() + 1);
-        }
-        written
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(context)
-    }
-}
-
 struct SidecarFake {
     load: LoadMessage,
     chunks: usize,
@@ -231,12 +184,10 @@
         _work: WorkMessage,
         _range: SegmentRange,
     ) -> impl Future<Output = SegmentReply> + 'static {
-        async {
-            SegmentReply {
-                end: AnswerEnd::new(ResultCode::NoCapacity),
-                locator: String::new(),
-            }
-        }
+        std::future::ready(SegmentReply {
+            end: AnswerEnd::new(ResultCode::NoCapacity),
+            locator: String::new(),
+        })
     }
 
     fn drain(&self, _leaving: bool) -> u32 {
@@ -266,11 +217,11 @@
 
 impl AnswerReceiver for AnswerWaiter {
     fn head(&self, _head: AnswerHead) -> impl Future<Output = ()> + 'static {
-        async {}
+        std::future::ready(())
     }
 
     fn chunk(&self, _offset: u64, _bytes: Bytes) -> impl Future<Output = ()> + 'static {
-        async {}
+        std::future::ready(())
     }
 
     fn done(&self, _end: AnswerEnd) -> impl Future<Output = ()> + 'static {
@@ -285,49 +236,6 @@
     cpu_micros: f64,
 }
 
-/// Connections over loopback whose traffic is counted, both directions together.
-pub(crate) struct CountedPair {
-    listener: TcpListener,
-    count: Rc<TrafficCount>,
-}
-
-impl CountedPair {
-    /// Listens on a free port.
-    pub(crate) async fn new() -> Self {
-        Self {
-            listener: TcpListener::bind("127.0.0.1:0").await.expect("loopback"),
-            count: Rc::default(),
-        }
-    }
-
-    /// Both ends of a new connection.
-    pub(crate) async fn streams(&self) -> (Box<dyn WireStream>, Box<dyn WireStream>) {
-        let address = self.listener.local_addr().expect("bound");
-        let (near, far) = tokio::join!(TcpStream::connect(address), self.listener.accept());
-        let (near, far) = (near.expect("connects"), far.expect("accepts").0);
-        (self.counted(near), self.counted(far))
-    }
-
-    /// Begins to count anew.
-    pub(crate) fn reset(&self) {
-        self.count.bytes.set(0);
-        self.count.writes.set(0);
-    }
-
-    /// Bytes since the reset.
-    pub(crate) fn bytes(&self) -> f64 {
-        self.count.bytes.get() as f64
-    }
-
-    fn counted(&self, inner: TcpStream) -> Box<dyn WireStream> {
-        inner.set_nodelay(true).expect("nodelay");
-        Box::new(CountedStream {
-            inner,
-            count: Rc::clone(&self.count),
-        })
-    }
-}
-
 struct WireBench {
     pair: CountedPair,
     sidecar: Rc<SidecarFake>,
@@ -358,7 +266,7 @@
     fn cost(&self, cpu_micros: f64) -> RunCost {
         RunCost {
             bytes: self.pair.bytes(),
-            writes: self.pair.count.writes.get() as f64,
+            writes: self.pair.writes(),
             cpu_micros,
         }
     }
@@ -378,18 +286,27 @@
     })
 }
 
-fn run_sessions(sessions: usize) -> f64 {
+struct SessionCost {
+    bytes: f64,
+    heap: f64,
+}
+
+fn run_sessions(sessions: usize) -> SessionCost {
     block_on(async move {
         let bench = WireBench::new(0, 0).await;
         let first = bench.session().await;
+        bench.pair.reset();
         let before = heap_bytes();
         let mut clients = Vec::with_capacity(sessions);
         for _ in 0..sessions {
             clients.push(bench.session().await);
         }
-        let grown = heap_bytes() - before;
+        let cost = SessionCost {
+            bytes: bench.pair.bytes(),
+            heap: heap_bytes() - before,
+        };
         drop((first, clients));
-        grown
+        cost
     })
 }
 
