--- a/bench/src/budget/gateway.rs
+++ b/bench/src/budget/gateway.rs
@@ -35,8 +35,6 @@
         let usage = self.slopes.usage_bytes.fit().at(ACTIVE) + CALL_SEGMENTS * SEGMENT_HEADER_BYTES;
         let peers = self.scale.gateways - 1.0;
         let few = FEW_GATEWAYS * self.scale.endpoints / self.scale.gateways;
-        let open =
-            self.slopes.wire.open_bytes.fit().slope + 2.0 * CALL_SEGMENTS * SEGMENT_HEADER_BYTES;
         let changes = self.scale.changes;
         vec![
             group.today(
@@ -67,16 +65,6 @@
                 format!("{} B x 0.5/s x 3", short(usage)),
                 usage * 0.5 * 3.0,
             ),
-            group.today(
-                "offers of a change to every gateway",
-                "`offer` on a new connection to each",
-                format!(
-                    "{} B x {peers} peers x {}/s x 2",
-                    short(open),
-                    short(changes)
-                ),
-                open * peers * changes * 2.0,
-            ),
             group.today(
                 "whole configurations for sidecars, if one gateway of 16 feeds each",
                 "`configure` with the whole text",
@@ -165,7 +153,8 @@
         let peers = self.slopes.limits.peers_heap.largest();
         let sessions = self.gateway_sessions();
         let endpoint = kernel.endpoint_heap.fit().slope;
-        let rest = limiter + peers + (session + endpoint) * sessions + machine * flight;
+        let chunks = self.text_bytes();
+        let rest = chunks + limiter + peers + (session + endpoint) * sessions + machine * flight;
         vec![
             group.today(
                 "configuration in force",
@@ -179,6 +168,12 @@
                 ),
                 in_force,
             ),
+            group.today(
+                "chunks for other processes",
+                "`AdoptionState`, beside the text",
+                "as long as the text".to_owned(),
+                chunks,
+            ),
             group.today(
                 "limits of organisations",
                 "`UsageLimiter`",
--- a/bench/src/budget/relay.rs
+++ b/bench/src/budget/relay.rs
@@ -32,18 +32,18 @@
         let traffic = group(BudgetUnit::Traffic);
         vec![
             traffic.decision(
-                "sent, mean process, chunk of 2 KiB",
+                "sent, mean process, gateways and sidecars, chunk of 2 KiB",
                 tree,
                 formula(&relay.change_bytes),
                 rate(&relay.change_bytes),
             ),
             traffic.decision(
-                "sent, busiest process, chunk of 2 KiB",
+                "sent, busiest process, gateways and sidecars, chunk of 2 KiB",
                 tree,
                 formula(&relay.change_most),
                 rate(&relay.change_most),
             ),
-            traffic.decision(
+            traffic.today(
                 "received once, chunks as the store has them (32 KiB)",
                 "`ConfigBundle`",
                 times(today.changed),
@@ -73,7 +73,7 @@
                 format!("{} µs a second", short(relay.cpu.largest())),
                 relay.cpu.largest() * 1e-6,
             ),
-            group(BudgetUnit::StoreReads).decision(
+            group(BudgetUnit::StoreReads).today(
                 "calls to the store, whole fleet",
                 "two watchers in each region",
                 format!("{} watchers", relay.watchers()),
--- a/bench/src/budget/store.rs
+++ b/bench/src/budget/store.rs
@@ -5,8 +5,8 @@
 
 /// Readings of the host list a second by each gateway.
 const HOST_READS: f64 = 0.5;
-/// Time for which a waiting watch is kept, in seconds.
-const WATCH_SECONDS: f64 = 20.0;
+/// Reads of a process that watches when a change comes: root, chunk, and the next watch.
+const CHANGE_READS: f64 = 3.0;
 /// Time between two renewals of a lease, in seconds: 33% of 10 s.
 const RENEW_SECONDS: f64 = 3.3;
 /// Failure domains.
@@ -32,46 +32,48 @@
         let gateways = self.scale.gateways;
         let changes = self.scale.changes;
         let watchers = self.slopes.relay.watchers() as f64;
-        let renewed = gateways / WATCH_SECONDS;
+        let calls = self.slopes.relay.store_calls.largest();
         let hosts = HOST_READS * gateways;
-        let changed = 3.0 * gateways * changes;
-        let with_relay = watchers + self.slopes.relay.store_calls.largest() + HOST_READS * watchers;
+        let changed = CHANGE_READS * watchers * changes;
         vec![
             group.today(
                 "waiting watches, each counted as one",
-                "each gateway watches",
-                format!("{gateways} gateways"),
-                gateways,
+                "`RelayPlan`, two watchers in each region",
+                format!("{watchers} watchers"),
+                watchers,
             ),
             group.today(
-                "watches renewed",
-                "each gateway watches for 20 s",
-                format!("{gateways} / {WATCH_SECONDS} s"),
-                renewed,
+                "watches renewed and comparisons",
+                "`AdoptionState`",
+                format!("{watchers} watchers"),
+                calls,
             ),
             group.today(
                 "host list",
-                "each gateway reads it",
+                "each gateway reads it every 2 s",
                 format!("{HOST_READS}/s x {gateways}"),
                 hosts,
             ),
             group.today(
                 "changes: root, chunk and a new watch, mean",
-                "each gateway reads",
-                format!("3 x {gateways} x {}/s", short(changes)),
+                "watchers read for all",
+                format!("{CHANGE_READS} x {watchers} x {}/s", short(changes)),
                 changed,
             ),
             group.today(
                 "all of these together",
                 "-",
                 "sum".to_owned(),
-                gateways + renewed + hosts + changed,
+                watchers + calls + hosts + changed,
             ),
             group.arithmetic(
-                "all of these together",
-                "`RelayPlan`'s watchers read for all",
-                format!("{watchers} waiting + calls + host list"),
-                with_relay,
+                "all of these together, if every gateway watched",
+                "without the relay",
+                format!(
+                    "{gateways} x (1 + 1/20 s + {HOST_READS}/s + {CHANGE_READS} x {}/s)",
+                    short(changes)
+                ),
+                gateways * (1.05 + HOST_READS + CHANGE_READS * changes),
             ),
         ]
     }
@@ -81,35 +83,41 @@
         let gateways = self.scale.gateways;
         let watchers = self.slopes.relay.watchers() as f64;
         let store = &self.slopes.store;
+        let domain = gateways / DOMAINS;
         vec![
             group.today(
-                "the second after a change",
-                "each gateway reads root, chunk and watch",
-                format!("3 x {gateways}"),
-                3.0 * gateways,
+                "the second after a change, with the host list",
+                "watchers read for all",
+                format!("{CHANGE_READS} x {watchers} + {HOST_READS}/s x {gateways}"),
+                CHANGE_READS * watchers + HOST_READS * gateways,
             ),
             group.today(
-                "start of a failure domain, if its gateways read the store, busiest second",
-                "`StoreBudget`",
+                "start of a failure domain, if no peer answers, busiest second",
+                "`StoreBudget`, each gateway reads all chunks",
+                format!("{} x {domain}", short(store.start_busiest.fit().slope)),
+                store.start_busiest.fit().at(domain),
+            ),
+            group.today(
+                "start of a failure domain, if peers answer, with the host list",
+                "root and host list at each gateway, chunks from peers",
+                format!("2 x {domain} + {HOST_READS}/s x {}", gateways - domain),
+                2.0 * domain + HOST_READS * (gateways - domain),
+            ),
+            group.today(
+                "return after an outage, busiest second: watchers, and every host list",
+                "`RelayPlan`, `StoreBudget`",
                 format!(
-                    "{} x {}",
-                    short(store.start_busiest.fit().slope),
-                    gateways / DOMAINS
+                    "{} x {watchers} + {gateways}",
+                    short(store.return_busiest.fit().slope)
                 ),
-                store.start_busiest.fit().at(gateways / DOMAINS),
+                store.return_busiest.fit().at(watchers) + gateways,
             ),
             group.today(
-                "return after an outage, if all read a configuration, busiest second",
+                "return after an outage, if all gateways read a configuration",
                 "`StoreBudget`",
                 format!("{} x {gateways}", short(store.return_busiest.fit().slope)),
                 store.return_busiest.fit().at(gateways),
             ),
-            group.decision(
-                "the same with the relay's watchers only",
-                "`RelayPlan`, `StoreBudget`",
-                format!("{} x {watchers}", short(store.return_busiest.fit().slope)),
-                store.return_busiest.fit().at(watchers),
-            ),
             group.today(
                 "late in an outage, busiest second",
                 "`StoreBudget`, probes with growing pauses",
--- a/bench/src/days.rs
+++ b/bench/src/days.rs
@@ -16,8 +16,10 @@
 const SILENCE_SECONDS: f64 = 2.0;
 /// First-token time of the plan, in seconds: a request that has sent nothing yet runs elsewhere.
 const FIRST_TOKEN_SECONDS: f64 = 0.52;
+/// Reads of a gateway that starts: root and host list; chunks come from peers.
+const START_READS: f64 = 2.0;
 /// Connection attempts a second to a sidecar that is gone, as gateways' settings have it.
-const RECONNECTS: f64 = 10.0;
+const RECONNECTS: f64 = 4.0;
 
 /// What one kind of failure takes away.
 struct HostLoss {
@@ -105,7 +107,7 @@
         short(sessions),
         short(sessions * slopes.wire.open_bytes.fit().slope / 1e3),
         short(loss.engines * SESSIONS_PER_ENDPOINT * RECONNECTS),
-        short(loss.gateways * start_reads(slopes)),
+        short(loss.gateways * START_READS),
         short(loss.on_engines() - retried),
         short(retried),
         short(loss.through_gateways()),
@@ -121,12 +123,7 @@
          | 0 | 0 | next heartbeat, {} s |\n",
         short(sessions),
         short(sessions * slopes.wire.open_bytes.fit().slope / 1e3),
-        short(loss.gateways * start_reads(slopes)),
+        short(loss.gateways * START_READS),
         1.0 / BEATS,
     )
 }
-
-/// Root, chunks, watch and host list.
-fn start_reads(slopes: &MeasuredSlopes) -> f64 {
-    3.0 + slopes.changes.chunks.largest()
-}
--- a/bench/src/page.rs
+++ b/bench/src/page.rs
@@ -3,7 +3,7 @@
 use std::{fs, io, path::Path};
 
 /// Replaces what stands between the page's markers of this name.
-pub(crate) fn replace_table(path: &Path, name: &str, table: &str) -> io::Result<()> {
+pub fn replace_table(path: &Path, name: &str, table: &str) -> io::Result<()> {
     let begin = format!("<!-- {name}: begin, written by bench/capacity -->\n");
     let end = format!("<!-- {name}: end -->");
     let page = fs::read_to_string(path)?;
--- a/bench/src/peer.rs
+++ b/bench/src/peer.rs
@@ -2,8 +2,10 @@
 
 use std::{rc::Rc, time::Duration};
 
-use lovagedock::{ShareStage, UsageAck, UsageEntry, UsageReport, prelude::*};
-use lovagedock_wire::{ConfigMessage, PeerClient, PeerHandler, PeerIdentity, serve_peer};
+use lovagedock::{
+    ConfigBundle, PullAnswer, ShareStage, UsageAck, UsageEntry, UsageReport, prelude::*,
+};
+use lovagedock_wire::{PeerClient, PeerHandler, PeerIdentity, serve_peer};
 
 use crate::{
     slope::SlopeSeries,
@@ -30,16 +32,17 @@
         identity("gateway-0042")
     }
 
-    fn wants(&self, _generation: Generation) -> bool {
-        false
+    fn push(&self, bundle: ConfigBundle) -> Generation {
+        bundle.generation
     }
 
-    fn configure(&self, message: ConfigMessage) -> Generation {
-        message.generation
-    }
+    fn offer(&self, _generation: Generation) {}
 
-    fn latest(&self, _above: Generation) -> Option<ConfigMessage> {
-        None
+    fn pull(&self, above: Generation) -> PullAnswer {
+        PullAnswer {
+            generation: above,
+            bundle: None,
+        }
     }
 
     fn usage(&self, report: UsageReport) -> Option<UsageAck> {
--- a/bench/src/slope.rs
+++ b/bench/src/slope.rs
@@ -2,7 +2,7 @@
 
 /// What was measured at one size, once for each repeat.
 #[derive(Clone, Debug)]
-pub(crate) struct SlopePoint {
+pub struct SlopePoint {
     size: f64,
     values: Vec<f64>,
 }
@@ -25,7 +25,7 @@
 
 /// One quantity over sizes.
 #[derive(Clone, Debug)]
-pub(crate) struct SlopeSeries {
+pub struct SlopeSeries {
     name: &'static str,
     size_unit: &'static str,
     value_unit: &'static str,
@@ -34,29 +34,25 @@
 
 /// The line `intercept + slope * size`.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct SlopeFit {
+pub struct SlopeFit {
     /// Growth of the value for one more of the size.
-    pub(crate) slope: f64,
+    pub slope: f64,
     /// Value at size 0.
-    pub(crate) intercept: f64,
+    pub intercept: f64,
     /// Largest distance of a point from the line, as a share of the point.
-    pub(crate) residual: f64,
+    pub residual: f64,
 }
 
 impl SlopeFit {
     /// Value on the line.
-    pub(crate) fn at(&self, size: f64) -> f64 {
+    pub fn at(&self, size: f64) -> f64 {
         self.intercept + self.slope * size
     }
 }
 
 impl SlopeSeries {
     /// A series without points.
-    pub(crate) fn new(
-        name: &'static str,
-        size_unit: &'static str,
-        value_unit: &'static str,
-    ) -> Self {
+    pub fn new(name: &'static str, size_unit: &'static str, value_unit: &'static str) -> Self {
         Self {
             name,
             size_unit,
@@ -66,7 +62,7 @@
     }
 
     /// Measures each size `repeats` times.
-    pub(crate) fn with_points(
+    pub fn with_points(
         mut self,
         sizes: &[usize],
         repeats: usize,
@@ -80,7 +76,7 @@
     }
 
     /// Adds the repeats of one size.
-    pub(crate) fn push(&mut self, size: usize, values: Vec<f64>) {
+    pub fn push(&mut self, size: usize, values: Vec<f64>) {
         self.points.push(SlopePoint {
             size: size as f64,
             values,
@@ -90,7 +86,7 @@
     /// The line with the least sum of squared relative errors, through the medians.
     ///
     /// Relative, since sizes span orders of magnitude and the largest would outvote the others.
-    pub(crate) fn fit(&self) -> SlopeFit {
+    pub fn fit(&self) -> SlopeFit {
         let (mut w, mut x, mut y, mut xx, mut xy) = (0.0, 0.0, 0.0, 0.0, 0.0);
         for point in &self.points {
             let value = point.median();
@@ -115,19 +111,19 @@
     }
 
     /// The median at the largest size that was measured.
-    pub(crate) fn largest(&self) -> f64 {
+    pub fn largest(&self) -> f64 {
         self.points.last().map_or(0.0, SlopePoint::median)
     }
 
     /// Header of a table of series.
-    pub(crate) fn header() -> String {
+    pub fn header() -> String {
         "| measured | size | median (least..most) at each size | line | largest error |\n\
          |---|---|---|---|---|"
             .to_owned()
     }
 
     /// The series as a row of that table.
-    pub(crate) fn row(&self) -> String {
+    pub fn row(&self) -> String {
         let points: Vec<String> = self
             .points
             .iter()
@@ -156,8 +152,11 @@
 }
 
 /// A number with three digits that count.
-pub(crate) fn short(value: f64) -> String {
+pub fn short(value: f64) -> String {
     let magnitude = value.abs();
+    if magnitude < 1e-9 {
+        return "0".to_owned();
+    }
     if magnitude >= 100.0 {
         return format!("{value:.0}");
     }
@@ -167,7 +166,7 @@
     if magnitude >= 1.0 {
         return format!("{value:.2}");
     }
-    if magnitude >= 0.001 || value == 0.0 {
+    if magnitude >= 0.001 {
         return format!("{value:.4}");
     }
     format!("{value:.1e}")
