Poll at the pace of a poll once a process stops watching

A process that watched before the first configuration, or as a stand-in, kept the time of its next call when the plan relieved it, and read the root once more 20 ms later.

--- a/lovagedock/src/adoption/upstream.rs
+++ b/lovagedock/src/adoption/upstream.rs
@@ -63,6 +63,12 @@
         if watching && !self.upstream.watching && self.upstream.failures == 0 {
             self.upstream.next_at = Some(now);
         }
+        let stops = !watching && self.upstream.watching;
+        if stops && self.generation() > 0 && self.upstream.failures == 0 {
+            // The next call was planned at the pace of a watcher.
+            let pause = self.jitter(self.limits.poll_interval);
+            self.upstream.next_at = Some(now + pause);
+        }
         self.upstream.watching = watching;
     }
 
--- a/lovagedock/tests/adoption_first.rs
+++ b/lovagedock/tests/adoption_first.rs
@@ -114,7 +114,15 @@
         driven.take(AdoptionEvent::ChunkRead { hash, bytes });
         assert_eq!(driven.state.generation(), 1, "{}", case.name);
         let actions = driven.take(AdoptionEvent::Role(RelayRole::default()));
-        let fourth = driven.next_store_call(actions, Duration::from_secs(3_600));
+        let early = AdoptionLimits::default().poll_interval / 4;
+        assert_eq!(
+            driven.next_store_call(actions, early),
+            None,
+            "{}",
+            case.name
+        );
+        let actions = driven.take(AdoptionEvent::Tick);
+        let fourth = driven.next_store_call(actions, early * 8);
         assert_eq!(fourth, Some(AdoptionAction::ReadRoot), "{}", case.name);
     }
 }
