Run policies against each other from experiment files

Cause: policies could only be compared run by run with the demo, and tables and plots were made by hand. The load generator reported `control` as 0 although it measures none.

Change: `lovagedock-load experiment FILE [--output DIR]` runs the demo for each policy and seed one after the other, the policies of a seed together and each seed beginning with another, and writes a Markdown table with medians, ranges and ratios to the best baseline of each length, an SVG plot and the runs' reports as JSON. A run now stops its daemons, and an experiment gives each run its own runtime, so that no run leaves threads to the next. Reports carry `control_measured`; in the test of the report's names it is added to the expected text.

--- a/lovagedock-standin/src/demo/deployment.rs
+++ b/lovagedock-standin/src/demo/deployment.rs
@@ -8,11 +8,13 @@
 use clap::ValueEnum;
 use lovagedock::{FleetConfig, parse_config, policy_names};
 use lovagedock_daemon::parse_settings;
+use serde::{Deserialize, Serialize};
 
 use crate::load::MixSpec;
 
 /// A deployment with its configuration and its callers.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, ValueEnum)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize, ValueEnum)]
+#[serde(rename_all = "snake_case")]
 pub enum Deployment {
     /// Mafraq Wreck Registers Co-operative.
     #[default]
@@ -21,6 +23,15 @@
     Nadavaramba,
 }
 
+impl Display for Deployment {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Mafraq => "mafraq",
+            Self::Nadavaramba => "nadavaramba",
+        })
+    }
+}
+
 /// Why a deployment cannot be used.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum DeploymentError {
--- a/lovagedock-standin/src/demo/mod.rs
+++ b/lovagedock-standin/src/demo/mod.rs
@@ -8,4 +8,4 @@
 
 pub use deployment::{Deployment, DeploymentError};
 pub use faults::{FaultPlan, FaultStep, PlannedFault};
-pub use run::{DemoError, DemoOptions, DemoOutcome, run_demo};
+pub use run::{DemoError, DemoOptions, DemoOutcome, TIME_SCALE, run_demo};
--- a/lovagedock-standin/src/demo/run.rs
+++ b/lovagedock-standin/src/demo/run.rs
@@ -25,7 +25,7 @@
 };
 
 /// Model time of the engines in one unit of real time, so that a million tokens fit into a run.
-const TIME_SCALE: f64 = 8.0;
+pub const TIME_SCALE: f64 = 8.0;
 /// How long the idle fleet is watched for what control costs.
 const IDLE_TIME: Duration = Duration::from_secs(2);
 /// Time after the last answer in which engines may still free what was cancelled.
@@ -127,6 +127,7 @@
     time::sleep(SETTLE_TIME).await;
 
     let executions = collect(&fleet, &clock);
+    fleet.stop().await;
     let limits = ViolationLimits::default();
     let violations = count_violations(&callers, &executions, &fleet_journal, &limits);
     let tags = ReportTags {
@@ -138,7 +139,7 @@
         time_scale: TIME_SCALE,
     };
     Ok(DemoOutcome {
-        report: LoadReport::new(&tags, &callers, violations, control),
+        report: LoadReport::new(&tags, &callers, violations, Some(control)),
         notes: note_violations(&callers, &executions, &fleet_journal, &limits),
     })
 }
--- /dev/null
+++ b/lovagedock-standin/src/experiment/files.rs
@@ -0,0 +1,27 @@
+//! The files that an experiment leaves.
+
+use std::{
+    fs, io,
+    path::{Path, PathBuf},
+};
+
+use super::{
+    plot::render_plot, run::ExperimentRecord, summary::ExperimentSummary, table::render_markdown,
+};
+
+/// Writes the page, the plot and the raw figures into a directory, which is made if need be.
+///
+/// Returns the files, named after the experiment.
+pub fn write_results(directory: &Path, record: &ExperimentRecord) -> io::Result<[PathBuf; 3]> {
+    let summary = ExperimentSummary::new(&record.spec.policies, &record.runs);
+    let plot = render_plot(&record.name, &summary).map_err(io::Error::other)?;
+    let figures = serde_json::to_string_pretty(record).map_err(io::Error::other)?;
+    let page = render_markdown(record, &summary);
+    fs::create_dir_all(directory)?;
+    let file = |extension: &str| directory.join(format!("{}.{extension}", record.name));
+    let files = [file("md"), file("svg"), file("json")];
+    for (path, text) in files.iter().zip([page, plot, figures]) {
+        fs::write(path, text)?;
+    }
+    Ok(files)
+}
--- a/lovagedock-standin/src/fleet.rs
+++ b/lovagedock-standin/src/fleet.rs
@@ -4,6 +4,7 @@
 use std::{fmt, net::SocketAddr, time::Duration};
 
 use error_stack::{Report, ResultExt};
+use futures::future::join_all;
 use lovagedock::{EndpointSpec, FleetConfig, GatewaySpec, PoolKind, prelude::*};
 use lovagedock_daemon::{
     AdminSettings, DaemonContext, LogSettings, PlainConsent, TransportSettings,
@@ -16,7 +17,7 @@
 };
 use lovagedock_sidecar::{EngineSettings, SessionSettings, Sidecar, SidecarSettings};
 use slog::Logger;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     PlatformOptions, PlatformStandin, RunningStandin,
@@ -30,6 +31,9 @@
 const READY_LOOKS: usize = 600;
 const READY_PAUSE: Duration = Duration::from_millis(25);
 
+/// Longest time that all gateways, and then all sidecars, may take to stop.
+const STOP_TIME: Duration = Duration::from_secs(5);
+
 /// A fleet could not start.
 #[derive(Debug)]
 pub struct FleetError;
@@ -247,6 +251,21 @@
         }
     }
 
+    /// Stops the daemons, gateways first, and waits for them for a bounded time.
+    pub async fn stop(self) {
+        for entry in &self.gateways {
+            entry.daemon.shutdown.trigger();
+        }
+        let gateways = self.gateways.into_iter().map(|entry| entry.gateway.wait());
+        // What is cut off here is of no interest to anyone any more.
+        let _ended = timeout(STOP_TIME, join_all(gateways)).await;
+        for entry in &self.endpoints {
+            entry.daemon.shutdown.trigger();
+        }
+        let sidecars = self.endpoints.into_iter().filter_map(|entry| entry.sidecar);
+        let _ended = timeout(STOP_TIME, join_all(sidecars.map(Sidecar::wait))).await;
+    }
+
     /// Waits until every gateway is connected to every endpoint.
     pub async fn ready(&self) -> Result<(), Report<FleetError>> {
         for _ in 0..READY_LOOKS {
--- a/lovagedock-standin/src/lib.rs
+++ b/lovagedock-standin/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod demo;
 pub mod engine;
+pub mod experiment;
 pub mod fleet;
 pub mod load;
 mod platform;
--- a/lovagedock-standin/src/load/report.rs
+++ b/lovagedock-standin/src/load/report.rs
@@ -1,6 +1,6 @@
 //! The report of one run.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, ops::AddAssign, time::Duration};
 
 use lovagedock::{LengthBucket, RanState, ResultCode, Timestamp};
 use serde::Serialize;
@@ -62,8 +62,10 @@
     pub problems: Vec<ProblemCount>,
     /// Broken promises.
     pub violations: ViolationCounts,
-    /// What control cost.
+    /// What control cost; all 0 where it was not measured.
     pub control: ControlFigures,
+    /// Whether `control` was measured.
+    pub control_measured: bool,
 }
 
 /// Quantiles of the time between pieces, in milliseconds.
@@ -120,6 +122,16 @@
     }
 }
 
+impl AddAssign for OutcomeCounts {
+    fn add_assign(&mut self, other: Self) {
+        self.complete += other.complete;
+        self.refused_not_run += other.refused_not_run;
+        self.failed += other.failed;
+        self.unknown += other.unknown;
+        self.timed_out += other.timed_out;
+    }
+}
+
 /// Calls of one length that ended with one code.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub struct ProblemCount {
@@ -147,12 +159,12 @@
 }
 
 impl LoadReport {
-    /// Computes the figures of a run.
+    /// Computes the figures of a run; `control` is `None` where it was not measured.
     pub fn new(
         tags: &ReportTags,
         journal: &CallerJournal,
         violations: ViolationCounts,
-        control: ControlFigures,
+        control: Option<ControlFigures>,
     ) -> Self {
         let gaps = journal.calls.iter().flat_map(|call| &call.token_gaps);
         let gaps = QuantileSummary::new(gaps.map(|gap| gap.mul_f64(tags.time_scale)));
@@ -174,7 +186,8 @@
             outcomes: OutcomeCounts::new(journal),
             problems: count_problems(journal),
             violations,
-            control,
+            control: control.unwrap_or_default(),
+            control_measured: control.is_some(),
         }
     }
 }
--- a/lovagedock-standin/src/load/violations.rs
+++ b/lovagedock-standin/src/load/violations.rs
@@ -3,7 +3,7 @@
 //! The product's word about itself is taken only where it is the promise: what it told the caller.
 //! Whether that was true is read from the stand-ins' journals, joined by request id.
 
-use std::{collections::HashMap, time::Duration};
+use std::{collections::HashMap, ops::AddAssign, time::Duration};
 
 use lovagedock::{EndpointId, RanState, RequestId, Timestamp};
 use serde::Serialize;
@@ -61,6 +61,21 @@
     }
 }
 
+impl AddAssign for ViolationCounts {
+    fn add_assign(&mut self, other: Self) {
+        self.no_outcome_in_time += other.no_outcome_in_time;
+        self.cut_answers += other.cut_answers;
+        self.wrong_answers += other.wrong_answers;
+        self.ran_after_not_run += other.ran_after_not_run;
+        self.ran_twice += other.ran_twice;
+        self.differing_redelivery += other.differing_redelivery;
+        self.work_after_leaving += other.work_after_leaving;
+        self.cut_by_shutdown += other.cut_by_shutdown;
+        self.stale_config += other.stale_config;
+        self.leaked_blocks += other.leaked_blocks;
+    }
+}
+
 /// Times within which a promise is not broken yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ViolationLimits {
