Take the role of a new configuration before the next store call

A process that watched only for want of a plan began another watch in the same step in which it adopted its first configuration, before it could be given its role, if the chunks took longer than 20 ms. It held that watch for 20 s and took the next configuration from the store. The test of the first acceptance fails without the change.

--- a/lovagedock/src/adoption/upstream.rs
+++ b/lovagedock/src/adoption/upstream.rs
@@ -146,6 +146,11 @@
         let generation = self.generation();
         let needless = |fetch: &mut ChunkFetch| fetch.manifest.generation <= generation;
         self.upstream.fetch.take_if(needless);
+        // The role under this configuration comes next. A watch begun before it would be held for
+        // as long as a watch lasts by a process that is not to watch.
+        if self.upstream.next_at.is_some_and(|at| at <= now) {
+            self.upstream.next_at = Some(now + self.limits.watch_pause);
+        }
         if !self.upstream.watching && !self.upstream.started && self.upstream.failures == 0 {
             self.upstream.started = true;
             let pause = self.jitter(self.limits.poll_interval);
--- a/lovagedock/tests/adoption_first.rs
+++ b/lovagedock/tests/adoption_first.rs
@@ -111,7 +111,15 @@
             case.name
         );
         let bytes = Some(chunk);
-        driven.take(AdoptionEvent::ChunkRead { hash, bytes });
+        driven.now += soon;
+        let actions = driven.take(AdoptionEvent::ChunkRead { hash, bytes });
+        let is_call = |action: &AdoptionAction| {
+            matches!(
+                action,
+                AdoptionAction::ReadRoot | AdoptionAction::WatchRoot { .. }
+            )
+        };
+        assert!(!actions.iter().any(is_call), "{}: {actions:?}", case.name);
         assert_eq!(driven.state.generation(), 1, "{}", case.name);
         let actions = driven.take(AdoptionEvent::Role(RelayRole::default()));
         let early = AdoptionLimits::default().poll_interval / 4;
