Give orders from the gateway that holds a pool's lease

Two gateways compete for the lease object of each pool of engines, so that calls to the store do not grow with the number of gateways. The holder's task drives OrderPlanner; each call goes on a connection of its own, because a gateway has sessions to a part of a large pool only, and the lease is asked again once the sidecar has answered. Store calls of claims and leases share one module.

--- a/lovagedock-gateway/src/admin.rs
+++ b/lovagedock-gateway/src/admin.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 use serde_json::{Value, json};
 
-use crate::{shared::GatewayShared, trail::RequestTrail};
+use crate::{orders::OrderBoard, shared::GatewayShared, trail::RequestTrail};
 
 /// Trails in a dump.
 const DUMPED_TRAILS: usize = 50;
@@ -19,6 +19,7 @@
 /// The operators' view of a gateway.
 pub(crate) struct GatewaySurface {
     shared: GatewayShared,
+    orders: OrderBoard,
     shutdown: ShutdownSignal,
 }
 
@@ -54,8 +55,12 @@
 
 impl GatewaySurface {
     /// A view of this gateway.
-    pub(crate) fn new(shared: GatewayShared, shutdown: ShutdownSignal) -> Self {
-        Self { shared, shutdown }
+    pub(crate) fn new(shared: GatewayShared, orders: OrderBoard, shutdown: ShutdownSignal) -> Self {
+        Self {
+            shared,
+            orders,
+            shutdown,
+        }
     }
 
     fn status(&self) -> GatewayStatus {
@@ -126,7 +131,11 @@
 
     fn dump(&self) -> Value {
         let trails: Vec<RequestTrail> = self.shared.trails.newest(DUMPED_TRAILS);
-        json!({ "status": self.status(), "recent_requests": trails })
+        json!({
+            "status": self.status(),
+            "orders": self.orders.pools(),
+            "recent_requests": trails,
+        })
     }
 
     fn routes(&self) -> &'static [AdminRoute] {
--- a/lovagedock-gateway/src/claims.rs
+++ b/lovagedock-gateway/src/claims.rs
@@ -8,22 +8,22 @@
 use bytes::Bytes;
 use lovagedock::{
     ClaimAction, ClaimEvent, ClaimLimits, ClaimPartition, ClaimRequest, KeyHash, ObjectName,
-    PartitionMap, ReadOutcome, WriteCondition, WriteNonce, WriteOutcome, prelude::*,
+    PartitionMap, WriteCondition, WriteNonce, prelude::*,
 };
 use lovagedock_daemon::ProcessClock;
-use lovagedock_platform::{CallPurpose, ObjectStore, PutCondition, StoreError};
+use lovagedock_platform::{CallPurpose, ObjectStore};
 use tokio::{
     sync::{mpsc, oneshot},
-    time::{sleep_until, timeout},
+    time::sleep_until,
 };
 
+use crate::store_calls;
+
 /// Partitions of all claims; the same at all gateways.
 const CLAIM_PARTITIONS: u32 = 16;
 /// Least time between two writes of a partition by one gateway: what arrives meanwhile shares one
 /// write, and the store's rate is kept whatever the load.
 const WRITE_INTERVAL: Duration = Duration::from_millis(50);
-/// Time for one store call.
-const STORE_TIME: Duration = Duration::from_secs(3);
 
 /// What becomes of a keyed request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -258,56 +258,19 @@
 const LONGEST_SLEEP: Duration = Duration::from_secs(3_600);
 
 async fn carry_out(store: &dyn ObjectStore, work: StoreWork) -> ClaimEvent {
+    let purpose = CallPurpose::Claim;
     match work {
         StoreWork::Read(object) => {
-            let read = timeout(STORE_TIME, store.get(&object, CallPurpose::Claim)).await;
-            let outcome = match read {
-                Ok(Ok(Some(found))) => ReadOutcome::Found {
-                    version: found.version,
-                    bytes: found.value,
-                },
-                Ok(Ok(None)) => ReadOutcome::Absent,
-                Ok(Err(StoreError::RateLimited)) => ReadOutcome::RateLimited,
-                Ok(Err(_)) | Err(_) => ReadOutcome::Unavailable,
-            };
+            let outcome = store_calls::read(store, &object, purpose).await;
             ClaimEvent::StoreRead { object, outcome }
         }
         StoreWork::Write(object, condition, bytes, nonce) => {
-            let condition = put_condition(condition);
-            let put = store.put(&object, bytes, condition, CallPurpose::Claim);
-            let outcome = match timeout(STORE_TIME, put).await {
-                Ok(Ok(version)) => WriteOutcome::Applied(version),
-                Ok(Err(error)) => write_failure(&error),
-                Err(_) => WriteOutcome::Unknown,
-            };
+            let outcome = store_calls::write(store, &object, bytes, condition, purpose).await;
             ClaimEvent::StoreAnswered { nonce, outcome }
         }
         StoreWork::Delete(object, nonce) => {
-            let delete = store.delete(&object, PutCondition::Any, CallPurpose::Claim);
-            let outcome = match timeout(STORE_TIME, delete).await {
-                Ok(Ok(())) => WriteOutcome::Applied(0),
-                Ok(Err(error)) => write_failure(&error),
-                Err(_) => WriteOutcome::Unknown,
-            };
+            let outcome = store_calls::delete(store, &object, purpose).await;
             ClaimEvent::StoreAnswered { nonce, outcome }
         }
     }
 }
-
-fn put_condition(condition: WriteCondition) -> PutCondition {
-    match condition {
-        WriteCondition::Absent => PutCondition::Absent,
-        WriteCondition::Version(version) => PutCondition::Version(version),
-        WriteCondition::Always => PutCondition::Any,
-    }
-}
-
-/// Only what certainly did not take effect counts as such; everything else is unknown.
-fn write_failure(error: &StoreError) -> WriteOutcome {
-    match error {
-        StoreError::Conflict { .. } => WriteOutcome::Conflict,
-        StoreError::RateLimited => WriteOutcome::RateLimited,
-        StoreError::Unavailable | StoreError::TooLarge => WriteOutcome::Unavailable,
-        StoreError::OutcomeUnknown | StoreError::Malformed => WriteOutcome::Unknown,
-    }
-}
--- a/lovagedock-gateway/src/gateway.rs
+++ b/lovagedock-gateway/src/gateway.rs
@@ -18,6 +18,7 @@
     fleet::FleetTable,
     front::FrontServer,
     limits::LimitDesk,
+    orders::{DeskParts, OrderDesk},
     settings::GatewaySettings,
     shared::GatewayShared,
     sources::{ConfigSources, PlatformPorts, SourceParts},
@@ -45,6 +46,8 @@
     sources: ConfigSources,
     // Ends the links when the gateway goes.
     _adopter: Arc<ConfigAdopter>,
+    // Ends the orders when the gateway goes.
+    _orders: OrderDesk,
 }
 
 impl Gateway {
@@ -84,6 +87,16 @@
             context.incarnation,
         ));
         let claims = ClaimDesk::start(context.incarnation, &store, daemon.clock);
+        let orders = OrderDesk::start(DeskParts {
+            context: context.clone(),
+            store: Arc::clone(&store),
+            connectors: connectors.clone(),
+            times,
+            adopted: adopter.subscribe(),
+            shutdown: daemon.shutdown.clone(),
+            log: log.clone(),
+        })
+        .change_context(GatewayError)?;
         let shared = GatewayShared::new(context.clone(), claims, limits.clone())
             .with_shutdown(daemon.shutdown.clone(), settings.limits.drain_time());
         let front = FrontServer::bind(
@@ -97,7 +110,11 @@
         .await
         .change_context(GatewayError)?;
         let callers = front.address().change_context(GatewayError)?;
-        let surface = Arc::new(GatewaySurface::new(shared, daemon.shutdown.clone()));
+        let surface = Arc::new(GatewaySurface::new(
+            shared,
+            orders.board(),
+            daemon.shutdown.clone(),
+        ));
         let admin = AdminServer::start("lovagedock-gateway", &settings.admin, surface, &daemon)
             .await
             .change_context(GatewayError)?;
@@ -121,6 +138,7 @@
             front: tokio::spawn(front.run()),
             sources,
             _adopter: adopter,
+            _orders: orders,
         })
     }
 
--- a/lovagedock-gateway/src/lib.rs
+++ b/lovagedock-gateway/src/lib.rs
@@ -18,12 +18,14 @@
 mod gateway;
 mod limits;
 mod link;
+mod orders;
 mod peers;
 mod recorded;
 mod relay;
 mod settings;
 mod shared;
 mod sources;
+mod store_calls;
 mod trail;
 mod workers;
 
--- /dev/null
+++ b/lovagedock-gateway/src/orders/call.rs
@@ -0,0 +1,108 @@
+//! One call to one sidecar, on a connection of its own.
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+
+use lovagedock::{LeaseHolder, OrderAnswer, prelude::*};
+use lovagedock_daemon::ProcessClock;
+use lovagedock_wire::{EndpointClient, OrderMessage, OrderReply, PeerIdentity, WireError};
+use slog::{Logger, info, warn};
+use tokio::time::sleep;
+
+use crate::{connect::PeerConnector, link::LinkTimes};
+
+/// Time that an order may take, waiting for others at the sidecar included.
+const ORDER_TIME: Duration = Duration::from_secs(30 * 60);
+
+/// One call.
+///
+/// It does not use the gateway's session to the endpoint: in a large fleet the holder of a pool's
+/// lease has sessions to a part of the pool only.
+pub(crate) struct SidecarCall {
+    pub(crate) endpoint: EndpointId,
+    pub(crate) address: SocketAddr,
+    pub(crate) message: OrderMessage,
+    pub(crate) connector: Rc<dyn PeerConnector>,
+    pub(crate) identity: PeerIdentity,
+    pub(crate) times: LinkTimes,
+    pub(crate) holder: Rc<RefCell<LeaseHolder>>,
+    pub(crate) clock: ProcessClock,
+    pub(crate) log: Logger,
+}
+
+impl SidecarCall {
+    /// Calls and waits for the end.
+    pub(crate) async fn run(self) -> OrderAnswer {
+        let client = match self.open().await {
+            Ok(client) => client,
+            Err(error) => {
+                info!(self.log, "no connection for an order";
+                    "endpoint" => &*self.endpoint, "error" => %error);
+                return unanswered(ResultCode::EndpointUnreachable);
+            }
+        };
+        // Only now, after this life of the sidecar has answered: opening may have taken longer
+        // than the lease, and a sidecar that has restarted takes the first number that comes.
+        let fence = self.holder.borrow().fence(self.clock.now());
+        if fence != Some(self.message.epoch) {
+            return unanswered(ResultCode::StoreUnavailable);
+        }
+        let reply = match self.message.order {
+            None => client.order(&self.message, self.times.silence).await,
+            Some(_) => self.order(&client).await,
+        };
+        match reply {
+            Ok(reply) => self.answer(reply),
+            Err(error) => {
+                warn!(self.log, "end of an order is not known";
+                    "endpoint" => &*self.endpoint, "error" => %error);
+                unanswered(ResultCode::EndpointLost)
+            }
+        }
+    }
+
+    async fn open(&self) -> Result<EndpointClient, WireError> {
+        let limit = self.times.silence;
+        let stream = self.connector.connect(self.address, limit).await?;
+        let client = EndpointClient::new(stream);
+        let welcome = client.hello(&self.identity, limit).await?;
+        if welcome.name != *self.endpoint {
+            let detail = format!("{} answers for {}", welcome.name, self.endpoint);
+            return Err(WireError::Malformed(detail));
+        }
+        Ok(client)
+    }
+
+    /// Sends heartbeats while the engine loads: the connection may go silent like any other, and
+    /// the sidecar gives up sessions without them.
+    async fn order(&self, client: &EndpointClient) -> Result<OrderReply, WireError> {
+        let order = client.order(&self.message, ORDER_TIME);
+        tokio::pin!(order);
+        let mut sequence = 0;
+        loop {
+            tokio::select! {
+                reply = &mut order => return reply,
+                () = sleep(self.times.heartbeat) => {
+                    sequence += 1;
+                    let generation = self.identity.generation;
+                    client.heartbeat(sequence, generation, self.times.silence).await?;
+                }
+            }
+        }
+    }
+
+    fn answer(&self, reply: OrderReply) -> OrderAnswer {
+        if let Some(order) = &self.message.order {
+            info!(self.log, "order ended"; "endpoint" => &*self.endpoint,
+                "epoch" => self.message.epoch, "order" => format!("{order:?}"),
+                "code" => reply.code.number(), "detail" => &reply.detail);
+        }
+        OrderAnswer {
+            code: reply.code,
+            report: Some(reply.report),
+        }
+    }
+}
+
+fn unanswered(code: ResultCode) -> OrderAnswer {
+    OrderAnswer { code, report: None }
+}
--- /dev/null
+++ b/lovagedock-gateway/src/orders/mod.rs
@@ -0,0 +1,181 @@
+//! Orders to the engines of the pools whose leases this gateway holds.
+//!
+//! One thread has a task for each pool that this gateway competes for. A task owns the pool's
+//! [`LeaseHolder`](lovagedock::LeaseHolder) and [`OrderPlanner`](lovagedock::OrderPlanner) and
+//! carries out what they decide. Serving needs none of it.
+
+mod board;
+mod call;
+mod pool;
+
+use std::{collections::BTreeMap, io, sync::Arc, thread, time::Duration};
+
+use futures::future::join_all;
+use lovagedock::{PoolKind, PoolSpec, pool_contenders, prelude::*};
+use lovagedock_daemon::ShutdownSignal;
+use lovagedock_platform::ObjectStore;
+use slog::{Logger, warn};
+use tokio::{
+    runtime::{self, Handle},
+    sync::{mpsc, watch},
+    task::{JoinHandle, LocalSet, spawn_local},
+    time::timeout,
+};
+
+pub(crate) use board::OrderBoard;
+
+use crate::{
+    active::ActiveConfig, connect::ConnectorFactory, context::GatewayContext, link::LinkTimes,
+};
+use pool::{PoolParts, PoolTask};
+
+/// Gateways that compete for the lease of one pool: one to hold it and one to take over.
+const CONTENDERS: usize = 2;
+/// Time that a shutdown gives leases back in; one that is not given back lapses.
+const RELEASE_TIME: Duration = Duration::from_secs(3);
+
+/// What the thread for orders needs.
+pub(crate) struct DeskParts {
+    /// Configuration and fleet.
+    pub(crate) context: GatewayContext,
+    /// The platform's store.
+    pub(crate) store: Arc<dyn ObjectStore>,
+    /// How to connect to sidecars.
+    pub(crate) connectors: ConnectorFactory,
+    /// Times of sessions.
+    pub(crate) times: LinkTimes,
+    /// Tells each generation that comes into force.
+    pub(crate) adopted: watch::Receiver<Generation>,
+    /// Ends the orders.
+    pub(crate) shutdown: ShutdownSignal,
+    /// Log.
+    pub(crate) log: Logger,
+}
+
+/// The thread that gives orders; it ends when this is dropped.
+pub(crate) struct OrderDesk {
+    board: OrderBoard,
+    _stop: watch::Sender<()>,
+}
+
+impl OrderDesk {
+    /// Starts the thread; must be called on a runtime, which carries the store calls.
+    pub(crate) fn start(parts: DeskParts) -> io::Result<Self> {
+        let (stop, stopped) = watch::channel(());
+        let board = OrderBoard::default();
+        let worker = DeskWorker {
+            parts,
+            board: board.clone(),
+            store_runtime: Handle::current(),
+            pools: BTreeMap::new(),
+        };
+        thread::Builder::new()
+            .name("orders".to_owned())
+            .spawn(move || worker.run(stopped))?;
+        Ok(Self { board, _stop: stop })
+    }
+
+    /// What operators see of the orders.
+    pub(crate) fn board(&self) -> OrderBoard {
+        self.board.clone()
+    }
+}
+
+/// A pool's task; it gives its lease back when the sender is dropped.
+struct RunningPool {
+    configs: mpsc::UnboundedSender<Arc<ActiveConfig>>,
+    task: JoinHandle<()>,
+}
+
+struct DeskWorker {
+    parts: DeskParts,
+    board: OrderBoard,
+    store_runtime: Handle,
+    pools: BTreeMap<PoolId, RunningPool>,
+}
+
+impl DeskWorker {
+    fn run(mut self, stopped: watch::Receiver<()>) {
+        let runtime = match runtime::Builder::new_current_thread().enable_all().build() {
+            Ok(runtime) => runtime,
+            Err(error) => {
+                warn!(self.parts.log, "no runtime for orders"; "error" => %error);
+                return;
+            }
+        };
+        LocalSet::new().block_on(&runtime, async {
+            self.follow(stopped).await;
+            self.give_back().await;
+        });
+    }
+
+    async fn follow(&mut self, mut stopped: watch::Receiver<()>) {
+        let shutdown = self.parts.shutdown.clone();
+        let mut adopted = self.parts.adopted.clone();
+        loop {
+            self.assign();
+            tokio::select! {
+                changed = adopted.changed() => if changed.is_err() { return },
+                () = shutdown.wait() => return,
+                _ = stopped.changed() => return,
+            }
+        }
+    }
+
+    async fn give_back(&mut self) {
+        let pools = std::mem::take(&mut self.pools).into_values();
+        let ending = pools.map(|pool| {
+            drop(pool.configs);
+            pool.task
+        });
+        // What takes longer lapses by itself.
+        let _late = timeout(RELEASE_TIME, join_all(ending)).await;
+    }
+
+    /// Starts and ends tasks so that each pool that this gateway competes for has one.
+    fn assign(&mut self) {
+        let active = self.parts.context.config.load_full();
+        let mine: Vec<&PoolSpec> = active
+            .fleet
+            .pools
+            .iter()
+            .filter(|pool| self.competes(&active.fleet, pool))
+            .collect();
+        self.pools
+            .retain(|id, _| mine.iter().any(|pool| pool.id == *id));
+        for pool in mine {
+            if !self.pools.contains_key(&pool.id) {
+                let running = self.start_pool(&pool.id);
+                self.pools.insert(pool.id.clone(), running);
+            }
+            // The task ends only when this sender is dropped.
+            let _running = self.pools[&pool.id].configs.send(Arc::clone(&active));
+        }
+    }
+
+    fn competes(&self, fleet: &FleetConfig, pool: &PoolSpec) -> bool {
+        let PoolKind::Engines { .. } = pool.kind else {
+            return false;
+        };
+        let gateways = fleet.gateways.iter().map(|gateway| &gateway.id);
+        pool_contenders(&pool.id, gateways, CONTENDERS).contains(&&self.parts.context.name)
+    }
+
+    fn start_pool(&self, pool: &PoolId) -> RunningPool {
+        let (configs, receiver) = mpsc::unbounded_channel();
+        let task = PoolTask::new(PoolParts {
+            pool: pool.clone(),
+            context: self.parts.context.clone(),
+            store: Arc::clone(&self.parts.store),
+            store_runtime: self.store_runtime.clone(),
+            connector: self.parts.connectors.connector(),
+            times: self.parts.times,
+            board: self.board.clone(),
+            log: self.parts.log.clone(),
+        });
+        RunningPool {
+            configs,
+            task: spawn_local(task.run(receiver)),
+        }
+    }
+}
--- /dev/null
+++ b/lovagedock-gateway/src/orders/pool.rs
@@ -0,0 +1,273 @@
+//! The task that holds one pool's lease and gives its orders.
+
+use std::{
+    cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
+};
+
+use lovagedock::{
+    ArtifactSet, LeaseAction, LeaseEvent, LeaseHolder, LeaseLimits, LoadOrder, OrderAction,
+    OrderEvent, OrderLimits, OrderPlanner, PoolKind, prelude::*,
+};
+use lovagedock_platform::{CallPurpose, ObjectStore};
+use lovagedock_wire::{OrderMessage, PROTOCOL_VERSION, PeerIdentity};
+use slog::{Logger, info};
+use tokio::{runtime::Handle, sync::mpsc, task::spawn_local, time::sleep_until};
+
+use super::{
+    board::{OrderBoard, PoolOrders},
+    call::SidecarCall,
+};
+use crate::{
+    active::ActiveConfig, connect::PeerConnector, context::GatewayContext, link::LinkTimes,
+    store_calls,
+};
+
+/// How long the lease of a pool lasts. Orders can wait longer than requests, so it is renewed
+/// seldom: a call in ten seconds from the holder, one in thirty from the other contender.
+const LEASE_TIME: Duration = Duration::from_secs(30);
+/// Longest sleep between looks at the wake times.
+const LONGEST_SLEEP: Duration = Duration::from_secs(3_600);
+
+/// What a pool's task needs.
+pub(super) struct PoolParts {
+    pub(super) pool: PoolId,
+    pub(super) context: GatewayContext,
+    pub(super) store: Arc<dyn ObjectStore>,
+    /// Runtime of the store's connections, which other parts of the gateway share.
+    pub(super) store_runtime: Handle,
+    pub(super) connector: Rc<dyn PeerConnector>,
+    pub(super) times: LinkTimes,
+    pub(super) board: OrderBoard,
+    pub(super) log: Logger,
+}
+
+enum PoolEvent {
+    Lease(LeaseEvent),
+    Order(OrderEvent),
+}
+
+pub(super) struct PoolTask {
+    parts: PoolParts,
+    holder: Rc<RefCell<LeaseHolder>>,
+    planner: OrderPlanner,
+    addresses: HashMap<EndpointId, SocketAddr>,
+    generation: Generation,
+    lease_wake: Timestamp,
+    order_wake: Timestamp,
+    sender: mpsc::UnboundedSender<PoolEvent>,
+    events: mpsc::UnboundedReceiver<PoolEvent>,
+}
+
+impl PoolTask {
+    /// A task that has no configuration yet.
+    pub(super) fn new(parts: PoolParts) -> Self {
+        let limits = LeaseLimits {
+            duration: LEASE_TIME,
+            ..LeaseLimits::default()
+        };
+        let object = format!("leases/pools/{}", parts.pool).into();
+        let holder = LeaseHolder::new(object, parts.context.incarnation, limits);
+        let (sender, events) = mpsc::unbounded_channel();
+        Self {
+            parts,
+            holder: Rc::new(RefCell::new(holder)),
+            planner: OrderPlanner::new(OrderLimits::default()),
+            addresses: HashMap::new(),
+            generation: 0,
+            lease_wake: Timestamp::MAX,
+            order_wake: Timestamp::MAX,
+            sender,
+            events,
+        }
+    }
+
+    /// Runs until the sender of configurations is dropped, then gives the lease back.
+    pub(super) async fn run(mut self, mut configs: mpsc::UnboundedReceiver<Arc<ActiveConfig>>) {
+        self.lease(LeaseEvent::Want);
+        loop {
+            let latest = self.parts.context.clock.now() + LONGEST_SLEEP;
+            let wake = self.lease_wake.min(self.order_wake).min(latest);
+            let wake = self.parts.context.clock.instant_at(wake);
+            tokio::select! {
+                active = configs.recv() => match active {
+                    Some(active) => self.configure(&active),
+                    None => break,
+                },
+                Some(event) = self.events.recv() => self.take(event),
+                () = sleep_until(wake.into()) => self.tick(),
+            }
+            self.show();
+        }
+        self.give_back().await;
+        self.parts.board.remove(&self.parts.pool);
+    }
+
+    fn take(&mut self, event: PoolEvent) {
+        match event {
+            PoolEvent::Lease(event) => self.lease(event),
+            PoolEvent::Order(event) => self.order(event),
+        }
+    }
+
+    fn tick(&mut self) {
+        self.lease_wake = Timestamp::MAX;
+        self.order_wake = Timestamp::MAX;
+        self.lease(LeaseEvent::Tick);
+        self.order(OrderEvent::Tick);
+    }
+
+    fn show(&self) {
+        let lease = self.holder.borrow().status(self.parts.context.clock.now());
+        let orders = self.planner.status();
+        self.parts
+            .board
+            .set(&self.parts.pool, PoolOrders { lease, orders });
+    }
+
+    fn configure(&mut self, active: &ActiveConfig) {
+        let mut pools = active.fleet.pools.iter();
+        let Some(pool) = pools.find(|pool| pool.id == self.parts.pool) else {
+            return;
+        };
+        let PoolKind::Engines { model } = &pool.kind else {
+            return;
+        };
+        let mut models = active.fleet.models.iter();
+        let Some(model) = models.find(|spec| spec.id == *model) else {
+            return;
+        };
+        self.generation = active.generation;
+        let endpoints = pool.endpoints.iter();
+        self.addresses = endpoints
+            .map(|spec| (spec.id.clone(), spec.sidecar))
+            .collect();
+        self.order(OrderEvent::Configure {
+            wanted: ArtifactSet::wanted(model),
+            endpoints: pool.endpoints.iter().map(|spec| spec.id.clone()).collect(),
+        });
+    }
+
+    fn lease(&mut self, event: LeaseEvent) {
+        let now = self.parts.context.clock.now();
+        let actions = self.holder.borrow_mut().handle(now, event);
+        for action in actions {
+            self.carry_out_lease(action);
+        }
+    }
+
+    fn carry_out_lease(&mut self, action: LeaseAction) {
+        let pool = &*self.parts.pool;
+        match action {
+            LeaseAction::WakeAt(at) => self.lease_wake = at,
+            LeaseAction::Acquired { epoch, until } => {
+                info!(self.parts.log, "lease acquired"; "pool" => pool, "epoch" => epoch);
+                self.order(OrderEvent::Lease { epoch, until });
+            }
+            LeaseAction::Renewed { epoch, until } => {
+                self.order(OrderEvent::Lease { epoch, until });
+            }
+            LeaseAction::Lost { epoch } => {
+                info!(self.parts.log, "lease lost"; "pool" => pool, "epoch" => epoch);
+                self.order(OrderEvent::LeaseLost);
+            }
+            call @ (LeaseAction::Read { .. } | LeaseAction::Write { .. }) => {
+                let sender = self.sender.clone();
+                let calling = store_call(Arc::clone(&self.parts.store), call);
+                self.parts.store_runtime.spawn(async move {
+                    if let Some(event) = calling.await {
+                        // The task has ended when nobody hears this.
+                        let _ended = sender.send(PoolEvent::Lease(event));
+                    }
+                });
+            }
+        }
+    }
+
+    fn order(&mut self, event: OrderEvent) {
+        let now = self.parts.context.clock.now();
+        for action in self.planner.handle(now, event) {
+            match action {
+                OrderAction::WakeAt(at) => self.order_wake = at,
+                OrderAction::Send {
+                    endpoint,
+                    epoch,
+                    sequence,
+                    order,
+                } => self.call(endpoint, epoch, sequence, order),
+            }
+        }
+    }
+
+    fn call(&self, endpoint: EndpointId, epoch: Epoch, sequence: u64, order: Option<LoadOrder>) {
+        let Some(address) = self.addresses.get(&endpoint).copied() else {
+            // The planner knows the endpoints of the configuration that the addresses are from.
+            return;
+        };
+        let context = &self.parts.context;
+        let call = SidecarCall {
+            endpoint: endpoint.clone(),
+            address,
+            message: OrderMessage {
+                pool: self.parts.pool.clone(),
+                epoch,
+                sequence,
+                generation: self.generation,
+                order,
+            },
+            connector: Rc::clone(&self.parts.connector),
+            identity: PeerIdentity {
+                version: PROTOCOL_VERSION,
+                name: context.name.to_string(),
+                incarnation: context.incarnation,
+                generation: self.generation,
+            },
+            times: self.parts.times,
+            holder: Rc::clone(&self.holder),
+            clock: context.clock,
+            log: self.parts.log.clone(),
+        };
+        let sender = self.sender.clone();
+        spawn_local(async move {
+            let answered = OrderEvent::Answered {
+                endpoint,
+                sequence,
+                answer: call.run().await,
+            };
+            let _ended = sender.send(PoolEvent::Order(answered));
+        });
+    }
+
+    /// Lets the other contender start at once instead of after the lapse.
+    async fn give_back(&mut self) {
+        let now = self.parts.context.clock.now();
+        let actions = self.holder.borrow_mut().handle(now, LeaseEvent::Release);
+        for action in actions {
+            if matches!(action, LeaseAction::Write { .. }) {
+                let calling = store_call(Arc::clone(&self.parts.store), action);
+                // If it fails the lease lapses.
+                let _lapses = self.parts.store_runtime.spawn(calling).await;
+            }
+        }
+    }
+}
+
+/// Carries a store call out; `None` for other actions.
+async fn store_call(store: Arc<dyn ObjectStore>, action: LeaseAction) -> Option<LeaseEvent> {
+    let purpose = CallPurpose::Lease;
+    match action {
+        LeaseAction::Read { object } => {
+            let outcome = store_calls::read(&*store, &object, purpose).await;
+            Some(LeaseEvent::StoreRead(outcome))
+        }
+        LeaseAction::Write {
+            object,
+            condition,
+            bytes,
+            nonce,
+        } => {
+            let outcome = store_calls::write(&*store, &object, bytes, condition, purpose).await;
+            Some(LeaseEvent::StoreAnswered { nonce, outcome })
+        }
+        _ => None,
+    }
+}
