--- a/lovagedock-gateway/src/gateway.rs
+++ b/lovagedock-gateway/src/gateway.rs
@@ -92,6 +92,7 @@
             store: Arc::clone(&store),
             connectors: connectors.clone(),
             times,
+            lease: settings.orders.lease(),
             adopted: adopter.subscribe(),
             shutdown: daemon.shutdown.clone(),
             log: log.clone(),
--- a/lovagedock-gateway/src/lib.rs
+++ b/lovagedock-gateway/src/lib.rs
@@ -31,5 +31,5 @@
 
 pub use gateway::{Gateway, GatewayError};
 pub use settings::{
-    CallerLimits, GatewaySettings, LinkSettings, ListenerSettings, PlatformSettings,
+    CallerLimits, GatewaySettings, LinkSettings, ListenerSettings, OrderSettings, PlatformSettings,
 };
--- a/lovagedock-gateway/src/orders/mod.rs
+++ b/lovagedock-gateway/src/orders/mod.rs
@@ -44,6 +44,8 @@
     pub(crate) connectors: ConnectorFactory,
     /// Times of sessions.
     pub(crate) times: LinkTimes,
+    /// How long the lease of a pool lasts.
+    pub(crate) lease: Duration,
     /// Tells each generation that comes into force.
     pub(crate) adopted: watch::Receiver<Generation>,
     /// Ends the orders.
@@ -170,6 +172,7 @@
             store_runtime: self.store_runtime.clone(),
             connector: self.parts.connectors.connector(),
             times: self.parts.times,
+            lease: self.parts.lease,
             board: self.board.clone(),
             log: self.parts.log.clone(),
         });
--- a/lovagedock-gateway/src/orders/pool.rs
+++ b/lovagedock-gateway/src/orders/pool.rs
@@ -22,9 +22,6 @@
     store_calls,
 };
 
-/// How long the lease of a pool lasts. Orders can wait longer than requests, so it is renewed
-/// seldom: a call in ten seconds from the holder, one in thirty from the other contender.
-const LEASE_TIME: Duration = Duration::from_secs(30);
 /// Longest sleep between looks at the wake times.
 const LONGEST_SLEEP: Duration = Duration::from_secs(3_600);
 
@@ -37,6 +34,7 @@
     pub(super) store_runtime: Handle,
     pub(super) connector: Rc<dyn PeerConnector>,
     pub(super) times: LinkTimes,
+    pub(super) lease: Duration,
     pub(super) board: OrderBoard,
     pub(super) log: Logger,
 }
@@ -62,7 +60,7 @@
     /// A task that has no configuration yet.
     pub(super) fn new(parts: PoolParts) -> Self {
         let limits = LeaseLimits {
-            duration: LEASE_TIME,
+            duration: parts.lease,
             ..LeaseLimits::default()
         };
         let object = format!("leases/pools/{}", parts.pool).into();
--- a/lovagedock-gateway/src/settings.rs
+++ b/lovagedock-gateway/src/settings.rs
@@ -8,6 +8,9 @@
 
 use crate::link::LinkTimes;
 
+/// Below this, calls to the store take up the lease.
+const SHORTEST_LEASE_MS: u64 = 500;
+
 /// What a gateway is told when it starts; everything else is in the configuration.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -35,6 +38,9 @@
     /// Limits towards callers.
     #[serde(default)]
     pub limits: CallerLimits,
+    /// Orders to engines.
+    #[serde(default)]
+    pub orders: OrderSettings,
 }
 
 impl DaemonSettings for GatewaySettings {
@@ -57,6 +63,12 @@
         if links.workers == 0 {
             problems.push("links.workers: found 0, expected at least 1".to_owned());
         }
+        if self.orders.lease_ms < SHORTEST_LEASE_MS {
+            problems.push(format!(
+                "orders.lease_ms: found {}, expected at least {SHORTEST_LEASE_MS}",
+                self.orders.lease_ms
+            ));
+        }
         problems
     }
 }
@@ -109,6 +121,28 @@
     pub base: String,
 }
 
+/// How orders to engines are given.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct OrderSettings {
+    /// How long the lease of a pool lasts without renewal, in milliseconds; the holder calls the
+    /// store three times in it. Orders can wait longer than requests, so it is long.
+    pub lease_ms: u64,
+}
+
+impl OrderSettings {
+    /// How long the lease of a pool lasts without renewal.
+    pub fn lease(&self) -> Duration {
+        Duration::from_millis(self.lease_ms)
+    }
+}
+
+impl Default for OrderSettings {
+    fn default() -> Self {
+        Self { lease_ms: 30_000 }
+    }
+}
+
 /// Limits towards callers.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/lovagedock-standin/src/engine/mod.rs
+++ b/lovagedock-standin/src/engine/mod.rs
@@ -20,6 +20,7 @@
 mod serve;
 mod state;
 mod transfer;
+mod weights;
 
 pub use answer::{
     BYTES_PER_TOKEN, ChatMessage, PREFIX_PIECE_TOKENS, chat_prompt, expected_answer, prefix_hashes,
@@ -34,3 +35,4 @@
 pub use memory::{BLOCK_TOKENS, CacheChange, KvMemory};
 pub use options::{EngineOptions, ReportStyle};
 pub use running::{EngineHandle, EngineStandin, RunningEngine};
+pub use weights::WeightGauge;
--- a/lovagedock-standin/src/engine/options.rs
+++ b/lovagedock-standin/src/engine/options.rs
@@ -6,6 +6,8 @@
 
 use lovagedock::prelude::TokenCount;
 
+use super::weights::WeightGauge;
+
 /// How an engine tells its load and names the fields of its account.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -44,6 +46,8 @@
     pub transfer_cost: Duration,
     /// Time to carry out an order to load something.
     pub order_time: Duration,
+    /// Counts loads; engines of one fleet share it.
+    pub weights: WeightGauge,
     /// Age of the load that it reports.
     pub load_lag: Duration,
     /// How it reports its load.
@@ -73,6 +77,7 @@
             memory_tokens: 400_000,
             transfer_cost: Duration::from_micros(10),
             order_time: Duration::from_secs(5),
+            weights: WeightGauge::default(),
             load_lag: Duration::from_secs(1),
             report_style: ReportStyle::default(),
             checks_fences: true,
--- a/lovagedock-standin/src/engine/order.rs
+++ b/lovagedock-standin/src/engine/order.rs
@@ -35,6 +35,7 @@
     let order: OrderBody = read_json(request).await?;
     check_fence(state, order.fence)?;
     if !matches!(order.kind, OrderKind::SetRole { .. }) {
+        let _load = state.options.weights.begin();
         state.sleep(state.options.order_time).await;
     }
     apply(state, &order);
--- a/lovagedock-standin/src/fleet.rs
+++ b/lovagedock-standin/src/fleet.rs
@@ -5,12 +5,13 @@
 
 use error_stack::{Report, ResultExt};
 use futures::future::join_all;
-use lovagedock::{EndpointSpec, FleetConfig, GatewaySpec, PoolKind, prelude::*};
+use lovagedock::{EndpointSpec, FleetConfig, GatewaySpec, OrderCheck, PoolKind, prelude::*};
 use lovagedock_daemon::{
     AdminSettings, DaemonContext, LogSettings, PlainConsent, TransportSettings,
 };
 use lovagedock_gateway::{
-    CallerLimits, Gateway, GatewaySettings, LinkSettings, ListenerSettings, PlatformSettings,
+    CallerLimits, Gateway, GatewaySettings, LinkSettings, ListenerSettings, OrderSettings,
+    PlatformSettings,
 };
 use lovagedock_platform::{
     ApplyOutcome, ApplyRequest, ConfigStore, HttpObjectStore, canonical_json,
@@ -21,7 +22,7 @@
 
 use crate::{
     PlatformOptions, PlatformStandin, RunningStandin,
-    engine::{EngineOptions, EngineStandin, ReportStyle, RunningEngine},
+    engine::{EngineOptions, EngineStandin, ReportStyle, RunningEngine, WeightGauge},
     service::{RunningService, ServiceOptions, ServiceStandin},
 };
 
@@ -66,6 +67,10 @@
     pub concurrency: usize,
     /// Limits of the gateways towards callers.
     pub limits: CallerLimits,
+    /// How long the lease of a pool lasts.
+    pub lease: Duration,
+    /// Counts what the engines load at once.
+    pub weights: WeightGauge,
     /// Log of the daemons.
     pub log: Logger,
 }
@@ -82,6 +87,8 @@
             drain: Duration::from_secs(60),
             concurrency: 0,
             limits: CallerLimits::default(),
+            lease: Duration::from_secs(30),
+            weights: WeightGauge::default(),
             log,
         }
     }
@@ -98,6 +105,12 @@
         self
     }
 
+    /// Sets how long the lease of a pool lasts.
+    pub fn with_lease(mut self, lease: Duration) -> Self {
+        self.lease = lease;
+        self
+    }
+
     /// Sets how sessions are kept.
     pub fn with_heartbeat(mut self, heartbeat: Duration, silence: Duration) -> Self {
         self.heartbeat = heartbeat;
@@ -333,6 +346,8 @@
         time_scale: plan.time_scale,
         memory_tokens: spec.memory_tokens,
         report_style,
+        checks_fences: spec.order_check == OrderCheck::Fence,
+        weights: plan.weights.clone(),
         ..EngineOptions::default()
     };
     EngineStandin::start(options)
@@ -397,6 +412,9 @@
         platform: PlatformSettings { base: platform },
         log: LogSettings::default(),
         limits: plan.limits.clone(),
+        orders: OrderSettings {
+            lease_ms: plan.lease.as_millis() as u64,
+        },
     }
 }
 
--- a/lovagedock/src/orders/planner.rs
+++ b/lovagedock/src/orders/planner.rs
@@ -131,7 +131,7 @@
     fn yield_lease(&mut self, answer: &OrderAnswer) {
         let highest = answer.report.as_ref().map_or(0, |report| report.highest);
         if self.lease.is_some_and(|lease| lease.epoch < highest) {
-            self.superseded = highest - 1;
+            self.superseded = highest;
             self.lease = None;
         }
     }
