--- a/lovagedock-standin/tests/orders.rs
+++ b/lovagedock-standin/tests/orders.rs
@@ -257,7 +257,7 @@
     let text = canonical_json(&fleet.config).expect("JSON");
     let message = ConfigMessage {
         generation: 2,
-        config: text.into(),
+        config: text,
     };
     for entry in &fleet.gateways {
         assert_eq!(relay(entry.gateway.peers_address(), &message).await, 2);
