--- a/lovagedock-gateway/src/adopt.rs
+++ b/lovagedock-gateway/src/adopt.rs
@@ -6,7 +6,7 @@
 use lovagedock::{EndpointSpec, PoolSpec, SubsetMember, SubsetPlanner, build_policy, prelude::*};
 use parking_lot::Mutex;
 use slog::{Logger, info, warn};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use crate::{
     active::ActiveConfig,
@@ -33,6 +33,7 @@
     limits: LimitDesk,
     workers: WorkerPool,
     adoption: Mutex<()>,
+    adopted: watch::Sender<Generation>,
     log: Logger,
 }
 
@@ -49,10 +50,16 @@
             limits,
             workers,
             adoption: Mutex::new(()),
+            adopted: watch::Sender::new(0),
             log,
         }
     }
 
+    /// Tells each generation that comes into force.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<Generation> {
+        self.adopted.subscribe()
+    }
+
     /// Puts a configuration in force if it is newer than the one that is.
     ///
     /// Store, peers and polls race here, and an old answer may arrive last. Without the check
@@ -74,6 +81,7 @@
             .configure(self.context.clock.now(), &active.fleet);
         self.context.config.store(Arc::new(active));
         drop(adoption);
+        self.adopted.send_replace(generation);
         metrics::gauge!("lovagedock_config_generation").set(generation as f64);
         info!(self.log, "configuration in force"; "generation" => generation);
         Ok(())
--- a/lovagedock-standin/tests/orders.rs
+++ b/lovagedock-standin/tests/orders.rs
@@ -8,7 +8,9 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, Response, body::Incoming};
 use hyper_util::{client::legacy::Client, rt::TokioExecutor};
-use lovagedock::{Artifact, FleetConfig, LoadOrder, parse_config, prelude::*};
+use lovagedock::{
+    Artifact, ConfigBundle, ConfigManifest, FleetConfig, LoadOrder, parse_config, prelude::*,
+};
 use lovagedock_platform::canonical_json;
 use lovagedock_sidecar::adapter::{AdapterOptions, EngineOrder, OrderKind, build_adapter};
 use lovagedock_standin::{
@@ -17,8 +19,7 @@
     fleet::{EndpointStandin, FleetPlan, LocalFleet},
 };
 use lovagedock_wire::{
-    ConfigMessage, EndpointClient, OrderMessage, OrderReply, PROTOCOL_VERSION, PeerClient,
-    PeerIdentity,
+    EndpointClient, OrderMessage, OrderReply, PROTOCOL_VERSION, PeerClient, PeerIdentity,
 };
 use serde_json::{Value, json};
 use slog::{Discard, Logger, o};
@@ -165,13 +166,13 @@
 }
 
 /// Hands a configuration over as another gateway would.
-async fn relay(gateway: SocketAddr, message: &ConfigMessage) -> Generation {
+async fn relay(gateway: SocketAddr, bundle: &ConfigBundle) -> Generation {
     let local = LocalSet::new();
     let calling = local.run_until(async {
         let stream = TcpStream::connect(gateway).await.expect("a connection");
         let client = PeerClient::new(Box::new(stream));
         client.hello(&identity(), LIMIT).await.expect("a welcome");
-        client.configure(message, LIMIT).await.expect("a reply")
+        client.push(bundle, LIMIT).await.expect("a reply")
     });
     calling.await
 }
@@ -255,12 +256,18 @@
     }
     set_version(&mut fleet, "2");
     let text = canonical_json(&fleet.config).expect("JSON");
-    let message = ConfigMessage {
+    let manifest = ConfigManifest::new(2, std::slice::from_ref(&text));
+    let bundle = ConfigBundle {
         generation: 2,
-        config: text,
+        digest: manifest.digest(),
+        base: 0,
+        prefix: 0,
+        suffix: 0,
+        middle: manifest.chunks.to_vec(),
+        chunks: vec![text],
     };
     for entry in &fleet.gateways {
-        assert_eq!(relay(entry.gateway.peers_address(), &message).await, 2);
+        assert_eq!(relay(entry.gateway.peers_address(), &bundle).await, 2);
     }
     for _ in 0..10 {
         serves(&fleet, 0).await;
