--- a/lovagedock-gateway/src/orders/pool.rs
+++ b/lovagedock-gateway/src/orders/pool.rs
@@ -235,7 +235,7 @@
         });
     }
 
-    /// Lets the other contender start at once instead of after the lapse.
+    /// The other contender's next look finds the lease free, instead of a renewal to wait out.
     async fn give_back(&mut self) {
         let now = self.parts.context.clock.now();
         let actions = self.holder.borrow_mut().handle(now, LeaseEvent::Release);
--- /dev/null
+++ b/lovagedock/tests/loaded_memory.rs
@@ -0,0 +1,116 @@
+//! What a sidecar believes that its engine has loaded.
+
+use std::time::Duration;
+
+use lovagedock::{Artifact, LoadOrder, LoadedMemory};
+
+const MODEL: &str = "reader";
+const ADAPTER: &str = "tracing";
+
+enum Step {
+    Report(u64, &'static str, &'static [&'static str]),
+    Begin(LoadOrder),
+    Confirm(u64, LoadOrder),
+    Withdraw,
+    EngineDown,
+}
+
+struct MemoryCase {
+    name: &'static str,
+    steps: Vec<Step>,
+    /// Model, adapters, and `?` when a load of a model is unsettled.
+    expected: &'static str,
+}
+
+fn model(version: &str) -> LoadOrder {
+    LoadOrder::Model(Artifact::new(MODEL, version))
+}
+
+fn adapter(version: &str) -> LoadOrder {
+    LoadOrder::Adapter(Artifact::new(ADAPTER, version))
+}
+
+fn cases() -> Vec<MemoryCase> {
+    use Step::{Begin, Confirm, EngineDown, Report, Withdraw};
+    let case = |name, expected, steps| MemoryCase {
+        name,
+        steps,
+        expected,
+    };
+    let loaded = || [Report(0, MODEL, &[]), Confirm(1, model("1"))];
+    let with = |steps: Vec<Step>| loaded().into_iter().chain(steps).collect();
+    vec![
+        case("before a report", "nothing", vec![Confirm(1, model("1"))]),
+        case("a name only", "reader=", vec![Report(0, MODEL, &[])]),
+        case("confirmed", "reader=1", with(vec![])),
+        case(
+            "a report that lags behind the order",
+            "reader=1 tracing=2",
+            with(vec![Confirm(2, adapter("2")), Report(11, "other", &[])]),
+        ),
+        case(
+            "a report that contradicts it for good",
+            "other=",
+            with(vec![Confirm(2, adapter("2")), Report(13, "other", &[])]),
+        ),
+        case(
+            "an adapter that is gone",
+            "reader=1",
+            with(vec![Confirm(2, adapter("2")), Report(13, MODEL, &[])]),
+        ),
+        case(
+            "an order whose end is not known",
+            "reader= ?",
+            with(vec![Begin(model("2"))]),
+        ),
+        case(
+            "an order that did not begin",
+            "reader=1",
+            with(vec![Begin(model("2")), Withdraw]),
+        ),
+        case(
+            "a new model without the adapters of the former",
+            "reader=2",
+            with(vec![Confirm(2, adapter("2")), Confirm(3, model("2"))]),
+        ),
+        case(
+            "an engine that went down while it loaded",
+            "reader= ?",
+            with(vec![Begin(model("2")), EngineDown, Report(9, MODEL, &[])]),
+        ),
+    ]
+}
+
+fn show(memory: &LoadedMemory) -> String {
+    let Some(set) = memory.current() else {
+        return "nothing".to_owned();
+    };
+    let artifacts = std::iter::once(&set.model).chain(&set.adapters);
+    let mut shown: Vec<String> = artifacts
+        .map(|it| format!("{}={}", it.id, it.version))
+        .collect();
+    if memory.is_unsettled() {
+        shown.push("?".to_owned());
+    }
+    shown.join(" ")
+}
+
+#[test]
+fn the_memory_follows_orders_and_reports() {
+    for case in cases() {
+        let mut memory = LoadedMemory::new();
+        for step in case.steps {
+            match step {
+                Step::Report(at, model, adapters) => {
+                    let adapters: Vec<String> = adapters.iter().map(ToString::to_string).collect();
+                    memory.report(Duration::from_secs(at), model, &adapters);
+                }
+                Step::Begin(order) => memory.begin(&order),
+                Step::Confirm(at, order) => memory.confirm(Duration::from_secs(at), order),
+                Step::Withdraw => memory.withdraw(),
+                Step::EngineDown => memory.forget(),
+            }
+        }
+        assert_eq!(show(&memory), case.expected, "{}", case.name);
+    }
+}
