--- a/bench/src/wire.rs
+++ b/bench/src/wire.rs
@@ -4,12 +4,12 @@
 
 use bytes::Bytes;
 use lovagedock::{
-    AnswerEnd, AttemptKey, CostParameters, EndpointBacklog, RevokeVerdict, prelude::*,
+    AnswerEnd, AttemptKey, CostParameters, EndpointBacklog, LoadedReport, RevokeVerdict, prelude::*,
 };
 use lovagedock_wire::{
     AnswerHead, AnswerReceiver, AnswerSender, ConfigMessage, EndpointClient, EndpointHandler,
-    HeaderField, LoadMessage, PROTOCOL_VERSION, PeerIdentity, ReserveReply, SegmentRange,
-    SegmentReply, SubmitReply, WorkMessage, serve_endpoint,
+    HeaderField, LoadMessage, OrderMessage, OrderReply, PROTOCOL_VERSION, PeerIdentity,
+    ReserveReply, SegmentRange, SegmentReply, SubmitReply, WorkMessage, serve_endpoint,
 };
 use tokio::{sync::Notify, task::LocalSet};
 
@@ -193,6 +193,14 @@
     fn drain(&self, _leaving: bool) -> u32 {
         0
     }
+
+    fn order(&self, _message: OrderMessage) -> impl Future<Output = OrderReply> + 'static {
+        std::future::ready(OrderReply {
+            code: ResultCode::EngineRefused,
+            detail: String::new(),
+            report: LoadedReport::default(),
+        })
+    }
 }
 
 async fn send_answer(sender: AnswerSender, chunks: usize) {
