Count a request as in flight before its body is read

Cause: a gateway that stops waits for the requests that it counts, and counted a request only when its body had come. The process ended under a request whose body was on its way.

Change: the request is counted before the check whether the gateway stops.

--- a/lovagedock-gateway/src/front/router.rs
+++ b/lovagedock-gateway/src/front/router.rs
@@ -89,6 +89,9 @@
         if request.method() == Method::GET && is_models_path(request.uri().path()) {
             return models(&intake, &request);
         }
+        // Counted before the check: a request whose body is still coming when the gateway stops
+        // would be in flight unseen, and the process would end under it.
+        let _in_flight = self.drivers.token();
         if self.drivers.is_closed() {
             return Err(RequestProblem::new(ResultCode::GatewayStopping)
                 .with_retry_after(Duration::from_secs(1)));
--- a/lovagedock-standin/tests/promises_leaving.rs
+++ b/lovagedock-standin/tests/promises_leaving.rs
@@ -16,7 +16,11 @@
     caller::{Call, Reply, post},
     engines, generations, plan, running_engine, start, starts_at, until,
 };
-use tokio::task::JoinHandle;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    task::JoinHandle,
+};
 
 const PROMPT: &str = "The brig Salamander, lost off Aqaba in the winter gales.";
 /// Callers that call again and again.
@@ -167,6 +171,33 @@
     gateway.gateway.wait().await.expect("it ends");
 }
 
+/// A gateway is stopped while the body of a request is still on its way. The request was admitted,
+/// so the process waits for the rest of it and answers; uncounted, it would end under it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stopped_gateway_waits_for_a_body_that_is_coming() {
+    let mut fleet = start(plan()).await;
+    let entry = fleet.gateways.remove(0);
+    let address = entry.gateway.callers_address();
+    let mut stream = TcpStream::connect(address).await.expect("it listens");
+    let head = "POST /registry/receipts HTTP/1.1\r\nhost: gateway\r\n\
+        authorization: Bearer secret\r\ncontent-length: 2\r\nconnection: close\r\n\r\n{";
+    let sent = stream.write_all(head.as_bytes()).await;
+    sent.expect("the gateway reads");
+    // Only makes it likely that the gateway has read the head; without it the call is refused.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    entry.daemon.shutdown.trigger();
+    let ending = tokio::spawn(entry.gateway.wait());
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert!(!ending.is_finished(), "it ended under a request");
+    stream.write_all(b"}").await.expect("the gateway reads on");
+    let mut answer = String::new();
+    let read = stream.read_to_string(&mut answer).await;
+    read.expect("the answer ends");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    let ended = ending.await.expect("it ran");
+    ended.expect("it ends by itself");
+}
+
 /// The platform lists a host as leaving and nobody tells the sidecar on it. Once the lagging list
 /// says so, gateways send nothing more there; what runs there ends whole.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
