--- a/lovagedock-daemon/examples/make_keys.rs
+++ b/lovagedock-daemon/examples/make_keys.rs
@@ -13,10 +13,11 @@
 };
 
 use clap::Parser;
-use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair, KeyUsagePurpose};
+use rcgen::{BasicConstraints, CertificateParams, DnType, IsCa, Issuer, KeyPair, KeyUsagePurpose};
 
 const ROOTS_FILE: &str = "roots.pem";
 const ROOTS_KEY_FILE: &str = "roots.key";
+const AUTHORITY_NAME: &str = "lovagedock example authority";
 const OWNER_ONLY: u32 = 0o600;
 
 type Outcome<T> = Result<T, Box<dyn Error>>;
@@ -39,7 +40,8 @@
     let authority = open_authority(&arguments.folder)?;
     for name in &arguments.names {
         let key = KeyPair::generate()?;
-        let params = CertificateParams::new(arguments.addresses.clone())?;
+        let mut params = CertificateParams::new(arguments.addresses.clone())?;
+        params.distinguished_name.push(DnType::CommonName, name);
         let certificate = params.signed_by(&key, &authority)?;
         let file = arguments.folder.join(name);
         write_key(&file.with_extension("key"), &key)?;
@@ -64,6 +66,10 @@
 
 fn authority_params() -> Outcome<CertificateParams> {
     let mut params = CertificateParams::new(Vec::new())?;
+    // A name of its own: with the same subject as its issuer, OpenSSL takes a certificate for a
+    // self-signed one and refuses it.
+    let name = &mut params.distinguished_name;
+    name.push(DnType::CommonName, AUTHORITY_NAME);
     params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
     params.key_usages = vec![KeyUsagePurpose::KeyCertSign];
     Ok(params)
--- a/lovagedock-daemon/src/transport.rs
+++ b/lovagedock-daemon/src/transport.rs
@@ -31,6 +31,22 @@
     PlainTcp(PlainConsent),
 }
 
+impl TransportSettings {
+    /// The problem with a transport between our processes that does not prove who the peer is.
+    ///
+    /// A listener without the peers' roots takes any client: whoever reaches a sidecar's port could
+    /// send work past the gateways' checks. A client without them cannot connect at all, which
+    /// would show only as endpoints that stay unconnected.
+    pub fn mutual_problem(&self, path: &str) -> Option<String> {
+        match self {
+            Self::Tls(settings) if settings.peer_roots_file.is_none() => Some(format!(
+                "{path}.tls.peer_roots_file: missing, expected the file with the roots of the peers"
+            )),
+            Self::Tls(_) | Self::PlainTcp(PlainConsent::Demo) => None,
+        }
+    }
+}
+
 /// Says that plain TCP is meant; there is no default.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/lovagedock-sidecar/src/settings.rs
+++ b/lovagedock-sidecar/src/settings.rs
@@ -61,6 +61,8 @@
         if self.engine.poll_ms == 0 {
             problems.push("engine.poll_ms: found 0, expected at least 1".to_owned());
         }
+        let transport = &self.gateways.transport;
+        problems.extend(transport.mutual_problem("gateways.transport"));
         problems
     }
 }
