Measure what gateway and sidecar cost over the engine alone

Change: an example calls a running gateway and the engine behind it in turn, then loads the gateway and reads processor time and memory of the processes that it is given.

--- /dev/null
+++ b/lovagedock-standin/examples/overhead/drive.rs
@@ -0,0 +1,164 @@
+//! Sends requests and times their first tokens.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use serde_json::json;
+use tokio::time::sleep;
+
+/// Tokens of an answer.
+const ANSWER_TOKENS: u64 = 16;
+const WARM_UP_REQUESTS: usize = 50;
+const READY_PAUSE: Duration = Duration::from_millis(50);
+/// About 250 tokens, so that the engine's own part is small.
+const PROMPT: &str = "the log of the Sala, ";
+const PROMPT_REPEATS: usize = 48;
+
+/// Where requests go and what they say.
+#[derive(Clone)]
+pub(crate) struct CallTarget {
+    client: Client<HttpConnector, Full<Bytes>>,
+    uri: String,
+    key: String,
+    body: Bytes,
+}
+
+/// Quantiles of the first token's time.
+pub(crate) struct FirstToken {
+    /// Median.
+    pub(crate) p50: Duration,
+    /// 95 in 100.
+    pub(crate) p95: Duration,
+}
+
+/// First tokens with and without our processes, measured in turn.
+pub(crate) struct LatencyFigures {
+    /// Through gateway and sidecar.
+    pub(crate) through: FirstToken,
+    /// Straight from the engine.
+    pub(crate) alone: FirstToken,
+}
+
+/// What came of a load.
+pub(crate) struct LoadFigures {
+    /// Whole answers.
+    pub(crate) served: u64,
+    /// Others.
+    pub(crate) failed: u64,
+    /// From the first request to the last answer.
+    pub(crate) elapsed: Duration,
+}
+
+impl CallTarget {
+    /// Streamed completions of one prompt.
+    pub(crate) fn new(address: SocketAddr, key: &str, model: &str) -> Self {
+        let body = json!({
+            "model": model,
+            "prompt": PROMPT.repeat(PROMPT_REPEATS),
+            "max_tokens": ANSWER_TOKENS,
+            "stream": true,
+        });
+        Self {
+            client: Client::builder(TokioExecutor::new()).build_http(),
+            uri: format!("http://{address}/v1/completions"),
+            key: format!("Bearer {key}"),
+            body: Bytes::from(body.to_string()),
+        }
+    }
+
+    /// Time to the first piece of the answer, when all of it came.
+    async fn call(&self) -> Option<Duration> {
+        let request = Request::post(&self.uri)
+            .header("authorization", &self.key)
+            .header("content-type", "application/json")
+            .body(Full::new(self.body.clone()))
+            .ok()?;
+        let sent = Instant::now();
+        let mut response = self.client.request(request).await.ok()?;
+        if !response.status().is_success() {
+            return None;
+        }
+        let _first = response.body_mut().frame().await?.ok()?;
+        let first_token = sent.elapsed();
+        response.into_body().collect().await.ok()?;
+        Some(first_token)
+    }
+}
+
+/// Waits until the target answers whole.
+pub(crate) async fn wait_until_served(target: &CallTarget) {
+    while target.call().await.is_none() {
+        sleep(READY_PAUSE).await;
+    }
+}
+
+/// Calls both targets in turn, so that whatever else the machine does meets both alike.
+pub(crate) async fn compare_latency(
+    through: &CallTarget,
+    alone: &CallTarget,
+    requests: usize,
+) -> LatencyFigures {
+    let mut times = [Vec::new(), Vec::new()];
+    for number in 0..WARM_UP_REQUESTS + requests {
+        for (target, times) in [through, alone].into_iter().zip(&mut times) {
+            let time = target.call().await;
+            if number >= WARM_UP_REQUESTS {
+                times.push(time.expect("an idle fleet serves"));
+            }
+        }
+    }
+    let [through, alone] = times.map(quantiles);
+    LatencyFigures { through, alone }
+}
+
+/// Keeps requests in flight for a while.
+pub(crate) async fn load(target: &CallTarget, in_flight: usize, time: Duration) -> LoadFigures {
+    let target = Arc::new(target.clone());
+    let begun = Instant::now();
+    let callers: Vec<_> = (0..in_flight)
+        .map(|_| {
+            let target = Arc::clone(&target);
+            tokio::spawn(async move {
+                let (mut served, mut failed) = (0, 0);
+                while begun.elapsed() < time {
+                    match target.call().await {
+                        Some(_) => served += 1,
+                        None => failed += 1,
+                    }
+                }
+                (served, failed)
+            })
+        })
+        .collect();
+    let mut figures = LoadFigures {
+        served: 0,
+        failed: 0,
+        elapsed: Duration::ZERO,
+    };
+    for caller in callers {
+        let (served, failed) = caller.await.expect("a caller does not panic");
+        figures.served += served;
+        figures.failed += failed;
+    }
+    figures.elapsed = begun.elapsed();
+    figures
+}
+
+fn quantiles(mut times: Vec<Duration>) -> FirstToken {
+    times.sort();
+    let at = |percent: usize| times[(times.len() - 1) * percent / 100];
+    FirstToken {
+        p50: at(50),
+        p95: at(95),
+    }
+}
--- /dev/null
+++ b/lovagedock-standin/examples/overhead/main.rs
@@ -0,0 +1,123 @@
+//! What the gateway and the sidecar cost: latency that they add to the engine, requests for each
+//! second of processor time, memory.
+//!
+//! It measures processes that run already, such as the local fleet of docs/OPERATING.md, so that
+//! time and memory can be told apart by process.
+
+mod drive;
+mod meter;
+
+use std::{net::SocketAddr, time::Duration};
+
+use clap::Parser;
+use drive::{CallTarget, LatencyFigures, LoadFigures};
+use meter::RoleMeter;
+
+/// Measures what the gateway and the sidecar cost.
+#[derive(Parser)]
+struct OverheadArguments {
+    /// Callers' address of a running gateway.
+    #[arg(long, default_value = "127.0.0.1:7001")]
+    gateway: SocketAddr,
+    /// Address of the engine stand-in behind it.
+    #[arg(long, default_value = "127.0.0.1:7501")]
+    engine: SocketAddr,
+    /// API key for a running gateway.
+    #[arg(long, default_value = "local-key")]
+    key: String,
+    /// Model to ask for at a running gateway.
+    #[arg(long, default_value = "local-model")]
+    model: String,
+    /// Process to meter, as NAME=PID; may be repeated.
+    #[arg(long = "process", value_name = "NAME=PID", value_parser = meter::parse_process)]
+    processes: Vec<RoleMeter>,
+    /// Requests of each kind for the latency.
+    #[arg(long, default_value_t = 500)]
+    requests: usize,
+    /// Requests in flight while throughput is measured.
+    #[arg(long, default_value_t = 32)]
+    in_flight: usize,
+    /// Seconds for which throughput is measured.
+    #[arg(long, default_value_t = 10)]
+    seconds: u64,
+}
+
+#[tokio::main(worker_threads = 2)]
+async fn main() {
+    let arguments = OverheadArguments::parse();
+    let target = |address| CallTarget::new(address, &arguments.key, &arguments.model);
+    let (through, alone) = (target(arguments.gateway), target(arguments.engine));
+    measure(&arguments, &through, &alone, &arguments.processes).await;
+}
+
+async fn measure(
+    arguments: &OverheadArguments,
+    through: &CallTarget,
+    alone: &CallTarget,
+    meters: &[RoleMeter],
+) {
+    drive::wait_until_served(through).await;
+    print_memory("memory while idle", meters);
+    let latency = drive::compare_latency(through, alone, arguments.requests).await;
+    print_latency(&latency);
+    let before: Vec<Duration> = meters.iter().map(RoleMeter::processor_time).collect();
+    let load = drive::load(
+        through,
+        arguments.in_flight,
+        Duration::from_secs(arguments.seconds),
+    )
+    .await;
+    println!(
+        "load: {} requests in {:.1} s ({:.0} a second), {} failed, {} in flight",
+        load.served,
+        load.elapsed.as_secs_f64(),
+        load.served as f64 / load.elapsed.as_secs_f64(),
+        load.failed,
+        arguments.in_flight
+    );
+    print_processor_time(&load, meters, &before);
+    print_memory("memory after the load", meters);
+}
+
+fn print_latency(latency: &LatencyFigures) {
+    println!("first token, ms      p50      p95");
+    let row = |name: &str, p50: Duration, p95: Duration| {
+        let ms = |time: Duration| time.as_secs_f64() * 1e3;
+        println!("{name:<18} {:>6.2}   {:>6.2}", ms(p50), ms(p95));
+    };
+    row("engine alone", latency.alone.p50, latency.alone.p95);
+    row("through gateway", latency.through.p50, latency.through.p95);
+    let ratio = |through: Duration, alone: Duration| through.as_secs_f64() / alone.as_secs_f64();
+    println!(
+        "ratio              {:>6.2}   {:>6.2}",
+        ratio(latency.through.p50, latency.alone.p50),
+        ratio(latency.through.p95, latency.alone.p95)
+    );
+}
+
+fn print_processor_time(load: &LoadFigures, meters: &[RoleMeter], before: &[Duration]) {
+    for (meter, before) in meters.iter().zip(before) {
+        let spent = meter.processor_time().saturating_sub(*before);
+        println!(
+            "{:<10} {:>6.2} s of processor time, {:>6.0} us a request, {:>6.0} requests a second and core",
+            meter.name,
+            spent.as_secs_f64(),
+            spent.as_secs_f64() * 1e6 / load.served as f64,
+            load.served as f64 / spent.as_secs_f64()
+        );
+    }
+}
+
+fn print_memory(title: &str, meters: &[RoleMeter]) {
+    for meter in meters {
+        if let Some((resident, highest)) = meter.memory_kib() {
+            let mib = |kib: u64| kib as f64 / 1024.0;
+            println!(
+                "{title}: {} {:.1} MiB resident, {:.1} MiB at most so far",
+                meter.name,
+                mib(resident),
+                mib(highest)
+            );
+        }
+    }
+}
--- /dev/null
+++ b/lovagedock-standin/examples/overhead/meter.rs
@@ -0,0 +1,60 @@
+//! Processor time and memory from `/proc`.
+
+use std::{fs, time::Duration};
+
+/// Clock ticks a second in `/proc`; the kernel's interface has fixed it.
+const TICKS_PER_SECOND: u64 = 100;
+/// Places of user and system time after the name in a `stat` line.
+const USER_TICKS_FIELD: usize = 11;
+const SYSTEM_TICKS_FIELD: usize = 12;
+
+/// Measures one role.
+#[derive(Clone, Debug)]
+pub(crate) struct RoleMeter {
+    /// Name in the report.
+    pub(crate) name: String,
+    pid: u32,
+}
+
+impl RoleMeter {
+    /// Processor time so far.
+    pub(crate) fn processor_time(&self) -> Duration {
+        let ticks = ticks_of(self.pid);
+        Duration::from_millis(ticks * 1000 / TICKS_PER_SECOND)
+    }
+
+    /// Resident memory now and at most so far, of a process.
+    pub(crate) fn memory_kib(&self) -> Option<(u64, u64)> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.pid)).ok()?;
+        Some((
+            status_field(&status, "VmRSS:")?,
+            status_field(&status, "VmHWM:")?,
+        ))
+    }
+}
+
+/// Reads `NAME=PID`.
+pub(crate) fn parse_process(text: &str) -> Result<RoleMeter, String> {
+    let (name, pid) = text.split_once('=').ok_or("expected NAME=PID")?;
+    let pid = pid.parse().map_err(|_| format!("no process id: {pid}"))?;
+    Ok(RoleMeter {
+        name: name.to_owned(),
+        pid,
+    })
+}
+
+fn ticks_of(pid: u32) -> u64 {
+    let stat = fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    // The name stands in brackets and may hold spaces; numbers follow.
+    let Some((_, fields)) = stat.rsplit_once(')') else {
+        return 0;
+    };
+    let fields: Vec<&str> = fields.split_whitespace().collect();
+    let ticks = |field: usize| fields.get(field).and_then(|text| text.parse::<u64>().ok());
+    ticks(USER_TICKS_FIELD).unwrap_or(0) + ticks(SYSTEM_TICKS_FIELD).unwrap_or(0)
+}
+
+fn status_field(status: &str, name: &str) -> Option<u64> {
+    let line = status.lines().find_map(|line| line.strip_prefix(name))?;
+    line.split_whitespace().next()?.parse().ok()
+}
