Let a partition's task sleep once nothing is due

Cause: the machine of a partition of claims names a wake-up time only when there is a next one. When nothing was due any more, the gateway's task kept the last time, which had passed, and woke at once again and again: one busy task for each partition that had ever had a deadline or a pause.

Change: a time that has come is forgotten before the machine is asked.

Conclusion: the tasks sleep. There is no test of it yet, and the gateway's tests have not been run with it.

--- a/lovagedock-gateway/src/claims.rs
+++ b/lovagedock-gateway/src/claims.rs
@@ -213,7 +213,13 @@
 
     fn decide(&mut self, event: ClaimEvent) -> Vec<StoreWork> {
         let mut work = Vec::new();
-        for action in self.machine.handle(self.clock.now(), event) {
+        let now = self.clock.now();
+        // The machine names a time once, and none when nothing is due any more: kept after it has
+        // come, the time would wake the task again at once for ever, and a core would be busy.
+        if self.wake_at <= now {
+            self.wake_at = Timestamp::MAX;
+        }
+        for action in self.machine.handle(now, event) {
             match action {
                 ClaimAction::Read { object } => work.push(StoreWork::Read(object)),
                 ClaimAction::Write {
