Let shorter prompts go first on the engine, whatever the tier

Cause: in the demo short prompts waited up to 3.6 s (29 s of model time) for their first bytes on engines with 4 to 15 running requests and an empty queue at the sidecar: with the tier before the length in the engine's priority, a long prompt of a high tier stopped the short ones of lower tiers for its whole prefill. Ruled out: the sidecar's queue (no start was late, a trial with prints), lost sessions, a busy machine. Change: the length decides first, then the tier; a part of a span ranks as a 64k prompt.

--- a/lovagedock-sidecar/src/engine_task.rs
+++ b/lovagedock-sidecar/src/engine_task.rs
@@ -13,8 +13,8 @@
     state::SidecarState,
 };
 
-/// Difference between the priorities of two tiers; more than the lengths make.
-const PRIORITY_STEP: i32 = 10;
+/// Difference between the priorities of two lengths; more than the tiers make.
+const LENGTH_STEP: i32 = 3;
 /// Longest answer; as long as what a whole answer of a model engine may be.
 const ANSWER_LIMIT_BYTES: usize = 64 << 20;
 /// HTTP status of an engine that has a request with the same id.
@@ -32,18 +32,20 @@
     state.decide(EndpointEvent::EngineEnded { key, result });
 }
 
-/// Priority of a request on an engine: the tier first, then the shorter prompt.
+/// Priority of a request on an engine: the shorter prompt first, and among equals the higher tier.
 ///
 /// Engines prefill in chunks, the highest priority first. Without the length in it, a prompt of a
-/// thousand tokens that comes behind one of a million waits for all of its chunks.
+/// thousand tokens that comes behind one of a million waits for all of its chunks; with the tier
+/// before the length it still does when the long one is of a higher tier. Tiers are kept by the
+/// queue of the sidecar; on the engine a short prompt costs a long one of any tier little.
 pub(crate) fn engine_priority(tier: PriorityTier, prompt_tokens: TokenCount) -> i32 {
     let tier = match tier {
         PriorityTier::Batch => 0,
-        PriorityTier::Standard => PRIORITY_STEP,
-        PriorityTier::Interactive => 2 * PRIORITY_STEP,
+        PriorityTier::Standard => 1,
+        PriorityTier::Interactive => 2,
     };
     let longer = LengthBucket::ALL.len() - 1 - LengthBucket::of(prompt_tokens).index();
-    tier + longer as i32
+    longer as i32 * LENGTH_STEP + tier
 }
 
 async fn follow(
--- a/lovagedock-sidecar/src/segment.rs
+++ b/lovagedock-sidecar/src/segment.rs
@@ -14,7 +14,7 @@
 /// A span holds memory on several engines for as long as its parts take, one after the other. At
 /// the rank of its whole length each part would wait behind all that comes meanwhile, on one
 /// engine after the other, and the prompt would run out of time.
-const SEGMENT_RANK: TokenCount = 16_000;
+const SEGMENT_RANK: TokenCount = 64_000;
 
 /// Prefills a part into memory that its attempt has reserved here.
 pub(crate) async fn prefill(
