Keep the tests' small fleet in one file

Cause: whole_path and the promises' tests had the same configuration twice. Change: both read promise_support/fleet.jsonc.

--- a/lovagedock-standin/tests/whole_path.rs
+++ b/lovagedock-standin/tests/whole_path.rs
@@ -15,40 +15,7 @@
 use serde_json::{Value, json};
 use slog::{Discard, Logger, o};
 
-const CONFIG: &str = r#"{
-    "version": 1,
-    "failure_domains": [{ "id": "north", "region": "r" }],
-    "gateways": [{ "id": "g1", "host": "entry-1", "failure_domain": "north",
-        "peer_address": "127.0.0.1:1" },
-        { "id": "g2", "host": "entry-2", "failure_domain": "north",
-        "peer_address": "127.0.0.1:9" }],
-    "models": [{ "id": "reader", "max_context_tokens": 1200000,
-        "adapters": [{ "id": "tracing" }] }],
-    "pools": [
-        { "id": "readers", "kind": { "engines": { "model": "reader" } }, "endpoints": [
-            { "id": "e1", "host": "h1", "failure_domain": "north", "sidecar": "127.0.0.1:2",
-                "memory_tokens": 400000 },
-            { "id": "e2", "host": "h2", "failure_domain": "north", "sidecar": "127.0.0.1:3",
-                "memory_tokens": 400000 },
-            { "id": "e3", "host": "h4", "failure_domain": "north", "sidecar": "127.0.0.1:5",
-                "memory_tokens": 400000 }] },
-        { "id": "desk", "kind": { "plain": {} }, "endpoints": [
-            { "id": "p1", "host": "h3", "failure_domain": "north", "sidecar": "127.0.0.1:4" }] }
-    ],
-    "services": [
-        { "id": "reading", "kind": { "model": { "model": "reader" } }, "pool": "readers" },
-        { "id": "tracing", "kind": { "model": { "model": "reader:tracing" } }, "pool": "readers",
-            "non_idempotent": [{ "method": "POST", "path": "/v1/*" }] },
-        { "id": "registry", "kind": { "plain": { "path_prefix": "/registry/" } }, "pool": "desk",
-            "non_idempotent": [{ "method": "POST", "path": "/registry/receipts" }] }
-    ],
-    "organisations": [
-        { "id": "museum", "key_hashes": [
-            "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"] },
-        { "id": "visitor", "limits": { "tokens_per_minute": 600 }, "key_hashes": [
-            "5f14f9e6d80f802a65269804f2552ef9889f2c7ccec5067214e58a1e48e0b3ff"] }
-    ]
-}"#;
+const CONFIG: &str = include_str!("promise_support/fleet.jsonc");
 /// Its SHA-256 is in the configuration.
 const API_KEY: &str = "secret";
 
