Serve prompts larger than an engine by reserved memory, end streams only explicitly, take SIGHUP

Cause of processes ending with code 129: nobody listened to SIGHUP. It now reloads the settings; a file with errors leaves the former in force.

--- a/lovagedock-daemon/src/run.rs
+++ b/lovagedock-daemon/src/run.rs
@@ -1,6 +1,12 @@
 //! The common `main` of the daemons.
 
-use std::{future::Future, io, process::ExitCode, thread};
+use std::{
+    future::Future,
+    io,
+    path::{Path, PathBuf},
+    process::ExitCode,
+    thread,
+};
 
 use error_stack::Report;
 use serde::de::DeserializeOwned;
@@ -8,8 +14,8 @@
 use tokio::runtime::{Builder, Runtime};
 
 use crate::{
-    DaemonArguments, ExitStatus, LogSettings, MetricsHandle, ProcessClock, ShutdownSignal,
-    load_settings,
+    DaemonArguments, ExitStatus, LogSettings, MetricsHandle, ProcessClock, ReloadSignal,
+    ShutdownSignal, load_settings,
 };
 
 /// Settings of one daemon.
@@ -34,6 +40,10 @@
     pub metrics: MetricsHandle,
     /// Asks the daemon to drain.
     pub shutdown: ShutdownSignal,
+    /// Tells that the settings file has changed.
+    pub reload: ReloadSignal,
+    /// The settings file; `None` for a daemon that shares its process with others.
+    pub settings_file: Option<PathBuf>,
 }
 
 impl DaemonContext {
@@ -44,6 +54,8 @@
             clock: ProcessClock::new(),
             metrics: MetricsHandle::install(),
             shutdown: ShutdownSignal::new(),
+            reload: ReloadSignal::new(),
+            settings_file: None,
         }
     }
 }
@@ -62,7 +74,7 @@
     Fut: Future<Output = Result<(), Report<E>>>,
 {
     let arguments = DaemonArguments::parse_for(process, about);
-    let settings = match load_checked::<S>(&arguments) {
+    let settings = match load_checked_settings::<S>(&arguments.settings) {
         Ok(settings) => settings,
         Err(lines) => {
             eprintln!("{lines}");
@@ -73,7 +85,8 @@
         println!("{}: valid", arguments.settings.display());
         return ExitStatus::Success.into();
     }
-    let context = DaemonContext::new(settings.log().logger(process));
+    let mut context = DaemonContext::new(settings.log().logger(process));
+    context.settings_file = Some(arguments.settings);
     let runtime = match new_runtime() {
         Ok(runtime) => runtime,
         Err(error) => {
@@ -105,7 +118,10 @@
 {
     let logger = context.logger.clone();
     let shutdown = context.shutdown.clone();
-    if let Err(error) = shutdown.listen_to_process_signals() {
+    let listening = shutdown
+        .listen_to_process_signals()
+        .and_then(|()| context.reload.listen_to_process_signals());
+    if let Err(error) = listening {
         crit!(logger, "no signal handler"; "error" => %error);
         return ExitStatus::Start;
     }
@@ -125,16 +141,16 @@
     }
 }
 
-fn load_checked<S: DaemonSettings>(arguments: &DaemonArguments) -> Result<S, String> {
-    let settings: S = load_settings(&arguments.settings).map_err(|error| error.to_string())?;
+/// Reads and checks a settings file; the error has a line for each problem.
+pub fn load_checked_settings<S: DaemonSettings>(file: &Path) -> Result<S, String> {
+    let settings: S = load_settings(file).map_err(|error| error.to_string())?;
     let problems = settings.problems();
     if problems.is_empty() {
         return Ok(settings);
     }
-    let file = arguments.settings.display();
     let lines: Vec<String> = problems
         .iter()
-        .map(|problem| format!("{file}: {problem}"))
+        .map(|problem| format!("{}: {problem}", file.display()))
         .collect();
     Err(lines.join("\n"))
 }
--- a/lovagedock-daemon/src/shutdown.rs
+++ b/lovagedock-daemon/src/shutdown.rs
@@ -56,6 +56,51 @@
     }
 }
 
+/// Tells a daemon that its settings file has changed; clones share one state.
+#[derive(Clone, Debug)]
+pub struct ReloadSignal {
+    count: watch::Sender<u64>,
+}
+
+impl ReloadSignal {
+    /// Creates a signal that has not been triggered.
+    pub fn new() -> Self {
+        Self {
+            count: watch::Sender::new(0),
+        }
+    }
+
+    /// Triggers the signal whenever the process gets SIGHUP; needs a tokio runtime.
+    ///
+    /// A process that does not listen is ended by SIGHUP, and its requests with it.
+    pub fn listen_to_process_signals(&self) -> io::Result<()> {
+        let mut hangup = signal(SignalKind::hangup())?;
+        let reload = self.clone();
+        tokio::spawn(async move {
+            while hangup.recv().await.is_some() {
+                reload.trigger();
+            }
+        });
+        Ok(())
+    }
+
+    /// Asks for a reload.
+    pub fn trigger(&self) {
+        self.count.send_modify(|count| *count += 1);
+    }
+
+    /// Sees each reload that is asked for from now on.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.count.subscribe()
+    }
+}
+
+impl Default for ReloadSignal {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl Default for ShutdownSignal {
     fn default() -> Self {
         Self::new()
--- a/lovagedock-gateway/src/direct/answer.rs
+++ b/lovagedock-gateway/src/direct/answer.rs
@@ -3,7 +3,7 @@
 use std::{io, time::Duration};
 
 use bytes::Bytes;
-use futures::StreamExt;
+use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{
     HeaderMap, Response, StatusCode,
@@ -32,7 +32,15 @@
 /// The way to a caller; the head goes first and once.
 pub(crate) struct CallerWay {
     head: Option<oneshot::Sender<Response<AnswerBody>>>,
-    body: Option<mpsc::Sender<Result<Bytes, io::Error>>>,
+    body: Option<mpsc::Sender<StreamPart>>,
+}
+
+/// A part of a stream on its way to the caller's connection.
+enum StreamPart {
+    /// Whole events.
+    Events(Bytes),
+    /// Everything was sent.
+    End,
 }
 
 /// The caller has gone.
@@ -82,11 +90,7 @@
     ) -> Result<(), CallerLost> {
         headers.remove(CONTENT_LENGTH);
         let (sender, receiver) = mpsc::channel(CALLER_QUEUE);
-        let pieces = futures::stream::unfold(receiver, |mut receiver| async move {
-            let piece: Option<Result<Bytes, io::Error>> = receiver.recv().await;
-            piece.map(|piece| (piece, receiver))
-        });
-        let frames = pieces.map(|piece| piece.map(Frame::data));
+        let frames = stream::unfold(Some(receiver), next_frame);
         let mut response = Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)));
         *response.status_mut() = status;
         *response.headers_mut() = headers;
@@ -98,16 +102,16 @@
     /// Sends a piece of a stream; waits while the caller is slow.
     pub(crate) async fn send_piece(&mut self, piece: Bytes) -> Result<(), CallerLost> {
         let body = self.body.as_ref().ok_or(CallerLost)?;
-        body.send(Ok(piece)).await.map_err(|_| CallerLost)
+        body.send(StreamPart::Events(piece))
+            .await
+            .map_err(|_| CallerLost)
     }
 
-    /// Breaks a stream off, so that it does not look complete.
-    pub(crate) async fn cut(&mut self) {
+    /// Ends a stream as complete.
+    pub(crate) async fn finish(&mut self) {
         if let Some(body) = self.body.take() {
             // A caller that has gone needs no word of it.
-            let _ = body
-                .send(Err(io::Error::other("the answer broke off")))
-                .await;
+            let _ = body.send(StreamPart::End).await;
         }
     }
 
@@ -117,6 +121,25 @@
     }
 }
 
+/// The next frame of a stream.
+///
+/// Only an explicit end is one. If the request's task stops in any other way, for instance when the
+/// engine that should continue the stream refuses, the channel closes, and without this the caller
+/// would take the part that came for the whole answer.
+async fn next_frame(
+    receiver: Option<mpsc::Receiver<StreamPart>>,
+) -> Option<(
+    Result<Frame<Bytes>, io::Error>,
+    Option<mpsc::Receiver<StreamPart>>,
+)> {
+    let mut receiver = receiver?;
+    match receiver.recv().await {
+        Some(StreamPart::Events(bytes)) => Some((Ok(Frame::data(bytes)), Some(receiver))),
+        Some(StreamPart::End) => None,
+        None => Some((Err(io::Error::other("the answer broke off")), None)),
+    }
+}
+
 /// An answer of our own.
 pub(crate) fn problem_response(
     problem: &RequestProblem,
--- a/lovagedock-gateway/src/direct/board.rs
+++ b/lovagedock-gateway/src/direct/board.rs
@@ -80,7 +80,7 @@
     /// The endpoint that answers.
     pub(crate) lead: DirectEndpoint,
     /// Endpoints that read parts of the prompt.
-    pub(crate) helpers: Vec<DirectEndpoint>,
+    pub(crate) helpers: Vec<PlacedHelper>,
     /// Predicted time to the first event.
     pub(crate) first_event: Duration,
     /// Value that placement expects to lose.
@@ -93,6 +93,15 @@
     pub(crate) hold: WorkHold,
 }
 
+/// An endpoint that reads a part of a placed prompt.
+#[derive(Clone, Debug)]
+pub(crate) struct PlacedHelper {
+    /// The endpoint.
+    pub(crate) endpoint: DirectEndpoint,
+    /// Tokens that it keeps and that have to be reserved.
+    pub(crate) kept: TokenCount,
+}
+
 /// What a search for a place found.
 pub(crate) enum PlaceResult {
     /// A place.
@@ -331,6 +340,16 @@
         }
     }
 
+    /// Changes what all gateways together may retry.
+    pub(crate) fn set_retries(&self, retries: RetryShareSettings) {
+        let now = self.clock.now();
+        let mut fleet = self.fleet.lock();
+        fleet.retries = retries;
+        for service in fleet.services.values_mut() {
+            service.retries.set_settings(now, retries);
+        }
+    }
+
     /// Records the first attempt of a request.
     pub(crate) fn record_request(&self, service: &ServiceId) {
         let now = self.clock.now();
@@ -436,7 +455,7 @@
 /// What is told of a choice after the search that it was made from is gone.
 struct PlacedParts {
     lead: DirectEndpoint,
-    helpers: Vec<DirectEndpoint>,
+    helpers: Vec<PlacedHelper>,
     occupied: u32,
     backlog: Duration,
 }
@@ -444,10 +463,13 @@
 impl PlacedParts {
     fn new(choice: &DirectChoice, candidates: &[PlacerCandidate]) -> Self {
         let lead = &candidates[choice.lead];
-        let helpers = choice.helpers.iter();
+        let helpers = choice.helpers.iter().map(|helper| PlacedHelper {
+            endpoint: candidates[helper.index].endpoint.clone(),
+            kept: helper.kept,
+        });
         Self {
             lead: lead.endpoint.clone(),
-            helpers: helpers.map(|i| candidates[*i].endpoint.clone()).collect(),
+            helpers: helpers.collect(),
             occupied: lead.load.occupied,
             backlog: lead.load.backlog,
         }
--- a/lovagedock-gateway/src/direct/call.rs
+++ b/lovagedock-gateway/src/direct/call.rs
@@ -16,8 +16,9 @@
     answer::{CallerWay, WholeAnswer},
     board::{FleetBoard, PlaceResult, PlacedRequest},
     delivery::{HeadVerdict, StreamDelivery, StreamEnd, StreamPatience, collect_whole, judge_head},
-    dialect::{CallerHead, HttpDialect, OutgoingHead},
+    dialect::{CallerHead, HelperAddress, HttpDialect, OutgoingHead},
     exchange::EndpointConnection,
+    tickets::{NotReserved, TicketDesk, TicketHold, WantedTicket},
 };
 use crate::front::RequestProblem;
 
@@ -128,10 +129,7 @@
                 DirectStep::Place { resume } => self.attempt(resume).await,
                 DirectStep::DeliverFailure => break self.deliver_failure(),
                 DirectStep::Answer(code) => break self.answer(code),
-                DirectStep::Cut => {
-                    self.way.cut().await;
-                    break ResultCode::EndpointLost;
-                }
+                DirectStep::Cut => break ResultCode::EndpointLost,
                 DirectStep::Done => break ResultCode::Complete,
             };
         };
@@ -269,6 +267,13 @@
     /// Sends the request to its place; `None` if the caller has gone.
     async fn exchange(&mut self, mut placed: PlacedRequest, resume: bool) -> Option<AttemptEnd> {
         let endpoint = placed.lead.id.clone();
+        let tickets = match self.reserve(&placed).await {
+            Ok(tickets) => tickets,
+            Err(error) => {
+                self.machine.exclude(error.endpoint);
+                return Some(AttemptEnd::Unreachable);
+            }
+        };
         let connection = match EndpointConnection::open(placed.lead.address).await {
             Ok(connection) => connection,
             Err(error) => {
@@ -278,7 +283,7 @@
             }
         };
         self.machine.begin_sending();
-        let request = self.request(&placed);
+        let request = self.request(&placed, &tickets);
         let first = self.patience(&placed);
         let answer = match connection.send(request, first).await {
             Ok(answer) => answer,
@@ -340,9 +345,29 @@
         Some(AttemptEnd::Complete)
     }
 
-    fn request(&self, placed: &PlacedRequest) -> Request<Full<Bytes>> {
+    /// Reserves memory on the helpers that keep parts of the prompt.
+    async fn reserve(&self, placed: &PlacedRequest) -> Result<TicketHold, NotReserved> {
+        let keepers = placed.helpers.iter().filter(|helper| helper.kept > 0);
+        let wanted = keepers.map(|helper| WantedTicket {
+            endpoint: helper.endpoint.id.clone(),
+            address: helper.endpoint.address,
+            tokens: helper.kept,
+        });
+        let desk = TicketDesk::new(Arc::clone(&self.dialect), self.board.log.clone());
+        desk.reserve(wanted.collect()).await
+    }
+
+    fn request(&self, placed: &PlacedRequest, tickets: &TicketHold) -> Request<Full<Bytes>> {
         let now = self.board.clock.now();
-        let helpers: Vec<_> = placed.helpers.iter().map(|helper| helper.address).collect();
+        let mut names = tickets.names();
+        let helpers = placed.helpers.iter().map(|helper| HelperAddress {
+            address: helper.endpoint.address,
+            ticket: match helper.kept {
+                0 => None,
+                _ => names.next().map(str::to_owned),
+            },
+        });
+        let helpers: Vec<_> = helpers.collect();
         let outgoing = OutgoingHead {
             caller: &self.parts.headers,
             deadline: self.deadline.saturating_sub(now),
--- a/lovagedock-gateway/src/direct/delivery.rs
+++ b/lovagedock-gateway/src/direct/delivery.rs
@@ -8,6 +8,7 @@
     HeaderMap, Response,
     body::Incoming,
     header::{CONNECTION, CONTENT_ENCODING, HeaderName, TE, TRAILER, TRANSFER_ENCODING, UPGRADE},
+    http::response::Parts,
 };
 use lovagedock::{AttemptEnd, EventSplitter};
 use tokio::time::{Instant, timeout_at};
@@ -157,7 +158,7 @@
             match next_piece(&mut body, until).await {
                 StreamPiece::Bytes(bytes) => self.splitter.push(&bytes),
                 StreamPiece::End if !self.splitter.has_partial() => {
-                    return self.finish(way, &head);
+                    return self.finish(way, &head).await;
                 }
                 StreamPiece::End | StreamPiece::Broken => return self.broken(way),
             }
@@ -197,13 +198,14 @@
         }
     }
 
-    fn finish(&self, way: &mut CallerWay, head: &hyper::http::response::Parts) -> StreamEnd {
+    async fn finish(&self, way: &mut CallerWay, head: &Parts) -> StreamEnd {
         if !way.has_begun() {
             let headers = answer_headers(&head.headers);
             if way.begin_stream(head.status, headers).is_err() {
                 return StreamEnd::CallerLost;
             }
         }
+        way.finish().await;
         StreamEnd::Attempt(AttemptEnd::Complete)
     }
 
--- a/lovagedock-gateway/src/direct/dialect.rs
+++ b/lovagedock-gateway/src/direct/dialect.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use bytes::Bytes;
 use hyper::HeaderMap;
 use lovagedock::prelude::*;
 
@@ -15,6 +16,46 @@
 
     /// What an endpoint's headers say.
     fn read_endpoint(&self, headers: &HeaderMap) -> EndpointHead;
+
+    /// An order about an engine's memory.
+    fn write_order(&self, order: &MemoryOrder<'_>) -> OrderCall;
+}
+
+/// An order about an engine's memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MemoryOrder<'a> {
+    /// Sets memory aside, or keeps what is set aside for longer.
+    Reserve {
+        /// Name of the reservation.
+        ticket: &'a str,
+        /// Tokens.
+        tokens: TokenCount,
+        /// How long it lasts without another order.
+        hold: Duration,
+    },
+    /// Gives the memory back.
+    Release {
+        /// Name of the reservation.
+        ticket: &'a str,
+    },
+}
+
+/// An order as it is sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OrderCall {
+    /// Path.
+    pub target: &'static str,
+    /// JSON body.
+    pub body: Bytes,
+}
+
+/// An endpoint that reads a part of a prompt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HelperAddress {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Reservation in which it keeps tokens of the prompt.
+    pub ticket: Option<String>,
 }
 
 /// What a caller's headers say.
@@ -50,7 +91,7 @@
     /// Event after which a stream continues.
     pub resume_after: Option<&'a str>,
     /// Endpoints that read parts of the prompt.
-    pub helpers: &'a [SocketAddr],
+    pub helpers: &'a [HelperAddress],
     /// Place in the endpoint's queue; 0 goes first.
     pub urgency: u8,
 }
--- a/lovagedock-gateway/src/direct/gateway.rs
+++ b/lovagedock-gateway/src/direct/gateway.rs
@@ -4,10 +4,10 @@
 
 use async_trait::async_trait;
 use error_stack::{Report, ResultExt};
-use lovagedock_daemon::{AdminServer, AdminSurface, DaemonContext};
+use lovagedock_daemon::{AdminServer, AdminSurface, DaemonContext, load_checked_settings};
 use lovagedock_platform::{FeedSubject, FleetFeed, GatewayEntry};
 use serde_json::{Value, json};
-use slog::{info, o};
+use slog::{info, o, warn};
 use tokio::{net::TcpListener, task::JoinSet};
 
 use super::{
@@ -78,6 +78,11 @@
         tasks.spawn(Arc::clone(&peers).send_forever());
         tasks.spawn(peers.receive_forever());
         tasks.spawn(serve_probes(probes, Arc::clone(&board), log.clone()));
+        tasks.spawn(follow_settings(
+            Arc::clone(&board),
+            settings.clone(),
+            daemon.clone(),
+        ));
         let front = CallerFront::new(Arc::clone(&board), dialect, daemon.shutdown, log.clone());
         let front = tokio::spawn(front.run(listener, settings.bounds.stop_grace()));
         info!(log, "serving"; "callers" => %callers, "health" => %health);
@@ -112,6 +117,32 @@
     }
 }
 
+/// Takes in a changed settings file; one with errors leaves the former settings in force.
+async fn follow_settings(
+    board: Arc<FleetBoard>,
+    mut settings: DirectSettings,
+    daemon: DaemonContext,
+) {
+    let mut reloads = daemon.reload.subscribe();
+    while reloads.changed().await.is_ok() {
+        let Some(file) = &daemon.settings_file else {
+            continue;
+        };
+        match load_checked_settings::<DirectSettings>(file) {
+            Ok(changed) => {
+                let needs_restart = settings.needs_restart_for(&changed);
+                info!(board.log, "settings reloaded"; "needs_restart" => needs_restart);
+                board.set_retries(changed.bounds.retries());
+                settings = changed;
+            }
+            Err(problems) => {
+                warn!(board.log, "settings not reloaded, the former stay in force";
+                    "problems" => problems);
+            }
+        }
+    }
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, Report<GatewayError>> {
     TcpListener::bind(address)
         .await
--- a/lovagedock-gateway/src/direct/mod.rs
+++ b/lovagedock-gateway/src/direct/mod.rs
@@ -18,7 +18,10 @@
 mod peers;
 mod probe;
 mod settings;
+mod tickets;
 
-pub use dialect::{CallerHead, EndpointHead, HttpDialect, OutgoingHead};
+pub use dialect::{
+    CallerHead, EndpointHead, HelperAddress, HttpDialect, MemoryOrder, OrderCall, OutgoingHead,
+};
 pub use gateway::DirectGateway;
 pub use settings::{DirectSettings, FleetBounds};
--- a/lovagedock-gateway/src/direct/settings.rs
+++ b/lovagedock-gateway/src/direct/settings.rs
@@ -61,6 +61,28 @@
     }
 }
 
+impl DirectSettings {
+    /// Whether a changed file has changes that only a restart brings into force.
+    pub fn needs_restart_for(&self, changed: &Self) -> bool {
+        let addresses = |settings: &Self| {
+            let admin = settings.admin.address;
+            let store = settings.store;
+            [
+                settings.callers,
+                settings.health,
+                settings.peers,
+                admin,
+                store,
+            ]
+        };
+        self.name != changed.name
+            || self.failure_domain != changed.failure_domain
+            || addresses(self) != addresses(changed)
+            || self.bounds.stop_grace_s != changed.bounds.stop_grace_s
+            || self.log != changed.log
+    }
+}
+
 impl DaemonSettings for DirectSettings {
     fn log(&self) -> LogSettings {
         self.log
--- a/lovagedock-gateway/src/lib.rs
+++ b/lovagedock-gateway/src/lib.rs
@@ -31,7 +31,8 @@
 mod workers;
 
 pub use direct::{
-    CallerHead, DirectGateway, DirectSettings, EndpointHead, FleetBounds, HttpDialect, OutgoingHead,
+    CallerHead, DirectGateway, DirectSettings, EndpointHead, FleetBounds, HelperAddress,
+    HttpDialect, MemoryOrder, OrderCall, OutgoingHead,
 };
 pub use gateway::{Gateway, GatewayError};
 pub use settings::{
--- a/lovagedock/src/direct/machine.rs
+++ b/lovagedock/src/direct/machine.rs
@@ -86,6 +86,11 @@
         &self.excluded
     }
 
+    /// Keeps the request from an endpoint that would not help with it.
+    pub fn exclude(&mut self, endpoint: EndpointId) {
+        self.excluded.push(endpoint);
+    }
+
     /// Times that the request was sent.
     pub fn sent(&self) -> u32 {
         self.sent
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -23,6 +23,6 @@
 pub use events::{EventSplitter, StreamEvent};
 pub use ledger::{CombinedLoad, PeerLoad, PlacedWork, WorkKey, WorkLedger};
 pub use machine::{AttemptEnd, DirectMachine, DirectStep};
-pub use placer::{DirectChoice, DirectPlacer, DirectRequest, PlacerCandidate};
+pub use placer::{DirectChoice, DirectPlacer, DirectRequest, HelperPart, PlacerCandidate};
 pub use retries::{RetryShare, RetryShareSettings};
 pub use waiting::{LineDecision, LineSettings, WaitingLine};
--- a/lovagedock/src/direct/placer.rs
+++ b/lovagedock/src/direct/placer.rs
@@ -32,6 +32,11 @@
     pub fn value(&self) -> f64 {
         1.0 + self.prompt as f64 / TOKENS_PER_VALUE
     }
+
+    /// Tokens that it keeps in engines' memory until it ends.
+    pub fn memory(&self) -> TokenCount {
+        self.prompt + self.answer
+    }
 }
 
 /// Where a request goes.
@@ -39,8 +44,8 @@
 pub struct DirectChoice {
     /// Index of the endpoint that answers.
     pub lead: usize,
-    /// Indices of endpoints that read parts of the prompt.
-    pub helpers: Vec<usize>,
+    /// Endpoints that read parts of the prompt.
+    pub helpers: Vec<HelperPart>,
     /// Reading time of each part.
     pub part: Duration,
     /// Predicted time to the first event.
@@ -49,6 +54,16 @@
     pub loss: f64,
 }
 
+/// An endpoint that reads a part of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HelperPart {
+    /// Its index among the candidates.
+    pub index: usize,
+    /// Tokens of the prompt that it also keeps in its memory, which has to be reserved; 0 for
+    /// one that hands everything over.
+    pub kept: TokenCount,
+}
+
 /// An endpoint that may be chosen.
 #[derive(Clone, Debug)]
 pub struct PlacerCandidate {
@@ -72,6 +87,10 @@
 /// Loss for each helper, so that a prompt is not split further than it gains.
 const HELPER_LOSS: f64 = 0.02;
 
+/// Part of an engine's memory that is planned with. Answers grow past what callers expect, and an
+/// engine that runs out of memory takes it from the newest request and reads that again.
+const USABLE_MEMORY: f64 = 0.96;
+
 /// Numbers of endpoints that may share a prompt; an engine takes 16 helpers at most.
 const TEAM_SIZES: [usize; 8] = [1, 2, 3, 4, 6, 8, 12, 16];
 
@@ -121,21 +140,19 @@
         choice: &DirectChoice,
         candidates: &[PlacerCandidate],
     ) -> Vec<PlacedWork> {
-        let work = |index: usize, lead: bool| PlacedWork {
+        let kept: TokenCount = choice.helpers.iter().map(|helper| helper.kept).sum();
+        let work = |index: usize, context: TokenCount, gap: Option<Duration>| PlacedWork {
             endpoint: candidates[index].endpoint.id.clone(),
             reading: choice.part,
-            context: if lead {
-                request.prompt + request.answer
-            } else {
-                0
-            },
-            gap: if lead { request.gap } else { None },
+            context,
+            gap,
             value: request.value() as f32,
         };
-        let helpers = choice.helpers.iter().map(|index| work(*index, false));
-        std::iter::once(work(choice.lead, true))
-            .chain(helpers)
-            .collect()
+        let lead_context = request.memory().saturating_sub(kept);
+        let lead = work(choice.lead, lead_context, request.gap);
+        let helpers = choice.helpers.iter();
+        let helpers = helpers.map(|helper| work(helper.index, helper.kept, None));
+        std::iter::once(lead).chain(helpers).collect()
     }
 
     fn place_team(
@@ -157,10 +174,8 @@
         if members.len() < size {
             return None;
         }
-        let lead = members
-            .iter()
-            .position(|member| member.fits)
-            .map(|position| members.remove(position))?;
+        let lead = take_lead(&mut members, request.memory())?;
+        let kept = spread_memory(&members, request.memory().saturating_sub(lead.free))?;
         let slowest = members.iter().map(|member| member.ready).max();
         let ready = slowest.unwrap_or_default().max(lead.ready);
         let first_event = ready + lead.pass;
@@ -172,7 +187,7 @@
             + HELPER_LOSS * members.len() as f64;
         Some(DirectChoice {
             lead: lead.index,
-            helpers: members.iter().map(|member| member.index).collect(),
+            helpers: kept,
             part,
             first_event,
             loss,
@@ -187,7 +202,8 @@
     pass: Duration,
     hurt: f64,
     spread: f64,
-    fits: bool,
+    /// Tokens of memory that a request may take.
+    free: TokenCount,
     rank: f64,
 }
 
@@ -201,7 +217,7 @@
     ) -> Self {
         let load = &candidate.load;
         let writers = load.writer_count() + 1;
-        let need = request.prompt + request.answer;
+        let usable = (profile.memory_tokens as f64 * USABLE_MEMORY) as TokenCount;
         let pass = profile.pass_time(writers, load.context + request.prompt);
         let ready = load.backlog + part;
         let hurt = LATE_LOSS * load.value_hurt_by(pass + ready);
@@ -214,12 +230,47 @@
             pass,
             hurt,
             spread,
-            fits: load.context + need <= profile.memory_tokens,
+            free: usable.saturating_sub(load.context),
             rank,
         }
     }
 }
 
+/// The first member whose memory takes the whole request, or else the one with the most.
+fn take_lead(members: &mut Vec<Member>, need: TokenCount) -> Option<Member> {
+    let whole = members.iter().position(|member| member.free >= need);
+    let position = whole.or_else(|| {
+        let free = |(_, member): &(usize, &Member)| member.free;
+        members
+            .iter()
+            .enumerate()
+            .max_by_key(free)
+            .map(|(position, _)| position)
+    })?;
+    Some(members.remove(position))
+}
+
+/// Helpers with what each keeps of `tokens` that the lead has no memory for; `None` if they have
+/// too little together.
+fn spread_memory(members: &[Member], tokens: TokenCount) -> Option<Vec<HelperPart>> {
+    let mut helpers: Vec<HelperPart> = members
+        .iter()
+        .map(|member| HelperPart {
+            index: member.index,
+            kept: 0,
+        })
+        .collect();
+    let mut order: Vec<usize> = (0..members.len()).collect();
+    order.sort_by_key(|position| std::cmp::Reverse(members[*position].free));
+    let mut left = tokens;
+    for position in order {
+        let kept = left.min(members[position].free);
+        helpers[position].kept = kept;
+        left -= kept;
+    }
+    (left == 0).then_some(helpers)
+}
+
 /// Value that a request loses when its first event comes after `first_event`.
 fn lateness(request: &DirectRequest, first_event: Duration) -> f64 {
     let limit = request.objective_left.mul_f64(OBJECTIVE_MARGIN);
--- a/lovagedock/src/direct/retries.rs
+++ b/lovagedock/src/direct/retries.rs
@@ -44,6 +44,13 @@
         }
     }
 
+    /// Changes what all gateways together may retry.
+    pub fn set_settings(&mut self, now: Timestamp, settings: RetryShareSettings) {
+        self.settings = settings;
+        let allowance = allowance(settings, self.gateways);
+        self.budget.set_allowance(now, allowance);
+    }
+
     /// Takes in how many gateways there are.
     pub fn resize(&mut self, now: Timestamp, gateways: usize) {
         let gateways = gateways.max(1);
--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -63,9 +63,9 @@
 pub use direct::{
     AttemptEnd, CallerBounds, CombinedLoad, DirectChoice, DirectEndpoint, DirectMachine,
     DirectPlacer, DirectRequest, DirectStep, EndpointState, EndpointTable, EngineProfile,
-    EventSplitter, LineDecision, LineSettings, PeerLoad, PlacedWork, PlacerCandidate, RetryShare,
-    RetryShareSettings, RouteMatch, RouteMode, RouteRule, RouteTarget, ServiceProfile, StreamEvent,
-    TrafficConfig, WaitingLine, WorkKey, WorkLedger,
+    EventSplitter, HelperPart, LineDecision, LineSettings, PeerLoad, PlacedWork, PlacerCandidate,
+    RetryShare, RetryShareSettings, RouteMatch, RouteMode, RouteRule, RouteTarget, ServiceProfile,
+    StreamEvent, TrafficConfig, WaitingLine, WorkKey, WorkLedger,
 };
 pub use endpoint::{
     EndpointAction, EndpointCore, EndpointEvent, EndpointLimits, EndpointLoad, EndpointSafeguards,
