--- a/lovagedock-gateway/src/direct/board.rs
+++ b/lovagedock-gateway/src/direct/board.rs
@@ -14,6 +14,7 @@
     DirectChoice, DirectEndpoint, DirectPlacer, DirectRequest, EndpointTable, LineSettings,
     OutlierDetector, OutlierEvent, OutlierSettings, PeerLoad, PlacedWork, PlacerCandidate,
     RetryShare, RetryShareSettings, TrafficConfig, WaitingLine, WorkKey, WorkLedger, prelude::*,
+    short_lane_size,
 };
 use lovagedock_daemon::ProcessClock;
 use lovagedock_platform::GatewayEntry;
@@ -35,6 +36,20 @@
     calm: Duration::from_secs(20),
 };
 
+/// Loss up to which a place is taken at once. Above it a request waits a moment for a better one:
+/// it is about half a short request that comes late.
+const WAIT_LOSS: f64 = 0.4;
+
+/// Steps of the delay after which a gateway takes slots that a peer has freed; a step is longer than
+/// it takes to hear of a peer's request.
+const SLOT_DELAY_STEP: Duration = Duration::from_millis(20);
+const SLOT_DELAY_STEPS: u32 = 5;
+
+/// The delay of this gateway; it differs between gateways.
+fn slot_delay() -> Duration {
+    SLOT_DELAY_STEP * rand::random_range(1..=SLOT_DELAY_STEPS)
+}
+
 /// Shared state of a gateway.
 ///
 /// Lock order: `fleet` is the only lock and is never held across a wait.
@@ -69,6 +84,8 @@
 struct ServiceState {
     outliers: OutlierDetector,
     ejected: HashSet<EndpointId>,
+    /// When an endpoint last sent anything.
+    heard: HashMap<EndpointId, Timestamp>,
     retries: RetryShare,
     /// Lines of short and of long requests: a long one that waits for a better place must not
     /// hold up short ones that have one.
@@ -165,7 +182,7 @@
             config: ArcSwapOption::empty(),
             fleet: Mutex::new(FleetState {
                 endpoints: EndpointTable::new(),
-                ledger: WorkLedger::new(),
+                ledger: WorkLedger::new().with_slot_delay(slot_delay()),
                 services: HashMap::new(),
                 peers: HashMap::new(),
                 retries,
@@ -370,6 +387,27 @@
             .try_take(now)
     }
 
+    /// Records that an endpoint sent something.
+    pub(crate) fn note_heard(&self, service: &ServiceId, endpoint: &EndpointId) {
+        let now = self.clock.now();
+        let mut fleet = self.fleet.lock();
+        let heard = &mut fleet.service(now, service).heard;
+        match heard.get_mut(endpoint) {
+            Some(at) => *at = now,
+            None => {
+                heard.insert(endpoint.clone(), now);
+            }
+        }
+    }
+
+    /// When an endpoint last sent anything to this gateway.
+    pub(crate) fn heard_at(&self, service: &ServiceId, endpoint: &EndpointId) -> Timestamp {
+        let fleet = self.fleet.lock();
+        let state = fleet.services.get(service);
+        let heard = state.and_then(|state| state.heard.get(endpoint));
+        heard.copied().unwrap_or_default()
+    }
+
     /// Records what an endpoint did.
     pub(crate) fn watch(&self, service: &ServiceId, event: OutlierEvent) {
         let now = self.clock.now();
@@ -390,7 +428,7 @@
         work(&mut self.fleet.lock().service(now, service).lines[usize::from(long)])
     }
 
-    /// Looks for a place; a loss above `most_loss` counts as no place.
+    /// Looks for a place; `last` says that the request cannot wait for a better one.
     pub(crate) fn place(
         self: &Arc<Self>,
         config: &TrafficConfig,
@@ -398,7 +436,7 @@
         request: &DirectRequest,
         excluded: &[EndpointId],
         long: bool,
-        most_loss: f64,
+        last: bool,
     ) -> PlaceResult {
         let now = self.clock.now();
         let mut fleet = self.fleet.lock();
@@ -410,7 +448,11 @@
         let Some(choice) = placer.place(request, &search) else {
             return PlaceResult::Full;
         };
-        if choice.loss > most_loss {
+        let acceptable = match last {
+            true => choice.is_worth_starting(request),
+            false => choice.loss <= WAIT_LOSS,
+        };
+        if !acceptable {
             return PlaceResult::Full;
         }
         let works = placer.works(request, &choice, &search);
@@ -485,6 +527,7 @@
             .or_insert_with(|| ServiceState {
                 outliers: OutlierDetector::new(OUTLIERS),
                 ejected: HashSet::new(),
+                heard: HashMap::new(),
                 retries: RetryShare::new(now, retries, gateways),
                 lines: [(); 2].map(|()| WaitingLine::new(LineSettings::default())),
             })
@@ -498,9 +541,24 @@
         self.ledger.forget_endpoint(id);
         let state = self.service(now, &service);
         state.ejected.remove(id);
+        state.heard.remove(id);
         state.outliers.handle(now, OutlierEvent::Left(id.clone()));
     }
 
+    /// Endpoints, from the first, that are kept for short prompts. All gateways list endpoints in
+    /// the same order and hear of each other's requests, so they agree but for the moment.
+    fn short_lane(&self, service: &ServiceId) -> usize {
+        let mut short = 0;
+        let mut slots = 1;
+        let mut endpoints = 0;
+        for endpoint in self.endpoints.ready(service) {
+            short += self.ledger.short_count(&endpoint.id);
+            slots = slots.max(endpoint.slots);
+            endpoints += 1;
+        }
+        short_lane_size(short, slots, endpoints)
+    }
+
     /// Endpoints with a free slot; `None` when the service has none that takes work.
     fn search(
         &self,
@@ -511,7 +569,8 @@
         let ejected = self.services.get(service).map(|state| &state.ejected);
         let mut candidates = Vec::new();
         let mut found = false;
-        for endpoint in self.endpoints.ready(service) {
+        let lane = self.short_lane(service);
+        for (position, endpoint) in self.endpoints.ready(service).enumerate() {
             if excluded.contains(&endpoint.id) {
                 continue;
             }
@@ -522,7 +581,11 @@
             let load = self.ledger.load(now, &endpoint.id);
             if load.occupied < endpoint.slots {
                 let endpoint = endpoint.clone();
-                candidates.push(PlacerCandidate { endpoint, load });
+                candidates.push(PlacerCandidate {
+                    endpoint,
+                    load,
+                    short_lane: position < lane,
+                });
             }
         }
         found.then_some(candidates)
--- a/lovagedock-gateway/src/direct/call.rs
+++ b/lovagedock-gateway/src/direct/call.rs
@@ -18,6 +18,7 @@
     delivery::{HeadVerdict, StreamDelivery, StreamEnd, StreamPatience, collect_whole, judge_head},
     dialect::{CallerHead, HelperAddress, HttpDialect, OutgoingHead},
     exchange::EndpointConnection,
+    liveness::LivenessWatch,
     tickets::{NotReserved, TicketDesk, TicketHold, WantedTicket},
 };
 use crate::front::RequestProblem;
@@ -25,10 +26,6 @@
 /// Time before the caller's deadline at which we answer, so that the answer arrives in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(25);
 
-/// Loss up to which a place is taken at once. Above it a request waits a moment for a better one:
-/// it is about half a short request that comes late.
-const WAIT_LOSS: f64 = 0.4;
-
 /// Longest time between two looks for a place.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
@@ -36,6 +33,10 @@
 /// alive is late by a few passes of up to half a second.
 const FIRST_EVENT_PATIENCE: Duration = Duration::from_millis(1500);
 
+/// Further silence of an engine that is there. One that takes connections and answers nobody is
+/// given up after this.
+const SLOW_PATIENCE: Duration = Duration::from_secs(4);
+
 /// Silence between events after which another engine continues. Callers leave after two seconds.
 const GAP_PATIENCE: Duration = Duration::from_millis(1400);
 
@@ -214,14 +215,13 @@
             objective_left: self.late_at.saturating_sub(now),
             gap: self.parts.route.gap_objective,
         };
-        let most_loss = if last { f64::INFINITY } else { WAIT_LOSS };
         self.board.place(
             &self.parts.config,
             &self.parts.service,
             &request,
             self.machine.excluded(),
             self.long,
-            most_loss,
+            last,
         )
     }
 
@@ -284,8 +284,14 @@
         };
         self.machine.begin_sending();
         let request = self.request(&placed, &tickets);
-        let first = self.patience(&placed);
-        let answer = match connection.send(request, first).await {
+        let (first, limit) = self.patience(&placed);
+        let watch = LivenessWatch::new(
+            Arc::clone(&self.board),
+            self.parts.service.clone(),
+            endpoint.clone(),
+            placed.lead.address,
+        );
+        let answer = match connection.send(request, watch.silent(first, limit)).await {
             Ok(answer) => answer,
             Err(error) => {
                 self.note_failure(&endpoint, &error.detail);
@@ -310,12 +316,13 @@
             let patience = StreamPatience {
                 first,
                 gap: GAP_PATIENCE,
+                limit,
                 cutoff: self.instant(self.deadline),
             };
             let hold = &mut placed.hold;
             let end = self
                 .stream
-                .run(answer.response, &mut self.way, patience, || {
+                .run(answer.response, &mut self.way, patience, &watch, || {
                     hold.finish_reading();
                 })
                 .await;
@@ -330,7 +337,7 @@
                 }
             };
         }
-        let Some(whole) = collect_whole(answer.response, first).await else {
+        let Some(whole) = collect_whole(answer.response, limit).await else {
             self.note_failure(&endpoint, "the answer broke off");
             self.watch(OutlierEvent::Failed(endpoint));
             return Some(AttemptEnd::Lost);
@@ -387,19 +394,24 @@
         request
     }
 
-    /// Until when an endpoint may be silent before another one is tried.
-    fn patience(&self, placed: &PlacedRequest) -> Instant {
+    /// Until when an endpoint may be silent before it is looked at, and until when one that is
+    /// there may stay silent.
+    fn patience(&self, placed: &PlacedRequest) -> (Instant, Instant) {
         let now = self.board.clock.now();
+        let deadline = self.instant(self.deadline);
         let may_repeat = self.parts.route.mode.may_repeat();
         if !may_repeat || self.machine.sent() >= self.parts.route.attempts {
-            return self.instant(self.deadline);
+            return (deadline, deadline);
         }
-        let left = self.deadline.saturating_sub(now);
-        let patience = match self.parts.route.mode.is_stream() {
-            true => placed.first_event * 2 + FIRST_EVENT_PATIENCE,
-            false => left / 2,
-        };
-        self.instant((now + patience).min(self.deadline))
+        if !self.parts.route.mode.is_stream() {
+            let half = self.deadline.saturating_sub(now) / 2;
+            let half = self.instant(now + half);
+            return (half, half);
+        }
+        let patience = placed.first_event * 2 + FIRST_EVENT_PATIENCE;
+        let first = self.instant(now + patience);
+        let limit = self.instant(now + patience + SLOW_PATIENCE);
+        (first.min(deadline), limit.min(deadline))
     }
 
     fn deliver_failure(&mut self) -> ResultCode {
@@ -429,6 +441,12 @@
         code
     }
 
+    /// Time from the request to the first event.
+    fn first_event(&self) -> Option<Duration> {
+        let first_at = self.stream.first_at()?;
+        Some(first_at.saturating_duration_since(self.instant(self.parts.arrived)))
+    }
+
     fn watch(&self, event: OutlierEvent) {
         self.board.watch(&self.parts.service, event);
     }
@@ -491,6 +509,8 @@
                 "ran" => self.machine.ran().as_str(),
                 "sent" => self.machine.sent(),
                 "events" => self.stream.events(),
+                "first_event_ms" => self.first_event().map(|first| first.as_millis() as u64),
+                "longest_gap_ms" => self.stream.longest_gap().as_millis() as u64,
                 "ms" => took.as_millis() as u64,
                 "retry_after_ms" => self.retry_after.map(|delay| delay.as_millis() as u64),
                 "left_out" => left_out);
--- a/lovagedock-gateway/src/direct/delivery.rs
+++ b/lovagedock-gateway/src/direct/delivery.rs
@@ -16,6 +16,7 @@
 use super::{
     answer::{CallerWay, WholeAnswer},
     dialect::{EndpointHead, HttpDialect},
+    liveness::LivenessWatch,
 };
 
 /// Largest body of an answer that is not a stream, in bytes; the store's largest value.
@@ -93,6 +94,9 @@
     splitter: EventSplitter,
     last_id: Option<String>,
     events: u64,
+    first_at: Option<Instant>,
+    last_at: Option<Instant>,
+    longest_gap: Duration,
 }
 
 /// What reading the next piece of a stream gave.
@@ -118,6 +122,8 @@
     pub(crate) first: Instant,
     /// Between events.
     pub(crate) gap: Duration,
+    /// Until when a silent endpoint that is there may go on.
+    pub(crate) limit: Instant,
     /// End of the request's time.
     pub(crate) cutoff: Instant,
 }
@@ -129,6 +135,9 @@
             splitter: EventSplitter::new(),
             last_id: resume_after,
             events: 0,
+            first_at: None,
+            last_at: None,
+            longest_gap: Duration::ZERO,
         }
     }
 
@@ -142,20 +151,38 @@
         self.events
     }
 
+    /// When the first event was delivered.
+    pub(crate) fn first_at(&self) -> Option<Instant> {
+        self.first_at
+    }
+
+    /// Longest pause between two events that were delivered.
+    pub(crate) fn longest_gap(&self) -> Duration {
+        self.longest_gap
+    }
+
     /// Delivers an answer until it ends; `on_event` is called for the first event of this answer.
     pub(crate) async fn run(
         &mut self,
         response: Response<Incoming>,
         way: &mut CallerWay,
         patience: StreamPatience,
+        watch: &LivenessWatch,
         mut on_event: impl FnMut(),
     ) -> StreamEnd {
         let (head, mut body) = response.into_parts();
         self.splitter = EventSplitter::new();
-        let mut until = patience.first.min(patience.cutoff);
+        let mut until = patience.first;
+        let mut limit = patience.limit.min(patience.cutoff);
         let mut first = true;
         loop {
-            match next_piece(&mut body, until).await {
+            let piece = tokio::select! {
+                biased;
+                piece = next_piece(&mut body) => piece,
+                () = watch.silent(until, limit) => StreamPiece::Broken,
+            };
+            watch.note_heard();
+            match piece {
                 StreamPiece::Bytes(bytes) => self.splitter.push(&bytes),
                 StreamPiece::End if !self.splitter.has_partial() => {
                     return self.finish(way, &head).await;
@@ -180,14 +207,23 @@
                     return StreamEnd::CallerLost;
                 }
                 self.events += 1;
+                self.note_time(Instant::now());
                 if event.id.is_some() {
                     self.last_id = event.id;
                 }
-                until = (Instant::now() + patience.gap).min(patience.cutoff);
+                until = Instant::now() + patience.gap;
+                limit = (until + patience.gap * 2).min(patience.cutoff);
             }
         }
     }
 
+    fn note_time(&mut self, now: Instant) {
+        self.first_at.get_or_insert(now);
+        if let Some(last) = self.last_at.replace(now) {
+            self.longest_gap = self.longest_gap.max(now - last);
+        }
+    }
+
     /// An engine that continues a stream may begin with events that the caller has.
     fn is_repeated(&self, id: Option<&str>) -> bool {
         let number = |id: &str| id.parse::<u64>().ok();
@@ -217,16 +253,16 @@
     }
 }
 
-async fn next_piece(body: &mut Incoming, until: Instant) -> StreamPiece {
+async fn next_piece(body: &mut Incoming) -> StreamPiece {
     loop {
-        match timeout_at(until, body.frame()).await {
-            Ok(Some(Ok(frame))) => {
+        match body.frame().await {
+            Some(Ok(frame)) => {
                 if let Ok(bytes) = frame.into_data() {
                     return StreamPiece::Bytes(bytes);
                 }
             }
-            Ok(None) => return StreamPiece::End,
-            Ok(Some(Err(_))) | Err(_) => return StreamPiece::Broken,
+            None => return StreamPiece::End,
+            Some(Err(_)) => return StreamPiece::Broken,
         }
     }
 }
--- a/lovagedock-gateway/src/direct/exchange.rs
+++ b/lovagedock-gateway/src/direct/exchange.rs
@@ -7,11 +7,7 @@
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use tokio::{
-    net::TcpStream,
-    task::JoinHandle,
-    time::{Instant, timeout},
-};
+use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 
 /// Time to open a connection. A live endpoint in another failure domain answers within 5 ms; a
 /// lost packet is sent again after a second, and by then another endpoint has answered.
@@ -77,20 +73,23 @@
         })
     }
 
-    /// Sends the request and waits for the head of the answer, until `patience` at the latest.
+    /// Sends the request and waits for the head of the answer, or until `given_up` ends.
     pub(crate) async fn send(
         mut self,
         request: Request<Full<Bytes>>,
-        patience: Instant,
+        given_up: impl Future<Output = ()>,
     ) -> Result<EndpointAnswer, ExchangeError> {
         let answer = self.sender.send_request(request);
-        match tokio::time::timeout_at(patience, answer).await {
-            Ok(Ok(response)) => Ok(EndpointAnswer {
-                response,
-                _connection: self.task,
-            }),
-            Ok(Err(error)) => Err(ExchangeError::new(error)),
-            Err(_) => Err(ExchangeError::new("no answer in time")),
+        tokio::select! {
+            biased;
+            answer = answer => match answer {
+                Ok(response) => Ok(EndpointAnswer {
+                    response,
+                    _connection: self.task,
+                }),
+                Err(error) => Err(ExchangeError::new(error)),
+            },
+            () = given_up => Err(ExchangeError::new("no answer in time")),
         }
     }
 }
--- a/lovagedock-gateway/src/direct/feed.rs
+++ b/lovagedock-gateway/src/direct/feed.rs
@@ -10,7 +10,10 @@
 
 /// Longest wait of one watch. Longer ones save calls; this one bounds how long a connection that
 /// went silent hides a change when the kernel's probes do not find it.
-const WATCH_WAIT: Duration = Duration::from_millis(2500);
+const WATCH_WAIT: Duration = Duration::from_millis(2200);
+
+/// The same for gateways, whose list may be old: it only says where datagrams go.
+const GATEWAYS_WATCH_WAIT: Duration = Duration::from_secs(20);
 
 /// Pause after a call that failed; doubles up to the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
@@ -77,13 +80,15 @@
     /// Returns when only a snapshot helps.
     async fn follow(&mut self, mut revision: Revision) {
         loop {
-            match self.feed.follow(self.subject, revision, WATCH_WAIT).await {
+            let wait = self.watch_wait();
+            match self.feed.follow(self.subject, revision, wait).await {
                 Ok(step) => {
                     self.succeeded();
                     revision = step.revision;
                     for change in step.changes {
                         self.apply(change);
                     }
+                    sleep(self.collect_time()).await;
                 }
                 Err(FeedError::HistoryLost) => {
                     info!(self.board.log, "history lost"; "subject" => self.subject.as_str());
@@ -100,6 +105,22 @@
         }
     }
 
+    /// Pause after changes, in which further ones gather: each call is paid for. Endpoints leave
+    /// and configurations change within seconds; gateways come and go seldom and all at once.
+    fn collect_time(&self) -> Duration {
+        match self.subject {
+            FeedSubject::Traffic | FeedSubject::Endpoints => Duration::from_millis(60),
+            FeedSubject::Gateways => Duration::from_millis(700),
+        }
+    }
+
+    fn watch_wait(&self) -> Duration {
+        match self.subject {
+            FeedSubject::Traffic | FeedSubject::Endpoints => WATCH_WAIT,
+            FeedSubject::Gateways => GATEWAYS_WATCH_WAIT,
+        }
+    }
+
     fn succeeded(&mut self) {
         self.pause = FIRST_PAUSE;
         if std::mem::take(&mut self.failing) {
--- /dev/null
+++ b/lovagedock-gateway/src/direct/liveness.rs
@@ -0,0 +1,71 @@
+//! Tells an endpoint that is gone from one that is slow.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use lovagedock::prelude::*;
+use tokio::time::{Instant, sleep_until};
+
+use super::{board::FleetBoard, exchange::EndpointConnection};
+
+/// An endpoint that sent anything to anybody within this time is there.
+const HEARD_LATELY: Duration = Duration::from_millis(600);
+
+/// Time between two looks at an endpoint that is there but silent to this request.
+const LOOK_AGAIN: Duration = Duration::from_millis(400);
+
+/// Waits for endpoints' silence to mean something.
+///
+/// An engine under load is silent to one request for seconds while it reads prompts of others. Given
+/// up, all that it has read is lost, and reading it again elsewhere makes the load worse. An engine
+/// that is gone neither sends to others nor takes a connection.
+#[derive(Clone)]
+pub(crate) struct LivenessWatch {
+    board: Arc<FleetBoard>,
+    service: ServiceId,
+    endpoint: EndpointId,
+    address: SocketAddr,
+}
+
+impl LivenessWatch {
+    /// A watch of one endpoint.
+    pub(crate) fn new(
+        board: Arc<FleetBoard>,
+        service: ServiceId,
+        endpoint: EndpointId,
+        address: SocketAddr,
+    ) -> Self {
+        Self {
+            board,
+            service,
+            endpoint,
+            address,
+        }
+    }
+
+    /// Records that the endpoint sent something.
+    pub(crate) fn note_heard(&self) {
+        self.board.note_heard(&self.service, &self.endpoint);
+    }
+
+    /// Ends when the endpoint, silent to this request until `patience`, is found to be gone, and at
+    /// `limit` at the latest.
+    pub(crate) async fn silent(&self, patience: Instant, limit: Instant) {
+        let mut until = patience.min(limit);
+        loop {
+            sleep_until(until).await;
+            if until >= limit || !self.is_there().await {
+                return;
+            }
+            until = (Instant::now() + LOOK_AGAIN).min(limit);
+        }
+    }
+
+    async fn is_there(&self) -> bool {
+        let now = self.board.clock.now();
+        let heard = self.board.heard_at(&self.service, &self.endpoint);
+        if heard > Timestamp::ZERO && now.saturating_sub(heard) < HEARD_LATELY {
+            return true;
+        }
+        EndpointConnection::open(self.address).await.is_ok()
+    }
+}
--- a/lovagedock-gateway/src/direct/mod.rs
+++ b/lovagedock-gateway/src/direct/mod.rs
@@ -15,6 +15,7 @@
 mod front;
 mod gateway;
 mod journal;
+mod liveness;
 mod peers;
 mod probe;
 mod settings;
--- a/lovagedock-gateway/src/direct/peers.rs
+++ b/lovagedock-gateway/src/direct/peers.rs
@@ -40,6 +40,7 @@
 struct PeerEntry {
     endpoint: EndpointId,
     occupied: u32,
+    short: u32,
     context: TokenCount,
     reading_total_us: u64,
     /// Bearable pause in milliseconds, number of writers, their value.
@@ -52,6 +53,7 @@
         Self {
             endpoint: endpoint.clone(),
             occupied: load.occupied,
+            short: load.short,
             context: load.context,
             reading_total_us: load.reading_total.as_micros() as u64,
             writers: writers
@@ -67,6 +69,7 @@
             .map(|(gap, count, value)| (Duration::from_millis(u64::from(gap)), count, value));
         let load = PeerLoad {
             occupied: self.occupied,
+            short: self.short,
             context: self.context,
             reading_total: Duration::from_micros(self.reading_total_us),
             writers: writers.collect(),
--- a/lovagedock-gateway/src/direct/tickets.rs
+++ b/lovagedock-gateway/src/direct/tickets.rs
@@ -10,10 +10,7 @@
 };
 use lovagedock::prelude::*;
 use slog::{Logger, info, warn};
-use tokio::{
-    task::JoinHandle,
-    time::{Instant, sleep},
-};
+use tokio::{task::JoinHandle, time::sleep};
 
 use super::{
     dialect::{HttpDialect, MemoryOrder},
@@ -158,7 +155,7 @@
         let Ok(connection) = EndpointConnection::open(ticket.wanted.address).await else {
             return false;
         };
-        let answer = connection.send(request, Instant::now() + ORDER_TIME).await;
+        let answer = connection.send(request, sleep(ORDER_TIME)).await;
         answer.is_ok_and(|answer| answer.response.status().as_u16() == 200)
     }
 }
--- a/lovagedock/src/direct/ledger.rs
+++ b/lovagedock/src/direct/ledger.rs
@@ -22,6 +22,8 @@
     /// Longest pause between events that its caller expects; `None` for work that writes no
     /// events, such as a helper's part of a prompt.
     pub gap: Option<Duration>,
+    /// Whether its prompt is short, see [`DirectPlacer::is_long`](super::DirectPlacer::is_long).
+    pub short: bool,
     /// What it is worth to be on time, see [`DirectRequest::value`](super::DirectRequest::value).
     pub value: f32,
 }
@@ -31,6 +33,8 @@
 pub struct PeerLoad {
     /// Requests that hold a slot.
     pub occupied: u32,
+    /// Those of them with short prompts.
+    pub short: u32,
     /// Tokens in memory.
     pub context: TokenCount,
     /// All prompt reading that it ever placed there; only grows, so that a lost message is made
@@ -78,6 +82,19 @@
 #[derive(Clone, Debug)]
 struct PeerRecord {
     load: PeerLoad,
+    /// Slots that the peer held a moment ago, and until when they are left to it.
+    held: u32,
+    held_until: Timestamp,
+}
+
+impl PeerRecord {
+    /// Slots of the peer, with those that it may take again at once.
+    fn occupied(&self, now: Timestamp) -> u32 {
+        match now < self.held_until {
+            true => self.held.max(self.load.occupied),
+            false => self.load.occupied,
+        }
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -106,6 +123,7 @@
     works: HashMap<WorkKey, OwnWork>,
     next_key: WorkKey,
     heard: HashMap<GatewayId, Timestamp>,
+    slot_delay: Duration,
 }
 
 impl WorkLedger {
@@ -114,10 +132,21 @@
         Self::default()
     }
 
+    /// Sets how long a slot that a peer freed is left to that peer.
+    ///
+    /// The load that it answers: all slots taken and requests waiting at every gateway. Each slot
+    /// that becomes free would be taken by all gateways at once; the engine queues or refuses all
+    /// but one. So its former user may take it first, and the others after unlike delays.
+    pub fn with_slot_delay(mut self, delay: Duration) -> Self {
+        self.slot_delay = delay;
+        self
+    }
+
     /// Records work that is being sent.
     pub fn place(&mut self, now: Timestamp, work: PlacedWork) -> WorkKey {
         let record = self.endpoints.entry(work.endpoint.clone()).or_default();
         record.own.occupied += 1;
+        record.own.short += u32::from(work.short);
         record.own.context += work.context;
         if let Some(gap) = work.gap {
             add_writer(&mut record.own.writers, gap, work.value);
@@ -169,6 +198,7 @@
             return;
         };
         record.own.occupied = record.own.occupied.saturating_sub(1);
+        record.own.short = record.own.short.saturating_sub(u32::from(own.work.short));
         record.own.context = record.own.context.saturating_sub(own.work.context);
         if let Some(gap) = own.work.gap {
             remove_writer(&mut record.own.writers, gap, own.work.value);
@@ -196,7 +226,18 @@
                 let added = load.reading_total.saturating_sub(before);
                 record.free_at = record.free_at.max(now) + added;
             }
-            record.peers.insert(peer.clone(), PeerRecord { load });
+            let mut held = load.occupied;
+            let mut held_until = Timestamp::ZERO;
+            if let Some(known) = known.filter(|known| known.load.occupied > load.occupied) {
+                held = known.load.occupied;
+                held_until = now + self.slot_delay;
+            }
+            let heard = PeerRecord {
+                load,
+                held,
+                held_until,
+            };
+            record.peers.insert(peer.clone(), heard);
         }
     }
 
@@ -244,7 +285,7 @@
             writers: record.own.writers.clone(),
         };
         for peer in record.peers.values() {
-            load.occupied += peer.load.occupied;
+            load.occupied += peer.occupied(now);
             load.context += peer.load.context;
             for (gap, count, value) in &peer.load.writers {
                 merge_writers(&mut load.writers, *gap, *count, *value);
@@ -253,6 +294,15 @@
         load
     }
 
+    /// Requests with short prompts on an endpoint, over all gateways.
+    pub fn short_count(&self, endpoint: &EndpointId) -> u32 {
+        let Some(record) = self.endpoints.get(endpoint) else {
+            return 0;
+        };
+        let peers = record.peers.values().map(|peer| peer.load.short);
+        record.own.short + peers.sum::<u32>()
+    }
+
     /// What this gateway has placed, for its peers.
     pub fn own_loads(&self) -> impl Iterator<Item = (&EndpointId, &PeerLoad)> {
         self.endpoints.iter().map(|(id, record)| (id, &record.own))
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -23,6 +23,8 @@
 pub use events::{EventSplitter, StreamEvent};
 pub use ledger::{CombinedLoad, PeerLoad, PlacedWork, WorkKey, WorkLedger};
 pub use machine::{AttemptEnd, DirectMachine, DirectStep};
-pub use placer::{DirectChoice, DirectPlacer, DirectRequest, HelperPart, PlacerCandidate};
+pub use placer::{
+    DirectChoice, DirectPlacer, DirectRequest, HelperPart, PlacerCandidate, short_lane_size,
+};
 pub use retries::{RetryShare, RetryShareSettings};
 pub use waiting::{LineDecision, LineSettings, WaitingLine};
--- a/lovagedock/src/direct/placer.rs
+++ b/lovagedock/src/direct/placer.rs
@@ -50,10 +50,25 @@
     pub part: Duration,
     /// Predicted time to the first event.
     pub first_event: Duration,
+    /// Longest time until one of the endpoints has read what is there already.
+    pub backlog: Duration,
     /// Value that is expected to be lost: by this request if it is late, by others that it delays.
     pub loss: f64,
 }
 
+/// Backlog up to which a late request is started all the same: its lateness is then its own.
+const LATE_BACKLOG: Duration = Duration::from_millis(300);
+
+impl DirectChoice {
+    /// Whether to start a request that has no time left to wait for a better place.
+    ///
+    /// The load that it answers: long prompts that come faster than the pool can read them. Started
+    /// late, each takes the time of one that could still be on time, and in the end all are late.
+    pub fn is_worth_starting(&self, request: &DirectRequest) -> bool {
+        self.first_event <= request.objective_left || self.backlog <= LATE_BACKLOG
+    }
+}
+
 /// An endpoint that reads a part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HelperPart {
@@ -71,6 +86,8 @@
     pub endpoint: DirectEndpoint,
     /// What is on it.
     pub load: CombinedLoad,
+    /// Whether it is kept for short prompts.
+    pub short_lane: bool,
 }
 
 /// Share of its value that a request loses when it is late.
@@ -84,6 +101,16 @@
 /// engines and leave the others to long prompts.
 const SPREAD_LOSS: f64 = 0.002;
 
+/// Free slots that count as the last. Other gateways place on the same engine before they hear of
+/// this request; two of them at once are common in a burst, three are rare.
+const LAST_SLOTS: u32 = 2;
+
+/// Loss for taking one of the last slots: more than for opening another engine.
+const LAST_SLOT_LOSS: f64 = 0.05;
+
+/// Share of its value that a request risks when it is predicted just in time.
+const RISK_LOSS: f64 = 0.08;
+
 /// Loss for each helper, so that a prompt is not split further than it gains.
 const HELPER_LOSS: f64 = 0.02;
 
@@ -94,8 +121,29 @@
 /// Numbers of endpoints that may share a prompt; an engine takes 16 helpers at most.
 const TEAM_SIZES: [usize; 8] = [1, 2, 3, 4, 6, 8, 12, 16];
 
-/// Reading time below which a prompt is not split.
-const SPLIT_READING: Duration = Duration::from_millis(120);
+/// Reading time from which a prompt is long: it is split and kept off the short lane. A pass of
+/// writers takes about 60 ms and short prompts bear pauses of 200 ms.
+const LONG_READING: Duration = Duration::from_millis(120);
+
+/// Short requests that the short lane has room for beyond those that run, as a factor and a
+/// number. A burst of short requests adds about a third to them within half a second.
+const LANE_FACTOR: f64 = 1.2;
+const LANE_SPARE: f64 = 6.0;
+
+/// Number of endpoints that are kept for short prompts while `short` of them run.
+///
+/// The load that it answers: long prompts that come faster than the pool can read them. Each is
+/// worth more than the short requests that it delays at that moment, so that placed by loss alone
+/// they spread over all engines, and then every short request that arrives is late.
+pub fn short_lane_size(short: u32, slots: u32, endpoints: usize) -> usize {
+    let wanted = f64::from(short) * LANE_FACTOR + LANE_SPARE;
+    let engines = (wanted / f64::from(slots.max(1))).ceil() as usize;
+    // Long prompts always keep some engines, or they would starve in a long burst.
+    engines.min(endpoints - endpoints.div_ceil(LONG_LANE_PART).min(endpoints))
+}
+
+/// The long lane keeps at least one engine in this many.
+const LONG_LANE_PART: usize = 16;
 
 /// Chooses endpoints of one service.
 #[derive(Clone, Copy, Debug)]
@@ -109,6 +157,12 @@
         Self { profile }
     }
 
+    /// Whether a request's prompt is long.
+    pub fn is_long(&self, request: &DirectRequest) -> bool {
+        self.profile
+            .is_some_and(|profile| profile.read_time(request.prompt) >= LONG_READING)
+    }
+
     /// Chooses among endpoints that have a free slot; `None` when none has one.
     pub fn place(
         &self,
@@ -121,7 +175,7 @@
         let reading = profile.read_time(request.prompt);
         let mut best: Option<DirectChoice> = None;
         for size in TEAM_SIZES {
-            if size > 1 && reading < SPLIT_READING {
+            if size > 1 && reading < LONG_READING {
                 break;
             }
             let choice = self.place_team(profile, request, candidates, reading, size);
@@ -141,11 +195,13 @@
         candidates: &[PlacerCandidate],
     ) -> Vec<PlacedWork> {
         let kept: TokenCount = choice.helpers.iter().map(|helper| helper.kept).sum();
+        let long = self.is_long(request);
         let work = |index: usize, context: TokenCount, gap: Option<Duration>| PlacedWork {
             endpoint: candidates[index].endpoint.id.clone(),
             reading: choice.part,
             context,
             gap,
+            short: !long && gap.is_some(),
             value: request.value() as f32,
         };
         let lead_context = request.memory().saturating_sub(kept);
@@ -164,9 +220,11 @@
         size: usize,
     ) -> Option<DirectChoice> {
         let part = reading / size as u32;
+        let long = reading >= LONG_READING;
         let mut members: Vec<Member> = candidates
             .iter()
             .enumerate()
+            .filter(|(_, candidate)| !long || !candidate.short_lane)
             .map(|(index, candidate)| Member::new(profile, request, index, candidate, part))
             .collect();
         members.sort_by(|a, b| a.rank.total_cmp(&b.rank));
@@ -184,12 +242,14 @@
             + lead.hurt
             + others
             + lead.spread
+            + RISK_LOSS * request.value() * tension(request, first_event)
             + HELPER_LOSS * members.len() as f64;
         Some(DirectChoice {
             lead: lead.index,
             helpers: kept,
             part,
             first_event,
+            backlog: ready.saturating_sub(part),
             loss,
         })
     }
@@ -222,7 +282,12 @@
         let ready = load.backlog + part;
         let hurt = LATE_LOSS * load.value_hurt_by(pass + ready);
         let free = candidate.endpoint.slots.saturating_sub(load.occupied);
-        let spread = SPREAD_LOSS * f64::from(free);
+        let last = if free <= LAST_SLOTS {
+            LAST_SLOT_LOSS
+        } else {
+            0.0
+        };
+        let spread = SPREAD_LOSS * f64::from(free) + last;
         let rank = lateness(request, ready + pass) + hurt + spread + ready.as_secs_f64() * 0.1;
         Self {
             index,
@@ -236,6 +301,12 @@
     }
 }
 
+/// How close a prediction is to the objective, squared: 0 at once, 1 just in time.
+fn tension(request: &DirectRequest, first_event: Duration) -> f64 {
+    let limit = request.objective_left.as_secs_f64().max(f64::MIN_POSITIVE);
+    (first_event.as_secs_f64() / limit).min(1.0).powi(2)
+}
+
 /// The first member whose memory takes the whole request, or else the one with the most.
 fn take_lead(members: &mut Vec<Member>, need: TokenCount) -> Option<Member> {
     let whole = members.iter().position(|member| member.free >= need);
@@ -295,6 +366,7 @@
         helpers: Vec::new(),
         part: Duration::ZERO,
         first_event: Duration::ZERO,
+        backlog: Duration::ZERO,
         loss: 0.0,
     })
 }
--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -65,7 +65,7 @@
     DirectPlacer, DirectRequest, DirectStep, EndpointState, EndpointTable, EngineProfile,
     EventSplitter, HelperPart, LineDecision, LineSettings, PeerLoad, PlacedWork, PlacerCandidate,
     RetryShare, RetryShareSettings, RouteMatch, RouteMode, RouteRule, RouteTarget, ServiceProfile,
-    StreamEvent, TrafficConfig, WaitingLine, WorkKey, WorkLedger,
+    StreamEvent, TrafficConfig, WaitingLine, WorkKey, WorkLedger, short_lane_size,
 };
 pub use endpoint::{
     EndpointAction, EndpointCore, EndpointEvent, EndpointLimits, EndpointLoad, EndpointSafeguards,
