--- a/lovagedock-gateway/src/direct/board.rs
+++ b/lovagedock-gateway/src/direct/board.rs
@@ -584,6 +584,7 @@
                 candidates.push(PlacerCandidate {
                     endpoint,
                     load,
+                    position,
                     short_lane: position < lane,
                 });
             }
--- a/lovagedock-gateway/src/direct/call.rs
+++ b/lovagedock-gateway/src/direct/call.rs
@@ -505,6 +505,7 @@
             info!(self.board.log, "request ended";
                 "request" => &self.parts.head.request,
                 "route" => &self.parts.route.name,
+                "prompt" => self.parts.head.prompt,
                 "code" => code.number(),
                 "ran" => self.machine.ran().as_str(),
                 "sent" => self.machine.sent(),
--- a/lovagedock/src/direct/placer.rs
+++ b/lovagedock/src/direct/placer.rs
@@ -86,6 +86,8 @@
     pub endpoint: DirectEndpoint,
     /// What is on it.
     pub load: CombinedLoad,
+    /// Place in the order of all endpoints of the service.
+    pub position: usize,
     /// Whether it is kept for short prompts.
     pub short_lane: bool,
 }
@@ -108,6 +110,15 @@
 /// Loss for taking one of the last slots: more than for opening another engine.
 const LAST_SLOT_LOSS: f64 = 0.05;
 
+/// Loss of a short request outside the short lane: more than for the last slots of the lane, and
+/// more the farther outside, so that overflow gathers next to the lane.
+const OUTSIDE_LANE_LOSS: f64 = 0.12;
+const OUTSIDE_STEP_LOSS: f64 = 0.002;
+
+/// Passes from the end of reading to the first event: what is left of the pass in which the
+/// request arrives, on average half, and the pass that writes it.
+const FIRST_EVENT_PASSES: f64 = 1.5;
+
 /// Share of its value that a request risks when it is predicted just in time.
 const RISK_LOSS: f64 = 0.08;
 
@@ -236,7 +247,7 @@
         let kept = spread_memory(&members, request.memory().saturating_sub(lead.free))?;
         let slowest = members.iter().map(|member| member.ready).max();
         let ready = slowest.unwrap_or_default().max(lead.ready);
-        let first_event = ready + lead.pass;
+        let first_event = ready + lead.pass.mul_f64(FIRST_EVENT_PASSES);
         let others: f64 = members.iter().map(|member| member.hurt).sum();
         let loss = lateness(request, first_event)
             + lead.hurt
@@ -287,7 +298,11 @@
         } else {
             0.0
         };
-        let spread = SPREAD_LOSS * f64::from(free) + last;
+        let outside = match candidate.short_lane {
+            true => 0.0,
+            false => OUTSIDE_LANE_LOSS + OUTSIDE_STEP_LOSS * candidate.position as f64,
+        };
+        let spread = SPREAD_LOSS * f64::from(free) + last + outside;
         let rank = lateness(request, ready + pass) + hurt + spread + ready.as_secs_f64() * 0.1;
         Self {
             index,
--- a/lovagedock/src/direct/waiting.rs
+++ b/lovagedock/src/direct/waiting.rs
@@ -18,7 +18,7 @@
 impl Default for LineSettings {
     fn default() -> Self {
         Self {
-            objective_share: 0.6,
+            objective_share: 0.4,
             least_retry_after: Duration::from_millis(700),
             most_retry_share: 0.3,
         }
