--- a/lovagedock-gateway/src/direct/board.rs
+++ b/lovagedock-gateway/src/direct/board.rs
@@ -11,10 +11,10 @@
 
 use arc_swap::ArcSwapOption;
 use lovagedock::{
-    DirectChoice, DirectEndpoint, DirectPlacer, DirectRequest, EndpointTable, LineSettings,
+    DirectChoice, DirectEndpoint, DirectPlacer, DirectRequest, EndpointTable, LineKind,
     OutlierDetector, OutlierEvent, OutlierSettings, PeerLoad, PlacedWork, PlacerCandidate,
-    RetryShare, RetryShareSettings, TrafficConfig, WaitingLine, WorkKey, WorkLedger, prelude::*,
-    short_lane_size,
+    RefusalLog, RequestFingerprint, RetryShare, RetryShareSettings, TrafficConfig, WaitingLine,
+    WorkKey, WorkLedger, prelude::*, short_lane_size,
 };
 use lovagedock_daemon::ProcessClock;
 use lovagedock_platform::GatewayEntry;
@@ -79,6 +79,7 @@
     services: HashMap<ServiceId, ServiceState>,
     peers: HashMap<GatewayId, GatewayEntry>,
     retries: RetryShareSettings,
+    refusals: RefusalLog,
 }
 
 struct ServiceState {
@@ -87,9 +88,8 @@
     /// When an endpoint last sent anything.
     heard: HashMap<EndpointId, Timestamp>,
     retries: RetryShare,
-    /// Lines of short and of long requests: a long one that waits for a better place must not
-    /// hold up short ones that have one.
-    lines: [WaitingLine; 2],
+    /// Waiting lines by kind.
+    lines: [WaitingLine; LineKind::ALL.len()],
 }
 
 /// A request that has a place.
@@ -186,6 +186,7 @@
                 services: HashMap::new(),
                 peers: HashMap::new(),
                 retries,
+                refusals: RefusalLog::new(),
             }),
             changed: Notify::new(),
             placed: Notify::new(),
@@ -328,10 +329,38 @@
         loads.map(|(id, load)| (id.clone(), load.clone())).collect()
     }
 
-    /// Takes in what a peer has placed.
-    pub(crate) fn hear(&self, peer: &GatewayId, loads: Vec<(EndpointId, PeerLoad)>) {
+    /// Refusals that peers have not been told of.
+    pub(crate) fn take_untold_refusals(&self) -> Vec<RequestFingerprint> {
+        self.fleet.lock().refusals.take_untold()
+    }
+
+    /// Records that a request was refused.
+    pub(crate) fn record_refusal(&self, fingerprint: RequestFingerprint) {
         let now = self.clock.now();
-        self.fleet.lock().ledger.hear(now, peer, loads);
+        self.fleet.lock().refusals.record(now, fingerprint);
+        self.placed.notify_one();
+    }
+
+    /// Whether a request was refused lately, here or at a peer.
+    pub(crate) fn is_return(&self, fingerprint: RequestFingerprint) -> bool {
+        let now = self.clock.now();
+        self.fleet.lock().refusals.is_return(now, fingerprint)
+    }
+
+    /// Takes in what a peer has placed and refused.
+    pub(crate) fn hear(
+        &self,
+        peer: &GatewayId,
+        loads: Vec<(EndpointId, PeerLoad)>,
+        refused: Vec<RequestFingerprint>,
+    ) {
+        let now = self.clock.now();
+        let mut fleet = self.fleet.lock();
+        fleet.ledger.hear(now, peer, loads);
+        for fingerprint in refused {
+            fleet.refusals.hear(now, fingerprint);
+        }
+        drop(fleet);
         self.changed.notify_waiters();
     }
 
@@ -421,11 +450,11 @@
     pub(crate) fn with_line<T>(
         &self,
         service: &ServiceId,
-        long: bool,
+        kind: LineKind,
         work: impl FnOnce(&mut WaitingLine) -> T,
     ) -> T {
         let now = self.clock.now();
-        work(&mut self.fleet.lock().service(now, service).lines[usize::from(long)])
+        work(&mut self.fleet.lock().service(now, service).lines[kind as usize])
     }
 
     /// Looks for a place; `last` says that the request cannot wait for a better one.
@@ -435,7 +464,7 @@
         service: &ServiceId,
         request: &DirectRequest,
         excluded: &[EndpointId],
-        long: bool,
+        kind: LineKind,
         last: bool,
     ) -> PlaceResult {
         let now = self.clock.now();
@@ -460,7 +489,7 @@
         drop(search);
         let hold = self.hold(now, &mut fleet, works);
         let state = fleet.service(now, service);
-        state.lines[usize::from(long)].record_start(now);
+        state.lines[kind as usize].record_start(now);
         let probe = OutlierEvent::ProbeSent(placed.lead.id.clone());
         let actions = state.outliers.handle(now, probe);
         state.apply(actions, &self.log);
@@ -529,7 +558,7 @@
                 ejected: HashSet::new(),
                 heard: HashMap::new(),
                 retries: RetryShare::new(now, retries, gateways),
-                lines: [(); 2].map(|()| WaitingLine::new(LineSettings::default())),
+                lines: LineKind::ALL.map(|kind| WaitingLine::new(kind.settings())),
             })
     }
 
--- a/lovagedock-gateway/src/direct/call.rs
+++ b/lovagedock-gateway/src/direct/call.rs
@@ -6,11 +6,12 @@
 use http_body_util::Full;
 use hyper::{HeaderMap, Method, Request};
 use lovagedock::{
-    AttemptEnd, DirectMachine, DirectRequest, DirectStep, LineDecision, OutlierEvent, RouteRule,
-    TrafficConfig, prelude::*,
+    AttemptEnd, DirectMachine, DirectRequest, DirectStep, LineDecision, LineKind, OutlierEvent,
+    RequestFingerprint, RouteRule, TrafficConfig, prelude::*,
 };
 use slog::info;
 use tokio::time::{Instant, sleep_until};
+use xxhash_rust::xxh3::Xxh3Default;
 
 use super::{
     answer::{CallerWay, WholeAnswer},
@@ -49,6 +50,10 @@
 /// Answer of usual length, in tokens, when the caller gives neither hint nor bound.
 const USUAL_ANSWER: TokenCount = 1500;
 
+/// Time beyond its objective that a request which was refused before may wait for room. Callers of
+/// streams leave after two seconds without an event.
+const RETURN_PATIENCE: Duration = Duration::from_millis(900);
+
 /// A request that passed all checks.
 pub(crate) struct CallParts {
     /// Configuration that it was checked against.
@@ -75,6 +80,17 @@
     pub(crate) arrived: Timestamp,
 }
 
+impl CallParts {
+    /// What the request asks, whatever id its attempt has.
+    fn fingerprint(&self) -> RequestFingerprint {
+        let mut hasher = Xxh3Default::new();
+        hasher.update(self.target.as_bytes());
+        hasher.update(self.head.key.as_deref().unwrap_or_default().as_bytes());
+        hasher.update(&self.body);
+        hasher.digest()
+    }
+}
+
 /// Runs a request.
 pub(crate) struct DirectCall {
     board: Arc<FleetBoard>,
@@ -85,7 +101,8 @@
     stream: StreamDelivery,
     deadline: Timestamp,
     late_at: Timestamp,
-    long: bool,
+    line: LineKind,
+    fingerprint: RequestFingerprint,
     retry_after: Option<Duration>,
     failure: Option<WholeAnswer>,
 }
@@ -106,10 +123,21 @@
         let profile = parts.config.services.get(&parts.service);
         let engine = profile.and_then(|profile| profile.engine.as_ref());
         let reading = engine.map(|engine| engine.read_time(parts.head.prompt));
+        let fingerprint = parts.fingerprint();
+        let line = match reading {
+            Some(_) if board.is_return(fingerprint) => LineKind::Returned,
+            Some(reading) if reading >= LONG_READING => LineKind::Long,
+            _ => LineKind::Short,
+        };
+        let late_at = match line {
+            LineKind::Returned => late_at + RETURN_PATIENCE,
+            LineKind::Short | LineKind::Long => late_at,
+        };
         Self {
             machine: DirectMachine::new(route.mode, route.attempts, deadline),
             stream: StreamDelivery::new(parts.head.resume_after.clone()),
-            long: reading.is_some_and(|reading| reading >= LONG_READING),
+            line,
+            fingerprint,
             board,
             dialect,
             parts,
@@ -214,13 +242,14 @@
             answer,
             objective_left: self.late_at.saturating_sub(now),
             gap: self.parts.route.gap_objective,
+            returned: self.line == LineKind::Returned,
         };
         self.board.place(
             &self.parts.config,
             &self.parts.service,
             &request,
             self.machine.excluded(),
-            self.long,
+            self.line,
             last,
         )
     }
@@ -230,14 +259,14 @@
         let late_at = self.late_at;
         let (decision, ticket) = self
             .board
-            .with_line(&self.parts.service, self.long, |line| {
+            .with_line(&self.parts.service, self.line, |line| {
                 let decision = line.arrive(now, late_at, time_left, rand::random());
                 (decision, line.join(late_at))
             });
         let mut ticket = LineTicket {
             board: Arc::clone(&self.board),
             service: self.parts.service.clone(),
-            long: self.long,
+            line: self.line,
             ticket,
             until: now,
         };
@@ -257,7 +286,7 @@
         let time_left = self.deadline.saturating_sub(now);
         let retry_after = self
             .board
-            .with_line(&self.parts.service, self.long, |line| {
+            .with_line(&self.parts.service, self.line, |line| {
                 line.retry_after(Duration::ZERO, time_left, rand::random())
             });
         self.retry_after = Some(retry_after);
@@ -431,6 +460,9 @@
             return ResultCode::EngineFailed;
         }
         let problem = RequestProblem::new(code).with_ran(self.machine.ran());
+        if code == ResultCode::NoCapacity {
+            self.board.record_refusal(self.fingerprint);
+        }
         let retry_after = match code.http_status() {
             429 | 503 => Some(self.retry_after.unwrap_or(DEFAULT_RETRY_AFTER)),
             _ => None,
@@ -530,7 +562,7 @@
 struct LineTicket {
     board: Arc<FleetBoard>,
     service: ServiceId,
-    long: bool,
+    line: LineKind,
     ticket: (Timestamp, u64),
     until: Timestamp,
 }
@@ -538,13 +570,13 @@
 impl LineTicket {
     fn is_first(&self) -> bool {
         let line = |line: &mut lovagedock::WaitingLine| line.is_first(&self.ticket);
-        self.board.with_line(&self.service, self.long, line)
+        self.board.with_line(&self.service, self.line, line)
     }
 }
 
 impl Drop for LineTicket {
     fn drop(&mut self) {
         let leave = |line: &mut lovagedock::WaitingLine| line.leave(&self.ticket);
-        self.board.with_line(&self.service, self.long, leave);
+        self.board.with_line(&self.service, self.line, leave);
     }
 }
--- a/lovagedock-gateway/src/direct/peers.rs
+++ b/lovagedock-gateway/src/direct/peers.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, io, sync::Arc, time::Duration};
 
-use lovagedock::{PeerLoad, prelude::*};
+use lovagedock::{PeerLoad, RequestFingerprint, prelude::*};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use slog::{debug, info};
@@ -33,6 +33,8 @@
     incarnation: Incarnation,
     sequence: u64,
     loads: Vec<PeerEntry>,
+    /// Requests that it refused since the last message.
+    refused: Vec<RequestFingerprint>,
 }
 
 /// What a gateway has placed on one endpoint.
@@ -125,14 +127,20 @@
                     told.insert(endpoint, load);
                 }
             }
-            if !entries.is_empty() || refresh {
-                self.send(&entries, &mut sequence).await;
+            let refused = self.board.take_untold_refusals();
+            if !entries.is_empty() || !refused.is_empty() || refresh {
+                self.send(&entries, refused, &mut sequence).await;
             }
             sleep(SEND_INTERVAL).await;
         }
     }
 
-    async fn send(&self, entries: &[PeerEntry], sequence: &mut u64) {
+    async fn send(
+        &self,
+        entries: &[PeerEntry],
+        mut refused: Vec<RequestFingerprint>,
+        sequence: &mut u64,
+    ) {
         let peers = self.board.peers();
         let empty: [&[PeerEntry]; 1] = [&[]];
         let chunks: Vec<&[PeerEntry]> = match entries.is_empty() {
@@ -146,6 +154,7 @@
                 incarnation: self.incarnation,
                 sequence: *sequence,
                 loads: chunk.to_vec(),
+                refused: std::mem::take(&mut refused),
             };
             let Ok(bytes) = postcard::to_stdvec(&message) else {
                 continue;
@@ -202,6 +211,6 @@
             .into_iter()
             .map(PeerEntry::into_load)
             .collect();
-        self.board.hear(&message.gateway, loads);
+        self.board.hear(&message.gateway, loads, message.refused);
     }
 }
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -13,6 +13,7 @@
 mod machine;
 mod placer;
 mod retries;
+mod returns;
 mod waiting;
 
 pub use config::{
@@ -27,4 +28,5 @@
     DirectChoice, DirectPlacer, DirectRequest, HelperPart, PlacerCandidate, short_lane_size,
 };
 pub use retries::{RetryShare, RetryShareSettings};
-pub use waiting::{LineDecision, LineSettings, WaitingLine};
+pub use returns::{RefusalLog, RequestFingerprint};
+pub use waiting::{LineDecision, LineKind, LineSettings, WaitingLine};
--- a/lovagedock/src/direct/placer.rs
+++ b/lovagedock/src/direct/placer.rs
@@ -20,6 +20,8 @@
     pub objective_left: Duration,
     /// Longest pause between events that the caller expects.
     pub gap: Option<Duration>,
+    /// Whether it was refused before; it gets only what others leave.
+    pub returned: bool,
 }
 
 /// Prompt tokens that double the value of a request. Callers of long prompts have waited for more
@@ -59,6 +61,22 @@
 /// Backlog up to which a late request is started all the same: its lateness is then its own.
 const LATE_BACKLOG: Duration = Duration::from_millis(300);
 
+/// Part of all slots that stays free beside requests that were refused before.
+const RETURN_ROOM: f64 = 0.1;
+
+/// Whether there is room for a request that gets only what others leave.
+fn has_spare_room(candidates: &[PlacerCandidate]) -> bool {
+    let slots: u32 = candidates
+        .iter()
+        .map(|candidate| candidate.endpoint.slots)
+        .sum();
+    let taken: u32 = candidates
+        .iter()
+        .map(|candidate| candidate.load.occupied)
+        .sum();
+    f64::from(slots.saturating_sub(taken)) > f64::from(slots) * RETURN_ROOM
+}
+
 impl DirectChoice {
     /// Whether to start a request that has no time left to wait for a better place.
     ///
@@ -129,6 +147,16 @@
 /// engine that runs out of memory takes it from the newest request and reads that again.
 const USABLE_MEMORY: f64 = 0.96;
 
+/// Loss for each second until an engine has read what it has.
+const READING_LOSS: f64 = 0.1;
+
+/// Loss for a long prompt's lead that would be the first writer of its engine, and for each writer
+/// of a helper. Engines read helpers' parts before prompts of their own, so that a lead waits for
+/// parts that came after it, and writers pause for each. So leads gather on few engines, and the
+/// others only read.
+const OPEN_LEAD_LOSS: f64 = 0.3;
+const HELP_WRITER_LOSS: f64 = 0.05;
+
 /// Numbers of endpoints that may share a prompt; an engine takes 16 helpers at most.
 const TEAM_SIZES: [usize; 8] = [1, 2, 3, 4, 6, 8, 12, 16];
 
@@ -183,6 +211,9 @@
         let Some(profile) = self.profile else {
             return place_plain(candidates);
         };
+        if request.returned && !has_spare_room(candidates) {
+            return None;
+        }
         let reading = profile.read_time(request.prompt);
         let mut best: Option<DirectChoice> = None;
         for size in TEAM_SIZES {
@@ -238,12 +269,12 @@
             .filter(|(_, candidate)| !long || !candidate.short_lane)
             .map(|(index, candidate)| Member::new(profile, request, index, candidate, part))
             .collect();
-        members.sort_by(|a, b| a.rank.total_cmp(&b.rank));
-        members.truncate(size);
         if members.len() < size {
             return None;
         }
         let lead = take_lead(&mut members, request.memory())?;
+        members.sort_by(|a, b| a.help_rank.total_cmp(&b.help_rank));
+        members.truncate(size - 1);
         let kept = spread_memory(&members, request.memory().saturating_sub(lead.free))?;
         let slowest = members.iter().map(|member| member.ready).max();
         let ready = slowest.unwrap_or_default().max(lead.ready);
@@ -275,7 +306,10 @@
     spread: f64,
     /// Tokens of memory that a request may take.
     free: TokenCount,
-    rank: f64,
+    /// Loss as the lead.
+    lead_rank: f64,
+    /// Loss as a helper.
+    help_rank: f64,
 }
 
 impl Member {
@@ -303,7 +337,13 @@
             false => OUTSIDE_LANE_LOSS + OUTSIDE_STEP_LOSS * candidate.position as f64,
         };
         let spread = SPREAD_LOSS * f64::from(free) + last + outside;
-        let rank = lateness(request, ready + pass) + hurt + spread + ready.as_secs_f64() * 0.1;
+        let reading = ready.as_secs_f64() * READING_LOSS;
+        let common = lateness(request, ready + pass) + hurt + reading;
+        let long = part < profile.read_time(request.prompt) || ready >= LONG_READING;
+        let opened = match (long, writers) {
+            (true, 1) => OPEN_LEAD_LOSS,
+            _ => 0.0,
+        };
         Self {
             index,
             ready,
@@ -311,7 +351,8 @@
             hurt,
             spread,
             free: usable.saturating_sub(load.context),
-            rank,
+            lead_rank: common + spread + opened,
+            help_rank: common + HELP_WRITER_LOSS * f64::from(writers - 1),
         }
     }
 }
@@ -322,9 +363,17 @@
     (first_event.as_secs_f64() / limit).min(1.0).powi(2)
 }
 
-/// The first member whose memory takes the whole request, or else the one with the most.
+/// The best lead among the members whose memory takes the whole request, or else the member with
+/// the most memory.
 fn take_lead(members: &mut Vec<Member>, need: TokenCount) -> Option<Member> {
-    let whole = members.iter().position(|member| member.free >= need);
+    let whole = members
+        .iter()
+        .enumerate()
+        .filter(|(_, member)| member.free >= need);
+    let rank = |(_, member): &(usize, &Member)| member.lead_rank;
+    let whole = whole
+        .min_by(|a, b| rank(a).total_cmp(&rank(b)))
+        .map(|(position, _)| position);
     let position = whole.or_else(|| {
         let free = |(_, member): &(usize, &Member)| member.free;
         members
--- a/lovagedock/src/direct/waiting.rs
+++ b/lovagedock/src/direct/waiting.rs
@@ -4,11 +4,47 @@
 
 use crate::ids::Timestamp;
 
+/// What the requests of a line have in common.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LineKind {
+    /// Short prompts and plain requests.
+    Short,
+    /// Long prompts. One that waits for a better place must not hold up short ones that have one.
+    Long,
+    /// Requests that were refused before and are late already.
+    Returned,
+}
+
+impl LineKind {
+    /// Every kind.
+    pub const ALL: [Self; 3] = [Self::Short, Self::Long, Self::Returned];
+
+    /// Bounds of its line.
+    pub fn settings(self) -> LineSettings {
+        let usual = LineSettings::default();
+        match self {
+            Self::Short => usual,
+            Self::Long => LineSettings {
+                least_rate: 4.0,
+                ..usual
+            },
+            Self::Returned => LineSettings {
+                objective_share: 1.0,
+                least_rate: 20.0,
+                ..usual
+            },
+        }
+    }
+}
+
 /// Bounds of a waiting line.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LineSettings {
     /// Part of its objective that a request may wait. The rest is for reading the prompt.
     pub objective_share: f64,
+    /// Starts a second that are counted on while fewer were seen; a line in which nothing moved
+    /// yet says nothing about how fast it will.
+    pub least_rate: f64,
     /// Shortest advice to come back.
     pub least_retry_after: Duration,
     /// Part of the time left after which callers no longer follow the advice.
@@ -19,6 +55,7 @@
     fn default() -> Self {
         Self {
             objective_share: 0.4,
+            least_rate: 1.0,
             least_retry_after: Duration::from_millis(700),
             most_retry_share: 0.3,
         }
@@ -96,7 +133,7 @@
     ) -> LineDecision {
         let objective_left = late_at.saturating_sub(now);
         let patience = objective_left.mul_f64(self.settings.objective_share);
-        let rate = self.starts.at(now).max(1.0);
+        let rate = self.starts.at(now).max(self.settings.least_rate);
         let ahead = self.waiting.len() as f64;
         let expected = Duration::from_secs_f64(ahead / rate);
         if expected > patience {
