--- a/lovagedock-gateway/src/direct/board.rs
+++ b/lovagedock-gateway/src/direct/board.rs
@@ -479,7 +479,7 @@
         };
         let acceptable = match last {
             true => choice.is_worth_starting(request),
-            false => choice.loss <= WAIT_LOSS,
+            false => choice.harm <= WAIT_LOSS,
         };
         if !acceptable {
             return PlaceResult::Full;
@@ -499,7 +499,7 @@
             lead: placed.lead,
             helpers: placed.helpers,
             first_event: choice.first_event,
-            loss: choice.loss,
+            loss: choice.harm,
             occupied: placed.occupied,
             backlog: placed.backlog,
             hold,
--- a/lovagedock/src/direct/placer.rs
+++ b/lovagedock/src/direct/placer.rs
@@ -55,6 +55,8 @@
     /// Longest time until one of the endpoints has read what is there already.
     pub backlog: Duration,
     /// Value that is expected to be lost: by this request if it is late, by others that it delays.
+    pub harm: f64,
+    /// Harm and what else speaks against the choice.
     pub loss: f64,
 }
 
@@ -147,8 +149,10 @@
 /// engine that runs out of memory takes it from the newest request and reads that again.
 const USABLE_MEMORY: f64 = 0.96;
 
-/// Loss for each second until an engine has read what it has.
-const READING_LOSS: f64 = 0.1;
+/// Loss for each second until an engine has read what it has. Short requests that arrive together
+/// would otherwise all read on the engine that is filled next, one after the other.
+const LONG_READING_LOSS: f64 = 0.1;
+const SHORT_READING_LOSS: f64 = 0.5;
 
 /// Loss for a long prompt's lead that would be the first writer of its engine, and for each writer
 /// of a helper. Engines read helpers' parts before prompts of their own, so that a lead waits for
@@ -167,7 +171,7 @@
 /// Short requests that the short lane has room for beyond those that run, as a factor and a
 /// number. A burst of short requests adds about a third to them within half a second.
 const LANE_FACTOR: f64 = 1.2;
-const LANE_SPARE: f64 = 6.0;
+const LANE_SPARE: f64 = 16.0;
 
 /// Number of endpoints that are kept for short prompts while `short` of them run.
 ///
@@ -280,9 +284,8 @@
         let ready = slowest.unwrap_or_default().max(lead.ready);
         let first_event = ready + lead.pass.mul_f64(FIRST_EVENT_PASSES);
         let others: f64 = members.iter().map(|member| member.hurt).sum();
-        let loss = lateness(request, first_event)
-            + lead.hurt
-            + others
+        let harm = lateness(request, first_event) + lead.hurt + others;
+        let loss = harm
             + lead.spread
             + RISK_LOSS * request.value() * tension(request, first_event)
             + HELPER_LOSS * members.len() as f64;
@@ -292,6 +295,7 @@
             part,
             first_event,
             backlog: ready.saturating_sub(part),
+            harm,
             loss,
         })
     }
@@ -332,14 +336,19 @@
         } else {
             0.0
         };
-        let outside = match candidate.short_lane {
+        let long = profile.read_time(request.prompt) >= LONG_READING;
+        let outside = match candidate.short_lane || long {
             true => 0.0,
             false => OUTSIDE_LANE_LOSS + OUTSIDE_STEP_LOSS * candidate.position as f64,
         };
         let spread = SPREAD_LOSS * f64::from(free) + last + outside;
-        let reading = ready.as_secs_f64() * READING_LOSS;
+        let reading_loss = if long {
+            LONG_READING_LOSS
+        } else {
+            SHORT_READING_LOSS
+        };
+        let reading = ready.as_secs_f64() * reading_loss;
         let common = lateness(request, ready + pass) + hurt + reading;
-        let long = part < profile.read_time(request.prompt) || ready >= LONG_READING;
         let opened = match (long, writers) {
             (true, 1) => OPEN_LEAD_LOSS,
             _ => 0.0,
@@ -431,6 +440,7 @@
         part: Duration::ZERO,
         first_event: Duration::ZERO,
         backlog: Duration::ZERO,
+        harm: 0.0,
         loss: 0.0,
     })
 }
