--- a/lovagedock-gateway/src/direct/call.rs
+++ b/lovagedock-gateway/src/direct/call.rs
@@ -1,6 +1,6 @@
 //! One request, from its checks to the last byte of its answer.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -334,9 +334,7 @@
         let verdict = judge_head(&*self.dialect, &self.parts.head.request, &answer.response);
         if let HeadVerdict::End(end, head) = verdict {
             self.note_failure(&endpoint, &format!("{end:?} {:?}", head.at_fault));
-            if end != AttemptEnd::NotRun {
-                self.watch(OutlierEvent::Failed(endpoint));
-            }
+            self.blame(&placed, end, head.at_fault);
             return Some(end);
         }
         let status = answer.response.status();
@@ -479,6 +477,21 @@
         Some(first_at.saturating_duration_since(self.instant(self.parts.arrived)))
     }
 
+    /// Records whose fault it is that a request did not run. A helper that is gone fails every
+    /// prompt that it is asked to help with, whichever endpoint leads.
+    fn blame(&mut self, placed: &PlacedRequest, end: AttemptEnd, at_fault: Option<SocketAddr>) {
+        let helpers = placed.helpers.iter().map(|helper| &helper.endpoint);
+        let helper = helpers
+            .filter(|helper| Some(helper.address) == at_fault)
+            .find(|helper| helper.address != placed.lead.address);
+        if let Some(helper) = helper {
+            self.machine.exclude(helper.id.clone());
+            self.watch(OutlierEvent::Failed(helper.id.clone()));
+        } else if end != AttemptEnd::NotRun {
+            self.watch(OutlierEvent::Failed(placed.lead.id.clone()));
+        }
+    }
+
     fn watch(&self, event: OutlierEvent) {
         self.board.watch(&self.parts.service, event);
     }
