--- a/lovagedock-gateway/src/direct/call.rs
+++ b/lovagedock-gateway/src/direct/call.rs
@@ -409,7 +409,7 @@
             organisation: self.parts.organisation.as_ref(),
             resume_after: self.stream.last_id(),
             helpers: &helpers,
-            urgency: self.parts.priority.min(LEAST_URGENT),
+            urgency: EVEN_URGENCY,
         };
         let mut request = Request::new(Full::new(self.parts.body.clone()));
         *request.method_mut() = self.parts.method.clone();
@@ -509,7 +509,7 @@
             "request" => &self.parts.head.request,
             "route" => &self.parts.route.name,
             "endpoint" => &*placed.lead.id,
-            "helpers" => placed.helpers.len(),
+            "helpers" => helper_names(placed),
             "prompt" => self.parts.head.prompt,
             "occupied" => placed.occupied,
             "backlog_ms" => placed.backlog.as_millis() as u64,
@@ -564,13 +564,21 @@
     }
 }
 
-/// Lowest place in an engine's queue.
-const LEAST_URGENT: u8 = 9;
+/// Place in an engine's queue, the same for all requests. Placement decides who runs; engines that
+/// then read the prompts of one priority first let a long prompt of another starve for seconds
+/// while later ones overtake it.
+const EVEN_URGENCY: u8 = 5;
 
 /// When a refused request may come back if nothing better is known: about the time in which an
 /// ejected endpoint is let back or a configuration arrives.
 pub(crate) const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Helpers of a request for the log.
+fn helper_names(placed: &PlacedRequest) -> String {
+    let names = placed.helpers.iter().map(|helper| &*helper.endpoint.id);
+    names.collect::<Vec<_>>().join(",")
+}
+
 /// A place in a waiting line; dropping it leaves the line.
 struct LineTicket {
     board: Arc<FleetBoard>,
--- a/lovagedock/src/direct/placer.rs
+++ b/lovagedock/src/direct/placer.rs
@@ -149,6 +149,11 @@
 /// engine that runs out of memory takes it from the newest request and reads that again.
 const USABLE_MEMORY: f64 = 0.96;
 
+/// Reading that a helper may have before it. An engine reads the part that came last first: on one
+/// that is asked again and again the oldest part waits until nothing new comes, and with it the
+/// whole prompt, for seconds.
+const HELP_BACKLOG: Duration = Duration::from_millis(80);
+
 /// Loss for each second until an engine has read what it has. Short requests that arrive together
 /// would otherwise all read on the engine that is filled next, one after the other.
 const LONG_READING_LOSS: f64 = 0.1;
@@ -277,8 +282,12 @@
             return None;
         }
         let lead = take_lead(&mut members, request.memory())?;
+        members.retain(|member| member.backlog <= HELP_BACKLOG);
         members.sort_by(|a, b| a.help_rank.total_cmp(&b.help_rank));
         members.truncate(size - 1);
+        if members.len() < size - 1 {
+            return None;
+        }
         let kept = spread_memory(&members, request.memory().saturating_sub(lead.free))?;
         let slowest = members.iter().map(|member| member.ready).max();
         let ready = slowest.unwrap_or_default().max(lead.ready);
@@ -304,6 +313,7 @@
 /// One endpoint of a team.
 struct Member {
     index: usize,
+    backlog: Duration,
     ready: Duration,
     pass: Duration,
     hurt: f64,
@@ -355,6 +365,7 @@
         };
         Self {
             index,
+            backlog: load.backlog,
             ready,
             pass,
             hurt,
