Count a peer's first prompt on an endpoint

Cause: a peer's reading on an endpoint that it had never named was taken as old work and not counted, so engines with 0.5 s to read looked idle.

--- a/lovagedock/src/direct/ledger.rs
+++ b/lovagedock/src/direct/ledger.rs
@@ -217,11 +217,14 @@
         peer: &GatewayId,
         loads: impl IntoIterator<Item = (EndpointId, PeerLoad)>,
     ) {
-        self.heard.insert(peer.clone(), now);
+        let is_known = self.heard.insert(peer.clone(), now).is_some();
         for (endpoint, load) in loads {
             let record = self.endpoints.entry(endpoint).or_default();
             let known = record.peers.get(peer);
-            let before = known.map(|known| known.load.reading_total);
+            // A peer that was heard before has placed nothing yet on an endpoint that it never
+            // named. What one that is new has placed in all its life says nothing about now.
+            let unnamed = is_known.then_some(Duration::ZERO);
+            let before = known.map(|known| known.load.reading_total).or(unnamed);
             if let Some(before) = before {
                 let added = load.reading_total.saturating_sub(before);
                 record.free_at = record.free_at.max(now) + added;
