Let three gateways watch the store and the others take what those tell

Datagrams now carry versions, newer state is pulled from a peer, an older one is refused; who watches follows from the names that are heard.

--- a/lovagedock-gateway/src/direct/board.rs
+++ b/lovagedock-gateway/src/direct/board.rs
@@ -12,17 +12,17 @@
 use arc_swap::ArcSwapOption;
 use lovagedock::{
     DirectChoice, DirectEndpoint, DirectPlacer, DirectRequest, EndpointTable, LineKind,
-    OutlierDetector, OutlierEvent, OutlierSettings, PeerLoad, PlacedWork, PlacerCandidate,
-    RefusalLog, RequestFingerprint, RetryShare, RetryShareSettings, TrafficConfig, WaitingLine,
-    WorkKey, WorkLedger, prelude::*, short_lane_size,
+    OutlierDetector, OutlierEvent, OutlierSettings, PeerContact, PeerLoad, PlacedWork,
+    PlacerCandidate, RefusalLog, RequestFingerprint, RetryShare, RetryShareSettings, TrafficConfig,
+    WaitingLine, WatchDuty, WorkKey, WorkLedger, prelude::*, short_lane_size,
 };
 use lovagedock_daemon::ProcessClock;
-use lovagedock_platform::GatewayEntry;
+use lovagedock_platform::{GatewayEntry, Revision};
 use parking_lot::Mutex;
 use slog::{Logger, info};
 use tokio::sync::{Notify, futures::Notified};
 
-use super::journal::LineBudget;
+use super::{journal::LineBudget, relay::EndpointsState};
 
 /// When endpoints are ejected. Two failures in a row are rare while an endpoint is sound (0.4% of
 /// requests fail by themselves), and a second of ejection is short against a restart; a third of
@@ -66,6 +66,7 @@
     /// Wakes the task that tells peers.
     pub(crate) placed: Notify,
     listed: AtomicBool,
+    store_reachable: AtomicBool,
     stopping: AtomicBool,
     /// Bounds lines about requests.
     pub(crate) lines: LineBudget,
@@ -80,6 +81,8 @@
     peers: HashMap<GatewayId, GatewayEntry>,
     retries: RetryShareSettings,
     refusals: RefusalLog,
+    duty: WatchDuty,
+    endpoints_revision: Revision,
 }
 
 struct ServiceState {
@@ -187,10 +190,13 @@
                 peers: HashMap::new(),
                 retries,
                 refusals: RefusalLog::new(),
+                duty: WatchDuty::new(),
+                endpoints_revision: 0,
             }),
             changed: Notify::new(),
             placed: Notify::new(),
             listed: AtomicBool::new(false),
+            store_reachable: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             lines: LineBudget::new(),
             log,
@@ -214,6 +220,7 @@
             "version" => config.version, "before" => known, "source" => source,
             "routes" => config.route_count(), "services" => config.services.len());
         self.config.store(Some(config));
+        self.placed.notify_one();
         true
     }
 
@@ -222,6 +229,31 @@
         self.listed.store(true, Ordering::Relaxed);
     }
 
+    /// Records whether the last call of the store succeeded.
+    pub(crate) fn set_store_reachable(&self, reachable: bool) {
+        self.store_reachable.store(reachable, Ordering::Relaxed);
+    }
+
+    /// Whether the last call of the store succeeded.
+    pub(crate) fn is_store_reachable(&self) -> bool {
+        self.store_reachable.load(Ordering::Relaxed)
+    }
+
+    /// Records that a peer was heard.
+    pub(crate) fn hear_contact(&self, peer: &GatewayId, store_reachable: bool) {
+        let contact = PeerContact {
+            heard_at: self.clock.now(),
+            store_reachable,
+        };
+        self.fleet.lock().duty.hear(peer.clone(), contact);
+    }
+
+    /// Whether this gateway has to watch the store itself.
+    pub(crate) fn watches(&self) -> bool {
+        let now = self.clock.now();
+        self.fleet.lock().duty.watches(now, &self.name)
+    }
+
     /// Says that the gateway drains.
     pub(crate) fn set_stopping(&self) {
         self.stopping.store(true, Ordering::Relaxed);
@@ -272,8 +304,40 @@
         info!(self.log, "endpoint gone"; "endpoint" => &**id);
     }
 
-    /// Replaces all endpoints.
-    pub(crate) fn endpoints_listed(&self, endpoints: Vec<DirectEndpoint>) {
+    /// Everything that is known of endpoints.
+    pub(crate) fn endpoints_state(&self) -> EndpointsState {
+        let fleet = self.fleet.lock();
+        EndpointsState {
+            revision: fleet.endpoints_revision,
+            endpoints: fleet.endpoints.all().cloned().collect(),
+        }
+    }
+
+    /// Revision of the store up to which endpoints are known.
+    pub(crate) fn endpoints_revision(&self) -> Revision {
+        self.fleet.lock().endpoints_revision
+    }
+
+    /// Says up to which revision endpoints are known; an older one is refused.
+    ///
+    /// What a slow watch brings may be older than what a peer told: taken in, it would bring an
+    /// endpoint back that has left.
+    pub(crate) fn advance_endpoints(&self, revision: Revision) -> bool {
+        let mut fleet = self.fleet.lock();
+        let is_newer = revision >= fleet.endpoints_revision;
+        if is_newer {
+            fleet.endpoints_revision = revision;
+        }
+        drop(fleet);
+        self.placed.notify_one();
+        is_newer
+    }
+
+    /// Replaces all endpoints, unless newer ones are known.
+    pub(crate) fn endpoints_listed(&self, revision: Revision, endpoints: Vec<DirectEndpoint>) {
+        if !self.advance_endpoints(revision) {
+            return;
+        }
         let now = self.clock.now();
         let mut fleet = self.fleet.lock();
         let listed: HashSet<EndpointId> = endpoints.iter().map(|e| e.id.clone()).collect();
--- a/lovagedock-gateway/src/direct/call.rs
+++ b/lovagedock-gateway/src/direct/call.rs
@@ -256,11 +256,12 @@
 
     fn join_line(&mut self, now: Timestamp) -> Result<LineTicket, DirectStep> {
         let time_left = self.deadline.saturating_sub(now);
-        let late_at = self.late_at;
+        let late_at = self.late_at + RANK_TIME * u32::from(self.parts.priority);
+        let objective_at = self.late_at;
         let (decision, ticket) = self
             .board
             .with_line(&self.parts.service, self.line, |line| {
-                let decision = line.arrive(now, late_at, time_left, rand::random());
+                let decision = line.arrive(now, objective_at, time_left, rand::random());
                 (decision, line.join(late_at))
             });
         let mut ticket = LineTicket {
@@ -579,6 +580,10 @@
     names.collect::<Vec<_>>().join(",")
 }
 
+/// Waiting time that a rank is worth: in a line, a request goes before one of the next rank that is
+/// late this much sooner. A rank that went first without bound would starve the ranks below.
+const RANK_TIME: Duration = Duration::from_millis(20);
+
 /// A place in a waiting line; dropping it leaves the line.
 struct LineTicket {
     board: Arc<FleetBoard>,
--- a/lovagedock-gateway/src/direct/exchange.rs
+++ b/lovagedock-gateway/src/direct/exchange.rs
@@ -22,7 +22,14 @@
 pub(crate) struct EndpointAnswer {
     /// Status, headers and the body as it comes.
     pub(crate) response: Response<Incoming>,
-    _connection: ConnectionTask,
+    connection: ConnectionTask,
+}
+
+impl EndpointAnswer {
+    /// The answer, and the connection that has to be kept while its body is read.
+    pub(crate) fn into_parts(self) -> (Response<Incoming>, ConnectionTask) {
+        (self.response, self.connection)
+    }
 }
 
 /// A connection to an endpoint over which nothing was sent yet.
@@ -42,7 +49,8 @@
     pub(crate) detail: String,
 }
 
-struct ConnectionTask(JoinHandle<()>);
+/// The task that moves a connection's bytes; dropping it closes the connection.
+pub(crate) struct ConnectionTask(JoinHandle<()>);
 
 impl Drop for ConnectionTask {
     fn drop(&mut self) {
@@ -85,7 +93,7 @@
             answer = answer => match answer {
                 Ok(response) => Ok(EndpointAnswer {
                     response,
-                    _connection: self.task,
+                    connection: self.task,
                 }),
                 Err(error) => Err(ExchangeError::new(error)),
             },
--- a/lovagedock-gateway/src/direct/gateway.rs
+++ b/lovagedock-gateway/src/direct/gateway.rs
@@ -13,10 +13,11 @@
 use super::{
     board::FleetBoard,
     dialect::HttpDialect,
-    feed::{FeedFollower, announce},
+    feed::{FeedFollower, meet_gateways},
     front::CallerFront,
     peers::PeerExchange,
     probe::{bind_probes, serve_probes},
+    relay::serve_peers,
     settings::DirectSettings,
 };
 use crate::GatewayError;
@@ -55,6 +56,8 @@
             .change_context(GatewayError)?;
         let peers = PeerExchange::bind(Arc::clone(&board), settings.peers);
         let peers = Arc::new(peers.await.change_context(GatewayError)?);
+        // Datagrams and connections of peers have one address.
+        let relay = listen(peers.address()).await?;
         let surface = Arc::new(BoardSurface(Arc::clone(&board)));
         let admin = AdminServer::start("lovagedock-gateway", &settings.admin, surface, &daemon)
             .await
@@ -63,18 +66,15 @@
         let health = probes.local_addr().change_context(GatewayError)?;
         let entry = GatewayEntry {
             name: settings.name.clone(),
-            address: peers.address().change_context(GatewayError)?,
+            address: peers.address(),
         };
         let mut tasks = JoinSet::new();
-        for subject in [
-            FeedSubject::Traffic,
-            FeedSubject::Endpoints,
-            FeedSubject::Gateways,
-        ] {
+        for subject in [FeedSubject::Traffic, FeedSubject::Endpoints] {
             let follower = FeedFollower::new(Arc::clone(&board), Arc::clone(&feed), subject);
             tasks.spawn(follower.run());
         }
-        tasks.spawn(announce(Arc::clone(&board), feed, entry));
+        tasks.spawn(meet_gateways(Arc::clone(&board), feed, entry));
+        tasks.spawn(serve_peers(relay, Arc::clone(&board), log.clone()));
         tasks.spawn(Arc::clone(&peers).send_forever());
         tasks.spawn(peers.receive_forever());
         tasks.spawn(serve_probes(probes, Arc::clone(&board), log.clone()));
@@ -147,7 +147,7 @@
     TcpListener::bind(address)
         .await
         .change_context(GatewayError)
-        .attach_with(|| format!("callers' address {address}"))
+        .attach_with(|| format!("address {address}"))
 }
 
 /// What operators see of a gateway.
--- a/lovagedock-gateway/src/direct/mod.rs
+++ b/lovagedock-gateway/src/direct/mod.rs
@@ -18,6 +18,7 @@
 mod liveness;
 mod peers;
 mod probe;
+mod relay;
 mod settings;
 mod tickets;
 
--- a/lovagedock-gateway/src/direct/peers.rs
+++ b/lovagedock-gateway/src/direct/peers.rs
@@ -1,8 +1,18 @@
 //! Tells other gateways what this one has placed.
 
-use std::{collections::HashMap, io, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use lovagedock::{PeerLoad, RequestFingerprint, prelude::*};
+use lovagedock_platform::{GatewayEntry, Revision};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use slog::{debug, info};
@@ -11,7 +21,10 @@
     time::{Instant, sleep, timeout},
 };
 
-use super::board::FleetBoard;
+use super::{
+    board::FleetBoard,
+    relay::{pull_endpoints, pull_traffic},
+};
 
 /// Least time between two datagrams. Shorter, and a burst costs a system call for each request and
 /// peer; longer, and gateways fill the same slot twice.
@@ -32,6 +45,11 @@
     gateway: GatewayId,
     incarnation: Incarnation,
     sequence: u64,
+    /// Where it listens, for datagrams and for connections.
+    address: SocketAddr,
+    store_reachable: bool,
+    config: Generation,
+    endpoints: Revision,
     loads: Vec<PeerEntry>,
     /// Requests that it refused since the last message.
     refused: Vec<RequestFingerprint>,
@@ -84,27 +102,30 @@
 pub(crate) struct PeerExchange {
     board: Arc<FleetBoard>,
     socket: UdpSocket,
+    address: SocketAddr,
     incarnation: Incarnation,
     heard: Mutex<HashMap<GatewayId, (Incarnation, u64)>>,
+    pulling: AtomicBool,
 }
 
 impl PeerExchange {
     /// Listens on the gateway's address for peers.
-    pub(crate) async fn bind(
-        board: Arc<FleetBoard>,
-        address: std::net::SocketAddr,
-    ) -> io::Result<Self> {
+    pub(crate) async fn bind(board: Arc<FleetBoard>, address: SocketAddr) -> io::Result<Self> {
+        let socket = UdpSocket::bind(address).await?;
+        let address = socket.local_addr()?;
         Ok(Self {
             board,
-            socket: UdpSocket::bind(address).await?,
+            socket,
+            address,
+            pulling: AtomicBool::new(false),
             incarnation: rand::random(),
             heard: Mutex::default(),
         })
     }
 
     /// The address that peers send to.
-    pub(crate) fn address(&self) -> io::Result<std::net::SocketAddr> {
-        self.socket.local_addr()
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
     }
 
     /// Tells peers of changes for as long as the gateway lives.
@@ -112,6 +133,7 @@
         let mut told: HashMap<EndpointId, PeerLoad> = HashMap::new();
         let mut refreshed = Instant::now();
         let mut sequence = 0;
+        let mut told_versions = (0, 0);
         loop {
             let _ = timeout(REFRESH_INTERVAL, self.board.placed.notified()).await;
             let refresh = refreshed.elapsed() >= REFRESH_INTERVAL;
@@ -128,7 +150,12 @@
                 }
             }
             let refused = self.board.take_untold_refusals();
-            if !entries.is_empty() || !refused.is_empty() || refresh {
+            let versions = (
+                self.board.config().map_or(0, |config| config.version),
+                self.board.endpoints_revision(),
+            );
+            let news = std::mem::replace(&mut told_versions, versions) != versions;
+            if !entries.is_empty() || !refused.is_empty() || refresh || news {
                 self.send(&entries, refused, &mut sequence).await;
             }
             sleep(SEND_INTERVAL).await;
@@ -153,6 +180,10 @@
                 gateway: self.board.name.clone(),
                 incarnation: self.incarnation,
                 sequence: *sequence,
+                address: self.address,
+                store_reachable: self.board.is_store_reachable(),
+                config: self.board.config().map_or(0, |config| config.version),
+                endpoints: self.board.endpoints_revision(),
                 loads: chunk.to_vec(),
                 refused: std::mem::take(&mut refused),
             };
@@ -177,7 +208,7 @@
                 continue;
             };
             match postcard::from_bytes::<PeerMessage>(&buffer[..length]) {
-                Ok(message) => self.receive(message),
+                Ok(message) => Arc::clone(&self).receive(message),
                 Err(_) => {
                     metrics::counter!("lovagedock_peer_datagrams_malformed_total").increment(1);
                 }
@@ -185,7 +216,22 @@
         }
     }
 
-    fn receive(&self, message: PeerMessage) {
+    /// Takes newer state from a peer. Every peer tells of a change at about the same time; one
+    /// answer is enough, and what it lacks comes with the next message.
+    async fn pull(&self, peer: SocketAddr, config: bool, endpoints: bool) {
+        if self.pulling.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        if config {
+            pull_traffic(&self.board, peer).await;
+        }
+        if endpoints {
+            pull_endpoints(&self.board, peer).await;
+        }
+        self.pulling.store(false, Ordering::Release);
+    }
+
+    fn receive(self: Arc<Self>, message: PeerMessage) {
         if message.gateway == self.board.name {
             return;
         }
@@ -206,6 +252,21 @@
             (message.incarnation, message.sequence),
         );
         drop(heard);
+        // A gateway that started later is not in the list that was read at the start.
+        self.board.gateway_changed(GatewayEntry {
+            name: message.gateway.clone(),
+            address: message.address,
+        });
+        self.board
+            .hear_contact(&message.gateway, message.store_reachable);
+        let known = self.board.config().map_or(0, |config| config.version);
+        let newer_config = message.config > known;
+        let newer_endpoints = message.endpoints > self.board.endpoints_revision();
+        if newer_config || newer_endpoints {
+            let exchange = Arc::clone(&self);
+            let peer = message.address;
+            tokio::spawn(async move { exchange.pull(peer, newer_config, newer_endpoints).await });
+        }
         let loads = message
             .loads
             .into_iter()
--- /dev/null
+++ b/lovagedock-gateway/src/direct/relay.rs
@@ -0,0 +1,131 @@
+//! Hands the configuration and the endpoints from gateway to gateway.
+
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    Request, Response, StatusCode, body::Incoming, header::HOST, server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use lovagedock::{DirectEndpoint, TrafficConfig};
+use lovagedock_platform::Revision;
+use serde::{Deserialize, Serialize};
+use slog::{Logger, debug, warn};
+use tokio::{
+    net::TcpListener,
+    time::{sleep, timeout},
+};
+
+use super::{board::FleetBoard, exchange::EndpointConnection, front::ACCEPT_PAUSE};
+
+/// Path of the configuration in force.
+const TRAFFIC_PATH: &str = "/traffic";
+/// Path of the endpoints.
+const ENDPOINTS_PATH: &str = "/endpoints";
+
+/// Time for a peer's answer; one in another failure domain takes a few milliseconds.
+const PULL_TIME: Duration = Duration::from_millis(400);
+
+/// Time in which a peer that was connected to must ask.
+const ASK_TIME: Duration = Duration::from_secs(2);
+
+/// Largest answer of a peer, in bytes: a configuration with 25,000 organisations has about 4 MB.
+const MAX_PULL_BYTES: usize = 16 << 20;
+
+/// Endpoints as of a revision of the store.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct EndpointsState {
+    /// Revision.
+    pub(crate) revision: Revision,
+    /// All endpoints.
+    pub(crate) endpoints: Vec<DirectEndpoint>,
+}
+
+/// Serves peers until it is dropped.
+pub(crate) async fn serve_peers(listener: TcpListener, board: Arc<FleetBoard>, log: Logger) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                warn!(log, "cannot accept a peer"; "error" => %error);
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let board = Arc::clone(&board);
+        let log = log.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |request: Request<Incoming>| {
+                let response = answer(&board, request.uri().path());
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(ASK_TIME)
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                debug!(log, "peer's connection ended"; "error" => %error);
+            }
+        });
+    }
+}
+
+fn answer(board: &FleetBoard, path: &str) -> Response<Full<Bytes>> {
+    let bytes = match path {
+        TRAFFIC_PATH => board.config().map(|config| postcard::to_stdvec(&*config)),
+        ENDPOINTS_PATH => Some(postcard::to_stdvec(&board.endpoints_state())),
+        _ => None,
+    };
+    let (status, body) = match bytes {
+        Some(Ok(bytes)) => (StatusCode::OK, Bytes::from(bytes)),
+        Some(Err(_)) => (StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
+        None => (StatusCode::NOT_FOUND, Bytes::new()),
+    };
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response
+}
+
+/// Takes a newer configuration from a peer.
+pub(crate) async fn pull_traffic(board: &FleetBoard, peer: SocketAddr) {
+    let Some(bytes) = pull(peer, TRAFFIC_PATH).await else {
+        return;
+    };
+    match postcard::from_bytes::<TrafficConfig>(&bytes) {
+        Ok(config) => {
+            board.adopt(Arc::new(config), "peer");
+        }
+        Err(error) => warn!(board.log, "a peer's configuration cannot be read";
+            "peer" => %peer, "error" => %error),
+    }
+}
+
+/// Takes newer endpoints from a peer.
+pub(crate) async fn pull_endpoints(board: &FleetBoard, peer: SocketAddr) {
+    let Some(bytes) = pull(peer, ENDPOINTS_PATH).await else {
+        return;
+    };
+    match postcard::from_bytes::<EndpointsState>(&bytes) {
+        Ok(state) => board.endpoints_listed(state.revision, state.endpoints),
+        Err(error) => warn!(board.log, "a peer's endpoints cannot be read";
+            "peer" => %peer, "error" => %error),
+    }
+}
+
+async fn pull(peer: SocketAddr, path: &'static str) -> Option<Bytes> {
+    let mut request = Request::new(Full::<Bytes>::default());
+    *request.uri_mut() = path.parse().ok()?;
+    let host = peer.to_string().parse().ok()?;
+    request.headers_mut().insert(HOST, host);
+    let connection = EndpointConnection::open(peer).await.ok()?;
+    let answer = connection.send(request, sleep(PULL_TIME)).await.ok()?;
+    if answer.response.status() != StatusCode::OK {
+        return None;
+    }
+    let (response, _connection) = answer.into_parts();
+    let body = Limited::new(response.into_body(), MAX_PULL_BYTES).collect();
+    let body = timeout(PULL_TIME, body).await.ok()?.ok()?;
+    Some(body.to_bytes())
+}
--- a/lovagedock/src/direct/config.rs
+++ b/lovagedock/src/direct/config.rs
@@ -5,11 +5,13 @@
     time::Duration,
 };
 
+use serde::{Deserialize, Serialize};
+
 use super::engine::EngineProfile;
 use crate::ids::{Generation, OrganisationId, ServiceId};
 
 /// A whole configuration; a higher version replaces it as a whole.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct TrafficConfig {
     /// Grows with each configuration, in uneven steps.
     pub version: Generation,
@@ -24,14 +26,14 @@
 }
 
 /// The organisation that a key belongs to.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct KeyHolder {
     organisation: OrganisationId,
     priority: Option<u8>,
 }
 
 /// Requests of one host name and path prefix.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteRule {
     /// Name in logs and metrics.
     pub name: String,
@@ -58,7 +60,7 @@
 }
 
 /// A share of a route.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteTarget {
     /// The service.
     pub service: ServiceId,
@@ -67,7 +69,7 @@
 }
 
 /// What may be done again with a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RouteMode {
     /// One answer; may run several times.
     Idempotent,
@@ -96,7 +98,7 @@
 }
 
 /// What is declared of a service.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServiceProfile {
     /// Name.
     pub id: ServiceId,
@@ -107,7 +109,7 @@
 }
 
 /// Limits towards callers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerBounds {
     /// Largest request body, in bytes.
     pub max_body_bytes: usize,
--- /dev/null
+++ b/lovagedock/src/direct/duty.rs
@@ -0,0 +1,83 @@
+//! Which gateways watch the store, and which take what those tell.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::ids::{GatewayId, Timestamp};
+
+/// Gateways that watch at once. One may be cut off from the store and another stop in the same
+/// moment; the third still tells.
+const WATCHERS: usize = 3;
+
+/// Watchers that must be heard and be in touch with the store for the others to rely on them.
+const WATCHERS_NEEDED: usize = 2;
+
+/// Time after which a watcher counts as silent: three of its messages were lost.
+const WATCHER_SILENCE: Duration = Duration::from_millis(900);
+
+/// What a peer tells of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerContact {
+    /// When it was heard last.
+    pub heard_at: Timestamp,
+    /// Whether its last call of the store succeeded.
+    pub store_reachable: bool,
+}
+
+/// Decides whether a gateway watches the store itself.
+///
+/// Each call of the store is paid for and its rate grows more slowly than the fleet, so not every
+/// gateway watches. The watchers follow from the names of the gateways that are heard: no call and
+/// no message is needed to agree, and where gateways disagree for a moment, one more watches.
+#[derive(Clone, Debug, Default)]
+pub struct WatchDuty {
+    peers: BTreeMap<GatewayId, PeerContact>,
+}
+
+impl WatchDuty {
+    /// A gateway that has heard nobody.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records that a peer was heard.
+    pub fn hear(&mut self, peer: GatewayId, contact: PeerContact) {
+        self.peers.insert(peer, contact);
+    }
+
+    /// Whether the gateway `own` has to watch.
+    pub fn watches(&self, now: Timestamp, own: &GatewayId) -> bool {
+        let heard = |contact: &PeerContact| now.saturating_sub(contact.heard_at) <= WATCHER_SILENCE;
+        let peers = self.peers.iter().filter(|(_, contact)| heard(contact));
+        let mut names: Vec<&GatewayId> = peers.map(|(name, _)| name).collect();
+        names.push(own);
+        names.sort();
+        let watchers = spread(&names, WATCHERS);
+        if watchers.contains(&own) {
+            return true;
+        }
+        let reachable = watchers.iter().filter(|name| {
+            let contact = self.peers.get(**name);
+            contact.is_some_and(|contact| contact.store_reachable)
+        });
+        reachable.count() < WATCHERS_NEEDED
+    }
+
+    /// Peers that were heard lately.
+    pub fn heard(&self, now: Timestamp) -> usize {
+        let contacts = self.peers.values();
+        let heard =
+            |contact: &&PeerContact| now.saturating_sub(contact.heard_at) <= WATCHER_SILENCE;
+        contacts.filter(heard).count()
+    }
+}
+
+/// `count` of the names at equal distances. Names of one failure domain sort together, so these lie
+/// in different ones.
+fn spread<'a>(names: &[&'a GatewayId], count: usize) -> Vec<&'a GatewayId> {
+    if names.len() <= count {
+        return names.to_vec();
+    }
+    (0..count)
+        .map(|index| names[index * names.len() / count])
+        .collect()
+}
--- a/lovagedock/src/direct/endpoints.rs
+++ b/lovagedock/src/direct/endpoints.rs
@@ -2,10 +2,12 @@
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
+use serde::{Deserialize, Serialize};
+
 use crate::ids::{DomainId, EndpointId, ServiceId};
 
 /// What discovery tells of an endpoint.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DirectEndpoint {
     /// Id of this life of the endpoint; a restarted one has another.
     pub id: EndpointId,
@@ -22,7 +24,7 @@
 }
 
 /// Whether an endpoint takes new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EndpointState {
     /// It does.
     Ready,
--- a/lovagedock/src/direct/engine.rs
+++ b/lovagedock/src/direct/engine.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::ids::TokenCount;
 
 /// Speed and memory of the engines of a service, as the operator declares them.
@@ -10,7 +12,7 @@
 /// of which yields one token for every writer and reads a bounded piece of the prompts that wait.
 /// So a long read that shares an engine with writers stretches every pass, and each writer's
 /// events with it.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EngineProfile {
     /// Requests that run at once.
     pub slots: u32,
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -6,6 +6,7 @@
 //! attempt. None of them reads a clock or does input or output.
 
 mod config;
+mod duty;
 mod endpoints;
 mod engine;
 mod events;
@@ -19,6 +20,7 @@
 pub use config::{
     CallerBounds, RouteMatch, RouteMode, RouteRule, RouteTarget, ServiceProfile, TrafficConfig,
 };
+pub use duty::{PeerContact, WatchDuty};
 pub use endpoints::{DirectEndpoint, EndpointState, EndpointTable};
 pub use engine::EngineProfile;
 pub use events::{EventSplitter, StreamEvent};
