--- /dev/null
+++ b/lovagedock/tests/direct_machine.rs
@@ -0,0 +1,181 @@
+//! What a gateway does after each attempt.
+
+use std::time::Duration;
+
+use lovagedock::{AttemptEnd, DirectMachine, DirectStep, RouteMode, prelude::*};
+
+const STREAM: RouteMode = RouteMode::Stream { resumable: true };
+const ONE_WAY_STREAM: RouteMode = RouteMode::Stream { resumable: false };
+
+struct StepCase {
+    name: &'static str,
+    mode: RouteMode,
+    attempts: u32,
+    ends: &'static [AttemptEnd],
+    retries: bool,
+    expected: DirectStep,
+    ran: RanState,
+}
+
+/// Each case runs a request through the given attempts; the last step is checked.
+const CASES: &[StepCase] = &[
+    StepCase {
+        name: "a connection that cannot be opened costs no attempt and no retry",
+        mode: RouteMode::NonIdempotent,
+        attempts: 1,
+        ends: &[AttemptEnd::Unreachable],
+        retries: false,
+        expected: DirectStep::Place { resume: false },
+        ran: RanState::No,
+    },
+    StepCase {
+        name: "after four endpoints the network is at fault",
+        mode: RouteMode::NonIdempotent,
+        attempts: 1,
+        ends: &[AttemptEnd::Unreachable; 5],
+        retries: true,
+        expected: DirectStep::Answer(ResultCode::EndpointUnreachable),
+        ran: RanState::No,
+    },
+    StepCase {
+        name: "a lost answer may have run, so it is not sent again",
+        mode: RouteMode::NonIdempotent,
+        attempts: 3,
+        ends: &[AttemptEnd::Lost],
+        retries: true,
+        expected: DirectStep::Answer(ResultCode::EndpointLost),
+        ran: RanState::Unknown,
+    },
+    StepCase {
+        name: "a promise that nothing ran allows another endpoint",
+        mode: RouteMode::NonIdempotent,
+        attempts: 2,
+        ends: &[AttemptEnd::NotRun],
+        retries: true,
+        expected: DirectStep::Place { resume: false },
+        ran: RanState::No,
+    },
+    StepCase {
+        name: "attempts are bounded also after promises",
+        mode: RouteMode::NonIdempotent,
+        attempts: 1,
+        ends: &[AttemptEnd::NotRun],
+        retries: true,
+        expected: DirectStep::Answer(ResultCode::EngineRefused),
+        ran: RanState::No,
+    },
+    StepCase {
+        name: "a misdirected request did not run",
+        mode: RouteMode::NonIdempotent,
+        attempts: 1,
+        ends: &[AttemptEnd::Misdirected],
+        retries: true,
+        expected: DirectStep::Answer(ResultCode::EngineRefused),
+        ran: RanState::No,
+    },
+    StepCase {
+        name: "an idempotent request is sent again after a loss",
+        mode: RouteMode::Idempotent,
+        attempts: 2,
+        ends: &[AttemptEnd::Lost],
+        retries: true,
+        expected: DirectStep::Place { resume: false },
+        ran: RanState::Unknown,
+    },
+    StepCase {
+        name: "without a retry left the loss is told as it is",
+        mode: RouteMode::Idempotent,
+        attempts: 2,
+        ends: &[AttemptEnd::Lost],
+        retries: false,
+        expected: DirectStep::Answer(ResultCode::EndpointLost),
+        ran: RanState::Unknown,
+    },
+    StepCase {
+        name: "\"not run\" after a loss would be untrue",
+        mode: RouteMode::Idempotent,
+        attempts: 2,
+        ends: &[AttemptEnd::Lost, AttemptEnd::NotRun],
+        retries: true,
+        expected: DirectStep::Answer(ResultCode::EndpointLost),
+        ran: RanState::Unknown,
+    },
+    StepCase {
+        name: "an engine's own failure is delivered when nothing else is left",
+        mode: RouteMode::NonIdempotent,
+        attempts: 1,
+        ends: &[AttemptEnd::Failed],
+        retries: true,
+        expected: DirectStep::DeliverFailure,
+        ran: RanState::Unknown,
+    },
+    StepCase {
+        name: "a broken stream continues elsewhere",
+        mode: STREAM,
+        attempts: 2,
+        ends: &[AttemptEnd::Broken],
+        retries: true,
+        expected: DirectStep::Place { resume: true },
+        ran: RanState::Unknown,
+    },
+    StepCase {
+        name: "a broken stream that may not continue is cut",
+        mode: ONE_WAY_STREAM,
+        attempts: 2,
+        ends: &[AttemptEnd::Broken],
+        retries: true,
+        expected: DirectStep::Cut,
+        ran: RanState::Unknown,
+    },
+    StepCase {
+        name: "a whole answer ends the request",
+        mode: STREAM,
+        attempts: 2,
+        ends: &[AttemptEnd::Broken, AttemptEnd::Complete],
+        retries: true,
+        expected: DirectStep::Done,
+        ran: RanState::Unknown,
+    },
+];
+
+#[test]
+fn steps_follow_from_attempts() {
+    for case in CASES {
+        let mut machine = DirectMachine::new(case.mode, case.attempts, ms(1_000));
+        let mut step = DirectStep::Place { resume: false };
+        for (index, end) in case.ends.iter().enumerate() {
+            if *end != AttemptEnd::Unreachable {
+                machine.begin_sending();
+            }
+            let endpoint: EndpointId = format!("engine-{index}").into();
+            step = machine.attempt_ended(ms(10), &endpoint, *end, || case.retries);
+            assert!(machine.excluded().contains(&endpoint), "{}", case.name);
+        }
+        assert_eq!(step, case.expected, "{}", case.name);
+        assert_eq!(machine.ran(), case.ran, "{}", case.name);
+    }
+}
+
+/// With no time left, another attempt would only cost an engine.
+#[test]
+fn nothing_is_sent_just_before_the_deadline() {
+    let mut machine = DirectMachine::new(RouteMode::Idempotent, 3, ms(1_000));
+    machine.begin_sending();
+    let step = machine.attempt_ended(ms(990), &"engine".into(), AttemptEnd::Lost, || true);
+    assert_eq!(step, DirectStep::Answer(ResultCode::ExpiredUnknown));
+}
+
+/// A request that expires while an endpoint has it may have run; one that waited has not.
+#[test]
+fn an_expired_request_tells_whether_it_may_have_run() {
+    let mut waited = DirectMachine::new(RouteMode::NonIdempotent, 1, ms(1_000));
+    let expired = waited.expired_after(AttemptEnd::Unreachable);
+    assert_eq!(expired, DirectStep::Answer(ResultCode::ExpiredWaiting));
+    let mut sent = DirectMachine::new(RouteMode::NonIdempotent, 1, ms(1_000));
+    let expired = sent.expired_after(AttemptEnd::Lost);
+    assert_eq!(expired, DirectStep::Answer(ResultCode::ExpiredUnknown));
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
--- /dev/null
+++ b/lovagedock/tests/direct_support/mod.rs
@@ -0,0 +1,153 @@
+//! A pool of engines in virtual time: what is placed, when it is read and when it ends.
+
+use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
+
+use lovagedock::{
+    DirectChoice, DirectEndpoint, DirectPlacer, DirectRequest, EndpointState, EngineProfile,
+    PlacerCandidate, WorkKey, WorkLedger, prelude::*, short_lane_size,
+};
+
+/// An engine like those of our operators.
+pub(crate) const PROFILE: EngineProfile = EngineProfile {
+    slots: 16,
+    memory_tokens: 450_000,
+    steps_per_pass: 46,
+    step_ms: 0.925,
+    step_ms_per_writer: 0.004_83,
+    step_ms_per_1k_context: 0.002_54,
+    read_tokens_per_ms: 256.0,
+    read_ms_per_1m_pairs: 0.0917,
+};
+
+pub(crate) fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// A request for a short summary: first event in 300 ms, pauses of 200 ms.
+pub(crate) fn short() -> DirectRequest {
+    DirectRequest {
+        prompt: 5_000,
+        answer: 1_600,
+        objective_left: ms(300),
+        gap: Some(ms(200)),
+        returned: false,
+    }
+}
+
+/// A request with a long prompt: first event in 3 s, pauses of 800 ms.
+pub(crate) fn long(prompt: TokenCount) -> DirectRequest {
+    DirectRequest {
+        prompt,
+        answer: 800,
+        objective_left: ms(3_000),
+        gap: Some(ms(800)),
+        returned: false,
+    }
+}
+
+/// What happens at a time.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum PoolEvent {
+    Read(WorkKey),
+    End(WorkKey),
+}
+
+/// Engines and the ledger of one gateway.
+pub(crate) struct VirtualPool {
+    pub(crate) ledger: WorkLedger,
+    pub(crate) endpoints: Vec<DirectEndpoint>,
+    events: BinaryHeap<Reverse<(Timestamp, PoolEvent)>>,
+    pub(crate) now: Timestamp,
+}
+
+impl VirtualPool {
+    pub(crate) fn new(engines: usize) -> Self {
+        let endpoints = (0..engines).map(|index| DirectEndpoint {
+            id: format!("engine-{index:02}").into(),
+            service: "model".into(),
+            address: ([127, 0, 0, 1], 9_000 + index as u16).into(),
+            domain: "a".into(),
+            slots: PROFILE.slots,
+            state: EndpointState::Ready,
+        });
+        Self {
+            ledger: WorkLedger::new(),
+            endpoints: endpoints.collect(),
+            events: BinaryHeap::new(),
+            now: Duration::ZERO,
+        }
+    }
+
+    /// Goes on to `now`; what is due until then ends.
+    pub(crate) fn advance(&mut self, now: Timestamp) {
+        while let Some(Reverse((at, event))) = self.events.peek().copied() {
+            if at > now {
+                break;
+            }
+            self.events.pop();
+            match event {
+                PoolEvent::Read(key) => self.ledger.finish_reading(at, key),
+                PoolEvent::End(key) => self.ledger.finish(at, key),
+            }
+        }
+        self.now = now;
+    }
+
+    /// Endpoints with a free slot, as placement sees them.
+    pub(crate) fn candidates(&self) -> Vec<PlacerCandidate> {
+        let short = self.endpoints.iter();
+        let short = short
+            .map(|endpoint| self.ledger.short_count(&endpoint.id))
+            .sum();
+        let lane = short_lane_size(short, PROFILE.slots, self.endpoints.len());
+        let candidates = self
+            .endpoints
+            .iter()
+            .enumerate()
+            .map(|(position, endpoint)| PlacerCandidate {
+                endpoint: endpoint.clone(),
+                load: self.ledger.load(self.now, &endpoint.id),
+                position,
+                short_lane: position < lane,
+            });
+        candidates
+            .filter(|candidate| candidate.load.occupied < candidate.endpoint.slots)
+            .collect()
+    }
+
+    /// Places a request; `None` when there is no place.
+    pub(crate) fn place(&mut self, request: &DirectRequest) -> Option<PlacedChoice> {
+        let candidates = self.candidates();
+        let placer = DirectPlacer::new(Some(&PROFILE));
+        let choice = placer.place(request, &candidates)?;
+        let lane = candidates.iter().filter(|c| c.short_lane);
+        let lane = lane.map(|c| c.endpoint.id.clone()).collect();
+        let works = placer.works(request, &choice, &candidates);
+        let members = works.iter().map(|work| work.endpoint.clone()).collect();
+        let read_at = self.now + choice.first_event;
+        let writing = PROFILE.write_time(request.answer, ms(60));
+        for (index, work) in works.into_iter().enumerate() {
+            let key = self.ledger.place(self.now, work);
+            let end = if index == 0 {
+                read_at + writing
+            } else {
+                read_at
+            };
+            self.events.push(Reverse((read_at, PoolEvent::Read(key))));
+            self.events.push(Reverse((end, PoolEvent::End(key))));
+        }
+        Some(PlacedChoice {
+            choice,
+            members,
+            lane,
+        })
+    }
+}
+
+/// A choice and the names behind its indices, lead first.
+pub(crate) struct PlacedChoice {
+    pub(crate) choice: DirectChoice,
+    pub(crate) members: Vec<EndpointId>,
+    /// The short lane at that moment.
+    pub(crate) lane: Vec<EndpointId>,
+}
--- /dev/null
+++ b/lovagedock/tests/direct_waiting.rs
@@ -0,0 +1,102 @@
+//! Who waits, who is refused, and who is recognised when he comes back.
+
+use std::time::Duration;
+
+use lovagedock::{LineDecision, LineKind, LineSettings, RefusalLog, WaitingLine};
+
+fn line() -> WaitingLine {
+    WaitingLine::new(LineSettings::default())
+}
+
+/// A caller whose request waits is told within a part of its objective.
+#[test]
+fn a_request_waits_for_a_part_of_its_objective() {
+    let mut line = line();
+    let decision = line.arrive(ms(100), ms(400), ms(10_000), 0.0);
+    assert_eq!(decision, LineDecision::Wait { until: ms(220) });
+}
+
+/// More callers than the line serves in time are refused at once, not when their time is over.
+///
+/// 30 requests a second start and ten wait. The eleventh would wait for 330 ms of its 300.
+#[test]
+fn a_request_that_would_be_late_is_refused_at_once() {
+    let mut line = line();
+    for start in 0..60 {
+        line.record_start(ms(start * 33));
+    }
+    for _ in 0..10 {
+        line.join(ms(2_300));
+    }
+    let decision = line.arrive(ms(2_000), ms(2_300), ms(9_900), 0.0);
+    assert!(
+        matches!(decision, LineDecision::Refuse { .. }),
+        "{decision:?}"
+    );
+}
+
+/// Callers refused in the same moment are told unlike times, none longer than they would follow.
+#[test]
+fn advice_is_spread_and_bounded() {
+    let line = line();
+    let soonest = line.retry_after(Duration::ZERO, ms(9_000), 0.0);
+    let latest = line.retry_after(Duration::ZERO, ms(9_000), 1.0);
+    assert_eq!((soonest, latest), (ms(700), ms(2_700)));
+    let short = line.retry_after(Duration::ZERO, ms(900), 0.5);
+    assert_eq!(short, ms(270));
+}
+
+/// The request that is late first goes first, whoever came first.
+#[test]
+fn the_next_to_be_late_goes_first() {
+    let mut line = line();
+    let later = line.join(ms(500));
+    let sooner = line.join(ms(300));
+    assert!(line.is_first(&sooner) && !line.is_first(&later));
+    line.leave(&sooner);
+    assert!(line.is_first(&later));
+    line.leave(&later);
+    assert!(line.is_empty());
+}
+
+/// A line in which nothing started yet does not refuse the second long prompt.
+#[test]
+fn long_prompts_may_wait_before_any_has_started() {
+    let mut line = WaitingLine::new(LineKind::Long.settings());
+    line.join(ms(3_000));
+    let decision = line.arrive(ms(0), ms(3_000), ms(15_000), 0.0);
+    assert!(
+        matches!(decision, LineDecision::Wait { .. }),
+        "{decision:?}"
+    );
+}
+
+/// A caller that comes back is known at any gateway for as long as it may come back.
+#[test]
+fn refusals_are_remembered_and_forgotten() {
+    let mut own = RefusalLog::new();
+    let mut peer = RefusalLog::new();
+    own.record(ms(0), 7);
+    for fingerprint in own.take_untold() {
+        peer.hear(ms(10), fingerprint);
+    }
+    assert!(own.take_untold().is_empty());
+    assert!(own.is_return(ms(3_000), 7) && peer.is_return(ms(3_000), 7));
+    assert!(!peer.is_return(ms(3_000), 8));
+    assert!(!peer.is_return(ms(9_000), 7));
+}
+
+/// A log of refusals stays small however many come.
+#[test]
+fn refusals_are_bounded() {
+    let mut log = RefusalLog::new();
+    for fingerprint in 0..50_000 {
+        log.record(ms(1), fingerprint);
+    }
+    assert!(!log.is_return(ms(1), 0));
+    assert!(log.is_return(ms(1), 49_999));
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
