--- a/lovagedock-gateway/src/direct/board.rs
+++ b/lovagedock-gateway/src/direct/board.rs
@@ -122,6 +122,21 @@
     pub(crate) kept: TokenCount,
 }
 
+/// State of a service's endpoints at one moment.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct PoolSummary {
+    /// Endpoints that take work, ejected ones included.
+    pub(crate) ready: usize,
+    /// Those of them that are ejected after failures.
+    pub(crate) ejected: usize,
+    /// Slots that are free, over all gateways.
+    pub(crate) free_slots: u32,
+    /// Requests that wait at this gateway.
+    pub(crate) waiting: usize,
+    /// Other gateways whose requests are counted; they were heard within 1.5 s.
+    pub(crate) peers: usize,
+}
+
 /// What a search for a place found.
 pub(crate) enum PlaceResult {
     /// A place.
@@ -470,6 +485,23 @@
             .record_request(now);
     }
 
+    /// What a refusal follows from, for the log.
+    pub(crate) fn summary(&self, service: &ServiceId) -> PoolSummary {
+        let now = self.clock.now();
+        let mut fleet = self.fleet.lock();
+        let mut summary = PoolSummary::default();
+        for endpoint in fleet.endpoints.ready(service) {
+            let occupied = fleet.ledger.load(now, &endpoint.id).occupied;
+            summary.ready += 1;
+            summary.free_slots += endpoint.slots.saturating_sub(occupied);
+        }
+        summary.peers = fleet.ledger.peer_count();
+        let state = fleet.service(now, service);
+        summary.ejected = state.ejected.len();
+        summary.waiting = state.lines.iter().map(WaitingLine::len).sum();
+        summary
+    }
+
     /// Takes a retry of a service.
     pub(crate) fn take_retry(&self, service: &ServiceId) -> bool {
         let now = self.clock.now();
--- a/lovagedock-gateway/src/direct/call.rs
+++ b/lovagedock-gateway/src/direct/call.rs
@@ -278,6 +278,7 @@
             }
             LineDecision::Refuse { retry_after } => {
                 self.retry_after = Some(retry_after);
+                self.note_refused("it would wait too long");
                 Err(self.machine.no_place(now))
             }
         }
@@ -291,6 +292,7 @@
                 line.retry_after(Duration::ZERO, time_left, rand::random())
             });
         self.retry_after = Some(retry_after);
+        self.note_refused("no place came free in time");
         self.machine.no_place(now)
     }
 
@@ -521,6 +523,29 @@
             "left_out" => left_out);
     }
 
+    fn note_refused(&self, reason: &'static str) {
+        let now = self.board.clock.now();
+        let Some(left_out) = self.board.lines.take(now) else {
+            return;
+        };
+        let pool = self.board.summary(&self.parts.service);
+        info!(self.board.log, "refused";
+            "request" => &self.parts.head.request,
+            "route" => &self.parts.route.name,
+            "reason" => reason,
+            "line" => ?self.line,
+            "prompt" => self.parts.head.prompt,
+            "waited_ms" => now.saturating_sub(self.parts.arrived).as_millis() as u64,
+            "objective_ms" => self.parts.route.objective.as_millis() as u64,
+            "endpoints" => pool.ready,
+            "ejected" => pool.ejected,
+            "free_slots" => pool.free_slots,
+            "waiting" => pool.waiting,
+            "peers" => pool.peers,
+            "config" => self.parts.config.version,
+            "left_out" => left_out);
+    }
+
     fn note_failure(&self, endpoint: &EndpointId, detail: &str) {
         if let Some(left_out) = self.board.lines.take(self.board.clock.now()) {
             info!(self.board.log, "endpoint failed a request";
