Keep the door open while stopping and take what ends in time

Now requests that are expected to end before the process are served to the end, others are refused as not run, and a connection that is taken late gets its one answer. Ruled out: closing late connections at once (61 requests ended without an answer).

--- a/lovagedock-gateway/src/direct/board.rs
+++ b/lovagedock-gateway/src/direct/board.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{HashMap, HashSet},
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -13,8 +13,8 @@
 use lovagedock::{
     DirectChoice, DirectEndpoint, DirectPlacer, DirectRequest, EndpointTable, LineKind,
     OutlierDetector, OutlierEvent, OutlierSettings, PeerContact, PeerLoad, PlacedWork,
-    PlacerCandidate, RefusalLog, RequestFingerprint, RetryShare, RetryShareSettings, TrafficConfig,
-    WaitingLine, WatchDuty, WorkKey, WorkLedger, prelude::*, short_lane_size,
+    PlacerCandidate, RefusalLog, RequestFingerprint, RetryShare, RetryShareSettings, StopPlan,
+    TrafficConfig, WaitingLine, WatchDuty, WorkKey, WorkLedger, prelude::*, short_lane_size,
 };
 use lovagedock_daemon::ProcessClock;
 use lovagedock_platform::{GatewayEntry, Revision};
@@ -67,7 +67,7 @@
     pub(crate) placed: Notify,
     listed: AtomicBool,
     store_reachable: AtomicBool,
-    stopping: AtomicBool,
+    stopping: OnceLock<StopPlan>,
     /// Bounds lines about requests.
     pub(crate) lines: LineBudget,
     /// Log of the process.
@@ -212,7 +212,7 @@
             placed: Notify::new(),
             listed: AtomicBool::new(false),
             store_reachable: AtomicBool::new(false),
-            stopping: AtomicBool::new(false),
+            stopping: OnceLock::new(),
             lines: LineBudget::new(),
             log,
         }
@@ -269,14 +269,20 @@
         self.fleet.lock().duty.watches(now, &self.name)
     }
 
-    /// Says that the gateway drains.
-    pub(crate) fn set_stopping(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+    /// Says that the gateway stops.
+    pub(crate) fn set_stopping(&self, plan: StopPlan) {
+        // A stop is asked for once; a second request changes nothing.
+        let _ = self.stopping.set(plan);
+    }
+
+    /// How the gateway stops, if it does.
+    pub(crate) fn stop_plan(&self) -> Option<StopPlan> {
+        self.stopping.get().copied()
     }
 
     /// Whether the gateway drains.
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.stopping.get().is_some()
     }
 
     /// Whether the gateway takes new connections.
--- a/lovagedock-gateway/src/direct/call.rs
+++ b/lovagedock-gateway/src/direct/call.rs
@@ -47,9 +47,6 @@
 /// Longest time from a request to its answer when neither caller nor route say one.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
 
-/// Answer of usual length, in tokens, when the caller gives neither hint nor bound.
-const USUAL_ANSWER: TokenCount = 1500;
-
 /// Time beyond its objective that a request which was refused before may wait for room. Callers of
 /// streams leave after two seconds without an event.
 const RETURN_PATIENCE: Duration = Duration::from_millis(900);
@@ -233,13 +230,9 @@
 
     fn look(&self, now: Timestamp, last: bool) -> PlaceResult {
         let head = &self.parts.head;
-        let answer = head
-            .answer_hint
-            .or(head.answer_limit)
-            .unwrap_or(USUAL_ANSWER);
         let request = DirectRequest {
             prompt: head.prompt,
-            answer,
+            answer: head.expected_answer(),
             objective_left: self.late_at.saturating_sub(now),
             gap: self.parts.route.gap_objective,
             returned: self.line == LineKind::Returned,
--- a/lovagedock-gateway/src/direct/dialect.rs
+++ b/lovagedock-gateway/src/direct/dialect.rs
@@ -77,6 +77,17 @@
     pub resume_after: Option<String>,
 }
 
+/// Answer of usual length, in tokens, when the caller gives neither hint nor bound.
+const USUAL_ANSWER: TokenCount = 1500;
+
+impl CallerHead {
+    /// Tokens that the answer is expected to have.
+    pub(crate) fn expected_answer(&self) -> TokenCount {
+        let expected = self.answer_hint.or(self.answer_limit);
+        expected.unwrap_or(USUAL_ANSWER)
+    }
+}
+
 /// What goes into the headers of a request to an endpoint.
 #[derive(Clone, Copy, Debug)]
 pub struct OutgoingHead<'a> {
--- a/lovagedock-gateway/src/direct/front.rs
+++ b/lovagedock-gateway/src/direct/front.rs
@@ -19,13 +19,13 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
-use lovagedock::{RouteMatch, TrafficConfig, prelude::*};
+use lovagedock::{RouteMatch, StopPlan, TrafficConfig, prelude::*};
 use lovagedock_daemon::ShutdownSignal;
 use slog::{Logger, info, warn};
 use tokio::{
     net::{TcpListener, TcpStream},
     task::JoinHandle,
-    time::{sleep, timeout},
+    time::{Instant, sleep, sleep_until, timeout_at},
 };
 use tokio_util::task::TaskTracker;
 
@@ -40,13 +40,12 @@
 /// Pause after an accept that failed, since such errors repeat at once until files are closed.
 pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Time after the request to stop for which connections are still taken and idle ones kept. A
-/// balancer that asks once a second and wants two misses sends connections for two seconds more.
-const STOP_ACCEPTING_AFTER: Duration = Duration::from_millis(2800);
-
 /// Time before the process is killed at which it ends by itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 
+/// Time for the request of a connection that is taken while the gateway stops.
+const LATE_REQUEST_TIME: Duration = Duration::from_millis(700);
+
 /// Beyond the declared idle time, so that a caller that uses a connection just in time finds it.
 const IDLE_SLACK: Duration = Duration::from_secs(1);
 
@@ -87,24 +86,29 @@
     pub(crate) async fn run(self, listener: TcpListener, grace: Duration) {
         let front = Arc::new(self);
         let connections = TaskTracker::new();
-        let accepting = front.accept(&listener, &connections);
         let stop = async {
             front.shutdown.wait().await;
-            front.board.set_stopping();
+            let plan = StopPlan::new(front.board.clock.now(), grace - EXIT_MARGIN.min(grace));
+            front.board.set_stopping(plan);
             info!(front.log, "draining"; "connections" => connections.len());
-            sleep(STOP_ACCEPTING_AFTER).await;
+            sleep_until(front.instant(plan.takes_all_until())).await;
+            connections.close();
+            if timeout_at(front.instant(plan.ends_at()), connections.wait())
+                .await
+                .is_err()
+            {
+                warn!(front.log, "stopping with open connections";
+                    "connections" => connections.len());
+            }
         };
         tokio::select! {
-            () = accepting => {}
+            () = front.accept(&listener, &connections) => {}
             () = stop => {}
         }
-        drop(listener);
-        connections.close();
-        let left = grace.saturating_sub(STOP_ACCEPTING_AFTER + EXIT_MARGIN);
-        if timeout(left, connections.wait()).await.is_err() {
-            warn!(front.log, "stopping with open connections";
-                "connections" => connections.len());
-        }
+    }
+
+    fn instant(&self, at: Timestamp) -> Instant {
+        self.board.clock.instant_at(at).into()
     }
 
     async fn accept(self: &Arc<Self>, listener: &TcpListener, connections: &TaskTracker) {
@@ -126,7 +130,11 @@
         // Without it the connection works, only slower.
         let _ = stream.set_nodelay(true);
         let bounds = self.board.config().map(|config| config.bounds);
-        let idle = bounds.unwrap_or_default().idle_timeout + IDLE_SLACK;
+        let is_late = self.takes_no_idle_connections();
+        let idle = match is_late {
+            true => LATE_REQUEST_TIME,
+            false => bounds.unwrap_or_default().idle_timeout + IDLE_SLACK,
+        };
         let front = Arc::clone(&self);
         let service = service_fn(move |request| {
             let front = Arc::clone(&front);
@@ -138,8 +146,15 @@
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
         let stop = async {
+            if is_late {
+                // Its one request is answered with the word that the connection closes; closed
+                // before, the request would get no answer.
+                std::future::pending::<()>().await;
+            }
             self.shutdown.wait().await;
-            sleep(STOP_ACCEPTING_AFTER).await;
+            if let Some(plan) = self.board.stop_plan() {
+                sleep_until(self.instant(plan.takes_all_until())).await;
+            }
         };
         let ended = tokio::select! {
             ended = connection.as_mut() => ended,
@@ -153,6 +168,13 @@
         }
     }
 
+    /// Whether connections without a request under way are closed.
+    fn takes_no_idle_connections(&self) -> bool {
+        let now = self.board.clock.now();
+        let plan = self.board.stop_plan();
+        plan.is_some_and(|plan| now >= plan.takes_all_until())
+    }
+
     async fn answer(&self, request: Request<Incoming>) -> Response<AnswerBody> {
         let mut response = self.answer_request(request).await;
         if self.board.is_stopping() {
@@ -184,6 +206,9 @@
             Ok(call) => call,
             Err(code) => return self.reject(&id, code),
         };
+        if !self.ends_in_time(&call) {
+            return self.reject(&id, ResultCode::GatewayStopping);
+        }
         let (way, response) = CallerWay::channel();
         let call = DirectCall::new(
             Arc::clone(&self.board),
@@ -198,6 +223,18 @@
         }
     }
 
+    /// Whether a request ends before the process does.
+    fn ends_in_time(&self, call: &CallParts) -> bool {
+        let Some(plan) = self.board.stop_plan() else {
+            return true;
+        };
+        let Some(service) = call.config.services.get(&call.service) else {
+            return true;
+        };
+        let expected = service.expected_time(call.head.prompt, call.head.expected_answer());
+        plan.takes(self.board.clock.now(), expected)
+    }
+
     fn reject(&self, request: &str, code: ResultCode) -> Response<AnswerBody> {
         crate::call_task::count_outcome(code);
         if let Some(left_out) = self.board.lines.take(self.board.clock.now()) {
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -15,6 +15,7 @@
 mod placer;
 mod retries;
 mod returns;
+mod stopping;
 mod waiting;
 
 pub use config::{
@@ -31,4 +32,5 @@
 };
 pub use retries::{RetryShare, RetryShareSettings};
 pub use returns::{RefusalLog, RequestFingerprint};
+pub use stopping::StopPlan;
 pub use waiting::{LineDecision, LineKind, LineSettings, WaitingLine};
--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -65,8 +65,8 @@
     DirectPlacer, DirectRequest, DirectStep, EndpointState, EndpointTable, EngineProfile,
     EventSplitter, HelperPart, LineDecision, LineKind, LineSettings, PeerContact, PeerLoad,
     PlacedWork, PlacerCandidate, RefusalLog, RequestFingerprint, RetryShare, RetryShareSettings,
-    RouteMatch, RouteMode, RouteRule, RouteTarget, ServiceProfile, StreamEvent, TrafficConfig,
-    WaitingLine, WatchDuty, WorkKey, WorkLedger, short_lane_size,
+    RouteMatch, RouteMode, RouteRule, RouteTarget, ServiceProfile, StopPlan, StreamEvent,
+    TrafficConfig, WaitingLine, WatchDuty, WorkKey, WorkLedger, short_lane_size,
 };
 pub use endpoint::{
     EndpointAction, EndpointCore, EndpointEvent, EndpointLimits, EndpointLoad, EndpointSafeguards,
--- a/lovagedock/tests/direct_state.rs
+++ b/lovagedock/tests/direct_state.rs
@@ -4,8 +4,8 @@
 
 use lovagedock::{
     DirectEndpoint, EndpointState, EndpointTable, EventSplitter, PeerContact, RetryShare,
-    RetryShareSettings, RouteMatch, RouteMode, RouteRule, RouteTarget, TrafficConfig, WatchDuty,
-    prelude::*,
+    RetryShareSettings, RouteMatch, RouteMode, RouteRule, RouteTarget, StopPlan, TrafficConfig,
+    WatchDuty, prelude::*,
 };
 
 fn route(name: &str, host: &str, prefix: &str) -> RouteRule {
@@ -277,6 +277,64 @@
     }
 }
 
+struct StopCase {
+    name: &'static str,
+    after_ms: u64,
+    expected_ms: u64,
+    takes: bool,
+}
+
+/// Callers find an open door while all gateways stop, and no request is taken that would be cut.
+///
+/// The process ends 7.7 s after it was asked to stop. For 2.8 s the balancer may not know. Later,
+/// what is expected to end in time is served, and the rest is told at once to come back.
+#[test]
+fn a_stopping_gateway_takes_what_ends_in_time() {
+    let cases = [
+        StopCase {
+            name: "at once, however long",
+            after_ms: 100,
+            expected_ms: 9_000,
+            takes: true,
+        },
+        StopCase {
+            name: "short, half way",
+            after_ms: 4_000,
+            expected_ms: 2_300,
+            takes: true,
+        },
+        StopCase {
+            name: "long, half way",
+            after_ms: 4_000,
+            expected_ms: 3_000,
+            takes: false,
+        },
+        StopCase {
+            name: "short, near the end",
+            after_ms: 6_000,
+            expected_ms: 2_300,
+            takes: false,
+        },
+        StopCase {
+            name: "plain, near the end",
+            after_ms: 6_000,
+            expected_ms: 400,
+            takes: true,
+        },
+        StopCase {
+            name: "anything after the end",
+            after_ms: 8_000,
+            expected_ms: 1,
+            takes: false,
+        },
+    ];
+    let plan = StopPlan::new(ms(0), ms(7_700));
+    for case in cases {
+        let takes = plan.takes(ms(case.after_ms), ms(case.expected_ms));
+        assert_eq!(takes, case.takes, "{}", case.name);
+    }
+}
+
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
