--- a/lovagedock-gateway/src/direct/board.rs
+++ b/lovagedock-gateway/src/direct/board/mod.rs
@@ -1,5 +1,8 @@
 //! What a gateway knows and has decided, shared by all its requests.
 
+mod place;
+mod state;
+
 use std::{
     collections::{HashMap, HashSet},
     sync::{
@@ -11,10 +14,9 @@
 
 use arc_swap::ArcSwapOption;
 use lovagedock::{
-    DirectChoice, DirectEndpoint, DirectPlacer, DirectRequest, EndpointTable, LineKind,
-    OutlierDetector, OutlierEvent, OutlierSettings, PeerContact, PeerLoad, PlacedWork,
-    PlacerCandidate, RefusalLog, RequestFingerprint, RetryShare, RetryShareSettings, StopPlan,
-    TrafficConfig, WaitingLine, WatchDuty, WorkKey, WorkLedger, prelude::*, short_lane_size,
+    DirectEndpoint, EndpointTable, LineKind, OutlierEvent, PeerContact, PeerLoad, RefusalLog,
+    RequestFingerprint, RetryShareSettings, StopPlan, TrafficConfig, WaitingLine, WatchDuty,
+    WorkLedger, prelude::*,
 };
 use lovagedock_daemon::ProcessClock;
 use lovagedock_platform::{GatewayEntry, Revision};
@@ -22,23 +24,10 @@
 use slog::{Logger, info};
 use tokio::sync::{Notify, futures::Notified};
 
+use self::state::FleetState;
 use super::{journal::LineBudget, relay::EndpointsState};
 
-/// When endpoints are ejected. Two failures in a row are rare while an endpoint is sound (0.4% of
-/// requests fail by themselves), and a second of ejection is short against a restart; a third of
-/// the pool may be out, the most that our operators lose at once.
-const OUTLIERS: OutlierSettings = OutlierSettings {
-    consecutive_failures: 2,
-    base_ejection: Duration::from_millis(1500),
-    max_ejection: Duration::from_secs(6),
-    max_ejected_percent: 34,
-    probe_timeout: Duration::from_secs(2),
-    calm: Duration::from_secs(20),
-};
-
-/// Loss up to which a place is taken at once. Above it a request waits a moment for a better one:
-/// it is about half a short request that comes late.
-const WAIT_LOSS: f64 = 0.4;
+pub(crate) use place::{PlaceResult, PlacedRequest};
 
 /// Steps of the delay after which a gateway takes slots that a peer has freed; a step is longer than
 /// it takes to hear of a peer's request.
@@ -74,118 +63,6 @@
     pub(crate) log: Logger,
 }
 
-struct FleetState {
-    endpoints: EndpointTable,
-    ledger: WorkLedger,
-    services: HashMap<ServiceId, ServiceState>,
-    peers: HashMap<GatewayId, GatewayEntry>,
-    retries: RetryShareSettings,
-    refusals: RefusalLog,
-    duty: WatchDuty,
-    endpoints_revision: Revision,
-}
-
-struct ServiceState {
-    outliers: OutlierDetector,
-    ejected: HashSet<EndpointId>,
-    /// When an endpoint last sent anything.
-    heard: HashMap<EndpointId, Timestamp>,
-    retries: RetryShare,
-    /// Waiting lines by kind.
-    lines: [WaitingLine; LineKind::ALL.len()],
-}
-
-/// A request that has a place.
-pub(crate) struct PlacedRequest {
-    /// The endpoint that answers.
-    pub(crate) lead: DirectEndpoint,
-    /// Endpoints that read parts of the prompt.
-    pub(crate) helpers: Vec<PlacedHelper>,
-    /// Predicted time to the first event.
-    pub(crate) first_event: Duration,
-    /// Value that placement expects to lose.
-    pub(crate) loss: f64,
-    /// Requests on the endpoint before, over all gateways.
-    pub(crate) occupied: u32,
-    /// Reading that was placed there before, over all gateways.
-    pub(crate) backlog: Duration,
-    /// Keys of the work in the ledger.
-    pub(crate) hold: WorkHold,
-}
-
-/// An endpoint that reads a part of a placed prompt.
-#[derive(Clone, Debug)]
-pub(crate) struct PlacedHelper {
-    /// The endpoint.
-    pub(crate) endpoint: DirectEndpoint,
-    /// Tokens that it keeps and that have to be reserved.
-    pub(crate) kept: TokenCount,
-}
-
-/// State of a service's endpoints at one moment.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct PoolSummary {
-    /// Endpoints that take work, ejected ones included.
-    pub(crate) ready: usize,
-    /// Those of them that are ejected after failures.
-    pub(crate) ejected: usize,
-    /// Slots that are free, over all gateways.
-    pub(crate) free_slots: u32,
-    /// Requests that wait at this gateway.
-    pub(crate) waiting: usize,
-    /// Other gateways whose requests are counted; they were heard within 1.5 s.
-    pub(crate) peers: usize,
-}
-
-/// What a search for a place found.
-pub(crate) enum PlaceResult {
-    /// A place.
-    Placed(Box<PlacedRequest>),
-    /// Every endpoint is full, or the only places would harm others; the predicted loss.
-    Full,
-    /// The service has no endpoint that takes work and was not tried.
-    NoEndpoint,
-}
-
-/// Counts a request's work out of the ledger when it is dropped, however the request ends.
-pub(crate) struct WorkHold {
-    board: Arc<FleetBoard>,
-    lead: WorkKey,
-    helpers: Vec<WorkKey>,
-    reading: bool,
-}
-
-impl WorkHold {
-    /// Records that the prompt has been read; helpers are free then.
-    pub(crate) fn finish_reading(&mut self) {
-        if !std::mem::take(&mut self.reading) {
-            return;
-        }
-        let now = self.board.clock.now();
-        let mut fleet = self.board.fleet.lock();
-        fleet.ledger.finish_reading(now, self.lead);
-        for key in self.helpers.drain(..) {
-            fleet.ledger.finish_reading(now, key);
-            fleet.ledger.finish(now, key);
-        }
-        drop(fleet);
-        self.board.note_change();
-    }
-}
-
-impl Drop for WorkHold {
-    fn drop(&mut self) {
-        let now = self.board.clock.now();
-        let mut fleet = self.board.fleet.lock();
-        fleet.ledger.finish(now, self.lead);
-        for key in self.helpers.drain(..) {
-            fleet.ledger.finish(now, key);
-        }
-        drop(fleet);
-        self.board.note_change();
-    }
-}
-
 impl FleetBoard {
     /// A board of a gateway that knows nothing yet.
     pub(crate) fn new(
@@ -491,23 +368,6 @@
             .record_request(now);
     }
 
-    /// What a refusal follows from, for the log.
-    pub(crate) fn summary(&self, service: &ServiceId) -> PoolSummary {
-        let now = self.clock.now();
-        let mut fleet = self.fleet.lock();
-        let mut summary = PoolSummary::default();
-        for endpoint in fleet.endpoints.ready(service) {
-            let occupied = fleet.ledger.load(now, &endpoint.id).occupied;
-            summary.ready += 1;
-            summary.free_slots += endpoint.slots.saturating_sub(occupied);
-        }
-        summary.peers = fleet.ledger.peer_count();
-        let state = fleet.service(now, service);
-        summary.ejected = state.ejected.len();
-        summary.waiting = state.lines.iter().map(WaitingLine::len).sum();
-        summary
-    }
-
     /// Takes a retry of a service.
     pub(crate) fn take_retry(&self, service: &ServiceId) -> bool {
         let now = self.clock.now();
@@ -558,185 +418,6 @@
         let now = self.clock.now();
         work(&mut self.fleet.lock().service(now, service).lines[kind as usize])
     }
-
-    /// Looks for a place; `last` says that the request cannot wait for a better one.
-    pub(crate) fn place(
-        self: &Arc<Self>,
-        config: &TrafficConfig,
-        service: &ServiceId,
-        request: &DirectRequest,
-        excluded: &[EndpointId],
-        kind: LineKind,
-        last: bool,
-    ) -> PlaceResult {
-        let now = self.clock.now();
-        let mut fleet = self.fleet.lock();
-        let profile = config.services.get(service).and_then(|s| s.engine.as_ref());
-        let Some(search) = fleet.search(now, service, excluded) else {
-            return PlaceResult::NoEndpoint;
-        };
-        let placer = DirectPlacer::new(profile);
-        let Some(choice) = placer.place(request, &search) else {
-            return PlaceResult::Full;
-        };
-        let acceptable = match last {
-            true => choice.is_worth_starting(request),
-            false => choice.harm <= WAIT_LOSS,
-        };
-        if !acceptable {
-            return PlaceResult::Full;
-        }
-        let works = placer.works(request, &choice, &search);
-        let placed = PlacedParts::new(&choice, &search);
-        drop(search);
-        let hold = self.hold(now, &mut fleet, works);
-        let state = fleet.service(now, service);
-        state.lines[kind as usize].record_start(now);
-        let probe = OutlierEvent::ProbeSent(placed.lead.id.clone());
-        let actions = state.outliers.handle(now, probe);
-        state.apply(actions, &self.log);
-        drop(fleet);
-        self.placed.notify_one();
-        PlaceResult::Placed(Box::new(PlacedRequest {
-            lead: placed.lead,
-            helpers: placed.helpers,
-            first_event: choice.first_event,
-            loss: choice.harm,
-            occupied: placed.occupied,
-            backlog: placed.backlog,
-            hold,
-        }))
-    }
-
-    fn hold(
-        self: &Arc<Self>,
-        now: Timestamp,
-        fleet: &mut FleetState,
-        works: Vec<PlacedWork>,
-    ) -> WorkHold {
-        let mut keys = works.into_iter().map(|work| fleet.ledger.place(now, work));
-        let lead = keys.next().unwrap_or_default();
-        WorkHold {
-            board: Arc::clone(self),
-            lead,
-            helpers: keys.collect(),
-            reading: true,
-        }
-    }
-}
-
-/// What is told of a choice after the search that it was made from is gone.
-struct PlacedParts {
-    lead: DirectEndpoint,
-    helpers: Vec<PlacedHelper>,
-    occupied: u32,
-    backlog: Duration,
-}
-
-impl PlacedParts {
-    fn new(choice: &DirectChoice, candidates: &[PlacerCandidate]) -> Self {
-        let lead = &candidates[choice.lead];
-        let helpers = choice.helpers.iter().map(|helper| PlacedHelper {
-            endpoint: candidates[helper.index].endpoint.clone(),
-            kept: helper.kept,
-        });
-        Self {
-            lead: lead.endpoint.clone(),
-            helpers: helpers.collect(),
-            occupied: lead.load.occupied,
-            backlog: lead.load.backlog,
-        }
-    }
-}
-
-impl FleetState {
-    fn service(&mut self, now: Timestamp, id: &ServiceId) -> &mut ServiceState {
-        let retries = self.retries;
-        let gateways = self.ledger.peer_count() + 1;
-        self.services
-            .entry(id.clone())
-            .or_insert_with(|| ServiceState {
-                outliers: OutlierDetector::new(OUTLIERS),
-                ejected: HashSet::new(),
-                heard: HashMap::new(),
-                retries: RetryShare::new(now, retries, gateways),
-                lines: LineKind::ALL.map(|kind| WaitingLine::new(kind.settings())),
-            })
-    }
-
-    fn forget_endpoint(&mut self, now: Timestamp, id: &EndpointId) {
-        let Some(service) = self.endpoints.get(id).map(|e| e.service.clone()) else {
-            return;
-        };
-        self.endpoints.remove(id);
-        self.ledger.forget_endpoint(id);
-        let state = self.service(now, &service);
-        state.ejected.remove(id);
-        state.heard.remove(id);
-        state.outliers.handle(now, OutlierEvent::Left(id.clone()));
-    }
-
-    /// Endpoints, from the first, that are kept for short prompts. All gateways list endpoints in
-    /// the same order and hear of each other's requests, so they agree but for the moment.
-    fn short_lane(&self, service: &ServiceId) -> usize {
-        let mut short = 0;
-        let mut slots = 1;
-        let mut endpoints = 0;
-        for endpoint in self.endpoints.ready(service) {
-            short += self.ledger.short_count(&endpoint.id);
-            slots = slots.max(endpoint.slots);
-            endpoints += 1;
-        }
-        short_lane_size(short, slots, endpoints)
-    }
-
-    /// Endpoints with a free slot; `None` when the service has none that takes work.
-    fn search(
-        &self,
-        now: Timestamp,
-        service: &ServiceId,
-        excluded: &[EndpointId],
-    ) -> Option<Vec<PlacerCandidate>> {
-        let ejected = self.services.get(service).map(|state| &state.ejected);
-        let mut candidates = Vec::new();
-        let mut found = false;
-        let lane = self.short_lane(service);
-        for (position, endpoint) in self.endpoints.ready(service).enumerate() {
-            if excluded.contains(&endpoint.id) {
-                continue;
-            }
-            if ejected.is_some_and(|ejected| ejected.contains(&endpoint.id)) {
-                continue;
-            }
-            found = true;
-            let load = self.ledger.load(now, &endpoint.id);
-            if load.occupied < endpoint.slots {
-                let endpoint = endpoint.clone();
-                candidates.push(PlacerCandidate {
-                    endpoint,
-                    load,
-                    position,
-                    short_lane: position < lane,
-                });
-            }
-        }
-        found.then_some(candidates)
-    }
-}
-
-impl ServiceState {
-    fn apply(&mut self, actions: Vec<lovagedock::OutlierAction>, log: &Logger) {
-        for action in actions {
-            info!(log, "endpoint admission";
-                "endpoint" => &*action.endpoint, "ejected" => action.ejected,
-                "cause" => ?action.cause);
-            if action.ejected {
-                self.ejected.insert(action.endpoint);
-            } else {
-                self.ejected.remove(&action.endpoint);
-            }
-        }
-    }
 }
 
 fn endpoint_text(endpoint: &DirectEndpoint) -> String {
--- /dev/null
+++ b/lovagedock-gateway/src/direct/board/place.rs
@@ -0,0 +1,213 @@
+//! Places requests and counts them out again.
+
+use std::{sync::Arc, time::Duration};
+
+use lovagedock::{
+    DirectChoice, DirectEndpoint, DirectPlacer, DirectRequest, LineKind, OutlierEvent, PlacedWork,
+    PlacerCandidate, TrafficConfig, WaitingLine, WorkKey, prelude::*,
+};
+
+use super::{FleetBoard, state::FleetState};
+
+/// Loss up to which a place is taken at once. Above it a request waits a moment for a better one:
+/// it is about half a short request that comes late.
+const WAIT_LOSS: f64 = 0.4;
+
+/// A request that has a place.
+pub(crate) struct PlacedRequest {
+    /// The endpoint that answers.
+    pub(crate) lead: DirectEndpoint,
+    /// Endpoints that read parts of the prompt.
+    pub(crate) helpers: Vec<PlacedHelper>,
+    /// Predicted time to the first event.
+    pub(crate) first_event: Duration,
+    /// Value that placement expects to lose.
+    pub(crate) loss: f64,
+    /// Requests on the endpoint before, over all gateways.
+    pub(crate) occupied: u32,
+    /// Reading that was placed there before, over all gateways.
+    pub(crate) backlog: Duration,
+    /// Keys of the work in the ledger.
+    pub(crate) hold: WorkHold,
+}
+
+/// An endpoint that reads a part of a placed prompt.
+#[derive(Clone, Debug)]
+pub(crate) struct PlacedHelper {
+    /// The endpoint.
+    pub(crate) endpoint: DirectEndpoint,
+    /// Tokens that it keeps and that have to be reserved.
+    pub(crate) kept: TokenCount,
+}
+
+/// State of a service's endpoints at one moment.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct PoolSummary {
+    /// Endpoints that take work, ejected ones included.
+    pub(crate) ready: usize,
+    /// Those of them that are ejected after failures.
+    pub(crate) ejected: usize,
+    /// Slots that are free, over all gateways.
+    pub(crate) free_slots: u32,
+    /// Requests that wait at this gateway.
+    pub(crate) waiting: usize,
+    /// Other gateways whose requests are counted; they were heard within 1.5 s.
+    pub(crate) peers: usize,
+}
+
+/// What a search for a place found.
+pub(crate) enum PlaceResult {
+    /// A place.
+    Placed(Box<PlacedRequest>),
+    /// Every endpoint is full, or the only places would harm others; the predicted loss.
+    Full,
+    /// The service has no endpoint that takes work and was not tried.
+    NoEndpoint,
+}
+
+/// Counts a request's work out of the ledger when it is dropped, however the request ends.
+pub(crate) struct WorkHold {
+    board: Arc<FleetBoard>,
+    lead: WorkKey,
+    helpers: Vec<WorkKey>,
+    reading: bool,
+}
+
+impl WorkHold {
+    /// Records that the prompt has been read; helpers are free then.
+    pub(crate) fn finish_reading(&mut self) {
+        if !std::mem::take(&mut self.reading) {
+            return;
+        }
+        let now = self.board.clock.now();
+        let mut fleet = self.board.fleet.lock();
+        fleet.ledger.finish_reading(now, self.lead);
+        for key in self.helpers.drain(..) {
+            fleet.ledger.finish_reading(now, key);
+            fleet.ledger.finish(now, key);
+        }
+        drop(fleet);
+        self.board.note_change();
+    }
+}
+
+impl Drop for WorkHold {
+    fn drop(&mut self) {
+        let now = self.board.clock.now();
+        let mut fleet = self.board.fleet.lock();
+        fleet.ledger.finish(now, self.lead);
+        for key in self.helpers.drain(..) {
+            fleet.ledger.finish(now, key);
+        }
+        drop(fleet);
+        self.board.note_change();
+    }
+}
+
+impl FleetBoard {
+    /// What a refusal follows from, for the log.
+    pub(crate) fn summary(&self, service: &ServiceId) -> PoolSummary {
+        let now = self.clock.now();
+        let mut fleet = self.fleet.lock();
+        let mut summary = PoolSummary::default();
+        for endpoint in fleet.endpoints.ready(service) {
+            let occupied = fleet.ledger.load(now, &endpoint.id).occupied;
+            summary.ready += 1;
+            summary.free_slots += endpoint.slots.saturating_sub(occupied);
+        }
+        summary.peers = fleet.ledger.peer_count();
+        let state = fleet.service(now, service);
+        summary.ejected = state.ejected.len();
+        summary.waiting = state.lines.iter().map(WaitingLine::len).sum();
+        summary
+    }
+
+    /// Looks for a place; `last` says that the request cannot wait for a better one.
+    pub(crate) fn place(
+        self: &Arc<Self>,
+        config: &TrafficConfig,
+        service: &ServiceId,
+        request: &DirectRequest,
+        excluded: &[EndpointId],
+        kind: LineKind,
+        last: bool,
+    ) -> PlaceResult {
+        let now = self.clock.now();
+        let mut fleet = self.fleet.lock();
+        let profile = config.services.get(service).and_then(|s| s.engine.as_ref());
+        let Some(search) = fleet.search(now, service, excluded) else {
+            return PlaceResult::NoEndpoint;
+        };
+        let placer = DirectPlacer::new(profile);
+        let Some(choice) = placer.place(request, &search) else {
+            return PlaceResult::Full;
+        };
+        let acceptable = match last {
+            true => choice.is_worth_starting(request),
+            false => choice.harm <= WAIT_LOSS,
+        };
+        if !acceptable {
+            return PlaceResult::Full;
+        }
+        let works = placer.works(request, &choice, &search);
+        let placed = PlacedParts::new(&choice, &search);
+        drop(search);
+        let hold = self.hold(now, &mut fleet, works);
+        let state = fleet.service(now, service);
+        state.lines[kind as usize].record_start(now);
+        let probe = OutlierEvent::ProbeSent(placed.lead.id.clone());
+        let actions = state.outliers.handle(now, probe);
+        state.apply(actions, &self.log);
+        drop(fleet);
+        self.placed.notify_one();
+        PlaceResult::Placed(Box::new(PlacedRequest {
+            lead: placed.lead,
+            helpers: placed.helpers,
+            first_event: choice.first_event,
+            loss: choice.harm,
+            occupied: placed.occupied,
+            backlog: placed.backlog,
+            hold,
+        }))
+    }
+
+    fn hold(
+        self: &Arc<Self>,
+        now: Timestamp,
+        fleet: &mut FleetState,
+        works: Vec<PlacedWork>,
+    ) -> WorkHold {
+        let mut keys = works.into_iter().map(|work| fleet.ledger.place(now, work));
+        let lead = keys.next().unwrap_or_default();
+        WorkHold {
+            board: Arc::clone(self),
+            lead,
+            helpers: keys.collect(),
+            reading: true,
+        }
+    }
+}
+
+/// What is told of a choice after the search that it was made from is gone.
+struct PlacedParts {
+    lead: DirectEndpoint,
+    helpers: Vec<PlacedHelper>,
+    occupied: u32,
+    backlog: Duration,
+}
+
+impl PlacedParts {
+    fn new(choice: &DirectChoice, candidates: &[PlacerCandidate]) -> Self {
+        let lead = &candidates[choice.lead];
+        let helpers = choice.helpers.iter().map(|helper| PlacedHelper {
+            endpoint: candidates[helper.index].endpoint.clone(),
+            kept: helper.kept,
+        });
+        Self {
+            lead: lead.endpoint.clone(),
+            helpers: helpers.collect(),
+            occupied: lead.load.occupied,
+            backlog: lead.load.backlog,
+        }
+    }
+}
--- /dev/null
+++ b/lovagedock-gateway/src/direct/board/state.rs
@@ -0,0 +1,137 @@
+//! What the board's lock protects.
+
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
+
+use lovagedock::{
+    EndpointTable, LineKind, OutlierAction, OutlierDetector, OutlierEvent, OutlierSettings,
+    PlacerCandidate, RefusalLog, RetryShare, RetryShareSettings, WaitingLine, WatchDuty,
+    WorkLedger, prelude::*, short_lane_size,
+};
+use lovagedock_platform::{GatewayEntry, Revision};
+use slog::{Logger, info};
+
+/// When endpoints are ejected. Two failures in a row are rare while an endpoint is sound (0.4% of
+/// requests fail by themselves), and a second of ejection is short against a restart; a third of
+/// the pool may be out, the most that our operators lose at once.
+const OUTLIERS: OutlierSettings = OutlierSettings {
+    consecutive_failures: 2,
+    base_ejection: Duration::from_millis(1500),
+    max_ejection: Duration::from_secs(6),
+    max_ejected_percent: 34,
+    probe_timeout: Duration::from_secs(2),
+    calm: Duration::from_secs(20),
+};
+
+pub(super) struct FleetState {
+    pub(super) endpoints: EndpointTable,
+    pub(super) ledger: WorkLedger,
+    pub(super) services: HashMap<ServiceId, ServiceState>,
+    pub(super) peers: HashMap<GatewayId, GatewayEntry>,
+    pub(super) retries: RetryShareSettings,
+    pub(super) refusals: RefusalLog,
+    pub(super) duty: WatchDuty,
+    pub(super) endpoints_revision: Revision,
+}
+
+pub(super) struct ServiceState {
+    pub(super) outliers: OutlierDetector,
+    pub(super) ejected: HashSet<EndpointId>,
+    /// When an endpoint last sent anything.
+    pub(super) heard: HashMap<EndpointId, Timestamp>,
+    pub(super) retries: RetryShare,
+    /// Waiting lines by kind.
+    pub(super) lines: [WaitingLine; LineKind::ALL.len()],
+}
+
+impl FleetState {
+    pub(super) fn service(&mut self, now: Timestamp, id: &ServiceId) -> &mut ServiceState {
+        let retries = self.retries;
+        let gateways = self.ledger.peer_count() + 1;
+        self.services
+            .entry(id.clone())
+            .or_insert_with(|| ServiceState {
+                outliers: OutlierDetector::new(OUTLIERS),
+                ejected: HashSet::new(),
+                heard: HashMap::new(),
+                retries: RetryShare::new(now, retries, gateways),
+                lines: LineKind::ALL.map(|kind| WaitingLine::new(kind.settings())),
+            })
+    }
+
+    pub(super) fn forget_endpoint(&mut self, now: Timestamp, id: &EndpointId) {
+        let Some(service) = self.endpoints.get(id).map(|e| e.service.clone()) else {
+            return;
+        };
+        self.endpoints.remove(id);
+        self.ledger.forget_endpoint(id);
+        let state = self.service(now, &service);
+        state.ejected.remove(id);
+        state.heard.remove(id);
+        state.outliers.handle(now, OutlierEvent::Left(id.clone()));
+    }
+
+    /// Endpoints, from the first, that are kept for short prompts. All gateways list endpoints in
+    /// the same order and hear of each other's requests, so they agree but for the moment.
+    pub(super) fn short_lane(&self, service: &ServiceId) -> usize {
+        let mut short = 0;
+        let mut slots = 1;
+        let mut endpoints = 0;
+        for endpoint in self.endpoints.ready(service) {
+            short += self.ledger.short_count(&endpoint.id);
+            slots = slots.max(endpoint.slots);
+            endpoints += 1;
+        }
+        short_lane_size(short, slots, endpoints)
+    }
+
+    /// Endpoints with a free slot; `None` when the service has none that takes work.
+    pub(super) fn search(
+        &self,
+        now: Timestamp,
+        service: &ServiceId,
+        excluded: &[EndpointId],
+    ) -> Option<Vec<PlacerCandidate>> {
+        let ejected = self.services.get(service).map(|state| &state.ejected);
+        let mut candidates = Vec::new();
+        let mut found = false;
+        let lane = self.short_lane(service);
+        for (position, endpoint) in self.endpoints.ready(service).enumerate() {
+            if excluded.contains(&endpoint.id) {
+                continue;
+            }
+            if ejected.is_some_and(|ejected| ejected.contains(&endpoint.id)) {
+                continue;
+            }
+            found = true;
+            let load = self.ledger.load(now, &endpoint.id);
+            if load.occupied < endpoint.slots {
+                let endpoint = endpoint.clone();
+                candidates.push(PlacerCandidate {
+                    endpoint,
+                    load,
+                    position,
+                    short_lane: position < lane,
+                });
+            }
+        }
+        found.then_some(candidates)
+    }
+}
+
+impl ServiceState {
+    pub(super) fn apply(&mut self, actions: Vec<OutlierAction>, log: &Logger) {
+        for action in actions {
+            info!(log, "endpoint admission";
+                "endpoint" => &*action.endpoint, "ejected" => action.ejected,
+                "cause" => ?action.cause);
+            if action.ejected {
+                self.ejected.insert(action.endpoint);
+            } else {
+                self.ejected.remove(&action.endpoint);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lovagedock-gateway/src/direct/call/log.rs
@@ -0,0 +1,109 @@
+//! Log lines and metrics of a request.
+
+use std::time::Duration;
+
+use lovagedock::{AttemptEnd, DirectStep, prelude::*};
+use slog::info;
+
+use super::DirectCall;
+use crate::direct::board::PlacedRequest;
+
+impl DirectCall {
+    pub(super) fn note_placed(&self, placed: &PlacedRequest) {
+        let now = self.board.clock.now();
+        let Some(left_out) = self.board.lines.take(now) else {
+            return;
+        };
+        info!(self.board.log, "placed";
+            "request" => &self.parts.head.request,
+            "route" => &self.parts.route.name,
+            "endpoint" => &*placed.lead.id,
+            "helpers" => helper_names(placed),
+            "prompt" => self.parts.head.prompt,
+            "occupied" => placed.occupied,
+            "backlog_ms" => placed.backlog.as_millis() as u64,
+            "first_event_ms" => placed.first_event.as_millis() as u64,
+            "loss" => placed.loss,
+            "waited_ms" => now.saturating_sub(self.parts.arrived).as_millis() as u64,
+            "config" => self.parts.config.version,
+            "left_out" => left_out);
+    }
+
+    pub(super) fn note_refused(&self, reason: &'static str) {
+        let now = self.board.clock.now();
+        let Some(left_out) = self.board.lines.take(now) else {
+            return;
+        };
+        let pool = self.board.summary(&self.parts.service);
+        info!(self.board.log, "refused";
+            "request" => &self.parts.head.request,
+            "route" => &self.parts.route.name,
+            "reason" => reason,
+            "line" => ?self.line,
+            "prompt" => self.parts.head.prompt,
+            "waited_ms" => now.saturating_sub(self.parts.arrived).as_millis() as u64,
+            "objective_ms" => self.parts.route.objective.as_millis() as u64,
+            "endpoints" => pool.ready,
+            "ejected" => pool.ejected,
+            "free_slots" => pool.free_slots,
+            "waiting" => pool.waiting,
+            "peers" => pool.peers,
+            "config" => self.parts.config.version,
+            "left_out" => left_out);
+    }
+
+    pub(super) fn note_failure(&self, endpoint: &EndpointId, detail: &str) {
+        if let Some(left_out) = self.board.lines.take(self.board.clock.now()) {
+            info!(self.board.log, "endpoint failed a request";
+                "request" => &self.parts.head.request, "endpoint" => &**endpoint,
+                "detail" => detail, "left_out" => left_out);
+        }
+    }
+
+    pub(super) fn note_attempt(&self, endpoint: &EndpointId, end: AttemptEnd, step: DirectStep) {
+        if end == AttemptEnd::Complete {
+            return;
+        }
+        if let Some(left_out) = self.board.lines.take(self.board.clock.now()) {
+            info!(self.board.log, "attempt ended";
+                "request" => &self.parts.head.request, "endpoint" => &**endpoint,
+                "sent" => self.machine.sent(), "end" => ?end, "next" => ?step,
+                "events" => self.stream.events(), "left_out" => left_out);
+        }
+    }
+
+    pub(super) fn note_end(&self, code: ResultCode) {
+        let now = self.board.clock.now();
+        let took = now.saturating_sub(self.parts.arrived);
+        crate::call_task::count_outcome(code);
+        metrics::histogram!("lovagedock_request_seconds", "route" => self.parts.route.name.clone())
+            .record(took.as_secs_f64());
+        if let Some(left_out) = self.board.lines.take(now) {
+            info!(self.board.log, "request ended";
+                "request" => &self.parts.head.request,
+                "route" => &self.parts.route.name,
+                "prompt" => self.parts.head.prompt,
+                "code" => code.number(),
+                "ran" => self.machine.ran().as_str(),
+                "sent" => self.machine.sent(),
+                "events" => self.stream.events(),
+                "first_event_ms" => self.first_event().map(|first| first.as_millis() as u64),
+                "longest_gap_ms" => self.stream.longest_gap().as_millis() as u64,
+                "ms" => took.as_millis() as u64,
+                "retry_after_ms" => self.retry_after.map(|delay| delay.as_millis() as u64),
+                "left_out" => left_out);
+        }
+    }
+
+    /// Time from the request to the first event.
+    fn first_event(&self) -> Option<Duration> {
+        let first_at = self.stream.first_at()?;
+        Some(first_at.saturating_duration_since(self.instant(self.parts.arrived)))
+    }
+}
+
+/// Helpers of a request for the log.
+fn helper_names(placed: &PlacedRequest) -> String {
+    let names = placed.helpers.iter().map(|helper| &*helper.endpoint.id);
+    names.collect::<Vec<_>>().join(",")
+}
--- /dev/null
+++ b/lovagedock-gateway/src/direct/call/waiting.rs
@@ -0,0 +1,142 @@
+//! Waits for a place.
+
+use std::{sync::Arc, time::Duration};
+
+use lovagedock::{DirectRequest, DirectStep, LineDecision, LineKind, prelude::*};
+use tokio::time::sleep_until;
+
+use super::DirectCall;
+use crate::direct::board::{FleetBoard, PlaceResult, PlacedRequest};
+
+/// Longest time between two looks for a place.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
+
+/// Waiting time that a rank is worth: in a line, a request goes before one of the next rank that is
+/// late this much sooner. A rank that went first without bound would starve the ranks below.
+const RANK_TIME: Duration = Duration::from_millis(20);
+
+impl DirectCall {
+    /// Waits for a place.
+    pub(super) async fn find_place(&mut self) -> Result<PlacedRequest, DirectStep> {
+        let mut waiting: Option<LineTicket> = None;
+        loop {
+            let board = Arc::clone(&self.board);
+            let mut changed = std::pin::pin!(board.changed());
+            changed.as_mut().enable();
+            let now = self.board.clock.now();
+            if now >= self.deadline {
+                return Err(self.machine.expired());
+            }
+            let last_look = waiting.as_ref().is_some_and(|ticket| now >= ticket.until);
+            let may_look = waiting.as_ref().is_none_or(LineTicket::is_first) || last_look;
+            if may_look {
+                match self.look(now, last_look) {
+                    PlaceResult::Placed(placed) => return Ok(*placed),
+                    PlaceResult::NoEndpoint if self.machine.sent() > 0 || last_look => {
+                        return Err(self.refuse(now));
+                    }
+                    PlaceResult::Full | PlaceResult::NoEndpoint if last_look => {
+                        return Err(self.refuse(now));
+                    }
+                    PlaceResult::Full | PlaceResult::NoEndpoint => {}
+                }
+            }
+            let until = match &waiting {
+                Some(ticket) => ticket.until,
+                None => {
+                    let ticket = self.join_line(now)?;
+                    waiting.insert(ticket).until
+                }
+            };
+            let wake = until.min(now + LOOK_AGAIN);
+            tokio::select! {
+                () = changed => {}
+                () = sleep_until(self.instant(wake)) => {}
+            }
+        }
+    }
+
+    fn look(&self, now: Timestamp, last: bool) -> PlaceResult {
+        let head = &self.parts.head;
+        let request = DirectRequest {
+            prompt: head.prompt,
+            answer: head.expected_answer(),
+            objective_left: self.late_at.saturating_sub(now),
+            gap: self.parts.route.gap_objective,
+            returned: self.line == LineKind::Returned,
+        };
+        self.board.place(
+            &self.parts.config,
+            &self.parts.service,
+            &request,
+            self.machine.excluded(),
+            self.line,
+            last,
+        )
+    }
+
+    fn join_line(&mut self, now: Timestamp) -> Result<LineTicket, DirectStep> {
+        let time_left = self.deadline.saturating_sub(now);
+        let late_at = self.late_at + RANK_TIME * u32::from(self.parts.priority);
+        let objective_at = self.late_at;
+        let (decision, ticket) = self
+            .board
+            .with_line(&self.parts.service, self.line, |line| {
+                let decision = line.arrive(now, objective_at, time_left, rand::random());
+                (decision, line.join(late_at))
+            });
+        let mut ticket = LineTicket {
+            board: Arc::clone(&self.board),
+            service: self.parts.service.clone(),
+            line: self.line,
+            ticket,
+            until: now,
+        };
+        match decision {
+            LineDecision::Wait { until } => {
+                ticket.until = until;
+                Ok(ticket)
+            }
+            LineDecision::Refuse { retry_after } => {
+                self.retry_after = Some(retry_after);
+                self.note_refused("it would wait too long");
+                Err(self.machine.no_place(now))
+            }
+        }
+    }
+
+    fn refuse(&mut self, now: Timestamp) -> DirectStep {
+        let time_left = self.deadline.saturating_sub(now);
+        let retry_after = self
+            .board
+            .with_line(&self.parts.service, self.line, |line| {
+                line.retry_after(Duration::ZERO, time_left, rand::random())
+            });
+        self.retry_after = Some(retry_after);
+        self.note_refused("no place came free in time");
+        self.machine.no_place(now)
+    }
+}
+
+/// A place in a waiting line; dropping it leaves the line.
+struct LineTicket {
+    board: Arc<FleetBoard>,
+    service: ServiceId,
+    line: LineKind,
+    ticket: (Timestamp, u64),
+    until: Timestamp,
+}
+
+impl LineTicket {
+    fn is_first(&self) -> bool {
+        let line = |line: &mut lovagedock::WaitingLine| line.is_first(&self.ticket);
+        self.board.with_line(&self.service, self.line, line)
+    }
+}
+
+impl Drop for LineTicket {
+    fn drop(&mut self) {
+        let leave = |line: &mut lovagedock::WaitingLine| line.leave(&self.ticket);
+        self.board.with_line(&self.service, self.line, leave);
+    }
+}
--- /dev/null
+++ b/lovagedock/src/direct/choice.rs
@@ -0,0 +1,93 @@
+//! What placement is asked and what it answers.
+
+use std::time::Duration;
+
+use super::{endpoints::DirectEndpoint, ledger::CombinedLoad};
+use crate::ids::TokenCount;
+
+/// What placement knows of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DirectRequest {
+    /// Tokens of the prompt; 0 for a plain request.
+    pub prompt: TokenCount,
+    /// Expected tokens of the answer.
+    pub answer: TokenCount,
+    /// Time left until the first event is late.
+    pub objective_left: Duration,
+    /// Longest pause between events that the caller expects.
+    pub gap: Option<Duration>,
+    /// Whether it was refused before; it gets only what others leave.
+    pub returned: bool,
+}
+
+/// Prompt tokens that double the value of a request. Callers of long prompts have waited for more
+/// work and lose more: the figure puts a summary of 5k tokens, a history of 45k and a dossier of
+/// 210k at 1.5, 5.5 and 22, close to the 1.3, 3.1 and 22 at which our operators put them.
+const TOKENS_PER_VALUE: f64 = 10_000.0;
+
+impl DirectRequest {
+    /// What it is worth to serve the request on time.
+    pub fn value(&self) -> f64 {
+        1.0 + self.prompt as f64 / TOKENS_PER_VALUE
+    }
+
+    /// Tokens that it keeps in engines' memory until it ends.
+    pub fn memory(&self) -> TokenCount {
+        self.prompt + self.answer
+    }
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DirectChoice {
+    /// Index of the endpoint that answers.
+    pub lead: usize,
+    /// Endpoints that read parts of the prompt.
+    pub helpers: Vec<HelperPart>,
+    /// Reading time of each part.
+    pub part: Duration,
+    /// Predicted time to the first event.
+    pub first_event: Duration,
+    /// Longest time until one of the endpoints has read what is there already.
+    pub backlog: Duration,
+    /// Value that is expected to be lost: by this request if it is late, by others that it delays.
+    pub harm: f64,
+    /// Harm and what else speaks against the choice.
+    pub loss: f64,
+}
+
+/// Backlog up to which a late request is started all the same: its lateness is then its own.
+const LATE_BACKLOG: Duration = Duration::from_millis(300);
+
+impl DirectChoice {
+    /// Whether to start a request that has no time left to wait for a better place.
+    ///
+    /// The load that it answers: long prompts that come faster than the pool can read them. Started
+    /// late, each takes the time of one that could still be on time, and in the end all are late.
+    pub fn is_worth_starting(&self, request: &DirectRequest) -> bool {
+        self.first_event <= request.objective_left || self.backlog <= LATE_BACKLOG
+    }
+}
+
+/// An endpoint that reads a part of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HelperPart {
+    /// Its index among the candidates.
+    pub index: usize,
+    /// Tokens of the prompt that it also keeps in its memory, which has to be reserved; 0 for
+    /// one that hands everything over.
+    pub kept: TokenCount,
+}
+
+/// An endpoint that may be chosen.
+#[derive(Clone, Debug)]
+pub struct PlacerCandidate {
+    /// The endpoint.
+    pub endpoint: DirectEndpoint,
+    /// What is on it.
+    pub load: CombinedLoad,
+    /// Place in the order of all endpoints of the service.
+    pub position: usize,
+    /// Whether it is kept for short prompts.
+    pub short_lane: bool,
+}
--- /dev/null
+++ b/lovagedock/src/direct/member.rs
@@ -0,0 +1,185 @@
+//! What speaks for and against an endpoint of a team.
+
+use std::{cmp::Reverse, time::Duration};
+
+use super::{
+    choice::{DirectRequest, HelperPart, PlacerCandidate},
+    engine::EngineProfile,
+};
+use crate::ids::TokenCount;
+
+/// Part of the objective that a prediction may use up. Predictions miss by about a pass.
+const OBJECTIVE_MARGIN: f64 = 0.85;
+
+/// Share of its value that a request loses when it is late.
+const LATE_LOSS: f64 = 0.75;
+
+/// Loss for each slot that is free on a chosen engine. It is far below that of one late request
+/// and only decides between engines that are equal otherwise: short requests gather on few
+/// engines and leave the others to long prompts.
+const SPREAD_LOSS: f64 = 0.002;
+
+/// Free slots that count as the last. Other gateways place on the same engine before they hear of
+/// this request; two of them at once are common in a burst, three are rare.
+const LAST_SLOTS: u32 = 2;
+
+/// Loss for taking one of the last slots: more than for opening another engine.
+const LAST_SLOT_LOSS: f64 = 0.05;
+
+/// Loss of a short request outside the short lane: more than for the last slots of the lane, and
+/// more the farther outside, so that overflow gathers next to the lane.
+const OUTSIDE_LANE_LOSS: f64 = 0.12;
+const OUTSIDE_STEP_LOSS: f64 = 0.002;
+
+/// Reading that a helper may have before it. An engine reads the part that came last first: on one
+/// that is asked again and again the oldest part waits until nothing new comes, and with it the
+/// whole prompt, for seconds. Measured from the decision log of one day: prompts of 130k to 260k
+/// tokens that were predicted at 0.5 to 1.1 s took 3.7 to 11.6 s to their first event before, and 0.5
+/// to 4.1 s with this.
+pub(super) const HELP_BACKLOG: Duration = Duration::from_millis(80);
+
+/// Loss for each second until an engine has read what it has. Short requests that arrive together
+/// would otherwise all read on the engine that is filled next, one after the other.
+const LONG_READING_LOSS: f64 = 0.1;
+const SHORT_READING_LOSS: f64 = 0.5;
+
+/// Loss for a long prompt's lead that would be the first writer of its engine, and for each writer
+/// of a helper. Engines read helpers' parts before prompts of their own, so that a lead waits for
+/// parts that came after it, and writers pause for each. So leads gather on few engines, and the
+/// others only read.
+const OPEN_LEAD_LOSS: f64 = 0.3;
+const HELP_WRITER_LOSS: f64 = 0.05;
+
+/// Part of an engine's memory that is planned with. Answers grow past what callers expect, and an
+/// engine that runs out of memory takes it from the newest request and reads that again.
+const USABLE_MEMORY: f64 = 0.96;
+
+/// Reading time from which a prompt is long: it is split and kept off the short lane. A pass of
+/// writers takes about 60 ms and short prompts bear pauses of 200 ms.
+pub(super) const LONG_READING: Duration = Duration::from_millis(120);
+
+/// One endpoint of a team.
+pub(super) struct TeamMember {
+    pub(super) index: usize,
+    pub(super) backlog: Duration,
+    pub(super) ready: Duration,
+    pub(super) pass: Duration,
+    pub(super) hurt: f64,
+    pub(super) spread: f64,
+    /// Tokens of memory that a request may take.
+    pub(super) free: TokenCount,
+    /// Loss as the lead.
+    pub(super) lead_rank: f64,
+    /// Loss as a helper.
+    pub(super) help_rank: f64,
+}
+
+impl TeamMember {
+    pub(super) fn new(
+        profile: &EngineProfile,
+        request: &DirectRequest,
+        index: usize,
+        candidate: &PlacerCandidate,
+        part: Duration,
+    ) -> Self {
+        let load = &candidate.load;
+        let writers = load.writer_count() + 1;
+        let usable = (profile.memory_tokens as f64 * USABLE_MEMORY) as TokenCount;
+        let pass = profile.pass_time(writers, load.context + request.prompt);
+        let ready = load.backlog + part;
+        let hurt = LATE_LOSS * load.value_hurt_by(pass + ready);
+        let free = candidate.endpoint.slots.saturating_sub(load.occupied);
+        let last = if free <= LAST_SLOTS {
+            LAST_SLOT_LOSS
+        } else {
+            0.0
+        };
+        let long = profile.read_time(request.prompt) >= LONG_READING;
+        let outside = match candidate.short_lane || long {
+            true => 0.0,
+            false => OUTSIDE_LANE_LOSS + OUTSIDE_STEP_LOSS * candidate.position as f64,
+        };
+        let spread = SPREAD_LOSS * f64::from(free) + last + outside;
+        let reading_loss = if long {
+            LONG_READING_LOSS
+        } else {
+            SHORT_READING_LOSS
+        };
+        let reading = ready.as_secs_f64() * reading_loss;
+        let common = lateness(request, ready + pass) + hurt + reading;
+        let opened = match (long, writers) {
+            (true, 1) => OPEN_LEAD_LOSS,
+            _ => 0.0,
+        };
+        Self {
+            index,
+            backlog: load.backlog,
+            ready,
+            pass,
+            hurt,
+            spread,
+            free: usable.saturating_sub(load.context),
+            lead_rank: common + spread + opened,
+            help_rank: common + HELP_WRITER_LOSS * f64::from(writers - 1),
+        }
+    }
+}
+
+/// The best lead among the members whose memory takes the whole request, or else the member with
+/// the most memory.
+pub(super) fn take_lead(members: &mut Vec<TeamMember>, need: TokenCount) -> Option<TeamMember> {
+    let whole = members
+        .iter()
+        .enumerate()
+        .filter(|(_, member)| member.free >= need);
+    let rank = |(_, member): &(usize, &TeamMember)| member.lead_rank;
+    let whole = whole
+        .min_by(|a, b| rank(a).total_cmp(&rank(b)))
+        .map(|(position, _)| position);
+    let position = whole.or_else(|| {
+        let free = |(_, member): &(usize, &TeamMember)| member.free;
+        members
+            .iter()
+            .enumerate()
+            .max_by_key(free)
+            .map(|(position, _)| position)
+    })?;
+    Some(members.remove(position))
+}
+
+/// Helpers with what each keeps of `tokens` that the lead has no memory for; `None` if they have
+/// too little together.
+pub(super) fn spread_memory(members: &[TeamMember], tokens: TokenCount) -> Option<Vec<HelperPart>> {
+    let mut helpers: Vec<HelperPart> = members
+        .iter()
+        .map(|member| HelperPart {
+            index: member.index,
+            kept: 0,
+        })
+        .collect();
+    let mut order: Vec<usize> = (0..members.len()).collect();
+    order.sort_by_key(|position| Reverse(members[*position].free));
+    let mut left = tokens;
+    for position in order {
+        let kept = left.min(members[position].free);
+        helpers[position].kept = kept;
+        left -= kept;
+    }
+    (left == 0).then_some(helpers)
+}
+
+/// Value that a request loses when its first event comes after `first_event`.
+pub(super) fn lateness(request: &DirectRequest, first_event: Duration) -> f64 {
+    let limit = request.objective_left.mul_f64(OBJECTIVE_MARGIN);
+    if first_event <= limit {
+        return 0.0;
+    }
+    let over = (first_event - limit).as_secs_f64();
+    request.value() * LATE_LOSS * (1.0 + over * 0.1)
+}
+
+/// How close a prediction is to the objective, squared: 0 at once, 1 just in time.
+pub(super) fn tension(request: &DirectRequest, first_event: Duration) -> f64 {
+    let limit = request.objective_left.as_secs_f64().max(f64::MIN_POSITIVE);
+    (first_event.as_secs_f64() / limit).min(1.0).powi(2)
+}
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -5,19 +5,23 @@
 //! [`EngineProfile`], [`WaitingLine`] says who may wait, and [`DirectMachine`] what follows each
 //! attempt. None of them reads a clock or does input or output.
 
+mod choice;
 mod config;
 mod duty;
 mod endpoints;
 mod engine;
 mod events;
+mod lane;
 mod ledger;
 mod machine;
+mod member;
 mod placer;
 mod retries;
 mod returns;
 mod stopping;
 mod waiting;
 
+pub use choice::{DirectChoice, DirectRequest, HelperPart, PlacerCandidate};
 pub use config::{
     CallerBounds, RouteMatch, RouteMode, RouteRule, RouteTarget, ServiceProfile, TrafficConfig,
 };
@@ -25,11 +29,10 @@
 pub use endpoints::{DirectEndpoint, EndpointState, EndpointTable};
 pub use engine::EngineProfile;
 pub use events::{EventSplitter, StreamEvent};
+pub use lane::short_lane_size;
 pub use ledger::{CombinedLoad, PeerLoad, PlacedWork, WorkKey, WorkLedger};
 pub use machine::{AttemptEnd, DirectMachine, DirectStep};
-pub use placer::{
-    DirectChoice, DirectPlacer, DirectRequest, HelperPart, PlacerCandidate, short_lane_size,
-};
+pub use placer::DirectPlacer;
 pub use retries::{RetryShare, RetryShareSettings};
 pub use returns::{RefusalLog, RequestFingerprint};
 pub use stopping::StopPlan;
