--- a/lovagedock-gateway/src/direct/board/mod.rs
+++ b/lovagedock-gateway/src/direct/board/mod.rs
@@ -14,9 +14,9 @@
 
 use arc_swap::ArcSwapOption;
 use lovagedock::{
-    DirectEndpoint, EndpointTable, LineKind, OutlierEvent, PeerContact, PeerLoad, RefusalLog,
-    RequestFingerprint, RetryShareSettings, StopPlan, TrafficConfig, WaitingLine, WatchDuty,
-    WorkLedger, prelude::*,
+    DirectEndpoint, EndpointTable, LineKind, OutlierEvent, PaceTracker, PeerContact, PeerLoad,
+    RefusalLog, RequestFingerprint, RetryShareSettings, StopPlan, TrafficConfig, WaitingLine,
+    WatchDuty, WorkLedger, prelude::*,
 };
 use lovagedock_daemon::ProcessClock;
 use lovagedock_platform::{GatewayEntry, Revision};
@@ -29,6 +29,9 @@
 
 pub(crate) use place::{PlaceResult, PlacedRequest};
 
+/// Steps of a pace that peers are told, in one; finer ones would be told all the time.
+const PACE_STEPS: f32 = 2.0;
+
 /// Steps of the delay after which a gateway takes slots that a peer has freed; a step is longer than
 /// it takes to hear of a peer's request.
 const SLOT_DELAY_STEP: Duration = Duration::from_millis(20);
@@ -78,6 +81,7 @@
             fleet: Mutex::new(FleetState {
                 endpoints: EndpointTable::new(),
                 ledger: WorkLedger::new().with_slot_delay(slot_delay()),
+                paces: PaceTracker::new(),
                 services: HashMap::new(),
                 peers: HashMap::new(),
                 retries,
@@ -284,11 +288,19 @@
         self.fleet.lock().peers.values().cloned().collect()
     }
 
-    /// What this gateway has placed.
+    /// What this gateway has placed and measured.
     pub(crate) fn own_loads(&self) -> Vec<(EndpointId, PeerLoad)> {
+        let now = self.clock.now();
         let fleet = self.fleet.lock();
-        let loads = fleet.ledger.own_loads();
-        loads.map(|(id, load)| (id.clone(), load.clone())).collect()
+        let loads = fleet.ledger.own_loads().map(|(id, load)| {
+            let pace = fleet.paces.pace(now, id) as f32;
+            let load = PeerLoad {
+                pace: (pace * PACE_STEPS).round() / PACE_STEPS,
+                ..load.clone()
+            };
+            (id.clone(), load)
+        });
+        loads.collect()
     }
 
     /// Refusals that peers have not been told of.
@@ -391,6 +403,22 @@
         }
     }
 
+    /// Records the gap between two events of an engine's answer.
+    pub(crate) fn note_gap(&self, service: &ServiceId, endpoint: &EndpointId, gap: Duration) {
+        let Some(config) = self.config() else {
+            return;
+        };
+        let profile = config.services.get(service);
+        let Some(engine) = profile.and_then(|profile| profile.engine.as_ref()) else {
+            return;
+        };
+        let now = self.clock.now();
+        let mut fleet = self.fleet.lock();
+        let load = fleet.ledger.load(now, endpoint);
+        let expected = engine.pass_time(load.writer_count(), load.context);
+        fleet.paces.record(now, endpoint, gap, expected);
+    }
+
     /// When an endpoint last sent anything to this gateway.
     pub(crate) fn heard_at(&self, service: &ServiceId, endpoint: &EndpointId) -> Timestamp {
         let fleet = self.fleet.lock();
--- a/lovagedock-gateway/src/direct/board/state.rs
+++ b/lovagedock-gateway/src/direct/board/state.rs
@@ -7,8 +7,8 @@
 
 use lovagedock::{
     EndpointTable, LineKind, OutlierAction, OutlierDetector, OutlierEvent, OutlierSettings,
-    PlacerCandidate, RefusalLog, RetryShare, RetryShareSettings, WaitingLine, WatchDuty,
-    WorkLedger, prelude::*, short_lane_size,
+    PaceTracker, PlacerCandidate, RefusalLog, RetryShare, RetryShareSettings, WaitingLine,
+    WatchDuty, WorkLedger, prelude::*, short_lane_size,
 };
 use lovagedock_platform::{GatewayEntry, Revision};
 use slog::{Logger, info};
@@ -28,6 +28,7 @@
 pub(super) struct FleetState {
     pub(super) endpoints: EndpointTable,
     pub(super) ledger: WorkLedger,
+    pub(super) paces: PaceTracker,
     pub(super) services: HashMap<ServiceId, ServiceState>,
     pub(super) peers: HashMap<GatewayId, GatewayEntry>,
     pub(super) retries: RetryShareSettings,
@@ -67,6 +68,7 @@
         };
         self.endpoints.remove(id);
         self.ledger.forget_endpoint(id);
+        self.paces.forget(id);
         let state = self.service(now, &service);
         state.ejected.remove(id);
         state.heard.remove(id);
@@ -106,7 +108,8 @@
                 continue;
             }
             found = true;
-            let load = self.ledger.load(now, &endpoint.id);
+            let mut load = self.ledger.load(now, &endpoint.id);
+            load.pace = load.pace.max(self.paces.pace(now, &endpoint.id) as f32);
             if load.occupied < endpoint.slots {
                 let endpoint = endpoint.clone();
                 candidates.push(PlacerCandidate {
--- a/lovagedock-gateway/src/direct/delivery.rs
+++ b/lovagedock-gateway/src/direct/delivery.rs
@@ -175,6 +175,7 @@
         let mut until = patience.first;
         let mut limit = patience.limit.min(patience.cutoff);
         let mut first = true;
+        let mut read_at: Option<Instant> = None;
         loop {
             let piece = tokio::select! {
                 biased;
@@ -190,6 +191,10 @@
                 StreamPiece::End | StreamPiece::Broken => return self.broken(way),
             }
             while let Some(event) = self.splitter.next_event() {
+                let now = Instant::now();
+                if let Some(before) = read_at.replace(now) {
+                    watch.note_gap(now - before);
+                }
                 if first {
                     first = false;
                     on_event();
--- a/lovagedock-gateway/src/direct/liveness.rs
+++ b/lovagedock-gateway/src/direct/liveness.rs
@@ -47,6 +47,11 @@
         self.board.note_heard(&self.service, &self.endpoint);
     }
 
+    /// Records the gap between two events of the endpoint's answer.
+    pub(crate) fn note_gap(&self, gap: Duration) {
+        self.board.note_gap(&self.service, &self.endpoint, gap);
+    }
+
     /// Ends when the endpoint, silent to this request until `patience`, is found to be gone, and at
     /// `limit` at the latest.
     pub(crate) async fn silent(&self, patience: Instant, limit: Instant) {
--- a/lovagedock-gateway/src/direct/peers.rs
+++ b/lovagedock-gateway/src/direct/peers.rs
@@ -61,6 +61,7 @@
     endpoint: EndpointId,
     occupied: u32,
     short: u32,
+    pace: f32,
     context: TokenCount,
     reading_total_us: u64,
     /// Bearable pause in milliseconds, number of writers, their value.
@@ -74,6 +75,7 @@
             endpoint: endpoint.clone(),
             occupied: load.occupied,
             short: load.short,
+            pace: load.pace,
             context: load.context,
             reading_total_us: load.reading_total.as_micros() as u64,
             writers: writers
@@ -90,6 +92,7 @@
         let load = PeerLoad {
             occupied: self.occupied,
             short: self.short,
+            pace: self.pace,
             context: self.context,
             reading_total: Duration::from_micros(self.reading_total_us),
             writers: writers.collect(),
--- a/lovagedock/src/direct/ledger.rs
+++ b/lovagedock/src/direct/ledger.rs
@@ -40,6 +40,8 @@
     /// All prompt reading that it ever placed there; only grows, so that a lost message is made
     /// good by the next one.
     pub reading_total: Duration,
+    /// How many times as long as declared it takes, as the peer measured it; 0 if it did not.
+    pub pace: f32,
     /// Writers by the pause that they bear, with their number and summed value.
     pub writers: Vec<(Duration, u32, f32)>,
 }
@@ -53,6 +55,8 @@
     pub context: TokenCount,
     /// Time until it has read all prompts that were placed there.
     pub backlog: Duration,
+    /// How many times as long as declared it takes, as peers measured it; 0 if none did.
+    pub pace: f32,
     /// Writers by the pause that they bear, with their number and summed value.
     pub writers: Vec<(Duration, u32, f32)>,
 }
@@ -285,11 +289,13 @@
             occupied: record.own.occupied,
             context: record.own.context,
             backlog: record.free_at.saturating_sub(now),
+            pace: 0.0,
             writers: record.own.writers.clone(),
         };
         for peer in record.peers.values() {
             load.occupied += peer.occupied(now);
             load.context += peer.load.context;
+            load.pace = load.pace.max(peer.load.pace);
             for (gap, count, value) in &peer.load.writers {
                 merge_writers(&mut load.writers, *gap, *count, *value);
             }
--- a/lovagedock/src/direct/member.rs
+++ b/lovagedock/src/direct/member.rs
@@ -86,7 +86,9 @@
         let writers = load.writer_count() + 1;
         let usable = (profile.memory_tokens as f64 * USABLE_MEMORY) as TokenCount;
         let pass = profile.pass_time(writers, load.context + request.prompt);
-        let ready = load.backlog + part;
+        let pace = f64::from(load.pace).max(1.0);
+        let pass = pass.mul_f64(pace);
+        let ready = (load.backlog + part).mul_f64(pace);
         let hurt = LATE_LOSS * load.value_hurt_by(pass + ready);
         let free = candidate.endpoint.slots.saturating_sub(load.occupied);
         let last = if free <= LAST_SLOTS {
--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -63,10 +63,10 @@
 pub use direct::{
     AttemptEnd, CallerBounds, CombinedLoad, DirectChoice, DirectEndpoint, DirectMachine,
     DirectPlacer, DirectRequest, DirectStep, EndpointState, EndpointTable, EngineProfile,
-    EventSplitter, HelperPart, LineDecision, LineKind, LineSettings, PeerContact, PeerLoad,
-    PlacedWork, PlacerCandidate, RefusalLog, RequestFingerprint, RetryShare, RetryShareSettings,
-    RouteMatch, RouteMode, RouteRule, RouteTarget, ServiceProfile, StopPlan, StreamEvent,
-    TrafficConfig, WaitingLine, WatchDuty, WorkKey, WorkLedger, short_lane_size,
+    EventSplitter, HelperPart, LineDecision, LineKind, LineSettings, PaceTracker, PeerContact,
+    PeerLoad, PlacedWork, PlacerCandidate, RefusalLog, RequestFingerprint, RetryShare,
+    RetryShareSettings, RouteMatch, RouteMode, RouteRule, RouteTarget, ServiceProfile, StopPlan,
+    StreamEvent, TrafficConfig, WaitingLine, WatchDuty, WorkKey, WorkLedger, short_lane_size,
 };
 pub use endpoint::{
     EndpointAction, EndpointCore, EndpointEvent, EndpointLimits, EndpointLoad, EndpointSafeguards,
--- a/lovagedock/tests/direct_support/mod.rs
+++ b/lovagedock/tests/direct_support/mod.rs
@@ -1,5 +1,7 @@
 //! A pool of engines in virtual time: what is placed, when it is read and when it ends.
 
+#![allow(dead_code)] // Each test file uses a part of it.
+
 use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
 use lovagedock::{
