--- a/lovagedock/src/direct/member.rs
+++ b/lovagedock/src/direct/member.rs
@@ -50,6 +50,10 @@
 const OPEN_LEAD_LOSS: f64 = 0.3;
 const HELP_WRITER_LOSS: f64 = 0.05;
 
+/// Passes from the end of reading to the first event: what is left of the pass in which the
+/// request arrives, on average half, and the pass that writes it.
+pub(super) const FIRST_EVENT_PASSES: f64 = 1.5;
+
 /// Part of an engine's memory that is planned with. Answers grow past what callers expect, and an
 /// engine that runs out of memory takes it from the newest request and reads that again.
 const USABLE_MEMORY: f64 = 0.96;
@@ -108,7 +112,8 @@
             SHORT_READING_LOSS
         };
         let reading = ready.as_secs_f64() * reading_loss;
-        let common = lateness(request, ready + pass) + hurt + reading;
+        let first_event = ready + pass.mul_f64(FIRST_EVENT_PASSES);
+        let common = lateness(request, first_event) + hurt + reading;
         let opened = match (long, writers) {
             (true, 1) => OPEN_LEAD_LOSS,
             _ => 0.0,
--- a/lovagedock/src/direct/placer.rs
+++ b/lovagedock/src/direct/placer.rs
@@ -6,7 +6,10 @@
     choice::{DirectChoice, DirectRequest, PlacerCandidate},
     engine::EngineProfile,
     ledger::PlacedWork,
-    member::{HELP_BACKLOG, LONG_READING, TeamMember, lateness, spread_memory, take_lead, tension},
+    member::{
+        FIRST_EVENT_PASSES, HELP_BACKLOG, LONG_READING, TeamMember, lateness, spread_memory,
+        take_lead, tension,
+    },
 };
 use crate::ids::TokenCount;
 
@@ -26,10 +29,6 @@
     f64::from(slots.saturating_sub(taken)) > f64::from(slots) * RETURN_ROOM
 }
 
-/// Passes from the end of reading to the first event: what is left of the pass in which the
-/// request arrives, on average half, and the pass that writes it.
-const FIRST_EVENT_PASSES: f64 = 1.5;
-
 /// Share of its value that a request risks when it is predicted just in time.
 const RISK_LOSS: f64 = 0.08;
 
