--- a/lovagedock-gateway/src/direct/board/mod.rs
+++ b/lovagedock-gateway/src/direct/board/mod.rs
@@ -27,7 +27,7 @@
 use self::state::FleetState;
 use super::{journal::LineBudget, relay::EndpointsState};
 
-pub(crate) use place::{PlaceResult, PlacedRequest};
+pub(crate) use place::{PlaceEffort, PlaceResult, PlacedRequest};
 
 /// Steps of a pace that peers are told, in one; finer ones would be told all the time.
 const PACE_STEPS: f32 = 2.0;
--- a/lovagedock-gateway/src/direct/board/place.rs
+++ b/lovagedock-gateway/src/direct/board/place.rs
@@ -55,11 +55,22 @@
     pub(crate) peers: usize,
 }
 
+/// How good a place has to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PlaceEffort {
+    /// Without harm; the request can wait for a better one.
+    Choosy,
+    /// Worth starting; the request cannot wait any longer.
+    Last,
+    /// Any: an engine has worked on the request already, and all of that is lost without a place.
+    Any,
+}
+
 /// What a search for a place found.
 pub(crate) enum PlaceResult {
     /// A place.
     Placed(Box<PlacedRequest>),
-    /// Every endpoint is full, or the only places would harm others; the predicted loss.
+    /// Every endpoint is full, or no place is good enough.
     Full,
     /// The service has no endpoint that takes work and was not tried.
     NoEndpoint,
@@ -122,7 +133,7 @@
         summary
     }
 
-    /// Looks for a place; `last` says that the request cannot wait for a better one.
+    /// Looks for a place.
     pub(crate) fn place(
         self: &Arc<Self>,
         config: &TrafficConfig,
@@ -130,7 +141,7 @@
         request: &DirectRequest,
         excluded: &[EndpointId],
         kind: LineKind,
-        last: bool,
+        effort: PlaceEffort,
     ) -> PlaceResult {
         let now = self.clock.now();
         let mut fleet = self.fleet.lock();
@@ -142,9 +153,10 @@
         let Some(choice) = placer.place(request, &search) else {
             return PlaceResult::Full;
         };
-        let acceptable = match last {
-            true => choice.is_worth_starting(request),
-            false => choice.harm <= WAIT_LOSS,
+        let acceptable = match effort {
+            PlaceEffort::Choosy => choice.harm <= WAIT_LOSS,
+            PlaceEffort::Last => choice.is_worth_starting(request),
+            PlaceEffort::Any => true,
         };
         if !acceptable {
             return PlaceResult::Full;
--- a/lovagedock-gateway/src/direct/call/waiting.rs
+++ b/lovagedock-gateway/src/direct/call/waiting.rs
@@ -6,7 +6,7 @@
 use tokio::time::sleep_until;
 
 use super::DirectCall;
-use crate::direct::board::{FleetBoard, PlaceResult, PlacedRequest};
+use crate::direct::board::{FleetBoard, PlaceEffort, PlaceResult, PlacedRequest};
 
 /// Longest time between two looks for a place.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
@@ -15,6 +15,10 @@
 /// late this much sooner. A rank that went first without bound would starve the ranks below.
 const RANK_TIME: Duration = Duration::from_millis(20);
 
+/// Time that a request which an engine has worked on waits for another one. Callers of streams leave
+/// after two seconds without an event.
+const AGAIN_PATIENCE: Duration = Duration::from_millis(1200);
+
 impl DirectCall {
     /// Waits for a place.
     pub(super) async fn find_place(&mut self) -> Result<PlacedRequest, DirectStep> {
@@ -30,11 +34,8 @@
             let last_look = waiting.as_ref().is_some_and(|ticket| now >= ticket.until);
             let may_look = waiting.as_ref().is_none_or(LineTicket::is_first) || last_look;
             if may_look {
-                match self.look(now, last_look) {
+                match self.look(now, self.effort(last_look)) {
                     PlaceResult::Placed(placed) => return Ok(*placed),
-                    PlaceResult::NoEndpoint if self.machine.sent() > 0 || last_look => {
-                        return Err(self.refuse(now));
-                    }
                     PlaceResult::Full | PlaceResult::NoEndpoint if last_look => {
                         return Err(self.refuse(now));
                     }
@@ -56,14 +57,23 @@
         }
     }
 
-    fn look(&self, now: Timestamp, last: bool) -> PlaceResult {
+    /// How good a place has to be for this request.
+    fn effort(&self, last_look: bool) -> PlaceEffort {
+        match (self.machine.sent(), last_look) {
+            (0, false) => PlaceEffort::Choosy,
+            (0, true) => PlaceEffort::Last,
+            _ => PlaceEffort::Any,
+        }
+    }
+
+    fn look(&self, now: Timestamp, effort: PlaceEffort) -> PlaceResult {
         let head = &self.parts.head;
         let request = DirectRequest {
             prompt: head.prompt,
             answer: head.expected_answer(),
             objective_left: self.late_at.saturating_sub(now),
             gap: self.parts.route.gap_objective,
-            returned: self.line == LineKind::Returned,
+            returned: self.line == LineKind::Returned && self.machine.sent() == 0,
         };
         self.board.place(
             &self.parts.config,
@@ -71,7 +81,7 @@
             &request,
             self.machine.excluded(),
             self.line,
-            last,
+            effort,
         )
     }
 
@@ -92,6 +102,10 @@
             ticket,
             until: now,
         };
+        if self.machine.sent() > 0 {
+            ticket.until = now + AGAIN_PATIENCE;
+            return Ok(ticket);
+        }
         match decision {
             LineDecision::Wait { until } => {
                 ticket.until = until;
