--- a/lovagedock-gateway/src/lib.rs
+++ b/lovagedock-gateway/src/lib.rs
@@ -3,6 +3,8 @@
 //! [`Gateway::start`] serves until its shutdown signal. A request passes the checks of the front,
 //! gets a driver of its own, and the driver carries out what the kernel's
 //! [`RequestMachine`](lovagedock::RequestMachine) decides. Sessions to sidecars live on workers.
+//!
+//! [`DirectGateway`] is the gateway for fleets without sidecars; it calls endpoints itself.
 
 mod active;
 mod admin;
