--- a/lovagedock-gateway/src/direct/gateway.rs
+++ b/lovagedock-gateway/src/direct/gateway.rs
@@ -56,9 +56,8 @@
             .await
             .change_context(GatewayError)?;
         let peers = PeerExchange::bind(Arc::clone(&board), settings.peers);
-        let peers = Arc::new(peers.await.change_context(GatewayError)?);
-        // Datagrams and connections of peers have one address.
-        let relay = listen(peers.address()).await?;
+        let (peers, relay) = peers.await.change_context(GatewayError)?;
+        let peers = Arc::new(peers);
         let surface = Arc::new(BoardSurface(Arc::clone(&board)));
         let admin = AdminServer::start("lovagedock-gateway", &settings.admin, surface, &daemon)
             .await
--- a/lovagedock-gateway/src/direct/peers.rs
+++ b/lovagedock-gateway/src/direct/peers.rs
@@ -17,7 +17,7 @@
 use serde::{Deserialize, Serialize};
 use slog::{debug, info};
 use tokio::{
-    net::UdpSocket,
+    net::{TcpListener, UdpSocket},
     time::{Instant, sleep, timeout},
 };
 
@@ -101,6 +101,27 @@
     }
 }
 
+/// Ports that are tried when any free one will do.
+const PORT_TRIES: usize = 32;
+
+/// Binds one port for datagrams and connections.
+///
+/// With port 0 the system picks a port that is free for the one, and somebody may have it for the
+/// other; then the next is tried.
+async fn bind_both(address: SocketAddr) -> io::Result<(UdpSocket, TcpListener)> {
+    let tries = if address.port() == 0 { PORT_TRIES } else { 1 };
+    let mut result = Err(io::ErrorKind::AddrInUse.into());
+    for _ in 0..tries {
+        let listener = TcpListener::bind(address).await?;
+        let socket = UdpSocket::bind(listener.local_addr()?).await;
+        result = socket.map(|socket| (socket, listener));
+        if result.is_ok() {
+            break;
+        }
+    }
+    result
+}
+
 /// Exchanges datagrams with other gateways.
 pub(crate) struct PeerExchange {
     board: Arc<FleetBoard>,
@@ -112,18 +133,21 @@
 }
 
 impl PeerExchange {
-    /// Listens on the gateway's address for peers.
-    pub(crate) async fn bind(board: Arc<FleetBoard>, address: SocketAddr) -> io::Result<Self> {
-        let socket = UdpSocket::bind(address).await?;
-        let address = socket.local_addr()?;
-        Ok(Self {
+    /// Listens on the gateway's address for peers, for datagrams and for connections.
+    pub(crate) async fn bind(
+        board: Arc<FleetBoard>,
+        address: SocketAddr,
+    ) -> io::Result<(Self, TcpListener)> {
+        let (socket, listener) = bind_both(address).await?;
+        let exchange = Self {
             board,
+            address: socket.local_addr()?,
             socket,
-            address,
             pulling: AtomicBool::new(false),
             incarnation: rand::random(),
             heard: Mutex::default(),
-        })
+        };
+        Ok((exchange, listener))
     }
 
     /// The address that peers send to.
--- a/lovagedock-gateway/tests/direct_answers.rs
+++ b/lovagedock-gateway/tests/direct_answers.rs
@@ -2,10 +2,14 @@
 
 mod direct_support;
 
+use std::time::Duration;
+
 use direct_support::{
-    EndpointScript, ScriptedEndpoint, TestFeed, TestGateway, call, config, entry, open_call, until,
+    EndpointScript, ScriptedEndpoint, TestFeed, TestGateway, call, config, config_with_objective,
+    entry, open_call, until,
 };
 use direct_support::{endpoint_scripts as script, read_answer};
+use tokio::time::sleep;
 
 /// A gateway in front of endpoints with these scripts.
 async fn fleet(scripts: Vec<Vec<EndpointScript>>) -> (TestGateway, Vec<ScriptedEndpoint>) {
@@ -220,3 +224,33 @@
     assert_eq!(read_answer(stream).await.status(), 401);
     assert!(endpoints[0].requests().is_empty());
 }
+
+/// A stream that breaks off after its objective waits for an engine instead of being cut.
+///
+/// The stream's engine resets after three events. The only other engine is full. Its objective is
+/// over, so that a new request would be refused; this one has been worked on, and continues when the
+/// other engine's caller leaves.
+#[tokio::test]
+async fn a_broken_stream_waits_for_a_place() {
+    let full = ScriptedEndpoint::start(vec![
+        EndpointScript::WriteAndHold(String::new()),
+        EndpointScript::Write(script::events(4..6, true)),
+    ])
+    .await;
+    let breaks =
+        ScriptedEndpoint::start(vec![EndpointScript::Write(script::events(1..4, false))]).await;
+    let mut entries = vec![entry("i-0", full.address), entry("i-1", breaks.address)];
+    entries[0].slots = 1;
+    let feed = TestFeed::new(config_with_objective(1, Duration::from_millis(1)), entries);
+    let gateway = TestGateway::start("gateway", &feed).await.ready().await;
+    let holder = open_call(gateway.address(), "/safe/x", "1", "secret").await;
+    until(|| full.requests().len() == 1).await;
+    let stream = open_call(gateway.address(), "/stream/x", "2", "secret").await;
+    until(|| breaks.requests().len() == 1).await;
+    // The engine has reset by now, or does while the other place is free already.
+    sleep(Duration::from_millis(50)).await;
+    drop(holder);
+    let answer = read_answer(stream).await;
+    assert_eq!(answer.event_ids(), ["1", "2", "3", "4", "5"]);
+    assert!(answer.is_complete(), "{}", answer.text);
+}
--- a/lovagedock-gateway/tests/direct_support/mod.rs
+++ b/lovagedock-gateway/tests/direct_support/mod.rs
@@ -111,13 +111,18 @@
 
 /// A configuration with a route for each mode, below the path of its name.
 pub(crate) fn config(version: u64) -> TrafficConfig {
+    config_with_objective(version, Duration::from_secs(2))
+}
+
+/// The same with another objective of all routes.
+pub(crate) fn config_with_objective(version: u64, objective: Duration) -> TrafficConfig {
     let route = |path: &str, mode: RouteMode, attempts: u32| RouteRule {
         name: path.trim_matches('/').to_owned(),
         host: "fleet.example".to_owned(),
         path_prefix: path.to_owned(),
         mode,
         timeout: Duration::from_secs(20),
-        objective: Duration::from_secs(2),
+        objective,
         gap_objective: mode.is_stream().then_some(Duration::from_secs(1)),
         priority: 1,
         targets: vec![RouteTarget {
