Spend less of a small gateway's processor on peers, looks and log lines

Cause: on hosts of 0.09 cores everything that a gateway computes takes eleven times as long. A profile of 24 gateways under 20 streams a second each showed a third of the time in datagrams, a sixth in the thread that writes log lines, the rest in moving events.

Change: the end of work is told 24 ms later or with the next placement; everything is told again in four parts; requests behind the first of a line wait for the line, and the first looks every 4 ms at most; sums of the ledger are kept up; log lines gather for 20 ms in a bounded queue of our own, which drops and counts when the output is stuck.

Ruled out: the look itself (25 us beside 70 endpoints and 23 peers, 19 us now).

--- a/lovagedock-daemon/src/lib.rs
+++ b/lovagedock-daemon/src/lib.rs
@@ -6,6 +6,7 @@
 mod admin;
 mod arguments;
 mod clock;
+mod line_queue;
 mod logs;
 mod metrics;
 mod run;
@@ -21,6 +22,7 @@
 };
 pub use arguments::{DaemonArguments, ExitStatus};
 pub use clock::ProcessClock;
+pub use line_queue::LineQueue;
 pub use logs::{LogFormat, LogLevel, LogSettings};
 pub use metrics::MetricsHandle;
 pub use run::{DaemonContext, DaemonSettings, load_checked_settings, run_daemon};
--- /dev/null
+++ b/lovagedock-daemon/src/line_queue.rs
@@ -0,0 +1,138 @@
+//! Log lines on their way to the output.
+
+use std::{
+    io::{self, Write},
+    mem,
+    sync::Arc,
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use parking_lot::{Condvar, Mutex};
+
+/// Bytes of lines that may wait for the output: about 2,500 lines of 400 bytes, several seconds of
+/// the busiest gateway.
+const QUEUE_BYTES: usize = 1 << 20;
+
+/// Time in which lines gather before they are written together. Waking a thread for each line took a
+/// sixth of a small gateway's processor time (sampled with a profiler under 20 requests a second).
+const GATHER_TIME: Duration = Duration::from_millis(20);
+
+/// Takes log lines without ever waiting for the output.
+///
+/// A thread of its own writes what has gathered. While the output is stuck, lines beyond
+/// the queue are dropped; their number is written as soon as the output moves again.
+pub struct LineQueue {
+    shared: Arc<QueueShared>,
+    line: Vec<u8>,
+    thread: Option<JoinHandle<()>>,
+}
+
+#[derive(Default)]
+struct QueueShared {
+    state: Mutex<QueueState>,
+    changed: Condvar,
+}
+
+#[derive(Default)]
+struct QueueState {
+    bytes: Vec<u8>,
+    dropped: u64,
+    closed: bool,
+}
+
+impl LineQueue {
+    /// A queue in front of `output`.
+    pub fn new(output: impl Write + Send + 'static) -> io::Result<Self> {
+        let shared = Arc::new(QueueShared::default());
+        let queue = Arc::clone(&shared);
+        let thread = thread::Builder::new()
+            .name("log".to_owned())
+            .spawn(move || queue.write_to(output))?;
+        Ok(Self {
+            shared,
+            line: Vec::new(),
+            thread: Some(thread),
+        })
+    }
+
+    fn push_line(&mut self) {
+        let mut state = self.shared.state.lock();
+        if state.bytes.len() + self.line.len() > QUEUE_BYTES {
+            state.dropped += 1;
+        } else {
+            let was_empty = state.bytes.is_empty();
+            state.bytes.extend_from_slice(&self.line);
+            if was_empty {
+                self.shared.changed.notify_one();
+            }
+        }
+        drop(state);
+        self.line.clear();
+    }
+}
+
+impl Write for LineQueue {
+    /// Takes a piece of a line; one that ends with a line break completes it.
+    fn write(&mut self, piece: &[u8]) -> io::Result<usize> {
+        self.line.extend_from_slice(piece);
+        if piece.ends_with(b"\n") {
+            self.push_line();
+        }
+        Ok(piece.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Drop for LineQueue {
+    /// Waits until everything is written, so that a process's last lines are not lost.
+    fn drop(&mut self) {
+        self.shared.state.lock().closed = true;
+        self.shared.changed.notify_one();
+        if let Some(thread) = self.thread.take() {
+            // A writer that panicked has said so on standard error.
+            let _ = thread.join();
+        }
+    }
+}
+
+impl QueueShared {
+    fn write_to(&self, mut output: impl Write) {
+        loop {
+            let taken = self.take();
+            // An output that is gone, such as a closed pipe, leaves nobody to tell.
+            let _ = output.write_all(&taken.bytes);
+            if taken.dropped > 0 {
+                let _ = writeln!(
+                    output,
+                    r#"{{"msg":"log lines dropped","level":"WARN","lines":{}}}"#,
+                    taken.dropped
+                );
+            }
+            let _ = output.flush();
+            if taken.closed {
+                return;
+            }
+        }
+    }
+
+    /// What has gathered; waits for it.
+    fn take(&self) -> QueueState {
+        let mut state = self.state.lock();
+        while state.bytes.is_empty() && !state.closed {
+            self.changed.wait(&mut state);
+        }
+        if !state.closed {
+            // Ends early only when the queue is closed: nothing else signals a queue with lines.
+            self.changed.wait_for(&mut state, GATHER_TIME);
+        }
+        QueueState {
+            bytes: mem::take(&mut state.bytes),
+            dropped: mem::take(&mut state.dropped),
+            closed: state.closed,
+        }
+    }
+}
--- a/lovagedock-daemon/src/logs.rs
+++ b/lovagedock-daemon/src/logs.rs
@@ -1,11 +1,18 @@
 //! Structured logs on standard output.
 
-use std::io;
+use std::{
+    io,
+    panic::{RefUnwindSafe, UnwindSafe},
+    sync::Mutex,
+};
 
 use serde::{Deserialize, Serialize};
 use slog::{Drain, Level, Logger, o};
 
-const QUEUE_RECORDS: usize = 4096;
+use crate::line_queue::LineQueue;
+
+/// Records that may wait for a terminal.
+const TERMINAL_RECORDS: usize = 4096;
 
 /// How and how much a process logs.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -21,18 +28,21 @@
     /// Creates the logger of a process; records carry the process's name.
     ///
     /// A background thread writes. When it falls behind, records are dropped and their number is
-    /// logged, so that a stuck terminal never stops the daemon.
+    /// logged, so that a stuck output never stops the daemon.
     pub fn logger(&self, process: &'static str) -> Logger {
         let level = self.level.as_level();
         match self.format {
             LogFormat::Json => {
-                let drain = slog_json::Json::default(io::stdout());
-                asynchronous(drain.fuse(), level, process)
+                let queue = LineQueue::new(io::stdout()).expect("a thread can be started");
+                let drain = Mutex::new(slog_json::Json::default(queue));
+                root(drain.fuse(), level, process)
             }
             LogFormat::Terminal => {
                 let decorator = slog_term::TermDecorator::new().stdout().build();
                 let drain = slog_term::FullFormat::new(decorator).build();
-                asynchronous(drain.fuse(), level, process)
+                let queue = slog_async::Async::new(drain.fuse());
+                let queue = queue.chan_size(TERMINAL_RECORDS).build();
+                root(queue.fuse(), level, process)
             }
         }
     }
@@ -78,15 +88,12 @@
     }
 }
 
-fn asynchronous<D>(drain: D, level: Level, process: &'static str) -> Logger
+fn root<D>(drain: D, level: Level, process: &'static str) -> Logger
 where
-    D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
+    D: Drain<Ok = (), Err = slog::Never> + Send + Sync + RefUnwindSafe + UnwindSafe + 'static,
 {
-    let queue = slog_async::Async::new(drain)
-        .chan_size(QUEUE_RECORDS)
-        .build();
     Logger::root(
-        queue.filter_level(level).fuse(),
+        drain.filter_level(level).fuse(),
         o!("process" => process, "version" => env!("CARGO_PKG_VERSION")),
     )
 }
--- /dev/null
+++ b/lovagedock-daemon/tests/line_queue.rs
@@ -0,0 +1,81 @@
+//! Log lines never wait for the output, and none is lost without a word.
+
+use std::{
+    io::{self, Write},
+    sync::{Arc, Mutex, mpsc},
+};
+
+use lovagedock_daemon::LineQueue;
+
+/// An output that can be stuck until it is released.
+struct GatedOutput {
+    written: Arc<Mutex<Vec<u8>>>,
+    stuck: Option<mpsc::Receiver<()>>,
+}
+
+impl Write for GatedOutput {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        if let Some(stuck) = self.stuck.take() {
+            let _ = stuck.recv();
+        }
+        self.written.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn text(written: &Mutex<Vec<u8>>) -> String {
+    String::from_utf8(written.lock().unwrap().clone()).unwrap()
+}
+
+/// Operators read a log that ends with the process's last line: the process ends right after it
+/// wrote it, while the line still gathers with others.
+#[test]
+fn lines_are_written_in_order_until_the_end() {
+    let written = Arc::default();
+    let output = GatedOutput {
+        written: Arc::clone(&written),
+        stuck: None,
+    };
+    let mut queue = LineQueue::new(output).unwrap();
+    for number in 0..1000 {
+        write!(queue, "line {number}").unwrap();
+        queue.write_all(b"\n").unwrap();
+    }
+    drop(queue);
+    let expected: String = (0..1000).map(|number| format!("line {number}\n")).collect();
+    assert_eq!(text(&written), expected);
+}
+
+/// The output is stuck, as when nobody reads a pipe. Requests go on being served: writing a line
+/// never waits. What does not fit is dropped, and its number is told when the output moves.
+#[test]
+fn a_stuck_output_drops_lines_and_tells_how_many() {
+    let written = Arc::default();
+    let (release, stuck) = mpsc::channel();
+    let output = GatedOutput {
+        written: Arc::clone(&written),
+        stuck: Some(stuck),
+    };
+    let mut queue = LineQueue::new(output).unwrap();
+    let line = "x".repeat(1 << 10) + "\n";
+    let lines = 5_000;
+    for _ in 0..lines {
+        queue.write_all(line.as_bytes()).unwrap();
+    }
+    release.send(()).unwrap();
+    drop(queue);
+    let text = text(&written);
+    let (mut kept, mut told) = (0, 0);
+    for line in text.lines() {
+        match line.split_once(r#""lines":"#) {
+            Some((_, number)) => told += number.trim_end_matches('}').parse::<u64>().unwrap(),
+            None => kept += 1,
+        }
+    }
+    assert!(told > 0, "nothing was dropped");
+    assert_eq!(kept + told, lines);
+}
--- a/lovagedock-gateway/src/direct/board/mod.rs
+++ b/lovagedock-gateway/src/direct/board/mod.rs
@@ -55,8 +55,12 @@
     fleet: Mutex<FleetState>,
     /// Wakes requests that wait for a place.
     changed: Notify,
-    /// Wakes the task that tells peers.
+    /// Wakes the task that tells peers at once.
     pub(crate) placed: Notify,
+    /// Wakes it for what can wait a moment.
+    pub(crate) ended: Notify,
+    /// Wakes requests that wait behind others.
+    line_moved: Notify,
     listed: AtomicBool,
     store_reachable: AtomicBool,
     stopping: OnceLock<StopPlan>,
@@ -91,6 +95,8 @@
             }),
             changed: Notify::new(),
             placed: Notify::new(),
+            ended: Notify::new(),
+            line_moved: Notify::new(),
             listed: AtomicBool::new(false),
             store_reachable: AtomicBool::new(false),
             stopping: OnceLock::new(),
@@ -176,9 +182,19 @@
         self.changed.notified()
     }
 
-    fn note_change(&self) {
+    /// Waits until a request leaves a waiting line.
+    pub(crate) fn line_moved(&self) -> Notified<'_> {
+        self.line_moved.notified()
+    }
+
+    /// Says that a request has left a waiting line.
+    pub(crate) fn note_line_moved(&self) {
+        self.line_moved.notify_waiters();
+    }
+
+    fn note_ended(&self) {
         self.changed.notify_waiters();
-        self.placed.notify_one();
+        self.ended.notify_one();
     }
 
     /// Takes in an endpoint.
--- a/lovagedock-gateway/src/direct/board/place.rs
+++ b/lovagedock-gateway/src/direct/board/place.rs
@@ -98,7 +98,7 @@
             fleet.ledger.finish(now, key);
         }
         drop(fleet);
-        self.board.note_change();
+        self.board.note_ended();
     }
 }
 
@@ -111,7 +111,7 @@
             fleet.ledger.finish(now, key);
         }
         drop(fleet);
-        self.board.note_change();
+        self.board.note_ended();
     }
 }
 
--- a/lovagedock-gateway/src/direct/call/waiting.rs
+++ b/lovagedock-gateway/src/direct/call/waiting.rs
@@ -8,8 +8,10 @@
 use super::DirectCall;
 use crate::direct::board::{FleetBoard, PlaceEffort, PlaceResult, PlacedRequest};
 
-/// Longest time between two looks for a place.
+/// Longest and shortest time between two looks for a place. Peers tell of something up to 800 times
+/// a second, and a look takes 19 us of a full core beside 70 endpoints (`examples/direct_cost`).
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
+const LOOK_PAUSE: Duration = Duration::from_millis(4);
 
 /// Waiting time that a rank is worth: in a line, a request goes before one of the next rank that is
 /// late this much sooner. A rank that went first without bound would starve the ranks below.
@@ -27,6 +29,8 @@
             let board = Arc::clone(&self.board);
             let mut changed = std::pin::pin!(board.changed());
             changed.as_mut().enable();
+            let mut line_moved = std::pin::pin!(board.line_moved());
+            line_moved.as_mut().enable();
             let now = self.board.clock.now();
             if now >= self.deadline {
                 return Err(self.machine.expired());
@@ -49,10 +53,17 @@
                     waiting.insert(ticket).until
                 }
             };
-            let wake = until.min(now + LOOK_AGAIN);
+            if !may_look {
+                tokio::select! {
+                    () = line_moved => {}
+                    () = sleep_until(self.instant(until)) => {}
+                }
+                continue;
+            }
+            sleep_until(self.instant(until.min(now + LOOK_PAUSE))).await;
             tokio::select! {
                 () = changed => {}
-                () = sleep_until(self.instant(wake)) => {}
+                () = sleep_until(self.instant(until.min(now + LOOK_AGAIN))) => {}
             }
         }
     }
@@ -152,5 +163,6 @@
     fn drop(&mut self) {
         let leave = |line: &mut lovagedock::WaitingLine| line.leave(&self.ticket);
         self.board.with_line(&self.service, self.line, leave);
+        self.board.note_line_moved();
     }
 }
--- a/lovagedock-gateway/src/direct/peers.rs
+++ b/lovagedock-gateway/src/direct/peers.rs
@@ -18,7 +18,7 @@
 use slog::{debug, info};
 use tokio::{
     net::{TcpListener, UdpSocket},
-    time::{Instant, sleep, timeout},
+    time::{Instant, sleep, sleep_until},
 };
 
 use super::{
@@ -30,9 +30,16 @@
 /// peer; longer, and gateways fill the same slot twice.
 const SEND_INTERVAL: Duration = Duration::from_millis(8);
 
-/// Time after which everything is told again, so that a lost datagram is made good.
+/// Time until peers are told that work has ended. They leave a slot that became free to its former
+/// user for 20 ms and more, so that nobody waits for this; what is placed meanwhile takes it along.
+const ENDED_DELAY: Duration = Duration::from_millis(24);
+
+/// Time between two parts of everything that are told again, so that a lost datagram is made good.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Parts in which everything is told again. Told at once, it took a third of all datagrams.
+const REFRESH_PARTS: usize = 4;
+
 /// Endpoints in one datagram; with 40 bytes each it stays below a usual packet.
 const LOADS_PER_DATAGRAM: usize = 24;
 
@@ -158,20 +165,22 @@
     /// Tells peers of changes for as long as the gateway lives.
     pub(crate) async fn send_forever(self: Arc<Self>) {
         let mut told: HashMap<EndpointId, PeerLoad> = HashMap::new();
-        let mut refreshed = Instant::now();
+        let mut refresh_at = Instant::now();
+        let mut part = 0;
         let mut sequence = 0;
         let mut told_versions = (0, 0);
         loop {
-            let _ = timeout(REFRESH_INTERVAL, self.board.placed.notified()).await;
-            let refresh = refreshed.elapsed() >= REFRESH_INTERVAL;
+            self.await_news(refresh_at).await;
+            let refresh = Instant::now() >= refresh_at;
             if refresh {
-                refreshed = Instant::now();
-                told.clear();
+                refresh_at = Instant::now() + REFRESH_INTERVAL;
+                part = (part + 1) % REFRESH_PARTS;
                 self.board.tick();
             }
             let mut entries = Vec::new();
-            for (endpoint, load) in self.board.own_loads() {
-                if told.get(&endpoint) != Some(&load) {
+            for (index, (endpoint, load)) in self.board.own_loads().into_iter().enumerate() {
+                let again = refresh && index % REFRESH_PARTS == part;
+                if again || told.get(&endpoint) != Some(&load) {
                     entries.push(PeerEntry::new(&endpoint, &load));
                     told.insert(endpoint, load);
                 }
@@ -189,6 +198,19 @@
         }
     }
 
+    /// Waits until there is something to tell peers, and until `refresh_at` at the latest.
+    async fn await_news(&self, refresh_at: Instant) {
+        let ended = async {
+            self.board.ended.notified().await;
+            sleep(ENDED_DELAY).await;
+        };
+        tokio::select! {
+            () = self.board.placed.notified() => {}
+            () = ended => {}
+            () = sleep_until(refresh_at) => {}
+        }
+    }
+
     async fn send(
         &self,
         entries: &[PeerEntry],
--- a/lovagedock/src/direct/ledger.rs
+++ b/lovagedock/src/direct/ledger.rs
@@ -80,23 +80,100 @@
     own_reads: u32,
     /// When the engine has read everything that is known to be placed there.
     free_at: Timestamp,
-    peers: HashMap<GatewayId, PeerRecord>,
+    peers: HashMap<GatewayId, PeerLoad>,
+    /// What this gateway and all peers have placed, kept up with every change. Placement looks at
+    /// all endpoints for each request and each event is compared with the load of its engine:
+    /// beside 23 peers and 70 endpoints a look takes 19 us instead of 25 (`examples/direct_cost`).
+    total: LoadTotal,
+    held: Vec<HeldSlots>,
 }
 
+/// What all gateways have placed on an endpoint.
+#[derive(Clone, Debug, Default)]
+struct LoadTotal {
+    occupied: u32,
+    short: u32,
+    context: TokenCount,
+    writers: Vec<(Duration, u32, f32)>,
+}
+
+impl LoadTotal {
+    fn add(&mut self, load: &PeerLoad) {
+        self.occupied += load.occupied;
+        self.short += load.short;
+        self.context += load.context;
+        for (gap, count, value) in &load.writers {
+            add_writers(&mut self.writers, *gap, *count, *value);
+        }
+    }
+
+    fn subtract(&mut self, load: &PeerLoad) {
+        self.occupied = self.occupied.saturating_sub(load.occupied);
+        self.short = self.short.saturating_sub(load.short);
+        self.context = self.context.saturating_sub(load.context);
+        for (gap, count, value) in &load.writers {
+            remove_writers(&mut self.writers, *gap, *count, *value);
+        }
+    }
+}
+
+/// Slots that a peer freed a moment ago and that are left to it for a while.
 #[derive(Clone, Debug)]
-struct PeerRecord {
-    load: PeerLoad,
-    /// Slots that the peer held a moment ago, and until when they are left to it.
-    held: u32,
-    held_until: Timestamp,
+struct HeldSlots {
+    peer: GatewayId,
+    slots: u32,
+    until: Timestamp,
+}
+
+impl EndpointRecord {
+    /// Replaces what a peer has placed; `None` forgets the peer.
+    fn set_peer(&mut self, peer: &GatewayId, load: Option<PeerLoad>) {
+        if let Some(load) = &load {
+            self.total.add(load);
+        }
+        let known = match load {
+            Some(load) => self.peers.insert(peer.clone(), load),
+            None => self.peers.remove(peer),
+        };
+        if let Some(known) = known {
+            self.total.subtract(&known);
+        }
+    }
+
+    fn add_own(&mut self, work: &PlacedWork) {
+        let load = work.as_load();
+        self.total.add(&load);
+        self.own.occupied += load.occupied;
+        self.own.short += load.short;
+        self.own.context += load.context;
+        self.own.reading_total += load.reading_total;
+        for (gap, count, value) in load.writers {
+            add_writers(&mut self.own.writers, gap, count, value);
+        }
+    }
+
+    fn remove_own(&mut self, work: &PlacedWork) {
+        let load = work.as_load();
+        self.total.subtract(&load);
+        self.own.occupied = self.own.occupied.saturating_sub(load.occupied);
+        self.own.short = self.own.short.saturating_sub(load.short);
+        self.own.context = self.own.context.saturating_sub(load.context);
+        for (gap, count, value) in load.writers {
+            remove_writers(&mut self.own.writers, gap, count, value);
+        }
+    }
 }
 
-impl PeerRecord {
-    /// Slots of the peer, with those that it may take again at once.
-    fn occupied(&self, now: Timestamp) -> u32 {
-        match now < self.held_until {
-            true => self.held.max(self.load.occupied),
-            false => self.load.occupied,
+impl PlacedWork {
+    fn as_load(&self) -> PeerLoad {
+        let writers = self.gap.map(|gap| (gap, 1, self.value));
+        PeerLoad {
+            occupied: 1,
+            short: u32::from(self.short),
+            context: self.context,
+            reading_total: self.reading,
+            pace: 0.0,
+            writers: writers.into_iter().collect(),
         }
     }
 }
@@ -149,13 +226,7 @@
     /// Records work that is being sent.
     pub fn place(&mut self, now: Timestamp, work: PlacedWork) -> WorkKey {
         let record = self.endpoints.entry(work.endpoint.clone()).or_default();
-        record.own.occupied += 1;
-        record.own.short += u32::from(work.short);
-        record.own.context += work.context;
-        if let Some(gap) = work.gap {
-            add_writer(&mut record.own.writers, gap, work.value);
-        }
-        record.own.reading_total += work.reading;
+        record.add_own(&work);
         record.free_at = record.free_at.max(now) + work.reading;
         record.own_reads += 1;
         let read_until = record.free_at;
@@ -201,12 +272,7 @@
         let Some(record) = self.endpoints.get_mut(&own.work.endpoint) else {
             return;
         };
-        record.own.occupied = record.own.occupied.saturating_sub(1);
-        record.own.short = record.own.short.saturating_sub(u32::from(own.work.short));
-        record.own.context = record.own.context.saturating_sub(own.work.context);
-        if let Some(gap) = own.work.gap {
-            remove_writer(&mut record.own.writers, gap, own.work.value);
-        }
+        record.remove_own(&own.work);
         if own.reading {
             record.own_reads = record.own_reads.saturating_sub(1);
             let left = own.read_until.saturating_sub(now).min(own.work.reading);
@@ -228,23 +294,23 @@
             // A peer that was heard before has placed nothing yet on an endpoint that it never
             // named. What one that is new has placed in all its life says nothing about now.
             let unnamed = is_known.then_some(Duration::ZERO);
-            let before = known.map(|known| known.load.reading_total).or(unnamed);
+            let before = known.map(|known| known.reading_total).or(unnamed);
+            let freed = known.map_or(0, |known| known.occupied.saturating_sub(load.occupied));
             if let Some(before) = before {
                 let added = load.reading_total.saturating_sub(before);
                 record.free_at = record.free_at.max(now) + added;
             }
-            let mut held = load.occupied;
-            let mut held_until = Timestamp::ZERO;
-            if let Some(known) = known.filter(|known| known.load.occupied > load.occupied) {
-                held = known.load.occupied;
-                held_until = now + self.slot_delay;
+            record
+                .held
+                .retain(|held| held.peer != *peer && now < held.until);
+            if freed > 0 {
+                record.held.push(HeldSlots {
+                    peer: peer.clone(),
+                    slots: freed,
+                    until: now + self.slot_delay,
+                });
             }
-            let heard = PeerRecord {
-                load,
-                held,
-                held_until,
-            };
-            record.peers.insert(peer.clone(), heard);
+            record.set_peer(peer, Some(load));
         }
     }
 
@@ -252,7 +318,8 @@
     pub fn forget_peer(&mut self, peer: &GatewayId) {
         self.heard.remove(peer);
         for record in self.endpoints.values_mut() {
-            record.peers.remove(peer);
+            record.set_peer(peer, None);
+            record.held.retain(|held| held.peer != *peer);
         }
     }
 
@@ -285,31 +352,22 @@
         let Some(record) = self.endpoints.get(endpoint) else {
             return CombinedLoad::default();
         };
-        let mut load = CombinedLoad {
-            occupied: record.own.occupied,
-            context: record.own.context,
+        let held = record.held.iter().filter(|held| now < held.until);
+        let held: u32 = held.map(|held| held.slots).sum();
+        let paces = record.peers.values().map(|peer| peer.pace);
+        CombinedLoad {
+            occupied: record.total.occupied + held,
+            context: record.total.context,
             backlog: record.free_at.saturating_sub(now),
-            pace: 0.0,
-            writers: record.own.writers.clone(),
-        };
-        for peer in record.peers.values() {
-            load.occupied += peer.occupied(now);
-            load.context += peer.load.context;
-            load.pace = load.pace.max(peer.load.pace);
-            for (gap, count, value) in &peer.load.writers {
-                merge_writers(&mut load.writers, *gap, *count, *value);
-            }
+            pace: paces.fold(0.0, f32::max),
+            writers: record.total.writers.clone(),
         }
-        load
     }
 
     /// Requests with short prompts on an endpoint, over all gateways.
     pub fn short_count(&self, endpoint: &EndpointId) -> u32 {
-        let Some(record) = self.endpoints.get(endpoint) else {
-            return 0;
-        };
-        let peers = record.peers.values().map(|peer| peer.load.short);
-        record.own.short + peers.sum::<u32>()
+        let record = self.endpoints.get(endpoint);
+        record.map_or(0, |record| record.total.short)
     }
 
     /// What this gateway has placed, for its peers.
@@ -318,11 +376,7 @@
     }
 }
 
-fn add_writer(writers: &mut Vec<(Duration, u32, f32)>, gap: Duration, value: f32) {
-    merge_writers(writers, gap, 1, value);
-}
-
-fn merge_writers(writers: &mut Vec<(Duration, u32, f32)>, gap: Duration, count: u32, value: f32) {
+fn add_writers(writers: &mut Vec<(Duration, u32, f32)>, gap: Duration, count: u32, value: f32) {
     match writers.iter_mut().find(|(known, _, _)| *known == gap) {
         Some((_, known_count, known_value)) => {
             *known_count += count;
@@ -332,9 +386,10 @@
     }
 }
 
-fn remove_writer(writers: &mut Vec<(Duration, u32, f32)>, gap: Duration, value: f32) {
-    if let Some((_, count, sum)) = writers.iter_mut().find(|(known, _, _)| *known == gap) {
-        *count = count.saturating_sub(1);
+/// Takes writers out; the last one of a kind takes what rounding has left of the value with it.
+fn remove_writers(writers: &mut Vec<(Duration, u32, f32)>, gap: Duration, count: u32, value: f32) {
+    if let Some((_, known_count, sum)) = writers.iter_mut().find(|(known, _, _)| *known == gap) {
+        *known_count = known_count.saturating_sub(count);
         *sum = (*sum - value).max(0.0);
     }
     writers.retain(|(_, count, _)| *count > 0);
--- /dev/null
+++ b/lovagedock/tests/direct_ledger_totals.rs
@@ -0,0 +1,144 @@
+//! What the ledger says of an endpoint is the sum of what all gateways have placed there.
+//!
+//! Callers are placed by these sums. One that drifts from what was placed keeps slots taken that are
+//! free, or has an engine filled past its slots, for as long as the gateway lives.
+
+use std::{collections::HashMap, time::Duration};
+
+use lovagedock::{PeerLoad, PlacedWork, WorkKey, WorkLedger, prelude::*};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const ENDPOINTS: usize = 4;
+const PEERS: usize = 5;
+const STEPS: usize = 600;
+const GAPS: [Duration; 2] = [Duration::from_millis(200), Duration::from_millis(800)];
+
+/// The same sums, made anew from everything that is placed.
+#[derive(Default)]
+struct NaiveLedger {
+    own: HashMap<WorkKey, PlacedWork>,
+    peers: HashMap<(usize, usize), PeerLoad>,
+}
+
+impl NaiveLedger {
+    fn occupied(&self, endpoint: usize) -> u32 {
+        let peers = self.on(endpoint).map(|load| load.occupied).sum::<u32>();
+        self.own_on(endpoint).count() as u32 + peers
+    }
+
+    fn short(&self, endpoint: usize) -> u32 {
+        let own = self.own_on(endpoint).filter(|work| work.short).count();
+        own as u32 + self.on(endpoint).map(|load| load.short).sum::<u32>()
+    }
+
+    fn context(&self, endpoint: usize) -> TokenCount {
+        let own: TokenCount = self.own_on(endpoint).map(|work| work.context).sum();
+        own + self
+            .on(endpoint)
+            .map(|load| load.context)
+            .sum::<TokenCount>()
+    }
+
+    fn writers(&self, endpoint: usize) -> u32 {
+        let own = self.own_on(endpoint).filter(|work| work.gap.is_some());
+        let writers = self.on(endpoint).flat_map(|load| &load.writers);
+        own.count() as u32 + writers.map(|(_, count, _)| count).sum::<u32>()
+    }
+
+    fn on(&self, endpoint: usize) -> impl Iterator<Item = &PeerLoad> {
+        let peers = self.peers.iter();
+        peers
+            .filter(move |((_, of), _)| *of == endpoint)
+            .map(|(_, load)| load)
+    }
+
+    fn own_on(&self, endpoint: usize) -> impl Iterator<Item = &PlacedWork> {
+        let id = endpoint_id(endpoint);
+        self.own.values().filter(move |work| work.endpoint == id)
+    }
+}
+
+fn endpoint_id(number: usize) -> EndpointId {
+    format!("engine-{number}").into()
+}
+
+fn peer_id(number: usize) -> GatewayId {
+    format!("gateway-{number}").into()
+}
+
+fn random_work(random: &mut ChaCha8Rng) -> PlacedWork {
+    PlacedWork {
+        endpoint: endpoint_id(random.random_range(0..ENDPOINTS)),
+        reading: Duration::from_millis(random.random_range(0..300)),
+        context: random.random_range(0..50_000),
+        gap: random
+            .random_bool(0.7)
+            .then(|| GAPS[random.random_range(0..GAPS.len())]),
+        short: random.random_bool(0.5),
+        value: random.random_range(1.0..30.0),
+    }
+}
+
+fn random_load(random: &mut ChaCha8Rng) -> PeerLoad {
+    let writers = GAPS
+        .iter()
+        .map(|gap| (*gap, random.random_range(0..3), 2.0));
+    let writers = writers.filter(|(_, count, _)| *count > 0).collect();
+    PeerLoad {
+        occupied: random.random_range(0..6),
+        short: random.random_range(0..3),
+        context: random.random_range(0..50_000),
+        reading_total: Duration::ZERO,
+        pace: 1.0,
+        writers,
+    }
+}
+
+#[test]
+fn sums_follow_every_change() {
+    for seed in 0..20 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut ledger = WorkLedger::new();
+        let mut naive = NaiveLedger::default();
+        for step in 0..STEPS {
+            let now = Duration::from_millis(step as u64);
+            match random.random_range(0..10) {
+                0..3 => {
+                    let work = random_work(&mut random);
+                    naive.own.insert(ledger.place(now, work.clone()), work);
+                }
+                3..6 => {
+                    let mut keys: Vec<WorkKey> = naive.own.keys().copied().collect();
+                    keys.sort_unstable();
+                    if let Some(key) = keys.get(random.random_range(0..keys.len().max(1))) {
+                        naive.own.remove(key);
+                        ledger.finish_reading(now, *key);
+                        ledger.finish(now, *key);
+                    }
+                }
+                6..9 => {
+                    let peer = random.random_range(0..PEERS);
+                    let endpoint = random.random_range(0..ENDPOINTS);
+                    let load = random_load(&mut random);
+                    ledger.hear(now, &peer_id(peer), [(endpoint_id(endpoint), load.clone())]);
+                    naive.peers.insert((peer, endpoint), load);
+                }
+                _ => {
+                    let peer = random.random_range(0..PEERS);
+                    ledger.forget_peer(&peer_id(peer));
+                    naive.peers.retain(|(of, _), _| *of != peer);
+                }
+            }
+            for endpoint in 0..ENDPOINTS {
+                let id = endpoint_id(endpoint);
+                let load = ledger.load(now, &id);
+                let place = format!("seed {seed}, step {step}, endpoint {endpoint}");
+                assert_eq!(load.occupied, naive.occupied(endpoint), "{place}");
+                assert_eq!(load.context, naive.context(endpoint), "{place}");
+                assert_eq!(load.writer_count(), naive.writers(endpoint), "{place}");
+                assert_eq!(ledger.short_count(&id), naive.short(endpoint), "{place}");
+            }
+        }
+    }
+}
