--- a/lovagedock-gateway/src/direct/call/waiting.rs
+++ b/lovagedock-gateway/src/direct/call/waiting.rs
@@ -13,6 +13,9 @@
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 const LOOK_PAUSE: Duration = Duration::from_millis(4);
 
+/// Longest pause before a long prompt is looked at again.
+const LONG_PAUSE: Duration = Duration::from_millis(100);
+
 /// Waiting time that a rank is worth: in a line, a request goes before one of the next rank that is
 /// late this much sooner. A rank that went first without bound would starve the ranks below.
 const RANK_TIME: Duration = Duration::from_millis(20);
@@ -60,7 +63,11 @@
                 }
                 continue;
             }
-            sleep_until(self.instant(until.min(now + LOOK_PAUSE))).await;
+            let pause = match self.line {
+                LineKind::Long => LONG_PAUSE.mul_f64(rand::random()),
+                _ => LOOK_PAUSE,
+            };
+            sleep_until(self.instant(until.min(now + pause))).await;
             tokio::select! {
                 () = changed => {}
                 () = sleep_until(self.instant(until.min(now + LOOK_AGAIN))) => {}
