An engine with an overdue part is not idle for long prompts

Cause: gateways take an engine for idle when its reading should be done by their reckoning. One that was late is asked again, reads what came last first, and the late part waits: parts of 6 to 9 s where 0.7 to 2.5 s were predicted.

Change: each gateway tells how many of its long reads on an engine are 250 ms overdue; the engine then counts as busy for 200 ms for long prompts.

--- a/lovagedock-gateway/src/direct/peers.rs
+++ b/lovagedock-gateway/src/direct/peers.rs
@@ -68,6 +68,7 @@
     endpoint: EndpointId,
     occupied: u32,
     short: u32,
+    overdue: u32,
     pace: f32,
     context: TokenCount,
     reading_total_us: u64,
@@ -82,6 +83,7 @@
             endpoint: endpoint.clone(),
             occupied: load.occupied,
             short: load.short,
+            overdue: load.overdue,
             pace: load.pace,
             context: load.context,
             reading_total_us: load.reading_total.as_micros() as u64,
@@ -99,6 +101,7 @@
         let load = PeerLoad {
             occupied: self.occupied,
             short: self.short,
+            overdue: self.overdue,
             pace: self.pace,
             context: self.context,
             reading_total: Duration::from_micros(self.reading_total_us),
--- a/lovagedock/src/direct/ledger.rs
+++ b/lovagedock/src/direct/ledger.rs
@@ -40,6 +40,8 @@
     /// All prompt reading that it ever placed there; only grows, so that a lost message is made
     /// good by the next one.
     pub reading_total: Duration,
+    /// Long prompts and parts of them that should have been read a while ago and are not.
+    pub overdue: u32,
     /// How many times as long as declared it takes, as the peer measured it; 0 if it did not.
     pub pace: f32,
     /// Writers by the pause that they bear, with their number and summed value.
@@ -55,6 +57,8 @@
     pub context: TokenCount,
     /// Time until it has read all prompts that were placed there.
     pub backlog: Duration,
+    /// Long prompts and parts of them that it should have read a while ago and has not.
+    pub overdue: u32,
     /// How many times as long as declared it takes, as peers measured it; 0 if none did.
     pub pace: f32,
     /// Writers by the pause that they bear, with their number and summed value.
@@ -77,7 +81,8 @@
 #[derive(Clone, Debug, Default)]
 struct EndpointRecord {
     own: PeerLoad,
-    own_reads: u32,
+    /// When this gateway's long prompts that are not read yet should be.
+    own_reads: Vec<(WorkKey, Timestamp)>,
     /// When the engine has read everything that is known to be placed there.
     free_at: Timestamp,
     peers: HashMap<GatewayId, PeerLoad>,
@@ -93,6 +98,8 @@
 struct LoadTotal {
     occupied: u32,
     short: u32,
+    /// Of peers; this gateway's own come due with time.
+    overdue: u32,
     context: TokenCount,
     writers: Vec<(Duration, u32, f32)>,
 }
@@ -101,6 +108,7 @@
     fn add(&mut self, load: &PeerLoad) {
         self.occupied += load.occupied;
         self.short += load.short;
+        self.overdue += load.overdue;
         self.context += load.context;
         for (gap, count, value) in &load.writers {
             add_writers(&mut self.writers, *gap, *count, *value);
@@ -110,6 +118,7 @@
     fn subtract(&mut self, load: &PeerLoad) {
         self.occupied = self.occupied.saturating_sub(load.occupied);
         self.short = self.short.saturating_sub(load.short);
+        self.overdue = self.overdue.saturating_sub(load.overdue);
         self.context = self.context.saturating_sub(load.context);
         for (gap, count, value) in &load.writers {
             remove_writers(&mut self.writers, *gap, *count, *value);
@@ -140,6 +149,11 @@
         }
     }
 
+    fn own_overdue(&self, now: Timestamp) -> u32 {
+        let due = self.own_reads.iter();
+        due.filter(|(_, due)| now > *due + OVERDUE_TIME).count() as u32
+    }
+
     fn add_own(&mut self, work: &PlacedWork) {
         let load = work.as_load();
         self.total.add(&load);
@@ -172,6 +186,7 @@
             short: u32::from(self.short),
             context: self.context,
             reading_total: self.reading,
+            overdue: 0,
             pace: 0.0,
             writers: writers.into_iter().collect(),
         }
@@ -193,6 +208,10 @@
 /// the same delay once for each prompt that it delayed.
 const LATENESS_CARRIED: f64 = 0.5;
 
+/// Lateness from which a read is overdue. Predictions miss by a pass or two of up to 100 ms, and the
+/// end of a read shows by the event that follows it.
+const OVERDUE_TIME: Duration = Duration::from_millis(250);
+
 /// Counts the work on each endpoint.
 ///
 /// Engines report with a lag of hundreds of milliseconds. Gateways that place by such reports all
@@ -228,10 +247,12 @@
         let record = self.endpoints.entry(work.endpoint.clone()).or_default();
         record.add_own(&work);
         record.free_at = record.free_at.max(now) + work.reading;
-        record.own_reads += 1;
         let read_until = record.free_at;
         let key = self.next_key;
         self.next_key += 1;
+        if !work.short && !work.reading.is_zero() {
+            record.own_reads.push((key, read_until));
+        }
         let own = OwnWork {
             work,
             read_until,
@@ -253,7 +274,7 @@
         let Some(record) = self.endpoints.get_mut(&own.work.endpoint) else {
             return;
         };
-        record.own_reads = record.own_reads.saturating_sub(1);
+        record.own_reads.retain(|(read, _)| *read != key);
         if now > read_until {
             let late = (now - read_until).mul_f64(LATENESS_CARRIED);
             if record.free_at > now {
@@ -274,7 +295,7 @@
         };
         record.remove_own(&own.work);
         if own.reading {
-            record.own_reads = record.own_reads.saturating_sub(1);
+            record.own_reads.retain(|(read, _)| *read != key);
             let left = own.read_until.saturating_sub(now).min(own.work.reading);
             record.free_at = record.free_at.saturating_sub(left);
         }
@@ -359,6 +380,7 @@
             occupied: record.total.occupied + held,
             context: record.total.context,
             backlog: record.free_at.saturating_sub(now),
+            overdue: record.total.overdue + record.own_overdue(now),
             pace: paces.fold(0.0, f32::max),
             writers: record.total.writers.clone(),
         }
@@ -371,8 +393,12 @@
     }
 
     /// What this gateway has placed, for its peers.
-    pub fn own_loads(&self) -> impl Iterator<Item = (&EndpointId, &PeerLoad)> {
-        self.endpoints.iter().map(|(id, record)| (id, &record.own))
+    pub fn own_loads(&self, now: Timestamp) -> impl Iterator<Item = (&EndpointId, PeerLoad)> {
+        self.endpoints.iter().map(move |(id, record)| {
+            let overdue = record.own_overdue(now);
+            let load = record.own.clone();
+            (id, PeerLoad { overdue, ..load })
+        })
     }
 }
 
--- a/lovagedock/src/direct/member.rs
+++ b/lovagedock/src/direct/member.rs
@@ -41,6 +41,14 @@
 /// to 4.1 s with this.
 pub(super) const HELP_BACKLOG: Duration = Duration::from_millis(80);
 
+/// Least backlog, for a long prompt, of an engine with an overdue part of another one.
+///
+/// The load that it answers: engines that read for several prompts at once. Some part takes longer
+/// than predicted; the engine counts as idle, is asked again, reads what came last first, and the
+/// part that was late waits for seconds. Joined logs showed engines on which a part waited 6 to 9 s
+/// while three to seven later ones were read.
+const OVERDUE_BACKLOG: Duration = Duration::from_millis(200);
+
 /// Loss for each second until an engine has read what it has. Short requests that arrive together
 /// would otherwise all read on the engine that is filled next, one after the other.
 const LONG_READING_LOSS: f64 = 0.1;
@@ -95,7 +103,12 @@
         let pass = profile.pass_time(writers, load.context + request.prompt);
         let pace = f64::from(load.pace).max(1.0);
         let pass = pass.mul_f64(pace);
-        let ready = (load.backlog + part).mul_f64(pace);
+        let long = profile.read_time(request.prompt) >= LONG_READING;
+        let backlog = match long && load.overdue > 0 {
+            true => load.backlog.max(OVERDUE_BACKLOG),
+            false => load.backlog,
+        };
+        let ready = (backlog + part).mul_f64(pace);
         let hurt = LATE_LOSS * load.value_hurt_by(pass + ready);
         let free = candidate.endpoint.slots.saturating_sub(load.occupied);
         let last = if free <= LAST_SLOTS {
@@ -103,7 +116,6 @@
         } else {
             0.0
         };
-        let long = profile.read_time(request.prompt) >= LONG_READING;
         let outside = match candidate.short_lane || long {
             true => 0.0,
             false => OUTSIDE_LANE_LOSS + OUTSIDE_STEP_LOSS * candidate.position as f64,
@@ -124,7 +136,7 @@
         };
         Self {
             index,
-            backlog: load.backlog,
+            backlog,
             ready,
             pass,
             hurt,
