A request that missed an objective keeps others off its engine less

Change: a writer whose first event was late or that paused too long counts with a third of its value and bears 1 s.

--- a/lovagedock-gateway/src/direct/board/place.rs
+++ b/lovagedock-gateway/src/direct/board/place.rs
@@ -82,6 +82,7 @@
     lead: WorkKey,
     helpers: Vec<WorkKey>,
     reading: bool,
+    missed: bool,
 }
 
 impl WorkHold {
@@ -100,6 +101,15 @@
         drop(fleet);
         self.board.note_ended();
     }
+
+    /// Records that the request has missed an objective; further pauses cost its caller no more.
+    pub(crate) fn note_missed(&mut self) {
+        if std::mem::replace(&mut self.missed, true) {
+            return;
+        }
+        self.board.fleet.lock().ledger.note_missed(self.lead);
+        self.board.note_ended();
+    }
 }
 
 impl Drop for WorkHold {
@@ -196,6 +206,7 @@
             lead,
             helpers: keys.collect(),
             reading: true,
+            missed: false,
         }
     }
 }
--- a/lovagedock-gateway/src/direct/call/mod.rs
+++ b/lovagedock-gateway/src/direct/call/mod.rs
@@ -203,10 +203,15 @@
                 cutoff: self.instant(self.deadline),
             };
             let hold = &mut placed.hold;
+            let late_at = self.instant(self.late_at);
+            let gap = self.parts.route.gap_objective.unwrap_or(Duration::MAX);
             let end = self
                 .stream
-                .run(answer.response, &mut self.way, patience, &watch, || {
+                .run(answer.response, &mut self.way, patience, &watch, |first_at, longest| {
                     hold.finish_reading();
+                    if longest > gap || first_at > late_at {
+                        hold.note_missed();
+                    }
                 })
                 .await;
             return match end {
--- a/lovagedock-gateway/src/direct/call/waiting.rs
+++ b/lovagedock-gateway/src/direct/call/waiting.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use lovagedock::{DirectRequest, DirectStep, LineDecision, LineKind, prelude::*};
+use lovagedock::{MISSED_GAP, DirectRequest, DirectStep, LineDecision, LineKind, prelude::*};
 use tokio::time::sleep_until;
 
 use super::DirectCall;
@@ -86,12 +86,17 @@
 
     fn look(&self, now: Timestamp, effort: PlaceEffort) -> PlaceResult {
         let head = &self.parts.head;
+        let is_return = self.line == LineKind::Returned;
+        let gap = self.parts.route.gap_objective;
         let request = DirectRequest {
             prompt: head.prompt,
             answer: head.expected_answer(),
             objective_left: self.late_at.saturating_sub(now),
-            gap: self.parts.route.gap_objective,
-            returned: self.line == LineKind::Returned && self.machine.sent() == 0,
+            gap: match is_return || now > self.late_at {
+                true => gap.map(|gap| gap.max(MISSED_GAP)),
+                false => gap,
+            },
+            returned: is_return && self.machine.sent() == 0,
         };
         self.board.place(
             &self.parts.config,
--- a/lovagedock-gateway/src/direct/delivery.rs
+++ b/lovagedock-gateway/src/direct/delivery.rs
@@ -161,20 +161,20 @@
         self.longest_gap
     }
 
-    /// Delivers an answer until it ends; `on_event` is called for the first event of this answer.
+    /// Delivers an answer until it ends; `on_event` is called for each event of this answer with the
+    /// first one's time, if an earlier one was delivered, and the longest pause so far.
     pub(crate) async fn run(
         &mut self,
         response: Response<Incoming>,
         way: &mut CallerWay,
         patience: StreamPatience,
         watch: &LivenessWatch,
-        mut on_event: impl FnMut(),
+        mut on_event: impl FnMut(Instant, Duration),
     ) -> StreamEnd {
         let (head, mut body) = response.into_parts();
         self.splitter = EventSplitter::new();
         let mut until = patience.first;
         let mut limit = patience.limit.min(patience.cutoff);
-        let mut first = true;
         let mut read_at: Option<Instant> = None;
         loop {
             let piece = tokio::select! {
@@ -195,10 +195,7 @@
                 if let Some(before) = read_at.replace(now) {
                     watch.note_gap(now - before);
                 }
-                if first {
-                    first = false;
-                    on_event();
-                }
+                on_event(self.first_at.unwrap_or(now), self.longest_gap);
                 if self.is_repeated(event.id.as_deref()) {
                     continue;
                 }
--- a/lovagedock/src/direct/ledger.rs
+++ b/lovagedock/src/direct/ledger.rs
@@ -208,6 +208,13 @@
 /// the same delay once for each prompt that it delayed.
 const LATENESS_CARRIED: f64 = 0.5;
 
+/// Pause that a request bears which has missed an objective already: callers of streams leave after
+/// two seconds without an event, and an engine that is asked again in the meantime adds to a pause.
+pub const MISSED_GAP: Duration = Duration::from_millis(1000);
+
+/// Part of its value that is left to lose then.
+const MISSED_VALUE: f32 = 0.33;
+
 /// Lateness from which a read is overdue. Predictions miss by a pass or two of up to 100 ms, and the
 /// end of a read shows by the event that follows it.
 const OVERDUE_TIME: Duration = Duration::from_millis(250);
@@ -242,6 +249,30 @@
         self
     }
 
+    /// Records that the caller of some work has waited longer than it should once.
+    ///
+    /// The load that it answers: a burst of short prompts that ends as a burst of long ones begins. A
+    /// few long answers linger on every engine, and each long prompt finds every engine in use by
+    /// somebody whom it would make wait. Only the first of them costs anything.
+    pub fn note_missed(&mut self, key: WorkKey) {
+        let Some(own) = self.works.get_mut(&key) else {
+            return;
+        };
+        let Some(gap) = own.work.gap.filter(|gap| *gap < MISSED_GAP) else {
+            return;
+        };
+        let value = own.work.value;
+        own.work.gap = Some(MISSED_GAP);
+        own.work.value *= MISSED_VALUE;
+        let Some(record) = self.endpoints.get_mut(&own.work.endpoint) else {
+            return;
+        };
+        for writers in [&mut record.own.writers, &mut record.total.writers] {
+            remove_writers(writers, gap, 1, value);
+            add_writers(writers, MISSED_GAP, 1, own.work.value);
+        }
+    }
+
     /// Records work that is being sent.
     pub fn place(&mut self, now: Timestamp, work: PlacedWork) -> WorkKey {
         let record = self.endpoints.entry(work.endpoint.clone()).or_default();
--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -61,7 +61,7 @@
 };
 pub use cost::{CostModel, CostParameters, PredictionError, PrefillObservation};
 pub use direct::{
-    AttemptEnd, CallerBounds, CombinedLoad, DirectChoice, DirectEndpoint, DirectMachine,
+    AttemptEnd, CallerBounds, MISSED_GAP, CombinedLoad, DirectChoice, DirectEndpoint, DirectMachine,
     DirectPlacer, DirectRequest, DirectStep, EndpointState, EndpointTable, EngineProfile,
     EventSplitter, HelperPart, LineDecision, LineKind, LineSettings, PaceTracker, PeerContact,
     PeerLoad, PlacedWork, PlacerCandidate, RefusalLog, RequestFingerprint, RetryShare,
