Take a place at a price that grows with the waiting

Cause: long prompts waited their whole patience of 1.6 s for a place without harm and were then placed at any price or refused, after engines had done nothing meanwhile.

Change: the loss that is accepted grows from 0.4 by up to 0.3 of the request's value while its patience passes; the rule is the kernel's.

--- a/lovagedock-gateway/src/direct/board/place.rs
+++ b/lovagedock-gateway/src/direct/board/place.rs
@@ -9,10 +9,6 @@
 
 use super::{FleetBoard, state::FleetState};
 
-/// Loss up to which a place is taken at once. Above it a request waits a moment for a better one:
-/// it is about half a short request that comes late.
-const WAIT_LOSS: f64 = 0.4;
-
 /// A request that has a place.
 pub(crate) struct PlacedRequest {
     /// The endpoint that answers.
@@ -56,10 +52,13 @@
 }
 
 /// How good a place has to be.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum PlaceEffort {
-    /// Without harm; the request can wait for a better one.
-    Choosy,
+    /// Without much harm; the request can wait for a better one.
+    Choosy {
+        /// Part of its patience that it has used, from 0 to 1.
+        waited: f64,
+    },
     /// Worth starting; the request cannot wait any longer.
     Last,
     /// Any: an engine has worked on the request already, and all of that is lost without a place.
@@ -164,7 +163,7 @@
             return PlaceResult::Full;
         };
         let acceptable = match effort {
-            PlaceEffort::Choosy => choice.harm <= WAIT_LOSS,
+            PlaceEffort::Choosy { waited } => choice.is_worth_taking(request, waited),
             PlaceEffort::Last => choice.is_worth_starting(request),
             PlaceEffort::Any => true,
         };
--- a/lovagedock-gateway/src/direct/call/waiting.rs
+++ b/lovagedock-gateway/src/direct/call/waiting.rs
@@ -41,7 +41,8 @@
             let last_look = waiting.as_ref().is_some_and(|ticket| now >= ticket.until);
             let may_look = waiting.as_ref().is_none_or(LineTicket::is_first) || last_look;
             if may_look {
-                match self.look(now, self.effort(last_look)) {
+                let waited = waiting.as_ref().map_or(0.0, |ticket| ticket.waited(now));
+                match self.look(now, self.effort(waited)) {
                     PlaceResult::Placed(placed) => return Ok(*placed),
                     PlaceResult::Full | PlaceResult::NoEndpoint if last_look => {
                         return Err(self.refuse(now));
@@ -75,12 +76,14 @@
         }
     }
 
-    /// How good a place has to be for this request.
-    fn effort(&self, last_look: bool) -> PlaceEffort {
-        match (self.machine.sent(), last_look) {
-            (0, false) => PlaceEffort::Choosy,
-            (0, true) => PlaceEffort::Last,
-            _ => PlaceEffort::Any,
+    /// How good a place has to be for this request, which has used a part of its patience.
+    fn effort(&self, waited: f64) -> PlaceEffort {
+        if self.machine.sent() > 0 {
+            return PlaceEffort::Any;
+        }
+        match waited < 1.0 {
+            true => PlaceEffort::Choosy { waited },
+            false => PlaceEffort::Last,
         }
     }
 
@@ -123,6 +126,7 @@
             service: self.parts.service.clone(),
             line: self.line,
             ticket,
+            joined: now,
             until: now,
         };
         if self.machine.sent() > 0 {
@@ -161,10 +165,18 @@
     service: ServiceId,
     line: LineKind,
     ticket: (Timestamp, u64),
+    joined: Timestamp,
     until: Timestamp,
 }
 
 impl LineTicket {
+    /// Part of the patience that is used up; 1 at its end.
+    fn waited(&self, now: Timestamp) -> f64 {
+        let patience = self.until.saturating_sub(self.joined).as_secs_f64();
+        let waited = now.saturating_sub(self.joined).as_secs_f64();
+        (waited / patience.max(f64::MIN_POSITIVE)).min(1.0)
+    }
+
     fn is_first(&self) -> bool {
         let line = |line: &mut lovagedock::WaitingLine| line.is_first(&self.ticket);
         self.board.with_line(&self.service, self.line, line)
--- a/lovagedock/src/direct/choice.rs
+++ b/lovagedock/src/direct/choice.rs
@@ -59,7 +59,23 @@
 /// Backlog up to which a late request is started all the same: its lateness is then its own.
 const LATE_BACKLOG: Duration = Duration::from_millis(300);
 
+/// Loss up to which a place is taken at once. Above it a request waits a moment for a better one:
+/// it is about half a short request that comes late.
+const WAIT_LOSS: f64 = 0.4;
+
+/// Loss that is taken besides at the end of a request's patience, as a share of its value.
+const PATIENCE_LOSS: f64 = 0.3;
+
 impl DirectChoice {
+    /// Whether to take the place rather than wait for a better one; `waited` is the part of its
+    /// patience that the request has used.
+    ///
+    /// The load that it answers: engines with a few writers each, and long prompts that all wait until
+    /// one has none. The longer they wait, the more come together, while engines do nothing.
+    pub fn is_worth_taking(&self, request: &DirectRequest, waited: f64) -> bool {
+        self.harm <= WAIT_LOSS + PATIENCE_LOSS * request.value() * waited
+    }
+
     /// Whether to start a request that has no time left to wait for a better place.
     ///
     /// The load that it answers: long prompts that come faster than the pool can read them. Started
