Wait for the sidecar, not the engine, before counting starts after a drain

Cause of the red test: it took an engine without memory in use for one to which nothing more comes. A start that the sidecar decided before the order may still be on its way, under load for long enough.

Ruled out: a start decided after the order; the sidecar counts a start as running from its decision, and none follows.

The changed test waits for more than before and asserts the same.

--- a/lovagedock-gateway/src/direct/call/mod.rs
+++ b/lovagedock-gateway/src/direct/call/mod.rs
@@ -207,12 +207,18 @@
             let gap = self.parts.route.gap_objective.unwrap_or(Duration::MAX);
             let end = self
                 .stream
-                .run(answer.response, &mut self.way, patience, &watch, |first_at, longest| {
-                    hold.finish_reading();
-                    if longest > gap || first_at > late_at {
-                        hold.note_missed();
-                    }
-                })
+                .run(
+                    answer.response,
+                    &mut self.way,
+                    patience,
+                    &watch,
+                    |first_at, longest| {
+                        hold.finish_reading();
+                        if longest > gap || first_at > late_at {
+                            hold.note_missed();
+                        }
+                    },
+                )
                 .await;
             return match end {
                 StreamEnd::CallerLost => None,
--- a/lovagedock-gateway/src/direct/call/waiting.rs
+++ b/lovagedock-gateway/src/direct/call/waiting.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use lovagedock::{MISSED_GAP, DirectRequest, DirectStep, LineDecision, LineKind, prelude::*};
+use lovagedock::{DirectRequest, DirectStep, LineDecision, LineKind, MISSED_GAP, prelude::*};
 use tokio::time::sleep_until;
 
 use super::DirectCall;
--- a/lovagedock-standin/tests/promises_leaving.rs
+++ b/lovagedock-standin/tests/promises_leaving.rs
@@ -13,7 +13,7 @@
 use lovagedock_standin::fleet::LocalFleet;
 use promise_support::{
     caller,
-    caller::{Call, Reply, post},
+    caller::{Call, Reply, get_json, post},
     engines, generations, plan, running_engine, start, starts_at, until,
 };
 use tokio::{
@@ -102,8 +102,13 @@
     let sidecar = fleet.endpoints[0].sidecar.as_ref().expect("it runs");
     let engine = engines(&fleet)[0];
     post(sidecar.admin_address(), "/drain").await;
-    // A start that was decided before the order may reach the engine after it; it is there once
-    // the engine holds what the sidecar says it runs, and gone once the engine is empty.
+    // A start that was decided before the order may reach the engine after it, even while the engine
+    // is empty; the sidecar counts it as running from the decision on.
+    until(async || {
+        let load = &get_json(sidecar.admin_address(), "/status").await["load"];
+        load["running"] == 0 && load["queued"] == 0
+    })
+    .await;
     until(async || engine.handle.held_blocks() == 0).await;
     let after = starts_at(engine);
     others_go_on(&fleet).await;
@@ -211,7 +216,7 @@
     for gateway in 0..fleet.gateways.len() {
         let admin = fleet.gateways[gateway].gateway.admin_address();
         until(async || {
-            let status = promise_support::caller::get_json(admin, "/status").await;
+            let status = get_json(admin, "/status").await;
             let endpoints = status["endpoints"].as_array().expect("a list").clone();
             let entry = endpoints
                 .into_iter()
--- a/lovagedock/src/direct/member.rs
+++ b/lovagedock/src/direct/member.rs
@@ -120,7 +120,11 @@
             true => 0.0,
             false => OUTSIDE_LANE_LOSS + OUTSIDE_STEP_LOSS * candidate.position as f64,
         };
-        let gather = if candidate.short_lane { 0.0 } else { SPREAD_LOSS };
+        let gather = if candidate.short_lane {
+            0.0
+        } else {
+            SPREAD_LOSS
+        };
         let spread = gather * f64::from(free) + last + outside + DRAW_LOSS * candidate.draw;
         let reading_loss = if long {
             LONG_READING_LOSS
@@ -143,7 +147,9 @@
             spread,
             free: usable.saturating_sub(load.context),
             lead_rank: common + spread + opened,
-            help_rank: common + DRAW_LOSS * candidate.draw + HELP_WRITER_LOSS * f64::from(writers - 1),
+            help_rank: common
+                + DRAW_LOSS * candidate.draw
+                + HELP_WRITER_LOSS * f64::from(writers - 1),
         }
     }
 }
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -31,7 +31,7 @@
 pub use engine::EngineProfile;
 pub use events::{EventSplitter, StreamEvent};
 pub use lane::short_lane_size;
-pub use ledger::{MISSED_GAP, CombinedLoad, PeerLoad, PlacedWork, WorkKey, WorkLedger};
+pub use ledger::{CombinedLoad, MISSED_GAP, PeerLoad, PlacedWork, WorkKey, WorkLedger};
 pub use machine::{AttemptEnd, DirectMachine, DirectStep};
 pub use pace::PaceTracker;
 pub use placer::DirectPlacer;
--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -61,10 +61,10 @@
 };
 pub use cost::{CostModel, CostParameters, PredictionError, PrefillObservation};
 pub use direct::{
-    AttemptEnd, CallerBounds, MISSED_GAP, CombinedLoad, DirectChoice, DirectEndpoint, DirectMachine,
+    AttemptEnd, CallerBounds, CombinedLoad, DirectChoice, DirectEndpoint, DirectMachine,
     DirectPlacer, DirectRequest, DirectStep, EndpointState, EndpointTable, EngineProfile,
-    EventSplitter, HelperPart, LineDecision, LineKind, LineSettings, PaceTracker, PeerContact,
-    PeerLoad, PlacedWork, PlacerCandidate, RefusalLog, RequestFingerprint, RetryShare,
+    EventSplitter, HelperPart, LineDecision, LineKind, LineSettings, MISSED_GAP, PaceTracker,
+    PeerContact, PeerLoad, PlacedWork, PlacerCandidate, RefusalLog, RequestFingerprint, RetryShare,
     RetryShareSettings, RouteMatch, RouteMode, RouteRule, RouteTarget, ServiceProfile, StopPlan,
     StreamEvent, TrafficConfig, WaitingLine, WatchDuty, WorkKey, WorkLedger, short_lane_size,
 };
