--- a/lovagedock-gateway/src/direct/call/mod.rs
+++ b/lovagedock-gateway/src/direct/call/mod.rs
@@ -82,14 +82,11 @@
         let engine = profile.and_then(|profile| profile.engine.as_ref());
         let is_long = DirectPlacer::new(engine).is_long(parts.head.prompt);
         let fingerprint = parts.fingerprint();
-        let line = match engine {
-            Some(_) if board.is_return(fingerprint) => LineKind::Returned,
-            Some(_) if is_long => LineKind::Long,
-            _ => LineKind::Short,
-        };
-        let late_at = match line {
-            LineKind::Returned => late_at + RETURN_PATIENCE,
-            LineKind::Short | LineKind::Long => late_at,
+        let is_return = engine.is_some() && board.is_return(fingerprint);
+        let line = LineKind::new(is_long, is_return);
+        let late_at = match is_return {
+            true => late_at + RETURN_PATIENCE,
+            false => late_at,
         };
         Self {
             machine: DirectMachine::new(route.mode, route.attempts, deadline),
--- a/lovagedock-gateway/src/direct/call/waiting.rs
+++ b/lovagedock-gateway/src/direct/call/waiting.rs
@@ -64,9 +64,9 @@
                 }
                 continue;
             }
-            let pause = match self.line {
-                LineKind::Long => LONG_PAUSE.mul_f64(rand::random()),
-                _ => LOOK_PAUSE,
+            let pause = match self.line.is_long() {
+                true => LONG_PAUSE.mul_f64(rand::random()),
+                false => LOOK_PAUSE,
             };
             sleep_until(self.instant(until.min(now + pause))).await;
             tokio::select! {
@@ -89,7 +89,7 @@
 
     fn look(&self, now: Timestamp, effort: PlaceEffort) -> PlaceResult {
         let head = &self.parts.head;
-        let is_return = self.line == LineKind::Returned;
+        let is_return = self.line.is_return();
         let gap = self.parts.route.gap_objective;
         let request = DirectRequest {
             prompt: head.prompt,
--- a/lovagedock/src/direct/waiting.rs
+++ b/lovagedock/src/direct/waiting.rs
@@ -11,13 +11,40 @@
     Short,
     /// Long prompts. One that waits for a better place must not hold up short ones that have one.
     Long,
-    /// Requests that were refused before and are late already.
+    /// Short ones that were refused before and are late already.
     Returned,
+    /// Long ones that were refused before and are late already.
+    ReturnedLong,
 }
 
 impl LineKind {
     /// Every kind.
-    pub const ALL: [Self; 3] = [Self::Short, Self::Long, Self::Returned];
+    pub const ALL: [Self; 4] = [
+        Self::Short,
+        Self::Long,
+        Self::Returned,
+        Self::ReturnedLong,
+    ];
+
+    /// The line of a request.
+    pub fn new(is_long: bool, is_return: bool) -> Self {
+        match (is_long, is_return) {
+            (false, false) => Self::Short,
+            (true, false) => Self::Long,
+            (false, true) => Self::Returned,
+            (true, true) => Self::ReturnedLong,
+        }
+    }
+
+    /// Whether its requests were refused before.
+    pub fn is_return(self) -> bool {
+        matches!(self, Self::Returned | Self::ReturnedLong)
+    }
+
+    /// Whether its requests have long prompts.
+    pub fn is_long(self) -> bool {
+        matches!(self, Self::Long | Self::ReturnedLong)
+    }
 
     /// Bounds of its line.
     pub fn settings(self) -> LineSettings {
@@ -33,6 +60,12 @@
                 least_rate: 20.0,
                 ..usual
             },
+            // Held for longer, few found a place, and the others lost seconds of their time.
+            Self::ReturnedLong => LineSettings {
+                objective_share: 0.25,
+                least_rate: 4.0,
+                ..usual
+            },
         }
     }
 }
