--- a/lovagedock/src/direct/waiting.rs
+++ b/lovagedock/src/direct/waiting.rs
@@ -19,12 +19,7 @@
 
 impl LineKind {
     /// Every kind.
-    pub const ALL: [Self; 4] = [
-        Self::Short,
-        Self::Long,
-        Self::Returned,
-        Self::ReturnedLong,
-    ];
+    pub const ALL: [Self; 4] = [Self::Short, Self::Long, Self::Returned, Self::ReturnedLong];
 
     /// The line of a request.
     pub fn new(is_long: bool, is_return: bool) -> Self {
--- /dev/null
+++ b/lovagedock/tests/direct_herd.rs
@@ -0,0 +1,185 @@
+//! Many gateways that place at the same moment, before they hear of each other.
+
+mod direct_support;
+
+use std::collections::BTreeMap;
+
+use lovagedock::{DirectPlacer, prelude::*};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use direct_support::{PROFILE, VirtualPool, long, ms, short};
+
+/// Gateways that place within the time in which they hear of each other.
+const AT_ONCE: usize = 8;
+
+/// How many of the gateways chose the endpoint that most of them chose.
+fn most_on_one(request: &lovagedock::DirectRequest, draws: Option<u64>) -> usize {
+    let pool = VirtualPool::new(21);
+    let mut random = ChaCha8Rng::seed_from_u64(draws.unwrap_or_default());
+    let mut chosen: BTreeMap<EndpointId, usize> = BTreeMap::new();
+    for _ in 0..AT_ONCE {
+        let mut candidates = pool.candidates();
+        for candidate in &mut candidates {
+            candidate.short_lane = request.prompt < 10_000;
+            candidate.draw = draws.map_or(0.0, |_| random.random());
+        }
+        let placer = DirectPlacer::new(Some(&PROFILE));
+        let choice = placer.place(request, &candidates).expect("all are idle");
+        let lead = candidates[choice.lead].endpoint.id.clone();
+        *chosen.entry(lead).or_default() += 1;
+    }
+    chosen.into_values().max().unwrap_or_default()
+}
+
+/// Callers of short prompts get their first event in time though gateways cannot see each other.
+///
+/// In a burst of 300 a second, eight gateways place before they hear of each other. All rank the
+/// endpoints alike; on one engine the last of eight prompts would wait for 140 ms of reading.
+#[test]
+fn short_prompts_of_many_gateways_spread() {
+    assert_eq!(
+        most_on_one(&short(), None),
+        AT_ONCE,
+        "the herd without draws"
+    );
+    for seed in 1..20 {
+        let most = most_on_one(&short(), Some(seed));
+        assert!(most <= 4, "seed {seed}: {most} on one engine");
+    }
+}
+
+/// Two gateways that get a long prompt at the same moment do not choose the same lead.
+#[test]
+fn long_prompts_of_many_gateways_spread() {
+    assert_eq!(most_on_one(&long(200_000), None), AT_ONCE);
+    for seed in 1..20 {
+        let most = most_on_one(&long(200_000), Some(seed));
+        assert!(most <= 4, "seed {seed}: {most} with one lead");
+    }
+}
+
+/// A part of a long prompt takes longer on an engine than it should, and nobody hears of it.
+///
+/// The engine counts as idle. Asked again, it would read the new part first, and the caller of the
+/// first prompt would wait for seconds. Its gateway says that the part is overdue, and long prompts
+/// leave the engine out.
+#[test]
+fn an_engine_with_an_overdue_part_is_not_asked() {
+    let mut pool = VirtualPool::new(3);
+    let late = pool.endpoints[0].id.clone();
+    let part = lovagedock::PlacedWork {
+        endpoint: late.clone(),
+        reading: ms(500),
+        context: 0,
+        gap: None,
+        short: false,
+        value: 20.0,
+    };
+    let key = pool.ledger.place(ms(0), part);
+    pool.now = ms(700);
+    assert_eq!(pool.ledger.load(pool.now, &late).overdue, 0, "not yet");
+    pool.now = ms(800);
+    let load = pool.ledger.load(pool.now, &late);
+    assert_eq!((load.overdue, load.backlog), (1, ms(0)));
+    let told = pool.ledger.own_loads(pool.now);
+    let told: Vec<u32> = told.map(|(_, load)| load.overdue).collect();
+    assert_eq!(told, [1]);
+    let placed = pool.place(&long(200_000)).expect("two are idle");
+    assert!(!placed.members.contains(&late), "{:?}", placed.members);
+    pool.ledger.finish_reading(pool.now, key);
+    assert_eq!(pool.ledger.load(pool.now, &late).overdue, 0);
+}
+
+/// Callers of long prompts do not wait for those whom nothing can help any more.
+///
+/// A burst of short prompts ends and long ones come. Each engine has a writer that has paused too
+/// long already. Counted in full, its next pause would keep every long prompt waiting beside idle
+/// engines; it counts with a third, and only for pauses that would drive its caller away.
+#[test]
+fn a_writer_that_missed_its_objective_counts_less() {
+    let mut pool = VirtualPool::new(1);
+    let engine = pool.endpoints[0].id.clone();
+    let writer = lovagedock::PlacedWork {
+        endpoint: engine.clone(),
+        reading: ms(20),
+        context: 5_000,
+        gap: Some(ms(200)),
+        short: true,
+        value: 1.5,
+    };
+    let key = pool.ledger.place(ms(0), writer);
+    let hurt = |pool: &VirtualPool, pause| {
+        let hurt = pool.ledger.load(ms(0), &engine).value_hurt_by(ms(pause));
+        (hurt * 100.0).round() / 100.0
+    };
+    assert_eq!((hurt(&pool, 300), hurt(&pool, 1_500)), (1.5, 1.5));
+    pool.ledger.note_missed(key);
+    assert_eq!((hurt(&pool, 300), hurt(&pool, 1_500)), (0.0, 0.5));
+    pool.ledger.note_missed(key);
+    assert_eq!(hurt(&pool, 1_500), 0.5, "once");
+    assert_eq!(pool.ledger.load(ms(0), &engine).writer_count(), 1);
+    pool.ledger.finish(ms(0), key);
+    assert_eq!(pool.ledger.load(ms(0), &engine).writer_count(), 0);
+}
+
+struct PriceCase {
+    name: &'static str,
+    prompt: TokenCount,
+    harm: f64,
+    waited: f64,
+    taken: bool,
+}
+
+/// What a request accepts grows with its waiting and with what it is worth.
+///
+/// Long prompts that wait for a place without harm come together, then take all engines at once or
+/// are refused, while engines did nothing. A short one never costs others more than itself.
+#[test]
+fn waiting_raises_the_price() {
+    let cases = [
+        PriceCase {
+            name: "a little harm at once",
+            prompt: 200_000,
+            harm: 0.4,
+            waited: 0.0,
+            taken: true,
+        },
+        PriceCase {
+            name: "more harm at once",
+            prompt: 200_000,
+            harm: 1.0,
+            waited: 0.0,
+            taken: false,
+        },
+        PriceCase {
+            name: "the same after a sixth of the patience",
+            prompt: 200_000,
+            harm: 1.0,
+            waited: 0.17,
+            taken: true,
+        },
+        PriceCase {
+            name: "as much as half of its own value",
+            prompt: 200_000,
+            harm: 10.0,
+            waited: 1.0,
+            taken: false,
+        },
+        PriceCase {
+            name: "short, one other late",
+            prompt: 5_000,
+            harm: 1.1,
+            waited: 0.99,
+            taken: false,
+        },
+    ];
+    for case in cases {
+        let request = long(case.prompt);
+        let mut pool = VirtualPool::new(1);
+        let mut choice = pool.place(&request).expect("it is idle").choice;
+        choice.harm = case.harm;
+        let taken = choice.is_worth_taking(&request, case.waited);
+        assert_eq!(taken, case.taken, "{}", case.name);
+    }
+}
--- a/lovagedock/tests/direct_waiting.rs
+++ b/lovagedock/tests/direct_waiting.rs
@@ -71,6 +71,54 @@
     );
 }
 
+struct HoldCase {
+    is_long: bool,
+    is_return: bool,
+    held_ms: u64,
+}
+
+/// A caller who cannot be served hears so early enough to do something else.
+///
+/// Long prompts find every engine at work. A fresh one may wait for two fifths of its objective. One
+/// that was refused before is late already; held for all of its time, it would be refused in most cases
+/// all the same, seconds later. Short ones that come back wait for a slot, which takes a moment.
+#[test]
+fn nobody_is_held_longer_than_it_helps() {
+    let cases = [
+        HoldCase {
+            is_long: false,
+            is_return: false,
+            held_ms: 1_600,
+        },
+        HoldCase {
+            is_long: true,
+            is_return: false,
+            held_ms: 1_600,
+        },
+        HoldCase {
+            is_long: false,
+            is_return: true,
+            held_ms: 4_000,
+        },
+        HoldCase {
+            is_long: true,
+            is_return: true,
+            held_ms: 1_000,
+        },
+    ];
+    for case in cases {
+        let kind = LineKind::new(case.is_long, case.is_return);
+        assert_eq!(
+            (kind.is_long(), kind.is_return()),
+            (case.is_long, case.is_return)
+        );
+        let mut line = WaitingLine::new(kind.settings());
+        let decision = line.arrive(ms(0), ms(4_000), ms(15_000), 0.0);
+        let until = ms(case.held_ms);
+        assert_eq!(decision, LineDecision::Wait { until }, "{kind:?}");
+    }
+}
+
 /// A caller that comes back is known at any gateway for as long as it may come back.
 #[test]
 fn refusals_are_remembered_and_forgotten() {
