Split the ledger by its jobs; writers of an endpoint are a type, not tuples

What is told of an endpoint is in load.rs, what is known of one in record.rs. No change of behaviour: the tests of sums and placement pass as they were, but for the names.

--- a/lovagedock-gateway/src/direct/peers.rs
+++ b/lovagedock-gateway/src/direct/peers.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use lovagedock::{PeerLoad, RequestFingerprint, prelude::*};
+use lovagedock::{PeerLoad, RequestFingerprint, WriterGroup, prelude::*};
 use lovagedock_platform::{GatewayEntry, Revision};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
@@ -78,7 +78,7 @@
 
 impl PeerEntry {
     fn new(endpoint: &EndpointId, load: &PeerLoad) -> Self {
-        let writers = load.writers.iter();
+        let writers = load.writers.groups();
         Self {
             endpoint: endpoint.clone(),
             occupied: load.occupied,
@@ -88,7 +88,7 @@
             context: load.context,
             reading_total_us: load.reading_total.as_micros() as u64,
             writers: writers
-                .map(|(gap, count, value)| (gap.as_millis() as u32, *count, *value))
+                .map(|group| (group.gap.as_millis() as u32, group.count, group.value))
                 .collect(),
         }
     }
@@ -97,7 +97,11 @@
         let writers = self
             .writers
             .into_iter()
-            .map(|(gap, count, value)| (Duration::from_millis(u64::from(gap)), count, value));
+            .map(|(gap, count, value)| WriterGroup {
+                gap: Duration::from_millis(u64::from(gap)),
+                count,
+                value,
+            });
         let load = PeerLoad {
             occupied: self.occupied,
             short: self.short,
--- a/lovagedock/examples/direct_cost.rs
+++ b/lovagedock/examples/direct_cost.rs
@@ -8,7 +8,7 @@
 
 use lovagedock::{
     DirectEndpoint, DirectPlacer, DirectRequest, EndpointState, EngineProfile, PeerLoad,
-    PlacerCandidate, WorkLedger, prelude::*,
+    PlacerCandidate, WorkLedger, WriterGroup, prelude::*,
 };
 
 const PEERS: usize = 23;
@@ -81,7 +81,9 @@
         context: 5_000,
         reading_total: Duration::from_millis(round as u64),
         pace: 1.0,
-        writers: vec![(Duration::from_millis(200), 1, 1.5)],
+        writers: [WriterGroup::new(Duration::from_millis(200), 1.5)]
+            .into_iter()
+            .collect(),
     }
 }
 
--- a/lovagedock/src/direct/choice.rs
+++ b/lovagedock/src/direct/choice.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{endpoints::DirectEndpoint, ledger::CombinedLoad};
+use super::{endpoints::DirectEndpoint, load::CombinedLoad};
 use crate::ids::TokenCount;
 
 /// What placement knows of a request.
--- a/lovagedock/src/direct/ledger.rs
+++ b/lovagedock/src/direct/ledger.rs
@@ -5,193 +5,11 @@
     time::Duration,
 };
 
-use crate::ids::{EndpointId, GatewayId, Timestamp, TokenCount};
-
-/// Names one placed piece of work within a gateway.
-pub type WorkKey = u64;
-
-/// Work that a gateway has placed on one endpoint.
-#[derive(Clone, Debug, PartialEq)]
-pub struct PlacedWork {
-    /// The endpoint.
-    pub endpoint: EndpointId,
-    /// Prompt reading that it takes there.
-    pub reading: Duration,
-    /// Tokens that it keeps in the engine's memory.
-    pub context: TokenCount,
-    /// Longest pause between events that its caller expects; `None` for work that writes no
-    /// events, such as a helper's part of a prompt.
-    pub gap: Option<Duration>,
-    /// Whether its prompt is short, see [`DirectPlacer::is_long`](super::DirectPlacer::is_long).
-    pub short: bool,
-    /// What it is worth to be on time, see [`DirectRequest::value`](super::DirectRequest::value).
-    pub value: f32,
-}
-
-/// What a peer has placed on an endpoint, as it tells it.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct PeerLoad {
-    /// Requests that hold a slot.
-    pub occupied: u32,
-    /// Those of them with short prompts.
-    pub short: u32,
-    /// Tokens in memory.
-    pub context: TokenCount,
-    /// All prompt reading that it ever placed there; only grows, so that a lost message is made
-    /// good by the next one.
-    pub reading_total: Duration,
-    /// Long prompts and parts of them that should have been read a while ago and are not.
-    pub overdue: u32,
-    /// How many times as long as declared it takes, as the peer measured it; 0 if it did not.
-    pub pace: f32,
-    /// Writers by the pause that they bear, with their number and summed value.
-    pub writers: Vec<(Duration, u32, f32)>,
-}
-
-/// What is on an endpoint, over all gateways.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct CombinedLoad {
-    /// Requests that hold a slot.
-    pub occupied: u32,
-    /// Tokens in memory.
-    pub context: TokenCount,
-    /// Time until it has read all prompts that were placed there.
-    pub backlog: Duration,
-    /// Long prompts and parts of them that it should have read a while ago and has not.
-    pub overdue: u32,
-    /// How many times as long as declared it takes, as peers measured it; 0 if none did.
-    pub pace: f32,
-    /// Writers by the pause that they bear, with their number and summed value.
-    pub writers: Vec<(Duration, u32, f32)>,
-}
-
-impl CombinedLoad {
-    /// Requests that write or will write.
-    pub fn writer_count(&self) -> u32 {
-        self.writers.iter().map(|(_, count, _)| count).sum()
-    }
-
-    /// Value of the writers that bear no pause as long as `pause`.
-    pub fn value_hurt_by(&self, pause: Duration) -> f64 {
-        let hurt = self.writers.iter().filter(|(gap, _, _)| *gap < pause);
-        hurt.map(|(_, _, value)| f64::from(*value)).sum()
-    }
-}
-
-#[derive(Clone, Debug, Default)]
-struct EndpointRecord {
-    own: PeerLoad,
-    /// When this gateway's long prompts that are not read yet should be.
-    own_reads: Vec<(WorkKey, Timestamp)>,
-    /// When the engine has read everything that is known to be placed there.
-    free_at: Timestamp,
-    peers: HashMap<GatewayId, PeerLoad>,
-    /// What this gateway and all peers have placed, kept up with every change. Placement looks at
-    /// all endpoints for each request and each event is compared with the load of its engine:
-    /// beside 23 peers and 70 endpoints a look takes 19 us instead of 25 (`examples/direct_cost`).
-    total: LoadTotal,
-    held: Vec<HeldSlots>,
-}
-
-/// What all gateways have placed on an endpoint.
-#[derive(Clone, Debug, Default)]
-struct LoadTotal {
-    occupied: u32,
-    short: u32,
-    /// Of peers; this gateway's own come due with time.
-    overdue: u32,
-    context: TokenCount,
-    writers: Vec<(Duration, u32, f32)>,
-}
-
-impl LoadTotal {
-    fn add(&mut self, load: &PeerLoad) {
-        self.occupied += load.occupied;
-        self.short += load.short;
-        self.overdue += load.overdue;
-        self.context += load.context;
-        for (gap, count, value) in &load.writers {
-            add_writers(&mut self.writers, *gap, *count, *value);
-        }
-    }
-
-    fn subtract(&mut self, load: &PeerLoad) {
-        self.occupied = self.occupied.saturating_sub(load.occupied);
-        self.short = self.short.saturating_sub(load.short);
-        self.overdue = self.overdue.saturating_sub(load.overdue);
-        self.context = self.context.saturating_sub(load.context);
-        for (gap, count, value) in &load.writers {
-            remove_writers(&mut self.writers, *gap, *count, *value);
-        }
-    }
-}
-
-/// Slots that a peer freed a moment ago and that are left to it for a while.
-#[derive(Clone, Debug)]
-struct HeldSlots {
-    peer: GatewayId,
-    slots: u32,
-    until: Timestamp,
-}
-
-impl EndpointRecord {
-    /// Replaces what a peer has placed; `None` forgets the peer.
-    fn set_peer(&mut self, peer: &GatewayId, load: Option<PeerLoad>) {
-        if let Some(load) = &load {
-            self.total.add(load);
-        }
-        let known = match load {
-            Some(load) => self.peers.insert(peer.clone(), load),
-            None => self.peers.remove(peer),
-        };
-        if let Some(known) = known {
-            self.total.subtract(&known);
-        }
-    }
-
-    fn own_overdue(&self, now: Timestamp) -> u32 {
-        let due = self.own_reads.iter();
-        due.filter(|(_, due)| now > *due + OVERDUE_TIME).count() as u32
-    }
-
-    fn add_own(&mut self, work: &PlacedWork) {
-        let load = work.as_load();
-        self.total.add(&load);
-        self.own.occupied += load.occupied;
-        self.own.short += load.short;
-        self.own.context += load.context;
-        self.own.reading_total += load.reading_total;
-        for (gap, count, value) in load.writers {
-            add_writers(&mut self.own.writers, gap, count, value);
-        }
-    }
-
-    fn remove_own(&mut self, work: &PlacedWork) {
-        let load = work.as_load();
-        self.total.subtract(&load);
-        self.own.occupied = self.own.occupied.saturating_sub(load.occupied);
-        self.own.short = self.own.short.saturating_sub(load.short);
-        self.own.context = self.own.context.saturating_sub(load.context);
-        for (gap, count, value) in load.writers {
-            remove_writers(&mut self.own.writers, gap, count, value);
-        }
-    }
-}
-
-impl PlacedWork {
-    fn as_load(&self) -> PeerLoad {
-        let writers = self.gap.map(|gap| (gap, 1, self.value));
-        PeerLoad {
-            occupied: 1,
-            short: u32::from(self.short),
-            context: self.context,
-            reading_total: self.reading,
-            overdue: 0,
-            pace: 0.0,
-            writers: writers.into_iter().collect(),
-        }
-    }
-}
+use super::{
+    load::{CombinedLoad, PeerLoad, PlacedWork, WorkKey, WriterGroup},
+    record::{EndpointRecord, HeldSlots},
+};
+use crate::ids::{EndpointId, GatewayId, Timestamp};
 
 #[derive(Clone, Debug)]
 struct OwnWork {
@@ -215,10 +33,6 @@
 /// Part of its value that is left to lose then.
 const MISSED_VALUE: f32 = 0.33;
 
-/// Lateness from which a read is overdue. Predictions miss by a pass or two of up to 100 ms, and the
-/// end of a read shows by the event that follows it.
-const OVERDUE_TIME: Duration = Duration::from_millis(250);
-
 /// Counts the work on each endpoint.
 ///
 /// Engines report with a lag of hundreds of milliseconds. Gateways that place by such reports all
@@ -268,8 +82,8 @@
             return;
         };
         for writers in [&mut record.own.writers, &mut record.total.writers] {
-            remove_writers(writers, gap, 1, value);
-            add_writers(writers, MISSED_GAP, 1, own.work.value);
+            writers.remove(WriterGroup::new(gap, value));
+            writers.add(WriterGroup::new(MISSED_GAP, own.work.value));
         }
     }
 
@@ -432,22 +246,3 @@
         })
     }
 }
-
-fn add_writers(writers: &mut Vec<(Duration, u32, f32)>, gap: Duration, count: u32, value: f32) {
-    match writers.iter_mut().find(|(known, _, _)| *known == gap) {
-        Some((_, known_count, known_value)) => {
-            *known_count += count;
-            *known_value += value;
-        }
-        None => writers.push((gap, count, value)),
-    }
-}
-
-/// Takes writers out; the last one of a kind takes what rounding has left of the value with it.
-fn remove_writers(writers: &mut Vec<(Duration, u32, f32)>, gap: Duration, count: u32, value: f32) {
-    if let Some((_, known_count, sum)) = writers.iter_mut().find(|(known, _, _)| *known == gap) {
-        *known_count = known_count.saturating_sub(count);
-        *sum = (*sum - value).max(0.0);
-    }
-    writers.retain(|(_, count, _)| *count > 0);
-}
--- /dev/null
+++ b/lovagedock/src/direct/load.rs
@@ -0,0 +1,157 @@
+//! What is on an endpoint, as it is counted and told.
+
+use std::time::Duration;
+
+use crate::ids::{EndpointId, TokenCount};
+
+/// Names one placed piece of work within a gateway.
+pub type WorkKey = u64;
+
+/// Work that a gateway has placed on one endpoint.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlacedWork {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Prompt reading that it takes there.
+    pub reading: Duration,
+    /// Tokens that it keeps in the engine's memory.
+    pub context: TokenCount,
+    /// Longest pause between events that its caller expects; `None` for work that writes no
+    /// events, such as a helper's part of a prompt.
+    pub gap: Option<Duration>,
+    /// Whether its prompt is short, see [`DirectPlacer::is_long`](super::DirectPlacer::is_long).
+    pub short: bool,
+    /// What it is worth to be on time, see [`DirectRequest::value`](super::DirectRequest::value).
+    pub value: f32,
+}
+
+/// What a peer has placed on an endpoint, as it tells it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PeerLoad {
+    /// Requests that hold a slot.
+    pub occupied: u32,
+    /// Those of them with short prompts.
+    pub short: u32,
+    /// Tokens in memory.
+    pub context: TokenCount,
+    /// All prompt reading that it ever placed there; only grows, so that a lost message is made
+    /// good by the next one.
+    pub reading_total: Duration,
+    /// Long prompts and parts of them that should have been read a while ago and are not.
+    pub overdue: u32,
+    /// How many times as long as declared it takes, as the peer measured it; 0 if it did not.
+    pub pace: f32,
+    /// Those who write.
+    pub writers: WriterTable,
+}
+
+/// What is on an endpoint, over all gateways.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct CombinedLoad {
+    /// Requests that hold a slot.
+    pub occupied: u32,
+    /// Tokens in memory.
+    pub context: TokenCount,
+    /// Time until it has read all prompts that were placed there.
+    pub backlog: Duration,
+    /// Long prompts and parts of them that it should have read a while ago and has not.
+    pub overdue: u32,
+    /// How many times as long as declared it takes, as peers measured it; 0 if none did.
+    pub pace: f32,
+    /// Those who write.
+    pub writers: WriterTable,
+}
+
+impl CombinedLoad {
+    /// Requests that write or will write.
+    pub fn writer_count(&self) -> u32 {
+        self.writers.count()
+    }
+
+    /// Value of the writers that bear no pause as long as `pause`.
+    pub fn value_hurt_by(&self, pause: Duration) -> f64 {
+        let hurt = self.writers.groups().filter(|group| group.gap < pause);
+        hurt.map(|group| f64::from(group.value)).sum()
+    }
+}
+
+impl PlacedWork {
+    pub(super) fn as_load(&self) -> PeerLoad {
+        let writers = self.gap.map(|gap| WriterGroup::new(gap, self.value));
+        PeerLoad {
+            occupied: 1,
+            short: u32::from(self.short),
+            context: self.context,
+            reading_total: self.reading,
+            overdue: 0,
+            pace: 0.0,
+            writers: writers.into_iter().collect(),
+        }
+    }
+}
+
+/// Requests that write on an endpoint and bear the same pause.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WriterGroup {
+    /// Longest pause between events that their callers expect.
+    pub gap: Duration,
+    /// Their number.
+    pub count: u32,
+    /// What it is worth, in sum, that none of them has to wait longer.
+    pub value: f32,
+}
+
+impl WriterGroup {
+    /// One writer.
+    pub fn new(gap: Duration, value: f32) -> Self {
+        Self {
+            gap,
+            count: 1,
+            value,
+        }
+    }
+}
+
+/// All who write on an endpoint, by the pause that they bear.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct WriterTable(Vec<WriterGroup>);
+
+impl WriterTable {
+    /// The groups; none is empty.
+    pub fn groups(&self) -> impl Iterator<Item = &WriterGroup> {
+        self.0.iter()
+    }
+
+    /// Number of writers.
+    pub fn count(&self) -> u32 {
+        self.groups().map(|group| group.count).sum()
+    }
+
+    /// Adds writers to those who bear the same pause.
+    pub(super) fn add(&mut self, added: WriterGroup) {
+        match self.0.iter_mut().find(|group| group.gap == added.gap) {
+            Some(group) => {
+                group.count += added.count;
+                group.value += added.value;
+            }
+            None => self.0.push(added),
+        }
+    }
+
+    /// Takes writers out; the last one of a group takes what rounding has left of its value along.
+    pub(super) fn remove(&mut self, removed: WriterGroup) {
+        if let Some(group) = self.0.iter_mut().find(|group| group.gap == removed.gap) {
+            group.count = group.count.saturating_sub(removed.count);
+            group.value = (group.value - removed.value).max(0.0);
+        }
+        self.0.retain(|group| group.count > 0);
+    }
+}
+
+impl FromIterator<WriterGroup> for WriterTable {
+    fn from_iter<I: IntoIterator<Item = WriterGroup>>(groups: I) -> Self {
+        let mut table = Self::default();
+        groups.into_iter().for_each(|group| table.add(group));
+        table
+    }
+}
--- a/lovagedock/src/direct/placer.rs
+++ b/lovagedock/src/direct/placer.rs
@@ -5,7 +5,7 @@
 use super::{
     choice::{DirectChoice, DirectRequest, PlacerCandidate},
     engine::EngineProfile,
-    ledger::PlacedWork,
+    load::PlacedWork,
     member::{
         FIRST_EVENT_PASSES, HELP_BACKLOG, LONG_READING, TeamMember, lateness, spread_memory,
         take_lead, tension,
--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -66,7 +66,8 @@
     EventSplitter, HelperPart, LineDecision, LineKind, LineSettings, MISSED_GAP, PaceTracker,
     PeerContact, PeerLoad, PlacedWork, PlacerCandidate, RefusalLog, RequestFingerprint, RetryShare,
     RetryShareSettings, RouteMatch, RouteMode, RouteRule, RouteTarget, ServiceProfile, StopPlan,
-    StreamEvent, TrafficConfig, WaitingLine, WatchDuty, WorkKey, WorkLedger, short_lane_size,
+    StreamEvent, TrafficConfig, WaitingLine, WatchDuty, WorkKey, WorkLedger, WriterGroup,
+    WriterTable, short_lane_size,
 };
 pub use endpoint::{
     EndpointAction, EndpointCore, EndpointEvent, EndpointLimits, EndpointLoad, EndpointSafeguards,
--- a/lovagedock/tests/direct_ledger.rs
+++ b/lovagedock/tests/direct_ledger.rs
@@ -45,7 +45,7 @@
     ledger.finish(ms(200), first);
     let load = ledger.load(ms(200), &endpoint());
     assert_eq!((load.occupied, load.context), (0, 0));
-    assert!(load.writers.is_empty());
+    assert_eq!(load.writers.count(), 0);
     assert_eq!(load.backlog, Duration::ZERO);
 }
 
--- a/lovagedock/tests/direct_ledger_totals.rs
+++ b/lovagedock/tests/direct_ledger_totals.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use lovagedock::{PeerLoad, PlacedWork, WorkKey, WorkLedger, prelude::*};
+use lovagedock::{PeerLoad, PlacedWork, WorkKey, WorkLedger, WriterGroup, prelude::*};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -47,8 +47,8 @@
 
     fn writers(&self, endpoint: usize) -> u32 {
         let own = self.own_on(endpoint).filter(|work| work.gap.is_some());
-        let writers = self.on(endpoint).flat_map(|load| &load.writers);
-        own.count() as u32 + writers.map(|(_, count, _)| count).sum::<u32>()
+        let peers = self.on(endpoint).map(|load| load.writers.count());
+        own.count() as u32 + peers.sum::<u32>()
     }
 
     fn on(&self, endpoint: usize) -> impl Iterator<Item = &PeerLoad> {
@@ -86,10 +86,12 @@
 }
 
 fn random_load(random: &mut ChaCha8Rng) -> PeerLoad {
-    let writers = GAPS
-        .iter()
-        .map(|gap| (*gap, random.random_range(0..3), 2.0));
-    let writers = writers.filter(|(_, count, _)| *count > 0).collect();
+    let groups = GAPS.iter().map(|gap| WriterGroup {
+        gap: *gap,
+        count: random.random_range(0..3),
+        value: 2.0,
+    });
+    let writers = groups.filter(|group| group.count > 0).collect();
     PeerLoad {
         occupied: random.random_range(0..6),
         short: random.random_range(0..3),
