A stopping gateway counts on the longest answer, not the expected one

It was taken because its answer was expected to end in time; of 1,299 answers one in twenty was over 2.3 times as long as its caller's hint, one in a hundred 2.9 times, the longest 4.1 times.

The placed line tells expected and longest answer.

--- a/lovagedock-gateway/src/direct/call/log.rs
+++ b/lovagedock-gateway/src/direct/call/log.rs
@@ -20,6 +20,8 @@
             "endpoint" => &*placed.lead.id,
             "helpers" => helper_names(placed),
             "prompt" => self.parts.head.prompt,
+            "answer" => self.parts.head.expected_answer(),
+            "answer_limit" => self.parts.head.answer_limit,
             "occupied" => placed.occupied,
             "backlog_ms" => placed.backlog.as_millis() as u64,
             "first_event_ms" => placed.first_event.as_millis() as u64,
--- a/lovagedock-gateway/src/direct/front.rs
+++ b/lovagedock-gateway/src/direct/front.rs
@@ -223,7 +223,7 @@
         }
     }
 
-    /// Whether a request ends before the process does.
+    /// Whether a request surely ends before the process does.
     fn ends_in_time(&self, call: &CallParts) -> bool {
         let Some(plan) = self.board.stop_plan() else {
             return true;
@@ -231,8 +231,9 @@
         let Some(service) = call.config.services.get(&call.service) else {
             return true;
         };
-        let expected = service.expected_time(call.head.prompt, call.head.expected_answer());
-        plan.takes(self.board.clock.now(), expected)
+        let head = &call.head;
+        let longest = service.longest_time(head.prompt, head.expected_answer(), head.answer_limit);
+        plan.takes(self.board.clock.now(), longest)
     }
 
     fn reject(&self, request: &str, code: ResultCode) -> Response<AnswerBody> {
