--- /dev/null
+++ b/fuzz/fuzz_targets/entries.rs
@@ -0,0 +1,17 @@
+//! Any JSON is decoded as an engine's entry and as a configuration, or refused; nothing panics, and an
+//! entry that names an engine names one that can be called.
+#![no_main]
+
+use libfuzzer_sys::fuzz_target;
+use lovagedock_direct::{decode_config, decode_server};
+
+fuzz_target!(|bytes: &[u8]| {
+    let Ok(spec) = serde_json::from_slice(bytes) else {
+        return;
+    };
+    let _ = decode_config(&spec);
+    if let Ok(endpoint) = decode_server("fuzzed", &spec) {
+        assert!(endpoint.slots > 0 && endpoint.address.port() > 0);
+        assert!(!endpoint.service.is_empty());
+    }
+});
