--- a/lovagedock-gateway/src/direct/peers.rs
+++ b/lovagedock-gateway/src/direct/peers.rs
@@ -42,7 +42,7 @@
 /// Parts in which everything is told again. Told at once, it took a third of all datagrams.
 const REFRESH_PARTS: usize = 4;
 
-/// Endpoints in one datagram; with 40 bytes each it stays below a usual packet.
+/// Endpoints in one datagram; with about 50 bytes each it stays below a usual packet.
 const LOADS_PER_DATAGRAM: usize = 24;
 
 /// Largest datagram that is read, in bytes.
