Tell peers what is there, not what was; look at endpoints without copying them

Each datagram woke every request that waits for a place, and a look copied each endpoint and its writers and searched ordered tables by name, twice for each endpoint.

Ruled out: longer refresh alone (what is lost is then missing for longer, and gateways that join hear a life's total as new reading).

Change: a load is told when it changes and again each second while there is anything; one that became idle is told once, the total of reading then begins anew, and peers drop what is not told again for 3.5 s. A datagram that says that all is well goes only when nothing else was said for 250 ms. Those who wait are woken when something of a peer ended, not when it placed something. A look borrows endpoints, and goes over them once.

Datagrams still go from each gateway to each other one.

--- a/lovagedock-gateway/src/direct/board/mod.rs
+++ b/lovagedock-gateway/src/direct/board/mod.rs
@@ -15,9 +15,9 @@
 
 use arc_swap::ArcSwapOption;
 use lovagedock::{
-    EndpointLife, EndpointTable, LineKind, OutlierEvent, PaceTracker, PeerContact, PeerLoad,
-    RefusalLog, RequestFingerprint, RetryShareSettings, StopPlan, TrafficConfig, WaitingLine,
-    WatchDuty, WorkLedger, prelude::*,
+    EndpointLife, EndpointTable, LineKind, LoadNews, OutlierEvent, PaceTracker, PeerContact,
+    PeerLoad, RefusalLog, RequestFingerprint, RetryShareSettings, StopPlan, TrafficConfig,
+    WaitingLine, WatchDuty, WorkLedger, prelude::*,
 };
 use lovagedock_daemon::ProcessClock;
 use lovagedock_platform::GatewayEntry;
@@ -31,9 +31,6 @@
 pub(crate) use listing::EndpointsState;
 pub(crate) use place::{PlaceEffort, PlaceResult, PlacedRequest};
 
-/// Steps of a pace that peers are told, in one; finer ones would be told all the time.
-const PACE_STEPS: f32 = 2.0;
-
 /// Steps of the delay after which a gateway takes slots that a peer has freed; a step is longer than
 /// it takes to hear of a peer's request.
 const SLOT_DELAY_STEP: Duration = Duration::from_millis(20);
@@ -232,19 +229,21 @@
         self.fleet.lock().peers.values().cloned().collect()
     }
 
-    /// What this gateway has placed and measured.
+    /// What this gateway has placed and measured, where it has anything.
     pub(crate) fn own_loads(&self) -> Vec<(EndpointLife, PeerLoad)> {
+        self.fleet.lock().own_loads(self.clock.now())
+    }
+
+    /// Loads that peers have to be told now.
+    pub(crate) fn take_load_news(&self, news: &mut LoadNews) -> Vec<(EndpointLife, PeerLoad)> {
         let now = self.clock.now();
-        let fleet = self.fleet.lock();
-        let loads = fleet.ledger.own_loads().map(|(id, load)| {
-            let pace = fleet.paces.pace(now, id) as f32;
-            let load = PeerLoad {
-                pace: (pace * PACE_STEPS).round() / PACE_STEPS,
-                ..load.clone()
-            };
-            (id.clone(), load)
-        });
-        loads.collect()
+        let mut fleet = self.fleet.lock();
+        let loads = fleet.own_loads(now);
+        let loads = news.take(now, loads);
+        for (life, _) in loads.iter().filter(|(_, load)| load.is_idle()) {
+            fleet.ledger.rest(life);
+        }
+        loads
     }
 
     /// Refusals that peers have not been told of.
@@ -278,12 +277,16 @@
             .into_iter()
             .filter(|(life, _)| fleet.counts(life))
             .collect();
-        fleet.ledger.hear(now, peer, loads);
+        let has_ended = fleet.ledger.hear(now, peer, loads);
         for fingerprint in refused {
             fleet.refusals.hear(now, fingerprint);
         }
         drop(fleet);
-        self.changed.notify_waiters();
+        // What peers place frees nothing. Woken by each message, everybody who waits looked at all
+        // endpoints hundreds of times a second.
+        if has_ended {
+            self.changed.notify_waiters();
+        }
     }
 
     /// Forgets what a peer placed in its former life.
--- a/lovagedock-gateway/src/direct/board/place.rs
+++ b/lovagedock-gateway/src/direct/board/place.rs
@@ -219,7 +219,7 @@
 }
 
 impl PlacedParts {
-    fn new(choice: &DirectChoice, candidates: &[PlacerCandidate]) -> Self {
+    fn new(choice: &DirectChoice, candidates: &[PlacerCandidate<'_>]) -> Self {
         let lead = &candidates[choice.lead];
         let helpers = choice.helpers.iter().map(|helper| PlacedHelper {
             endpoint: candidates[helper.index].endpoint.clone(),
--- a/lovagedock-gateway/src/direct/board/state.rs
+++ b/lovagedock-gateway/src/direct/board/state.rs
@@ -7,8 +7,8 @@
 
 use lovagedock::{
     DirectEndpoint, EndpointLife, EndpointTable, EntryNews, LineKind, OutlierAction,
-    OutlierDetector, OutlierEvent, OutlierSettings, PaceTracker, PlacerCandidate, RefusalLog,
-    RetryShare, RetryShareSettings, WaitingLine, WatchDuty, WorkLedger, prelude::*,
+    OutlierDetector, OutlierEvent, OutlierSettings, PaceTracker, PeerLoad, PlacerCandidate,
+    RefusalLog, RetryShare, RetryShareSettings, WaitingLine, WatchDuty, WorkLedger, prelude::*,
     short_lane_size,
 };
 use lovagedock_platform::{GatewayEntry, Revision};
@@ -26,6 +26,9 @@
     calm: Duration::from_secs(20),
 };
 
+/// Steps of a pace that peers are told, in one; finer ones would be told all the time.
+const PACE_STEPS: f32 = 2.0;
+
 pub(super) struct FleetState {
     pub(super) endpoints: EndpointTable,
     pub(super) ledger: WorkLedger,
@@ -105,6 +108,19 @@
         self.ledger.knows(life) || !self.endpoints.is_unlisted(life)
     }
 
+    /// What this gateway has placed and measured, where it has anything.
+    pub(super) fn own_loads(&self, now: Timestamp) -> Vec<(EndpointLife, PeerLoad)> {
+        let loads = self.ledger.own_loads().map(|(life, load)| {
+            let pace = self.paces.pace(now, life) as f32;
+            let load = PeerLoad {
+                pace: (pace * PACE_STEPS).round() / PACE_STEPS,
+                ..load.clone()
+            };
+            (life.clone(), load)
+        });
+        loads.collect()
+    }
+
     fn forget_health(&mut self, now: Timestamp, endpoint: &DirectEndpoint) {
         let id = &endpoint.life.id;
         self.paces.forget(&endpoint.life);
@@ -114,32 +130,23 @@
         state.outliers.handle(now, OutlierEvent::Left(id.clone()));
     }
 
-    /// Endpoints, from the first, that are kept for short prompts. All gateways list endpoints in
-    /// the same order and hear of each other's requests, so they agree but for the moment.
-    pub(super) fn short_lane(&self, service: &ServiceId) -> usize {
-        let mut short = 0;
-        let mut slots = 1;
-        let mut endpoints = 0;
-        for endpoint in self.endpoints.ready(service) {
-            short += self.ledger.short_count(&endpoint.life);
-            slots = slots.max(endpoint.slots);
-            endpoints += 1;
-        }
-        short_lane_size(short, slots, endpoints)
-    }
-
     /// Endpoints with a free slot; `None` when the service has none that takes work.
+    ///
+    /// The first of all endpoints are kept for short prompts. All gateways list endpoints in the same
+    /// order and hear of each other's requests, so they agree on them but for the moment.
     pub(super) fn search(
         &self,
         now: Timestamp,
         service: &ServiceId,
         excluded: &[EndpointLife],
-    ) -> Option<Vec<PlacerCandidate>> {
+    ) -> Option<Vec<PlacerCandidate<'_>>> {
         let ejected = self.services.get(service).map(|state| &state.ejected);
         let mut candidates = Vec::new();
         let mut found = false;
-        let lane = self.short_lane(service);
+        let mut pool = PoolCount::default();
         for (position, endpoint) in self.endpoints.ready(service).enumerate() {
+            let (mut load, short) = self.ledger.look(now, &endpoint.life);
+            pool.add(endpoint, short);
             if excluded.contains(&endpoint.life) {
                 continue;
             }
@@ -147,23 +154,44 @@
                 continue;
             }
             found = true;
-            let mut load = self.ledger.load(now, &endpoint.life);
             load.pace = load.pace.max(self.paces.pace(now, &endpoint.life) as f32);
             if load.occupied < endpoint.slots {
-                let endpoint = endpoint.clone();
                 candidates.push(PlacerCandidate {
                     endpoint,
                     load,
                     position,
-                    short_lane: position < lane,
+                    short_lane: false,
                     draw: rand::random(),
                 });
             }
         }
+        let lane = short_lane_size(pool.short, pool.slots, pool.endpoints);
+        let lane = candidates
+            .iter_mut()
+            .take_while(|candidate| candidate.position < lane);
+        lane.for_each(|candidate| candidate.short_lane = true);
         found.then_some(candidates)
     }
 }
 
+/// What the size of the short lane follows from.
+#[derive(Default)]
+struct PoolCount {
+    /// Requests with short prompts, over all gateways.
+    short: u32,
+    /// Slots of the largest endpoint.
+    slots: u32,
+    endpoints: usize,
+}
+
+impl PoolCount {
+    fn add(&mut self, endpoint: &DirectEndpoint, short: u32) {
+        self.short += short;
+        self.slots = self.slots.max(endpoint.slots);
+        self.endpoints += 1;
+    }
+}
+
 impl ServiceState {
     pub(super) fn apply(&mut self, actions: Vec<OutlierAction>, log: &Logger) {
         for action in actions {
--- a/lovagedock-gateway/src/direct/gateway.rs
+++ b/lovagedock-gateway/src/direct/gateway.rs
@@ -78,6 +78,7 @@
         tasks.spawn(meet_gateways(Arc::clone(&board), feed, entry));
         tasks.spawn(serve_peers(relay, Arc::clone(&board), log.clone()));
         tasks.spawn(Arc::clone(&peers).send_forever());
+        tasks.spawn(Arc::clone(&peers).tick_forever());
         tasks.spawn(peers.receive_forever());
         tasks.spawn(serve_probes(probes, Arc::clone(&board), log.clone()));
         tasks.spawn(follow_settings(
--- a/lovagedock-gateway/src/direct/peers.rs
+++ b/lovagedock-gateway/src/direct/peers.rs
@@ -1,7 +1,6 @@
 //! Tells other gateways what this one has placed.
 
 use std::{
-    collections::HashMap,
     io,
     net::SocketAddr,
     sync::{
@@ -11,9 +10,7 @@
     time::Duration,
 };
 
-use lovagedock::{
-    EndpointLife, MessageNews, PeerHearing, PeerLoad, RequestFingerprint, prelude::*,
-};
+use lovagedock::{LoadNews, MessageNews, PeerHearing, RequestFingerprint, prelude::*};
 use lovagedock_platform::GatewayEntry;
 use parking_lot::Mutex;
 use slog::{debug, info};
@@ -36,11 +33,12 @@
 /// user for 20 ms and more, so that nobody waits for this; what is placed meanwhile takes it along.
 const ENDED_DELAY: Duration = Duration::from_millis(24);
 
-/// Time between two parts of everything that are told again, so that a lost datagram is made good.
-const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
+/// Longest time between two datagrams. Peers take a gateway that is silent for 1.5 s for gone, and
+/// loads that have not changed are told again with the next datagram after a second.
+const SIGN_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Parts in which everything is told again. Told at once, it took a third of all datagrams.
-const REFRESH_PARTS: usize = 4;
+/// Time between two looks for peers that are gone and for endpoints that may be tried again.
+const TICK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Endpoints in one datagram; with about 50 bytes each it stays below a usual packet.
 const LOADS_PER_DATAGRAM: usize = 24;
@@ -104,42 +102,40 @@
 
     /// Tells peers of changes for as long as the gateway lives.
     pub(crate) async fn send_forever(self: Arc<Self>) {
-        let mut told: HashMap<EndpointLife, PeerLoad> = HashMap::new();
-        let mut refresh_at = Instant::now();
-        let mut part = 0;
+        let mut told = LoadNews::new();
+        let mut sign_at = Instant::now();
         let mut sequence = 0;
         let mut told_versions = (0, 0);
         loop {
-            self.await_news(refresh_at).await;
-            let refresh = Instant::now() >= refresh_at;
-            if refresh {
-                refresh_at = Instant::now() + REFRESH_INTERVAL;
-                part = (part + 1) % REFRESH_PARTS;
-                self.board.tick();
-            }
-            let mut entries = Vec::new();
-            for (index, (endpoint, load)) in self.board.own_loads().into_iter().enumerate() {
-                let again = refresh && index % REFRESH_PARTS == part;
-                if again || told.get(&endpoint) != Some(&load) {
-                    entries.push(PeerEntry::new(&endpoint, &load));
-                    told.insert(endpoint, load);
-                }
-            }
+            self.await_news(sign_at).await;
+            let loads = self.board.take_load_news(&mut told);
             let refused = self.board.take_untold_refusals();
             let versions = (
                 self.board.config().map_or(0, |config| config.version),
                 self.board.endpoints_revision(),
             );
-            let news = std::mem::replace(&mut told_versions, versions) != versions;
-            if !entries.is_empty() || !refused.is_empty() || refresh || news {
+            let is_new = std::mem::replace(&mut told_versions, versions) != versions;
+            let is_due = Instant::now() >= sign_at;
+            if !loads.is_empty() || !refused.is_empty() || is_new || is_due {
+                let entries = loads.iter().map(|(life, load)| PeerEntry::new(life, load));
+                let entries: Vec<PeerEntry> = entries.collect();
                 self.send(&entries, refused, &mut sequence).await;
+                sign_at = Instant::now() + SIGN_INTERVAL;
             }
             sleep(SEND_INTERVAL).await;
         }
     }
 
-    /// Waits until there is something to tell peers, and until `refresh_at` at the latest.
-    async fn await_news(&self, refresh_at: Instant) {
+    /// Forgets what peers no longer tell, for as long as the gateway lives.
+    pub(crate) async fn tick_forever(self: Arc<Self>) {
+        loop {
+            sleep(TICK_INTERVAL).await;
+            self.board.tick();
+        }
+    }
+
+    /// Waits until there is something to tell peers, and until `sign_at` at the latest.
+    async fn await_news(&self, sign_at: Instant) {
         let ended = async {
             self.board.ended.notified().await;
             sleep(ENDED_DELAY).await;
@@ -147,7 +143,7 @@
         tokio::select! {
             () = self.board.placed.notified() => {}
             () = ended => {}
-            () = sleep_until(refresh_at) => {}
+            () = sleep_until(sign_at) => {}
         }
     }
 
--- a/lovagedock/examples/direct_cost.rs
+++ b/lovagedock/examples/direct_cost.rs
@@ -1,4 +1,4 @@
-//! Processor time of a gateway's decisions beside many endpoints and peers.
+//! Processor time of a gateway's decisions, by the number of gateways and of endpoints.
 //!
 //! ```text
 //! cargo run --release -p lovagedock --example direct_cost
@@ -11,10 +11,12 @@
     PeerLoad, PlacerCandidate, WorkLedger, WriterGroup, prelude::*,
 };
 
-const PEERS: usize = 23;
 const ROUNDS: usize = 4_000;
 const SLOTS: u32 = 12;
 
+/// Gateways and endpoints: the smallest fleet, the grown one, the large one, and the next.
+const SIZES: [(usize, usize); 4] = [(4, 16), (24, 72), (68, 172), (300, 1_000)];
+
 const PROFILE: EngineProfile = EngineProfile {
     slots: SLOTS,
     memory_tokens: 400_000,
@@ -27,18 +29,21 @@
 };
 
 fn main() {
-    println!("endpoints,decision,us");
-    for count in [25, 70, 400] {
+    println!("gateways,endpoints,decision,us");
+    for (gateways, count) in SIZES {
         let endpoints: Vec<DirectEndpoint> = (0..count).map(endpoint).collect();
         let mut ledger = WorkLedger::new();
-        fill(&mut ledger, &endpoints);
+        fill(&mut ledger, &endpoints, gateways - 1);
         let hear = micros(|round| {
-            let peer = format!("gateway-{}", round % PEERS).into();
             let load = peer_load(round);
             let endpoint = endpoints[round % count].life.clone();
-            ledger.hear(Timestamp::ZERO, &peer, [(endpoint, load)]);
+            ledger.hear(
+                Timestamp::ZERO,
+                &peer(round % (gateways - 1)),
+                [(endpoint, load)],
+            );
         });
-        println!("{count},hear of one endpoint,{hear:.2}");
+        println!("{gateways},{count},hear of one endpoint,{hear:.2}");
         for (name, prompt) in [
             ("look, short prompt", 5_000),
             ("look, long prompt", 300_000),
@@ -51,7 +56,7 @@
                 returned: false,
             };
             let look = micros(|_| look(&ledger, &endpoints, &request));
-            println!("{count},{name},{look:.2}");
+            println!("{gateways},{count},{name},{look:.2}");
         }
     }
 }
@@ -62,6 +67,10 @@
     start.elapsed().as_secs_f64() * 1e6 / ROUNDS as f64
 }
 
+fn peer(number: usize) -> GatewayId {
+    format!("gateway-{number}").into()
+}
+
 fn endpoint(number: usize) -> DirectEndpoint {
     DirectEndpoint {
         life: EndpointLife::new(format!("i-{number:010}"), 1),
@@ -87,18 +96,20 @@
     }
 }
 
-/// A third of the peers have something on each endpoint, as in a burst.
-fn fill(ledger: &mut WorkLedger, endpoints: &[DirectEndpoint]) {
-    for peer in 0..PEERS {
-        let name: GatewayId = format!("gateway-{peer}").into();
+/// Peers that have something on one endpoint in a burst, however many there are.
+const SHARERS: usize = 8;
+
+/// Every peer has used each endpoint once; some have something there now.
+fn fill(ledger: &mut WorkLedger, endpoints: &[DirectEndpoint], peers: usize) {
+    for number in 0..peers {
         let loads = endpoints.iter().enumerate().map(|(index, endpoint)| {
-            let load = match (index + peer) % 3 {
-                0 => peer_load(1),
-                _ => PeerLoad::default(),
+            let load = match (index + number) % peers < SHARERS.min(peers) {
+                true => peer_load(1),
+                false => PeerLoad::default(),
             };
             (endpoint.life.clone(), load)
         });
-        ledger.hear(Timestamp::ZERO, &name, loads);
+        ledger.hear(Timestamp::ZERO, &peer(number), loads);
     }
 }
 
@@ -109,11 +120,11 @@
         .iter()
         .map(|endpoint| ledger.short_count(&endpoint.life))
         .sum();
-    let candidates: Vec<PlacerCandidate> = endpoints
+    let candidates: Vec<PlacerCandidate<'_>> = endpoints
         .iter()
         .enumerate()
         .map(|(position, endpoint)| PlacerCandidate {
-            endpoint: endpoint.clone(),
+            endpoint,
             load: ledger.load(now, &endpoint.life),
             position,
             short_lane: position < short as usize / 20,
--- a/lovagedock/src/direct/choice.rs
+++ b/lovagedock/src/direct/choice.rs
@@ -96,9 +96,9 @@
 
 /// An endpoint that may be chosen.
 #[derive(Clone, Debug)]
-pub struct PlacerCandidate {
+pub struct PlacerCandidate<'a> {
     /// The endpoint.
-    pub endpoint: DirectEndpoint,
+    pub endpoint: &'a DirectEndpoint,
     /// What is on it.
     pub load: CombinedLoad,
     /// Place in the order of all endpoints of the service.
--- a/lovagedock/src/direct/ledger.rs
+++ b/lovagedock/src/direct/ledger.rs
@@ -1,9 +1,6 @@
 //! What all gateways have placed on each endpoint.
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    time::Duration,
-};
+use std::{collections::HashMap, time::Duration};
 
 use super::{
     life::EndpointLife,
@@ -45,7 +42,7 @@
 /// slots are counted from that.
 #[derive(Clone, Debug, Default)]
 pub struct WorkLedger {
-    endpoints: BTreeMap<EndpointLife, EndpointRecord>,
+    endpoints: HashMap<EndpointLife, EndpointRecord>,
     works: HashMap<WorkKey, OwnWork>,
     next_key: WorkKey,
     heard: HashMap<GatewayId, Timestamp>,
@@ -152,24 +149,32 @@
         }
     }
 
-    /// Takes in what a peer has placed on some endpoints.
+    /// Takes in what a peer has placed on some endpoints; tells whether something of it ended, which
+    /// those who wait for a place have to know.
     pub fn hear(
         &mut self,
         now: Timestamp,
         peer: &GatewayId,
         loads: impl IntoIterator<Item = (EndpointLife, PeerLoad)>,
-    ) {
+    ) -> bool {
+        let mut has_ended = false;
         let is_known = self.heard.insert(peer.clone(), now).is_some();
         for (endpoint, load) in loads {
             let record = self.endpoints.entry(endpoint).or_default();
-            let known = record.peers.get(peer);
+            let known = record.peers.get(peer).map(|heard| &heard.load);
             // A peer that was heard before has placed nothing yet on an endpoint that it never
             // named. What one that is new has placed in all its life says nothing about now.
             let unnamed = is_known.then_some(Duration::ZERO);
             let before = known.map(|known| known.reading_total).or(unnamed);
             let freed = known.map_or(0, |known| known.occupied.saturating_sub(load.occupied));
-            if let Some(before) = before {
-                let added = load.reading_total.saturating_sub(before);
+            has_ended |= freed > 0 || known.is_some_and(|known| known.unread > load.unread);
+            // With nothing there, whatever it placed has been read.
+            if let Some(before) = before.filter(|_| !load.is_idle()) {
+                // A lower total has begun anew after the peer had nothing there.
+                let added = match load.reading_total < before {
+                    true => load.reading_total,
+                    false => load.reading_total - before,
+                };
                 record.free_at = record.free_at.max(now) + added;
             }
             record
@@ -182,20 +187,22 @@
                     until: now + self.slot_delay,
                 });
             }
-            record.set_peer(peer, Some(load));
+            record.set_peer(now, peer, load);
         }
+        has_ended
     }
 
     /// Forgets what a peer placed, such as one that restarted.
     pub fn forget_peer(&mut self, peer: &GatewayId) {
         self.heard.remove(peer);
         for record in self.endpoints.values_mut() {
-            record.set_peer(peer, None);
+            record.forget_peer(peer);
             record.held.retain(|held| held.peer != *peer);
         }
     }
 
-    /// Forgets peers that have been silent for too long; returns them.
+    /// Forgets peers that have been silent for too long, and what the others no longer tell; returns
+    /// the silent ones.
     pub fn forget_silent(&mut self, now: Timestamp) -> Vec<GatewayId> {
         let silent: Vec<GatewayId> = self
             .heard
@@ -206,6 +213,9 @@
         for peer in &silent {
             self.forget_peer(peer);
         }
+        for record in self.endpoints.values_mut() {
+            record.forget_untold(now);
+        }
         silent
     }
 
@@ -254,26 +264,44 @@
 
     /// What is on an endpoint.
     pub fn load(&self, now: Timestamp, endpoint: &EndpointLife) -> CombinedLoad {
+        self.look(now, endpoint).0
+    }
+
+    /// Requests with short prompts on an endpoint, over all gateways.
+    pub fn short_count(&self, endpoint: &EndpointLife) -> u32 {
+        let record = self.endpoints.get(endpoint);
+        record.map_or(0, |record| record.total.short)
+    }
+
+    /// What is on an endpoint, and how many of its requests have short prompts.
+    pub fn look(&self, now: Timestamp, endpoint: &EndpointLife) -> (CombinedLoad, u32) {
         let Some(record) = self.endpoints.get(endpoint) else {
-            return CombinedLoad::default();
+            return Default::default();
         };
         let held = record.held.iter().filter(|held| now < held.until);
         let held: u32 = held.map(|held| held.slots).sum();
-        let paces = record.peers.values().map(|peer| peer.pace);
-        CombinedLoad {
+        let paces = record.peers.values().map(|heard| heard.load.pace);
+        let load = CombinedLoad {
             occupied: record.total.occupied + held,
             context: record.total.context,
             backlog: record.free_at.saturating_sub(now),
             unread: record.total.unread,
             pace: paces.fold(0.0, f32::max),
             writers: record.total.writers.clone(),
-        }
+        };
+        (load, record.total.short)
     }
 
-    /// Requests with short prompts on an endpoint, over all gateways.
-    pub fn short_count(&self, endpoint: &EndpointLife) -> u32 {
-        let record = self.endpoints.get(endpoint);
-        record.map_or(0, |record| record.total.short)
+    /// Begins the counts of endpoints anew on which this gateway has nothing any more; peers are told
+    /// of them once more.
+    pub fn rest(&mut self, told: &EndpointLife) {
+        let Some(record) = self.endpoints.get_mut(told) else {
+            return;
+        };
+        if record.own.occupied == 0 && record.own.unread == 0 {
+            record.own.reading_total = Duration::ZERO;
+            record.is_used = false;
+        }
     }
 
     /// What this gateway has placed, for its peers.
--- a/lovagedock/src/direct/load.rs
+++ b/lovagedock/src/direct/load.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use smallvec::SmallVec;
+
 use super::life::EndpointLife;
 use crate::ids::TokenCount;
 
@@ -35,8 +37,8 @@
     pub short: u32,
     /// Tokens in memory.
     pub context: TokenCount,
-    /// All prompt reading that it ever placed there; only grows, so that a lost message is made
-    /// good by the next one.
+    /// Prompt reading that it placed there since it last had nothing there. It grows until then, so
+    /// that a lost message is made good by the next one.
     pub reading_total: Duration,
     /// Long prompts and parts of them that are not read yet.
     pub unread: u32,
@@ -46,6 +48,15 @@
     pub writers: WriterTable,
 }
 
+impl PeerLoad {
+    /// Whether there is nothing of the gateway on the endpoint, and nothing to say of its pace.
+    pub fn is_idle(&self) -> bool {
+        let has_work = self.occupied > 0 || self.short > 0 || self.unread > 0;
+        let has_memory = self.context > 0 || self.writers.count() > 0;
+        !has_work && !has_memory && self.pace <= 1.0
+    }
+}
+
 /// What is on an endpoint, over all gateways.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct CombinedLoad {
@@ -120,7 +131,11 @@
 
 /// All who write on an endpoint, by the pause that they bear.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct WriterTable(Vec<WriterGroup>);
+pub struct WriterTable(SmallVec<[WriterGroup; USUAL_GROUPS]>);
+
+/// Pauses that writers of one engine bear, usually: one for each kind of request, and that of writers
+/// which were late already. A table is copied for each endpoint at each look for a place.
+const USUAL_GROUPS: usize = 4;
 
 impl WriterTable {
     /// The groups; none is empty.
--- a/lovagedock/src/direct/member.rs
+++ b/lovagedock/src/direct/member.rs
@@ -100,7 +100,7 @@
         profile: &EngineProfile,
         request: &DirectRequest,
         index: usize,
-        candidate: &PlacerCandidate,
+        candidate: &PlacerCandidate<'_>,
         part: Duration,
     ) -> Self {
         let load = &candidate.load;
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -24,6 +24,7 @@
 mod retries;
 mod returns;
 mod stopping;
+mod telling;
 mod waiting;
 
 pub use choice::{DirectChoice, DirectRequest, HelperPart, PlacerCandidate};
@@ -45,4 +46,5 @@
 pub use retries::{RetryShare, RetryShareSettings};
 pub use returns::{RefusalLog, RequestFingerprint};
 pub use stopping::StopPlan;
+pub use telling::LoadNews;
 pub use waiting::{LineDecision, LineKind, LineSettings, WaitingLine};
--- a/lovagedock/src/direct/placer.rs
+++ b/lovagedock/src/direct/placer.rs
@@ -17,7 +17,7 @@
 const RETURN_ROOM: f64 = 0.1;
 
 /// Whether there is room for a request that gets only what others leave.
-fn has_spare_room(candidates: &[PlacerCandidate]) -> bool {
+fn has_spare_room(candidates: &[PlacerCandidate<'_>]) -> bool {
     let slots: u32 = candidates
         .iter()
         .map(|candidate| candidate.endpoint.slots)
@@ -72,7 +72,7 @@
     pub fn place(
         &self,
         request: &DirectRequest,
-        candidates: &[PlacerCandidate],
+        candidates: &[PlacerCandidate<'_>],
     ) -> Option<DirectChoice> {
         let Some(profile) = self.profile else {
             return place_plain(candidates);
@@ -124,7 +124,7 @@
         &self,
         request: &DirectRequest,
         choice: &DirectChoice,
-        candidates: &[PlacerCandidate],
+        candidates: &[PlacerCandidate<'_>],
     ) -> Vec<PlacedWork> {
         let kept: TokenCount = choice.helpers.iter().map(|helper| helper.kept).sum();
         let long = self.is_long(request.prompt);
@@ -147,7 +147,7 @@
         &self,
         profile: &EngineProfile,
         request: &DirectRequest,
-        candidates: &[PlacerCandidate],
+        candidates: &[PlacerCandidate<'_>],
         reading: Duration,
         size: usize,
     ) -> Option<DirectChoice> {
@@ -192,8 +192,8 @@
 }
 
 /// A plain service: the endpoint with the largest share of free slots.
-fn place_plain(candidates: &[PlacerCandidate]) -> Option<DirectChoice> {
-    let fill = |candidate: &PlacerCandidate| {
+fn place_plain(candidates: &[PlacerCandidate<'_>]) -> Option<DirectChoice> {
+    let fill = |candidate: &PlacerCandidate<'_>| {
         f64::from(candidate.load.occupied) / f64::from(candidate.endpoint.slots.max(1))
     };
     let (lead, _) = candidates
--- a/lovagedock/src/direct/record.rs
+++ b/lovagedock/src/direct/record.rs
@@ -1,28 +1,40 @@
 //! What is known of one endpoint's work.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, time::Duration};
 
 use super::load::{PeerLoad, PlacedWork, WriterTable};
 use crate::ids::{GatewayId, Timestamp, TokenCount};
 
+/// Time after which what a peer placed no longer counts, though the peer is heard: it tells what it has
+/// each second, so that the message that it has nothing any more was lost, with the three after it.
+const UNTOLD_TIME: Duration = Duration::from_millis(3_500);
+
 /// Work on one endpoint, of this gateway and of each peer.
 #[derive(Clone, Debug, Default)]
 pub(super) struct EndpointRecord {
     pub(super) own: PeerLoad,
     /// When the engine has read everything that is known to be placed there.
     pub(super) free_at: Timestamp,
-    pub(super) peers: HashMap<GatewayId, PeerLoad>,
+    /// Peers that have something there.
+    pub(super) peers: HashMap<GatewayId, HeardLoad>,
     /// What this gateway and all peers have placed, kept up with every change. Placement looks at
     /// all endpoints for each request and each event is compared with the load of its engine:
     /// beside 23 peers and 70 endpoints a look takes 19 us instead of 25 (`examples/direct_cost`).
     pub(super) total: LoadTotal,
     pub(super) held: Vec<HeldSlots>,
-    /// Whether this gateway ever placed anything there; peers are told of nothing else.
+    /// Whether this gateway has something there that peers know of, or have to be told of.
     pub(super) is_used: bool,
     /// Since when the endpoint is not listed.
     pub(super) gone_at: Option<Timestamp>,
 }
 
+/// What a peer told of an endpoint, and when it did last.
+#[derive(Clone, Debug)]
+pub(super) struct HeardLoad {
+    pub(super) load: PeerLoad,
+    pub(super) at: Timestamp,
+}
+
 /// What all gateways have placed on an endpoint.
 #[derive(Clone, Debug, Default)]
 pub(super) struct LoadTotal {
@@ -64,20 +76,36 @@
 }
 
 impl EndpointRecord {
-    /// Replaces what a peer has placed; `None` forgets the peer.
-    pub(super) fn set_peer(&mut self, peer: &GatewayId, load: Option<PeerLoad>) {
-        if let Some(load) = &load {
-            self.total.add(load);
+    /// Replaces what a peer has placed.
+    pub(super) fn set_peer(&mut self, now: Timestamp, peer: &GatewayId, load: PeerLoad) {
+        self.forget_peer(peer);
+        if load.is_idle() {
+            return;
         }
-        let known = match load {
-            Some(load) => self.peers.insert(peer.clone(), load),
-            None => self.peers.remove(peer),
-        };
-        if let Some(known) = known {
-            self.total.subtract(&known);
+        self.total.add(&load);
+        let heard = HeardLoad { load, at: now };
+        self.peers.insert(peer.clone(), heard);
+    }
+
+    /// Forgets what a peer has placed.
+    pub(super) fn forget_peer(&mut self, peer: &GatewayId) {
+        if let Some(known) = self.peers.remove(peer) {
+            self.total.subtract(&known.load);
         }
     }
 
+    /// Forgets what peers have not told again.
+    pub(super) fn forget_untold(&mut self, now: Timestamp) {
+        let total = &mut self.total;
+        self.peers.retain(|_, heard| {
+            let is_told = now.saturating_sub(heard.at) <= UNTOLD_TIME;
+            if !is_told {
+                total.subtract(&heard.load);
+            }
+            is_told
+        });
+    }
+
     /// Records that a long prompt or part of this gateway has been read.
     pub(super) fn finish_read(&mut self) {
         self.own.unread = self.own.unread.saturating_sub(1);
--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -64,7 +64,7 @@
     AttemptEnd, CallerBounds, CombinedLoad, DirectChoice, DirectEndpoint, DirectMachine,
     DirectPlacer, DirectRequest, DirectStep, EndpointLife, EndpointState, EndpointTable,
     EngineProfile, EntryNews, EventSplitter, HelperPart, LineDecision, LineKind, LineSettings,
-    MISSED_GAP, MessageNews, PaceTracker, PeerContact, PeerHearing, PeerLoad, PlacedWork,
+    LoadNews, MISSED_GAP, MessageNews, PaceTracker, PeerContact, PeerHearing, PeerLoad, PlacedWork,
     PlacerCandidate, RefusalLog, RequestFingerprint, RetryShare, RetryShareSettings, RouteMatch,
     RouteMode, RouteRule, RouteTarget, ServiceProfile, StopPlan, StreamEvent, TrafficConfig,
     WaitingLine, WatchDuty, WorkKey, WorkLedger, WriterGroup, WriterTable, short_lane_size,
--- a/lovagedock/tests/direct_placement.rs
+++ b/lovagedock/tests/direct_placement.rs
@@ -219,7 +219,7 @@
     };
     pool.ledger.place(pool.now, writer);
     let candidates = vec![PlacerCandidate {
-        endpoint: pool.endpoints[0].clone(),
+        endpoint: &pool.endpoints[0],
         load: pool.ledger.load(pool.now, &pool.endpoints[0].life),
         position: 0,
         short_lane: false,
@@ -242,7 +242,7 @@
     let endpoints = pool.endpoints.iter().enumerate();
     let candidates: Vec<_> = endpoints
         .map(|(position, endpoint)| PlacerCandidate {
-            endpoint: endpoint.clone(),
+            endpoint,
             load: CombinedLoad {
                 occupied: loads[position],
                 ..CombinedLoad::default()
--- a/lovagedock/tests/direct_support/mod.rs
+++ b/lovagedock/tests/direct_support/mod.rs
@@ -96,7 +96,7 @@
     }
 
     /// Endpoints with a free slot, as placement sees them.
-    pub(crate) fn candidates(&self) -> Vec<PlacerCandidate> {
+    pub(crate) fn candidates(&self) -> Vec<PlacerCandidate<'_>> {
         let short = self.endpoints.iter();
         let short = short
             .map(|endpoint| self.ledger.short_count(&endpoint.life))
@@ -107,7 +107,7 @@
             .iter()
             .enumerate()
             .map(|(position, endpoint)| PlacerCandidate {
-                endpoint: endpoint.clone(),
+                endpoint,
                 load: self.ledger.load(self.now, &endpoint.life),
                 position,
                 short_lane: position < lane,
