--- a/lovagedock-gateway/src/direct/board/mod.rs
+++ b/lovagedock-gateway/src/direct/board/mod.rs
@@ -209,12 +209,14 @@
             return;
         }
         let mut fleet = self.fleet.lock();
-        let known = fleet.peers.insert(gateway.name.clone(), gateway.clone());
-        drop(fleet);
-        if known.as_ref() != Some(&gateway) {
-            info!(self.log, "peer listed";
-                "peer" => &*gateway.name, "address" => %gateway.address);
+        // Each datagram names its sender; nearly all of them are known.
+        if fleet.peers.get(&gateway.name) == Some(&gateway) {
+            return;
         }
+        fleet.peers.insert(gateway.name.clone(), gateway.clone());
+        drop(fleet);
+        info!(self.log, "peer listed";
+            "peer" => &*gateway.name, "address" => %gateway.address);
     }
 
     /// Takes in that a gateway's entry is gone.
