--- a/lovagedock-gateway/src/direct/board/mod.rs
+++ b/lovagedock-gateway/src/direct/board/mod.rs
@@ -1,6 +1,7 @@
 //! What a gateway knows and has decided, shared by all its requests.
 
 mod listing;
+mod peers;
 mod place;
 mod state;
 
@@ -15,12 +16,11 @@
 
 use arc_swap::ArcSwapOption;
 use lovagedock::{
-    EndpointLife, EndpointTable, LineKind, LoadNews, OutlierEvent, PaceTracker, PeerContact,
-    PeerLoad, RefusalLog, RequestFingerprint, RetryShareSettings, StopPlan, TrafficConfig,
-    WaitingLine, WatchDuty, WorkLedger, prelude::*,
+    EndpointLife, EndpointTable, LineKind, OutlierEvent, PaceTracker, RefusalLog,
+    RequestFingerprint, RetryShareSettings, StopPlan, TrafficConfig, WaitingLine, WatchDuty,
+    WorkLedger, prelude::*,
 };
 use lovagedock_daemon::ProcessClock;
-use lovagedock_platform::GatewayEntry;
 use parking_lot::Mutex;
 use slog::{Logger, info};
 use tokio::sync::{Notify, futures::Notified};
@@ -147,21 +147,6 @@
         self.store_reachable.load(Ordering::Relaxed)
     }
 
-    /// Records that a peer was heard.
-    pub(crate) fn hear_contact(&self, peer: &GatewayId, store_reachable: bool) {
-        let contact = PeerContact {
-            heard_at: self.clock.now(),
-            store_reachable,
-        };
-        self.fleet.lock().duty.hear(peer.clone(), contact);
-    }
-
-    /// Whether this gateway has to watch the store itself.
-    pub(crate) fn watches(&self) -> bool {
-        let now = self.clock.now();
-        self.fleet.lock().duty.watches(now, &self.name)
-    }
-
     /// Says that the gateway stops.
     pub(crate) fn set_stopping(&self, plan: StopPlan) {
         // A stop is asked for once; a second request changes nothing.
@@ -203,56 +188,6 @@
         self.ended.notify_one();
     }
 
-    /// Takes in a gateway.
-    pub(crate) fn gateway_changed(&self, gateway: GatewayEntry) {
-        if gateway.name == self.name {
-            return;
-        }
-        let mut fleet = self.fleet.lock();
-        // Each datagram names its sender; nearly all of them are known.
-        if fleet.peers.get(&gateway.name) == Some(&gateway) {
-            return;
-        }
-        fleet.peers.insert(gateway.name.clone(), gateway.clone());
-        drop(fleet);
-        info!(self.log, "peer listed";
-            "peer" => &*gateway.name, "address" => %gateway.address);
-    }
-
-    /// Takes in that a gateway's entry is gone.
-    pub(crate) fn gateway_gone(&self, name: &GatewayId) {
-        let mut fleet = self.fleet.lock();
-        fleet.peers.remove(name);
-        fleet.ledger.forget_peer(name);
-    }
-
-    /// Other gateways that are known.
-    pub(crate) fn peers(&self) -> Vec<GatewayEntry> {
-        self.fleet.lock().peers.values().cloned().collect()
-    }
-
-    /// What this gateway has placed and measured, where it has anything.
-    pub(crate) fn own_loads(&self) -> Vec<(EndpointLife, PeerLoad)> {
-        self.fleet.lock().own_loads(self.clock.now())
-    }
-
-    /// Loads that peers have to be told now.
-    pub(crate) fn take_load_news(&self, news: &mut LoadNews) -> Vec<(EndpointLife, PeerLoad)> {
-        let now = self.clock.now();
-        let mut fleet = self.fleet.lock();
-        let loads = fleet.own_loads(now);
-        let loads = news.take(now, loads);
-        for (life, _) in loads.iter().filter(|(_, load)| load.is_idle()) {
-            fleet.ledger.rest(life);
-        }
-        loads
-    }
-
-    /// Refusals that peers have not been told of.
-    pub(crate) fn take_untold_refusals(&self) -> Vec<RequestFingerprint> {
-        self.fleet.lock().refusals.take_untold()
-    }
-
     /// Records that a request was refused.
     pub(crate) fn record_refusal(&self, fingerprint: RequestFingerprint) {
         let now = self.clock.now();
@@ -266,36 +201,6 @@
         self.fleet.lock().refusals.is_return(now, fingerprint)
     }
 
-    /// Takes in what a peer has placed and refused.
-    pub(crate) fn hear(
-        &self,
-        peer: &GatewayId,
-        loads: Vec<(EndpointLife, PeerLoad)>,
-        refused: Vec<RequestFingerprint>,
-    ) {
-        let now = self.clock.now();
-        let mut fleet = self.fleet.lock();
-        let loads: Vec<_> = loads
-            .into_iter()
-            .filter(|(life, _)| fleet.counts(life))
-            .collect();
-        let has_ended = fleet.ledger.hear(now, peer, loads);
-        for fingerprint in refused {
-            fleet.refusals.hear(now, fingerprint);
-        }
-        drop(fleet);
-        // What peers place frees nothing. Woken by each message, everybody who waits looked at all
-        // endpoints hundreds of times a second.
-        if has_ended {
-            self.changed.notify_waiters();
-        }
-    }
-
-    /// Forgets what a peer placed in its former life.
-    pub(crate) fn forget_peer(&self, peer: &GatewayId) {
-        self.fleet.lock().ledger.forget_peer(peer);
-    }
-
     /// Forgets silent peers and lets ejected endpoints back whose time is over.
     pub(crate) fn tick(&self) {
         let now = self.clock.now();
--- /dev/null
+++ b/lovagedock-gateway/src/direct/board/peers.rs
@@ -0,0 +1,104 @@
+//! What the board knows of other gateways, and what it tells them.
+
+use lovagedock::{EndpointLife, LoadNews, PeerContact, PeerLoad, RequestFingerprint, prelude::*};
+use lovagedock_platform::GatewayEntry;
+use slog::info;
+
+use super::FleetBoard;
+
+impl FleetBoard {
+    /// Records that a peer was heard.
+    pub(crate) fn hear_contact(&self, peer: &GatewayId, store_reachable: bool) {
+        let contact = PeerContact {
+            heard_at: self.clock.now(),
+            store_reachable,
+        };
+        self.fleet.lock().duty.hear(peer.clone(), contact);
+    }
+
+    /// Whether this gateway has to watch the store itself.
+    pub(crate) fn watches(&self) -> bool {
+        let now = self.clock.now();
+        self.fleet.lock().duty.watches(now, &self.name)
+    }
+
+    /// Takes in a gateway.
+    pub(crate) fn gateway_changed(&self, gateway: GatewayEntry) {
+        if gateway.name == self.name {
+            return;
+        }
+        let mut fleet = self.fleet.lock();
+        // Each datagram names its sender; nearly all of them are known.
+        if fleet.peers.get(&gateway.name) == Some(&gateway) {
+            return;
+        }
+        fleet.peers.insert(gateway.name.clone(), gateway.clone());
+        drop(fleet);
+        info!(self.log, "peer listed";
+            "peer" => &*gateway.name, "address" => %gateway.address);
+    }
+
+    /// Takes in that a gateway's entry is gone.
+    pub(crate) fn gateway_gone(&self, name: &GatewayId) {
+        let mut fleet = self.fleet.lock();
+        fleet.peers.remove(name);
+        fleet.ledger.forget_peer(name);
+    }
+
+    /// Other gateways that are known.
+    pub(crate) fn peers(&self) -> Vec<GatewayEntry> {
+        self.fleet.lock().peers.values().cloned().collect()
+    }
+
+    /// What this gateway has placed and measured, where it has anything.
+    pub(crate) fn own_loads(&self) -> Vec<(EndpointLife, PeerLoad)> {
+        self.fleet.lock().own_loads(self.clock.now())
+    }
+
+    /// Loads that peers have to be told now.
+    pub(crate) fn take_load_news(&self, news: &mut LoadNews) -> Vec<(EndpointLife, PeerLoad)> {
+        let now = self.clock.now();
+        let mut fleet = self.fleet.lock();
+        let loads = fleet.own_loads(now);
+        let loads = news.take(now, loads);
+        for (life, _) in loads.iter().filter(|(_, load)| load.is_idle()) {
+            fleet.ledger.rest(life);
+        }
+        loads
+    }
+
+    /// Refusals that peers have not been told of.
+    pub(crate) fn take_untold_refusals(&self) -> Vec<RequestFingerprint> {
+        self.fleet.lock().refusals.take_untold()
+    }
+
+    /// Takes in what a peer has placed and refused.
+    pub(crate) fn hear(
+        &self,
+        peer: &GatewayId,
+        loads: Vec<(EndpointLife, PeerLoad)>,
+        refused: Vec<RequestFingerprint>,
+    ) {
+        let now = self.clock.now();
+        let mut fleet = self.fleet.lock();
+        let loads: Vec<_> = loads
+            .into_iter()
+            .filter(|(life, _)| fleet.counts(life))
+            .collect();
+        let has_ended = fleet.ledger.hear(now, peer, loads);
+        for fingerprint in refused {
+            fleet.refusals.hear(now, fingerprint);
+        }
+        drop(fleet);
+        // What peers place frees nothing. Woken by each message, everybody who waits looked at all
+        // endpoints hundreds of times a second.
+        if has_ended {
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Forgets what a peer placed in its former life.
+    pub(crate) fn forget_peer(&self, peer: &GatewayId) {
+        self.fleet.lock().ledger.forget_peer(peer);
+    }
+}
--- a/lovagedock/src/direct/ledger.rs
+++ b/lovagedock/src/direct/ledger.rs
@@ -6,7 +6,7 @@
     life::EndpointLife,
     load::{CombinedLoad, PeerLoad, PlacedWork, WorkKey, WriterGroup},
     rate::EventRate,
-    record::{EndpointRecord, HeldSlots},
+    record::EndpointRecord,
 };
 use crate::ids::{GatewayId, Timestamp};
 
@@ -17,10 +17,6 @@
     reading: bool,
 }
 
-/// Time without a message after which what a peer had placed no longer counts: its requests have
-/// ended with its connections.
-const PEER_SILENCE: Duration = Duration::from_millis(1500);
-
 /// Time for which an endpoint that is not listed is remembered: longer than the store is away, with
 /// the seconds in which lapsed entries come back.
 const GONE_MEMORY: Duration = Duration::from_secs(120);
@@ -36,11 +32,6 @@
 /// Part of its value that is left to lose then.
 const MISSED_VALUE: f32 = 0.33;
 
-/// Time around a placement in which gateways place without knowing of each other's: 30 ms before it and
-/// 30 ms after it. That is the pause between two datagrams and the turns of two small hosts, by joined
-/// logs of a day with 68 gateways.
-const UNHEARD_TIME: Duration = Duration::from_millis(60);
-
 /// Memory of the rate at which peers place. A burst shows within half of this.
 const RATE_MEMORY: Duration = Duration::from_millis(500);
 
@@ -51,13 +42,13 @@
 /// slots are counted from that.
 #[derive(Clone, Debug)]
 pub struct WorkLedger {
-    endpoints: HashMap<EndpointLife, EndpointRecord>,
+    pub(super) endpoints: HashMap<EndpointLife, EndpointRecord>,
     works: HashMap<WorkKey, OwnWork>,
     next_key: WorkKey,
-    heard: HashMap<GatewayId, Timestamp>,
-    slot_delay: Duration,
+    pub(super) heard: HashMap<GatewayId, Timestamp>,
+    pub(super) slot_delay: Duration,
     /// Short prompts that peers place.
-    short_rate: EventRate,
+    pub(super) short_rate: EventRate,
 }
 
 impl Default for WorkLedger {
@@ -173,91 +164,6 @@
         }
     }
 
-    /// Takes in what a peer has placed on some endpoints; tells whether something of it ended, which
-    /// those who wait for a place have to know.
-    pub fn hear(
-        &mut self,
-        now: Timestamp,
-        peer: &GatewayId,
-        loads: impl IntoIterator<Item = (EndpointLife, PeerLoad)>,
-    ) -> bool {
-        let mut has_ended = false;
-        let is_known = self.heard.insert(peer.clone(), now).is_some();
-        for (endpoint, load) in loads {
-            let record = self.endpoints.entry(endpoint).or_default();
-            let known = record.peers.get(peer).map(|heard| &heard.load);
-            // A peer that was heard before has placed nothing yet on an endpoint that it never
-            // named. What one that is new has placed in all its life says nothing about now.
-            let unnamed = is_known.then_some(Duration::ZERO);
-            let before = known.map(|known| known.reading_total).or(unnamed);
-            let freed = known.map_or(0, |known| known.occupied.saturating_sub(load.occupied));
-            let is_long = load.unread > known.map_or(0, |known| known.unread);
-            has_ended |= freed > 0 || known.is_some_and(|known| known.unread > load.unread);
-            // With nothing there, whatever it placed has been read.
-            if let Some(before) = before.filter(|_| !load.is_idle()) {
-                // A lower total has begun anew after the peer had nothing there.
-                let added = match load.reading_total < before {
-                    true => load.reading_total,
-                    false => load.reading_total - before,
-                };
-                record.free_at = record.free_at.max(now) + added;
-                if !is_long && !added.is_zero() {
-                    self.short_rate.record(now);
-                }
-            }
-            record
-                .held
-                .retain(|held| held.peer != *peer && now < held.until);
-            if freed > 0 {
-                record.held.push(HeldSlots {
-                    peer: peer.clone(),
-                    slots: freed,
-                    until: now + self.slot_delay,
-                });
-            }
-            record.set_peer(now, peer, load);
-        }
-        has_ended
-    }
-
-    /// Forgets what a peer placed, such as one that restarted.
-    pub fn forget_peer(&mut self, peer: &GatewayId) {
-        self.heard.remove(peer);
-        for record in self.endpoints.values_mut() {
-            record.forget_peer(peer);
-            record.held.retain(|held| held.peer != *peer);
-        }
-    }
-
-    /// Forgets peers that have been silent for too long, and what the others no longer tell; returns
-    /// the silent ones.
-    pub fn forget_silent(&mut self, now: Timestamp) -> Vec<GatewayId> {
-        let silent: Vec<GatewayId> = self
-            .heard
-            .iter()
-            .filter(|(_, heard)| now.saturating_sub(**heard) > PEER_SILENCE)
-            .map(|(peer, _)| peer.clone())
-            .collect();
-        for peer in &silent {
-            self.forget_peer(peer);
-        }
-        for record in self.endpoints.values_mut() {
-            record.forget_untold(now);
-        }
-        silent
-    }
-
-    /// Short prompts that peers place without having heard of one that is placed now, nor this gateway
-    /// of theirs.
-    pub fn unheard(&self, now: Timestamp) -> f64 {
-        self.short_rate.at(now) * UNHEARD_TIME.as_secs_f64()
-    }
-
-    /// Peers that were heard lately.
-    pub fn peer_count(&self) -> usize {
-        self.heard.len()
-    }
-
     /// Forgets a process whose place another one has taken; its work ended with it.
     pub fn forget_life(&mut self, endpoint: &EndpointLife) {
         self.endpoints.remove(endpoint);
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -14,6 +14,7 @@
 mod hearing;
 mod lane;
 mod ledger;
+mod ledger_peers;
 mod life;
 mod load;
 mod machine;
