Property test: a peer is right again after losses; heartbeat by its usual name

Twenty seeds each of loss, delay, reordering, doubling and death of the sender: the hearer's counts equal the sender's four seconds later. In the code only names and a comment change.

--- a/lovagedock-gateway/src/direct/peers.rs
+++ b/lovagedock-gateway/src/direct/peers.rs
@@ -35,7 +35,7 @@
 
 /// Longest time between two datagrams. Peers take a gateway that is silent for 1.5 s for gone, and
 /// loads that have not changed are told again with the next datagram after a second.
-const SIGN_INTERVAL: Duration = Duration::from_millis(250);
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Time between two looks for peers that are gone and for endpoints that may be tried again.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
@@ -103,11 +103,11 @@
     /// Tells peers of changes for as long as the gateway lives.
     pub(crate) async fn send_forever(self: Arc<Self>) {
         let mut told = LoadNews::new();
-        let mut sign_at = Instant::now();
+        let mut heartbeat_at = Instant::now();
         let mut sequence = 0;
         let mut told_versions = (0, 0);
         loop {
-            self.await_news(sign_at).await;
+            self.await_news(heartbeat_at).await;
             let loads = self.board.take_load_news(&mut told);
             let refused = self.board.take_untold_refusals();
             let versions = (
@@ -115,12 +115,12 @@
                 self.board.endpoints_revision(),
             );
             let is_new = std::mem::replace(&mut told_versions, versions) != versions;
-            let is_due = Instant::now() >= sign_at;
+            let is_due = Instant::now() >= heartbeat_at;
             if !loads.is_empty() || !refused.is_empty() || is_new || is_due {
                 let entries = loads.iter().map(|(life, load)| PeerEntry::new(life, load));
                 let entries: Vec<PeerEntry> = entries.collect();
                 self.send(&entries, refused, &mut sequence).await;
-                sign_at = Instant::now() + SIGN_INTERVAL;
+                heartbeat_at = Instant::now() + HEARTBEAT_INTERVAL;
             }
             sleep(SEND_INTERVAL).await;
         }
@@ -134,8 +134,8 @@
         }
     }
 
-    /// Waits until there is something to tell peers, and until `sign_at` at the latest.
-    async fn await_news(&self, sign_at: Instant) {
+    /// Waits until there is something to tell peers, and until `heartbeat_at` at the latest.
+    async fn await_news(&self, heartbeat_at: Instant) {
         let ended = async {
             self.board.ended.notified().await;
             sleep(ENDED_DELAY).await;
@@ -143,7 +143,7 @@
         tokio::select! {
             () = self.board.placed.notified() => {}
             () = ended => {}
-            () = sleep_until(sign_at) => {}
+            () = sleep_until(heartbeat_at) => {}
         }
     }
 
--- a/lovagedock/src/direct/ledger_peers.rs
+++ b/lovagedock/src/direct/ledger_peers.rs
@@ -80,8 +80,8 @@
         silent
     }
 
-    /// Short prompts that peers place without having heard of one that is placed now, nor this gateway
-    /// of theirs.
+    /// Short prompts that peers place around `now`, on any service, without having heard of one that is
+    /// placed here now, nor this gateway of theirs.
     pub fn unheard(&self, now: Timestamp) -> f64 {
         self.short_rate.at(now) * UNHEARD_TIME.as_secs_f64()
     }
--- a/lovagedock/tests/direct_telling.rs
+++ b/lovagedock/tests/direct_telling.rs
@@ -2,7 +2,12 @@
 
 use std::time::Duration;
 
-use lovagedock::{EndpointLife, LoadNews, PeerLoad, PlacedWork, WorkLedger, prelude::*};
+use lovagedock::{
+    EndpointLife, LoadNews, MessageNews, PeerHearing, PeerLoad, PlacedWork, WorkKey, WorkLedger,
+    prelude::*,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -164,3 +169,172 @@
     assert_eq!(hearer.load(ms(5_000), &life(1)).occupied, 1, "lasting");
     sender.ledger.finish(ms(5_000), lasting);
 }
+
+const ENDPOINTS: usize = 12;
+
+/// Time after which a hearer has everything right again, once datagrams come through.
+const SETTLE_TIME: Duration = Duration::from_millis(4_000);
+
+struct LossCase {
+    name: &'static str,
+    /// Datagrams of a hundred that are lost, and that come twice.
+    lost: u32,
+    doubled: u32,
+    /// Longest time on the way.
+    delay: Duration,
+    /// Whether the sender dies at the end, and not only stops placing.
+    dies: bool,
+}
+
+/// What is on its way to the hearer: when it comes, its sequence number, what it says.
+type Datagram = (Timestamp, u64, Vec<(EndpointLife, PeerLoad)>);
+
+/// A sender and a hearer with an unreliable way between them.
+struct LossyPair {
+    sender: TellingGateway,
+    hearer: WorkLedger,
+    order: PeerHearing,
+    on_the_way: Vec<Datagram>,
+    running: Vec<(Timestamp, WorkKey)>,
+    sequence: u64,
+    random: ChaCha8Rng,
+}
+
+impl LossyPair {
+    fn new(seed: u64) -> Self {
+        Self {
+            sender: TellingGateway::default(),
+            hearer: WorkLedger::new(),
+            order: PeerHearing::new(),
+            on_the_way: Vec::new(),
+            running: Vec::new(),
+            sequence: 0,
+            random: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    fn work(&mut self, now: Timestamp) {
+        if self.random.random_bool(0.2) {
+            let placed = work(self.random.random_range(0..ENDPOINTS));
+            let key = self.sender.ledger.place(now, placed);
+            let ends = now + ms(self.random.random_range(10..2_500));
+            self.running.push((ends, key));
+        }
+        self.end(now);
+    }
+
+    fn end(&mut self, now: Timestamp) {
+        for (_, key) in self.running.extract_if(.., |(ends, _)| *ends <= now) {
+            self.sender.ledger.finish(now, key);
+        }
+    }
+
+    fn send(&mut self, now: Timestamp, case: &LossCase) {
+        let loads = self.sender.tell(now);
+        if loads.is_empty() && self.random.random_bool(0.9) {
+            return;
+        }
+        self.sequence += 1;
+        let copies = 1 + u32::from(self.random.random_ratio(case.doubled, 100));
+        for _ in 0..copies {
+            if self.random.random_ratio(case.lost, 100) {
+                continue;
+            }
+            let delay = case.delay.mul_f64(self.random.random());
+            let datagram = (now + delay, self.sequence, loads.clone());
+            self.on_the_way.push(datagram);
+        }
+    }
+
+    fn receive(&mut self, now: Timestamp) {
+        let mut come: Vec<Datagram> = self
+            .on_the_way
+            .extract_if(.., |(at, ..)| *at <= now)
+            .collect();
+        come.sort_by_key(|(at, ..)| *at);
+        for (_, sequence, loads) in come {
+            if self.order.hear(&peer(), 1, sequence) == MessageNews::Latest {
+                self.hearer.hear(now, &peer(), loads);
+            }
+        }
+        self.hearer.forget_silent(now);
+    }
+
+    fn occupied(&self, now: Timestamp, ledger: &WorkLedger) -> Vec<u32> {
+        let endpoints = 0..ENDPOINTS;
+        endpoints
+            .map(|number| ledger.load(now, &life(number)).occupied)
+            .collect()
+    }
+}
+
+/// No endpoint is booked for long by work that has ended, whatever happened to the datagrams.
+///
+/// A gateway places and ends work for eight seconds; datagrams are lost, doubled, late and overtake each
+/// other, so that a peer counts slots that are free and misses some that are taken. Once they come
+/// through, or once the gateway is dead, the peer is right again within four seconds.
+#[test]
+fn a_peer_is_right_again_after_losses() {
+    let cases = [
+        LossCase {
+            name: "a third is lost",
+            lost: 33,
+            doubled: 0,
+            delay: ms(5),
+            dies: false,
+        },
+        LossCase {
+            name: "late and out of order",
+            lost: 0,
+            doubled: 0,
+            delay: ms(300),
+            dies: false,
+        },
+        LossCase {
+            name: "everything at once",
+            lost: 60,
+            doubled: 30,
+            delay: ms(300),
+            dies: false,
+        },
+        LossCase {
+            name: "the gateway dies",
+            lost: 10,
+            doubled: 10,
+            delay: ms(50),
+            dies: true,
+        },
+    ];
+    let calm = LossCase {
+        name: "calm",
+        lost: 0,
+        doubled: 0,
+        delay: ms(2),
+        dies: false,
+    };
+    for case in cases {
+        for seed in 0..20 {
+            let mut pair = LossyPair::new(seed);
+            let end = ms(8_000);
+            for at in (0..8_000).step_by(8) {
+                pair.work(ms(at));
+                pair.send(ms(at), &case);
+                pair.receive(ms(at));
+            }
+            for at in (8_000..12_000).step_by(8) {
+                if !case.dies {
+                    pair.end(ms(at));
+                    pair.send(ms(at), &calm);
+                }
+                pair.receive(ms(at));
+            }
+            let now = end + SETTLE_TIME;
+            let expected = match case.dies {
+                true => vec![0; ENDPOINTS],
+                false => pair.occupied(now, &pair.sender.ledger),
+            };
+            let heard = pair.occupied(now, &pair.hearer);
+            assert_eq!(heard, expected, "{}, seed {seed}", case.name);
+        }
+    }
+}
