--- a/lovagedock/src/direct/record.rs
+++ b/lovagedock/src/direct/record.rs
@@ -5,8 +5,9 @@
 use super::load::{PeerLoad, PlacedWork, WriterTable};
 use crate::ids::{GatewayId, Timestamp, TokenCount};
 
-/// Time after which what a peer placed no longer counts, though the peer is heard: it tells what it has
-/// each second, so that the message that it has nothing any more was lost, with the three after it.
+/// Time after which what a peer placed on one endpoint no longer counts, though the peer is heard. A peer
+/// tells what it has each second. Three such messages in a row are rarely lost; one that said that it has
+/// nothing any more may be, and its slots would stay taken for good.
 const UNTOLD_TIME: Duration = Duration::from_millis(3_500);
 
 /// Work on one endpoint, of this gateway and of each peer.
