Log what a request asks, so that attempts of it can be told together

Cause: lines of two attempts that ask the same share no field; whether a request ends the engines that run it cannot be told from a load that ends them. Lines of placements, attempts and ends carry the fingerprint of path, caller and body.

--- a/lovagedock-gateway/src/direct/call/log.rs
+++ b/lovagedock-gateway/src/direct/call/log.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use lovagedock::{AttemptEnd, DirectStep, EndpointLife, prelude::*};
+use lovagedock::{AttemptEnd, DirectStep, EndpointLife, RequestFingerprint, prelude::*};
 use slog::info;
 
 use super::DirectCall;
@@ -16,6 +16,7 @@
         };
         info!(self.board.log, "placed";
             "request" => &self.parts.head.request,
+            "fingerprint" => fingerprint_text(self.fingerprint),
             "route" => &self.parts.route.name,
             "endpoint" => %placed.lead.life,
             "helpers" => helper_names(placed),
@@ -69,6 +70,7 @@
         if let Some(left_out) = self.board.lines.take(self.board.clock.now()) {
             info!(self.board.log, "attempt ended";
                 "request" => &self.parts.head.request, "endpoint" => %endpoint,
+                "fingerprint" => fingerprint_text(self.fingerprint),
                 "sent" => self.machine.sent(), "end" => ?end, "next" => ?step,
                 "events" => self.stream.events(), "left_out" => left_out);
         }
@@ -83,6 +85,7 @@
         if let Some(left_out) = self.board.lines.take(now) {
             info!(self.board.log, "request ended";
                 "request" => &self.parts.head.request,
+                "fingerprint" => fingerprint_text(self.fingerprint),
                 "route" => &self.parts.route.name,
                 "prompt" => self.parts.head.prompt,
                 "code" => code.number(),
@@ -104,6 +107,11 @@
     }
 }
 
+/// What a request asks, for the log: attempts of callers that ask the same have the same.
+pub(super) fn fingerprint_text(fingerprint: RequestFingerprint) -> String {
+    format!("{fingerprint:016x}")
+}
+
 /// Helpers of a request for the log.
 fn helper_names(placed: &PlacedRequest) -> String {
     let names = placed
