--- a/lovagedock-gateway/src/call_task.rs
+++ b/lovagedock-gateway/src/call_task.rs
@@ -195,6 +195,7 @@
         let now = self.shared.context.clock.now();
         if code == ResultCode::Complete {
             self.shared.record_success(&self.call.service, now);
+            self.shared.suspects.record_served(now, &self.call);
         }
         count_outcome(code);
         self.step(format!("ended with code {}", code.number()));
--- a/lovagedock-gateway/src/driver/mod.rs
+++ b/lovagedock-gateway/src/driver/mod.rs
@@ -68,6 +68,8 @@
     sent_to: Vec<EndpointId>,
     keep: bool,
     kept: Option<KeptAnswer>,
+    /// When the first bytes of the present attempt came.
+    first_bytes_at: Option<Timestamp>,
 }
 
 /// What the machine has been told that stays true.
@@ -111,6 +113,7 @@
             sent_to: Vec::new(),
             keep: false,
             kept: None,
+            first_bytes_at: None,
         }
     }
 
@@ -183,6 +186,7 @@
         event: AttemptEvent,
     ) -> Option<RequestEvent> {
         self.watch_outlier(&event);
+        self.watch_engine(attempt, &event);
         Some(match event {
             AttemptEvent::Accepted { incarnation } => RequestEvent::SubmitAccepted {
                 attempt,
@@ -212,6 +216,27 @@
         })
     }
 
+    /// Counts an engine that ended under the request.
+    fn watch_engine(&mut self, attempt: AttemptNumber, event: &AttemptEvent) {
+        let now = self.now();
+        match event {
+            AttemptEvent::Accepted { .. } => self.first_bytes_at = None,
+            AttemptEvent::Chunk { .. } => {
+                self.first_bytes_at.get_or_insert(now);
+            }
+            AttemptEvent::Done(end) if end.engine_ended => {
+                let Some(endpoint) = self.machine.endpoint() else {
+                    return;
+                };
+                let first_bytes_at = self.first_bytes_at.unwrap_or(now);
+                let streamed = now.saturating_sub(first_bytes_at);
+                let suspects = &self.shared.suspects;
+                suspects.record_end(now, &self.call, attempt, endpoint, streamed);
+            }
+            _ => {}
+        }
+    }
+
     /// Tells the outlier detector what the endpoint of the current attempt did.
     fn watch_outlier(&self, event: &AttemptEvent) {
         let Some(endpoint) = self.machine.endpoint() else {
--- a/lovagedock-gateway/src/driver/place.rs
+++ b/lovagedock-gateway/src/driver/place.rs
@@ -9,9 +9,14 @@
 use rand::Rng;
 
 use super::RequestDriver;
+use crate::suspects::fingerprint;
 
 impl RequestDriver {
     pub(super) fn place(&mut self, excluded: &[EndpointId]) -> PlacedOn {
+        if let Some(left) = self.quarantined_for() {
+            self.step("refused: engines end under it");
+            return refused(ResultCode::Quarantined, left);
+        }
         let choice = self.choose(excluded);
         self.placed(choice)
     }
@@ -129,8 +134,17 @@
         self.shared.context.fleet.get(endpoint)?.incarnation
     }
 
+    /// How much longer the request is not to be sent to engines.
+    fn quarantined_for(&self) -> Option<Duration> {
+        let fingerprint = fingerprint(&self.call);
+        self.shared
+            .suspects
+            .quarantined_for(self.now(), fingerprint)
+    }
+
     pub(super) fn ask_retry(&self) -> RequestEvent {
-        let granted = self.shared.take_retry(&self.call.service, self.now());
+        let is_quarantined = self.quarantined_for().is_some();
+        let granted = !is_quarantined && self.shared.take_retry(&self.call.service, self.now());
         self.step(match granted {
             true => "retry granted",
             false => "retry budget is spent",
--- a/lovagedock-gateway/src/gateway.rs
+++ b/lovagedock-gateway/src/gateway.rs
@@ -22,6 +22,7 @@
     settings::GatewaySettings,
     shared::GatewayShared,
     sources::{ConfigSources, PlatformPorts, SourceParts},
+    suspects::SuspectDesk,
     workers::WorkerPool,
 };
 
@@ -98,7 +99,8 @@
             log: log.clone(),
         })
         .change_context(GatewayError)?;
-        let shared = GatewayShared::new(context.clone(), claims, limits.clone())
+        let suspects = SuspectDesk::new(log.clone());
+        let shared = GatewayShared::new(context.clone(), claims, limits.clone(), suspects.clone())
             .with_shutdown(daemon.shutdown.clone(), settings.limits.drain_time());
         let front = FrontServer::bind(
             settings.callers.address,
@@ -128,6 +130,7 @@
             adopter: Arc::clone(&adopter),
             connectors,
             limits,
+            suspects,
         };
         let sources = ConfigSources::start(&settings, parts, &daemon, &log)
             .await
--- a/lovagedock-gateway/src/lib.rs
+++ b/lovagedock-gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod shared;
 mod sources;
 mod store_calls;
+mod suspects;
 mod trail;
 mod workers;
 
--- a/lovagedock-gateway/src/peers/mod.rs
+++ b/lovagedock-gateway/src/peers/mod.rs
@@ -5,7 +5,7 @@
 
 use std::{io, net::SocketAddr, rc::Rc, sync::Arc, thread, time::Duration};
 
-use lovagedock::AdoptionEvent;
+use lovagedock::{AdoptionEvent, SuspectNews, prelude::*};
 use lovagedock_daemon::Transport;
 use lovagedock_wire::{PeerClient, WireError, serve_peer};
 use slog::{Logger, debug, warn};
@@ -28,6 +28,7 @@
     context::GatewayContext,
     limits::{LimitDesk, PeerReport, exchange_interval},
     relay::{ConfigRelay, RelayParts, StoreOrder},
+    suspects::{SuspectDesk, TELL_INTERVAL},
 };
 use session::PeerSession;
 
@@ -51,6 +52,8 @@
     pub(crate) transport: Transport,
     /// Limits of organisations.
     pub(crate) limits: LimitDesk,
+    /// Requests that end engines.
+    pub(crate) suspects: SuspectDesk,
     /// Gateways to ask before there is a configuration.
     pub(crate) seeds: Vec<SocketAddr>,
     /// Takes the relay's store calls.
@@ -101,6 +104,7 @@
                 () = Rc::clone(&desk).accept(listener) => {}
                 () = Rc::clone(&desk.relay).run(events) => {}
                 () = Rc::clone(&desk).exchange_usage() => {}
+                () = Rc::clone(&desk).tell_suspects() => {}
                 _ = stop.changed() => {}
             }
         });
@@ -163,6 +167,7 @@
         let session = Rc::new(PeerSession::new(
             self.worker.context.clone(),
             self.worker.limits.clone(),
+            self.worker.suspects.clone(),
             Rc::clone(&self.relay),
         ));
         match timeout(SESSION_LIFE, serve_peer(Box::new(stream), session)).await {
@@ -191,6 +196,43 @@
         }
     }
 
+    /// Tells the other gateways of requests that end engines, so that each is stopped everywhere.
+    async fn tell_suspects(self: Rc<Self>) {
+        let mut ticks = interval(TELL_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let news = self
+                .worker
+                .suspects
+                .take_news(self.worker.context.clock.now());
+            if news.is_empty() {
+                continue;
+            }
+            let news: Rc<[SuspectNews]> = news.into();
+            for peer in self.peers() {
+                let desk = Rc::clone(&self);
+                let news = Rc::clone(&news);
+                spawn_local(async move {
+                    let call = async |client: &PeerClient| client.suspects(&news, CALL_TIME).await;
+                    if let Err(error) = desk.clients.call(&peer, call).await {
+                        debug!(desk.worker.log, "a peer was not told of suspects";
+                            "peer" => &*peer, "error" => %error);
+                    }
+                });
+            }
+        }
+    }
+
+    /// The other gateways of the configuration.
+    fn peers(&self) -> Vec<GatewayId> {
+        let context = &self.worker.context;
+        let config = context.config.load();
+        let gateways = config.fleet.gateways.iter().map(|gateway| &gateway.id);
+        let others = gateways.filter(|id| **id != context.name);
+        others.cloned().collect()
+    }
+
     async fn send_usage(&self, PeerReport { peer, report }: PeerReport) -> Result<(), WireError> {
         let call = async |client: &PeerClient| client.usage(&report, CALL_TIME).await;
         let ack = self.clients.call(&peer, call).await?;
--- a/lovagedock-gateway/src/peers/session.rs
+++ b/lovagedock-gateway/src/peers/session.rs
@@ -2,16 +2,19 @@
 
 use std::{cell::RefCell, rc::Rc};
 
-use lovagedock::{ConfigBundle, PullAnswer, UsageAck, UsageReport, prelude::*};
+use lovagedock::{ConfigBundle, PullAnswer, SuspectNews, UsageAck, UsageReport, prelude::*};
 use lovagedock_wire::{PeerHandler, PeerIdentity};
 
 use super::clients::identity;
-use crate::{context::GatewayContext, limits::LimitDesk, relay::ConfigRelay};
+use crate::{
+    context::GatewayContext, limits::LimitDesk, relay::ConfigRelay, suspects::SuspectDesk,
+};
 
 /// One session that another gateway opened.
 pub(super) struct PeerSession {
     context: GatewayContext,
     limits: LimitDesk,
+    suspects: SuspectDesk,
     relay: Rc<ConfigRelay>,
     /// Who is at the other end, once it has said so.
     peer: RefCell<Option<GatewayId>>,
@@ -19,10 +22,16 @@
 
 impl PeerSession {
     /// A session of a gateway that has not introduced itself.
-    pub(super) fn new(context: GatewayContext, limits: LimitDesk, relay: Rc<ConfigRelay>) -> Self {
+    pub(super) fn new(
+        context: GatewayContext,
+        limits: LimitDesk,
+        suspects: SuspectDesk,
+        relay: Rc<ConfigRelay>,
+    ) -> Self {
         Self {
             context,
             limits,
+            suspects,
             relay,
             peer: RefCell::new(None),
         }
@@ -64,4 +73,8 @@
         let peer = self.peer()?;
         self.limits.received(self.context.clock.now(), peer, report)
     }
+
+    fn suspects(&self, news: Vec<SuspectNews>) {
+        self.suspects.hear(self.context.clock.now(), news);
+    }
 }
--- a/lovagedock-gateway/src/shared.rs
+++ b/lovagedock-gateway/src/shared.rs
@@ -6,7 +6,10 @@
 use lovagedock_daemon::ShutdownSignal;
 use parking_lot::Mutex;
 
-use crate::{claims::ClaimDesk, context::GatewayContext, limits::LimitDesk, trail::TrailBook};
+use crate::{
+    claims::ClaimDesk, context::GatewayContext, limits::LimitDesk, suspects::SuspectDesk,
+    trail::TrailBook,
+};
 
 /// Shared by all drivers of a gateway; cheap to clone.
 ///
@@ -21,6 +24,8 @@
     pub(crate) claims: ClaimDesk,
     /// Limits of organisations.
     pub(crate) limits: LimitDesk,
+    /// Requests that end engines.
+    pub(crate) suspects: SuspectDesk,
     /// Tells that the gateway drains.
     pub(crate) shutdown: ShutdownSignal,
     /// Time that requests in flight get when it does.
@@ -30,12 +35,18 @@
 
 impl GatewayShared {
     /// Shared state of a gateway that has served nothing yet.
-    pub(crate) fn new(context: GatewayContext, claims: ClaimDesk, limits: LimitDesk) -> Self {
+    pub(crate) fn new(
+        context: GatewayContext,
+        claims: ClaimDesk,
+        limits: LimitDesk,
+        suspects: SuspectDesk,
+    ) -> Self {
         Self {
             context,
             trails: TrailBook::default(),
             claims,
             limits,
+            suspects,
             shutdown: ShutdownSignal::new(),
             drain_time: Duration::ZERO,
             budgets: Arc::default(),
--- a/lovagedock-gateway/src/sources.rs
+++ b/lovagedock-gateway/src/sources.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     adopt::ConfigAdopter, connect::ConnectorFactory, context::GatewayContext, limits::LimitDesk,
-    peers::PeerWorker, relay::StoreReader, settings::GatewaySettings,
+    peers::PeerWorker, relay::StoreReader, settings::GatewaySettings, suspects::SuspectDesk,
 };
 
 /// Time between ticks of the outlier detectors.
@@ -42,6 +42,8 @@
     pub(crate) connectors: ConnectorFactory,
     /// Limits of organisations.
     pub(crate) limits: LimitDesk,
+    /// Requests that end engines.
+    pub(crate) suspects: SuspectDesk,
 }
 
 /// Tasks that feed a gateway; they end when this is dropped.
@@ -75,6 +77,7 @@
             connectors: parts.connectors,
             transport,
             limits: parts.limits,
+            suspects: parts.suspects,
             seeds: settings.seed_peers.clone(),
             orders,
             log: log.clone(),
--- a/lovagedock-sidecar/src/engine_task.rs
+++ b/lovagedock-sidecar/src/engine_task.rs
@@ -1,10 +1,11 @@
 //! Reads one request's answer from the engine and tells the core.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use futures::StreamExt;
 use lovagedock::{AttemptKey, EndpointEvent, EngineAnswer, EngineResult, LengthBucket, prelude::*};
 use lovagedock_wire::{AnswerHead, HeaderField, WorkMessage};
+use tokio::time::timeout;
 
 use crate::{
     adapter::{
@@ -17,6 +18,9 @@
 const LENGTH_STEP: i32 = 3;
 /// Longest answer; as long as what a whole answer of a model engine may be.
 const ANSWER_LIMIT_BYTES: usize = 64 << 20;
+/// Time for a look at an engine whose connection broke; one on the same host that has ended refuses
+/// the connection within a millisecond.
+const LOOK_TIME: Duration = Duration::from_millis(200);
 /// HTTP status of an engine that has a request with the same id.
 const ALREADY_THERE: u16 = 409;
 
@@ -24,6 +28,9 @@
 pub(crate) async fn run(state: Arc<SidecarState>, key: AttemptKey, work: Arc<WorkMessage>) {
     let result = match follow(&state, key, &work).await {
         Ok(end) => finished(&state, key, end),
+        Err(EngineError::Lost { detail }) if has_ended(&state).await => {
+            EngineResult::Ended { detail }
+        }
         Err(error) => failed(&error),
     };
     if let Some(record) = state.answers().get_mut(key.request) {
@@ -32,6 +39,13 @@
     state.decide(EndpointEvent::EngineEnded { key, result });
 }
 
+/// Whether the engine's process has ended: its port refuses connections then. A connection that broke
+/// says nothing of it; told to gateways as an end of the engine, it would be held against the request.
+async fn has_ended(state: &Arc<SidecarState>) -> bool {
+    let looked = timeout(LOOK_TIME, state.adapter.load()).await;
+    matches!(looked, Ok(Err(EngineError::Unreachable { .. })))
+}
+
 /// Priority of a request on an engine: the shorter prompt first, and among equals the higher tier.
 ///
 /// Engines prefill in chunks, the highest priority first. Without the length in it, a prompt of a
--- a/lovagedock-standin/tests/peer_session.rs
+++ b/lovagedock-standin/tests/peer_session.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use lovagedock::{
-    ConfigBundle, ConfigManifest, FleetConfig, Generation, PullAnswer, UsageAck, UsageReport,
-    parse_config,
+    ConfigBundle, ConfigManifest, EndEvidence, FleetConfig, Generation, ProcessEnd, PullAnswer,
+    SuspectNews, UsageAck, UsageReport, parse_config,
 };
 use lovagedock_platform::{canonical_json, split_chunks};
 use lovagedock_standin::{
@@ -179,6 +179,7 @@
     name: &'static str,
     bundle: RefCell<Option<ConfigBundle>>,
     pulls: RefCell<Vec<Generation>>,
+    suspects: RefCell<Vec<SuspectNews>>,
 }
 
 impl PeerStandin {
@@ -219,6 +220,10 @@
     fn usage(&self, _report: UsageReport) -> Option<UsageAck> {
         None
     }
+
+    fn suspects(&self, news: Vec<SuspectNews>) {
+        self.suspects.borrow_mut().extend(news);
+    }
 }
 
 /// A gateway starts while the platform is down and asks the two peers of its settings. One of them
@@ -242,6 +247,7 @@
             name,
             bundle: RefCell::new(None),
             pulls: RefCell::default(),
+            suspects: RefCell::default(),
         });
         spawn_local(Rc::clone(&peer).serve(listener));
         peers.push(peer);
@@ -281,6 +287,36 @@
     assert_eq!(answer.generation, 5);
 }
 
+/// All kinds of news of requests that end engines arrive as they were told.
+#[tokio::test]
+async fn news_of_suspects_arrives() {
+    LocalSet::new().run_until(tell_suspects()).await;
+}
+
+async fn tell_suspects() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let peer = Rc::new(PeerStandin {
+        name: "told",
+        bundle: RefCell::default(),
+        pulls: RefCell::default(),
+        suspects: RefCell::default(),
+    });
+    spawn_local(Rc::clone(&peer).serve(listener));
+    let stream = TcpStream::connect(address).await.expect("it listens");
+    let client = PeerClient::new(Box::new(stream));
+    let ended = |process, evidence| SuspectNews::Ended(7, ProcessEnd { process, evidence });
+    let news = [
+        ended(u64::MAX, EndEvidence::Strong),
+        ended(1, EndEvidence::Weak),
+        SuspectNews::Served(u64::MAX),
+        SuspectNews::Quarantined(9, Duration::from_millis(600_000)),
+    ];
+    let told = client.suspects(&news, CALL_TIME).await;
+    told.expect("the peer takes it");
+    assert_eq!(*peer.suspects.borrow(), news);
+}
+
 async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
     for _ in 0..LOOKS {
         if holds().await {
--- a/lovagedock-wire/schema/lovagedock.capnp
+++ b/lovagedock-wire/schema/lovagedock.capnp
@@ -77,6 +77,8 @@
   promptTokens @6 :UInt64;
   cachedTokens @7 :UInt64;
   answerTokens @8 :UInt64;
+  engineEnded @9 :Bool;
+  # Whether the engine's process ended while it had the request.
 }
 
 struct AnswerHead {
@@ -197,6 +199,23 @@
   # nothing.
   usage @4 (report :UsageReport) -> (ack :UsageAck);
   # What organisations use at the calling gateway.
+  suspects @5 (news :List(SuspectNews));
+  # What the calling gateway has found out of requests that end engines.
+}
+
+struct SuspectNews {
+  # News of one request; `fingerprint` is the same for all that ask the same.
+  fingerprint @0 :UInt64;
+  union {
+    ended :group {
+      # An engine's process ended under it.
+      process @1 :UInt64;
+      certain @2 :Bool;
+    }
+    served @3 :Void;
+    quarantinedMs @4 :UInt64;
+    # It is not sent to engines for as long.
+  }
 }
 
 struct UsageEntry {
--- a/lovagedock-wire/src/codec.rs
+++ b/lovagedock-wire/src/codec.rs
@@ -29,7 +29,7 @@
 const STAGE_SILENT: u8 = 2;
 const STAGE_EQUAL: u8 = 3;
 
-type Decoded<T> = Result<T, WireError>;
+pub(crate) type Decoded<T> = Result<T, WireError>;
 
 pub(crate) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
@@ -239,6 +239,7 @@
     builder.set_prompt_tokens(end.prompt_tokens);
     builder.set_cached_tokens(end.cached_tokens);
     builder.set_answer_tokens(end.answer_tokens);
+    builder.set_engine_ended(end.engine_ended);
 }
 
 pub(crate) fn read_end(reader: schema::answer_end::Reader<'_>) -> Decoded<AnswerEnd> {
@@ -258,6 +259,7 @@
         prompt_tokens: reader.get_prompt_tokens(),
         cached_tokens: reader.get_cached_tokens(),
         answer_tokens: reader.get_answer_tokens(),
+        engine_ended: reader.get_engine_ended(),
     })
 }
 
--- a/lovagedock-wire/src/lib.rs
+++ b/lovagedock-wire/src/lib.rs
@@ -26,6 +26,7 @@
 mod order_codec;
 mod peer;
 mod stream;
+mod suspect_codec;
 
 pub use endpoint_client::{AnswerReceiver, EndpointClient};
 pub use endpoint_server::{AnswerSender, EndpointHandler, serve_endpoint};
--- a/lovagedock-wire/src/lovagedock_capnp.rs
+++ b/lovagedock-wire/src/lovagedock_capnp.rs
@@ -2164,6 +2164,10 @@
         pub fn get_answer_tokens(self) -> u64 {
             self.reader.get_data_field::<u64>(5)
         }
+        #[inline]
+        pub fn get_engine_ended(self) -> bool {
+            self.reader.get_bool_field(24)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -2306,6 +2310,14 @@
         pub fn set_answer_tokens(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(5, value);
         }
+        #[inline]
+        pub fn get_engine_ended(self) -> bool {
+            self.builder.get_bool_field(24)
+        }
+        #[inline]
+        pub fn set_engine_ended(&mut self, value: bool)  {
+            self.builder.set_bool_field(24, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2317,7 +2329,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 157] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 173] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(157, 149, 189, 55, 186, 59, 130, 214),
             ::capnp::word(17, 0, 0, 0, 1, 0, 6, 0),
@@ -2327,7 +2339,7 @@
             ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
@@ -2335,70 +2347,77 @@
             ::capnp::word(58, 65, 110, 115, 119, 101, 114, 69),
             ::capnp::word(110, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(33, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 24, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(99, 111, 100, 101, 0, 0, 0, 0),
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2475,6 +2494,15 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 103, 105, 110, 101, 69, 110),
+            ::capnp::word(100, 101, 100, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2487,6 +2515,7 @@
                 6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                9 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2500,9 +2529,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[8,7,0,5,2,1,6,3,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[8,7,0,5,2,9,1,6,3,4];
         pub(crate) const TYPE_ID: u64 = 0xd682_3bba_37bd_959d;
     }
 }
@@ -11089,6 +11118,8 @@
     pub type PullResults<> = ::capnp::capability::Results<crate::lovagedock_capnp::peer_session::pull_results::Owned>;
     pub type UsageParams<> = ::capnp::capability::Params<crate::lovagedock_capnp::peer_session::usage_params::Owned>;
     pub type UsageResults<> = ::capnp::capability::Results<crate::lovagedock_capnp::peer_session::usage_results::Owned>;
+    pub type SuspectsParams<> = ::capnp::capability::Params<crate::lovagedock_capnp::peer_session::suspects_params::Owned>;
+    pub type SuspectsResults<> = ::capnp::capability::Results<crate::lovagedock_capnp::peer_session::suspects_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -11153,6 +11184,9 @@
         pub fn usage_request(&self) -> ::capnp::capability::Request<crate::lovagedock_capnp::peer_session::usage_params::Owned,crate::lovagedock_capnp::peer_session::usage_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
         }
+        pub fn suspects_request(&self) -> ::capnp::capability::Request<crate::lovagedock_capnp::peer_session::suspects_params::Owned,crate::lovagedock_capnp::peer_session::suspects_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn hello(self: ::capnp::capability::Rc<Self>, _: HelloParams<>, _: HelloResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer_session::Server::hello not implemented".to_string()))) }
@@ -11160,6 +11194,7 @@
         fn offer(self: ::capnp::capability::Rc<Self>, _: OfferParams<>, _: OfferResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer_session::Server::offer not implemented".to_string()))) }
         fn pull(self: ::capnp::capability::Rc<Self>, _: PullParams<>, _: PullResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer_session::Server::pull not implemented".to_string()))) }
         fn usage(self: ::capnp::capability::Rc<Self>, _: UsageParams<>, _: UsageResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer_session::Server::usage not implemented".to_string()))) }
+        fn suspects(self: ::capnp::capability::Rc<Self>, _: SuspectsParams<>, _: SuspectsResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer_session::Server::suspects not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -11194,6 +11229,7 @@
                 2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::offer(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::pull(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::usage(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::suspects(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -13255,6 +13291,915 @@
             pub(crate) const TYPE_ID: u64 = 0xef93_69e1_a27d_58d7;
         }
     }
+
+    pub mod suspects_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_news(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::lovagedock_capnp::suspect_news::Owned>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_news(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_news(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::lovagedock_capnp::suspect_news::Owned>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_news(&mut self, value: ::capnp::struct_list::Reader<'_,crate::lovagedock_capnp::suspect_news::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_news(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::lovagedock_capnp::suspect_news::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            }
+            #[inline]
+            pub fn has_news(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 38] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(50, 59, 29, 196, 163, 33, 6, 144),
+                ::capnp::word(29, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 106, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
+                ::capnp::word(99, 107, 46, 99, 97, 112, 110, 112),
+                ::capnp::word(58, 80, 101, 101, 114, 83, 101, 115),
+                ::capnp::word(115, 105, 111, 110, 46, 115, 117, 115),
+                ::capnp::word(112, 101, 99, 116, 115, 36, 80, 97),
+                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(110, 101, 119, 115, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(46, 14, 35, 236, 11, 26, 137, 131),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::struct_list::Owned<crate::lovagedock_capnp::suspect_news::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0x9006_21a3_c41d_3b32;
+        }
+    }
+
+    pub mod suspects_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 18] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(32, 73, 129, 145, 233, 164, 102, 170),
+                ::capnp::word(29, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 114, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
+                ::capnp::word(99, 107, 46, 99, 97, 112, 110, 112),
+                ::capnp::word(58, 80, 101, 101, 114, 83, 101, 115),
+                ::capnp::word(115, 105, 111, 110, 46, 115, 117, 115),
+                ::capnp::word(112, 101, 99, 116, 115, 36, 82, 101),
+                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xaa66_a4e9_9181_4920;
+        }
+    }
+}
+
+pub mod suspect_news {
+    pub use self::Which::{Ended,Served,QuarantinedMs};
+
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_fingerprint(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
+            match self.reader.get_data_field::<u16>(9) {
+                0 => {
+                    ::core::result::Result::Ok(Ended(
+                        self.reader.into()
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(Served(
+                        ()
+                    ))
+                }
+                2 => {
+                    ::core::result::Result::Ok(QuarantinedMs(
+                        self.reader.get_data_field::<u64>(1)
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_fingerprint(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_fingerprint(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn init_ended(self, ) -> crate::lovagedock_capnp::suspect_news::ended::Builder<'a> {
+            self.builder.set_data_field::<u16>(9, 0);
+            self.builder.set_data_field::<u64>(1, 0u64);
+            self.builder.set_bool_field(128, false);
+            self.builder.into()
+        }
+        #[inline]
+        pub fn set_served(&mut self, _value: ())  {
+            self.builder.set_data_field::<u16>(9, 1);
+        }
+        #[inline]
+        pub fn set_quarantined_ms(&mut self, value: u64)  {
+            self.builder.set_data_field::<u16>(9, 2);
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
+            match self.builder.get_data_field::<u16>(9) {
+                0 => {
+                    ::core::result::Result::Ok(Ended(
+                        self.builder.into()
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(Served(
+                        ()
+                    ))
+                }
+                2 => {
+                    ::core::result::Result::Ok(QuarantinedMs(
+                        self.builder.get_data_field::<u64>(1)
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 73] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(46, 14, 35, 236, 11, 26, 137, 131),
+            ::capnp::word(17, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(81, 96, 78, 169, 243, 199, 177, 210),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 3, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
+            ::capnp::word(99, 107, 46, 99, 97, 112, 110, 112),
+            ::capnp::word(58, 83, 117, 115, 112, 101, 99, 116),
+            ::capnp::word(78, 101, 119, 115, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 255, 255, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(224, 11, 147, 106, 221, 138, 199, 213),
+            ::capnp::word(105, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 254, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 253, 255, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(85, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(84, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(102, 105, 110, 103, 101, 114, 112, 114),
+            ::capnp::word(105, 110, 116, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 100, 101, 100, 0, 0, 0),
+            ::capnp::word(115, 101, 114, 118, 101, 100, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 117, 97, 114, 97, 110, 116, 105),
+            ::capnp::word(110, 101, 100, 77, 115, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <crate::lovagedock_capnp::suspect_news::ended::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <() as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[1,2,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,3,2];
+        pub(crate) const TYPE_ID: u64 = 0x8389_1a0b_ec23_0e2e;
+    }
+    pub enum Which<A0> {
+        Ended(A0),
+        Served(()),
+        QuarantinedMs(u64),
+    }
+    pub type WhichReader<'a,> = Which<crate::lovagedock_capnp::suspect_news::ended::Reader<'a>>;
+    pub type WhichBuilder<'a,> = Which<crate::lovagedock_capnp::suspect_news::ended::Builder<'a>>;
+
+    pub mod ended {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_process(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn get_certain(self) -> bool {
+                self.reader.get_bool_field(128)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_process(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_process(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
+            }
+            #[inline]
+            pub fn get_certain(self) -> bool {
+                self.builder.get_bool_field(128)
+            }
+            #[inline]
+            pub fn set_certain(&mut self, value: bool)  {
+                self.builder.set_bool_field(128, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(224, 11, 147, 106, 221, 138, 199, 213),
+                ::capnp::word(29, 0, 0, 0, 1, 0, 3, 0),
+                ::capnp::word(46, 14, 35, 236, 11, 26, 137, 131),
+                ::capnp::word(0, 0, 7, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
+                ::capnp::word(99, 107, 46, 99, 97, 112, 110, 112),
+                ::capnp::word(58, 83, 117, 115, 112, 101, 99, 116),
+                ::capnp::word(78, 101, 119, 115, 46, 101, 110, 100),
+                ::capnp::word(101, 100, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 128, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(112, 114, 111, 99, 101, 115, 115, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 101, 114, 116, 97, 105, 110, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) const TYPE_ID: u64 = 0xd5c7_8add_6a93_0be0;
+        }
+    }
 }
 
 pub mod usage_entry {
--- a/lovagedock-wire/src/peer.rs
+++ b/lovagedock-wire/src/peer.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use lovagedock::{ConfigBundle, PullAnswer, UsageAck, UsageReport, prelude::*};
+use lovagedock::{ConfigBundle, PullAnswer, SuspectNews, UsageAck, UsageReport, prelude::*};
 use tokio::task::JoinHandle;
 
 use crate::{
@@ -11,6 +11,7 @@
     lovagedock_capnp::peer_session,
     messages::{PeerIdentity, WireError},
     stream::{SessionSystem, WireStream, client_system, server_system},
+    suspect_codec::{news_length, read_news, write_news},
 };
 
 /// What a gateway does with the calls of another gateway.
@@ -25,6 +26,8 @@
     fn pull(&self, above: Generation) -> PullAnswer;
     /// Takes what organisations use at the other gateway; confirms it unless it is of no use.
     fn usage(&self, report: UsageReport) -> Option<UsageAck>;
+    /// Takes what the other gateway has found out of requests that end engines.
+    fn suspects(&self, news: Vec<SuspectNews>);
 }
 
 /// A session from one gateway to another; dropping it closes the connection.
@@ -96,6 +99,16 @@
     }
 }
 
+impl PeerClient {
+    /// Tells the peer what was found out here of requests that end engines.
+    pub async fn suspects(&self, news: &[SuspectNews], limit: Duration) -> Result<(), WireError> {
+        let mut request = self.session.suspects_request();
+        write_news(news, request.get().init_news(news_length(news)));
+        within(limit, request.send().promise).await?;
+        Ok(())
+    }
+}
+
 impl Drop for PeerClient {
     fn drop(&mut self) {
         self.driver.abort();
@@ -171,4 +184,14 @@
             None => Err(capnp::Error::failed("the report is not current".to_owned())),
         }
     }
+
+    async fn suspects(
+        self: Rc<Self>,
+        params: peer_session::SuspectsParams,
+        _results: peer_session::SuspectsResults,
+    ) -> Result<(), capnp::Error> {
+        let news = read_news(params.get()?.get_news()?).map_err(failed)?;
+        self.handler.suspects(news);
+        Ok(())
+    }
 }
--- /dev/null
+++ b/lovagedock-wire/src/suspect_codec.rs
@@ -0,0 +1,55 @@
+//! News of requests that end engines, as they are sent.
+
+use std::time::Duration;
+
+use lovagedock::{EndEvidence, ProcessEnd, SuspectNews};
+
+use crate::{
+    codec::{Decoded, list_length, millis},
+    lovagedock_capnp as schema,
+};
+
+type NewsList<'a> = capnp::struct_list::Builder<'a, schema::suspect_news::Owned>;
+type NewsReader<'a> = capnp::struct_list::Reader<'a, schema::suspect_news::Owned>;
+
+/// Length of a list of news.
+pub(crate) fn news_length(news: &[SuspectNews]) -> u32 {
+    list_length(news.len())
+}
+
+pub(crate) fn write_news(news: &[SuspectNews], mut list: NewsList<'_>) {
+    for (index, news) in (0_u32..).zip(news) {
+        let mut item = list.reborrow().get(index);
+        item.set_fingerprint(news.fingerprint());
+        match news {
+            SuspectNews::Ended(_, end) => {
+                let mut ended = item.init_ended();
+                ended.set_process(end.process);
+                ended.set_certain(end.evidence == EndEvidence::Strong);
+            }
+            SuspectNews::Served(_) => item.set_served(()),
+            SuspectNews::Quarantined(_, time) => item.set_quarantined_ms(millis(*time)),
+        }
+    }
+}
+
+pub(crate) fn read_news(list: NewsReader<'_>) -> Decoded<Vec<SuspectNews>> {
+    let news = list.iter().map(|item| {
+        let fingerprint = item.get_fingerprint();
+        Ok(match item.which().map_err(capnp::Error::from)? {
+            schema::suspect_news::Ended(ended) => {
+                let evidence = match ended.get_certain() {
+                    true => EndEvidence::Strong,
+                    false => EndEvidence::Weak,
+                };
+                let process = ended.get_process();
+                SuspectNews::Ended(fingerprint, ProcessEnd { process, evidence })
+            }
+            schema::suspect_news::Served(()) => SuspectNews::Served(fingerprint),
+            schema::suspect_news::QuarantinedMs(time) => {
+                SuspectNews::Quarantined(fingerprint, Duration::from_millis(time))
+            }
+        })
+    });
+    news.collect()
+}
--- a/lovagedock/src/endpoint/engine.rs
+++ b/lovagedock/src/endpoint/engine.rs
@@ -66,6 +66,10 @@
                 // account says so. Freed at once, new work would be let into taken blocks.
                 return self.finish(now, key.request, end, false);
             }
+            EngineResult::Ended { detail } => {
+                let end = lost_answer(entry).with_detail(detail).with_engine_ended();
+                return self.finish(now, key.request, end, false);
+            }
             EngineResult::Cancelled => {
                 AnswerEnd::new(ResultCode::EngineFailed).with_detail("cancelled on the engine")
             }
--- a/lovagedock/src/endpoint/messages.rs
+++ b/lovagedock/src/endpoint/messages.rs
@@ -63,6 +63,11 @@
         /// What was seen last.
         detail: String,
     },
+    /// The same, and the engine's process has ended.
+    Ended {
+        /// What was seen last.
+        detail: String,
+    },
     /// The engine stopped because it was told to.
     Cancelled,
 }
--- a/lovagedock/src/outcome.rs
+++ b/lovagedock/src/outcome.rs
@@ -39,6 +39,8 @@
     pub cached_tokens: TokenCount,
     /// Tokens of the answer.
     pub answer_tokens: TokenCount,
+    /// Whether the engine's process ended while it had the request.
+    pub engine_ended: bool,
 }
 
 impl AnswerEnd {
@@ -54,6 +56,7 @@
             prompt_tokens: 0,
             cached_tokens: 0,
             answer_tokens: 0,
+            engine_ended: false,
         }
     }
 
@@ -78,6 +81,12 @@
         self
     }
 
+    /// Says that the engine's process ended while it had the request.
+    pub fn with_engine_ended(mut self) -> Self {
+        self.engine_ended = true;
+        self
+    }
+
     /// Sets whether the work started.
     pub fn with_ran(mut self, ran: RanState) -> Self {
         self.ran = ran;
--- a/lovagedock/tests/endpoint_scenarios.rs
+++ b/lovagedock/tests/endpoint_scenarios.rs
@@ -172,6 +172,7 @@
         "invalid" => ended(EngineResult::Invalid { detail }),
         "failed" => ended(EngineResult::Failed { detail }),
         "lost" => ended(EngineResult::Lost { detail }),
+        "ended" => ended(EngineResult::Ended { detail }),
         "cancelled" => ended(EngineResult::Cancelled),
         "holds" => EndpointEvent::EngineAccount(parse_account(line)),
         "reports" => EndpointEvent::EngineReport(parse_report(line)),
