Tests: copies that wait in engines' queues, a quarantine outlives all gateways

The first one placed copies 5 ms apart, within which gateways do not hear of each other: two copies could share an engine, and two ends are no three.

--- a/lovagedock-gateway/tests/direct_crashes.rs
+++ b/lovagedock-gateway/tests/direct_crashes.rs
@@ -196,25 +196,48 @@
 
 /// An engine that has not begun to run the request is spared when the request is found out.
 ///
-/// The same request is on five engines. Three of them end; the other two have it in their queues for
-/// longer. Their connections are closed, and they drop it.
+/// The same request is on five engines. Three of them end at the same moment; the other two have it in
+/// their queues for longer. Their connections are closed, and they drop it.
 #[tokio::test]
 async fn engines_that_wait_to_run_it_are_spared() {
     let fleet = CrashingFleet::start(HOSTS).await;
     let gateways = start_gateways(&fleet, 2).await;
-    let soon = Duration::from_millis(40);
-    let late = Duration::from_secs(2);
-    fleet.set_run_times([soon, soon, soon, late, late, late, late, late]);
+    let until_end = VISIT_TIME * 6;
+    let late = Duration::from_secs(20);
+    let times = [
+        until_end,
+        until_end - VISIT_TIME,
+        until_end - VISIT_TIME * 2,
+    ];
+    fleet.set_run_times(times.into_iter().chain([late; 5]));
     let path = format!("/once/{CRASHING}");
     let mut callers = tokio::task::JoinSet::new();
     for number in 0..5 {
         let gateway = gateways[number % gateways.len()].address();
         let path = path.clone();
         callers.spawn(async move { call(gateway, &path, &format!("{}", 100 + number)).await });
-        sleep(Duration::from_millis(5)).await;
+        // Gateways hear of each other's placements meanwhile and choose other engines.
+        sleep(VISIT_TIME).await;
     }
     for answer in callers.join_all().await {
         assert_ne!(answer.status(), 200, "{}", answer.text);
     }
     assert_eq!(fleet.ends(), 3);
 }
+
+/// What is in quarantine stays there when all gateways end and others start under their names.
+#[tokio::test]
+async fn a_quarantine_outlives_all_gateways() {
+    let fleet = CrashingFleet::start(HOSTS).await;
+    let gateways = start_gateways(&fleet, 2).await;
+    let path = format!("/once/{CRASHING}");
+    bring_again(&gateways, &path, 100).await;
+    drop(gateways);
+    let before = fleet.ends();
+    let gateways = start_gateways(&fleet, 2).await;
+    for gateway in &gateways {
+        let answer = call(gateway.address(), &path, "1").await;
+        assert!(is_quarantined(&answer.text), "{}", answer.text);
+    }
+    assert_eq!(fleet.ends(), before);
+}
