--- a/lovagedock-gateway/src/direct/call/parts.rs
+++ b/lovagedock-gateway/src/direct/call/parts.rs
@@ -36,11 +36,11 @@
 }
 
 impl CallParts {
-    /// What the request asks, whatever id its attempt has.
+    /// What the request asks and for whom, whatever id its attempt has. An organisation's keys change.
     pub(super) fn fingerprint(&self) -> RequestFingerprint {
         let mut hasher = Xxh3Default::new();
         hasher.update(self.target.as_bytes());
-        hasher.update(self.head.key.as_deref().unwrap_or_default().as_bytes());
+        hasher.update(self.organisation.as_deref().unwrap_or_default().as_bytes());
         hasher.update(&self.body);
         hasher.digest()
     }
