--- a/lovagedock-gateway/src/direct/board/suspects.rs
+++ b/lovagedock-gateway/src/direct/board/suspects.rs
@@ -1,15 +1,15 @@
 //! What the board knows of requests that end the engines that run them.
 
+use std::time::Duration;
+
 use lovagedock::{
     EndEvidence, EndpointLife, ProcessEnd, RequestFingerprint, SuspectNews, SuspectReport,
-    SuspectTelling, prelude::*,
+    SuspectTelling, format_fingerprint, prelude::*,
 };
 use slog::info;
-use std::time::Duration;
 use tokio::sync::futures::Notified;
 
 use super::FleetBoard;
-use crate::direct::call::fingerprint_text;
 
 /// Where a quarantine was decided, for the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -78,7 +78,7 @@
         drop(fleet);
         if left.is_some() {
             info!(self.log, "quarantine ended, the request was served";
-                "fingerprint" => fingerprint_text(fingerprint));
+                "fingerprint" => format_fingerprint(fingerprint));
         }
     }
 
@@ -137,7 +137,7 @@
         metrics::counter!("lovagedock_quarantines_total", "source" => source.as_str()).increment(1);
         metrics::gauge!("lovagedock_quarantined_requests").set(count as f64);
         info!(self.log, "request in quarantine";
-            "fingerprint" => fingerprint_text(fingerprint), "source" => source.as_str(),
+            "fingerprint" => format_fingerprint(fingerprint), "source" => source.as_str(),
             "ended_processes" => ends, "for_s" => left.map(|left| left.as_secs()));
         self.quarantined.notify_waiters();
     }
--- a/lovagedock-gateway/src/direct/call/log.rs
+++ b/lovagedock-gateway/src/direct/call/log.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use lovagedock::{
-    AttemptEnd, DirectStep, EndEvidence, EndpointLife, RequestFingerprint, prelude::*,
+    AttemptEnd, DirectStep, EndEvidence, EndpointLife, format_fingerprint, prelude::*,
 };
 use slog::info;
 
@@ -18,7 +18,7 @@
         };
         info!(self.board.log, "placed";
             "request" => &self.parts.head.request,
-            "fingerprint" => fingerprint_text(self.fingerprint),
+            "fingerprint" => format_fingerprint(self.fingerprint),
             "route" => &self.parts.route.name,
             "endpoint" => %placed.lead.life,
             "helpers" => helper_names(placed),
@@ -65,18 +65,14 @@
         }
     }
 
-    pub(super) fn note_process_end(
-        &self,
-        process: &EndpointLife,
-        evidence: EndEvidence,
-        streamed: Duration,
-    ) {
+    pub(super) fn note_process_end(&self, process: &EndpointLife, evidence: EndEvidence) {
         if let Some(left_out) = self.board.lines.take(self.board.clock.now()) {
             info!(self.board.log, "a process ended under a request";
                 "request" => &self.parts.head.request,
-                "fingerprint" => fingerprint_text(self.fingerprint),
+                "fingerprint" => format_fingerprint(self.fingerprint),
                 "endpoint" => %process, "evidence" => ?evidence,
-                "streamed_ms" => streamed.as_millis() as u64, "left_out" => left_out);
+                "streamed_ms" => self.stream.streamed_for().as_millis() as u64,
+                "left_out" => left_out);
         }
     }
 
@@ -87,7 +83,7 @@
         if let Some(left_out) = self.board.lines.take(self.board.clock.now()) {
             info!(self.board.log, "attempt ended";
                 "request" => &self.parts.head.request, "endpoint" => %endpoint,
-                "fingerprint" => fingerprint_text(self.fingerprint),
+                "fingerprint" => format_fingerprint(self.fingerprint),
                 "sent" => self.machine.sent(), "end" => ?end, "next" => ?step,
                 "events" => self.stream.events(), "left_out" => left_out);
         }
@@ -102,7 +98,7 @@
         if let Some(left_out) = self.board.lines.take(now) {
             info!(self.board.log, "request ended";
                 "request" => &self.parts.head.request,
-                "fingerprint" => fingerprint_text(self.fingerprint),
+                "fingerprint" => format_fingerprint(self.fingerprint),
                 "route" => &self.parts.route.name,
                 "prompt" => self.parts.head.prompt,
                 "code" => code.number(),
@@ -124,11 +120,6 @@
     }
 }
 
-/// What a request asks, for the log: attempts of callers that ask the same have the same.
-pub(crate) fn fingerprint_text(fingerprint: RequestFingerprint) -> String {
-    format!("{fingerprint:016x}")
-}
-
 /// Helpers of a request for the log.
 fn helper_names(placed: &PlacedRequest) -> String {
     let names = placed
--- a/lovagedock-gateway/src/direct/call/mod.rs
+++ b/lovagedock-gateway/src/direct/call/mod.rs
@@ -1,5 +1,6 @@
 //! One request, from its checks to the last byte of its answer.
 
+mod ended;
 mod log;
 mod parts;
 mod waiting;
@@ -10,8 +11,8 @@
 use http_body_util::Full;
 use hyper::Request;
 use lovagedock::{
-    AttemptEnd, DirectEndpoint, DirectMachine, DirectPlacer, DirectStep, EndEvidence, EndpointLife,
-    LineKind, OutlierEvent, RequestFingerprint, prelude::*,
+    AttemptEnd, DirectEndpoint, DirectMachine, DirectPlacer, DirectStep, EndpointLife, LineKind,
+    OutlierEvent, RequestFingerprint, prelude::*,
 };
 use tokio::time::Instant;
 
@@ -21,12 +22,11 @@
     delivery::{HeadVerdict, StreamDelivery, StreamEnd, StreamPatience, collect_whole, judge_head},
     dialect::{HelperAddress, HttpDialect, OutgoingHead},
     exchange::EndpointConnection,
-    liveness::{LivenessWatch, ProcessState, process_state},
+    liveness::LivenessWatch,
     tickets::{NotReserved, TicketDesk, TicketHold, WantedTicket},
 };
 use crate::front::RequestProblem;
 
-pub(crate) use log::fingerprint_text;
 pub(crate) use parts::CallParts;
 
 /// Time before the caller's deadline at which we answer, so that the answer arrives in time.
@@ -134,7 +134,7 @@
             return DirectStep::Done;
         };
         match end {
-            AttemptEnd::Lost | AttemptEnd::Broken => self.examine(&lead).await,
+            AttemptEnd::Lost | AttemptEnd::Broken => self.examine_lead(&lead).await,
             AttemptEnd::Complete => self.board.record_served(self.fingerprint),
             _ => {}
         }
@@ -198,7 +198,7 @@
         if let HeadVerdict::End(end, head) = verdict {
             self.note_failure(&endpoint, &format!("{end:?} {:?}", head.at_fault));
             if let Some(helper) = self.blame(&placed, end, head.at_fault) {
-                self.examine(&helper).await;
+                self.examine_helper(&helper).await;
             }
             return Some(end);
         }
@@ -368,37 +368,6 @@
         helper.cloned()
     }
 
-    /// Finds out whether the process of an endpoint ended while it had the request, and counts that.
-    ///
-    /// A connection that breaks says nothing of the process: it may have been reset, or the answer was
-    /// lost. Counted all the same, a link that resets connections would put sound requests into
-    /// quarantine.
-    async fn examine(&self, endpoint: &DirectEndpoint) {
-        let is_certain = match self.process_state(endpoint).await {
-            ProcessState::Running => return,
-            ProcessState::Ended => true,
-            ProcessState::OutOfReach => false,
-        };
-        let streamed = self.stream.streamed_for();
-        let evidence = EndEvidence::new(is_certain, streamed);
-        self.note_process_end(&endpoint.life, evidence, streamed);
-        self.board
-            .record_process_end(self.fingerprint, &endpoint.life, evidence);
-    }
-
-    async fn process_state(&self, endpoint: &DirectEndpoint) -> ProcessState {
-        if self.board.is_replaced(&endpoint.life) {
-            return ProcessState::Ended;
-        }
-        match process_state(endpoint.address).await {
-            // The address may have been given to another process since.
-            ProcessState::Running if self.board.is_unlisted(&endpoint.life) => {
-                ProcessState::OutOfReach
-            }
-            state => state,
-        }
-    }
-
     fn watch(&self, endpoint: &EndpointLife, event: impl FnOnce(EndpointId) -> OutlierEvent) {
         self.board.watch(&self.parts.service, endpoint, event);
     }
--- a/lovagedock-gateway/src/direct/gateway.rs
+++ b/lovagedock-gateway/src/direct/gateway.rs
@@ -4,6 +4,7 @@
 
 use async_trait::async_trait;
 use error_stack::{Report, ResultExt};
+use lovagedock::format_fingerprint;
 use lovagedock_daemon::{AdminServer, AdminSurface, DaemonContext, load_checked_settings};
 use lovagedock_platform::{FeedSubject, FleetFeed, GatewayEntry};
 use serde_json::{Value, json};
@@ -12,7 +13,6 @@
 
 use super::{
     board::FleetBoard,
-    call::fingerprint_text,
     dialect::HttpDialect,
     feed::{FeedFollower, meet_gateways},
     front::CallerFront,
@@ -20,7 +20,7 @@
     probe::{bind_probes, serve_probes},
     relay::serve_peers,
     settings::DirectSettings,
-    suspects::SuspectKeeper,
+    suspect_keeper::SuspectKeeper,
 };
 use crate::GatewayError;
 
@@ -183,7 +183,7 @@
                 "name": &*peer.name, "address": peer.address,
             })).collect::<Vec<_>>(),
             "suspects": self.0.suspect_reports().iter().map(|report| json!({
-                "fingerprint": fingerprint_text(report.fingerprint),
+                "fingerprint": format_fingerprint(report.fingerprint),
                 "ended_processes": report.ends.len(),
                 "quarantined_for_s": report.quarantined_for.as_secs(),
             })).collect::<Vec<_>>(),
--- a/lovagedock-gateway/src/direct/mod.rs
+++ b/lovagedock-gateway/src/direct/mod.rs
@@ -22,7 +22,7 @@
 mod probe;
 mod relay;
 mod settings;
-mod suspects;
+mod suspect_keeper;
 mod tickets;
 
 pub use dialect::{
--- a/lovagedock-gateway/src/suspects.rs
+++ b/lovagedock-gateway/src/suspects.rs
@@ -4,7 +4,7 @@
 
 use lovagedock::{
     EndEvidence, EndpointLife, ProcessEnd, RequestFingerprint, SuspectLedger, SuspectNews,
-    SuspectTelling, prelude::*,
+    SuspectTelling, format_fingerprint, prelude::*,
 };
 use parking_lot::Mutex;
 use slog::{Logger, info};
@@ -66,7 +66,7 @@
         let is_new = self.state.lock().ledger.record_end(now, fingerprint, end);
         info!(self.log, "an engine ended under a request";
             "request" => format_request_id(call.id), "endpoint" => &**endpoint,
-            "fingerprint" => format!("{fingerprint:016x}"),
+            "fingerprint" => format_fingerprint(fingerprint),
             "streamed_ms" => streamed.as_millis() as u64);
         if is_new {
             self.note_quarantine(fingerprint, "own");
@@ -99,7 +99,7 @@
     fn note_quarantine(&self, fingerprint: RequestFingerprint, source: &'static str) {
         metrics::counter!("lovagedock_quarantines_total", "source" => source).increment(1);
         info!(self.log, "request in quarantine";
-            "fingerprint" => format!("{fingerprint:016x}"), "source" => source);
+            "fingerprint" => format_fingerprint(fingerprint), "source" => source);
     }
 }
 
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -28,6 +28,7 @@
 mod returns;
 mod sight;
 mod stopping;
+mod suspect_news;
 mod suspect_telling;
 mod suspects;
 mod telling;
@@ -50,12 +51,11 @@
 pub use pace::PaceTracker;
 pub use placer::{DirectPlacer, keep_suspects_apart};
 pub use retries::{RetryShare, RetryShareSettings};
-pub use returns::{RefusalLog, RequestFingerprint};
+pub use returns::{RefusalLog, RequestFingerprint, format_fingerprint};
 pub use sight::PeerSight;
 pub use stopping::StopPlan;
+pub use suspect_news::{EndEvidence, ProcessEnd, ProcessTag, SuspectNews, SuspectReport};
 pub use suspect_telling::SuspectTelling;
-pub use suspects::{
-    EndEvidence, ProcessEnd, ProcessTag, SuspectLedger, SuspectNews, SuspectReport,
-};
+pub use suspects::SuspectLedger;
 pub use telling::LoadNews;
 pub use waiting::{LineDecision, LineKind, LineSettings, WaitingLine};
--- a/lovagedock/src/direct/returns.rs
+++ b/lovagedock/src/direct/returns.rs
@@ -8,6 +8,11 @@
 /// Names a request by what it asks, whatever id its attempt has.
 pub type RequestFingerprint = u64;
 
+/// A fingerprint as logs and dumps show it.
+pub fn format_fingerprint(fingerprint: RequestFingerprint) -> String {
+    format!("{fingerprint:016x}")
+}
+
 /// How long a refusal is remembered: callers follow advice of up to a third of their time, and the
 /// longest deadlines are 15 s.
 const MEMORY: Duration = Duration::from_secs(8);
--- a/lovagedock/src/direct/suspect_telling.rs
+++ b/lovagedock/src/direct/suspect_telling.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use super::suspects::{SuspectLedger, SuspectNews};
+use super::{suspect_news::SuspectNews, suspects::SuspectLedger};
 use crate::ids::Timestamp;
 
 /// Times that each piece of news is told, and the time between them: datagrams are lost.
--- a/lovagedock/src/direct/suspects.rs
+++ b/lovagedock/src/direct/suspects.rs
@@ -6,27 +6,20 @@
     time::Duration,
 };
 
-use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::{life::EndpointLife, recent::RecentSet, returns::RequestFingerprint};
+use super::{
+    recent::RecentSet,
+    returns::RequestFingerprint,
+    suspect_news::{ProcessEnd, ProcessTag, STRONG_WEIGHT, SuspectNews, SuspectReport},
+};
 use crate::ids::Timestamp;
 
-/// Names a process that ended, in few bytes.
-pub type ProcessTag = u64;
-
 /// What is held against a request on which processes ended before it had streamed for long, in
 /// [`EndEvidence::weight`]: three ends. One or two happen to those who shared an engine with it, which
 /// was seen on every second end of a wave.
 const QUARANTINE_WEIGHT: u32 = 3 * STRONG_WEIGHT;
 
-/// Weight of a process that ended for certain and soon after it had begun to run the request.
-const STRONG_WEIGHT: u32 = 2;
-
-/// Weight of one that may only be out of reach, or had run the request well for a while.
-const WEAK_WEIGHT: u32 = 1;
-
 /// Time of a first quarantine. A caller's own retries have ended by then; each further quarantine
 /// lasts twice as long, up to the longest, so that a request that still ends engines costs one at a time.
 const FIRST_QUARANTINE: Duration = Duration::from_secs(600);
@@ -48,46 +41,6 @@
 /// Requests that a gateway keeps outside of itself at most; a value of the store holds far more.
 const MOST_REPORTS: usize = 256;
 
-/// How sure it is that a request ended a process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum EndEvidence {
-    /// The process may only be out of reach, or had run the request well for a while.
-    Weak,
-    /// The process ended for certain, soon after it had begun to run the request.
-    Strong,
-}
-
-/// A process that ended while it had a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ProcessEnd {
-    /// The process.
-    pub process: ProcessTag,
-    /// How sure it is that the request ended it.
-    pub evidence: EndEvidence,
-}
-
-/// What gateways tell each other of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum SuspectNews {
-    /// A process ended under it.
-    Ended(RequestFingerprint, ProcessEnd),
-    /// It was served, so it is sound.
-    Served(RequestFingerprint),
-    /// It is not sent to engines for as long.
-    Quarantined(RequestFingerprint, Duration),
-}
-
-/// What is known of one request, to be kept where it outlives gateways.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct SuspectReport {
-    /// The request.
-    pub fingerprint: RequestFingerprint,
-    /// Processes that ended under it.
-    pub ends: Vec<ProcessEnd>,
-    /// How much longer it is in quarantine; nothing if it is not.
-    pub quarantined_for: Duration,
-}
-
 #[derive(Clone, Debug, Default)]
 struct SuspectRecord {
     ends: SmallVec<[ProcessEnd; 3]>,
@@ -108,8 +61,8 @@
 /// Those who shared an engine with it are spared in three ways: who is served is sound, who had streamed
 /// for a while has less held against it, and once a request is in quarantine, the ends that it accounts
 /// for are no longer held against anybody else. In 100 replayed waves on 21 engines that place such
-/// requests together (`direct_suspects`), 12 others are put into quarantine; 29 without the weight of
-/// streaming, 39 without the accounting. Kept apart by [`keep_suspects_apart`], none is.
+/// requests together (`direct_suspects`), 8 others are put into quarantine; 29 without the weight of
+/// streaming, 23 without the accounting. Kept apart by [`keep_suspects_apart`], none is.
 ///
 /// [`keep_suspects_apart`]: super::keep_suspects_apart
 #[derive(Clone, Debug)]
@@ -119,38 +72,6 @@
     untold: Vec<SuspectNews>,
 }
 
-impl EndEvidence {
-    /// What a lost process says, by how long it had streamed the answer to the request and by whether
-    /// it surely ended.
-    pub fn new(is_certain: bool, streamed: Duration) -> Self {
-        match is_certain && streamed < SOUND_TIME {
-            true => Self::Strong,
-            false => Self::Weak,
-        }
-    }
-
-    fn weight(self) -> u32 {
-        match self {
-            Self::Strong => STRONG_WEIGHT,
-            Self::Weak => WEAK_WEIGHT,
-        }
-    }
-}
-
-/// Streaming for as long speaks for a request: those that end engines did so within 0.3 s of the
-/// beginning, those who shared the engines had streamed for 1.3 s on average.
-const SOUND_TIME: Duration = Duration::from_secs(1);
-
-impl ProcessEnd {
-    /// The end of one life of an endpoint.
-    pub fn new(life: &EndpointLife, evidence: EndEvidence) -> Self {
-        Self {
-            process: xxh3_64_with_seed(life.id.as_bytes(), life.started),
-            evidence,
-        }
-    }
-}
-
 impl Default for SuspectLedger {
     fn default() -> Self {
         Self::new()
@@ -431,14 +352,3 @@
         self.ends.iter().any(|end| end.process == process)
     }
 }
-
-impl SuspectNews {
-    /// The request that it is about.
-    pub fn fingerprint(&self) -> RequestFingerprint {
-        match self {
-            Self::Ended(fingerprint, _)
-            | Self::Served(fingerprint)
-            | Self::Quarantined(fingerprint, _) => *fingerprint,
-        }
-    }
-}
--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -69,7 +69,7 @@
     RequestFingerprint, RetryShare, RetryShareSettings, RouteMatch, RouteMode, RouteRule,
     RouteTarget, ServiceProfile, StopPlan, StreamEvent, SuspectLedger, SuspectNews, SuspectReport,
     SuspectTelling, TrafficConfig, WaitingLine, WatchDuty, WorkKey, WorkLedger, WriterGroup,
-    WriterTable, keep_suspects_apart, short_lane_size,
+    WriterTable, format_fingerprint, keep_suspects_apart, short_lane_size,
 };
 pub use endpoint::{
     EndpointAction, EndpointCore, EndpointEvent, EndpointLimits, EndpointLoad, EndpointSafeguards,
