--- a/lovagedock-gateway/src/direct/call/mod.rs
+++ b/lovagedock-gateway/src/direct/call/mod.rs
@@ -369,6 +369,10 @@
     }
 
     fn watch(&self, endpoint: &EndpointLife, event: impl FnOnce(EndpointId) -> OutlierEvent) {
+        if self.board.quarantined_for(self.fingerprint).is_some() {
+            // It was withdrawn, or it ends whatever runs it; neither is the endpoint's fault.
+            return;
+        }
         self.board.watch(&self.parts.service, endpoint, event);
     }
 
--- a/lovagedock-gateway/src/direct/call/waiting.rs
+++ b/lovagedock-gateway/src/direct/call/waiting.rs
@@ -93,7 +93,8 @@
         if !self.board.is_suspect(self.fingerprint) || !self.board.misses_peers() {
             return;
         }
-        let read = self.board.suspects_read.notified();
+        let mut read = std::pin::pin!(self.board.suspects_read.notified());
+        read.as_mut().enable();
         self.board.suspects_wanted.notify_one();
         // A store that does not answer must not hold the request up for longer.
         let _ = timeout(SUSPECTS_PATIENCE, read).await;
--- a/lovagedock-gateway/src/direct/suspect_keeper.rs
+++ b/lovagedock-gateway/src/direct/suspect_keeper.rs
@@ -12,8 +12,9 @@
 
 use super::board::FleetBoard;
 
-/// Pause between two calls of the store, and after one that failed; doubles up to the longest.
-const FIRST_PAUSE: Duration = Duration::from_millis(50);
+/// Pause after a write or a read, and after a call that failed; doubles up to the longest. A request
+/// under suspicion waits for a little longer than the first one.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 
 /// Time for which a gateway that starts waits for the sheets before it takes callers; without the
--- a/lovagedock/src/direct/suspect_telling.rs
+++ b/lovagedock/src/direct/suspect_telling.rs
@@ -44,7 +44,10 @@
     /// News that peers have to be told now.
     pub fn take(&mut self, now: Timestamp, ledger: &mut SuspectLedger) -> Vec<SuspectNews> {
         for news in ledger.take_untold() {
-            self.push(news, now, TIMES_TOLD);
+            // Each gateway that has served a request says so each time that a peer suspects it.
+            if !self.is_waiting(news) {
+                self.push(news, now, TIMES_TOLD);
+            }
         }
         if now.saturating_sub(self.retold_at) >= RETELL_TIME {
             self.retold_at = now;
@@ -79,6 +82,10 @@
         self.retold += MOST_RETOLD;
     }
 
+    fn is_waiting(&self, news: SuspectNews) -> bool {
+        self.waiting.iter().any(|waiting| waiting.news == news)
+    }
+
     fn push(&mut self, news: SuspectNews, due_at: Timestamp, times_left: u8) {
         if self.waiting.len() == MOST_WAITING {
             self.waiting.pop_front();
--- a/lovagedock/tests/direct_suspects.rs
+++ b/lovagedock/tests/direct_suspects.rs
@@ -296,6 +296,22 @@
     assert!(telling.take(seconds(60), &mut ledger).is_empty());
 }
 
+/// A request that many ask and that every gateway has served is cleared in few words.
+#[test]
+fn a_clearance_is_told_once_while_it_waits() {
+    let mut ledger = SuspectLedger::new();
+    let mut telling = SuspectTelling::new();
+    ledger.record_served(seconds(1), INNOCENT);
+    let mut told = 0;
+    for process in 0..50 {
+        let ended = end(process, EndEvidence::Strong);
+        ledger.hear(seconds(2), SuspectNews::Ended(INNOCENT, ended));
+        told += telling.take(seconds(2), &mut ledger).len();
+    }
+    assert_eq!(told, 1);
+    assert_eq!(telling.take(seconds(3), &mut ledger).len(), 1);
+}
+
 /// Callers who share engines with a request that ends them are served, and few engines end.
 ///
 /// On 21 engines 9 requests run at each; one that ends its engine after 0.15 s is brought 40 times. All
