Two circles less: bodies of answers, names of chunks

In the gateway's front, problem documents and replies imported each other for the body of an answer; in the platform's configuration, chunks and roots for a chunk's name. Each has a file of its own. No behaviour changes.

--- a/lovagedock-gateway/src/front/mod.rs
+++ b/lovagedock-gateway/src/front/mod.rs
@@ -1,5 +1,6 @@
 //! The callers' side: HTTP, checks, answers.
 
+mod body;
 mod checks;
 mod intake;
 mod problem;
@@ -8,6 +9,7 @@
 mod router;
 mod server;
 
+pub(crate) use body::{AnswerBody, whole_body};
 pub(crate) use problem::{PROBLEM_TYPE, RequestProblem};
-pub(crate) use reply::{AnswerBody, CallerEvent, CallerSink, whole_body};
+pub(crate) use reply::{CallerEvent, CallerSink};
 pub(crate) use server::FrontServer;
--- a/lovagedock-gateway/src/front/problem.rs
+++ b/lovagedock-gateway/src/front/problem.rs
@@ -7,7 +7,7 @@
 use lovagedock::prelude::*;
 use serde::Serialize;
 
-use super::reply::{AnswerBody, whole_body};
+use super::body::{AnswerBody, whole_body};
 
 /// Header that carries the request's id in every answer.
 pub(crate) const REQUEST_ID_HEADER: &str = "x-request-id";
--- a/lovagedock-gateway/src/front/reply.rs
+++ b/lovagedock-gateway/src/front/reply.rs
@@ -1,14 +1,13 @@
 //! Answers on their way to callers.
 
 use std::{
-    convert::Infallible,
     io,
     pin::Pin,
     task::{Context, Poll},
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
+use http_body_util::BodyExt;
 use hyper::{
     Response,
     body::{Body, Frame},
@@ -18,10 +17,10 @@
 use lovagedock_wire::{AnswerHead, HeaderField};
 use tokio::sync::mpsc;
 
-use super::problem::{RequestProblem, set_request_id, status};
-
-/// Body of any answer to a caller.
-pub(crate) type AnswerBody = UnsyncBoxBody<Bytes, io::Error>;
+use super::{
+    body::{AnswerBody, whole_body},
+    problem::{RequestProblem, set_request_id, status},
+};
 
 /// Events that may wait between a driver and its caller's connection.
 const CALLER_QUEUE: usize = 32;
@@ -87,12 +86,6 @@
     }
 }
 
-/// A body that is there in whole.
-pub(crate) fn whole_body(bytes: Bytes) -> AnswerBody {
-    let never = |error: Infallible| match error {};
-    Full::new(bytes).map_err(never).boxed_unsync()
-}
-
 fn empty(id: RequestId) -> Response<AnswerBody> {
     let mut response = Response::new(whole_body(Bytes::new()));
     set_request_id(&mut response, id);
--- a/lovagedock-gateway/src/front/router.rs
+++ b/lovagedock-gateway/src/front/router.rs
@@ -14,9 +14,10 @@
 use tokio_util::task::TaskTracker;
 
 use super::{
+    body::{AnswerBody, whole_body},
     intake::{CallIntake, is_model_path},
     problem::{RequestProblem, set_request_id},
-    reply::{AnswerBody, CallerSink, response, whole_body},
+    reply::{CallerSink, response},
 };
 use crate::{
     call::CallerCall,
--- a/lovagedock-platform/src/config/apply.rs
+++ b/lovagedock-platform/src/config/apply.rs
@@ -9,7 +9,8 @@
 
 use super::{
     ROOT_KEY,
-    chunks::{ConfigChunk, chunk_key, name_bytes, split_chunks},
+    chunk_name::{chunk_key, name_bytes},
+    chunks::{ConfigChunk, split_chunks},
     load::{ConfigStore, LoadError, PARALLEL_CALLS, VersionedRoot},
     root::{AcceptedRecord, ApplyNonce, ConfigRoot, Settlement, settle},
 };
--- a/lovagedock-platform/src/config/chunks.rs
+++ b/lovagedock-platform/src/config/chunks.rs
@@ -4,11 +4,11 @@
 
 use bytes::Bytes;
 use fastcdc::v2020::FastCDC;
-use lovagedock::{ChunkHash, FleetConfig, chunk_hash};
+use lovagedock::FleetConfig;
 
 use super::{
-    CHUNK_PREFIX,
-    root::{ChunkName, ConfigRoot},
+    chunk_name::{ChunkName, name_bytes},
+    root::ConfigRoot,
 };
 
 const MIN_CHUNK_BYTES: usize = 8 << 10;
@@ -90,22 +90,3 @@
     })
     .collect()
 }
-
-/// The name under which the store keeps a chunk.
-pub fn chunk_name(hash: &ChunkHash) -> ChunkName {
-    blake3::Hash::from_bytes(*hash).to_hex().as_str().into()
-}
-
-/// The hash that a name tells; `None` when it is no such name.
-pub(crate) fn parse_name(name: &ChunkName) -> Option<ChunkHash> {
-    let hash = blake3::Hash::from_hex(name.as_bytes()).ok()?;
-    Some(*hash.as_bytes())
-}
-
-pub(crate) fn name_bytes(bytes: &[u8]) -> ChunkName {
-    chunk_name(&chunk_hash(bytes))
-}
-
-pub(crate) fn chunk_key(hash: &ChunkName) -> String {
-    format!("{CHUNK_PREFIX}{hash}")
-}
--- a/lovagedock-platform/src/config/load.rs
+++ b/lovagedock-platform/src/config/load.rs
@@ -8,8 +8,9 @@
 
 use super::{
     CHUNK_PREFIX, ROOT_KEY,
-    chunks::{ChunkCache, chunk_key, name_bytes},
-    root::{ChunkName, ConfigRoot},
+    chunk_name::{ChunkName, chunk_key, name_bytes},
+    chunks::ChunkCache,
+    root::ConfigRoot,
 };
 use crate::store::{
     CallPurpose, ChangeBatch, ObjectStore, ObjectVersion, PutCondition, Revision, StoreError,
--- a/lovagedock-platform/src/config/mod.rs
+++ b/lovagedock-platform/src/config/mod.rs
@@ -1,14 +1,16 @@
 //! The configuration in the store: one root object and content-addressed chunks.
 
 mod apply;
+mod chunk_name;
 mod chunks;
 mod load;
 mod root;
 
 pub use apply::{ApplyOutcome, ApplyRequest, NotAcceptedReason};
-pub use chunks::{ChunkCache, ConfigChunk, canonical_json, chunk_name, split_chunks};
+pub use chunk_name::{ChunkName, chunk_name};
+pub use chunks::{ChunkCache, ConfigChunk, canonical_json, split_chunks};
 pub use load::{ConfigStore, LoadError, LoadedConfig, VersionedRoot};
-pub use root::{AcceptedRecord, ApplyNonce, ChunkName, ConfigRoot, RetiredChunk, Settlement};
+pub use root::{AcceptedRecord, ApplyNonce, ConfigRoot, RetiredChunk, Settlement};
 
 /// Key of the root object.
 pub const ROOT_KEY: &str = "config/root";
--- a/lovagedock-platform/src/config/root.rs
+++ b/lovagedock-platform/src/config/root.rs
@@ -1,14 +1,11 @@
 //! The root object, and what it tells of an apply whose confirmation was lost.
 
-use std::{collections::HashSet, sync::Arc};
+use std::collections::HashSet;
 
 use lovagedock::{ConfigManifest, Generation};
 use serde::{Deserialize, Serialize};
 
-use super::chunks::parse_name;
-
-/// A [`ChunkHash`](lovagedock::ChunkHash) in hexadecimal.
-pub type ChunkName = Arc<str>;
+use super::chunk_name::{ChunkName, parse_name};
 
 /// Random text of one apply; the operator's program draws it once and keeps it over its retries.
 pub type ApplyNonce = String;
