--- a/lovagedock-gateway/tests/direct_crashes.rs
+++ b/lovagedock-gateway/tests/direct_crashes.rs
@@ -1,6 +1,6 @@
 //! Requests that end the processes that run them, over real sockets.
 //!
-//! Engines of a fleet ended in waves, 160 in 75 seconds, on all hosts. Callers with a request that ends
+//! Engines of a fleet ended in waves, 160 in 70 seconds, on all hosts. Callers with a request that ends
 //! every engine that runs it had asked for it again and again, at any gateway. A gateway took each lost
 //! connection for the engine's fault, sent the request to the next one and told the caller 502, and the
 //! next gateway began anew. All who had shared an engine with it were cut off, and those whose answers
--- a/lovagedock/src/direct/suspects.rs
+++ b/lovagedock/src/direct/suspects.rs
@@ -15,9 +15,9 @@
 };
 use crate::ids::Timestamp;
 
-/// What is held against a request on which processes ended before it had streamed for long, in
-/// [`EndEvidence::weight`]: three ends. One or two happen to those who shared an engine with it, which
-/// was seen on every second end of a wave.
+/// What is held against a request, in the weights of its evidence, when it is put into quarantine:
+/// three processes that ended soon after they began to run it. In the logs of a wave 47 of the 155
+/// requests that shared engines with the one at fault had two ends, and none had three.
 const QUARANTINE_WEIGHT: u32 = 3 * STRONG_WEIGHT;
 
 /// Time of a first quarantine. A caller's own retries have ended by then; each further quarantine
@@ -55,7 +55,7 @@
 ///
 /// The load that it answers: a caller brings a request that ends every engine that runs it, again and
 /// again, to any gateway. Each attempt alone looks like an engine's failure and is sent to the next
-/// engine; 160 ended in 75 s, and all who shared them were cut off. So ends are counted over all
+/// engine; 160 ended in 70 s, and all who shared them were cut off. So ends are counted over all
 /// attempts and gateways, and after three of them the request is no longer sent.
 ///
 /// Those who shared an engine with it are spared in three ways: who is served is sound, who had streamed
