The store's history is ordered by era, then revision

Cause: a store that comes back from an older copy gives its revisions out again. FleetBoard refused every list and event until the count had passed what was seen before, a watch's answer was lifted to the revision that it was asked from, peers compared revisions alone, and own entries were written once in a gateway's life. Ruled out: the configuration at a running gateway (versions only rise; its test passed before).

Change: StorePosition (era, revision), decoded in platform/; EndpointListing decides which list is newer and keeps what is missing for 2.2 s, also after an outage, in place of three readings (peers learn when it is settled: until now an entry that lapsed stayed known to gateways which do not watch). Peers tell it, and the era makes every gateway write its entry and its sheet of suspects again, spread over a second. An entry of the copy whose process was known to be gone has to stand for 4 s. A gateway that starts serves when a serving peer was heard, all listed ones, or after 400 ms; only where the store tells an era.

--- a/lovagedock-gateway/src/direct/board/listing.rs
+++ b/lovagedock-gateway/src/direct/board/listing.rs
@@ -1,27 +1,33 @@
 //! Endpoints as the store or a peer lists them.
 
-use lovagedock::{DirectEndpoint, EndpointLife, EntryNews, prelude::*};
-use lovagedock_platform::Revision;
+use lovagedock::{
+    DirectEndpoint, EndpointLife, EntryNews, ListingVersion, StorePosition, prelude::*,
+};
 use serde::{Deserialize, Serialize};
 use slog::info;
 use tokio::sync::futures::Notified;
 
-use super::FleetBoard;
+use super::{FleetBoard, state::FleetState};
 
-/// Endpoints as of a revision of the store.
+/// Endpoints as one gateway knows them.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct EndpointsState {
-    /// Revision.
-    pub(crate) revision: Revision,
+    /// How far they are known.
+    pub(crate) version: ListingVersion,
     /// All endpoints.
     pub(crate) endpoints: Vec<DirectEndpoint>,
+    /// Those of them that the store does not list and that may still come back.
+    pub(crate) missing: Vec<EndpointId>,
 }
 
 impl FleetBoard {
     /// Takes in an endpoint.
     pub(crate) fn endpoint_changed(&self, endpoint: DirectEndpoint) {
         let now = self.clock.now();
-        let news = self.fleet.lock().take_entry(now, endpoint.clone());
+        let mut fleet = self.fleet.lock();
+        fleet.listing.note_changed(&endpoint.life.id);
+        let news = fleet.take_entry(now, endpoint.clone());
+        drop(fleet);
         self.note_entry(&endpoint, &news);
         self.changed.notify_waiters();
     }
@@ -63,6 +69,7 @@
     /// Takes in that an endpoint's entry is gone.
     pub(crate) fn endpoint_gone(&self, id: &EndpointId) {
         let mut fleet = self.fleet.lock();
+        fleet.listing.note_changed(id);
         fleet.forget_endpoint(self.clock.now(), id);
         drop(fleet);
         info!(self.log, "endpoint gone"; "endpoint" => &**id);
@@ -72,50 +79,124 @@
     pub(crate) fn endpoints_state(&self) -> EndpointsState {
         let fleet = self.fleet.lock();
         EndpointsState {
-            revision: fleet.endpoints_revision,
+            version: fleet.listing.version(),
             endpoints: fleet.endpoints.all().cloned().collect(),
+            missing: fleet.listing.missing().cloned().collect(),
         }
     }
 
-    /// Revision of the store up to which endpoints are known.
-    pub(crate) fn endpoints_revision(&self) -> Revision {
-        self.fleet.lock().endpoints_revision
+    /// How far endpoints are known.
+    pub(crate) fn listing_version(&self) -> ListingVersion {
+        self.fleet.lock().listing.version()
+    }
+
+    /// Says up to which point of the store changes are about to be applied; an older one is refused.
+    pub(crate) fn advance_endpoints(&self, position: StorePosition) -> bool {
+        let is_newer = self.fleet.lock().listing.advance(position);
+        self.placed.notify_one();
+        is_newer
+    }
+
+    /// Says that endpoints cannot reach the store either, as far as is known here.
+    pub(crate) fn suspend_listing(&self) {
+        self.fleet.lock().listing.suspend();
     }
 
-    /// Says up to which revision endpoints are known; an older one is refused.
-    ///
-    /// What a slow watch brings may be older than what a peer told: taken in, it would bring an
-    /// endpoint back that has left.
-    pub(crate) fn advance_endpoints(&self, revision: Revision) -> bool {
+    /// Takes in that the store was read as a whole.
+    pub(crate) fn endpoints_read(
+        &self,
+        position: StorePosition,
+        endpoints: Vec<DirectEndpoint>,
+        after_outage: bool,
+    ) {
+        let now = self.clock.now();
         let mut fleet = self.fleet.lock();
-        let is_newer = revision >= fleet.endpoints_revision;
-        if is_newer {
-            fleet.endpoints_revision = revision;
+        let is_restored = position.era > fleet.listing.version().position.era;
+        let missing = fleet.endpoints.unlisted(&endpoints);
+        let kept = missing.len();
+        let listing = &mut fleet.listing;
+        let Some(gone) = listing.take_reading(now, position, after_outage, missing) else {
+            return;
+        };
+        fleet.endpoints.drop_unlisted_doubts(&endpoints);
+        for id in &gone {
+            fleet.forget_endpoint(now, id);
         }
+        let take = match is_restored {
+            true => FleetState::take_restored,
+            false => FleetState::take_entry,
+        };
+        let news: Vec<EntryNews> = endpoints
+            .iter()
+            .map(|endpoint| take(&mut fleet, now, endpoint.clone()))
+            .collect();
         drop(fleet);
-        self.placed.notify_one();
-        is_newer
+        if kept > gone.len() {
+            info!(self.log, "endpoints kept that the store does not list";
+                "era" => position.era, "revision" => position.revision, "endpoints" => kept);
+        }
+        self.note_listing(&gone, &endpoints, &news);
     }
 
-    /// Replaces all endpoints, unless newer ones are known.
-    pub(crate) fn endpoints_listed(&self, revision: Revision, endpoints: Vec<DirectEndpoint>) {
-        if !self.advance_endpoints(revision) {
+    /// Takes in a peer's list, unless this gateway's own is as new.
+    pub(crate) fn endpoints_told(&self, state: EndpointsState) {
+        let now = self.clock.now();
+        let EndpointsState {
+            version,
+            endpoints,
+            missing,
+        } = state;
+        let mut fleet = self.fleet.lock();
+        let unlisted = fleet.endpoints.unlisted(&endpoints);
+        let missing = unlisted.into_iter().chain(missing).collect();
+        let Some(gone) = fleet.listing.take_peer(version, missing) else {
             return;
+        };
+        for id in &gone {
+            fleet.forget_endpoint(now, id);
         }
+        // A peer in doubt lists endpoints that are gone for a gateway that is not.
+        let listed = endpoints.into_iter();
+        let listed: Vec<DirectEndpoint> = listed
+            .filter(|endpoint| !gone.contains(&endpoint.life.id))
+            .collect();
+        let news: Vec<EntryNews> = listed
+            .iter()
+            .map(|endpoint| fleet.take_entry(now, endpoint.clone()))
+            .collect();
+        drop(fleet);
+        self.note_listing(&gone, &listed, &news);
+    }
+
+    /// Drops endpoints that had their time to come back and have not.
+    pub(super) fn settle_listing(&self) {
         let now = self.clock.now();
         let mut fleet = self.fleet.lock();
-        let gone = fleet.endpoints.unlisted(&endpoints);
+        let before = fleet.listing.version();
+        let gone = fleet.listing.settle(now);
         for id in &gone {
             fleet.forget_endpoint(now, id);
         }
+        let version = fleet.listing.version();
         drop(fleet);
+        if version == before {
+            return;
+        }
+        info!(self.log, "endpoints settled"; "era" => version.position.era,
+            "revision" => version.position.revision, "dropped" => gone.len());
+        self.note_listing(&gone, &[], &[]);
+    }
+
+    fn note_listing(&self, gone: &[EndpointId], listed: &[DirectEndpoint], news: &[EntryNews]) {
         for id in gone {
-            info!(self.log, "endpoint gone"; "endpoint" => &*id);
+            info!(self.log, "endpoint gone"; "endpoint" => &**id);
         }
-        for endpoint in endpoints {
-            self.endpoint_changed(endpoint);
+        for (endpoint, news) in listed.iter().zip(news) {
+            self.note_entry(endpoint, news);
         }
+        self.changed.notify_waiters();
         self.set_listed();
+        self.placed.notify_one();
     }
 }
 
--- a/lovagedock-gateway/src/direct/board/mod.rs
+++ b/lovagedock-gateway/src/direct/board/mod.rs
@@ -1,5 +1,6 @@
 //! What a gateway knows and has decided, shared by all its requests.
 
+mod era;
 mod listing;
 mod peers;
 mod place;
@@ -17,9 +18,9 @@
 
 use arc_swap::ArcSwapOption;
 use lovagedock::{
-    EndpointLife, EndpointTable, LineKind, OutlierEvent, PaceTracker, PeerSight, RefusalLog,
-    RequestFingerprint, RetryShareSettings, StopPlan, SuspectLedger, TrafficConfig, WaitingLine,
-    WatchDuty, WorkLedger, prelude::*,
+    EndpointLife, EndpointListing, EndpointTable, LineKind, OutlierEvent, PaceTracker, PeerSight,
+    RefusalLog, RequestFingerprint, RetryShareSettings, StopPlan, SuspectLedger, TrafficConfig,
+    WaitingLine, WatchDuty, WorkLedger, prelude::*,
 };
 use lovagedock_daemon::ProcessClock;
 use parking_lot::Mutex;
@@ -67,6 +68,8 @@
     restarted: Notify,
     /// Wakes requests that may be in quarantine now.
     quarantined: Notify,
+    /// Wakes those who have to write their own objects of the store again.
+    store_returned: Notify,
     /// Wakes the task that keeps suspects in the store.
     pub(crate) suspects_changed: Notify,
     /// Wakes it to read what other gateways have kept.
@@ -75,6 +78,10 @@
     pub(crate) suspects_read: Notify,
     listed: AtomicBool,
     suspects_asked: AtomicBool,
+    peers_asked: AtomicBool,
+    greeting: AtomicBool,
+    gateways_listed: AtomicBool,
+    hears_serving: AtomicBool,
     store_reachable: AtomicBool,
     stopping: OnceLock<StopPlan>,
     /// Bounds lines about requests.
@@ -108,7 +115,8 @@
                 suspects: SuspectLedger::new(),
                 sight: PeerSight::new(),
                 duty: WatchDuty::new(),
-                endpoints_revision: 0,
+                listing: EndpointListing::new(),
+                store_era: None,
             }),
             changed: Notify::new(),
             placed: Notify::new(),
@@ -116,11 +124,16 @@
             line_moved: Notify::new(),
             restarted: Notify::new(),
             quarantined: Notify::new(),
+            store_returned: Notify::new(),
             suspects_changed: Notify::new(),
             suspects_wanted: Notify::new(),
             suspects_read: Notify::new(),
             listed: AtomicBool::new(false),
             suspects_asked: AtomicBool::new(false),
+            peers_asked: AtomicBool::new(false),
+            greeting: AtomicBool::new(false),
+            gateways_listed: AtomicBool::new(false),
+            hears_serving: AtomicBool::new(false),
             store_reachable: AtomicBool::new(false),
             stopping: OnceLock::new(),
             lines: LineBudget::new(),
@@ -133,6 +146,12 @@
         self.config.load_full()
     }
 
+    /// The configuration that callers may be served by, see [`set_peers_asked`](Self::set_peers_asked).
+    pub(crate) fn trusted_config(&self) -> Option<Arc<TrafficConfig>> {
+        let is_trusted = self.peers_asked.load(Ordering::Relaxed);
+        self.config().filter(|_| is_trusted)
+    }
+
     /// Takes a configuration in force unless a newer one is; tells whether it was.
     ///
     /// A version never goes back: a read that was answered late, or by a peer, may be an older one.
@@ -159,6 +178,11 @@
         self.suspects_asked.store(true, Ordering::Relaxed);
     }
 
+    /// Says that peers had the time to tell of a newer configuration than the store has.
+    pub(crate) fn set_peers_asked(&self) {
+        self.peers_asked.store(true, Ordering::Relaxed);
+    }
+
     /// Records whether the last call of the store succeeded.
     pub(crate) fn set_store_reachable(&self, reachable: bool) {
         self.store_reachable.store(reachable, Ordering::Relaxed);
@@ -189,7 +213,8 @@
     pub(crate) fn is_ready(&self) -> bool {
         let is_listed = self.listed.load(Ordering::Relaxed);
         // A gateway that started anew would send a request that ends engines to some more of them.
-        let has_asked = self.suspects_asked.load(Ordering::Relaxed);
+        let has_asked =
+            self.suspects_asked.load(Ordering::Relaxed) && self.peers_asked.load(Ordering::Relaxed);
         self.config.load().is_some() && is_listed && has_asked && !self.is_stopping()
     }
 
@@ -247,6 +272,7 @@
         for (endpoint, news) in &settled {
             self.note_entry(endpoint, news);
         }
+        self.settle_listing();
         for peer in silent {
             info!(self.log, "peer silent"; "peer" => &*peer);
         }
--- a/lovagedock-gateway/src/direct/board/peers.rs
+++ b/lovagedock-gateway/src/direct/board/peers.rs
@@ -1,5 +1,7 @@
 //! What the board knows of other gateways, and what it tells them.
 
+use std::sync::atomic::Ordering;
+
 use lovagedock::{EndpointLife, LoadNews, PeerContact, PeerLoad, RequestFingerprint, prelude::*};
 use lovagedock_platform::GatewayEntry;
 use slog::info;
@@ -37,6 +39,8 @@
         fleet.peers.insert(gateway.name.clone(), gateway.clone());
         fleet.sight.note_listed(self.clock.now(), &gateway.name);
         drop(fleet);
+        self.greeting.store(true, Ordering::Relaxed);
+        self.placed.notify_one();
         info!(self.log, "peer listed";
             "peer" => &*gateway.name, "address" => %gateway.address);
     }
@@ -54,6 +58,36 @@
         self.fleet.lock().peers.values().cloned().collect()
     }
 
+    /// Whether somebody is to be told of this gateway who did not know of it, now and not with the next
+    /// heartbeat: one of the two has started a moment ago, and places without knowing of the other's
+    /// requests until then.
+    pub(crate) fn take_greeting(&self) -> bool {
+        self.greeting.swap(false, Ordering::Relaxed)
+    }
+
+    /// Says that the list of gateways was read once.
+    pub(crate) fn set_gateways_listed(&self) {
+        self.gateways_listed.store(true, Ordering::Relaxed);
+    }
+
+    /// Other gateways that were heard lately.
+    pub(crate) fn heard_peers(&self) -> usize {
+        let now = self.clock.now();
+        self.fleet.lock().duty.heard(now)
+    }
+
+    /// Whether a peer that serves was heard, or everybody who is listed.
+    pub(crate) fn has_asked_peers(&self) -> bool {
+        let is_listed = self.gateways_listed.load(Ordering::Relaxed);
+        let hears_all = is_listed && self.heard_peers() >= self.peers().len();
+        hears_all || self.hears_serving.load(Ordering::Relaxed)
+    }
+
+    /// Records that a peer which serves was heard, and what it tells was taken in.
+    pub(crate) fn set_hears_serving(&self) {
+        self.hears_serving.store(true, Ordering::Relaxed);
+    }
+
     /// What this gateway has placed, where it has anything.
     pub(crate) fn own_loads(&self) -> Vec<(EndpointLife, PeerLoad)> {
         let fleet = self.fleet.lock();
--- a/lovagedock-gateway/src/direct/board/state.rs
+++ b/lovagedock-gateway/src/direct/board/state.rs
@@ -6,12 +6,12 @@
 };
 
 use lovagedock::{
-    DirectEndpoint, EndpointLife, EndpointTable, EntryNews, LineKind, OutlierAction,
-    OutlierDetector, OutlierEvent, OutlierSettings, PaceTracker, PeerSight, PlacerCandidate,
-    RefusalLog, RetryShare, RetryShareSettings, SuspectLedger, WaitingLine, WatchDuty, WorkLedger,
-    prelude::*, short_lane_size,
+    DirectEndpoint, EndpointLife, EndpointListing, EndpointTable, EntryNews, LineKind,
+    OutlierAction, OutlierDetector, OutlierEvent, OutlierSettings, PaceTracker, PeerSight,
+    PlacerCandidate, RefusalLog, RetryShare, RetryShareSettings, SuspectLedger, WaitingLine,
+    WatchDuty, WorkLedger, prelude::*, short_lane_size,
 };
-use lovagedock_platform::{GatewayEntry, Revision};
+use lovagedock_platform::GatewayEntry;
 use slog::{Logger, info};
 
 /// When endpoints are ejected. Two failures in a row are rare while an endpoint is sound (0.4% of
@@ -37,7 +37,9 @@
     pub(super) suspects: SuspectLedger,
     pub(super) sight: PeerSight,
     pub(super) duty: WatchDuty,
-    pub(super) endpoints_revision: Revision,
+    pub(super) listing: EndpointListing,
+    /// Latest era of the store that was told.
+    pub(super) store_era: Option<StoreEra>,
 }
 
 pub(super) struct ServiceState {
@@ -74,6 +76,15 @@
         news
     }
 
+    /// Takes in an entry of a copy from which the store has come back.
+    pub(super) fn take_restored(&mut self, now: Timestamp, endpoint: DirectEndpoint) -> EntryNews {
+        let service = endpoint.service.clone();
+        let id = endpoint.life.id.clone();
+        let news = self.endpoints.insert_restored(now, endpoint);
+        self.apply_news(now, &service, id, &news);
+        news
+    }
+
     pub(super) fn apply_news(
         &mut self,
         now: Timestamp,
--- a/lovagedock-gateway/src/direct/feed.rs
+++ b/lovagedock-gateway/src/direct/feed.rs
@@ -2,9 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use lovagedock_platform::{
-    FeedChange, FeedError, FeedSnapshot, FeedSubject, FleetFeed, GatewayEntry, Revision,
-};
+use lovagedock::StorePosition;
+use lovagedock_platform::{FeedChange, FeedError, FeedSnapshot, FeedSubject, FleetFeed};
 use slog::{info, warn};
 use tokio::time::sleep;
 
@@ -15,15 +14,8 @@
 const WATCH_WAIT: Duration = Duration::from_millis(2200);
 
 /// Pause after a call that failed; doubles up to the longest.
-const FIRST_PAUSE: Duration = Duration::from_millis(50);
-const LONGEST_PAUSE: Duration = Duration::from_millis(400);
-
-/// Time after the store's return in which entries that lapsed meanwhile may come back. Endpoints
-/// write again within two seconds of its return.
-const RETURN_TIME: Duration = Duration::from_millis(2200);
-
-/// Looks at the store while entries may still come back.
-const RETURN_LOOKS: u32 = 3;
+pub(super) const FIRST_PAUSE: Duration = Duration::from_millis(50);
+pub(super) const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
 /// Pause after changes, in which further ones gather: each call is paid for, and endpoints leave
 /// and configurations change within seconds.
@@ -32,10 +24,6 @@
 /// Time between two looks at whether this gateway has to watch.
 const DUTY_INTERVAL: Duration = Duration::from_millis(150);
 
-/// Time between two readings of the list of gateways. It only serves to find the first peer: after
-/// that, gateways hear of each other by their datagrams.
-const GATEWAYS_INTERVAL: Duration = Duration::from_secs(30);
-
 /// Follows one subject for as long as the gateway lives.
 pub(crate) struct FeedFollower {
     board: Arc<FleetBoard>,
@@ -69,7 +57,7 @@
                 sleep(DUTY_INTERVAL).await;
                 continue;
             }
-            let was_lost = self.failing;
+            let after_outage = self.failing && is_known;
             let snapshot = match self.feed.snapshot(self.subject).await {
                 Ok(snapshot) => snapshot,
                 Err(error) => {
@@ -77,43 +65,31 @@
                     continue;
                 }
             };
-            self.succeeded();
-            if was_lost && is_known && self.subject == FeedSubject::Endpoints {
-                self.await_return(snapshot).await;
-                continue;
-            }
-            let revision = snapshot.revision;
-            self.apply_snapshot(snapshot);
+            self.succeeded(snapshot.position);
+            let position = snapshot.position;
+            self.apply_snapshot(snapshot, after_outage);
             is_known = true;
-            self.follow(revision).await;
-        }
-    }
-
-    /// Keeps endpoints whose entries lapsed while the store was away, until they had the time to
-    /// write again. Taken as gone at once, endpoints that serve would get no work meanwhile.
-    async fn await_return(&mut self, snapshot: FeedSnapshot) {
-        let mut snapshot = Some(snapshot);
-        for _ in 0..RETURN_LOOKS {
-            if let Some(snapshot) = snapshot {
-                self.apply_changes(snapshot.revision, snapshot.changes);
-            }
-            sleep(RETURN_TIME / RETURN_LOOKS).await;
-            // A failure shows in the next look or, after the last, in the reading that follows.
-            snapshot = self.feed.snapshot(self.subject).await.ok();
+            self.follow(position).await;
         }
     }
 
     /// Returns when the subject has to be read as a whole, or somebody else watches it.
-    async fn follow(&mut self, mut revision: Revision) {
+    async fn follow(&mut self, mut position: StorePosition) {
         while self.board.watches() {
-            match self.feed.follow(self.subject, revision, WATCH_WAIT).await {
+            match self.feed.follow(self.subject, position, WATCH_WAIT).await {
                 // What was missed may be entries that lapsed.
                 Ok(_) if self.failing => return,
+                Ok(step) if step.position.era != position.era => {
+                    // Its changes follow on another history, whose revisions may be the same.
+                    self.board
+                        .note_era(step.position.era, self.subject.as_str());
+                    return;
+                }
                 Ok(step) => {
-                    self.succeeded();
-                    revision = step.revision;
+                    self.succeeded(step.position);
+                    position = step.position.max(position);
                     if !step.changes.is_empty() {
-                        self.apply_changes(step.revision, step.changes);
+                        self.apply_changes(step.position, step.changes);
                         sleep(COLLECT_TIME).await;
                     }
                 }
@@ -132,7 +108,8 @@
         }
     }
 
-    fn succeeded(&mut self) {
+    fn succeeded(&mut self, position: StorePosition) {
+        self.board.note_era(position.era, self.subject.as_str());
         self.pause = FIRST_PAUSE;
         self.board.set_store_reachable(true);
         if std::mem::take(&mut self.failing) {
@@ -144,6 +121,9 @@
         metrics::counter!("lovagedock_feed_failures_total", "subject" => self.subject.as_str())
             .increment(1);
         self.board.set_store_reachable(false);
+        if self.subject == FeedSubject::Endpoints {
+            self.board.suspend_listing();
+        }
         if !std::mem::replace(&mut self.failing, true) {
             warn!(self.board.log, "store lost";
                 "subject" => self.subject.as_str(), "error" => %error);
@@ -152,9 +132,9 @@
         self.pause = (self.pause * 2).min(LONGEST_PAUSE);
     }
 
-    fn apply_snapshot(&self, snapshot: FeedSnapshot) {
+    fn apply_snapshot(&self, snapshot: FeedSnapshot, after_outage: bool) {
         if self.subject != FeedSubject::Endpoints {
-            self.apply_changes(snapshot.revision, snapshot.changes);
+            self.apply_changes(snapshot.position, snapshot.changes);
             return;
         }
         let changes = snapshot.changes.into_iter();
@@ -163,12 +143,12 @@
             _ => None,
         });
         self.board
-            .endpoints_listed(snapshot.revision, endpoints.collect());
+            .endpoints_read(snapshot.position, endpoints.collect(), after_outage);
     }
 
-    fn apply_changes(&self, revision: Revision, changes: Vec<FeedChange>) {
+    fn apply_changes(&self, position: StorePosition, changes: Vec<FeedChange>) {
         let is_newer = match self.subject {
-            FeedSubject::Endpoints => self.board.advance_endpoints(revision),
+            FeedSubject::Endpoints => self.board.advance_endpoints(position),
             FeedSubject::Traffic | FeedSubject::Gateways | FeedSubject::Suspects => true,
         };
         if is_newer {
@@ -190,36 +170,3 @@
         }
     }
 }
-
-/// Tells other gateways where this one listens, and then reads where they do.
-///
-/// In this order: of two gateways that start together, the one that announces itself later finds
-/// the other in the list and sends to it, and so both know each other.
-pub(crate) async fn meet_gateways(
-    board: Arc<FleetBoard>,
-    feed: Arc<dyn FleetFeed>,
-    entry: GatewayEntry,
-) {
-    let mut pause = FIRST_PAUSE;
-    while let Err(error) = feed.announce(&entry).await {
-        warn!(board.log, "cannot announce the gateway"; "error" => %error);
-        sleep(pause).await;
-        pause = (pause * 2).min(LONGEST_PAUSE);
-    }
-    loop {
-        match feed.snapshot(FeedSubject::Gateways).await {
-            Ok(snapshot) => {
-                for change in snapshot.changes {
-                    if let FeedChange::Gateway(gateway) = change {
-                        board.gateway_changed(gateway);
-                    }
-                }
-                sleep(GATEWAYS_INTERVAL).await;
-            }
-            Err(error) => {
-                warn!(board.log, "cannot read the gateways"; "error" => %error);
-                sleep(LONGEST_PAUSE).await;
-            }
-        }
-    }
-}
--- a/lovagedock-gateway/src/direct/front.rs
+++ b/lovagedock-gateway/src/direct/front.rs
@@ -188,7 +188,7 @@
         let arrived = self.board.clock.now();
         let head = self.dialect.read_caller(request.headers());
         let id = head.request.clone();
-        let Some(config) = self.board.config() else {
+        let Some(config) = self.board.trusted_config() else {
             return self.reject(&id, ResultCode::NotConfigured);
         };
         let limit = config.bounds.max_body_bytes;
--- a/lovagedock-gateway/src/direct/gateway.rs
+++ b/lovagedock-gateway/src/direct/gateway.rs
@@ -14,8 +14,9 @@
 use super::{
     board::FleetBoard,
     dialect::HttpDialect,
-    feed::{FeedFollower, meet_gateways},
+    feed::FeedFollower,
     front::CallerFront,
+    meeting::{ask_peers, meet_gateways},
     peers::PeerExchange,
     probe::{bind_probes, serve_probes},
     relay::serve_peers,
@@ -78,6 +79,7 @@
             tasks.spawn(follower.run());
         }
         tasks.spawn(SuspectKeeper::new(Arc::clone(&board), Arc::clone(&feed)).run());
+        tasks.spawn(ask_peers(Arc::clone(&board)));
         tasks.spawn(meet_gateways(Arc::clone(&board), feed, entry));
         tasks.spawn(serve_peers(relay, Arc::clone(&board), log.clone()));
         tasks.spawn(Arc::clone(&peers).send_forever());
@@ -174,8 +176,14 @@
     fn dump(&self) -> Value {
         let loads = self.0.own_loads();
         let peers = self.0.peers();
+        let listing = self.0.listing_version();
         json!({
             "config": self.0.config().map(|config| config.version),
+            "store": {
+                "era": listing.position.era,
+                "revision": listing.position.revision,
+                "settled": listing.settled,
+            },
             "placed": loads.iter().map(|(life, load)| json!({
                 "endpoint": life.to_string(), "occupied": load.occupied, "context": load.context,
             })).collect::<Vec<_>>(),
--- a/lovagedock-gateway/src/direct/mod.rs
+++ b/lovagedock-gateway/src/direct/mod.rs
@@ -17,6 +17,7 @@
 mod gateway;
 mod journal;
 mod liveness;
+mod meeting;
 mod peer_message;
 mod peers;
 mod probe;
--- a/lovagedock-gateway/src/direct/peer_message.rs
+++ b/lovagedock-gateway/src/direct/peer_message.rs
@@ -3,15 +3,15 @@
 use std::{net::SocketAddr, time::Duration};
 
 use lovagedock::{
-    EndpointLife, PeerLoad, RequestFingerprint, SuspectNews, WriterGroup, prelude::*,
+    EndpointLife, ListingVersion, PeerLoad, RequestFingerprint, SuspectNews, WriterGroup,
+    prelude::*,
 };
-use lovagedock_platform::Revision;
 use serde::{Deserialize, Serialize};
 
 use super::fleet_tag::FleetTag;
 
-/// Version of [`PeerMessage`]; messages of another one are left out.
-const PROTOCOL: u16 = 3;
+/// Version of what gateways tell each other, by datagrams and when asked; another one is left out.
+pub(super) const PROTOCOL: u16 = 4;
 
 /// Comes before each message, so that it can be told whether the rest can be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -73,8 +73,10 @@
     /// Where it listens, for datagrams and for connections.
     pub(super) address: SocketAddr,
     pub(super) store_reachable: bool,
+    /// Whether it takes callers.
+    pub(super) serving: bool,
     pub(super) config: Generation,
-    pub(super) endpoints: Revision,
+    pub(super) endpoints: ListingVersion,
     pub(super) loads: Vec<PeerEntry>,
     /// Requests that it refused since the last message.
     pub(super) refused: Vec<RequestFingerprint>,
--- a/lovagedock-gateway/src/direct/peers.rs
+++ b/lovagedock-gateway/src/direct/peers.rs
@@ -11,7 +11,8 @@
 };
 
 use lovagedock::{
-    LoadNews, MessageNews, PeerHearing, RequestFingerprint, SuspectNews, SuspectTelling, prelude::*,
+    ListingVersion, LoadNews, MessageNews, PeerHearing, RequestFingerprint, SuspectNews,
+    SuspectTelling, prelude::*,
 };
 use lovagedock_platform::GatewayEntry;
 use parking_lot::Mutex;
@@ -120,7 +121,7 @@
         let mut telling = SuspectTelling::new();
         let mut heartbeat_at = Instant::now();
         let mut sequence = 0;
-        let mut told_versions = (0, 0);
+        let mut told_versions = (0, ListingVersion::default());
         loop {
             self.await_news(heartbeat_at).await;
             let loads = self.board.take_load_news(&mut told);
@@ -130,11 +131,12 @@
             };
             let versions = (
                 self.board.config().map_or(0, |config| config.version),
-                self.board.endpoints_revision(),
+                self.board.listing_version(),
             );
             let is_new = std::mem::replace(&mut told_versions, versions) != versions;
             let is_due = Instant::now() >= heartbeat_at;
-            if !loads.is_empty() || !news.is_empty() || is_new || is_due {
+            let greets = self.board.take_greeting();
+            if !loads.is_empty() || !news.is_empty() || is_new || is_due || greets {
                 let entries = loads.iter().map(|(life, load)| PeerEntry::new(life, load));
                 let entries: Vec<PeerEntry> = entries.collect();
                 self.send(&entries, news, &mut sequence).await;
@@ -181,7 +183,8 @@
                 address: self.address,
                 store_reachable: self.board.is_store_reachable(),
                 config: self.board.config().map_or(0, |config| config.version),
-                endpoints: self.board.endpoints_revision(),
+                serving: self.board.is_ready(),
+                endpoints: self.board.listing_version(),
                 loads: chunk.to_vec(),
                 refused: std::mem::take(&mut news.refused),
                 suspects: std::mem::take(&mut news.suspects),
@@ -255,9 +258,13 @@
         });
         self.board
             .hear_contact(&message.gateway, message.store_reachable);
+        self.board.note_era(message.endpoints.position.era, "peer");
         let known = self.board.config().map_or(0, |config| config.version);
         let newer_config = message.config > known;
-        let newer_endpoints = message.endpoints > self.board.endpoints_revision();
+        let newer_endpoints = message.endpoints > self.board.listing_version();
+        if message.serving && !newer_config {
+            self.board.set_hears_serving();
+        }
         if newer_config || newer_endpoints {
             let exchange = Arc::clone(&self);
             let peer = message.address;
--- a/lovagedock-gateway/src/direct/relay.rs
+++ b/lovagedock-gateway/src/direct/relay.rs
@@ -20,9 +20,11 @@
     board::{EndpointsState, FleetBoard},
     exchange::EndpointConnection,
     front::ACCEPT_PAUSE,
+    peer_message::PROTOCOL,
 };
 
-/// What is handed on; the path is `/FLEET/NAME`, so that a gateway of another fleet has nothing there.
+/// What is handed on; the path is `/FLEET/PROTOCOL/NAME`, so that a gateway of another fleet, or of a
+/// version that writes it in another way, has nothing there.
 const TRAFFIC: &str = "traffic";
 const ENDPOINTS: &str = "endpoints";
 
@@ -65,8 +67,7 @@
 }
 
 fn answer(board: &FleetBoard, path: &str) -> Response<Full<Bytes>> {
-    let fleet = format!("/{}/", board.fleet_tag);
-    let bytes = match path.strip_prefix(&fleet) {
+    let bytes = match path.strip_prefix(&path_of(board, "")) {
         Some(TRAFFIC) => board.config().map(|config| postcard::to_stdvec(&*config)),
         Some(ENDPOINTS) => Some(postcard::to_stdvec(&board.endpoints_state())),
         _ => None,
@@ -101,15 +102,19 @@
         return;
     };
     match postcard::from_bytes::<EndpointsState>(&bytes) {
-        Ok(state) => board.endpoints_listed(state.revision, state.endpoints),
+        Ok(state) => board.endpoints_told(state),
         Err(error) => warn!(board.log, "a peer's endpoints cannot be read";
             "peer" => %peer, "error" => %error),
     }
 }
 
+fn path_of(board: &FleetBoard, name: &str) -> String {
+    format!("/{}/{PROTOCOL}/{name}", board.fleet_tag)
+}
+
 async fn pull(board: &FleetBoard, peer: SocketAddr, name: &'static str) -> Option<Bytes> {
     let mut request = Request::new(Full::<Bytes>::default());
-    *request.uri_mut() = format!("/{}/{name}", board.fleet_tag).parse().ok()?;
+    *request.uri_mut() = path_of(board, name).parse().ok()?;
     let host = peer.to_string().parse().ok()?;
     request.headers_mut().insert(HOST, host);
     let connection = EndpointConnection::open(peer).await.ok()?;
--- a/lovagedock-gateway/src/direct/suspect_keeper.rs
+++ b/lovagedock-gateway/src/direct/suspect_keeper.rs
@@ -5,12 +5,12 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use lovagedock::SuspectReport;
+use lovagedock::{SuspectReport, prelude::*};
 use lovagedock_platform::{FeedChange, FeedError, FeedSubject, FleetFeed, SuspectSheet};
 use slog::{info, warn};
 use tokio::time::{sleep, timeout};
 
-use super::board::FleetBoard;
+use super::{board::FleetBoard, meeting::rewrite_delay};
 
 /// Pause after a write or a read, and after a call that failed; doubles up to the longest. A request
 /// under suspicion waits for a little longer than the first one.
@@ -36,6 +36,8 @@
     board: Arc<FleetBoard>,
     feed: Arc<dyn FleetFeed>,
     kept: Vec<SuspectReport>,
+    /// Era of the store that has it, if anything was kept.
+    kept_in: Option<StoreEra>,
     failing: bool,
     pause: Duration,
 }
@@ -47,6 +49,7 @@
             board,
             feed,
             kept: Vec::new(),
+            kept_in: None,
             failing: false,
             pause: FIRST_PAUSE,
         }
@@ -63,6 +66,10 @@
         }
         loop {
             let is_wanted = tokio::select! {
+                () = self.board.store_returned() => {
+                    sleep(rewrite_delay()).await;
+                    false
+                }
                 () = self.board.suspects_wanted.notified() => true,
                 () = self.board.suspects_changed.notified() => false,
                 () = sleep(LOOK_INTERVAL) => false,
@@ -82,6 +89,8 @@
         let snapshot = self.feed.snapshot(FeedSubject::Suspects).await;
         let is_read = match snapshot {
             Ok(snapshot) => {
+                let subject = FeedSubject::Suspects.as_str();
+                self.board.note_era(snapshot.position.era, subject);
                 for change in snapshot.changes {
                     if let FeedChange::Suspects(sheet) = change {
                         self.restore(sheet);
@@ -114,7 +123,9 @@
 
     async fn write(&mut self) -> bool {
         let reports = self.board.suspect_reports();
-        if is_same(&reports, &self.kept) {
+        // A store that came back from an older copy has lost the sheet, or has a former one.
+        let is_lost = self.kept_in.is_some_and(|era| era < self.board.store_era());
+        if is_same(&reports, &self.kept) && !is_lost {
             return true;
         }
         let sheet = SuspectSheet {
@@ -123,9 +134,12 @@
             reports: reports.clone(),
         };
         match self.feed.keep_suspects(&sheet).await {
-            Ok(()) => {
-                info!(self.board.log, "suspects kept in the store"; "requests" => reports.len());
+            Ok(era) => {
+                info!(self.board.log, "suspects kept in the store"; "requests" => reports.len(),
+                    "era" => era, "again" => is_lost);
+                self.board.note_era(era, FeedSubject::Suspects.as_str());
                 self.kept = reports;
+                self.kept_in = Some(era);
                 self.succeeded();
                 true
             }
--- a/lovagedock-gateway/tests/direct_support/feed.rs
+++ b/lovagedock-gateway/tests/direct_support/feed.rs
@@ -6,9 +6,9 @@
 };
 
 use async_trait::async_trait;
-use lovagedock::{DirectEndpoint, TrafficConfig};
+use lovagedock::{DirectEndpoint, StorePosition, TrafficConfig, prelude::*};
 use lovagedock_platform::{
-    FeedChange, FeedError, FeedSnapshot, FeedStep, FeedSubject, FleetFeed, GatewayEntry, Revision,
+    FeedChange, FeedError, FeedSnapshot, FeedStep, FeedSubject, FleetFeed, GatewayEntry,
     StoreError, SuspectSheet,
 };
 use tokio::{sync::Notify, time::timeout};
@@ -24,7 +24,7 @@
 
 #[derive(Default)]
 struct FeedState {
-    revision: Revision,
+    position: StorePosition,
     config: Option<Arc<TrafficConfig>>,
     endpoints: Vec<DirectEndpoint>,
     gateways: Vec<GatewayEntry>,
@@ -83,7 +83,7 @@
     fn change(&self, change: impl FnOnce(&mut FeedState)) {
         let mut state = self.state.lock().expect("no test panics with it");
         change(&mut state);
-        state.revision += 1;
+        state.position.revision += 1;
         drop(state);
         self.changed.notify_waiters();
     }
@@ -118,7 +118,7 @@
             }
         };
         Ok(FeedSnapshot {
-            revision: state.revision,
+            position: state.position,
             changes,
         })
     }
@@ -133,34 +133,34 @@
     async fn follow(
         &self,
         subject: FeedSubject,
-        after: Revision,
+        after: StorePosition,
         wait: Duration,
     ) -> Result<FeedStep, FeedError> {
         let changed = self.changed.notified();
         let snapshot = self.read(subject)?;
-        if snapshot.revision > after {
+        if snapshot.position > after {
             // This store keeps no history.
             return Err(FeedError::HistoryLost);
         }
         let _ = timeout(wait, changed).await;
         Ok(FeedStep {
-            revision: after,
+            position: after,
             changes: Vec::new(),
         })
     }
 
-    async fn announce(&self, gateway: &GatewayEntry) -> Result<(), FeedError> {
-        self.read(FeedSubject::Gateways)?;
+    async fn announce(&self, gateway: &GatewayEntry) -> Result<StoreEra, FeedError> {
+        let position = self.read(FeedSubject::Gateways)?.position;
         self.add_gateway(gateway.clone());
-        Ok(())
+        Ok(position.era)
     }
 
-    async fn keep_suspects(&self, sheet: &SuspectSheet) -> Result<(), FeedError> {
-        self.read(FeedSubject::Suspects)?;
+    async fn keep_suspects(&self, sheet: &SuspectSheet) -> Result<StoreEra, FeedError> {
+        let position = self.read(FeedSubject::Suspects)?.position;
         self.change(|state| {
             state.sheets.retain(|kept| kept.gateway != sheet.gateway);
             state.sheets.push(sheet.clone());
         });
-        Ok(())
+        Ok(position.era)
     }
 }
--- a/lovagedock-platform/src/feed.rs
+++ b/lovagedock-platform/src/feed.rs
@@ -3,9 +3,9 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use async_trait::async_trait;
-use lovagedock::{DirectEndpoint, SuspectReport, TrafficConfig, prelude::*};
+use lovagedock::{DirectEndpoint, StorePosition, SuspectReport, TrafficConfig, prelude::*};
 
-use crate::store::{Revision, StoreError};
+use crate::store::StoreError;
 
 /// Source of the configuration, of endpoints and of other gateways.
 ///
@@ -15,19 +15,22 @@
     /// Reads a subject as a whole, at least as new as anything that was acknowledged before.
     async fn snapshot(&self, subject: FeedSubject) -> Result<FeedSnapshot, FeedError>;
 
-    /// Waits up to `wait` for changes of a subject after `after`.
+    /// Waits up to `wait` for changes of a subject after `after`. A step of another era than that of
+    /// `after` says nothing of what happened in between; only a snapshot helps then.
     async fn follow(
         &self,
         subject: FeedSubject,
-        after: Revision,
+        after: StorePosition,
         wait: Duration,
     ) -> Result<FeedStep, FeedError>;
 
-    /// Tells other gateways where this one listens.
-    async fn announce(&self, gateway: &GatewayEntry) -> Result<(), FeedError>;
+    /// Tells other gateways where this one listens; returns the era that has it. A store that comes
+    /// back from an older copy loses it, though it was acknowledged.
+    async fn announce(&self, gateway: &GatewayEntry) -> Result<StoreEra, FeedError>;
 
     /// Keeps what a gateway has seen of requests that end processes; replaces its former sheet.
-    async fn keep_suspects(&self, sheet: &SuspectSheet) -> Result<(), FeedError>;
+    /// Returns the era that has it, as [`announce`](Self::announce) does.
+    async fn keep_suspects(&self, sheet: &SuspectSheet) -> Result<StoreEra, FeedError>;
 }
 
 /// What a feed is about.
@@ -58,8 +61,8 @@
 /// A whole subject.
 #[derive(Clone, Debug)]
 pub struct FeedSnapshot {
-    /// Everything up to this revision is in it.
-    pub revision: Revision,
+    /// Everything up to this point is in it.
+    pub position: StorePosition,
     /// What is there.
     pub changes: Vec<FeedChange>,
 }
@@ -67,8 +70,8 @@
 /// What a wait brought.
 #[derive(Clone, Debug)]
 pub struct FeedStep {
-    /// Everything up to this revision is covered.
-    pub revision: Revision,
+    /// Everything up to this point is covered.
+    pub position: StorePosition,
     /// What changed, in order.
     pub changes: Vec<FeedChange>,
 }
--- a/lovagedock-platform/src/store.rs
+++ b/lovagedock-platform/src/store.rs
@@ -4,15 +4,13 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+pub use lovagedock::Revision;
 use serde::{Deserialize, Serialize};
 
 /// Version of one object. The store draws versions from its [`Revision`] counter, so a later write
 /// to any key has a higher version, and a version is never used twice.
 pub type ObjectVersion = u64;
 
-/// Counts the writes and deletes that the store has carried out.
-pub type Revision = u64;
-
 /// Largest value that the store takes, in bytes.
 pub const MAX_VALUE_BYTES: usize = 1 << 20;
 
--- a/lovagedock/src/direct/endpoints.rs
+++ b/lovagedock/src/direct/endpoints.rs
@@ -64,7 +64,8 @@
 pub struct EndpointTable {
     endpoints: BTreeMap<EndpointId, DirectEndpoint>,
     former: FormerLives,
-    /// Entries with an earlier start than the known process, and since when they stand.
+    /// Entries with an earlier start than the known process, or of a process that is gone, and since
+    /// when they stand.
     outdated: HashMap<EndpointId, (Timestamp, DirectEndpoint)>,
 }
 
@@ -96,8 +97,7 @@
         let id = endpoint.life.id.clone();
         let known = self.latest(&id);
         if known.is_some_and(|known| endpoint.life.started < known.started) {
-            let since = self.outdated.get(&id).map_or(now, |(since, _)| *since);
-            self.outdated.insert(id, (since, endpoint));
+            self.doubt(now, endpoint);
             return EntryNews::Outdated;
         }
         self.outdated.remove(&id);
@@ -107,15 +107,38 @@
         self.put(endpoint)
     }
 
-    /// Believes entries with an earlier start that nobody has overwritten; returns what is new.
+    /// Takes in an entry of a copy from which the store has come back.
+    ///
+    /// The copy may list a process whose entry was removed since: it has left, and requests that are
+    /// sent there would be lost. So what was known to be gone has to stand for a while, in which the
+    /// store removes it again; a process that is there writes its entry, which is believed at once.
+    pub fn insert_restored(&mut self, now: Timestamp, endpoint: DirectEndpoint) -> EntryNews {
+        if !self.is_unlisted(&endpoint.life) {
+            return self.insert(now, endpoint);
+        }
+        self.doubt(now, endpoint);
+        EntryNews::Outdated
+    }
+
+    fn doubt(&mut self, now: Timestamp, endpoint: DirectEndpoint) {
+        let id = endpoint.life.id.clone();
+        let since = self.outdated.get(&id).map_or(now, |(since, _)| *since);
+        self.outdated.insert(id, (since, endpoint));
+    }
+
+    /// Believes doubtful entries that nobody has overwritten or removed; returns what is new.
     pub fn settle(&mut self, now: Timestamp) -> Vec<(DirectEndpoint, EntryNews)> {
         let due = self.outdated.values();
         let due: Vec<DirectEndpoint> = due
             .filter(|(since, _)| now.saturating_sub(*since) >= OUTDATED_TIME)
             .map(|(_, endpoint)| endpoint.clone())
             .collect();
-        let settle = |endpoint: DirectEndpoint| {
+        let settle = |mut endpoint: DirectEndpoint| {
             self.outdated.remove(&endpoint.life.id);
+            let known = self.latest(&endpoint.life.id);
+            if let Some(known) = known.filter(|known| known.started == endpoint.life.started) {
+                endpoint.state = known.state.or(endpoint.state);
+            }
             let news = self.put(endpoint.clone());
             (endpoint, news)
         };
@@ -138,6 +161,13 @@
         known.filter(|id| !listed.contains(id)).cloned().collect()
     }
 
+    /// Forgets doubtful entries that a full listing does not name.
+    pub fn drop_unlisted_doubts(&mut self, listed: &[DirectEndpoint]) {
+        let listed: HashSet<&EndpointId> =
+            listed.iter().map(|endpoint| &endpoint.life.id).collect();
+        self.outdated.retain(|id, _| listed.contains(id));
+    }
+
     /// Whether the process is the latest that is known under its name.
     pub fn is_current(&self, life: &EndpointLife) -> bool {
         let known = self.endpoints.get(&life.id);
--- a/lovagedock/src/ids.rs
+++ b/lovagedock/src/ids.rs
@@ -37,6 +37,10 @@
 pub type Generation = u64;
 /// Fencing number of a lease; grows with each holder.
 pub type Epoch = u64;
+/// Counts the writes and deletes that the platform's store has carried out.
+pub type Revision = u64;
+/// Counts how often the platform's store came back from an older copy; 0 if it does not tell.
+pub type StoreEra = u64;
 /// Tokens of a prompt or an answer.
 pub type TokenCount = u64;
 /// Blocks of an engine's KV memory.
--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -62,14 +62,15 @@
 pub use cost::{CostModel, CostParameters, PredictionError, PrefillObservation};
 pub use direct::{
     AttemptEnd, CallerBounds, CombinedLoad, DirectChoice, DirectEndpoint, DirectMachine,
-    DirectPlacer, DirectRequest, DirectStep, EndEvidence, EndpointLife, EndpointState,
-    EndpointTable, EngineProfile, EntryNews, EventSplitter, HelperPart, LineDecision, LineKind,
-    LineSettings, LoadNews, MISSED_GAP, MessageNews, PaceTracker, PeerContact, PeerHearing,
-    PeerLoad, PeerSight, PlacedWork, PlacerCandidate, ProcessEnd, ProcessTag, RefusalLog,
-    RequestFingerprint, RetryShare, RetryShareSettings, RouteMatch, RouteMode, RouteRule,
-    RouteTarget, ServiceProfile, StopPlan, StreamEvent, SuspectLedger, SuspectNews, SuspectReport,
-    SuspectTelling, TrafficConfig, WaitingLine, WatchDuty, WorkKey, WorkLedger, WriterGroup,
-    WriterTable, format_fingerprint, keep_suspects_apart, short_lane_size,
+    DirectPlacer, DirectRequest, DirectStep, EndEvidence, EndpointLife, EndpointListing,
+    EndpointState, EndpointTable, EngineProfile, EntryNews, EventSplitter, HelperPart,
+    LineDecision, LineKind, LineSettings, ListingVersion, LoadNews, MISSED_GAP, MessageNews,
+    PaceTracker, PeerContact, PeerHearing, PeerLoad, PeerSight, PlacedWork, PlacerCandidate,
+    ProcessEnd, ProcessTag, RefusalLog, RequestFingerprint, RetryShare, RetryShareSettings,
+    RouteMatch, RouteMode, RouteRule, RouteTarget, ServiceProfile, StopPlan, StorePosition,
+    StreamEvent, SuspectLedger, SuspectNews, SuspectReport, SuspectTelling, TrafficConfig,
+    WaitingLine, WatchDuty, WorkKey, WorkLedger, WriterGroup, WriterTable, format_fingerprint,
+    keep_suspects_apart, short_lane_size,
 };
 pub use endpoint::{
     EndpointAction, EndpointCore, EndpointEvent, EndpointLimits, EndpointLoad, EndpointSafeguards,
@@ -79,8 +80,8 @@
 pub use fence::{FenceAction, FenceEvent, FenceGate, FencedOrder};
 pub use ids::{
     AttemptNumber, BlockCount, DomainId, EndpointId, Epoch, GatewayId, Generation, HostId,
-    Incarnation, ModelId, OrganisationId, PoolId, RequestId, ServiceId, StartStamp, Timestamp,
-    TokenCount, format_request_id, parse_request_id,
+    Incarnation, ModelId, OrganisationId, PoolId, RequestId, Revision, ServiceId, StartStamp,
+    StoreEra, Timestamp, TokenCount, format_request_id, parse_request_id,
 };
 pub use lease::{FenceMark, LeaseAction, LeaseEvent, LeaseHolder, LeaseLimits, LeaseStatus};
 pub use length::LengthBucket;
--- a/lovagedock/src/prelude.rs
+++ b/lovagedock/src/prelude.rs
@@ -5,8 +5,8 @@
     config::{FleetConfig, PriorityTier},
     ids::{
         AttemptNumber, BlockCount, DomainId, EndpointId, Epoch, GatewayId, Generation, HostId,
-        Incarnation, ModelId, OrganisationId, PoolId, RequestId, ServiceId, StartStamp, Timestamp,
-        TokenCount, format_request_id, parse_request_id,
+        Incarnation, ModelId, OrganisationId, PoolId, RequestId, Revision, ServiceId, StartStamp,
+        StoreEra, Timestamp, TokenCount, format_request_id, parse_request_id,
     },
     length::LengthBucket,
     outcome::{AnswerEnd, AttemptKey, RevokeVerdict},
