Model check of listings: random writes, copies, returns, late answers, peers' news

Peers are told what is doubtful. 4,000 random orders of events: gateways agree with the store once all is quiet.

--- a/lovagedock-gateway/src/direct/board/listing.rs
+++ b/lovagedock-gateway/src/direct/board/listing.rs
@@ -18,6 +18,8 @@
     pub(crate) endpoints: Vec<DirectEndpoint>,
     /// Those of them that the store does not list and that may still come back.
     pub(crate) missing: Vec<EndpointId>,
+    /// Entries that the store lists and that are not believed yet.
+    pub(crate) doubtful: Vec<DirectEndpoint>,
 }
 
 impl FleetBoard {
@@ -82,6 +84,7 @@
             version: fleet.listing.version(),
             endpoints: fleet.endpoints.all().cloned().collect(),
             missing: fleet.listing.missing().cloned().collect(),
+            doubtful: fleet.endpoints.doubtful().cloned().collect(),
         }
     }
 
@@ -126,46 +129,44 @@
             true => FleetState::take_restored,
             false => FleetState::take_entry,
         };
-        let news: Vec<EntryNews> = endpoints
+        let news: Vec<(&DirectEndpoint, EntryNews)> = endpoints
             .iter()
-            .map(|endpoint| take(&mut fleet, now, endpoint.clone()))
+            .map(|endpoint| (endpoint, take(&mut fleet, now, endpoint.clone())))
             .collect();
         drop(fleet);
         if kept > gone.len() {
             info!(self.log, "endpoints kept that the store does not list";
                 "era" => position.era, "revision" => position.revision, "endpoints" => kept);
         }
-        self.note_listing(&gone, &endpoints, &news);
+        self.note_listing(&gone, &news);
     }
 
     /// Takes in a peer's list, unless this gateway's own is as new.
     pub(crate) fn endpoints_told(&self, state: EndpointsState) {
         let now = self.clock.now();
-        let EndpointsState {
-            version,
-            endpoints,
-            missing,
-        } = state;
+        let listed = [&state.endpoints[..], &state.doubtful].concat();
         let mut fleet = self.fleet.lock();
-        let unlisted = fleet.endpoints.unlisted(&endpoints);
-        let missing = unlisted.into_iter().chain(missing).collect();
-        let Some(gone) = fleet.listing.take_peer(version, missing) else {
+        let unlisted = fleet.endpoints.unlisted(&listed);
+        let missing = unlisted.into_iter().chain(state.missing).collect();
+        let Some(gone) = fleet.listing.take_peer(state.version, missing) else {
             return;
         };
+        fleet.endpoints.drop_unlisted_doubts(&listed);
         for id in &gone {
             fleet.forget_endpoint(now, id);
         }
         // A peer in doubt lists endpoints that are gone for a gateway that is not.
-        let listed = endpoints.into_iter();
-        let listed: Vec<DirectEndpoint> = listed
-            .filter(|endpoint| !gone.contains(&endpoint.life.id))
-            .collect();
-        let news: Vec<EntryNews> = listed
-            .iter()
-            .map(|endpoint| fleet.take_entry(now, endpoint.clone()))
+        let is_gone = |endpoint: &&DirectEndpoint| gone.contains(&endpoint.life.id);
+        let sure = state.endpoints.iter().filter(|entry| !is_gone(entry));
+        let mut news: Vec<(&DirectEndpoint, EntryNews)> = sure
+            .map(|endpoint| (endpoint, fleet.take_entry(now, endpoint.clone())))
             .collect();
+        let doubtful = state.doubtful.iter();
+        news.extend(
+            doubtful.map(|endpoint| (endpoint, fleet.take_restored(now, endpoint.clone()))),
+        );
         drop(fleet);
-        self.note_listing(&gone, &listed, &news);
+        self.note_listing(&gone, &news);
     }
 
     /// Drops endpoints that had their time to come back and have not.
@@ -184,14 +185,14 @@
         }
         info!(self.log, "endpoints settled"; "era" => version.position.era,
             "revision" => version.position.revision, "dropped" => gone.len());
-        self.note_listing(&gone, &[], &[]);
+        self.note_listing(&gone, &[]);
     }
 
-    fn note_listing(&self, gone: &[EndpointId], listed: &[DirectEndpoint], news: &[EntryNews]) {
+    fn note_listing(&self, gone: &[EndpointId], news: &[(&DirectEndpoint, EntryNews)]) {
         for id in gone {
             info!(self.log, "endpoint gone"; "endpoint" => &**id);
         }
-        for (endpoint, news) in listed.iter().zip(news) {
+        for (endpoint, news) in news {
             self.note_entry(endpoint, news);
         }
         self.changed.notify_waiters();
--- a/lovagedock/src/direct/endpoints.rs
+++ b/lovagedock/src/direct/endpoints.rs
@@ -168,6 +168,12 @@
         self.outdated.retain(|id, _| listed.contains(id));
     }
 
+    /// Entries that are not believed yet. Peers are told of them: believed later, they would not come
+    /// with a change of the store.
+    pub fn doubtful(&self) -> impl Iterator<Item = &DirectEndpoint> {
+        self.outdated.values().map(|(_, endpoint)| endpoint)
+    }
+
     /// Whether the process is the latest that is known under its name.
     pub fn is_current(&self, life: &EndpointLife) -> bool {
         let known = self.endpoints.get(&life.id);
--- /dev/null
+++ b/lovagedock/tests/direct_listing.rs
@@ -0,0 +1,470 @@
+//! What gateways believe of endpoints while the platform's store loses and regains what it lists.
+//!
+//! A model of a store, engines and gateways: random writes, outages, copies from which the store comes
+//! back, answers that arrive late and news of peers in any order. Whatever happened, once all is quiet
+//! all gateways believe what the store lists.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use lovagedock::{
+    DirectEndpoint, EndpointLife, EndpointListing, EndpointState, EndpointTable, ListingVersion,
+    StorePosition, prelude::*,
+};
+use proptest::{
+    collection::vec,
+    prelude::*,
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
+
+const ENGINES: u8 = 4;
+const GATEWAYS: usize = 3;
+
+/// Time in which engines write their entries again, and after which gateways count on that.
+const WRITTEN_AGAIN: Duration = Duration::from_secs(2);
+const SETTLED: Duration = Duration::from_millis(2300);
+
+/// Time for which an entry of the copy is doubted whose process was gone.
+const DOUBTED: Duration = Duration::from_secs(5);
+
+#[derive(Clone, Debug)]
+enum ModelStep {
+    /// An engine writes its entry, or a new process of it does.
+    Write { engine: u8, restarts: bool },
+    /// An engine leaves.
+    Leave { engine: u8 },
+    /// The store's state is kept, to come back from.
+    Copy,
+    /// The store comes back from the last copy, and engines write again what they had.
+    Restore,
+    /// A gateway reads the store; the answer may stay on its way.
+    Read { gateway: usize, late: bool },
+    /// An answer that was on its way arrives.
+    Arrive,
+    /// A gateway fetches what a peer knows; the answer may stay on its way.
+    Pull {
+        gateway: usize,
+        peer: usize,
+        late: bool,
+    },
+    /// A gateway starts anew.
+    Restart { gateway: usize },
+    /// The store could not be reached by a gateway.
+    Outage { gateway: usize },
+    /// Time passes.
+    Wait { ms: u64 },
+}
+
+type Entries = BTreeMap<EndpointId, DirectEndpoint>;
+
+#[derive(Clone, Debug, Default)]
+struct ModelStore {
+    position: StorePosition,
+    entries: Entries,
+}
+
+#[derive(Clone, Debug)]
+struct PeerState {
+    version: ListingVersion,
+    endpoints: Vec<DirectEndpoint>,
+    missing: Vec<EndpointId>,
+    doubtful: Vec<DirectEndpoint>,
+}
+
+#[derive(Clone, Debug)]
+enum LateAnswer {
+    Store { gateway: usize, store: ModelStore },
+    Peer { gateway: usize, state: PeerState },
+}
+
+#[derive(Clone, Debug, Default)]
+struct ModelGateway {
+    listing: EndpointListing,
+    table: EndpointTable,
+    failing: bool,
+}
+
+impl ModelGateway {
+    fn read(&mut self, now: Timestamp, store: &ModelStore) {
+        let listed: Vec<DirectEndpoint> = store.entries.values().cloned().collect();
+        let is_restored = store.position.era > self.listing.version().position.era;
+        let missing = self.table.unlisted(&listed);
+        let after_outage = std::mem::take(&mut self.failing);
+        let gone = self
+            .listing
+            .take_reading(now, store.position, after_outage, missing);
+        let Some(gone) = gone else {
+            return;
+        };
+        self.table.drop_unlisted_doubts(&listed);
+        self.drop_all(&gone);
+        for endpoint in listed {
+            match is_restored {
+                true => self.table.insert_restored(now, endpoint),
+                false => self.table.insert(now, endpoint),
+            };
+        }
+    }
+
+    fn hear(&mut self, now: Timestamp, state: PeerState) {
+        let listed = [state.endpoints.clone(), state.doubtful.clone()].concat();
+        let unlisted = self.table.unlisted(&listed);
+        let missing = unlisted.into_iter().chain(state.missing).collect();
+        let Some(gone) = self.listing.take_peer(state.version, missing) else {
+            return;
+        };
+        self.table.drop_unlisted_doubts(&listed);
+        self.drop_all(&gone);
+        for endpoint in state.endpoints {
+            if !gone.contains(&endpoint.life.id) {
+                self.table.insert(now, endpoint);
+            }
+        }
+        for endpoint in state.doubtful {
+            self.table.insert_restored(now, endpoint);
+        }
+    }
+
+    fn tick(&mut self, now: Timestamp) {
+        self.table.settle(now);
+        let gone = self.listing.settle(now);
+        self.drop_all(&gone);
+    }
+
+    fn drop_all(&mut self, gone: &[EndpointId]) {
+        for id in gone {
+            self.table.remove(id);
+        }
+    }
+
+    fn state(&self) -> PeerState {
+        PeerState {
+            version: self.listing.version(),
+            endpoints: self.table.all().cloned().collect(),
+            missing: self.listing.missing().cloned().collect(),
+            doubtful: self.table.doubtful().cloned().collect(),
+        }
+    }
+
+    fn lives(&self) -> BTreeSet<EndpointLife> {
+        self.table
+            .all()
+            .map(|endpoint| endpoint.life.clone())
+            .collect()
+    }
+}
+
+#[derive(Default)]
+struct ListingModel {
+    now: Timestamp,
+    store: ModelStore,
+    copy: Option<ModelStore>,
+    /// What engines have written, whatever became of the store.
+    engines: Entries,
+    /// Engines that have to write again, and from when on.
+    rewrites: Vec<(Timestamp, EndpointId)>,
+    gateways: Vec<ModelGateway>,
+    late: Vec<LateAnswer>,
+    starts: u64,
+}
+
+impl ListingModel {
+    fn new() -> Self {
+        Self {
+            gateways: vec![ModelGateway::default(); GATEWAYS],
+            ..Self::default()
+        }
+    }
+
+    fn write(&mut self, endpoint: DirectEndpoint) {
+        self.store.position.revision += 1;
+        self.store
+            .entries
+            .insert(endpoint.life.id.clone(), endpoint);
+    }
+
+    fn leave(&mut self, id: &EndpointId) {
+        if self.store.entries.remove(id).is_some() {
+            self.store.position.revision += 1;
+        }
+    }
+
+    fn restore(&mut self) {
+        let Some(copy) = &self.copy else {
+            return;
+        };
+        let era = self.store.position.era + 1;
+        self.store = copy.clone();
+        self.store.position.era = era;
+        let known = self.engines.keys().chain(copy.entries.keys());
+        let due = self.now + WRITTEN_AGAIN / 2;
+        self.rewrites = known.map(|id| (due, id.clone())).collect();
+    }
+
+    /// Engines that are there write, entries of the others lapse.
+    fn rewrite(&mut self) {
+        let (due, left) = std::mem::take(&mut self.rewrites)
+            .into_iter()
+            .partition(|(at, _)| *at <= self.now);
+        self.rewrites = left;
+        let due: Vec<(Timestamp, EndpointId)> = due;
+        for (_, id) in due {
+            match self.engines.get(&id).cloned() {
+                Some(endpoint) if self.store.entries.get(&id) != Some(&endpoint) => {
+                    self.write(endpoint);
+                }
+                Some(_) => {}
+                None => self.leave(&id),
+            }
+        }
+    }
+
+    fn wait(&mut self, time: Duration) {
+        self.now += time;
+        self.rewrite();
+        let now = self.now;
+        self.gateways
+            .iter_mut()
+            .for_each(|gateway| gateway.tick(now));
+    }
+
+    fn arrive(&mut self, answer: LateAnswer) {
+        let now = self.now;
+        match answer {
+            LateAnswer::Store { gateway, store } => self.gateways[gateway].read(now, &store),
+            LateAnswer::Peer { gateway, state } => self.gateways[gateway].hear(now, state),
+        }
+    }
+
+    fn send(&mut self, answer: LateAnswer, late: bool) {
+        match late {
+            true => self.late.push(answer),
+            false => self.arrive(answer),
+        }
+    }
+
+    fn step(&mut self, step: ModelStep) {
+        match step {
+            ModelStep::Write { engine, restarts } => {
+                let id: EndpointId = format!("i-{engine}").into();
+                self.starts += u64::from(restarts);
+                let started = match self.engines.get(&id) {
+                    Some(known) if !restarts => known.life.started,
+                    // A name that was gone comes back with another process.
+                    _ => {
+                        self.starts += 1;
+                        self.starts
+                    }
+                };
+                let endpoint = endpoint(id, started);
+                self.engines
+                    .insert(endpoint.life.id.clone(), endpoint.clone());
+                self.write(endpoint);
+            }
+            ModelStep::Leave { engine } => {
+                let id: EndpointId = format!("i-{engine}").into();
+                self.engines.remove(&id);
+                self.leave(&id);
+            }
+            ModelStep::Copy => self.copy = Some(self.store.clone()),
+            ModelStep::Restore => self.restore(),
+            ModelStep::Read { gateway, late } => {
+                let store = self.store.clone();
+                self.send(LateAnswer::Store { gateway, store }, late);
+            }
+            ModelStep::Arrive if self.late.is_empty() => {}
+            ModelStep::Arrive => {
+                let answer = self.late.remove(0);
+                self.arrive(answer);
+            }
+            ModelStep::Pull {
+                gateway,
+                peer,
+                late,
+            } => {
+                let state = self.gateways[peer].state();
+                self.send(LateAnswer::Peer { gateway, state }, late);
+            }
+            ModelStep::Restart { gateway } => self.gateways[gateway] = ModelGateway::default(),
+            ModelStep::Outage { gateway } => {
+                self.gateways[gateway].failing = true;
+                self.gateways[gateway].listing.suspend();
+            }
+            ModelStep::Wait { ms } => self.wait(Duration::from_millis(ms)),
+        }
+    }
+
+    /// Nothing fails any more: one gateway watches the store, the others hear of it.
+    fn settle(&mut self) {
+        while let Some(answer) = self.late.pop() {
+            self.arrive(answer);
+        }
+        self.wait(WRITTEN_AGAIN);
+        for _ in 0..2 {
+            let store = self.store.clone();
+            let now = self.now;
+            self.gateways[0].read(now, &store);
+            self.exchange();
+            self.wait(SETTLED);
+            self.exchange();
+        }
+        self.wait(DOUBTED);
+        self.exchange();
+    }
+
+    fn exchange(&mut self) {
+        for peer in 0..GATEWAYS {
+            let state = self.gateways[peer].state();
+            let now = self.now;
+            for gateway in (0..GATEWAYS).filter(|gateway| *gateway != peer) {
+                self.gateways[gateway].hear(now, state.clone());
+            }
+        }
+    }
+}
+
+fn endpoint(id: EndpointId, started: StartStamp) -> DirectEndpoint {
+    DirectEndpoint {
+        life: EndpointLife::new(id, started),
+        service: "service".into(),
+        address: ([10, 0, 0, 1], 80).into(),
+        domain: "a".into(),
+        slots: 4,
+        state: EndpointState::Ready,
+    }
+}
+
+fn steps() -> impl Strategy<Value = Vec<ModelStep>> {
+    let gateway = 0..GATEWAYS;
+    let step = prop_oneof![
+        4 => (0..ENGINES, any::<bool>())
+            .prop_map(|(engine, restarts)| ModelStep::Write { engine, restarts }),
+        2 => (0..ENGINES).prop_map(|engine| ModelStep::Leave { engine }),
+        1 => Just(ModelStep::Copy),
+        1 => Just(ModelStep::Restore),
+        4 => (gateway.clone(), any::<bool>())
+            .prop_map(|(gateway, late)| ModelStep::Read { gateway, late }),
+        2 => Just(ModelStep::Arrive),
+        4 => (gateway.clone(), gateway.clone(), any::<bool>())
+            .prop_map(|(gateway, peer, late)| ModelStep::Pull { gateway, peer, late }),
+        1 => gateway.clone().prop_map(|gateway| ModelStep::Restart { gateway }),
+        1 => gateway.prop_map(|gateway| ModelStep::Outage { gateway }),
+        3 => (1..3_000_u64).prop_map(|ms| ModelStep::Wait { ms }),
+    ];
+    vec(step, 1..60)
+}
+
+/// After any order of events, gateways agree with the store and with each other.
+#[test]
+fn gateways_come_to_believe_what_the_store_lists() {
+    let config = Config {
+        cases: 4_000,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let random = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(config, random);
+    let result = runner.run(&steps(), |steps| {
+        let mut model = ListingModel::new();
+        for step in steps {
+            model.step(step);
+        }
+        model.settle();
+        let listed: BTreeSet<EndpointLife> = model
+            .store
+            .entries
+            .values()
+            .map(|endpoint| endpoint.life.clone())
+            .collect();
+        for (index, gateway) in model.gateways.iter().enumerate() {
+            prop_assert_eq!(&gateway.lives(), &listed, "gateway {}", index);
+            prop_assert!(gateway.listing.version().settled);
+        }
+        Ok(())
+    });
+    result.unwrap_or_else(|error| panic!("{error}"));
+}
+
+/// A reading that was on its way when the store came back changes nothing, whoever brings it.
+#[test]
+fn an_older_era_never_wins() {
+    let position = |era, revision| StorePosition::new(era, revision);
+    let told = |era, revision| ListingVersion {
+        position: position(era, revision),
+        settled: true,
+    };
+    let mut listing = EndpointListing::new();
+    let now = Duration::from_secs(1);
+    assert!(
+        listing
+            .take_reading(now, position(2, 10), false, Vec::new())
+            .is_some()
+    );
+    assert!(
+        listing
+            .take_reading(now, position(1, 900), false, Vec::new())
+            .is_none()
+    );
+    assert!(listing.take_peer(told(1, 900), Vec::new()).is_none());
+    assert!(!listing.advance(position(1, 900)));
+    assert!(listing.advance(position(2, 11)));
+    assert!(listing.take_peer(told(3, 1), Vec::new()).is_some());
+    assert!(!listing.advance(position(2, 900)));
+}
+
+struct MissingCase {
+    name: &'static str,
+    /// Time since the store was read again, in milliseconds.
+    after_ms: u64,
+    /// Whether the store was lost again meanwhile.
+    lost_again: bool,
+    gone: bool,
+}
+
+/// An endpoint whose entry the copy lacks is used until it had its time to write again.
+#[test]
+fn what_is_missing_after_a_return_has_its_time() {
+    let cases = [
+        MissingCase {
+            name: "at once",
+            after_ms: 0,
+            lost_again: false,
+            gone: false,
+        },
+        MissingCase {
+            name: "within the time of endpoints",
+            after_ms: 2_000,
+            lost_again: false,
+            gone: false,
+        },
+        MissingCase {
+            name: "afterwards",
+            after_ms: 2_300,
+            lost_again: false,
+            gone: true,
+        },
+        MissingCase {
+            name: "afterwards, without a store to write to",
+            after_ms: 9_000,
+            lost_again: true,
+            gone: false,
+        },
+    ];
+    for case in cases {
+        let mut listing = EndpointListing::new();
+        let start = Duration::from_secs(100);
+        listing.take_reading(start, StorePosition::new(1, 50), false, Vec::new());
+        let settled = start + SETTLED;
+        listing.settle(settled);
+        let missing: Vec<EndpointId> = vec!["i-0".into()];
+        let gone = listing.take_reading(settled, StorePosition::new(2, 40), false, missing);
+        assert_eq!(gone, Some(Vec::new()), "{}", case.name);
+        if case.lost_again {
+            listing.suspend();
+        }
+        let gone = listing.settle(settled + Duration::from_millis(case.after_ms));
+        assert_eq!(!gone.is_empty(), case.gone, "{}", case.name);
+    }
+}
