Tests that fail: an engine that falls silent with a request

The issue's guess (the address is asked and not the process) is the second cause: an open connection is never probed, so that a host that came back with another process cannot say so.

--- /dev/null
+++ b/lovagedock-gateway/tests/direct_silence.rs
@@ -0,0 +1,241 @@
+//! Engines that fall silent with a request, over real sockets.
+
+mod direct_support;
+
+use std::{
+    fs,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use direct_support::{
+    SERVICE, TestFeed, TestGateway, config, endpoint_scripts as script, entry, open_call_with,
+    read_answer, until,
+};
+use lovagedock::{EngineProfile, ServiceProfile, TrafficConfig};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::Notify,
+    time::sleep,
+};
+
+const ENGINES: usize = 16;
+
+/// Prompt that is larger than the memory of one engine.
+const LARGE_PROMPT: &str = "x-prompt: 1500\r\n";
+
+/// What the engines do with requests, in the order in which these come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Treatment {
+    /// "Not run".
+    Refuse,
+    /// The process ends: its port refuses, and the open connection stays silent.
+    EndSilently,
+    /// The connection stays silent, and the process takes others.
+    StaySilent,
+    /// The whole answer.
+    Serve,
+}
+
+/// What all engines saw.
+#[derive(Default)]
+struct EngineLog {
+    treatments: Mutex<Vec<Treatment>>,
+    requests: Mutex<Vec<SocketAddr>>,
+    /// Orders, with the number of requests before.
+    orders: Mutex<Vec<(usize, String)>>,
+}
+
+impl EngineLog {
+    fn new(treatments: &[Treatment]) -> Arc<Self> {
+        let treatments = treatments.iter().rev().copied().collect();
+        Arc::new(Self {
+            treatments: Mutex::new(treatments),
+            ..Self::default()
+        })
+    }
+
+    fn requests(&self) -> Vec<SocketAddr> {
+        self.requests
+            .lock()
+            .expect("no test panics with it")
+            .clone()
+    }
+
+    fn note_order(&self, order: String) {
+        let before = self.requests().len();
+        let mut orders = self.orders.lock().expect("no test panics with it");
+        orders.push((before, order));
+    }
+
+    /// Reservations that were ordered after so many requests.
+    fn reservations_after(&self, requests: usize) -> usize {
+        let orders = self.orders.lock().expect("no test panics with it");
+        let after = orders.iter().filter(|(before, _)| *before == requests);
+        after.filter(|(_, order)| order.contains("Reserve")).count()
+    }
+}
+
+/// Starts an engine that treats requests by the log's list.
+async fn start_engine(log: Arc<EngineLog>) -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await;
+    let listener = listener.expect("a port is free");
+    let address = listener.local_addr().expect("it listens");
+    let ended = Arc::new(Notify::new());
+    tokio::spawn(async move {
+        loop {
+            let stream = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = ended.notified() => return,
+            };
+            let Ok((stream, _)) = stream else { return };
+            let (log, ended) = (Arc::clone(&log), Arc::clone(&ended));
+            tokio::spawn(async move { serve(stream, address, &log, &ended).await });
+        }
+    });
+    address
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    address: SocketAddr,
+    log: &EngineLog,
+    ended: &Notify,
+) -> Option<()> {
+    let request = read_message(&mut stream).await?;
+    if request.contains("/order") {
+        log.note_order(request);
+        let text = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+        return stream.write_all(text.as_bytes()).await.ok();
+    }
+    log.requests
+        .lock()
+        .expect("no test panics with it")
+        .push(address);
+    let treatment = log.treatments.lock().expect("no test panics with it").pop();
+    let id = request
+        .lines()
+        .find_map(|line| line.strip_prefix("x-request: "));
+    let text = match treatment {
+        Some(Treatment::Refuse) => {
+            "HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n".to_owned()
+        }
+        Some(Treatment::EndSilently) => {
+            ended.notify_one();
+            std::future::pending().await
+        }
+        Some(Treatment::StaySilent) | None => std::future::pending().await,
+        Some(Treatment::Serve) => script::events(1..4, true),
+    };
+    let text = text.replace("REQUEST", id.unwrap_or_default());
+    stream.write_all(text.as_bytes()).await.ok()
+}
+
+async fn read_message(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    let mut piece = [0; 4096];
+    loop {
+        let length = stream
+            .read(&mut piece)
+            .await
+            .ok()
+            .filter(|length| *length > 0)?;
+        bytes.extend_from_slice(&piece[..length]);
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        let Some((head, body)) = text.split_once("\r\n\r\n") else {
+            continue;
+        };
+        let mut lines = head.lines();
+        let expected = lines.find_map(|line| line.strip_prefix("content-length: "));
+        let expected: usize = expected.and_then(|number| number.parse().ok()).unwrap_or(0);
+        if body.len() >= expected {
+            return Some(text);
+        }
+    }
+}
+
+/// Engines with memory for a thousand tokens each.
+fn small_engines() -> TrafficConfig {
+    config(1).with_service(ServiceProfile {
+        id: SERVICE.into(),
+        max_connections: 100,
+        engine: Some(EngineProfile {
+            slots: 4,
+            memory_tokens: 1000,
+            steps_per_pass: 10,
+            step_ms: 1.0,
+            step_ms_per_writer: 0.0,
+            step_ms_per_1k_context: 0.0,
+            read_tokens_per_ms: 10.0,
+            read_ms_per_1m_pairs: 0.0,
+        }),
+    })
+}
+
+async fn start_fleet(treatments: &[Treatment]) -> (Arc<EngineLog>, TestGateway) {
+    let log = EngineLog::new(treatments);
+    let mut entries = Vec::new();
+    for index in 0..ENGINES {
+        let address = start_engine(Arc::clone(&log)).await;
+        entries.push(entry(&format!("i-{index}"), address));
+    }
+    let feed = TestFeed::new(small_engines(), entries);
+    let gateway = TestGateway::start("gateway", &feed).await.ready().await;
+    (log, gateway)
+}
+
+/// A prompt larger than an engine is served though its engine ended with no attempt left.
+///
+/// The first engine refuses it as not run. The second one takes it and ends; the connection stays open
+/// and silent. The caller is served by a third one, within its time, and memory that helpers had set
+/// aside is not kept for the process that is gone.
+#[tokio::test]
+async fn a_request_leaves_an_engine_that_ended_in_silence() {
+    let treatments = [Treatment::Refuse, Treatment::EndSilently, Treatment::Serve];
+    let (log, gateway) = start_fleet(&treatments).await;
+    let stream = open_call_with(gateway.address(), "/stream/x", "1", "secret", LARGE_PROMPT).await;
+    let answer = read_answer(stream).await;
+    assert_eq!(answer.status(), 200, "{}", answer.text);
+    assert!(answer.is_complete(), "{}", answer.text);
+    assert_eq!(log.requests().len(), 3);
+    // Those of the third attempt, and none for the second once its engine was gone.
+    assert_eq!(log.reservations_after(2), log.reservations_after(0));
+}
+
+/// An open connection to an engine that says nothing is asked whether its other end is there.
+///
+/// An engine's host loses power and comes back with another process under the same address. The old
+/// connection stays silent for ever, and new ones are taken; only the kernel of that host can tell that
+/// the old one is gone, when it is asked.
+#[tokio::test]
+async fn silent_connections_are_probed() {
+    let (log, gateway) = start_fleet(&[Treatment::StaySilent]).await;
+    let stream = open_call_with(gateway.address(), "/stream/x", "1", "secret", LARGE_PROMPT).await;
+    until(|| log.requests().len() == 1).await;
+    let port = log.requests()[0].port();
+    // The request is acknowledged a moment after it was read.
+    for _ in 0..200 {
+        if has_keepalive(port) {
+            return;
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+    drop(stream);
+    panic!("no probes to port {port}");
+}
+
+/// Whether the kernel waits to probe a connection to a port of this machine.
+fn has_keepalive(port: u16) -> bool {
+    const KEEPALIVE_TIMER: &str = "02:";
+    let remote = format!(":{port:04X}");
+    let table = fs::read_to_string("/proc/net/tcp").expect("the kernel tells its connections");
+    table.lines().any(|line| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        fields.get(2).is_some_and(|to| to.ends_with(&remote))
+            && fields
+                .get(5)
+                .is_some_and(|timer| timer.starts_with(KEEPALIVE_TIMER))
+    })
+}
--- a/lovagedock-gateway/tests/direct_support/caller.rs
+++ b/lovagedock-gateway/tests/direct_support/caller.rs
@@ -43,12 +43,23 @@
 
 /// Opens a connection and sends a request.
 pub(crate) async fn open_call(gateway: SocketAddr, path: &str, id: &str, key: &str) -> TcpStream {
+    open_call_with(gateway, path, id, key, "").await
+}
+
+/// The same with further header lines.
+pub(crate) async fn open_call_with(
+    gateway: SocketAddr,
+    path: &str,
+    id: &str,
+    key: &str,
+    lines: &str,
+) -> TcpStream {
     let mut stream = TcpStream::connect(gateway)
         .await
         .expect("the gateway listens");
     let request = format!(
         "POST {path} HTTP/1.1\r\nhost: fleet.example\r\nx-request: {id}\r\nx-key: {key}\r\n\
-         x-deadline-ms: 15000\r\nconnection: close\r\ncontent-length: 4\r\n\r\nbody"
+         {lines}x-deadline-ms: 15000\r\nconnection: close\r\ncontent-length: 4\r\n\r\nbody"
     );
     stream
         .write_all(request.as_bytes())
