Silence is held against the process that has the request

Cause, shown by the failing test: with no attempt left a request waits for its deadline without a look at its engine, and its reservations are renewed all the while. Besides: connections to engines were never probed, so that a host which came back with another process could not say that it knows nothing of them; orders about memory named no process, so that the next one at the address would have carried them out.

Change: connections are probed each second; the last attempt looks at a silent engine as well and ends when it is gone; one attempt that ended so is excused; reservations are renewed only while the lead is seen, and after a miss only if it was heard; orders name the engine. A gateway that was stopped reads what was told meanwhile before it places, and does not forget its peers for their silence then.

Ruled out: excusing each attempt whose process ended. It put innocents into quarantine that shared engines with a request which ends them (callers_who_shared_engines_are_served failed); now only an end after 0.9 s of silence is. Tests of gateway, platform and kernel pass.

--- a/lovagedock-gateway/src/direct/board/mod.rs
+++ b/lovagedock-gateway/src/direct/board/mod.rs
@@ -19,8 +19,8 @@
 use arc_swap::ArcSwapOption;
 use lovagedock::{
     EndpointLife, EndpointListing, EndpointTable, LineKind, OutlierEvent, PaceTracker, PeerSight,
-    RefusalLog, RequestFingerprint, RetryShareSettings, StopPlan, SuspectLedger, TrafficConfig,
-    WaitingLine, WatchDuty, WorkLedger, prelude::*,
+    RefusalLog, RequestFingerprint, RetryShareSettings, StopPlan, StoppageWatch, SuspectLedger,
+    TrafficConfig, WaitingLine, WatchDuty, WorkLedger, prelude::*,
 };
 use lovagedock_daemon::ProcessClock;
 use parking_lot::Mutex;
@@ -38,6 +38,9 @@
 const SLOT_DELAY_STEP: Duration = Duration::from_millis(20);
 const SLOT_DELAY_STEPS: u32 = 5;
 
+/// Time between two ticks, which look for peers that are gone and for endpoints that may be tried again.
+pub(crate) const TICK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// The delay of this gateway; it differs between gateways.
 fn slot_delay() -> Duration {
     SLOT_DELAY_STEP * rand::random_range(1..=SLOT_DELAY_STEPS)
@@ -115,6 +118,7 @@
                 suspects: SuspectLedger::new(),
                 sight: PeerSight::new(),
                 duty: WatchDuty::new(),
+                stoppage: StoppageWatch::new(),
                 listing: EndpointListing::new(),
                 store_era: None,
             }),
@@ -255,6 +259,12 @@
     pub(crate) fn tick(&self) {
         let now = self.clock.now();
         let mut fleet = self.fleet.lock();
+        if let Some(stopped) = fleet.stoppage.look(now, TICK_INTERVAL) {
+            drop(fleet);
+            metrics::counter!("lovagedock_stoppages_total").increment(1);
+            info!(self.log, "the process was stopped"; "ms" => stopped.as_millis() as u64);
+            return;
+        }
         let silent = fleet.ledger.forget_silent(now);
         fleet.ledger.forget_gone(now);
         fleet.suspects.forget_old(now);
@@ -278,6 +288,12 @@
         }
     }
 
+    /// How much longer placements have to wait for news, since the process was stopped.
+    pub(crate) fn news_wait(&self) -> Option<Duration> {
+        let now = self.clock.now();
+        self.fleet.lock().stoppage.wait(now, TICK_INTERVAL)
+    }
+
     /// Changes what all gateways together may retry.
     pub(crate) fn set_retries(&self, retries: RetryShareSettings) {
         let now = self.clock.now();
--- a/lovagedock-gateway/src/direct/board/state.rs
+++ b/lovagedock-gateway/src/direct/board/state.rs
@@ -8,8 +8,8 @@
 use lovagedock::{
     DirectEndpoint, EndpointLife, EndpointListing, EndpointTable, EntryNews, LineKind,
     OutlierAction, OutlierDetector, OutlierEvent, OutlierSettings, PaceTracker, PeerSight,
-    PlacerCandidate, RefusalLog, RetryShare, RetryShareSettings, SuspectLedger, WaitingLine,
-    WatchDuty, WorkLedger, prelude::*, short_lane_size,
+    PlacerCandidate, RefusalLog, RetryShare, RetryShareSettings, StoppageWatch, SuspectLedger,
+    WaitingLine, WatchDuty, WorkLedger, prelude::*, short_lane_size,
 };
 use lovagedock_platform::GatewayEntry;
 use slog::{Logger, info};
@@ -37,6 +37,7 @@
     pub(super) suspects: SuspectLedger,
     pub(super) sight: PeerSight,
     pub(super) duty: WatchDuty,
+    pub(super) stoppage: StoppageWatch,
     pub(super) listing: EndpointListing,
     /// Latest era of the store that was told.
     pub(super) store_era: Option<StoreEra>,
--- a/lovagedock-gateway/src/direct/call/ended.rs
+++ b/lovagedock-gateway/src/direct/call/ended.rs
@@ -7,19 +7,20 @@
 
 impl DirectCall {
     /// Finds out whether the process of the endpoint that answers ended while it had the request, and
-    /// counts that.
+    /// counts that; returns whether it ended or is out of reach.
     ///
     /// A connection that breaks says nothing of the process: it may have been reset, or the answer was
     /// lost. Counted all the same, a link that resets connections would put sound requests into
     /// quarantine.
-    pub(super) async fn examine_lead(&self, lead: &DirectEndpoint) {
+    pub(super) async fn examine_lead(&self, lead: &DirectEndpoint) -> bool {
         let is_certain = match self.process_state(lead).await {
-            ProcessState::Running => return,
+            ProcessState::Running => return false,
             ProcessState::Ended => true,
             ProcessState::OutOfReach => false,
         };
         let streamed = self.stream.streamed_for();
         self.note_ended(lead, EndEvidence::new(is_certain, streamed));
+        true
     }
 
     /// The same for an endpoint that read a part of the prompt.
--- a/lovagedock-gateway/src/direct/call/mod.rs
+++ b/lovagedock-gateway/src/direct/call/mod.rs
@@ -40,6 +40,10 @@
 /// given up after this.
 const SLOW_PATIENCE: Duration = Duration::from_secs(4);
 
+/// Silence before an attempt's end that speaks for an engine which lost power or was cut off, and against
+/// one that this request, or one beside it, has ended: that breaks connections at once.
+const SILENT_END: Duration = Duration::from_millis(900);
+
 /// Silence between events after which another engine continues. Callers leave after two seconds.
 const GAP_PATIENCE: Duration = Duration::from_millis(1400);
 
@@ -60,6 +64,8 @@
     stream: StreamDelivery,
     deadline: Timestamp,
     late_at: Timestamp,
+    /// When the present attempt was sent.
+    sent_at: Instant,
     line: LineKind,
     fingerprint: RequestFingerprint,
     retry_after: Option<Duration>,
@@ -100,6 +106,7 @@
             way,
             deadline,
             late_at,
+            sent_at: Instant::now(),
             retry_after: None,
             failure: None,
         }
@@ -134,7 +141,12 @@
             return DirectStep::Done;
         };
         match end {
-            AttemptEnd::Lost | AttemptEnd::Broken => self.examine_lead(&lead).await,
+            AttemptEnd::Lost | AttemptEnd::Broken => {
+                let is_silent = self.silence() >= SILENT_END;
+                if self.examine_lead(&lead).await && is_silent {
+                    self.machine.excuse_attempt();
+                }
+            }
             AttemptEnd::Complete => self.board.record_served(self.fingerprint),
             _ => {}
         }
@@ -159,7 +171,13 @@
     async fn exchange(&mut self, mut placed: PlacedRequest, resume: bool) -> Option<AttemptEnd> {
         let endpoint = placed.lead.life.clone();
         self.stream.begin_attempt();
-        let tickets = match self.reserve(&placed).await {
+        let watch = LivenessWatch::new(
+            Arc::clone(&self.board),
+            self.parts.service.clone(),
+            placed.lead.clone(),
+            self.fingerprint,
+        );
+        let tickets = match self.reserve(&placed, &watch).await {
             Ok(tickets) => tickets,
             Err(error) => {
                 self.machine.exclude(error.endpoint);
@@ -175,14 +193,9 @@
             }
         };
         self.machine.begin_sending();
+        self.sent_at = Instant::now();
         let request = self.request(&placed, &tickets);
         let (first, limit) = self.patience(&placed);
-        let watch = LivenessWatch::new(
-            Arc::clone(&self.board),
-            self.parts.service.clone(),
-            placed.lead.clone(),
-            self.fingerprint,
-        );
         let answer = match connection.send(request, watch.silent(first, limit)).await {
             Ok(answer) => answer,
             Err(error) => {
@@ -256,7 +269,11 @@
     }
 
     /// Reserves memory on the helpers that keep parts of the prompt.
-    async fn reserve(&self, placed: &PlacedRequest) -> Result<TicketHold, NotReserved> {
+    async fn reserve(
+        &self,
+        placed: &PlacedRequest,
+        lead: &LivenessWatch,
+    ) -> Result<TicketHold, NotReserved> {
         let keepers = placed.helpers.iter().filter(|helper| helper.kept > 0);
         let wanted = keepers.map(|helper| WantedTicket {
             endpoint: helper.endpoint.life.clone(),
@@ -264,7 +281,7 @@
             tokens: helper.kept,
         });
         let desk = TicketDesk::new(Arc::clone(&self.dialect), self.board.log.clone());
-        desk.reserve(wanted.collect()).await
+        desk.reserve(wanted.collect(), lead.clone()).await
     }
 
     fn request(&self, placed: &PlacedRequest, tickets: &TicketHold) -> Request<Full<Bytes>> {
@@ -297,24 +314,38 @@
         request
     }
 
+    /// Time since anything came in the present attempt.
+    fn silence(&self) -> Duration {
+        let heard_at = self.stream.last_at().unwrap_or(self.sent_at);
+        heard_at.max(self.sent_at).elapsed()
+    }
+
     /// Until when an endpoint may be silent before it is looked at, and until when one that is
     /// there may stay silent.
     fn patience(&self, placed: &PlacedRequest) -> (Instant, Instant) {
         let now = self.board.clock.now();
         let deadline = self.instant(self.deadline);
-        let may_repeat = self.parts.route.mode.may_repeat();
-        if !may_repeat || self.machine.sent() >= self.parts.route.attempts {
+        let mode = self.parts.route.mode;
+        if !mode.may_repeat() {
             return (deadline, deadline);
         }
-        if !self.parts.route.mode.is_stream() {
+        let is_last = !self.machine.has_attempt_left();
+        if !mode.is_stream() && is_last {
+            return (deadline, deadline);
+        }
+        if !mode.is_stream() {
             let half = self.deadline.saturating_sub(now) / 2;
             let half = self.instant(now + half);
             return (half, half);
         }
         let patience = placed.first_event * 2 + FIRST_EVENT_PATIENCE;
-        let first = self.instant(now + patience);
+        let first = self.instant(now + patience).min(deadline);
+        if is_last {
+            // Nobody else is asked while the engine is there; one that is gone is not waited for.
+            return (first, deadline);
+        }
         let limit = self.instant(now + patience + SLOW_PATIENCE);
-        (first.min(deadline), limit.min(deadline))
+        (first, limit.min(deadline))
     }
 
     fn deliver_failure(&mut self) -> ResultCode {
--- a/lovagedock-gateway/src/direct/call/waiting.rs
+++ b/lovagedock-gateway/src/direct/call/waiting.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use lovagedock::{DirectRequest, DirectStep, LineDecision, LineKind, MISSED_GAP, prelude::*};
-use tokio::time::{sleep_until, timeout};
+use tokio::time::{sleep, sleep_until, timeout};
 
 use super::DirectCall;
 use crate::direct::board::{FleetBoard, PlaceEffort, PlaceResult, PlacedRequest};
@@ -32,6 +32,9 @@
     pub(super) async fn find_place(&mut self) -> Result<PlacedRequest, DirectStep> {
         let mut waiting: Option<LineTicket> = None;
         self.await_suspects().await;
+        while let Some(left) = self.board.news_wait() {
+            sleep(left).await;
+        }
         loop {
             let board = Arc::clone(&self.board);
             let mut changed = std::pin::pin!(board.changed());
--- a/lovagedock-gateway/src/direct/delivery.rs
+++ b/lovagedock-gateway/src/direct/delivery.rs
@@ -170,6 +170,11 @@
         self.first_at
     }
 
+    /// When the last event was delivered.
+    pub(crate) fn last_at(&self) -> Option<Instant> {
+        self.last_at
+    }
+
     /// Longest pause between two events that were delivered.
     pub(crate) fn longest_gap(&self) -> Duration {
         self.longest_gap
--- a/lovagedock-gateway/src/direct/dialect.rs
+++ b/lovagedock-gateway/src/direct/dialect.rs
@@ -17,8 +17,9 @@
     /// What an endpoint's headers say.
     fn read_endpoint(&self, headers: &HeaderMap) -> EndpointHead;
 
-    /// An order about an engine's memory.
-    fn write_order(&self, order: &MemoryOrder<'_>) -> OrderCall;
+    /// An order to an engine about its memory; another engine at its address refuses it. Carried out by
+    /// the next process there, it would set memory aside that nobody uses.
+    fn write_order(&self, endpoint: &EndpointId, order: &MemoryOrder<'_>) -> OrderCall;
 }
 
 /// An order about an engine's memory.
@@ -45,6 +46,8 @@
 pub struct OrderCall {
     /// Path.
     pub target: &'static str,
+    /// Headers besides those of every call.
+    pub headers: HeaderMap,
     /// JSON body.
     pub body: Bytes,
 }
--- a/lovagedock-gateway/src/direct/exchange.rs
+++ b/lovagedock-gateway/src/direct/exchange.rs
@@ -6,7 +6,7 @@
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 
 /// Time to open a connection. A live endpoint in another failure domain answers within 5 ms; a
@@ -16,6 +16,15 @@
 /// Time after which sent bytes that nobody acknowledged end the connection.
 const UNACKNOWLEDGED_TIME: Duration = Duration::from_secs(3);
 
+/// Silence after which an endpoint's host is asked whether the connection's other end is there, and the
+/// time between questions; both in whole seconds.
+///
+/// The failure that they answer: a host loses power and comes back with another process under the same
+/// address. It takes new connections; only of the old one it says that it knows nothing of it, when it is
+/// asked. Without that a caller waits for the process that is gone until the deadline. A host that gives
+/// no answer ends the connection after [`UNACKNOWLEDGED_TIME`].
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// An endpoint's answer and the connection that it comes on.
 ///
 /// Dropping it closes the connection, and the engine stops the work.
@@ -68,7 +77,10 @@
         };
         // Neither is needed for the request to succeed; without them it is only slower.
         let _ = stream.set_nodelay(true);
-        let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIME));
+        let socket = SockRef::from(&stream);
+        let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIME));
+        let probes = TcpKeepalive::new().with_time(PROBE_INTERVAL);
+        let _ = socket.set_tcp_keepalive(&probes.with_interval(PROBE_INTERVAL));
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(ExchangeError::new)?;
         let task = tokio::spawn(async move {
--- a/lovagedock-gateway/src/direct/liveness.rs
+++ b/lovagedock-gateway/src/direct/liveness.rs
@@ -130,7 +130,28 @@
         }
     }
 
-    async fn is_there(&self) -> bool {
+    /// The process that is watched.
+    pub(crate) fn endpoint(&self) -> &EndpointLife {
+        &self.endpoint
+    }
+
+    /// The time by which [`heard_since`](Self::heard_since) goes.
+    pub(crate) fn now(&self) -> Timestamp {
+        self.board.clock.now()
+    }
+
+    /// Whether the process sent anything to this gateway after `since`.
+    pub(crate) fn heard_since(&self, since: Timestamp) -> bool {
+        let heard = self.board.heard_at(&self.service, &self.endpoint.id);
+        heard > since && !self.board.is_replaced(&self.endpoint)
+    }
+
+    /// Whether the process was heard a moment ago or somebody takes a connection at its address; not
+    /// if another one is known to have its place.
+    pub(crate) async fn is_there(&self) -> bool {
+        if self.board.is_replaced(&self.endpoint) {
+            return false;
+        }
         let now = self.board.clock.now();
         let heard = self.board.heard_at(&self.service, &self.endpoint.id);
         if heard > Timestamp::ZERO && now.saturating_sub(heard) < HEARD_LATELY {
--- a/lovagedock-gateway/src/direct/peers.rs
+++ b/lovagedock-gateway/src/direct/peers.rs
@@ -23,7 +23,7 @@
 };
 
 use super::{
-    board::FleetBoard,
+    board::{FleetBoard, TICK_INTERVAL},
     peer_message::{PeerEntry, PeerMessage, read_datagram, write_datagram},
     relay::{pull_endpoints, pull_traffic},
 };
@@ -40,9 +40,6 @@
 /// loads that have not changed are told again with the next datagram after a second.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Time between two looks for peers that are gone and for endpoints that may be tried again.
-const TICK_INTERVAL: Duration = Duration::from_millis(250);
-
 /// Endpoints in one datagram; with about 50 bytes each it stays below a usual packet.
 const LOADS_PER_DATAGRAM: usize = 24;
 
--- a/lovagedock-gateway/src/direct/tickets.rs
+++ b/lovagedock-gateway/src/direct/tickets.rs
@@ -15,6 +15,7 @@
 use super::{
     dialect::{HttpDialect, MemoryOrder},
     exchange::EndpointConnection,
+    liveness::LivenessWatch,
 };
 
 /// How long a reservation lasts without renewal. Whatever becomes of the gateway or of an order
@@ -25,6 +26,27 @@
 /// Time between renewals: three may be lost before the reservation lapses.
 const RENEW_INTERVAL: Duration = Duration::from_millis(900);
 
+/// A renewal is left out while the engine that has the request is not seen. Once one was, only what that
+/// engine sends proves that it still has it: the next process at its address takes connections as well.
+///
+/// Without this, the memory of helpers is kept for a request that ended with its engine.
+struct LeadProof {
+    watch: LivenessWatch,
+    missed_at: Option<Timestamp>,
+}
+
+impl LeadProof {
+    async fn holds(&mut self) -> bool {
+        if let Some(missed_at) = self.missed_at {
+            return self.watch.heard_since(missed_at);
+        }
+        let now = self.watch.now();
+        let is_there = self.watch.is_there().await;
+        self.missed_at = (!is_there).then_some(now);
+        is_there
+    }
+}
+
 /// Time for the answer to an order; an engine takes a few milliseconds.
 const ORDER_TIME: Duration = Duration::from_millis(300);
 
@@ -79,6 +101,7 @@
     pub(crate) async fn reserve(
         &self,
         wanted: Vec<WantedTicket>,
+        lead: LivenessWatch,
     ) -> Result<TicketHold, NotReserved> {
         let tickets = wanted.into_iter().map(|wanted| Ticket {
             // A name of its own for each attempt: two requests must never use one reservation.
@@ -101,14 +124,26 @@
                 "tokens" => hold.tickets[index].wanted.tokens);
             return Err(NotReserved { endpoint });
         }
-        let renewal = self.clone().renew(hold.tickets.clone());
+        if hold.tickets.is_empty() {
+            return Ok(hold);
+        }
+        let proof = LeadProof {
+            watch: lead,
+            missed_at: None,
+        };
+        let renewal = self.clone().renew(hold.tickets.clone(), proof);
         hold.renewal = Some(tokio::spawn(renewal));
         Ok(hold)
     }
 
-    async fn renew(self, tickets: Vec<Ticket>) {
+    async fn renew(self, tickets: Vec<Ticket>, mut lead: LeadProof) {
         loop {
             sleep(RENEW_INTERVAL).await;
+            if !lead.holds().await {
+                warn!(self.log, "memory not renewed, the engine that has the request is not seen";
+                    "endpoint" => %lead.watch.endpoint());
+                continue;
+            }
             let orders = tickets.iter().map(|ticket| self.order(ticket, true));
             let granted = futures::future::join_all(orders).await;
             for (ticket, _) in tickets.iter().zip(granted).filter(|(_, granted)| !granted) {
@@ -141,13 +176,15 @@
                 ticket: &ticket.name,
             },
         };
-        let call = self.dialect.write_order(&order);
+        let endpoint = &ticket.wanted.endpoint.id;
+        let call = self.dialect.write_order(endpoint, &order);
         let mut request = Request::new(Full::<Bytes>::new(call.body));
         *request.method_mut() = Method::POST;
         if let Ok(target) = call.target.parse() {
             *request.uri_mut() = target;
         }
         let headers = request.headers_mut();
+        headers.extend(call.headers);
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         if let Ok(host) = HeaderValue::from_str(&ticket.wanted.address.to_string()) {
             headers.insert(HOST, host);
--- a/lovagedock-gateway/tests/direct_support/dialect.rs
+++ b/lovagedock-gateway/tests/direct_support/dialect.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use hyper::{HeaderMap, header::HeaderValue};
+use lovagedock::prelude::*;
 use lovagedock_gateway::{
     CallerHead, EndpointHead, HttpDialect, MemoryOrder, OrderCall, OutgoingHead,
 };
@@ -56,9 +57,13 @@
         }
     }
 
-    fn write_order(&self, order: &MemoryOrder<'_>) -> OrderCall {
+    fn write_order(&self, endpoint: &EndpointId, order: &MemoryOrder<'_>) -> OrderCall {
+        let mut headers = HeaderMap::new();
+        let name = HeaderValue::from_str(endpoint).expect("test values are plain");
+        headers.insert("x-endpoint", name);
         OrderCall {
             target: "/order",
+            headers,
             body: format!("{order:?}").into(),
         }
     }
--- a/lovagedock/src/direct/machine.rs
+++ b/lovagedock/src/direct/machine.rs
@@ -55,6 +55,8 @@
     attempts_allowed: u32,
     deadline: Timestamp,
     sent: u32,
+    /// Times that it was sent to a process that fell silent and is gone, and that do not count.
+    excused: u32,
     unreachable: u32,
     may_have_run: bool,
     excluded: Vec<EndpointLife>,
@@ -64,6 +66,10 @@
 /// many the network is at fault and not an endpoint.
 const MAX_UNREACHABLE: u32 = 4;
 
+/// Attempts of a request that may be excused. One engine at a time is lost; a request whose attempts are
+/// lost one after the other may be what ends the engines.
+const MOST_EXCUSED: u32 = 1;
+
 /// Least time left for another attempt: with less, no endpoint could answer.
 const LEAST_TIME: Duration = Duration::from_millis(30);
 
@@ -75,6 +81,7 @@
             attempts_allowed: attempts_allowed.max(1),
             deadline,
             sent: 0,
+            excused: 0,
             unreachable: 0,
             may_have_run: false,
             excluded: Vec::new(),
@@ -110,6 +117,20 @@
         self.sent += 1;
     }
 
+    /// Whether the request may be sent once more than it was.
+    pub fn has_attempt_left(&self) -> bool {
+        self.sent < self.attempts_allowed + self.excused
+    }
+
+    /// Records that the process which had the request fell silent and is gone.
+    ///
+    /// The failure that it answers: a long prompt is refused as not run by one engine and lost with the
+    /// next. Its attempts are used up, though nobody has worked on it to any end, and the caller gets a
+    /// failure that the rest of the fleet could have spared him.
+    pub fn excuse_attempt(&mut self) {
+        self.excused = (self.excused + 1).min(MOST_EXCUSED);
+    }
+
     /// Decides after an attempt at `endpoint`; `take_retry` asks the service's retry share.
     pub fn attempt_ended(
         &mut self,
@@ -190,7 +211,7 @@
     }
 
     fn may_send_again(&self, now: Timestamp) -> bool {
-        self.sent < self.attempts_allowed && self.has_time(now)
+        self.has_attempt_left() && self.has_time(now)
     }
 
     fn has_time(&self, now: Timestamp) -> bool {
--- /dev/null
+++ b/lovagedock/src/direct/stoppage.rs
@@ -0,0 +1,55 @@
+//! Notices that the whole process was stopped for a while.
+
+use std::time::Duration;
+
+use crate::ids::Timestamp;
+
+/// Time beyond the usual between two looks that means the process did not run: a busy one is late by
+/// some tens of milliseconds.
+const STOPPED: Duration = Duration::from_millis(600);
+
+/// Time after waking in which what was told meanwhile is read: peers' messages wait in the socket, and
+/// the next ones come within some 30 ms of each other.
+const READING_TIME: Duration = Duration::from_millis(60);
+
+/// Tells what a gateway believed before it was stopped from what it has heard since.
+///
+/// The failure that it answers: a process that was stopped for seconds goes on with requests that wait,
+/// by loads and entries from before, and places them on engines that are full or gone. The news of all
+/// that is in its sockets already. All peers look silent as well, and would be forgotten with what they
+/// placed.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StoppageWatch {
+    looked_at: Timestamp,
+    woke_at: Option<Timestamp>,
+}
+
+impl StoppageWatch {
+    /// A process that has just started.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes in a look, of which there is one each `interval`; returns for how long the process was
+    /// stopped, if it was.
+    pub fn look(&mut self, now: Timestamp, interval: Duration) -> Option<Duration> {
+        let since = now.saturating_sub(self.looked_at);
+        self.looked_at = now;
+        let is_stopped = since > interval + STOPPED;
+        if is_stopped {
+            self.woke_at = Some(now);
+        }
+        is_stopped.then_some(since)
+    }
+
+    /// How much longer a decision has to wait for what was told while the process was stopped.
+    pub fn wait(&self, now: Timestamp, interval: Duration) -> Option<Duration> {
+        if now.saturating_sub(self.looked_at) > interval + STOPPED {
+            // It woke just now, and the next look comes in this moment.
+            return Some(READING_TIME);
+        }
+        let woke_at = self.woke_at?;
+        let left = (woke_at + READING_TIME).saturating_sub(now);
+        (!left.is_zero()).then_some(left)
+    }
+}
--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -67,10 +67,10 @@
     LineDecision, LineKind, LineSettings, ListingVersion, LoadNews, MISSED_GAP, MessageNews,
     PaceTracker, PeerContact, PeerHearing, PeerLoad, PeerSight, PlacedWork, PlacerCandidate,
     ProcessEnd, ProcessTag, RefusalLog, RequestFingerprint, RetryShare, RetryShareSettings,
-    RouteMatch, RouteMode, RouteRule, RouteTarget, ServiceProfile, StopPlan, StorePosition,
-    StreamEvent, SuspectLedger, SuspectNews, SuspectReport, SuspectTelling, TrafficConfig,
-    WaitingLine, WatchDuty, WorkKey, WorkLedger, WriterGroup, WriterTable, format_fingerprint,
-    keep_suspects_apart, short_lane_size,
+    RouteMatch, RouteMode, RouteRule, RouteTarget, ServiceProfile, StopPlan, StoppageWatch,
+    StorePosition, StreamEvent, SuspectLedger, SuspectNews, SuspectReport, SuspectTelling,
+    TrafficConfig, WaitingLine, WatchDuty, WorkKey, WorkLedger, WriterGroup, WriterTable,
+    format_fingerprint, keep_suspects_apart, short_lane_size,
 };
 pub use endpoint::{
     EndpointAction, EndpointCore, EndpointEvent, EndpointLimits, EndpointLoad, EndpointSafeguards,
