Test that fails: a configuration that is applied after the store's return, in a fleet with sidecars

The same cause in the other family: a gateway waits for a change after the revision of the root that it read last, and the root of the next apply has a lower one. It waits for as long as the test does (60 s).

--- a/lovagedock-platform/src/memory.rs
+++ b/lovagedock-platform/src/memory.rs
@@ -124,6 +124,18 @@
         applied
     }
 
+    /// What it holds now.
+    pub fn copy(&self) -> ObjectTable {
+        self.shared.lock().table.clone()
+    }
+
+    /// Comes back from a copy: what was written since is gone and its revisions are given out again.
+    pub fn restore(&self, copy: ObjectTable) {
+        let mut state = self.shared.lock();
+        state.table = copy;
+        self.changed.send_replace(state.table.revision());
+    }
+
     /// Calls so far.
     pub fn counts(&self) -> CallCounts {
         self.shared.lock().counts
--- a/lovagedock-platform/src/table.rs
+++ b/lovagedock-platform/src/table.rs
@@ -10,14 +10,14 @@
 };
 
 /// Objects by key with the revision of their last change.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct ObjectTable {
     revision: Revision,
     objects: BTreeMap<String, ObjectSlot>,
 }
 
 /// What is known of one key; a deleted object keeps its slot so that watches learn of it.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct ObjectSlot {
     changed: Revision,
     value: Option<Bytes>,
--- a/lovagedock-standin/src/platform/mod.rs
+++ b/lovagedock-standin/src/platform/mod.rs
@@ -12,6 +12,7 @@
 
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use lovagedock_platform::ObjectTable;
 use tokio::{net::TcpListener, task::JoinHandle, task::JoinSet};
 
 pub use faults::{FaultKind, FaultOrder};
@@ -96,6 +97,16 @@
         self.platform.set_fault(order);
     }
 
+    /// What its store holds now.
+    pub fn copy_store(&self) -> ObjectTable {
+        self.platform.copy()
+    }
+
+    /// Lets its store come back from a copy.
+    pub fn restore_store(&self, copy: ObjectTable) {
+        self.platform.restore(copy);
+    }
+
     /// Lets the calls go on that a slow fault holds back now, before their delay has passed.
     pub fn release_delayed(&self) {
         self.platform.release_delayed();
--- a/lovagedock-standin/src/platform/state.rs
+++ b/lovagedock-standin/src/platform/state.rs
@@ -154,6 +154,18 @@
         self.inner.lock().table.list(prefix)
     }
 
+    /// What it holds now.
+    pub(crate) fn copy(&self) -> ObjectTable {
+        self.inner.lock().table.clone()
+    }
+
+    /// Comes back from a copy: what was written since is gone and its revisions are given out again.
+    pub(crate) fn restore(&self, copy: ObjectTable) {
+        let mut state = self.inner.lock();
+        state.table = copy;
+        self.changed.send_replace(state.table.revision());
+    }
+
     /// Waits for a change; a watch that has to wait takes further reads from the rate.
     pub(crate) async fn watch(
         &self,
