Fleets with sidecars: a watch of the root notices that the store came back

Cause: StoreReader compares the answer of its watch with nothing; after a return it asks for changes after a revision that the store gives out again later. Change: an answer whose revision is lower than the root's makes it read the root and go on from there; both stand-ins answer at once, as the contract now says, where they do not have the revision. Ruled out: the relay's judgement (a generation never goes back; the test checks it all the while).

--- a/lovagedock-gateway/src/relay/store.rs
+++ b/lovagedock-gateway/src/relay/store.rs
@@ -108,6 +108,15 @@
         }
         let watch = self.config.watch_root(last_read.revision, WATCH_WAIT);
         match watch.await {
+            Ok(change) if change.revision < last_read.revision => {
+                // The store came back from an older copy and gives its revisions out again: a root that
+                // is written now would not be told as a change after the old one. What the root says is
+                // for the relay to judge, which never goes back a generation.
+                warn!(self.log, "store came back from an older copy";
+                    "revision" => change.revision, "before" => last_read.revision);
+                self.last_read.lock().revision = change.revision;
+                self.read_root().await
+            }
             Ok(change) if change.keys.is_empty() => RootOutcome::Unchanged,
             Ok(change) => {
                 let outcome = self.read_root().await;
--- a/lovagedock-platform/src/memory.rs
+++ b/lovagedock-platform/src/memory.rs
@@ -246,7 +246,7 @@
         let mut changed = self.changed.subscribe();
         let mut batch = self.read(prefix, |table| table.changes(prefix, after))?;
         let deadline = tokio::time::Instant::now() + wait;
-        while batch.keys.is_empty() {
+        while batch.keys.is_empty() && batch.revision >= after {
             let Ok(Ok(())) = tokio::time::timeout_at(deadline, changed.changed()).await else {
                 break;
             };
--- a/lovagedock-platform/src/store.rs
+++ b/lovagedock-platform/src/store.rs
@@ -53,7 +53,8 @@
     ) -> Result<Vec<ObjectEntry>, StoreError>;
 
     /// Waits up to `wait` for a change after revision `after` under `prefix`; a batch without keys
-    /// says that there was none. The batch's revision is the `after` of the next call.
+    /// says that there was none. The batch's revision is the `after` of the next call. A store that came
+    /// back from an older copy may not have `after`; it then answers at once with its own revision.
     async fn watch(
         &self,
         prefix: &str,
--- a/lovagedock-standin/src/platform/state.rs
+++ b/lovagedock-standin/src/platform/state.rs
@@ -179,7 +179,8 @@
         let mut charged_until = Instant::now() + WATCH_SLICE;
         loop {
             let batch = self.inner.lock().table.changes(prefix, after);
-            if !batch.keys.is_empty() || Instant::now() >= deadline {
+            let is_known = batch.revision >= after;
+            if !batch.keys.is_empty() || !is_known || Instant::now() >= deadline {
                 return Ok(batch);
             }
             let wake = deadline.min(charged_until);
