--- a/lovagedock-gateway/src/direct/board/peers.rs
+++ b/lovagedock-gateway/src/direct/board/peers.rs
@@ -2,7 +2,9 @@
 
 use std::sync::atomic::Ordering;
 
-use lovagedock::{EndpointLife, LoadNews, PeerContact, PeerLoad, RequestFingerprint, prelude::*};
+use lovagedock::{
+    EndpointLife, LoadNews, PeerContact, PeerLoad, RequestFingerprint, WatchRole, prelude::*,
+};
 use lovagedock_platform::GatewayEntry;
 use slog::info;
 
@@ -20,10 +22,10 @@
         fleet.sight.hear(contact.heard_at, peer);
     }
 
-    /// Whether this gateway has to watch the store itself.
-    pub(crate) fn watches(&self) -> bool {
+    /// Whether this gateway has to watch the store itself, and for whom.
+    pub(crate) fn watch_role(&self) -> WatchRole {
         let now = self.clock.now();
-        self.fleet.lock().duty.watches(now, &self.name)
+        self.fleet.lock().duty.role(now, &self.name)
     }
 
     /// Takes in a gateway.
--- a/lovagedock-gateway/src/direct/feed.rs
+++ b/lovagedock-gateway/src/direct/feed.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use lovagedock::StorePosition;
+use lovagedock::{StorePosition, WatchRole};
 use lovagedock_platform::{FeedChange, FeedError, FeedSnapshot, FeedSubject, FleetFeed};
 use slog::{info, warn};
 use tokio::time::sleep;
@@ -17,6 +17,14 @@
 pub(super) const FIRST_PAUSE: Duration = Duration::from_millis(50);
 pub(super) const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
+/// Longest pause of a gateway that watches only because the watchers do not reach the store. Watchers find
+/// its return within 0.4 s and tell.
+const DEPUTY_PAUSE: Duration = Duration::from_millis(1500);
+
+/// Parts of a pause between which it is drawn: gateways lose the store in the same moment and must not all
+/// ask again in the same.
+const PAUSE_SPREAD: std::ops::RangeInclusive<f64> = 0.75..=1.0;
+
 /// Pause after changes, in which further ones gather: each call is paid for, and endpoints leave
 /// and configurations change within seconds.
 const COLLECT_TIME: Duration = Duration::from_millis(60);
@@ -53,7 +61,7 @@
     pub(crate) async fn run(mut self) {
         let mut is_known = false;
         loop {
-            if is_known && !self.board.watches() {
+            if is_known && self.board.watch_role() == WatchRole::Listener {
                 sleep(DUTY_INTERVAL).await;
                 continue;
             }
@@ -75,7 +83,7 @@
 
     /// Returns when the subject has to be read as a whole, or somebody else watches it.
     async fn follow(&mut self, mut position: StorePosition) {
-        while self.board.watches() {
+        while self.board.watch_role() != WatchRole::Listener {
             match self.feed.follow(self.subject, position, WATCH_WAIT).await {
                 // What was missed may be entries that lapsed.
                 Ok(_) if self.failing => return,
@@ -128,8 +136,12 @@
             warn!(self.board.log, "store lost";
                 "subject" => self.subject.as_str(), "error" => %error);
         }
-        sleep(self.pause).await;
-        self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+        sleep(self.pause.mul_f64(rand::random_range(PAUSE_SPREAD))).await;
+        let longest = match self.board.watch_role() {
+            WatchRole::Deputy => DEPUTY_PAUSE,
+            WatchRole::Watcher | WatchRole::Listener => LONGEST_PAUSE,
+        };
+        self.pause = (self.pause * 2).min(longest);
     }
 
     fn apply_snapshot(&self, snapshot: FeedSnapshot, after_outage: bool) {
--- a/lovagedock/src/direct/duty.rs
+++ b/lovagedock/src/direct/duty.rs
@@ -23,6 +23,19 @@
     pub store_reachable: bool,
 }
 
+/// What a gateway does to learn of changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatchRole {
+    /// It watches the store and tells the others.
+    Watcher,
+    /// It watches since too few of the watchers reach the store. When the store is down for all, every
+    /// gateway is one: asking as often as watchers do, they would spend the store's rate on failed calls
+    /// just as it comes back.
+    Deputy,
+    /// It takes what the watchers tell.
+    Listener,
+}
+
 /// Decides whether a gateway watches the store itself.
 ///
 /// Each call of the store is paid for and its rate grows more slowly than the fleet, so not every
@@ -44,8 +57,8 @@
         self.peers.insert(peer, contact);
     }
 
-    /// Whether the gateway `own` has to watch.
-    pub fn watches(&self, now: Timestamp, own: &GatewayId) -> bool {
+    /// What the gateway `own` has to do.
+    pub fn role(&self, now: Timestamp, own: &GatewayId) -> WatchRole {
         let heard = |contact: &PeerContact| now.saturating_sub(contact.heard_at) <= WATCHER_SILENCE;
         let peers = self.peers.iter().filter(|(_, contact)| heard(contact));
         let mut names: Vec<&GatewayId> = peers.map(|(name, _)| name).collect();
@@ -53,13 +66,16 @@
         names.sort();
         let watchers = spread(&names, WATCHERS);
         if watchers.contains(&own) {
-            return true;
+            return WatchRole::Watcher;
         }
         let reachable = watchers.iter().filter(|name| {
             let contact = self.peers.get(**name);
             contact.is_some_and(|contact| contact.store_reachable)
         });
-        reachable.count() < WATCHERS_NEEDED
+        match reachable.count() < WATCHERS_NEEDED {
+            true => WatchRole::Deputy,
+            false => WatchRole::Listener,
+        }
     }
 
     /// Peers that were heard lately.
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -40,7 +40,7 @@
 pub use config::{
     CallerBounds, RouteMatch, RouteMode, RouteRule, RouteTarget, ServiceProfile, TrafficConfig,
 };
-pub use duty::{PeerContact, WatchDuty};
+pub use duty::{PeerContact, WatchDuty, WatchRole};
 pub use endpoints::{DirectEndpoint, EndpointState, EndpointTable, EntryNews};
 pub use engine::EngineProfile;
 pub use events::{EventSplitter, StreamEvent};
--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -69,8 +69,8 @@
     ProcessEnd, ProcessTag, RefusalLog, RequestFingerprint, RetryShare, RetryShareSettings,
     RouteMatch, RouteMode, RouteRule, RouteTarget, ServiceProfile, StopPlan, StoppageWatch,
     StorePosition, StreamEvent, SuspectLedger, SuspectNews, SuspectReport, SuspectTelling,
-    TrafficConfig, WaitingLine, WatchDuty, WorkKey, WorkLedger, WriterGroup, WriterTable,
-    format_fingerprint, keep_suspects_apart, short_lane_size,
+    TrafficConfig, WaitingLine, WatchDuty, WatchRole, WorkKey, WorkLedger, WriterGroup,
+    WriterTable, format_fingerprint, keep_suspects_apart, short_lane_size,
 };
 pub use endpoint::{
     EndpointAction, EndpointCore, EndpointEvent, EndpointLimits, EndpointLoad, EndpointSafeguards,
--- a/lovagedock/tests/direct_state.rs
+++ b/lovagedock/tests/direct_state.rs
@@ -7,7 +7,7 @@
 use lovagedock::{
     DirectEndpoint, EndpointLife, EndpointState, EndpointTable, EntryNews, EventSplitter,
     PeerContact, RetryShare, RetryShareSettings, RouteMatch, RouteMode, RouteRule, RouteTarget,
-    ServiceProfile, StopPlan, TrafficConfig, WatchDuty, prelude::*,
+    ServiceProfile, StopPlan, TrafficConfig, WatchDuty, WatchRole, prelude::*,
 };
 
 fn route(name: &str, host: &str, prefix: &str) -> RouteRule {
@@ -154,7 +154,7 @@
     own: &'static str,
     /// Name, time since it was heard, whether it reaches the store.
     peers: &'static [(&'static str, u64, bool)],
-    watches: bool,
+    role: WatchRole,
 }
 
 /// Three watch, the others rely on them as long as two are heard and reach the store.
@@ -163,13 +163,13 @@
         name: "alone",
         own: "a1",
         peers: &[],
-        watches: true,
+        role: WatchRole::Watcher,
     },
     DutyCase {
         name: "one of three",
         own: "a2",
         peers: &[("a1", 100, true), ("b1", 100, true)],
-        watches: true,
+        role: WatchRole::Watcher,
     },
     DutyCase {
         name: "beside three watchers",
@@ -181,7 +181,7 @@
             ("c1", 100, true),
             ("c2", 100, true),
         ],
-        watches: false,
+        role: WatchRole::Listener,
     },
     DutyCase {
         name: "beside watchers of which one reaches the store",
@@ -193,7 +193,7 @@
             ("c1", 100, false),
             ("c2", 100, true),
         ],
-        watches: true,
+        role: WatchRole::Deputy,
     },
     DutyCase {
         name: "beside watchers that are silent",
@@ -204,7 +204,7 @@
             ("b2", 2_000, true),
             ("c1", 2_000, true),
         ],
-        watches: true,
+        role: WatchRole::Watcher,
     },
 ];
 
@@ -220,12 +220,7 @@
             };
             duty.hear((*name).into(), contact);
         }
-        assert_eq!(
-            duty.watches(now, &case.own.into()),
-            case.watches,
-            "{}",
-            case.name
-        );
+        assert_eq!(duty.role(now, &case.own.into()), case.role, "{}", case.name);
     }
 }
 
