--- a/lovagedock-standin/tests/violations.rs
+++ b/lovagedock-standin/tests/violations/cases.rs
@@ -1,139 +1,22 @@
-//! Each violation counter can count, and counts nothing in journals that keep the promises.
+//! Journals with one violation each, and with none.
 
 use std::time::Duration;
 
-use lovagedock::{LengthBucket, RanState, RequestId, ResultCode};
+use lovagedock::{RanState, ResultCode};
 use lovagedock_standin::load::{
-    AnswerCheck, CallEnding, CallRecord, CallerJournal, ConfigChange, ExecutionJournal,
-    ExecutionRecord, FleetJournal, HoldingRecord, LeaveRecord, LeavingParty, RuledOut,
-    ViolationCounts, ViolationLimits, ViolationNote, count_violations, note_violations,
+    AnswerCheck, CallEnding, CallRecord, ConfigChange, ExecutionRecord, HoldingRecord, LeaveRecord,
+    LeavingParty, RuledOut, ViolationCounts,
 };
 
-const fn seconds(seconds: u64) -> Duration {
-    Duration::from_secs(seconds)
-}
-
-/// A complete call of request `id`, sent at 1 s and ended at 2 s.
-fn call(id: RequestId) -> CallRecord {
-    CallRecord {
-        number: id as u64,
-        request: Some(id),
-        organisation: "outlets".into(),
-        service: "counter".into(),
-        bucket: Some(LengthBucket::K1),
-        key: None,
-        non_idempotent: false,
-        gateway: "gateway-1".to_owned(),
-        intended_at: seconds(1),
-        sent_at: seconds(1),
-        first_token_at: Some(seconds(1)),
-        token_gaps: Vec::new(),
-        ended_at: seconds(2),
-        deadline: seconds(5),
-        ending: CallEnding::Complete,
-        answer: AnswerCheck::Whole,
-        answer_digest: Some([1; 32]),
-    }
-}
-
-fn keyed(id: RequestId, key: &str) -> CallRecord {
-    CallRecord {
-        key: Some(key.to_owned()),
-        non_idempotent: true,
-        ..call(id)
-    }
-}
-
-fn refused(id: RequestId) -> CallRecord {
-    failed(id, ResultCode::NoCapacity, RanState::No)
-}
-
-fn failed(id: RequestId, code: ResultCode, ran: RanState) -> CallRecord {
-    CallRecord {
-        ending: CallEnding::Problem {
-            code: code.number(),
-            ran,
-        },
-        answer: AnswerCheck::Beginning,
-        answer_digest: None,
-        ..call(id)
-    }
-}
-
-/// Request `id` ran on `engine-1` from 1 s to 2 s.
-fn start(id: RequestId) -> ExecutionRecord {
-    start_at(id, seconds(1))
-}
-
-fn start_at(id: RequestId, at: Duration) -> ExecutionRecord {
-    ExecutionRecord {
-        request: id,
-        key: None,
-        endpoint: "engine-1".into(),
-        started_at: at,
-        ended_at: Some(at + seconds(1)),
-    }
-}
-
-fn leave(party: LeavingParty, at: Duration) -> LeaveRecord {
-    LeaveRecord {
-        party,
-        began_at: at,
-        gone_at: None,
-    }
-}
-
-fn engine_leaves(at: Duration) -> LeaveRecord {
-    leave(LeavingParty::Endpoint("engine-1".into()), at)
-}
-
-fn rules_out(ruled_out: RuledOut, at: Duration) -> ConfigChange {
-    ConfigChange {
-        accepted_at: at,
-        lifted_at: None,
-        ruled_out,
-    }
-}
-
-#[derive(Default)]
-struct Journals {
-    calls: Vec<CallRecord>,
-    starts: Vec<ExecutionRecord>,
-    holdings: Vec<HoldingRecord>,
-    leaves: Vec<LeaveRecord>,
-    changes: Vec<ConfigChange>,
-}
-
-impl Journals {
-    fn count(self) -> ViolationCounts {
-        self.examine().0
-    }
-
-    fn examine(self) -> (ViolationCounts, Vec<ViolationNote>) {
-        let callers = CallerJournal { calls: self.calls };
-        let executions = ExecutionJournal {
-            starts: self.starts,
-            holdings: self.holdings,
-        };
-        let fleet = FleetJournal {
-            leaves: self.leaves,
-            changes: self.changes,
-        };
-        let limits = ViolationLimits::default();
-        (
-            count_violations(&callers, &executions, &fleet, &limits),
-            note_violations(&callers, &executions, &fleet, &limits),
-        )
-    }
-}
+use super::records::*;
 
-struct CountCase {
-    name: &'static str,
-    journals: fn() -> Journals,
-    expected: ViolationCounts,
+pub(crate) struct CountCase {
+    pub(crate) name: &'static str,
+    pub(crate) journals: fn() -> Journals,
+    pub(crate) expected: ViolationCounts,
 }
 
-const NONE: ViolationCounts = ViolationCounts {
+pub(crate) const NONE: ViolationCounts = ViolationCounts {
     no_outcome_in_time: 0,
     cut_answers: 0,
     wrong_answers: 0,
@@ -146,7 +29,7 @@
     leaked_blocks: 0,
 };
 
-const CASES: &[CountCase] = &[
+pub(crate) const CASES: &[CountCase] = &[
     CountCase {
         name: "a complete call",
         journals: || Journals {
@@ -525,43 +408,3 @@
         },
     },
 ];
-
-#[test]
-fn each_violation_is_counted_once_and_nothing_else_is() {
-    for case in CASES {
-        let counts = (case.journals)().count();
-        assert_eq!(counts, case.expected, "{}", case.name);
-    }
-}
-
-/// Counters that count calls; the others count starts, deliveries and blocks.
-const CALL_COUNTERS: [&str; 5] = [
-    "no_outcome_in_time",
-    "cut_answers",
-    "wrong_answers",
-    "ran_after_not_run",
-    "cut_by_shutdown",
-];
-
-#[test]
-fn each_counted_call_is_named() {
-    for case in CASES {
-        let (counts, notes) = (case.journals)().examine();
-        let named = counts.named();
-        let calls = named
-            .iter()
-            .filter(|(name, _)| CALL_COUNTERS.contains(name));
-        for (counter, count) in calls {
-            let noted = notes.iter().filter(|note| note.counter == *counter);
-            assert_eq!(noted.count() as u64, *count, "{}: {counter}", case.name);
-        }
-    }
-}
-
-#[test]
-fn every_counter_has_a_case_that_moves_it() {
-    for (index, (name, _)) in NONE.named().iter().enumerate() {
-        let moved = CASES.iter().any(|case| case.expected.named()[index].1 > 0);
-        assert!(moved, "{name}");
-    }
-}
