--- a/lovagedock-gateway/src/direct/tickets.rs
+++ b/lovagedock-gateway/src/direct/tickets.rs
@@ -26,10 +26,11 @@
 /// Time between renewals: three may be lost before the reservation lapses.
 const RENEW_INTERVAL: Duration = Duration::from_millis(900);
 
-/// A renewal is left out while the engine that has the request is not seen. Once one was, only what that
-/// engine sends proves that it still has it: the next process at its address takes connections as well.
+/// Whether the engine that has a request is known to live, so that its helpers keep their memory.
 ///
-/// Without this, the memory of helpers is kept for a request that ended with its engine.
+/// Renewed without that, the memory is kept for a request that ended with its engine. After the engine was
+/// not seen once, only what it sends proves that it still has the request: the next process at its address
+/// takes connections as well.
 struct LeadProof {
     watch: LivenessWatch,
     missed_at: Option<Timestamp>,
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -3,7 +3,9 @@
 //! [`TrafficConfig`] is what operators want, [`EndpointTable`] what is known of endpoints,
 //! [`WorkLedger`] what all gateways have placed on them. [`DirectPlacer`] chooses endpoints by the
 //! [`EngineProfile`], [`WaitingLine`] says who may wait, and [`DirectMachine`] what follows each
-//! attempt; [`SuspectLedger`] finds requests that end the engines that run them. None of them reads a clock or does input or output.
+//! attempt; [`SuspectLedger`] finds requests that end the engines that run them. [`EndpointListing`] says
+//! which list of endpoints holds while the store loses and regains its history. None of them reads a
+//! clock or does input or output.
 
 mod choice;
 mod config;
--- a/lovagedock/tests/direct_lives.rs
+++ b/lovagedock/tests/direct_lives.rs
@@ -29,6 +29,8 @@
 #[derive(Clone, Copy, Debug)]
 enum Told {
     Entry(StartStamp, EndpointState),
+    /// An entry of a copy from which the store has come back.
+    Restored(StartStamp, EndpointState),
     Gone,
     /// Time passes; entries that nobody overwrote are believed.
     Seconds(u64),
@@ -42,6 +44,41 @@
 }
 
 const LIFE_CASES: &[LifeCase] = &[
+    LifeCase {
+        name: "a process that left and stands in the copy gets no work at once",
+        told: &[
+            Told::Entry(5, READY),
+            Told::Gone,
+            Told::Restored(5, READY),
+            Told::Seconds(1),
+        ],
+        known: None,
+    },
+    LifeCase {
+        name: "the same is believed when it writes its entry again",
+        told: &[
+            Told::Entry(5, READY),
+            Told::Gone,
+            Told::Restored(5, READY),
+            Told::Entry(5, READY),
+        ],
+        known: Some((5, READY)),
+    },
+    LifeCase {
+        name: "the same is believed when its entry stands, and still drains",
+        told: &[
+            Told::Entry(5, DRAINING),
+            Told::Gone,
+            Told::Restored(5, READY),
+            Told::Seconds(5),
+        ],
+        known: Some((5, DRAINING)),
+    },
+    LifeCase {
+        name: "a process that was not known serves at once",
+        told: &[Told::Restored(5, READY)],
+        known: Some((5, READY)),
+    },
     LifeCase {
         name: "the next process takes work though the former one drained",
         told: &[Told::Entry(5, DRAINING), Told::Entry(9, READY)],
@@ -102,6 +139,9 @@
             Told::Entry(started, state) => {
                 table.insert(now, entry(*started, *state));
             }
+            Told::Restored(started, state) => {
+                table.insert_restored(now, entry(*started, *state));
+            }
             Told::Gone => {
                 table.remove(&"i-1".into());
             }
--- a/lovagedock/tests/direct_machine.rs
+++ b/lovagedock/tests/direct_machine.rs
@@ -184,3 +184,22 @@
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
+
+/// A request whose engine fell silent and is gone may be sent once more than its route allows, and no
+/// more: one that is lost again and again may be what ends the engines.
+#[test]
+fn one_silent_end_is_excused() {
+    let mut machine = DirectMachine::new(RouteMode::Idempotent, 2, ms(10_000));
+    let mut sent = 0;
+    loop {
+        machine.begin_sending();
+        sent += 1;
+        machine.excuse_attempt();
+        let endpoint = EndpointLife::new(format!("i-{sent}"), 1);
+        let step = machine.attempt_ended(ms(10), &endpoint, AttemptEnd::Lost, || true);
+        if step != (DirectStep::Place { resume: false }) {
+            break;
+        }
+    }
+    assert_eq!(sent, 3);
+}
