--- a/lovagedock/src/direct/listing.rs
+++ b/lovagedock/src/direct/listing.rs
@@ -48,7 +48,7 @@
 /// The failure that it answers: after an outage, or in a copy from before they registered, entries of
 /// endpoints are missing that serve. Taken as gone at once, these would get no work until they have
 /// written again, and a fleet whose endpoints all registered lately would refuse every request. So
-/// what is missing is kept for [`RETURN_TIME`] from the moment at which the store was read again, and
+/// what is missing is kept for 2.2 s from the moment at which the store was read again, and
 /// dropped then unless it was written meanwhile.
 #[derive(Clone, Debug, Default)]
 pub struct EndpointListing {
