Log and count what a stopping gateway takes and what its end cuts

When a gateway ended under a request there was no line for it, only a count of open connections, and nothing told why it had been taken. So a stop whose estimate was wrong could not be told from an answer longer than its hint, a wait, or a second attempt.

Now each request that comes after the request to stop has a line with the time left and the longest time reckoned, and each one that the end cuts a line with where its time went. Two counters beside them. For the line to be written, requests end 100 ms before the process does; that moment is the one at which the process ended before. What is taken is unchanged.

--- a/lovagedock-gateway/src/direct/board/mod.rs
+++ b/lovagedock-gateway/src/direct/board/mod.rs
@@ -10,7 +10,7 @@
 use std::{
     collections::HashMap,
     sync::{
-        Arc, OnceLock,
+        Arc,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -25,7 +25,10 @@
 use lovagedock_daemon::ProcessClock;
 use parking_lot::Mutex;
 use slog::{Logger, info};
-use tokio::sync::{Notify, futures::Notified};
+use tokio::{
+    sync::{Notify, futures::Notified, watch},
+    time::sleep_until,
+};
 
 use self::state::FleetState;
 use super::{fleet_tag::FleetTag, journal::LineBudget};
@@ -86,7 +89,7 @@
     gateways_listed: AtomicBool,
     hears_serving: AtomicBool,
     store_reachable: AtomicBool,
-    stopping: OnceLock<StopPlan>,
+    stopping: watch::Sender<Option<StopPlan>>,
     /// Bounds lines about requests.
     pub(crate) lines: LineBudget,
     /// Log of the process.
@@ -139,7 +142,7 @@
             gateways_listed: AtomicBool::new(false),
             hears_serving: AtomicBool::new(false),
             store_reachable: AtomicBool::new(false),
-            stopping: OnceLock::new(),
+            stopping: watch::Sender::new(None),
             lines: LineBudget::new(),
             log,
         }
@@ -197,20 +200,34 @@
         self.store_reachable.load(Ordering::Relaxed)
     }
 
-    /// Says that the gateway stops.
+    /// Says that the gateway stops; a second request to stop changes nothing.
     pub(crate) fn set_stopping(&self, plan: StopPlan) {
-        // A stop is asked for once; a second request changes nothing.
-        let _ = self.stopping.set(plan);
+        self.stopping.send_if_modified(|stopping| {
+            let is_first = stopping.is_none();
+            stopping.get_or_insert(plan);
+            is_first
+        });
     }
 
     /// How the gateway stops, if it does.
     pub(crate) fn stop_plan(&self) -> Option<StopPlan> {
-        self.stopping.get().copied()
+        *self.stopping.borrow()
     }
 
     /// Whether the gateway drains.
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.get().is_some()
+        self.stop_plan().is_some()
+    }
+
+    /// Waits until the gateway has been asked to stop and the time of its requests is over.
+    pub(crate) async fn stop_ended(&self) {
+        let mut plans = self.stopping.subscribe();
+        // The sender lives in `self`, so the channel cannot close meanwhile.
+        let plan = plans.wait_for(Option::is_some).await;
+        let ends_at = plan.ok().and_then(|plan| plan.map(|plan| plan.ends_at()));
+        if let Some(ends_at) = ends_at {
+            sleep_until(self.clock.instant_at(ends_at).into()).await;
+        }
     }
 
     /// Whether the gateway takes new connections.
--- a/lovagedock-gateway/src/direct/call/log.rs
+++ b/lovagedock-gateway/src/direct/call/log.rs
@@ -89,6 +89,41 @@
         }
     }
 
+    /// Says that the gateway ends under the request, and where its time went until then.
+    pub(super) fn note_cut(&self) {
+        let now = self.board.clock.now();
+        let stage = match (self.way.has_begun(), self.machine.sent()) {
+            (true, _) => "answering",
+            (false, 0) => "waiting",
+            (false, _) => "sent",
+        };
+        metrics::counter!("lovagedock_requests_cut_by_stop_total", "stage" => stage).increment(1);
+        let (Some(plan), Some(left_out)) = (self.board.stop_plan(), self.board.lines.take(now))
+        else {
+            return;
+        };
+        let arrived = self.parts.arrived;
+        let placed = self.placed.as_ref();
+        info!(self.board.log, "cut by the stop";
+            "request" => &self.parts.head.request,
+            "fingerprint" => format_fingerprint(self.fingerprint),
+            "route" => &self.parts.route.name,
+            "stage" => stage,
+            "endpoint" => placed.map(|(endpoint, _)| endpoint.to_string()),
+            "waited_ms" => placed.map(|(_, waited)| waited.as_millis() as u64),
+            "prompt" => self.parts.head.prompt,
+            "answer" => self.parts.head.expected_answer(),
+            "answer_limit" => self.parts.head.answer_limit,
+            "sent" => self.machine.sent(),
+            "events" => self.stream.events(),
+            "first_event_ms" => self.first_event().map(|first| first.as_millis() as u64),
+            "longest_gap_ms" => self.stream.longest_gap().as_millis() as u64,
+            "silent_ms" => self.silence().as_millis() as u64,
+            "stopping_ms" => arrived.as_millis() as i64 - plan.asked_at().as_millis() as i64,
+            "left_ms" => plan.ends_at().saturating_sub(arrived).as_millis() as u64,
+            "left_out" => left_out);
+    }
+
     pub(super) fn note_end(&self, code: ResultCode) {
         let now = self.board.clock.now();
         let took = now.saturating_sub(self.parts.arrived);
--- a/lovagedock-gateway/src/direct/call/mod.rs
+++ b/lovagedock-gateway/src/direct/call/mod.rs
@@ -70,6 +70,8 @@
     fingerprint: RequestFingerprint,
     retry_after: Option<Duration>,
     failure: Option<WholeAnswer>,
+    /// Endpoint of the present attempt, and the time from the request to its place there.
+    placed: Option<(EndpointLife, Duration)>,
 }
 
 impl DirectCall {
@@ -109,23 +111,40 @@
             sent_at: Instant::now(),
             retry_after: None,
             failure: None,
+            placed: None,
         }
     }
 
-    /// Runs it to the end.
+    /// Runs it to its end or to that of the gateway.
     pub(crate) async fn run(mut self) {
         self.board.record_request(&self.parts.service);
+        let board = Arc::clone(&self.board);
+        let ended = tokio::select! {
+            biased;
+            code = self.run_steps() => Some(code),
+            () = board.stop_ended() => None,
+        };
+        let code = match ended {
+            Some(code) => code,
+            None => {
+                self.note_cut();
+                ResultCode::EndpointLost
+            }
+        };
+        self.note_end(code);
+    }
+
+    async fn run_steps(&mut self) -> ResultCode {
         let mut step = DirectStep::Place { resume: false };
-        let code = loop {
+        loop {
             step = match step {
                 DirectStep::Place { resume } => self.attempt(resume).await,
-                DirectStep::DeliverFailure => break self.deliver_failure(),
-                DirectStep::Answer(code) => break self.answer(code),
-                DirectStep::Cut => break ResultCode::EndpointLost,
-                DirectStep::Done => break ResultCode::Complete,
+                DirectStep::DeliverFailure => return self.deliver_failure(),
+                DirectStep::Answer(code) => return self.answer(code),
+                DirectStep::Cut => return ResultCode::EndpointLost,
+                DirectStep::Done => return ResultCode::Complete,
             };
-        };
-        self.note_end(code);
+        }
     }
 
     async fn attempt(&mut self, resume: bool) -> DirectStep {
@@ -136,6 +155,8 @@
         self.note_placed(&placed);
         let lead = placed.lead.clone();
         let endpoint = lead.life.clone();
+        let waited = self.board.clock.now().saturating_sub(self.parts.arrived);
+        self.placed = Some((endpoint.clone(), waited));
         let Some(end) = self.exchange(placed, resume).await else {
             // Nobody is left to answer.
             return DirectStep::Done;
--- a/lovagedock-gateway/src/direct/front.rs
+++ b/lovagedock-gateway/src/direct/front.rs
@@ -40,9 +40,12 @@
 /// Pause after an accept that failed, since such errors repeat at once until files are closed.
 pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Time before the process is killed at which it ends by itself.
+/// Time before the process is killed at which all requests have ended.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 
+/// Time after the end of all requests in which their last bytes and log lines go out.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(100);
+
 /// Time for the request of a connection that is taken while the gateway stops.
 const LATE_REQUEST_TIME: Duration = Duration::from_millis(700);
 
@@ -93,10 +96,8 @@
             info!(front.log, "draining"; "connections" => connections.len());
             sleep_until(front.instant(plan.takes_all_until())).await;
             connections.close();
-            if timeout_at(front.instant(plan.ends_at()), connections.wait())
-                .await
-                .is_err()
-            {
+            let last = front.instant(plan.ends_at()) + LAST_ANSWERS_TIME;
+            if timeout_at(last, connections.wait()).await.is_err() {
                 warn!(front.log, "stopping with open connections";
                     "connections" => connections.len());
             }
@@ -233,7 +234,38 @@
         };
         let head = &call.head;
         let longest = service.longest_time(head.prompt, head.expected_answer(), head.answer_limit);
-        plan.takes(self.board.clock.now(), longest)
+        let now = self.board.clock.now();
+        let is_taken = plan.takes(now, longest);
+        self.note_stop_decision(call, &plan, longest, is_taken);
+        is_taken
+    }
+
+    fn note_stop_decision(
+        &self,
+        call: &CallParts,
+        plan: &StopPlan,
+        longest: Duration,
+        is_taken: bool,
+    ) {
+        let outcome = if is_taken { "taken" } else { "refused" };
+        metrics::counter!("lovagedock_requests_while_stopping_total", "outcome" => outcome)
+            .increment(1);
+        let now = self.board.clock.now();
+        let Some(left_out) = self.board.lines.take(now) else {
+            return;
+        };
+        info!(self.log, "request while stopping";
+            "request" => &call.head.request,
+            "route" => &call.route.name,
+            "outcome" => outcome,
+            "stopping_ms" => now.saturating_sub(plan.asked_at()).as_millis() as u64,
+            "left_ms" => plan.ends_at().saturating_sub(now).as_millis() as u64,
+            "longest_ms" => longest.as_millis() as u64,
+            "prompt" => call.head.prompt,
+            "answer" => call.head.expected_answer(),
+            "answer_limit" => call.head.answer_limit,
+            "config" => call.config.version,
+            "left_out" => left_out);
     }
 
     fn reject(&self, request: &str, code: ResultCode) -> Response<AnswerBody> {
--- a/lovagedock-gateway/tests/direct_support/dialect.rs
+++ b/lovagedock-gateway/tests/direct_support/dialect.rs
@@ -24,8 +24,8 @@
             key: text(headers, "x-key"),
             deadline: number("x-deadline-ms").map(Duration::from_millis),
             prompt: number("x-prompt").unwrap_or(0),
-            answer_limit: None,
-            answer_hint: None,
+            answer_limit: number("x-answer-limit"),
+            answer_hint: number("x-answer-hint"),
             resume_after: None,
         }
     }
--- a/lovagedock-gateway/tests/direct_support/endpoint.rs
+++ b/lovagedock-gateway/tests/direct_support/endpoint.rs
@@ -4,11 +4,13 @@
     collections::VecDeque,
     net::SocketAddr,
     sync::{Arc, Mutex},
+    time::Duration,
 };
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    time::sleep,
 };
 
 /// What an endpoint does with a connection after it has read the request.
@@ -18,6 +20,12 @@
     Write(String),
     /// Writes this and then waits until the other side closes.
     WriteAndHold(String),
+    /// Waits, and writes these one after the other with the same pause between them; then closes.
+    WriteSlowly {
+        after: Duration,
+        pieces: Vec<String>,
+        pause: Duration,
+    },
     /// Resets the connection.
     Reset,
 }
@@ -88,12 +96,25 @@
         let (text, hold) = match script {
             EndpointScript::Write(text) => (text, false),
             EndpointScript::WriteAndHold(text) => (text, true),
+            EndpointScript::WriteSlowly {
+                after,
+                pieces,
+                pause,
+            } => {
+                sleep(after).await;
+                for piece in pieces {
+                    let piece = piece.replace("REQUEST", &id);
+                    if stream.write_all(piece.as_bytes()).await.is_err() {
+                        return;
+                    }
+                    sleep(pause).await;
+                }
+                return;
+            }
             EndpointScript::Reset => {
                 // Closing with a pending linger of nothing sends a reset.
                 let socket = socket2::SockRef::from(&stream);
-                socket
-                    .set_linger(Some(std::time::Duration::ZERO))
-                    .expect("a socket");
+                socket.set_linger(Some(Duration::ZERO)).expect("a socket");
                 return;
             }
         };
--- a/lovagedock-gateway/tests/direct_support/endpoint_scripts.rs
+++ b/lovagedock-gateway/tests/direct_support/endpoint_scripts.rs
@@ -1,5 +1,7 @@
 //! What endpoints answer.
 
+use std::time::Duration;
+
 use super::EndpointScript;
 
 /// A sealed answer with a body.
@@ -25,6 +27,26 @@
     text
 }
 
+/// A stream whose first event comes after `first`, and each further one `pause` later.
+pub(crate) fn slow_events(
+    first: Duration,
+    ids: std::ops::Range<u32>,
+    pause: Duration,
+) -> EndpointScript {
+    let last = ids.end;
+    let head = events(0..0, false);
+    let event = |id: u32| events(id..id + 1, id + 1 == last)[head.len()..].to_owned();
+    let mut pieces: Vec<String> = ids.map(event).collect();
+    if let Some(first) = pieces.first_mut() {
+        first.insert_str(0, &head);
+    }
+    EndpointScript::WriteSlowly {
+        after: first,
+        pieces,
+        pause,
+    }
+}
+
 /// The endpoint's word that a request did not run.
 pub(crate) fn not_run() -> EndpointScript {
     EndpointScript::Write(
--- a/lovagedock/src/direct/stopping.rs
+++ b/lovagedock/src/direct/stopping.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// When the stop was asked for.
+    pub fn asked_at(&self) -> Timestamp {
+        self.asked_at
+    }
+
     /// When the process ends by itself.
     pub fn ends_at(&self) -> Timestamp {
         self.ends_at
