Test that fails: answers taken late in a stop are cut by its end

All requests of a gateway end 3.7 s after the request to stop. Callers come 2.9 s after it; by the longest time reckoned, 564 ms of the 680 ms that may be used, they end in time. Four of six cases are cut after their answers have begun: an engine with passes of 140 ms, one that reads for others first, a second attempt, a wait for a place. The other two, a silent engine and a slow plain call, are not cut: their answers have not begun, so that they get a status.

Endpoints of tests can play one list of scripts together and write with pauses.

--- a/lovagedock-gateway/tests/direct_stops.rs
+++ b/lovagedock-gateway/tests/direct_stops.rs
@@ -2,14 +2,17 @@
 
 mod direct_support;
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use direct_support::{
-    LogLines, ScriptedEndpoint, TestFeed, TestGateway, config, endpoint_scripts as script, entry,
-    open_call, read_answer, settings, until,
+    EndpointScript, LogLines, SERVICE, ScriptedEndpoint, TestFeed, TestGateway, config,
+    endpoint_scripts as script, entry, open_call, open_call_with, read_answer, settings, until,
 };
+use futures::future::join_all;
+use lovagedock::{EngineProfile, ServiceProfile, TrafficConfig};
 use lovagedock_daemon::DaemonContext;
 use lovagedock_gateway::DirectSettings;
+use tokio::{io::AsyncWriteExt, net::TcpStream, time::sleep};
 
 /// Settings of a gateway that is killed so long after it was asked to stop.
 fn stop_settings(grace_s: f64) -> DirectSettings {
@@ -61,3 +64,169 @@
     assert_eq!(decided[0]["outcome"], "taken");
     assert!(decided[0]["left_ms"].as_u64().is_some_and(|left| left > 0));
 }
+
+/// An engine that writes 46 tokens in a pass of 46 ms when it is idle, and reads fast.
+const ENGINE: EngineProfile = EngineProfile {
+    slots: 4,
+    memory_tokens: 400_000,
+    steps_per_pass: 46,
+    step_ms: 1.0,
+    step_ms_per_writer: 0.005,
+    step_ms_per_1k_context: 0.0025,
+    read_tokens_per_ms: 250.0,
+    read_ms_per_1m_pairs: 0.1,
+};
+
+/// A configuration whose service has these engines.
+fn engine_config() -> TrafficConfig {
+    config(1).with_service(ServiceProfile {
+        id: SERVICE.into(),
+        max_connections: 100,
+        engine: Some(ENGINE),
+    })
+}
+
+/// The grace of the late stops below. All requests have ended 3.7 s after the request to stop.
+const LATE_GRACE_S: f64 = 4.0;
+
+/// When callers come in the late stops, after the request to stop.
+const LATE_ARRIVAL: Duration = Duration::from_millis(2_900);
+
+/// What endpoints do with a request that comes late in a stop.
+struct LateCase {
+    name: &'static str,
+    path: &'static str,
+    config: TrafficConfig,
+    endpoints: usize,
+    /// Played in the order in which requests come to any endpoint.
+    scripts: Vec<EndpointScript>,
+    slots: u32,
+    /// Requests that come just before the late one.
+    before: usize,
+}
+
+impl LateCase {
+    fn new(name: &'static str, scripts: Vec<EndpointScript>) -> Self {
+        Self {
+            name,
+            path: "/stream/x",
+            config: engine_config(),
+            endpoints: 1,
+            scripts,
+            slots: 4,
+            before: 0,
+        }
+    }
+
+    fn with_endpoints(mut self, endpoints: usize) -> Self {
+        self.endpoints = endpoints;
+        self
+    }
+
+    fn with_plain_path(mut self, path: &'static str) -> Self {
+        self.path = path;
+        self.config = config(1);
+        self
+    }
+
+    /// Requests that take all slots of the endpoints before the late one comes.
+    fn with_before(mut self, before: usize, slots: u32) -> Self {
+        self.before = before;
+        self.slots = slots;
+        self
+    }
+
+    /// Plays it; the problem if the late request's answer was cut.
+    async fn play(self) -> Option<String> {
+        let pool = ScriptedEndpoint::start_pool(self.endpoints, self.scripts).await;
+        let entries = pool.iter().enumerate().map(|(number, endpoint)| {
+            let mut entry = entry(&format!("i-{number}"), endpoint.address);
+            entry.slots = self.slots;
+            entry
+        });
+        let entries = entries.collect();
+        let feed = TestFeed::new(self.config, entries);
+        let mut settings = stop_settings(LATE_GRACE_S);
+        settings.fleet = Some(format!("{}-{}", std::process::id(), self.name));
+        let context = direct_support::daemon();
+        let gateway = TestGateway::start_with(settings, &feed, context).await;
+        let gateway = gateway.ready().await;
+        // Without a request under way the process would end before the late one comes.
+        let upload = open_upload(gateway.address()).await;
+        gateway.daemon.shutdown.trigger();
+        until(|| !gateway.gateway.is_ready()).await;
+        sleep(LATE_ARRIVAL).await;
+        let lines = "x-prompt: 1000\r\nx-answer-hint: 70\r\nx-answer-limit: 322\r\n";
+        let address = gateway.address();
+        for number in 0..self.before {
+            let id = format!("b{number}");
+            let stream = open_call_with(address, "/stream/b", &id, "secret", lines).await;
+            tokio::spawn(read_answer(stream));
+            sleep(Duration::from_millis(20)).await;
+        }
+        let stream = open_call_with(address, self.path, "late", "secret", lines).await;
+        let answer = read_answer(stream).await;
+        drop(upload);
+        gateway.gateway.wait().await.expect("the gateway stops");
+        let is_whole = match answer.status() {
+            0 => false,
+            200 => answer.is_complete() || answer.text.ends_with("whole"),
+            _ => true,
+        };
+        (!is_whole).then(|| format!("{}: {:?}", self.name, answer.text))
+    }
+}
+
+/// A request whose body does not come.
+async fn open_upload(gateway: SocketAddr) -> TcpStream {
+    let mut stream = TcpStream::connect(gateway).await.expect("it listens");
+    let head = "POST /once/u HTTP/1.1\r\nhost: fleet.example\r\nx-key: secret\r\n\
+                content-length: 4\r\n\r\n";
+    stream.write_all(head.as_bytes()).await.expect("it reads");
+    stream
+}
+
+/// Guards against a request that is taken late in a stop, since it should end in time, and cut.
+#[tokio::test]
+async fn a_stopping_gateway_cuts_no_answer_that_it_took_late() {
+    let ms = Duration::from_millis;
+    let pass = ms(60);
+    let cases = vec![
+        LateCase::new(
+            "passes of an engine that is full",
+            vec![script::slow_events(ms(140), 1..8, ms(140))],
+        ),
+        LateCase::new(
+            "an engine that reads for others first",
+            vec![script::slow_events(ms(600), 1..8, pass)],
+        ),
+        LateCase::new(
+            "a second attempt",
+            vec![
+                EndpointScript::Write(script::events(1..3, false)),
+                script::slow_events(ms(600), 3..8, pass),
+            ],
+        )
+        .with_endpoints(2),
+        LateCase::new(
+            "a wait for a place",
+            vec![
+                script::slow_events(ms(300), 1..3, pass),
+                script::slow_events(ms(300), 1..8, pass),
+            ],
+        )
+        .with_before(1, 1),
+        LateCase::new(
+            "an engine that is silent",
+            vec![script::slow_events(ms(60_000), 1..8, pass)],
+        ),
+        LateCase::new(
+            "a plain call that takes long",
+            vec![script::slow_answer(ms(1_500), "whole")],
+        )
+        .with_plain_path("/once/x"),
+    ];
+    let cut = join_all(cases.into_iter().map(LateCase::play)).await;
+    let cut: Vec<String> = cut.into_iter().flatten().collect();
+    assert!(cut.is_empty(), "{cut:#?}");
+}
--- a/lovagedock-gateway/tests/direct_support/endpoint.rs
+++ b/lovagedock-gateway/tests/direct_support/endpoint.rs
@@ -47,14 +47,31 @@
 impl ScriptedEndpoint {
     /// An endpoint that plays one script for each connection; after the last it resets.
     pub(crate) async fn start(scripts: impl IntoIterator<Item = EndpointScript>) -> Self {
-        let listener = TcpListener::bind(super::any_port())
-            .await
-            .expect("a port is free");
-        let address = listener.local_addr().expect("it listens");
+        let mut pool = Self::start_pool(1, scripts).await;
+        pool.remove(0)
+    }
+
+    /// So many endpoints that play scripts in the order in which requests come to any of them.
+    pub(crate) async fn start_pool(
+        count: usize,
+        scripts: impl IntoIterator<Item = EndpointScript>,
+    ) -> Vec<Self> {
         let state = Arc::new(Mutex::new(EndpointLog {
             scripts: scripts.into_iter().collect(),
             ..EndpointLog::default()
         }));
+        let mut pool = Vec::new();
+        for _ in 0..count {
+            pool.push(Self::listen(Arc::clone(&state)).await);
+        }
+        pool
+    }
+
+    async fn listen(state: Arc<Mutex<EndpointLog>>) -> Self {
+        let listener = TcpListener::bind(super::any_port())
+            .await
+            .expect("a port is free");
+        let address = listener.local_addr().expect("it listens");
         let endpoint = Self { address, state };
         let serving = endpoint.clone();
         tokio::spawn(async move {
--- a/lovagedock-gateway/tests/direct_support/endpoint_scripts.rs
+++ b/lovagedock-gateway/tests/direct_support/endpoint_scripts.rs
@@ -6,10 +6,23 @@
 
 /// A sealed answer with a body.
 pub(crate) fn sealed(status: &str, body: &str) -> EndpointScript {
-    EndpointScript::Write(format!(
+    EndpointScript::Write(sealed_text(status, body))
+}
+
+/// The same some time after the request.
+pub(crate) fn slow_answer(after: Duration, body: &str) -> EndpointScript {
+    EndpointScript::WriteSlowly {
+        after,
+        pieces: vec![sealed_text("200 OK", body)],
+        pause: Duration::ZERO,
+    }
+}
+
+fn sealed_text(status: &str, body: &str) -> String {
+    format!(
         "HTTP/1.1 {status}\r\nx-request: REQUEST\r\nx-seal: s\r\ncontent-length: {}\r\n\r\n{body}",
         body.len()
-    ))
+    )
 }
 
 /// The head of a stream and some of its events; `end` says whether it is complete.
