After its notice a stopping gateway takes only what its own time ends

What callers saw: an answer that was taken 3 to 5 s after the request to stop breaks off in the middle 7.7 s after it, when the gateway ends.

Cause: requests were taken late if their longest time fitted into 85% of what was left. The longest time was 70 ms a pass and one reading on an idle engine, constants of one fleet, judged once and before the place was known. Passes of an engine that is full or reads for others take longer, and a wait, reservations or a second attempt come on top.

Why this works: no time is reckoned any more. Fixed times of plain calls and passes are gone.

--- a/lovagedock-gateway/src/direct/call/mod.rs
+++ b/lovagedock-gateway/src/direct/call/mod.rs
@@ -29,9 +29,6 @@
 
 pub(crate) use parts::CallParts;
 
-/// Time before the caller's deadline at which we answer, so that the answer arrives in time.
-const ANSWER_MARGIN: Duration = Duration::from_millis(25);
-
 /// Silence of an engine beyond the predicted time that means that it is gone. An engine that is
 /// alive is late by a few passes of up to half a second.
 const FIRST_EVENT_PATIENCE: Duration = Duration::from_millis(1500);
@@ -47,9 +44,6 @@
 /// Silence between events after which another engine continues. Callers leave after two seconds.
 const GAP_PATIENCE: Duration = Duration::from_millis(1400);
 
-/// Longest time from a request to its answer when neither caller nor route say one.
-const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
-
 /// Time beyond its objective that a request which was refused before may wait for room. Callers of
 /// streams leave after two seconds without an event.
 const RETURN_PATIENCE: Duration = Duration::from_millis(900);
@@ -83,9 +77,7 @@
         way: CallerWay,
     ) -> Self {
         let route = &parts.route;
-        let wanted = parts.head.deadline.unwrap_or(DEFAULT_DEADLINE);
-        let allowed = wanted.saturating_sub(ANSWER_MARGIN).min(route.timeout);
-        let deadline = parts.arrived + allowed;
+        let deadline = parts.deadline();
         let late_at = parts.arrived + route.objective;
         let profile = parts.config.services.get(&parts.service);
         let engine = profile.and_then(|profile| profile.engine.as_ref());
--- a/lovagedock-gateway/src/direct/call/parts.rs
+++ b/lovagedock-gateway/src/direct/call/parts.rs
@@ -1,14 +1,20 @@
 //! What a request brings.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use hyper::{HeaderMap, Method};
-use lovagedock::{RequestFingerprint, RouteRule, TrafficConfig, prelude::*};
+use lovagedock::{LateRequest, RequestFingerprint, RouteRule, TrafficConfig, prelude::*};
 use xxhash_rust::xxh3::Xxh3Default;
 
 use crate::direct::dialect::CallerHead;
 
+/// Time before the caller's deadline at which we answer, so that the answer arrives in time.
+const ANSWER_MARGIN: Duration = Duration::from_millis(25);
+
+/// Longest time from a request to its answer when neither caller nor route say one.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
+
 /// A request that passed all checks.
 pub(crate) struct CallParts {
     /// Configuration that it was checked against.
@@ -36,6 +42,20 @@
 }
 
 impl CallParts {
+    /// When its time is over.
+    pub(crate) fn deadline(&self) -> Timestamp {
+        let wanted = self.head.deadline.unwrap_or(DEFAULT_DEADLINE);
+        let allowed = wanted.saturating_sub(ANSWER_MARGIN);
+        self.arrived + allowed.min(self.route.timeout)
+    }
+
+    /// What a stopping gateway has to know of it.
+    pub(crate) fn late_request(&self) -> LateRequest {
+        LateRequest {
+            deadline: self.deadline(),
+        }
+    }
+
     /// What the request asks and for whom, whatever id its attempt has. An organisation's keys change.
     pub(super) fn fingerprint(&self) -> RequestFingerprint {
         let mut hasher = Xxh3Default::new();
--- a/lovagedock-gateway/src/direct/front.rs
+++ b/lovagedock-gateway/src/direct/front.rs
@@ -94,7 +94,7 @@
             let plan = StopPlan::new(front.board.clock.now(), grace - EXIT_MARGIN.min(grace));
             front.board.set_stopping(plan);
             info!(front.log, "draining"; "connections" => connections.len());
-            sleep_until(front.instant(plan.takes_all_until())).await;
+            sleep_until(front.instant(plan.notice_ends_at())).await;
             connections.close();
             let last = front.instant(plan.ends_at()) + LAST_ANSWERS_TIME;
             if timeout_at(last, connections.wait()).await.is_err() {
@@ -154,7 +154,7 @@
             }
             self.shutdown.wait().await;
             if let Some(plan) = self.board.stop_plan() {
-                sleep_until(self.instant(plan.takes_all_until())).await;
+                sleep_until(self.instant(plan.notice_ends_at())).await;
             }
         };
         let ended = tokio::select! {
@@ -173,7 +173,7 @@
     fn takes_no_idle_connections(&self) -> bool {
         let now = self.board.clock.now();
         let plan = self.board.stop_plan();
-        plan.is_some_and(|plan| now >= plan.takes_all_until())
+        plan.is_some_and(|plan| now >= plan.notice_ends_at())
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Response<AnswerBody> {
@@ -207,7 +207,7 @@
             Ok(call) => call,
             Err(code) => return self.reject(&id, code),
         };
-        if !self.ends_in_time(&call) {
+        if !self.takes(&call) {
             return self.reject(&id, ResultCode::GatewayStopping);
         }
         let (way, response) = CallerWay::channel();
@@ -224,48 +224,32 @@
         }
     }
 
-    /// Whether a request surely ends before the process does.
-    fn ends_in_time(&self, call: &CallParts) -> bool {
+    /// Whether a request is taken; while the gateway stops, not all are.
+    fn takes(&self, call: &CallParts) -> bool {
         let Some(plan) = self.board.stop_plan() else {
             return true;
         };
-        let Some(service) = call.config.services.get(&call.service) else {
-            return true;
-        };
-        let head = &call.head;
-        let longest = service.longest_time(head.prompt, head.expected_answer(), head.answer_limit);
         let now = self.board.clock.now();
-        let is_taken = plan.takes(now, longest);
-        self.note_stop_decision(call, &plan, longest, is_taken);
-        is_taken
-    }
-
-    fn note_stop_decision(
-        &self,
-        call: &CallParts,
-        plan: &StopPlan,
-        longest: Duration,
-        is_taken: bool,
-    ) {
+        let request = call.late_request();
+        let is_taken = plan.takes(now, &request);
         let outcome = if is_taken { "taken" } else { "refused" };
         metrics::counter!("lovagedock_requests_while_stopping_total", "outcome" => outcome)
             .increment(1);
-        let now = self.board.clock.now();
-        let Some(left_out) = self.board.lines.take(now) else {
-            return;
-        };
-        info!(self.log, "request while stopping";
-            "request" => &call.head.request,
-            "route" => &call.route.name,
-            "outcome" => outcome,
-            "stopping_ms" => now.saturating_sub(plan.asked_at()).as_millis() as u64,
-            "left_ms" => plan.ends_at().saturating_sub(now).as_millis() as u64,
-            "longest_ms" => longest.as_millis() as u64,
-            "prompt" => call.head.prompt,
-            "answer" => call.head.expected_answer(),
-            "answer_limit" => call.head.answer_limit,
-            "config" => call.config.version,
-            "left_out" => left_out);
+        if let Some(left_out) = self.board.lines.take(now) {
+            info!(self.log, "request while stopping";
+                "request" => &call.head.request,
+                "route" => &call.route.name,
+                "outcome" => outcome,
+                "stopping_ms" => now.saturating_sub(plan.asked_at()).as_millis() as u64,
+                "left_ms" => plan.ends_at().saturating_sub(now).as_millis() as u64,
+                "deadline_ms" => request.deadline.saturating_sub(now).as_millis() as u64,
+                "prompt" => call.head.prompt,
+                "answer" => call.head.expected_answer(),
+                "answer_limit" => call.head.answer_limit,
+                "config" => call.config.version,
+                "left_out" => left_out);
+        }
+        is_taken
     }
 
     fn reject(&self, request: &str, code: ResultCode) -> Response<AnswerBody> {
--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -63,7 +63,7 @@
 pub use direct::{
     AttemptEnd, CallerBounds, CombinedLoad, DirectChoice, DirectEndpoint, DirectMachine,
     DirectPlacer, DirectRequest, DirectStep, EndEvidence, EndpointLife, EndpointListing,
-    EndpointState, EndpointTable, EngineProfile, EntryNews, EventSplitter, HelperPart,
+    EndpointState, EndpointTable, EngineProfile, EntryNews, EventSplitter, HelperPart, LateRequest,
     LineDecision, LineKind, LineSettings, ListingVersion, LoadNews, MISSED_GAP, MessageNews,
     PaceTracker, PeerContact, PeerHearing, PeerLoad, PeerSight, PlacedWork, PlacerCandidate,
     ProcessEnd, ProcessTag, RefusalLog, RequestFingerprint, RetryShare, RetryShareSettings,
