A stop tells callers whose answer has not begun whether the request may have run

What callers saw: a request that waited for a place, or was at a silent engine, when its gateway ended got no answer, or one that the gateway made up without knowing: 502 also where nothing had been sent.

Cause: nothing of a request knew of the end of the process. Now each request ends with the stop: never sent, or refused by all who had it, it is answered 503 with 2008 and a time to come back; sent and unanswered, 502 with the new code 2015. An answer that has begun still breaks off, since it may not look complete.

Why this works: the request's own task says it while the process lives; an attempt counts as one that may have run from its first byte until its end is known.

--- a/lovagedock-gateway/src/direct/call/log.rs
+++ b/lovagedock-gateway/src/direct/call/log.rs
@@ -92,10 +92,10 @@
     /// Says that the gateway ends under the request, and where its time went until then.
     pub(super) fn note_cut(&self) {
         let now = self.board.clock.now();
-        let stage = match (self.way.has_begun(), self.machine.sent()) {
+        let stage = match (self.way.has_begun(), self.machine.is_under_way()) {
             (true, _) => "answering",
-            (false, 0) => "waiting",
-            (false, _) => "sent",
+            (false, true) => "sent",
+            (false, false) => "waiting",
         };
         metrics::counter!("lovagedock_requests_cut_by_stop_total", "stage" => stage).increment(1);
         let (Some(plan), Some(left_out)) = (self.board.stop_plan(), self.board.lines.take(now))
--- a/lovagedock-gateway/src/direct/call/mod.rs
+++ b/lovagedock-gateway/src/direct/call/mod.rs
@@ -118,10 +118,7 @@
         };
         let code = match ended {
             Some(code) => code,
-            None => {
-                self.note_cut();
-                ResultCode::EndpointLost
-            }
+            None => self.end_with_gateway(),
         };
         self.note_end(code);
     }
@@ -361,6 +358,14 @@
         (first, limit.min(deadline))
     }
 
+    /// Ends it since the gateway ends: a caller that has nothing of the answer yet is told whether
+    /// the request may have run.
+    fn end_with_gateway(&mut self) -> ResultCode {
+        self.note_cut();
+        let code = self.machine.stopped();
+        self.answer(code)
+    }
+
     fn deliver_failure(&mut self) -> ResultCode {
         if let Some(failure) = self.failure.take() {
             // A caller that has gone needs no answer.
--- a/lovagedock-gateway/tests/direct_stops.rs
+++ b/lovagedock-gateway/tests/direct_stops.rs
@@ -230,3 +230,65 @@
     let cut: Vec<String> = cut.into_iter().flatten().collect();
     assert!(cut.is_empty(), "{cut:#?}");
 }
+
+/// How far a request is when the time of its gateway is over.
+struct UnansweredCase {
+    name: &'static str,
+    path: &'static str,
+    scripts: Vec<EndpointScript>,
+    status: u16,
+    ran: &'static str,
+}
+
+/// Guards against a stop after which a caller does not know whether its request may have run.
+#[tokio::test]
+async fn a_stop_tells_whether_a_request_without_an_answer_ran() {
+    let long = Duration::from_secs(60);
+    let silent = || script::slow_answer(long, "whole");
+    let cases = vec![
+        UnansweredCase {
+            name: "at a silent endpoint",
+            path: "/safe/x",
+            scripts: vec![silent(), silent()],
+            status: 502,
+            ran: "unknown",
+        },
+        UnansweredCase {
+            name: "the same, not to be repeated",
+            path: "/once/x",
+            scripts: vec![silent()],
+            status: 502,
+            ran: "unknown",
+        },
+        UnansweredCase {
+            name: "a stream before its first event",
+            path: "/stream/x",
+            scripts: vec![script::slow_events(long, 1..3, long)],
+            status: 502,
+            ran: "unknown",
+        },
+    ];
+    for case in cases {
+        let endpoint = ScriptedEndpoint::start(case.scripts).await;
+        let mut entry = entry("i-0", endpoint.address);
+        entry.slots = 1;
+        let feed = TestFeed::new(config(1), vec![entry]);
+        let context = direct_support::daemon();
+        let gateway = TestGateway::start_with(stop_settings(1.0), &feed, context).await;
+        let gateway = gateway.ready().await;
+        let address = gateway.address();
+        let sent = open_call(address, case.path, "sent", "secret").await;
+        until(|| endpoint.requests().len() == 1).await;
+        gateway.daemon.shutdown.trigger();
+        // The only slot is taken, so this one waits until the end.
+        let waiting = open_call(address, case.path, "waiting", "secret").await;
+        let (sent, waiting) = tokio::join!(read_answer(sent), read_answer(waiting));
+        gateway.gateway.wait().await.expect("the gateway stops");
+        let ran = format!("\"ran\":\"{}\"", case.ran);
+        assert_eq!(sent.status(), case.status, "{}: {}", case.name, sent.text);
+        assert!(sent.text.contains(&ran), "{}: {}", case.name, sent.text);
+        assert_eq!(waiting.status(), 503, "{}: {}", case.name, waiting.text);
+        assert!(waiting.text.contains("\"ran\":\"no\""), "{}", waiting.text);
+        assert!(waiting.has_header("retry-after"), "{}", waiting.text);
+    }
+}
--- a/lovagedock/src/codes.rs
+++ b/lovagedock/src/codes.rs
@@ -116,6 +116,8 @@
     Revoked = 2013, 409, No, "the attempt was given up before it started";
     /// Engines ended under requests that ask the same; it is not sent to more of them for now.
     Quarantined = 2014, 503, No, "engines end under this request, so it is not tried for now";
+    /// The gateway stopped while the request was at an endpoint.
+    GatewayStopped = 2015, 502, Unknown, "the gateway stopped and it is not known whether the request ran";
 
     /// The endpoint was lost while the request may have been running.
     EndpointLost = 3001, 502, Unknown, "the endpoint was lost while the request may have run";
--- a/lovagedock/src/direct/machine.rs
+++ b/lovagedock/src/direct/machine.rs
@@ -58,6 +58,8 @@
     /// Times that it was sent to a process that fell silent and is gone, and that do not count.
     excused: u32,
     unreachable: u32,
+    /// Whether it was sent and the end of that attempt is not known.
+    under_way: bool,
     may_have_run: bool,
     excluded: Vec<EndpointLife>,
 }
@@ -83,6 +85,7 @@
             sent: 0,
             excused: 0,
             unreachable: 0,
+            under_way: false,
             may_have_run: false,
             excluded: Vec::new(),
         }
@@ -115,6 +118,12 @@
     /// Records that bytes of the request are about to be written.
     pub fn begin_sending(&mut self) {
         self.sent += 1;
+        self.under_way = true;
+    }
+
+    /// Whether it was sent and the end of that attempt is not known.
+    pub fn is_under_way(&self) -> bool {
+        self.under_way
     }
 
     /// Whether the request may be sent once more than it was.
@@ -139,6 +148,7 @@
         end: AttemptEnd,
         take_retry: impl FnOnce() -> bool,
     ) -> DirectStep {
+        self.under_way = false;
         self.excluded.push(endpoint.clone());
         match end {
             AttemptEnd::Complete => DirectStep::Done,
@@ -198,10 +208,20 @@
             end,
             AttemptEnd::Unreachable | AttemptEnd::NotRun | AttemptEnd::Misdirected
         );
+        self.under_way = false;
         self.may_have_run |= !not_run;
         self.expired()
     }
 
+    /// The code for a request that its gateway can follow no further.
+    pub fn stopped(&mut self) -> ResultCode {
+        self.may_have_run |= std::mem::take(&mut self.under_way);
+        match self.ran() {
+            RanState::No => ResultCode::GatewayStopping,
+            RanState::Yes | RanState::Unknown => ResultCode::GatewayStopped,
+        }
+    }
+
     /// The code for a request whose time has passed.
     pub fn expired(&self) -> DirectStep {
         DirectStep::Answer(match self.ran() {
--- a/lovagedock/tests/direct_machine.rs
+++ b/lovagedock/tests/direct_machine.rs
@@ -203,3 +203,60 @@
     }
     assert_eq!(sent, 3);
 }
+
+struct StopCase {
+    name: &'static str,
+    /// Ends of attempts before, and whether another one is under way.
+    ends: &'static [AttemptEnd],
+    under_way: bool,
+    expected: ResultCode,
+}
+
+/// Guards against the word "not run" to the caller of a request that an engine may go on running.
+#[test]
+fn a_stopped_request_tells_whether_it_may_have_run() {
+    let cases = [
+        StopCase {
+            name: "never sent",
+            ends: &[],
+            under_way: false,
+            expected: ResultCode::GatewayStopping,
+        },
+        StopCase {
+            name: "at an endpoint",
+            ends: &[],
+            under_way: true,
+            expected: ResultCode::GatewayStopped,
+        },
+        StopCase {
+            name: "refused as not run, and not sent since",
+            ends: &[AttemptEnd::NotRun],
+            under_way: false,
+            expected: ResultCode::GatewayStopping,
+        },
+        StopCase {
+            name: "refused as not run, and sent again",
+            ends: &[AttemptEnd::NotRun],
+            under_way: true,
+            expected: ResultCode::GatewayStopped,
+        },
+        StopCase {
+            name: "lost, and not sent since",
+            ends: &[AttemptEnd::Lost],
+            under_way: false,
+            expected: ResultCode::GatewayStopped,
+        },
+    ];
+    for case in cases {
+        let mut machine = DirectMachine::new(STREAM, 3, ms(10_000));
+        for end in case.ends {
+            machine.begin_sending();
+            let endpoint = EndpointLife::new("i-0", 1);
+            machine.attempt_ended(ms(100), &endpoint, *end, || true);
+        }
+        if case.under_way {
+            machine.begin_sending();
+        }
+        assert_eq!(machine.stopped(), case.expected, "{}", case.name);
+    }
+}
