A stop with a short grace ends before the process is killed

What callers saw: with a grace of 2.8 s or less their requests ended without an answer, since the gateway still waited for the end of the balancer's notice when it was killed.

Cause: the notice of 2.8 s was waited for whatever the grace. It ends with the stop now. a_short_stop_ends_before_its_notice_would got 3.3 s for 2.2 s before.

--- a/lovagedock/src/direct/stopping.rs
+++ b/lovagedock/src/direct/stopping.rs
@@ -51,7 +51,7 @@
 
     /// Until when callers may not know of the stop.
     pub fn notice_ends_at(&self) -> Timestamp {
-        self.asked_at + NOTICE_TIME
+        (self.asked_at + NOTICE_TIME).min(self.ends_at)
     }
 
     /// Whether a request that comes now is taken.
--- a/lovagedock/tests/direct_stopping.rs
+++ b/lovagedock/tests/direct_stopping.rs
@@ -62,6 +62,14 @@
     }
 }
 
+/// Guards against a process that is killed with its requests since it waits for the notice to end.
+#[test]
+fn a_short_stop_ends_before_its_notice_would() {
+    let plan = StopPlan::new(ms(500), ms(1_700));
+    assert_eq!(plan.ends_at(), ms(2_200));
+    assert_eq!(plan.notice_ends_at(), ms(2_200));
+}
+
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
