During its notice a stopping gateway refuses streams that are expected to outlast it

Cause: everything was taken during the notice, whatever was known of it. Now a stream is taken if reading, at most its objective, and writing what its caller expects, in passes of an engine with all slots and its memory full as its operator declares them, fit into the time left. The other half of the answers is longer than expected; those can still be cut.

a_stopping_gateway_counts_on_long_answers and one case of a_stopping_gateway_takes_what_ends_in_time fail without it.

--- a/lovagedock-gateway/src/direct/call/parts.rs
+++ b/lovagedock-gateway/src/direct/call/parts.rs
@@ -53,9 +53,24 @@
     pub(crate) fn late_request(&self) -> LateRequest {
         LateRequest {
             deadline: self.deadline(),
+            expected: self.expected_time(),
         }
     }
 
+    fn expected_time(&self) -> Duration {
+        let objective = self.route.objective;
+        let Some(service) = self.config.services.get(&self.service) else {
+            return objective;
+        };
+        let head = &self.head;
+        service.expected_time(
+            objective,
+            head.prompt,
+            head.expected_answer(),
+            head.answer_limit,
+        )
+    }
+
     /// What the request asks and for whom, whatever id its attempt has. An organisation's keys change.
     pub(super) fn fingerprint(&self) -> RequestFingerprint {
         let mut hasher = Xxh3Default::new();
--- a/lovagedock-gateway/src/direct/front.rs
+++ b/lovagedock-gateway/src/direct/front.rs
@@ -243,6 +243,7 @@
                 "stopping_ms" => now.saturating_sub(plan.asked_at()).as_millis() as u64,
                 "left_ms" => plan.ends_at().saturating_sub(now).as_millis() as u64,
                 "deadline_ms" => request.deadline.saturating_sub(now).as_millis() as u64,
+                "expected_ms" => request.expected.as_millis() as u64,
                 "prompt" => call.head.prompt,
                 "answer" => call.head.expected_answer(),
                 "answer_limit" => call.head.answer_limit,
--- a/lovagedock/src/direct/engine.rs
+++ b/lovagedock/src/direct/engine.rs
@@ -50,6 +50,11 @@
         from_ms(step * f64::from(self.steps_per_pass.max(1)))
     }
 
+    /// Length of a pass with all slots writing and the memory full, reading nothing.
+    pub fn full_pass(&self) -> Duration {
+        self.pass_time(self.slots, self.memory_tokens)
+    }
+
     /// Time to write an answer of `answer` tokens in passes of length `pass`.
     pub fn write_time(&self, answer: TokenCount, pass: Duration) -> Duration {
         let passes = answer.div_ceil(u64::from(self.steps_per_pass.max(1)));
--- a/lovagedock/src/direct/stopping.rs
+++ b/lovagedock/src/direct/stopping.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use crate::ids::Timestamp;
+use super::config::ServiceProfile;
+use crate::ids::{Timestamp, TokenCount};
 
 /// Time after the request to stop in which a balancer may still send connections: one that asks
 /// once a second and wants two misses.
@@ -28,6 +29,8 @@
 pub struct LateRequest {
     /// When its time is over, for its caller or its route.
     pub deadline: Timestamp,
+    /// Time that it is expected to take.
+    pub expected: Duration,
 }
 
 impl StopPlan {
@@ -57,8 +60,33 @@
     /// Whether a request that comes now is taken.
     ///
     /// One whose own time is over before the stop ends is: it ends by then, whatever its engine
-    /// does. The others are taken only during the notice, since a balancer sends them back here.
+    /// does. The others are taken only during the notice, since a balancer sends them back here, and
+    /// if they are expected to end in time.
     pub fn takes(&self, now: Timestamp, request: &LateRequest) -> bool {
-        request.deadline <= self.ends_at || now < self.notice_ends_at()
+        if request.deadline <= self.ends_at {
+            return true;
+        }
+        now < self.notice_ends_at() && now + request.expected <= self.ends_at
+    }
+}
+
+impl ServiceProfile {
+    /// Expected time from a request to the end of its answer, which is expected to have `answer`
+    /// tokens and never has more than `limit`; `objective` is the one of its route.
+    pub fn expected_time(
+        &self,
+        objective: Duration,
+        prompt: TokenCount,
+        answer: TokenCount,
+        limit: Option<TokenCount>,
+    ) -> Duration {
+        let Some(engine) = &self.engine else {
+            return objective;
+        };
+        let answer = answer.min(limit.unwrap_or(TokenCount::MAX));
+        // Several engines share a prompt that one alone reads too slowly for its objective.
+        let reading = engine.read_time(prompt).min(objective);
+        let pass = engine.full_pass();
+        reading + pass + engine.write_time(answer, pass)
     }
 }
--- a/lovagedock/tests/direct_stopping.rs
+++ b/lovagedock/tests/direct_stopping.rs
@@ -1,14 +1,17 @@
 //! Which requests a gateway takes while it stops.
 
+mod direct_support;
+
 use std::time::Duration;
 
-use lovagedock::{LateRequest, StopPlan};
+use lovagedock::{LateRequest, ServiceProfile, StopPlan, prelude::*};
 
 struct StopCase {
     name: &'static str,
     after_ms: u64,
     /// Time that the request has.
     allowed_ms: u64,
+    expected_ms: u64,
     takes: bool,
 }
 
@@ -20,36 +23,49 @@
             name: "at once, however much time it has",
             after_ms: 100,
             allowed_ms: 15_000,
+            expected_ms: 4_000,
             takes: true,
         },
         StopCase {
             name: "a stream as the notice ends",
             after_ms: 2_799,
             allowed_ms: 10_000,
+            expected_ms: 4_901,
             takes: true,
         },
+        StopCase {
+            name: "a stream as the notice ends, expected to outlast the stop",
+            after_ms: 2_799,
+            allowed_ms: 10_000,
+            expected_ms: 4_902,
+            takes: false,
+        },
         StopCase {
             name: "a stream after the notice",
             after_ms: 2_800,
             allowed_ms: 10_000,
+            expected_ms: 100,
             takes: false,
         },
         StopCase {
             name: "a plain call whose time is over by the end",
             after_ms: 6_500,
             allowed_ms: 1_200,
+            expected_ms: 150,
             takes: true,
         },
         StopCase {
             name: "a plain call whose time is not",
             after_ms: 6_501,
             allowed_ms: 1_200,
+            expected_ms: 150,
             takes: false,
         },
         StopCase {
             name: "anything after the end",
             after_ms: 8_000,
             allowed_ms: 1,
+            expected_ms: 1,
             takes: false,
         },
     ];
@@ -57,7 +73,87 @@
     for case in cases {
         let now = ms(case.after_ms);
         let deadline = now + ms(case.allowed_ms);
-        let takes = plan.takes(now, &LateRequest { deadline });
+        let expected = ms(case.expected_ms);
+        let takes = plan.takes(now, &LateRequest { deadline, expected });
+        assert_eq!(takes, case.takes, "{}", case.name);
+    }
+}
+
+struct ExpectedCase {
+    name: &'static str,
+    prompt: TokenCount,
+    answer: TokenCount,
+    limit: Option<TokenCount>,
+    after_ms: u64,
+    takes: bool,
+}
+
+/// Guards against streams that are taken during the notice though their engine is expected to write
+/// when the gateway ends.
+#[test]
+fn a_stopping_gateway_counts_on_long_answers() {
+    let cases = [
+        ExpectedCase {
+            name: "short",
+            prompt: 5_000,
+            answer: 800,
+            limit: Some(4_002),
+            after_ms: 2_700,
+            takes: true,
+        },
+        ExpectedCase {
+            name: "long",
+            prompt: 5_000,
+            answer: 3_000,
+            limit: Some(4_002),
+            after_ms: 2_700,
+            takes: false,
+        },
+        ExpectedCase {
+            name: "long, with more time left",
+            prompt: 5_000,
+            answer: 3_000,
+            limit: Some(4_002),
+            after_ms: 100,
+            takes: true,
+        },
+        ExpectedCase {
+            name: "expected to be longer than it may be",
+            prompt: 5_000,
+            answer: 3_000,
+            limit: Some(800),
+            after_ms: 2_700,
+            takes: true,
+        },
+        ExpectedCase {
+            name: "a prompt that several engines read in time",
+            prompt: 600_000,
+            answer: 800,
+            limit: None,
+            after_ms: 1_000,
+            takes: true,
+        },
+        ExpectedCase {
+            name: "the same with less time left",
+            prompt: 600_000,
+            answer: 1_800,
+            limit: None,
+            after_ms: 2_700,
+            takes: false,
+        },
+    ];
+    let plan = StopPlan::new(ms(0), ms(7_700));
+    let service = ServiceProfile {
+        id: "model".into(),
+        max_connections: 100,
+        engine: Some(direct_support::PROFILE),
+    };
+    for case in cases {
+        let request = LateRequest {
+            deadline: ms(15_000),
+            expected: service.expected_time(ms(3_000), case.prompt, case.answer, case.limit),
+        };
+        let takes = plan.takes(ms(case.after_ms), &request);
         assert_eq!(takes, case.takes, "{}", case.name);
     }
 }
