Kept connections stay open until the notice of a stop is over

What callers saw: as a gateway was asked to stop, some of their kept connections were closed at once, in time for a request that crossed the close; the others only 2.8 s later, when no balancer sends here any more.

Cause: each connection woke on the same signal as the task that makes the plan of the stop, and closed if the plan was not there yet. It waits for the plan now.

--- a/lovagedock-gateway/src/direct/board/mod.rs
+++ b/lovagedock-gateway/src/direct/board/mod.rs
@@ -219,17 +219,24 @@
         self.stop_plan().is_some()
     }
 
-    /// Waits until the gateway has been asked to stop and the time of its requests is over.
-    pub(crate) async fn stop_ended(&self) {
+    /// Waits until the gateway has been asked to stop.
+    pub(crate) async fn stop_asked(&self) -> StopPlan {
         let mut plans = self.stopping.subscribe();
-        // The sender lives in `self`, so the channel cannot close meanwhile.
-        let plan = plans.wait_for(Option::is_some).await;
-        let ends_at = plan.ok().and_then(|plan| plan.map(|plan| plan.ends_at()));
-        if let Some(ends_at) = ends_at {
-            sleep_until(self.clock.instant_at(ends_at).into()).await;
+        loop {
+            if let Some(plan) = *plans.borrow_and_update() {
+                return plan;
+            }
+            // The sender lives in `self`, so the channel cannot close meanwhile.
+            let _ = plans.changed().await;
         }
     }
 
+    /// Waits until the gateway has been asked to stop and the time of its requests is over.
+    pub(crate) async fn stop_ended(&self) {
+        let plan = self.stop_asked().await;
+        sleep_until(self.clock.instant_at(plan.ends_at()).into()).await;
+    }
+
     /// Whether the gateway takes new connections.
     pub(crate) fn is_ready(&self) -> bool {
         let is_listed = self.listed.load(Ordering::Relaxed);
--- a/lovagedock-gateway/src/direct/front.rs
+++ b/lovagedock-gateway/src/direct/front.rs
@@ -152,10 +152,8 @@
                 // before, the request would get no answer.
                 std::future::pending::<()>().await;
             }
-            self.shutdown.wait().await;
-            if let Some(plan) = self.board.stop_plan() {
-                sleep_until(self.instant(plan.notice_ends_at())).await;
-            }
+            let plan = self.board.stop_asked().await;
+            sleep_until(self.instant(plan.notice_ends_at())).await;
         };
         let ended = tokio::select! {
             ended = connection.as_mut() => ended,
--- a/lovagedock-gateway/tests/direct_stops.rs
+++ b/lovagedock-gateway/tests/direct_stops.rs
@@ -6,21 +6,14 @@
 
 use direct_support::{
     EndpointScript, LogLines, SERVICE, ScriptedEndpoint, TestFeed, TestGateway, config,
-    endpoint_scripts as script, entry, open_call, open_call_with, read_answer, settings, until,
+    endpoint_scripts as script, entry, open_call, open_call_with, read_answer, stop_settings,
+    until,
 };
 use futures::future::join_all;
 use lovagedock::{EngineProfile, ServiceProfile, TrafficConfig};
 use lovagedock_daemon::DaemonContext;
-use lovagedock_gateway::DirectSettings;
 use tokio::{io::AsyncWriteExt, net::TcpStream, time::sleep};
 
-/// Settings of a gateway that is killed so long after it was asked to stop.
-fn stop_settings(grace_s: f64) -> DirectSettings {
-    let mut settings = settings("gateway");
-    settings.bounds.stop_grace_s = grace_s;
-    settings
-}
-
 /// Guards against a stop that cuts an answer of which the log says nothing.
 #[tokio::test]
 async fn an_answer_cut_by_a_stop_is_named_in_the_log() {
--- a/lovagedock-gateway/tests/direct_support/mod.rs
+++ b/lovagedock-gateway/tests/direct_support/mod.rs
@@ -67,6 +67,13 @@
     }
 }
 
+/// Settings of a gateway that is killed so long after it was asked to stop.
+pub(crate) fn stop_settings(grace_s: f64) -> DirectSettings {
+    let mut settings = settings("gateway");
+    settings.bounds.stop_grace_s = grace_s;
+    settings
+}
+
 /// A daemon context of its own.
 pub(crate) fn daemon() -> DaemonContext {
     DaemonContext::new(Logger::root(Discard, o!()))
