Drain of a gateway bounds requests whose body comes while it drains

Failed before: a_body_on_its_way_gets_a_word_at_the_drains_end, both cases ("the body never comes" and "the body comes and the answer is too long": the connection closed without a byte). Callers saw a broken connection, with no status and no word on whether the request ran.

Cause: a request gets the drain time from the moment its driver hears of the shutdown. One whose body arrives during the drain is given the whole drain time anew, so its deadline lies after the end of the process; one whose body does not arrive has no bound but the time for bodies.

The drain's time now runs from the signal (ShutdownSignal::triggered_for).

--- a/lovagedock-daemon/src/shutdown.rs
+++ b/lovagedock-daemon/src/shutdown.rs
@@ -1,6 +1,9 @@
 //! The request to drain and stop.
 
-use std::io;
+use std::{
+    io,
+    time::{Duration, Instant},
+};
 
 use tokio::{
     signal::unix::{SignalKind, signal},
@@ -12,14 +15,14 @@
 /// It is triggered once, by SIGTERM, by SIGINT or by [`trigger`](Self::trigger), and never reset.
 #[derive(Clone, Debug)]
 pub struct ShutdownSignal {
-    sender: watch::Sender<bool>,
+    triggered_at: watch::Sender<Option<Instant>>,
 }
 
 impl ShutdownSignal {
     /// Creates a signal that has not been triggered.
     pub fn new() -> Self {
         Self {
-            sender: watch::Sender::new(false),
+            triggered_at: watch::Sender::new(None),
         }
     }
 
@@ -40,19 +43,29 @@
 
     /// Asks for the drain.
     pub fn trigger(&self) {
-        self.sender.send_replace(true);
+        self.triggered_at.send_if_modified(|triggered_at| {
+            let is_first = triggered_at.is_none();
+            triggered_at.get_or_insert_with(Instant::now);
+            is_first
+        });
     }
 
     /// Whether the drain has been asked for.
     pub fn is_triggered(&self) -> bool {
-        *self.sender.borrow()
+        self.triggered_at.borrow().is_some()
+    }
+
+    /// Time since the drain was asked for; zero before.
+    pub fn triggered_for(&self) -> Duration {
+        let triggered_at = *self.triggered_at.borrow();
+        triggered_at.map_or(Duration::ZERO, |at| at.elapsed())
     }
 
     /// Waits until the drain is asked for; returns at once afterwards.
     pub async fn wait(&self) {
-        let mut receiver = self.sender.subscribe();
+        let mut receiver = self.triggered_at.subscribe();
         // The sender lives in `self`, so the channel cannot close while we wait.
-        let _ = receiver.wait_for(|triggered| *triggered).await;
+        let _ = receiver.wait_for(Option::is_some).await;
     }
 }
 
--- a/lovagedock-gateway/src/call_task.rs
+++ b/lovagedock-gateway/src/call_task.rs
@@ -179,7 +179,7 @@
             shared,
             Arc::clone(&self.call),
             self.caller.clone(),
-            self.deadline,
+            self.shared.within_drain(self.deadline),
         );
         let (outcome, kept) = driver.with_kept_answer(keep).run().await;
         info!(self.log, "request driven";
--- a/lovagedock-gateway/src/driver/mod.rs
+++ b/lovagedock-gateway/src/driver/mod.rs
@@ -156,7 +156,7 @@
             }
             () = self.shared.shutdown.wait(), if !told.stopping => {
                 told.stopping = true;
-                let grace = self.shared.drain_time;
+                let grace = self.shared.drain_left();
                 Some(RequestEvent::Stopping { grace })
             }
             () = sleep_until(span_wake.into()), if self.span.is_some() => {
--- a/lovagedock-gateway/src/front/intake.rs
+++ b/lovagedock-gateway/src/front/intake.rs
@@ -37,11 +37,19 @@
 }
 
 impl CallIntake<'_> {
-    /// A chat or completion request.
-    pub(super) async fn model_call(
+    /// The call that a request asks for; waits for the body.
+    pub(super) async fn call(
         &self,
         request: Request<Incoming>,
     ) -> Result<CallerCall, RequestProblem> {
+        match is_model_path(request.method(), request.uri().path()) {
+            true => self.model_call(request).await,
+            false => self.plain_call(request).await,
+        }
+    }
+
+    /// A chat or completion request.
+    async fn model_call(&self, request: Request<Incoming>) -> Result<CallerCall, RequestProblem> {
         let (parts, body) = request.into_parts();
         let organisation = self.check_caller(&parts.headers)?;
         let body = self.read_body(body).await?;
@@ -69,10 +77,7 @@
     }
 
     /// A call of a plain service.
-    pub(super) async fn plain_call(
-        &self,
-        request: Request<Incoming>,
-    ) -> Result<CallerCall, RequestProblem> {
+    async fn plain_call(&self, request: Request<Incoming>) -> Result<CallerCall, RequestProblem> {
         let (parts, body) = request.into_parts();
         let organisation = self.check_caller(&parts.headers)?;
         let path = parts.uri.path();
@@ -173,7 +178,7 @@
 }
 
 /// Whether a request is a chat or completion request.
-pub(super) fn is_model_path(method: &Method, path: &str) -> bool {
+fn is_model_path(method: &Method, path: &str) -> bool {
     method == Method::POST && matches!(path, "/v1/chat/completions" | "/v1/completions")
 }
 
--- a/lovagedock-gateway/src/front/router.rs
+++ b/lovagedock-gateway/src/front/router.rs
@@ -15,7 +15,7 @@
 
 use super::{
     body::{AnswerBody, whole_body},
-    intake::{CallIntake, is_model_path},
+    intake::CallIntake,
     problem::{RequestProblem, set_request_id},
     reply::{CallerSink, response},
 };
@@ -94,13 +94,12 @@
         // would be in flight unseen, and the process would end under it.
         let _in_flight = self.drivers.token();
         if self.drivers.is_closed() {
-            return Err(RequestProblem::new(ResultCode::GatewayStopping)
-                .with_retry_after(Duration::from_secs(1)));
+            return Err(stopping());
         }
         let permit = self.take_stream()?;
-        let call = match is_model_path(request.method(), request.uri().path()) {
-            true => intake.model_call(request).await?,
-            false => intake.plain_call(request).await?,
+        let call = tokio::select! {
+            call = intake.call(request) => call?,
+            () = self.shared.drain_over() => return Err(stopping()),
         };
         self.check_limits(&call)?;
         Ok(self.drive(Arc::new(call), permit).await)
@@ -148,6 +147,10 @@
     }
 }
 
+fn stopping() -> RequestProblem {
+    RequestProblem::new(ResultCode::GatewayStopping).with_retry_after(Duration::from_secs(1))
+}
+
 fn new_trail(call: &CallerCall) -> RequestTrail {
     RequestTrail {
         request_id: format_request_id(call.id),
--- a/lovagedock-gateway/src/shared.rs
+++ b/lovagedock-gateway/src/shared.rs
@@ -5,6 +5,7 @@
 use lovagedock::{RetryAllowance, RetryBudget, prelude::*};
 use lovagedock_daemon::ShutdownSignal;
 use parking_lot::Mutex;
+use tokio::time::sleep;
 
 use crate::{
     claims::ClaimDesk, context::GatewayContext, limits::LimitDesk, suspects::SuspectDesk,
@@ -28,8 +29,7 @@
     pub(crate) suspects: SuspectDesk,
     /// Tells that the gateway drains.
     pub(crate) shutdown: ShutdownSignal,
-    /// Time that requests in flight get when it does.
-    pub(crate) drain_time: Duration,
+    drain_time: Duration,
     budgets: Arc<Mutex<HashMap<ServiceId, RetryBudget>>>,
 }
 
@@ -60,6 +60,26 @@
         self
     }
 
+    /// Time that requests in flight still get; all of the drain time while the gateway serves.
+    pub(crate) fn drain_left(&self) -> Duration {
+        self.drain_time
+            .saturating_sub(self.shutdown.triggered_for())
+    }
+
+    /// Ends when the gateway drains and its requests have no time left.
+    pub(crate) async fn drain_over(&self) {
+        self.shutdown.wait().await;
+        sleep(self.drain_left()).await;
+    }
+
+    /// A deadline, or the end of the drain if the gateway drains and that comes first.
+    pub(crate) fn within_drain(&self, deadline: Timestamp) -> Timestamp {
+        if !self.shutdown.is_triggered() {
+            return deadline;
+        }
+        deadline.min(self.context.clock.now() + self.drain_left())
+    }
+
     /// Takes a retry from the service's budget, if there is one.
     pub(crate) fn take_retry(&self, service: &ServiceId, now: Timestamp) -> bool {
         self.with_budget(service, now, |budget| budget.try_take(now))
--- /dev/null
+++ b/lovagedock-standin/tests/promises_drain_end.rs
@@ -0,0 +1,141 @@
+//! Drains that end before the requests do: what callers are told, and what operators see.
+
+mod promise_support;
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use lovagedock_gateway::CallerLimits;
+use lovagedock_standin::fleet::{FleetPlan, LocalFleet, RunningGateway};
+use promise_support::{plan, start, until};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    runtime::{Builder, Runtime},
+    task::JoinHandle,
+};
+
+const PROMPT: &str = "The brig Salamander, lost off Aqaba in the winter gales.";
+const DRAIN: Duration = Duration::from_millis(1_500);
+/// Well inside the drain; makes it likely that what was sent before has been read.
+const PAUSE: Duration = Duration::from_millis(500);
+/// Tokens of an answer that no engine finishes within the drain.
+const LONG_ANSWER: u64 = 20_000;
+
+/// A gateway in a runtime of its own: when it has ended, its connections break as those of a process
+/// do.
+struct OwnProcess {
+    runtime: Runtime,
+    gateway: RunningGateway,
+}
+
+impl OwnProcess {
+    async fn start(fleet: &LocalFleet, plan: &FleetPlan) -> Self {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()
+            .expect("a runtime");
+        let mut spec = fleet.config.gateways[0].clone();
+        spec.id = "g3".into();
+        let (plan, url) = (plan.clone(), fleet.platform.url());
+        let starting =
+            runtime.spawn(async move { plan.start_gateway(&spec, url, Vec::new()).await });
+        let gateway = starting.await.expect("it ran").expect("it starts");
+        until(async || gateway.gateway.is_connected()).await;
+        Self { runtime, gateway }
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.gateway.gateway.callers_address()
+    }
+
+    /// Asks it to stop; the task ends with the process.
+    fn stop(self) -> JoinHandle<()> {
+        self.gateway.daemon.shutdown.trigger();
+        tokio::spawn(async move {
+            self.gateway.gateway.wait().await.expect("it ends");
+            self.runtime.shutdown_background();
+        })
+    }
+}
+
+fn draining_plan(drain: Duration) -> FleetPlan {
+    let limits = CallerLimits {
+        drain_ms: drain.as_millis() as u64,
+        ..CallerLimits::default()
+    };
+    plan().with_limits(limits)
+}
+
+/// Sends the head of a call and so many bytes of its body.
+async fn begin_call(stream: &mut TcpStream, body: &str, sent: usize) {
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: gateway\r\nauthorization: Bearer secret\r\n\
+         content-length: {}\r\nconnection: close\r\n\r\n{}",
+        body.len(),
+        &body[..sent]
+    );
+    stream.write_all(head.as_bytes()).await.expect("it reads");
+}
+
+async fn read_all(stream: &mut TcpStream) -> Result<String, io::Error> {
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).await?;
+    Ok(String::from_utf8(answer).expect("text"))
+}
+
+fn completion(tokens: u64) -> String {
+    format!(r#"{{"model":"reader","prompt":"{PROMPT}","max_tokens":{tokens}}}"#)
+}
+
+struct BodyCase {
+    what: &'static str,
+    /// Whether the rest of the body comes while the gateway drains.
+    rest_comes: bool,
+    status: &'static str,
+    /// What it may say of having run.
+    ran: &'static [&'static str],
+}
+
+const BODY_CASES: &[BodyCase] = &[
+    BodyCase {
+        what: "the body never comes",
+        rest_comes: false,
+        status: "HTTP/1.1 503",
+        ran: &["no"],
+    },
+    BodyCase {
+        what: "the body comes and the answer is too long",
+        rest_comes: true,
+        status: "HTTP/1.1 504",
+        ran: &["yes", "unknown"],
+    },
+];
+
+/// A body was on its way when the gateway was stopped, and the drain ended without a word.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_body_on_its_way_gets_a_word_at_the_drains_end() {
+    for case in BODY_CASES {
+        let plan = draining_plan(DRAIN);
+        let fleet = start(plan.clone()).await;
+        let process = OwnProcess::start(&fleet, &plan).await;
+        let mut stream = TcpStream::connect(process.address())
+            .await
+            .expect("it listens");
+        let body = completion(LONG_ANSWER);
+        begin_call(&mut stream, &body, 1).await;
+        tokio::time::sleep(PAUSE).await;
+        let ending = process.stop();
+        tokio::time::sleep(PAUSE).await;
+        if case.rest_comes {
+            let rest = &body.as_bytes()[1..];
+            stream.write_all(rest).await.expect("it reads on");
+        }
+        let answer = read_all(&mut stream).await;
+        let answer = answer.unwrap_or_else(|error| panic!("{}: {error}", case.what));
+        assert!(answer.starts_with(case.status), "{}: {answer}", case.what);
+        let says = |ran: &&str| answer.contains(&format!(r#""ran":"{ran}""#));
+        assert!(case.ran.iter().any(says), "{}: {answer}", case.what);
+        ending.await.expect("it ends by itself");
+    }
+}
