Drain of a gateway bounds the wait for the claim of a key

Failed before: a_call_that_waits_for_its_key_is_refused_at_the_drains_end (Disconnected in place of 2008). A call that waited for the store, or for the run of another call with its key, saw its connection break when the drain was over, though it certainly had not run.

Cause: the wait for a claim knew the call's deadline and its caller, not the shutdown.

The wait ends with the drain: the claim is withdrawn and the caller told 2008, not run.

--- a/lovagedock-gateway/src/call_task.rs
+++ b/lovagedock-gateway/src/call_task.rs
@@ -99,6 +99,10 @@
                 self.shared.claims.withdraw(key, call.id);
                 None
             }
+            () = self.shared.drain_over() => {
+                self.shared.claims.withdraw(key, call.id);
+                Some(ClaimAnswer::Refused(ResultCode::GatewayStopping))
+            }
         }
     }
 
--- a/lovagedock-standin/tests/promises_drain_end.rs
+++ b/lovagedock-standin/tests/promises_drain_end.rs
@@ -6,7 +6,11 @@
 
 use lovagedock_gateway::CallerLimits;
 use lovagedock_standin::fleet::{FleetPlan, LocalFleet, RunningGateway};
-use promise_support::{plan, start, until};
+use promise_support::{
+    caller,
+    caller::{Call, Caller},
+    plan, service, start, until,
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -139,3 +143,24 @@
         ending.await.expect("it ends by itself");
     }
 }
+
+/// A call waited for the run of another with its key, and the drain ended without a word.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_call_that_waits_for_its_key_is_refused_at_the_drains_end() {
+    let plan = draining_plan(DRAIN).with_service_time(4 * DRAIN);
+    let fleet = start(plan.clone()).await;
+    let process = OwnProcess::start(&fleet, &plan).await;
+    let call = Call::receipt(7).with_key("receipt-7");
+    let first = caller(&fleet, 1).spawn(call.clone());
+    until(async || !service(&fleet).journal.runs().is_empty()).await;
+    let waiting = Caller::new(process.address()).spawn(call);
+    tokio::time::sleep(PAUSE).await;
+    let ending = process.stop();
+    let told = waiting.await.expect("the call is judged");
+    let problem = told
+        .problem()
+        .map(|problem| (problem.code, problem.ran.as_str()));
+    assert_eq!(problem, Some((2008, "no")), "{told:?}");
+    ending.await.expect("it ends by itself");
+    assert!(first.await.expect("the call is judged").is_whole());
+}
