Drain of a gateway bounds the wait for the record of an answer

Failed before: a_call_whose_answer_is_not_recorded_is_told_at_the_drains_end (Disconnected in place of 3004). A call with a key had run, the store was away, and its caller saw a broken connection.

Cause: the answer of such a call is held back until it is recorded, and the wait for the store ended with the call's own deadline only.

At the drain's end the caller is told 3004 with `ran: yes`, as when the store refuses the record.

--- a/lovagedock-gateway/src/call_task.rs
+++ b/lovagedock-gateway/src/call_task.rs
@@ -146,7 +146,10 @@
         let recorded = match answer.encode() {
             Ok(bytes) => {
                 let claims = &self.shared.claims;
-                claims.record(key, self.call.id, bytes, self.deadline).await
+                tokio::select! {
+                    recorded = claims.record(key, self.call.id, bytes, self.deadline) => recorded,
+                    () = self.shared.drain_over() => false,
+                }
             }
             Err(_) => false,
         };
--- a/lovagedock-standin/tests/promises_drain_end.rs
+++ b/lovagedock-standin/tests/promises_drain_end.rs
@@ -5,7 +5,10 @@
 use std::{io, net::SocketAddr, time::Duration};
 
 use lovagedock_gateway::CallerLimits;
-use lovagedock_standin::fleet::{FleetPlan, LocalFleet, RunningGateway};
+use lovagedock_standin::{
+    FaultKind, FaultOrder,
+    fleet::{FleetPlan, LocalFleet, RunningGateway},
+};
 use promise_support::{
     caller,
     caller::{Call, Caller},
@@ -164,3 +167,23 @@
     ending.await.expect("it ends by itself");
     assert!(first.await.expect("the call is judged").is_whole());
 }
+
+/// The store was away when the answer of a call with a key was to be recorded, and the drain ended
+/// without a word on the run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_call_whose_answer_is_not_recorded_is_told_at_the_drains_end() {
+    let plan = draining_plan(DRAIN).with_service_time(PAUSE);
+    let fleet = start(plan.clone()).await;
+    let process = OwnProcess::start(&fleet, &plan).await;
+    let call = Call::receipt(7).with_key("receipt-7");
+    let calling = Caller::new(process.address()).spawn(call);
+    until(async || !service(&fleet).journal.runs().is_empty()).await;
+    fleet.platform.set_fault(FaultOrder::new(FaultKind::Down));
+    let ending = process.stop();
+    let told = calling.await.expect("the call is judged");
+    let problem = told
+        .problem()
+        .map(|problem| (problem.code, problem.ran.as_str()));
+    assert_eq!(problem, Some((3004, "yes")), "{told:?}");
+    ending.await.expect("it ends by itself");
+}
