Gateway that stops writes the answers that it has

A slow caller whose answer was complete at the gateway lost the end of it, with nothing in the log.

Cause: a request counted as ended when its driver had queued the last bytes, up to 32 pieces of 64 KiB before the connection had taken them; connections then got 50 ms.

A request is now in flight until the connection has taken its whole body (InFlightTable), and the connections get what is left of the drain to write what they hold. The listener closes at that point, so that a late caller is refused and not left in the backlog.

--- /dev/null
+++ b/lovagedock-gateway/src/front/in_flight.rs
@@ -0,0 +1,106 @@
+//! Requests in flight: taken from a caller and not yet answered in full.
+
+use std::{
+    collections::BTreeMap,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, SizeHint};
+use lovagedock::prelude::*;
+use parking_lot::Mutex;
+use tokio_util::task::{TaskTracker, task_tracker::TaskTrackerToken};
+
+use super::body::AnswerBody;
+
+/// Requests in flight, and since when; cheap to clone.
+///
+/// Lock order: a leaf.
+#[derive(Clone, Default)]
+pub(super) struct InFlightTable {
+    tracker: TaskTracker,
+    requests: Arc<Mutex<BTreeMap<RequestId, Timestamp>>>,
+}
+
+impl InFlightTable {
+    /// Adds a request; it is in flight until all clones of the result are gone.
+    pub(super) fn begin(&self, id: RequestId, now: Timestamp) -> Arc<InFlightRequest> {
+        self.requests.lock().insert(id, now);
+        Arc::new(InFlightRequest {
+            id,
+            table: self.clone(),
+            _token: self.tracker.token(),
+        })
+    }
+
+    /// Lets [`InFlightTable::wait`] end once no request is in flight.
+    pub(super) fn close(&self) {
+        self.tracker.close();
+    }
+
+    /// Whether the table was closed.
+    pub(super) fn is_closed(&self) -> bool {
+        self.tracker.is_closed()
+    }
+
+    /// Waits until the table is closed and no request is in flight.
+    pub(super) async fn wait(&self) {
+        self.tracker.wait().await;
+    }
+
+    /// Number of requests in flight.
+    pub(super) fn len(&self) -> usize {
+        self.requests.lock().len()
+    }
+}
+
+/// One request in flight.
+pub(super) struct InFlightRequest {
+    id: RequestId,
+    table: InFlightTable,
+    _token: TaskTrackerToken,
+}
+
+impl Drop for InFlightRequest {
+    fn drop(&mut self) {
+        self.table.requests.lock().remove(&self.id);
+    }
+}
+
+/// A body whose request is in flight until the connection has taken all of it.
+struct InFlightBody {
+    body: AnswerBody,
+    _request: Arc<InFlightRequest>,
+}
+
+/// Keeps a request in flight until its answer was taken by the connection.
+pub(super) fn in_flight_body(body: AnswerBody, request: Arc<InFlightRequest>) -> AnswerBody {
+    let body = InFlightBody {
+        body,
+        _request: request,
+    };
+    body.boxed_unsync()
+}
+
+impl Body for InFlightBody {
+    type Data = Bytes;
+    type Error = <AnswerBody as Body>::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/lovagedock-gateway/src/front/mod.rs
+++ b/lovagedock-gateway/src/front/mod.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod checks;
+mod in_flight;
 mod intake;
 mod problem;
 mod prompt;
--- a/lovagedock-gateway/src/front/router.rs
+++ b/lovagedock-gateway/src/front/router.rs
@@ -11,10 +11,10 @@
 use serde::Serialize;
 use slog::{Logger, info};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio_util::task::TaskTracker;
 
 use super::{
     body::{AnswerBody, whole_body},
+    in_flight::{InFlightRequest, InFlightTable, in_flight_body},
     intake::CallIntake,
     problem::{RequestProblem, set_request_id},
     reply::{CallerSink, response},
@@ -34,7 +34,7 @@
     shared: GatewayShared,
     limits: CallerLimits,
     streams: Arc<Semaphore>,
-    drivers: TaskTracker,
+    in_flight: InFlightTable,
     log: Logger,
 }
 
@@ -43,7 +43,7 @@
     pub(super) fn new(shared: GatewayShared, limits: CallerLimits, log: Logger) -> Self {
         Self {
             streams: Arc::new(Semaphore::new(limits.streams)),
-            drivers: TaskTracker::new(),
+            in_flight: InFlightTable::default(),
             shared,
             limits,
             log,
@@ -51,14 +51,22 @@
     }
 
     /// Requests in flight.
-    pub(super) fn drivers(&self) -> &TaskTracker {
-        &self.drivers
+    pub(super) fn in_flight(&self) -> &InFlightTable {
+        &self.in_flight
+    }
+
+    /// Time that requests in flight still get.
+    pub(super) fn drain_left(&self) -> Duration {
+        self.shared.drain_left()
     }
 
     /// Answers one request.
     pub(super) async fn answer(&self, request: Request<Incoming>) -> Response<AnswerBody> {
         let id: RequestId = rand::random();
-        match self.route(id, request).await {
+        // Counted before the check: a request whose body is still coming when the gateway stops
+        // would be in flight unseen, and the process would end under it.
+        let in_flight = self.in_flight.begin(id, self.shared.context.clock.now());
+        let response = match self.route(id, request, &in_flight).await {
             Ok(response) => response,
             Err(problem) => {
                 info!(self.log, "request refused";
@@ -68,13 +76,15 @@
                 count_outcome(problem.code);
                 problem.response(id)
             }
-        }
+        };
+        response.map(|body| in_flight_body(body, in_flight))
     }
 
     async fn route(
         &self,
         id: RequestId,
         request: Request<Incoming>,
+        in_flight: &Arc<InFlightRequest>,
     ) -> Result<Response<AnswerBody>, RequestProblem> {
         let config = self.shared.context.config.load_full();
         if config.generation == 0 {
@@ -90,10 +100,7 @@
         if request.method() == Method::GET && is_models_path(request.uri().path()) {
             return models(&intake, &request);
         }
-        // Counted before the check: a request whose body is still coming when the gateway stops
-        // would be in flight unseen, and the process would end under it.
-        let _in_flight = self.drivers.token();
-        if self.drivers.is_closed() {
+        if self.in_flight.is_closed() {
             return Err(stopping());
         }
         let permit = self.take_stream()?;
@@ -102,7 +109,7 @@
             () = self.shared.drain_over() => return Err(stopping()),
         };
         self.check_limits(&call)?;
-        Ok(self.drive(Arc::new(call), permit).await)
+        Ok(self.drive(Arc::new(call), permit, in_flight).await)
     }
 
     fn check_limits(&self, call: &CallerCall) -> Result<(), RequestProblem> {
@@ -134,14 +141,16 @@
         &self,
         call: Arc<CallerCall>,
         permit: OwnedSemaphorePermit,
+        in_flight: &Arc<InFlightRequest>,
     ) -> Response<AnswerBody> {
         self.shared.trails.begin(call.id, new_trail(&call));
         let (caller, events) = CallerSink::channel();
         let shared = self.shared.clone();
         let task = CallTask::new(shared, Arc::clone(&call), caller, self.log.clone());
-        self.drivers.spawn(async move {
+        let in_flight = Arc::clone(in_flight);
+        tokio::spawn(async move {
             task.run().await;
-            drop(permit);
+            drop((permit, in_flight));
         });
         response(call.id, call.prompt.stream, events).await
     }
--- a/lovagedock-gateway/src/front/server.rs
+++ b/lovagedock-gateway/src/front/server.rs
@@ -21,6 +21,8 @@
 
 /// Pause after an accept that failed, since such errors repeat at once until files are closed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time after the drain to write what callers are told of requests that did not end in it.
+const LAST_WORD_TIME: Duration = Duration::from_millis(300);
 /// Room for header lines beside the values that the header limit counts.
 const HEADER_SLACK_BYTES: usize = 64 * 1024;
 
@@ -101,19 +103,25 @@
             () = accept => {}
             () = self.drained() => {}
         }
-        let _unfinished = timeout(ACCEPT_PAUSE, connections.shutdown()).await;
+        // A caller that is refused a connection knows that nothing ran; one that gets into the
+        // backlog does not.
+        drop(self.listener);
+        // The end of an answer may still wait in a connection for a slow caller.
+        let time = self.router.drain_left() + LAST_WORD_TIME;
+        if timeout(time, connections.shutdown()).await.is_err() {
+            let open = self.limits.connections - places.available_permits();
+            warn!(self.log, "connections cut by the shutdown"; "connections" => open);
+        }
     }
 
     async fn drained(&self) {
         self.shutdown.wait().await;
-        let drivers = self.router.drivers();
-        drivers.close();
-        info!(self.log, "draining"; "requests" => drivers.len());
-        if timeout(self.limits.drain_time(), drivers.wait())
-            .await
-            .is_err()
-        {
-            warn!(self.log, "drain time is over"; "requests" => drivers.len());
+        let in_flight = self.router.in_flight();
+        in_flight.close();
+        info!(self.log, "draining"; "requests" => in_flight.len());
+        let time = self.router.drain_left() + LAST_WORD_TIME;
+        if timeout(time, in_flight.wait()).await.is_err() {
+            warn!(self.log, "drain time is over"; "requests" => in_flight.len());
         }
     }
 }
--- a/lovagedock-standin/tests/promises_drain_end.rs
+++ b/lovagedock-standin/tests/promises_drain_end.rs
@@ -12,11 +12,11 @@
 use promise_support::{
     caller,
     caller::{Call, Caller},
-    plan, service, start, until,
+    engines, plan, service, start, until,
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
     runtime::{Builder, Runtime},
     task::JoinHandle,
 };
@@ -27,6 +27,8 @@
 const PAUSE: Duration = Duration::from_millis(500);
 /// Tokens of an answer that no engine finishes within the drain.
 const LONG_ANSWER: u64 = 20_000;
+/// Tokens of an answer of which the kernel's buffers take a part and the gateway's queues the rest.
+const HUGE_ANSWER: u64 = 1_100_000;
 
 /// A gateway in a runtime of its own: when it has ended, its connections break as those of a process
 /// do.
@@ -187,3 +189,35 @@
     assert_eq!(problem, Some((3004, "yes")), "{told:?}");
     ending.await.expect("it ends by itself");
 }
+
+/// An answer was complete at the gateway and on its way to a slow caller when the gateway was stopped;
+/// the process ended with the rest of it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_that_is_being_written_is_not_cut() {
+    let mut plan = draining_plan(Duration::from_secs(60)).with_time_scale(5_000.0);
+    for endpoint in &mut plan.config.pools[0].endpoints {
+        endpoint.memory_tokens = 2 * HUGE_ANSWER;
+    }
+    let fleet = start(plan.clone()).await;
+    let process = OwnProcess::start(&fleet, &plan).await;
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(4_096).expect("a small buffer");
+    let mut stream = socket.connect(process.address()).await.expect("it listens");
+    let body = completion(HUGE_ANSWER);
+    begin_call(&mut stream, &body, body.len()).await;
+    let first = stream.read_u8().await.expect("the answer begins");
+    assert_eq!(first, b'H');
+    until(async || {
+        engines(&fleet)
+            .iter()
+            .all(|engine| engine.handle.held_blocks() == 0)
+    })
+    .await;
+    tokio::time::sleep(PAUSE).await;
+    let ending = process.stop();
+    tokio::time::sleep(PAUSE).await;
+    let answer = read_all(&mut stream).await.expect("the connection ends");
+    let length = answer.len();
+    assert!(answer.ends_with("0\r\n\r\n"), "cut after {length} bytes");
+    ending.await.expect("it ends by itself");
+}
