Drain of a sidecar that stops is not called off

Failed before: the_drain_of_a_stopping_sidecar_is_not_called_off ("it takes work again"). An operator's undrain, or a gateway's, opened a sidecar that had been asked to stop: it took new work, never counted as drained, and cut what ran when its drain time was over.

Cause: the decision core has one flag for both reasons to leave.

The state of the process remembers that it stops and turns an undrain into a drain; it is read under the lock of the core, so that no order of the two calls reopens it.

--- a/lovagedock-sidecar/src/sidecar.rs
+++ b/lovagedock-sidecar/src/sidecar.rs
@@ -3,7 +3,7 @@
 use std::{fmt, io, net::SocketAddr, rc::Rc, sync::Arc, thread, time::Duration};
 
 use error_stack::{Report, ResultExt};
-use lovagedock::{EndpointCore, EndpointEvent, EndpointLimits};
+use lovagedock::{EndpointCore, EndpointLimits};
 use lovagedock_daemon::{AdminServer, DaemonContext, ShutdownSignal, Transport};
 use lovagedock_wire::serve_endpoint;
 use slog::{Logger, debug, info, warn};
@@ -195,7 +195,7 @@
         self.shutdown.wait().await;
         let load = self.state.read(EndpointCore::load);
         info!(self.log, "draining"; "queued" => load.queued, "running" => load.running);
-        self.state.decide(EndpointEvent::Drain(true));
+        self.state.stop();
         let left = async {
             self.state.drained().await;
             while self.state.answers().has_unsent() {
--- a/lovagedock-sidecar/src/state.rs
+++ b/lovagedock-sidecar/src/state.rs
@@ -4,7 +4,13 @@
 //! are carried out while the core is locked, so that two events cannot swap their effects; none of
 //! them waits for anything.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use lovagedock::{
     AnswerEnd, AttemptKey, EndpointAction, EndpointCore, EndpointEvent, EndpointLimits,
@@ -59,6 +65,7 @@
     answers: Mutex<AnswerTable>,
     wake_at: watch::Sender<Timestamp>,
     drained: watch::Sender<bool>,
+    stopping: AtomicBool,
 }
 
 impl SidecarState {
@@ -83,13 +90,17 @@
             answers: Mutex::default(),
             wake_at: watch::Sender::new(Timestamp::MAX),
             drained: watch::Sender::new(false),
+            stopping: AtomicBool::new(false),
         })
     }
 
     /// Decides on an event, carries the actions out and returns what the asker is told.
-    pub(crate) fn decide(self: &Arc<Self>, event: EndpointEvent) -> Option<CoreReply> {
+    pub(crate) fn decide(self: &Arc<Self>, mut event: EndpointEvent) -> Option<CoreReply> {
         let mut core = self.core.lock();
-        if let EndpointEvent::Drain(_) = &event {
+        if let EndpointEvent::Drain(leaving) = &mut event {
+            // The drain of a process that stops is not called off: work that is taken in it would
+            // be cut when the process ends.
+            *leaving |= self.stopping.load(Ordering::SeqCst);
             // A drain that was called off before has told its end already; kept, it would end the
             // next one at once and cut off what runs.
             self.drained.send_replace(false);
@@ -114,6 +125,12 @@
         read(&self.core.lock())
     }
 
+    /// Drains for the end of the process.
+    pub(crate) fn stop(self: &Arc<Self>) {
+        self.stopping.store(true, Ordering::SeqCst);
+        self.decide(EndpointEvent::Drain(true));
+    }
+
     /// Ends when the endpoint is leaving and nothing is left on it.
     pub(crate) async fn drained(&self) {
         let mut drained = self.drained.subscribe();
--- a/lovagedock-standin/tests/promises_drain_end.rs
+++ b/lovagedock-standin/tests/promises_drain_end.rs
@@ -12,7 +12,7 @@
 use promise_support::{
     caller,
     caller::{Call, Caller},
-    engines, plan, service, start, until,
+    engines, plan, service, start, starts_at, until,
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -221,3 +221,25 @@
     assert!(answer.ends_with("0\r\n\r\n"), "cut after {length} bytes");
     ending.await.expect("it ends by itself");
 }
+
+/// An operator called the drain of a stopping sidecar off: it took work again and cut it off.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_drain_of_a_stopping_sidecar_is_not_called_off() {
+    let mut fleet = start(plan().with_concurrency(2)).await;
+    let running = caller(&fleet, 0).spawn(Call::whole(PROMPT, 300));
+    let place = promise_support::running_engine(&fleet).await;
+    let sidecar = fleet.endpoints[place].sidecar.take().expect("it runs");
+    fleet.endpoints[place].daemon.shutdown.trigger();
+    let admin = sidecar.admin_address();
+    until(async || draining(admin).await).await;
+    promise_support::caller::post(admin, "/undrain").await;
+    assert!(draining(admin).await, "it takes work again");
+    sidecar.wait().await.expect("it ends");
+    assert!(running.await.expect("the call is judged").is_whole());
+    assert_eq!(starts_at(engines(&fleet)[place]), 1);
+}
+
+async fn draining(admin: SocketAddr) -> bool {
+    let status = promise_support::caller::get_json(admin, "/status").await;
+    status["load"]["draining"] == true
+}
