Gateway names the requests that its drain's end cuts

Failed before: a_request_that_a_drains_end_cuts_is_named, a_request_that_the_exit_cuts_is_named (no such line) and a_body_on_its_way_gets_a_word_at_the_drains_end (the problem spoke of a deadline that had not passed and named no shutdown).

The log had one line with a number, "drain time is over". Now each request that ends in vain with the drain has a line "request cut by the shutdown" with its id, organisation, service, code and whether it ran, and its caller reads "the gateway is shutting down". What is still in flight when the process ends, because its caller does not read, has a line "request cut by the exit", up to 200 of them. lovagedock_requests_cut_total{told} counts both. The state is one map entry for a request in flight, bounded by limits.connections.

--- a/lovagedock-gateway/src/call_task.rs
+++ b/lovagedock-gateway/src/call_task.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use lovagedock::{ClaimKey, ClaimRequest, KeyHash, Outcome, prelude::*};
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 
 use crate::{
     call::CallerCall,
@@ -48,7 +48,7 @@
     /// Runs the call to the last word to its caller.
     pub(crate) async fn run(self) {
         let started = self.shared.context.clock.now();
-        let end = match &self.call.idempotency_key {
+        let mut end = match &self.call.idempotency_key {
             None => {
                 let (outcome, _) = self.drive(false).await;
                 CallEnd::told(last_word(&outcome))
@@ -56,6 +56,11 @@
             Some(key) => self.run_keyed(key.clone()).await,
         };
         let code = end.last.code();
+        if let CallerEvent::Problem(problem) = &mut end.last
+            && self.shared.ends_with_drain(self.deadline)
+        {
+            self.note_cut(problem, started);
+        }
         self.shared.limits.finish(&self.call.organisation);
         self.caller.send(end.last).await;
         self.note_end(code, started);
@@ -215,6 +220,22 @@
             "ms" => (now - started).as_millis() as u64);
     }
 
+    /// Names a request that ends with the drain; its code may speak of a deadline.
+    fn note_cut(&self, problem: &mut RequestProblem, started: Timestamp) {
+        if problem.detail.is_empty() {
+            problem.detail = ResultCode::GatewayStopping.title().to_owned();
+        }
+        count_cut(CutWord::Told);
+        let now = self.shared.context.clock.now();
+        warn!(self.log, "request cut by the shutdown";
+            "request" => format_request_id(self.call.id),
+            "organisation" => &*self.call.organisation,
+            "service" => &*self.call.service,
+            "code" => problem.code.number(),
+            "ran" => problem.ran.as_str(),
+            "ms" => (now - started).as_millis() as u64);
+    }
+
     fn step(&self, step: impl Into<String>) {
         let now = self.shared.context.clock.now();
         self.shared.trails.step(self.call.id, now, step);
@@ -263,6 +284,24 @@
         .increment(1);
 }
 
+/// Whether the caller of a request that a shutdown cut was told what became of it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum CutWord {
+    /// It was told by a problem document.
+    Told,
+    /// Its connection broke.
+    Untold,
+}
+
+/// Counts a request that a shutdown cut.
+pub(crate) fn count_cut(word: CutWord) {
+    let told = match word {
+        CutWord::Told => "yes",
+        CutWord::Untold => "no",
+    };
+    metrics::counter!("lovagedock_requests_cut_total", "told" => told).increment(1);
+}
+
 fn last_word(outcome: &Outcome) -> CallerEvent {
     if outcome.code == ResultCode::Complete {
         return CallerEvent::Complete;
--- a/lovagedock-gateway/src/front/in_flight.rs
+++ b/lovagedock-gateway/src/front/in_flight.rs
@@ -55,6 +55,12 @@
     pub(super) fn len(&self) -> usize {
         self.requests.lock().len()
     }
+
+    /// The requests in flight, and since when.
+    pub(super) fn list(&self) -> Vec<(RequestId, Timestamp)> {
+        let requests = self.requests.lock();
+        requests.iter().map(|(id, since)| (*id, *since)).collect()
+    }
 }
 
 /// One request in flight.
--- a/lovagedock-gateway/src/front/router.rs
+++ b/lovagedock-gateway/src/front/router.rs
@@ -9,7 +9,7 @@
 use hyper::{Method, Request, Response, body::Incoming, header};
 use lovagedock::{LimitDecision, LimitKind, ServiceKind, prelude::*};
 use serde::Serialize;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use super::{
@@ -21,7 +21,7 @@
 };
 use crate::{
     call::CallerCall,
-    call_task::{CallTask, count_outcome},
+    call_task::{CallTask, CutWord, count_cut, count_outcome},
     settings::CallerLimits,
     shared::GatewayShared,
     trail::RequestTrail,
@@ -55,6 +55,11 @@
         &self.in_flight
     }
 
+    /// Time since the process started.
+    pub(super) fn now(&self) -> Timestamp {
+        self.shared.context.clock.now()
+    }
+
     /// Time that requests in flight still get.
     pub(super) fn drain_left(&self) -> Duration {
         self.shared.drain_left()
@@ -65,7 +70,7 @@
         let id: RequestId = rand::random();
         // Counted before the check: a request whose body is still coming when the gateway stops
         // would be in flight unseen, and the process would end under it.
-        let in_flight = self.in_flight.begin(id, self.shared.context.clock.now());
+        let in_flight = self.in_flight.begin(id, self.now());
         let response = match self.route(id, request, &in_flight).await {
             Ok(response) => response,
             Err(problem) => {
@@ -106,14 +111,26 @@
         let permit = self.take_stream()?;
         let call = tokio::select! {
             call = intake.call(request) => call?,
-            () = self.shared.drain_over() => return Err(stopping()),
+            () = self.shared.drain_over() => {
+                self.note_body_cut(id);
+                return Err(stopping());
+            }
         };
         self.check_limits(&call)?;
         Ok(self.drive(Arc::new(call), permit, in_flight).await)
     }
 
+    fn note_body_cut(&self, id: RequestId) {
+        count_cut(CutWord::Told);
+        warn!(self.log, "request cut by the shutdown";
+            "request" => format_request_id(id),
+            "code" => ResultCode::GatewayStopping.number(),
+            "ran" => RanState::No.as_str(),
+            "detail" => "its body has not come");
+    }
+
     fn check_limits(&self, call: &CallerCall) -> Result<(), RequestProblem> {
-        let now = self.shared.context.clock.now();
+        let now = self.now();
         let tokens = call.prompt.tokens + call.prompt.answer_tokens;
         match self.shared.limits.admit(now, &call.organisation, tokens) {
             LimitDecision::Admitted => Ok(()),
--- a/lovagedock-gateway/src/front/server.rs
+++ b/lovagedock-gateway/src/front/server.rs
@@ -8,6 +8,7 @@
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
 };
+use lovagedock::prelude::*;
 use lovagedock_daemon::{ShutdownSignal, Transport};
 use slog::{Logger, debug, info, warn};
 use tokio::{
@@ -17,12 +18,18 @@
 };
 
 use super::router::CallRouter;
-use crate::{settings::CallerLimits, shared::GatewayShared};
+use crate::{
+    call_task::{CutWord, count_cut},
+    settings::CallerLimits,
+    shared::GatewayShared,
+};
 
 /// Pause after an accept that failed, since such errors repeat at once until files are closed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Time after the drain to write what callers are told of requests that did not end in it.
 const LAST_WORD_TIME: Duration = Duration::from_millis(300);
+/// Requests that the log names when the process ends under them; the rest is only counted.
+const NAMED_REQUESTS: usize = 200;
 /// Room for header lines beside the values that the header limit counts.
 const HEADER_SLACK_BYTES: usize = 64 * 1024;
 
@@ -114,6 +121,20 @@
         }
     }
 
+    /// Names the requests whose connections break with the end of the process.
+    fn note_cuts(&self, requests: &[(RequestId, Timestamp)]) {
+        warn!(self.log, "drain time is over"; "requests" => requests.len());
+        let now = self.router.now();
+        for (number, (id, since)) in requests.iter().enumerate() {
+            count_cut(CutWord::Untold);
+            if number < NAMED_REQUESTS {
+                warn!(self.log, "request cut by the exit";
+                    "request" => format_request_id(*id),
+                    "ms" => now.saturating_sub(*since).as_millis() as u64);
+            }
+        }
+    }
+
     async fn drained(&self) {
         self.shutdown.wait().await;
         let in_flight = self.router.in_flight();
@@ -121,7 +142,7 @@
         info!(self.log, "draining"; "requests" => in_flight.len());
         let time = self.router.drain_left() + LAST_WORD_TIME;
         if timeout(time, in_flight.wait()).await.is_err() {
-            warn!(self.log, "drain time is over"; "requests" => in_flight.len());
+            self.note_cuts(&in_flight.list());
         }
     }
 }
--- a/lovagedock-gateway/src/shared.rs
+++ b/lovagedock-gateway/src/shared.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use lovagedock::{RetryAllowance, RetryBudget, prelude::*};
+use lovagedock::{RequestTiming, RetryAllowance, RetryBudget, prelude::*};
 use lovagedock_daemon::ShutdownSignal;
 use parking_lot::Mutex;
 use tokio::time::sleep;
@@ -77,7 +77,18 @@
         if !self.shutdown.is_triggered() {
             return deadline;
         }
-        deadline.min(self.context.clock.now() + self.drain_left())
+        let left = self.drain_left();
+        deadline.min(self.context.clock.now() + left)
+    }
+
+    /// Whether a request that ends now, in vain and before its deadline, ends with the drain.
+    ///
+    /// A sidecar gives up a little earlier than its gateway, so that its word arrives in time.
+    pub(crate) fn ends_with_drain(&self, deadline: Timestamp) -> bool {
+        let margin = RequestTiming::default().answer_margin;
+        self.shutdown.is_triggered()
+            && self.drain_left() <= margin
+            && self.context.clock.now() + margin < deadline
     }
 
     /// Takes a retry from the service's budget, if there is one.
--- a/lovagedock-standin/tests/promise_support/mod.rs
+++ b/lovagedock-standin/tests/promise_support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each file uses its own part")]
 
 pub(crate) mod caller;
+pub(crate) mod log;
 pub(crate) mod relay;
 
 use std::{collections::BTreeMap, time::Duration};
--- a/lovagedock-standin/tests/promises_drain_end.rs
+++ b/lovagedock-standin/tests/promises_drain_end.rs
@@ -12,7 +12,9 @@
 use promise_support::{
     caller,
     caller::{Call, Caller},
-    engines, plan, service, start, starts_at, until,
+    engines,
+    log::LogLines,
+    plan, service, start, starts_at, until,
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -97,6 +99,27 @@
     format!(r#"{{"model":"reader","prompt":"{PROMPT}","max_tokens":{tokens}}}"#)
 }
 
+fn huge_answer_plan(drain: Duration) -> FleetPlan {
+    let mut plan = draining_plan(drain).with_time_scale(5_000.0);
+    for endpoint in &mut plan.config.pools[0].endpoints {
+        endpoint.memory_tokens = 2 * HUGE_ANSWER;
+    }
+    plan
+}
+
+/// Calls for a huge answer and reads no more of it than its first byte.
+async fn begin_huge_answer(process: &OwnProcess) -> TcpStream {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(4_096).expect("a small buffer");
+    let connecting = socket.connect(process.address());
+    let mut stream = connecting.await.expect("it listens");
+    let body = completion(HUGE_ANSWER);
+    begin_call(&mut stream, &body, body.len()).await;
+    let first = stream.read_u8().await.expect("the answer begins");
+    assert_eq!(first, b'H');
+    stream
+}
+
 struct BodyCase {
     what: &'static str,
     /// Whether the rest of the body comes while the gateway drains.
@@ -145,6 +168,8 @@
         assert!(answer.starts_with(case.status), "{}: {answer}", case.what);
         let says = |ran: &&str| answer.contains(&format!(r#""ran":"{ran}""#));
         assert!(case.ran.iter().any(says), "{}: {answer}", case.what);
+        let reason = "the gateway is shutting down";
+        assert!(answer.contains(reason), "{}: {answer}", case.what);
         ending.await.expect("it ends by itself");
     }
 }
@@ -194,19 +219,10 @@
 /// the process ended with the rest of it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_answer_that_is_being_written_is_not_cut() {
-    let mut plan = draining_plan(Duration::from_secs(60)).with_time_scale(5_000.0);
-    for endpoint in &mut plan.config.pools[0].endpoints {
-        endpoint.memory_tokens = 2 * HUGE_ANSWER;
-    }
+    let plan = huge_answer_plan(Duration::from_secs(60));
     let fleet = start(plan.clone()).await;
     let process = OwnProcess::start(&fleet, &plan).await;
-    let socket = TcpSocket::new_v4().expect("a socket");
-    socket.set_recv_buffer_size(4_096).expect("a small buffer");
-    let mut stream = socket.connect(process.address()).await.expect("it listens");
-    let body = completion(HUGE_ANSWER);
-    begin_call(&mut stream, &body, body.len()).await;
-    let first = stream.read_u8().await.expect("the answer begins");
-    assert_eq!(first, b'H');
+    let mut stream = begin_huge_answer(&process).await;
     until(async || {
         engines(&fleet)
             .iter()
@@ -222,6 +238,43 @@
     ending.await.expect("it ends by itself");
 }
 
+/// The drain's end cut a request, and nothing said which.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_a_drains_end_cuts_is_named() {
+    let lines = LogLines::default();
+    let mut plan = draining_plan(DRAIN);
+    plan.log = lines.logger();
+    let fleet = start(plan.clone()).await;
+    let process = OwnProcess::start(&fleet, &plan).await;
+    let metrics = process.gateway.daemon.metrics.clone();
+    let calling = Caller::new(process.address()).spawn(Call::whole(PROMPT, LONG_ANSWER));
+    promise_support::running_engine(&fleet).await;
+    let ending = process.stop();
+    let told = calling.await.expect("the call is judged");
+    assert!(told.problem().is_some(), "{told:?}");
+    ending.await.expect("it ends by itself");
+    assert!(lines.has("request cut by the shutdown", "request", &told.id));
+    let counted = r#"lovagedock_requests_cut_total{told="yes"}"#;
+    assert!(metrics.render().contains(counted), "{}", metrics.render());
+}
+
+/// The process ended under an answer that its caller did not read, and nothing said which.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_the_exit_cuts_is_named() {
+    let lines = LogLines::default();
+    let mut plan = huge_answer_plan(DRAIN);
+    plan.log = lines.logger();
+    let fleet = start(plan.clone()).await;
+    let process = OwnProcess::start(&fleet, &plan).await;
+    let metrics = process.gateway.daemon.metrics.clone();
+    let stream = begin_huge_answer(&process).await;
+    process.stop().await.expect("it ends by itself");
+    drop(stream);
+    assert_eq!(lines.count("request cut by the exit"), 1);
+    let counted = r#"lovagedock_requests_cut_total{told="no"}"#;
+    assert!(metrics.render().contains(counted), "{}", metrics.render());
+}
+
 /// An operator called the drain of a stopping sidecar off: it took work again and cut it off.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn the_drain_of_a_stopping_sidecar_is_not_called_off() {
