Sidecar names the requests that its drain's end cuts

Failed before: a_request_that_a_sidecars_exit_cuts_is_named (no such line). The log said "drain time is over", without a number or a request.

Requests that run have a line "request cut by the exit" with id, attempt, phase, organisation, service and bytes so far, ended answers that no gateway took one with their id; up to 200 of each. lovagedock_sidecar_requests_cut_total counts all.

--- a/lovagedock-sidecar/src/answers.rs
+++ b/lovagedock-sidecar/src/answers.rs
@@ -154,9 +154,14 @@
 
     /// Whether an answer has ended that no sink has sent to its end.
     pub(crate) fn has_unsent(&self) -> bool {
-        self.records
-            .values()
-            .any(|record| record.end.is_some() && !record.taken)
+        self.unsent().next().is_some()
+    }
+
+    /// Requests whose answer has ended and that no sink has sent to its end.
+    pub(crate) fn unsent(&self) -> impl Iterator<Item = RequestId> {
+        let records = self.records.iter();
+        let unsent = records.filter(|(_, record)| record.end.is_some() && !record.taken);
+        unsent.map(|(request, _)| *request)
     }
 
     /// Notes that a gateway has the whole answer.
--- a/lovagedock-sidecar/src/sidecar.rs
+++ b/lovagedock-sidecar/src/sidecar.rs
@@ -3,7 +3,7 @@
 use std::{fmt, io, net::SocketAddr, rc::Rc, sync::Arc, thread, time::Duration};
 
 use error_stack::{Report, ResultExt};
-use lovagedock::{EndpointCore, EndpointLimits};
+use lovagedock::{EndpointCore, EndpointLimits, prelude::*};
 use lovagedock_daemon::{AdminServer, DaemonContext, ShutdownSignal, Transport};
 use lovagedock_wire::serve_endpoint;
 use slog::{Logger, debug, info, warn};
@@ -24,6 +24,9 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Pause between looks at whether all answers have reached their gateways.
 const DRAIN_PAUSE: Duration = Duration::from_millis(20);
+/// Requests of each kind that the log names when the process ends under them; the rest is only
+/// counted.
+const NAMED_REQUESTS: usize = 200;
 
 /// A sidecar could not start.
 #[derive(Debug)]
@@ -190,6 +193,28 @@
         }
     }
 
+    /// Names the requests that the end of the process cuts.
+    fn note_cuts(&self) {
+        let requests = self.state.read(EndpointCore::snapshot).requests;
+        let unsent: Vec<_> = self.state.answers().unsent().collect();
+        let cut = requests.len() + unsent.len();
+        warn!(self.log, "drain time is over"; "requests" => requests.len(), "unsent" => unsent.len());
+        metrics::counter!("lovagedock_sidecar_requests_cut_total").increment(cut as u64);
+        for request in requests.iter().take(NAMED_REQUESTS) {
+            warn!(self.log, "request cut by the exit";
+                "request" => &request.request,
+                "attempt" => request.attempt,
+                "phase" => request.phase,
+                "organisation" => &*request.organisation,
+                "service" => &*request.service,
+                "bytes" => request.delivered);
+        }
+        for request in unsent.into_iter().take(NAMED_REQUESTS) {
+            warn!(self.log, "answer not taken before the exit";
+                "request" => format_request_id(request));
+        }
+    }
+
     /// Ends when the shutdown was asked for, no request is left and every answer was taken.
     async fn drained(&self) {
         self.shutdown.wait().await;
@@ -203,7 +228,7 @@
             }
         };
         if timeout(self.drain_time, left).await.is_err() {
-            warn!(self.log, "drain time is over");
+            self.note_cuts();
             return;
         }
         // A submit may be on its way from a gateway that has not heard of the drain. Refused here
--- a/lovagedock-standin/tests/promises_drain_end.rs
+++ b/lovagedock-standin/tests/promises_drain_end.rs
@@ -275,6 +275,27 @@
     assert!(metrics.render().contains(counted), "{}", metrics.render());
 }
 
+/// A sidecar's drain ended under a request, and nothing said which.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_a_sidecars_exit_cuts_is_named() {
+    let lines = LogLines::default();
+    let mut plan = plan().with_drain(PAUSE);
+    plan.log = lines.logger();
+    let mut fleet = start(plan).await;
+    let calling = caller(&fleet, 0).spawn(Call::once(PROMPT, LONG_ANSWER));
+    let place = promise_support::running_engine(&fleet).await;
+    let sidecar = fleet.endpoints[place].sidecar.take().expect("it runs");
+    let daemon = &fleet.endpoints[place].daemon;
+    daemon.shutdown.trigger();
+    sidecar.wait().await.expect("it ends");
+    let told = calling.await.expect("the call is judged");
+    let ran = told.problem().map(|problem| problem.ran.as_str());
+    assert!(matches!(ran, Some("yes" | "unknown")), "{told:?}");
+    assert!(lines.has("request cut by the exit", "request", &told.id));
+    let metrics = daemon.metrics.render();
+    assert!(metrics.contains("lovagedock_sidecar_requests_cut_total"));
+}
+
 /// An operator called the drain of a stopping sidecar off: it took work again and cut it off.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn the_drain_of_a_stopping_sidecar_is_not_called_off() {
