Sidecar tells gateways what its drain's end cuts

Failed before: what_a_sidecars_exit_cuts_is_told_at_once (2012 at the deadline in place of 3001). A call that ran on a sidecar when its drain time was over got no word; its gateway tried to resume for resume_wait, then to revoke for revoke_wait, and only then told the caller or tried elsewhere.

Cause: the process ended without an end for what ran.

The sidecar now ends what runs as lost (3001 unknown before the first byte, 3002 yes after it), which also cancels it on the engine, and gives the gateways up to 300 ms to take the ends. A drain time of zero still exits at once; the tests use it for a process that is killed.

--- a/lovagedock-sidecar/src/sidecar.rs
+++ b/lovagedock-sidecar/src/sidecar.rs
@@ -24,6 +24,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Pause between looks at whether all answers have reached their gateways.
 const DRAIN_PAUSE: Duration = Duration::from_millis(20);
+/// Time after the drain to tell gateways what became of requests that did not end in it.
+const LAST_WORD_TIME: Duration = Duration::from_millis(300);
 /// Requests of each kind that the log names when the process ends under them; the rest is only
 /// counted.
 const NAMED_REQUESTS: usize = 200;
@@ -193,6 +195,25 @@
         }
     }
 
+    /// Ends when every answer that has ended was taken.
+    async fn sent(&self) {
+        while self.state.answers().has_unsent() {
+            sleep(DRAIN_PAUSE).await;
+        }
+    }
+
+    /// Tells the gateways what becomes of the requests that the end of the process cuts.
+    ///
+    /// Without a word a gateway would look for this sidecar for seconds before it goes on. A drain
+    /// time of zero asks for an exit at once.
+    async fn say_last_word(&self) {
+        if self.drain_time.is_zero() {
+            return;
+        }
+        self.state.give_up();
+        let _unsent = timeout(LAST_WORD_TIME, self.sent()).await;
+    }
+
     /// Names the requests that the end of the process cuts.
     fn note_cuts(&self) {
         let requests = self.state.read(EndpointCore::snapshot).requests;
@@ -223,13 +244,11 @@
         self.state.stop();
         let left = async {
             self.state.drained().await;
-            while self.state.answers().has_unsent() {
-                sleep(DRAIN_PAUSE).await;
-            }
+            self.sent().await;
         };
         if timeout(self.drain_time, left).await.is_err() {
             self.note_cuts();
-            return;
+            return self.say_last_word().await;
         }
         // A submit may be on its way from a gateway that has not heard of the drain. Refused here
         // it did not run; on a connection that closes under it nobody could tell.
--- a/lovagedock-sidecar/src/state.rs
+++ b/lovagedock-sidecar/src/state.rs
@@ -14,7 +14,7 @@
 
 use lovagedock::{
     AnswerEnd, AttemptKey, EndpointAction, EndpointCore, EndpointEvent, EndpointLimits,
-    RevokeVerdict, prelude::*,
+    EngineResult, RevokeVerdict, prelude::*,
 };
 use lovagedock_daemon::ProcessClock;
 use parking_lot::{Mutex, MutexGuard};
@@ -131,6 +131,16 @@
         self.decide(EndpointEvent::Drain(true));
     }
 
+    /// Gives up what runs, before the process ends under it: the gateways are told, and the engine
+    /// is told to cancel.
+    pub(crate) fn give_up(self: &Arc<Self>) {
+        for key in self.read(EndpointCore::running_attempts) {
+            let detail = "the sidecar has stopped".to_owned();
+            let result = EngineResult::Lost { detail };
+            self.decide(EndpointEvent::EngineEnded { key, result });
+        }
+    }
+
     /// Ends when the endpoint is leaving and nothing is left on it.
     pub(crate) async fn drained(&self) {
         let mut drained = self.drained.subscribe();
--- a/lovagedock-standin/tests/promises_drain_end.rs
+++ b/lovagedock-standin/tests/promises_drain_end.rs
@@ -296,6 +296,23 @@
     assert!(metrics.contains("lovagedock_sidecar_requests_cut_total"));
 }
 
+/// A sidecar's drain ended under a call that must not run twice. Its gateway looked for the sidecar
+/// until the call's deadline, though nothing more was to come.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_a_sidecars_exit_cuts_is_told_at_once() {
+    let mut fleet = start(plan().with_drain(Duration::from_millis(100))).await;
+    let call = Call::once(PROMPT, LONG_ANSWER).with_deadline_ms(1_900);
+    let calling = caller(&fleet, 0).spawn(call);
+    let place = promise_support::running_engine(&fleet).await;
+    let sidecar = fleet.endpoints[place].sidecar.take().expect("it runs");
+    fleet.endpoints[place].daemon.shutdown.trigger();
+    sidecar.wait().await.expect("it ends");
+    let told = calling.await.expect("the call is judged");
+    let problem = told.problem().expect("it is told");
+    assert!(matches!(problem.code, 3001 | 3002), "{told:?}");
+    assert_ne!(problem.ran, "no");
+}
+
 /// An operator called the drain of a stopping sidecar off: it took work again and cut it off.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn the_drain_of_a_stopping_sidecar_is_not_called_off() {
--- a/lovagedock/src/endpoint/snapshot.rs
+++ b/lovagedock/src/endpoint/snapshot.rs
@@ -174,6 +174,11 @@
         self.table.get(&request).map(|entry| entry.key)
     }
 
+    /// The newest attempts of the requests that run.
+    pub fn running_attempts(&self) -> Vec<AttemptKey> {
+        self.running().map(|entry| entry.key).collect()
+    }
+
     /// The whole state, for a dump.
     pub fn snapshot(&self) -> EndpointSnapshot {
         EndpointSnapshot {
