--- a/lovagedock-gateway/src/call_task.rs
+++ b/lovagedock-gateway/src/call_task.rs
@@ -9,6 +9,7 @@
 use crate::{
     call::CallerCall,
     claims::ClaimAnswer,
+    cuts::{CutWord, count_cut},
     driver::{KeptAnswer, RequestDriver},
     front::{CallerEvent, CallerSink, RequestProblem},
     recorded::RecordedAnswer,
@@ -284,24 +285,6 @@
         .increment(1);
 }
 
-/// Whether the caller of a request that a shutdown cut was told what became of it.
-#[derive(Clone, Copy, Debug)]
-pub(crate) enum CutWord {
-    /// It was told by a problem document.
-    Told,
-    /// Its connection broke.
-    Untold,
-}
-
-/// Counts a request that a shutdown cut.
-pub(crate) fn count_cut(word: CutWord) {
-    let told = match word {
-        CutWord::Told => "yes",
-        CutWord::Untold => "no",
-    };
-    metrics::counter!("lovagedock_requests_cut_total", "told" => told).increment(1);
-}
-
 fn last_word(outcome: &Outcome) -> CallerEvent {
     if outcome.code == ResultCode::Complete {
         return CallerEvent::Complete;
--- a/lovagedock-gateway/src/front/router.rs
+++ b/lovagedock-gateway/src/front/router.rs
@@ -21,7 +21,8 @@
 };
 use crate::{
     call::CallerCall,
-    call_task::{CallTask, CutWord, count_cut, count_outcome},
+    call_task::{CallTask, count_outcome},
+    cuts::{CutWord, count_cut},
     settings::CallerLimits,
     shared::GatewayShared,
     trail::RequestTrail,
--- a/lovagedock-gateway/src/front/server.rs
+++ b/lovagedock-gateway/src/front/server.rs
@@ -19,7 +19,7 @@
 
 use super::router::CallRouter;
 use crate::{
-    call_task::{CutWord, count_cut},
+    cuts::{CutWord, count_cut},
     settings::CallerLimits,
     shared::GatewayShared,
 };
--- a/lovagedock-gateway/src/lib.rs
+++ b/lovagedock-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod claims;
 mod connect;
 mod context;
+mod cuts;
 mod direct;
 mod driver;
 mod fleet;
