A gateway that is late at the end of its stop still answers

What callers saw: nothing, though the gateway has a word for each of them at the end of its stop, if its process did not run for the moment of that end, as one that is frozen or has a small share of a core.

Cause: the time for last answers was counted from the planned end. Noticed later, it was over, and the process ended beside answers that were ready. It is counted from when the end is noticed now, and 200 ms in place of 100; the listener goes first, so that nobody is accepted meanwhile.

--- a/lovagedock-gateway/src/direct/front.rs
+++ b/lovagedock-gateway/src/direct/front.rs
@@ -25,7 +25,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     task::JoinHandle,
-    time::{Instant, sleep, sleep_until, timeout_at},
+    time::{Instant, sleep, sleep_until, timeout, timeout_at},
 };
 use tokio_util::task::TaskTracker;
 
@@ -44,7 +44,7 @@
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 
 /// Time after the end of all requests in which their last bytes and log lines go out.
-const LAST_ANSWERS_TIME: Duration = Duration::from_millis(100);
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
 
 /// Time for the request of a connection that is taken while the gateway stops.
 const LATE_REQUEST_TIME: Duration = Duration::from_millis(700);
@@ -96,16 +96,20 @@
             info!(front.log, "draining"; "connections" => connections.len());
             sleep_until(front.instant(plan.notice_ends_at())).await;
             connections.close();
-            let last = front.instant(plan.ends_at()) + LAST_ANSWERS_TIME;
-            if timeout_at(last, connections.wait()).await.is_err() {
-                warn!(front.log, "stopping with open connections";
-                    "connections" => connections.len());
-            }
+            let _ = timeout_at(front.instant(plan.ends_at()), connections.wait()).await;
         };
         tokio::select! {
             () = front.accept(&listener, &connections) => {}
             () = stop => {}
         }
+        drop(listener);
+        // Counted from here: a process that was late at the end would have no time left otherwise.
+        if timeout(LAST_ANSWERS_TIME, connections.wait())
+            .await
+            .is_err()
+        {
+            warn!(front.log, "stopping with open connections"; "connections" => connections.len());
+        }
     }
 
     fn instant(&self, at: Timestamp) -> Instant {
