Plain calls are taken during the notice of a stop whatever their objective

What callers saw: 503 from the first millisecond of a stop for calls of plain services whose route has no goal, or one longer than the stop, though the endpoint would answer at once.

Cause: the objective was taken for the time that a plain call is expected to take. It is what callers hope for, and by default the route's timeout. A whole answer cannot be cut in the middle, so nothing is expected of it now.

--- a/lovagedock-gateway/src/direct/call/parts.rs
+++ b/lovagedock-gateway/src/direct/call/parts.rs
@@ -58,11 +58,12 @@
     }
 
     fn expected_time(&self) -> Duration {
-        let objective = self.route.objective;
-        let Some(service) = self.config.services.get(&self.service) else {
-            return objective;
+        let route = &self.route;
+        let service = self.config.services.get(&self.service);
+        let Some(service) = service.filter(|_| route.mode.is_stream()) else {
+            return Duration::ZERO;
         };
-        let head = &self.head;
+        let (head, objective) = (&self.head, route.objective);
         service.expected_time(
             objective,
             head.prompt,
--- a/lovagedock-gateway/tests/direct_support/caller.rs
+++ b/lovagedock-gateway/tests/direct_support/caller.rs
@@ -88,3 +88,12 @@
         text: String::from_utf8_lossy(&bytes).into_owned(),
     }
 }
+
+/// A request whose body does not come.
+pub(crate) async fn open_upload(gateway: SocketAddr) -> TcpStream {
+    let mut stream = TcpStream::connect(gateway).await.expect("it listens");
+    let head = "POST /once/u HTTP/1.1\r\nhost: fleet.example\r\nx-key: secret\r\n\
+                content-length: 4\r\n\r\n";
+    stream.write_all(head.as_bytes()).await.expect("it reads");
+    stream
+}
--- a/lovagedock/src/direct/stopping.rs
+++ b/lovagedock/src/direct/stopping.rs
@@ -29,7 +29,7 @@
 pub struct LateRequest {
     /// When its time is over, for its caller or its route.
     pub deadline: Timestamp,
-    /// Time that it is expected to take.
+    /// Time that its stream is expected to take; zero for an answer that comes as a whole.
     pub expected: Duration,
 }
 
@@ -71,8 +71,9 @@
 }
 
 impl ServiceProfile {
-    /// Expected time from a request to the end of its answer, which is expected to have `answer`
-    /// tokens and never has more than `limit`; `objective` is the one of its route.
+    /// Expected time from a request to the end of its stream, which is expected to have `answer`
+    /// tokens and never has more than `limit`; `objective` is the one for its first event. Nothing
+    /// is expected of engines without a profile.
     pub fn expected_time(
         &self,
         objective: Duration,
@@ -81,10 +82,11 @@
         limit: Option<TokenCount>,
     ) -> Duration {
         let Some(engine) = &self.engine else {
-            return objective;
+            return Duration::ZERO;
         };
         let answer = answer.min(limit.unwrap_or(TokenCount::MAX));
-        // Several engines share a prompt that one alone reads too slowly for its objective.
+        // A prompt that one engine reads too slowly for its objective is shared by several, so that the
+        // objective bounds its reading where the pool is not overloaded.
         let reading = engine.read_time(prompt).min(objective);
         let pass = engine.full_pass();
         reading + pass + engine.write_time(answer, pass)
