A request that waits in a stop is sent only if it can still end

What callers saw: a call that must not be repeated got its place as its gateway was about to end, ran, and was answered 502; others waited to the last moment for a word that could have been given before.

Cause: the stop was looked at once, as the request came. Each look for a place asks the plan again now, also before a second attempt, and a request that no longer fits is told so at once; what is left of an answer that has begun is tried all the same. A second attempt that waits behind others no longer outlasts its own deadline.

--- a/lovagedock-gateway/src/direct/call/waiting.rs
+++ b/lovagedock-gateway/src/direct/call/waiting.rs
@@ -45,6 +45,10 @@
             if now >= self.deadline {
                 return Err(self.machine.expired());
             }
+            if !self.may_send(now) {
+                self.note_refused("the gateway stops");
+                return Err(DirectStep::Answer(self.machine.stopped()));
+            }
             if let Some(left) = self.board.quarantined_for(self.fingerprint) {
                 self.retry_after = Some(left);
                 self.note_refused("engines end under it");
@@ -114,6 +118,17 @@
         }
     }
 
+    /// Whether the gateway goes on for long enough, if it stops. What is left of an answer that has
+    /// begun is tried in any case.
+    fn may_send(&self, now: Timestamp) -> bool {
+        if self.way.has_begun() {
+            return true;
+        }
+        let request = self.parts.late_request();
+        let plan = self.board.stop_plan();
+        plan.is_none_or(|plan| plan.sends(now, &request))
+    }
+
     fn look(&self, now: Timestamp, effort: PlaceEffort) -> PlaceResult {
         let head = &self.parts.head;
         let is_return = self.line.is_return();
@@ -158,7 +173,7 @@
             until: now,
         };
         if self.machine.sent() > 0 {
-            ticket.until = now + AGAIN_PATIENCE;
+            ticket.until = (now + AGAIN_PATIENCE).min(self.deadline);
             return Ok(ticket);
         }
         match decision {
--- a/lovagedock-gateway/tests/direct_stop_moments.rs
+++ b/lovagedock-gateway/tests/direct_stop_moments.rs
@@ -109,6 +109,31 @@
     assert!(statuses.iter().all(is_told), "{statuses:?}");
 }
 
+/// Guards against a request that waits, is sent as the stop ends, runs, and is lost with it.
+#[tokio::test]
+async fn a_request_that_cannot_end_before_the_stop_is_not_sent() {
+    let endpoint = ScriptedEndpoint::start([
+        script::slow_answer(Duration::from_millis(600), "whole"),
+        script::slow_answer(Duration::from_millis(500), "whole"),
+    ])
+    .await;
+    let mut entry = entry("i-0", endpoint.address);
+    entry.slots = 1;
+    let feed = TestFeed::new(config(1), vec![entry]);
+    let gateway = TestGateway::start_with(stop_settings(1.0), &feed, daemon()).await;
+    let gateway = gateway.ready().await;
+    let address = gateway.address();
+    let first = open_call(address, "/once/x", "first", "secret").await;
+    until(|| endpoint.requests().len() == 1).await;
+    gateway.daemon.shutdown.trigger();
+    let second = open_call(address, "/once/x", "second", "secret").await;
+    let second = read_answer(second).await;
+    drop(first);
+    gateway.gateway.wait().await.expect("the gateway stops");
+    assert_eq!(second.status(), 503, "{}", second.text);
+    assert_eq!(endpoint.requests().len(), 1);
+}
+
 /// A plain call during a stop.
 struct PlainCase {
     name: &'static str,
--- a/lovagedock/src/direct/stopping.rs
+++ b/lovagedock/src/direct/stopping.rs
@@ -9,15 +9,20 @@
 /// once a second and wants two misses.
 const NOTICE_TIME: Duration = Duration::from_millis(2800);
 
+/// Least time before the end of a stop in which a request is sent to an endpoint. With less it would run,
+/// hardly be answered, and its caller could only be told that it may have run.
+const LEAST_TIME: Duration = Duration::from_millis(300);
+
 /// A stop that was asked for.
 ///
 /// The load that it answers: all gateways of a failure domain stop one after the other, faster than
 /// they come back. With its door closed, each refuses callers a connection while none of the others
-/// is back. So the door stays open until the end, and who cannot be served is told at once to come
-/// back.
+/// is back. So the door stays open while any request is under way, and who cannot be served is told at
+/// once to come back.
 ///
-/// How long a stream takes is known when it has ended: engines that are full, read for others, or
-/// are slow write several times as slowly as declared. So after the notice time none is taken.
+/// No bound of a stream's time is known: engines that are full, read for others, or are slow write
+/// several times as slowly as declared. So after the notice only requests are taken that end by their
+/// own deadline before the stop does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopPlan {
     asked_at: Timestamp,
@@ -59,14 +64,22 @@
 
     /// Whether a request that comes now is taken.
     ///
-    /// One whose own time is over before the stop ends is: it ends by then, whatever its engine
-    /// does. The others are taken only during the notice, since a balancer sends them back here, and
-    /// if they are expected to end in time.
+    /// The others than those that [`sends`](Self::sends) lets through to the end are taken only during
+    /// the notice, since a balancer sends them back here.
     pub fn takes(&self, now: Timestamp, request: &LateRequest) -> bool {
-        if request.deadline <= self.ends_at {
-            return true;
-        }
-        now < self.notice_ends_at() && now + request.expected <= self.ends_at
+        let is_late = now >= self.notice_ends_at();
+        let ends_itself = request.deadline <= self.ends_at;
+        self.sends(now, request) && (ends_itself || !is_late)
+    }
+
+    /// Whether a request that was taken, and may have waited since or come back from another endpoint,
+    /// is sent to an endpoint now.
+    ///
+    /// One whose own time is over before the stop ends is: it ends by then, whatever its engine
+    /// does. The others are if they are expected to end in time.
+    pub fn sends(&self, now: Timestamp, request: &LateRequest) -> bool {
+        let needed = request.expected.max(LEAST_TIME);
+        request.deadline <= self.ends_at || now + needed <= self.ends_at
     }
 }
 
--- a/lovagedock/tests/direct_stopping.rs
+++ b/lovagedock/tests/direct_stopping.rs
@@ -79,6 +79,65 @@
     }
 }
 
+struct SendCase {
+    name: &'static str,
+    at_ms: u64,
+    deadline_ms: u64,
+    expected_ms: u64,
+    sends: bool,
+}
+
+/// Guards against a request that was taken, waits until the stop is nearly over, and is sent then.
+#[test]
+fn a_request_that_waited_is_sent_only_if_it_ends_in_time() {
+    let cases = [
+        SendCase {
+            name: "a plain call with little time left",
+            at_ms: 7_400,
+            deadline_ms: 9_000,
+            expected_ms: 0,
+            sends: true,
+        },
+        SendCase {
+            name: "a plain call with next to none",
+            at_ms: 7_401,
+            deadline_ms: 9_000,
+            expected_ms: 0,
+            sends: false,
+        },
+        SendCase {
+            name: "one whose own time is over before",
+            at_ms: 7_401,
+            deadline_ms: 7_600,
+            expected_ms: 0,
+            sends: true,
+        },
+        SendCase {
+            name: "a stream that still fits",
+            at_ms: 4_700,
+            deadline_ms: 12_000,
+            expected_ms: 3_000,
+            sends: true,
+        },
+        SendCase {
+            name: "a stream that has waited for too long",
+            at_ms: 4_701,
+            deadline_ms: 12_000,
+            expected_ms: 3_000,
+            sends: false,
+        },
+    ];
+    let plan = StopPlan::new(ms(0), ms(7_700));
+    for case in cases {
+        let request = LateRequest {
+            deadline: ms(case.deadline_ms),
+            expected: ms(case.expected_ms),
+        };
+        let sends = plan.sends(ms(case.at_ms), &request);
+        assert_eq!(sends, case.sends, "{}", case.name);
+    }
+}
+
 struct ExpectedCase {
     name: &'static str,
     prompt: TokenCount,
