A pause of an engine that is there cuts no answer that nobody else can continue

What callers saw: an answer that broke off 4.2 s after its last event, though its engine was there and would have gone on, on routes that cannot be resumed and on the last attempt of those that can.

Cause: the same guess as in stops, that silence of a certain length means that nothing comes. For the first event the limit was left out where nobody else could be asked; between events it was not. It is now: an engine that cannot be reached is still given up after 1.4 s, one that is there is waited for until the request's own time is over, or its caller leaves.

Evidence: a_pause_cuts_no_answer_that_nobody_else_can_continue, both cases, with a pause of 5 s. Where an attempt is left but no other endpoint is there, the answer is still cut: OPEN.

--- a/lovagedock-gateway/src/direct/call/mod.rs
+++ b/lovagedock-gateway/src/direct/call/mod.rs
@@ -231,6 +231,7 @@
             let patience = StreamPatience {
                 first,
                 gap: GAP_PATIENCE,
+                may_resume: self.parts.route.mode.may_repeat() && self.machine.has_attempt_left(),
                 limit,
                 cutoff: self.instant(self.deadline),
             };
--- a/lovagedock-gateway/src/direct/delivery.rs
+++ b/lovagedock-gateway/src/direct/delivery.rs
@@ -124,6 +124,9 @@
     pub(crate) first: Instant,
     /// Between events.
     pub(crate) gap: Duration,
+    /// Whether another endpoint may continue the answer. If none may, giving up one that is there
+    /// only cuts it.
+    pub(crate) may_resume: bool,
     /// Until when a silent endpoint that is there may go on.
     pub(crate) limit: Instant,
     /// End of the request's time.
@@ -236,7 +239,10 @@
                     self.last_id = event.id;
                 }
                 until = Instant::now() + patience.gap;
-                limit = (until + patience.gap * 2).min(patience.cutoff);
+                limit = match patience.may_resume {
+                    true => (until + patience.gap * 2).min(patience.cutoff),
+                    false => patience.cutoff,
+                };
             }
         }
     }
--- /dev/null
+++ b/lovagedock-gateway/tests/direct_pause.rs
@@ -0,0 +1,74 @@
+//! Engines that pause in the middle of an answer, over real sockets.
+
+mod direct_support;
+
+use std::time::Duration;
+
+use direct_support::{
+    SERVICE, ScriptedEndpoint, TestFeed, TestGateway, config, daemon, endpoint_scripts as script,
+    entry, open_call, read_answer, settings,
+};
+use futures::future::join_all;
+use lovagedock::{RouteMatch, RouteMode, ServiceProfile, TrafficConfig};
+
+/// A route whose answers nobody else can continue.
+struct PauseCase {
+    name: &'static str,
+    resumable: bool,
+    attempts: u32,
+}
+
+impl PauseCase {
+    fn config(&self) -> TrafficConfig {
+        let base = config(1);
+        let RouteMatch::Found(route) = base.route("fleet.example", "/stream/x") else {
+            panic!("the route of streams is gone");
+        };
+        let mut route = route.clone();
+        route.mode = RouteMode::Stream {
+            resumable: self.resumable,
+        };
+        route.attempts = self.attempts;
+        TrafficConfig::new(1)
+            .with_route(route)
+            .with_service(ServiceProfile {
+                id: SERVICE.into(),
+                max_connections: 100,
+                engine: None,
+            })
+            .with_key("secret", "org".into(), None)
+    }
+
+    async fn play(self) {
+        let pause = Duration::from_secs(5);
+        let events = script::slow_events(Duration::ZERO, 1..3, pause);
+        let endpoint = ScriptedEndpoint::start([events]).await;
+        let feed = TestFeed::new(self.config(), vec![entry("i-0", endpoint.address)]);
+        let mut settings = settings("gateway");
+        settings.fleet = Some(format!("{}-{}", std::process::id(), self.name));
+        let gateway = TestGateway::start_with(settings, &feed, daemon()).await;
+        let gateway = gateway.ready().await;
+        let stream = open_call(gateway.address(), "/stream/x", "1", "secret").await;
+        let answer = read_answer(stream).await;
+        assert!(answer.is_complete(), "{}: {}", self.name, answer.text);
+        assert_eq!(answer.event_ids(), ["1", "2"], "{}", self.name);
+    }
+}
+
+/// Guards against an answer that is cut since its engine, which is there, pauses for seconds.
+#[tokio::test]
+async fn a_pause_cuts_no_answer_that_nobody_else_can_continue() {
+    let cases = [
+        PauseCase {
+            name: "not to be resumed",
+            resumable: false,
+            attempts: 1,
+        },
+        PauseCase {
+            name: "sent as often as it may be",
+            resumable: true,
+            attempts: 1,
+        },
+    ];
+    join_all(cases.into_iter().map(PauseCase::play)).await;
+}
