Absurd figures of a request are bounded as they are read

What callers saw: 502, "it may have run", for a request that was never sent, if its prompt or expected answer was of the order of 2^60 tokens. In a build with overflow checks the same came from a sum.

Cause: times that follow from such figures do not fit their type, and the request's task panicked. They are bounded at 2^40 tokens where a caller's head is read; nothing that an engine can hold is near it.

Evidence: absurd_figures_of_a_request_are_answered, both cases; before, the first panicked with "cannot convert float seconds to Duration".

--- a/lovagedock-gateway/src/direct/front.rs
+++ b/lovagedock-gateway/src/direct/front.rs
@@ -190,6 +190,7 @@
     async fn answer_request(&self, request: Request<Incoming>) -> Response<AnswerBody> {
         let arrived = self.board.clock.now();
         let head = self.dialect.read_caller(request.headers());
+        let head = head.with_bounded_tokens();
         let id = head.request.clone();
         let Some(config) = self.board.trusted_config() else {
             return self.reject(&id, ResultCode::NotConfigured);
--- a/lovagedock-gateway/tests/direct_answers.rs
+++ b/lovagedock-gateway/tests/direct_answers.rs
@@ -6,7 +6,7 @@
 
 use direct_support::{
     EndpointScript, ScriptedEndpoint, TestFeed, TestGateway, call, config, config_with_objective,
-    entry, open_call, until,
+    engine_config, entry, open_call, open_call_with, until,
 };
 use direct_support::{endpoint_scripts as script, read_answer};
 use tokio::time::sleep;
@@ -254,3 +254,44 @@
     assert_eq!(answer.event_ids(), ["1", "2", "3", "4", "5"]);
     assert!(answer.is_complete(), "{}", answer.text);
 }
+
+/// Figures of a request that no engine could have.
+struct FiguresCase {
+    name: &'static str,
+    lines: String,
+    status: u16,
+}
+
+/// Guards against a request whose figures end the task that should answer it.
+#[tokio::test]
+async fn absurd_figures_of_a_request_are_answered() {
+    let most = u64::MAX;
+    let cases = [
+        FiguresCase {
+            name: "a prompt",
+            lines: format!("x-prompt: {most}\r\nx-answer-hint: 10\r\n"),
+            status: 503,
+        },
+        FiguresCase {
+            name: "an answer",
+            lines: format!("x-prompt: 10\r\nx-answer-hint: {most}\r\nx-answer-limit: {most}\r\n"),
+            status: 503,
+        },
+    ];
+    for case in cases {
+        let endpoint = ScriptedEndpoint::start([]).await;
+        let feed = TestFeed::new(engine_config(), vec![entry("i-0", endpoint.address)]);
+        let gateway = TestGateway::start("gateway", &feed).await.ready().await;
+        let address = gateway.address();
+        let stream = open_call_with(address, "/stream/x", "1", "secret", &case.lines).await;
+        let answer = read_answer(stream).await;
+        assert_eq!(
+            answer.status(),
+            case.status,
+            "{}: {}",
+            case.name,
+            answer.text
+        );
+        assert_eq!(endpoint.requests().len(), 0, "{}", case.name);
+    }
+}
--- a/lovagedock-gateway/tests/direct_stops.rs
+++ b/lovagedock-gateway/tests/direct_stops.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use direct_support::{
-    EndpointScript, LogLines, SERVICE, ScriptedEndpoint, TestFeed, TestGateway, config,
-    endpoint_scripts as script, entry, open_call, open_call_with, open_upload, read_answer,
-    stop_settings, until,
+    EndpointScript, LogLines, ScriptedEndpoint, TestFeed, TestGateway, config,
+    endpoint_scripts as script, engine_config, entry, open_call, open_call_with, open_upload,
+    read_answer, stop_settings, until,
 };
 use futures::future::join_all;
-use lovagedock::{EngineProfile, ServiceProfile, TrafficConfig};
+use lovagedock::TrafficConfig;
 use lovagedock_daemon::DaemonContext;
 use tokio::time::sleep;
 
@@ -58,27 +58,6 @@
     assert!(decided[0]["left_ms"].as_u64().is_some_and(|left| left > 0));
 }
 
-/// An engine that writes 46 tokens in a pass of 46 ms when it is idle, and reads fast.
-const ENGINE: EngineProfile = EngineProfile {
-    slots: 4,
-    memory_tokens: 400_000,
-    steps_per_pass: 46,
-    step_ms: 1.0,
-    step_ms_per_writer: 0.005,
-    step_ms_per_1k_context: 0.0025,
-    read_tokens_per_ms: 250.0,
-    read_ms_per_1m_pairs: 0.1,
-};
-
-/// A configuration whose service has these engines.
-fn engine_config() -> TrafficConfig {
-    config(1).with_service(ServiceProfile {
-        id: SERVICE.into(),
-        max_connections: 100,
-        engine: Some(ENGINE),
-    })
-}
-
 /// The grace of the late stops below. All requests have ended 3.7 s after the request to stop.
 const LATE_GRACE_S: f64 = 4.0;
 
--- a/lovagedock-gateway/tests/direct_support/mod.rs
+++ b/lovagedock-gateway/tests/direct_support/mod.rs
@@ -13,8 +13,8 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use lovagedock::{
-    DirectEndpoint, EndpointLife, EndpointState, RouteMode, RouteRule, RouteTarget, ServiceProfile,
-    TrafficConfig,
+    DirectEndpoint, EndpointLife, EndpointState, EngineProfile, RouteMode, RouteRule, RouteTarget,
+    ServiceProfile, TrafficConfig,
 };
 use lovagedock_daemon::{AdminSettings, DaemonContext, PlainConsent, TransportSettings};
 use lovagedock_gateway::{DirectGateway, DirectSettings, FleetBounds};
@@ -163,6 +163,27 @@
         .with_key("secret", "org".into(), None)
 }
 
+/// An engine that writes 46 tokens in a pass of 46 ms when it is idle, and reads fast.
+const ENGINE: EngineProfile = EngineProfile {
+    slots: 4,
+    memory_tokens: 400_000,
+    steps_per_pass: 46,
+    step_ms: 1.0,
+    step_ms_per_writer: 0.005,
+    step_ms_per_1k_context: 0.0025,
+    read_tokens_per_ms: 250.0,
+    read_ms_per_1m_pairs: 0.1,
+};
+
+/// A configuration whose service has these engines.
+pub(crate) fn engine_config() -> TrafficConfig {
+    config(1).with_service(ServiceProfile {
+        id: SERVICE.into(),
+        max_connections: 100,
+        engine: Some(ENGINE),
+    })
+}
+
 /// An endpoint's entry.
 pub(crate) fn entry(id: &str, address: SocketAddr) -> DirectEndpoint {
     DirectEndpoint {
