A request that was told of a drain's end is not named again as untold

What operators saw: two lines and two counts for one request, as told and as cut by the exit.

Cause: the request's task goes on after its caller was told, to record the failure of its key, and the table of requests in flight held it until then. It is out of the table when the connection has the answer. a_request_that_was_told_is_named_once had one line too many before. Found by the reading of the change.

--- a/lovagedock-gateway/src/front/in_flight.rs
+++ b/lovagedock-gateway/src/front/in_flight.rs
@@ -70,24 +70,34 @@
     _token: TaskTrackerToken,
 }
 
+impl InFlightRequest {
+    fn forget(&self) {
+        self.table.requests.lock().remove(&self.id);
+    }
+}
+
 impl Drop for InFlightRequest {
     fn drop(&mut self) {
-        self.table.requests.lock().remove(&self.id);
+        self.forget();
     }
 }
 
 /// A body whose request is in flight until the connection has taken all of it.
 struct InFlightBody {
     body: AnswerBody,
-    _request: Arc<InFlightRequest>,
+    request: Arc<InFlightRequest>,
+}
+
+impl Drop for InFlightBody {
+    /// The caller has its answer or has gone; what its request still does is not cut for it.
+    fn drop(&mut self) {
+        self.request.forget();
+    }
 }
 
 /// Keeps a request in flight until its answer was taken by the connection.
 pub(super) fn in_flight_body(body: AnswerBody, request: Arc<InFlightRequest>) -> AnswerBody {
-    let body = InFlightBody {
-        body,
-        _request: request,
-    };
+    let body = InFlightBody { body, request };
     body.boxed_unsync()
 }
 
--- a/lovagedock-standin/tests/promises_drain_end.rs
+++ b/lovagedock-standin/tests/promises_drain_end.rs
@@ -215,6 +215,27 @@
     ending.await.expect("it ends by itself");
 }
 
+/// Guards against a request that is named and counted twice, as told and as not told.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_was_told_is_named_once() {
+    let lines = LogLines::default();
+    let mut plan = draining_plan(DRAIN).with_service_time(DRAIN * 4);
+    plan.log = lines.logger();
+    let fleet = start(plan.clone()).await;
+    let process = OwnProcess::start(&fleet, &plan).await;
+    let call = Call::receipt(8).with_key("receipt-8");
+    let calling = Caller::new(process.address()).spawn(call);
+    until(async || !service(&fleet).journal.runs().is_empty()).await;
+    // Its failure cannot be recorded, so that its task goes on after its caller was told.
+    fleet.platform.set_fault(FaultOrder::new(FaultKind::Down));
+    let ending = process.stop();
+    let told = calling.await.expect("the call is judged");
+    assert!(told.problem().is_some(), "{told:?}");
+    ending.await.expect("it ends by itself");
+    assert_eq!(lines.count("request cut by the shutdown"), 1);
+    assert_eq!(lines.count("request cut by the exit"), 0);
+}
+
 /// An answer was complete at the gateway and on its way to a slow caller when the gateway was stopped;
 /// the process ended with the rest of it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
