An answer of any length that a caller wants is summed without overflow

What callers saw: their connection broke for a max_tokens of 2^64 - 1, in builds with overflow checks ("attempt to add with overflow"); without them the sum would pass the check of the model's context (read, not run).

Cause: a plain sum of figures that callers choose, twice. refusals_tell_their_code_and_did_not_run has the case and failed before.

--- a/lovagedock-gateway/src/call.rs
+++ b/lovagedock-gateway/src/call.rs
@@ -51,3 +51,10 @@
     /// Whether the caller wants the answer as a stream.
     pub(crate) stream: bool,
 }
+
+impl PromptSummary {
+    /// Upper bound of the prompt and its answer together.
+    pub(crate) fn all_tokens(&self) -> TokenCount {
+        self.tokens.saturating_add(self.answer_tokens)
+    }
+}
--- a/lovagedock-gateway/src/front/intake.rs
+++ b/lovagedock-gateway/src/front/intake.rs
@@ -194,7 +194,7 @@
             prompt.tokens, prompt.answer_tokens
         ))
     };
-    if prompt.tokens + prompt.answer_tokens > context {
+    if prompt.all_tokens() > context {
         return Err(too_long(context, "the model's"));
     }
     if own > 0 && prompt.tokens > own {
--- a/lovagedock-gateway/src/front/router.rs
+++ b/lovagedock-gateway/src/front/router.rs
@@ -132,7 +132,7 @@
 
     fn check_limits(&self, call: &CallerCall) -> Result<(), RequestProblem> {
         let now = self.now();
-        let tokens = call.prompt.tokens + call.prompt.answer_tokens;
+        let tokens = call.prompt.all_tokens();
         match self.shared.limits.admit(now, &call.organisation, tokens) {
             LimitDecision::Admitted => Ok(()),
             LimitDecision::Refused { limit, retry_after } => {
--- a/lovagedock-standin/tests/callers_contract.rs
+++ b/lovagedock-standin/tests/callers_contract.rs
@@ -169,6 +169,8 @@
     let large_header = "h".repeat(HEADER_LIMIT);
     let large_prompt = json!({ "model": "reader", "prompt": "x".repeat(BODY_LIMIT) }).to_string();
     let long_prompt = json!({ "model": "reader", "prompt": "word ".repeat(25_000) }).to_string();
+    let endless_answer =
+        json!({ "model": "reader", "prompt": "the Sala", "max_tokens": u64::MAX }).to_string();
     let slow = authorised("POST", COMPLETIONS).body(stalled()).expect("a request");
     vec![
         case("no API key", without_key(None), 401, 1002, "bearer token"),
@@ -183,6 +185,7 @@
         case("neither prompt nor messages", body(r#"{ "model": "reader" }"#), 400, 1001, "expected a prompt or messages"),
         case("no model", body(r#"{ "prompt": "x" }"#), 400, 1001, "model"),
         case("a prompt over the model's context", body(long_prompt), 400, 1006, "the model's limit is 20000"),
+        case("an answer that no figure can hold", body(endless_answer), 400, 1006, "the model's limit is 20000"),
         case("a deadline in words", header("x-lovagedock-deadline-ms", "soon"), 400, 1001, "whole number of milliseconds"),
         case("a deadline of nothing", header("x-lovagedock-deadline-ms", "0"), 400, 1001, "whole number of milliseconds"),
         case("a deadline below nothing", header("x-lovagedock-deadline-ms", "-5"), 400, 1001, "whole number of milliseconds"),
