--- a/lovagedock-gateway/src/direct/answer.rs
+++ b/lovagedock-gateway/src/direct/answer.rs
@@ -109,7 +109,7 @@
 
     /// Ends a stream as complete.
     pub(crate) async fn finish(&mut self) {
-        if let Some(body) = self.body.take() {
+        if let Some(body) = &self.body {
             // A caller that has gone needs no word of it.
             let _ = body.send(StreamPart::End).await;
         }
--- a/lovagedock-gateway/src/direct/board/mod.rs
+++ b/lovagedock-gateway/src/direct/board/mod.rs
@@ -220,7 +220,7 @@
     }
 
     /// Waits until the gateway has been asked to stop.
-    pub(crate) async fn stop_asked(&self) -> StopPlan {
+    pub(crate) async fn stop_requested(&self) -> StopPlan {
         let mut plans = self.stopping.subscribe();
         loop {
             if let Some(plan) = *plans.borrow_and_update() {
@@ -233,7 +233,7 @@
 
     /// Waits until the gateway has been asked to stop and the time of its requests is over.
     pub(crate) async fn stop_ended(&self) {
-        let plan = self.stop_asked().await;
+        let plan = self.stop_requested().await;
         sleep_until(self.clock.instant_at(plan.ends_at()).into()).await;
     }
 
--- a/lovagedock-gateway/src/direct/call/log.rs
+++ b/lovagedock-gateway/src/direct/call/log.rs
@@ -103,14 +103,14 @@
             return;
         };
         let arrived = self.parts.arrived;
-        let placed = self.placed.as_ref();
+        let place = self.place.as_ref();
         info!(self.board.log, "cut by the stop";
             "request" => &self.parts.head.request,
             "fingerprint" => format_fingerprint(self.fingerprint),
             "route" => &self.parts.route.name,
             "stage" => stage,
-            "endpoint" => placed.map(|(endpoint, _)| endpoint.to_string()),
-            "waited_ms" => placed.map(|(_, waited)| waited.as_millis() as u64),
+            "endpoint" => place.map(|place| place.endpoint.to_string()),
+            "waited_ms" => place.map(|place| place.waited.as_millis() as u64),
             "prompt" => self.parts.head.prompt,
             "answer" => self.parts.head.expected_answer(),
             "answer_limit" => self.parts.head.answer_limit,
@@ -119,7 +119,7 @@
             "first_event_ms" => self.first_event().map(|first| first.as_millis() as u64),
             "longest_gap_ms" => self.stream.longest_gap().as_millis() as u64,
             "silent_ms" => self.silence().as_millis() as u64,
-            "stopping_ms" => arrived.as_millis() as i64 - plan.asked_at().as_millis() as i64,
+            "stopping_ms" => arrived.as_millis() as i64 - plan.requested_at().as_millis() as i64,
             "left_ms" => plan.ends_at().saturating_sub(arrived).as_millis() as u64,
             "left_out" => left_out);
     }
--- a/lovagedock-gateway/src/direct/call/mod.rs
+++ b/lovagedock-gateway/src/direct/call/mod.rs
@@ -48,6 +48,13 @@
 /// streams leave after two seconds without an event.
 const RETURN_PATIENCE: Duration = Duration::from_millis(900);
 
+/// Where an attempt of a request was placed.
+struct AttemptPlace {
+    endpoint: EndpointLife,
+    /// Time from the request to its place.
+    waited: Duration,
+}
+
 /// Runs a request.
 pub(crate) struct DirectCall {
     board: Arc<FleetBoard>,
@@ -64,8 +71,8 @@
     fingerprint: RequestFingerprint,
     retry_after: Option<Duration>,
     failure: Option<WholeAnswer>,
-    /// Endpoint of the present attempt, and the time from the request to its place there.
-    placed: Option<(EndpointLife, Duration)>,
+    /// Where the latest attempt was placed.
+    place: Option<AttemptPlace>,
 }
 
 impl DirectCall {
@@ -103,7 +110,7 @@
             sent_at: Instant::now(),
             retry_after: None,
             failure: None,
-            placed: None,
+            place: None,
         }
     }
 
@@ -116,10 +123,7 @@
             code = self.run_steps() => Some(code),
             () = board.stop_ended() => None,
         };
-        let code = match ended {
-            Some(code) => code,
-            None => self.end_with_gateway(),
-        };
+        let code = ended.unwrap_or_else(|| self.end_with_gateway());
         self.note_end(code);
     }
 
@@ -145,7 +149,10 @@
         let lead = placed.lead.clone();
         let endpoint = lead.life.clone();
         let waited = self.board.clock.now().saturating_sub(self.parts.arrived);
-        self.placed = Some((endpoint.clone(), waited));
+        self.place = Some(AttemptPlace {
+            endpoint: endpoint.clone(),
+            waited,
+        });
         let Some(end) = self.exchange(placed, resume).await else {
             // Nobody is left to answer.
             return DirectStep::Done;
@@ -359,8 +366,8 @@
         (first, limit.min(deadline))
     }
 
-    /// Ends it since the gateway ends: a caller that has nothing of the answer yet is told whether
-    /// the request may have run.
+    /// Ends the request with the gateway: a caller without any part of the answer is told whether it
+    /// may have run.
     fn end_with_gateway(&mut self) -> ResultCode {
         self.note_cut();
         let code = self.machine.stopped();
--- a/lovagedock-gateway/src/direct/call/parts.rs
+++ b/lovagedock-gateway/src/direct/call/parts.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use hyper::{HeaderMap, Method};
-use lovagedock::{LateRequest, RequestFingerprint, RouteRule, TrafficConfig, prelude::*};
+use lovagedock::{RequestFingerprint, RequestOutlook, RouteRule, TrafficConfig, prelude::*};
 use xxhash_rust::xxh3::Xxh3Default;
 
 use crate::direct::dialect::CallerHead;
@@ -49,15 +49,15 @@
         self.arrived + allowed.min(self.route.timeout)
     }
 
-    /// What a stopping gateway has to know of it.
-    pub(crate) fn late_request(&self) -> LateRequest {
-        LateRequest {
+    /// When it ends, as far as that is known.
+    pub(crate) fn outlook(&self) -> RequestOutlook {
+        RequestOutlook {
             deadline: self.deadline(),
-            expected: self.expected_time(),
+            expected: self.expected_stream_time(),
         }
     }
 
-    fn expected_time(&self) -> Duration {
+    fn expected_stream_time(&self) -> Duration {
         let route = &self.route;
         let service = self.config.services.get(&self.service);
         let Some(service) = service.filter(|_| route.mode.is_stream()) else {
--- a/lovagedock-gateway/src/direct/call/waiting.rs
+++ b/lovagedock-gateway/src/direct/call/waiting.rs
@@ -124,9 +124,8 @@
         if self.way.has_begun() {
             return true;
         }
-        let request = self.parts.late_request();
         let plan = self.board.stop_plan();
-        plan.is_none_or(|plan| plan.sends(now, &request))
+        plan.is_none_or(|plan| plan.may_send(now, &self.parts.outlook()))
     }
 
     fn look(&self, now: Timestamp, effort: PlaceEffort) -> PlaceResult {
--- a/lovagedock-gateway/src/direct/dialect.rs
+++ b/lovagedock-gateway/src/direct/dialect.rs
@@ -83,14 +83,14 @@
 /// Answer of usual length, in tokens, when the caller gives neither hint nor bound.
 const USUAL_ANSWER: TokenCount = 1500;
 
-/// Most tokens that are believed of a caller; the longest prompts have a millionth of it.
-const MOST_TOKENS: TokenCount = 1 << 40;
+/// Largest token count taken from a caller, about a million times the longest prompt.
+const MAX_TOKENS: TokenCount = 1 << 40;
 
 impl CallerHead {
-    /// The same with figures that sums and products of them cannot overflow.
+    /// The same with token counts bounded, so that sums of them cannot overflow.
     pub(crate) fn with_bounded_tokens(mut self) -> Self {
-        let bound = |tokens: Option<TokenCount>| tokens.map(|tokens| tokens.min(MOST_TOKENS));
-        self.prompt = self.prompt.min(MOST_TOKENS);
+        let bound = |tokens: Option<TokenCount>| tokens.map(|tokens| tokens.min(MAX_TOKENS));
+        self.prompt = self.prompt.min(MAX_TOKENS);
         self.answer_limit = bound(self.answer_limit);
         self.answer_hint = bound(self.answer_hint);
         self
--- a/lovagedock-gateway/src/direct/front.rs
+++ b/lovagedock-gateway/src/direct/front.rs
@@ -46,6 +46,8 @@
 /// Time after the end of all requests in which their last bytes and log lines go out.
 const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
 
+const _: () = assert!(LAST_ANSWERS_TIME.as_millis() < EXIT_MARGIN.as_millis());
+
 /// Time for the request of a connection that is taken while the gateway stops.
 const LATE_REQUEST_TIME: Duration = Duration::from_millis(700);
 
@@ -96,6 +98,7 @@
             info!(front.log, "draining"; "connections" => connections.len());
             sleep_until(front.instant(plan.notice_ends_at())).await;
             connections.close();
+            // What is left then is ended by the calls themselves and waited for below.
             let _ = timeout_at(front.instant(plan.ends_at()), connections.wait()).await;
         };
         tokio::select! {
@@ -135,7 +138,7 @@
         // Without it the connection works, only slower.
         let _ = stream.set_nodelay(true);
         let bounds = self.board.config().map(|config| config.bounds);
-        let is_late = self.takes_no_idle_connections();
+        let is_late = self.closes_idle_connections();
         let idle = match is_late {
             true => LATE_REQUEST_TIME,
             false => bounds.unwrap_or_default().idle_timeout + IDLE_SLACK,
@@ -156,7 +159,7 @@
                 // before, the request would get no answer.
                 std::future::pending::<()>().await;
             }
-            let plan = self.board.stop_asked().await;
+            let plan = self.board.stop_requested().await;
             sleep_until(self.instant(plan.notice_ends_at())).await;
         };
         let ended = tokio::select! {
@@ -172,7 +175,7 @@
     }
 
     /// Whether connections without a request under way are closed.
-    fn takes_no_idle_connections(&self) -> bool {
+    fn closes_idle_connections(&self) -> bool {
         let now = self.board.clock.now();
         let plan = self.board.stop_plan();
         plan.is_some_and(|plan| now >= plan.notice_ends_at())
@@ -189,15 +192,25 @@
 
     async fn answer_request(&self, request: Request<Incoming>) -> Response<AnswerBody> {
         let arrived = self.board.clock.now();
-        let head = self.dialect.read_caller(request.headers());
-        let head = head.with_bounded_tokens();
+        let head = self
+            .dialect
+            .read_caller(request.headers())
+            .with_bounded_tokens();
         let id = head.request.clone();
         let Some(config) = self.board.trusted_config() else {
             return self.reject(&id, ResultCode::NotConfigured);
         };
         let limit = config.bounds.max_body_bytes;
         let (parts, body) = request.into_parts();
-        let body = match Limited::new(body, limit).collect().await {
+        let collected = tokio::select! {
+            collected = Limited::new(body, limit).collect() => collected,
+            () = self.board.stop_ended() => {
+                metrics::counter!("lovagedock_requests_cut_by_stop_total", "stage" => "body")
+                    .increment(1);
+                return self.reject(&id, ResultCode::GatewayStopping);
+            }
+        };
+        let body = match collected {
             Ok(body) => body.to_bytes(),
             Err(error) if error.is::<LengthLimitError>() => {
                 return self.reject(&id, ResultCode::BodyTooLarge);
@@ -210,7 +223,7 @@
             Ok(call) => call,
             Err(code) => return self.reject(&id, code),
         };
-        if !self.takes(&call) {
+        if !self.admit_while_stopping(&call) {
             return self.reject(&id, ResultCode::GatewayStopping);
         }
         let (way, response) = CallerWay::channel();
@@ -227,14 +240,14 @@
         }
     }
 
-    /// Whether a request is taken; while the gateway stops, not all are.
-    fn takes(&self, call: &CallParts) -> bool {
+    /// Whether a request is taken; while the gateway stops, not all are, and each decision is logged.
+    fn admit_while_stopping(&self, call: &CallParts) -> bool {
         let Some(plan) = self.board.stop_plan() else {
             return true;
         };
         let now = self.board.clock.now();
-        let request = call.late_request();
-        let is_taken = plan.takes(now, &request);
+        let outlook = call.outlook();
+        let is_taken = plan.admits(now, &outlook);
         let outcome = if is_taken { "taken" } else { "refused" };
         metrics::counter!("lovagedock_requests_while_stopping_total", "outcome" => outcome)
             .increment(1);
@@ -243,10 +256,10 @@
                 "request" => &call.head.request,
                 "route" => &call.route.name,
                 "outcome" => outcome,
-                "stopping_ms" => now.saturating_sub(plan.asked_at()).as_millis() as u64,
+                "stopping_ms" => now.saturating_sub(plan.requested_at()).as_millis() as u64,
                 "left_ms" => plan.ends_at().saturating_sub(now).as_millis() as u64,
-                "deadline_ms" => request.deadline.saturating_sub(now).as_millis() as u64,
-                "expected_ms" => request.expected.as_millis() as u64,
+                "deadline_ms" => outlook.deadline.saturating_sub(now).as_millis() as u64,
+                "expected_ms" => outlook.expected.as_millis() as u64,
                 "prompt" => call.head.prompt,
                 "answer" => call.head.expected_answer(),
                 "answer_limit" => call.head.answer_limit,
--- a/lovagedock-gateway/tests/direct_stop_moments.rs
+++ b/lovagedock-gateway/tests/direct_stop_moments.rs
@@ -50,12 +50,34 @@
     }
     sleep(Duration::from_millis(100)).await;
     gateway.daemon.shutdown.trigger();
-    sleep(Duration::from_millis(500)).await;
+    sleep(Duration::from_millis(2_300)).await;
+    assert_eq!(count_closed(&mut kept).await, 0, "during the notice");
+    gateway.gateway.wait().await.expect("the gateway stops");
+    assert_eq!(count_closed(&mut kept).await, KEPT, "after it");
+}
+
+async fn count_closed(kept: &mut [TcpStream]) -> usize {
     let mut closed = 0;
-    for stream in &mut kept {
+    for stream in kept {
         closed += usize::from(is_closed(stream).await);
     }
-    assert_eq!(closed, 0, "of {KEPT}");
+    closed
+}
+
+/// Guards against a caller whose body is still coming as the stop ends, and who is told nothing.
+#[tokio::test]
+async fn a_body_on_its_way_gets_a_word_as_the_stop_ends() {
+    let endpoint = ScriptedEndpoint::start([]).await;
+    let feed = TestFeed::new(config(1), vec![entry("i-0", endpoint.address)]);
+    let gateway = TestGateway::start_with(stop_settings(1.0), &feed, daemon()).await;
+    let gateway = gateway.ready().await;
+    let upload = open_upload(gateway.address()).await;
+    sleep(Duration::from_millis(100)).await;
+    gateway.daemon.shutdown.trigger();
+    let answer = read_answer(upload).await;
+    gateway.gateway.wait().await.expect("the gateway stops");
+    assert_eq!(answer.status(), 503, "{}", answer.text);
+    assert!(answer.text.contains("\"ran\":\"no\""), "{}", answer.text);
 }
 
 /// Callers of a test that a silent endpoint keeps waiting.
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -59,7 +59,7 @@
 pub use returns::{RefusalLog, RequestFingerprint, format_fingerprint};
 pub use sight::PeerSight;
 pub use stoppage::StoppageWatch;
-pub use stopping::{LateRequest, StopPlan};
+pub use stopping::{RequestOutlook, StopPlan};
 pub use suspect_news::{EndEvidence, ProcessEnd, ProcessTag, SuspectNews, SuspectReport};
 pub use suspect_telling::SuspectTelling;
 pub use suspects::SuspectLedger;
--- a/lovagedock/src/direct/stopping.rs
+++ b/lovagedock/src/direct/stopping.rs
@@ -9,29 +9,28 @@
 /// once a second and wants two misses.
 const NOTICE_TIME: Duration = Duration::from_millis(2800);
 
-/// Least time before the end of a stop in which a request is sent to an endpoint. With less it would run,
-/// hardly be answered, and its caller could only be told that it may have run.
-const LEAST_TIME: Duration = Duration::from_millis(300);
+/// Time before the end of a stop below which nothing is sent to an endpoint: it would run, and hardly be
+/// answered.
+const MIN_SEND_TIME: Duration = Duration::from_millis(300);
 
 /// A stop that was asked for.
 ///
-/// The load that it answers: all gateways of a failure domain stop one after the other, faster than
-/// they come back. With its door closed, each refuses callers a connection while none of the others
-/// is back. So the door stays open while any request is under way, and who cannot be served is told at
-/// once to come back.
+/// All gateways of a failure domain may stop one after the other, faster than they come back. So the
+/// listener stays open while any request is under way, and requests that cannot be served are refused
+/// at once with a time to retry.
 ///
-/// No bound of a stream's time is known: engines that are full, read for others, or are slow write
-/// several times as slowly as declared. So after the notice only requests are taken that end by their
-/// own deadline before the stop does.
+/// How long a stream takes has no known bound: engines that are full, read for others, or are slow
+/// write several times as slowly as declared. So after the notice only requests are taken whose
+/// deadline is before the end of the stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopPlan {
-    asked_at: Timestamp,
+    requested_at: Timestamp,
     ends_at: Timestamp,
 }
 
-/// A request that comes to a gateway which was asked to stop.
+/// When a request ends, as far as it is known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LateRequest {
+pub struct RequestOutlook {
     /// When its time is over, for its caller or its route.
     pub deadline: Timestamp,
     /// Time that its stream is expected to take; zero for an answer that comes as a whole.
@@ -42,14 +41,14 @@
     /// A stop that was asked for now and ends all requests after `grace`.
     pub fn new(now: Timestamp, grace: Duration) -> Self {
         Self {
-            asked_at: now,
+            requested_at: now,
             ends_at: now + grace,
         }
     }
 
     /// When the stop was asked for.
-    pub fn asked_at(&self) -> Timestamp {
-        self.asked_at
+    pub fn requested_at(&self) -> Timestamp {
+        self.requested_at
     }
 
     /// When the requests that are left are ended.
@@ -59,27 +58,26 @@
 
     /// Until when callers may not know of the stop.
     pub fn notice_ends_at(&self) -> Timestamp {
-        (self.asked_at + NOTICE_TIME).min(self.ends_at)
+        (self.requested_at + NOTICE_TIME).min(self.ends_at)
     }
 
     /// Whether a request that comes now is taken.
     ///
-    /// The others than those that [`sends`](Self::sends) lets through to the end are taken only during
-    /// the notice, since a balancer sends them back here.
-    pub fn takes(&self, now: Timestamp, request: &LateRequest) -> bool {
+    /// During the notice: whatever may be sent, since a balancer would send it back here. Later: only
+    /// what ends by its own deadline.
+    pub fn admits(&self, now: Timestamp, outlook: &RequestOutlook) -> bool {
         let is_late = now >= self.notice_ends_at();
-        let ends_itself = request.deadline <= self.ends_at;
-        self.sends(now, request) && (ends_itself || !is_late)
+        let ends_itself = outlook.deadline <= self.ends_at;
+        self.may_send(now, outlook) && (ends_itself || !is_late)
     }
 
-    /// Whether a request that was taken, and may have waited since or come back from another endpoint,
-    /// is sent to an endpoint now.
+    /// Whether a request is sent to an endpoint now; it may have waited, or come back from another one.
     ///
-    /// One whose own time is over before the stop ends is: it ends by then, whatever its engine
-    /// does. The others are if they are expected to end in time.
-    pub fn sends(&self, now: Timestamp, request: &LateRequest) -> bool {
-        let needed = request.expected.max(LEAST_TIME);
-        request.deadline <= self.ends_at || now + needed <= self.ends_at
+    /// It is if its deadline is before the end of the stop, or if it is expected to end before that.
+    pub fn may_send(&self, now: Timestamp, outlook: &RequestOutlook) -> bool {
+        let needed = outlook.expected.max(MIN_SEND_TIME);
+        let left = self.ends_at.saturating_sub(now);
+        outlook.deadline <= self.ends_at || needed <= left
     }
 }
 
@@ -102,6 +100,7 @@
         // objective bounds its reading where the pool is not overloaded.
         let reading = engine.read_time(prompt).min(objective);
         let pass = engine.full_pass();
-        reading + pass + engine.write_time(answer, pass)
+        let writing = engine.write_time(answer, pass);
+        reading.saturating_add(pass).saturating_add(writing)
     }
 }
--- a/lovagedock/tests/direct_stopping.rs
+++ b/lovagedock/tests/direct_stopping.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use lovagedock::{LateRequest, ServiceProfile, StopPlan, prelude::*};
+use lovagedock::{RequestOutlook, ServiceProfile, StopPlan, prelude::*};
 
 struct StopCase {
     name: &'static str,
@@ -74,7 +74,7 @@
         let now = ms(case.after_ms);
         let deadline = now + ms(case.allowed_ms);
         let expected = ms(case.expected_ms);
-        let takes = plan.takes(now, &LateRequest { deadline, expected });
+        let takes = plan.admits(now, &RequestOutlook { deadline, expected });
         assert_eq!(takes, case.takes, "{}", case.name);
     }
 }
@@ -129,11 +129,11 @@
     ];
     let plan = StopPlan::new(ms(0), ms(7_700));
     for case in cases {
-        let request = LateRequest {
+        let request = RequestOutlook {
             deadline: ms(case.deadline_ms),
             expected: ms(case.expected_ms),
         };
-        let sends = plan.sends(ms(case.at_ms), &request);
+        let sends = plan.may_send(ms(case.at_ms), &request);
         assert_eq!(sends, case.sends, "{}", case.name);
     }
 }
@@ -208,11 +208,11 @@
         engine: Some(direct_support::PROFILE),
     };
     for case in cases {
-        let request = LateRequest {
+        let request = RequestOutlook {
             deadline: ms(15_000),
             expected: service.expected_time(ms(3_000), case.prompt, case.answer, case.limit),
         };
-        let takes = plan.takes(ms(case.after_ms), &request);
+        let takes = plan.admits(ms(case.after_ms), &request);
         assert_eq!(takes, case.takes, "{}", case.name);
     }
 }
