--- a/lovagedock-gateway/tests/direct_stops.rs
+++ b/lovagedock-gateway/tests/direct_stops.rs
@@ -199,8 +199,6 @@
     name: &'static str,
     path: &'static str,
     scripts: Vec<EndpointScript>,
-    status: u16,
-    ran: &'static str,
 }
 
 /// Guards against a stop after which a caller does not know whether its request may have run.
@@ -213,22 +211,16 @@
             name: "at a silent endpoint",
             path: "/safe/x",
             scripts: vec![silent(), silent()],
-            status: 502,
-            ran: "unknown",
         },
         UnansweredCase {
             name: "the same, not to be repeated",
             path: "/once/x",
             scripts: vec![silent()],
-            status: 502,
-            ran: "unknown",
         },
         UnansweredCase {
             name: "a stream before its first event",
             path: "/stream/x",
             scripts: vec![script::slow_events(long, 1..3, long)],
-            status: 502,
-            ran: "unknown",
         },
     ];
     for case in cases {
@@ -247,9 +239,8 @@
         let waiting = open_call(address, case.path, "waiting", "secret").await;
         let (sent, waiting) = tokio::join!(read_answer(sent), read_answer(waiting));
         gateway.gateway.wait().await.expect("the gateway stops");
-        let ran = format!("\"ran\":\"{}\"", case.ran);
-        assert_eq!(sent.status(), case.status, "{}: {}", case.name, sent.text);
-        assert!(sent.text.contains(&ran), "{}: {}", case.name, sent.text);
+        assert_eq!(sent.status(), 502, "{}: {}", case.name, sent.text);
+        assert!(sent.text.contains("\"ran\":\"unknown\""), "{}", sent.text);
         assert_eq!(waiting.status(), 503, "{}: {}", case.name, waiting.text);
         assert!(waiting.text.contains("\"ran\":\"no\""), "{}", waiting.text);
         assert!(waiting.has_header("retry-after"), "{}", waiting.text);
--- a/lovagedock-standin/tests/promises_drain_end.rs
+++ b/lovagedock-standin/tests/promises_drain_end.rs
@@ -144,7 +144,7 @@
     },
 ];
 
-/// A body was on its way when the gateway was stopped, and the drain ended without a word.
+/// Guards against a drain that ends without a word to a caller whose body is still coming.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_body_on_its_way_gets_a_word_at_the_drains_end() {
     for case in BODY_CASES {
@@ -174,7 +174,7 @@
     }
 }
 
-/// A call waited for the run of another with its key, and the drain ended without a word.
+/// Guards against a drain that ends without a word to a call that waits for another with its key.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_call_that_waits_for_its_key_is_refused_at_the_drains_end() {
     let plan = draining_plan(DRAIN).with_service_time(4 * DRAIN);
@@ -195,8 +195,7 @@
     assert!(first.await.expect("the call is judged").is_whole());
 }
 
-/// The store was away when the answer of a call with a key was to be recorded, and the drain ended
-/// without a word on the run.
+/// Guards against a drain that ends without a word on a run whose answer could not be recorded.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_call_whose_answer_is_not_recorded_is_told_at_the_drains_end() {
     let plan = draining_plan(DRAIN).with_service_time(PAUSE);
@@ -236,8 +235,7 @@
     assert_eq!(lines.count("request cut by the exit"), 0);
 }
 
-/// An answer was complete at the gateway and on its way to a slow caller when the gateway was stopped;
-/// the process ended with the rest of it.
+/// Guards against an answer that is lost with the process while its caller still reads it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_answer_that_is_being_written_is_not_cut() {
     let plan = huge_answer_plan(Duration::from_secs(60));
@@ -259,7 +257,7 @@
     ending.await.expect("it ends by itself");
 }
 
-/// The drain's end cut a request, and nothing said which.
+/// Guards against a request that a drain's end cuts and no log line names.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_request_that_a_drains_end_cuts_is_named() {
     let lines = LogLines::default();
@@ -279,7 +277,7 @@
     assert!(metrics.render().contains(counted), "{}", metrics.render());
 }
 
-/// The process ended under an answer that its caller did not read, and nothing said which.
+/// Guards against an unread answer that the end of the process cuts and no log line names.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_request_that_the_exit_cuts_is_named() {
     let lines = LogLines::default();
@@ -296,7 +294,7 @@
     assert!(metrics.render().contains(counted), "{}", metrics.render());
 }
 
-/// A sidecar's drain ended under a request, and nothing said which.
+/// Guards against a request that a sidecar's end cuts and no log line names.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_request_that_a_sidecars_exit_cuts_is_named() {
     let lines = LogLines::default();
@@ -317,8 +315,7 @@
     assert!(metrics.contains("lovagedock_sidecar_requests_cut_total"));
 }
 
-/// A sidecar's drain ended under a call that must not run twice. Its gateway looked for the sidecar
-/// until the call's deadline, though nothing more was to come.
+/// Guards against a gateway that looks for an ended sidecar until the deadline of its call.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn what_a_sidecars_exit_cuts_is_told_at_once() {
     let mut fleet = start(plan().with_drain(Duration::from_millis(100))).await;
@@ -334,7 +331,7 @@
     assert_ne!(problem.ran, "no");
 }
 
-/// An operator called the drain of a stopping sidecar off: it took work again and cut it off.
+/// Guards against a stopping sidecar that takes work again once its drain is called off.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn the_drain_of_a_stopping_sidecar_is_not_called_off() {
     let mut fleet = start(plan().with_concurrency(2)).await;
--- a/lovagedock/tests/direct_stopping.rs
+++ b/lovagedock/tests/direct_stopping.rs
@@ -147,8 +147,7 @@
     takes: bool,
 }
 
-/// Guards against streams that are taken during the notice though their engine is expected to write
-/// when the gateway ends.
+/// Guards against streams that are taken during the notice and expected to outlast the stop.
 #[test]
 fn a_stopping_gateway_counts_on_long_answers() {
     let cases = [
