Test of the leaving list waits for the calls from before, and tells later ones by their ids

It counted when the engine was empty and 300 ms had passed. What a gateway placed before it knew may reach an empty engine later: on its way to the sidecar, in its queue, or between its decision and the engine.

As strict as before about calls that begin after both gateways know: none of them may start there, from the first one on (by id); the former test let 300 ms and more pass. The count must still not change once the calls from before have ended. What it does not tell: a call from before that is placed anew in that time; the former test let that pass until the engine was empty and 300 ms had gone by, this one until the call has ended.

--- a/lovagedock-standin/tests/promises_leaving.rs
+++ b/lovagedock-standin/tests/promises_leaving.rs
@@ -3,14 +3,18 @@
 mod promise_support;
 
 use std::{
+    collections::HashSet,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
 
-use lovagedock_standin::fleet::LocalFleet;
+use lovagedock_standin::{
+    engine::{JournalEvent, RunningEngine},
+    fleet::LocalFleet,
+};
 use promise_support::{
     caller,
     caller::{Call, Reply, get_json, post},
@@ -31,42 +35,88 @@
 /// Callers that go on until they are told to stop, half streamed and half whole.
 struct SteadyLoad {
     stop: Arc<AtomicBool>,
-    callers: Vec<JoinHandle<Vec<Reply>>>,
+    marked: Arc<AtomicBool>,
+    /// Callers whose calls from before the mark have ended.
+    turned: Arc<AtomicU64>,
+    callers: Vec<JoinHandle<Answers>>,
+}
+
+/// Answers to the calls that began before the mark, and to those that began after it.
+#[derive(Default)]
+struct Answers {
+    before: Vec<Reply>,
+    after: Vec<Reply>,
 }
 
 impl SteadyLoad {
     fn start(fleet: &LocalFleet) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
+        let marked = Arc::new(AtomicBool::new(false));
+        let turned = Arc::new(AtomicU64::new(0));
         let callers = (0..CALLERS).map(|number| {
             let caller = caller(fleet, number as usize % 2);
             let stop = Arc::clone(&stop);
+            let marked = Arc::clone(&marked);
+            let turned = Arc::clone(&turned);
             tokio::spawn(async move {
-                let mut replies = Vec::new();
-                while !stop.load(Ordering::SeqCst) {
-                    let prompt = format!("{PROMPT} {number} {}", replies.len());
+                let mut answers = Answers::default();
+                let mut is_after = false;
+                for count in 0.. {
+                    if !is_after && marked.load(Ordering::SeqCst) {
+                        is_after = true;
+                        turned.fetch_add(1, Ordering::SeqCst);
+                    }
+                    if stop.load(Ordering::SeqCst) {
+                        break;
+                    }
+                    let prompt = format!("{PROMPT} {number} {count}");
                     let call = match number % 2 {
                         0 => Call::streamed(&prompt, 20),
                         _ => Call::whole(&prompt, 20),
                     };
-                    replies.push(caller.call(&call).await);
+                    let reply = caller.call(&call).await;
+                    match is_after {
+                        false => answers.before.push(reply),
+                        true => answers.after.push(reply),
+                    }
                 }
-                replies
+                answers
             })
         });
         Self {
             callers: callers.collect(),
             stop,
+            marked,
+            turned,
         }
     }
 
+    /// Sets the mark: calls that begin from now on are told apart from those before.
+    fn mark(&self) {
+        self.marked.store(true, Ordering::SeqCst);
+    }
+
+    /// Waits until every call that began before the mark has ended.
+    async fn turn_over(&self) {
+        until(async || self.turned.load(Ordering::SeqCst) == CALLERS).await;
+    }
+
     /// Stops and returns every answer.
     async fn end(self) -> Vec<Reply> {
+        let answers = self.end_in_parts().await;
+        answers.before.into_iter().chain(answers.after).collect()
+    }
+
+    /// Stops and returns every answer, by when its call began.
+    async fn end_in_parts(self) -> Answers {
         self.stop.store(true, Ordering::SeqCst);
-        let mut replies = Vec::new();
+        let mut all = Answers::default();
         for caller in self.callers {
-            replies.extend(caller.await.expect("the calls are judged"));
+            let answers = caller.await.expect("the calls are judged");
+            all.before.extend(answers.before);
+            all.after.extend(answers.after);
         }
-        replies
+        all
     }
 }
 
@@ -85,6 +135,13 @@
     until(async || counts(fleet)[1..].iter().sum::<usize>() >= enough).await;
 }
 
+/// Ids of the requests that an engine has started.
+fn ids_started_at(engine: &RunningEngine) -> HashSet<String> {
+    let entries = engine.journal.entries().into_iter();
+    let started = entries.filter(|entry| entry.event == JournalEvent::Started);
+    started.map(|entry| entry.request_id).collect()
+}
+
 fn assert_all_whole(replies: &[Reply]) {
     assert!(!replies.is_empty());
     for reply in replies {
@@ -225,12 +282,25 @@
         })
         .await;
     }
+    load.mark();
+    // What a gateway placed before it knew may reach the engine at any later time, even while the
+    // engine is empty: on its way to the sidecar, queued there, or on its way from there.
+    load.turn_over().await;
     let engine = engines(&fleet)[0];
     until(async || engine.handle.held_blocks() == 0).await;
-    tokio::time::sleep(Duration::from_millis(300)).await;
     let after = starts_at(engine);
     others_go_on(&fleet).await;
     assert_eq!(starts_at(engine), after, "a start after the gateways knew");
-    assert_all_whole(&load.end().await);
+    let answers = load.end_in_parts().await;
+    assert_all_whole(&answers.before);
+    assert_all_whole(&answers.after);
+    // Calls that began after the gateways knew are told by their ids, so that one which starts
+    // while the earlier ones still end is seen as well.
+    let started: Vec<_> = engines(&fleet).into_iter().map(ids_started_at).collect();
+    for reply in &answers.after {
+        assert!(!started[0].contains(&reply.id), "new work: {reply:?}");
+        let elsewhere = started[1..].iter().any(|ids| ids.contains(&reply.id));
+        assert!(elsewhere, "started nowhere: {reply:?}");
+    }
     assert!(generations(&fleet, 0).await.iter().all(|it| *it == 1));
 }
