Log the request rate limits that endpoints advertise

An overloaded endpoint may advertise in its answers the maximum number of requests per second that it accepts across all gateways. Gateways ignored this value, so neither logs nor metrics could tell whether a request beyond the limit came from a gateway that had not yet received the limit or from one that had. The limit is now decoded with the other fields of an answer's head and stored per endpoint process. A log line reports when a limit is first set, changes or is removed; another reports a malformed value, once per process. No decision uses the limit yet.

--- a/lovagedock-gateway/src/direct/board/mod.rs
+++ b/lovagedock-gateway/src/direct/board/mod.rs
@@ -1,6 +1,7 @@
 //! What a gateway knows and has decided, shared by all its requests.
 
 mod era;
+mod limits;
 mod listing;
 mod peers;
 mod place;
@@ -19,8 +20,8 @@
 use arc_swap::ArcSwapOption;
 use lovagedock::{
     EndpointLife, EndpointListing, EndpointTable, LineKind, OutlierEvent, PaceTracker, PeerSight,
-    RefusalLog, RequestFingerprint, RetryShareSettings, StopPlan, StoppageWatch, SuspectLedger,
-    TrafficConfig, WaitingLine, WatchDuty, WorkLedger, prelude::*,
+    RateLimits, RefusalLog, RequestFingerprint, RetryShareSettings, StopPlan, StoppageWatch,
+    SuspectLedger, TrafficConfig, WaitingLine, WatchDuty, WorkLedger, prelude::*,
 };
 use lovagedock_daemon::ProcessClock;
 use parking_lot::Mutex;
@@ -123,6 +124,7 @@
                 duty: WatchDuty::new(),
                 stoppage: StoppageWatch::new(),
                 listing: EndpointListing::new(),
+                rate_limits: RateLimits::new(),
                 store_era: None,
             }),
             changed: Notify::new(),
--- a/lovagedock-gateway/src/direct/board/state.rs
+++ b/lovagedock-gateway/src/direct/board/state.rs
@@ -8,8 +8,8 @@
 use lovagedock::{
     DirectEndpoint, EndpointLife, EndpointListing, EndpointTable, EntryNews, LineKind,
     OutlierAction, OutlierDetector, OutlierEvent, OutlierSettings, PaceTracker, PeerSight,
-    PlacerCandidate, RefusalLog, RetryShare, RetryShareSettings, StoppageWatch, SuspectLedger,
-    WaitingLine, WatchDuty, WorkLedger, prelude::*, short_lane_size,
+    PlacerCandidate, RateLimits, RefusalLog, RetryShare, RetryShareSettings, StoppageWatch,
+    SuspectLedger, WaitingLine, WatchDuty, WorkLedger, prelude::*, short_lane_size,
 };
 use lovagedock_platform::GatewayEntry;
 use slog::{Logger, info};
@@ -39,6 +39,7 @@
     pub(super) duty: WatchDuty,
     pub(super) stoppage: StoppageWatch,
     pub(super) listing: EndpointListing,
+    pub(super) rate_limits: RateLimits,
     /// Latest era of the store that was told.
     pub(super) store_era: Option<StoreEra>,
 }
@@ -122,6 +123,7 @@
     fn forget_health(&mut self, now: Timestamp, endpoint: &DirectEndpoint) {
         let id = &endpoint.life.id;
         self.paces.forget(&endpoint.life);
+        self.rate_limits.forget(&endpoint.life);
         let state = self.service(now, &endpoint.service);
         state.ejected.remove(id);
         state.heard.remove(id);
--- a/lovagedock-gateway/src/direct/call/mod.rs
+++ b/lovagedock-gateway/src/direct/call/mod.rs
@@ -19,7 +19,7 @@
 use super::{
     answer::{CallerWay, WholeAnswer},
     board::{FleetBoard, PlacedRequest},
-    delivery::{HeadVerdict, StreamDelivery, StreamEnd, StreamPatience, collect_whole, judge_head},
+    delivery::{StreamDelivery, StreamEnd, StreamPatience, collect_whole, judge_head},
     dialect::{HelperAddress, HttpDialect, OutgoingHead},
     exchange::EndpointConnection,
     liveness::LivenessWatch,
@@ -211,6 +211,7 @@
         };
         self.machine.begin_sending();
         self.sent_at = Instant::now();
+        let sent_at = self.board.clock.now();
         let request = self.request(&placed, &tickets);
         let (first, limit) = self.patience(&placed);
         let answer = match connection.send(request, watch.silent(first, limit)).await {
@@ -224,8 +225,13 @@
                 });
             }
         };
-        let verdict = judge_head(&*self.dialect, &self.parts.head.request, &answer.response);
-        if let HeadVerdict::End(end, head) = verdict {
+        let head = self.dialect.read_endpoint(answer.response.headers());
+        let end = judge_head(&head, &self.parts.head.request, &answer.response);
+        if end != Some(AttemptEnd::Misdirected) {
+            self.board
+                .note_rate_limit(&endpoint, sent_at, head.rate_limit);
+        }
+        if let Some(end) = end {
             self.note_failure(&endpoint, &format!("{end:?} {:?}", head.at_fault));
             if let Some(helper) = self.blame(&placed, end, head.at_fault) {
                 self.examine_helper(&helper).await;
--- a/lovagedock-gateway/src/direct/delivery.rs
+++ b/lovagedock-gateway/src/direct/delivery.rs
@@ -15,7 +15,7 @@
 
 use super::{
     answer::{CallerWay, WholeAnswer},
-    dialect::{EndpointHead, HttpDialect},
+    dialect::EndpointHead,
     liveness::LivenessWatch,
 };
 
@@ -32,37 +32,27 @@
     HeaderName::from_static("keep-alive"),
 ];
 
-/// What the head of an endpoint's answer means.
-#[derive(Debug)]
-pub(crate) enum HeadVerdict {
-    /// The request did not run.
-    End(AttemptEnd, EndpointHead),
-    /// The endpoint's answer to this request.
-    Sound,
-}
-
-/// Judges the head of an answer to `request`.
+/// Returns how the attempt ended, or `None` if the head is that of a valid answer to `request`.
 pub(crate) fn judge_head(
-    dialect: &dyn HttpDialect,
+    head: &EndpointHead,
     request: &str,
     response: &Response<Incoming>,
-) -> HeadVerdict {
-    let head = dialect.read_endpoint(response.headers());
+) -> Option<AttemptEnd> {
     let status = response.status();
     if status.as_u16() == 421 {
-        return HeadVerdict::End(AttemptEnd::Misdirected, head);
+        return Some(AttemptEnd::Misdirected);
     }
     if head.not_run {
-        return HeadVerdict::End(AttemptEnd::NotRun, head);
+        return Some(AttemptEnd::NotRun);
     }
     // A crossed answer bears another request's id. Delivered, a caller would read what belongs to
     // another.
     let crossed = head.request.as_deref().is_some_and(|id| id != request);
     let encoded = response.headers().contains_key(CONTENT_ENCODING);
     if crossed || encoded || (status.is_success() && !head.sealed) {
-        return HeadVerdict::End(AttemptEnd::Lost, head);
+        return Some(AttemptEnd::Lost);
     }
-    HeadVerdict::Sound
+    None
 }
 
 /// Headers for the caller.
--- a/lovagedock-gateway/src/direct/dialect.rs
+++ b/lovagedock-gateway/src/direct/dialect.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use hyper::HeaderMap;
-use lovagedock::prelude::*;
+use lovagedock::{AdvertisedLimit, prelude::*};
 
 /// Reads and writes the headers of one platform.
 pub trait HttpDialect: Send + Sync {
@@ -123,7 +123,7 @@
 }
 
 /// What an endpoint's headers say.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct EndpointHead {
     /// Id of the request that the answer belongs to.
     pub request: Option<String>,
@@ -133,4 +133,6 @@
     pub not_run: bool,
     /// Address of the endpoint at fault, when it is another than the one that answers.
     pub at_fault: Option<SocketAddr>,
+    /// Rate limit of the endpoint across all gateways.
+    pub rate_limit: AdvertisedLimit,
 }
--- a/lovagedock-gateway/tests/direct_support/dialect.rs
+++ b/lovagedock-gateway/tests/direct_support/dialect.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hyper::{HeaderMap, header::HeaderValue};
-use lovagedock::prelude::*;
+use lovagedock::{AdvertisedLimit, prelude::*};
 use lovagedock_gateway::{
     CallerHead, EndpointHead, HttpDialect, MemoryOrder, OrderCall, OutgoingHead,
 };
@@ -54,6 +54,10 @@
             sealed: headers.contains_key("x-seal"),
             not_run: headers.contains_key("x-not-run"),
             at_fault: None,
+            rate_limit: match text(headers, "x-limit") {
+                Some(limit) => AdvertisedLimit::parse(&limit),
+                None => AdvertisedLimit::Unlimited,
+            },
         }
     }
 
--- a/lovagedock-gateway/tests/direct_support/mod.rs
+++ b/lovagedock-gateway/tests/direct_support/mod.rs
@@ -8,6 +8,7 @@
 mod endpoint;
 pub(crate) mod endpoint_scripts;
 mod feed;
+mod limiting;
 mod log_lines;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -26,6 +27,7 @@
 pub(crate) use dialect::TestDialect;
 pub(crate) use endpoint::{EndpointScript, ScriptedEndpoint};
 pub(crate) use feed::TestFeed;
+pub(crate) use limiting::RateLimitedEndpoint;
 pub(crate) use log_lines::LogLines;
 
 /// Name of the service behind all routes.
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -25,6 +25,7 @@
 mod pace;
 mod placer;
 mod rate;
+mod rate_limit;
 mod recent;
 mod record;
 mod retries;
@@ -55,6 +56,7 @@
 pub use machine::{AttemptEnd, DirectMachine, DirectStep};
 pub use pace::PaceTracker;
 pub use placer::{DirectPlacer, keep_suspects_apart};
+pub use rate_limit::{AdvertisedLimit, RateLimitEvent, RateLimits, RequestRate};
 pub use retries::{RetryShare, RetryShareSettings};
 pub use returns::{RefusalLog, RequestFingerprint, format_fingerprint};
 pub use sight::PeerSight;
--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -61,16 +61,17 @@
 };
 pub use cost::{CostModel, CostParameters, PredictionError, PrefillObservation};
 pub use direct::{
-    AttemptEnd, CallerBounds, CombinedLoad, DirectChoice, DirectEndpoint, DirectMachine,
-    DirectPlacer, DirectRequest, DirectStep, EndEvidence, EndpointLife, EndpointListing,
-    EndpointState, EndpointTable, EngineProfile, EntryNews, EventSplitter, HelperPart,
-    LineDecision, LineKind, LineSettings, ListingVersion, LoadNews, MISSED_GAP, MessageNews,
-    PaceTracker, PeerContact, PeerHearing, PeerLoad, PeerSight, PlacedWork, PlacerCandidate,
-    ProcessEnd, ProcessTag, RefusalLog, RequestFingerprint, RequestOutlook, RetryShare,
-    RetryShareSettings, RouteMatch, RouteMode, RouteRule, RouteTarget, ServiceProfile, StopPlan,
-    StoppageWatch, StorePosition, StreamEvent, SuspectLedger, SuspectNews, SuspectReport,
-    SuspectTelling, TrafficConfig, WaitingLine, WatchDuty, WatchRole, WorkKey, WorkLedger,
-    WriterGroup, WriterTable, format_fingerprint, keep_suspects_apart, short_lane_size,
+    AdvertisedLimit, AttemptEnd, CallerBounds, CombinedLoad, DirectChoice, DirectEndpoint,
+    DirectMachine, DirectPlacer, DirectRequest, DirectStep, EndEvidence, EndpointLife,
+    EndpointListing, EndpointState, EndpointTable, EngineProfile, EntryNews, EventSplitter,
+    HelperPart, LineDecision, LineKind, LineSettings, ListingVersion, LoadNews, MISSED_GAP,
+    MessageNews, PaceTracker, PeerContact, PeerHearing, PeerLoad, PeerSight, PlacedWork,
+    PlacerCandidate, ProcessEnd, ProcessTag, RateLimitEvent, RateLimits, RefusalLog,
+    RequestFingerprint, RequestOutlook, RequestRate, RetryShare, RetryShareSettings, RouteMatch,
+    RouteMode, RouteRule, RouteTarget, ServiceProfile, StopPlan, StoppageWatch, StorePosition,
+    StreamEvent, SuspectLedger, SuspectNews, SuspectReport, SuspectTelling, TrafficConfig,
+    WaitingLine, WatchDuty, WatchRole, WorkKey, WorkLedger, WriterGroup, WriterTable,
+    format_fingerprint, keep_suspects_apart, short_lane_size,
 };
 pub use endpoint::{
     EndpointAction, EndpointCore, EndpointEvent, EndpointLimits, EndpointLoad, EndpointSafeguards,
