Gateways share an endpoint's rate limit

Gateways kept sending requests at an unchanged rate to an endpoint that had advertised a rate limit. No code read the limit, and no single gateway could have enforced it: it applies to all gateways together, and they do not coordinate individual requests.

Each gateway now sends the limits that it receives to its peers, and claims an endpoint while it has requests for it. The gateways whose names hash lowest for the endpoint, at most as many as it accepts requests per second, send to it. Each uses a token bucket with a capacity of one request that starts empty. In a network partition, each side takes a share of the limit in proportion to its size. The limit is checked whenever a request is placed, hence for every attempt, and again before the request is written. If all endpoints of a service are rate limited, a request is refused immediately with the time at which the next one is due. A limit is removed by an answer without it to a request that was sent after the limit was received. A limit close to zero still admits one request every ten seconds, so that its removal is detected. Only the senders and two standby gateways send claims, so that claim traffic does not grow with the square of the number of gateways.

It was compared with equal shares, where each gateway has its own bucket. The cost of few senders: at less than one request per second per gateway, most of the limit stays unused.

--- a/lovagedock-gateway/src/direct/board/limits.rs
+++ b/lovagedock-gateway/src/direct/board/limits.rs
@@ -1,6 +1,6 @@
 //! Rate limits that endpoints advertise.
 
-use lovagedock::{AdvertisedLimit, EndpointLife, RateLimitEvent, prelude::*};
+use lovagedock::{AdvertisedLimit, EndpointLife, RateLimitEvent, RateNews, prelude::*};
 use slog::info;
 
 use super::FleetBoard;
@@ -19,17 +19,54 @@
             return;
         }
         let event = fleet.rate_limits.record(now, endpoint, sent_at, advertised);
-        let limited = fleet.rate_limits.limited().count();
         drop(fleet);
+        if let Some(event) = event {
+            self.note_rate_change(endpoint, event, "answer");
+            self.placed.notify_one();
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Applies rate limit news from a peer.
+    pub(crate) fn hear_limits(&self, peer: &GatewayId, news: Vec<RateNews>) {
+        let now = self.clock.now();
+        for news in news {
+            let endpoint = news.endpoint.clone();
+            let mut fleet = self.fleet.lock();
+            if !fleet.counts(&endpoint) {
+                continue;
+            }
+            let event = fleet.rate_limits.hear(now, peer, news);
+            drop(fleet);
+            if let Some(event) = event {
+                self.note_rate_change(&endpoint, event, "peer");
+                self.changed.notify_waiters();
+            }
+        }
+    }
+
+    /// Returns the rate limit news that is due to be sent to peers.
+    pub(crate) fn take_rate_news(&self) -> Vec<RateNews> {
+        let now = self.clock.now();
+        self.fleet.lock().rate_limits.take_news(now)
+    }
+
+    fn note_rate_change(
+        &self,
+        endpoint: &EndpointLife,
+        event: RateLimitEvent,
+        source: &'static str,
+    ) {
         match event {
-            None => {}
-            Some(RateLimitEvent::Changed { before, rate }) => {
-                metrics::counter!("lovagedock_endpoint_limit_changes_total").increment(1);
+            RateLimitEvent::Changed { before, rate } => {
+                let limited = self.fleet.lock().rate_limits.limited().count();
+                metrics::counter!("lovagedock_endpoint_limit_changes_total", "source" => source)
+                    .increment(1);
                 metrics::gauge!("lovagedock_limited_endpoints").set(limited as f64);
                 info!(self.log, "endpoint rate limit changed"; "endpoint" => %endpoint,
-                    "requests_per_second" => rate, "before" => before);
+                    "requests_per_second" => rate, "before" => before, "source" => source);
             }
-            Some(RateLimitEvent::Malformed) => {
+            RateLimitEvent::Malformed => {
                 metrics::counter!("lovagedock_malformed_endpoint_limits_total").increment(1);
                 info!(self.log, "malformed endpoint rate limit ignored"; "endpoint" => %endpoint);
             }
--- a/lovagedock-gateway/src/direct/board/mod.rs
+++ b/lovagedock-gateway/src/direct/board/mod.rs
@@ -106,6 +106,7 @@
         retries: RetryShareSettings,
         log: Logger,
     ) -> Self {
+        let rate_limits = RateLimits::new(name.clone());
         Self {
             name,
             fleet_tag,
@@ -124,7 +125,7 @@
                 duty: WatchDuty::new(),
                 stoppage: StoppageWatch::new(),
                 listing: EndpointListing::new(),
-                rate_limits: RateLimits::new(),
+                rate_limits,
                 store_era: None,
             }),
             changed: Notify::new(),
@@ -292,6 +293,10 @@
             return;
         }
         let silent = fleet.ledger.forget_silent(now);
+        for peer in &silent {
+            fleet.rate_limits.forget_peer(now, peer);
+        }
+        fleet.tick_limits(now);
         fleet.ledger.forget_gone(now);
         fleet.suspects.forget_old(now);
         let settled = fleet.endpoints.settle(now);
--- a/lovagedock-gateway/src/direct/board/peers.rs
+++ b/lovagedock-gateway/src/direct/board/peers.rs
@@ -53,6 +53,7 @@
         fleet.peers.remove(name);
         fleet.sight.forget(name);
         fleet.ledger.forget_peer(name);
+        fleet.rate_limits.forget_peer(self.clock.now(), name);
     }
 
     /// Other gateways that are known.
@@ -139,6 +140,9 @@
 
     /// Forgets what a peer placed in its former life.
     pub(crate) fn forget_peer(&self, peer: &GatewayId) {
-        self.fleet.lock().ledger.forget_peer(peer);
+        let now = self.clock.now();
+        let mut fleet = self.fleet.lock();
+        fleet.ledger.forget_peer(peer);
+        fleet.rate_limits.forget_peer(now, peer);
     }
 }
--- a/lovagedock-gateway/src/direct/board/place.rs
+++ b/lovagedock-gateway/src/direct/board/place.rs
@@ -4,11 +4,14 @@
 
 use lovagedock::{
     DirectChoice, DirectEndpoint, DirectPlacer, DirectRequest, EndpointLife, LineKind,
-    OutlierEvent, PlacedWork, PlacerCandidate, TrafficConfig, WaitingLine, WorkKey,
+    OutlierEvent, PlacedWork, PlacerCandidate, RateVerdict, TrafficConfig, WaitingLine, WorkKey,
     keep_suspects_apart, prelude::*,
 };
 
-use super::{FleetBoard, state::FleetState};
+use super::{
+    FleetBoard,
+    state::{EndpointSearch, FleetState},
+};
 
 /// A request that has a place.
 pub(crate) struct PlacedRequest {
@@ -24,6 +27,8 @@
     pub(crate) occupied: u32,
     /// Reading that was placed there before, over all gateways.
     pub(crate) backlog: Duration,
+    /// Whether the endpoint has a rate limit and the request has consumed a token.
+    pub(crate) is_admitted: bool,
     /// Keys of the work in the ledger.
     pub(crate) hold: WorkHold,
 }
@@ -44,6 +49,8 @@
     pub(crate) ready: usize,
     /// Those of them that are ejected after failures.
     pub(crate) ejected: usize,
+    /// Those of them whose rate limit allows no request from this gateway now.
+    pub(crate) limited: usize,
     /// Slots that are free, over all gateways.
     pub(crate) free_slots: u32,
     /// Requests that wait at this gateway.
@@ -72,6 +79,8 @@
     Placed(Box<PlacedRequest>),
     /// Every endpoint is full, or no place is good enough.
     Full,
+    /// All endpoints are at their rate limits until this time.
+    RateLimited { until: Timestamp },
     /// The service has no endpoint that takes work and was not tried.
     NoEndpoint,
 }
@@ -134,6 +143,11 @@
         for endpoint in fleet.endpoints.ready(service) {
             let occupied = fleet.ledger.load(now, &endpoint.life).occupied;
             summary.ready += 1;
+            if let RateVerdict::RateLimited { .. } = fleet.rate_limits.verdict(now, &endpoint.life)
+            {
+                summary.limited += 1;
+                continue;
+            }
             summary.free_slots += endpoint.slots.saturating_sub(occupied);
         }
         summary.peers = fleet.ledger.peer_count();
@@ -156,8 +170,13 @@
         let now = self.clock.now();
         let mut fleet = self.fleet.lock();
         let profile = config.services.get(service).and_then(|s| s.engine.as_ref());
-        let Some(mut search) = fleet.search(now, service, excluded) else {
-            return PlaceResult::NoEndpoint;
+        if fleet.note_demand(now, service) {
+            self.placed.notify_one();
+        }
+        let mut search = match fleet.search(now, service, excluded) {
+            EndpointSearch::Found(candidates) => candidates,
+            EndpointSearch::RateLimited { until } => return PlaceResult::RateLimited { until },
+            EndpointSearch::NoEndpoint => return PlaceResult::NoEndpoint,
         };
         if request.suspect {
             keep_suspects_apart(&mut search);
@@ -178,6 +197,7 @@
         let works = placer.works(request, &choice, &search);
         let placed = PlacedParts::new(&choice, &search);
         drop(search);
+        let is_admitted = fleet.rate_limits.admit(now, &placed.lead.life) == RateVerdict::Admitted;
         let hold = self.hold(now, &mut fleet, works);
         let state = fleet.service(now, service);
         state.lines[kind as usize].record_start(now);
@@ -193,10 +213,21 @@
             loss: choice.harm,
             occupied: placed.occupied,
             backlog: placed.backlog,
+            is_admitted,
             hold,
         }))
     }
 
+    /// Whether a placed request may be sent. The endpoint may have advertised a limit since the placement.
+    pub(crate) fn may_send(&self, placed: &PlacedRequest) -> bool {
+        if placed.is_admitted {
+            return true;
+        }
+        let now = self.clock.now();
+        let verdict = self.fleet.lock().rate_limits.admit(now, &placed.lead.life);
+        !matches!(verdict, RateVerdict::RateLimited { .. })
+    }
+
     fn hold(
         self: &Arc<Self>,
         now: Timestamp,
--- a/lovagedock-gateway/src/direct/board/state.rs
+++ b/lovagedock-gateway/src/direct/board/state.rs
@@ -8,8 +8,8 @@
 use lovagedock::{
     DirectEndpoint, EndpointLife, EndpointListing, EndpointTable, EntryNews, LineKind,
     OutlierAction, OutlierDetector, OutlierEvent, OutlierSettings, PaceTracker, PeerSight,
-    PlacerCandidate, RateLimits, RefusalLog, RetryShare, RetryShareSettings, StoppageWatch,
-    SuspectLedger, WaitingLine, WatchDuty, WorkLedger, prelude::*, short_lane_size,
+    PlacerCandidate, RateLimits, RateVerdict, RefusalLog, RetryShare, RetryShareSettings,
+    StoppageWatch, SuspectLedger, WaitingLine, WatchDuty, WorkLedger, prelude::*, short_lane_size,
 };
 use lovagedock_platform::GatewayEntry;
 use slog::{Logger, info};
@@ -96,6 +96,7 @@
     ) {
         if let EntryNews::Restarted(former) = news {
             self.ledger.forget_life(&former.life);
+            self.rate_limits.forget(&former.life);
             self.forget_health(now, former);
         }
         if let Some(endpoint) = self.endpoints.get(&id) {
@@ -123,14 +124,41 @@
     fn forget_health(&mut self, now: Timestamp, endpoint: &DirectEndpoint) {
         let id = &endpoint.life.id;
         self.paces.forget(&endpoint.life);
-        self.rate_limits.forget(&endpoint.life);
         let state = self.service(now, &endpoint.service);
         state.ejected.remove(id);
         state.heard.remove(id);
         state.outliers.handle(now, OutlierEvent::Left(id.clone()));
     }
 
-    /// Endpoints with a free slot; `None` when the service has none that takes work.
+    /// Updates the shares of rate limits for the current set of gateways.
+    pub(super) fn tick_limits(&mut self, now: Timestamp) {
+        let count = self.sight.count(now);
+        let endpoints = &self.endpoints;
+        self.rate_limits
+            .tick(now, count, |life| endpoints.is_current(life));
+    }
+
+    /// Records demand for the rate-limited endpoints of a service. Returns whether peers must be notified.
+    pub(super) fn note_demand(&mut self, now: Timestamp, service: &ServiceId) -> bool {
+        let limited: Vec<EndpointLife> = self
+            .rate_limits
+            .limited()
+            .map(|(life, _)| life)
+            .filter(|life| self.endpoints.is_current(life))
+            .filter(|life| {
+                self.endpoints
+                    .get(&life.id)
+                    .is_some_and(|known| known.service == *service)
+            })
+            .cloned()
+            .collect();
+        let changes = limited
+            .iter()
+            .map(|life| self.rate_limits.note_demand(now, life));
+        changes.fold(false, |any, is_new| any | is_new)
+    }
+
+    /// Finds endpoints with a free slot.
     ///
     /// The first of all endpoints are kept for short prompts. All gateways list endpoints in the same
     /// order and hear of each other's requests, so they agree on them but for the moment.
@@ -139,21 +167,32 @@
         now: Timestamp,
         service: &ServiceId,
         excluded: &[EndpointLife],
-    ) -> Option<Vec<PlacerCandidate<'_>>> {
+    ) -> EndpointSearch<'_> {
         let ejected = self.services.get(service).map(|state| &state.ejected);
         let mut candidates = Vec::new();
         let mut positions = Vec::new();
         let mut found = false;
+        let mut limited_until: Option<Timestamp> = None;
         let mut pool = PoolCount::default();
-        for (position, endpoint) in self.endpoints.ready(service).enumerate() {
+        for endpoint in self.endpoints.ready(service) {
             let (mut load, short) = self.ledger.look(now, &endpoint.life);
-            pool.add(endpoint, short);
+            let verdict = self.rate_limits.verdict(now, &endpoint.life);
+            // Rate-limited endpoints accept too few requests to be part of the short lane.
+            let position = (verdict == RateVerdict::Unlimited).then_some(pool.endpoints);
+            pool.short += short;
+            if position.is_some() {
+                pool.add(endpoint);
+            }
             if excluded.contains(&endpoint.life) {
                 continue;
             }
             if ejected.is_some_and(|ejected| ejected.contains(&endpoint.life.id)) {
                 continue;
             }
+            if let RateVerdict::RateLimited { until } = verdict {
+                limited_until = Some(limited_until.map_or(until, |at| at.min(until)));
+                continue;
+            }
             found = true;
             load.pace = load.pace.max(self.paces.pace(now, &endpoint.life) as f32);
             if load.occupied < endpoint.slots {
@@ -162,6 +201,7 @@
                     load,
                     rank: 0.0,
                     short_lane: false,
+                    may_help: position.is_some(),
                     draw: rand::random(),
                 });
                 positions.push(position);
@@ -169,13 +209,28 @@
         }
         let lane = short_lane_size(pool.short, pool.slots, pool.endpoints);
         for (candidate, position) in candidates.iter_mut().zip(positions) {
-            candidate.rank = position as f64 / pool.endpoints as f64;
-            candidate.short_lane = position < lane;
+            candidate.rank =
+                position.map_or(1.0, |position| position as f64 / pool.endpoints as f64);
+            candidate.short_lane = position.is_some_and(|position| position < lane);
+        }
+        match (found, limited_until) {
+            (true, _) => EndpointSearch::Found(candidates),
+            (false, Some(until)) => EndpointSearch::RateLimited { until },
+            (false, None) => EndpointSearch::NoEndpoint,
         }
-        found.then_some(candidates)
     }
 }
 
+/// Result of a search for endpoints.
+pub(super) enum EndpointSearch<'a> {
+    /// Endpoints with a free slot; empty if all are full.
+    Found(Vec<PlacerCandidate<'a>>),
+    /// All endpoints that take work are at their rate limits until this time.
+    RateLimited { until: Timestamp },
+    /// The service has no endpoint that takes work.
+    NoEndpoint,
+}
+
 /// What the size of the short lane follows from.
 #[derive(Default)]
 struct PoolCount {
@@ -187,8 +242,7 @@
 }
 
 impl PoolCount {
-    fn add(&mut self, endpoint: &DirectEndpoint, short: u32) {
-        self.short += short;
+    fn add(&mut self, endpoint: &DirectEndpoint) {
         self.slots = self.slots.max(endpoint.slots);
         self.endpoints += 1;
     }
--- a/lovagedock-gateway/src/direct/call/log.rs
+++ b/lovagedock-gateway/src/direct/call/log.rs
@@ -50,6 +50,7 @@
             "objective_ms" => self.parts.route.objective.as_millis() as u64,
             "endpoints" => pool.ready,
             "ejected" => pool.ejected,
+            "limited" => pool.limited,
             "free_slots" => pool.free_slots,
             "waiting" => pool.waiting,
             "peers" => pool.peers,
--- a/lovagedock-gateway/src/direct/call/mod.rs
+++ b/lovagedock-gateway/src/direct/call/mod.rs
@@ -209,6 +209,11 @@
                 return Some(AttemptEnd::Unreachable);
             }
         };
+        if !self.board.may_send(&placed) {
+            metrics::counter!("lovagedock_requests_withheld_total", "reason" => "limit")
+                .increment(1);
+            return Some(AttemptEnd::Withheld);
+        }
         self.machine.begin_sending();
         self.sent_at = Instant::now();
         let sent_at = self.board.clock.now();
--- a/lovagedock-gateway/src/direct/call/waiting.rs
+++ b/lovagedock-gateway/src/direct/call/waiting.rs
@@ -56,6 +56,7 @@
             }
             let last_look = waiting.as_ref().is_some_and(|ticket| now >= ticket.until);
             let may_look = waiting.as_ref().is_none_or(LineTicket::is_first) || last_look;
+            let mut limited_until = None;
             if may_look {
                 let waited = waiting.as_ref().map_or(0.0, |ticket| ticket.waited(now));
                 match self.look(now, self.effort(waited)) {
@@ -64,6 +65,7 @@
                         return Err(self.refuse(now));
                     }
                     PlaceResult::Full | PlaceResult::NoEndpoint => {}
+                    PlaceResult::RateLimited { until } => limited_until = Some(until),
                 }
             }
             let until = match &waiting {
@@ -73,6 +75,9 @@
                     waiting.insert(ticket).until
                 }
             };
+            if let Some(limited_until) = limited_until.filter(|at| last_look || *at > until) {
+                return Err(self.refuse_rate_limited(now, limited_until));
+            }
             if !may_look {
                 tokio::select! {
                     () = line_moved => {}
@@ -188,6 +193,20 @@
         }
     }
 
+    /// Refuses a request because all endpoints are at their rate limits until `until`.
+    fn refuse_rate_limited(&mut self, now: Timestamp, until: Timestamp) -> DirectStep {
+        let wait = until.saturating_sub(now);
+        let time_left = self.deadline.saturating_sub(now);
+        let retry_after = self
+            .board
+            .with_line(&self.parts.service, self.line, |line| {
+                line.retry_after(wait, time_left, rand::random())
+            });
+        self.retry_after = Some(retry_after.max(wait));
+        self.note_refused("all endpoints are rate limited");
+        self.machine.no_place(now)
+    }
+
     fn refuse(&mut self, now: Timestamp) -> DirectStep {
         let time_left = self.deadline.saturating_sub(now);
         let retry_after = self
--- a/lovagedock-gateway/src/direct/peer_message.rs
+++ b/lovagedock-gateway/src/direct/peer_message.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use lovagedock::{
-    EndpointLife, ListingVersion, PeerLoad, RequestFingerprint, SuspectNews, WriterGroup,
+    EndpointLife, ListingVersion, PeerLoad, RateNews, RequestFingerprint, SuspectNews, WriterGroup,
     prelude::*,
 };
 use serde::{Deserialize, Serialize};
@@ -11,7 +11,7 @@
 use super::fleet_tag::FleetTag;
 
 /// Version of what gateways tell each other, by datagrams and when asked; another one is left out.
-pub(super) const PROTOCOL: u16 = 4;
+pub(super) const PROTOCOL: u16 = 5;
 
 /// Comes before each message, so that it can be told whether the rest can be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -82,6 +82,8 @@
     pub(super) refused: Vec<RequestFingerprint>,
     /// What it has found out of requests that end engines.
     pub(super) suspects: Vec<SuspectNews>,
+    /// Rate limits of endpoints, and which of these endpoints it claims.
+    pub(super) limits: Vec<RateNews>,
 }
 
 /// What a gateway has placed on one endpoint.
--- a/lovagedock-gateway/src/direct/peers.rs
+++ b/lovagedock-gateway/src/direct/peers.rs
@@ -11,7 +11,7 @@
 };
 
 use lovagedock::{
-    ListingVersion, LoadNews, MessageNews, PeerHearing, RequestFingerprint, SuspectNews,
+    ListingVersion, LoadNews, MessageNews, PeerHearing, RateNews, RequestFingerprint, SuspectNews,
     SuspectTelling, prelude::*,
 };
 use lovagedock_platform::GatewayEntry;
@@ -49,15 +49,16 @@
 /// Ports that are tried when any free one will do.
 const PORT_TRIES: usize = 32;
 
-/// What peers are told of requests.
+/// News of requests and of endpoints' rate limits for peers.
 struct RequestNews {
     refused: Vec<RequestFingerprint>,
     suspects: Vec<SuspectNews>,
+    limits: Vec<RateNews>,
 }
 
 impl RequestNews {
     fn is_empty(&self) -> bool {
-        self.refused.is_empty() && self.suspects.is_empty()
+        self.refused.is_empty() && self.suspects.is_empty() && self.limits.is_empty()
     }
 }
 
@@ -125,6 +126,7 @@
             let news = RequestNews {
                 refused: self.board.take_untold_refusals(),
                 suspects: self.board.take_suspect_news(&mut telling),
+                limits: self.board.take_rate_news(),
             };
             let versions = (
                 self.board.config().map_or(0, |config| config.version),
@@ -185,6 +187,7 @@
                 loads: chunk.to_vec(),
                 refused: std::mem::take(&mut news.refused),
                 suspects: std::mem::take(&mut news.suspects),
+                limits: std::mem::take(&mut news.limits),
             };
             let Ok(bytes) = write_datagram(self.board.fleet_tag, &message) else {
                 continue;
@@ -274,5 +277,6 @@
             .collect();
         self.board.hear(&message.gateway, loads, message.refused);
         self.board.hear_suspects(message.suspects);
+        self.board.hear_limits(&message.gateway, message.limits);
     }
 }
--- a/lovagedock-gateway/tests/direct_limits.rs
+++ b/lovagedock-gateway/tests/direct_limits.rs
@@ -45,21 +45,21 @@
     assert_eq!(malformed.len(), 1);
 }
 
-/// Time from the first statement of a limit until it has to be kept.
+/// Time from setting a limit until it is enforced.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 
-/// Time for which a limit is kept in a test.
-const LIMITED_TIME: Duration = Duration::from_secs(9);
+/// Time for which the limit is checked.
+const CHECK_TIME: Duration = Duration::from_secs(9);
 
-/// Span in which requests are counted.
+/// Length of the window in which requests are counted.
 const SPAN: Duration = Duration::from_secs(4);
 
-/// Requests that may come in [`SPAN`] under a limit of `rate` a second.
-fn most_requests(rate: f64) -> usize {
+/// Returns the number of requests allowed in [`SPAN`] at a limit of `rate` per second.
+fn max_requests(rate: f64) -> usize {
     (1.5 * rate * SPAN.as_secs_f64() + 5.0) as usize
 }
 
-/// Gateways, and endpoints of which the first is the one with a limit.
+/// Gateways and the endpoints that they share.
 struct LimitedFleet {
     gateways: Vec<TestGateway>,
     endpoints: Vec<RateLimitedEndpoint>,
@@ -90,7 +90,7 @@
         fleet
     }
 
-    /// Starts callers that ask each gateway again and again with a pause.
+    /// Starts callers, spread over the gateways, that send requests in a loop with a pause after each.
     fn start_callers(&mut self, callers: usize, pause: Duration) {
         for number in 0..callers {
             let gateway = self.gateways[number % self.gateways.len()].address();
@@ -105,41 +105,71 @@
 }
 
 struct RateLimitCase {
-    stated: &'static str,
+    advertised: &'static str,
     rate: f64,
 }
 
-const LIMITS: &[RateLimitCase] = &[
+const LIMIT_CASES: &[RateLimitCase] = &[
     RateLimitCase {
-        stated: "1",
+        advertised: "1",
         rate: 1.0,
     },
     RateLimitCase {
-        stated: "2.1",
+        advertised: "2.1",
         rate: 2.1,
     },
 ];
 
-/// Guards against gateways that send an endpoint more requests together than it has said it takes.
+/// Guards against queueing requests that no endpoint can accept before their deadline, and against endpoints
+/// that stay throttled after their limit has ended.
+#[tokio::test]
+async fn requests_over_the_limit_are_refused_with_retry_after() {
+    let fleet = LimitedFleet::start(1, 1).await;
+    let gateway = fleet.gateways[0].address();
+    let endpoint = &fleet.endpoints[0];
+    endpoint.set_limit(Some("0.5"));
+    let first = call(gateway, "/safe/x", "1").await;
+    assert_eq!(first.status(), 200, "{}", first.text);
+    let sent_at = Instant::now();
+    let refused = call(gateway, "/once/x", "2").await;
+    assert_eq!(refused.status(), 503, "{}", refused.text);
+    assert!(
+        sent_at.elapsed() < Duration::from_millis(500),
+        "the request is refused without waiting"
+    );
+    let retry_after = refused.header("retry-after");
+    let retry_after: f64 = retry_after
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0.0);
+    assert!((1.0..=5.0).contains(&retry_after), "{}", refused.text);
+    endpoint.set_limit(None);
+    sleep(Duration::from_secs_f64(retry_after + 0.1)).await;
+    for id in 3..20 {
+        let answer = call(gateway, "/once/x", &format!("{id}")).await;
+        assert_eq!(answer.status(), 200, "{}", answer.text);
+    }
+}
+
+/// Guards against gateways that together exceed an endpoint's limit.
 #[tokio::test]
 async fn gateways_together_keep_an_endpoints_limit() {
     let mut runs = JoinSet::new();
-    for case in LIMITS {
+    for case in LIMIT_CASES {
         runs.spawn(async move {
             let mut fleet = LimitedFleet::start(3, 4).await;
             fleet.start_callers(24, Duration::from_millis(100));
             let endpoint = fleet.endpoints[0].clone();
-            endpoint.set_limit(Some(case.stated));
+            endpoint.set_limit(Some(case.advertised));
             sleep(SETTLE_TIME).await;
             let settled = Instant::now();
-            sleep(LIMITED_TIME).await;
-            let most = endpoint.max_arrivals_in(SPAN, settled);
-            let allowed = most_requests(case.rate);
-            assert!(most <= allowed, "{}: {most} of {allowed}", case.stated);
-            // The limit is used, not only kept.
-            let least = (LIMITED_TIME.as_secs_f64() * case.rate / 2.0) as usize;
-            let came = endpoint.arrivals_since(settled);
-            assert!(came >= least, "{}: {came} of {least}", case.stated);
+            sleep(CHECK_TIME).await;
+            let max = endpoint.max_arrivals_in(SPAN, settled);
+            let allowed = max_requests(case.rate);
+            assert!(max <= allowed, "{}: {max} of {allowed}", case.advertised);
+            // Guards against a limit that is left mostly unused.
+            let min = (CHECK_TIME.as_secs_f64() * case.rate / 2.0) as usize;
+            let arrived = endpoint.arrivals_since(settled);
+            assert!(arrived >= min, "{}: {arrived} of {min}", case.advertised);
         });
     }
     while let Some(run) = runs.join_next().await {
--- a/lovagedock-gateway/tests/direct_support/caller.rs
+++ b/lovagedock-gateway/tests/direct_support/caller.rs
@@ -23,10 +23,17 @@
 
     /// Whether the head has this line, whatever the case of its name.
     pub(crate) fn has_header(&self, name: &str) -> bool {
+        self.header(name).is_some()
+    }
+
+    /// Returns the value of a header in lower case. Header names are case-insensitive.
+    pub(crate) fn header(&self, name: &str) -> Option<String> {
         let head = self.text.split("\r\n\r\n").next().unwrap_or_default();
         let prefix = format!("{}:", name.to_lowercase());
-        head.lines()
-            .any(|line| line.to_lowercase().starts_with(&prefix))
+        let lines = head.lines().map(str::to_lowercase);
+        let mut values =
+            lines.filter_map(|line| Some(line.strip_prefix(&prefix)?.trim().to_owned()));
+        values.next()
     }
 
     /// Whether a chunked answer came to its end.
--- a/lovagedock/examples/direct_cost.rs
+++ b/lovagedock/examples/direct_cost.rs
@@ -130,6 +130,7 @@
             load: ledger.load(now, &endpoint.life),
             rank: position as f64 / endpoints.len() as f64,
             short_lane: position < short as usize / 20,
+            may_help: true,
             draw: 0.0,
         })
         .collect();
--- a/lovagedock/src/direct/choice.rs
+++ b/lovagedock/src/direct/choice.rs
@@ -108,6 +108,8 @@
     pub rank: f64,
     /// Whether it is kept for short prompts.
     pub short_lane: bool,
+    /// Whether it may prefill parts of prompts that another endpoint answers.
+    pub may_help: bool,
     /// Drawn for this look, from 0 to 1: so that gateways which look at the same moment do not all
     /// choose the same endpoint.
     pub draw: f64,
--- a/lovagedock/src/direct/machine.rs
+++ b/lovagedock/src/direct/machine.rs
@@ -13,6 +13,8 @@
 pub enum AttemptEnd {
     /// No connection could be opened, so nothing was sent.
     Unreachable,
+    /// The endpoint's rate limit was reached after the request was placed, so nothing was sent.
+    Withheld,
     /// The endpoint promised that the request has not run and will not.
     NotRun,
     /// Another life of the endpoint, or another endpoint, has the address; nothing ran.
@@ -61,6 +63,8 @@
     /// Whether it was sent and the end of that attempt is not known.
     under_way: bool,
     may_have_run: bool,
+    /// Whether the next attempt resumes an interrupted stream.
+    resuming: bool,
     excluded: Vec<EndpointLife>,
 }
 
@@ -87,6 +91,7 @@
             unreachable: 0,
             under_way: false,
             may_have_run: false,
+            resuming: false,
             excluded: Vec::new(),
         }
     }
@@ -149,8 +154,15 @@
         take_retry: impl FnOnce() -> bool,
     ) -> DirectStep {
         self.under_way = false;
-        self.excluded.push(endpoint.clone());
+        if end != AttemptEnd::Withheld {
+            self.excluded.push(endpoint.clone());
+        }
         match end {
+            AttemptEnd::Withheld if self.has_time(now) => DirectStep::Place {
+                resume: self.resuming,
+            },
+            AttemptEnd::Withheld if self.resuming => DirectStep::Cut,
+            AttemptEnd::Withheld => self.expired(),
             AttemptEnd::Complete => DirectStep::Done,
             AttemptEnd::Unreachable => {
                 self.unreachable += 1;
@@ -183,6 +195,7 @@
                 self.may_have_run = true;
                 let resumable = self.mode == RouteMode::Stream { resumable: true };
                 if resumable && self.may_send_again(now) && take_retry() {
+                    self.resuming = true;
                     return DirectStep::Place { resume: true };
                 }
                 DirectStep::Cut
@@ -206,7 +219,10 @@
     pub fn expired_after(&mut self, end: AttemptEnd) -> DirectStep {
         let not_run = matches!(
             end,
-            AttemptEnd::Unreachable | AttemptEnd::NotRun | AttemptEnd::Misdirected
+            AttemptEnd::Unreachable
+                | AttemptEnd::Withheld
+                | AttemptEnd::NotRun
+                | AttemptEnd::Misdirected
         );
         self.under_way = false;
         self.may_have_run |= !not_run;
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -56,7 +56,9 @@
 pub use machine::{AttemptEnd, DirectMachine, DirectStep};
 pub use pace::PaceTracker;
 pub use placer::{DirectPlacer, keep_suspects_apart};
-pub use rate_limit::{AdvertisedLimit, RateLimitEvent, RateLimits, RequestRate};
+pub use rate_limit::{
+    AdvertisedLimit, GatewayCount, RateLimitEvent, RateLimits, RateNews, RateVerdict, RequestRate,
+};
 pub use retries::{RetryShare, RetryShareSettings};
 pub use returns::{RefusalLog, RequestFingerprint, format_fingerprint};
 pub use sight::PeerSight;
--- a/lovagedock/src/direct/placer.rs
+++ b/lovagedock/src/direct/placer.rs
@@ -198,7 +198,8 @@
             members.retain(|member| drawn.is_none_or(|drawn| drawn == member.index));
         }
         let lead = take_lead(&mut members, request.memory())?;
-        members.retain(|member| member.backlog <= HELP_BACKLOG);
+        members
+            .retain(|member| member.backlog <= HELP_BACKLOG && candidates[member.index].may_help);
         keep_best(&mut members, size - 1);
         if members.len() < size - 1 {
             return None;
--- a/lovagedock/src/direct/sight.rs
+++ b/lovagedock/src/direct/sight.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use super::rate_limit::GatewayCount;
 use crate::ids::{GatewayId, Timestamp};
 
 /// Time without a message after which a peer is out of sight: four of its heartbeats were lost.
@@ -62,6 +63,18 @@
         self.peers.remove(peer);
     }
 
+    /// Counts the gateways that are heard and all that may be serving, including this one.
+    pub fn count(&self, now: Timestamp) -> GatewayCount {
+        let mut count = GatewayCount { heard: 1, known: 1 };
+        for record in self.peers.values() {
+            let silence = now.saturating_sub(record.at);
+            let is_heard = record.was_heard && silence <= OUT_OF_SIGHT;
+            count.heard += usize::from(is_heard);
+            count.known += usize::from(is_heard || silence <= GONE_TIME);
+        }
+        count
+    }
+
     /// Whether some peer that may serve is out of sight.
     pub fn misses_some(&self, now: Timestamp) -> bool {
         self.peers.values().any(|record| {
--- a/lovagedock/tests/direct_crowd.rs
+++ b/lovagedock/tests/direct_crowd.rs
@@ -213,6 +213,7 @@
                     load,
                     rank: position as f64 / self.endpoints.len() as f64,
                     short_lane: position < lane,
+                    may_help: true,
                     draw: self.random.random(),
                 });
             }
--- a/lovagedock/tests/direct_placement.rs
+++ b/lovagedock/tests/direct_placement.rs
@@ -224,6 +224,7 @@
         load: pool.ledger.load(pool.now, &pool.endpoints[0].life),
         rank: 0.0,
         short_lane: false,
+        may_help: true,
         draw: 0.0,
     }];
     let placer = DirectPlacer::new(Some(&PROFILE));
@@ -250,6 +251,7 @@
             },
             rank: position as f64 / loads.len() as f64,
             short_lane: false,
+            may_help: true,
             draw: 0.0,
         })
         .collect();
--- /dev/null
+++ b/lovagedock/tests/direct_rate_limits.rs
@@ -0,0 +1,449 @@
+//! Simulation of gateways that share endpoints' rate limits, in virtual time.
+
+use std::{collections::VecDeque, time::Duration};
+
+use lovagedock::{
+    AdvertisedLimit, EndpointLife, GatewayCount, RateLimitEvent, RateLimits, RateNews, RateVerdict,
+    prelude::*,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Time step of the simulation.
+const STEP: Duration = Duration::from_millis(10);
+
+/// Time from a request to its answer.
+const ANSWER_TIME: Duration = Duration::from_millis(80);
+
+/// Tick interval of a gateway.
+const TICK: Duration = Duration::from_millis(250);
+
+/// Length of the window in which requests are counted.
+const SPAN: Duration = Duration::from_secs(4);
+
+/// Time from the start of a run until requests are counted.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+
+/// Time from a gateway's first answer with the limit until its requests are counted.
+const GRACE_TIME: Duration = Duration::from_millis(500);
+
+/// Time after which a peer that is not heard counts as out of sight.
+const OUT_OF_SIGHT: Duration = Duration::from_secs(1);
+
+/// How gateways share a limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum SharePolicy {
+    /// The policy of [`RateLimits`].
+    FewSenders,
+    /// Each gateway sends an equal part of the rate, with its own bucket of one token.
+    EqualParts,
+}
+
+/// Fault injected while the limit is in effect.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    None,
+    /// Gateways restart in turn and lose their state.
+    Restarts,
+    /// Half of the gateways join in turn.
+    Joins,
+    /// The network is partitioned into two halves.
+    Partition,
+    /// Half of all messages are lost.
+    MessageLoss,
+}
+
+struct ModelGateway {
+    name: GatewayId,
+    limits: RateLimits,
+    runs: bool,
+    /// Tokens in the bucket of [`SharePolicy::EqualParts`].
+    tokens: f64,
+    /// When each peer was last heard.
+    heard: Vec<Option<Timestamp>>,
+    /// Pending answers: arrival time, and time at which the request was sent.
+    answers: VecDeque<(Timestamp, Timestamp)>,
+    /// When this process of the gateway first received an answer.
+    first_answer_at: Option<Timestamp>,
+}
+
+struct LimitModel {
+    policy: SharePolicy,
+    fault: Fault,
+    rate: f64,
+    endpoint: EndpointLife,
+    gateways: Vec<ModelGateway>,
+    /// Messages in transit, by arrival time: sender, receiver, content.
+    messages: VecDeque<(Timestamp, usize, usize, Vec<RateNews>)>,
+    arrivals: Vec<Timestamp>,
+    /// Arrivals from gateways that had the limit for at least [`GRACE_TIME`].
+    counted: Vec<Timestamp>,
+    news_sent: usize,
+    random: ChaCha8Rng,
+    now: Timestamp,
+}
+
+impl LimitModel {
+    fn new(seed: u64, gateways: usize, rate: f64, policy: SharePolicy, fault: Fault) -> Self {
+        let gateways = (0..gateways).map(|index| {
+            let name: GatewayId = format!("gateway-{index}").into();
+            ModelGateway {
+                limits: RateLimits::new(name.clone()),
+                name,
+                runs: fault != Fault::Joins || index % 2 == 0,
+                tokens: 0.0,
+                heard: vec![Some(Duration::ZERO); gateways],
+                answers: VecDeque::new(),
+                first_answer_at: None,
+            }
+        });
+        Self {
+            policy,
+            fault,
+            rate,
+            endpoint: EndpointLife::new("engine", 1),
+            gateways: gateways.collect(),
+            messages: VecDeque::new(),
+            arrivals: Vec::new(),
+            counted: Vec::new(),
+            news_sent: 0,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            now: Duration::ZERO,
+        }
+    }
+
+    /// Runs until `until` with `demand` requests per second at each gateway. The endpoint advertises its
+    /// limit until `limited_until`.
+    fn run(&mut self, until: Timestamp, demand: f64, limited_until: Timestamp) {
+        while self.now < until {
+            self.now += STEP;
+            self.inject_fault();
+            self.deliver();
+            for index in 0..self.gateways.len() {
+                if self.gateways[index].runs {
+                    self.step(index, demand, limited_until);
+                }
+            }
+        }
+    }
+
+    fn inject_fault(&mut self) {
+        let step = (self.now.as_millis() / STEP.as_millis()) as usize;
+        let count = self.gateways.len();
+        match self.fault {
+            Fault::Restarts if step.is_multiple_of(20) => {
+                let gateway = &mut self.gateways[step / 20 % count];
+                gateway.limits = RateLimits::new(gateway.name.clone());
+                gateway.answers.clear();
+                gateway.first_answer_at = None;
+                gateway.tokens = 0.0;
+            }
+            Fault::Joins if step.is_multiple_of(20) => {
+                self.gateways[(step / 20 * 2 + 1) % count].runs = true;
+            }
+            _ => {}
+        }
+    }
+
+    fn is_delivered(&mut self, from: usize, to: usize) -> bool {
+        match self.fault {
+            Fault::Partition => from % 2 == to % 2,
+            Fault::MessageLoss => self.random.random_bool(0.5),
+            _ => true,
+        }
+    }
+
+    fn deliver(&mut self) {
+        while let Some((at, from, to, _)) = self.messages.front() {
+            if *at > self.now {
+                break;
+            }
+            let (from, to) = (*from, *to);
+            let Some((_, _, _, news)) = self.messages.pop_front() else {
+                break;
+            };
+            let sender = self.gateways[from].name.clone();
+            let gateway = &mut self.gateways[to];
+            gateway.heard[from] = Some(self.now);
+            for news in news {
+                gateway.limits.hear(self.now, &sender, news);
+            }
+        }
+    }
+
+    fn step(&mut self, index: usize, demand: f64, limited_until: Timestamp) {
+        let (now, endpoint) = (self.now, self.endpoint.clone());
+        let is_limited = now <= limited_until;
+        let count = self.count(index);
+        let is_tick = now.as_millis() % TICK.as_millis() == 0;
+        let gateway = &mut self.gateways[index];
+        while let Some((at, sent_at)) = gateway.answers.front().copied() {
+            if at > now {
+                break;
+            }
+            gateway.answers.pop_front();
+            let advertised = match is_limited {
+                true => AdvertisedLimit::Limited(self.rate),
+                false => AdvertisedLimit::Unlimited,
+            };
+            gateway.limits.record(now, &endpoint, sent_at, advertised);
+            gateway.first_answer_at.get_or_insert(now);
+        }
+        if is_tick {
+            gateway.limits.tick(now, count, |_| true);
+        }
+        let part = self.rate / count.known as f64;
+        gateway.tokens = (gateway.tokens + part * STEP.as_secs_f64()).min(1.0);
+        if self.random.random_bool(demand * STEP.as_secs_f64()) {
+            gateway.limits.note_demand(now, &endpoint);
+            if gateway.may_send(self.policy, now, &endpoint) {
+                gateway.answers.push_back((now + ANSWER_TIME, now));
+                self.arrivals.push(now);
+                if gateway
+                    .first_answer_at
+                    .is_some_and(|at| now >= at + GRACE_TIME)
+                {
+                    self.counted.push(now);
+                }
+            }
+        }
+        let news = gateway.limits.take_news(now);
+        let is_heartbeat = is_tick;
+        if news.is_empty() && !is_heartbeat {
+            return;
+        }
+        self.news_sent += news.len();
+        for to in 0..self.gateways.len() {
+            if to == index || !self.is_delivered(index, to) {
+                continue;
+            }
+            match news.is_empty() {
+                true => self.gateways[to].heard[index] = Some(now),
+                false => self
+                    .messages
+                    .push_back((now + STEP, index, to, news.clone())),
+            }
+        }
+    }
+
+    fn count(&self, index: usize) -> GatewayCount {
+        let gateway = &self.gateways[index];
+        let mut count = GatewayCount { heard: 1, known: 1 };
+        for (peer, heard) in gateway
+            .heard
+            .iter()
+            .enumerate()
+            .filter(|(peer, _)| *peer != index)
+        {
+            let is_heard = heard.is_some_and(|at| self.now.saturating_sub(at) <= OUT_OF_SIGHT);
+            count.heard += usize::from(is_heard && self.gateways[peer].runs);
+            count.known += usize::from(self.gateways[peer].runs);
+        }
+        count
+    }
+
+    /// Returns the largest number of counted arrivals in any window of length [`SPAN`] that starts with an
+    /// arrival at or after `since`.
+    fn max_arrivals(&self, since: Timestamp) -> usize {
+        let starts = self.counted.iter().filter(|start| **start >= since);
+        let counts = starts.map(|start| {
+            let from = self.counted.partition_point(|at| at < start);
+            let to = self.counted.partition_point(|at| *at < *start + SPAN);
+            to - from
+        });
+        counts.max().unwrap_or(0)
+    }
+
+    fn arrivals_between(&self, from: Timestamp, to: Timestamp) -> usize {
+        let within = self.arrivals.iter().filter(|at| (from..to).contains(at));
+        within.count()
+    }
+}
+
+impl ModelGateway {
+    fn may_send(&mut self, policy: SharePolicy, now: Timestamp, endpoint: &EndpointLife) -> bool {
+        if policy == SharePolicy::FewSenders || self.limits.rate(endpoint).is_none() {
+            return !matches!(
+                self.limits.admit(now, endpoint),
+                RateVerdict::RateLimited { .. }
+            );
+        }
+        let has_token = self.tokens >= 1.0;
+        if has_token {
+            self.tokens -= 1.0;
+        }
+        has_token
+    }
+}
+
+fn max_requests(rate: f64) -> usize {
+    (1.5 * rate * SPAN.as_secs_f64() + 5.0) as usize
+}
+
+struct ShareCase {
+    gateways: usize,
+    rate: f64,
+    demand: f64,
+    fault: Fault,
+}
+
+const SHARE_CASES: &[ShareCase] = &[
+    share_case(5, 1.0, 10.0, Fault::None),
+    share_case(5, 2.1, 10.0, Fault::Restarts),
+    share_case(5, 8.0, 10.0, Fault::Partition),
+    share_case(5, 1.0, 0.5, Fault::MessageLoss),
+    share_case(24, 1.0, 5.0, Fault::None),
+    share_case(24, 2.1, 5.0, Fault::Restarts),
+    share_case(24, 2.1, 5.0, Fault::Partition),
+    share_case(24, 2.1, 5.0, Fault::MessageLoss),
+    share_case(24, 12.0, 5.0, Fault::Joins),
+    share_case(24, 2.0, 0.1, Fault::None),
+    share_case(120, 2.0, 4.0, Fault::Joins),
+];
+
+const fn share_case(gateways: usize, rate: f64, demand: f64, fault: Fault) -> ShareCase {
+    ShareCase {
+        gateways,
+        rate,
+        demand,
+        fault,
+    }
+}
+
+/// Guards against shares that add up to more than an endpoint's limit, or that leave it unused.
+#[test]
+fn shares_stay_within_the_limit() {
+    for case in SHARE_CASES {
+        // Large fleets take long to simulate.
+        let is_large = case.gateways > 100;
+        let policies = match is_large {
+            true => &[SharePolicy::FewSenders][..],
+            false => &[SharePolicy::FewSenders, SharePolicy::EqualParts][..],
+        };
+        for seed in 1..=if is_large { 1 } else { 2 } {
+            let mut lines = Vec::new();
+            for policy in policies.iter().copied() {
+                let mut model = LimitModel::new(seed, case.gateways, case.rate, policy, case.fault);
+                let until = Duration::from_secs(if is_large { 12 } else { 20 });
+                model.run(until, case.demand, until);
+                let max = model.max_arrivals(SETTLE_TIME);
+                let used = model.arrivals_between(ms(4_000), until) as f64;
+                let used = used / (until - ms(4_000)).as_secs_f64();
+                lines.push((policy, max, used, model.news_sent));
+            }
+            println!(
+                "{} gateways, rate {}, {:?}, seed {seed}: allowed {}, {lines:?}",
+                case.gateways,
+                case.rate,
+                case.fault,
+                max_requests(case.rate)
+            );
+            let (_, max, used, _) = lines[0];
+            assert!(max <= max_requests(case.rate), "{max} requests");
+            // At low demand, most of the limit may go unused, but the endpoint must still receive requests to
+            // detect the end of its limit.
+            let min = match case.demand > case.rate {
+                true => case.rate / 2.0,
+                false => 0.05,
+            };
+            assert!(used >= min, "{used} requests per second");
+        }
+    }
+}
+
+/// Guards against endpoints that stay throttled after their limit has ended.
+#[test]
+fn traffic_recovers_after_a_limit_ends() {
+    for gateways in [1, 5, 24] {
+        let mut model = LimitModel::new(1, gateways, 2.0, SharePolicy::FewSenders, Fault::None);
+        model.run(Duration::from_secs(14), 5.0, Duration::from_secs(10));
+        let expected = 5 * gateways;
+        let arrived = model.arrivals_between(ms(13_000), ms(14_000));
+        assert!(arrived * 2 > expected, "{arrived} of {expected}");
+    }
+}
+
+struct AnswerCase {
+    name: &'static str,
+    sent_ms: u64,
+    advertised: AdvertisedLimit,
+    rate: Option<f64>,
+}
+
+/// Guards against outdated or malformed answers that remove a limit.
+#[test]
+fn outdated_answers_do_not_remove_a_limit() {
+    let cases = [
+        AnswerCase {
+            name: "no limit, sent before the limit was received",
+            sent_ms: 900,
+            advertised: AdvertisedLimit::Unlimited,
+            rate: Some(2.0),
+        },
+        AnswerCase {
+            name: "no limit, sent after the limit was received",
+            sent_ms: 1_100,
+            advertised: AdvertisedLimit::Unlimited,
+            rate: None,
+        },
+        AnswerCase {
+            name: "malformed",
+            sent_ms: 1_100,
+            advertised: AdvertisedLimit::Malformed,
+            rate: Some(2.0),
+        },
+        AnswerCase {
+            name: "another limit",
+            sent_ms: 900,
+            advertised: AdvertisedLimit::Limited(0.0),
+            rate: Some(0.0),
+        },
+    ];
+    let endpoint = EndpointLife::new("engine", 1);
+    for case in cases {
+        let mut limits = RateLimits::new("gateway".into());
+        let limited = AdvertisedLimit::Limited(2.0);
+        let event = limits.record(ms(1_000), &endpoint, ms(800), limited);
+        let expected = RateLimitEvent::Changed {
+            before: None,
+            rate: Some(2.0),
+        };
+        assert_eq!(event, Some(expected), "{}", case.name);
+        limits.record(ms(1_200), &endpoint, ms(case.sent_ms), case.advertised);
+        assert_eq!(limits.rate(&endpoint), case.rate, "{}", case.name);
+    }
+}
+
+/// Guards against applying the limit of a former process to its successor.
+#[test]
+fn a_restarted_endpoint_has_no_limit() {
+    let (former, next) = (
+        EndpointLife::new("engine", 1),
+        EndpointLife::new("engine", 2),
+    );
+    let mut limits = RateLimits::new("gateway".into());
+    limits.record(ms(1_000), &former, ms(900), AdvertisedLimit::Limited(0.5));
+    assert_eq!(limits.verdict(ms(1_100), &next), RateVerdict::Unlimited);
+    limits.forget(&former);
+    assert_eq!(limits.verdict(ms(1_100), &former), RateVerdict::Unlimited);
+}
+
+/// Guards against endpoints that never receive a request again because their limit is close to zero.
+#[test]
+fn a_zero_limit_admits_a_request_every_ten_seconds() {
+    let endpoint = EndpointLife::new("engine", 1);
+    let mut limits = RateLimits::new("gateway".into());
+    limits.record(ms(1_000), &endpoint, ms(900), AdvertisedLimit::Limited(0.0));
+    limits.note_demand(ms(1_000), &endpoint);
+    let limited = RateVerdict::RateLimited { until: ms(11_000) };
+    assert_eq!(limits.verdict(ms(1_000), &endpoint), limited);
+    assert_eq!(limits.admit(ms(11_000), &endpoint), RateVerdict::Admitted);
+    assert!(matches!(
+        limits.admit(ms(11_001), &endpoint),
+        RateVerdict::RateLimited { .. }
+    ));
+}
--- a/lovagedock/tests/direct_support/mod.rs
+++ b/lovagedock/tests/direct_support/mod.rs
@@ -113,6 +113,7 @@
                 load: self.ledger.load(self.now, &endpoint.life),
                 rank: position as f64 / self.endpoints.len() as f64,
                 short_lane: position < lane,
+                may_help: true,
                 draw: 0.0,
             });
         candidates
