Log leaving and backoff notices of endpoints

An endpoint may announce in its answers that it is leaving, and one that rejects a request with 503 may give a delay for which this gateway should send it no further requests. Gateways read neither, so neither logs nor metrics could show whether a request was sent to such an endpoint by a gateway that had already been told, nor for how long this went on. Both are now decoded with the other fields of an answer's head. Log lines report that an endpoint is leaving, that it asked for backoff and for how long, and that the backoff has ended; backoffs and malformed delays are counted. A delay that is malformed, or longer than an hour, is logged once for each endpoint process. No decision uses either notice yet.

--- a/lovagedock-gateway/src/direct/board/mod.rs
+++ b/lovagedock-gateway/src/direct/board/mod.rs
@@ -3,6 +3,7 @@
 mod era;
 mod limits;
 mod listing;
+mod notices;
 mod peers;
 mod place;
 mod state;
@@ -19,9 +20,10 @@
 
 use arc_swap::ArcSwapOption;
 use lovagedock::{
-    EndpointLife, EndpointListing, EndpointTable, LineKind, OutlierEvent, PaceTracker, PeerSight,
-    RateLimits, RefusalLog, RequestFingerprint, RetryShareSettings, StopPlan, StoppageWatch,
-    SuspectLedger, TrafficConfig, WaitingLine, WatchDuty, WorkLedger, prelude::*,
+    EndpointBackoffs, EndpointLife, EndpointListing, EndpointTable, LineKind, OutlierEvent,
+    PaceTracker, PeerSight, RateLimits, RefusalLog, RequestFingerprint, RetryShareSettings,
+    StopPlan, StoppageWatch, SuspectLedger, TrafficConfig, WaitingLine, WatchDuty, WorkLedger,
+    prelude::*,
 };
 use lovagedock_daemon::ProcessClock;
 use parking_lot::Mutex;
@@ -126,6 +128,7 @@
                 stoppage: StoppageWatch::new(),
                 listing: EndpointListing::new(),
                 rate_limits,
+                backoffs: EndpointBackoffs::new(),
                 store_era: None,
             }),
             changed: Notify::new(),
@@ -297,6 +300,7 @@
             fleet.rate_limits.forget_peer(now, peer);
         }
         fleet.tick_limits(now);
+        let ended_backoffs = fleet.backoffs.take_ended(now);
         fleet.ledger.forget_gone(now);
         fleet.suspects.forget_old(now);
         let settled = fleet.endpoints.settle(now);
@@ -314,6 +318,7 @@
             self.note_entry(endpoint, news);
         }
         self.settle_listing();
+        self.note_backoffs_ended(&ended_backoffs);
         for peer in silent {
             info!(self.log, "peer silent"; "peer" => &*peer);
         }
--- a/lovagedock-gateway/src/direct/board/state.rs
+++ b/lovagedock-gateway/src/direct/board/state.rs
@@ -6,10 +6,11 @@
 };
 
 use lovagedock::{
-    DirectEndpoint, EndpointLife, EndpointListing, EndpointTable, EntryNews, LineKind,
-    OutlierAction, OutlierDetector, OutlierEvent, OutlierSettings, PaceTracker, PeerSight,
-    PlacerCandidate, RateLimits, RateVerdict, RefusalLog, RetryShare, RetryShareSettings,
-    StoppageWatch, SuspectLedger, WaitingLine, WatchDuty, WorkLedger, prelude::*, short_lane_size,
+    DirectEndpoint, EndpointBackoffs, EndpointLife, EndpointListing, EndpointTable, EntryNews,
+    LineKind, OutlierAction, OutlierDetector, OutlierEvent, OutlierSettings, PaceTracker,
+    PeerSight, PlacerCandidate, RateLimits, RateVerdict, RefusalLog, RetryShare,
+    RetryShareSettings, StoppageWatch, SuspectLedger, WaitingLine, WatchDuty, WorkLedger,
+    prelude::*, short_lane_size,
 };
 use lovagedock_platform::GatewayEntry;
 use slog::{Logger, info};
@@ -40,6 +41,7 @@
     pub(super) stoppage: StoppageWatch,
     pub(super) listing: EndpointListing,
     pub(super) rate_limits: RateLimits,
+    pub(super) backoffs: EndpointBackoffs,
     /// Latest era of the store that was told.
     pub(super) store_era: Option<StoreEra>,
 }
@@ -97,6 +99,7 @@
         if let EntryNews::Restarted(former) = news {
             self.ledger.forget_life(&former.life);
             self.rate_limits.forget(&former.life);
+            self.backoffs.forget(&former.life);
             self.forget_health(now, former);
         }
         if let Some(endpoint) = self.endpoints.get(&id) {
--- a/lovagedock-gateway/src/direct/call/mod.rs
+++ b/lovagedock-gateway/src/direct/call/mod.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::Request;
+use hyper::{Request, StatusCode};
 use lovagedock::{
     AttemptEnd, DirectEndpoint, DirectMachine, DirectPlacer, DirectStep, EndpointLife, LineKind,
     OutlierEvent, RequestFingerprint, prelude::*,
@@ -235,6 +235,13 @@
         if end != Some(AttemptEnd::Misdirected) {
             self.board
                 .note_rate_limit(&endpoint, sent_at, head.rate_limit);
+            if head.leaving {
+                self.board.note_leaving(&endpoint);
+            }
+        }
+        let status = answer.response.status();
+        if end == Some(AttemptEnd::NotRun) && status == StatusCode::SERVICE_UNAVAILABLE {
+            self.board.note_backoff(&endpoint, head.retry_after);
         }
         if let Some(end) = end {
             self.note_failure(&endpoint, &format!("{end:?} {:?}", head.at_fault));
@@ -243,7 +250,6 @@
             }
             return Some(end);
         }
-        let status = answer.response.status();
         let is_stream = self.parts.route.mode.is_stream() && status.is_success();
         if is_stream {
             let patience = StreamPatience {
--- a/lovagedock-gateway/src/direct/dialect.rs
+++ b/lovagedock-gateway/src/direct/dialect.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use hyper::HeaderMap;
-use lovagedock::{AdvertisedLimit, prelude::*};
+use lovagedock::{AdvertisedLimit, RetryAfter, prelude::*};
 
 /// Reads and writes the headers of one platform.
 pub trait HttpDialect: Send + Sync {
@@ -131,6 +131,10 @@
     pub sealed: bool,
     /// Whether the endpoint says that the request has not run and will not.
     pub not_run: bool,
+    /// Whether the endpoint is leaving and wants no new requests.
+    pub leaving: bool,
+    /// Time for which the endpoint asks this gateway to send it no requests, if it rejected this one.
+    pub retry_after: RetryAfter,
     /// Address of the endpoint at fault, when it is another than the one that answers.
     pub at_fault: Option<SocketAddr>,
     /// Rate limit of the endpoint across all gateways.
--- a/lovagedock-gateway/tests/direct_support/dialect.rs
+++ b/lovagedock-gateway/tests/direct_support/dialect.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hyper::{HeaderMap, header::HeaderValue};
-use lovagedock::{AdvertisedLimit, prelude::*};
+use lovagedock::{AdvertisedLimit, RetryAfter, prelude::*};
 use lovagedock_gateway::{
     CallerHead, EndpointHead, HttpDialect, MemoryOrder, OrderCall, OutgoingHead,
 };
@@ -53,6 +53,11 @@
             request: text(headers, "x-request"),
             sealed: headers.contains_key("x-seal"),
             not_run: headers.contains_key("x-not-run"),
+            leaving: text(headers, "x-leaving").as_deref() == Some("1"),
+            retry_after: match text(headers, "x-retry-after") {
+                Some(delay) => RetryAfter::parse(&delay),
+                None => RetryAfter::Absent,
+            },
             at_fault: None,
             rate_limit: match text(headers, "x-limit") {
                 Some(limit) => AdvertisedLimit::parse(&limit),
--- a/lovagedock-gateway/tests/direct_support/mod.rs
+++ b/lovagedock-gateway/tests/direct_support/mod.rs
@@ -10,6 +10,7 @@
 mod feed;
 mod limiting;
 mod log_lines;
+mod notices;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -29,6 +30,7 @@
 pub(crate) use feed::TestFeed;
 pub(crate) use limiting::RateLimitedEndpoint;
 pub(crate) use log_lines::LogLines;
+pub(crate) use notices::NoticeEndpoint;
 
 /// Name of the service behind all routes.
 pub(crate) const SERVICE: &str = "service";
--- /dev/null
+++ b/lovagedock/src/direct/backoff.rs
@@ -0,0 +1,110 @@
+//! Backoff periods that endpoints request from a gateway.
+
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
+
+use super::life::EndpointLife;
+use crate::ids::Timestamp;
+
+/// Upper bound of a requested backoff. Larger values are malformed, so that a misconfigured endpoint is not
+/// taken out of service for a day.
+const MAX_BACKOFF: Duration = Duration::from_secs(3600);
+
+/// Retry delay in the head of an endpoint's answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RetryAfter {
+    /// The answer names no delay.
+    #[default]
+    Absent,
+    /// The endpoint asks this gateway to send it no requests for this time.
+    Delay(Duration),
+    /// The value is not a valid delay.
+    Malformed,
+}
+
+impl RetryAfter {
+    /// Parses seconds in decimal notation, without sign or exponent.
+    pub fn parse(text: &str) -> Self {
+        let is_plain = text
+            .bytes()
+            .all(|byte| byte.is_ascii_digit() || byte == b'.');
+        match text.parse::<f64>() {
+            Ok(seconds) if is_plain && seconds <= MAX_BACKOFF.as_secs_f64() => {
+                Self::Delay(Duration::from_secs_f64(seconds))
+            }
+            _ => Self::Malformed,
+        }
+    }
+}
+
+/// Result of recording an endpoint's retry delay.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BackoffEvent {
+    /// A backoff period was started or extended.
+    Extended {
+        /// Remaining time until the period ends.
+        delay: Duration,
+    },
+    /// The endpoint sent a malformed delay for the first time.
+    Malformed,
+}
+
+/// Backoff periods by endpoint process.
+#[derive(Clone, Debug, Default)]
+pub struct EndpointBackoffs {
+    ends: HashMap<EndpointLife, Timestamp>,
+    malformed: HashSet<EndpointLife>,
+}
+
+impl EndpointBackoffs {
+    /// Creates an empty set of backoff periods.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records the delay in an answer that rejected a request, and returns the resulting event, if any.
+    ///
+    /// A delay that ends before the current backoff period does not shorten it.
+    pub fn record(
+        &mut self,
+        now: Timestamp,
+        endpoint: &EndpointLife,
+        retry_after: RetryAfter,
+    ) -> Option<BackoffEvent> {
+        let delay = match retry_after {
+            RetryAfter::Absent => return None,
+            RetryAfter::Malformed => {
+                let is_first = self.malformed.insert(endpoint.clone());
+                return is_first.then_some(BackoffEvent::Malformed);
+            }
+            RetryAfter::Delay(delay) => delay,
+        };
+        let end = now + delay;
+        let current = self.ends.get(endpoint);
+        if current.is_some_and(|current| *current >= end) {
+            return None;
+        }
+        self.ends.insert(endpoint.clone(), end);
+        Some(BackoffEvent::Extended { delay })
+    }
+
+    /// Returns the end of an endpoint's current backoff period, if any.
+    pub fn end(&self, now: Timestamp, endpoint: &EndpointLife) -> Option<Timestamp> {
+        let end = self.ends.get(endpoint).copied();
+        end.filter(|end| *end > now)
+    }
+
+    /// Removes the backoff periods that have ended and returns their endpoints.
+    pub fn take_ended(&mut self, now: Timestamp) -> Vec<EndpointLife> {
+        let ended = self.ends.extract_if(|_, end| *end <= now);
+        ended.map(|(endpoint, _)| endpoint).collect()
+    }
+
+    /// Removes all state of an endpoint process.
+    pub fn forget(&mut self, endpoint: &EndpointLife) {
+        self.ends.remove(endpoint);
+        self.malformed.remove(endpoint);
+    }
+}
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -7,6 +7,7 @@
 //! which list of endpoints holds while the store loses and regains its history. None of them reads a
 //! clock or does input or output.
 
+mod backoff;
 mod choice;
 mod config;
 mod duty;
@@ -39,6 +40,7 @@
 mod telling;
 mod waiting;
 
+pub use backoff::{BackoffEvent, EndpointBackoffs, RetryAfter};
 pub use choice::{DirectChoice, DirectRequest, HelperPart, PlacerCandidate};
 pub use config::{
     CallerBounds, RouteMatch, RouteMode, RouteRule, RouteTarget, ServiceProfile, TrafficConfig,
--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -61,17 +61,18 @@
 };
 pub use cost::{CostModel, CostParameters, PredictionError, PrefillObservation};
 pub use direct::{
-    AdvertisedLimit, AttemptEnd, CallerBounds, CombinedLoad, DirectChoice, DirectEndpoint,
-    DirectMachine, DirectPlacer, DirectRequest, DirectStep, EndEvidence, EndpointLife,
-    EndpointListing, EndpointState, EndpointTable, EngineProfile, EntryNews, EventSplitter,
-    GatewayCount, HelperPart, LineDecision, LineKind, LineSettings, ListingVersion, LoadNews,
-    MISSED_GAP, MessageNews, PaceTracker, PeerContact, PeerHearing, PeerLoad, PeerSight,
-    PlacedWork, PlacerCandidate, ProcessEnd, ProcessTag, RateLimitEvent, RateLimits, RateNews,
-    RateVerdict, RefusalLog, RequestFingerprint, RequestOutlook, RequestRate, RetryShare,
-    RetryShareSettings, RouteMatch, RouteMode, RouteRule, RouteTarget, ServiceProfile, StopPlan,
-    StoppageWatch, StorePosition, StreamEvent, SuspectLedger, SuspectNews, SuspectReport,
-    SuspectTelling, TrafficConfig, WaitingLine, WatchDuty, WatchRole, WorkKey, WorkLedger,
-    WriterGroup, WriterTable, format_fingerprint, keep_suspects_apart, short_lane_size,
+    AdvertisedLimit, AttemptEnd, BackoffEvent, CallerBounds, CombinedLoad, DirectChoice,
+    DirectEndpoint, DirectMachine, DirectPlacer, DirectRequest, DirectStep, EndEvidence,
+    EndpointBackoffs, EndpointLife, EndpointListing, EndpointState, EndpointTable, EngineProfile,
+    EntryNews, EventSplitter, GatewayCount, HelperPart, LineDecision, LineKind, LineSettings,
+    ListingVersion, LoadNews, MISSED_GAP, MessageNews, PaceTracker, PeerContact, PeerHearing,
+    PeerLoad, PeerSight, PlacedWork, PlacerCandidate, ProcessEnd, ProcessTag, RateLimitEvent,
+    RateLimits, RateNews, RateVerdict, RefusalLog, RequestFingerprint, RequestOutlook, RequestRate,
+    RetryAfter, RetryShare, RetryShareSettings, RouteMatch, RouteMode, RouteRule, RouteTarget,
+    ServiceProfile, StopPlan, StoppageWatch, StorePosition, StreamEvent, SuspectLedger,
+    SuspectNews, SuspectReport, SuspectTelling, TrafficConfig, WaitingLine, WatchDuty, WatchRole,
+    WorkKey, WorkLedger, WriterGroup, WriterTable, format_fingerprint, keep_suspects_apart,
+    short_lane_size,
 };
 pub use endpoint::{
     EndpointAction, EndpointCore, EndpointEvent, EndpointLimits, EndpointLoad, EndpointSafeguards,
