--- a/lovagedock-gateway/tests/direct_notices.rs
+++ b/lovagedock-gateway/tests/direct_notices.rs
@@ -2,10 +2,13 @@
 
 mod direct_support;
 
+use std::time::{Duration, Instant};
+
 use direct_support::{
     LogLines, NoticeEndpoint, TestFeed, TestGateway, call, config, entry, settings, until,
 };
 use lovagedock_daemon::DaemonContext;
+use tokio::{task::JoinSet, time::sleep};
 
 /// Header line of an answer from an endpoint that is leaving.
 const LEAVING: &str = "x-leaving: 1\r\n";
@@ -15,6 +18,7 @@
     gateways: Vec<TestGateway>,
     endpoints: Vec<NoticeEndpoint>,
     lines: LogLines,
+    callers: JoinSet<()>,
 }
 
 impl NoticeFleet {
@@ -32,6 +36,7 @@
             gateways: Vec::new(),
             endpoints: started,
             lines: LogLines::default(),
+            callers: JoinSet::new(),
         };
         for number in 0..gateways {
             let name = format!("gateway-{number}");
@@ -41,6 +46,24 @@
         }
         fleet
     }
+
+    /// Starts callers that ask each gateway again and again.
+    fn start_callers(&mut self, callers: usize, route: &'static str) {
+        for number in 0..callers {
+            let gateway = self.gateways[number % self.gateways.len()].address();
+            self.callers.spawn(async move {
+                for round in 0.. {
+                    call(
+                        gateway,
+                        &format!("{route}x"),
+                        &format!("{}", 1000 * number + round),
+                    )
+                    .await;
+                    sleep(Duration::from_millis(50)).await;
+                }
+            });
+        }
+    }
 }
 
 /// Guards against leaving and backoff notices that are missing from the log.
@@ -63,3 +86,24 @@
     }
     assert_eq!(count("malformed endpoint backoff ignored"), 1);
 }
+
+/// Time after a leaving notice from which an endpoint may get no new request.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
+/// Guards against new requests to an endpoint that announces in its answers that it is leaving, while
+/// discovery still lists it as ready.
+#[tokio::test]
+async fn a_leaving_endpoint_gets_no_new_requests() {
+    let mut fleet = NoticeFleet::start(3, 3).await;
+    fleet.start_callers(12, "/safe/");
+    sleep(Duration::from_millis(300)).await;
+    let leaving = fleet.endpoints[0].clone();
+    leaving.serve_with(LEAVING);
+    sleep(DRAIN_TIME).await;
+    let drained = Instant::now();
+    sleep(Duration::from_secs(2)).await;
+    let late = leaving.arrivals_between(drained, Instant::now());
+    assert_eq!(late, 0, "{late} requests after the notice");
+    let others = fleet.endpoints[1].arrivals_between(drained, Instant::now());
+    assert!(others > 0, "the other endpoints serve");
+}
