Stop sending new requests to endpoints that announce their leaving

Requests were sent to an endpoint that had announced in its answers that it is leaving, for as long as discovery listed it as ready: 12 s while the store was unreachable. The cause: the announcement was passed on to the caller but not recorded.

A request that was placed in the meantime is not written but placed again. Requests that the endpoint already runs, and the renewal and release of memory that it keeps, continue. Peers are told of each leaving process, three times; the version of their messages rises. The log line comes once for each process and gateway now.

The test of the log has a third endpoint, since the one that announces its leaving takes no further work.

--- a/lovagedock-gateway/src/direct/board/mod.rs
+++ b/lovagedock-gateway/src/direct/board/mod.rs
@@ -20,10 +20,10 @@
 
 use arc_swap::ArcSwapOption;
 use lovagedock::{
-    EndpointBackoffs, EndpointLife, EndpointListing, EndpointTable, LineKind, OutlierEvent,
-    PaceTracker, PeerSight, RateLimits, RefusalLog, RequestFingerprint, RetryShareSettings,
-    StopPlan, StoppageWatch, SuspectLedger, TrafficConfig, WaitingLine, WatchDuty, WorkLedger,
-    prelude::*,
+    EndpointBackoffs, EndpointLife, EndpointListing, EndpointTable, LeavingNews, LineKind,
+    OutlierEvent, PaceTracker, PeerSight, RateLimits, RefusalLog, RequestFingerprint,
+    RetryShareSettings, StopPlan, StoppageWatch, SuspectLedger, TrafficConfig, WaitingLine,
+    WatchDuty, WorkLedger, prelude::*,
 };
 use lovagedock_daemon::ProcessClock;
 use parking_lot::Mutex;
@@ -129,6 +129,7 @@
                 listing: EndpointListing::new(),
                 rate_limits,
                 backoffs: EndpointBackoffs::new(),
+                leaving_news: LeavingNews::new(),
                 store_era: None,
             }),
             changed: Notify::new(),
--- a/lovagedock-gateway/src/direct/board/notices.rs
+++ b/lovagedock-gateway/src/direct/board/notices.rs
@@ -1,29 +1,45 @@
 //! Leaving and backoff notices in the answers of endpoints.
 
-use lovagedock::{BackoffEvent, EndpointLife, EndpointState, RetryAfter};
+use lovagedock::{BackoffEvent, EndpointLife, RetryAfter};
 use slog::info;
 
 use super::FleetBoard;
 
 impl FleetBoard {
-    /// Logs that a ready endpoint announced in an answer that it is leaving.
+    /// Records that an endpoint announced in an answer that it is leaving.
     pub(crate) fn note_leaving(&self, endpoint: &EndpointLife) {
-        let fleet = self.fleet.lock();
-        if !fleet.endpoints.is_current(endpoint) {
+        let now = self.clock.now();
+        let mut fleet = self.fleet.lock();
+        if !fleet.endpoints.note_leaving(endpoint) {
             return;
         }
-        let known = fleet.endpoints.get(&endpoint.id);
-        let was_ready = known.is_some_and(|known| known.state == EndpointState::Ready);
+        fleet.leaving_news.push(now, endpoint.clone());
         drop(fleet);
-        if !was_ready {
-            return;
-        }
-        if let Some(left_out) = self.lines.take(self.clock.now()) {
-            info!(self.log, "endpoint is leaving"; "endpoint" => %endpoint, "source" => "answer",
-                "left_out" => left_out);
+        self.report_leaving(endpoint, "answer");
+        self.placed.notify_one();
+    }
+
+    /// Records endpoints that a peer reports as leaving.
+    pub(crate) fn hear_leaving(&self, endpoints: Vec<EndpointLife>) {
+        for endpoint in &endpoints {
+            if self.fleet.lock().endpoints.note_leaving(endpoint) {
+                self.report_leaving(endpoint, "peer");
+            }
         }
     }
 
+    /// Returns the leaving endpoints that are due to be sent to peers.
+    pub(crate) fn take_leaving_news(&self) -> Vec<EndpointLife> {
+        let now = self.clock.now();
+        self.fleet.lock().leaving_news.take(now)
+    }
+
+    /// Counts and logs an endpoint that is newly known to be leaving.
+    fn report_leaving(&self, endpoint: &EndpointLife, source: &'static str) {
+        metrics::counter!("lovagedock_leaving_endpoints_total", "source" => source).increment(1);
+        info!(self.log, "endpoint is leaving"; "endpoint" => %endpoint, "source" => source);
+    }
+
     /// Records the retry delay in an endpoint's answer that rejected a request.
     pub(crate) fn note_backoff(&self, endpoint: &EndpointLife, retry_after: RetryAfter) {
         let now = self.clock.now();
--- a/lovagedock-gateway/src/direct/board/place.rs
+++ b/lovagedock-gateway/src/direct/board/place.rs
@@ -73,6 +73,25 @@
     Any,
 }
 
+/// Why a placed request is not sent to its endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum WithheldReason {
+    /// The endpoint's rate limit, advertised since the placement, does not admit it.
+    RateLimited,
+    /// The endpoint is leaving.
+    Leaving,
+}
+
+impl WithheldReason {
+    /// Label value in metrics.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::RateLimited => "limit",
+            Self::Leaving => "leaving",
+        }
+    }
+}
+
 /// What a search for a place found.
 pub(crate) enum PlaceResult {
     /// A place.
@@ -218,14 +237,22 @@
         }))
     }
 
-    /// Whether a placed request may be sent. The endpoint may have advertised a limit since the placement.
-    pub(crate) fn may_send(&self, placed: &PlacedRequest) -> bool {
+    /// Returns why a placed request must not be sent, or `None` if it may be. Since the placement, the
+    /// endpoint may have advertised a limit or announced that it is leaving.
+    pub(crate) fn withheld_reason(&self, placed: &PlacedRequest) -> Option<WithheldReason> {
+        let now = self.clock.now();
+        let life = &placed.lead.life;
+        let mut fleet = self.fleet.lock();
+        if fleet.endpoints.is_leaving(life) {
+            return Some(WithheldReason::Leaving);
+        }
         if placed.is_admitted {
-            return true;
+            return None;
+        }
+        match fleet.rate_limits.admit(now, life) {
+            RateVerdict::RateLimited { .. } => Some(WithheldReason::RateLimited),
+            RateVerdict::Unlimited | RateVerdict::Admitted => None,
         }
-        let now = self.clock.now();
-        let verdict = self.fleet.lock().rate_limits.admit(now, &placed.lead.life);
-        !matches!(verdict, RateVerdict::RateLimited { .. })
     }
 
     fn hold(
--- a/lovagedock-gateway/src/direct/board/state.rs
+++ b/lovagedock-gateway/src/direct/board/state.rs
@@ -7,8 +7,8 @@
 
 use lovagedock::{
     DirectEndpoint, EndpointBackoffs, EndpointLife, EndpointListing, EndpointTable, EntryNews,
-    LineKind, OutlierAction, OutlierDetector, OutlierEvent, OutlierSettings, PaceTracker,
-    PeerSight, PlacerCandidate, RateLimits, RateVerdict, RefusalLog, RetryShare,
+    LeavingNews, LineKind, OutlierAction, OutlierDetector, OutlierEvent, OutlierSettings,
+    PaceTracker, PeerSight, PlacerCandidate, RateLimits, RateVerdict, RefusalLog, RetryShare,
     RetryShareSettings, StoppageWatch, SuspectLedger, WaitingLine, WatchDuty, WorkLedger,
     prelude::*, short_lane_size,
 };
@@ -42,6 +42,7 @@
     pub(super) listing: EndpointListing,
     pub(super) rate_limits: RateLimits,
     pub(super) backoffs: EndpointBackoffs,
+    pub(super) leaving_news: LeavingNews,
     /// Latest era of the store that was told.
     pub(super) store_era: Option<StoreEra>,
 }
--- a/lovagedock-gateway/src/direct/call/mod.rs
+++ b/lovagedock-gateway/src/direct/call/mod.rs
@@ -209,8 +209,8 @@
                 return Some(AttemptEnd::Unreachable);
             }
         };
-        if !self.board.may_send(&placed) {
-            metrics::counter!("lovagedock_requests_withheld_total", "reason" => "limit")
+        if let Some(reason) = self.board.withheld_reason(&placed) {
+            metrics::counter!("lovagedock_requests_withheld_total", "reason" => reason.as_str())
                 .increment(1);
             return Some(AttemptEnd::Withheld);
         }
--- a/lovagedock-gateway/src/direct/peer_message.rs
+++ b/lovagedock-gateway/src/direct/peer_message.rs
@@ -11,7 +11,7 @@
 use super::fleet_tag::FleetTag;
 
 /// Version of what gateways tell each other, by datagrams and when asked; another one is left out.
-pub(super) const PROTOCOL: u16 = 5;
+pub(super) const PROTOCOL: u16 = 6;
 
 /// Comes before each message, so that it can be told whether the rest can be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -84,6 +84,8 @@
     pub(super) suspects: Vec<SuspectNews>,
     /// Rate limits of endpoints, and which of these endpoints it claims.
     pub(super) limits: Vec<RateNews>,
+    /// Endpoints that announced to this gateway that they are leaving.
+    pub(super) leaving: Vec<EndpointLife>,
 }
 
 /// What a gateway has placed on one endpoint.
--- a/lovagedock-gateway/src/direct/peers.rs
+++ b/lovagedock-gateway/src/direct/peers.rs
@@ -11,8 +11,8 @@
 };
 
 use lovagedock::{
-    ListingVersion, LoadNews, MessageNews, PeerHearing, RateNews, RequestFingerprint, SuspectNews,
-    SuspectTelling, prelude::*,
+    EndpointLife, ListingVersion, LoadNews, MessageNews, PeerHearing, RateNews, RequestFingerprint,
+    SuspectNews, SuspectTelling, prelude::*,
 };
 use lovagedock_platform::GatewayEntry;
 use parking_lot::Mutex;
@@ -54,11 +54,15 @@
     refused: Vec<RequestFingerprint>,
     suspects: Vec<SuspectNews>,
     limits: Vec<RateNews>,
+    leaving: Vec<EndpointLife>,
 }
 
 impl RequestNews {
     fn is_empty(&self) -> bool {
-        self.refused.is_empty() && self.suspects.is_empty() && self.limits.is_empty()
+        self.refused.is_empty()
+            && self.suspects.is_empty()
+            && self.limits.is_empty()
+            && self.leaving.is_empty()
     }
 }
 
@@ -127,6 +131,7 @@
                 refused: self.board.take_untold_refusals(),
                 suspects: self.board.take_suspect_news(&mut telling),
                 limits: self.board.take_rate_news(),
+                leaving: self.board.take_leaving_news(),
             };
             let versions = (
                 self.board.config().map_or(0, |config| config.version),
@@ -188,6 +193,7 @@
                 refused: std::mem::take(&mut news.refused),
                 suspects: std::mem::take(&mut news.suspects),
                 limits: std::mem::take(&mut news.limits),
+                leaving: std::mem::take(&mut news.leaving),
             };
             let Ok(bytes) = write_datagram(self.board.fleet_tag, &message) else {
                 continue;
@@ -278,5 +284,6 @@
         self.board.hear(&message.gateway, loads, message.refused);
         self.board.hear_suspects(message.suspects);
         self.board.hear_limits(&message.gateway, message.limits);
+        self.board.hear_leaving(message.leaving);
     }
 }
--- a/lovagedock-gateway/tests/direct_notices.rs
+++ b/lovagedock-gateway/tests/direct_notices.rs
@@ -47,7 +47,7 @@
         fleet
     }
 
-    /// Starts callers that ask each gateway again and again.
+    /// Starts callers, spread over the gateways, that send requests until the fleet is dropped.
     fn start_callers(&mut self, callers: usize, route: &'static str) {
         for number in 0..callers {
             let gateway = self.gateways[number % self.gateways.len()].address();
@@ -69,7 +69,7 @@
 /// Guards against leaving and backoff notices that are missing from the log.
 #[tokio::test]
 async fn notices_of_endpoints_are_logged() {
-    let fleet = NoticeFleet::start(1, 2).await;
+    let fleet = NoticeFleet::start(1, 3).await;
     let gateway = fleet.gateways[0].address();
     fleet.endpoints[0].reject_with("x-retry-after: 0.3\r\n");
     fleet.endpoints[1].serve_with(LEAVING);
@@ -107,3 +107,18 @@
     let others = fleet.endpoints[1].arrivals_between(drained, Instant::now());
     assert!(others > 0, "the other endpoints serve");
 }
+
+/// Guards against requests to a leaving endpoint from gateways that it has not answered itself.
+#[tokio::test]
+async fn peers_learn_of_a_leaving_endpoint() {
+    let fleet = NoticeFleet::start(2, 1).await;
+    let leaving = &fleet.endpoints[0];
+    leaving.serve_with(LEAVING);
+    let answer = call(fleet.gateways[0].address(), "/safe/x", "1").await;
+    assert_eq!(answer.status(), 200, "{}", answer.text);
+    until(|| fleet.lines.with_message("endpoint is leaving").len() == 2).await;
+    let told = Instant::now();
+    let answer = call(fleet.gateways[1].address(), "/safe/x", "2").await;
+    assert_eq!(answer.status(), 503, "{}", answer.text);
+    assert_eq!(leaving.arrivals_between(told, Instant::now()), 0);
+}
--- a/lovagedock/src/direct/endpoints.rs
+++ b/lovagedock/src/direct/endpoints.rs
@@ -174,6 +174,29 @@
         self.outdated.values().map(|(_, endpoint)| endpoint)
     }
 
+    /// Records that a process announced that it is leaving. Returns whether it was ready until now.
+    ///
+    /// Its entry may show this much later, or never if the store is unreachable.
+    pub fn note_leaving(&mut self, life: &EndpointLife) -> bool {
+        if let Some(former) = self.former.lives.get_mut(&life.id)
+            && former.started == life.started
+        {
+            former.state = EndpointState::Draining;
+        }
+        let known = self.endpoints.get_mut(&life.id);
+        let Some(known) = known.filter(|known| known.life == *life) else {
+            return false;
+        };
+        let previous = std::mem::replace(&mut known.state, EndpointState::Draining);
+        previous == EndpointState::Ready
+    }
+
+    /// Whether the process is known to be leaving.
+    pub fn is_leaving(&self, life: &EndpointLife) -> bool {
+        let known = self.endpoints.get(&life.id);
+        known.is_some_and(|known| known.life == *life && known.state == EndpointState::Draining)
+    }
+
     /// Whether the process is the latest that is known under its name.
     pub fn is_current(&self, life: &EndpointLife) -> bool {
         let known = self.endpoints.get(&life.id);
--- /dev/null
+++ b/lovagedock/src/direct/leaving_news.rs
@@ -0,0 +1,67 @@
+//! Queue of leaving endpoints to be sent to peers.
+
+use std::{collections::VecDeque, time::Duration};
+
+use super::life::EndpointLife;
+use crate::ids::Timestamp;
+
+/// How often each process is sent to peers, since messages may be lost.
+const SENDS: u8 = 3;
+
+/// Minimum time between two sends of a process.
+const RESEND_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Most processes in one message. At about 20 bytes each, they fit into a usual packet beside loads.
+const MAX_PER_MESSAGE: usize = 16;
+
+/// Most processes in the queue. Beyond that the oldest are dropped; peers learn of them from the
+/// endpoints themselves.
+const MAX_WAITING: usize = 1024;
+
+/// Processes that announced to this gateway that they are leaving, queued to be sent to peers.
+#[derive(Clone, Debug, Default)]
+pub struct LeavingNews {
+    waiting: VecDeque<WaitingProcess>,
+}
+
+#[derive(Clone, Debug)]
+struct WaitingProcess {
+    life: EndpointLife,
+    due_at: Timestamp,
+    sends_left: u8,
+}
+
+impl LeavingNews {
+    /// Creates an empty queue.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a process, due to be sent at once.
+    pub fn push(&mut self, now: Timestamp, life: EndpointLife) {
+        if self.waiting.len() == MAX_WAITING {
+            self.waiting.pop_front();
+        }
+        self.waiting.push_back(WaitingProcess {
+            life,
+            due_at: now,
+            sends_left: SENDS,
+        });
+    }
+
+    /// Returns the processes that are due to be sent to peers.
+    pub fn take(&mut self, now: Timestamp) -> Vec<EndpointLife> {
+        let due = self
+            .waiting
+            .iter_mut()
+            .filter(|waiting| waiting.due_at <= now);
+        let due = due.take(MAX_PER_MESSAGE).map(|waiting| {
+            waiting.sends_left -= 1;
+            waiting.due_at = now + RESEND_INTERVAL;
+            waiting.life.clone()
+        });
+        let due = due.collect();
+        self.waiting.retain(|waiting| waiting.sends_left > 0);
+        due
+    }
+}
