--- a/lovagedock-gateway/tests/direct_notices.rs
+++ b/lovagedock-gateway/tests/direct_notices.rs
@@ -122,3 +122,51 @@
     assert_eq!(answer.status(), 503, "{}", answer.text);
     assert_eq!(leaving.arrivals_between(told, Instant::now()), 0);
 }
+
+struct BackoffCase {
+    route: &'static str,
+}
+
+const BACKOFF_CASES: &[BackoffCase] = &[
+    BackoffCase { route: "/safe/" },
+    BackoffCase { route: "/once/" },
+    BackoffCase { route: "/stream/" },
+];
+
+/// Backoff that an endpoint asks for, and the part of it in which requests are counted.
+const BACKOFF_TIME: Duration = Duration::from_secs(3);
+const BACKOFF_GRACE: Duration = Duration::from_millis(500);
+
+/// Requests that may come in the counted part.
+const MAX_BACKOFF_REQUESTS: usize = 2;
+
+/// Guards against an endpoint that gets requests in the backoff that it asked for, or none after it.
+#[tokio::test]
+async fn an_endpoint_in_backoff_gets_no_requests() {
+    let mut runs = JoinSet::new();
+    for case in BACKOFF_CASES {
+        runs.spawn(async move {
+            let mut fleet = NoticeFleet::start(1, 2).await;
+            let endpoint = fleet.endpoints[0].clone();
+            endpoint.reject_with(&format!("x-retry-after: {}\r\n", BACKOFF_TIME.as_secs()));
+            fleet.start_callers(6, case.route);
+            until(|| endpoint.first_arrival().is_some()).await;
+            let asked = endpoint.first_arrival().expect("a request arrived");
+            sleep(BACKOFF_TIME).await;
+            endpoint.serve_with("");
+            let end = asked + BACKOFF_TIME;
+            let early = endpoint.arrivals_between(asked + BACKOFF_GRACE, end);
+            assert!(
+                early <= MAX_BACKOFF_REQUESTS,
+                "{}: {early} requests in the backoff",
+                case.route
+            );
+            sleep(Duration::from_secs(1)).await;
+            let late = endpoint.arrivals_between(end, Instant::now());
+            assert!(late > 0, "{}: no request after the backoff", case.route);
+        });
+    }
+    while let Some(run) = runs.join_next().await {
+        run.expect("the backoff is kept");
+    }
+}
--- a/lovagedock-gateway/tests/direct_support/notices.rs
+++ b/lovagedock-gateway/tests/direct_support/notices.rs
@@ -77,10 +77,10 @@
             .count()
     }
 
-    /// Returns the time of the first arrival at or after `since`.
-    pub(crate) fn first_arrival(&self, since: Instant) -> Option<Instant> {
+    /// Returns when the first request arrived.
+    pub(crate) fn first_arrival(&self) -> Option<Instant> {
         let arrivals = self.arrivals.lock().expect("the mutex is not poisoned");
-        arrivals.iter().copied().find(|at| *at >= since)
+        arrivals.first().copied()
     }
 
     fn set_answer(&self, status: &'static str, header_lines: &str) {
