Send no requests to endpoints during a backoff they ask for

An endpoint that rejected requests with 503 and named a delay, during which it wants no further requests from this gateway, received requests all the same. An endpoint that rejects looks idle, so each new request chose it first, was rejected, and cost a retry. The cause: the delay was recorded and logged, but not used in placement.

The delay is kept for the endpoint process, by this gateway alone. A request that was already placed there is placed again instead of being written. If all endpoints of a service are in a backoff or rate limited, a request whose waiting time ends before the first of them is available is refused at once with that time. The slots of such endpoints are not counted as free in the log; the `refused` entry reports the number of endpoints in backoff as `in_backoff`.

--- a/lovagedock-gateway/src/direct/board/place.rs
+++ b/lovagedock-gateway/src/direct/board/place.rs
@@ -51,6 +51,8 @@
     pub(crate) ejected: usize,
     /// Those of them whose rate limit allows no request from this gateway now.
     pub(crate) limited: usize,
+    /// Those of them in a backoff period; they are not counted in `limited`.
+    pub(crate) in_backoff: usize,
     /// Slots that are free, over all gateways.
     pub(crate) free_slots: u32,
     /// Requests that wait at this gateway.
@@ -80,6 +82,8 @@
     RateLimited,
     /// The endpoint is leaving.
     Leaving,
+    /// The endpoint is in a backoff period.
+    Backoff,
 }
 
 impl WithheldReason {
@@ -88,6 +92,7 @@
         match self {
             Self::RateLimited => "limit",
             Self::Leaving => "leaving",
+            Self::Backoff => "backoff",
         }
     }
 }
@@ -98,8 +103,8 @@
     Placed(Box<PlacedRequest>),
     /// Every endpoint is full, or no place is good enough.
     Full,
-    /// All endpoints are at their rate limits until this time.
-    RateLimited { until: Timestamp },
+    /// All endpoints are rate limited or in backoff, at least until this time.
+    Unavailable { until: Timestamp },
     /// The service has no endpoint that takes work and was not tried.
     NoEndpoint,
 }
@@ -162,6 +167,10 @@
         for endpoint in fleet.endpoints.ready(service) {
             let occupied = fleet.ledger.load(now, &endpoint.life).occupied;
             summary.ready += 1;
+            if fleet.backoffs.end(now, &endpoint.life).is_some() {
+                summary.in_backoff += 1;
+                continue;
+            }
             if let RateVerdict::RateLimited { .. } = fleet.rate_limits.verdict(now, &endpoint.life)
             {
                 summary.limited += 1;
@@ -194,7 +203,7 @@
         }
         let mut search = match fleet.search(now, service, excluded) {
             EndpointSearch::Found(candidates) => candidates,
-            EndpointSearch::RateLimited { until } => return PlaceResult::RateLimited { until },
+            EndpointSearch::Unavailable { until } => return PlaceResult::Unavailable { until },
             EndpointSearch::NoEndpoint => return PlaceResult::NoEndpoint,
         };
         if request.suspect {
@@ -238,7 +247,7 @@
     }
 
     /// Returns why a placed request must not be sent, or `None` if it may be. Since the placement, the
-    /// endpoint may have advertised a limit or announced that it is leaving.
+    /// endpoint may have advertised a limit, asked for a backoff, or announced that it is leaving.
     pub(crate) fn withheld_reason(&self, placed: &PlacedRequest) -> Option<WithheldReason> {
         let now = self.clock.now();
         let life = &placed.lead.life;
@@ -246,6 +255,9 @@
         if fleet.endpoints.is_leaving(life) {
             return Some(WithheldReason::Leaving);
         }
+        if fleet.backoffs.end(now, life).is_some() {
+            return Some(WithheldReason::Backoff);
+        }
         if placed.is_admitted {
             return None;
         }
--- a/lovagedock-gateway/src/direct/board/state.rs
+++ b/lovagedock-gateway/src/direct/board/state.rs
@@ -134,12 +134,15 @@
         state.outliers.handle(now, OutlierEvent::Left(id.clone()));
     }
 
-    /// Updates the shares of rate limits for the current set of gateways.
+    /// Updates the shares of rate limits for the current set of gateways, and forgets malformed delays of
+    /// endpoints that are no longer listed.
     pub(super) fn tick_limits(&mut self, now: Timestamp) {
         let count = self.sight.count(now);
         let endpoints = &self.endpoints;
         self.rate_limits
             .tick(now, count, |life| endpoints.is_current(life));
+        self.backoffs
+            .forget_unlisted_malformed(|life| endpoints.is_current(life));
     }
 
     /// Records demand for the rate-limited endpoints of a service. Returns whether peers must be notified.
@@ -176,7 +179,7 @@
         let mut candidates = Vec::new();
         let mut positions = Vec::new();
         let mut found = false;
-        let mut limited_until: Option<Timestamp> = None;
+        let mut next_available_at: Option<Timestamp> = None;
         let mut pool = PoolCount::default();
         for endpoint in self.endpoints.ready(service) {
             let (mut load, short) = self.ledger.look(now, &endpoint.life);
@@ -193,8 +196,13 @@
             if ejected.is_some_and(|ejected| ejected.contains(&endpoint.life.id)) {
                 continue;
             }
-            if let RateVerdict::RateLimited { until } = verdict {
-                limited_until = Some(limited_until.map_or(until, |at| at.min(until)));
+            let limited_until = match verdict {
+                RateVerdict::RateLimited { until } => Some(until),
+                RateVerdict::Unlimited | RateVerdict::Admitted => None,
+            };
+            let available_at = self.backoffs.end(now, &endpoint.life).max(limited_until);
+            if let Some(at) = available_at {
+                next_available_at = Some(next_available_at.map_or(at, |next| next.min(at)));
                 continue;
             }
             found = true;
@@ -217,9 +225,9 @@
                 position.map_or(1.0, |position| position as f64 / pool.endpoints as f64);
             candidate.short_lane = position.is_some_and(|position| position < lane);
         }
-        match (found, limited_until) {
+        match (found, next_available_at) {
             (true, _) => EndpointSearch::Found(candidates),
-            (false, Some(until)) => EndpointSearch::RateLimited { until },
+            (false, Some(until)) => EndpointSearch::Unavailable { until },
             (false, None) => EndpointSearch::NoEndpoint,
         }
     }
@@ -229,8 +237,8 @@
 pub(super) enum EndpointSearch<'a> {
     /// Endpoints with a free slot; empty if all are full.
     Found(Vec<PlacerCandidate<'a>>),
-    /// All endpoints that take work are at their rate limits until this time.
-    RateLimited { until: Timestamp },
+    /// All endpoints are rate limited or in backoff, at least until this time.
+    Unavailable { until: Timestamp },
     /// The service has no endpoint that takes work.
     NoEndpoint,
 }
--- a/lovagedock-gateway/src/direct/call/log.rs
+++ b/lovagedock-gateway/src/direct/call/log.rs
@@ -51,6 +51,7 @@
             "endpoints" => pool.ready,
             "ejected" => pool.ejected,
             "limited" => pool.limited,
+            "in_backoff" => pool.in_backoff,
             "free_slots" => pool.free_slots,
             "waiting" => pool.waiting,
             "peers" => pool.peers,
--- a/lovagedock-gateway/src/direct/call/waiting.rs
+++ b/lovagedock-gateway/src/direct/call/waiting.rs
@@ -56,7 +56,7 @@
             }
             let last_look = waiting.as_ref().is_some_and(|ticket| now >= ticket.until);
             let may_look = waiting.as_ref().is_none_or(LineTicket::is_first) || last_look;
-            let mut limited_until = None;
+            let mut available_at = None;
             if may_look {
                 let waited = waiting.as_ref().map_or(0.0, |ticket| ticket.waited(now));
                 match self.look(now, self.effort(waited)) {
@@ -65,7 +65,7 @@
                         return Err(self.refuse(now));
                     }
                     PlaceResult::Full | PlaceResult::NoEndpoint => {}
-                    PlaceResult::RateLimited { until } => limited_until = Some(until),
+                    PlaceResult::Unavailable { until } => available_at = Some(until),
                 }
             }
             let until = match &waiting {
@@ -75,8 +75,8 @@
                     waiting.insert(ticket).until
                 }
             };
-            if let Some(limited_until) = limited_until.filter(|at| last_look || *at > until) {
-                return Err(self.refuse_rate_limited(now, limited_until));
+            if let Some(available_at) = available_at.filter(|at| last_look || *at > until) {
+                return Err(self.refuse_unavailable(now, available_at));
             }
             if !may_look {
                 tokio::select! {
@@ -193,8 +193,8 @@
         }
     }
 
-    /// Refuses a request because all endpoints are at their rate limits until `until`.
-    fn refuse_rate_limited(&mut self, now: Timestamp, until: Timestamp) -> DirectStep {
+    /// Refuses a request because all endpoints are rate limited or in backoff, at least until `until`.
+    fn refuse_unavailable(&mut self, now: Timestamp, until: Timestamp) -> DirectStep {
         let wait = until.saturating_sub(now);
         let time_left = self.deadline.saturating_sub(now);
         let retry_after = self
@@ -203,7 +203,7 @@
                 line.retry_after(wait, time_left, rand::random())
             });
         self.retry_after = Some(retry_after.max(wait));
-        self.note_refused("all endpoints are rate limited");
+        self.note_refused("all endpoints are rate limited or in backoff");
         self.machine.no_place(now)
     }
 
--- a/lovagedock-gateway/tests/direct_notices.rs
+++ b/lovagedock-gateway/tests/direct_notices.rs
@@ -133,11 +133,13 @@
     BackoffCase { route: "/stream/" },
 ];
 
-/// Backoff that an endpoint asks for, and the part of it in which requests are counted.
+/// Backoff that the endpoint asks for.
 const BACKOFF_TIME: Duration = Duration::from_secs(3);
+
+/// Start of the backoff in which requests are not counted.
 const BACKOFF_GRACE: Duration = Duration::from_millis(500);
 
-/// Requests that may come in the counted part.
+/// Requests that may arrive in the rest of the backoff.
 const MAX_BACKOFF_REQUESTS: usize = 2;
 
 /// Guards against an endpoint that gets requests in the backoff that it asked for, or none after it.
@@ -151,22 +153,48 @@
             endpoint.reject_with(&format!("x-retry-after: {}\r\n", BACKOFF_TIME.as_secs()));
             fleet.start_callers(6, case.route);
             until(|| endpoint.first_arrival().is_some()).await;
-            let asked = endpoint.first_arrival().expect("a request arrived");
+            let asked_at = endpoint.first_arrival().expect("a request arrived");
             sleep(BACKOFF_TIME).await;
             endpoint.serve_with("");
-            let end = asked + BACKOFF_TIME;
-            let early = endpoint.arrivals_between(asked + BACKOFF_GRACE, end);
+            let end = asked_at + BACKOFF_TIME;
+            let during_backoff = endpoint.arrivals_between(asked_at + BACKOFF_GRACE, end);
             assert!(
-                early <= MAX_BACKOFF_REQUESTS,
-                "{}: {early} requests in the backoff",
+                during_backoff <= MAX_BACKOFF_REQUESTS,
+                "{}: {during_backoff} requests in the backoff",
                 case.route
             );
             sleep(Duration::from_secs(1)).await;
-            let late = endpoint.arrivals_between(end, Instant::now());
-            assert!(late > 0, "{}: no request after the backoff", case.route);
+            let after_backoff = endpoint.arrivals_between(end, Instant::now());
+            assert!(
+                after_backoff > 0,
+                "{}: no request after the backoff",
+                case.route
+            );
         });
     }
     while let Some(run) = runs.join_next().await {
         run.expect("the backoff is kept");
     }
 }
+
+/// Guards against requests that wait for a backoff that ends after their waiting time.
+#[tokio::test]
+async fn requests_in_a_backoff_of_all_endpoints_are_refused_with_retry_after() {
+    let fleet = NoticeFleet::start(1, 1).await;
+    let gateway = fleet.gateways[0].address();
+    fleet.endpoints[0].reject_with("x-retry-after: 3\r\n");
+    let first = call(gateway, "/safe/x", "1").await;
+    assert_eq!(first.status(), 503, "{}", first.text);
+    let sent_at = Instant::now();
+    let refused = call(gateway, "/safe/x", "2").await;
+    assert_eq!(refused.status(), 503, "{}", refused.text);
+    assert!(
+        sent_at.elapsed() < Duration::from_millis(500),
+        "the request is refused without waiting"
+    );
+    let retry_after = refused.header("retry-after");
+    let retry_after: f64 = retry_after
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0.0);
+    assert!((2.0..=5.0).contains(&retry_after), "{}", refused.text);
+}
--- a/lovagedock/src/direct/backoff.rs
+++ b/lovagedock/src/direct/backoff.rs
@@ -102,6 +102,12 @@
         ended.map(|(endpoint, _)| endpoint).collect()
     }
 
+    /// Forgets that endpoints sent malformed delays, for endpoints that are no longer listed. Backoff periods
+    /// are kept until they end, since an endpoint may be listed again before.
+    pub fn forget_unlisted_malformed(&mut self, is_listed: impl Fn(&EndpointLife) -> bool) {
+        self.malformed.retain(is_listed);
+    }
+
     /// Removes all state of an endpoint process.
     pub fn forget(&mut self, endpoint: &EndpointLife) {
         self.ends.remove(endpoint);
