Keep a gateway's share of a rate limit until callers retry

requests_over_the_limit_are_refused_with_retry_after failed once: a caller that retried after the delay it was given was refused again. A gateway gave up its share of a limit after 2 s without a request (4 s at 0.5 requests per second), and its token bucket was empty when the next request arrived. The retry delay is up to a third of the caller's time, 5 s, so a gateway with few callers refused each of them again and again. A gateway now keeps its share for at least 5 s.

Evidence: a_retry_after_the_longest_delay_is_admitted failed before this change, at 0.5 requests per second, and passes with it.

--- a/lovagedock/src/direct/rate_limit.rs
+++ b/lovagedock/src/direct/rate_limit.rs
@@ -21,7 +21,7 @@
 const MIN_RATE: RequestRate = 0.1;
 
 /// Minimum time after its latest request for which a gateway takes a share of an endpoint's limit.
-const MIN_DEMAND_TIME: Duration = Duration::from_secs(2);
+const MIN_DEMAND_TIME: Duration = Duration::from_secs(5);
 
 /// Time after which a peer's claim expires. Tolerates the loss of two messages.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(2500);
--- a/lovagedock/tests/direct_rate_limits.rs
+++ b/lovagedock/tests/direct_rate_limits.rs
@@ -447,3 +447,26 @@
         RateVerdict::RateLimited { .. }
     ));
 }
+
+/// Guards against a caller that is refused on every retry because its gateway has given up its share of the
+/// limit before the retry arrives.
+#[test]
+fn a_retry_after_the_longest_delay_is_admitted() {
+    // The longest delay is a third of the longest deadline.
+    let longest_retry_after = ms(5_000);
+    for rate in [0.5, 1.0, 4.0] {
+        let endpoint = EndpointLife::new("engine", 1);
+        let mut limits = RateLimits::new("gateway".into());
+        limits.record(ms(900), &endpoint, ms(800), AdvertisedLimit::Limited(rate));
+        limits.note_demand(ms(1_000), &endpoint);
+        let retried_at = ms(1_000) + longest_retry_after;
+        let mut now = ms(1_000);
+        while now < retried_at {
+            now += TICK;
+            limits.tick(now, GatewayCount { heard: 1, known: 1 }, |_| true);
+        }
+        limits.note_demand(retried_at, &endpoint);
+        let verdict = limits.admit(retried_at, &endpoint);
+        assert_eq!(verdict, RateVerdict::Admitted, "{rate}");
+    }
+}
