Share the test endpoint, test fleet and decimal parser

The tests had two copies of the endpoint, one for rate limits and one for other notices, and two copies of the fleet around it. The rate limit and the retry delay in a response were parsed by two copies of the same lines. Each pair is replaced by one implementation. No test, bound or value changes, except that the endpoint in the rate limit tests now processes a request for 10 ms instead of 20 ms. It also selects its answer when a request arrives rather than after processing it, and the fleet logs to captured lines in all of these tests.

--- a/lovagedock-gateway/tests/direct_support/notices.rs
+++ b/lovagedock-gateway/tests/direct_support/notices.rs
@@ -1,4 +1,5 @@
-//! Endpoints that send leaving and backoff notices in their answers.
+//! Endpoints that send rate limit, leaving and backoff notices in their answers, and fleets of gateways that
+//! call them.
 
 use std::{
     net::SocketAddr,
@@ -6,13 +7,18 @@
     time::{Duration, Instant},
 };
 
+use lovagedock_daemon::DaemonContext;
 use tokio::{
     io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
+    task::JoinSet,
     time::sleep,
 };
 
-use super::{any_port, endpoint::read_request};
+use super::{
+    LogLines, TestFeed, TestGateway, any_port, call, config, endpoint::read_request, entry,
+    settings,
+};
 
 /// Simulated processing time of a request.
 const RUN_TIME: Duration = Duration::from_millis(10);
@@ -77,6 +83,20 @@
             .count()
     }
 
+    /// Returns the largest number of arrivals in any window of length `span` that starts with an
+    /// arrival at or after `since`.
+    pub(crate) fn max_arrivals_in(&self, span: Duration, since: Instant) -> usize {
+        let arrivals = self.arrivals.lock().expect("the mutex is not poisoned");
+        let starts = arrivals.iter().filter(|start| **start >= since);
+        let counts = starts.map(|start| {
+            let within = arrivals
+                .iter()
+                .filter(|at| *at >= start && **at - *start < span);
+            within.count()
+        });
+        counts.max().unwrap_or(0)
+    }
+
     /// Returns when the first request arrived.
     pub(crate) fn first_arrival(&self) -> Option<Instant> {
         let arrivals = self.arrivals.lock().expect("the mutex is not poisoned");
@@ -113,3 +133,58 @@
         stream.write_all(text.as_bytes()).await.ok()
     }
 }
+
+/// Gateways that log to `lines`, and the endpoints that they route to.
+pub(crate) struct NoticeFleet {
+    pub(crate) gateways: Vec<TestGateway>,
+    pub(crate) endpoints: Vec<NoticeEndpoint>,
+    pub(crate) lines: LogLines,
+    callers: JoinSet<()>,
+}
+
+impl NoticeFleet {
+    /// Starts a fleet whose endpoints answer with status 200 and no notices.
+    pub(crate) async fn start(gateways: usize, endpoints: usize) -> Self {
+        let feed = TestFeed::new(config(1), Vec::new());
+        let mut started = Vec::new();
+        for _ in 0..endpoints {
+            started.push(NoticeEndpoint::start().await);
+        }
+        let entries = started.iter().enumerate();
+        let entries =
+            entries.map(|(index, endpoint)| entry(&format!("i-{index}"), endpoint.address));
+        feed.set_endpoints(entries.collect());
+        let mut fleet = Self {
+            gateways: Vec::new(),
+            endpoints: started,
+            lines: LogLines::default(),
+            callers: JoinSet::new(),
+        };
+        for number in 0..gateways {
+            let name = format!("gateway-{number}");
+            let context = DaemonContext::new(fleet.lines.logger());
+            let gateway = TestGateway::start_with(settings(&name), &feed, context).await;
+            fleet.gateways.push(gateway.ready().await);
+        }
+        fleet
+    }
+
+    /// Starts callers, spread over the gateways, that send requests to `route` until the fleet is dropped, with a
+    /// pause after each request.
+    pub(crate) fn start_callers(&mut self, callers: usize, route: &'static str, pause: Duration) {
+        for number in 0..callers {
+            let gateway = self.gateways[number % self.gateways.len()].address();
+            self.callers.spawn(async move {
+                for round in 0.. {
+                    call(
+                        gateway,
+                        &format!("{route}x"),
+                        &format!("{}", 1000 * number + round),
+                    )
+                    .await;
+                    sleep(pause).await;
+                }
+            });
+        }
+    }
+}
--- a/lovagedock/src/direct/backoff.rs
+++ b/lovagedock/src/direct/backoff.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use super::life::EndpointLife;
+use super::{decimal::parse_decimal, life::EndpointLife};
 use crate::ids::Timestamp;
 
 /// Upper bound of a requested backoff. Larger values are malformed, so that a misconfigured endpoint is not
@@ -27,14 +27,9 @@
 impl RetryAfter {
     /// Parses seconds in decimal notation, without sign or exponent.
     pub fn parse(text: &str) -> Self {
-        let is_plain = text
-            .bytes()
-            .all(|byte| byte.is_ascii_digit() || byte == b'.');
-        match text.parse::<f64>() {
-            Ok(seconds) if is_plain && seconds <= MAX_BACKOFF.as_secs_f64() => {
-                Self::Delay(Duration::from_secs_f64(seconds))
-            }
-            _ => Self::Malformed,
+        match parse_decimal(text, MAX_BACKOFF.as_secs_f64()) {
+            Some(seconds) => Self::Delay(Duration::from_secs_f64(seconds)),
+            None => Self::Malformed,
         }
     }
 }
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -10,6 +10,7 @@
 mod backoff;
 mod choice;
 mod config;
+mod decimal;
 mod duty;
 mod endpoints;
 mod engine;
--- a/lovagedock/src/direct/rate_limit.rs
+++ b/lovagedock/src/direct/rate_limit.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use super::life::EndpointLife;
+use super::{decimal::parse_decimal, life::EndpointLife};
 use crate::ids::{GatewayId, Timestamp};
 
 /// Requests per second.
@@ -58,12 +58,9 @@
 impl AdvertisedLimit {
     /// Parses a rate in decimal notation, without sign or exponent.
     pub fn parse(text: &str) -> Self {
-        let is_plain = text
-            .bytes()
-            .all(|byte| byte.is_ascii_digit() || byte == b'.');
-        match text.parse::<RequestRate>() {
-            Ok(rate) if is_plain && rate <= MAX_RATE => Self::Limited(rate),
-            _ => Self::Malformed,
+        match parse_decimal(text, MAX_RATE) {
+            Some(rate) => Self::Limited(rate),
+            None => Self::Malformed,
         }
     }
 }
