Send nothing to drained failure domains and keep the rate of cold endpoints

Nor was the rate read that an endpoint tolerates after its start. And a request that an endpoint had rejected with a backoff counted that endpoint as tried before its backoff was looked at, found no endpoint and waited 1.2 s for one, although the only endpoint was known to be in backoff for longer.

Change: drained domains are a subject of the feed (decoded in platform/), watched by the watchers, and part of every message between gateways with their position in the store's history; an older state never wins, and after a restore of the store from a copy a domain stays drained for 2.2 s. A gateway is not ready before it knows them. Running requests run to their end. Cold endpoints (by their entries, and all of a domain that returns) have a second instance of the shared rate limits; a gateway waits 200 ms for the claims of the others, since all learn of the limit at the same moment. Backoffs are looked at before exclusions. Protocol of gateways: version 7.

--- a/lovagedock-gateway/src/direct/call/placement.rs
+++ b/lovagedock-gateway/src/direct/call/placement.rs
@@ -70,6 +70,7 @@
                     }
                     PlacementResult::Full | PlacementResult::NoEndpoint => {}
                     PlacementResult::Unavailable { until } => available_at = Some(until),
+                    PlacementResult::Drained => return Err(self.refuse_drained(now)),
                 }
             }
             let until = match &queued {
@@ -214,6 +215,15 @@
     }
 
     fn refuse_after_wait(&mut self, now: Timestamp) -> DirectStep {
+        self.refuse(now, "no place came free in time")
+    }
+
+    /// Refuses a request whose service has no endpoint outside of drained failure domains.
+    fn refuse_drained(&mut self, now: Timestamp) -> DirectStep {
+        self.refuse(now, "all endpoints are in drained failure domains")
+    }
+
+    fn refuse(&mut self, now: Timestamp, reason: &'static str) -> DirectStep {
         let time_left = self.deadline.saturating_sub(now);
         let retry_after = self
             .state
@@ -221,7 +231,7 @@
                 queue.retry_after(Duration::ZERO, time_left, rand::random())
             });
         self.retry_after = Some(retry_after);
-        self.log_refused("no place came free in time");
+        self.log_refused(reason);
         self.machine.no_place_step(now)
     }
 }
--- a/lovagedock-gateway/src/direct/feed.rs
+++ b/lovagedock-gateway/src/direct/feed.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use lovagedock::{StorePosition, WatchRole};
+use lovagedock::{DrainSnapshot, StorePosition, WatchRole};
 use lovagedock_platform::{FeedChange, FeedError, FeedSnapshot, FeedSubject, FleetFeed};
 use slog::{info, warn};
 use tokio::time::sleep;
@@ -151,36 +151,63 @@
     }
 
     fn apply_snapshot(&self, snapshot: FeedSnapshot, after_outage: bool) {
-        if self.subject != FeedSubject::Endpoints {
-            self.apply_changes(snapshot.position, snapshot.changes);
-            return;
-        }
+        let position = snapshot.position;
         let changes = snapshot.changes.into_iter();
-        let endpoints = changes.filter_map(|change| match change {
-            FeedChange::Endpoint(endpoint) => Some(endpoint),
-            _ => None,
-        });
-        self.state
-            .apply_endpoint_snapshot(snapshot.position, endpoints.collect(), after_outage);
+        match self.subject {
+            FeedSubject::Endpoints => {
+                let endpoints = changes.filter_map(|change| match change {
+                    FeedChange::Endpoint(endpoint) => Some(endpoint),
+                    _ => None,
+                });
+                self.state
+                    .apply_endpoint_snapshot(position, endpoints.collect(), after_outage);
+            }
+            FeedSubject::Drains => {
+                let domains = changes.filter_map(|change| match change {
+                    FeedChange::DomainDrained(domain) => Some(domain),
+                    _ => None,
+                });
+                let drains = DrainSnapshot {
+                    position,
+                    domains: domains.collect(),
+                    missing: Default::default(),
+                };
+                self.state.apply_drains(drains, "store");
+            }
+            FeedSubject::Traffic | FeedSubject::Gateways | FeedSubject::Suspects => {
+                self.apply_changes(position, changes.collect());
+            }
+        }
     }
 
     fn apply_changes(&self, position: StorePosition, changes: Vec<FeedChange>) {
         let is_newer = match self.subject {
             FeedSubject::Endpoints => self.state.advance_endpoints(position),
-            FeedSubject::Traffic | FeedSubject::Gateways | FeedSubject::Suspects => true,
+            FeedSubject::Drains
+            | FeedSubject::Traffic
+            | FeedSubject::Gateways
+            | FeedSubject::Suspects => true,
         };
         if is_newer {
-            changes.into_iter().for_each(|change| self.apply(change));
+            for change in changes {
+                self.apply(position, change);
+            }
         }
     }
 
-    fn apply(&self, change: FeedChange) {
+    fn apply(&self, position: StorePosition, change: FeedChange) {
         match change {
             FeedChange::Traffic(config) => {
                 self.state.apply_config(config, "store");
             }
             FeedChange::Endpoint(endpoint) => self.state.upsert_endpoint(endpoint),
             FeedChange::EndpointRemoved(id) => self.state.remove_endpoint(&id),
+            FeedChange::DomainDrained(domain) => {
+                self.state.apply_drain_entry(position, domain, true);
+            }
+            FeedChange::DomainRestored(domain) => {
+                self.state.apply_drain_entry(position, domain, false);
+            }
             FeedChange::Gateway(gateway) => self.state.upsert_gateway(gateway),
             FeedChange::GatewayRemoved(name) => self.state.remove_gateway(&name),
             // `SuspectSync` reads them.
--- a/lovagedock-gateway/src/direct/gateway.rs
+++ b/lovagedock-gateway/src/direct/gateway.rs
@@ -25,6 +25,13 @@
 };
 use crate::GatewayError;
 
+/// Subjects of the store that watchers follow.
+const WATCHED_SUBJECTS: [FeedSubject; 3] = [
+    FeedSubject::Traffic,
+    FeedSubject::Endpoints,
+    FeedSubject::Drains,
+];
+
 /// A running gateway.
 pub struct DirectGateway {
     callers: SocketAddr,
@@ -53,6 +60,7 @@
             settings.fleet_tag(),
             daemon.clock,
             settings.bounds.retries(),
+            settings.bounds.cold_allowance(),
             log.clone(),
         ));
         let listener = listen(settings.callers).await?;
@@ -79,7 +87,7 @@
             address: peers_address,
         };
         let mut tasks = JoinSet::new();
-        for subject in [FeedSubject::Traffic, FeedSubject::Endpoints] {
+        for subject in WATCHED_SUBJECTS {
             let watcher = FeedWatcher::new(Arc::clone(&state), Arc::clone(&feed), subject);
             tasks.spawn(watcher.run());
         }
@@ -200,6 +208,8 @@
             "peers": peers.iter().map(|peer| json!({
                 "name": &*peer.name, "address": peer.address,
             })).collect::<Vec<_>>(),
+            "drained_domains": self.0.drained_domains().iter().map(|domain| &**domain).collect::<Vec<_>>(),
+            "cold_endpoints": self.0.cold_endpoints().iter().map(|process| process.to_string()).collect::<Vec<_>>(),
             "suspects": self.0.suspect_reports().iter().map(|report| json!({
                 "fingerprint": format_fingerprint(report.fingerprint),
                 "ended_processes": report.ends.len(),
--- a/lovagedock-gateway/src/direct/peer_message.rs
+++ b/lovagedock-gateway/src/direct/peer_message.rs
@@ -3,8 +3,8 @@
 use std::{net::SocketAddr, time::Duration};
 
 use lovagedock::{
-    EndpointProcess, ListingVersion, PeerLoad, RateUpdate, RequestFingerprint, SuspectUpdate,
-    WriterGroup, prelude::*,
+    DrainSnapshot, EndpointProcess, ListingVersion, PeerLoad, RateUpdate, RequestFingerprint,
+    SuspectUpdate, WriterGroup, prelude::*,
 };
 use serde::{Deserialize, Serialize};
 
@@ -12,7 +12,7 @@
 
 /// Version of the protocol between gateways, for datagrams and pulls. Messages of other versions
 /// are rejected.
-pub(super) const PROTOCOL_VERSION: u16 = 6;
+pub(super) const PROTOCOL_VERSION: u16 = 7;
 
 /// Precedes each message, so that the receiver can tell whether it can decode the rest.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -87,6 +87,10 @@
     pub(super) limits: Vec<RateUpdate>,
     /// Endpoints that announced to the sender that they are leaving.
     pub(super) leaving: Vec<EndpointProcess>,
+    /// Drained failure domains, or `None` if the sender does not know them yet.
+    pub(super) drains: Option<DrainSnapshot>,
+    /// Cold endpoints that the sender claims.
+    pub(super) cold_limits: Vec<RateUpdate>,
 }
 
 /// Load that a gateway has placed on one endpoint.
--- a/lovagedock-gateway/src/direct/peers.rs
+++ b/lovagedock-gateway/src/direct/peers.rs
@@ -56,6 +56,7 @@
     refused: Vec<RequestFingerprint>,
     suspects: Vec<SuspectUpdate>,
     limits: Vec<RateUpdate>,
+    cold_limits: Vec<RateUpdate>,
     leaving: Vec<EndpointProcess>,
 }
 
@@ -64,6 +65,7 @@
         self.refused.is_empty()
             && self.suspects.is_empty()
             && self.limits.is_empty()
+            && self.cold_limits.is_empty()
             && self.leaving.is_empty()
     }
 }
@@ -129,7 +131,7 @@
         let mut suspect_queue = SuspectQueue::new();
         let mut heartbeat_at = Instant::now();
         let mut sequence = 0;
-        let mut sent_versions = (0, ListingVersion::default());
+        let mut sent_versions = (0, ListingVersion::default(), Vec::new());
         loop {
             self.wait_for_update(heartbeat_at).await;
             let loads = self.state.take_load_updates(&mut load_updates);
@@ -137,13 +139,16 @@
                 refused: self.state.take_unsent_refusals(),
                 suspects: self.state.take_suspect_updates(&mut suspect_queue),
                 limits: self.state.take_rate_updates(),
+                cold_limits: self.state.take_cold_updates(),
                 leaving: self.state.take_leaving_notices(),
             };
             let versions = (
                 self.state.config().map_or(0, |config| config.version),
                 self.state.listing_version(),
+                self.state.drained_domains(),
             );
-            let is_new = std::mem::replace(&mut sent_versions, versions) != versions;
+            let is_new = sent_versions != versions;
+            sent_versions = versions;
             let is_due = Instant::now() >= heartbeat_at;
             let is_announcing = self.state.take_announce_pending();
             if !loads.is_empty() || !notices.is_empty() || is_new || is_due || is_announcing {
@@ -202,6 +207,8 @@
                 suspects: std::mem::take(&mut notices.suspects),
                 limits: std::mem::take(&mut notices.limits),
                 leaving: std::mem::take(&mut notices.leaving),
+                drains: self.state.drain_snapshot(),
+                cold_limits: std::mem::take(&mut notices.cold_limits),
             };
             let Ok(bytes) = write_datagram(self.state.fleet_tag, &message) else {
                 continue;
@@ -276,6 +283,9 @@
             .record_peer_contact(&message.gateway, message.store_reachable);
         self.state
             .update_era(message.endpoints.position.era, "peer");
+        if let Some(drains) = message.drains {
+            self.state.apply_drains(drains, "peer");
+        }
         let known = self.state.config().map_or(0, |config| config.version);
         let newer_config = message.config > known;
         let newer_endpoints = message.endpoints > self.state.listing_version();
@@ -297,6 +307,8 @@
         self.state.apply_peer_suspects(message.suspects);
         self.state
             .apply_peer_limits(&message.gateway, message.limits);
+        self.state
+            .apply_peer_cold_limits(&message.gateway, message.cold_limits);
         self.state.apply_peer_leaving(message.leaving);
     }
 }
--- a/lovagedock-gateway/src/direct/settings.rs
+++ b/lovagedock-gateway/src/direct/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use lovagedock::{RetryShareSettings, prelude::*};
+use lovagedock::{ColdAllowance, RetryShareSettings, prelude::*};
 use lovagedock_daemon::{AdminSettings, DaemonSettings, LogSettings};
 use serde::{Deserialize, Serialize};
 
@@ -49,6 +49,13 @@
     pub retry_window_s: f64,
     /// Time from the stop signal until the process is killed, in seconds.
     pub stop_grace_s: f64,
+    /// Factor by which all gateways together may exceed the rate that a cold endpoint declares.
+    /// Without it, cold endpoints are not protected.
+    #[serde(default)]
+    pub cold_overshoot: Option<f64>,
+    /// Requests in a second beyond that.
+    #[serde(default)]
+    pub cold_slack: f64,
 }
 
 impl FleetBounds {
@@ -61,6 +68,15 @@
         }
     }
 
+    /// Returns by how much the declared rate of a cold endpoint may be exceeded, or `None` if cold
+    /// endpoints need no protection.
+    pub fn cold_allowance(&self) -> Option<ColdAllowance> {
+        Some(ColdAllowance {
+            overshoot: self.cold_overshoot?,
+            slack: self.cold_slack,
+        })
+    }
+
     /// Returns the time from the stop signal until the process is killed.
     pub fn stop_grace(&self) -> Duration {
         Duration::from_secs_f64(self.stop_grace_s)
@@ -94,6 +110,7 @@
             || self.failure_domain != changed.failure_domain
             || addresses(self) != addresses(changed)
             || self.bounds.stop_grace_s != changed.bounds.stop_grace_s
+            || self.bounds.cold_allowance() != changed.bounds.cold_allowance()
             || self.log != changed.log
     }
 }
@@ -113,6 +130,12 @@
             ("bounds.retry_slack", self.bounds.retry_slack, 0.0),
             ("bounds.retry_window_s", self.bounds.retry_window_s, 1.0),
             ("bounds.stop_grace_s", self.bounds.stop_grace_s, 1.0),
+            (
+                "bounds.cold_overshoot",
+                self.bounds.cold_overshoot.unwrap_or(1.0),
+                0.0,
+            ),
+            ("bounds.cold_slack", self.bounds.cold_slack, 0.0),
         ];
         for (path, found, min) in limits {
             if !(min..=MAX_BOUND).contains(&found) {
--- a/lovagedock-gateway/src/direct/state/fleet_state.rs
+++ b/lovagedock-gateway/src/direct/state/fleet_state.rs
@@ -6,11 +6,12 @@
 };
 
 use lovagedock::{
-    DirectEndpoint, EndpointBackoffs, EndpointListing, EndpointProcess, EndpointTable, EntryChange,
-    LeavingQueue, OutlierAction, OutlierDetector, OutlierEvent, OutlierSettings, PauseDetector,
-    PeerLiveness, PlacerCandidate, QueueKind, RateLimits, RateVerdict, RefusalLog, RetryShare,
-    RetryShareSettings, SlowdownTracker, SuspectLedger, WaitingQueue, WatcherSelection, WorkLedger,
-    prelude::*, short_lane_size,
+    ColdAllowance, ColdEndpoints, ColdProfile, DirectEndpoint, DomainDrains, EndpointBackoffs,
+    EndpointListing, EndpointProcess, EndpointTable, EntryChange, LeavingQueue, OutlierAction,
+    OutlierDetector, OutlierEvent, OutlierSettings, PauseDetector, PeerLiveness, PlacerCandidate,
+    QueueKind, RateLimits, RateVerdict, RefusalLog, RetryShare, RetryShareSettings,
+    SlowdownTracker, SuspectLedger, WaitingQueue, WatcherSelection, WorkLedger, prelude::*,
+    short_lane_size,
 };
 use lovagedock_platform::GatewayEntry;
 use slog::{Logger, info};
@@ -42,6 +43,16 @@
     pub(super) pause_detector: PauseDetector,
     pub(super) listing: EndpointListing,
     pub(super) rate_limits: RateLimits,
+    /// Failure domains to whose endpoints nothing may be sent.
+    pub(super) drains: DomainDrains,
+    /// Endpoints that tolerate only a low request rate.
+    pub(super) cold: ColdEndpoints,
+    /// Rates that services declare for cold endpoints.
+    pub(super) cold_profiles: HashMap<ServiceId, ColdProfile>,
+    /// Limits of cold endpoints, besides those that endpoints advertise.
+    pub(super) cold_limits: RateLimits,
+    /// `None` if cold endpoints need no protection.
+    pub(super) cold_allowance: Option<ColdAllowance>,
     pub(super) backoffs: EndpointBackoffs,
     pub(super) leaving_queue: LeavingQueue,
     /// Latest reported era of the store.
@@ -105,11 +116,14 @@
         if let EntryChange::Restarted(former) = change {
             self.ledger.forget_process(&former.process);
             self.rate_limits.forget(&former.process);
+            self.cold_limits.forget(&former.process);
+            self.cold.forget(&former.process);
             self.backoffs.forget(&former.process);
             self.forget_endpoint_health(now, former);
         }
-        if let Some(endpoint) = self.endpoints.get(&id) {
+        if let Some(endpoint) = self.endpoints.get(&id).cloned() {
             self.ledger.record_listed(&endpoint.process);
+            self.record_cold(now, &endpoint);
         }
         let joined = OutlierEvent::Joined(id);
         self.service(now, service).outliers.handle(now, joined);
@@ -146,6 +160,8 @@
         let endpoints = &self.endpoints;
         self.rate_limits
             .tick(now, count, |process| endpoints.is_current(process));
+        self.cold_limits
+            .tick(now, count, |process| endpoints.is_current(process));
         self.backoffs
             .forget_unlisted_malformed(|process| endpoints.is_current(process));
     }
@@ -156,6 +172,7 @@
         let limited: Vec<EndpointProcess> = self
             .rate_limits
             .limited()
+            .chain(self.cold_limits.limited())
             .map(|(process, _)| process)
             .filter(|process| self.endpoints.is_current(process))
             .filter(|process| {
@@ -165,10 +182,12 @@
             })
             .cloned()
             .collect();
-        let changes = limited
-            .iter()
-            .map(|process| self.rate_limits.record_demand(now, process));
-        changes.fold(false, |any, is_new| any | is_new)
+        let mut is_new = false;
+        for process in &limited {
+            is_new |= self.rate_limits.record_demand(now, process);
+            is_new |= self.cold_limits.record_demand(now, process);
+        }
+        is_new
     }
 
     /// Finds endpoints with a free slot.
@@ -186,9 +205,14 @@
         let mut candidates = Vec::new();
         let mut positions = Vec::new();
         let mut found = false;
+        let mut is_drained = false;
         let mut next_available_at: Option<Timestamp> = None;
         let mut pool = PoolCount::default();
         for endpoint in self.endpoints.ready(service) {
+            if self.drains.is_drained(&endpoint.domain) {
+                is_drained = true;
+                continue;
+            }
             let (mut load, short) = self.ledger.load_with_short_count(now, &endpoint.process);
             let verdict = self.rate_limits.verdict(now, &endpoint.process);
             // Rate-limited endpoints accept too few requests to be part of the short lane.
@@ -197,16 +221,9 @@
             if position.is_some() {
                 pool.add(endpoint);
             }
-            if excluded.contains(&endpoint.process) {
-                continue;
-            }
-            if ejected.is_some_and(|ejected| ejected.contains(&endpoint.process.id)) {
-                continue;
-            }
-            let limited_until = match verdict {
-                RateVerdict::RateLimited { until } => Some(until),
-                RateVerdict::Unlimited | RateVerdict::Admitted => None,
-            };
+            let cold_verdict = self.cold_limits.verdict(now, &endpoint.process);
+            let limits = [verdict, cold_verdict];
+            let limited_until = limits.iter().filter_map(RateVerdict::limited_until).max();
             let available_at = self
                 .backoffs
                 .backoff_end(now, &endpoint.process)
@@ -215,6 +232,12 @@
                 next_available_at = Some(next_available_at.map_or(at, |next| next.min(at)));
                 continue;
             }
+            if excluded.contains(&endpoint.process) {
+                continue;
+            }
+            if ejected.is_some_and(|ejected| ejected.contains(&endpoint.process.id)) {
+                continue;
+            }
             found = true;
             load.slowdown = load
                 .slowdown
@@ -240,6 +263,7 @@
         match (found, next_available_at) {
             (true, _) => EndpointSearch::Found(candidates),
             (false, Some(until)) => EndpointSearch::Unavailable { until },
+            (false, None) if is_drained && pool.endpoints == 0 => EndpointSearch::Drained,
             (false, None) => EndpointSearch::NoEndpoint,
         }
     }
@@ -251,6 +275,8 @@
     Found(Vec<PlacerCandidate<'a>>),
     /// All endpoints are rate limited or in backoff, at least until this time.
     Unavailable { until: Timestamp },
+    /// All endpoints of the service are in drained failure domains.
+    Drained,
     /// The service has no endpoint that accepts work.
     NoEndpoint,
 }
--- a/lovagedock-gateway/src/direct/state/limits.rs
+++ b/lovagedock-gateway/src/direct/state/limits.rs
@@ -51,6 +51,26 @@
         self.fleet.lock().rate_limits.take_updates(now)
     }
 
+    /// Applies claims of a peer for cold endpoints.
+    pub(crate) fn apply_peer_cold_limits(&self, peer: &GatewayId, updates: Vec<RateUpdate>) {
+        let now = self.clock.now();
+        let mut fleet = self.fleet.lock();
+        for update in updates {
+            // Each gateway learns by itself which endpoints are cold and when they no longer are.
+            let rate = fleet.cold_limits.rate(&update.endpoint);
+            if rate.is_some() {
+                let update = RateUpdate { rate, ..update };
+                fleet.cold_limits.apply_update(now, peer, update);
+            }
+        }
+    }
+
+    /// Returns the claims for cold endpoints that are due to be sent to peers.
+    pub(crate) fn take_cold_updates(&self) -> Vec<RateUpdate> {
+        let now = self.clock.now();
+        self.fleet.lock().cold_limits.take_updates(now)
+    }
+
     fn report_rate_change(
         &self,
         endpoint: &EndpointProcess,
--- a/lovagedock-gateway/src/direct/state/mod.rs
+++ b/lovagedock-gateway/src/direct/state/mod.rs
@@ -1,5 +1,6 @@
 //! State of a gateway, shared by all its requests.
 
+mod drains;
 mod era;
 mod fleet_state;
 mod limits;
@@ -20,10 +21,10 @@
 
 use arc_swap::ArcSwapOption;
 use lovagedock::{
-    EndpointBackoffs, EndpointListing, EndpointProcess, EndpointTable, LeavingQueue, OutlierEvent,
-    PauseDetector, PeerLiveness, QueueKind, RateLimits, RefusalLog, RequestFingerprint,
-    RetryShareSettings, SlowdownTracker, StopPlan, SuspectLedger, TrafficConfig, WaitingQueue,
-    WatcherSelection, WorkLedger, prelude::*,
+    ColdAllowance, ColdEndpoints, DomainDrains, EndpointBackoffs, EndpointListing, EndpointProcess,
+    EndpointTable, LeavingQueue, OutlierEvent, PauseDetector, PeerLiveness, QueueKind, RateLimits,
+    RefusalLog, RequestFingerprint, RetryShareSettings, SlowdownTracker, StopPlan, SuspectLedger,
+    TrafficConfig, WaitingQueue, WatcherSelection, WorkLedger, prelude::*,
 };
 use lovagedock_daemon::ProcessClock;
 use parking_lot::Mutex;
@@ -47,6 +48,9 @@
 /// Time between two ticks, which look for silent peers and for endpoints that may be tried again.
 pub(crate) const TICK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time until a claim for a cold endpoint has reached all gateways.
+const COLD_CLAIM_TIME: Duration = Duration::from_millis(200);
+
 /// Returns a random slot delay for this gateway, so that gateways differ.
 fn slot_delay() -> Duration {
     SLOT_DELAY_STEP * rand::random_range(1..=SLOT_DELAY_STEPS)
@@ -106,9 +110,11 @@
         fleet_tag: FleetTag,
         clock: ProcessClock,
         retries: RetryShareSettings,
+        cold_allowance: Option<ColdAllowance>,
         log: Logger,
     ) -> Self {
         let rate_limits = RateLimits::new(name.clone());
+        let cold_limits = RateLimits::new(name.clone()).with_claim_time(COLD_CLAIM_TIME);
         Self {
             name,
             fleet_tag,
@@ -128,6 +134,11 @@
                 pause_detector: PauseDetector::new(),
                 listing: EndpointListing::new(),
                 rate_limits,
+                drains: DomainDrains::new(),
+                cold: ColdEndpoints::new(),
+                cold_profiles: HashMap::new(),
+                cold_limits,
+                cold_allowance,
                 backoffs: EndpointBackoffs::new(),
                 leaving_queue: LeavingQueue::new(),
                 store_era: None,
@@ -161,9 +172,11 @@
     }
 
     /// Returns the configuration for serving callers. It is available after
-    /// [`set_peers_consulted`](Self::set_peers_consulted).
+    /// [`set_peers_consulted`](Self::set_peers_consulted), and once the drained failure domains are
+    /// known.
     pub(crate) fn trusted_config(&self) -> Option<Arc<TrafficConfig>> {
-        let is_trusted = self.peers_consulted.load(Ordering::Relaxed);
+        let is_trusted =
+            self.peers_consulted.load(Ordering::Relaxed) && self.fleet.lock().drains.is_known();
         self.config().filter(|_| is_trusted)
     }
 
@@ -178,6 +191,7 @@
         info!(self.log, "configuration in force";
             "version" => config.version, "before" => known, "source" => source,
             "routes" => config.route_count(), "services" => config.services.len());
+        self.apply_cold_profiles(&config);
         self.config.store(Some(config));
         self.urgent_update.notify_one();
         true
@@ -252,7 +266,7 @@
         // engines.
         let has_requested_state = self.suspects_requested.load(Ordering::Relaxed)
             && self.peers_consulted.load(Ordering::Relaxed);
-        self.config.load().is_some() && is_listed && has_requested_state && !self.is_stopping()
+        self.trusted_config().is_some() && is_listed && has_requested_state && !self.is_stopping()
     }
 
     /// Waits for a change that may free capacity.
@@ -301,6 +315,7 @@
         let silent = fleet.ledger.forget_silent(now);
         for peer in &silent {
             fleet.rate_limits.forget_peer(now, peer);
+            fleet.cold_limits.forget_peer(now, peer);
         }
         fleet.tick_limits(now);
         let ended_backoffs = fleet.backoffs.take_ended(now);
@@ -321,6 +336,7 @@
             self.log_entry_change(endpoint, change);
         }
         self.settle_listing();
+        self.settle_drains();
         self.log_ended_backoffs(&ended_backoffs);
         for peer in silent {
             info!(self.log, "peer silent"; "peer" => &*peer);
--- a/lovagedock-gateway/src/direct/state/peers.rs
+++ b/lovagedock-gateway/src/direct/state/peers.rs
@@ -58,6 +58,7 @@
         fleet.peer_liveness.forget(name);
         fleet.ledger.forget_peer(name);
         fleet.rate_limits.forget_peer(self.clock.now(), name);
+        fleet.cold_limits.forget_peer(self.clock.now(), name);
     }
 
     /// Returns the known other gateways.
@@ -153,5 +154,6 @@
         let mut fleet = self.fleet.lock();
         fleet.ledger.forget_peer(peer);
         fleet.rate_limits.forget_peer(now, peer);
+        fleet.cold_limits.forget_peer(now, peer);
     }
 }
--- a/lovagedock-gateway/src/direct/state/placement.rs
+++ b/lovagedock-gateway/src/direct/state/placement.rs
@@ -29,6 +29,8 @@
     pub(crate) backlog: Duration,
     /// Whether the endpoint has a rate limit and the request has consumed a token.
     pub(crate) is_admitted: bool,
+    /// Whether the endpoint is cold and the request has consumed a token of its limit.
+    pub(crate) is_cold_admitted: bool,
     /// Releases the work from the ledger when it is dropped.
     pub(crate) work: WorkGuard,
 }
@@ -47,6 +49,8 @@
 pub(crate) struct PoolSummary {
     /// Endpoints that accept work, including ejected ones.
     pub(crate) ready: usize,
+    /// Endpoints in drained failure domains, which would accept work otherwise.
+    pub(crate) drained: usize,
     /// Of these, endpoints that are ejected after failures.
     pub(crate) ejected: usize,
     /// Of these, endpoints whose rate limit currently allows no request from this gateway.
@@ -85,6 +89,8 @@
     Leaving,
     /// The endpoint is in a backoff period.
     Backoff,
+    /// The failure domain of the endpoint or of a helper is drained.
+    Drained,
 }
 
 impl WithholdReason {
@@ -94,6 +100,7 @@
             Self::RateLimited => "limit",
             Self::Leaving => "leaving",
             Self::Backoff => "backoff",
+            Self::Drained => "drained",
         }
     }
 }
@@ -106,6 +113,8 @@
     Full,
     /// All endpoints are rate limited or in backoff, at least until this time.
     Unavailable { until: Timestamp },
+    /// All endpoints of the service are in drained failure domains.
+    Drained,
     /// The service has no endpoint that accepts work and was not tried already.
     NoEndpoint,
 }
@@ -170,6 +179,10 @@
         let mut fleet = self.fleet.lock();
         let mut summary = PoolSummary::default();
         for endpoint in fleet.endpoints.ready(service) {
+            if fleet.drains.is_drained(&endpoint.domain) {
+                summary.drained += 1;
+                continue;
+            }
             let occupied = fleet.ledger.load(now, &endpoint.process).occupied;
             summary.ready += 1;
             if fleet.backoffs.backoff_end(now, &endpoint.process).is_some() {
@@ -210,6 +223,7 @@
         let mut candidates = match fleet.search(now, service, excluded) {
             EndpointSearch::Found(candidates) => candidates,
             EndpointSearch::Unavailable { until } => return PlacementResult::Unavailable { until },
+            EndpointSearch::Drained => return PlacementResult::Drained,
             EndpointSearch::NoEndpoint => return PlacementResult::NoEndpoint,
         };
         if request.suspect {
@@ -235,6 +249,8 @@
         drop(candidates);
         let is_admitted =
             fleet.rate_limits.admit(now, &placed.lead.process) == RateVerdict::Admitted;
+        let is_cold_admitted =
+            fleet.cold_limits.admit(now, &placed.lead.process) == RateVerdict::Admitted;
         let work = self.guard_work(now, &mut fleet, works);
         let state = fleet.service(now, service);
         state.queues[kind as usize].record_start(now);
@@ -251,13 +267,14 @@
             occupied: placed.occupied,
             backlog: placed.backlog,
             is_admitted,
+            is_cold_admitted,
             work,
         }))
     }
 
     /// Returns why a placed request must not be sent, or `None` if it may be. Since the placement,
-    /// the endpoint may have advertised a limit, asked for a backoff, or announced that it is
-    /// leaving.
+    /// the endpoint may have advertised a limit, asked for a backoff, announced that it is leaving,
+    /// or become cold, and its failure domain may have been drained.
     pub(crate) fn withheld_reason(&self, placed: &PlacedRequest) -> Option<WithholdReason> {
         let now = self.clock.now();
         let process = &placed.lead.process;
@@ -268,13 +285,29 @@
         if fleet.backoffs.backoff_end(now, process).is_some() {
             return Some(WithholdReason::Backoff);
         }
-        if placed.is_admitted {
-            return None;
+        let members = placed.helpers.iter().map(|helper| &helper.endpoint);
+        if std::iter::once(&placed.lead)
+            .chain(members)
+            .any(|endpoint| fleet.drains.is_drained(&endpoint.domain))
+        {
+            return Some(WithholdReason::Drained);
+        }
+        let mut limited = false;
+        if !placed.is_admitted {
+            limited |= fleet
+                .rate_limits
+                .admit(now, process)
+                .limited_until()
+                .is_some();
         }
-        match fleet.rate_limits.admit(now, process) {
-            RateVerdict::RateLimited { .. } => Some(WithholdReason::RateLimited),
-            RateVerdict::Unlimited | RateVerdict::Admitted => None,
+        if !placed.is_cold_admitted {
+            limited |= fleet
+                .cold_limits
+                .admit(now, process)
+                .limited_until()
+                .is_some();
         }
+        limited.then_some(WithholdReason::RateLimited)
     }
 
     fn guard_work(
--- a/lovagedock-gateway/tests/direct_pause.rs
+++ b/lovagedock-gateway/tests/direct_pause.rs
@@ -35,6 +35,7 @@
                 id: SERVICE.into(),
                 max_connections: 100,
                 engine: None,
+                cold: None,
             })
             .with_key("secret", "org".into(), None)
     }
--- a/lovagedock-gateway/tests/direct_silent_engines.rs
+++ b/lovagedock-gateway/tests/direct_silent_engines.rs
@@ -168,6 +168,7 @@
 fn small_engines() -> TrafficConfig {
     config(1).with_service(ServiceProfile {
         id: SERVICE.into(),
+        cold: None,
         max_connections: 100,
         engine: Some(EngineProfile {
             slots: 4,
--- a/lovagedock-gateway/tests/direct_support/feed.rs
+++ b/lovagedock-gateway/tests/direct_support/feed.rs
@@ -31,6 +31,7 @@
     is_down: bool,
     drops_peer_messages: bool,
     sheets: Vec<SuspectSheet>,
+    drained: Vec<DomainId>,
 }
 
 impl TestFeed {
@@ -66,6 +67,12 @@
         self.change(|state| state.endpoints = endpoints);
     }
 
+    /// Replaces the drained failure domains.
+    pub(crate) fn set_drained(&self, domains: &[&str]) {
+        let domains = domains.iter().map(|domain| (*domain).into());
+        self.change(|state| state.drained = domains.collect());
+    }
+
     /// Adds a gateway to the list.
     pub(crate) fn add_gateway(&self, gateway: GatewayEntry) {
         self.change(|state| state.gateways.push(gateway));
@@ -102,6 +109,10 @@
                 let endpoints = state.endpoints.iter().cloned();
                 endpoints.map(FeedChange::Endpoint).collect()
             }
+            FeedSubject::Drains => {
+                let drained = state.drained.iter().cloned();
+                drained.map(FeedChange::DomainDrained).collect()
+            }
             FeedSubject::Gateways => {
                 let gateways = state.gateways.iter().cloned().map(|gateway| GatewayEntry {
                     address: match state.drops_peer_messages {
--- a/lovagedock-gateway/tests/direct_support/mod.rs
+++ b/lovagedock-gateway/tests/direct_support/mod.rs
@@ -64,6 +64,8 @@
             retry_slack: 100.0,
             retry_window_s: 10.0,
             stop_grace_s: 8.0,
+            cold_overshoot: None,
+            cold_slack: 0.0,
         },
         log: Default::default(),
     }
@@ -161,6 +163,7 @@
             id: SERVICE.into(),
             max_connections: 100,
             engine: None,
+            cold: None,
         })
         .with_key("secret", "org".into(), None)
 }
@@ -183,6 +186,7 @@
         id: SERVICE.into(),
         max_connections: 100,
         engine: Some(ENGINE),
+        cold: None,
     })
 }
 
@@ -195,5 +199,6 @@
         domain: "a".into(),
         slots: 4,
         state: EndpointState::Ready,
+        cold_left: Duration::ZERO,
     }
 }
--- a/lovagedock-platform/src/feed.rs
+++ b/lovagedock-platform/src/feed.rs
@@ -43,6 +43,8 @@
     Traffic,
     /// Endpoints.
     Endpoints,
+    /// Failure domains that operators have drained.
+    Drains,
     /// Gateways.
     Gateways,
     /// Observations of gateways about requests that were running on an engine when its process
@@ -56,6 +58,7 @@
         match self {
             Self::Traffic => "traffic",
             Self::Endpoints => "endpoints",
+            Self::Drains => "drains",
             Self::Gateways => "gateways",
             Self::Suspects => "suspects",
         }
@@ -89,6 +92,10 @@
     Endpoint(DirectEndpoint),
     /// An endpoint's entry was removed.
     EndpointRemoved(EndpointId),
+    /// A failure domain was drained: nothing new may be sent to its endpoints.
+    DomainDrained(DomainId),
+    /// The endpoints of a failure domain accept work again.
+    DomainRestored(DomainId),
     /// A gateway was added or changed its address.
     Gateway(GatewayEntry),
     /// A gateway's entry was removed.
--- a/lovagedock/examples/direct_cost.rs
+++ b/lovagedock/examples/direct_cost.rs
@@ -80,6 +80,7 @@
         domain: "a".into(),
         slots: SLOTS,
         state: EndpointState::Ready,
+        cold_left: Duration::ZERO,
     }
 }
 
--- a/lovagedock/src/direct/config.rs
+++ b/lovagedock/src/direct/config.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::engine::EngineProfile;
+use super::{cold_endpoints::ColdProfile, engine::EngineProfile};
 use crate::ids::{Generation, OrganisationId, ServiceId};
 
 /// A complete configuration. A configuration with a higher version replaces it entirely.
@@ -106,6 +106,8 @@
     pub max_connections: u32,
     /// Speed and memory of the service's engines, or `None` for a plain service.
     pub engine: Option<EngineProfile>,
+    /// What endpoints tolerate after their start, or `None` if they need no protection.
+    pub cold: Option<ColdProfile>,
 }
 
 /// Limits that apply to callers.
--- a/lovagedock/src/direct/endpoints.rs
+++ b/lovagedock/src/direct/endpoints.rs
@@ -27,6 +27,8 @@
     pub slots: u32,
     /// Whether the endpoint accepts new work.
     pub state: EndpointState,
+    /// Time for which the endpoint tolerates only a low request rate, as of its latest entry.
+    pub cold_left: Duration,
 }
 
 /// Whether an endpoint accepts new work.
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -5,13 +5,16 @@
 //! chooses endpoints by the [`EngineProfile`]. [`WaitingQueue`] decides which requests may wait,
 //! and [`DirectMachine`] what follows each attempt. [`SuspectLedger`] finds requests that crash the
 //! engines that run them. [`EndpointListing`] decides which endpoint list is valid while the store
-//! is unreachable or restored from an older copy. None of these types reads a clock or performs
+//! is unreachable or restored from an older copy, [`DomainDrains`] to which failure domains nothing
+//! is sent, and [`ColdEndpoints`] which endpoints tolerate only a low rate. None of these types reads a clock or performs
 //! input or output.
 
 mod backoff;
 mod choice;
+mod cold_endpoints;
 mod config;
 mod decimal;
+mod domain_drains;
 mod endpoints;
 mod engine;
 mod events;
@@ -45,9 +48,11 @@
 
 pub use backoff::{BackoffEvent, EndpointBackoffs, RetryAfter};
 pub use choice::{DirectChoice, DirectRequest, HelperPart, PlacerCandidate};
+pub use cold_endpoints::{ColdAllowance, ColdEndpoints, ColdProfile};
 pub use config::{
     CallerBounds, RouteMatch, RouteMode, RouteRule, RouteTarget, ServiceProfile, TrafficConfig,
 };
+pub use domain_drains::{DomainDrains, DrainChange, DrainSnapshot};
 pub use endpoints::{DirectEndpoint, EndpointState, EndpointTable, EntryChange};
 pub use engine::EngineProfile;
 pub use events::{EventSplitter, StreamEvent};
--- a/lovagedock/src/direct/rate_limit.rs
+++ b/lovagedock/src/direct/rate_limit.rs
@@ -96,6 +96,16 @@
     },
 }
 
+impl RateVerdict {
+    /// Returns when the next request may be sent, if none may be sent now.
+    pub fn limited_until(&self) -> Option<Timestamp> {
+        match self {
+            Self::RateLimited { until } => Some(*until),
+            Self::Unlimited | Self::Admitted => None,
+        }
+    }
+}
+
 /// State of one endpoint's limit, as sent to peers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RateUpdate {
@@ -128,6 +138,7 @@
 pub struct RateLimits {
     gateway: GatewayId,
     count: GatewayCount,
+    claim_time: Duration,
     limits: BTreeMap<EndpointProcess, RateLimitRecord>,
     malformed: HashSet<EndpointProcess>,
 }
@@ -138,6 +149,8 @@
     received_at: Timestamp,
     /// When this gateway last had a request for the endpoint, if any.
     last_demand_at: Option<Timestamp>,
+    /// Since when this gateway has had requests for the endpoint without a longer break.
+    demand_since: Timestamp,
     /// Peers that claim the endpoint, with the arrival time of each one's latest claim.
     claims: HashMap<GatewayId, Timestamp>,
     bucket: TokenBucket,
@@ -171,11 +184,20 @@
                 reachable: 1,
                 known: 1,
             },
+            claim_time: Duration::ZERO,
             limits: BTreeMap::new(),
             malformed: HashSet::new(),
         }
     }
 
+    /// Sets how long a gateway that begins to have requests for an endpoint waits until the claims of
+    /// all gateways have arrived. Needed for limits that all gateways learn at the same moment: before
+    /// that, each of them would count itself as the only sender.
+    pub fn with_claim_time(mut self, claim_time: Duration) -> Self {
+        self.claim_time = claim_time;
+        self
+    }
+
     /// Records the limit in the response to a request that was sent at `sent_at`, and returns the
     /// resulting event, if any.
     ///
@@ -210,6 +232,19 @@
         event
     }
 
+    /// Sets or removes a limit that every gateway learns by itself, so that peers are not told of it.
+    pub fn set_limit(
+        &mut self,
+        now: Timestamp,
+        endpoint: &EndpointProcess,
+        rate: Option<RequestRate>,
+    ) -> Option<RateLimitEvent> {
+        if rate.is_none() && !self.limits.contains_key(endpoint) {
+            return None;
+        }
+        self.set(now, endpoint, now, rate)
+    }
+
     /// Applies an update from a peer and returns the resulting event, if any.
     pub fn apply_update(
         &mut self,
@@ -248,6 +283,7 @@
         let had_demand = record.has_demand(now);
         record.last_demand_at = Some(now);
         if !had_demand {
+            record.demand_since = now;
             self.update_share(now, endpoint);
         }
         !had_demand
@@ -366,14 +402,16 @@
 
     /// Recomputes this gateway's share of an endpoint's limit.
     fn update_share(&mut self, now: Timestamp, endpoint: &EndpointProcess) {
-        let (gateway, count) = (&self.gateway, self.count);
+        let (gateway, count, claim_time) = (&self.gateway, self.count, self.claim_time);
         let Some(record) = self.limits.get_mut(endpoint) else {
             return;
         };
         let is_current = |at: &mut Timestamp| now.saturating_sub(*at) <= CLAIM_TIMEOUT;
         record.claims.retain(|_, at| is_current(at));
+        let may_send =
+            record.has_demand(now) && now.saturating_sub(record.demand_since) >= claim_time;
         let share = match record.rate {
-            Some(rate) if record.has_demand(now) => record.share(endpoint, gateway, rate, count),
+            Some(rate) if may_send => record.share(endpoint, gateway, rate, count),
             _ => 0.0,
         };
         record.bucket.set_rate(now, share);
@@ -386,6 +424,7 @@
             rate: None,
             received_at: now,
             last_demand_at: None,
+            demand_since: now,
             claims: HashMap::new(),
             bucket: TokenBucket::new(now),
             last_sent: None,
--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -61,8 +61,9 @@
 };
 pub use cost::{CostModel, CostParameters, PredictionError, PrefillObservation};
 pub use direct::{
-    AdvertisedLimit, AttemptEnd, BackoffEvent, CallerBounds, CombinedLoad, DirectChoice,
-    DirectEndpoint, DirectMachine, DirectPlacer, DirectRequest, DirectStep, EndEvidence,
+    AdvertisedLimit, AttemptEnd, BackoffEvent, CallerBounds, ColdAllowance, ColdEndpoints,
+    ColdProfile, CombinedLoad, DirectChoice, DirectEndpoint, DirectMachine, DirectPlacer,
+    DirectRequest, DirectStep, DomainDrains, DrainChange, DrainSnapshot, EndEvidence,
     EndpointBackoffs, EndpointListing, EndpointProcess, EndpointState, EndpointTable,
     EngineProfile, EntryChange, EventSplitter, GatewayCount, HelperPart, LeavingQueue,
     ListingVersion, LoadUpdates, MessageOrder, PauseDetector, PeerContact, PeerLiveness, PeerLoad,
--- a/lovagedock/tests/direct_listing.rs
+++ b/lovagedock/tests/direct_listing.rs
@@ -336,6 +336,7 @@
         domain: "a".into(),
         slots: 4,
         state: EndpointState::Ready,
+        cold_left: Duration::ZERO,
     }
 }
 
--- a/lovagedock/tests/direct_prompt_burst.rs
+++ b/lovagedock/tests/direct_prompt_burst.rs
@@ -75,6 +75,7 @@
             domain: "a".into(),
             slots: SLOTS,
             state: EndpointState::Ready,
+            cold_left: Duration::ZERO,
         });
         Self {
             ledgers: vec![WorkLedger::new(); case.gateways],
--- a/lovagedock/tests/direct_stopping.rs
+++ b/lovagedock/tests/direct_stopping.rs
@@ -208,6 +208,7 @@
         id: "model".into(),
         max_connections: 100,
         engine: Some(direct_support::PROFILE),
+        cold: None,
     };
     for case in cases {
         let request = RequestOutlook {
--- a/lovagedock/tests/direct_support/mod.rs
+++ b/lovagedock/tests/direct_support/mod.rs
@@ -74,6 +74,7 @@
             domain: "a".into(),
             slots: PROFILE.slots,
             state: EndpointState::Ready,
+            cold_left: Duration::ZERO,
         });
         Self {
             ledger: WorkLedger::new(),
