Forward messages between gateways through relays in large fleets

Cause: each gateway sent a heartbeat every 250 ms, and each placement, to each other one.

Change: from 100 gateways on (max_direct_gateways), each sends to two relays of its failure domain, chosen by host capacity and a hash of the names (DomainRelays, no input or output); the first one forwards the messages of all others to it, relays send those of their domain to two relays of each other domain, and tell every 250 ms which gateways are there. A relay spaces its rounds so that it sends 5,000 datagrams a second at most. Changes of endpoints travel as deltas (ListingLog). A starting gateway takes its state from its relay and reads the store only if there is none; the list of gateways is read stale (a tenth of the price), and an entry that is listed already is not written again. Too few watchers that reach the store are replaced by three others, not by all. Callers that come in the first 1.5 s of a process wait until the gateway knows the fleet.

Ruled out: relays from 40 gateways on.

--- a/lovagedock-gateway/src/direct/caller_server.rs
+++ b/lovagedock-gateway/src/direct/caller_server.rs
@@ -198,6 +198,7 @@
             .read_caller(request.headers())
             .with_bounded_tokens();
         let id = head.request.clone();
+        self.state.wait_for_start().await;
         let Some(config) = self.state.trusted_config() else {
             return self.reject(&id, ResultCode::NotConfigured);
         };
--- a/lovagedock-gateway/src/direct/discovery.rs
+++ b/lovagedock-gateway/src/direct/discovery.rs
@@ -16,6 +16,19 @@
 /// after that, gateways find each other through their datagrams.
 const GATEWAY_LIST_INTERVAL: Duration = Duration::from_secs(30);
 
+/// Times between the first reads. A gateway that starts at the same time as others may be missing
+/// from their first lists.
+const LIST_INTERVALS: [Duration; 3] = [
+    Duration::from_secs(1),
+    Duration::from_secs(2),
+    Duration::from_secs(5),
+];
+
+/// Time between two reads while all gateways of a fleet start for the first time, and maximum number
+/// of these reads.
+const BOOTSTRAP_READ_INTERVAL: Duration = Duration::from_millis(900);
+const BOOTSTRAP_READS: usize = 4;
+
 /// Interval over which the gateways spread their rewrites after the store was restored. If a large
 /// fleet wrote at the same moment, it would use up the store's rate limit, which is needed for
 /// endpoints.
@@ -33,28 +46,61 @@
     REWRITE_JITTER.mul_f64(rand::random())
 }
 
-/// Announces the address of this gateway in the store and then reads the addresses of the others.
-/// Repeats both when the store was restored from an earlier copy, which may contain neither.
+/// Announces the address of this gateway in the store and reads the addresses of the others. Repeats
+/// both when the store was restored from an earlier copy, which may contain neither.
 ///
-/// The order matters: of two gateways that start together, the one that announces itself later
-/// finds the other in the list and sends to it, so both learn of each other.
+/// The list may be seconds old. Of two gateways that start together, the one that reads later finds
+/// the other and sends to it, so both learn of each other. An entry that is listed already is not
+/// written again.
 pub(crate) async fn discover_gateways(
     state: Arc<GatewayState>,
     feed: Arc<dyn FleetFeed>,
     entry: GatewayEntry,
+    bootstrap: bool,
 ) {
+    let mut announced = None;
+    if bootstrap {
+        announced = Some(announce(&state, &*feed, &entry).await);
+        wait_for_entries(&state, &*feed).await;
+    }
+    let (listed, listed_era) = read_gateways(&state, &*feed).await;
+    state.set_gateways_listed();
+    let mut era = match announced {
+        Some(era) => era,
+        None if listed.contains(&entry) => listed_era,
+        None => announce(&state, &*feed, &entry).await,
+    };
+    let mut intervals = LIST_INTERVALS.iter();
     loop {
-        let era = announce(&state, &*feed, &entry).await;
-        read_gateways(&state, &*feed).await;
         while state.store_era() <= era {
+            let interval = *intervals.next().unwrap_or(&GATEWAY_LIST_INTERVAL);
             let mut restored = std::pin::pin!(state.store_restored());
             restored.as_mut().enable();
-            if state.store_era() <= era && timeout(GATEWAY_LIST_INTERVAL, restored).await.is_err() {
+            if state.store_era() <= era
+                && timeout(interval, restored).await.is_err()
+                && !state.hears_relays()
+            {
                 read_gateways(&state, &*feed).await;
             }
         }
         sleep(rewrite_delay()).await;
         info!(state.log, "gateway announced again"; "era" => state.store_era());
+        era = announce(&state, &*feed, &entry).await;
+        read_gateways(&state, &*feed).await;
+    }
+}
+
+/// Waits until the entries of gateways that start for the first time are in the list, which is some
+/// time after they were written.
+async fn wait_for_entries(state: &GatewayState, feed: &dyn FleetFeed) {
+    let mut known = 0;
+    for _ in 0..BOOTSTRAP_READS {
+        sleep(BOOTSTRAP_READ_INTERVAL).await;
+        let listed = read_gateways(state, feed).await.0.len();
+        if listed > 0 && listed == known {
+            return;
+        }
+        known = listed;
     }
 }
 
@@ -73,23 +119,41 @@
     }
 }
 
-async fn read_gateways(state: &GatewayState, feed: &dyn FleetFeed) {
-    while let Err(error) = try_read_gateways(state, feed).await {
-        warn!(state.log, "cannot read the list of gateways"; "error" => %error);
-        sleep(MAX_BACKOFF).await;
+async fn read_gateways(
+    state: &GatewayState,
+    feed: &dyn FleetFeed,
+) -> (Vec<GatewayEntry>, StoreEra) {
+    loop {
+        match try_read_gateways(state, feed).await {
+            Ok(listed) => return listed,
+            Err(error) => {
+                warn!(state.log, "cannot read the list of gateways"; "error" => %error);
+                sleep(MAX_BACKOFF).await;
+            }
+        }
     }
 }
 
-async fn try_read_gateways(state: &GatewayState, feed: &dyn FleetFeed) -> Result<(), FeedError> {
-    let snapshot = feed.snapshot(FeedSubject::Gateways).await?;
-    state.update_era(snapshot.position.era, FeedSubject::Gateways.as_str());
-    for change in snapshot.changes {
-        if let FeedChange::Gateway(gateway) = change {
-            state.upsert_gateway(gateway);
-        }
+async fn try_read_gateways(
+    state: &GatewayState,
+    feed: &dyn FleetFeed,
+) -> Result<(Vec<GatewayEntry>, StoreEra), FeedError> {
+    let snapshot = feed.stale_snapshot(FeedSubject::Gateways).await?;
+    let era = snapshot.position.era;
+    state.update_era(era, FeedSubject::Gateways.as_str());
+    state.set_store_reachable(true);
+    let changes = snapshot.changes.into_iter();
+    let listed = changes.filter_map(|change| match change {
+        FeedChange::Gateway(gateway) => Some(gateway),
+        _ => None,
+    });
+    let listed: Vec<GatewayEntry> = listed.collect();
+    let known = state.peers().len();
+    for gateway in &listed {
+        state.upsert_gateway(gateway.clone());
     }
-    state.set_gateways_listed();
-    Ok(())
+    info!(state.log, "gateways listed"; "listed" => listed.len(), "known_before" => known);
+    Ok((listed, era))
 }
 
 /// Delays serving until peers had time to report a newer configuration than the store has.
--- a/lovagedock-gateway/src/direct/feed.rs
+++ b/lovagedock-gateway/src/direct/feed.rs
@@ -5,7 +5,7 @@
 use lovagedock::{DrainSnapshot, StorePosition, WatchRole};
 use lovagedock_platform::{FeedChange, FeedError, FeedSnapshot, FeedSubject, FleetFeed};
 use slog::{info, warn};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::state::GatewayState;
 
@@ -21,6 +21,16 @@
 /// Watchers detect its return within 0.4 s and report it.
 const MAX_FALLBACK_BACKOFF: Duration = Duration::from_millis(1500);
 
+/// Maximum time for which a starting gateway waits for the state of its relay.
+const PEER_STATE_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Time between two checks whether the relay has told its state.
+const PEER_STATE_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Number of gateways up to which those that watch in place of others may each call as often as the
+/// delays above allow. In a larger fleet, they call less often.
+const FALLBACK_GATEWAYS: usize = 24;
+
 /// Range of the random factor of a delay. Gateways lose the store at the same moment and must not
 /// all retry at the same moment.
 const BACKOFF_JITTER: std::ops::RangeInclusive<f64> = 0.75..=1.0;
@@ -59,7 +69,7 @@
 
     /// Repeatedly reads the complete subject and then follows its changes.
     pub(crate) async fn run(mut self) {
-        let mut is_known = false;
+        let mut is_known = self.wait_for_peer_state().await;
         loop {
             if is_known && self.state.watch_role() == WatchRole::Follower {
                 sleep(ROLE_CHECK_INTERVAL).await;
@@ -81,6 +91,34 @@
         }
     }
 
+    /// Waits until the relay of this gateway has told this subject, unless the gateway reads the
+    /// store itself. Returns whether the subject is known.
+    ///
+    /// If all gateways of a large fleet start at once and each reads everything, their calls take
+    /// longer than the reads of a few and the hand-over to the others.
+    async fn wait_for_peer_state(&self) -> bool {
+        let until = Instant::now() + PEER_STATE_TIMEOUT;
+        loop {
+            if self.is_subject_known() {
+                return true;
+            }
+            let is_alone = self.state.has_gateways() && self.state.reads_store_first();
+            if is_alone || Instant::now() >= until {
+                return false;
+            }
+            sleep(PEER_STATE_POLL_INTERVAL).await;
+        }
+    }
+
+    fn is_subject_known(&self) -> bool {
+        match self.subject {
+            FeedSubject::Traffic => self.state.config().is_some(),
+            FeedSubject::Endpoints => self.state.has_endpoints(),
+            FeedSubject::Drains => self.state.has_drains(),
+            FeedSubject::Gateways | FeedSubject::Suspects => false,
+        }
+    }
+
     /// Follows changes until the subject has to be read completely again or another gateway watches
     /// it.
     async fn follow(&mut self, mut position: StorePosition) {
@@ -144,7 +182,10 @@
         }
         sleep(self.backoff.mul_f64(rand::random_range(BACKOFF_JITTER))).await;
         let longest = match self.state.watch_role() {
-            WatchRole::Fallback => MAX_FALLBACK_BACKOFF,
+            WatchRole::Fallback => {
+                let fleets = self.state.peers().len() / FALLBACK_GATEWAYS;
+                MAX_FALLBACK_BACKOFF * fleets.max(1) as u32
+            }
             WatchRole::Watcher | WatchRole::Follower => MAX_BACKOFF,
         };
         self.backoff = (self.backoff * 2).min(longest);
--- a/lovagedock-gateway/src/direct/gateway.rs
+++ b/lovagedock-gateway/src/direct/gateway.rs
@@ -57,6 +57,7 @@
             .new(o!("gateway" => settings.name.to_string()));
         let state = Arc::new(GatewayState::new(
             settings.name.clone(),
+            settings.relays(),
             settings.fleet_tag(),
             daemon.clock,
             settings.bounds.retries(),
@@ -85,6 +86,8 @@
         let entry = GatewayEntry {
             name: settings.name.clone(),
             address: peers_address,
+            domain: settings.failure_domain.clone(),
+            capacity: settings.relay_candidate().capacity,
         };
         let mut tasks = JoinSet::new();
         for subject in WATCHED_SUBJECTS {
@@ -93,7 +96,12 @@
         }
         tasks.spawn(SuspectSync::new(Arc::clone(&state), Arc::clone(&feed)).run());
         tasks.spawn(consult_peers(Arc::clone(&state)));
-        tasks.spawn(discover_gateways(Arc::clone(&state), feed, entry));
+        tasks.spawn(discover_gateways(
+            Arc::clone(&state),
+            feed,
+            entry,
+            settings.bootstrap,
+        ));
         tasks.spawn(serve_peers(peer_listener, Arc::clone(&state), log.clone()));
         tasks.spawn(Arc::clone(&peers).run_sender());
         tasks.spawn(Arc::clone(&peers).run_ticks());
--- a/lovagedock-gateway/src/direct/mod.rs
+++ b/lovagedock-gateway/src/direct/mod.rs
@@ -20,6 +20,7 @@
 mod peer_message;
 mod peer_sync;
 mod peers;
+mod relay_outbox;
 mod reservations;
 mod response;
 mod settings;
--- a/lovagedock-gateway/src/direct/peer_message.rs
+++ b/lovagedock-gateway/src/direct/peer_message.rs
@@ -3,10 +3,11 @@
 use std::{net::SocketAddr, time::Duration};
 
 use lovagedock::{
-    DrainSnapshot, EndpointProcess, ListingVersion, PeerLoad, RateUpdate, RequestFingerprint,
-    SuspectUpdate, WriterGroup, prelude::*,
+    DrainSnapshot, EndpointProcess, HostCapacity, ListingDelta, ListingVersion, PeerLoad,
+    RateUpdate, RequestFingerprint, SuspectUpdate, WriterGroup, prelude::*,
 };
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::fleet_tag::FleetTag;
 
@@ -43,17 +44,66 @@
     }
 }
 
+/// A datagram between gateways. Messages are nested as encoded bytes, so that a relay forwards them
+/// as they are.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(super) enum PeerPacket<'a> {
+    /// A message to each other gateway.
+    Message(#[serde(borrow)] &'a [u8]),
+    /// A message to a relay, which forwards it.
+    Upstream {
+        /// Whether the sender wants the messages of other gateways from this relay.
+        is_subscribed: bool,
+        /// The message.
+        message: &'a [u8],
+    },
+    /// Messages from a relay.
+    Bundle(PeerBundle<'a>),
+}
+
+/// Messages that a relay sends together.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(super) struct PeerBundle<'a> {
+    /// The relay.
+    pub(super) relay: GatewayId,
+    /// Messages of the relay itself.
+    #[serde(borrow)]
+    pub(super) own: Vec<&'a [u8]>,
+    /// Messages of other gateways.
+    pub(super) forwarded: Vec<&'a [u8]>,
+    /// Gateways that are there, by failure domain.
+    pub(super) present: Vec<PresentGateways>,
+    /// Gateways of the relay's domain that have become silent.
+    pub(super) silent: Vec<GatewayId>,
+}
+
+/// Gateways of one failure domain whose messages arrive at its relays.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct PresentGateways {
+    pub(super) domain: DomainId,
+    pub(super) gateways: Vec<GatewayTag>,
+}
+
+/// Short form of a gateway's name.
+pub(super) type GatewayTag = u32;
+
+/// Returns the short form of a gateway's name. Two names of a fleet are unlikely to share one; a
+/// gateway that ends would then count as present for as long as the other one is.
+pub(super) fn gateway_tag(name: &GatewayId) -> GatewayTag {
+    xxh3_64(name.as_bytes()) as GatewayTag
+}
+
 /// Encodes a datagram for gateways of the fleet.
-pub(super) fn write_datagram(fleet: FleetTag, message: &PeerMessage) -> postcard::Result<Vec<u8>> {
+pub(super) fn write_packet(fleet: FleetTag, packet: &PeerPacket) -> postcard::Result<Vec<u8>> {
     let envelope = PeerEnvelope {
         protocol: PROTOCOL_VERSION,
         fleet,
     };
-    postcard::to_stdvec(&(envelope, message))
+    postcard::to_stdvec(&(envelope, packet))
 }
 
 /// Decodes a datagram from a gateway of this fleet.
-pub(super) fn read_datagram(fleet: FleetTag, bytes: &[u8]) -> Result<PeerMessage, DatagramError> {
+pub(super) fn read_packet(fleet: FleetTag, bytes: &[u8]) -> Result<PeerPacket<'_>, DatagramError> {
     let envelope = postcard::take_from_bytes::<PeerEnvelope>(bytes);
     let (envelope, rest) = envelope.map_err(|_| DatagramError::Malformed)?;
     if envelope.protocol != PROTOCOL_VERSION {
@@ -65,6 +115,16 @@
     postcard::from_bytes(rest).map_err(|_| DatagramError::Malformed)
 }
 
+/// Encodes a message.
+pub(super) fn write_message(message: &PeerMessage) -> postcard::Result<Vec<u8>> {
+    postcard::to_stdvec(message)
+}
+
+/// Decodes a message.
+pub(super) fn read_message(bytes: &[u8]) -> Result<PeerMessage, DatagramError> {
+    postcard::from_bytes(bytes).map_err(|_| DatagramError::Malformed)
+}
+
 /// State that a gateway sends to its peers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(super) struct PeerMessage {
@@ -73,11 +133,19 @@
     pub(super) sequence: u64,
     /// Address of the sender for datagrams and connections.
     pub(super) address: SocketAddr,
+    /// Failure domain of the sender's host.
+    pub(super) domain: DomainId,
+    /// Processor time of the sender's host.
+    pub(super) capacity: HostCapacity,
+    /// Whether the sender is stopping.
+    pub(super) stopping: bool,
     pub(super) store_reachable: bool,
     /// Whether the sender serves callers.
     pub(super) serving: bool,
     pub(super) config: Generation,
     pub(super) endpoints: ListingVersion,
+    /// The latest changes of the sender's endpoints, if they are few.
+    pub(super) changes: Option<ListingDelta>,
     pub(super) loads: Vec<LoadEntry>,
     /// Requests that the sender refused since its last message.
     pub(super) refused: Vec<RequestFingerprint>,
@@ -93,6 +161,18 @@
     pub(super) cold_limits: Vec<RateUpdate>,
 }
 
+impl PeerMessage {
+    /// Returns whether the message has more than the state of its sender.
+    pub(super) fn has_news(&self) -> bool {
+        !(self.loads.is_empty()
+            && self.refused.is_empty()
+            && self.suspects.is_empty()
+            && self.limits.is_empty()
+            && self.cold_limits.is_empty()
+            && self.leaving.is_empty())
+    }
+}
+
 /// Load that a gateway has placed on one endpoint.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(super) struct LoadEntry {
--- a/lovagedock-gateway/src/direct/settings.rs
+++ b/lovagedock-gateway/src/direct/settings.rs
@@ -2,7 +2,10 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use lovagedock::{ColdAllowance, RetryShareSettings, prelude::*};
+use lovagedock::{
+    ColdAllowance, DomainRelays, HostCapacity, MAX_DIRECT_GATEWAYS, RelayCandidate,
+    RetryShareSettings, prelude::*,
+};
 use lovagedock_daemon::{AdminSettings, DaemonSettings, LogSettings};
 use serde::{Deserialize, Serialize};
 
@@ -20,6 +23,18 @@
     pub fleet: Option<String>,
     /// Failure domain of the gateway's host.
     pub failure_domain: DomainId,
+    /// Processor time of the gateway's host, in cores. In a large fleet, gateways on larger hosts
+    /// forward the messages of others.
+    #[serde(default = "one_core")]
+    pub host_cores: f64,
+    /// Number of gateways up to which each sends to all others. In a larger fleet, relays of each
+    /// failure domain forward messages.
+    #[serde(default = "max_direct_gateways")]
+    pub max_direct_gateways: usize,
+    /// Whether all gateways of the fleet start for the first time. They then wait for each other's
+    /// entries.
+    #[serde(default)]
+    pub bootstrap: bool,
     /// Address for connections of callers.
     pub callers: SocketAddr,
     /// Address for health checks of the balancer.
@@ -83,7 +98,23 @@
     }
 }
 
+fn max_direct_gateways() -> usize {
+    MAX_DIRECT_GATEWAYS
+}
+
+fn one_core() -> f64 {
+    1.0
+}
+
 impl DirectSettings {
+    /// Returns what other gateways need to know for the choice of relays.
+    pub(crate) fn relay_candidate(&self) -> RelayCandidate {
+        RelayCandidate {
+            domain: self.failure_domain.clone(),
+            capacity: (self.host_cores * 1000.0) as HostCapacity,
+        }
+    }
+
     /// Returns the tag of the fleet to which the gateway belongs.
     pub(crate) fn fleet_tag(&self) -> FleetTag {
         match &self.fleet {
@@ -92,6 +123,12 @@
         }
     }
 
+    /// Returns the state from which the gateway chooses relays.
+    pub(crate) fn relays(&self) -> DomainRelays {
+        DomainRelays::new(self.name.clone(), self.relay_candidate())
+            .with_max_direct(self.max_direct_gateways)
+    }
+
     /// Returns whether a changed file has changes that take effect only after a restart.
     pub fn needs_restart_for(&self, changed: &Self) -> bool {
         let addresses = |settings: &Self| {
@@ -107,7 +144,8 @@
         };
         self.name != changed.name
             || self.fleet != changed.fleet
-            || self.failure_domain != changed.failure_domain
+            || self.relay_candidate() != changed.relay_candidate()
+            || self.max_direct_gateways != changed.max_direct_gateways
             || addresses(self) != addresses(changed)
             || self.bounds.stop_grace_s != changed.bounds.stop_grace_s
             || self.bounds.cold_allowance() != changed.bounds.cold_allowance()
@@ -126,6 +164,7 @@
             problems.push("name: found nothing, expected a name".to_owned());
         }
         let limits = [
+            ("host_cores", self.host_cores, 0.0),
             ("bounds.retry_ratio", self.bounds.retry_ratio, 0.0),
             ("bounds.retry_slack", self.bounds.retry_slack, 0.0),
             ("bounds.retry_window_s", self.bounds.retry_window_s, 1.0),
--- a/lovagedock-gateway/src/direct/state/drains.rs
+++ b/lovagedock-gateway/src/direct/state/drains.rs
@@ -6,7 +6,7 @@
 };
 use slog::{info, warn};
 
-use super::{GatewayState, fleet_state::FleetState};
+use super::{GatewayState, STORE_SOURCE, fleet_state::FleetState};
 
 impl GatewayState {
     /// Applies the complete set of drained domains, from the store or a peer, unless a newer one is
@@ -19,6 +19,9 @@
         let change = fleet.drains.apply_snapshot(now, snapshot);
         fleet.record_return(now, &change.restored);
         drop(fleet);
+        if source == STORE_SOURCE && !change.is_empty() {
+            self.set_store_news();
+        }
         if !was_known {
             self.urgent_update.notify_one();
         }
@@ -37,12 +40,8 @@
         let change = fleet.drains.apply_entry(position, domain, is_drained);
         fleet.record_return(now, &change.restored);
         drop(fleet);
-        self.report_drain_change(&change, position, "store");
-    }
-
-    /// Records that the store was read up to `position`.
-    pub(crate) fn advance_drains(&self, position: StorePosition) {
-        self.fleet.lock().drains.advance(position);
+        self.set_store_news();
+        self.report_drain_change(&change, position, STORE_SOURCE);
     }
 
     /// Returns the drained domains, to be sent to peers.
--- a/lovagedock-gateway/src/direct/state/fleet_state.rs
+++ b/lovagedock-gateway/src/direct/state/fleet_state.rs
@@ -6,16 +6,18 @@
 };
 
 use lovagedock::{
-    ColdAllowance, ColdEndpoints, ColdProfile, DirectEndpoint, DomainDrains, EndpointBackoffs,
-    EndpointListing, EndpointProcess, EndpointTable, EntryChange, LeavingQueue, OutlierAction,
-    OutlierDetector, OutlierEvent, OutlierSettings, PauseDetector, PeerLiveness, PlacerCandidate,
-    QueueKind, RateLimits, RateVerdict, RefusalLog, RetryShare, RetryShareSettings,
-    SlowdownTracker, SuspectLedger, WaitingQueue, WatcherSelection, WorkLedger, prelude::*,
-    short_lane_size,
+    ColdAllowance, ColdEndpoints, ColdProfile, DirectEndpoint, DomainDrains, DomainRelays,
+    EndpointBackoffs, EndpointListing, EndpointProcess, EndpointTable, EntryChange, LeavingQueue,
+    ListingLog, OutlierAction, OutlierDetector, OutlierEvent, OutlierSettings, PauseDetector,
+    PeerLiveness, PlacerCandidate, QueueKind, RateLimits, RateVerdict, RefusalLog, RetryShare,
+    RetryShareSettings, SlowdownTracker, SuspectLedger, WaitingQueue, WatcherSelection, WorkLedger,
+    prelude::*, short_lane_size,
 };
 use lovagedock_platform::GatewayEntry;
 use slog::{Logger, info};
 
+use crate::direct::peer_message::GatewayTag;
+
 /// Limits for the ejection of endpoints. Two failures in a row are rare for a healthy endpoint
 /// (0.4% of requests fail by themselves), and an ejection of about a second is short compared with
 /// a restart. At most a third of the pool may be ejected, the largest part that operators lose at
@@ -35,6 +37,9 @@
     pub(super) slowdowns: SlowdownTracker,
     pub(super) services: HashMap<ServiceId, ServiceState>,
     pub(super) peers: HashMap<GatewayId, GatewayEntry>,
+    /// Known other gateways by the short form of their names.
+    pub(super) peer_tags: HashMap<GatewayTag, GatewayId>,
+    pub(super) relays: DomainRelays,
     pub(super) retries: RetryShareSettings,
     pub(super) refusals: RefusalLog,
     pub(super) suspects: SuspectLedger,
@@ -42,6 +47,7 @@
     pub(super) watcher_selection: WatcherSelection,
     pub(super) pause_detector: PauseDetector,
     pub(super) listing: EndpointListing,
+    pub(super) listing_log: ListingLog,
     pub(super) rate_limits: RateLimits,
     /// Failure domains to whose endpoints nothing may be sent.
     pub(super) drains: DomainDrains,
@@ -72,7 +78,7 @@
 impl FleetState {
     pub(super) fn service(&mut self, now: Timestamp, id: &ServiceId) -> &mut ServiceState {
         let retries = self.retries;
-        let gateways = self.ledger.peer_count() + 1;
+        let gateways = self.gateway_count(now);
         self.services
             .entry(id.clone())
             .or_insert_with(|| ServiceState {
@@ -84,6 +90,12 @@
             })
     }
 
+    /// Returns the number of gateways that share limits, this one included.
+    pub(super) fn gateway_count(&self, now: Timestamp) -> usize {
+        let reachable = self.peer_liveness.count(now).reachable;
+        reachable.max(self.ledger.peer_count() + 1)
+    }
+
     /// Applies an entry. If it replaces a process, all state of the former process is dropped.
     pub(super) fn apply_entry(&mut self, now: Timestamp, endpoint: DirectEndpoint) -> EntryChange {
         let service = endpoint.service.clone();
--- a/lovagedock-gateway/src/direct/state/listing.rs
+++ b/lovagedock-gateway/src/direct/state/listing.rs
@@ -1,7 +1,8 @@
 //! Endpoints as listed by the store or a peer.
 
 use lovagedock::{
-    DirectEndpoint, EndpointProcess, EntryChange, ListingVersion, StorePosition, prelude::*,
+    DirectEndpoint, EndpointChange, EndpointProcess, EntryChange, ListingDelta, ListingVersion,
+    StorePosition, prelude::*,
 };
 use serde::{Deserialize, Serialize};
 use slog::info;
@@ -29,6 +30,7 @@
         let now = self.clock.now();
         let mut fleet = self.fleet.lock();
         fleet.listing.record_change(&endpoint.process.id);
+        fleet.log_endpoint_change(&endpoint.process.id);
         let change = fleet.apply_entry(now, endpoint.clone());
         drop(fleet);
         self.log_entry_change(&endpoint, &change);
@@ -73,6 +75,7 @@
     pub(crate) fn remove_endpoint(&self, id: &EndpointId) {
         let mut fleet = self.fleet.lock();
         fleet.listing.record_change(id);
+        fleet.log_endpoint_change(id);
         fleet.forget_endpoint(self.clock.now(), id);
         drop(fleet);
         info!(self.log, "endpoint gone"; "endpoint" => &**id);
@@ -98,6 +101,7 @@
     /// not newer.
     pub(crate) fn advance_endpoints(&self, position: StorePosition) -> bool {
         let is_newer = self.fleet.lock().listing.advance(position);
+        self.set_store_news();
         self.urgent_update.notify_one();
         is_newer
     }
@@ -125,6 +129,7 @@
             return;
         };
         fleet.endpoints.drop_unlisted_deferred(&endpoints);
+        fleet.listing_log.reset(position);
         for id in &gone {
             fleet.forget_endpoint(now, id);
         }
@@ -155,6 +160,7 @@
             return;
         };
         fleet.endpoints.drop_unlisted_deferred(&listed);
+        fleet.listing_log.reset(snapshot.version.position);
         for id in &gone {
             fleet.forget_endpoint(now, id);
         }
@@ -173,6 +179,33 @@
         self.log_listing_change(&gone, &changes);
     }
 
+    /// Returns the changes of the listing since the version `from`, if a peer can apply them.
+    pub(crate) fn listing_delta(&self, from: ListingVersion) -> Option<ListingDelta> {
+        let fleet = self.fleet.lock();
+        let to = fleet.listing.version();
+        if from == to {
+            return None;
+        }
+        fleet.listing_log.delta(&fleet.endpoints, from, to)
+    }
+
+    /// Applies changes that a peer reports, if they continue this gateway's listing.
+    pub(crate) fn apply_endpoint_changes(&self, delta: ListingDelta) {
+        let mut fleet = self.fleet.lock();
+        if !delta.applies_to(fleet.listing.version()) {
+            return;
+        }
+        fleet.listing.advance(delta.to.position);
+        drop(fleet);
+        for change in delta.changes {
+            match change {
+                EndpointChange::Listed(endpoint) => self.upsert_endpoint(endpoint),
+                EndpointChange::Removed(id) => self.remove_endpoint(&id),
+            }
+        }
+        self.urgent_update.notify_one();
+    }
+
     /// Removes missing endpoints that did not return in time.
     pub(super) fn settle_listing(&self) {
         let now = self.clock.now();
@@ -180,6 +213,7 @@
         let before = fleet.listing.version();
         let gone = fleet.listing.settle(now);
         for id in &gone {
+            fleet.log_endpoint_change(id);
             fleet.forget_endpoint(now, id);
         }
         let version = fleet.listing.version();
@@ -211,3 +245,11 @@
         endpoint.process, endpoint.service, endpoint.address, endpoint.state, endpoint.slots
     )
 }
+
+impl FleetState {
+    /// Records in the log for peers that an entry has changed.
+    fn log_endpoint_change(&mut self, id: &EndpointId) {
+        let position = self.listing.version().position;
+        self.listing_log.record(position, id);
+    }
+}
--- a/lovagedock-gateway/src/direct/state/mod.rs
+++ b/lovagedock-gateway/src/direct/state/mod.rs
@@ -21,17 +21,18 @@
 
 use arc_swap::ArcSwapOption;
 use lovagedock::{
-    ColdAllowance, ColdEndpoints, DomainDrains, EndpointBackoffs, EndpointListing, EndpointProcess,
-    EndpointTable, LeavingQueue, OutlierEvent, PauseDetector, PeerLiveness, QueueKind, RateLimits,
-    RefusalLog, RequestFingerprint, RetryShareSettings, SlowdownTracker, StopPlan, SuspectLedger,
-    TrafficConfig, WaitingQueue, WatcherSelection, WorkLedger, prelude::*,
+    ColdAllowance, ColdEndpoints, DomainDrains, DomainRelays, EndpointBackoffs, EndpointListing,
+    EndpointProcess, EndpointTable, LeavingQueue, ListingLog, OutlierEvent, PauseDetector,
+    PeerLiveness, QueueKind, RateLimits, RefusalLog, RelayCandidate, RequestFingerprint,
+    RetryShareSettings, SlowdownTracker, StopPlan, SuspectLedger, TrafficConfig, WaitingQueue,
+    WatcherSelection, WorkLedger, prelude::*,
 };
 use lovagedock_daemon::ProcessClock;
 use parking_lot::Mutex;
 use slog::{Logger, info};
 use tokio::{
     sync::{Notify, futures::Notified, watch},
-    time::sleep_until,
+    time::{sleep, sleep_until},
 };
 
 use self::fleet_state::FleetState;
@@ -48,9 +49,19 @@
 /// Time between two ticks, which look for silent peers and for endpoints that may be tried again.
 pub(crate) const TICK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time after the start of the process for which callers wait until the gateway knows the fleet. Later,
+/// it has no source of its state, and they are refused at once.
+const START_TIME: Duration = Duration::from_millis(1500);
+
+/// Time between two checks whether the gateway knows the fleet.
+const START_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Time until a claim for a cold endpoint has reached all gateways.
 const COLD_CLAIM_TIME: Duration = Duration::from_millis(200);
 
+/// Source of a change in log lines if it came from the platform's store.
+pub(super) const STORE_SOURCE: &str = "store";
+
 /// Returns a random slot delay for this gateway, so that gateways differ.
 fn slot_delay() -> Duration {
     SLOT_DELAY_STEP * rand::random_range(1..=SLOT_DELAY_STEPS)
@@ -62,6 +73,8 @@
 pub(crate) struct GatewayState {
     /// Name of the gateway.
     pub(crate) name: GatewayId,
+    /// Failure domain and capacity of the gateway's host.
+    pub(crate) candidate: RelayCandidate,
     /// Tag of the fleet to which the gateway belongs.
     pub(crate) fleet_tag: FleetTag,
     /// Clock of the process.
@@ -95,6 +108,8 @@
     announce_pending: AtomicBool,
     gateways_listed: AtomicBool,
     serving_peer_heard: AtomicBool,
+    /// Whether the store has told of a change that peers do not know yet.
+    store_news: AtomicBool,
     store_reachable: AtomicBool,
     stopping: watch::Sender<Option<StopPlan>>,
     /// Limits the number of log lines about requests.
@@ -107,6 +122,7 @@
     /// Creates the state of a gateway that knows no configuration and no endpoints.
     pub(crate) fn new(
         name: GatewayId,
+        relays: DomainRelays,
         fleet_tag: FleetTag,
         clock: ProcessClock,
         retries: RetryShareSettings,
@@ -115,8 +131,10 @@
     ) -> Self {
         let rate_limits = RateLimits::new(name.clone());
         let cold_limits = RateLimits::new(name.clone()).with_claim_time(COLD_CLAIM_TIME);
+        let candidate = relays.candidate().clone();
         Self {
             name,
+            candidate,
             fleet_tag,
             clock,
             config: ArcSwapOption::empty(),
@@ -126,6 +144,8 @@
                 slowdowns: SlowdownTracker::new(),
                 services: HashMap::new(),
                 peers: HashMap::new(),
+                peer_tags: HashMap::new(),
+                relays,
                 retries,
                 refusals: RefusalLog::new(),
                 suspects: SuspectLedger::new(),
@@ -133,6 +153,7 @@
                 watcher_selection: WatcherSelection::new(),
                 pause_detector: PauseDetector::new(),
                 listing: EndpointListing::new(),
+                listing_log: ListingLog::new(),
                 rate_limits,
                 drains: DomainDrains::new(),
                 cold: ColdEndpoints::new(),
@@ -159,6 +180,7 @@
             announce_pending: AtomicBool::new(false),
             gateways_listed: AtomicBool::new(false),
             serving_peer_heard: AtomicBool::new(false),
+            store_news: AtomicBool::new(false),
             store_reachable: AtomicBool::new(false),
             stopping: watch::Sender::new(None),
             log_limiter: LogLimiter::new(),
@@ -193,10 +215,33 @@
             "routes" => config.route_count(), "services" => config.services.len());
         self.apply_cold_profiles(&config);
         self.config.store(Some(config));
+        if source == STORE_SOURCE {
+            self.set_store_news();
+        }
         self.urgent_update.notify_one();
         true
     }
 
+    /// Records that the store has told of a change, of which peers have to be told at once.
+    pub(super) fn set_store_news(&self) {
+        self.store_news.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the store has told of a change since the last call.
+    pub(crate) fn take_store_news(&self) -> bool {
+        self.store_news.swap(false, Ordering::Relaxed)
+    }
+
+    /// Returns whether endpoints have been listed once.
+    pub(crate) fn has_endpoints(&self) -> bool {
+        self.endpoints_listed.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether the drained failure domains are known.
+    pub(crate) fn has_drains(&self) -> bool {
+        self.fleet.lock().drains.is_known()
+    }
+
     /// Records that endpoints have been listed once.
     pub(crate) fn set_endpoints_listed(&self) {
         self.endpoints_listed.store(true, Ordering::Relaxed);
@@ -261,12 +306,25 @@
 
     /// Returns whether the gateway accepts new connections.
     pub(crate) fn is_ready(&self) -> bool {
-        let is_listed = self.endpoints_listed.load(Ordering::Relaxed);
-        // A restarted gateway without this knowledge would send a crashing request to further
-        // engines.
-        let has_requested_state = self.suspects_requested.load(Ordering::Relaxed)
-            && self.peers_consulted.load(Ordering::Relaxed);
-        self.trusted_config().is_some() && is_listed && has_requested_state && !self.is_stopping()
+        // A restarted gateway without the suspects would send a crashing request to further engines.
+        let has_suspects = self.suspects_requested.load(Ordering::Relaxed);
+        self.knows_fleet() && has_suspects && !self.is_stopping()
+    }
+
+    /// Waits while the gateway has just started and does not know the fleet yet.
+    ///
+    /// If all gateways start at once, the balancer sends to those that are not ready, too. A caller
+    /// that is refused comes back later than the gateway needs to be ready.
+    pub(crate) async fn wait_for_start(&self) {
+        while self.clock.now() < START_TIME && !self.knows_fleet() {
+            sleep(START_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Returns whether requests can be placed: the configuration, the endpoints and the drained
+    /// domains are known.
+    pub(crate) fn knows_fleet(&self) -> bool {
+        self.has_endpoints() && self.trusted_config().is_some()
     }
 
     /// Waits for a change that may free capacity.
@@ -307,6 +365,7 @@
         let now = self.clock.now();
         let mut fleet = self.fleet.lock();
         if let Some(pause) = fleet.pause_detector.record_tick(now, TICK_INTERVAL) {
+            fleet.relays.record_pause(now);
             drop(fleet);
             metrics::counter!("lovagedock_stoppages_total").increment(1);
             info!(self.log, "the process was stopped"; "ms" => pause.as_millis() as u64);
@@ -325,7 +384,7 @@
         for (endpoint, change) in &applied {
             fleet.apply_change(now, &endpoint.service, endpoint.process.id.clone(), change);
         }
-        let gateways = fleet.ledger.peer_count() + 1;
+        let gateways = fleet.gateway_count(now);
         for service in fleet.services.values_mut() {
             service.retries.set_gateway_count(now, gateways);
             let actions = service.outliers.handle(now, OutlierEvent::Tick);
--- a/lovagedock-gateway/src/direct/state/peers.rs
+++ b/lovagedock-gateway/src/direct/state/peers.rs
@@ -1,14 +1,20 @@
 //! State that is received from other gateways or sent to them.
 
-use std::sync::atomic::Ordering;
+use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
 
 use lovagedock::{
-    EndpointProcess, LoadUpdates, PeerContact, PeerLoad, RequestFingerprint, WatchRole, prelude::*,
+    EndpointProcess, LoadUpdates, PeerContact, PeerLoad, RelayCandidate, RequestFingerprint,
+    SendPlan, WatchRole, prelude::*,
 };
 use lovagedock_platform::GatewayEntry;
-use slog::info;
+use slog::debug;
 
 use super::{GatewayState, fleet_state::FleetState};
+use crate::direct::peer_message::{GatewayTag, gateway_tag};
+
+/// Time by which two relays delay a message: the interval between two rounds of datagrams, half of it
+/// on average, at each of them.
+const RELAY_DELAY: Duration = Duration::from_millis(30);
 
 impl GatewayState {
     /// Records the receipt of a message from a peer.
@@ -18,6 +24,7 @@
             store_reachable,
         };
         let mut fleet = self.fleet.lock();
+        fleet.relays.record_heard(contact.received_at, peer);
         fleet.watcher_selection.record_peer(peer.clone(), contact);
         fleet
             .peer_liveness
@@ -41,13 +48,22 @@
             return;
         }
         fleet.peers.insert(gateway.name.clone(), gateway.clone());
+        let tag = gateway_tag(&gateway.name);
+        fleet.peer_tags.insert(tag, gateway.name.clone());
+        let candidate = RelayCandidate {
+            domain: gateway.domain.clone(),
+            capacity: gateway.capacity,
+        };
+        fleet
+            .relays
+            .record_listed(self.clock.now(), &gateway.name, &candidate);
         fleet
             .peer_liveness
             .record_listed(self.clock.now(), &gateway.name);
         drop(fleet);
         self.announce_pending.store(true, Ordering::Relaxed);
         self.urgent_update.notify_one();
-        info!(self.log, "peer listed";
+        debug!(self.log, "peer listed";
             "peer" => &*gateway.name, "address" => %gateway.address);
     }
 
@@ -55,6 +71,7 @@
     pub(crate) fn remove_gateway(&self, name: &GatewayId) {
         let mut fleet = self.fleet.lock();
         fleet.peers.remove(name);
+        fleet.relays.forget(name);
         fleet.peer_liveness.forget(name);
         fleet.ledger.forget_peer(name);
         fleet.rate_limits.forget_peer(self.clock.now(), name);
@@ -66,6 +83,104 @@
         self.fleet.lock().peers.values().cloned().collect()
     }
 
+    /// Returns the addresses of gateways.
+    pub(crate) fn peer_addresses(&self, names: &[GatewayId]) -> Vec<SocketAddr> {
+        let fleet = self.fleet.lock();
+        let known = names.iter().filter_map(|name| fleet.peers.get(name));
+        known.map(|peer| peer.address).collect()
+    }
+
+    /// Returns to whom this gateway sends its messages.
+    pub(crate) fn send_plan(&self) -> SendPlan {
+        let now = self.clock.now();
+        let is_stopping = self.is_stopping();
+        let mut fleet = self.fleet.lock();
+        fleet.relays.record_stopping(&self.name, is_stopping);
+        let plan = fleet.relays.plan(now);
+        let relay_delay = match plan {
+            SendPlan::Direct => Duration::ZERO,
+            SendPlan::Member { .. } | SendPlan::Relay { .. } => RELAY_DELAY,
+        };
+        fleet.ledger.set_relay_delay(relay_delay);
+        plan
+    }
+
+    /// Returns whether this gateway reads the store when it starts, instead of waiting for the state
+    /// of its relay.
+    pub(crate) fn reads_store_first(&self) -> bool {
+        let fleet = self.fleet.lock();
+        !fleet.relays.is_relayed() || fleet.relays.is_chosen(self.clock.now())
+    }
+
+    /// Returns whether other gateways tell this one of all that start or end.
+    pub(crate) fn hears_relays(&self) -> bool {
+        let is_relayed = self.fleet.lock().relays.is_relayed();
+        is_relayed && self.reachable_peer_count() > 0
+    }
+
+    /// Returns whether the list of gateways was read once.
+    pub(crate) fn has_gateways(&self) -> bool {
+        self.gateways_listed.load(Ordering::Relaxed)
+    }
+
+    /// Records a message of a relay.
+    pub(crate) fn record_relayed(&self, relay: &GatewayId) {
+        let now = self.clock.now();
+        self.fleet.lock().relays.record_relayed(now, relay);
+    }
+
+    /// Records a message of a gateway that this one forwards.
+    pub(crate) fn record_member(&self, member: &GatewayId, is_subscribed: bool) {
+        let now = self.clock.now();
+        let mut fleet = self.fleet.lock();
+        fleet.relays.record_member(now, member, is_subscribed);
+    }
+
+    /// Records whether a gateway is stopping.
+    pub(crate) fn record_peer_stopping(&self, peer: &GatewayId, is_stopping: bool) {
+        let mut fleet = self.fleet.lock();
+        fleet.relays.record_stopping(peer, is_stopping);
+    }
+
+    /// Returns the gateways of this failure domain whose messages arrive.
+    pub(crate) fn present_members(&self) -> Vec<GatewayId> {
+        let now = self.clock.now();
+        self.fleet.lock().relays.present_members(now)
+    }
+
+    /// Returns the gateways of this failure domain that have become silent.
+    pub(crate) fn take_silent_members(&self) -> Vec<GatewayId> {
+        let now = self.clock.now();
+        self.fleet.lock().relays.take_silent(now)
+    }
+
+    /// Returns whether a gateway is in this one's failure domain.
+    pub(crate) fn is_in_domain(&self, peer: &GatewayId) -> bool {
+        let fleet = self.fleet.lock();
+        let known = fleet.peers.get(peer);
+        known.is_some_and(|peer| peer.domain == self.candidate.domain)
+    }
+
+    /// Records signs of life of gateways that their relays report as present.
+    pub(crate) fn refresh_peers(&self, tags: &[GatewayTag]) {
+        let now = self.clock.now();
+        let mut fleet = self.fleet.lock();
+        let FleetState {
+            peer_tags,
+            watcher_selection,
+            peer_liveness,
+            ledger,
+            relays,
+            ..
+        } = &mut *fleet;
+        for peer in tags.iter().filter_map(|tag| peer_tags.get(tag)) {
+            watcher_selection.refresh_peer(now, peer);
+            peer_liveness.record_message(now, peer);
+            ledger.refresh_peer(now, peer);
+            relays.record_heard(now, peer);
+        }
+    }
+
     /// Returns whether a datagram has to be sent immediately, instead of with the next heartbeat,
     /// because a peer does not know this gateway yet. One of the two has just started and, until
     /// then, places requests without knowing the load of the other.
--- a/lovagedock-gateway/src/direct/suspect_sync.rs
+++ b/lovagedock-gateway/src/direct/suspect_sync.rs
@@ -96,6 +96,7 @@
             Ok(snapshot) => {
                 let subject = FeedSubject::Suspects.as_str();
                 self.state.update_era(snapshot.position.era, subject);
+                self.state.set_store_reachable(true);
                 for change in snapshot.changes {
                     if let FeedChange::Suspects(sheet) = change {
                         self.restore_sheet(sheet);
--- a/lovagedock-gateway/tests/direct_drains.rs
+++ b/lovagedock-gateway/tests/direct_drains.rs
@@ -153,6 +153,8 @@
     feed.add_gateway(GatewayEntry {
         name: "second".into(),
         address: second.gateway.peers_address(),
+        domain: "a".into(),
+        capacity: 1_000,
     });
     let _third = TestGateway::start("third", &feed).await;
     let second = second.ready().await;
--- a/lovagedock-gateway/tests/direct_fleet.rs
+++ b/lovagedock-gateway/tests/direct_fleet.rs
@@ -46,6 +46,8 @@
     feed.add_gateway(GatewayEntry {
         name: "second".into(),
         address: second.gateway.peers_address(),
+        domain: "a".into(),
+        capacity: 1_000,
     });
     // A gateway reads the list when it starts. The first one did so before the second one was
     // listed, so a third one is started, which sends messages to both.
--- a/lovagedock-gateway/tests/direct_restarts.rs
+++ b/lovagedock-gateway/tests/direct_restarts.rs
@@ -102,6 +102,8 @@
     foreign_feed.add_gateway(GatewayEntry {
         name: "ours".into(),
         address: gateway.gateway.peers_address(),
+        domain: "a".into(),
+        capacity: 1_000,
     });
     let mut foreign_settings = settings("theirs");
     foreign_settings.fleet = Some("another fleet".to_owned());
@@ -114,6 +116,8 @@
         feed.add_gateway(GatewayEntry {
             name: "second".into(),
             address: second.gateway.peers_address(),
+            domain: "a".into(),
+            capacity: 1_000,
         });
     }
     let third = TestGateway::start("third", &feed).await;
--- a/lovagedock-platform/src/feed.rs
+++ b/lovagedock-platform/src/feed.rs
@@ -3,7 +3,9 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use async_trait::async_trait;
-use lovagedock::{DirectEndpoint, StorePosition, SuspectReport, TrafficConfig, prelude::*};
+use lovagedock::{
+    DirectEndpoint, HostCapacity, StorePosition, SuspectReport, TrafficConfig, prelude::*,
+};
 
 use crate::store::StoreError;
 
@@ -16,6 +18,12 @@
     /// acknowledged before.
     async fn snapshot(&self, subject: FeedSubject) -> Result<FeedSnapshot, FeedError>;
 
+    /// Reads the complete state of a subject as it was at some time in the last seconds. The store
+    /// charges less for this and does not count it toward its request rate.
+    async fn stale_snapshot(&self, subject: FeedSubject) -> Result<FeedSnapshot, FeedError> {
+        self.snapshot(subject).await
+    }
+
     /// Waits up to `wait` for changes of a subject after `after`. A step of another era than that
     /// of `after` does not cover the changes in between; the caller then needs a snapshot.
     async fn follow(
@@ -123,6 +131,10 @@
     pub name: GatewayId,
     /// Address for datagrams.
     pub address: SocketAddr,
+    /// Failure domain of its host; empty if the gateway does not tell it.
+    pub domain: DomainId,
+    /// Processor time of its host, in thousandths of a core.
+    pub capacity: HostCapacity,
 }
 
 /// Error of a feed.
--- a/lovagedock/src/direct/domain_drains.rs
+++ b/lovagedock/src/direct/domain_drains.rs
@@ -128,15 +128,6 @@
         self.change_since(&before)
     }
 
-    /// Records that the store was read up to `position` without further changes.
-    pub fn advance(&mut self, position: StorePosition) {
-        if let Some(known) = &mut self.position
-            && known.era == position.era
-        {
-            *known = position.max(*known);
-        }
-    }
-
     /// Ends the drain of domains that did not reappear in the restored store in time.
     pub fn settle(&mut self, now: Timestamp) -> DrainChange {
         let before = self.domains();
--- a/lovagedock/src/direct/ledger.rs
+++ b/lovagedock/src/direct/ledger.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use super::{
+    ledger_peers::PROPAGATION_WINDOW,
     load::{CombinedLoad, PeerLoad, PlacedWork, WorkKey, WriterGroup},
     process::EndpointProcess,
     rate::EventRate,
@@ -51,6 +52,7 @@
     pub(super) slot_delay: Duration,
     /// Rate at which peers place short prompts.
     pub(super) short_rate: EventRate,
+    pub(super) propagation_window: Duration,
 }
 
 impl Default for WorkLedger {
@@ -62,6 +64,7 @@
             last_message_at: HashMap::new(),
             slot_delay: Duration::ZERO,
             short_rate: EventRate::new(RATE_WINDOW),
+            propagation_window: PROPAGATION_WINDOW,
         }
     }
 }
--- a/lovagedock/src/direct/ledger_peers.rs
+++ b/lovagedock/src/direct/ledger_peers.rs
@@ -9,10 +9,10 @@
 /// its connections.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Window around a placement in which gateways place without knowing of each other's placements: 30
-/// ms before it and 30 ms after it. By the joined logs of a day with 68 gateways, this covers the
-/// interval between two datagrams and the scheduling delays of two small hosts.
-const PROPAGATION_WINDOW: Duration = Duration::from_millis(60);
+/// Window around a placement in which gateways that send to each other place without knowing of each
+/// other's placements: 30 ms before it and 30 ms after it. This covers the interval between two
+/// datagrams and the scheduling delays of two small hosts.
+pub(super) const PROPAGATION_WINDOW: Duration = Duration::from_millis(60);
 
 impl WorkLedger {
     /// Applies a peer's loads. Returns whether some of its work ended, in which case placement of
@@ -84,7 +84,19 @@
     /// Returns the expected number of short prompts, on any service, that peers place around `now`
     /// such that neither this gateway nor the peer knows of the other's placement.
     pub fn concurrent_placements(&self, now: Timestamp) -> f64 {
-        self.short_rate.per_second_at(now) * PROPAGATION_WINDOW.as_secs_f64()
+        self.short_rate.per_second_at(now) * self.propagation_window.as_secs_f64()
+    }
+
+    /// Records a sign of life of a peer whose loads are known. Its loads count on.
+    pub fn refresh_peer(&mut self, now: Timestamp, peer: &GatewayId) {
+        if let Some(received_at) = self.last_message_at.get_mut(peer) {
+            *received_at = now;
+        }
+    }
+
+    /// Sets by how much messages between gateways are delayed by relays.
+    pub fn set_relay_delay(&mut self, delay: Duration) {
+        self.propagation_window = PROPAGATION_WINDOW + delay * 2;
     }
 
     /// Returns the number of peers whose loads are counted.
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -6,7 +6,8 @@
 //! and [`DirectMachine`] what follows each attempt. [`SuspectLedger`] finds requests that crash the
 //! engines that run them. [`EndpointListing`] decides which endpoint list is valid while the store
 //! is unreachable or restored from an older copy, [`DomainDrains`] to which failure domains nothing
-//! is sent, and [`ColdEndpoints`] which endpoints tolerate only a low rate. None of these types reads a clock or performs
+//! is sent, and [`ColdEndpoints`] which endpoints tolerate only a low rate. [`DomainRelays`] decides
+//! how messages reach the other gateways of a large fleet. None of these types reads a clock or performs
 //! input or output.
 
 mod backoff;
@@ -15,6 +16,7 @@
 mod config;
 mod decimal;
 mod domain_drains;
+mod domain_relays;
 mod endpoints;
 mod engine;
 mod events;
@@ -22,6 +24,7 @@
 mod ledger;
 mod ledger_peers;
 mod listing;
+mod listing_log;
 mod load;
 mod load_updates;
 mod machine;
@@ -53,12 +56,16 @@
     CallerBounds, RouteMatch, RouteMode, RouteRule, RouteTarget, ServiceProfile, TrafficConfig,
 };
 pub use domain_drains::{DomainDrains, DrainChange, DrainSnapshot};
+pub use domain_relays::{
+    DomainRelays, HostCapacity, MAX_DIRECT_GATEWAYS, RelayCandidate, SendPlan,
+};
 pub use endpoints::{DirectEndpoint, EndpointState, EndpointTable, EntryChange};
 pub use engine::EngineProfile;
 pub use events::{EventSplitter, StreamEvent};
 pub use leaving_queue::LeavingQueue;
 pub use ledger::{RELAXED_GAP, WorkLedger};
 pub use listing::{EndpointListing, ListingVersion, StorePosition};
+pub use listing_log::{EndpointChange, ListingDelta, ListingLog};
 pub use load::{CombinedLoad, PeerLoad, PlacedWork, WorkKey, WriterGroup, WriterTable};
 pub use load_updates::LoadUpdates;
 pub use machine::{AttemptEnd, DirectMachine, DirectStep};
--- a/lovagedock/src/direct/watcher_selection.rs
+++ b/lovagedock/src/direct/watcher_selection.rs
@@ -29,9 +29,9 @@
 pub enum WatchRole {
     /// Watches the store and sends changes to the others.
     Watcher,
-    /// Watches because too few of the watchers reach the store. While the store is down for all,
-    /// every gateway is in this role. If they called as often as watchers do, their failed calls
-    /// would use up the store's request rate just as it recovers.
+    /// Watches in place of the watchers, too few of which reach the store. While the store is down
+    /// for all, every gateway ends up in this role. If they called as often as watchers do, their
+    /// failed calls would use up the store's request rate just as it recovers.
     Fallback,
     /// Receives changes from the watchers.
     Follower,
@@ -71,16 +71,28 @@
         if watchers.contains(&own) {
             return WatchRole::Watcher;
         }
-        let reachable = watchers.iter().filter(|name| {
-            let contact = self.peers.get(**name);
+        let reaches_store = |name: &&GatewayId| {
+            let contact = self.peers.get(*name);
             contact.is_some_and(|contact| contact.store_reachable)
-        });
-        match reachable.count() < MIN_REACHABLE_WATCHERS {
+        };
+        let reachable = watchers.iter().copied().filter(reaches_store);
+        if reachable.count() >= MIN_REACHABLE_WATCHERS {
+            return WatchRole::Follower;
+        }
+        names.retain(|name| *name == own || reaches_store(name));
+        match evenly_spaced(&names, WATCHER_COUNT).contains(&own) {
             true => WatchRole::Fallback,
             false => WatchRole::Follower,
         }
     }
 
+    /// Records a sign of life of a peer whose state has not changed.
+    pub fn refresh_peer(&mut self, now: Timestamp, peer: &GatewayId) {
+        if let Some(contact) = self.peers.get_mut(peer) {
+            contact.received_at = now;
+        }
+    }
+
     /// Returns the number of peers that sent a message within the timeout.
     pub fn recent_peer_count(&self, now: Timestamp) -> usize {
         let contacts = self.peers.values();
--- a/lovagedock/tests/direct_leaving.rs
+++ b/lovagedock/tests/direct_leaving.rs
@@ -19,6 +19,7 @@
         domain: "a".into(),
         slots: 4,
         state,
+        cold_left: Duration::ZERO,
     }
 }
 
--- a/lovagedock/tests/direct_state.rs
+++ b/lovagedock/tests/direct_state.rs
@@ -131,6 +131,7 @@
         domain: "a".into(),
         slots: 4,
         state,
+        cold_left: Duration::ZERO,
     }
 }
 
