--- a/lovagedock-standin/tests/promises_load.rs
+++ b/lovagedock-standin/tests/promises_load.rs
@@ -2,7 +2,7 @@
 
 mod promise_support;
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use lovagedock_daemon::DaemonContext;
 use lovagedock_sidecar::Sidecar;
@@ -42,7 +42,7 @@
     let starts = starts(fleet);
     for reply in replies {
         let ran = starts.get(&reply.id).copied().unwrap_or_default();
-        assert!(!reply.id.is_empty());
+        assert!(!reply.id.is_empty(), "{reply:?}");
         if reply.says_not_run() {
             assert_eq!(ran, 0, "told \"not run\": {reply:?}");
         }
@@ -70,7 +70,18 @@
     }
     let refused = replies.iter().filter(|reply| reply.says_not_run()).count();
     let whole = replies.iter().filter(|reply| reply.is_whole()).count();
-    assert!(refused > 0 && whole > 0, "{refused} refused, {whole} whole");
+    let mut endings: BTreeMap<String, usize> = BTreeMap::new();
+    for reply in &replies {
+        let ending = match reply.problem() {
+            Some(problem) => format!("{} {}", problem.code, problem.ran),
+            None => format!("{:?}", reply.ending).chars().take(40).collect(),
+        };
+        *endings.entry(ending).or_default() += 1;
+    }
+    assert!(
+        refused > 0 && whole > 0,
+        "{refused} refused, {whole} whole: {endings:?}"
+    );
     assert_truthful(&fleet, &replies);
     for (number, reply) in replies.iter().enumerate() {
         let runs = starts(&fleet).get(&reply.id).copied().unwrap_or_default();
--- a/lovagedock-standin/tests/promises_silence.rs
+++ b/lovagedock-standin/tests/promises_silence.rs
@@ -87,8 +87,15 @@
     let strike = async || relays.iter().for_each(|relay| relay.strike(fault));
     let reply = struck(&fleet, &case, strike).await;
     assert!(reply.is_whole(), "{fault:?}, {}: {reply:?}", case.name);
-    let starts: Vec<usize> = starts(&fleet).into_values().collect();
-    assert_eq!(starts, [1], "{fault:?}, {}", case.name);
+    let starts = starts(&fleet);
+    let counts: Vec<usize> = starts.values().copied().collect();
+    assert_eq!(
+        counts,
+        [1],
+        "{fault:?}, {}: call {}, starts by id {starts:?}",
+        case.name,
+        reply.id
+    );
 }
 
 /// All connections to the sidecars go silent for good while a call runs, and new ones work. The
