--- a/lovagedock-gateway/src/direct/peers.rs
+++ b/lovagedock-gateway/src/direct/peers.rs
@@ -36,8 +36,8 @@
 /// for each request and peer. With a longer one, gateways fill the same slot twice.
 const SEND_INTERVAL: Duration = Duration::from_millis(8);
 
-/// Minimum average time between two datagrams of a gateway: 5,000 in a second take about 4% of a
-/// core.
+/// Minimum average time between two datagrams of a gateway. Bounds what the relay of a large domain
+/// sends.
 const MIN_DATAGRAM_INTERVAL: Duration = Duration::from_micros(200);
 
 /// Delay until peers are notified that work has ended. For 20 ms or more, a freed slot is used only
