--- a/lovagedock-gateway/src/direct/call/log.rs
+++ b/lovagedock-gateway/src/direct/call/log.rs
@@ -54,6 +54,11 @@
             "in_backoff" => pool.in_backoff,
             "free_slots" => pool.free_slots,
             "waiting" => pool.waiting,
+            "idle" => self.rejected.map(|choice| choice.idle),
+            "best_team" => self.rejected.map(|choice| choice.team),
+            "best_first_event_ms" =>
+                self.rejected.map(|choice| choice.first_event_delay.as_millis() as u64),
+            "best_loss" => self.rejected.map(|choice| choice.loss),
             "peers" => pool.peers,
             "config" => self.parts.config.version,
             "left_out" => left_out);
--- a/lovagedock-gateway/src/direct/call/mod.rs
+++ b/lovagedock-gateway/src/direct/call/mod.rs
@@ -23,7 +23,7 @@
     liveness::LivenessWatch,
     reservations::{ReservationClient, ReservationGuard, ReservationRefused, ReservationRequest},
     response::{BufferedResponse, ResponseSender},
-    state::{GatewayState, PlacedRequest},
+    state::{GatewayState, PlacedRequest, RejectedChoice},
 };
 use crate::front::RequestProblem;
 
@@ -76,6 +76,8 @@
     failed_response: Option<BufferedResponse>,
     /// Placement of the latest attempt.
     placement: Option<AttemptPlacement>,
+    /// Best choice of the latest search, if it was not good enough.
+    rejected: Option<RejectedChoice>,
 }
 
 impl DirectCall {
@@ -114,6 +116,7 @@
             retry_after: None,
             failed_response: None,
             placement: None,
+            rejected: None,
         }
     }
 
--- a/lovagedock-gateway/src/direct/call/placement.rs
+++ b/lovagedock-gateway/src/direct/call/placement.rs
@@ -65,10 +65,16 @@
                     .map_or(0.0, |entry| entry.waited_fraction(now));
                 match self.search_placement(now, self.placement_threshold(waited_fraction)) {
                     PlacementResult::Placed(placed) => return Ok(*placed),
-                    PlacementResult::Full | PlacementResult::NoEndpoint if is_last_search => {
+                    PlacementResult::Full(rejected) => {
+                        self.rejected = rejected;
+                        if is_last_search {
+                            return Err(self.refuse_after_wait(now));
+                        }
+                    }
+                    PlacementResult::NoEndpoint if is_last_search => {
                         return Err(self.refuse_after_wait(now));
                     }
-                    PlacementResult::Full | PlacementResult::NoEndpoint => {}
+                    PlacementResult::NoEndpoint => {}
                     PlacementResult::Unavailable { until } => available_at = Some(until),
                     PlacementResult::Drained => return Err(self.refuse_drained(now)),
                 }
--- a/lovagedock-gateway/src/direct/state/mod.rs
+++ b/lovagedock-gateway/src/direct/state/mod.rs
@@ -39,7 +39,7 @@
 use super::{fleet_tag::FleetTag, log_limiter::LogLimiter};
 
 pub(crate) use listing::EndpointsSnapshot;
-pub(crate) use placement::{PlacedRequest, PlacementResult, PlacementThreshold};
+pub(crate) use placement::{PlacedRequest, PlacementResult, PlacementThreshold, RejectedChoice};
 
 /// Steps of the delay after which a gateway uses slots that a peer has freed. A step is longer than
 /// it takes to receive a peer's update about a new request.
--- a/lovagedock-gateway/src/direct/state/placement.rs
+++ b/lovagedock-gateway/src/direct/state/placement.rs
@@ -105,12 +105,25 @@
     }
 }
 
+/// The best choice of a placement attempt, which was not good enough.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RejectedChoice {
+    /// Endpoints of the choice.
+    pub(crate) team: usize,
+    /// Predicted time to the first event.
+    pub(crate) first_event_delay: Duration,
+    /// Value that is expected to be lost.
+    pub(crate) loss: f64,
+    /// Endpoints that could help to prefill the prompt at once.
+    pub(crate) idle: usize,
+}
+
 /// Result of a placement attempt.
 pub(crate) enum PlacementResult {
     /// The request was placed.
     Placed(Box<PlacedRequest>),
     /// Every endpoint is full, or no placement is good enough.
-    Full,
+    Full(Option<RejectedChoice>),
     /// All endpoints are rate limited or in backoff, at least until this time.
     Unavailable { until: Timestamp },
     /// All endpoints of the service are in drained failure domains.
@@ -232,7 +245,7 @@
         let concurrent = fleet.ledger.concurrent_placements(now);
         let placer = DirectPlacer::new(profile).with_concurrent_placements(concurrent);
         let Some(choice) = placer.place(request, &candidates) else {
-            return PlacementResult::Full;
+            return PlacementResult::Full(None);
         };
         let acceptable = match threshold {
             PlacementThreshold::Selective { waited_fraction } => {
@@ -242,7 +255,12 @@
             PlacementThreshold::Any => true,
         };
         if !acceptable {
-            return PlacementResult::Full;
+            return PlacementResult::Full(Some(RejectedChoice {
+                team: 1 + choice.helpers.len(),
+                first_event_delay: choice.first_event,
+                loss: choice.lost_value,
+                idle: placer.idle_count(request, &candidates),
+            }));
         }
         let works = placer.placed_work(request, &choice, &candidates);
         let placed = PlacementDetails::new(&choice, &candidates);
--- a/lovagedock/src/direct/member.rs
+++ b/lovagedock/src/direct/member.rs
@@ -6,6 +6,7 @@
 use super::{
     choice::{DirectRequest, HelperPart, PlacerCandidate},
     engine::EngineProfile,
+    load::CombinedLoad,
 };
 use crate::ids::TokenCount;
 
@@ -117,10 +118,7 @@
         let slowdown = f64::from(load.slowdown).max(1.0);
         let pass = pass.mul_f64(slowdown);
         let long = profile.prefill_time(request.prompt) >= LONG_PREFILL;
-        let backlog = match long && load.pending_prefills > 0 {
-            true => load.backlog.max(PENDING_PREFILL_BACKLOG),
-            false => load.backlog,
-        };
+        let backlog = effective_backlog(load, long);
         let ready = (backlog + part_prefill_time).mul_f64(slowdown);
         let delay_loss = LATE_LOSS * load.value_delayed_by(pass + ready);
         let free_slots = candidate.endpoint.slots.saturating_sub(load.occupied);
@@ -171,6 +169,14 @@
     }
 }
 
+/// Returns the time until an endpoint can start to prefill a prompt.
+pub(super) fn effective_backlog(load: &CombinedLoad, long: bool) -> Duration {
+    match long && load.pending_prefills > 0 {
+        true => load.backlog.max(PENDING_PREFILL_BACKLOG),
+        false => load.backlog,
+    }
+}
+
 /// Draws one of the `draw_count` best leads for a short prompt. Returns `None` if no member has
 /// enough memory.
 ///
