Claim the engines of a team before its parts are sent

Cause: gateways that place long prompts within some 30 ms of each other see the same idle engines and choose the same ones. An engine prefills the part that came last first, and a prompt waits for the slowest engine of its team, while all of them count as busy.

What callers saw: long prompts late by seconds, and refused beside engines that only waited for another one of their team.

Change: the engines of a team are claimed, peers hear of it, and after the time in which two placements can miss each other (60 ms, more through relays) the prompt is sent, unless an engine got other work or a gateway that goes first claims it; then the gateway looks again. A claim counts as a pending prefill and adds nothing to the total of prefill time: peers add that total up and would wait for the prefill of a claim that was given up. Without peers nothing waits.

--- a/lovagedock-gateway/src/direct/call/placement.rs
+++ b/lovagedock-gateway/src/direct/call/placement.rs
@@ -64,7 +64,12 @@
                     .as_ref()
                     .map_or(0.0, |entry| entry.waited_fraction(now));
                 match self.search_placement(now, self.placement_threshold(waited_fraction)) {
-                    PlacementResult::Placed(placed) => return Ok(*placed),
+                    PlacementResult::Placed(placed) => {
+                        if self.confirm_claims(&placed).await {
+                            return Ok(*placed);
+                        }
+                        continue;
+                    }
                     PlacementResult::Full(rejected) => {
                         self.rejected = rejected;
                         if is_last_search {
@@ -108,6 +113,23 @@
         }
     }
 
+    /// Waits until other gateways know of the placement of a prompt that several endpoints share, and
+    /// returns whether it may be sent.
+    ///
+    /// Gateways that place long prompts at the same moment choose the same idle engines, and a prompt
+    /// waits for the slowest engine of its team.
+    async fn confirm_claims(&self, placed: &PlacedRequest) -> bool {
+        if placed.claim_time.is_zero() {
+            return true;
+        }
+        sleep(placed.claim_time).await;
+        let is_confirmed = self.state.confirm_claims(placed);
+        if !is_confirmed {
+            metrics::counter!("lovagedock_lost_claims_total").increment(1);
+        }
+        is_confirmed
+    }
+
     /// Waits for a read of the suspects that silent peers have written to the store, before a
     /// request under which a process ended is sent again.
     ///
--- a/lovagedock-gateway/src/direct/state/placement.rs
+++ b/lovagedock-gateway/src/direct/state/placement.rs
@@ -15,6 +15,11 @@
 
 /// A request that has been placed.
 pub(crate) struct PlacedRequest {
+    service: ServiceId,
+    queue: QueueKind,
+    /// Time for which the endpoints are claimed before the request is sent, so that gateways that
+    /// place in the same moment do not use the same ones.
+    pub(crate) claim_time: Duration,
     /// The endpoint that responds.
     pub(crate) lead: DirectEndpoint,
     /// Endpoints that prefill parts of the prompt.
@@ -118,6 +123,14 @@
     pub(crate) idle: usize,
 }
 
+/// Returns the number of endpoints that could help to prefill a long prompt at once.
+fn idle_count(candidates: &[PlacerCandidate<'_>]) -> usize {
+    let is_idle = |candidate: &&PlacerCandidate<'_>| {
+        candidate.load.is_idle() && candidate.may_help && !candidate.short_lane
+    };
+    candidates.iter().filter(is_idle).count()
+}
+
 /// Result of a placement attempt.
 pub(crate) enum PlacementResult {
     /// The request was placed.
@@ -142,6 +155,10 @@
 }
 
 impl WorkGuard {
+    fn keys(&self) -> impl Iterator<Item = WorkKey> {
+        std::iter::once(self.lead).chain(self.helpers.iter().copied())
+    }
+
     /// Records that the prompt has been prefilled. This releases the helpers.
     pub(crate) fn finish_prefill(&mut self) {
         if !std::mem::take(&mut self.is_prefilling) {
@@ -259,7 +276,7 @@
                 team: 1 + choice.helpers.len(),
                 first_event_delay: choice.first_event,
                 loss: choice.lost_value,
-                idle: placer.idle_count(request, &candidates),
+                idle: idle_count(&candidates),
             }));
         }
         let works = placer.placed_work(request, &choice, &candidates);
@@ -269,15 +286,15 @@
             fleet.rate_limits.admit(now, &placed.lead.process) == RateVerdict::Admitted;
         let is_cold_admitted =
             fleet.cold_limits.admit(now, &placed.lead.process) == RateVerdict::Admitted;
-        let work = self.guard_work(now, &mut fleet, works);
-        let state = fleet.service(now, service);
-        state.queues[kind as usize].record_start(now);
-        let probe = OutlierEvent::ProbeSent(placed.lead.process.id.clone());
-        let actions = state.outliers.handle(now, probe);
-        state.apply(actions, &self.log);
-        drop(fleet);
-        self.urgent_update.notify_one();
-        PlacementResult::Placed(Box::new(PlacedRequest {
+        let work = self.claim_work(&mut fleet, works);
+        let claim_time = match placed.helpers.is_empty() {
+            true => Duration::ZERO,
+            false => fleet.ledger.claim_time(),
+        };
+        let placed = PlacedRequest {
+            service: service.clone(),
+            queue: kind,
+            claim_time,
             lead: placed.lead,
             helpers: placed.helpers,
             first_event_delay: choice.first_event,
@@ -287,7 +304,43 @@
             is_admitted,
             is_cold_admitted,
             work,
-        }))
+        };
+        if claim_time.is_zero() {
+            self.record_start(now, &mut fleet, &placed);
+        }
+        drop(fleet);
+        self.urgent_update.notify_one();
+        PlacementResult::Placed(Box::new(placed))
+    }
+
+    /// Records that a placed request is being sent, unless an endpoint has got other work since the
+    /// placement, or a gateway that goes first claims it. Returns whether the request may be sent.
+    pub(crate) fn confirm_claims(&self, placed: &PlacedRequest) -> bool {
+        let now = self.clock.now();
+        let mut fleet = self.fleet.lock();
+        let ledger = &fleet.ledger;
+        if placed
+            .work
+            .keys()
+            .any(|key| ledger.is_claim_lost(now, &self.name, key))
+        {
+            return false;
+        }
+        self.record_start(now, &mut fleet, placed);
+        drop(fleet);
+        self.urgent_update.notify_one();
+        true
+    }
+
+    fn record_start(&self, now: Timestamp, fleet: &mut FleetState, placed: &PlacedRequest) {
+        for key in placed.work.keys() {
+            fleet.ledger.confirm(now, key);
+        }
+        let state = fleet.service(now, &placed.service);
+        state.queues[placed.queue as usize].record_start(now);
+        let probe = OutlierEvent::ProbeSent(placed.lead.process.id.clone());
+        let actions = state.outliers.handle(now, probe);
+        state.apply(actions, &self.log);
     }
 
     /// Returns why a placed request must not be sent, or `None` if it may be. Since the placement,
@@ -328,13 +381,8 @@
         limited.then_some(WithholdReason::RateLimited)
     }
 
-    fn guard_work(
-        self: &Arc<Self>,
-        now: Timestamp,
-        fleet: &mut FleetState,
-        works: Vec<PlacedWork>,
-    ) -> WorkGuard {
-        let mut keys = works.into_iter().map(|work| fleet.ledger.place(now, work));
+    fn claim_work(self: &Arc<Self>, fleet: &mut FleetState, works: Vec<PlacedWork>) -> WorkGuard {
+        let mut keys = works.into_iter().map(|work| fleet.ledger.claim(work));
         let lead = keys.next().unwrap_or_default();
         WorkGuard {
             state: Arc::clone(self),
--- a/lovagedock/src/direct/ledger.rs
+++ b/lovagedock/src/direct/ledger.rs
@@ -14,8 +14,24 @@
 #[derive(Clone, Debug)]
 struct OwnWork {
     work: PlacedWork,
-    prefill_until: Timestamp,
-    is_prefilling: bool,
+    stage: WorkStage,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WorkStage {
+    /// The endpoint is reserved for the work, which is not sent yet.
+    Claimed(LoadBefore),
+    /// The prompt is prefilled until about this time.
+    Prefilling { until: Timestamp },
+    /// The prompt has been prefilled.
+    Prefilled,
+}
+
+/// Load of an endpoint before it was claimed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct LoadBefore {
+    pub(super) free_at: Timestamp,
+    pub(super) pending_prefills: u32,
 }
 
 /// Time for which an unlisted endpoint is remembered. It exceeds the duration of store outages plus
@@ -112,43 +128,79 @@
 
     /// Records work that is being sent, and returns its key.
     pub fn place(&mut self, now: Timestamp, work: PlacedWork) -> WorkKey {
+        let key = self.claim(work);
+        self.confirm(now, key);
+        key
+    }
+
+    /// Reserves an endpoint for work that is not sent yet, and returns its key.
+    ///
+    /// The prefill time is not counted: peers add up what was placed, and would count the prefill of
+    /// a claim that is given up.
+    pub fn claim(&mut self, work: PlacedWork) -> WorkKey {
         let record = self.endpoints.entry(work.endpoint.clone()).or_default();
-        record.add_own(&work);
-        record.free_at = record.free_at.max(now) + work.prefill_time;
-        let prefill_until = record.free_at;
+        let before = LoadBefore {
+            free_at: record.free_at,
+            pending_prefills: record.total.pending_prefills,
+        };
+        record.add_claim(&work);
         let key = self.next_key;
         self.next_key += 1;
-        let own = OwnWork {
-            work,
-            prefill_until,
-            is_prefilling: true,
-        };
-        self.works.insert(key, own);
+        let stage = WorkStage::Claimed(before);
+        self.works.insert(key, OwnWork { work, stage });
         key
     }
 
+    /// Records that claimed work is being sent.
+    pub fn confirm(&mut self, now: Timestamp, key: WorkKey) {
+        let Some(own) = self.works.get_mut(&key) else {
+            return;
+        };
+        let WorkStage::Claimed(_) = own.stage else {
+            return;
+        };
+        let record = self.endpoints.entry(own.work.endpoint.clone()).or_default();
+        record.own.prefill_total += own.work.prefill_time;
+        record.free_at = record.free_at.max(now) + own.work.prefill_time;
+        own.stage = WorkStage::Prefilling {
+            until: record.free_at,
+        };
+    }
+
+    /// Returns the endpoint of claimed work, and its load before the claim.
+    pub(super) fn claimed(&self, key: WorkKey) -> Option<(&EndpointProcess, LoadBefore)> {
+        let own = self.works.get(&key)?;
+        match own.stage {
+            WorkStage::Claimed(before) => Some((&own.work.endpoint, before)),
+            WorkStage::Prefilling { .. } | WorkStage::Prefilled => None,
+        }
+    }
+
     /// Records that the prompt of some work has been prefilled.
     pub fn finish_prefill(&mut self, now: Timestamp, key: WorkKey) {
         let Some(own) = self.works.get_mut(&key) else {
             return;
         };
-        if !std::mem::take(&mut own.is_prefilling) {
+        let stage = std::mem::replace(&mut own.stage, WorkStage::Prefilled);
+        if stage == WorkStage::Prefilled {
             return;
         }
-        let prefill_until = own.prefill_until;
         let Some(record) = self.endpoints.get_mut(&own.work.endpoint) else {
             return;
         };
         if own.work.is_long_prefill() {
             record.finish_prefill();
         }
-        if now > prefill_until {
-            let late = (now - prefill_until).mul_f64(LATENESS_FACTOR);
+        let WorkStage::Prefilling { until } = stage else {
+            return;
+        };
+        if now > until {
+            let late = (now - until).mul_f64(LATENESS_FACTOR);
             if record.free_at > now {
                 record.free_at += late;
             }
         } else {
-            record.free_at = record.free_at.saturating_sub(prefill_until - now);
+            record.free_at = record.free_at.saturating_sub(until - now);
         }
     }
 
@@ -161,14 +213,11 @@
             return;
         };
         record.remove_own(&own.work);
-        if own.is_prefilling {
-            if own.work.is_long_prefill() {
-                record.finish_prefill();
-            }
-            let left = own
-                .prefill_until
-                .saturating_sub(now)
-                .min(own.work.prefill_time);
+        if own.stage != WorkStage::Prefilled && own.work.is_long_prefill() {
+            record.finish_prefill();
+        }
+        if let WorkStage::Prefilling { until } = own.stage {
+            let left = until.saturating_sub(now).min(own.work.prefill_time);
             record.free_at = record.free_at.saturating_sub(left);
         }
     }
--- a/lovagedock/src/direct/ledger_peers.rs
+++ b/lovagedock/src/direct/ledger_peers.rs
@@ -2,7 +2,15 @@
 
 use std::time::Duration;
 
-use super::{ledger::WorkLedger, load::PeerLoad, process::EndpointProcess, record::ReservedSlots};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{
+    ledger::WorkLedger,
+    load::{PeerLoad, WorkKey},
+    member::MAX_HELPER_BACKLOG,
+    process::EndpointProcess,
+    record::ReservedSlots,
+};
 use crate::ids::{GatewayId, Timestamp};
 
 /// Time without a message after which a peer's load no longer counts. Its requests have ended with
@@ -30,13 +38,12 @@
             let known = record.peers.get(peer).map(|received| &received.load);
             let added = added_prefill(known, &load, is_known);
             let freed = known.map_or(0, |known| known.occupied.saturating_sub(load.occupied));
-            let is_long = load.pending_prefills > known.map_or(0, |known| known.pending_prefills);
             has_ended |= freed > 0
                 || known.is_some_and(|known| known.pending_prefills > load.pending_prefills);
             if !added.is_zero() {
                 record.free_at = record.free_at.max(now) + added;
             }
-            if !added.is_zero() && !is_long {
+            if !added.is_zero() && load.pending_prefills == 0 {
                 self.short_rate.record(now);
             }
             record
@@ -87,6 +94,37 @@
         self.short_rate.per_second_at(now) * self.propagation_window.as_secs_f64()
     }
 
+    /// Returns whether the endpoint of claimed work has got other work since, or a claim of a peer
+    /// that goes before `gateway`.
+    pub fn is_claim_lost(&self, now: Timestamp, gateway: &GatewayId, key: WorkKey) -> bool {
+        let Some((endpoint, before)) = self.claimed(key) else {
+            return false;
+        };
+        let Some(record) = self.endpoints.get(endpoint) else {
+            return true;
+        };
+        let was_free_at = before.free_at.max(now);
+        if record.free_at.saturating_sub(was_free_at) > MAX_HELPER_BACKLOG {
+            return true;
+        }
+        if record.total.pending_prefills <= before.pending_prefills + 1 {
+            return false;
+        }
+        let rank = claim_rank(gateway);
+        let claims = record.peers.iter();
+        let mut claims = claims.filter(|(_, received)| received.load.pending_prefills > 0);
+        claims.any(|(peer, _)| claim_rank(peer) < rank)
+    }
+
+    /// Returns the time after which a claim has reached all gateways, and those that were sent
+    /// before it arrived there have reached this one; zero if no other gateway is heard.
+    pub fn claim_time(&self) -> Duration {
+        match self.last_message_at.is_empty() {
+            true => Duration::ZERO,
+            false => self.propagation_window,
+        }
+    }
+
     /// Records a sign of life of a peer whose loads are known. Its loads count on.
     pub fn refresh_peer(&mut self, now: Timestamp, peer: &GatewayId) {
         if let Some(received_at) = self.last_message_at.get_mut(peer) {
@@ -105,6 +143,13 @@
     }
 }
 
+/// Returns the rank of a gateway among those that claim endpoints at the same moment; the lowest goes
+/// first. If the rank differed by endpoint, of two teams that share many endpoints each would lose
+/// one, over and over.
+fn claim_rank(gateway: &GatewayId) -> u64 {
+    xxh3_64(gateway.as_bytes())
+}
+
 /// Returns the prefill time that a peer has added to an endpoint since its previous message about
 /// it.
 fn added_prefill(known: Option<&PeerLoad>, load: &PeerLoad, is_known: bool) -> Duration {
--- a/lovagedock/src/direct/load.rs
+++ b/lovagedock/src/direct/load.rs
@@ -4,7 +4,10 @@
 
 use smallvec::SmallVec;
 
-use super::process::EndpointProcess;
+use super::{
+    member::{MAX_HELPER_BACKLOG, effective_backlog},
+    process::EndpointProcess,
+};
 use crate::ids::TokenCount;
 
 /// Identifies placed work within a gateway.
@@ -96,6 +99,11 @@
         self.writers.count()
     }
 
+    /// Returns whether the endpoint can prefill a part of a long prompt at once.
+    pub fn is_idle(&self) -> bool {
+        effective_backlog(self, true) <= MAX_HELPER_BACKLOG
+    }
+
     /// Returns the value of the writers that do not tolerate a gap of this length.
     pub fn value_delayed_by(&self, gap: Duration) -> f64 {
         let delayed = self.writers.groups().filter(|group| group.gap < gap);
--- a/lovagedock/src/direct/placer.rs
+++ b/lovagedock/src/direct/placer.rs
@@ -8,8 +8,7 @@
     load::PlacedWork,
     member::{
         FIRST_EVENT_PASSES, LONG_PREFILL, MAX_HELPER_BACKLOG, TeamMember, choose_among_best,
-        deadline_risk, distribute_memory, effective_backlog, lateness_loss, remove_lead,
-        retain_best_helpers,
+        deadline_risk, distribute_memory, lateness_loss, remove_lead, retain_best_helpers,
     },
 };
 use crate::ids::TokenCount;
@@ -151,16 +150,6 @@
         request.late_value() >= min_value_rate(profile) * prefill_time
     }
 
-    /// Returns the number of endpoints that could help to prefill the prompt at once.
-    pub fn idle_count(&self, request: &DirectRequest, candidates: &[PlacerCandidate<'_>]) -> usize {
-        let long = self.is_long(request.prompt);
-        let is_idle = |candidate: &&PlacerCandidate<'_>| {
-            let backlog = effective_backlog(&candidate.load, long);
-            backlog <= MAX_HELPER_BACKLOG && candidate.may_help && !(long && candidate.short_lane)
-        };
-        candidates.iter().filter(is_idle).count()
-    }
-
     /// Returns the work that the choice places on its endpoints, lead first.
     pub fn placed_work(
         &self,
--- a/lovagedock/src/direct/record.rs
+++ b/lovagedock/src/direct/record.rs
@@ -122,7 +122,8 @@
         self.total.pending_prefills = self.total.pending_prefills.saturating_sub(1);
     }
 
-    pub(super) fn add_own(&mut self, work: &PlacedWork) {
+    /// Adds work without its prefill time.
+    pub(super) fn add_claim(&mut self, work: &PlacedWork) {
         let load = work.as_load();
         self.total.add(&load);
         self.is_used = true;
@@ -131,7 +132,6 @@
         self.own.pending_prefills += load.pending_prefills;
         self.own.suspects += load.suspects;
         self.own.context += load.context;
-        self.own.prefill_total += load.prefill_total;
         let writers = load.writers.groups();
         writers.for_each(|group| self.own.writers.add(*group));
     }
