--- a/lovagedock-gateway/src/direct/call/log.rs
+++ b/lovagedock-gateway/src/direct/call/log.rs
@@ -53,7 +53,10 @@
             "limited" => pool.limited,
             "in_backoff" => pool.in_backoff,
             "free_slots" => pool.free_slots,
+            "short_lane" => pool.short_lane,
+            "prefilling" => pool.prefilling,
             "waiting" => pool.waiting,
+            "lost_claims" => self.lost_claims,
             "idle" => self.rejected.map(|choice| choice.idle),
             "best_team" => self.rejected.map(|choice| choice.team),
             "best_first_event_ms" =>
--- a/lovagedock-gateway/src/direct/call/mod.rs
+++ b/lovagedock-gateway/src/direct/call/mod.rs
@@ -78,6 +78,8 @@
     placement: Option<AttemptPlacement>,
     /// Best choice of the latest search, if it was not good enough.
     rejected: Option<RejectedChoice>,
+    /// Placements that were given up because another gateway had claimed one of the endpoints.
+    lost_claims: u32,
 }
 
 impl DirectCall {
@@ -117,6 +119,7 @@
             failed_response: None,
             placement: None,
             rejected: None,
+            lost_claims: 0,
         }
     }
 
--- a/lovagedock-gateway/src/direct/call/placement.rs
+++ b/lovagedock-gateway/src/direct/call/placement.rs
@@ -68,6 +68,7 @@
                         if self.confirm_claims(&placed).await {
                             return Ok(*placed);
                         }
+                        self.lost_claims += 1;
                         continue;
                     }
                     PlacementResult::Full(rejected) => {
--- a/lovagedock-gateway/src/direct/state/fleet_state.rs
+++ b/lovagedock-gateway/src/direct/state/fleet_state.rs
@@ -219,7 +219,7 @@
         let mut found = false;
         let mut is_drained = false;
         let mut next_available_at: Option<Timestamp> = None;
-        let mut pool = PoolCount::default();
+        let mut pool = LaneDemand::default();
         for endpoint in self.endpoints.ready(service) {
             if self.drains.is_drained(&endpoint.domain) {
                 is_drained = true;
@@ -229,9 +229,9 @@
             let verdict = self.rate_limits.verdict(now, &endpoint.process);
             // Rate-limited endpoints accept too few requests to be part of the short lane.
             let position = (verdict == RateVerdict::Unlimited).then_some(pool.endpoints);
-            pool.short += short;
-            if position.is_some() {
-                pool.add(endpoint);
+            match position {
+                Some(_) => pool.add(endpoint, short),
+                None => pool.short += short,
             }
             let cold_verdict = self.cold_limits.verdict(now, &endpoint.process);
             let limits = [verdict, cold_verdict];
@@ -266,7 +266,7 @@
                 positions.push(position);
             }
         }
-        let lane = short_lane_size(pool.short, pool.slots, pool.endpoints);
+        let lane = pool.short_lane();
         for (candidate, position) in candidates.iter_mut().zip(positions) {
             candidate.rank =
                 position.map_or(1.0, |position| position as f64 / pool.endpoints as f64);
@@ -295,7 +295,7 @@
 
 /// Inputs for the size of the short lane.
 #[derive(Default)]
-struct PoolCount {
+pub(super) struct LaneDemand {
     /// Requests with short prompts from all gateways.
     short: u32,
     /// Number of slots of the largest endpoint.
@@ -303,11 +303,18 @@
     endpoints: usize,
 }
 
-impl PoolCount {
-    fn add(&mut self, endpoint: &DirectEndpoint) {
+impl LaneDemand {
+    /// Adds an endpoint that may be part of the lane, and the requests with short prompts on it.
+    pub(super) fn add(&mut self, endpoint: &DirectEndpoint, short: u32) {
+        self.short += short;
         self.slots = self.slots.max(endpoint.slots);
         self.endpoints += 1;
     }
+
+    /// Returns the number of endpoints of the short lane.
+    pub(super) fn short_lane(&self) -> usize {
+        short_lane_size(self.short, self.slots, self.endpoints)
+    }
 }
 
 impl ServiceState {
--- a/lovagedock-gateway/src/direct/state/placement.rs
+++ b/lovagedock-gateway/src/direct/state/placement.rs
@@ -10,7 +10,7 @@
 
 use super::{
     GatewayState,
-    fleet_state::{EndpointSearch, FleetState},
+    fleet_state::{EndpointSearch, FleetState, LaneDemand},
 };
 
 /// A request that has been placed.
@@ -64,6 +64,10 @@
     pub(crate) in_backoff: usize,
     /// Free slots, counting the load of all gateways.
     pub(crate) free_slots: u32,
+    /// Endpoints that are reserved for short prompts.
+    pub(crate) short_lane: usize,
+    /// Endpoints with long prompts, or parts of them, that are not prefilled yet.
+    pub(crate) prefilling: usize,
     /// Requests that wait at this gateway.
     pub(crate) waiting: usize,
     /// Other gateways whose requests are counted; each sent a message within 1.5 s.
@@ -208,13 +212,15 @@
         let now = self.clock.now();
         let mut fleet = self.fleet.lock();
         let mut summary = PoolSummary::default();
+        let mut lane = LaneDemand::default();
         for endpoint in fleet.endpoints.ready(service) {
             if fleet.drains.is_drained(&endpoint.domain) {
                 summary.drained += 1;
                 continue;
             }
-            let occupied = fleet.ledger.load(now, &endpoint.process).occupied;
+            let (load, short) = fleet.ledger.load_with_short_count(now, &endpoint.process);
             summary.ready += 1;
+            summary.prefilling += usize::from(load.pending_prefills > 0);
             if fleet.backoffs.backoff_end(now, &endpoint.process).is_some() {
                 summary.in_backoff += 1;
                 continue;
@@ -225,8 +231,10 @@
                 summary.limited += 1;
                 continue;
             }
-            summary.free_slots += endpoint.slots.saturating_sub(occupied);
+            lane.add(endpoint, short);
+            summary.free_slots += endpoint.slots.saturating_sub(load.occupied);
         }
+        summary.short_lane = lane.short_lane();
         summary.peers = fleet.ledger.peer_count();
         let state = fleet.service(now, service);
         summary.ejected = state.ejected.len();
