Book teams of endpoints for sizes of prompts that are started too seldom

Cause: a large prompt needs many endpoints at once, and while those outside the short lane are nearly all busy, each goes to the first shorter prompt as it becomes idle (refusals with 4 to 8 idle endpoints, 49 of 54 outside the lane prefilling, 37 of 39 refused over 550k without a lost claim). What is left is a late team, and that is refused by its length.

Now gateways count, and tell each other, which lengths of each route are asked for and started. A size class that is started less than 0.65 times as often as its route is owed starts. A waiting prompt of it books as many endpoints as prefill it in half of its objective, while fewer teams of its class wait than are owed. Booked endpoints are the last in the order of the service and are left idle by other long prompts, but for those prefilled within 400 ms. A prompt with its team is started also if it is late. Where no size falls behind, nothing is booked. Messages between gateways have version 8.

Its simulation makes the three calls more that a gateway makes (count, book, wait with a booking): a refusal that is not counted cannot be owed. Cases, seeds, lengths, bound and check are as they were; as the file stood it cannot pass.

--- a/lovagedock-gateway/src/direct/call/mod.rs
+++ b/lovagedock-gateway/src/direct/call/mod.rs
@@ -12,7 +12,7 @@
 use hyper::{Request, StatusCode};
 use lovagedock::{
     AttemptEnd, DirectEndpoint, DirectMachine, DirectPlacer, DirectStep, EndpointProcess,
-    OutlierEvent, QueueKind, RequestFingerprint, prelude::*,
+    LengthBand, LengthOutcome, OutlierEvent, QueueKind, RequestFingerprint, prelude::*, route_tag,
 };
 use tokio::time::Instant;
 
@@ -23,7 +23,7 @@
     liveness::LivenessWatch,
     reservations::{ReservationClient, ReservationGuard, ReservationRefused, ReservationRequest},
     response::{BufferedResponse, ResponseSender},
-    state::{GatewayState, PlacedRequest, RejectedChoice},
+    state::{BookingGuard, GatewayState, PlacedRequest, RejectedChoice},
 };
 use crate::front::RequestProblem;
 
@@ -80,6 +80,10 @@
     rejected: Option<RejectedChoice>,
     /// Placements that were given up because another gateway had claimed one of the endpoints.
     lost_claims: u32,
+    /// Endpoints that are booked for the request while it waits.
+    booking: Option<BookingGuard>,
+    /// Whether the request was counted by its length.
+    is_counted: bool,
 }
 
 impl DirectCall {
@@ -120,6 +124,8 @@
             placement: None,
             rejected: None,
             lost_claims: 0,
+            booking: None,
+            is_counted: false,
         }
     }
 
@@ -150,10 +156,14 @@
     }
 
     async fn place_and_send(&mut self, resume: bool) -> DirectStep {
-        let placed = match self.wait_for_placement().await {
+        let mut placed = match self.wait_for_placement().await {
             Ok(placed) => placed,
             Err(step) => return if resume { DirectStep::Cut } else { step },
         };
+        if let Some(booking) = self.booking.take() {
+            placed.work.keep_booking(booking);
+        }
+        self.count_length(true);
         self.log_placed(&placed);
         let lead = placed.lead.clone();
         let endpoint = lead.process.clone();
@@ -436,6 +446,7 @@
         let problem = RequestProblem::new(code).with_ran(self.machine.ran());
         if code == ResultCode::NoCapacity {
             self.state.record_refusal(self.fingerprint);
+            self.count_length(false);
         }
         let retry_after = match code.http_status() {
             429 | 503 => Some(self.retry_after.unwrap_or(DEFAULT_RETRY_AFTER)),
@@ -447,6 +458,19 @@
         code
     }
 
+    /// Counts a long prompt by its length, once, when it is started or refused.
+    fn count_length(&mut self, is_started: bool) {
+        if !self.queue.is_long() || std::mem::replace(&mut self.is_counted, true) {
+            return;
+        }
+        self.state.record_length(LengthOutcome {
+            route: route_tag(&self.parts.route.name),
+            band: LengthBand::new(self.parts.head.prompt),
+            is_new: !self.queue.is_return(),
+            is_started,
+        });
+    }
+
     /// Attributes the failure of an attempt to an endpoint, and returns the helper at fault, if
     /// any. A helper that is gone fails every prompt that it is asked to help with, whichever
     /// endpoint leads.
--- a/lovagedock-gateway/src/direct/call/placement.rs
+++ b/lovagedock-gateway/src/direct/call/placement.rs
@@ -2,11 +2,15 @@
 
 use std::{sync::Arc, time::Duration};
 
-use lovagedock::{DirectRequest, DirectStep, QueueDecision, QueueKind, RELAXED_GAP, prelude::*};
+use lovagedock::{
+    DirectRequest, DirectStep, QueueDecision, QueueKind, RELAXED_GAP, may_book_team, prelude::*,
+};
 use tokio::time::{sleep, sleep_until, timeout};
 
 use super::DirectCall;
-use crate::direct::state::{GatewayState, PlacedRequest, PlacementResult, PlacementThreshold};
+use crate::direct::state::{
+    BookingGuard, GatewayState, PlacedRequest, PlacementResult, PlacementThreshold,
+};
 
 /// Maximum and minimum time between two placement attempts. Peers send updates up to 800 times a
 /// second, and an attempt takes 19 us of a full core with 70 endpoints (`examples/direct_cost`).
@@ -56,7 +60,15 @@
                 self.log_refused("engines end under it");
                 return Err(self.machine.quarantined_step(now));
             }
-            let is_last_search = queued.as_ref().is_some_and(|entry| now >= entry.wait_until);
+            let is_booked = self.booking.is_some();
+            if let Some(entry) = queued.as_mut().filter(|_| is_booked) {
+                entry.step_aside();
+            }
+            let wait_end = |entry: &QueueEntry| match is_booked {
+                true => entry.wait_until.max(self.late_at.min(self.deadline)),
+                false => entry.wait_until,
+            };
+            let is_last_search = queued.as_ref().is_some_and(|entry| now >= wait_end(entry));
             let may_search = queued.as_ref().is_none_or(QueueEntry::is_first) || is_last_search;
             let mut available_at = None;
             if may_search {
@@ -85,8 +97,16 @@
                     PlacementResult::Drained => return Err(self.refuse_drained(now)),
                 }
             }
+            if self.may_book(now) {
+                self.booking = self.state.book_team(
+                    &self.parts.config,
+                    &self.parts.service,
+                    &self.parts.route,
+                    self.parts.head.prompt,
+                );
+            }
             let until = match &queued {
-                Some(entry) => entry.wait_until,
+                Some(entry) => wait_end(entry),
                 None => {
                     let entry = self.join_queue(now)?;
                     queued.insert(entry).wait_until
@@ -114,6 +134,16 @@
         }
     }
 
+    /// Returns whether a team may be booked for the request: a long prompt that can still be on time
+    /// with a team that has to come together first.
+    fn may_book(&self, now: Timestamp) -> bool {
+        let waited = now.saturating_sub(self.parts.arrived);
+        self.booking.is_none()
+            && self.queue == QueueKind::Long
+            && self.machine.sent_count() == 0
+            && may_book_team(waited, self.parts.route.objective)
+    }
+
     /// Waits until other gateways know of the placement of a prompt that several endpoints share, and
     /// returns whether it may be sent.
     ///
@@ -182,6 +212,7 @@
             },
             returned: is_return && self.machine.sent_count() == 0,
             suspect: self.state.is_suspect(self.fingerprint),
+            booked: self.booking.as_ref().map(BookingGuard::team),
         };
         self.state.place(
             &self.parts.config,
@@ -207,7 +238,7 @@
             state: Arc::clone(&self.state),
             service: self.parts.service.clone(),
             queue: self.queue,
-            position,
+            position: Some(position),
             joined_at: now,
             wait_until: now,
         };
@@ -270,7 +301,8 @@
     state: Arc<GatewayState>,
     service: ServiceId,
     queue: QueueKind,
-    position: (Timestamp, u64),
+    /// `None` once the request searches beside the queue.
+    position: Option<(Timestamp, u64)>,
     joined_at: Timestamp,
     wait_until: Timestamp,
 }
@@ -284,15 +316,25 @@
     }
 
     fn is_first(&self) -> bool {
-        let is_first = |queue: &mut lovagedock::WaitingQueue| queue.is_first(&self.position);
-        self.state.with_queue(&self.service, self.queue, is_first)
+        self.position.is_none_or(|position| {
+            let is_first = |queue: &mut lovagedock::WaitingQueue| queue.is_first(&position);
+            self.state.with_queue(&self.service, self.queue, is_first)
+        })
+    }
+
+    /// Leaves the queue, so that the requests behind do not wait until this one has its team.
+    fn step_aside(&mut self) {
+        let Some(position) = self.position.take() else {
+            return;
+        };
+        let leave = |queue: &mut lovagedock::WaitingQueue| queue.remove(&position);
+        self.state.with_queue(&self.service, self.queue, leave);
+        self.state.notify_queue_advanced();
     }
 }
 
 impl Drop for QueueEntry {
     fn drop(&mut self) {
-        let leave = |queue: &mut lovagedock::WaitingQueue| queue.remove(&self.position);
-        self.state.with_queue(&self.service, self.queue, leave);
-        self.state.notify_queue_advanced();
+        self.step_aside();
     }
 }
--- a/lovagedock-gateway/src/direct/peer_message.rs
+++ b/lovagedock-gateway/src/direct/peer_message.rs
@@ -3,8 +3,9 @@
 use std::{net::SocketAddr, time::Duration};
 
 use lovagedock::{
-    DrainSnapshot, EndpointProcess, HostCapacity, ListingDelta, ListingVersion, PeerLoad,
-    RateUpdate, RequestFingerprint, SuspectUpdate, WriterGroup, prelude::*,
+    DrainSnapshot, EndpointProcess, HostCapacity, LengthBand, LengthOutcome, ListingDelta,
+    ListingVersion, PeerLoad, RateUpdate, RequestFingerprint, RouteTag, SuspectUpdate, TeamBooking,
+    WriterGroup, prelude::*,
 };
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
@@ -13,7 +14,7 @@
 
 /// Version of the protocol between gateways, for datagrams and pulls. Messages of other versions
 /// are rejected.
-pub(super) const PROTOCOL_VERSION: u16 = 7;
+pub(super) const PROTOCOL_VERSION: u16 = 8;
 
 /// Precedes each message, so that the receiver can tell whether it can decode the rest.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -159,6 +160,10 @@
     pub(super) drains: Option<DrainSnapshot>,
     /// Cold endpoints that the sender claims.
     pub(super) cold_limits: Vec<RateUpdate>,
+    /// Long prompts that the sender started or refused since its last message.
+    pub(super) lengths: Vec<LengthEntry>,
+    /// Endpoints that the sender has booked for long prompts.
+    pub(super) bookings: Vec<BookingEntry>,
 }
 
 impl PeerMessage {
@@ -169,7 +174,71 @@
             && self.suspects.is_empty()
             && self.limits.is_empty()
             && self.cold_limits.is_empty()
-            && self.leaving.is_empty())
+            && self.leaving.is_empty()
+            && self.lengths.is_empty()
+            && self.bookings.is_empty())
+    }
+}
+
+/// A long prompt that was started or refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct LengthEntry {
+    route: RouteTag,
+    band: u8,
+    is_new: bool,
+    is_started: bool,
+}
+
+impl LengthEntry {
+    pub(super) fn new(outcome: &LengthOutcome) -> Self {
+        Self {
+            route: outcome.route,
+            band: outcome.band.0,
+            is_new: outcome.is_new,
+            is_started: outcome.is_started,
+        }
+    }
+
+    pub(super) fn into_outcome(self) -> LengthOutcome {
+        LengthOutcome {
+            route: self.route,
+            band: LengthBand(self.band),
+            is_new: self.is_new,
+            is_started: self.is_started,
+        }
+    }
+}
+
+/// Endpoints that a gateway has booked for a long prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct BookingEntry {
+    route: RouteTag,
+    class: u8,
+    width: u16,
+    /// Time since the booking, in milliseconds.
+    age_ms: u32,
+    is_waiting: bool,
+}
+
+impl BookingEntry {
+    pub(super) fn new(now: Timestamp, booking: &TeamBooking) -> Self {
+        Self {
+            route: booking.route,
+            class: booking.class.0,
+            width: booking.width as u16,
+            age_ms: now.saturating_sub(booking.since).as_millis() as u32,
+            is_waiting: booking.is_waiting,
+        }
+    }
+
+    pub(super) fn into_booking(self, now: Timestamp) -> TeamBooking {
+        TeamBooking {
+            route: self.route,
+            class: LengthBand(self.class),
+            width: usize::from(self.width),
+            since: now.saturating_sub(Duration::from_millis(u64::from(self.age_ms))),
+            is_waiting: self.is_waiting,
+        }
     }
 }
 
--- a/lovagedock-gateway/src/direct/peers.rs
+++ b/lovagedock-gateway/src/direct/peers.rs
@@ -24,8 +24,8 @@
 
 use super::{
     peer_message::{
-        DatagramError, LoadEntry, PeerBundle, PeerMessage, PeerPacket, read_message, read_packet,
-        write_message, write_packet,
+        BookingEntry, DatagramError, LengthEntry, LoadEntry, PeerBundle, PeerMessage, PeerPacket,
+        read_message, read_packet, write_message, write_packet,
     },
     peer_sync::{pull_endpoints, pull_traffic},
     relay_outbox::{BundleScope, OutboxBatch, RelayOutbox},
@@ -70,6 +70,7 @@
     limits: Vec<RateUpdate>,
     cold_limits: Vec<RateUpdate>,
     leaving: Vec<EndpointProcess>,
+    lengths: Vec<LengthEntry>,
 }
 
 impl PeerNotices {
@@ -79,6 +80,7 @@
             && self.limits.is_empty()
             && self.cold_limits.is_empty()
             && self.leaving.is_empty()
+            && self.lengths.is_empty()
     }
 }
 
@@ -171,6 +173,12 @@
                 limits: self.state.take_rate_updates(),
                 cold_limits: self.state.take_cold_updates(),
                 leaving: self.state.take_leaving_notices(),
+                lengths: self
+                    .state
+                    .take_length_outcomes()
+                    .iter()
+                    .map(LengthEntry::new)
+                    .collect(),
             };
             let versions = (
                 self.state.config().map_or(0, |config| config.version),
@@ -185,8 +193,13 @@
             };
             let is_due = Instant::now() >= heartbeat_at;
             let is_announcing = self.state.take_announce_pending();
-            let has_own =
-                !loads.is_empty() || !notices.is_empty() || is_new || is_due || is_announcing;
+            let has_new_bookings = self.state.take_bookings_changed();
+            let has_own = !loads.is_empty()
+                || !notices.is_empty()
+                || is_new
+                || is_due
+                || is_announcing
+                || has_new_bookings;
             let mut own = Vec::new();
             if has_own {
                 let is_source = is_from_store || matches!(plan, SendPlan::Relay { .. });
@@ -335,6 +348,12 @@
         mut changes: Option<ListingDelta>,
         sequence: &mut u64,
     ) -> Vec<Vec<u8>> {
+        let now = self.state.clock.now();
+        let bookings = self.state.own_bookings();
+        let bookings: Vec<BookingEntry> = bookings
+            .iter()
+            .map(|booking| BookingEntry::new(now, booking))
+            .collect();
         let empty: [&[LoadEntry]; 1] = [&[]];
         let chunks: Vec<&[LoadEntry]> = match entries.is_empty() {
             true => empty.to_vec(),
@@ -362,6 +381,8 @@
                 leaving: std::mem::take(&mut notices.leaving),
                 drains: self.state.drain_snapshot(),
                 cold_limits: std::mem::take(&mut notices.cold_limits),
+                lengths: std::mem::take(&mut notices.lengths),
+                bookings: bookings.clone(),
             };
             write_message(&message).ok()
         });
@@ -526,6 +547,14 @@
         self.state
             .apply_peer_cold_limits(&message.gateway, message.cold_limits);
         self.state.apply_peer_leaving(message.leaving);
+        let now = self.state.clock.now();
+        let outcomes = message.lengths.into_iter();
+        self.state
+            .apply_peer_lengths(outcomes.map(LengthEntry::into_outcome));
+        let bookings = message.bookings.into_iter();
+        let bookings = bookings.map(|booking| booking.into_booking(now));
+        self.state
+            .apply_peer_bookings(&message.gateway, bookings.collect());
         true
     }
 }
--- a/lovagedock-gateway/src/direct/state/fleet_state.rs
+++ b/lovagedock-gateway/src/direct/state/fleet_state.rs
@@ -6,11 +6,12 @@
 };
 
 use lovagedock::{
-    ColdAllowance, ColdEndpoints, ColdProfile, DirectEndpoint, DomainDrains, DomainRelays,
-    EndpointBackoffs, EndpointListing, EndpointProcess, EndpointTable, EntryChange, LeavingQueue,
-    ListingLog, OutlierAction, OutlierDetector, OutlierEvent, OutlierSettings, PauseDetector,
-    PeerLiveness, PlacerCandidate, QueueKind, RateLimits, RateVerdict, RefusalLog, RetryShare,
-    RetryShareSettings, SlowdownTracker, SuspectLedger, WaitingQueue, WatcherSelection, WorkLedger,
+    BookedTeam, ColdAllowance, ColdEndpoints, ColdProfile, DirectEndpoint, DomainDrains,
+    DomainRelays, EndpointBackoffs, EndpointListing, EndpointProcess, EndpointTable, EntryChange,
+    LeavingQueue, LengthOutcome, LengthShares, ListingLog, OutlierAction, OutlierDetector,
+    OutlierEvent, OutlierSettings, PauseDetector, PeerLiveness, PlacerCandidate, QueueKind,
+    RateLimits, RateVerdict, RefusalLog, RetryShare, RetryShareSettings, SlowdownTracker,
+    SuspectLedger, TeamBookings, WaitingQueue, WatcherSelection, WorkLedger, max_kept_endpoints,
     prelude::*, short_lane_size,
 };
 use lovagedock_platform::GatewayEntry;
@@ -34,6 +35,13 @@
 pub(super) struct FleetState {
     pub(super) endpoints: EndpointTable,
     pub(super) ledger: WorkLedger,
+    /// Shares of long prompts that are started, by length.
+    pub(super) lengths: LengthShares,
+    /// Outcomes of this gateway's long prompts that were not sent to peers yet.
+    pub(super) unsent_lengths: Vec<LengthOutcome>,
+    pub(super) bookings: TeamBookings,
+    /// Whether a booking of this gateway has changed since the last message to peers.
+    pub(super) bookings_changed: bool,
     pub(super) slowdowns: SlowdownTracker,
     pub(super) services: HashMap<ServiceId, ServiceState>,
     pub(super) peers: HashMap<GatewayId, GatewayEntry>,
@@ -202,6 +210,17 @@
         is_new
     }
 
+    /// Returns the maximum number of endpoints of a service that are kept for booked teams.
+    pub(super) fn max_kept(&self, service: &ServiceId) -> usize {
+        let mut pool = LaneDemand::default();
+        for endpoint in self.endpoints.ready(service) {
+            if !self.drains.is_drained(&endpoint.domain) {
+                pool.add(endpoint, self.ledger.short_count(&endpoint.process));
+            }
+        }
+        pool.max_kept()
+    }
+
     /// Finds endpoints with a free slot.
     ///
     /// The first endpoints of the list, the short lane, are reserved for short prompts. All gateways
@@ -212,6 +231,7 @@
         now: Timestamp,
         service: &ServiceId,
         excluded: &[EndpointProcess],
+        booked: Option<BookedTeam>,
     ) -> EndpointSearch<'_> {
         let ejected = self.services.get(service).map(|state| &state.ejected);
         let mut candidates = Vec::new();
@@ -260,6 +280,7 @@
                     load,
                     rank: 0.0,
                     short_lane: false,
+                    is_kept: false,
                     may_help: position.is_some(),
                     draw: rand::random(),
                 });
@@ -267,10 +288,15 @@
             }
         }
         let lane = pool.short_lane();
+        let kept = self
+            .bookings
+            .kept_from(now, booked.map(|team| team.key))
+            .min(pool.max_kept());
         for (candidate, position) in candidates.iter_mut().zip(positions) {
             candidate.rank =
                 position.map_or(1.0, |position| position as f64 / pool.endpoints as f64);
             candidate.short_lane = position.is_some_and(|position| position < lane);
+            candidate.is_kept = position.is_some_and(|position| position + kept >= pool.endpoints);
         }
         match (found, next_available_at) {
             (true, _) => EndpointSearch::Found(candidates),
@@ -311,6 +337,11 @@
         self.endpoints += 1;
     }
 
+    /// Returns the maximum number of endpoints that are kept for booked teams.
+    pub(super) fn max_kept(&self) -> usize {
+        max_kept_endpoints(self.endpoints - self.short_lane())
+    }
+
     /// Returns the number of endpoints of the short lane.
     pub(super) fn short_lane(&self) -> usize {
         short_lane_size(self.short, self.slots, self.endpoints)
--- a/lovagedock-gateway/src/direct/state/mod.rs
+++ b/lovagedock-gateway/src/direct/state/mod.rs
@@ -1,5 +1,6 @@
 //! State of a gateway, shared by all its requests.
 
+mod bookings;
 mod drains;
 mod era;
 mod fleet_state;
@@ -22,10 +23,10 @@
 use arc_swap::ArcSwapOption;
 use lovagedock::{
     ColdAllowance, ColdEndpoints, DomainDrains, DomainRelays, EndpointBackoffs, EndpointListing,
-    EndpointProcess, EndpointTable, LeavingQueue, ListingLog, OutlierEvent, PauseDetector,
-    PeerLiveness, QueueKind, RateLimits, RefusalLog, RelayCandidate, RequestFingerprint,
-    RetryShareSettings, SlowdownTracker, StopPlan, SuspectLedger, TrafficConfig, WaitingQueue,
-    WatcherSelection, WorkLedger, prelude::*,
+    EndpointProcess, EndpointTable, LeavingQueue, LengthShares, ListingLog, OutlierEvent,
+    PauseDetector, PeerLiveness, QueueKind, RateLimits, RefusalLog, RelayCandidate,
+    RequestFingerprint, RetryShareSettings, SlowdownTracker, StopPlan, SuspectLedger, TeamBookings,
+    TrafficConfig, WaitingQueue, WatcherSelection, WorkLedger, prelude::*,
 };
 use lovagedock_daemon::ProcessClock;
 use parking_lot::Mutex;
@@ -38,6 +39,7 @@
 use self::fleet_state::FleetState;
 use super::{fleet_tag::FleetTag, log_limiter::LogLimiter};
 
+pub(crate) use bookings::BookingGuard;
 pub(crate) use listing::EndpointsSnapshot;
 pub(crate) use placement::{PlacedRequest, PlacementResult, PlacementThreshold, RejectedChoice};
 
@@ -141,6 +143,10 @@
             fleet: Mutex::new(FleetState {
                 endpoints: EndpointTable::new(),
                 ledger: WorkLedger::new().with_slot_delay(slot_delay()),
+                lengths: LengthShares::new(),
+                unsent_lengths: Vec::new(),
+                bookings: TeamBookings::new(),
+                bookings_changed: false,
                 slowdowns: SlowdownTracker::new(),
                 services: HashMap::new(),
                 peers: HashMap::new(),
@@ -373,6 +379,7 @@
         }
         let silent = fleet.ledger.forget_silent(now);
         for peer in &silent {
+            fleet.bookings.forget_peer(peer);
             fleet.rate_limits.forget_peer(now, peer);
             fleet.cold_limits.forget_peer(now, peer);
         }
--- a/lovagedock-gateway/src/direct/state/peers.rs
+++ b/lovagedock-gateway/src/direct/state/peers.rs
@@ -74,6 +74,7 @@
         fleet.relays.forget(name);
         fleet.peer_liveness.forget(name);
         fleet.ledger.forget_peer(name);
+        fleet.bookings.forget_peer(name);
         fleet.rate_limits.forget_peer(self.clock.now(), name);
         fleet.cold_limits.forget_peer(self.clock.now(), name);
     }
@@ -268,6 +269,7 @@
         let now = self.clock.now();
         let mut fleet = self.fleet.lock();
         fleet.ledger.forget_peer(peer);
+        fleet.bookings.forget_peer(peer);
         fleet.rate_limits.forget_peer(now, peer);
         fleet.cold_limits.forget_peer(now, peer);
     }
--- a/lovagedock-gateway/src/direct/state/placement.rs
+++ b/lovagedock-gateway/src/direct/state/placement.rs
@@ -9,7 +9,7 @@
 };
 
 use super::{
-    GatewayState,
+    BookingGuard, GatewayState,
     fleet_state::{EndpointSearch, FleetState, LaneDemand},
 };
 
@@ -156,6 +156,8 @@
     helpers: Vec<WorkKey>,
     is_prefilling: bool,
     has_missed: bool,
+    /// Keeps the endpoints that are booked for the request until its prompt is prefilled.
+    booking: Option<BookingGuard>,
 }
 
 impl WorkGuard {
@@ -163,11 +165,18 @@
         std::iter::once(self.lead).chain(self.helpers.iter().copied())
     }
 
+    /// Keeps the endpoints that were booked for the request until its prompt is prefilled.
+    pub(crate) fn keep_booking(&mut self, booking: BookingGuard) {
+        booking.start();
+        self.booking = Some(booking);
+    }
+
     /// Records that the prompt has been prefilled. This releases the helpers.
     pub(crate) fn finish_prefill(&mut self) {
         if !std::mem::take(&mut self.is_prefilling) {
             return;
         }
+        self.booking = None;
         let now = self.state.clock.now();
         let mut fleet = self.state.fleet.lock();
         fleet.ledger.finish_prefill(now, self.lead);
@@ -258,9 +267,11 @@
         if fleet.record_demand(now, service) {
             self.urgent_update.notify_one();
         }
-        let mut candidates = match fleet.search(now, service, excluded) {
+        let mut candidates = match fleet.search(now, service, excluded, request.booked) {
             EndpointSearch::Found(candidates) => candidates,
-            EndpointSearch::Unavailable { until } => return PlacementResult::Unavailable { until },
+            EndpointSearch::Unavailable { until } => {
+                return PlacementResult::Unavailable { until };
+            }
             EndpointSearch::Drained => return PlacementResult::Drained,
             EndpointSearch::NoEndpoint => return PlacementResult::NoEndpoint,
         };
@@ -275,8 +286,11 @@
         let acceptable = match threshold {
             PlacementThreshold::Selective { waited_fraction } => {
                 choice.is_acceptable(request, waited_fraction)
+                    || choice.fills_booking(request, waited_fraction)
+            }
+            PlacementThreshold::WorthStarting => {
+                placer.is_worth_starting(request, &choice) || choice.fills_booking(request, 1.0)
             }
-            PlacementThreshold::WorthStarting => placer.is_worth_starting(request, &choice),
             PlacementThreshold::Any => true,
         };
         if !acceptable {
@@ -398,6 +412,7 @@
             helpers: keys.collect(),
             is_prefilling: true,
             has_missed: false,
+            booking: None,
         }
     }
 }
--- a/lovagedock/examples/direct_cost.rs
+++ b/lovagedock/examples/direct_cost.rs
@@ -55,6 +55,7 @@
                 gap: Some(Duration::from_millis(200)),
                 returned: false,
                 suspect: false,
+                booked: None,
             };
             let evaluation = micros(|_| evaluate(&ledger, &endpoints, &request));
             println!("{gateways},{count},{name},{evaluation:.2}");
@@ -131,6 +132,7 @@
             load: ledger.load(now, &endpoint.process),
             rank: position as f64 / endpoints.len() as f64,
             short_lane: position < short as usize / 20,
+            is_kept: false,
             may_help: true,
             draw: 0.0,
         })
--- a/lovagedock/src/direct/choice.rs
+++ b/lovagedock/src/direct/choice.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use super::{endpoints::DirectEndpoint, load::CombinedLoad, member::LATE_LOSS};
+use super::{
+    endpoints::DirectEndpoint, load::CombinedLoad, member::LATE_LOSS, team_bookings::BookedTeam,
+};
 use crate::ids::TokenCount;
 
 /// Properties of a request that placement takes into account.
@@ -22,6 +24,8 @@
     /// Whether an engine process ended while it ran the request, see
     /// [`SuspectLedger`](super::SuspectLedger).
     pub suspect: bool,
+    /// Endpoints that are booked for the request, see [`TeamBookings`](super::TeamBookings).
+    pub booked: Option<BookedTeam>,
 }
 
 /// Prompt tokens that add 1 to the value of a request, which is 1 for an empty prompt. Callers of
@@ -69,10 +73,19 @@
     /// Value that is expected to be lost, by this request if it is late and by others that it
     /// delays.
     pub lost_value: f64,
+    /// Value that is expected to be lost by others.
+    pub delayed_value: f64,
     /// Total loss of the choice: the lost value and further costs that only rank choices.
     pub loss: f64,
 }
 
+/// Maximum backlog with which a late request is still started. Up to this, the delay is caused by
+/// the request itself.
+pub(super) const MAX_LATE_BACKLOG: Duration = Duration::from_millis(300);
+
+/// Share of its booked endpoints with which a request is started after its usual waiting time.
+const MIN_TEAM_SHARE: f64 = 2.0 / 3.0;
+
 /// Lost value up to which a choice is accepted at once. Above it, a request first waits for a
 /// better choice. The bound is about half of the loss of one late short request.
 const IMMEDIATE_LOSS: f64 = 0.4;
@@ -91,6 +104,23 @@
     pub fn is_acceptable(&self, request: &DirectRequest, waited: f64) -> bool {
         self.lost_value <= IMMEDIATE_LOSS + WAITED_LOSS_SHARE * request.value() * waited
     }
+
+    /// Returns whether the choice has the endpoints that are booked for the request, so that it is
+    /// started even if it is late. `waited` is the share of its usual waiting time that the request
+    /// has used; after this time, most of the endpoints suffice.
+    pub fn fills_booking(&self, request: &DirectRequest, waited: f64) -> bool {
+        let Some(BookedTeam { width, .. }) = request.booked else {
+            return false;
+        };
+        let min_team = match waited < 1.0 {
+            true => width as f64,
+            false => width as f64 * MIN_TEAM_SHARE,
+        };
+        let team = 1 + self.helpers.len();
+        team as f64 >= min_team
+            && self.backlog <= MAX_LATE_BACKLOG
+            && self.delayed_value <= IMMEDIATE_LOSS + WAITED_LOSS_SHARE * request.value()
+    }
 }
 
 /// An endpoint that prefills a part of a prompt.
@@ -116,6 +146,8 @@
     pub rank: f64,
     /// Whether the endpoint is reserved for short prompts.
     pub short_lane: bool,
+    /// Whether the endpoint is kept for long prompts that have booked a team.
+    pub is_kept: bool,
     /// Whether the endpoint may prefill parts of prompts whose responses another endpoint
     /// generates.
     pub may_help: bool,
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -23,6 +23,7 @@
 mod leaving_queue;
 mod ledger;
 mod ledger_peers;
+mod length_shares;
 mod listing;
 mod listing_log;
 mod load;
@@ -46,6 +47,7 @@
 mod suspect_queue;
 mod suspect_update;
 mod suspects;
+mod team_bookings;
 mod waiting_queue;
 mod watcher_selection;
 
@@ -64,6 +66,7 @@
 pub use events::{EventSplitter, StreamEvent};
 pub use leaving_queue::LeavingQueue;
 pub use ledger::{RELAXED_GAP, WorkLedger};
+pub use length_shares::{LengthBand, LengthOutcome, LengthShares, RouteTag, route_tag};
 pub use listing::{EndpointListing, ListingVersion, StorePosition};
 pub use listing_log::{EndpointChange, ListingDelta, ListingLog};
 pub use load::{CombinedLoad, PeerLoad, PlacedWork, WorkKey, WriterGroup, WriterTable};
@@ -85,5 +88,8 @@
 pub use suspect_queue::SuspectQueue;
 pub use suspect_update::{EndEvidence, ProcessEnd, ProcessTag, SuspectReport, SuspectUpdate};
 pub use suspects::SuspectLedger;
+pub use team_bookings::{
+    BookedTeam, BookingKey, TeamBooking, TeamBookings, max_kept_endpoints, may_book_team,
+};
 pub use waiting_queue::{QueueDecision, QueueKind, QueueSettings, WaitingQueue};
 pub use watcher_selection::{PeerContact, WatchRole, WatcherSelection};
--- a/lovagedock/src/direct/placer.rs
+++ b/lovagedock/src/direct/placer.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{
-    choice::{DirectChoice, DirectRequest, PlacerCandidate},
+    choice::{DirectChoice, DirectRequest, MAX_LATE_BACKLOG, PlacerCandidate},
     engine::EngineProfile,
     load::PlacedWork,
     member::{
@@ -38,9 +38,9 @@
 /// Numbers of endpoints that may share a prompt. An engine supports at most 16 helpers.
 const TEAM_SIZES: [usize; 8] = [1, 2, 3, 4, 6, 8, 12, 16];
 
-/// Maximum backlog with which a late request is still started. Up to this, the delay is caused by
-/// the request itself.
-const MAX_LATE_BACKLOG: Duration = Duration::from_millis(300);
+/// Longest prefill for which an endpoint is used that is kept for a booked team. It ends about when
+/// the last endpoint of the team becomes idle.
+const MAX_BACKFILL_PREFILL: Duration = Duration::from_millis(400);
 
 /// Longest prompt that callers send, in tokens. It has the least value for its prefill time.
 const MAX_PROMPT_TOKENS: TokenCount = 1_000_000;
@@ -98,6 +98,18 @@
             .is_some_and(|profile| profile.prefill_time(prompt) >= LONG_PREFILL)
     }
 
+    /// Returns the number of endpoints with which a long prompt is prefilled in half of its
+    /// objective, or the most that may share a prompt.
+    pub fn team_width(&self, prompt: TokenCount, objective: Duration) -> usize {
+        let Some(profile) = self.profile else {
+            return 1;
+        };
+        let prefill_time = profile.prefill_time(prompt);
+        let fits = |size: &usize| prefill_time / *size as u32 <= objective / 2;
+        let largest = TEAM_SIZES[TEAM_SIZES.len() - 1];
+        TEAM_SIZES.into_iter().find(fits).unwrap_or(largest)
+    }
+
     /// Chooses among endpoints that have a free slot. Returns `None` if there is none.
     pub fn place(
         &self,
@@ -189,6 +201,9 @@
             .iter()
             .enumerate()
             .filter(|(_, candidate)| !long || !candidate.short_lane)
+            .filter(|(_, candidate)| {
+                !long || !candidate.is_kept || prefill_time <= MAX_BACKFILL_PREFILL
+            })
             .map(|(index, candidate)| {
                 TeamMember::new(profile, request, index, candidate, part_prefill_time)
             })
@@ -219,7 +234,8 @@
         let ready = slowest.unwrap_or_default().max(lead.ready);
         let first_event = ready + lead.pass.mul_f64(FIRST_EVENT_PASSES);
         let helper_delay_loss: f64 = members.iter().map(|member| member.delay_loss).sum();
-        let lost_value = lateness_loss(request, first_event) + lead.delay_loss + helper_delay_loss;
+        let delayed_value = lead.delay_loss + helper_delay_loss;
+        let lost_value = lateness_loss(request, first_event) + delayed_value;
         let loss = lost_value
             + lead.slot_loss
             + RISK_LOSS * request.value() * deadline_risk(request, first_event)
@@ -231,6 +247,7 @@
             first_event,
             backlog: ready.saturating_sub(part_prefill_time),
             lost_value,
+            delayed_value,
             loss,
         })
     }
@@ -252,6 +269,7 @@
         first_event: Duration::ZERO,
         backlog: Duration::ZERO,
         lost_value: 0.0,
+        delayed_value: 0.0,
         loss: 0.0,
     })
 }
--- a/lovagedock/tests/direct_claims.rs
+++ b/lovagedock/tests/direct_claims.rs
@@ -85,6 +85,7 @@
                 load: self.ledger.load(now, &endpoint.process),
                 rank: 0.0,
                 short_lane: false,
+                is_kept: false,
                 may_help: true,
                 draw: random.random(),
             })
--- a/lovagedock/tests/direct_placement.rs
+++ b/lovagedock/tests/direct_placement.rs
@@ -230,6 +230,7 @@
         load: pool.ledger.load(pool.now, &pool.endpoints[0].process),
         rank: 0.0,
         short_lane: false,
+        is_kept: false,
         may_help: true,
         draw: 0.0,
     }];
@@ -258,6 +259,7 @@
             },
             rank: position as f64 / loads.len() as f64,
             short_lane: false,
+            is_kept: false,
             may_help: true,
             draw: 0.0,
         })
--- a/lovagedock/tests/direct_prefill_overload.rs
+++ b/lovagedock/tests/direct_prefill_overload.rs
@@ -176,6 +176,7 @@
             first_event: ms(case.first_event),
             backlog: ms(case.backlog),
             lost_value: 0.0,
+            delayed_value: 0.0,
             loss: 0.0,
         };
         let is_started = placer.is_worth_starting(&request, &choice);
--- a/lovagedock/tests/direct_prompt_burst.rs
+++ b/lovagedock/tests/direct_prompt_burst.rs
@@ -219,6 +219,7 @@
                     load,
                     rank: position as f64 / self.endpoints.len() as f64,
                     short_lane: position < lane,
+                    is_kept: false,
                     may_help: true,
                     draw: self.random.random(),
                 });
--- a/lovagedock/tests/direct_prompt_lengths.rs
+++ b/lovagedock/tests/direct_prompt_lengths.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use lovagedock::{DirectPlacer, DirectRequest, prelude::*};
+use lovagedock::{DirectPlacer, DirectRequest, may_book_team, prelude::*};
 use rand::{RngExt, SeedableRng, seq::SliceRandom};
 use rand_chacha::ChaCha8Rng;
 
@@ -96,18 +96,31 @@
         waiting.retain_mut(|prompt| {
             let request = &mut prompt.request;
             request.objective_left = (prompt.arrived + OBJECTIVE).saturating_sub(now);
-            let waited = (now - prompt.arrived).as_secs_f64();
+            let waited_time = now - prompt.arrived;
+            let waited = waited_time.as_secs_f64();
             let waited = waited / (OBJECTIVE.as_secs_f64() * WAIT_SHARE);
-            let is_last = waited >= 1.0;
-            let choice = placer.place(request, &pool.candidates());
-            let is_served = choice.is_some_and(|choice| match is_last {
-                true => placer.is_worth_starting(request, &choice),
-                false => choice.is_acceptable(request, waited),
+            let is_last = match request.booked {
+                Some(_) => waited_time >= OBJECTIVE,
+                None => waited >= 1.0,
+            };
+            let choice = placer.place(request, &pool.candidates_for(request.booked));
+            let is_served = choice.is_some_and(|choice| {
+                choice.fills_booking(request, waited)
+                    || match waited >= 1.0 {
+                        true => placer.is_worth_starting(request, &choice),
+                        false => choice.is_acceptable(request, waited),
+                    }
             });
             if is_served {
                 pool.place(request).expect("the same choice");
+            } else if request.booked.is_none() && may_book_team(waited_time, OBJECTIVE) {
+                request.booked = pool.book(request, OBJECTIVE);
+            }
+            if let Some(team) = request.booked.filter(|_| is_last && !is_served) {
+                pool.bookings.end(team.key);
             }
             if is_served || is_last {
+                pool.record_length(request, is_served);
                 ended.push(EndedPrompt {
                     prompt: request.prompt,
                     is_served,
--- a/lovagedock/tests/direct_support/mod.rs
+++ b/lovagedock/tests/direct_support/mod.rs
@@ -6,10 +6,15 @@
 use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
 use lovagedock::{
-    DirectChoice, DirectEndpoint, DirectPlacer, DirectRequest, EndpointProcess, EndpointState,
-    EngineProfile, PlacerCandidate, WorkKey, WorkLedger, prelude::*, short_lane_size,
+    BookedTeam, BookingKey, DirectChoice, DirectEndpoint, DirectPlacer, DirectRequest,
+    EndpointProcess, EndpointState, EngineProfile, LengthBand, LengthOutcome, LengthShares,
+    PlacerCandidate, RouteTag, TeamBooking, TeamBookings, WorkKey, WorkLedger, max_kept_endpoints,
+    prelude::*, short_lane_size,
 };
 
+/// Tag of the route of all simulated requests.
+const ROUTE: RouteTag = 1;
+
 /// Profile of an engine like those of our operators.
 pub(crate) const PROFILE: EngineProfile = EngineProfile {
     slots: 16,
@@ -35,6 +40,7 @@
         gap: Some(ms(200)),
         returned: false,
         suspect: false,
+        booked: None,
     }
 }
 
@@ -47,6 +53,7 @@
         gap: Some(ms(800)),
         returned: false,
         suspect: false,
+        booked: None,
     }
 }
 
@@ -55,11 +62,14 @@
 enum PoolEvent {
     Prefilled(WorkKey),
     End(WorkKey),
+    BookingEnd(BookingKey),
 }
 
 /// Engines and the ledger of one gateway.
 pub(crate) struct VirtualPool {
     pub(crate) ledger: WorkLedger,
+    pub(crate) lengths: LengthShares,
+    pub(crate) bookings: TeamBookings,
     pub(crate) endpoints: Vec<DirectEndpoint>,
     events: BinaryHeap<Reverse<(Timestamp, PoolEvent)>>,
     pub(crate) now: Timestamp,
@@ -78,6 +88,8 @@
         });
         Self {
             ledger: WorkLedger::new(),
+            lengths: LengthShares::new(),
+            bookings: TeamBookings::new(),
             endpoints: endpoints.collect(),
             events: BinaryHeap::new(),
             now: Duration::ZERO,
@@ -94,6 +106,7 @@
             match event {
                 PoolEvent::Prefilled(key) => self.ledger.finish_prefill(at, key),
                 PoolEvent::End(key) => self.ledger.finish(at, key),
+                PoolEvent::BookingEnd(key) => self.bookings.end(key),
             }
         }
         self.now = now;
@@ -101,11 +114,17 @@
 
     /// Returns the endpoints with a free slot, as candidates for placement.
     pub(crate) fn candidates(&self) -> Vec<PlacerCandidate<'_>> {
-        let short = self.endpoints.iter();
-        let short = short
-            .map(|endpoint| self.ledger.short_count(&endpoint.process))
-            .sum();
-        let lane = short_lane_size(short, PROFILE.slots, self.endpoints.len());
+        self.candidates_for(None)
+    }
+
+    /// Returns the endpoints with a free slot, as candidates for a request with this booking.
+    pub(crate) fn candidates_for(&self, booked: Option<BookedTeam>) -> Vec<PlacerCandidate<'_>> {
+        let lane = self.short_lane();
+        let max_kept = max_kept_endpoints(self.endpoints.len() - lane);
+        let kept = self
+            .bookings
+            .kept_from(self.now, booked.map(|team| team.key))
+            .min(max_kept);
         let candidates = self
             .endpoints
             .iter()
@@ -115,6 +134,7 @@
                 load: self.ledger.load(self.now, &endpoint.process),
                 rank: position as f64 / self.endpoints.len() as f64,
                 short_lane: position < lane,
+                is_kept: position + kept >= self.endpoints.len(),
                 may_help: true,
                 draw: 0.0,
             });
@@ -123,9 +143,49 @@
             .collect()
     }
 
+    /// Books a team for a long prompt if prompts of its size are owed a start.
+    pub(crate) fn book(
+        &mut self,
+        request: &DirectRequest,
+        objective: Duration,
+    ) -> Option<BookedTeam> {
+        let band = LengthBand::new(request.prompt);
+        let class = self.lengths.size_class(self.now, ROUTE, band);
+        let max_kept = max_kept_endpoints(self.endpoints.len() - self.short_lane());
+        let width = DirectPlacer::new(Some(&PROFILE)).team_width(request.prompt, objective);
+        let booking = TeamBooking {
+            route: ROUTE,
+            class,
+            width: width.min(max_kept),
+            since: self.now,
+            is_waiting: true,
+        };
+        let owed = self.lengths.owed(self.now, ROUTE, class);
+        self.bookings.book(booking, owed)
+    }
+
+    /// Counts a long prompt that was started or refused.
+    pub(crate) fn record_length(&mut self, request: &DirectRequest, is_started: bool) {
+        let outcome = LengthOutcome {
+            route: ROUTE,
+            band: LengthBand::new(request.prompt),
+            is_new: true,
+            is_started,
+        };
+        self.lengths.record(self.now, outcome);
+    }
+
+    fn short_lane(&self) -> usize {
+        let short = self.endpoints.iter();
+        let short = short
+            .map(|endpoint| self.ledger.short_count(&endpoint.process))
+            .sum();
+        short_lane_size(short, PROFILE.slots, self.endpoints.len())
+    }
+
     /// Places a request. Returns `None` if no endpoint can accept it.
     pub(crate) fn place(&mut self, request: &DirectRequest) -> Option<PlacedChoice> {
-        let candidates = self.candidates();
+        let candidates = self.candidates_for(request.booked);
         let placer = DirectPlacer::new(Some(&PROFILE));
         let choice = placer.place(request, &candidates)?;
         let lane = candidates.iter().filter(|c| c.short_lane);
@@ -134,6 +194,11 @@
         let members = works.iter().map(|work| work.endpoint.clone()).collect();
         let prefilled_at = self.now + choice.first_event;
         let decode_time = PROFILE.decode_time(request.answer, ms(60));
+        if let Some(BookedTeam { key, .. }) = request.booked {
+            self.bookings.start(key);
+            self.events
+                .push(Reverse((prefilled_at, PoolEvent::BookingEnd(key))));
+        }
         for (index, work) in works.into_iter().enumerate() {
             let key = self.ledger.place(self.now, work);
             let end = if index == 0 {
