Test that a sidecar of another fleet gets no work, known red

Cause: a session between gateway and sidecar compares the endpoint's name alone, and PeerHello and PeerWelcome name no fleet. Fleets that name their endpoints alike cannot be told apart. Not mended: it needs the name of the fleet in the settings of gateways and sidecars and a field in the schema.

--- a/lovagedock-standin/tests/promises_silence.rs
+++ b/lovagedock-standin/tests/promises_silence.rs
@@ -215,3 +215,26 @@
     assert!(again.is_whole() || told == Some(3004), "{again:?}");
     assert_eq!(service(&fleet).journal.runs().len(), 1);
 }
+
+/// Guards against work that runs in another fleet, whose sidecar has got the address and has the same
+/// name.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_address_of_another_fleet_gets_no_work() {
+    let (mut fleet, mut other) = (start(plan()).await, start(plan()).await);
+    for (known, foreign) in fleet.endpoints.iter_mut().zip(&mut other.endpoints) {
+        for endpoint in [&mut *known, &mut *foreign] {
+            endpoint.daemon.shutdown.trigger();
+            let sidecar = endpoint.sidecar.take().expect("it runs");
+            sidecar.wait().await.expect("it ends");
+        }
+        foreign.settings.gateways.address = known.settings.gateways.address;
+        foreign.daemon = DaemonContext::new(Logger::root(Discard, o!()));
+        let started = Sidecar::start(foreign.settings.clone(), foreign.daemon.clone()).await;
+        foreign.sidecar = Some(started.expect("it starts at the other address"));
+    }
+    let call = Call::whole(PROMPT, TOKENS).with_deadline_ms(3_000);
+    let reply = caller(&fleet, 0).spawn(call).await;
+    let reply = reply.expect("the call is judged");
+    assert_eq!(starts(&other), [].into(), "{reply:?}");
+    assert!(!reply.is_whole(), "{reply:?}");
+}
