--- a/lovagedock-gateway/src/direct/call/log.rs
+++ b/lovagedock-gateway/src/direct/call/log.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use lovagedock::{
-    AttemptEnd, DirectStep, EndEvidence, EndpointProcess, format_fingerprint, prelude::*,
+    AttemptEnd, BookedTeam, DirectStep, EndEvidence, EndpointProcess, format_fingerprint,
+    prelude::*,
 };
 use slog::info;
 
@@ -34,6 +35,20 @@
             "left_out" => left_out);
     }
 
+    pub(super) fn log_booked(&self, team: BookedTeam) {
+        metrics::counter!("lovagedock_booked_teams_total").increment(1);
+        let now = self.state.clock.now();
+        if let Some(left_out) = self.state.log_limiter.admit(now) {
+            info!(self.state.log, "team booked";
+                "request" => &self.parts.head.request,
+                "route" => &self.parts.route.name,
+                "prompt" => self.parts.head.prompt,
+                "endpoints" => team.width,
+                "waited_ms" => now.saturating_sub(self.parts.arrived).as_millis() as u64,
+                "left_out" => left_out);
+        }
+    }
+
     pub(super) fn log_refused(&self, reason: &'static str) {
         let now = self.state.clock.now();
         let Some(left_out) = self.state.log_limiter.admit(now) else {
@@ -57,6 +72,7 @@
             "prefilling" => pool.prefilling,
             "waiting" => pool.waiting,
             "lost_claims" => self.lost_claims,
+            "booked" => self.booking.as_ref().map(|booking| booking.team().width),
             "idle" => self.rejected.map(|choice| choice.idle),
             "best_team" => self.rejected.map(|choice| choice.team),
             "best_first_event_ms" =>
--- a/lovagedock-gateway/src/direct/call/placement.rs
+++ b/lovagedock-gateway/src/direct/call/placement.rs
@@ -104,6 +104,9 @@
                     &self.parts.route,
                     self.parts.head.prompt,
                 );
+                if let Some(booking) = &self.booking {
+                    self.log_booked(booking.team());
+                }
             }
             let until = match &queued {
                 Some(entry) => wait_end(entry),
