--- a/lovagedock/src/direct/choice.rs
+++ b/lovagedock/src/direct/choice.rs
@@ -146,7 +146,7 @@
     pub rank: f64,
     /// Whether the endpoint is reserved for short prompts.
     pub short_lane: bool,
-    /// Whether the endpoint is kept for long prompts that have booked a team.
+    /// Whether the endpoint is kept from this request for booked teams of other long prompts.
     pub is_kept: bool,
     /// Whether the endpoint may prefill parts of prompts whose responses another endpoint
     /// generates.
--- a/lovagedock/src/direct/length_shares.rs
+++ b/lovagedock/src/direct/length_shares.rs
@@ -108,7 +108,7 @@
     }
 
     /// Returns the size class of a prompt: the band of its length, or a shorter one if fewer than
-    /// [`MIN_CLASS_SHARE`] of the prompts of its route are as long.
+    /// a tenth of the prompts of its route are as long.
     pub fn size_class(&self, now: Timestamp, route: RouteTag, band: LengthBand) -> LengthBand {
         let counts = self.counts_of(now, route);
         let asked: f64 = counts.iter().map(|(_, count)| count.asked).sum();
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -3,7 +3,8 @@
 //! [`TrafficConfig`] is the configuration that operators declare. [`EndpointTable`] holds the known
 //! endpoints, and [`WorkLedger`] the work that all gateways have placed on them. [`DirectPlacer`]
 //! chooses endpoints by the [`EngineProfile`]. [`WaitingQueue`] decides which requests may wait,
-//! and [`DirectMachine`] what follows each attempt. [`SuspectLedger`] finds requests that crash the
+//! and [`DirectMachine`] what follows each attempt. [`LengthShares`] tells which sizes of long prompts
+//! are started too seldom, and [`TeamBookings`] how many endpoints are kept for them. [`SuspectLedger`] finds requests that crash the
 //! engines that run them. [`EndpointListing`] decides which endpoint list is valid while the store
 //! is unreachable or restored from an older copy, [`DomainDrains`] to which failure domains nothing
 //! is sent, and [`ColdEndpoints`] which endpoints tolerate only a low rate. [`DomainRelays`] decides
