Log the parts of prompts under which processes end

The logs of the incident can't tell which parts a request has, nor whether a request with the same part was answered, so the hypotheses can't be told apart. The parts are read from the header that lists them, without the last one, which belongs to the request itself, and are written with `a process ended under a request` and `request ended`; the former also says how long ago the request was sent there. No decision reads them yet.

--- a/lovagedock-gateway/src/direct/call/log.rs
+++ b/lovagedock-gateway/src/direct/call/log.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use lovagedock::{
-    AttemptEnd, BookedTeam, DirectStep, EndEvidence, EndpointProcess, format_fingerprint,
-    prelude::*,
+    AttemptEnd, BookedTeam, DirectStep, EndEvidence, EndpointProcess, PromptPart,
+    format_fingerprint, format_part, prelude::*,
 };
 use slog::info;
 
@@ -96,7 +96,9 @@
             info!(self.state.log, "a process ended under a request";
                 "request" => &self.parts.head.request,
                 "fingerprint" => format_fingerprint(self.fingerprint),
+                "parts" => part_names(&self.parts.head.parts),
                 "endpoint" => %process, "evidence" => ?evidence,
+                "sent_ms" => self.sent_at.elapsed().as_millis() as u64,
                 "streamed_ms" => self.stream.attempt_stream_time().as_millis() as u64,
                 "left_out" => left_out);
         }
@@ -168,6 +170,7 @@
                 "fingerprint" => format_fingerprint(self.fingerprint),
                 "route" => &self.parts.route.name,
                 "prompt" => self.parts.head.prompt,
+                "parts" => part_names(&self.parts.head.parts),
                 "code" => code.number(),
                 "ran" => self.machine.ran().as_str(),
                 "sent" => self.machine.sent_count(),
@@ -187,6 +190,12 @@
     }
 }
 
+/// Returns the parts of a prompt for the log.
+pub(super) fn part_names(parts: &[PromptPart]) -> String {
+    let names = parts.iter().map(|part| format_part(*part));
+    names.collect::<Vec<_>>().join(",")
+}
+
 /// Returns the names of a request's helpers for the log.
 fn helper_names(placed: &PlacedRequest) -> String {
     let names = placed
--- a/lovagedock-gateway/src/direct/dialect.rs
+++ b/lovagedock-gateway/src/direct/dialect.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use hyper::HeaderMap;
-use lovagedock::{AdvertisedLimit, RetryAfter, prelude::*};
+use lovagedock::{AdvertisedLimit, PromptParts, RetryAfter, prelude::*};
 
 /// Reads and writes the headers of one platform.
 pub trait HttpDialect: Send + Sync {
@@ -78,6 +78,8 @@
     pub answer_hint: Option<TokenCount>,
     /// Id of the last event of the stream that the caller already has.
     pub resume_after: Option<String>,
+    /// Parts of the prompt that other prompts may share.
+    pub parts: PromptParts,
 }
 
 /// Expected length of an answer, in tokens, if the caller sends neither a hint nor a limit.
--- a/lovagedock-gateway/tests/direct_support/dialect.rs
+++ b/lovagedock-gateway/tests/direct_support/dialect.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hyper::{HeaderMap, header::HeaderValue};
-use lovagedock::{AdvertisedLimit, RetryAfter, prelude::*};
+use lovagedock::{AdvertisedLimit, PromptParts, RetryAfter, prelude::*};
 use lovagedock_gateway::{
     CallerHead, CommandRequest, EndpointHead, HttpDialect, MemoryCommand, OutgoingHead,
 };
@@ -16,6 +16,16 @@
     Some(value.to_owned())
 }
 
+/// Returns the comma-separated decimal parts without the last one.
+fn shared_parts(headers: &HeaderMap) -> PromptParts {
+    let parts = text(headers, "x-parts").unwrap_or_default();
+    let parts = parts.rsplit_once(',').map_or("", |(shared, _)| shared);
+    parts
+        .split(',')
+        .filter_map(|part| part.parse().ok())
+        .collect()
+}
+
 impl HttpDialect for TestDialect {
     fn read_caller(&self, headers: &HeaderMap) -> CallerHead {
         let number = |name| text(headers, name).and_then(|value| value.parse().ok());
@@ -27,6 +37,7 @@
             answer_limit: number("x-answer-limit"),
             answer_hint: number("x-answer-hint"),
             resume_after: None,
+            parts: shared_parts(headers),
         }
     }
 
