Test that a part of prompts that crashes engines is quarantined, known red

Three gateways, eight hosts, 25 requests no two of which are alike and that share one part, beside sound requests that share another part of it: 19 processes end where 6 may. Evidence is kept by the fingerprint of the whole request, so no request has more than two ends.

--- a/lovagedock-gateway/tests/direct_support/caller.rs
+++ b/lovagedock-gateway/tests/direct_support/caller.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use lovagedock::PromptPart;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -81,6 +82,19 @@
     read_response(stream).await
 }
 
+/// Sends a request with these parts of its prompt, in addition to its own part.
+pub(crate) async fn call_with_parts(
+    gateway: SocketAddr,
+    path: &str,
+    id: &str,
+    parts: &[PromptPart],
+) -> CallerResponse {
+    let parts: String = parts.iter().map(|part| format!("{part},")).collect();
+    let header = format!("x-parts: {parts}{id}\r\n");
+    let stream = open_call_with(gateway, path, id, "secret", &header).await;
+    read_response(stream).await
+}
+
 /// Reads until the connection ends, normally or with an error.
 pub(crate) async fn read_response(mut stream: TcpStream) -> CallerResponse {
     let mut bytes = Vec::new();
