--- a/lovagedock-gateway/src/direct/call/log.rs
+++ b/lovagedock-gateway/src/direct/call/log.rs
@@ -49,6 +49,17 @@
         }
     }
 
+    /// Logs that a doubtful request is sent to find out whether its parts end engines, or is not
+    /// because a peer sends one.
+    pub(super) fn log_trial(&self, endpoint: &EndpointProcess, is_sent: bool) {
+        if let Some(left_out) = self.state.log_limiter.admit(self.state.clock.now()) {
+            info!(self.state.log, "trial of doubtful parts";
+                "request" => &self.parts.head.request,
+                "parts" => part_names(&self.parts.head.parts),
+                "endpoint" => %endpoint, "sent" => is_sent, "left_out" => left_out);
+        }
+    }
+
     pub(super) fn log_refused(&self, reason: &'static str) {
         let now = self.state.clock.now();
         let Some(left_out) = self.state.log_limiter.admit(now) else {
@@ -60,6 +71,7 @@
             "route" => &self.parts.route.name,
             "reason" => reason,
             "line" => ?self.queue,
+            "parts" => part_names(&self.parts.head.parts),
             "prompt" => self.parts.head.prompt,
             "waited_ms" => now.saturating_sub(self.parts.arrived).as_millis() as u64,
             "objective_ms" => self.parts.route.objective.as_millis() as u64,
@@ -191,7 +203,7 @@
 }
 
 /// Returns the parts of a prompt for the log.
-pub(super) fn part_names(parts: &[PromptPart]) -> String {
+fn part_names(parts: &[PromptPart]) -> String {
     let names = parts.iter().map(|part| format_part(*part));
     names.collect::<Vec<_>>().join(",")
 }
--- a/lovagedock-gateway/src/direct/call/mod.rs
+++ b/lovagedock-gateway/src/direct/call/mod.rs
@@ -12,7 +12,8 @@
 use hyper::{Request, StatusCode};
 use lovagedock::{
     AttemptEnd, DirectEndpoint, DirectMachine, DirectPlacer, DirectStep, EndpointProcess,
-    LengthBand, LengthOutcome, OutlierEvent, QueueKind, RequestFingerprint, prelude::*, route_tag,
+    LengthBand, LengthOutcome, OutlierEvent, PartVerdict, QueueKind, RequestFingerprint,
+    prelude::*, route_tag,
 };
 use tokio::time::Instant;
 
@@ -84,6 +85,8 @@
     booking: Option<BookingGuard>,
     /// Whether the request was counted by its length.
     is_counted: bool,
+    /// Whether the request is sent to find out whether its parts end engines.
+    has_trial: bool,
 }
 
 impl DirectCall {
@@ -126,6 +129,7 @@
             lost_claims: 0,
             booking: None,
             is_counted: false,
+            has_trial: false,
         }
     }
 
@@ -183,7 +187,10 @@
                     self.machine.grant_extra_attempt();
                 }
             }
-            AttemptEnd::Complete => self.state.record_served(self.fingerprint),
+            AttemptEnd::Complete => {
+                self.state.record_served(self.fingerprint);
+                self.state.record_answered(&self.parts.head.parts);
+            }
             _ => {}
         }
         let now = self.state.clock.now();
@@ -195,10 +202,8 @@
         }
         let state = Arc::clone(&self.state);
         let service = self.parts.service.clone();
-        let fingerprint = self.fingerprint;
-        let retry = move || {
-            state.quarantined_for(fingerprint).is_none() && state.try_consume_retry(&service)
-        };
+        let is_quarantined = self.quarantined_for().is_some();
+        let retry = move || !is_quarantined && state.try_consume_retry(&service);
         let step = self.machine.attempt_ended(now, &endpoint, end, retry);
         self.log_attempt_end(&endpoint, end, step);
         step
@@ -213,7 +218,8 @@
             self.parts.service.clone(),
             placed.lead.clone(),
             self.fingerprint,
-        );
+        )
+        .with_parts(self.parts.head.parts.clone());
         let reservations = match self.reserve(&placed, &watch).await {
             Ok(reservations) => reservations,
             Err(error) => {
@@ -234,6 +240,9 @@
                 .increment(1);
             return Some(AttemptEnd::Withheld);
         }
+        if self.quarantined_for().is_some() {
+            return Some(AttemptEnd::Withheld);
+        }
         self.machine.begin_sending();
         self.sent_at = Instant::now();
         let sent_at = self.state.clock.now();
@@ -498,7 +507,7 @@
         endpoint: &EndpointProcess,
         event: impl FnOnce(EndpointId) -> OutlierEvent,
     ) {
-        if self.state.quarantined_for(self.fingerprint).is_some() {
+        if self.quarantined_for().is_some() {
             // The gateway cancelled the request because of its quarantine, or the request crashes
             // every engine that runs it. Neither is the endpoint's fault.
             return;
@@ -507,6 +516,22 @@
             .record_outlier_event(&self.parts.service, endpoint, event);
     }
 
+    /// Returns how much longer the request must not be sent to engines, as a whole or because of a
+    /// part of its prompt.
+    fn quarantined_for(&self) -> Option<Duration> {
+        let by_part = match self.state.part_verdict(&self.parts.head.parts) {
+            PartVerdict::Quarantined(remaining) => Some(remaining),
+            PartVerdict::Clear | PartVerdict::Suspect | PartVerdict::Doubtful => None,
+        };
+        self.state.quarantined_for(self.fingerprint).max(by_part)
+    }
+
+    /// Returns whether processes ended under the request or under a part of its prompt.
+    fn is_suspect(&self) -> bool {
+        self.state.is_suspect(self.fingerprint)
+            || self.state.part_verdict(&self.parts.head.parts) != PartVerdict::Clear
+    }
+
     fn instant(&self, at: Timestamp) -> Instant {
         self.state.clock.instant_at(at).into()
     }
--- a/lovagedock-gateway/src/direct/call/placement.rs
+++ b/lovagedock-gateway/src/direct/call/placement.rs
@@ -3,11 +3,12 @@
 use std::{sync::Arc, time::Duration};
 
 use lovagedock::{
-    DirectRequest, DirectStep, QueueDecision, QueueKind, RELAXED_GAP, may_book_team, prelude::*,
+    DirectRequest, DirectStep, PartVerdict, QueueDecision, QueueKind, RELAXED_GAP, may_book_team,
+    prelude::*,
 };
 use tokio::time::{sleep, sleep_until, timeout};
 
-use super::DirectCall;
+use super::{DirectCall, FIRST_EVENT_SLACK};
 use crate::direct::state::{
     BookingGuard, GatewayState, PlacedRequest, PlacementResult, PlacementThreshold,
 };
@@ -33,6 +34,11 @@
 /// within 10 ms.
 const SUSPECTS_READ_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Minimum time for which a doubtful request waits for the trial of another one, which takes about
+/// as long as a first event, and retry delay if the trial is not decided by then.
+const MIN_TRIAL_WAIT: Duration = Duration::from_secs(1);
+const TRIAL_RETRY_DELAY: Duration = Duration::from_secs(1);
+
 impl DirectCall {
     /// Waits until the request is placed or has to be refused.
     pub(super) async fn wait_for_placement(&mut self) -> Result<PlacedRequest, DirectStep> {
@@ -55,11 +61,23 @@
                 self.log_refused("the gateway stops");
                 return Err(DirectStep::Answer(self.machine.stopped_code()));
             }
-            if let Some(remaining) = self.state.quarantined_for(self.fingerprint) {
+            if let Some(remaining) = self.quarantined_for() {
                 self.retry_after = Some(remaining);
                 self.log_refused("engines end under it");
                 return Err(self.machine.quarantined_step(now));
             }
+            if !self.holds_trial() && self.state.awaits_trial(&self.parts.head.parts) {
+                if let Some(entry) = queued.as_mut() {
+                    entry.step_aside();
+                }
+                if now >= self.trial_wait_end() {
+                    self.retry_after = Some(TRIAL_RETRY_DELAY);
+                    self.log_refused("engines end under some of its parts");
+                    return Err(self.machine.quarantined_step(now));
+                }
+                sleep(MAX_SEARCH_INTERVAL).await;
+                continue;
+            }
             let is_booked = self.booking.is_some();
             if let Some(entry) = queued.as_mut().filter(|_| is_booked) {
                 entry.step_aside();
@@ -77,6 +95,9 @@
                     .map_or(0.0, |entry| entry.waited_fraction(now));
                 match self.search_placement(now, self.placement_threshold(waited_fraction)) {
                     PlacementResult::Placed(placed) => {
+                        if !self.confirm_trial(&placed).await {
+                            continue;
+                        }
                         if self.confirm_claims(&placed).await {
                             return Ok(*placed);
                         }
@@ -164,12 +185,39 @@
         is_confirmed
     }
 
+    /// Returns whether a placed request may be sent in view of the parts of its prompt. A doubtful
+    /// one may if no other gateway starts a trial of the same parts at the same moment.
+    async fn confirm_trial(&mut self, placed: &PlacedRequest) -> bool {
+        let parts = &self.parts.head.parts;
+        if self.state.part_verdict(parts) != PartVerdict::Doubtful || self.holds_trial() {
+            return true;
+        }
+        let time = placed.first_event_delay * 2 + FIRST_EVENT_SLACK;
+        if !self.state.try_start_trial(parts, time) {
+            return false;
+        }
+        sleep(self.state.trial_claim_time()).await;
+        self.has_trial = self.state.holds_trial(parts);
+        self.log_trial(&placed.lead.process, self.has_trial);
+        self.has_trial
+    }
+
+    fn holds_trial(&self) -> bool {
+        self.has_trial && self.state.holds_trial(&self.parts.head.parts)
+    }
+
+    /// Returns until when a doubtful request waits for the trial of another one.
+    fn trial_wait_end(&self) -> Timestamp {
+        let wait_end = self.late_at.max(self.parts.arrived + MIN_TRIAL_WAIT);
+        wait_end.min(self.deadline)
+    }
+
     /// Waits for a read of the suspects that silent peers have written to the store, before a
     /// request under which a process ended is sent again.
     ///
     /// Otherwise each gateway that cannot reach the others would lose three engines to the request.
     async fn wait_for_suspects_read(&self) {
-        if !self.state.is_suspect(self.fingerprint) || !self.state.has_silent_peers() {
+        if !self.is_suspect() || !self.state.has_silent_peers() {
             return;
         }
         let mut read = std::pin::pin!(self.state.suspects_read.notified());
@@ -214,7 +262,7 @@
                 false => gap,
             },
             returned: is_return && self.machine.sent_count() == 0,
-            suspect: self.state.is_suspect(self.fingerprint),
+            suspect: self.is_suspect(),
             booked: self.booking.as_ref().map(BookingGuard::team),
         };
         self.state.place(
--- a/lovagedock-gateway/src/direct/call/process_end.rs
+++ b/lovagedock-gateway/src/direct/call/process_end.rs
@@ -1,6 +1,8 @@
 //! Distinguishes an engine whose process ended from one whose connection broke.
 
-use lovagedock::{DirectEndpoint, EndEvidence};
+use std::time::Duration;
+
+use lovagedock::{DirectEndpoint, EndEvidence, PartEnd, ProcessEnd};
 
 use super::DirectCall;
 use crate::direct::liveness::{ProcessState, probe_process};
@@ -39,6 +41,18 @@
         self.log_process_end(&endpoint.process, evidence);
         self.state
             .record_process_end(self.fingerprint, &endpoint.process, evidence);
+        if self.stream.is_answering() {
+            // A part that ends processes does so before they answer.
+            return;
+        }
+        let end = PartEnd {
+            process: ProcessEnd::new(&endpoint.process, evidence).process,
+            request: self.fingerprint,
+            evidence,
+            ran_for: self.sent_at.elapsed(),
+            age: Duration::ZERO,
+        };
+        self.state.record_part_end(&self.parts.head.parts, end);
     }
 
     async fn probe_process(&self, endpoint: &DirectEndpoint) -> ProcessState {
--- a/lovagedock-gateway/src/direct/delivery.rs
+++ b/lovagedock-gateway/src/direct/delivery.rs
@@ -91,6 +91,8 @@
     longest_gap: Duration,
     /// When the first event of the current attempt arrived.
     attempt_first_event_at: Option<Instant>,
+    /// Whether the current attempt has sent two events.
+    is_answering: bool,
 }
 
 /// Result of reading from a stream.
@@ -136,12 +138,20 @@
             last_event_at: None,
             longest_gap: Duration::ZERO,
             attempt_first_event_at: None,
+            is_answering: false,
         }
     }
 
     /// Resets the state of the previous attempt.
     pub(crate) fn begin_attempt(&mut self) {
         self.attempt_first_event_at = None;
+        self.is_answering = false;
+    }
+
+    /// Returns whether the endpoint went on after the first event of the current attempt. An engine
+    /// that the request ends may send one event before.
+    pub(crate) fn is_answering(&self) -> bool {
+        self.is_answering
     }
 
     /// Returns the time since the first event of the current attempt.
@@ -194,7 +204,7 @@
             let piece = tokio::select! {
                 biased;
                 piece = next_piece(&mut body) => piece,
-                () = watch.wait_until_unresponsive(until, limit) => StreamPiece::Broken,
+                () = self.wait_until_unresponsive(watch, until, limit) => StreamPiece::Broken,
             };
             match piece {
                 StreamPiece::Bytes(bytes) => {
@@ -210,6 +220,9 @@
                 let now = Instant::now();
                 if let Some(before) = read_at.replace(now) {
                     watch.record_event_gap(now - before);
+                    if !std::mem::replace(&mut self.is_answering, true) {
+                        watch.record_answering();
+                    }
                 }
                 self.attempt_first_event_at.get_or_insert(now);
                 on_event(self.first_event_at.unwrap_or(now), self.longest_gap);
@@ -239,6 +252,13 @@
         }
     }
 
+    async fn wait_until_unresponsive(&self, watch: &LivenessWatch, until: Instant, limit: Instant) {
+        match self.is_answering {
+            true => watch.wait_while_answering(until, limit).await,
+            false => watch.wait_until_unresponsive(until, limit).await,
+        }
+    }
+
     fn record_delivery(&mut self, now: Instant) {
         self.first_event_at.get_or_insert(now);
         if let Some(last) = self.last_event_at.replace(now) {
--- a/lovagedock-gateway/src/direct/gateway.rs
+++ b/lovagedock-gateway/src/direct/gateway.rs
@@ -4,7 +4,7 @@
 
 use async_trait::async_trait;
 use error_stack::{Report, ResultExt};
-use lovagedock::format_fingerprint;
+use lovagedock::{format_fingerprint, format_part};
 use lovagedock_daemon::{AdminHandler, AdminServer, DaemonContext, load_checked_settings};
 use lovagedock_platform::{FeedSubject, FleetFeed, GatewayEntry};
 use serde_json::{Value, json};
@@ -223,6 +223,11 @@
                 "ended_processes": report.ends.len(),
                 "quarantined_for_s": report.quarantined_for.as_secs(),
             })).collect::<Vec<_>>(),
+            "suspect_parts": self.0.part_reports().iter().map(|report| json!({
+                "part": format_part(report.part),
+                "ended_processes": report.ends.len(),
+                "quarantined_for_s": report.quarantined_for.as_secs(),
+            })).collect::<Vec<_>>(),
         })
     }
 }
--- a/lovagedock-gateway/src/direct/liveness.rs
+++ b/lovagedock-gateway/src/direct/liveness.rs
@@ -2,7 +2,9 @@
 
 use std::{io::ErrorKind, net::SocketAddr, sync::Arc, time::Duration};
 
-use lovagedock::{DirectEndpoint, EndpointProcess, RequestFingerprint, prelude::*};
+use lovagedock::{
+    DirectEndpoint, EndpointProcess, PartVerdict, PromptParts, RequestFingerprint, prelude::*,
+};
 use tokio::{
     net::TcpStream,
     time::{Instant, sleep_until, timeout},
@@ -53,6 +55,7 @@
     endpoint: EndpointProcess,
     address: SocketAddr,
     fingerprint: RequestFingerprint,
+    parts: PromptParts,
 }
 
 impl LivenessWatch {
@@ -69,9 +72,21 @@
             endpoint: endpoint.process,
             address: endpoint.address,
             fingerprint,
+            parts: PromptParts::new(),
         }
     }
 
+    /// Sets the parts of the request's prompt.
+    pub(crate) fn with_parts(mut self, parts: PromptParts) -> Self {
+        self.parts = parts;
+        self
+    }
+
+    /// Records that the endpoint writes the response, so that the parts do not end it.
+    pub(crate) fn record_answering(&self) {
+        self.state.record_answered(&self.parts);
+    }
+
     /// Records that the endpoint sent something.
     pub(crate) fn record_activity(&self) {
         self.state.record_activity(&self.service, &self.endpoint);
@@ -100,11 +115,27 @@
         }
     }
 
+    /// Waits like [`wait_until_unresponsive`](Self::wait_until_unresponsive) for an endpoint that
+    /// writes the response. A part that is put into quarantine meanwhile does not concern it.
+    pub(crate) async fn wait_while_answering(&self, recheck_at: Instant, limit: Instant) {
+        let answering = Self {
+            parts: PromptParts::new(),
+            ..self.clone()
+        };
+        answering.wait_until_unresponsive(recheck_at, limit).await;
+    }
+
+    fn is_quarantined(&self) -> bool {
+        let verdict = self.state.part_verdict(&self.parts);
+        self.state.quarantined_for(self.fingerprint).is_some()
+            || matches!(verdict, PartVerdict::Quarantined(_))
+    }
+
     async fn wait_until_quarantined(&self) {
         loop {
             let mut quarantined = std::pin::pin!(self.state.request_quarantined());
             quarantined.as_mut().enable();
-            if self.state.quarantined_for(self.fingerprint).is_some() {
+            if self.is_quarantined() {
                 return;
             }
             quarantined.await;
--- a/lovagedock-gateway/src/direct/peer_message.rs
+++ b/lovagedock-gateway/src/direct/peer_message.rs
@@ -4,8 +4,8 @@
 
 use lovagedock::{
     DrainSnapshot, EndpointProcess, HostCapacity, LengthBand, LengthOutcome, ListingDelta,
-    ListingVersion, PeerLoad, RateUpdate, RequestFingerprint, RouteTag, SuspectUpdate, TeamBooking,
-    WriterGroup, prelude::*,
+    ListingVersion, PartUpdate, PeerLoad, RateUpdate, RequestFingerprint, RouteTag, SuspectUpdate,
+    TeamBooking, WriterGroup, prelude::*,
 };
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
@@ -14,7 +14,7 @@
 
 /// Version of the protocol between gateways, for datagrams and pulls. Messages of other versions
 /// are rejected.
-pub(super) const PROTOCOL_VERSION: u16 = 8;
+pub(super) const PROTOCOL_VERSION: u16 = 9;
 
 /// Precedes each message, so that the receiver can tell whether it can decode the rest.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -164,6 +164,8 @@
     pub(super) lengths: Vec<LengthEntry>,
     /// Endpoints that the sender has booked for long prompts.
     pub(super) bookings: Vec<BookingEntry>,
+    /// Evidence against parts of prompts that crash engines.
+    pub(super) parts: Vec<PartUpdate>,
 }
 
 impl PeerMessage {
@@ -176,7 +178,8 @@
             && self.cold_limits.is_empty()
             && self.leaving.is_empty()
             && self.lengths.is_empty()
-            && self.bookings.is_empty())
+            && self.bookings.is_empty()
+            && self.parts.is_empty())
     }
 }
 
--- a/lovagedock-gateway/src/direct/peers.rs
+++ b/lovagedock-gateway/src/direct/peers.rs
@@ -11,8 +11,9 @@
 };
 
 use lovagedock::{
-    EndpointProcess, ListingDelta, ListingVersion, LoadUpdates, MessageOrder, PeerSequences,
-    RateUpdate, RequestFingerprint, SendPlan, SuspectQueue, SuspectUpdate, prelude::*,
+    EndpointProcess, ListingDelta, ListingVersion, LoadUpdates, MessageOrder, PartUpdate,
+    PeerSequences, RateUpdate, RequestFingerprint, SendPlan, SuspectQueue, SuspectUpdate,
+    prelude::*,
 };
 use lovagedock_platform::GatewayEntry;
 use parking_lot::Mutex;
@@ -71,6 +72,7 @@
     cold_limits: Vec<RateUpdate>,
     leaving: Vec<EndpointProcess>,
     lengths: Vec<LengthEntry>,
+    parts: Vec<PartUpdate>,
 }
 
 impl PeerNotices {
@@ -81,6 +83,7 @@
             && self.cold_limits.is_empty()
             && self.leaving.is_empty()
             && self.lengths.is_empty()
+            && self.parts.is_empty()
     }
 }
 
@@ -170,6 +173,7 @@
             let notices = PeerNotices {
                 refused: self.state.take_unsent_refusals(),
                 suspects: self.state.take_suspect_updates(&mut suspect_queue),
+                parts: self.state.take_part_updates(),
                 limits: self.state.take_rate_updates(),
                 cold_limits: self.state.take_cold_updates(),
                 leaving: self.state.take_leaving_notices(),
@@ -383,6 +387,7 @@
                 cold_limits: std::mem::take(&mut notices.cold_limits),
                 lengths: std::mem::take(&mut notices.lengths),
                 bookings: bookings.clone(),
+                parts: std::mem::take(&mut notices.parts),
             };
             write_message(&message).ok()
         });
@@ -542,6 +547,7 @@
         self.state
             .apply_peer_loads(&message.gateway, loads, message.refused);
         self.state.apply_peer_suspects(message.suspects);
+        self.state.apply_peer_parts(message.parts);
         self.state
             .apply_peer_limits(&message.gateway, message.limits);
         self.state
--- a/lovagedock-gateway/src/direct/state/fleet_state.rs
+++ b/lovagedock-gateway/src/direct/state/fleet_state.rs
@@ -9,10 +9,10 @@
     BookedTeam, ColdAllowance, ColdEndpoints, ColdProfile, DirectEndpoint, DomainDrains,
     DomainRelays, EndpointBackoffs, EndpointListing, EndpointProcess, EndpointTable, EntryChange,
     LeavingQueue, LengthOutcome, LengthShares, ListingLog, OutlierAction, OutlierDetector,
-    OutlierEvent, OutlierSettings, PauseDetector, PeerLiveness, PlacerCandidate, QueueKind,
-    RateLimits, RateVerdict, RefusalLog, RetryShare, RetryShareSettings, SlowdownTracker,
-    SuspectLedger, TeamBookings, WaitingQueue, WatcherSelection, WorkLedger, max_kept_endpoints,
-    prelude::*, short_lane_size,
+    OutlierEvent, OutlierSettings, PartLedger, PauseDetector, PeerLiveness, PlacerCandidate,
+    QueueKind, RateLimits, RateVerdict, RefusalLog, RetryShare, RetryShareSettings,
+    SlowdownTracker, SuspectLedger, TeamBookings, WaitingQueue, WatcherSelection, WorkLedger,
+    max_kept_endpoints, prelude::*, short_lane_size,
 };
 use lovagedock_platform::GatewayEntry;
 use slog::{Logger, info};
@@ -51,6 +51,7 @@
     pub(super) retries: RetryShareSettings,
     pub(super) refusals: RefusalLog,
     pub(super) suspects: SuspectLedger,
+    pub(super) parts: PartLedger,
     pub(super) peer_liveness: PeerLiveness,
     pub(super) watcher_selection: WatcherSelection,
     pub(super) pause_detector: PauseDetector,
--- a/lovagedock-gateway/src/direct/state/mod.rs
+++ b/lovagedock-gateway/src/direct/state/mod.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod listing;
 mod notices;
+mod parts;
 mod peers;
 mod placement;
 mod suspects;
@@ -24,7 +25,7 @@
 use lovagedock::{
     ColdAllowance, ColdEndpoints, DomainDrains, DomainRelays, EndpointBackoffs, EndpointListing,
     EndpointProcess, EndpointTable, LeavingQueue, LengthShares, ListingLog, OutlierEvent,
-    PauseDetector, PeerLiveness, QueueKind, RateLimits, RefusalLog, RelayCandidate,
+    PartLedger, PauseDetector, PeerLiveness, QueueKind, RateLimits, RefusalLog, RelayCandidate,
     RequestFingerprint, RetryShareSettings, SlowdownTracker, StopPlan, SuspectLedger, TeamBookings,
     TrafficConfig, WaitingQueue, WatcherSelection, WorkLedger, prelude::*,
 };
@@ -35,6 +36,7 @@
     sync::{Notify, futures::Notified, watch},
     time::{sleep, sleep_until},
 };
+use xxhash_rust::xxh3::xxh3_64;
 
 use self::fleet_state::FleetState;
 use super::{fleet_tag::FleetTag, log_limiter::LogLimiter};
@@ -134,6 +136,7 @@
         let rate_limits = RateLimits::new(name.clone());
         let cold_limits = RateLimits::new(name.clone()).with_claim_time(COLD_CLAIM_TIME);
         let candidate = relays.candidate().clone();
+        let part_rank = xxh3_64(name.as_bytes());
         Self {
             name,
             candidate,
@@ -155,6 +158,7 @@
                 retries,
                 refusals: RefusalLog::new(),
                 suspects: SuspectLedger::new(),
+                parts: PartLedger::new().with_rank(part_rank),
                 peer_liveness: PeerLiveness::new(),
                 watcher_selection: WatcherSelection::new(),
                 pause_detector: PauseDetector::new(),
@@ -387,6 +391,7 @@
         let ended_backoffs = fleet.backoffs.take_ended(now);
         fleet.ledger.forget_unlisted(now);
         fleet.suspects.forget_old(now);
+        fleet.parts.forget_old(now);
         let applied = fleet.endpoints.apply_deferred(now);
         for (endpoint, change) in &applied {
             fleet.apply_change(now, &endpoint.service, endpoint.process.id.clone(), change);
--- a/lovagedock-gateway/src/direct/state/peers.rs
+++ b/lovagedock-gateway/src/direct/state/peers.rs
@@ -60,6 +60,7 @@
         fleet
             .peer_liveness
             .record_listed(self.clock.now(), &gateway.name);
+        fleet.parts.resend_quarantines();
         drop(fleet);
         self.announce_pending.store(true, Ordering::Relaxed);
         self.urgent_update.notify_one();
@@ -272,5 +273,6 @@
         fleet.bookings.forget_peer(peer);
         fleet.rate_limits.forget_peer(now, peer);
         fleet.cold_limits.forget_peer(now, peer);
+        fleet.parts.resend_quarantines();
     }
 }
--- a/lovagedock-gateway/src/direct/state/suspects.rs
+++ b/lovagedock-gateway/src/direct/state/suspects.rs
@@ -23,7 +23,7 @@
 }
 
 impl QuarantineSource {
-    fn as_str(self) -> &'static str {
+    pub(super) fn as_str(self) -> &'static str {
         match self {
             Self::Own => "own",
             Self::Peer => "peer",
--- a/lovagedock-gateway/src/direct/suspect_sync.rs
+++ b/lovagedock-gateway/src/direct/suspect_sync.rs
@@ -5,7 +5,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use lovagedock::{SuspectReport, prelude::*};
+use lovagedock::{PartReport, SuspectReport, prelude::*};
 use lovagedock_platform::{FeedChange, FeedError, FeedSubject, FleetFeed, SuspectSheet};
 use slog::{info, warn};
 use tokio::time::{sleep, timeout};
@@ -37,6 +37,7 @@
     state: Arc<GatewayState>,
     feed: Arc<dyn FleetFeed>,
     stored: Vec<SuspectReport>,
+    stored_parts: Vec<PartReport>,
     /// Era of the store to which the reports were written, if any were.
     stored_era: Option<StoreEra>,
     is_failing: bool,
@@ -50,6 +51,7 @@
             state,
             feed,
             stored: Vec::new(),
+            stored_parts: Vec::new(),
             stored_era: None,
             is_failing: false,
             backoff: MIN_BACKOFF,
@@ -125,28 +127,39 @@
         });
         self.state
             .restore_suspects(&sheet.gateway, reports.collect());
+        let parts = sheet.parts.into_iter().filter_map(|report| {
+            let quarantined_for = report.quarantined_for.saturating_sub(age);
+            let is_kept = age < EVIDENCE_RETENTION || !quarantined_for.is_zero();
+            is_kept.then(|| report.with_age(age))
+        });
+        self.state.restore_parts(&sheet.gateway, parts.collect());
     }
 
     async fn write_sheet(&mut self) -> bool {
         let reports = self.state.suspect_reports();
+        let parts = self.state.part_reports();
         // A store that was restored from an earlier copy lacks the sheet or has an outdated one.
         let is_lost = self
             .stored_era
             .is_some_and(|era| era < self.state.store_era());
-        if are_equal_except_times(&reports, &self.stored) && !is_lost {
+        let is_stored = are_equal_except_times(&reports, &self.stored)
+            && are_parts_equal(&parts, &self.stored_parts);
+        if is_stored && !is_lost {
             return true;
         }
         let sheet = SuspectSheet {
             gateway: self.state.name.clone(),
             written_at: unix_time(),
             reports: reports.clone(),
+            parts: parts.clone(),
         };
         match self.feed.store_suspects(&sheet).await {
             Ok(era) => {
-                info!(self.state.log, "suspects kept in the store"; "requests" => reports.len(),
+                info!(self.state.log, "suspects kept in the store"; "requests" => reports.len(), "parts" => parts.len(),
                     "era" => era, "again" => is_lost);
                 self.state.update_era(era, FeedSubject::Suspects.as_str());
                 self.stored = reports;
+                self.stored_parts = parts;
                 self.stored_era = Some(era);
                 self.record_success();
                 true
@@ -190,6 +203,20 @@
     reports.len() == stored.len() && reports.iter().zip(stored).all(is_equal)
 }
 
+/// Returns whether two lists of reports are about the same parts and ends.
+fn are_parts_equal(reports: &[PartReport], stored: &[PartReport]) -> bool {
+    let ends = |report: &PartReport| -> Vec<_> {
+        let ends = report.ends.iter();
+        ends.map(|end| (end.process, end.evidence)).collect()
+    };
+    let is_equal = |(report, stored): (&PartReport, &PartReport)| {
+        report.part == stored.part
+            && ends(report) == ends(stored)
+            && report.quarantined_for.is_zero() == stored.quarantined_for.is_zero()
+    };
+    reports.len() == stored.len() && reports.iter().zip(stored).all(is_equal)
+}
+
 /// Returns the wall-clock time in whole seconds. Sheets outlive the processes that wrote them, and
 /// clock adjustments of some seconds are negligible relative to their times of minutes.
 fn unix_time() -> Duration {
--- a/lovagedock-platform/src/feed.rs
+++ b/lovagedock-platform/src/feed.rs
@@ -4,7 +4,8 @@
 
 use async_trait::async_trait;
 use lovagedock::{
-    DirectEndpoint, HostCapacity, StorePosition, SuspectReport, TrafficConfig, prelude::*,
+    DirectEndpoint, HostCapacity, PartReport, StorePosition, SuspectReport, TrafficConfig,
+    prelude::*,
 };
 
 use crate::store::StoreError;
@@ -122,6 +123,8 @@
     pub written_at: Duration,
     /// Reports on the requests, with times relative to the time of writing.
     pub reports: Vec<SuspectReport>,
+    /// Reports on parts of their prompts, likewise.
+    pub parts: Vec<PartReport>,
 }
 
 /// Address at which a gateway listens for others.
--- /dev/null
+++ b/lovagedock/src/direct/part_ledger.rs
@@ -0,0 +1,735 @@
+//! Detection of parts of prompts that end the engine processes that answer them.
+
+use std::{
+    cmp::Reverse,
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
+
+use smallvec::SmallVec;
+
+use super::{
+    part_update::{PartEnd, PartReport, PartUpdate, PromptPart, PromptParts},
+    recent::RecentSet,
+    refusals::RequestFingerprint,
+    resend_queue::ResendQueue,
+    suspect_update::{EndEvidence, ProcessTag, STRONG_WEIGHT},
+};
+use crate::ids::Timestamp;
+
+/// Total weight of evidence for a quarantine: three processes that certainly ended, each under a
+/// request that was sent after the one before had ended.
+const QUARANTINE_WEIGHT: u32 = 3 * STRONG_WEIGHT;
+
+/// Duration of the first quarantine. After it, one request at a time is sent to find out whether
+/// the part still ends engines, and each further quarantine lasts twice as long, up to the maximum.
+const FIRST_QUARANTINE: Duration = Duration::from_secs(600);
+const MAX_QUARANTINE: Duration = Duration::from_secs(4 * 3600);
+
+/// Number of doublings after which a quarantine has its maximum duration.
+const MAX_DOUBLINGS: u32 = 5;
+
+/// Maximum number of trials in one quarantine during which a process may end. Operators accept that
+/// three requests are sent after the part is known.
+const MAX_FAILED_TRIALS: u32 = 3;
+
+/// Time for which evidence is kept after the latest end, or after the quarantine if that ends
+/// later.
+const EVIDENCE_TIME: Duration = Duration::from_secs(600);
+
+/// Time and number for which answered parts are remembered, to contradict evidence of peers that
+/// arrives late.
+const ANSWERED_TIME: Duration = Duration::from_secs(60);
+const MAX_ANSWERED: usize = 4096;
+
+/// Maximum number of parts with evidence, and of remembered ends of each; the latest are kept.
+const MAX_PARTS: usize = 2048;
+const MAX_ENDS: usize = 16;
+
+/// Maximum number of parts that a gateway reports to the store.
+const MAX_REPORTS: usize = 256;
+
+/// Maximum number of updates in one message, and of ends in each of them: 2 KB in all.
+const MAX_PER_MESSAGE: usize = 8;
+const MAX_ENDS_SENT: usize = 6;
+
+/// Interval at which quarantines are sent again, for gateways that started since, and the maximum
+/// number sent each time.
+const QUARANTINE_RESEND_INTERVAL: Duration = Duration::from_secs(5);
+const MAX_QUARANTINES_RESENT: usize = 4;
+
+/// Time of a ledger when the clock of its process was at zero. Evidence may be older than the
+/// process.
+const PROCESS_START: LedgerTime = Duration::from_secs(24 * 3600);
+
+/// Like [`Timestamp`], but with a range before the start of the process.
+type LedgerTime = Duration;
+
+/// What is known about a request by the parts of its prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum PartVerdict {
+    /// No process has ended under one of the parts since it was last answered.
+    Clear,
+    /// Processes ended under one of the parts.
+    Suspect,
+    /// Processes ended under several parts, one of which the request does not have, or a quarantine
+    /// has ended. The request may be sent if no other one is sent for the same reason, see
+    /// [`PartLedger::try_start_trial`].
+    Doubtful,
+    /// The request must not be sent to engines for this time.
+    Quarantined(Duration),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct EndRecord {
+    process: ProcessTag,
+    request: RequestFingerprint,
+    evidence: EndEvidence,
+    ran_for: Duration,
+    ended_at: LedgerTime,
+}
+
+#[derive(Clone, Debug, Default)]
+struct PartRecord {
+    /// Ends since the part was last answered, in the order of their times.
+    ends: SmallVec<[EndRecord; 3]>,
+    changed_at: LedgerTime,
+    /// End of the latest quarantine; zero if the ends do not suffice for one.
+    quarantined_until: LedgerTime,
+    quarantines: u32,
+    /// Number of processes that ended during a trial in this quarantine.
+    failed_trials: u32,
+    /// Whether one of these trials was not explained by other parts in quarantine.
+    has_failed_alone: bool,
+    /// Whether this gateway has evidence of its own, possibly from its former process.
+    is_own: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct TrialRecord {
+    until: LedgerTime,
+    rank: u64,
+}
+
+/// An update with times instead of ages, as it waits to be sent.
+#[derive(Clone, Debug, PartialEq)]
+enum WaitingPartUpdate {
+    Ended(PromptParts, ProcessTag),
+    Answered(PromptPart),
+    Trial(PromptParts),
+    Quarantined(PromptPart),
+}
+
+/// Parts of prompts under which processes ended, at this gateway and at its peers.
+///
+/// A part that ends each engine that begins to answer it may come in requests no two of which are
+/// alike, beside other parts that sound requests share. So ends are counted for each part of the
+/// request, and an answer that has begun clears all parts of its prompt from the ends before it.
+/// The parts that remain are in quarantine after three ends under at least two requests.
+///
+/// If no answer tells the parts of the ended requests apart, all of them are in quarantine
+/// together. A request that lacks one of them is sent as a trial, one at a time: it either clears
+/// its parts, or shows that the part that it lacks is not the cause.
+///
+/// Ends at the same moment have one cause, which is rarely a request. So an end adds weight only if
+/// its request was sent after the ends before it.
+#[derive(Clone, Debug)]
+pub struct PartLedger {
+    records: HashMap<PromptPart, PartRecord>,
+    answered: RecentSet,
+    trials: HashMap<PromptPart, TrialRecord>,
+    /// Rank of this gateway among those that start a trial at the same moment; the lowest goes
+    /// first.
+    rank: u64,
+    unsent: ResendQueue<WaitingPartUpdate>,
+    requeued_at: LedgerTime,
+    requeue_offset: usize,
+}
+
+impl Default for PartLedger {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl PartLedger {
+    /// Creates a ledger without evidence.
+    pub fn new() -> Self {
+        Self {
+            records: HashMap::new(),
+            answered: RecentSet::new(ANSWERED_TIME, MAX_ANSWERED),
+            trials: HashMap::new(),
+            rank: 0,
+            unsent: ResendQueue::default(),
+            requeued_at: PROCESS_START,
+            requeue_offset: 0,
+        }
+    }
+
+    /// Sets the rank of this gateway, which no other gateway should have.
+    pub fn with_rank(mut self, rank: u64) -> Self {
+        self.rank = rank;
+        self
+    }
+
+    /// Records that a process ended before it had begun to answer a request with these parts.
+    /// Returns the parts that this put into quarantine.
+    pub fn record_end(
+        &mut self,
+        now: Timestamp,
+        parts: &[PromptPart],
+        end: PartEnd,
+    ) -> PromptParts {
+        let now = ledger_time(now);
+        let added = self.add_end(now, parts, end);
+        for part in &added {
+            if let Some(record) = self.records.get_mut(part) {
+                record.is_own = true;
+            }
+        }
+        if !added.is_empty() {
+            let update = WaitingPartUpdate::Ended(parts.into(), end.process);
+            self.unsent.push(now, update);
+        }
+        self.quarantine_due(now, &added)
+    }
+
+    /// Records that an engine has begun to answer a request with these parts. Returns the parts
+    /// whose quarantine this ended.
+    pub fn record_answered(&mut self, now: Timestamp, parts: &[PromptPart]) -> PromptParts {
+        let now = ledger_time(now);
+        let mut released = PromptParts::new();
+        for part in parts {
+            self.answered.insert(now, *part);
+            if !self.records.contains_key(part) {
+                continue;
+            }
+            if self.clear_ends(now, *part) {
+                released.push(*part);
+            }
+            self.unsent.push(now, WaitingPartUpdate::Answered(*part));
+        }
+        released
+    }
+
+    /// Returns whether a request with these parts may be sent.
+    pub fn verdict(&self, now: Timestamp, parts: &[PromptPart]) -> PartVerdict {
+        let now = ledger_time(now);
+        let known = parts.iter();
+        let known = known.filter_map(|part| Some((*part, self.records.get(part)?)));
+        let verdicts = known.map(|(part, record)| self.record_verdict(now, part, record, parts));
+        verdicts.max().unwrap_or(PartVerdict::Clear)
+    }
+
+    /// Starts a trial of a doubtful request, which is decided within `time`. Returns `false` if
+    /// another trial has to be decided before.
+    ///
+    /// A peer may start one at the same moment. Before the request is sent, messages of peers have
+    /// to be awaited and [`holds_trial`](Self::holds_trial) to be checked.
+    pub fn try_start_trial(
+        &mut self,
+        now: Timestamp,
+        parts: &[PromptPart],
+        time: Duration,
+    ) -> bool {
+        let now = ledger_time(now);
+        let doubtful = self.doubtful_parts(now, parts);
+        if doubtful.iter().any(|part| self.is_on_trial(now, *part)) {
+            return false;
+        }
+        self.trials.retain(|_, trial| trial.until > now);
+        let trial = TrialRecord {
+            until: now + time,
+            rank: self.rank,
+        };
+        for part in &doubtful {
+            self.trials.insert(*part, trial);
+        }
+        self.unsent.push(now, WaitingPartUpdate::Trial(doubtful));
+        true
+    }
+
+    /// Returns whether the trial of a request is still this gateway's, for all its doubtful parts.
+    pub fn holds_trial(&self, now: Timestamp, parts: &[PromptPart]) -> bool {
+        let now = ledger_time(now);
+        let doubtful = self.doubtful_parts(now, parts);
+        let mut trials = doubtful.iter().map(|part| self.trials.get(part));
+        trials.all(|trial| trial.is_some_and(|trial| trial.rank == self.rank))
+    }
+
+    /// Returns whether a doubtful request has to wait until another trial is decided.
+    pub fn awaits_trial(&self, now: Timestamp, parts: &[PromptPart]) -> bool {
+        let now = ledger_time(now);
+        let doubtful = self.doubtful_parts(now, parts);
+        doubtful.iter().any(|part| self.is_on_trial(now, *part))
+    }
+
+    /// Applies a peer's update. Returns the parts that it put into quarantine.
+    pub fn apply_update(&mut self, now: Timestamp, update: PartUpdate) -> PromptParts {
+        let now = ledger_time(now);
+        match update {
+            PartUpdate::Ended { parts, end } => {
+                let added = self.add_end(now, &parts, end);
+                for part in &parts {
+                    if self.is_quarantined(now, *part) {
+                        // The peer may have started since the quarantine.
+                        self.unsent.push(now, WaitingPartUpdate::Quarantined(*part));
+                    }
+                }
+                self.quarantine_due(now, &added)
+            }
+            PartUpdate::Answered { part, age } => {
+                let at = now.saturating_sub(age);
+                if self.answered.time(part).is_none_or(|known| known < at) {
+                    self.answered.insert(at, part);
+                }
+                self.clear_ends(at, part);
+                PromptParts::new()
+            }
+            PartUpdate::Trial {
+                parts,
+                rank,
+                time_left,
+            } => {
+                let until = now + time_left;
+                for part in parts {
+                    let known = self.trials.get(&part);
+                    if known.is_none_or(|known| known.until <= now || rank <= known.rank) {
+                        self.trials.insert(part, TrialRecord { until, rank });
+                    }
+                }
+                PromptParts::new()
+            }
+            PartUpdate::Quarantined(report) => self.apply_report(now, report),
+        }
+    }
+
+    /// Returns the parts in quarantine.
+    pub fn quarantines(&self, now: Timestamp) -> impl Iterator<Item = PromptPart> {
+        let now = ledger_time(now);
+        let records = self.records.iter();
+        let quarantined = records.filter(move |(_, record)| record.quarantined_until > now);
+        quarantined.map(|(part, _)| *part)
+    }
+
+    /// Returns the number of processes that ended under a part since it was last answered.
+    pub fn end_count(&self, part: PromptPart) -> usize {
+        self.records
+            .get(&part)
+            .map_or(0, |record| record.ends.len())
+    }
+
+    /// Returns the number of parts with evidence.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Returns whether there is no evidence against any part.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Returns the updates that are due to be sent to peers.
+    pub fn take_due(&mut self, now: Timestamp) -> Vec<PartUpdate> {
+        let now = ledger_time(now);
+        if now.saturating_sub(self.requeued_at) >= QUARANTINE_RESEND_INTERVAL {
+            self.requeued_at = now;
+            self.requeue_quarantines(now);
+        }
+        let due = self.unsent.take_due(now, MAX_PER_MESSAGE);
+        let updates = due.into_iter();
+        let updates = updates.filter_map(|update| self.with_ages(now, update));
+        updates.collect()
+    }
+
+    /// Sends all quarantines again with the next messages, because a gateway has started.
+    pub fn resend_quarantines(&mut self) {
+        self.requeued_at = Duration::ZERO;
+    }
+
+    /// Returns the evidence of this gateway that has to outlive it, strongest first: parts in
+    /// quarantine and those with two ends, or every part if `all` is set.
+    pub fn reports(&self, now: Timestamp, all: bool) -> Vec<PartReport> {
+        let now = ledger_time(now);
+        let is_kept = |record: &PartRecord| {
+            record.is_own && (all || record.ends.len() > 1 || record.quarantined_until > now)
+        };
+        let kept = self.records.iter().filter(|(_, record)| is_kept(record));
+        let mut kept: Vec<_> = kept.collect();
+        kept.sort_by_key(|(part, record)| {
+            Reverse((record.quarantined_until, record.weight(), **part))
+        });
+        kept.truncate(MAX_REPORTS);
+        let reports = kept.into_iter();
+        let reports = reports.map(|(part, record)| record.report(now, *part));
+        reports.collect()
+    }
+
+    /// Restores the reports that a gateway stored; `is_own` marks those of this gateway's former
+    /// process. Returns the parts that this put into quarantine.
+    pub fn restore(
+        &mut self,
+        now: Timestamp,
+        reports: impl IntoIterator<Item = PartReport>,
+        is_own: bool,
+    ) -> PromptParts {
+        let now = ledger_time(now);
+        let mut quarantined = PromptParts::new();
+        for report in reports {
+            let part = report.part;
+            quarantined.extend(self.apply_report(now, report));
+            if let Some(record) = self.records.get_mut(&part) {
+                record.is_own |= is_own;
+            }
+        }
+        quarantined
+    }
+
+    /// Removes expired evidence.
+    pub fn forget_old(&mut self, now: Timestamp) {
+        let now = ledger_time(now);
+        self.records.retain(|_, record| {
+            let since = record.changed_at.max(record.quarantined_until);
+            now.saturating_sub(since) <= EVIDENCE_TIME
+        });
+        self.trials.retain(|_, trial| trial.until > now);
+    }
+
+    fn record_verdict(
+        &self,
+        now: LedgerTime,
+        part: PromptPart,
+        record: &PartRecord,
+        parts: &[PromptPart],
+    ) -> PartVerdict {
+        if !record.is_blamed() {
+            return PartVerdict::Suspect;
+        }
+        let remaining = record.quarantined_until.saturating_sub(now);
+        let is_doubtful = remaining.is_zero()
+            || (record.failed_trials < MAX_FAILED_TRIALS
+                && (self.is_explained(record, parts, PartRecord::is_blamed)
+                    || self.may_be_sound(now, part, record, parts)));
+        match is_doubtful {
+            true => PartVerdict::Doubtful,
+            false => PartVerdict::Quarantined(remaining),
+        }
+    }
+
+    /// Returns whether all ends under a part of a request can be explained by other parts that the
+    /// request does not have.
+    fn is_explained(
+        &self,
+        record: &PartRecord,
+        parts: &[PromptPart],
+        may_explain: impl Fn(&PartRecord) -> bool,
+    ) -> bool {
+        let others = self.records.iter();
+        let others = others.filter(|(other, record)| may_explain(record) && !parts.contains(other));
+        let explained: HashSet<ProcessTag> = others
+            .flat_map(|(_, other)| other.ends.iter().map(|end| end.process))
+            .collect();
+        let mut ends = record.ends.iter();
+        !record.ends.is_empty() && ends.all(|end| explained.contains(&end.process))
+    }
+
+    /// Returns whether a part in quarantine that was answered shortly before may be sound because
+    /// several other parts caused its ends, none of which has enough for a quarantine.
+    ///
+    /// If two parts end engines at the same time, the part that all their requests share has three
+    /// ends first.
+    fn may_be_sound(
+        &self,
+        now: LedgerTime,
+        part: PromptPart,
+        record: &PartRecord,
+        parts: &[PromptPart],
+    ) -> bool {
+        self.answered.contains(now, part)
+            && !record.has_failed_alone
+            && !self.has_suspect_part(parts)
+            && self.is_explained(record, parts, |_| true)
+    }
+
+    /// Returns whether processes ended under one of the parts, too few for a quarantine.
+    fn has_suspect_part(&self, parts: &[PromptPart]) -> bool {
+        let mut records = parts.iter().filter_map(|part| self.records.get(part));
+        records.any(|record| !record.is_blamed())
+    }
+
+    fn doubtful_parts(&self, now: LedgerTime, parts: &[PromptPart]) -> PromptParts {
+        let known = parts.iter().filter(|part| {
+            let record = self.records.get(part);
+            record.is_some_and(|record| {
+                self.record_verdict(now, **part, record, parts) == PartVerdict::Doubtful
+            })
+        });
+        known.copied().collect()
+    }
+
+    fn is_on_trial(&self, now: LedgerTime, part: PromptPart) -> bool {
+        let trial = self.trials.get(&part);
+        trial.is_some_and(|trial| trial.until > now)
+    }
+
+    fn is_quarantined(&self, now: LedgerTime, part: PromptPart) -> bool {
+        let record = self.records.get(&part);
+        record.is_some_and(|record| record.quarantined_until > now)
+    }
+
+    /// Adds an end to each part that was not answered since. Returns the parts to which it adds
+    /// evidence.
+    fn add_end(&mut self, now: LedgerTime, parts: &[PromptPart], end: PartEnd) -> PromptParts {
+        let end = EndRecord {
+            process: end.process,
+            request: end.request,
+            evidence: end.evidence,
+            ran_for: end.ran_for,
+            ended_at: now.saturating_sub(end.age),
+        };
+        let mut added = PromptParts::new();
+        for part in parts {
+            if self
+                .answered
+                .time(*part)
+                .is_some_and(|at| at >= end.ended_at)
+            {
+                // The peer does not know of the answer.
+                self.unsent.push(now, WaitingPartUpdate::Answered(*part));
+                continue;
+            }
+            self.make_room(*part);
+            let has_failed = self.is_on_trial(now, *part);
+            let known = self.records.get(part);
+            let is_explained =
+                known.is_some_and(|record| self.is_explained(record, parts, PartRecord::is_blamed));
+            let record = self.records.entry(*part).or_default();
+            if record.add_end(end) {
+                record.changed_at = now;
+                record.failed_trials += u32::from(has_failed);
+                record.has_failed_alone |= has_failed && !is_explained;
+                added.push(*part);
+            }
+        }
+        added
+    }
+
+    /// Puts parts into quarantine for which there is enough evidence, and returns them.
+    fn quarantine_due(&mut self, now: LedgerTime, parts: &[PromptPart]) -> PromptParts {
+        let mut quarantined = PromptParts::new();
+        for part in parts {
+            let Some(record) = self.records.get_mut(part) else {
+                continue;
+            };
+            if record.quarantined_until > now || !record.is_sufficient() {
+                continue;
+            }
+            let time = FIRST_QUARANTINE * 2_u32.saturating_pow(record.quarantines);
+            record.quarantined_until = now + time.min(MAX_QUARANTINE);
+            record.quarantines = (record.quarantines + 1).min(MAX_DOUBLINGS);
+            record.failed_trials = 0;
+            record.has_failed_alone = false;
+            quarantined.push(*part);
+            self.unsent.push(now, WaitingPartUpdate::Quarantined(*part));
+        }
+        quarantined
+    }
+
+    /// Removes the ends of a part that are not later than an answer. Returns whether this ended a
+    /// quarantine.
+    fn clear_ends(&mut self, answered_at: LedgerTime, part: PromptPart) -> bool {
+        let Some(record) = self.records.get_mut(&part) else {
+            return false;
+        };
+        let was_blamed = record.is_blamed();
+        record.ends.retain(|end| end.ended_at > answered_at);
+        if record.ends.is_empty() {
+            self.records.remove(&part);
+            self.trials.remove(&part);
+            return was_blamed;
+        }
+        if !record.is_sufficient() {
+            record.quarantined_until = Duration::ZERO;
+        }
+        was_blamed && !record.is_blamed()
+    }
+
+    /// Applies a peer's evidence against a part. Returns the part if this put it into quarantine.
+    fn apply_report(&mut self, now: LedgerTime, report: PartReport) -> PromptParts {
+        let part = report.part;
+        let was_quarantined = self.is_quarantined(now, part);
+        for end in report.ends {
+            self.add_end(now, &[part], end);
+        }
+        if let Some(record) = self.records.get_mut(&part) {
+            let time = report.quarantined_for.min(MAX_QUARANTINE);
+            // Some of the ends may precede an answer that the peer does not know of.
+            if !time.is_zero() && record.is_sufficient() {
+                record.quarantines = record.quarantines.max(1);
+                record.quarantined_until = record.quarantined_until.max(now + time);
+            }
+        }
+        self.quarantine_due(now, &[part]);
+        match !was_quarantined && self.is_quarantined(now, part) {
+            true => PromptParts::from_slice(&[part]),
+            false => PromptParts::new(),
+        }
+    }
+
+    fn with_ages(&self, now: LedgerTime, update: WaitingPartUpdate) -> Option<PartUpdate> {
+        match update {
+            WaitingPartUpdate::Ended(parts, process) => {
+                // An answer may have cleared some of the parts since.
+                let known = |part: &PromptPart| self.records.get(part)?.end_of(process);
+                let end = parts.iter().find_map(known)?.with_age(now);
+                let parts = parts.into_iter().filter(|part| known(part).is_some());
+                Some(PartUpdate::Ended {
+                    parts: parts.collect(),
+                    end,
+                })
+            }
+            WaitingPartUpdate::Answered(part) => {
+                let age = now.saturating_sub(self.answered.time(part)?);
+                Some(PartUpdate::Answered { part, age })
+            }
+            WaitingPartUpdate::Trial(parts) => {
+                let trials = parts.iter().filter_map(|part| self.trials.get(part));
+                let mut own = trials.filter(|trial| trial.rank == self.rank);
+                Some(PartUpdate::Trial {
+                    time_left: own.next()?.until.saturating_sub(now),
+                    rank: self.rank,
+                    parts,
+                })
+            }
+            WaitingPartUpdate::Quarantined(part) => {
+                let record = self.records.get(&part)?;
+                let mut report = record.report(now, part);
+                let surplus = report.ends.len().saturating_sub(MAX_ENDS_SENT);
+                report.ends.drain(..surplus);
+                Some(PartUpdate::Quarantined(report))
+            }
+        }
+    }
+
+    fn requeue_quarantines(&mut self, now: LedgerTime) {
+        let records = self.records.iter();
+        let quarantined = records.filter(|(_, record)| record.quarantined_until > now);
+        let mut parts: Vec<PromptPart> = quarantined.map(|(part, _)| *part).collect();
+        if parts.is_empty() {
+            return;
+        }
+        parts.sort_unstable();
+        let offset = self.requeue_offset % parts.len();
+        parts.rotate_left(offset);
+        for part in parts.into_iter().take(MAX_QUARANTINES_RESENT) {
+            let update = WaitingPartUpdate::Quarantined(part);
+            self.unsent.push_once(now, update);
+        }
+        self.requeue_offset = offset + MAX_QUARANTINES_RESENT;
+    }
+
+    /// Makes room for another part by removing the one with the least evidence, and the oldest
+    /// among equals.
+    fn make_room(&mut self, part: PromptPart) {
+        if self.records.len() < MAX_PARTS || self.records.contains_key(&part) {
+            return;
+        }
+        let weakest = self.records.iter().min_by_key(|(_, record)| {
+            (record.quarantined_until, record.weight(), record.changed_at)
+        });
+        if let Some(weakest) = weakest.map(|(part, _)| *part) {
+            self.records.remove(&weakest);
+        }
+    }
+}
+
+impl PartRecord {
+    /// Adds an end. Returns `false` if it adds no evidence.
+    fn add_end(&mut self, end: EndRecord) -> bool {
+        if let Some(known) = self
+            .ends
+            .iter_mut()
+            .find(|known| known.process == end.process)
+        {
+            let is_stronger = known.evidence < end.evidence;
+            known.evidence = known.evidence.max(end.evidence);
+            // Of several requests that shared the process, the one sent last says most.
+            known.ran_for = known.ran_for.min(end.ran_for);
+            return is_stronger;
+        }
+        let position = self
+            .ends
+            .partition_point(|known| known.ended_at <= end.ended_at);
+        self.ends.insert(position, end);
+        if self.ends.len() > MAX_ENDS {
+            self.ends.remove(0);
+        }
+        true
+    }
+
+    /// Returns the weight of the ends. Those whose requests were sent before the first of them
+    /// count as one.
+    fn weight(&self) -> u32 {
+        let mut total = 0;
+        let mut latest: Option<(LedgerTime, u32)> = None;
+        for end in &self.ends {
+            let weight = end.evidence.weight();
+            latest = match latest {
+                Some((first_at, heaviest)) if end.sent_at() < first_at => {
+                    Some((first_at, heaviest.max(weight)))
+                }
+                before => {
+                    total += before.map_or(0, |(_, heaviest)| heaviest);
+                    Some((end.ended_at, weight))
+                }
+            };
+        }
+        total + latest.map_or(0, |(_, heaviest)| heaviest)
+    }
+
+    /// Returns whether the ends suffice for a quarantine. If all of them are of one request, its
+    /// other content may be the cause, see [`SuspectLedger`](super::SuspectLedger).
+    fn is_sufficient(&self) -> bool {
+        let first = self.ends.first().map(|end| end.request);
+        let is_shared = self.ends.iter().any(|end| Some(end.request) != first);
+        is_shared && self.weight() >= QUARANTINE_WEIGHT
+    }
+
+    /// Returns whether the ends sufficed for a quarantine, which may have ended.
+    fn is_blamed(&self) -> bool {
+        !self.quarantined_until.is_zero()
+    }
+
+    fn end_of(&self, process: ProcessTag) -> Option<EndRecord> {
+        let mut ends = self.ends.iter().copied();
+        ends.find(|end| end.process == process)
+    }
+
+    fn report(&self, now: LedgerTime, part: PromptPart) -> PartReport {
+        PartReport {
+            part,
+            ends: self.ends.iter().map(|end| end.with_age(now)).collect(),
+            quarantined_for: self.quarantined_until.saturating_sub(now),
+        }
+    }
+}
+
+impl EndRecord {
+    fn sent_at(&self) -> LedgerTime {
+        self.ended_at.saturating_sub(self.ran_for)
+    }
+
+    fn with_age(&self, now: LedgerTime) -> PartEnd {
+        PartEnd {
+            process: self.process,
+            request: self.request,
+            evidence: self.evidence,
+            ran_for: self.ran_for,
+            age: now.saturating_sub(self.ended_at),
+        }
+    }
+}
+
+fn ledger_time(now: Timestamp) -> LedgerTime {
+    now + PROCESS_START
+}
--- a/lovagedock/src/direct/recent.rs
+++ b/lovagedock/src/direct/recent.rs
@@ -34,6 +34,11 @@
         at.is_some_and(|at| now.saturating_sub(*at) <= self.retention)
     }
 
+    /// Returns the latest time at which a request was inserted, if it is remembered.
+    pub(super) fn time(&self, fingerprint: RequestFingerprint) -> Option<Timestamp> {
+        self.times.get(&fingerprint).copied()
+    }
+
     /// Inserts a request, or renews its time.
     pub(super) fn insert(&mut self, now: Timestamp, fingerprint: RequestFingerprint) {
         self.times.insert(fingerprint, now);
