Read no more requests than a gateway can serve in time

Cause: nothing limits what a gateway reads by what it has processor time for.

Change: ConnectionAdmission limits the requests in flight while the event loop is late by 30 ms or more throughout 100 ms; connections above the limit are closed unread, and responses ask callers to close theirs meanwhile, so that their next request may go elsewhere.

Why it works: a caller whose connection closes unread goes to another gateway at once, and what is read has the processor time that is left.

--- a/lovagedock-gateway/src/direct/caller_server.rs
+++ b/lovagedock-gateway/src/direct/caller_server.rs
@@ -4,12 +4,16 @@
     convert::Infallible,
     io,
     pin::Pin,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     task::{Context, Poll},
     time::Duration,
 };
 
 use bytes::Bytes;
+use futures::FutureExt;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
     Request, Response,
@@ -19,12 +23,13 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
-use lovagedock::{RouteMatch, StopPlan, TrafficConfig, prelude::*};
+use lovagedock::{ConnectionAdmission, RouteMatch, StopPlan, TrafficConfig, prelude::*};
 use lovagedock_daemon::ShutdownSignal;
+use parking_lot::Mutex;
 use slog::{Logger, info, warn};
 use tokio::{
     net::{TcpListener, TcpStream},
-    task::JoinHandle,
+    task::{JoinHandle, yield_now},
     time::{Instant, sleep, sleep_until, timeout, timeout_at},
 };
 use tokio_util::task::TaskTracker;
@@ -40,6 +45,9 @@
 /// Delay after a failed accept. Such errors recur immediately until file descriptors are closed.
 pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Maximum number of connections that are accepted before other tasks run.
+const MAX_ACCEPTED_AT_ONCE: usize = 64;
+
 /// Time between the end of all requests and the time at which the process is killed.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 
@@ -60,6 +68,10 @@
     state: Arc<GatewayState>,
     dialect: Arc<dyn HttpDialect>,
     shutdown: ShutdownSignal,
+    /// Lock order: this lock is a leaf.
+    admission: Mutex<ConnectionAdmission>,
+    /// Number of requests whose response has not ended.
+    in_flight: Arc<AtomicUsize>,
     log: Logger,
 }
 
@@ -72,6 +84,22 @@
     }
 }
 
+/// Counts a request as in flight until it is dropped.
+struct FlightGuard(Arc<AtomicUsize>);
+
+impl FlightGuard {
+    fn new(in_flight: &Arc<AtomicUsize>) -> Self {
+        in_flight.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(in_flight))
+    }
+}
+
+impl Drop for FlightGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl CallerServer {
     /// Creates a server; it starts with [`run`](Self::run).
     pub(crate) fn new(
@@ -84,6 +112,8 @@
             state,
             dialect,
             shutdown,
+            admission: Mutex::default(),
+            in_flight: Arc::default(),
             log,
         }
     }
@@ -121,17 +151,56 @@
 
     async fn accept(self: &Arc<Self>, listener: &TcpListener, connections: &TaskTracker) {
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    let server = Arc::clone(self);
-                    connections.spawn(async move { server.serve(stream).await });
+            let mut accepted = listener.accept().await;
+            let ready_at = Instant::now();
+            let mut admitted = 0;
+            // All connections that wait are accepted, so that those that are not admitted are closed
+            // at once.
+            for _ in 0..MAX_ACCEPTED_AT_ONCE {
+                match accepted {
+                    Ok((stream, _)) => {
+                        admitted += usize::from(self.admit(stream, connections, admitted));
+                    }
+                    Err(error) => {
+                        warn!(self.log, "cannot accept a caller"; "error" => %error);
+                        sleep(ACCEPT_RETRY_DELAY).await;
+                    }
                 }
-                Err(error) => {
-                    warn!(self.log, "cannot accept a caller"; "error" => %error);
-                    sleep(ACCEPT_RETRY_DELAY).await;
+                match listener.accept().now_or_never() {
+                    Some(next) => accepted = next,
+                    None => break,
                 }
             }
+            yield_now().await;
+            let lag = ready_at.elapsed();
+            let in_flight = self.in_flight.load(Ordering::Relaxed);
+            let now = self.state.clock.now();
+            self.admission.lock().record_lag(now, lag, in_flight);
+        }
+    }
+
+    /// Serves a new connection, or closes it unread if the gateway is behind, so that its caller goes
+    /// to another gateway. `unread` connections were admitted whose requests are not read yet. Returns
+    /// whether this one was admitted.
+    fn admit(
+        self: &Arc<Self>,
+        stream: TcpStream,
+        connections: &TaskTracker,
+        unread: usize,
+    ) -> bool {
+        let now = self.state.clock.now();
+        let in_flight = self.in_flight.load(Ordering::Relaxed) + unread;
+        if self.state.is_stopping() || self.admission.lock().admit(now, in_flight) {
+            let server = Arc::clone(self);
+            connections.spawn(async move { server.serve(stream).await });
+            return true;
+        }
+        metrics::counter!("lovagedock_connections_closed_unread_total").increment(1);
+        if let Some(left_out) = self.state.log_limiter.admit(now) {
+            info!(self.log, "connection closed unread, the gateway is behind";
+                "in_flight" => in_flight, "limit" => self.admission.lock().limit(), "left_out" => left_out);
         }
+        false
     }
 
     async fn serve(self: Arc<Self>, stream: TcpStream) {
@@ -184,7 +253,8 @@
 
     async fn respond(&self, request: Request<Incoming>) -> Response<ResponseBody> {
         let mut response = self.handle_request(request).await;
-        if self.state.is_stopping() {
+        // The caller's next connection may go to a gateway that is not behind.
+        if self.state.is_stopping() || self.admission.lock().is_behind() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
@@ -235,7 +305,11 @@
             call,
             sender,
         );
-        let guard = AbortOnDrop(tokio::spawn(call.run()));
+        let flight = FlightGuard::new(&self.in_flight);
+        let guard = AbortOnDrop(tokio::spawn(async move {
+            call.run().await;
+            drop(flight);
+        }));
         match response.await {
             Ok(response) => response.map(|body| with_guard(body, guard)),
             Err(_) => self.reject(&id, ResultCode::EndpointLost),
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -11,6 +11,7 @@
 //! how messages reach the other gateways of a large fleet. None of these types reads a clock or performs
 //! input or output.
 
+mod admission;
 mod backoff;
 mod choice;
 mod cold_endpoints;
@@ -55,6 +56,7 @@
 mod waiting_queue;
 mod watcher_selection;
 
+pub use admission::ConnectionAdmission;
 pub use backoff::{BackoffEvent, EndpointBackoffs, RetryAfter};
 pub use choice::{DirectChoice, DirectRequest, HelperPart, PlacerCandidate};
 pub use cold_endpoints::{ColdAllowance, ColdEndpoints, ColdProfile};
