--- a/lovagedock/tests/direct_parts.rs
+++ b/lovagedock/tests/direct_parts.rs
@@ -466,6 +466,16 @@
         losses: None,
         inseparable: 0,
     },
+    SeriesCase {
+        name: "a request every four seconds",
+        flows: &[
+            flow(40.0, &[1..2, 10..14, 100..400]),
+            crashing_flow(0.25, &[1..2, 500..501, 100..400]),
+        ],
+        crashing: &[(500, START)],
+        losses: None,
+        inseparable: 0,
+    },
     SeriesCase {
         name: "ends by another cause",
         flows: &[flow(40.0, &[1..2, 10..14, 100..400])],
@@ -542,6 +552,23 @@
     }
 }
 
+/// Guards against sound requests that are refused because two crashing parts share a part with them
+/// that nobody else asks for at the moment.
+#[test]
+fn two_crashing_parts_leave_sound_requests_served() {
+    let name = "two parts at the same time, from one caller";
+    let case = SERIES.iter().find(|case| case.name == name);
+    let case = case.expect("the series is listed");
+    let outcome = simulate_part_series(&SeriesPlan {
+        seed: 24,
+        flows: case.flows,
+        crashing: case.crashing,
+        losses: case.losses,
+        length: LENGTH,
+    });
+    assert!(outcome.served_ratio() >= MIN_SERVED_RATIO, "{outcome:?}");
+}
+
 /// Guards against a part of a prompt that is not recognised because another text comes before it.
 #[test]
 fn parts_of_a_text_do_not_depend_on_what_comes_before() {
