Count only the end of a trial's own request against it

Cause: a trial counted as failed with any end under its parts while it ran. Ends of requests that had been sent before the quarantine were reported in that second, and used up all three trials of the part that everybody shared. Evidence: one trial in the trace, `failed_trials` 2 and 3 at the gateways, and ends of ten other requests within its second.

Why it works: only the trial itself says anything about the part that it lacks.

--- a/lovagedock-gateway/src/direct/call/placement.rs
+++ b/lovagedock-gateway/src/direct/call/placement.rs
@@ -193,7 +193,7 @@
             return true;
         }
         let time = placed.first_event_delay * 2 + FIRST_EVENT_SLACK;
-        if !self.state.try_start_trial(parts, time) {
+        if !self.state.try_start_trial(self.fingerprint, parts, time) {
             return false;
         }
         sleep(self.state.trial_claim_time()).await;
--- a/lovagedock-gateway/src/direct/state/parts.rs
+++ b/lovagedock-gateway/src/direct/state/parts.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use lovagedock::{
-    PartEnd, PartReport, PartUpdate, PartVerdict, PromptPart, PromptParts, format_part, prelude::*,
+    PartEnd, PartReport, PartUpdate, PartVerdict, PromptPart, PromptParts, RequestFingerprint,
+    format_part, prelude::*,
 };
 use slog::info;
 
@@ -49,9 +50,16 @@
 
     /// Starts a trial of a doubtful request, see
     /// [`PartLedger::try_start_trial`](lovagedock::PartLedger::try_start_trial).
-    pub(crate) fn try_start_trial(&self, parts: &[PromptPart], time: Duration) -> bool {
+    pub(crate) fn try_start_trial(
+        &self,
+        request: RequestFingerprint,
+        parts: &[PromptPart],
+        time: Duration,
+    ) -> bool {
         let now = self.clock.now();
-        let is_started = self.fleet.lock().parts.try_start_trial(now, parts, time);
+        let mut fleet = self.fleet.lock();
+        let is_started = fleet.parts.try_start_trial(now, request, parts, time);
+        drop(fleet);
         if is_started {
             metrics::counter!("lovagedock_part_trials_total").increment(1);
             self.urgent_update.notify_one();
--- a/lovagedock-gateway/src/suspects.rs
+++ b/lovagedock-gateway/src/suspects.rs
@@ -72,7 +72,9 @@
         let parts = &call.prompt.parts;
         let mut state = self.state.lock();
         state.parts.verdict(now, parts) != PartVerdict::Doubtful
-            || state.parts.try_start_trial(now, parts, TRIAL_TIME)
+            || state
+                .parts
+                .try_start_trial(now, request_fingerprint(call), parts, TRIAL_TIME)
     }
 
     /// Records that an engine ended during an attempt of a request, `ran_for` after the engine's
--- a/lovagedock-standin/tests/peer_session.rs
+++ b/lovagedock-standin/tests/peer_session.rs
@@ -342,6 +342,7 @@
         },
         PartUpdate::Trial {
             parts,
+            request: 11,
             rank: u64::MAX,
             time_left: Duration::from_secs(2),
         },
--- a/lovagedock-wire/schema/lovagedock.capnp
+++ b/lovagedock-wire/schema/lovagedock.capnp
@@ -217,6 +217,7 @@
       # The sender sends a request with the parts to find out whether they end engines.
       rank @3 :UInt64;
       leftMs @4 :UInt64;
+      request @7 :UInt64;
     }
     quarantined :group {
       # Requests with the part are not sent to engines for as long.
--- a/lovagedock-wire/src/lovagedock_capnp.rs
+++ b/lovagedock-wire/src/lovagedock_capnp.rs
@@ -14164,7 +14164,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -14255,6 +14255,7 @@
             self.builder.set_data_field::<u16>(0, 2);
             self.builder.set_data_field::<u64>(1, 0u64);
             self.builder.set_data_field::<u64>(2, 0u64);
+            self.builder.set_data_field::<u64>(3, 0u64);
             self.builder.into()
         }
         #[inline]
@@ -14304,7 +14305,7 @@
         pub(crate) static ENCODED_NODE: [::capnp::Word; 89] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(11, 237, 24, 196, 127, 34, 157, 154),
-            ::capnp::word(17, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(17, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(81, 96, 78, 169, 243, 199, 177, 210),
             ::capnp::word(2, 0, 7, 0, 0, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -14495,11 +14496,15 @@
             pub fn get_left_ms(self) -> u64 {
                 self.reader.get_data_field::<u64>(2)
             }
+            #[inline]
+            pub fn get_request(self) -> u64 {
+                self.reader.get_data_field::<u64>(3)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -14565,6 +14570,14 @@
             pub fn set_left_ms(&mut self, value: u64)  {
                 self.builder.set_data_field::<u64>(2, value);
             }
+            #[inline]
+            pub fn get_request(self) -> u64 {
+                self.builder.get_data_field::<u64>(3)
+            }
+            #[inline]
+            pub fn set_request(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(3, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -14576,38 +14589,45 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(32, 171, 200, 221, 40, 238, 206, 246),
-                ::capnp::word(26, 0, 0, 0, 1, 0, 3, 0),
+                ::capnp::word(26, 0, 0, 0, 1, 0, 4, 0),
                 ::capnp::word(11, 237, 24, 196, 127, 34, 157, 154),
                 ::capnp::word(2, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
                 ::capnp::word(99, 107, 46, 99, 97, 112, 110, 112),
                 ::capnp::word(58, 80, 97, 114, 116, 78, 101, 119),
                 ::capnp::word(115, 46, 116, 114, 105, 97, 108, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(114, 97, 110, 107, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -14624,11 +14644,20 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 113, 117, 101, 115, 116, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -14642,9 +14671,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
             pub(crate) const TYPE_ID: u64 = 0xf6ce_ee28_ddc8_ab20;
         }
     }
@@ -14726,7 +14755,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -14814,7 +14843,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 52] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(123, 33, 230, 231, 101, 89, 126, 211),
-                ::capnp::word(26, 0, 0, 0, 1, 0, 3, 0),
+                ::capnp::word(26, 0, 0, 0, 1, 0, 4, 0),
                 ::capnp::word(11, 237, 24, 196, 127, 34, 157, 154),
                 ::capnp::word(2, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
--- a/lovagedock-wire/src/part_codec.rs
+++ b/lovagedock-wire/src/part_codec.rs
@@ -26,9 +26,13 @@
             PartUpdate::Ended { end, .. } => write_ends(&[*end], item.init_ended(1)),
             PartUpdate::Answered { age, .. } => item.set_answered_ms(duration_to_millis(*age)),
             PartUpdate::Trial {
-                rank, time_left, ..
+                request,
+                rank,
+                time_left,
+                ..
             } => {
                 let mut trial = item.init_trial();
+                trial.set_request(*request);
                 trial.set_rank(*rank);
                 trial.set_left_ms(duration_to_millis(*time_left));
             }
@@ -59,6 +63,7 @@
             },
             schema::part_news::Trial(trial) => PartUpdate::Trial {
                 parts,
+                request: trial.get_request(),
                 rank: trial.get_rank(),
                 time_left: Duration::from_millis(trial.get_left_ms()),
             },
--- a/lovagedock/src/direct/part_ledger.rs
+++ b/lovagedock/src/direct/part_ledger.rs
@@ -107,6 +107,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct TrialRecord {
+    request: RequestFingerprint,
     until: LedgerTime,
     rank: u64,
 }
@@ -229,6 +230,7 @@
     pub fn try_start_trial(
         &mut self,
         now: Timestamp,
+        request: RequestFingerprint,
         parts: &[PromptPart],
         time: Duration,
     ) -> bool {
@@ -239,6 +241,7 @@
         }
         self.trials.retain(|_, trial| trial.until > now);
         let trial = TrialRecord {
+            request,
             until: now + time,
             rank: self.rank,
         };
@@ -288,14 +291,19 @@
             }
             PartUpdate::Trial {
                 parts,
+                request,
                 rank,
                 time_left,
             } => {
-                let until = now + time_left;
+                let trial = TrialRecord {
+                    request,
+                    until: now + time_left,
+                    rank,
+                };
                 for part in parts {
                     let known = self.trials.get(&part);
                     if known.is_none_or(|known| known.until <= now || rank <= known.rank) {
-                        self.trials.insert(part, TrialRecord { until, rank });
+                        self.trials.insert(part, trial);
                     }
                 }
                 PromptParts::new()
@@ -499,7 +507,9 @@
                 continue;
             }
             self.make_room(*part);
-            let has_failed = self.is_on_trial(now, *part);
+            let trial = self.trials.get(part);
+            let has_failed =
+                trial.is_some_and(|trial| trial.until > now && trial.request == end.request);
             let known = self.records.get(part);
             let is_explained =
                 known.is_some_and(|record| self.is_explained(record, parts, PartRecord::is_blamed));
@@ -594,10 +604,11 @@
             }
             WaitingPartUpdate::Trial(parts) => {
                 let trials = parts.iter().filter_map(|part| self.trials.get(part));
-                let mut own = trials.filter(|trial| trial.rank == self.rank);
+                let trial = trials.into_iter().find(|trial| trial.rank == self.rank)?;
                 Some(PartUpdate::Trial {
-                    time_left: own.next()?.until.saturating_sub(now),
-                    rank: self.rank,
+                    request: trial.request,
+                    rank: trial.rank,
+                    time_left: trial.until.saturating_sub(now),
                     parts,
                 })
             }
--- a/lovagedock/src/direct/part_update.rs
+++ b/lovagedock/src/direct/part_update.rs
@@ -79,6 +79,8 @@
     Trial {
         /// Parts that no other request should have until the trial is decided.
         parts: PromptParts,
+        /// The request.
+        request: RequestFingerprint,
         /// Rank of the sender; of two trials at the same moment the lower one goes on.
         rank: u64,
         /// Remaining time of the trial.
--- a/lovagedock/tests/direct_part_series/mod.rs
+++ b/lovagedock/tests/direct_part_series/mod.rs
@@ -294,7 +294,7 @@
         let ledger = &mut self.ledgers[request.gateway];
         match request.confirms_at {
             None => {
-                if ledger.try_start_trial(now, &request.parts, TRIAL_TIME) {
+                if ledger.try_start_trial(now, request.id, &request.parts, TRIAL_TIME) {
                     request.confirms_at = Some(now + MESSAGE_DELAY * 2);
                 }
                 false
--- a/lovagedock/tests/direct_parts.rs
+++ b/lovagedock/tests/direct_parts.rs
@@ -275,8 +275,8 @@
         peer.apply_update(now, update);
     }
     let time = Duration::from_secs(1);
-    assert!(ledger.try_start_trial(now, OTHER, time));
-    assert!(!ledger.try_start_trial(now, &[COMMON, SOUND + 1], time));
+    assert!(ledger.try_start_trial(now, 1, OTHER, time));
+    assert!(!ledger.try_start_trial(now, 2, &[COMMON, SOUND + 1], time));
     for update in ledger.take_due(now) {
         peer.apply_update(now, update);
     }
@@ -284,7 +284,7 @@
     assert!(ledger.holds_trial(now, OTHER));
     let later = now + time * 2;
     assert!(
-        peer.try_start_trial(later, OTHER, time),
+        peer.try_start_trial(later, 1, OTHER, time),
         "nothing decided it"
     );
     ledger.record_answered(later, OTHER);
@@ -301,7 +301,7 @@
         .collect();
     let mut updates = Vec::new();
     for gateway in &mut gateways {
-        assert!(gateway.try_start_trial(now, OTHER, time));
+        assert!(gateway.try_start_trial(now, 1, OTHER, time));
         updates.push(gateway.take_due(now));
     }
     for (gateway, updates) in gateways.iter_mut().zip(updates.into_iter().rev()) {
