Count a failed trial although its process is known already

What callers would see: trials of doubtful requests without end, an engine each. Found by reading the diff; a_failed_trial_counts_if_its_process_is_known failed before (Doubtful after three failed trials) and passes now.

Cause: a failed trial was counted only if its end added evidence. An end of another request on the same process, reported first, hid it.

Change: the end of a trial's own request counts once, whatever else is known of its process. The record of one part has a file of its own, without change.

Why it works: the request names the trial; that its update arrives three times doesn't matter.

--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -4,8 +4,9 @@
 //! endpoints, and [`WorkLedger`] the work that all gateways have placed on them. [`DirectPlacer`]
 //! chooses endpoints by the [`EngineProfile`]. [`WaitingQueue`] decides which requests may wait,
 //! and [`DirectMachine`] what follows each attempt. [`LengthShares`] tells which sizes of long prompts
-//! are started too seldom, and [`TeamBookings`] how many endpoints are kept for them. [`SuspectLedger`] finds requests that crash the
-//! engines that run them. [`EndpointListing`] decides which endpoint list is valid while the store
+//! are started too seldom, and [`TeamBookings`] how many endpoints are kept for them.
+//! [`SuspectLedger`] finds requests that crash the engines that run them, and [`PartLedger`] parts of
+//! prompts that do. [`ConnectionAdmission`] limits what a gateway reads. [`EndpointListing`] decides which endpoint list is valid while the store
 //! is unreachable or restored from an older copy, [`DomainDrains`] to which failure domains nothing
 //! is sent, and [`ColdEndpoints`] which endpoints tolerate only a low rate. [`DomainRelays`] decides
 //! how messages reach the other gateways of a large fleet. None of these types reads a clock or performs
@@ -33,6 +34,7 @@
 mod machine;
 mod member;
 mod part_ledger;
+mod part_record;
 mod part_update;
 mod pause;
 mod peer_liveness;
--- a/lovagedock/src/direct/part_ledger.rs
+++ b/lovagedock/src/direct/part_ledger.rs
@@ -6,21 +6,16 @@
     time::Duration,
 };
 
-use smallvec::SmallVec;
-
 use super::{
+    part_record::{EndRecord, LedgerTime, PROCESS_START, PartRecord, ledger_time},
     part_update::{PartEnd, PartReport, PartUpdate, PromptPart, PromptParts},
     recent::RecentSet,
     refusals::RequestFingerprint,
     resend_queue::ResendQueue,
-    suspect_update::{EndEvidence, ProcessTag, STRONG_WEIGHT},
+    suspect_update::ProcessTag,
 };
 use crate::ids::Timestamp;
 
-/// Total weight of evidence for a quarantine: three processes that certainly ended, each under a
-/// request that was sent after the one before had ended.
-const QUARANTINE_WEIGHT: u32 = 3 * STRONG_WEIGHT;
-
 /// Duration of the first quarantine. After it, one request at a time is sent to find out whether
 /// the part still ends engines, and each further quarantine lasts twice as long, up to the maximum.
 const FIRST_QUARANTINE: Duration = Duration::from_secs(600);
@@ -42,9 +37,8 @@
 const ANSWERED_TIME: Duration = Duration::from_secs(60);
 const MAX_ANSWERED: usize = 4096;
 
-/// Maximum number of parts with evidence, and of remembered ends of each; the latest are kept.
+/// Maximum number of parts with evidence.
 const MAX_PARTS: usize = 2048;
-const MAX_ENDS: usize = 16;
 
 /// Maximum number of parts that a gateway reports to the store.
 const MAX_REPORTS: usize = 256;
@@ -58,13 +52,6 @@
 const QUARANTINE_RESEND_INTERVAL: Duration = Duration::from_secs(5);
 const MAX_QUARANTINES_RESENT: usize = 4;
 
-/// Time of a ledger when the clock of its process was at zero. Evidence may be older than the
-/// process.
-const PROCESS_START: LedgerTime = Duration::from_secs(24 * 3600);
-
-/// Like [`Timestamp`], but with a range before the start of the process.
-type LedgerTime = Duration;
-
 /// What is known about a request by the parts of its prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum PartVerdict {
@@ -80,31 +67,6 @@
     Quarantined(Duration),
 }
 
-#[derive(Clone, Copy, Debug)]
-struct EndRecord {
-    process: ProcessTag,
-    request: RequestFingerprint,
-    evidence: EndEvidence,
-    ran_for: Duration,
-    ended_at: LedgerTime,
-}
-
-#[derive(Clone, Debug, Default)]
-struct PartRecord {
-    /// Ends since the part was last answered, in the order of their times.
-    ends: SmallVec<[EndRecord; 3]>,
-    changed_at: LedgerTime,
-    /// End of the latest quarantine; zero if the ends do not suffice for one.
-    quarantined_until: LedgerTime,
-    quarantines: u32,
-    /// Number of processes that ended during a trial in this quarantine.
-    failed_trials: u32,
-    /// Whether one of these trials was not explained by other parts in quarantine.
-    has_failed_alone: bool,
-    /// Whether this gateway has evidence of its own, possibly from its former process.
-    is_own: bool,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct TrialRecord {
     request: RequestFingerprint,
@@ -514,10 +476,11 @@
             let is_explained =
                 known.is_some_and(|record| self.is_explained(record, parts, PartRecord::is_blamed));
             let record = self.records.entry(*part).or_default();
+            if has_failed {
+                record.record_failed_trial(end.request, is_explained);
+            }
             if record.add_end(end) {
                 record.changed_at = now;
-                record.failed_trials += u32::from(has_failed);
-                record.has_failed_alone |= has_failed && !is_explained;
                 added.push(*part);
             }
         }
@@ -653,94 +616,3 @@
         }
     }
 }
-
-impl PartRecord {
-    /// Adds an end. Returns `false` if it adds no evidence.
-    fn add_end(&mut self, end: EndRecord) -> bool {
-        if let Some(known) = self
-            .ends
-            .iter_mut()
-            .find(|known| known.process == end.process)
-        {
-            let is_stronger = known.evidence < end.evidence;
-            known.evidence = known.evidence.max(end.evidence);
-            // Of several requests that shared the process, the one sent last says most.
-            known.ran_for = known.ran_for.min(end.ran_for);
-            return is_stronger;
-        }
-        let position = self
-            .ends
-            .partition_point(|known| known.ended_at <= end.ended_at);
-        self.ends.insert(position, end);
-        if self.ends.len() > MAX_ENDS {
-            self.ends.remove(0);
-        }
-        true
-    }
-
-    /// Returns the weight of the ends. Those whose requests were sent before the first of them
-    /// count as one.
-    fn weight(&self) -> u32 {
-        let mut total = 0;
-        let mut latest: Option<(LedgerTime, u32)> = None;
-        for end in &self.ends {
-            let weight = end.evidence.weight();
-            latest = match latest {
-                Some((first_at, heaviest)) if end.sent_at() < first_at => {
-                    Some((first_at, heaviest.max(weight)))
-                }
-                before => {
-                    total += before.map_or(0, |(_, heaviest)| heaviest);
-                    Some((end.ended_at, weight))
-                }
-            };
-        }
-        total + latest.map_or(0, |(_, heaviest)| heaviest)
-    }
-
-    /// Returns whether the ends suffice for a quarantine. If all of them are of one request, its
-    /// other content may be the cause, see [`SuspectLedger`](super::SuspectLedger).
-    fn is_sufficient(&self) -> bool {
-        let first = self.ends.first().map(|end| end.request);
-        let is_shared = self.ends.iter().any(|end| Some(end.request) != first);
-        is_shared && self.weight() >= QUARANTINE_WEIGHT
-    }
-
-    /// Returns whether the ends sufficed for a quarantine, which may have ended.
-    fn is_blamed(&self) -> bool {
-        !self.quarantined_until.is_zero()
-    }
-
-    fn end_of(&self, process: ProcessTag) -> Option<EndRecord> {
-        let mut ends = self.ends.iter().copied();
-        ends.find(|end| end.process == process)
-    }
-
-    fn report(&self, now: LedgerTime, part: PromptPart) -> PartReport {
-        PartReport {
-            part,
-            ends: self.ends.iter().map(|end| end.with_age(now)).collect(),
-            quarantined_for: self.quarantined_until.saturating_sub(now),
-        }
-    }
-}
-
-impl EndRecord {
-    fn sent_at(&self) -> LedgerTime {
-        self.ended_at.saturating_sub(self.ran_for)
-    }
-
-    fn with_age(&self, now: LedgerTime) -> PartEnd {
-        PartEnd {
-            process: self.process,
-            request: self.request,
-            evidence: self.evidence,
-            ran_for: self.ran_for,
-            age: now.saturating_sub(self.ended_at),
-        }
-    }
-}
-
-fn ledger_time(now: Timestamp) -> LedgerTime {
-    now + PROCESS_START
-}
--- a/lovagedock/tests/direct_parts.rs
+++ b/lovagedock/tests/direct_parts.rs
@@ -313,6 +313,29 @@
     assert!(!gateways[1].holds_trial(now, OTHER));
 }
 
+/// Guards against trials without end if another request on the same process is reported first.
+#[test]
+fn a_failed_trial_counts_if_its_process_is_known() {
+    let mut now = Duration::from_secs(10);
+    let mut ledger = blamed_ledger(now);
+    for trial in 0..3 {
+        now += Duration::from_secs(2);
+        let request = 50 + trial;
+        assert_eq!(ledger.verdict(now, OTHER), PartVerdict::Doubtful, "{trial}");
+        assert!(ledger.try_start_trial(now, request, OTHER, Duration::from_secs(1)));
+        let end = end(20 + trial, EndEvidence::Strong, RUN_TIME);
+        ledger.record_end(now, BOTH, end);
+        ledger.record_end(now, OTHER, PartEnd { request, ..end });
+        // The update arrives again.
+        ledger.record_end(now, OTHER, PartEnd { request, ..end });
+    }
+    let verdict = ledger.verdict(now, OTHER);
+    assert!(
+        matches!(verdict, PartVerdict::Quarantined(_)),
+        "{verdict:?}"
+    );
+}
+
 /// Guards against evidence that is lost with a gateway's process, or that a stored copy brings back
 /// after an answer.
 #[test]
