Try a blamed part once if no other part explains its ends

Cause: a part in quarantine was tried only if other parts in quarantine explained all its ends, or if this gateway's process had seen it answered within a minute.

Change: a part whose ends are not explained is tried too, a second after the latest end for each part of the request that has evidence, so that requests with fewer such parts go first. One such trial may fail; further ones need another part that explains the failures (if the part was answered shortly before, one with too few ends counts as well, as before). Three failed trials remain the limit for each quarantine, and a quarantine that follows another allows none of these. The rule that needed a recent answer goes.

Measured: the new cases and a_part_that_nothing_explains_is_tried_once failed before (Quarantined in place of Doubtful).

--- a/lovagedock/src/direct/part_ledger.rs
+++ b/lovagedock/src/direct/part_ledger.rs
@@ -7,7 +7,7 @@
 };
 
 use super::{
-    part_record::{EndRecord, LedgerTime, PROCESS_START, PartRecord, ledger_time},
+    part_record::{EndRecord, FailedTrial, LedgerTime, PROCESS_START, PartRecord, ledger_time},
     part_update::{PartEnd, PartReport, PartUpdate, PromptPart, PromptParts},
     recent::RecentSet,
     refusals::RequestFingerprint,
@@ -26,7 +26,12 @@
 
 /// Maximum number of trials in one quarantine during which a process may end. Operators accept that
 /// three requests are sent after the part is known.
-const MAX_FAILED_TRIALS: u32 = 3;
+const MAX_FAILED_TRIALS: usize = 3;
+
+/// Time from the latest end until a request may be sent as a trial although no other part explains
+/// the ends, for each of its parts under which processes ended. Requests with fewer such parts are
+/// more likely to be sound and go first.
+const UNEXPLAINED_TRIAL_DELAY: Duration = Duration::from_secs(1);
 
 /// Time for which evidence is kept after the latest end, or after the quarantine if that ends
 /// later.
@@ -377,37 +382,21 @@
         }
         let remaining = record.quarantined_until.saturating_sub(now);
         let is_doubtful = remaining.is_zero()
-            || (record.failed_trials < MAX_FAILED_TRIALS
-                && (self.is_explained(record, parts, PartRecord::is_blamed)
-                    || self.may_be_sound(now, part, record, parts)));
+            || (record.failed_trials.len() < MAX_FAILED_TRIALS
+                && self.may_be_sound(now, part, record, parts));
         match is_doubtful {
             true => PartVerdict::Doubtful,
             false => PartVerdict::Quarantined(remaining),
         }
     }
 
-    /// Returns whether all ends under a part of a request can be explained by other parts that the
-    /// request does not have.
-    fn is_explained(
-        &self,
-        record: &PartRecord,
-        parts: &[PromptPart],
-        may_explain: impl Fn(&PartRecord) -> bool,
-    ) -> bool {
-        let others = self.records.iter();
-        let others = others.filter(|(other, record)| may_explain(record) && !parts.contains(other));
-        let explained: HashSet<ProcessTag> = others
-            .flat_map(|(_, other)| other.ends.iter().map(|end| end.process))
-            .collect();
-        let mut ends = record.ends.iter();
-        !record.ends.is_empty() && ends.all(|end| explained.contains(&end.process))
-    }
-
-    /// Returns whether a part in quarantine that was answered shortly before may be sound because
-    /// several other parts caused its ends, none of which has enough for a quarantine.
+    /// Returns whether a part of a request may be sound although it is in quarantine.
     ///
-    /// If two parts end engines at the same time, the part that all their requests share has three
-    /// ends first.
+    /// All its ends may have been caused by other parts in quarantine, which the request does not
+    /// have. Or some may have another cause, which no part explains; this is found out by one
+    /// failed trial at most. If the part was answered shortly before, a failed trial may also have
+    /// been caused by a part that does not have enough ends for a quarantine: of two parts that end
+    /// engines at the same time, one may be known later than the part that all requests share.
     fn may_be_sound(
         &self,
         now: LedgerTime,
@@ -415,16 +404,37 @@
         record: &PartRecord,
         parts: &[PromptPart],
     ) -> bool {
-        self.answered.contains(now, part)
-            && !record.has_failed_alone
-            && !self.has_suspect_part(parts)
-            && self.is_explained(record, parts, |_| true)
+        let explained = self.explained_processes(parts, PartRecord::is_blamed);
+        let mut ends = record.ends.iter();
+        if ends.all(|end| explained.contains(&end.process)) {
+            return true;
+        }
+        let known = parts.iter();
+        let known = known.filter(|part| self.records.contains_key(part));
+        let delay = UNEXPLAINED_TRIAL_DELAY * known.count() as u32;
+        // A further quarantine follows a failed trial.
+        if record.quarantines > 1 || now < record.latest_end_at() + delay {
+            return false;
+        }
+        let was_sound = self.answered.contains(now, part);
+        let explained = match was_sound {
+            true => self.explained_processes(parts, |_| true),
+            false => explained,
+        };
+        let mut failed = record.failed_trials.iter();
+        failed.all(|trial| explained.contains(&trial.process))
     }
 
-    /// Returns whether processes ended under one of the parts, too few for a quarantine.
-    fn has_suspect_part(&self, parts: &[PromptPart]) -> bool {
-        let mut records = parts.iter().filter_map(|part| self.records.get(part));
-        records.any(|record| !record.is_blamed())
+    /// Returns the processes that ended under other parts than those of a request.
+    fn explained_processes(
+        &self,
+        parts: &[PromptPart],
+        may_explain: impl Fn(&PartRecord) -> bool,
+    ) -> HashSet<ProcessTag> {
+        let others = self.records.iter();
+        let others = others.filter(|(other, record)| may_explain(record) && !parts.contains(other));
+        let ends = others.flat_map(|(_, other)| &other.ends);
+        ends.map(|end| end.process).collect()
     }
 
     fn doubtful_parts(&self, now: LedgerTime, parts: &[PromptPart]) -> PromptParts {
@@ -472,12 +482,12 @@
             let trial = self.trials.get(part);
             let has_failed =
                 trial.is_some_and(|trial| trial.until > now && trial.request == end.request);
-            let known = self.records.get(part);
-            let is_explained =
-                known.is_some_and(|record| self.is_explained(record, parts, PartRecord::is_blamed));
             let record = self.records.entry(*part).or_default();
             if has_failed {
-                record.record_failed_trial(end.request, is_explained);
+                record.record_failed_trial(FailedTrial {
+                    request: end.request,
+                    process: end.process,
+                });
             }
             if record.add_end(end) {
                 record.changed_at = now;
@@ -500,8 +510,7 @@
             let time = FIRST_QUARANTINE * 2_u32.saturating_pow(record.quarantines);
             record.quarantined_until = now + time.min(MAX_QUARANTINE);
             record.quarantines = (record.quarantines + 1).min(MAX_DOUBLINGS);
-            record.failed_trials = 0;
-            record.has_failed_alone = false;
+            record.failed_trials.clear();
             quarantined.push(*part);
             self.unsent.push(now, WaitingPartUpdate::Quarantined(*part));
         }
@@ -523,6 +532,7 @@
         }
         if !record.is_sufficient() {
             record.quarantined_until = Duration::ZERO;
+            record.quarantines = 0;
         }
         was_blamed && !record.is_blamed()
     }
--- a/lovagedock/src/direct/part_record.rs
+++ b/lovagedock/src/direct/part_record.rs
@@ -35,6 +35,13 @@
     pub(super) ended_at: LedgerTime,
 }
 
+/// A trial during which a process ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct FailedTrial {
+    pub(super) request: RequestFingerprint,
+    pub(super) process: ProcessTag,
+}
+
 /// What is held against one part.
 #[derive(Clone, Debug, Default)]
 pub(super) struct PartRecord {
@@ -44,11 +51,8 @@
     /// End of the latest quarantine; zero if the ends do not suffice for one.
     pub(super) quarantined_until: LedgerTime,
     pub(super) quarantines: u32,
-    /// Number of trials in this quarantine during which a process ended, and request of the latest.
-    pub(super) failed_trials: u32,
-    failed_request: Option<RequestFingerprint>,
-    /// Whether one of these trials was not explained by other parts in quarantine.
-    pub(super) has_failed_alone: bool,
+    /// Trials in this quarantine during which a process ended.
+    pub(super) failed_trials: SmallVec<[FailedTrial; 3]>,
     /// Whether this gateway has evidence of its own, possibly from its former process.
     pub(super) is_own: bool,
 }
@@ -78,13 +82,18 @@
     }
 
     /// Records that a process ended under the request of a trial, once for each request.
-    pub(super) fn record_failed_trial(&mut self, request: RequestFingerprint, is_explained: bool) {
-        if self.failed_request.replace(request) != Some(request) {
-            self.failed_trials += 1;
-            self.has_failed_alone |= !is_explained;
+    pub(super) fn record_failed_trial(&mut self, trial: FailedTrial) {
+        let mut known = self.failed_trials.iter();
+        if !known.any(|known| known.request == trial.request) {
+            self.failed_trials.push(trial);
         }
     }
 
+    /// Returns when the latest process ended.
+    pub(super) fn latest_end_at(&self) -> LedgerTime {
+        self.ends.last().map_or(Duration::ZERO, |end| end.ended_at)
+    }
+
     /// Returns the weight of the ends. Those whose requests were sent before the first of them
     /// count as one.
     pub(super) fn weight(&self) -> u32 {
--- a/lovagedock/tests/direct_parts.rs
+++ b/lovagedock/tests/direct_parts.rs
@@ -142,6 +142,41 @@
             next: OTHER,
             expected: Expected::Quarantined,
         },
+        PartCase {
+            name: "shortly after ends by another cause and a crashing part",
+            steps: &[
+                Ended(1, OTHER),
+                Ended(2, BOTH),
+                Ended(3, BOTH),
+                Ended(4, BOTH),
+            ],
+            next: OTHER,
+            expected: Expected::Quarantined,
+        },
+        PartCase {
+            name: "a second later",
+            steps: &[
+                Ended(1, OTHER),
+                Ended(2, BOTH),
+                Ended(3, BOTH),
+                Ended(4, BOTH),
+                Wait(1),
+            ],
+            next: &[COMMON, SOUND + 1],
+            expected: Expected::Doubtful,
+        },
+        PartCase {
+            name: "a second after ends that no other part explains",
+            steps: &[Ended(1, OTHER), Ended(2, BOTH), Ended(3, OTHER), Wait(1)],
+            next: &[COMMON, SOUND + 1],
+            expected: Expected::Doubtful,
+        },
+        PartCase {
+            name: "the same for a request with more parts under which processes ended",
+            steps: &[Ended(1, OTHER), Ended(2, BOTH), Ended(3, OTHER), Wait(1)],
+            next: BOTH,
+            expected: Expected::Quarantined,
+        },
         PartCase {
             name: "answered shortly before it ended engines",
             steps: &[
@@ -336,6 +371,25 @@
     );
 }
 
+/// Guards against more trials of a part that ends engines, and against none of one that shares its
+/// requests with such a part.
+#[test]
+fn a_part_that_nothing_explains_is_tried_once() {
+    let mut now = Duration::from_secs(10);
+    let mut ledger = blamed_ledger(now);
+    now += Duration::from_secs(5);
+    assert_eq!(ledger.verdict(now, BOTH), PartVerdict::Doubtful);
+    assert!(ledger.try_start_trial(now, 50, BOTH, Duration::from_secs(1)));
+    ledger.record_end(now, BOTH, end(50, EndEvidence::Strong, RUN_TIME));
+    now += Duration::from_secs(60);
+    let verdict = ledger.verdict(now, BOTH);
+    assert!(
+        matches!(verdict, PartVerdict::Quarantined(_)),
+        "{verdict:?}"
+    );
+    assert_eq!(ledger.verdict(now, OTHER), PartVerdict::Doubtful);
+}
+
 /// Guards against evidence that is lost with a gateway's process, or that a stored copy brings back
 /// after an answer.
 #[test]
