Do not count trials that a crashing request ended against parts

Cause: the only trial of the part that all requests share ran on a process that a request without parts crashed as a whole. Evidence against whole requests and against parts was kept apart, so the failed trial counted against the part although the request was in quarantine with that process among its ends 0.6 s later (trace: trial at 40.72 s, end of i-2-0@1 under both at 41.68 s, request in quarantine at 42.31 s).

Change: processes whose ends are attributed to requests in quarantine explain failed trials. The limit of three failed trials stays.

Measured: a_trial_that_another_request_ended_does_not_count fails without the change (the ledger had no way to be told).

--- a/lovagedock-gateway/src/direct/state/suspects.rs
+++ b/lovagedock-gateway/src/direct/state/suspects.rs
@@ -9,7 +9,7 @@
 use slog::info;
 use tokio::sync::futures::Notified;
 
-use super::GatewayState;
+use super::{GatewayState, fleet_state::FleetState};
 
 /// Where a quarantine was decided, for the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -60,6 +60,7 @@
         let end = ProcessEnd::new(process, evidence);
         let mut fleet = self.fleet.lock();
         let is_new = fleet.suspects.record_end(now, fingerprint, end);
+        fleet.attribute_ends(now);
         drop(fleet);
         metrics::counter!("lovagedock_requests_under_ended_processes_total").increment(1);
         if is_new {
@@ -86,7 +87,10 @@
     pub(crate) fn apply_peer_suspects(&self, updates: Vec<SuspectUpdate>) {
         for update in updates {
             let now = self.clock.now();
-            let is_new = self.fleet.lock().suspects.apply_update(now, update);
+            let mut fleet = self.fleet.lock();
+            let is_new = fleet.suspects.apply_update(now, update);
+            fleet.attribute_ends(now);
+            drop(fleet);
             if is_new {
                 self.report_quarantine(update.fingerprint(), QuarantineSource::Peer);
             }
@@ -116,6 +120,7 @@
         let mut fleet = self.fleet.lock();
         let before: Vec<_> = fleet.suspects.quarantines(now).map(|(f, _)| f).collect();
         fleet.suspects.restore(now, reports, is_own);
+        fleet.attribute_ends(now);
         let after: Vec<_> = fleet.suspects.quarantines(now).map(|(f, _)| f).collect();
         drop(fleet);
         for fingerprint in after.iter().filter(|after| !before.contains(after)) {
@@ -144,3 +149,11 @@
         self.request_quarantined.notify_waiters();
     }
 }
+
+impl FleetState {
+    /// Tells the ledger of parts which ends are attributed to whole requests.
+    fn attribute_ends(&mut self, now: Timestamp) {
+        self.parts
+            .set_attributed(self.suspects.attributed_processes(now));
+    }
+}
--- a/lovagedock/src/direct/part_ledger.rs
+++ b/lovagedock/src/direct/part_ledger.rs
@@ -105,6 +105,8 @@
 pub struct PartLedger {
     records: HashMap<PromptPart, PartRecord>,
     answered: RecentSet,
+    /// Processes whose ends are attributed to whole requests.
+    attributed: HashSet<ProcessTag>,
     trials: HashMap<PromptPart, TrialRecord>,
     /// Rank of this gateway among those that start a trial at the same moment; the lowest goes
     /// first.
@@ -126,6 +128,7 @@
         Self {
             records: HashMap::new(),
             answered: RecentSet::new(ANSWERED_TIME, MAX_ANSWERED),
+            attributed: HashSet::new(),
             trials: HashMap::new(),
             rank: 0,
             unsent: ResendQueue::default(),
@@ -162,6 +165,14 @@
         self.quarantine_due(now, &added)
     }
 
+    /// Sets the processes whose ends are attributed to whole requests in quarantine, see
+    /// [`SuspectLedger::attributed_processes`](super::SuspectLedger::attributed_processes). A trial
+    /// that shared its process with such a request says nothing about its parts.
+    pub fn set_attributed(&mut self, processes: impl IntoIterator<Item = ProcessTag>) {
+        self.attributed.clear();
+        self.attributed.extend(processes);
+    }
+
     /// Records that an engine has begun to answer a request with these parts. Returns the parts
     /// whose quarantine this ended.
     pub fn record_answered(&mut self, now: Timestamp, parts: &[PromptPart]) -> PromptParts {
@@ -422,7 +433,9 @@
             false => explained,
         };
         let mut failed = record.failed_trials.iter();
-        failed.all(|trial| explained.contains(&trial.process))
+        failed.all(|trial| {
+            explained.contains(&trial.process) || self.attributed.contains(&trial.process)
+        })
     }
 
     /// Returns the processes that ended under other parts than those of a request.
--- a/lovagedock/src/direct/suspects.rs
+++ b/lovagedock/src/direct/suspects.rs
@@ -192,6 +192,13 @@
             })
     }
 
+    /// Returns the processes whose ends are attributed to requests in quarantine.
+    pub fn attributed_processes(&self, now: Timestamp) -> impl Iterator<Item = ProcessTag> {
+        let records = self.suspects.values();
+        let quarantined = records.filter(move |record| record.quarantined_until > now);
+        quarantined.flat_map(|record| record.ends.iter().map(|end| end.process))
+    }
+
     /// Returns the updates of this gateway that have not been sent to peers, and marks them as
     /// sent.
     pub fn take_unsent(&mut self) -> Vec<SuspectUpdate> {
--- a/lovagedock/tests/direct_parts.rs
+++ b/lovagedock/tests/direct_parts.rs
@@ -390,6 +390,29 @@
     assert_eq!(ledger.verdict(now, OTHER), PartVerdict::Doubtful);
 }
 
+/// Guards against a sound part that is refused because its only trial shared a process with a
+/// request that ends engines as a whole.
+#[test]
+fn a_trial_that_another_request_ended_does_not_count() {
+    let mut now = Duration::from_secs(10);
+    let mut ledger = PartLedger::new();
+    for process in 1..4 {
+        now += RUN_TIME * 2;
+        ledger.record_end(now, OTHER, end(process, EndEvidence::Strong, RUN_TIME));
+    }
+    now += Duration::from_secs(5);
+    assert!(ledger.try_start_trial(now, 50, OTHER, Duration::from_secs(1)));
+    let trial_end = end(50, EndEvidence::Strong, RUN_TIME);
+    ledger.record_end(now, OTHER, trial_end);
+    now += Duration::from_secs(5);
+    assert!(matches!(
+        ledger.verdict(now, OTHER),
+        PartVerdict::Quarantined(_)
+    ));
+    ledger.set_attributed([trial_end.process]);
+    assert_eq!(ledger.verdict(now, OTHER), PartVerdict::Doubtful);
+}
+
 /// Guards against evidence that is lost with a gateway's process, or that a stored copy brings back
 /// after an answer.
 #[test]
