Tell peers and the store which ends were trials

What callers would see: up to three more engines lost for each gateway that restarts, or that misses the message about a trial.

The number of failed trials was kept by each process; the reports in the store and the updates to peers did not have it.

Change: an end says whether its request was a trial, in the updates of both kinds of fleet and in the store (absent in sheets of earlier versions: not a trial). The count of failed trials is that of such ends, so a trial that ends two processes counts twice.

Measured: failed_trials_are_known_to_all_gateways failed before (peer: Doubtful).

--- a/lovagedock-gateway/src/direct/call/process_end.rs
+++ b/lovagedock-gateway/src/direct/call/process_end.rs
@@ -51,6 +51,7 @@
             evidence,
             ran_for: self.sent_at.elapsed(),
             age: Duration::ZERO,
+            is_trial: self.has_trial,
         };
         self.state.record_part_end(&self.parts.head.parts, end);
     }
--- a/lovagedock-gateway/src/direct/suspect_sync.rs
+++ b/lovagedock-gateway/src/direct/suspect_sync.rs
@@ -207,7 +207,8 @@
 fn are_parts_equal(reports: &[PartReport], stored: &[PartReport]) -> bool {
     let ends = |report: &PartReport| -> Vec<_> {
         let ends = report.ends.iter();
-        ends.map(|end| (end.process, end.evidence)).collect()
+        ends.map(|end| (end.process, end.evidence, end.is_trial))
+            .collect()
     };
     let is_equal = |(report, stored): (&PartReport, &PartReport)| {
         report.part == stored.part
--- a/lovagedock-gateway/src/suspects.rs
+++ b/lovagedock-gateway/src/suspects.rs
@@ -101,6 +101,7 @@
             evidence,
             ran_for,
             age: Duration::ZERO,
+            is_trial: false,
         };
         let mut state = self.state.lock();
         let is_new = state.ledger.record_end(now, fingerprint, end);
--- a/lovagedock-standin/tests/peer_session.rs
+++ b/lovagedock-standin/tests/peer_session.rs
@@ -329,6 +329,7 @@
         evidence: EndEvidence::Weak,
         ran_for: Duration::from_millis(97),
         age: Duration::from_millis(1500),
+        is_trial: true,
     };
     let parts = PromptParts::from_slice(&[u64::MAX, 5]);
     let news = [
--- a/lovagedock-wire/schema/lovagedock.capnp
+++ b/lovagedock-wire/schema/lovagedock.capnp
@@ -236,6 +236,8 @@
   # Time from sending the request to the end.
   ageMs @4 :UInt64;
   # Time since the end.
+  trial @5 :Bool;
+  # Whether the request was sent to find out whether its parts end engines.
 }
 
 struct SuspectNews {
--- a/lovagedock-wire/src/lovagedock_capnp.rs
+++ b/lovagedock-wire/src/lovagedock_capnp.rs
@@ -15000,6 +15000,10 @@
         pub fn get_age_ms(self) -> u64 {
             self.reader.get_data_field::<u64>(4)
         }
+        #[inline]
+        pub fn get_trial(self) -> bool {
+            self.reader.get_bool_field(129)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -15094,6 +15098,14 @@
         pub fn set_age_ms(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(4, value);
         }
+        #[inline]
+        pub fn get_trial(self) -> bool {
+            self.builder.get_bool_field(129)
+        }
+        #[inline]
+        pub fn set_trial(&mut self, value: bool)  {
+            self.builder.set_bool_field(129, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -15105,7 +15117,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 108] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(167, 208, 67, 250, 19, 192, 38, 177),
             ::capnp::word(17, 0, 0, 0, 1, 0, 5, 0),
@@ -15115,7 +15127,7 @@
             ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
@@ -15123,42 +15135,49 @@
             ::capnp::word(58, 80, 97, 114, 116, 69, 110, 100),
             ::capnp::word(78, 101, 119, 115, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 128, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 129, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(112, 114, 111, 99, 101, 115, 115, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -15199,6 +15218,14 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 114, 105, 97, 108, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -15207,6 +15234,7 @@
                 2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -15220,9 +15248,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,2,0,3,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,2,0,3,1,5];
         pub(crate) const TYPE_ID: u64 = 0xb126_c013_fa43_d0a7;
     }
 }
--- a/lovagedock-wire/src/part_codec.rs
+++ b/lovagedock-wire/src/part_codec.rs
@@ -93,6 +93,7 @@
         item.set_certain(end.evidence == EndEvidence::Strong);
         item.set_ran_ms(duration_to_millis(end.ran_for));
         item.set_age_ms(duration_to_millis(end.age));
+        item.set_trial(end.is_trial);
     }
 }
 
@@ -106,6 +107,7 @@
         },
         ran_for: Duration::from_millis(item.get_ran_ms()),
         age: Duration::from_millis(item.get_age_ms()),
+        is_trial: item.get_trial(),
     });
     ends.collect()
 }
--- a/lovagedock/src/direct/part_ledger.rs
+++ b/lovagedock/src/direct/part_ledger.rs
@@ -7,7 +7,7 @@
 };
 
 use super::{
-    part_record::{EndRecord, FailedTrial, LedgerTime, PROCESS_START, PartRecord, ledger_time},
+    part_record::{EndRecord, LedgerTime, PROCESS_START, PartRecord, ledger_time},
     part_update::{PartEnd, PartReport, PartUpdate, PromptPart, PromptParts},
     recent::RecentSet,
     refusals::RequestFingerprint,
@@ -152,6 +152,10 @@
         end: PartEnd,
     ) -> PromptParts {
         let now = ledger_time(now);
+        let end = PartEnd {
+            is_trial: end.is_trial || self.is_trial_request(now, parts, end.request),
+            ..end
+        };
         let added = self.add_end(now, parts, end);
         for part in &added {
             if let Some(record) = self.records.get_mut(part) {
@@ -393,7 +397,7 @@
         }
         let remaining = record.quarantined_until.saturating_sub(now);
         let is_doubtful = remaining.is_zero()
-            || (record.failed_trials.len() < MAX_FAILED_TRIALS
+            || (record.failed_trials().count() < MAX_FAILED_TRIALS
                 && self.may_be_sound(now, part, record, parts));
         match is_doubtful {
             true => PartVerdict::Doubtful,
@@ -432,7 +436,7 @@
             true => self.explained_processes(parts, |_| true),
             false => explained,
         };
-        let mut failed = record.failed_trials.iter();
+        let mut failed = record.failed_trials();
         failed.all(|trial| {
             explained.contains(&trial.process) || self.attributed.contains(&trial.process)
         })
@@ -465,6 +469,17 @@
         trial.is_some_and(|trial| trial.until > now)
     }
 
+    /// Returns whether a request was sent as the trial of one of its parts.
+    fn is_trial_request(
+        &self,
+        now: LedgerTime,
+        parts: &[PromptPart],
+        request: RequestFingerprint,
+    ) -> bool {
+        let mut trials = parts.iter().filter_map(|part| self.trials.get(part));
+        trials.any(|trial| trial.until > now && trial.request == request)
+    }
+
     fn is_quarantined(&self, now: LedgerTime, part: PromptPart) -> bool {
         let record = self.records.get(&part);
         record.is_some_and(|record| record.quarantined_until > now)
@@ -479,6 +494,7 @@
             evidence: end.evidence,
             ran_for: end.ran_for,
             ended_at: now.saturating_sub(end.age),
+            is_trial: end.is_trial,
         };
         let mut added = PromptParts::new();
         for part in parts {
@@ -492,16 +508,7 @@
                 continue;
             }
             self.make_room(*part);
-            let trial = self.trials.get(part);
-            let has_failed =
-                trial.is_some_and(|trial| trial.until > now && trial.request == end.request);
             let record = self.records.entry(*part).or_default();
-            if has_failed {
-                record.record_failed_trial(FailedTrial {
-                    request: end.request,
-                    process: end.process,
-                });
-            }
             if record.add_end(end) {
                 record.changed_at = now;
                 added.push(*part);
@@ -523,7 +530,6 @@
             let time = FIRST_QUARANTINE * 2_u32.saturating_pow(record.quarantines);
             record.quarantined_until = now + time.min(MAX_QUARANTINE);
             record.quarantines = (record.quarantines + 1).min(MAX_DOUBLINGS);
-            record.failed_trials.clear();
             quarantined.push(*part);
             self.unsent.push(now, WaitingPartUpdate::Quarantined(*part));
         }
--- a/lovagedock/src/direct/part_record.rs
+++ b/lovagedock/src/direct/part_record.rs
@@ -33,13 +33,8 @@
     pub(super) evidence: EndEvidence,
     pub(super) ran_for: Duration,
     pub(super) ended_at: LedgerTime,
-}
-
-/// A trial during which a process ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct FailedTrial {
-    pub(super) request: RequestFingerprint,
-    pub(super) process: ProcessTag,
+    /// Whether a trial was running on the process.
+    pub(super) is_trial: bool,
 }
 
 /// What is held against one part.
@@ -51,8 +46,6 @@
     /// End of the latest quarantine; zero if the ends do not suffice for one.
     pub(super) quarantined_until: LedgerTime,
     pub(super) quarantines: u32,
-    /// Trials in this quarantine during which a process ended.
-    pub(super) failed_trials: SmallVec<[FailedTrial; 3]>,
     /// Whether this gateway has evidence of its own, possibly from its former process.
     pub(super) is_own: bool,
 }
@@ -65,11 +58,12 @@
             .iter_mut()
             .find(|known| known.process == end.process)
         {
-            let is_stronger = known.evidence < end.evidence;
+            let is_new = known.evidence < end.evidence || (end.is_trial && !known.is_trial);
             known.evidence = known.evidence.max(end.evidence);
+            known.is_trial |= end.is_trial;
             // Of several requests that shared the process, the one sent last says most.
             known.ran_for = known.ran_for.min(end.ran_for);
-            return is_stronger;
+            return is_new;
         }
         let position = self
             .ends
@@ -81,12 +75,9 @@
         true
     }
 
-    /// Records that a process ended under the request of a trial, once for each request.
-    pub(super) fn record_failed_trial(&mut self, trial: FailedTrial) {
-        let mut known = self.failed_trials.iter();
-        if !known.any(|known| known.request == trial.request) {
-            self.failed_trials.push(trial);
-        }
+    /// Returns the trials during which a process ended.
+    pub(super) fn failed_trials(&self) -> impl Iterator<Item = &EndRecord> {
+        self.ends.iter().filter(|end| end.is_trial)
     }
 
     /// Returns when the latest process ended.
@@ -153,6 +144,7 @@
             evidence: self.evidence,
             ran_for: self.ran_for,
             age: now.saturating_sub(self.ended_at),
+            is_trial: self.is_trial,
         }
     }
 }
--- a/lovagedock/src/direct/part_update.rs
+++ b/lovagedock/src/direct/part_update.rs
@@ -34,6 +34,9 @@
     pub ran_for: Duration,
     /// Time since the process ended.
     pub age: Duration,
+    /// Whether the request was sent as a trial, see
+    /// [`PartLedger::try_start_trial`](super::PartLedger::try_start_trial).
+    pub is_trial: bool,
 }
 
 /// Evidence against one part.
--- a/lovagedock/tests/direct_part_series/mod.rs
+++ b/lovagedock/tests/direct_part_series/mod.rs
@@ -364,6 +364,7 @@
                     evidence: EndEvidence::Strong,
                     ran_for: now.saturating_sub(run.sent_at),
                     age: Duration::ZERO,
+                    is_trial: false,
                 };
                 self.ledgers[request.gateway].record_end(now, &request.parts, end);
                 self.count_sound(now, &request, false);
--- a/lovagedock/tests/direct_parts.rs
+++ b/lovagedock/tests/direct_parts.rs
@@ -23,6 +23,7 @@
         evidence,
         ran_for,
         age: Duration::ZERO,
+        is_trial: false,
     }
 }
 
@@ -435,6 +436,32 @@
     assert_eq!(next.verdict(start * 2, OTHER), PartVerdict::Clear);
 }
 
+/// Guards against three more trials after each restart of a gateway, and at each peer that missed
+/// the message about the trial.
+#[test]
+fn failed_trials_are_known_to_all_gateways() {
+    let mut now = Duration::from_secs(10);
+    let mut ledger = blamed_ledger(now);
+    let mut peer = blamed_ledger(now).with_rank(1);
+    now += Duration::from_secs(5);
+    assert!(ledger.try_start_trial(now, 50, BOTH, Duration::from_secs(1)));
+    ledger.take_due(now);
+    ledger.record_end(now, BOTH, end(50, EndEvidence::Strong, RUN_TIME));
+    for update in ledger.take_due(now) {
+        peer.apply_update(now, update);
+    }
+    let mut restarted = PartLedger::new();
+    restarted.restore(now, ledger.reports(now, false), true);
+    now += Duration::from_secs(60);
+    for (name, ledger) in [("the peer", peer), ("the restarted gateway", restarted)] {
+        let verdict = ledger.verdict(now, BOTH);
+        assert!(
+            matches!(verdict, PartVerdict::Quarantined(_)),
+            "{name}: {verdict:?}"
+        );
+    }
+}
+
 /// Guards against unbounded memory. The parts with the most evidence are kept longest.
 #[test]
 fn memory_is_bounded() {
