--- a/lovagedock/tests/direct_part_series/mod.rs
+++ b/lovagedock/tests/direct_part_series/mod.rs
@@ -22,6 +22,9 @@
 const MESSAGE_LOSS: f64 = 0.02;
 const STEP: Duration = Duration::from_millis(5);
 
+/// Time from the restart of a gateway until it takes requests.
+const GATEWAY_START_TIME: Duration = Duration::from_millis(100);
+
 /// Time for which a doubtful request waits for the trial of another one, and time of a trial.
 const TRIAL_WAIT: Duration = Duration::from_millis(300);
 const TRIAL_TIME: Duration = Duration::from_secs(1);
@@ -46,6 +49,16 @@
     pub(crate) from: Duration,
 }
 
+/// Restarts of gateways during a series.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct GatewayRestarts {
+    pub(crate) interval: Duration,
+    /// Whether all gateways restart at once, or one of them.
+    pub(crate) all: bool,
+    /// Whether gateways keep their evidence in the store. Otherwise peers have to tell them.
+    pub(crate) has_store: bool,
+}
+
 /// Load and faults of a series.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SeriesPlan {
@@ -55,6 +68,7 @@
     pub(crate) crashing: &'static [(PromptPart, Duration)],
     /// Time between two losses of a quarter of the engines by another cause.
     pub(crate) losses: Option<Duration>,
+    pub(crate) restarts: Option<GatewayRestarts>,
     pub(crate) length: Duration,
 }
 
@@ -107,6 +121,8 @@
     plan: &'a SeriesPlan,
     random: ChaCha8Rng,
     ledgers: Vec<PartLedger>,
+    /// When each gateway takes requests again.
+    starting_until: Vec<Timestamp>,
     messages: Vec<(Timestamp, usize, PartUpdate)>,
     waiting: Vec<SimulatedRequest>,
     runs: Vec<RunningRequest>,
@@ -134,6 +150,7 @@
         ledgers: (0..GATEWAYS as u64)
             .map(|rank| PartLedger::new().with_rank(rank))
             .collect(),
+        starting_until: vec![Duration::ZERO; GATEWAYS],
         messages: Vec::new(),
         waiting: Vec::new(),
         runs: Vec::new(),
@@ -183,9 +200,25 @@
                 self.end_engine(now, engine);
             }
         }
+        if let Some(restarts) = self.plan.restarts
+            && now > self.first_crashing_at
+            && now
+                .as_millis()
+                .is_multiple_of(restarts.interval.as_millis())
+        {
+            self.restart_gateways(now, restarts);
+        }
         self.deliver(now);
-        for request in std::mem::take(&mut self.waiting) {
-            self.place(now, request);
+        for mut request in std::mem::take(&mut self.waiting) {
+            let gateways = (0..GATEWAYS).map(|offset| (request.gateway + offset) % GATEWAYS);
+            let mut running = gateways.filter(|gateway| self.starting_until[*gateway] <= now);
+            match running.next() {
+                Some(gateway) => {
+                    request.gateway = gateway;
+                    self.place(now, request);
+                }
+                None => self.waiting.push(request),
+            }
         }
         self.run(now);
         self.withdraw(now);
@@ -201,6 +234,28 @@
         }
     }
 
+    /// Restarts gateways. Their evidence is in the store, or their peers send it again.
+    fn restart_gateways(&mut self, now: Timestamp, restarts: GatewayRestarts) {
+        let only = self.random.random_range(0..GATEWAYS);
+        let reports = self.ledgers.iter().map(|ledger| ledger.reports(now, false));
+        let reports: Vec<_> = reports.collect();
+        for gateway in (0..GATEWAYS).filter(|gateway| restarts.all || *gateway == only) {
+            self.ledgers[gateway] = PartLedger::new().with_rank(gateway as u64);
+            self.starting_until[gateway] = now + GATEWAY_START_TIME;
+            self.messages
+                .retain(|(_, receiver, _)| *receiver != gateway);
+            self.runs.retain(|run| run.request.gateway != gateway);
+            for (sender, reports) in reports.iter().enumerate() {
+                if restarts.has_store {
+                    self.ledgers[gateway].restore(now, reports.clone(), sender == gateway);
+                }
+            }
+        }
+        for ledger in &mut self.ledgers {
+            ledger.resend_quarantines();
+        }
+    }
+
     fn deliver(&mut self, now: Timestamp) {
         let messages = std::mem::take(&mut self.messages);
         let (due, later) = messages.into_iter().partition(|(at, ..)| *at <= now);
--- a/lovagedock/tests/direct_parts.rs
+++ b/lovagedock/tests/direct_parts.rs
@@ -4,7 +4,9 @@
 
 use std::time::Duration;
 
-use direct_part_series::{RequestFlow, SeriesOutcome, SeriesPlan, simulate_part_series};
+use direct_part_series::{
+    GatewayRestarts, RequestFlow, SeriesOutcome, SeriesPlan, simulate_part_series,
+};
 use lovagedock::{
     EndEvidence, EndpointProcess, PartEnd, PartLedger, PartVerdict, ProcessEnd, PromptPart,
     Timestamp, prompt_parts,
@@ -488,6 +490,7 @@
     flows: &'static [RequestFlow],
     crashing: &'static [(PromptPart, Duration)],
     losses: Option<Duration>,
+    restarts: Option<GatewayRestarts>,
     /// Sound parts that no answer tells from the crashing ones.
     inseparable: usize,
 }
@@ -514,6 +517,7 @@
         ],
         crashing: &[(500, START)],
         losses: None,
+        restarts: None,
         inseparable: 0,
     },
     SeriesCase {
@@ -524,6 +528,7 @@
         ],
         crashing: &[(500, START)],
         losses: None,
+        restarts: None,
         inseparable: 0,
     },
     SeriesCase {
@@ -538,6 +543,7 @@
         ],
         crashing: &[(500, START)],
         losses: None,
+        restarts: None,
         inseparable: 0,
     },
     SeriesCase {
@@ -548,6 +554,7 @@
         ],
         crashing: &[(500, START)],
         losses: None,
+        restarts: None,
         inseparable: 0,
     },
     SeriesCase {
@@ -573,6 +580,7 @@
         ],
         crashing: &[(500, START)],
         losses: None,
+        restarts: None,
         inseparable: 9,
     },
     SeriesCase {
@@ -580,6 +588,7 @@
         flows: &[flow(40.0, &[1..2, 10..14, 100..400])],
         crashing: &[(10, START)],
         losses: None,
+        restarts: None,
         inseparable: 0,
     },
     SeriesCase {
@@ -591,6 +600,7 @@
         ],
         crashing: &[(500, START), (510, START)],
         losses: None,
+        restarts: None,
         inseparable: 0,
     },
     SeriesCase {
@@ -601,6 +611,7 @@
         ],
         crashing: &[(500, START)],
         losses: None,
+        restarts: None,
         inseparable: 0,
     },
     SeriesCase {
@@ -608,6 +619,7 @@
         flows: &[flow(40.0, &[1..2, 10..14, 100..400])],
         crashing: &[],
         losses: Some(Duration::from_millis(1500)),
+        restarts: None,
         inseparable: 0,
     },
     SeriesCase {
@@ -615,6 +627,7 @@
         flows: &[flow(2.0, &[1..2, 10..14, 100..110])],
         crashing: &[],
         losses: Some(Duration::from_millis(1500)),
+        restarts: None,
         inseparable: 0,
     },
     SeriesCase {
@@ -625,6 +638,52 @@
         ],
         crashing: &[(500, START)],
         losses: Some(Duration::from_millis(3000)),
+        restarts: None,
+        inseparable: 0,
+    },
+    SeriesCase {
+        name: "a gateway restarts every second, without the store",
+        flows: &[
+            flow(10.0, &[1..2, 10..14, 100..110]),
+            crashing_flow(8.0, &[1..2, 500..501, 100..110]),
+        ],
+        crashing: &[(500, START)],
+        losses: None,
+        restarts: Some(GatewayRestarts {
+            interval: Duration::from_secs(1),
+            all: false,
+            has_store: false,
+        }),
+        inseparable: 0,
+    },
+    SeriesCase {
+        name: "all gateways restart every four seconds",
+        flows: &[
+            flow(2.0, &[1..2, 10..14, 100..110]),
+            crashing_flow(8.0, &[1..2, 500..501, 100..110]),
+        ],
+        crashing: &[(500, START)],
+        losses: None,
+        restarts: Some(GatewayRestarts {
+            interval: Duration::from_secs(4),
+            all: true,
+            has_store: true,
+        }),
+        inseparable: 0,
+    },
+    SeriesCase {
+        name: "the same beside another cause",
+        flows: &[
+            flow(10.0, &[1..2, 10..14, 100..110]),
+            crashing_flow(8.0, &[1..2, 500..501, 100..110]),
+        ],
+        crashing: &[(500, START)],
+        losses: Some(Duration::from_millis(3000)),
+        restarts: Some(GatewayRestarts {
+            interval: Duration::from_secs(4),
+            all: true,
+            has_store: true,
+        }),
         inseparable: 0,
     },
 ];
@@ -648,6 +707,7 @@
                 flows: case.flows,
                 crashing: case.crashing,
                 losses: case.losses,
+                restarts: case.restarts,
                 length: LENGTH,
             })
         });
@@ -694,6 +754,7 @@
         flows: case.flows,
         crashing: case.crashing,
         losses: case.losses,
+        restarts: case.restarts,
         length: LENGTH,
     });
     assert!(outcome.served_ratio() >= MIN_SERVED_RATIO, "{outcome:?}");
