A trial is not excused by the quarantine of its own request

What callers would see: an engine more for each gateway that restarts, while only requests with the crashing part come.

Cause: the request of a failed trial may have crashed two engines before, so that its third end puts it into quarantine as a whole. Its ends were then attributed to it, and the failed trial counted as explained by a request in quarantine: itself.

Change: only another request than that of the trial explains it.

The test: a_quarantine_of_a_part_survives_restarts asked for no crash after restarts.

--- a/lovagedock/src/direct/part_ledger.rs
+++ b/lovagedock/src/direct/part_ledger.rs
@@ -106,7 +106,7 @@
     records: HashMap<PromptPart, PartRecord>,
     answered: RecentSet,
     /// Processes whose ends are attributed to whole requests.
-    attributed: HashSet<ProcessTag>,
+    attributed: HashMap<ProcessTag, RequestFingerprint>,
     trials: HashMap<PromptPart, TrialRecord>,
     /// Rank of this gateway among those that start a trial at the same moment; the lowest goes
     /// first.
@@ -128,7 +128,7 @@
         Self {
             records: HashMap::new(),
             answered: RecentSet::new(ANSWERED_TIME, MAX_ANSWERED),
-            attributed: HashSet::new(),
+            attributed: HashMap::new(),
             trials: HashMap::new(),
             rank: 0,
             unsent: ResendQueue::default(),
@@ -172,7 +172,10 @@
     /// Sets the processes whose ends are attributed to whole requests in quarantine, see
     /// [`SuspectLedger::attributed_processes`](super::SuspectLedger::attributed_processes). A trial
     /// that shared its process with such a request says nothing about its parts.
-    pub fn set_attributed(&mut self, processes: impl IntoIterator<Item = ProcessTag>) {
+    pub fn set_attributed(
+        &mut self,
+        processes: impl IntoIterator<Item = (ProcessTag, RequestFingerprint)>,
+    ) {
         self.attributed.clear();
         self.attributed.extend(processes);
     }
@@ -438,7 +441,8 @@
         };
         let mut failed = record.failed_trials();
         failed.all(|trial| {
-            explained.contains(&trial.process) || self.attributed.contains(&trial.process)
+            let other = self.attributed.get(&trial.process);
+            explained.contains(&trial.process) || other.is_some_and(|other| *other != trial.request)
         })
     }
 
--- a/lovagedock/src/direct/part_record.rs
+++ b/lovagedock/src/direct/part_record.rs
@@ -60,7 +60,9 @@
         {
             let is_new = known.evidence < end.evidence || (end.is_trial && !known.is_trial);
             known.evidence = known.evidence.max(end.evidence);
-            known.is_trial |= end.is_trial;
+            if end.is_trial {
+                (known.is_trial, known.request) = (true, end.request);
+            }
             // Of several requests that shared the process, the one sent last says most.
             known.ran_for = known.ran_for.min(end.ran_for);
             return is_new;
--- a/lovagedock/src/direct/suspects.rs
+++ b/lovagedock/src/direct/suspects.rs
@@ -192,11 +192,17 @@
             })
     }
 
-    /// Returns the processes whose ends are attributed to requests in quarantine.
-    pub fn attributed_processes(&self, now: Timestamp) -> impl Iterator<Item = ProcessTag> {
-        let records = self.suspects.values();
-        let quarantined = records.filter(move |record| record.quarantined_until > now);
-        quarantined.flat_map(|record| record.ends.iter().map(|end| end.process))
+    /// Returns the processes whose ends are attributed to requests in quarantine, with the request.
+    pub fn attributed_processes(
+        &self,
+        now: Timestamp,
+    ) -> impl Iterator<Item = (ProcessTag, RequestFingerprint)> {
+        let records = self.suspects.iter();
+        let quarantined = records.filter(move |(_, record)| record.quarantined_until > now);
+        quarantined.flat_map(|(fingerprint, record)| {
+            let ends = record.ends.iter();
+            ends.map(|end| (end.process, *fingerprint))
+        })
     }
 
     /// Returns the updates of this gateway that have not been sent to peers, and marks them as
