Revert "Do not try a part that answers told from its companions"

Cause: answers of sound requests that only shared an engine with the crashing one told its parts apart, and answers reach peers part by part, so that a peer took the part that all requests share for the one left.

--- a/lovagedock-gateway/src/direct/suspect_sync.rs
+++ b/lovagedock-gateway/src/direct/suspect_sync.rs
@@ -213,7 +213,6 @@
     let is_equal = |(report, stored): (&PartReport, &PartReport)| {
         report.part == stored.part
             && ends(report) == ends(stored)
-            && report.is_told_apart == stored.is_told_apart
             && report.quarantined_for.is_zero() == stored.quarantined_for.is_zero()
     };
     reports.len() == stored.len() && reports.iter().zip(stored).all(is_equal)
--- a/lovagedock-standin/tests/peer_session.rs
+++ b/lovagedock-standin/tests/peer_session.rs
@@ -357,7 +357,6 @@
                 },
             ],
             quarantined_for: Duration::from_secs(600),
-            is_told_apart: true,
         }),
     ];
     let told = client.parts(&news, CALL_TIME).await;
--- a/lovagedock-wire/schema/lovagedock.capnp
+++ b/lovagedock-wire/schema/lovagedock.capnp
@@ -223,8 +223,6 @@
       # Requests with the part are not sent to engines for as long.
       leftMs @5 :UInt64;
       ends @6 :List(PartEndNews);
-      toldApart @8 :Bool;
-      # Whether another part of the same requests was answered since.
     }
   }
 }
--- a/lovagedock-wire/src/lovagedock_capnp.rs
+++ b/lovagedock-wire/src/lovagedock_capnp.rs
@@ -14263,7 +14263,6 @@
             self.builder.set_data_field::<u16>(0, 3);
             self.builder.set_data_field::<u64>(1, 0u64);
             self.builder.reborrow().get_pointer_field(1).clear();
-            self.builder.set_bool_field(128, false);
             self.builder.into()
         }
         #[inline]
@@ -14752,10 +14751,6 @@
             pub fn has_ends(&self) -> bool {
                 !self.reader.get_pointer_field(1).is_null()
             }
-            #[inline]
-            pub fn get_told_apart(self) -> bool {
-                self.reader.get_bool_field(128)
-            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -14834,14 +14829,6 @@
             pub fn has_ends(&self) -> bool {
                 !self.builder.is_pointer_field_null(1)
             }
-            #[inline]
-            pub fn get_told_apart(self) -> bool {
-                self.builder.get_bool_field(128)
-            }
-            #[inline]
-            pub fn set_told_apart(&mut self, value: bool)  {
-                self.builder.set_bool_field(128, value);
-            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -14853,7 +14840,7 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 68] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 52] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(123, 33, 230, 231, 101, 89, 126, 211),
                 ::capnp::word(26, 0, 0, 0, 1, 0, 4, 0),
@@ -14863,7 +14850,7 @@
                 ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(108, 111, 118, 97, 103, 101, 100, 111),
@@ -14871,28 +14858,21 @@
                 ::capnp::word(58, 80, 97, 114, 116, 78, 101, 119),
                 ::capnp::word(115, 46, 113, 117, 97, 114, 97, 110),
                 ::capnp::word(116, 105, 110, 101, 100, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 42, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 128, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(93, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(108, 101, 102, 116, 77, 115, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -14913,21 +14893,11 @@
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(116, 111, 108, 100, 65, 112, 97, 114),
-                ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <::capnp::struct_list::Owned<crate::lovagedock_capnp::part_end_news::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -14941,9 +14911,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
             pub(crate) const TYPE_ID: u64 = 0xd37e_5965_e7e6_217b;
         }
     }
--- a/lovagedock-wire/src/part_codec.rs
+++ b/lovagedock-wire/src/part_codec.rs
@@ -39,7 +39,6 @@
             PartUpdate::Quarantined(report) => {
                 let mut quarantined = item.init_quarantined();
                 quarantined.set_left_ms(duration_to_millis(report.quarantined_for));
-                quarantined.set_told_apart(report.is_told_apart);
                 let count = list_length(report.ends.len());
                 write_ends(&report.ends, quarantined.init_ends(count));
             }
@@ -72,7 +71,6 @@
                 part,
                 ends: read_ends(quarantined.get_ends()?),
                 quarantined_for: Duration::from_millis(quarantined.get_left_ms()),
-                is_told_apart: quarantined.get_told_apart(),
             }),
         })
     });
--- a/lovagedock/src/direct/part_ledger.rs
+++ b/lovagedock/src/direct/part_ledger.rs
@@ -412,8 +412,7 @@
     ///
     /// All its ends may have been caused by other parts in quarantine, which the request does not
     /// have. Or some may have another cause, which no part explains; this is found out by one
-    /// failed trial at most, unless answers have already told the part from those that came with
-    /// it. If the part was answered shortly before, a failed trial may also have
+    /// failed trial at most. If the part was answered shortly before, a failed trial may also have
     /// been caused by a part that does not have enough ends for a quarantine: of two parts that end
     /// engines at the same time, one may be known later than the part that all requests share.
     fn may_be_sound(
@@ -432,8 +431,7 @@
         let known = known.filter(|part| self.records.contains_key(part));
         let delay = UNEXPLAINED_TRIAL_DELAY * known.count() as u32;
         // A further quarantine follows a failed trial.
-        let is_known = record.quarantines > 1 || record.is_told_apart;
-        if is_known || now < record.latest_end_at() + delay {
+        if record.quarantines > 1 || now < record.latest_end_at() + delay {
             return false;
         }
         let was_sound = self.answered.contains(now, part);
@@ -545,21 +543,11 @@
     /// Removes the ends of a part that are not later than an answer. Returns whether this ended a
     /// quarantine.
     fn clear_ends(&mut self, answered_at: LedgerTime, part: PromptPart) -> bool {
-        let Some(record) = self.records.get(&part) else {
-            return false;
-        };
-        let was_blamed = record.is_blamed();
-        let cleared = record.ends.iter();
-        let cleared = cleared.filter(|end| end.ended_at <= answered_at);
-        let cleared: Vec<ProcessTag> = cleared.map(|end| end.process).collect();
-        for (other, record) in &mut self.records {
-            record.is_told_apart |= *other != part && record.has_end_of(&cleared);
-        }
         let Some(record) = self.records.get_mut(&part) else {
             return false;
         };
+        let was_blamed = record.is_blamed();
         record.ends.retain(|end| end.ended_at > answered_at);
-        record.is_told_apart = false;
         if record.ends.is_empty() {
             self.records.remove(&part);
             self.trials.remove(&part);
@@ -585,7 +573,6 @@
             if !time.is_zero() && record.is_sufficient() {
                 record.quarantines = record.quarantines.max(1);
                 record.quarantined_until = record.quarantined_until.max(now + time);
-                record.is_told_apart |= report.is_told_apart;
             }
         }
         self.quarantine_due(now, &[part]);
--- a/lovagedock/src/direct/part_record.rs
+++ b/lovagedock/src/direct/part_record.rs
@@ -46,8 +46,6 @@
     /// End of the latest quarantine; zero if the ends do not suffice for one.
     pub(super) quarantined_until: LedgerTime,
     pub(super) quarantines: u32,
-    /// Whether another part of the requests under which the processes ended was answered since.
-    pub(super) is_told_apart: bool,
     /// Whether this gateway has evidence of its own, possibly from its former process.
     pub(super) is_own: bool,
 }
@@ -122,11 +120,6 @@
         !self.quarantined_until.is_zero()
     }
 
-    pub(super) fn has_end_of(&self, processes: &[ProcessTag]) -> bool {
-        let mut ends = self.ends.iter();
-        ends.any(|end| processes.contains(&end.process))
-    }
-
     pub(super) fn end_of(&self, process: ProcessTag) -> Option<EndRecord> {
         let mut ends = self.ends.iter().copied();
         ends.find(|end| end.process == process)
@@ -137,7 +130,6 @@
             part,
             ends: self.ends.iter().map(|end| end.with_age(now)).collect(),
             quarantined_for: self.quarantined_until.saturating_sub(now),
-            is_told_apart: self.is_told_apart,
         }
     }
 }
--- a/lovagedock/src/direct/part_update.rs
+++ b/lovagedock/src/direct/part_update.rs
@@ -48,8 +48,6 @@
     pub ends: Vec<PartEnd>,
     /// Remaining time in quarantine; zero if the part is not in quarantine.
     pub quarantined_for: Duration,
-    /// Whether another part of the requests under which the processes ended was answered since.
-    pub is_told_apart: bool,
 }
 
 impl PartReport {
--- a/lovagedock/tests/direct_parts.rs
+++ b/lovagedock/tests/direct_parts.rs
@@ -174,18 +174,6 @@
             next: &[COMMON, SOUND + 1],
             expected: Expected::Doubtful,
         },
-        PartCase {
-            name: "the same after an answer told it from the other parts",
-            steps: &[
-                Ended(1, OTHER),
-                Ended(2, BOTH),
-                Ended(3, OTHER),
-                Answered(&[SOUND]),
-                Wait(5),
-            ],
-            next: &[COMMON, SOUND + 1],
-            expected: Expected::Quarantined,
-        },
         PartCase {
             name: "the same for a request with more parts under which processes ended",
             steps: &[Ended(1, OTHER), Ended(2, BOTH), Ended(3, OTHER), Wait(1)],
