Do not try an unexplained part while peers are silent

Cause: each gateway tries a part once that nothing explains. A trial is claimed by messages to peers; where these are silent, each gateway makes its own.

Change: no such trial while peers that may be serving are silent. Trials that other parts explain go on as before.

Measured: a_part_that_nothing_explains_is_tried_once asks for it, and failed before the change (there was no way to tell the ledger).

--- a/lovagedock-gateway/src/direct/state/parts.rs
+++ b/lovagedock-gateway/src/direct/state/parts.rs
@@ -14,7 +14,12 @@
     /// Returns whether a request with these parts may be sent to engines.
     pub(crate) fn part_verdict(&self, parts: &[PromptPart]) -> PartVerdict {
         let now = self.clock.now();
-        self.fleet.lock().parts.verdict(now, parts)
+        let mut fleet = self.fleet.lock();
+        if !fleet.parts.is_empty() {
+            let has_silent_peers = fleet.peer_liveness.has_silent_peers(now);
+            fleet.parts.set_has_silent_peers(has_silent_peers);
+        }
+        fleet.parts.verdict(now, parts)
     }
 
     /// Records that a process ended before it had begun to answer a request with these parts.
--- a/lovagedock/src/direct/part_ledger.rs
+++ b/lovagedock/src/direct/part_ledger.rs
@@ -108,6 +108,8 @@
     /// Processes whose ends are attributed to whole requests.
     attributed: HashMap<ProcessTag, RequestFingerprint>,
     trials: HashMap<PromptPart, TrialRecord>,
+    /// Whether peers that may be serving are silent, so that they cannot confirm a trial.
+    has_silent_peers: bool,
     /// Rank of this gateway among those that start a trial at the same moment; the lowest goes
     /// first.
     rank: u64,
@@ -130,6 +132,7 @@
             answered: RecentSet::new(ANSWERED_TIME, MAX_ANSWERED),
             attributed: HashMap::new(),
             trials: HashMap::new(),
+            has_silent_peers: false,
             rank: 0,
             unsent: ResendQueue::default(),
             requeued_at: PROCESS_START,
@@ -180,6 +183,12 @@
         self.attributed.extend(processes);
     }
 
+    /// Sets whether peers that may be serving are silent. Each of them would try a part that nothing
+    /// explains.
+    pub fn set_has_silent_peers(&mut self, has_silent_peers: bool) {
+        self.has_silent_peers = has_silent_peers;
+    }
+
     /// Records that an engine has begun to answer a request with these parts. Returns the parts
     /// whose quarantine this ended.
     pub fn record_answered(&mut self, now: Timestamp, parts: &[PromptPart]) -> PromptParts {
@@ -431,7 +440,8 @@
         let known = known.filter(|part| self.records.contains_key(part));
         let delay = UNEXPLAINED_TRIAL_DELAY * known.count() as u32;
         // A further quarantine follows a failed trial.
-        if record.quarantines > 1 || now < record.latest_end_at() + delay {
+        let may_try = record.quarantines <= 1 && !self.has_silent_peers;
+        if !may_try || now < record.latest_end_at() + delay {
             return false;
         }
         let was_sound = self.answered.contains(now, part);
--- a/lovagedock/tests/direct_parts.rs
+++ b/lovagedock/tests/direct_parts.rs
@@ -381,6 +381,13 @@
     let mut now = Duration::from_secs(10);
     let mut ledger = blamed_ledger(now);
     now += Duration::from_secs(5);
+    ledger.set_has_silent_peers(true);
+    let verdict = ledger.verdict(now, BOTH);
+    assert!(
+        matches!(verdict, PartVerdict::Quarantined(_)),
+        "each gateway would try it: {verdict:?}"
+    );
+    ledger.set_has_silent_peers(false);
     assert_eq!(ledger.verdict(now, BOTH), PartVerdict::Doubtful);
     assert!(ledger.try_start_trial(now, 50, BOTH, Duration::from_secs(1)));
     ledger.record_end(now, BOTH, end(50, EndEvidence::Strong, RUN_TIME));
