Try requests with fewer suspected parts first

Cause: the part that all requests share has three failed trials in one quarantine. Crashing requests, which come four times as often, spent all of them, before a sound one came or while it had to wait as long as these.

Change: a trial waits a second from the latest end, four times as long for each further part of the request under which processes ended; one part less counts if others explain all ends. Sound requests that share one part are tried at once or after a second, crashing ones after four or more.

--- a/lovagedock/src/direct/part_ledger.rs
+++ b/lovagedock/src/direct/part_ledger.rs
@@ -28,10 +28,9 @@
 /// three requests are sent after the part is known.
 const MAX_FAILED_TRIALS: usize = 3;
 
-/// Time from the latest end until a request may be sent as a trial although no other part explains
-/// the ends, for each of its parts under which processes ended. Requests with fewer such parts are
-/// more likely to be sound and go first.
-const UNEXPLAINED_TRIAL_DELAY: Duration = Duration::from_secs(1);
+/// Delay of a trial, and factor for each further part under which processes ended.
+const TRIAL_DELAY: Duration = Duration::from_secs(1);
+const TRIAL_DELAY_FACTOR: u32 = 4;
 
 /// Time for which evidence is kept after the latest end, or after the quarantine if that ends
 /// later.
@@ -433,15 +432,15 @@
     ) -> bool {
         let explained = self.explained_processes(parts, PartRecord::is_blamed);
         let mut ends = record.ends.iter();
-        if ends.all(|end| explained.contains(&end.process)) {
+        let is_explained = ends.all(|end| explained.contains(&end.process));
+        if now < record.latest_end_at() + self.trial_delay(parts, is_explained) {
+            return false;
+        }
+        if is_explained {
             return true;
         }
-        let known = parts.iter();
-        let known = known.filter(|part| self.records.contains_key(part));
-        let delay = UNEXPLAINED_TRIAL_DELAY * known.count() as u32;
         // A further quarantine follows a failed trial.
-        let may_try = record.quarantines <= 1 && !self.has_silent_peers;
-        if !may_try || now < record.latest_end_at() + delay {
+        if record.quarantines > 1 || self.has_silent_peers {
             return false;
         }
         let was_sound = self.answered.contains(now, part);
@@ -456,6 +455,24 @@
         })
     }
 
+    /// Returns the time from the latest end under a part of a request until the request may be sent
+    /// as a trial.
+    ///
+    /// A request with fewer parts under which processes ended is more likely to be sound and goes
+    /// first: the parts that several requests share have few trials.
+    fn trial_delay(&self, parts: &[PromptPart], is_explained: bool) -> Duration {
+        let known = parts.iter();
+        let known = known.filter(|part| self.records.contains_key(part));
+        let known = known.count() as u32;
+        match known.saturating_sub(u32::from(is_explained)) {
+            0 => Duration::ZERO,
+            unexplained => {
+                let factor = TRIAL_DELAY_FACTOR.saturating_pow(unexplained - 1);
+                TRIAL_DELAY.saturating_mul(factor)
+            }
+        }
+    }
+
     /// Returns the processes that ended under other parts than those of a request.
     fn explained_processes(
         &self,
