Split trials from the ledger of parts

The functions of trials and their constants are in a module of their own, moved without change; comments say that a request that lacks none of the parts may be tried as well.

--- a/lovagedock/src/direct/part_ledger.rs
+++ b/lovagedock/src/direct/part_ledger.rs
@@ -1,10 +1,8 @@
 //! Detection of parts of prompts that end the engine processes that answer them.
 
-use std::{
-    cmp::Reverse,
-    collections::{HashMap, HashSet},
-    time::Duration,
-};
+mod trials;
+
+use std::{cmp::Reverse, collections::HashMap, time::Duration};
 
 use super::{
     part_record::{EndRecord, LedgerTime, PROCESS_START, PartRecord, ledger_time},
@@ -28,10 +26,6 @@
 /// three requests are sent after the part is known.
 const MAX_FAILED_TRIALS: usize = 3;
 
-/// Delay of a trial, and factor for each further part under which processes ended.
-const TRIAL_DELAY: Duration = Duration::from_secs(1);
-const TRIAL_DELAY_FACTOR: u32 = 4;
-
 /// Time for which evidence is kept after the latest end, or after the quarantine if that ends
 /// later.
 const EVIDENCE_TIME: Duration = Duration::from_secs(600);
@@ -63,9 +57,9 @@
     Clear,
     /// Processes ended under one of the parts.
     Suspect,
-    /// Processes ended under several parts, one of which the request does not have, or a quarantine
-    /// has ended. The request may be sent if no other one is sent for the same reason, see
-    /// [`PartLedger::try_start_trial`].
+    /// Processes ended under several parts, one of which the request does not have, or may have
+    /// ended by another cause, or a quarantine has ended. The request may be sent if no other one
+    /// is sent for the same reason, see [`PartLedger::try_start_trial`].
     Doubtful,
     /// The request must not be sent to engines for this time.
     Quarantined(Duration),
@@ -96,7 +90,8 @@
 ///
 /// If no answer tells the parts of the ended requests apart, all of them are in quarantine
 /// together. A request that lacks one of them is sent as a trial, one at a time: it either clears
-/// its parts, or shows that the part that it lacks is not the cause.
+/// its parts, or shows that the part that it lacks is not the cause. A request that lacks none is
+/// tried later, once, as the engines may have ended by another cause.
 ///
 /// Ends at the same moment have one cause, which is rarely a request. So an end adds weight only if
 /// its request was sent after the ends before it.
@@ -215,51 +210,6 @@
         verdicts.max().unwrap_or(PartVerdict::Clear)
     }
 
-    /// Starts a trial of a doubtful request, which is decided within `time`. Returns `false` if
-    /// another trial has to be decided before.
-    ///
-    /// A peer may start one at the same moment. Before the request is sent, messages of peers have
-    /// to be awaited and [`holds_trial`](Self::holds_trial) to be checked.
-    pub fn try_start_trial(
-        &mut self,
-        now: Timestamp,
-        request: RequestFingerprint,
-        parts: &[PromptPart],
-        time: Duration,
-    ) -> bool {
-        let now = ledger_time(now);
-        let doubtful = self.doubtful_parts(now, parts);
-        if doubtful.iter().any(|part| self.is_on_trial(now, *part)) {
-            return false;
-        }
-        self.trials.retain(|_, trial| trial.until > now);
-        let trial = TrialRecord {
-            request,
-            until: now + time,
-            rank: self.rank,
-        };
-        for part in &doubtful {
-            self.trials.insert(*part, trial);
-        }
-        self.unsent.push(now, WaitingPartUpdate::Trial(doubtful));
-        true
-    }
-
-    /// Returns whether the trial of a request is still this gateway's, for all its doubtful parts.
-    pub fn holds_trial(&self, now: Timestamp, parts: &[PromptPart]) -> bool {
-        let now = ledger_time(now);
-        let doubtful = self.doubtful_parts(now, parts);
-        let mut trials = doubtful.iter().map(|part| self.trials.get(part));
-        trials.all(|trial| trial.is_some_and(|trial| trial.rank == self.rank))
-    }
-
-    /// Returns whether a doubtful request has to wait until another trial is decided.
-    pub fn awaits_trial(&self, now: Timestamp, parts: &[PromptPart]) -> bool {
-        let now = ledger_time(now);
-        let doubtful = self.doubtful_parts(now, parts);
-        doubtful.iter().any(|part| self.is_on_trial(now, *part))
-    }
-
     /// Applies a peer's update. Returns the parts that it put into quarantine.
     pub fn apply_update(&mut self, now: Timestamp, update: PartUpdate) -> PromptParts {
         let now = ledger_time(now);
@@ -416,101 +366,6 @@
         }
     }
 
-    /// Returns whether a part of a request may be sound although it is in quarantine.
-    ///
-    /// All its ends may have been caused by other parts in quarantine, which the request does not
-    /// have. Or some may have another cause, which no part explains; this is found out by one
-    /// failed trial at most. If the part was answered shortly before, a failed trial may also have
-    /// been caused by a part that does not have enough ends for a quarantine: of two parts that end
-    /// engines at the same time, one may be known later than the part that all requests share.
-    fn may_be_sound(
-        &self,
-        now: LedgerTime,
-        part: PromptPart,
-        record: &PartRecord,
-        parts: &[PromptPart],
-    ) -> bool {
-        let explained = self.explained_processes(parts, PartRecord::is_blamed);
-        let mut ends = record.ends.iter();
-        let is_explained = ends.all(|end| explained.contains(&end.process));
-        if now < record.latest_end_at() + self.trial_delay(parts, is_explained) {
-            return false;
-        }
-        if is_explained {
-            return true;
-        }
-        // A further quarantine follows a failed trial.
-        if record.quarantines > 1 || self.has_silent_peers {
-            return false;
-        }
-        let was_sound = self.answered.contains(now, part);
-        let explained = match was_sound {
-            true => self.explained_processes(parts, |_| true),
-            false => explained,
-        };
-        let mut failed = record.failed_trials();
-        failed.all(|trial| {
-            let other = self.attributed.get(&trial.process);
-            explained.contains(&trial.process) || other.is_some_and(|other| *other != trial.request)
-        })
-    }
-
-    /// Returns the time from the latest end under a part of a request until the request may be sent
-    /// as a trial.
-    ///
-    /// A request with fewer parts under which processes ended is more likely to be sound and goes
-    /// first: the parts that several requests share have few trials.
-    fn trial_delay(&self, parts: &[PromptPart], is_explained: bool) -> Duration {
-        let known = parts.iter();
-        let known = known.filter(|part| self.records.contains_key(part));
-        let known = known.count() as u32;
-        match known.saturating_sub(u32::from(is_explained)) {
-            0 => Duration::ZERO,
-            unexplained => {
-                let factor = TRIAL_DELAY_FACTOR.saturating_pow(unexplained - 1);
-                TRIAL_DELAY.saturating_mul(factor)
-            }
-        }
-    }
-
-    /// Returns the processes that ended under other parts than those of a request.
-    fn explained_processes(
-        &self,
-        parts: &[PromptPart],
-        may_explain: impl Fn(&PartRecord) -> bool,
-    ) -> HashSet<ProcessTag> {
-        let others = self.records.iter();
-        let others = others.filter(|(other, record)| may_explain(record) && !parts.contains(other));
-        let ends = others.flat_map(|(_, other)| &other.ends);
-        ends.map(|end| end.process).collect()
-    }
-
-    fn doubtful_parts(&self, now: LedgerTime, parts: &[PromptPart]) -> PromptParts {
-        let known = parts.iter().filter(|part| {
-            let record = self.records.get(part);
-            record.is_some_and(|record| {
-                self.record_verdict(now, **part, record, parts) == PartVerdict::Doubtful
-            })
-        });
-        known.copied().collect()
-    }
-
-    fn is_on_trial(&self, now: LedgerTime, part: PromptPart) -> bool {
-        let trial = self.trials.get(&part);
-        trial.is_some_and(|trial| trial.until > now)
-    }
-
-    /// Returns whether a request was sent as the trial of one of its parts.
-    fn is_trial_request(
-        &self,
-        now: LedgerTime,
-        parts: &[PromptPart],
-        request: RequestFingerprint,
-    ) -> bool {
-        let mut trials = parts.iter().filter_map(|part| self.trials.get(part));
-        trials.any(|trial| trial.until > now && trial.request == request)
-    }
-
     fn is_quarantined(&self, now: LedgerTime, part: PromptPart) -> bool {
         let record = self.records.get(&part);
         record.is_some_and(|record| record.quarantined_until > now)
