Do not count trials on processes that had ended before

Cause: the only trial of the part that all requests share was sent, at 35.86 s, to a process that a crashing request had ended at 33.83 s. Its connection failed, the process was found to have ended, and that known end was marked as a failed trial.

Change: a trial counts against a part only if the known end of the process is not earlier than its request was sent. Such an end has no weight already, as ends are counted by process.

Measured: a_trial_on_an_ended_process_does_not_count failed before (Quarantined in place of Doubtful).

--- a/lovagedock/src/direct/part_record.rs
+++ b/lovagedock/src/direct/part_record.rs
@@ -58,9 +58,11 @@
             .iter_mut()
             .find(|known| known.process == end.process)
         {
-            let is_new = known.evidence < end.evidence || (end.is_trial && !known.is_trial);
+            // A trial may have been sent to a process that had ended before.
+            let is_trial = end.is_trial && end.sent_at() <= known.ended_at;
+            let is_new = known.evidence < end.evidence || (is_trial && !known.is_trial);
             known.evidence = known.evidence.max(end.evidence);
-            if end.is_trial {
+            if is_trial {
                 (known.is_trial, known.request) = (true, end.request);
             }
             // Of several requests that shared the process, the one sent last says most.
--- a/lovagedock/tests/direct_parts.rs
+++ b/lovagedock/tests/direct_parts.rs
@@ -429,6 +429,27 @@
     assert_eq!(ledger.verdict(now, OTHER), PartVerdict::Doubtful);
 }
 
+/// Guards against a sound part that is refused because its only trial was sent to a process that had
+/// ended before.
+#[test]
+fn a_trial_on_an_ended_process_does_not_count() {
+    let mut now = Duration::from_secs(10);
+    let mut ledger = PartLedger::new();
+    for process in 1..4 {
+        now += RUN_TIME * 2;
+        ledger.record_end(now, OTHER, end(process, EndEvidence::Strong, RUN_TIME));
+    }
+    now += Duration::from_secs(5);
+    assert!(ledger.try_start_trial(now, 50, OTHER, Duration::from_secs(1)));
+    let ended_before = end(3, EndEvidence::Strong, RUN_TIME);
+    let trial_end = PartEnd {
+        request: 50,
+        ..ended_before
+    };
+    ledger.record_end(now, OTHER, trial_end);
+    assert_eq!(ledger.verdict(now, OTHER), PartVerdict::Doubtful);
+}
+
 /// Guards against evidence that is lost with a gateway's process, or that a stored copy brings back
 /// after an answer.
 #[test]
