An unreachable process does not end the trials of a part

Cause: the trial of the part that all requests share was sent to an engine that became unreachable (trial at 42.89 s, end with weak evidence at 43.94 s, after 1.05 s). It counted as a failure that nothing explains, and only one of these is allowed.

Change: a failed trial whose process may only be unreachable does not rule out another. It still is one of three.

Measured: a_trial_on_an_unreachable_process_does_not_end_the_trials failed before (Quarantined after the first).

--- a/lovagedock/src/direct/part_ledger/trials.rs
+++ b/lovagedock/src/direct/part_ledger/trials.rs
@@ -8,7 +8,7 @@
         part_record::{LedgerTime, PartRecord, ledger_time},
         part_update::{PromptPart, PromptParts},
         refusals::RequestFingerprint,
-        suspect_update::ProcessTag,
+        suspect_update::{EndEvidence, ProcessTag},
     },
     ids::Timestamp,
 };
@@ -95,7 +95,9 @@
             true => self.explained_processes(parts, |_| true),
             false => explained,
         };
-        let mut failed = record.failed_trials();
+        // A process that may only be unreachable has not shown anything.
+        let failed = record.failed_trials();
+        let mut failed = failed.filter(|trial| trial.evidence == EndEvidence::Strong);
         failed.all(|trial| {
             let other = self.attributed.get(&trial.process);
             explained.contains(&trial.process) || other.is_some_and(|other| *other != trial.request)
--- a/lovagedock/tests/direct_parts.rs
+++ b/lovagedock/tests/direct_parts.rs
@@ -450,6 +450,30 @@
     assert_eq!(ledger.verdict(now, OTHER), PartVerdict::Doubtful);
 }
 
+/// Guards against a sound part that is refused because the process of its only trial could not be
+/// reached any more.
+#[test]
+fn a_trial_on_an_unreachable_process_does_not_end_the_trials() {
+    let mut now = Duration::from_secs(10);
+    let mut ledger = PartLedger::new();
+    for process in 1..4 {
+        now += RUN_TIME * 2;
+        ledger.record_end(now, OTHER, end(process, EndEvidence::Strong, RUN_TIME));
+    }
+    for trial in 50..53 {
+        now += Duration::from_secs(5);
+        assert_eq!(ledger.verdict(now, OTHER), PartVerdict::Doubtful, "{trial}");
+        assert!(ledger.try_start_trial(now, trial, OTHER, Duration::from_secs(1)));
+        ledger.record_end(now, OTHER, end(trial, EndEvidence::Weak, RUN_TIME));
+    }
+    now += Duration::from_secs(60);
+    let verdict = ledger.verdict(now, OTHER);
+    assert!(
+        matches!(verdict, PartVerdict::Quarantined(_)),
+        "three trials are the limit: {verdict:?}"
+    );
+}
+
 /// Guards against evidence that is lost with a gateway's process, or that a stored copy brings back
 /// after an answer.
 #[test]
