--- a/lovagedock-gateway/src/direct/gateway.rs
+++ b/lovagedock-gateway/src/direct/gateway.rs
@@ -55,15 +55,18 @@
         let log = daemon
             .logger
             .new(o!("gateway" => settings.name.to_string()));
-        let state = Arc::new(GatewayState::new(
-            settings.name.clone(),
-            settings.relays(),
-            settings.fleet_tag(),
-            daemon.clock,
-            settings.bounds.retries(),
-            settings.bounds.cold_allowance(),
-            log.clone(),
-        ));
+        let state = Arc::new(
+            GatewayState::new(
+                settings.name.clone(),
+                settings.relays(),
+                settings.fleet_tag(),
+                daemon.clock,
+                settings.bounds.retries(),
+                settings.bounds.cold_allowance(),
+                log.clone(),
+            )
+            .with_overload(settings.overload),
+        );
         let listener = listen(settings.callers).await?;
         let health_listener = bind_health_checks(settings.health)
             .await
--- a/lovagedock-gateway/src/direct/mod.rs
+++ b/lovagedock-gateway/src/direct/mod.rs
@@ -32,4 +32,4 @@
     OutgoingHead,
 };
 pub use gateway::DirectGateway;
-pub use settings::{DirectSettings, FleetBounds};
+pub use settings::{DirectSettings, FleetBounds, OverloadSettings};
--- a/lovagedock-gateway/src/direct/peer_message.rs
+++ b/lovagedock-gateway/src/direct/peer_message.rs
@@ -3,8 +3,9 @@
 use std::{net::SocketAddr, time::Duration};
 
 use lovagedock::{
-    DrainSnapshot, EndpointProcess, HostCapacity, LengthBand, LengthOutcome, ListingDelta,
-    ListingVersion, PartUpdate, PeerLoad, RateUpdate, RequestFingerprint, RouteTag, SuspectUpdate,
+    DrainSnapshot, EndpointProcess, FlowUpdate, HelperSpeed, HostCapacity, LengthBand,
+    LengthOutcome, ListingDelta, ListingVersion, PartUpdate, PeerLoad, QuarantineRelease,
+    RateUpdate, RequestFingerprint, ReturnUpdate, RouteTag, ShareUpdate, SuspectUpdate,
     TeamBooking, WriterGroup, prelude::*,
 };
 use serde::{Deserialize, Serialize};
@@ -14,7 +15,7 @@
 
 /// Version of the protocol between gateways, for datagrams and pulls. Messages of other versions
 /// are rejected.
-pub(super) const PROTOCOL_VERSION: u16 = 9;
+pub(super) const PROTOCOL_VERSION: u16 = 10;
 
 /// Precedes each message, so that the receiver can tell whether it can decode the rest.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -166,6 +167,16 @@
     pub(super) bookings: Vec<BookingEntry>,
     /// Evidence against parts of prompts that crash engines.
     pub(super) parts: Vec<PartUpdate>,
+    /// Flow of the sender's requests, by service and lane.
+    pub(super) flows: Vec<FlowUpdate>,
+    /// Demand of organisations at the sender.
+    pub(super) shares: Vec<ShareUpdate>,
+    /// Changes of the returns that the sender scheduled.
+    pub(super) returns: Vec<ReturnUpdate>,
+    /// Speeds of helpers that the sender measured.
+    pub(super) helper_speeds: Vec<HelperSpeed>,
+    /// Quarantines that an operator ended.
+    pub(super) releases: Vec<QuarantineRelease>,
 }
 
 impl PeerMessage {
@@ -179,7 +190,12 @@
             && self.leaving.is_empty()
             && self.lengths.is_empty()
             && self.bookings.is_empty()
-            && self.parts.is_empty())
+            && self.parts.is_empty()
+            && self.flows.is_empty()
+            && self.shares.is_empty()
+            && self.returns.is_empty()
+            && self.helper_speeds.is_empty()
+            && self.releases.is_empty())
     }
 }
 
--- a/lovagedock-gateway/src/direct/peers.rs
+++ b/lovagedock-gateway/src/direct/peers.rs
@@ -11,9 +11,9 @@
 };
 
 use lovagedock::{
-    EndpointProcess, ListingDelta, ListingVersion, LoadUpdates, MessageOrder, PartUpdate,
-    PeerSequences, RateUpdate, RequestFingerprint, SendPlan, SuspectQueue, SuspectUpdate,
-    prelude::*,
+    EndpointProcess, FlowUpdate, HelperSpeed, ListingDelta, ListingVersion, LoadUpdates,
+    MessageOrder, PartUpdate, PeerSequences, QuarantineRelease, RateUpdate, RequestFingerprint,
+    ReturnUpdate, SendPlan, ShareUpdate, SuspectQueue, SuspectUpdate, prelude::*,
 };
 use lovagedock_platform::GatewayEntry;
 use parking_lot::Mutex;
@@ -73,6 +73,11 @@
     leaving: Vec<EndpointProcess>,
     lengths: Vec<LengthEntry>,
     parts: Vec<PartUpdate>,
+    flows: Vec<FlowUpdate>,
+    shares: Vec<ShareUpdate>,
+    returns: Vec<ReturnUpdate>,
+    helper_speeds: Vec<HelperSpeed>,
+    releases: Vec<QuarantineRelease>,
 }
 
 impl PeerNotices {
@@ -84,6 +89,11 @@
             && self.leaving.is_empty()
             && self.lengths.is_empty()
             && self.parts.is_empty()
+            && self.flows.is_empty()
+            && self.shares.is_empty()
+            && self.returns.is_empty()
+            && self.helper_speeds.is_empty()
+            && self.releases.is_empty()
     }
 }
 
@@ -174,6 +184,11 @@
                 refused: self.state.take_unsent_refusals(),
                 suspects: self.state.take_suspect_updates(&mut suspect_queue),
                 parts: self.state.take_part_updates(),
+                flows: self.state.take_flow_updates(),
+                shares: self.state.take_share_updates(),
+                returns: self.state.take_return_updates(),
+                helper_speeds: self.state.take_helper_speeds(),
+                releases: self.state.take_releases(),
                 limits: self.state.take_rate_updates(),
                 cold_limits: self.state.take_cold_updates(),
                 leaving: self.state.take_leaving_notices(),
@@ -388,6 +403,11 @@
                 lengths: std::mem::take(&mut notices.lengths),
                 bookings: bookings.clone(),
                 parts: std::mem::take(&mut notices.parts),
+                flows: std::mem::take(&mut notices.flows),
+                shares: std::mem::take(&mut notices.shares),
+                returns: std::mem::take(&mut notices.returns),
+                helper_speeds: std::mem::take(&mut notices.helper_speeds),
+                releases: std::mem::take(&mut notices.releases),
             };
             write_message(&message).ok()
         });
@@ -548,6 +568,13 @@
             .apply_peer_loads(&message.gateway, loads, message.refused);
         self.state.apply_peer_suspects(message.suspects);
         self.state.apply_peer_parts(message.parts);
+        self.state.apply_peer_flows(&message.gateway, message.flows);
+        self.state
+            .apply_peer_shares(&message.gateway, message.shares);
+        self.state.apply_peer_returns(message.returns);
+        self.state
+            .apply_peer_helper_speeds(&message.gateway, message.helper_speeds);
+        self.state.apply_peer_releases(message.releases);
         self.state
             .apply_peer_limits(&message.gateway, message.limits);
         self.state
--- a/lovagedock-gateway/src/direct/settings.rs
+++ b/lovagedock-gateway/src/direct/settings.rs
@@ -47,11 +47,33 @@
     pub store: SocketAddr,
     /// Limits of the fleet.
     pub bounds: FleetBounds,
+    /// Decisions under overload that are switched on; none by default.
+    #[serde(default)]
+    pub overload: OverloadSettings,
     /// Log settings.
     #[serde(default)]
     pub log: LogSettings,
 }
 
+/// Decisions under overload, each switched on by its setting. All gateways of a fleet should have the
+/// same settings; those of a gateway without a setting decide by its own load alone.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct OverloadSettings {
+    /// Whether organisations that demand more than their share of an overloaded service are refused
+    /// first.
+    pub organisation_shares: bool,
+    /// Whether refused requests are told to return at a time for which capacity is scheduled.
+    pub scheduled_returns: bool,
+    /// Whether a short prompt claims one of the last slots of an engine before it is sent.
+    pub placement_claims: bool,
+    /// Whether engines that are slow as helpers are found and avoided.
+    pub helper_speeds: bool,
+    /// Maximum memory for data that callers and endpoints have not read yet, in megabytes, or
+    /// `None` for no limit.
+    pub output_memory_mb: Option<f64>,
+}
+
 /// Limits of the fleet, as declared by its operator.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -149,6 +171,7 @@
             || addresses(self) != addresses(changed)
             || self.bounds.stop_grace_s != changed.bounds.stop_grace_s
             || self.bounds.cold_allowance() != changed.bounds.cold_allowance()
+            || self.overload != changed.overload
             || self.log != changed.log
     }
 }
--- a/lovagedock-gateway/src/direct/state/mod.rs
+++ b/lovagedock-gateway/src/direct/state/mod.rs
@@ -4,12 +4,17 @@
 mod drains;
 mod era;
 mod fleet_state;
+mod flows;
+mod helper_speeds;
 mod limits;
 mod listing;
 mod notices;
 mod parts;
 mod peers;
 mod placement;
+mod releases;
+mod returns;
+mod shares;
 mod suspects;
 
 use std::{
@@ -39,7 +44,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use self::fleet_state::FleetState;
-use super::{fleet_tag::FleetTag, log_limiter::LogLimiter};
+use super::{fleet_tag::FleetTag, log_limiter::LogLimiter, settings::OverloadSettings};
 
 pub(crate) use bookings::BookingGuard;
 pub(crate) use listing::EndpointsSnapshot;
@@ -116,6 +121,8 @@
     store_news: AtomicBool,
     store_reachable: AtomicBool,
     stopping: watch::Sender<Option<StopPlan>>,
+    /// Which decisions under overload are switched on.
+    pub(crate) overload: OverloadSettings,
     /// Limits the number of log lines about requests.
     pub(crate) log_limiter: LogLimiter,
     /// Logger of the process.
@@ -193,11 +200,18 @@
             store_news: AtomicBool::new(false),
             store_reachable: AtomicBool::new(false),
             stopping: watch::Sender::new(None),
+            overload: OverloadSettings::default(),
             log_limiter: LogLimiter::new(),
             log,
         }
     }
 
+    /// Switches on decisions under overload.
+    pub(crate) fn with_overload(mut self, overload: OverloadSettings) -> Self {
+        self.overload = overload;
+        self
+    }
+
     /// Returns the current configuration, if any.
     pub(crate) fn config(&self) -> Option<Arc<TrafficConfig>> {
         self.config.load_full()
--- a/lovagedock-gateway/src/lib.rs
+++ b/lovagedock-gateway/src/lib.rs
@@ -37,7 +37,7 @@
 
 pub use direct::{
     CallerHead, CommandRequest, DirectGateway, DirectSettings, EndpointHead, FleetBounds,
-    HelperAddress, HttpDialect, MemoryCommand, OutgoingHead,
+    HelperAddress, HttpDialect, MemoryCommand, OutgoingHead, OverloadSettings,
 };
 pub use gateway::{Gateway, GatewayError};
 pub use settings::{
--- a/lovagedock-gateway/tests/direct_support/mod.rs
+++ b/lovagedock-gateway/tests/direct_support/mod.rs
@@ -72,6 +72,7 @@
             cold_overshoot: None,
             cold_slack: 0.0,
         },
+        overload: Default::default(),
         log: Default::default(),
     }
 }
