--- a/lovagedock-gateway/src/direct/call/log.rs
+++ b/lovagedock-gateway/src/direct/call/log.rs
@@ -27,6 +27,7 @@
             "answer" => self.parts.head.expected_answer(),
             "answer_limit" => self.parts.head.answer_limit,
             "occupied" => placed.occupied,
+            "is_claimed" => placed.slot_claim.is_some(),
             "backlog_ms" => placed.backlog.as_millis() as u64,
             "first_event_ms" => placed.first_event_delay.as_millis() as u64,
             "loss" => placed.loss,
--- a/lovagedock-gateway/src/direct/call/placement.rs
+++ b/lovagedock-gateway/src/direct/call/placement.rs
@@ -168,8 +168,8 @@
             && may_book_team(waited, self.parts.route.objective)
     }
 
-    /// Waits until other gateways know of the placement of a prompt that several endpoints share, and
-    /// returns whether it may be sent.
+    /// Waits until other gateways know of the placement of a prompt that several endpoints share or
+    /// that takes one of the last slots, and returns whether it may be sent.
     ///
     /// Gateways that place long prompts at the same moment choose the same idle engines, and a prompt
     /// waits for the slowest engine of its team.
@@ -179,8 +179,16 @@
         }
         sleep(placed.claim_time).await;
         let is_confirmed = self.state.confirm_claims(placed);
-        if !is_confirmed {
-            metrics::counter!("lovagedock_lost_claims_total").increment(1);
+        match &placed.slot_claim {
+            Some(_) => {
+                let outcome = if is_confirmed { "confirmed" } else { "lost" };
+                metrics::counter!("lovagedock_slot_claims_total", "outcome" => outcome)
+                    .increment(1);
+            }
+            None if !is_confirmed => {
+                metrics::counter!("lovagedock_lost_claims_total").increment(1);
+            }
+            None => {}
         }
         is_confirmed
     }
--- a/lovagedock-gateway/src/direct/peer_message.rs
+++ b/lovagedock-gateway/src/direct/peer_message.rs
@@ -277,6 +277,8 @@
     prefill_total_us: u64,
     /// Tolerated gap in milliseconds, number of writers, their value.
     writers: Vec<(u32, u32, f32)>,
+    /// Requests that are counted in `occupied` and not sent yet.
+    claimed: u32,
 }
 
 impl LoadEntry {
@@ -294,6 +296,7 @@
             writers: writers
                 .map(|group| (group.gap.as_millis() as u32, group.count, group.value))
                 .collect(),
+            claimed: load.claimed,
         }
     }
 
@@ -309,6 +312,7 @@
         let load = PeerLoad {
             occupied: self.occupied,
             short: self.short,
+            claimed: self.claimed,
             pending_prefills: self.pending_prefills,
             suspects: self.suspects,
             slowdown: self.slowdown,
--- a/lovagedock-gateway/src/direct/state/fleet_state.rs
+++ b/lovagedock-gateway/src/direct/state/fleet_state.rs
@@ -10,7 +10,7 @@
     DomainRelays, EndpointBackoffs, EndpointListing, EndpointProcess, EndpointTable, EntryChange,
     LeavingQueue, LengthOutcome, LengthShares, ListingLog, OutlierAction, OutlierDetector,
     OutlierEvent, OutlierSettings, PartLedger, PauseDetector, PeerLiveness, PlacerCandidate,
-    QueueKind, RateLimits, RateVerdict, RefusalLog, RetryShare, RetryShareSettings,
+    PoolSlots, QueueKind, RateLimits, RateVerdict, RefusalLog, RetryShare, RetryShareSettings,
     SlowdownTracker, SuspectLedger, TeamBookings, WaitingQueue, WatcherSelection, WorkLedger,
     max_kept_endpoints, prelude::*, short_lane_size,
 };
@@ -241,6 +241,7 @@
         let mut is_drained = false;
         let mut next_available_at: Option<Timestamp> = None;
         let mut pool = LaneDemand::default();
+        let mut slots = PoolSlots::default();
         for endpoint in self.endpoints.ready(service) {
             if self.drains.is_drained(&endpoint.domain) {
                 is_drained = true;
@@ -272,6 +273,7 @@
                 continue;
             }
             found = true;
+            slots.add(endpoint.slots, load.occupied);
             load.slowdown = load
                 .slowdown
                 .max(self.slowdowns.slowdown(now, &endpoint.process) as f32);
@@ -300,7 +302,7 @@
             candidate.is_kept = position.is_some_and(|position| position + kept >= pool.endpoints);
         }
         match (found, next_available_at) {
-            (true, _) => EndpointSearch::Found(candidates),
+            (true, _) => EndpointSearch::Found(candidates, slots),
             (false, Some(until)) => EndpointSearch::Unavailable { until },
             (false, None) if is_drained && pool.endpoints == 0 => EndpointSearch::Drained,
             (false, None) => EndpointSearch::NoEndpoint,
@@ -310,8 +312,8 @@
 
 /// Result of a search for endpoints.
 pub(super) enum EndpointSearch<'a> {
-    /// Endpoints with a free slot; empty if all are full.
-    Found(Vec<PlacerCandidate<'a>>),
+    /// Endpoints with a free slot, empty if all are full, and the slots of all that accept work.
+    Found(Vec<PlacerCandidate<'a>>, PoolSlots),
     /// All endpoints are rate limited or in backoff, at least until this time.
     Unavailable { until: Timestamp },
     /// All endpoints of the service are in drained failure domains.
--- a/lovagedock-gateway/src/direct/state/placement.rs
+++ b/lovagedock-gateway/src/direct/state/placement.rs
@@ -3,9 +3,9 @@
 use std::{sync::Arc, time::Duration};
 
 use lovagedock::{
-    DirectChoice, DirectEndpoint, DirectPlacer, DirectRequest, EndpointProcess, OutlierEvent,
-    PlacedWork, PlacerCandidate, QueueKind, RateVerdict, TrafficConfig, WaitingQueue, WorkKey,
-    isolate_suspects, prelude::*,
+    ClaimVerdict, DirectChoice, DirectEndpoint, DirectPlacer, DirectRequest, EndpointProcess,
+    OutlierEvent, PlacedWork, PlacerCandidate, QueueKind, RateVerdict, SlotClaim, TrafficConfig,
+    WaitingQueue, WorkKey, isolate_suspects, prelude::*,
 };
 
 use super::{
@@ -20,6 +20,8 @@
     /// Time for which the endpoints are claimed before the request is sent, so that gateways that
     /// place in the same moment do not use the same ones.
     pub(crate) claim_time: Duration,
+    /// Claim of a slot for a short prompt, if one is made.
+    pub(crate) slot_claim: Option<SlotClaim>,
     /// The endpoint that responds.
     pub(crate) lead: DirectEndpoint,
     /// Endpoints that prefill parts of the prompt.
@@ -267,8 +269,8 @@
         if fleet.record_demand(now, service) {
             self.urgent_update.notify_one();
         }
-        let mut candidates = match fleet.search(now, service, excluded, request.booked) {
-            EndpointSearch::Found(candidates) => candidates,
+        let (mut candidates, pool) = match fleet.search(now, service, excluded, request.booked) {
+            EndpointSearch::Found(candidates, pool) => (candidates, pool),
             EndpointSearch::Unavailable { until } => {
                 return PlacementResult::Unavailable { until };
             }
@@ -280,6 +282,10 @@
         }
         let concurrent = fleet.ledger.concurrent_placements(now);
         let placer = DirectPlacer::new(profile).with_concurrent_placements(concurrent);
+        let placer = match self.overload.scheduled_returns {
+            true => placer.with_pool(pool),
+            false => placer,
+        };
         let Some(choice) = placer.place(request, &candidates) else {
             return PlacementResult::Full(None);
         };
@@ -309,14 +315,27 @@
         let is_cold_admitted =
             fleet.cold_limits.admit(now, &placed.lead.process) == RateVerdict::Admitted;
         let work = self.claim_work(&mut fleet, works);
+        let slot_claim = SlotClaim {
+            slots: placed.lead.slots,
+            occupied: placed.occupied,
+            alternatives: choice.alternatives,
+            first_event: choice.first_event,
+            prefill_time: choice.part_prefill_time,
+            late_at: now + request.objective_left,
+        };
         let claim_time = match placed.helpers.is_empty() {
-            true => Duration::ZERO,
             false => fleet.ledger.claim_time(),
+            true if !self.overload.placement_claims || !placer.is_short_prompt(request) => {
+                Duration::ZERO
+            }
+            true => slot_claim.claim_time(now, concurrent, fleet.ledger.relay_delay()),
         };
+        let is_slot_claim = placed.helpers.is_empty() && !claim_time.is_zero();
         let placed = PlacedRequest {
             service: service.clone(),
             queue: kind,
             claim_time,
+            slot_claim: is_slot_claim.then_some(slot_claim),
             lead: placed.lead,
             helpers: placed.helpers,
             first_event_delay: choice.first_event,
@@ -341,11 +360,17 @@
         let now = self.clock.now();
         let mut fleet = self.fleet.lock();
         let ledger = &fleet.ledger;
-        if placed
-            .work
-            .keys()
-            .any(|key| ledger.is_claim_lost(now, &self.name, key))
-        {
+        let is_lost = match &placed.slot_claim {
+            Some(claim) => {
+                let contention = ledger.slot_contention(now, &self.name, placed.work.lead);
+                contention.verdict(now, claim) == ClaimVerdict::Lost
+            }
+            None => {
+                let mut keys = placed.work.keys();
+                keys.any(|key| ledger.is_claim_lost(now, &self.name, key))
+            }
+        };
+        if is_lost {
             return false;
         }
         self.record_start(now, &mut fleet, placed);
--- a/lovagedock/examples/direct_cost.rs
+++ b/lovagedock/examples/direct_cost.rs
@@ -89,6 +89,7 @@
     PeerLoad {
         occupied: 1 + u32::from(round.is_multiple_of(3)),
         short: 1,
+        claimed: 0,
         pending_prefills: 0,
         context: 5_000,
         prefill_total: Duration::from_millis(round as u64),
--- a/lovagedock/src/direct/choice.rs
+++ b/lovagedock/src/direct/choice.rs
@@ -70,6 +70,9 @@
     /// Longest time until one of the chosen endpoints has finished the prefills placed on it
     /// earlier.
     pub backlog: Duration,
+    /// Number of endpoints that were about equally good when the lead was drawn among them; 1 without
+    /// a draw.
+    pub alternatives: usize,
     /// Value that is expected to be lost, by this request if it is late and by others that it
     /// delays.
     pub lost_value: f64,
--- a/lovagedock/src/direct/ledger.rs
+++ b/lovagedock/src/direct/ledger.rs
@@ -144,6 +144,7 @@
             pending_prefills: record.total.pending_prefills,
         };
         record.add_claim(&work);
+        record.own.claimed += u32::from(work.short);
         let key = self.next_key;
         self.next_key += 1;
         let stage = WorkStage::Claimed(before);
@@ -160,6 +161,7 @@
             return;
         };
         let record = self.endpoints.entry(own.work.endpoint.clone()).or_default();
+        record.own.claimed -= u32::from(own.work.short).min(record.own.claimed);
         record.own.prefill_total += own.work.prefill_time;
         record.free_at = record.free_at.max(now) + own.work.prefill_time;
         own.stage = WorkStage::Prefilling {
@@ -176,6 +178,17 @@
         }
     }
 
+    /// Returns the number of claims of this gateway on the endpoint that were made before `key`.
+    pub(super) fn earlier_claims(&self, endpoint: &EndpointProcess, key: WorkKey) -> u32 {
+        let is_earlier = |(other, own): &(&WorkKey, &OwnWork)| {
+            **other < key
+                && own.work.short
+                && own.work.endpoint == *endpoint
+                && matches!(own.stage, WorkStage::Claimed(_))
+        };
+        self.works.iter().filter(is_earlier).count() as u32
+    }
+
     /// Records that the prompt of some work has been prefilled.
     pub fn finish_prefill(&mut self, now: Timestamp, key: WorkKey) {
         let Some(own) = self.works.get_mut(&key) else {
@@ -213,6 +226,9 @@
             return;
         };
         record.remove_own(&own.work);
+        if let WorkStage::Claimed(_) = own.stage {
+            record.own.claimed -= u32::from(own.work.short).min(record.own.claimed);
+        }
         if own.stage != WorkStage::Prefilled && own.work.is_long_prefill() {
             record.finish_prefill();
         }
--- a/lovagedock/src/direct/ledger_peers.rs
+++ b/lovagedock/src/direct/ledger_peers.rs
@@ -125,6 +125,11 @@
         }
     }
 
+    /// Returns by how much relays delay messages between gateways.
+    pub fn relay_delay(&self) -> Duration {
+        self.propagation_window.saturating_sub(PROPAGATION_WINDOW) / 2
+    }
+
     /// Records a sign of life of a peer whose loads are known. Its loads count on.
     pub fn refresh_peer(&mut self, now: Timestamp, peer: &GatewayId) {
         if let Some(received_at) = self.last_message_at.get_mut(peer) {
--- a/lovagedock/src/direct/load.rs
+++ b/lovagedock/src/direct/load.rs
@@ -41,6 +41,8 @@
     pub occupied: u32,
     /// Requests with short prompts that hold a slot.
     pub short: u32,
+    /// Requests with short prompts, counted above, that are not sent yet.
+    pub claimed: u32,
     /// Tokens in memory.
     pub context: TokenCount,
     /// Prefill time that the gateway has placed on the endpoint since it last had no work there.
@@ -122,6 +124,7 @@
         PeerLoad {
             occupied: 1,
             short: u32::from(self.short),
+            claimed: 0,
             context: self.context,
             prefill_total: self.prefill_time,
             pending_prefills: u32::from(self.is_long_prefill()),
--- a/lovagedock/src/direct/member.rs
+++ b/lovagedock/src/direct/member.rs
@@ -177,8 +177,8 @@
     }
 }
 
-/// Draws one of the `draw_count` best leads for a short prompt. Returns `None` if no member has
-/// enough memory.
+/// Draws one of the `draw_count` best leads for a short prompt, and returns it with the number of leads
+/// among which it was drawn. Returns `None` if no member has enough memory.
 ///
 /// In a burst of short prompts at many gateways, all gateways rank the same few endpoints best and
 /// receive each other's placements only after their own. On an engine that is chosen ten times
@@ -192,7 +192,7 @@
     members: &[TeamMember],
     need: TokenCount,
     draw_count: usize,
-) -> Option<&TeamMember> {
+) -> Option<(&TeamMember, usize)> {
     let order = |a: &&TeamMember, b: &&TeamMember| a.lead_loss.total_cmp(&b.lead_loss);
     let mut best: Vec<&TeamMember> = members
         .iter()
@@ -203,8 +203,10 @@
         best.truncate(draw_count);
     }
     let bound = best.iter().copied().min_by(order)?.lead_loss + DRAW_TOLERANCE;
-    let within = best.into_iter().filter(|member| member.lead_loss <= bound);
-    within.min_by(|a, b| a.draw.total_cmp(&b.draw))
+    best.retain(|member| member.lead_loss <= bound);
+    let count = best.len();
+    let drawn = best.into_iter().min_by(|a, b| a.draw.total_cmp(&b.draw))?;
+    Some((drawn, count))
 }
 
 /// Keeps the `count` members that are best as helpers, best first.
--- a/lovagedock/src/direct/placer.rs
+++ b/lovagedock/src/direct/placer.rs
@@ -16,17 +16,36 @@
 /// Share of all slots that stays free of returning requests.
 const RETURNED_RESERVE: f64 = 0.1;
 
-/// Returns whether there is capacity for a returning request, which gets only what others leave.
-fn has_spare_capacity(candidates: &[PlacerCandidate<'_>]) -> bool {
-    let slots: u32 = candidates
-        .iter()
-        .map(|candidate| candidate.endpoint.slots)
-        .sum();
-    let occupied: u32 = candidates
-        .iter()
-        .map(|candidate| candidate.load.occupied)
-        .sum();
-    f64::from(slots.saturating_sub(occupied)) > f64::from(slots) * RETURNED_RESERVE
+/// Slots of several endpoints.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PoolSlots {
+    /// All slots.
+    pub slots: u32,
+    /// Slots with a request, from all gateways.
+    pub occupied: u32,
+}
+
+impl PoolSlots {
+    /// Adds the slots of an endpoint.
+    pub fn add(&mut self, slots: u32, occupied: u32) {
+        self.slots += slots;
+        self.occupied += occupied.min(slots);
+    }
+
+    /// Returns whether there is capacity for a returning request, which gets only what others leave.
+    fn has_spare_capacity(&self) -> bool {
+        let free = f64::from(self.slots.saturating_sub(self.occupied));
+        free > f64::from(self.slots) * RETURNED_RESERVE
+    }
+}
+
+/// Returns the slots of the candidates.
+fn candidate_slots(candidates: &[PlacerCandidate<'_>]) -> PoolSlots {
+    let mut pool = PoolSlots::default();
+    for candidate in candidates {
+        pool.add(candidate.endpoint.slots, candidate.load.occupied);
+    }
+    pool
 }
 
 /// Share of a request's value that counts as lost if its first event is predicted just in time.
@@ -73,6 +92,7 @@
 pub struct DirectPlacer<'a> {
     profile: Option<&'a EngineProfile>,
     draw_count: usize,
+    pool: Option<PoolSlots>,
 }
 
 impl<'a> DirectPlacer<'a> {
@@ -81,6 +101,7 @@
         Self {
             profile,
             draw_count: 1,
+            pool: None,
         }
     }
 
@@ -92,12 +113,25 @@
         self
     }
 
+    /// Counts the slots of all endpoints of the service for the reserve that returning requests leave
+    /// free, full endpoints included. Without it, only those of the candidates count: while most
+    /// endpoints are full, the few with free slots then look as if there were capacity to spare.
+    pub fn with_pool(mut self, pool: PoolSlots) -> Self {
+        self.pool = Some(pool);
+        self
+    }
+
     /// Returns whether a prompt is long. Prompts of plain services never are.
     pub fn is_long(&self, prompt: TokenCount) -> bool {
         self.profile
             .is_some_and(|profile| profile.prefill_time(prompt) >= LONG_PREFILL)
     }
 
+    /// Returns whether a request has a short prompt. Requests of plain services have none.
+    pub fn is_short_prompt(&self, request: &DirectRequest) -> bool {
+        self.profile.is_some() && !self.is_long(request.prompt) && request.gap.is_some()
+    }
+
     /// Returns the number of endpoints with which a long prompt is prefilled in half of its
     /// objective, or the most that may share a prompt.
     pub fn team_width(&self, prompt: TokenCount, objective: Duration) -> usize {
@@ -119,7 +153,8 @@
         let Some(profile) = self.profile else {
             return place_plain(candidates);
         };
-        if request.returned && !has_spare_capacity(candidates) {
+        let pool = || self.pool.unwrap_or_else(|| candidate_slots(candidates));
+        if request.returned && !pool().has_spare_capacity() {
             return None;
         }
         let prefill_time = profile.prefill_time(request.prompt);
@@ -215,10 +250,13 @@
             true => self.draw_count.max(candidates.len() / SUSPECT_DIVISOR),
             false => self.draw_count,
         };
+        let mut alternatives = 1;
         if !long && draw_count > 1 {
             let drawn = choose_among_best(&members, request.memory(), draw_count);
-            let drawn = drawn.map(|member| member.index);
-            members.retain(|member| drawn.is_none_or(|drawn| drawn == member.index));
+            if let Some((drawn, count)) = drawn.map(|(member, count)| (member.index, count)) {
+                members.retain(|member| member.index == drawn);
+                alternatives = count;
+            }
         }
         let lead = remove_lead(&mut members, request.memory())?;
         members.retain(|member| {
@@ -246,6 +284,7 @@
             part_prefill_time,
             first_event,
             backlog: ready.saturating_sub(part_prefill_time),
+            alternatives,
             lost_value,
             delayed_value,
             loss,
@@ -268,6 +307,7 @@
         part_prefill_time: Duration::ZERO,
         first_event: Duration::ZERO,
         backlog: Duration::ZERO,
+        alternatives: 1,
         lost_value: 0.0,
         delayed_value: 0.0,
         loss: 0.0,
--- a/lovagedock/tests/direct_ledger_totals.rs
+++ b/lovagedock/tests/direct_ledger_totals.rs
@@ -115,6 +115,7 @@
     PeerLoad {
         occupied: random.random_range(0..6),
         short: random.random_range(0..3),
+        claimed: random.random_range(0..2),
         pending_prefills: random.random_range(0..3),
         suspects: random.random_range(0..2),
         context: random.random_range(0..50_000),
--- a/lovagedock/tests/direct_prefill_overload.rs
+++ b/lovagedock/tests/direct_prefill_overload.rs
@@ -175,6 +175,7 @@
             part_prefill_time: ms(0),
             first_event: ms(case.first_event),
             backlog: ms(case.backlog),
+            alternatives: 1,
             lost_value: 0.0,
             delayed_value: 0.0,
             loss: 0.0,
