Organisation shares: decision logic and wiring

Cause: one organisation with many requests takes the capacity of the others in an overloaded service.

Change: OrganisationShares admits a request with the probability of its organisation's max-min fair share while a lane is overloaded. Gateways check it before they place a new request, record what they place, and report demand to peers.

--- a/lovagedock-gateway/src/direct/call/log.rs
+++ b/lovagedock-gateway/src/direct/call/log.rs
@@ -90,6 +90,9 @@
             "best_first_event_ms" =>
                 self.rejected.map(|choice| choice.first_event_delay.as_millis() as u64),
             "best_loss" => self.rejected.map(|choice| choice.loss),
+            "organisation" => self.parts.organisation.as_deref(),
+            "demand" => self.exceeded_share().map(|(demand, _)| demand),
+            "fair_rate" => self.exceeded_share().map(|(_, fair_rate)| fair_rate),
             "peers" => pool.peers,
             "config" => self.parts.config.version,
             "left_out" => left_out);
--- a/lovagedock-gateway/src/direct/call/mod.rs
+++ b/lovagedock-gateway/src/direct/call/mod.rs
@@ -4,6 +4,7 @@
 mod parts;
 mod placement;
 mod process_end;
+mod shares;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -28,6 +29,8 @@
 };
 use crate::front::RequestProblem;
 
+use shares::ShareStage;
+
 pub(crate) use parts::CallParts;
 
 /// Time beyond the predicted first event after which a silent engine is probed. A live engine is
@@ -87,6 +90,8 @@
     is_counted: bool,
     /// Whether the request is sent to find out whether its parts end engines.
     has_trial: bool,
+    /// What has been recorded of the request for the shares of organisations.
+    share: ShareStage,
 }
 
 impl DirectCall {
@@ -130,6 +135,7 @@
             booking: None,
             is_counted: false,
             has_trial: false,
+            share: ShareStage::default(),
         }
     }
 
@@ -168,6 +174,7 @@
             placed.work.keep_booking(booking);
         }
         self.count_length(true);
+        self.count_share_served();
         self.log_placed(&placed);
         let lead = placed.lead.clone();
         let endpoint = lead.process.clone();
--- a/lovagedock-gateway/src/direct/call/placement.rs
+++ b/lovagedock-gateway/src/direct/call/placement.rs
@@ -47,6 +47,7 @@
         while let Some(remaining) = self.state.placement_delay() {
             sleep(remaining).await;
         }
+        self.check_share(self.state.clock.now())?;
         loop {
             let state = Arc::clone(&self.state);
             let mut changed = std::pin::pin!(state.capacity_changed());
@@ -304,6 +305,7 @@
             }
             QueueDecision::Refuse { retry_after } => {
                 self.retry_after = Some(retry_after);
+                self.count_overload();
                 self.log_refused("it would wait too long");
                 Err(self.machine.no_place_step(now))
             }
@@ -321,11 +323,13 @@
                 queue.retry_after(wait, time_left, rand::random())
             });
         self.retry_after = Some(retry_after.max(wait));
+        self.count_overload();
         self.log_refused("all endpoints are rate limited or in backoff");
         self.machine.no_place_step(now)
     }
 
     fn refuse_after_wait(&mut self, now: Timestamp) -> DirectStep {
+        self.count_overload();
         self.refuse(now, "no place came free in time")
     }
 
@@ -334,7 +338,7 @@
         self.refuse(now, "all endpoints are in drained failure domains")
     }
 
-    fn refuse(&mut self, now: Timestamp, reason: &'static str) -> DirectStep {
+    pub(super) fn refuse(&mut self, now: Timestamp, reason: &'static str) -> DirectStep {
         let time_left = self.deadline.saturating_sub(now);
         let retry_after = self
             .state
--- a/lovagedock-gateway/src/direct/gateway.rs
+++ b/lovagedock-gateway/src/direct/gateway.rs
@@ -231,6 +231,7 @@
                 "ended_processes": report.ends.len(),
                 "quarantined_for_s": report.quarantined_for.as_secs(),
             })).collect::<Vec<_>>(),
+            "shares": self.0.share_report(),
         })
     }
 }
--- a/lovagedock-gateway/src/direct/state/fleet_state.rs
+++ b/lovagedock-gateway/src/direct/state/fleet_state.rs
@@ -8,11 +8,11 @@
 use lovagedock::{
     BookedTeam, ColdAllowance, ColdEndpoints, ColdProfile, DirectEndpoint, DomainDrains,
     DomainRelays, EndpointBackoffs, EndpointListing, EndpointProcess, EndpointTable, EntryChange,
-    LeavingQueue, LengthOutcome, LengthShares, ListingLog, OutlierAction, OutlierDetector,
-    OutlierEvent, OutlierSettings, PartLedger, PauseDetector, PeerLiveness, PlacerCandidate,
-    QueueKind, RateLimits, RateVerdict, RefusalLog, RetryShare, RetryShareSettings,
-    SlowdownTracker, SuspectLedger, TeamBookings, WaitingQueue, WatcherSelection, WorkLedger,
-    max_kept_endpoints, prelude::*, short_lane_size,
+    LeavingQueue, LengthOutcome, LengthShares, ListingLog, OrganisationShares, OutlierAction,
+    OutlierDetector, OutlierEvent, OutlierSettings, PartLedger, PauseDetector, PeerLiveness,
+    PlacerCandidate, QueueKind, RateLimits, RateVerdict, RefusalLog, RetryShare,
+    RetryShareSettings, SlowdownTracker, SuspectLedger, TeamBookings, WaitingQueue,
+    WatcherSelection, WorkLedger, max_kept_endpoints, prelude::*, short_lane_size,
 };
 use lovagedock_platform::GatewayEntry;
 use slog::{Logger, info};
@@ -50,6 +50,8 @@
     pub(super) relays: DomainRelays,
     pub(super) retries: RetryShareSettings,
     pub(super) refusals: RefusalLog,
+    /// Demand of organisations and their shares.
+    pub(super) shares: OrganisationShares,
     pub(super) suspects: SuspectLedger,
     pub(super) parts: PartLedger,
     pub(super) peer_liveness: PeerLiveness,
--- a/lovagedock-gateway/src/direct/state/mod.rs
+++ b/lovagedock-gateway/src/direct/state/mod.rs
@@ -29,10 +29,11 @@
 use arc_swap::ArcSwapOption;
 use lovagedock::{
     ColdAllowance, ColdEndpoints, DomainDrains, DomainRelays, EndpointBackoffs, EndpointListing,
-    EndpointProcess, EndpointTable, LeavingQueue, LengthShares, ListingLog, OutlierEvent,
-    PartLedger, PauseDetector, PeerLiveness, QueueKind, RateLimits, RefusalLog, RelayCandidate,
-    RequestFingerprint, RetryShareSettings, SlowdownTracker, StopPlan, SuspectLedger, TeamBookings,
-    TrafficConfig, WaitingQueue, WatcherSelection, WorkLedger, prelude::*,
+    EndpointProcess, EndpointTable, LeavingQueue, LengthShares, ListingLog, OrganisationShares,
+    OutlierEvent, PartLedger, PauseDetector, PeerLiveness, QueueKind, RateLimits, RefusalLog,
+    RelayCandidate, RequestFingerprint, RetryShareSettings, SlowdownTracker, StopPlan,
+    SuspectLedger, TeamBookings, TrafficConfig, WaitingQueue, WatcherSelection, WorkLedger,
+    prelude::*,
 };
 use lovagedock_daemon::ProcessClock;
 use parking_lot::Mutex;
@@ -164,6 +165,7 @@
                 relays,
                 retries,
                 refusals: RefusalLog::new(),
+                shares: OrganisationShares::new(),
                 suspects: SuspectLedger::new(),
                 parts: PartLedger::new().with_rank(part_rank),
                 peer_liveness: PeerLiveness::new(),
@@ -422,6 +424,7 @@
         }
         self.settle_listing();
         self.settle_drains();
+        self.tick_shares();
         self.log_ended_backoffs(&ended_backoffs);
         for peer in silent {
             info!(self.log, "peer silent"; "peer" => &*peer);
--- a/lovagedock-gateway/src/direct/state/peers.rs
+++ b/lovagedock-gateway/src/direct/state/peers.rs
@@ -76,6 +76,7 @@
         fleet.peer_liveness.forget(name);
         fleet.ledger.forget_peer(name);
         fleet.bookings.forget_peer(name);
+        fleet.shares.forget_peer(name);
         fleet.rate_limits.forget_peer(self.clock.now(), name);
         fleet.cold_limits.forget_peer(self.clock.now(), name);
     }
@@ -271,6 +272,7 @@
         let mut fleet = self.fleet.lock();
         fleet.ledger.forget_peer(peer);
         fleet.bookings.forget_peer(peer);
+        fleet.shares.forget_peer(peer);
         fleet.rate_limits.forget_peer(now, peer);
         fleet.cold_limits.forget_peer(now, peer);
         fleet.parts.resend_quarantines();
--- a/lovagedock/src/direct/config.rs
+++ b/lovagedock/src/direct/config.rs
@@ -215,6 +215,12 @@
         self.keys.is_some() && !route.public
     }
 
+    /// Returns the organisations that have keys; one with several keys occurs several times.
+    pub fn organisations(&self) -> impl Iterator<Item = &OrganisationId> {
+        let holders = self.keys.iter().flat_map(HashMap::values);
+        holders.map(|holder| &holder.organisation)
+    }
+
     /// Returns the organisation of a key, and the key's own priority if it has one.
     pub fn key_holder(&self, key: &str) -> Option<(&OrganisationId, Option<u8>)> {
         let holder = self.keys.as_ref()?.get(key)?;
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -53,6 +53,7 @@
 mod resend_queue;
 mod retries;
 mod return_schedule;
+mod share_lane;
 mod short_lane;
 mod slowdown;
 mod stopping;
@@ -86,7 +87,10 @@
 pub use load::{CombinedLoad, PeerLoad, PlacedWork, WorkKey, WriterGroup, WriterTable};
 pub use load_updates::LoadUpdates;
 pub use machine::{AttemptEnd, DirectMachine, DirectStep};
-pub use organisation_shares::{OrganisationTag, ShareUpdate, organisation_tag};
+pub use organisation_shares::{
+    LaneShares, OrganisationDemand, OrganisationShares, OrganisationTag, ShareDecision,
+    ShareRequest, ShareUpdate, organisation_tag,
+};
 pub use part_ledger::{PartLedger, PartVerdict};
 pub use part_update::{PartEnd, PartReport, PartUpdate, PromptPart, PromptParts, format_part};
 pub use pause::PauseDetector;
