Flow over all gateways and scheduled returns, wired in

One of 48 gateways estimates its queue from its own three starts per second, and refused callers return at random while the burst lasts.

PoolFlow sums the rates that gateways report, ReturnSchedule gives each refused request a place in capacity that is spare by then.

--- a/lovagedock-gateway/src/direct/call/mod.rs
+++ b/lovagedock-gateway/src/direct/call/mod.rs
@@ -4,6 +4,7 @@
 mod parts;
 mod placement;
 mod process_end;
+mod returns;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -24,10 +25,12 @@
     liveness::LivenessWatch,
     reservations::{ReservationClient, ReservationGuard, ReservationRefused, ReservationRequest},
     response::{BufferedResponse, ResponseSender},
-    state::{BookingGuard, GatewayState, PlacedRequest, RejectedChoice},
+    state::{BookingGuard, GatewayState, PlacedRequest, RejectedChoice, ReturnAdvice},
 };
 use crate::front::RequestProblem;
 
+use returns::RequestReturn;
+
 pub(crate) use parts::CallParts;
 
 /// Time beyond the predicted first event after which a silent engine is probed. A live engine is
@@ -73,7 +76,13 @@
     sent_at: Instant,
     queue: QueueKind,
     fingerprint: RequestFingerprint,
+    /// Whether the service has engines.
+    has_engine: bool,
+    /// What is known of earlier attempts.
+    returning: RequestReturn,
     retry_after: Option<Duration>,
+    /// What the caller was told about its return.
+    advice: Option<ReturnAdvice>,
     failed_response: Option<BufferedResponse>,
     /// Placement of the latest attempt.
     placement: Option<AttemptPlacement>,
@@ -104,9 +113,13 @@
         let engine = profile.and_then(|profile| profile.engine.as_ref());
         let is_long = DirectPlacer::new(engine).is_long(parts.head.prompt);
         let fingerprint = parts.fingerprint();
-        let is_return = engine.is_some() && state.is_return(fingerprint);
-        let queue = QueueKind::new(is_long, is_return);
-        let late_at = match is_return {
+        let has_engine = engine.is_some();
+        let returning = match has_engine {
+            true => RequestReturn::new(&state, fingerprint),
+            false => RequestReturn::default(),
+        };
+        let queue = QueueKind::new(is_long, returning.gives_way());
+        let late_at = match returning.was_refused {
             true => late_at + RETURN_SLACK,
             false => late_at,
         };
@@ -122,7 +135,10 @@
             deadline,
             late_at,
             sent_at: Instant::now(),
+            has_engine,
+            returning,
             retry_after: None,
+            advice: None,
             failed_response: None,
             placement: None,
             rejected: None,
@@ -136,6 +152,10 @@
     /// Runs the request until it ends or the gateway stops.
     pub(crate) async fn run(mut self) {
         self.state.record_request(&self.parts.service);
+        if !self.returning.was_refused {
+            self.state.record_arrival(&self.parts.service, self.queue);
+        }
+        self.log_return();
         let state = Arc::clone(&self.state);
         let ended = tokio::select! {
             biased;
@@ -475,7 +495,7 @@
         self.state.record_length(LengthOutcome {
             route: route_tag(&self.parts.route.name),
             band: LengthBand::new(self.parts.head.prompt),
-            is_new: !self.queue.is_return(),
+            is_new: !self.returning.was_refused,
             is_started,
         });
     }
--- a/lovagedock-gateway/src/direct/call/placement.rs
+++ b/lovagedock-gateway/src/direct/call/placement.rs
@@ -8,7 +8,7 @@
 };
 use tokio::time::{sleep, sleep_until, timeout};
 
-use super::{DirectCall, FIRST_EVENT_SLACK};
+use super::{DirectCall, FIRST_EVENT_SLACK, RETURN_SLACK};
 use crate::direct::state::{
     BookingGuard, GatewayState, PlacedRequest, PlacementResult, PlacementThreshold,
 };
@@ -277,12 +277,14 @@
 
     fn join_queue(&mut self, now: Timestamp) -> Result<QueueEntry, DirectStep> {
         let time_left = self.deadline.saturating_sub(now);
-        let due_at = self.late_at + PRIORITY_OFFSET * u32::from(self.parts.priority);
+        let due_at = self.queue_due_at() + PRIORITY_OFFSET * u32::from(self.parts.priority);
         let objective_at = self.late_at;
+        let expected = self.state.expected_wait(&self.parts.service, self.queue);
         let (decision, position) =
             self.state
                 .with_queue(&self.parts.service, self.queue, |queue| {
-                    let decision = queue.decide(now, objective_at, time_left, rand::random());
+                    let decision =
+                        queue.decide(now, objective_at, time_left, expected, rand::random());
                     (decision, queue.enqueue(due_at))
                 });
         let mut entry = QueueEntry {
@@ -303,13 +305,22 @@
                 Ok(entry)
             }
             QueueDecision::Refuse { retry_after } => {
-                self.retry_after = Some(retry_after);
+                let step = self.refuse_with_delay(now, Duration::ZERO, retry_after);
                 self.log_refused("it would wait too long");
-                Err(self.machine.no_place_step(now))
+                Err(step)
             }
         }
     }
 
+    /// Returns by when the request is ordered in its queue. A scheduled return may wait for as long as
+    /// any returning request, but not behind all new ones.
+    fn queue_due_at(&self) -> Timestamp {
+        match self.returning.is_on_time() {
+            true => self.late_at.saturating_sub(RETURN_SLACK),
+            false => self.late_at,
+        }
+    }
+
     /// Refuses a request because all endpoints are rate limited or in backoff, at least until
     /// `until`.
     fn refuse_unavailable(&mut self, now: Timestamp, until: Timestamp) -> DirectStep {
@@ -320,9 +331,9 @@
             .with_queue(&self.parts.service, self.queue, |queue| {
                 queue.retry_after(wait, time_left, rand::random())
             });
-        self.retry_after = Some(retry_after.max(wait));
+        let step = self.refuse_with_delay(now, wait, retry_after.max(wait));
         self.log_refused("all endpoints are rate limited or in backoff");
-        self.machine.no_place_step(now)
+        step
     }
 
     fn refuse_after_wait(&mut self, now: Timestamp) -> DirectStep {
@@ -341,9 +352,9 @@
             .with_queue(&self.parts.service, self.queue, |queue| {
                 queue.retry_after(Duration::ZERO, time_left, rand::random())
             });
-        self.retry_after = Some(retry_after);
+        let step = self.refuse_with_delay(now, Duration::ZERO, retry_after);
         self.log_refused(reason);
-        self.machine.no_place_step(now)
+        step
     }
 }
 
--- a/lovagedock-gateway/src/direct/gateway.rs
+++ b/lovagedock-gateway/src/direct/gateway.rs
@@ -221,6 +221,8 @@
             })).collect::<Vec<_>>(),
             "drained_domains": self.0.drained_domains().iter().map(|domain| &**domain).collect::<Vec<_>>(),
             "cold_endpoints": self.0.cold_endpoints().iter().map(|process| process.to_string()).collect::<Vec<_>>(),
+            "flows": self.0.flow_report(),
+            "returns": self.0.return_report(),
             "suspects": self.0.suspect_reports().iter().map(|report| json!({
                 "fingerprint": format_fingerprint(report.fingerprint),
                 "ended_processes": report.ends.len(),
--- a/lovagedock-gateway/src/direct/state/fleet_state.rs
+++ b/lovagedock-gateway/src/direct/state/fleet_state.rs
@@ -10,9 +10,9 @@
     DomainRelays, EndpointBackoffs, EndpointListing, EndpointProcess, EndpointTable, EntryChange,
     LeavingQueue, LengthOutcome, LengthShares, ListingLog, OutlierAction, OutlierDetector,
     OutlierEvent, OutlierSettings, PartLedger, PauseDetector, PeerLiveness, PlacerCandidate,
-    QueueKind, RateLimits, RateVerdict, RefusalLog, RetryShare, RetryShareSettings,
-    SlowdownTracker, SuspectLedger, TeamBookings, WaitingQueue, WatcherSelection, WorkLedger,
-    max_kept_endpoints, prelude::*, short_lane_size,
+    PoolFlow, QueueKind, RateLimits, RateVerdict, RefusalLog, RetryShare, RetryShareSettings,
+    ReturnSchedule, SlowdownTracker, SuspectLedger, TeamBookings, WaitingQueue, WatcherSelection,
+    WorkLedger, max_kept_endpoints, prelude::*, short_lane_size,
 };
 use lovagedock_platform::GatewayEntry;
 use slog::{Logger, info};
@@ -50,6 +50,10 @@
     pub(super) relays: DomainRelays,
     pub(super) retries: RetryShareSettings,
     pub(super) refusals: RefusalLog,
+    /// Arrivals and starts over all gateways.
+    pub(super) flow: PoolFlow,
+    /// Scheduled returns of refused requests.
+    pub(super) returns: ReturnSchedule,
     pub(super) suspects: SuspectLedger,
     pub(super) parts: PartLedger,
     pub(super) peer_liveness: PeerLiveness,
--- a/lovagedock-gateway/src/direct/state/mod.rs
+++ b/lovagedock-gateway/src/direct/state/mod.rs
@@ -30,9 +30,10 @@
 use lovagedock::{
     ColdAllowance, ColdEndpoints, DomainDrains, DomainRelays, EndpointBackoffs, EndpointListing,
     EndpointProcess, EndpointTable, LeavingQueue, LengthShares, ListingLog, OutlierEvent,
-    PartLedger, PauseDetector, PeerLiveness, QueueKind, RateLimits, RefusalLog, RelayCandidate,
-    RequestFingerprint, RetryShareSettings, SlowdownTracker, StopPlan, SuspectLedger, TeamBookings,
-    TrafficConfig, WaitingQueue, WatcherSelection, WorkLedger, prelude::*,
+    PartLedger, PauseDetector, PeerLiveness, PoolFlow, QueueKind, RateLimits, RefusalLog,
+    RelayCandidate, RequestFingerprint, RetryShareSettings, ReturnSchedule, SlowdownTracker,
+    StopPlan, SuspectLedger, TeamBookings, TrafficConfig, WaitingQueue, WatcherSelection,
+    WorkLedger, prelude::*,
 };
 use lovagedock_daemon::ProcessClock;
 use parking_lot::Mutex;
@@ -49,6 +50,7 @@
 pub(crate) use bookings::BookingGuard;
 pub(crate) use listing::EndpointsSnapshot;
 pub(crate) use placement::{PlacedRequest, PlacementResult, PlacementThreshold, RejectedChoice};
+pub(crate) use returns::{Refusal, ReturnAdvice};
 
 /// Steps of the delay after which a gateway uses slots that a peer has freed. A step is longer than
 /// it takes to receive a peer's update about a new request.
@@ -164,6 +166,8 @@
                 relays,
                 retries,
                 refusals: RefusalLog::new(),
+                flow: PoolFlow::new(),
+                returns: ReturnSchedule::new(),
                 suspects: SuspectLedger::new(),
                 parts: PartLedger::new().with_rank(part_rank),
                 peer_liveness: PeerLiveness::new(),
--- a/lovagedock-gateway/src/direct/state/peers.rs
+++ b/lovagedock-gateway/src/direct/state/peers.rs
@@ -273,6 +273,7 @@
         fleet.bookings.forget_peer(peer);
         fleet.rate_limits.forget_peer(now, peer);
         fleet.cold_limits.forget_peer(now, peer);
+        fleet.flow.forget_peer(peer);
         fleet.parts.resend_quarantines();
     }
 }
--- a/lovagedock-gateway/src/direct/state/placement.rs
+++ b/lovagedock-gateway/src/direct/state/placement.rs
@@ -363,6 +363,7 @@
         let probe = OutlierEvent::ProbeSent(placed.lead.process.id.clone());
         let actions = state.outliers.handle(now, probe);
         state.apply(actions, &self.log);
+        self.record_flow_start(now, fleet, &placed.service, placed.queue);
     }
 
     /// Returns why a placed request must not be sent, or `None` if it may be. Since the placement,
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -93,7 +93,7 @@
 pub use peer_liveness::PeerLiveness;
 pub use peer_sequences::{MessageOrder, PeerSequences};
 pub use placer::{DirectPlacer, isolate_suspects};
-pub use pool_flow::{FlowLane, FlowUpdate, ServiceTag, service_tag};
+pub use pool_flow::{FlowKey, FlowLane, FlowTotals, FlowUpdate, PoolFlow, ServiceTag, service_tag};
 pub use process::EndpointProcess;
 pub use quarantine_release::QuarantineRelease;
 pub use rate_limit::{
@@ -101,7 +101,9 @@
 };
 pub use refusals::{RefusalLog, RequestFingerprint, format_fingerprint};
 pub use retries::{RetryShare, RetryShareSettings};
-pub use return_schedule::ReturnUpdate;
+pub use return_schedule::{
+    RefusedRequest, ReturnDecision, ReturnOutcome, ReturnSchedule, ReturnUpdate,
+};
 pub use short_lane::short_lane_size;
 pub use slowdown::SlowdownTracker;
 pub use stopping::{RequestOutlook, StopPlan};
--- a/lovagedock/src/direct/waiting_queue.rs
+++ b/lovagedock/src/direct/waiting_queue.rs
@@ -139,19 +139,19 @@
     }
 
     /// Decides whether a request that cannot be placed now may wait. Its first event is late from
-    /// `late_at` on.
+    /// `late_at` on. `expected` is the wait that is expected for it if the flow over all gateways is
+    /// known; otherwise the queue estimates it from its own starts.
     pub fn decide(
         &mut self,
         now: Timestamp,
         late_at: Timestamp,
         time_left: Duration,
+        expected: Option<Duration>,
         jitter: f64,
     ) -> QueueDecision {
         let objective_left = late_at.saturating_sub(now);
         let max_wait = objective_left.mul_f64(self.settings.objective_share);
-        let rate = self.starts.per_second_at(now).max(self.settings.min_rate);
-        let ahead = self.waiting.len() as f64;
-        let expected = Duration::from_secs_f64(ahead / rate);
+        let expected = expected.unwrap_or_else(|| self.own_wait(now));
         if expected > max_wait {
             let retry_after = self.retry_after(expected, time_left, jitter);
             return QueueDecision::Refuse { retry_after };
@@ -161,6 +161,12 @@
         }
     }
 
+    fn own_wait(&self, now: Timestamp) -> Duration {
+        let rate = self.starts.per_second_at(now).max(self.settings.min_rate);
+        let ahead = self.waiting.len() as f64;
+        Duration::from_secs_f64(ahead / rate)
+    }
+
     /// Returns the retry delay for a request that could not be served.
     ///
     /// Requests refused at the same moment must not be retried at the same moment, so delays are
--- a/lovagedock/tests/direct_waiting.rs
+++ b/lovagedock/tests/direct_waiting.rs
@@ -12,7 +12,7 @@
 #[test]
 fn a_request_waits_for_a_part_of_its_objective() {
     let mut queue = waiting_queue();
-    let decision = queue.decide(ms(100), ms(400), ms(10_000), 0.0);
+    let decision = queue.decide(ms(100), ms(400), ms(10_000), None, 0.0);
     assert_eq!(decision, QueueDecision::Wait { until: ms(220) });
 }
 
@@ -30,7 +30,7 @@
     for _ in 0..10 {
         queue.enqueue(ms(2_300));
     }
-    let decision = queue.decide(ms(2_000), ms(2_300), ms(9_900), 0.0);
+    let decision = queue.decide(ms(2_000), ms(2_300), ms(9_900), None, 0.0);
     assert!(
         matches!(decision, QueueDecision::Refuse { .. }),
         "{decision:?}"
@@ -67,7 +67,7 @@
 fn long_prompts_may_wait_before_any_has_started() {
     let mut queue = WaitingQueue::new(QueueKind::Long.settings());
     queue.enqueue(ms(3_000));
-    let decision = queue.decide(ms(0), ms(3_000), ms(15_000), 0.0);
+    let decision = queue.decide(ms(0), ms(3_000), ms(15_000), None, 0.0);
     assert!(
         matches!(decision, QueueDecision::Wait { .. }),
         "{decision:?}"
@@ -117,7 +117,7 @@
             (case.is_long, case.is_return)
         );
         let mut queue = WaitingQueue::new(kind.settings());
-        let decision = queue.decide(ms(0), ms(4_000), ms(15_000), 0.0);
+        let decision = queue.decide(ms(0), ms(4_000), ms(15_000), None, 0.0);
         let until = ms(case.max_wait_ms);
         assert_eq!(decision, QueueDecision::Wait { until }, "{kind:?}");
     }
