Tests of scheduled returns; returns are spread over joined slots

In a simulated burst of 1.3 times the capacity with 48 gateways, gateways that decided at the same moment filled a slot several times (60 returns per second where 30 were spare), and reports of all gateways at the same moment made queues swing.

Slots that have room for few returns are joined, one of them is chosen at random, and gateways report at different moments.

--- /dev/null
+++ b/lovagedock-gateway/tests/direct_returns.rs
@@ -0,0 +1,120 @@
+//! Returns of refused requests to another gateway, over real sockets.
+
+mod direct_support;
+
+use std::time::Duration;
+
+use direct_support::{
+    LogLines, ScriptedEndpoint, TestFeed, TestGateway, call, endpoint_scripts as script,
+    engine_config, entry, settings,
+};
+use lovagedock_daemon::DaemonContext;
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep, sleep_until},
+};
+
+struct ReturnCase {
+    name: &'static str,
+    /// Whether the second gateway has the setting; the first one always does.
+    is_enabled: bool,
+    /// Whether the first gateway is killed after the refusal.
+    is_killed: bool,
+    /// How the request returns to the second gateway, and then once more.
+    outcomes: &'static [&'static str],
+}
+
+const CASES: &[ReturnCase] = &[
+    ReturnCase {
+        name: "both gateways live",
+        is_enabled: true,
+        is_killed: false,
+        outcomes: &["on_time", "repeated"],
+    },
+    ReturnCase {
+        name: "the first gateway is killed",
+        is_enabled: true,
+        is_killed: true,
+        outcomes: &["on_time", "repeated"],
+    },
+    ReturnCase {
+        name: "the second gateway lacks the setting",
+        is_enabled: false,
+        is_killed: false,
+        outcomes: &[],
+    },
+];
+
+/// Guards against schedules that only the gateway that made them knows, a schedule that is used twice,
+/// and a gateway without the setting that schedules returns or honours them.
+#[tokio::test]
+async fn a_scheduled_return_is_honoured_by_another_gateway() {
+    let mut plays = JoinSet::new();
+    CASES.iter().for_each(|case| drop(plays.spawn(play(case))));
+    while let Some(played) = plays.join_next().await {
+        played.expect("the return is honoured");
+    }
+}
+
+async fn play(case: &'static ReturnCase) {
+    let scripts = vec![script::slow_response(Duration::from_millis(300), "whole"); 4000];
+    let endpoint = ScriptedEndpoint::start(scripts).await;
+    let feed = TestFeed::new(engine_config(), vec![entry("i-0", endpoint.address)]);
+    let lines = LogLines::default();
+    let mut gateways = Vec::new();
+    for (name, is_enabled) in [("first", true), ("second", case.is_enabled)] {
+        let mut settings = settings(name);
+        settings.overload.scheduled_returns = is_enabled;
+        let context = DaemonContext::new(lines.logger());
+        let gateway = TestGateway::start_with(settings, &feed, context).await;
+        gateways.push(gateway.ready().await);
+    }
+    let mut callers = JoinSet::new();
+    for number in 0..40 {
+        let gateway = gateways[number % 2].address();
+        callers.spawn(async move {
+            for id in (0..).map(|round| 10_000 * (number + 1) + round) {
+                call(gateway, &format!("/safe/{id}"), &id.to_string()).await;
+                sleep(Duration::from_millis(100)).await;
+            }
+        });
+    }
+    let (refused, due_at) = loop {
+        let refused = lines.with_message("refused").into_iter();
+        let mut scheduled = refused.filter(|line| line["is_scheduled"] == true);
+        if let Some(line) = scheduled.find(|line| line["gateway"] == "first") {
+            let delay = line["retry_after_ms"].as_u64().expect("a delay is logged");
+            break (line, Instant::now() + Duration::from_millis(delay));
+        }
+        sleep(Duration::from_millis(10)).await;
+    };
+    drop(callers);
+    sleep(Duration::from_millis(300)).await;
+    let second = gateways.pop().expect("two gateways were started");
+    if case.is_killed {
+        gateways.clear();
+    }
+    sleep_until(due_at).await;
+    let path = format!("/safe/{}", refused["request"].as_str().unwrap_or_default());
+    for id in ["1", "2"] {
+        let response = call(second.address(), &path, id).await;
+        assert_eq!(response.status(), 200, "{}: {}", case.name, response.text);
+    }
+    let returned = lines.with_message("scheduled return");
+    let outcome = |id: &str| returned.iter().find(|line| line["request"] == id);
+    let outcomes: Vec<_> = ["1", "2"].into_iter().filter_map(outcome).collect();
+    let found: Vec<_> = outcomes
+        .iter()
+        .map(|line| line["outcome"].as_str())
+        .collect();
+    let expected: Vec<_> = case.outcomes.iter().copied().map(Some).collect();
+    assert_eq!(found, expected, "{}", case.name);
+    let refused = lines.with_message("refused");
+    let mut of_second = refused.iter().filter(|line| line["gateway"] == "second");
+    let has_scheduled = of_second.any(|line| line["is_scheduled"] == true);
+    assert!(
+        case.is_enabled || !has_scheduled,
+        "{}: {refused:?}",
+        case.name
+    );
+}
--- a/lovagedock/src/direct/pool_flow.rs
+++ b/lovagedock/src/direct/pool_flow.rs
@@ -156,6 +156,8 @@
     lanes: HashMap<FlowKey, LaneFlow>,
     /// When the first request was recorded.
     measured_since: Option<Timestamp>,
+    /// Shift of the times at which lanes are reported.
+    phase: Duration,
     /// Time from which reports may be due again.
     next_report_at: Timestamp,
 }
@@ -187,6 +189,15 @@
         Self::default()
     }
 
+    /// Shifts the times at which lanes are reported. `draw` is a random number in `0.0..1.0`.
+    ///
+    /// A burst reaches all gateways at the same moment. If they also reported at the same moments, all
+    /// would see an empty queue at once and fill it.
+    pub fn with_phase(mut self, draw: f64) -> Self {
+        self.phase = MAX_REPORT_INTERVAL.mul_f64(draw.clamp(0.0, 1.0));
+        self
+    }
+
     /// Records the first attempt of a request.
     pub fn record_arrival(&mut self, now: Timestamp, key: FlowKey) {
         if let Some(lane) = self.measured_lane(now, key) {
@@ -296,12 +307,13 @@
         };
         let active = self.lanes.values().filter(|lane| lane.is_active(now));
         let interval = report_interval(active.count(), receivers);
+        let round = |at: Timestamp| at.as_millis() / interval.as_millis();
         self.next_report_at = now + CHECK_INTERVAL;
         let mut reports = Vec::new();
         for (key, lane) in &mut self.lanes {
             let is_due = lane
                 .reported_at
-                .is_none_or(|at| now.saturating_sub(at) >= interval);
+                .is_none_or(|at| round(at + self.phase) < round(now + self.phase));
             if is_due && lane.is_active(now) {
                 lane.reported_at = Some(now);
                 reports.push(lane.own_flow(now, *key, measured));
--- a/lovagedock/src/direct/return_schedule.rs
+++ b/lovagedock/src/direct/return_schedule.rs
@@ -39,8 +39,9 @@
 const MAX_AHEAD: Duration = Duration::from_secs(5);
 
 /// Minimum number of returns for which room is counted together. If a slot has room for fewer, several
-/// are joined; rounding down a slot's room for 2.5 returns would waste a fifth of it.
-const MIN_ROOM: f64 = 4.0;
+/// are joined: gateways that decide at the same moment overfill a slot by a few, and its neighbours
+/// make up for it.
+const MIN_ROOM: f64 = 20.0;
 
 /// Time before and after its schedule at which a return is on time. Callers add the time for a new
 /// connection.
@@ -173,12 +174,12 @@
         let earliest = now + request.min_delay;
         let latest = now + request.max_delay.min(MAX_AHEAD);
         let room = totals.spare() * SLOT.as_secs_f64();
-        let Some(span) = lane.first_with_room(earliest, latest, room) else {
+        let Some((slot, draw)) = lane.first_with_room(earliest, latest, room, draw) else {
             return ReturnDecision::NoRoom;
         };
-        let from = slot_start(span.0).max(earliest);
-        let until = slot_start(span.1).min(latest);
-        let due_at = from + until.saturating_sub(from).mul_f64(draw.clamp(0.0, 1.0));
+        let from = slot_start(slot).max(earliest);
+        let until = slot_start(slot + 1).min(latest);
+        let due_at = from + until.saturating_sub(from).mul_f64(draw);
         self.insert(request.fingerprint, request.key, due_at);
         self.push_notice(ReturnNotice::Scheduled(request.fingerprint));
         ReturnDecision::Scheduled(due_at.saturating_sub(now))
@@ -359,7 +360,7 @@
             }
         }
         let lane = self.lanes.entry(key).or_default();
-        lane.drop_before(slot_of(now));
+        lane.drop_before(slot_of(now).saturating_sub(MAX_JOINED));
         Some(lane)
     }
 
@@ -436,34 +437,48 @@
         (slot..end).map(|slot| self.count(slot)).collect()
     }
 
-    /// Returns the first slots between two times that have room together, as their first one and the one
-    /// after them. `room` is the number of returns for which a slot has room.
+    /// Returns one of the first joined slots between two times that have room, and a draw for the moment
+    /// within it. `room` is the number of returns for which
+    /// a slot has room.
+    ///
+    /// Gateways that decide at the same moment would all choose the very first one. A slot has room if
+    /// all joined slots around it have. With groups of slots at fixed positions,
+    /// gateways whose slots begin at different moments would fill them up to twice.
     fn first_with_room(
         &self,
         earliest: Timestamp,
         latest: Timestamp,
         room: f64,
-    ) -> Option<(SlotIndex, SlotIndex)> {
+        draw: f64,
+    ) -> Option<(SlotIndex, f64)> {
         if room <= 0.0 || latest < earliest {
             return None;
         }
+        let joined = (MIN_ROOM / room).ceil().clamp(1.0, MAX_JOINED as f64) as usize;
+        let max_count = room.ceil() as u32;
+        let max_joined = (room * joined as f64) as u32;
         let (first, last) = (slot_of(earliest), slot_of(latest));
-        let width = (MIN_ROOM / room).ceil().clamp(1.0, MAX_JOINED) as u64;
-        let mut start = first;
-        while start <= last {
-            let end = start + width;
-            let count: u32 = (start..end).map(|slot| self.count(slot)).sum();
-            if f64::from(count) + 1.0 <= room * width as f64 {
-                return Some((start, end));
-            }
-            start = end;
-        }
-        None
+        let before = (joined as u64 - 1).min(first);
+        let counts = (first - before..=last + joined as u64).map(|slot| self.count(slot));
+        let counts: Vec<u32> = counts.collect();
+        let sums = counts.windows(joined).map(|joined| joined.iter().sum());
+        let sums: Vec<u32> = sums.collect();
+        let has_room = |slot: &SlotIndex| {
+            let end = (slot - (first - before)) as usize;
+            let around = &sums[(end + 1).saturating_sub(joined)..=end];
+            self.count(*slot) < max_count && around.iter().all(|sum| *sum < max_joined)
+        };
+        let found = (first..=last).find(has_room)?;
+        let near = (found..=last.min(found + joined as u64 - 1)).filter(has_room);
+        let near: Vec<SlotIndex> = near.collect();
+        let position = draw.clamp(0.0, 1.0 - f64::EPSILON) * near.len() as f64;
+        let slot = near.get(position as usize)?;
+        Some((*slot, position.fract()))
     }
 }
 
 /// Maximum number of slots that are joined: all that are scheduled ahead.
-const MAX_JOINED: f64 = (MAX_AHEAD.as_millis() / SLOT.as_millis()) as f64;
+const MAX_JOINED: u64 = (MAX_AHEAD.as_millis() / SLOT.as_millis()) as u64;
 
 fn slot_of(at: Timestamp) -> SlotIndex {
     (at.as_millis() / SLOT.as_millis()) as SlotIndex
