--- a/lovagedock-gateway/src/direct/call/shares.rs
+++ b/lovagedock-gateway/src/direct/call/shares.rs
@@ -34,6 +34,11 @@
         if !is_new {
             return Ok(());
         }
+        // Its caller was told that there is capacity.
+        if self.returning.is_on_time() {
+            self.share = ShareStage::Admitted;
+            return Ok(());
+        }
         let request = self.share_request();
         let state = &self.state;
         match state.decide_share(&self.parts.service, &request, rand::random()) {
--- a/lovagedock/tests/direct_slot_claims.rs
+++ b/lovagedock/tests/direct_slot_claims.rs
@@ -98,10 +98,18 @@
 const SEARCH_INTERVAL: Duration = Duration::from_millis(8);
 const SEARCH_TIME: Duration = Duration::from_millis(120);
 
+/// Loads that are on their way from one gateway to another.
+struct LoadMessage {
+    arrives_at: Timestamp,
+    from: usize,
+    to: usize,
+    loads: Vec<(EndpointProcess, PeerLoad)>,
+}
+
 struct BurstPool {
     endpoints: Vec<DirectEndpoint>,
     gateways: Vec<(GatewayId, WorkLedger)>,
-    messages: Vec<(Timestamp, usize, usize, Vec<(EndpointProcess, PeerLoad)>)>,
+    messages: Vec<LoadMessage>,
 }
 
 impl BurstPool {
@@ -132,13 +140,14 @@
     }
 
     fn deliver(&mut self, now: Timestamp) {
-        let (due, later) = std::mem::take(&mut self.messages)
-            .into_iter()
-            .partition(|(at, ..)| *at <= now);
+        let messages = std::mem::take(&mut self.messages).into_iter();
+        let (due, later): (Vec<_>, Vec<_>) =
+            messages.partition(|message| message.arrives_at <= now);
         self.messages = later;
-        for (_, from, to, loads) in due {
-            let name = self.gateways[from].0.clone();
-            self.gateways[to].1.apply_peer_loads(now, &name, loads);
+        for message in due {
+            let name = self.gateways[message.from].0.clone();
+            let ledger = &mut self.gateways[message.to].1;
+            ledger.apply_peer_loads(now, &name, message.loads);
         }
     }
 
@@ -147,8 +156,12 @@
         let loads: Vec<_> = loads.map(|(p, load)| (p.clone(), load.clone())).collect();
         for to in (0..self.gateways.len()).filter(|to| *to != from) {
             if random.random_range(0.0..1.0) >= loss {
-                self.messages
-                    .push((now + MESSAGE_DELAY, from, to, loads.clone()));
+                self.messages.push(LoadMessage {
+                    arrives_at: now + MESSAGE_DELAY,
+                    from,
+                    to,
+                    loads: loads.clone(),
+                });
             }
         }
     }
