Requests of operators: drain preview, usage, release, status

Cause: nobody could tell what a drain would do or who uses a service, and a quarantine could not be ended by hand; gateways without sidecars had only a dump.

Change: DrainPreview predicts the utilisation of the endpoints outside a domain from the loads of all gateways; the ledger measures the prefill time placed on each endpoint per second. A release drops the evidence of SuspectLedger and PartLedger, ignores older evidence for 10 s and is sent to peers three times, and again if a peer contradicts it. The suspect sheet is written before the operator's call returns. GatewayAdmin moves to a file of its own and has the calls /status, /usage, /drain-preview/DOMAIN and /release-quarantine/ID; the command line has the commands drain-preview, usage and release-quarantine, and status prints what gateways without sidecars report. AdminCall has the operator's address, for the log.

--- a/lovagedock-cli/src/arguments.rs
+++ b/lovagedock-cli/src/arguments.rs
@@ -84,6 +84,19 @@
         #[arg(long)]
         undo: bool,
     },
+    /// Show whether the other endpoints suffice if a failure domain is drained.
+    DrainPreview {
+        /// Name of the failure domain.
+        domain: String,
+    },
+    /// Show who uses which service, as each gateway knows it.
+    Usage,
+    /// End the quarantine of a request, or of a part of prompts, on all gateways.
+    ReleaseQuarantine {
+        /// The 16 hexadecimal digits of the request, as in the log, or `part-` and the digits of a
+        /// part.
+        target: String,
+    },
     /// Explain a numbered result code.
     Code {
         /// Number of the code; lists all codes if absent.
--- a/lovagedock-cli/src/lib.rs
+++ b/lovagedock-cli/src/lib.rs
@@ -8,13 +8,17 @@
 mod client;
 mod codes;
 mod config;
+mod drain_preview;
 mod files;
+mod gateways;
 mod processes;
+mod quarantines;
 mod report;
 mod runner;
 mod settings;
 mod start;
 mod status;
+mod usage;
 
 pub use arguments::{ApplyArguments, CommandArguments, CommandLine, OutputFormat};
 pub use client::{HttpProcessClient, ProcessClient, ProcessError, ProcessMethod};
--- a/lovagedock-cli/src/runner.rs
+++ b/lovagedock-cli/src/runner.rs
@@ -12,10 +12,10 @@
     arguments::{CommandArguments, CommandLine},
     client::{HttpProcessClient, ProcessClient},
     codes::show_code,
-    config, files, processes,
+    config, drain_preview, files, processes, quarantines,
     report::{CommandReport, ExitStatus},
     settings::OperatorSettings,
-    status,
+    status, usage,
 };
 
 /// Runs commands against a platform and processes.
@@ -77,6 +77,13 @@
             CommandArguments::Drain { process, undo } => {
                 processes::drain_process(self, process, *undo).await
             }
+            CommandArguments::DrainPreview { domain } => {
+                drain_preview::preview_drain(self, domain).await
+            }
+            CommandArguments::Usage => usage::show_usage(self).await,
+            CommandArguments::ReleaseQuarantine { target } => {
+                quarantines::release_quarantine(self, target).await
+            }
             CommandArguments::Code { number } => Ok(show_code(*number)),
             CommandArguments::Schema => Ok(show_schema()),
             CommandArguments::Completions { shell } => Ok(show_completions(*shell)),
--- a/lovagedock-cli/src/status.rs
+++ b/lovagedock-cli/src/status.rs
@@ -1,6 +1,6 @@
 //! `status`: the configuration generation that each process has in force.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use lovagedock::Generation;
 use serde::{Deserialize, Serialize};
@@ -22,6 +22,26 @@
     generation: Generation,
     #[serde(default)]
     endpoints: Vec<EndpointStatus>,
+    /// Only in the response of a gateway without sidecars.
+    direct: Option<DirectStatus>,
+}
+
+/// What a gateway without sidecars reports about its fleet.
+#[derive(Clone, Deserialize, Serialize)]
+struct DirectStatus {
+    drained_domains: Vec<String>,
+    cold_endpoints: Vec<String>,
+    slow_endpoints: Vec<SlowEndpoint>,
+    quarantined_requests: usize,
+    quarantined_parts: usize,
+}
+
+/// An endpoint that is slower than declared.
+#[derive(Clone, Deserialize, Serialize)]
+struct SlowEndpoint {
+    endpoint: String,
+    /// Ratio of measured to declared time.
+    slowdown: f64,
 }
 
 /// What one sidecar last reported to a gateway.
@@ -42,17 +62,29 @@
     /// `None` if it could not be determined.
     generation: Option<Generation>,
     error: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    direct: Option<DirectStatus>,
+}
+
+/// The generation that all processes should have.
+enum ExpectedGeneration {
+    /// The accepted one, as read from the platform's store.
+    Accepted(Result<Generation, CommandReport>),
+    /// The newest one that a gateway without sidecars has in force; the store of such a fleet is
+    /// read by its gateways only.
+    Newest(Option<Generation>),
 }
 
 pub(crate) async fn show_status(runner: &CommandRunner) -> Result<CommandReport, CommandReport> {
-    let accepted = load_generation(runner).await;
     let mut lines = Vec::new();
     let mut sidecars: BTreeMap<String, Option<Generation>> = BTreeMap::new();
     for gateway in &runner.settings.gateways {
         match query_gateway(runner, gateway).await? {
             Ok(response) => {
                 record_sidecars(&mut sidecars, &response.endpoints);
-                lines.push(gateway_line(gateway, Some(response.generation), None));
+                let mut line = gateway_line(gateway, Some(response.generation), None);
+                line.direct = response.direct;
+                lines.push(line);
             }
             Err(error) => lines.push(gateway_line(gateway, None, Some(error.to_string()))),
         }
@@ -65,9 +97,17 @@
             error: generation
                 .is_none()
                 .then(|| "no gateway has a session to it".to_owned()),
+            direct: None,
         }
     }));
-    Ok(report_status(accepted, &lines))
+    let expected = match lines.iter().any(|line| line.direct.is_some()) {
+        true => {
+            let generations = lines.iter().map(|line| line.generation);
+            ExpectedGeneration::Newest(generations.max().flatten())
+        }
+        false => ExpectedGeneration::Accepted(load_generation(runner).await),
+    };
+    Ok(report_status(expected, &lines))
 }
 
 async fn load_generation(runner: &CommandRunner) -> Result<Generation, CommandReport> {
@@ -114,13 +154,15 @@
         role: "gateway",
         generation,
         error,
+        direct: None,
     }
 }
 
-fn report_status(
-    accepted: Result<Generation, CommandReport>,
-    lines: &[ProcessLine],
-) -> CommandReport {
+fn report_status(expected: ExpectedGeneration, lines: &[ProcessLine]) -> CommandReport {
+    let (label, accepted) = match expected {
+        ExpectedGeneration::Accepted(accepted) => ("accepted", accepted),
+        ExpectedGeneration::Newest(newest) => ("newest", Ok(newest.unwrap_or_default())),
+    };
     let generation = accepted.as_ref().ok().copied();
     let in_force = |line: &&ProcessLine| match (line.generation, generation) {
         (Some(own), Some(accepted)) => own >= accepted,
@@ -134,15 +176,16 @@
     let mut text = match &accepted {
         Ok(generation) => {
             format!(
-                "accepted generation {generation}, in force at {count} of {}\n",
+                "{label} generation {generation}, in force at {count} of {}\n",
                 lines.len()
             )
         }
         Err(report) => format!("the accepted generation is not known: {}", report.text),
     };
     text += &format_table(HEADER, &rows);
+    text += &direct_text(lines);
     let value = json!({
-        "accepted_generation": generation,
+        format!("{label}_generation"): generation,
         "in_force": generation.map(|_| count),
         "processes": lines,
         "store_error": accepted.as_ref().err().map_or(Value::Null, |report| report.value.clone()),
@@ -155,6 +198,46 @@
     CommandReport::new(status, text, value)
 }
 
+/// Lists what gateways without sidecars report about their fleet. Gateways learn of changes at
+/// slightly different times, so the lists of all of them are merged.
+fn direct_text(lines: &[ProcessLine]) -> String {
+    let reports: Vec<&DirectStatus> = lines
+        .iter()
+        .filter_map(|line| line.direct.as_ref())
+        .collect();
+    if reports.is_empty() {
+        return String::new();
+    }
+    let all = |names: fn(&DirectStatus) -> Vec<String>| {
+        let names = reports.iter().flat_map(|report| names(report));
+        names.collect::<BTreeSet<String>>()
+    };
+    let most = |count: fn(&DirectStatus) -> usize| {
+        let counts = reports.iter().map(|report| count(report));
+        counts.max().unwrap_or_default()
+    };
+    let slow = |report: &DirectStatus| {
+        let slow = report.slow_endpoints.iter();
+        slow.map(|slow| slow.endpoint.clone()).collect()
+    };
+    format!(
+        "drained domains: {}\ncold endpoints: {}\nslow endpoints: {}\n\
+         quarantines: {} requests, {} parts\n",
+        name_list(&all(|report| report.drained_domains.clone())),
+        name_list(&all(|report| report.cold_endpoints.clone())),
+        name_list(&all(slow)),
+        most(|report| report.quarantined_requests),
+        most(|report| report.quarantined_parts),
+    )
+}
+
+fn name_list(names: &BTreeSet<String>) -> String {
+    match names.is_empty() {
+        true => "none".to_owned(),
+        false => names.iter().cloned().collect::<Vec<_>>().join(", "),
+    }
+}
+
 fn line_row(line: &ProcessLine, accepted: Option<Generation>) -> Vec<String> {
     let generation_text = line
         .generation
--- a/lovagedock-daemon/src/admin.rs
+++ b/lovagedock-daemon/src/admin.rs
@@ -76,6 +76,8 @@
 /// A call of an operator.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AdminCall {
+    /// Address from which the operator connected.
+    pub operator: SocketAddr,
     /// The route's path, as in [`AdminRoute::path`].
     pub path: &'static str,
     /// The part of the path after a route that ends in `/`; empty otherwise.
--- a/lovagedock-daemon/src/admin/routes.rs
+++ b/lovagedock-daemon/src/admin/routes.rs
@@ -55,6 +55,7 @@
             );
         }
         let call = AdminCall {
+            operator: request.peer,
             path: route.path,
             argument,
             body: request.body,
--- a/lovagedock-gateway/src/direct/gateway.rs
+++ b/lovagedock-gateway/src/direct/gateway.rs
@@ -2,16 +2,14 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use async_trait::async_trait;
 use error_stack::{Report, ResultExt};
-use lovagedock::{format_fingerprint, format_part};
-use lovagedock_daemon::{AdminHandler, AdminServer, DaemonContext, load_checked_settings};
+use lovagedock_daemon::{AdminServer, DaemonContext, load_checked_settings};
 use lovagedock_platform::{FeedSubject, FleetFeed, GatewayEntry};
-use serde_json::{Value, json};
 use slog::{info, o, warn};
 use tokio::{net::TcpListener, task::JoinSet};
 
 use super::{
+    admin::GatewayAdmin,
     caller_server::CallerServer,
     dialect::HttpDialect,
     discovery::{consult_peers, discover_gateways},
@@ -39,7 +37,7 @@
     peers: SocketAddr,
     server: tokio::task::JoinHandle<()>,
     state: Arc<GatewayState>,
-    _admin: AdminServer,
+    admin: AdminServer,
     // Aborts the tasks when the gateway is dropped.
     _tasks: JoinSet<()>,
 }
@@ -74,7 +72,7 @@
         let peers = PeerExchange::bind(Arc::clone(&state), settings.peers);
         let (peers, peer_listener) = peers.await.change_context(GatewayError)?;
         let peers = Arc::new(peers);
-        let gateway_admin = Arc::new(GatewayAdmin(Arc::clone(&state)));
+        let gateway_admin = Arc::new(GatewayAdmin::new(Arc::clone(&state)));
         let admin = AdminServer::start(
             "lovagedock-gateway",
             &settings.admin,
@@ -128,7 +126,7 @@
             peers: peers_address,
             server,
             state,
-            _admin: admin,
+            admin,
             _tasks: tasks,
         })
     }
@@ -143,6 +141,11 @@
         self.health
     }
 
+    /// Returns the address for operators.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.admin.address()
+    }
+
     /// Returns the address to which peers send.
     pub fn peers_address(&self) -> SocketAddr {
         self.peers
@@ -192,45 +195,3 @@
         .change_context(GatewayError)
         .attach_with(|| format!("address {address}"))
 }
-
-/// Admin endpoints of a gateway.
-struct GatewayAdmin(Arc<GatewayState>);
-
-#[async_trait]
-impl AdminHandler for GatewayAdmin {
-    fn ready(&self) -> bool {
-        self.0.is_ready()
-    }
-
-    fn dump(&self) -> Value {
-        let loads = self.0.own_loads();
-        let peers = self.0.peers();
-        let listing = self.0.listing_version();
-        json!({
-            "config": self.0.config().map(|config| config.version),
-            "store": {
-                "era": listing.position.era,
-                "revision": listing.position.revision,
-                "settled": listing.settled,
-            },
-            "placed": loads.iter().map(|(process, load)| json!({
-                "endpoint": process.to_string(), "occupied": load.occupied, "context": load.context,
-            })).collect::<Vec<_>>(),
-            "peers": peers.iter().map(|peer| json!({
-                "name": &*peer.name, "address": peer.address,
-            })).collect::<Vec<_>>(),
-            "drained_domains": self.0.drained_domains().iter().map(|domain| &**domain).collect::<Vec<_>>(),
-            "cold_endpoints": self.0.cold_endpoints().iter().map(|process| process.to_string()).collect::<Vec<_>>(),
-            "suspects": self.0.suspect_reports().iter().map(|report| json!({
-                "fingerprint": format_fingerprint(report.fingerprint),
-                "ended_processes": report.ends.len(),
-                "quarantined_for_s": report.quarantined_for.as_secs(),
-            })).collect::<Vec<_>>(),
-            "suspect_parts": self.0.part_reports().iter().map(|report| json!({
-                "part": format_part(report.part),
-                "ended_processes": report.ends.len(),
-                "quarantined_for_s": report.quarantined_for.as_secs(),
-            })).collect::<Vec<_>>(),
-        })
-    }
-}
--- a/lovagedock-gateway/src/direct/mod.rs
+++ b/lovagedock-gateway/src/direct/mod.rs
@@ -5,6 +5,7 @@
 //! names. The state of the fleet comes from a [`FleetFeed`](lovagedock_platform::FleetFeed). The
 //! kernel's `DirectMachine` makes all decisions about a request, and `call` executes them.
 
+mod admin;
 mod call;
 mod caller_server;
 mod delivery;
@@ -24,6 +25,7 @@
 mod reservations;
 mod response;
 mod settings;
+mod sheet_writes;
 mod state;
 mod suspect_sync;
 
--- a/lovagedock-gateway/src/direct/state/fleet_state.rs
+++ b/lovagedock-gateway/src/direct/state/fleet_state.rs
@@ -10,7 +10,7 @@
     DomainRelays, EndpointBackoffs, EndpointListing, EndpointProcess, EndpointTable, EntryChange,
     LeavingQueue, LengthOutcome, LengthShares, ListingLog, OutlierAction, OutlierDetector,
     OutlierEvent, OutlierSettings, PartLedger, PauseDetector, PeerLiveness, PlacerCandidate,
-    QueueKind, RateLimits, RateVerdict, RefusalLog, RetryShare, RetryShareSettings,
+    QueueKind, RateLimits, RateVerdict, RefusalLog, ReleaseNotices, RetryShare, RetryShareSettings,
     SlowdownTracker, SuspectLedger, TeamBookings, WaitingQueue, WatcherSelection, WorkLedger,
     max_kept_endpoints, prelude::*, short_lane_size,
 };
@@ -52,6 +52,7 @@
     pub(super) refusals: RefusalLog,
     pub(super) suspects: SuspectLedger,
     pub(super) parts: PartLedger,
+    pub(super) releases: ReleaseNotices,
     pub(super) peer_liveness: PeerLiveness,
     pub(super) watcher_selection: WatcherSelection,
     pub(super) pause_detector: PauseDetector,
--- a/lovagedock-gateway/src/direct/state/mod.rs
+++ b/lovagedock-gateway/src/direct/state/mod.rs
@@ -12,10 +12,12 @@
 mod parts;
 mod peers;
 mod placement;
+mod previews;
 mod releases;
 mod returns;
 mod shares;
 mod suspects;
+mod usage;
 
 use std::{
     collections::HashMap,
@@ -31,8 +33,9 @@
     ColdAllowance, ColdEndpoints, DomainDrains, DomainRelays, EndpointBackoffs, EndpointListing,
     EndpointProcess, EndpointTable, LeavingQueue, LengthShares, ListingLog, OutlierEvent,
     PartLedger, PauseDetector, PeerLiveness, QueueKind, RateLimits, RefusalLog, RelayCandidate,
-    RequestFingerprint, RetryShareSettings, SlowdownTracker, StopPlan, SuspectLedger, TeamBookings,
-    TrafficConfig, WaitingQueue, WatcherSelection, WorkLedger, prelude::*,
+    ReleaseNotices, RequestFingerprint, RetryShareSettings, SlowdownTracker, StopPlan,
+    SuspectLedger, TeamBookings, TrafficConfig, WaitingQueue, WatcherSelection, WorkLedger,
+    prelude::*,
 };
 use lovagedock_daemon::ProcessClock;
 use parking_lot::Mutex;
@@ -44,7 +47,10 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use self::fleet_state::FleetState;
-use super::{fleet_tag::FleetTag, log_limiter::LogLimiter, settings::OverloadSettings};
+use super::{
+    fleet_tag::FleetTag, log_limiter::LogLimiter, settings::OverloadSettings,
+    sheet_writes::SheetWrites,
+};
 
 pub(crate) use bookings::BookingGuard;
 pub(crate) use listing::EndpointsSnapshot;
@@ -107,6 +113,8 @@
     store_restored: Notify,
     /// Wakes the task that writes suspects to the store.
     pub(crate) suspects_changed: Notify,
+    /// Writes of the suspects that operators wait for.
+    pub(crate) sheet_writes: SheetWrites,
     /// Wakes the same task to read the suspects that other gateways have written.
     pub(crate) suspects_read_requested: Notify,
     /// Wakes requests that wait for this read.
@@ -166,6 +174,7 @@
                 refusals: RefusalLog::new(),
                 suspects: SuspectLedger::new(),
                 parts: PartLedger::new().with_rank(part_rank),
+                releases: ReleaseNotices::new(),
                 peer_liveness: PeerLiveness::new(),
                 watcher_selection: WatcherSelection::new(),
                 pause_detector: PauseDetector::new(),
@@ -189,6 +198,7 @@
             request_quarantined: Notify::new(),
             store_restored: Notify::new(),
             suspects_changed: Notify::new(),
+            sheet_writes: SheetWrites::new(),
             suspects_read_requested: Notify::new(),
             suspects_read: Notify::new(),
             endpoints_listed: AtomicBool::new(false),
--- a/lovagedock-gateway/src/direct/state/parts.rs
+++ b/lovagedock-gateway/src/direct/state/parts.rs
@@ -95,7 +95,10 @@
     pub(crate) fn apply_peer_parts(&self, updates: Vec<PartUpdate>) {
         for update in updates {
             let now = self.clock.now();
-            let quarantined = self.fleet.lock().parts.apply_update(now, update);
+            let mut fleet = self.fleet.lock();
+            fleet.check_part_update(now, &update);
+            let quarantined = fleet.parts.apply_update(now, update);
+            drop(fleet);
             self.report_part_quarantines(&quarantined, QuarantineSource::Peer);
         }
     }
@@ -114,11 +117,20 @@
         fleet.parts.reports(now, has_silent_peers)
     }
 
-    /// Applies the reports that a gateway wrote to the store.
-    pub(crate) fn restore_parts(&self, gateway: &GatewayId, reports: Vec<PartReport>) {
+    /// Applies the reports that a gateway wrote to the store `age` ago.
+    pub(crate) fn restore_parts(
+        &self,
+        gateway: &GatewayId,
+        age: Duration,
+        mut reports: Vec<PartReport>,
+    ) {
         let now = self.clock.now();
         let is_own = *gateway == self.name;
-        let quarantined = self.fleet.lock().parts.restore(now, reports, is_own);
+        let mut fleet = self.fleet.lock();
+        let parts = &fleet.parts;
+        reports.retain(|report| !parts.is_released_within(now, report.part, age));
+        let quarantined = fleet.parts.restore(now, reports, is_own);
+        drop(fleet);
         self.report_part_quarantines(&quarantined, QuarantineSource::Store);
     }
 
--- a/lovagedock-gateway/src/direct/state/suspects.rs
+++ b/lovagedock-gateway/src/direct/state/suspects.rs
@@ -88,6 +88,7 @@
         for update in updates {
             let now = self.clock.now();
             let mut fleet = self.fleet.lock();
+            fleet.check_suspect_update(now, &update);
             let is_new = fleet.suspects.apply_update(now, update);
             fleet.attribute_ends(now);
             drop(fleet);
@@ -113,11 +114,18 @@
             .reports(now, fleet.peer_liveness.has_silent_peers(now))
     }
 
-    /// Applies the reports that a gateway wrote to the store.
-    pub(crate) fn restore_suspects(&self, gateway: &GatewayId, reports: Vec<SuspectReport>) {
+    /// Applies the reports that a gateway wrote to the store `age` ago.
+    pub(crate) fn restore_suspects(
+        &self,
+        gateway: &GatewayId,
+        age: Duration,
+        mut reports: Vec<SuspectReport>,
+    ) {
         let now = self.clock.now();
         let is_own = *gateway == self.name;
         let mut fleet = self.fleet.lock();
+        let suspects = &fleet.suspects;
+        reports.retain(|report| !suspects.is_released_within(now, report.fingerprint, age));
         let before: Vec<_> = fleet.suspects.quarantines(now).map(|(f, _)| f).collect();
         fleet.suspects.restore(now, reports, is_own);
         fleet.attribute_ends(now);
@@ -152,7 +160,7 @@
 
 impl FleetState {
     /// Tells the ledger of parts which ends are attributed to whole requests.
-    fn attribute_ends(&mut self, now: Timestamp) {
+    pub(super) fn attribute_ends(&mut self, now: Timestamp) {
         self.parts
             .set_attributed(self.suspects.attributed_processes(now));
     }
--- a/lovagedock-gateway/src/direct/suspect_sync.rs
+++ b/lovagedock-gateway/src/direct/suspect_sync.rs
@@ -60,6 +60,7 @@
 
     /// Reads and writes for the lifetime of the gateway.
     pub(crate) async fn run(mut self) {
+        let mut requests = self.state.sheet_writes.requests();
         let mut is_read = timeout(FIRST_READ_TIMEOUT, self.read_sheets())
             .await
             .unwrap_or(false);
@@ -67,6 +68,7 @@
         // A write before the first read would overwrite the sheet of this gateway's former
         // incarnation.
         while !is_read {
+            self.state.sheet_writes.end(requests.latest(), false);
             self.back_off().await;
             is_read = self.read_sheets().await;
         }
@@ -78,12 +80,15 @@
                 }
                 () = self.state.suspects_read_requested.notified() => true,
                 () = self.state.suspects_changed.notified() => false,
+                () = requests.changed() => false,
                 () = sleep(POLL_INTERVAL) => false,
             };
             // The write comes before the read, so that of two gateways that do both at the same
             // time, at least one reads the sheet of the other.
-            let is_done =
-                self.write_sheet().await && (!is_read_requested || self.read_sheets().await);
+            let request = requests.latest();
+            let is_written = self.write_sheet(requests.take_pending(request)).await;
+            self.state.sheet_writes.end(request, is_written);
+            let is_done = is_written && (!is_read_requested || self.read_sheets().await);
             if is_done {
                 sleep(MIN_BACKOFF).await;
             } else {
@@ -126,16 +131,19 @@
             })
         });
         self.state
-            .restore_suspects(&sheet.gateway, reports.collect());
+            .restore_suspects(&sheet.gateway, age, reports.collect());
         let parts = sheet.parts.into_iter().filter_map(|report| {
             let quarantined_for = report.quarantined_for.saturating_sub(age);
             let is_kept = age < EVIDENCE_RETENTION || !quarantined_for.is_zero();
             is_kept.then(|| report.with_age(age))
         });
-        self.state.restore_parts(&sheet.gateway, parts.collect());
+        self.state
+            .restore_parts(&sheet.gateway, age, parts.collect());
     }
 
-    async fn write_sheet(&mut self) -> bool {
+    /// Writes the sheet if it has changed, or in any case if `is_forced` is set. Returns whether the
+    /// store has the current sheet.
+    async fn write_sheet(&mut self, is_forced: bool) -> bool {
         let reports = self.state.suspect_reports();
         let parts = self.state.part_reports();
         // A store that was restored from an earlier copy lacks the sheet or has an outdated one.
@@ -144,7 +152,7 @@
             .is_some_and(|era| era < self.state.store_era());
         let is_stored = are_equal_except_times(&reports, &self.stored)
             && are_parts_equal(&parts, &self.stored_parts);
-        if is_stored && !is_lost {
+        if is_stored && !is_lost && !is_forced {
             return true;
         }
         let sheet = SuspectSheet {
--- a/lovagedock-gateway/tests/direct_support/crashing.rs
+++ b/lovagedock-gateway/tests/direct_support/crashing.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -47,6 +47,7 @@
     starts: Arc<AtomicUsize>,
     power_cut: Arc<Notify>,
     run_times: Arc<Mutex<VecDeque<Duration>>>,
+    is_mended: Arc<AtomicBool>,
 }
 
 impl CrashingFleet {
@@ -59,6 +60,7 @@
             starts: Arc::default(),
             power_cut: Arc::default(),
             run_times: Arc::default(),
+            is_mended: Arc::default(),
         };
         for host in 0..hosts {
             let listener = fleet.listen(host).await;
@@ -84,6 +86,11 @@
         self.power_cut.notify_waiters();
     }
 
+    /// Replaces the engines by a version that no request crashes.
+    pub(crate) fn mend(&self) {
+        self.is_mended.store(true, Ordering::SeqCst);
+    }
+
     /// Sets how long each of the next crashing requests runs before its process ends.
     pub(crate) fn set_run_times(&self, times: impl IntoIterator<Item = Duration>) {
         let mut run_times = self.run_times.lock().expect("the mutex is not poisoned");
@@ -151,7 +158,7 @@
 
     async fn serve(&self, mut stream: TcpStream, ended: watch::Sender<bool>) -> Option<()> {
         let request = read_request(&mut stream).await?;
-        if !crashes_processes(&request) {
+        if self.is_mended.load(Ordering::SeqCst) || !crashes_processes(&request) {
             return respond(stream, &request).await;
         }
         // An engine drops a request that it has not begun to run when its connection closes.
--- a/lovagedock-gateway/tests/direct_support/feed.rs
+++ b/lovagedock-gateway/tests/direct_support/feed.rs
@@ -63,6 +63,16 @@
         self.change(|state| state.rejects_suspects = !available);
     }
 
+    /// Returns whether a suspect sheet has evidence against a request or a part.
+    pub(crate) fn has_suspect(&self, target: u64) -> bool {
+        let state = self.state.lock().expect("the mutex is not poisoned");
+        let reports = state.sheets.iter().flat_map(|sheet| &sheet.reports);
+        let parts = state.sheets.iter().flat_map(|sheet| &sheet.parts);
+        let mut targets = reports.map(|report| report.fingerprint);
+        targets.any(|known| known == target)
+            || parts.into_iter().any(|report| report.part == target)
+    }
+
     /// Replaces the configuration.
     pub(crate) fn set_config(&self, config: TrafficConfig) {
         self.change(|state| state.config = Some(Arc::new(config)));
--- a/lovagedock-gateway/tests/direct_support/mod.rs
+++ b/lovagedock-gateway/tests/direct_support/mod.rs
@@ -20,7 +20,7 @@
 use lovagedock_daemon::{AdminSettings, DaemonContext, PlainConsent, TransportSettings};
 use lovagedock_gateway::{DirectGateway, DirectSettings, FleetBounds};
 use slog::{Discard, Logger, o};
-use tokio::time::sleep;
+use tokio::{io::AsyncWriteExt, net::TcpStream, time::sleep};
 
 pub(crate) use caller::{
     call, call_with_parts, open_call, open_call_with, open_upload, read_response,
@@ -125,6 +125,28 @@
         self
     }
 
+    /// Sends a request of an operator, and returns the status and the document.
+    pub(crate) async fn operate(
+        &self,
+        method: &str,
+        path: &str,
+        token: &str,
+    ) -> (u16, serde_json::Value) {
+        let mut stream = TcpStream::connect(self.gateway.admin_address())
+            .await
+            .expect("the gateway listens");
+        let request = format!(
+            "{method} {path} HTTP/1.1\r\nhost: gateway\r\nauthorization: Bearer {token}\r\n\
+             connection: close\r\ncontent-length: 0\r\n\r\n"
+        );
+        let sent = stream.write_all(request.as_bytes()).await;
+        sent.expect("the gateway reads");
+        let response = read_response(stream).await;
+        let body = response.text.split("\r\n\r\n").nth(1);
+        let document = serde_json::from_str(body.unwrap_or_default());
+        (response.status(), document.expect("a JSON document"))
+    }
+
     /// Returns the address for callers.
     pub(crate) fn address(&self) -> SocketAddr {
         self.gateway.callers_address()
--- a/lovagedock/src/direct/ledger.rs
+++ b/lovagedock/src/direct/ledger.rs
@@ -161,6 +161,7 @@
         };
         let record = self.endpoints.entry(own.work.endpoint.clone()).or_default();
         record.own.prefill_total += own.work.prefill_time;
+        record.prefill_rate.record(now, own.work.prefill_time);
         record.free_at = record.free_at.max(now) + own.work.prefill_time;
         own.stage = WorkStage::Prefilling {
             until: record.free_at,
@@ -298,6 +299,28 @@
         (load, record.total.short)
     }
 
+    /// Returns the prefill time that all gateways place on an endpoint per second, in seconds,
+    /// averaged over the last seconds.
+    pub fn prefill_rate(&self, now: Timestamp, endpoint: &EndpointProcess) -> f64 {
+        let record = self.endpoints.get(endpoint);
+        record.map_or(0.0, |record| record.prefill_rate.per_second_at(now))
+    }
+
+    /// Returns the loads that peers have placed on an endpoint, by peer.
+    pub fn peer_loads(
+        &self,
+        endpoint: &EndpointProcess,
+    ) -> impl Iterator<Item = (&GatewayId, &PeerLoad)> {
+        let record = self.endpoints.get(endpoint);
+        let peers = record.into_iter().flat_map(|record| &record.peers);
+        peers.map(|(peer, received)| (peer, &received.load))
+    }
+
+    /// Returns the load that this gateway has placed on an endpoint.
+    pub fn own_load(&self, endpoint: &EndpointProcess) -> Option<&PeerLoad> {
+        self.endpoints.get(endpoint).map(|record| &record.own)
+    }
+
     /// Resets the totals of an endpoint on which this gateway has no work. `own_loads` omits the
     /// endpoint from then on, so it is called after the idle load was sent to peers.
     pub(super) fn reset_idle(&mut self, endpoint: &EndpointProcess) {
--- a/lovagedock/src/direct/ledger_peers.rs
+++ b/lovagedock/src/direct/ledger_peers.rs
@@ -42,6 +42,7 @@
                 || known.is_some_and(|known| known.pending_prefills > load.pending_prefills);
             if !added.is_zero() {
                 record.free_at = record.free_at.max(now) + added;
+                record.prefill_rate.record(now, added);
             }
             if !added.is_zero() && load.pending_prefills == 0 {
                 self.short_rate.record(now);
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -20,6 +20,7 @@
 mod decimal;
 mod domain_drains;
 mod domain_relays;
+mod drain_preview;
 mod endpoints;
 mod engine;
 mod events;
@@ -50,6 +51,7 @@
 mod recent;
 mod record;
 mod refusals;
+mod release_log;
 mod resend_queue;
 mod retries;
 mod return_schedule;
@@ -74,6 +76,10 @@
 pub use domain_relays::{
     DomainRelays, HostCapacity, MAX_DIRECT_GATEWAYS, RelayCandidate, SendPlan,
 };
+pub use drain_preview::{
+    DomainState, DrainPreview, DrainVerdict, EndpointCount, OrganisationDemand, PreviewEndpoint,
+    ServicePreview,
+};
 pub use endpoints::{DirectEndpoint, EndpointState, EndpointTable, EntryChange};
 pub use engine::EngineProfile;
 pub use events::{EventSplitter, StreamEvent};
@@ -95,11 +101,12 @@
 pub use placer::{DirectPlacer, isolate_suspects};
 pub use pool_flow::{FlowLane, FlowUpdate, ServiceTag, service_tag};
 pub use process::EndpointProcess;
-pub use quarantine_release::QuarantineRelease;
+pub use quarantine_release::{QuarantineRelease, format_release, parse_release};
 pub use rate_limit::{
     AdvertisedLimit, GatewayCount, RateLimitEvent, RateLimits, RateUpdate, RateVerdict, RequestRate,
 };
 pub use refusals::{RefusalLog, RequestFingerprint, format_fingerprint};
+pub use release_log::ReleaseNotices;
 pub use retries::{RetryShare, RetryShareSettings};
 pub use return_schedule::ReturnUpdate;
 pub use short_lane::short_lane_size;
--- a/lovagedock/src/direct/part_ledger.rs
+++ b/lovagedock/src/direct/part_ledger.rs
@@ -9,6 +9,7 @@
     part_update::{PartEnd, PartReport, PartUpdate, PromptPart, PromptParts},
     recent::RecentSet,
     refusals::RequestFingerprint,
+    release_log::ReleaseLog,
     resend_queue::ResendQueue,
     suspect_update::ProcessTag,
 };
@@ -99,6 +100,7 @@
 pub struct PartLedger {
     records: HashMap<PromptPart, PartRecord>,
     answered: RecentSet,
+    released: ReleaseLog,
     /// Processes whose ends are attributed to whole requests.
     attributed: HashMap<ProcessTag, RequestFingerprint>,
     trials: HashMap<PromptPart, TrialRecord>,
@@ -124,6 +126,7 @@
         Self {
             records: HashMap::new(),
             answered: RecentSet::new(ANSWERED_TIME, MAX_ANSWERED),
+            released: ReleaseLog::default(),
             attributed: HashMap::new(),
             trials: HashMap::new(),
             has_silent_peers: false,
@@ -201,6 +204,51 @@
         released
     }
 
+    /// Drops the evidence against a part because an operator ended its quarantine, see
+    /// [`SuspectLedger::release`](super::SuspectLedger::release). Returns whether there was any.
+    pub fn release(&mut self, now: Timestamp, part: PromptPart) -> bool {
+        let now = ledger_time(now);
+        if self.released.recent_time(now, part).is_some() {
+            return false;
+        }
+        let record = self.records.remove(&part);
+        self.trials.remove(&part);
+        let ends = record.iter().flat_map(|record| &record.ends);
+        let processes = ends.map(|end| end.process);
+        self.released.record(now, part, processes);
+        record.is_some()
+    }
+
+    /// Returns the part whose release of the last 10 s is unknown to the peer that sent an update.
+    pub fn contradicted_release(&self, now: Timestamp, update: &PartUpdate) -> Option<PromptPart> {
+        let now = ledger_time(now);
+        let report = match update {
+            PartUpdate::Ended { .. } | PartUpdate::Answered { .. } | PartUpdate::Trial { .. } => {
+                return None;
+            }
+            PartUpdate::Quarantined(report) => report,
+        };
+        let mut ends = report.ends.iter();
+        let is_outdated = ends.any(|end| self.is_outdated(now, report.part, end));
+        is_outdated.then_some(report.part)
+    }
+
+    /// Returns whether a part was released within the last `age`, so that evidence of this age is
+    /// outdated.
+    pub fn is_released_within(&self, now: Timestamp, part: PromptPart, age: Duration) -> bool {
+        self.released
+            .is_released_within(ledger_time(now), part, age)
+    }
+
+    /// Returns whether an end is from before a release of the part in the last 10 s.
+    fn is_outdated(&self, now: LedgerTime, part: PromptPart, end: &PartEnd) -> bool {
+        let Some(released_at) = self.released.recent_time(now, part) else {
+            return false;
+        };
+        now.saturating_sub(end.age) <= released_at
+            || self.released.ignores_process(now, part, end.process)
+    }
+
     /// Returns whether a request with these parts may be sent.
     pub fn verdict(&self, now: Timestamp, parts: &[PromptPart]) -> PartVerdict {
         let now = ledger_time(now);
@@ -374,6 +422,7 @@
     /// Adds an end to each part that was not answered since. Returns the parts to which it adds
     /// evidence.
     fn add_end(&mut self, now: LedgerTime, parts: &[PromptPart], end: PartEnd) -> PromptParts {
+        let report = end;
         let end = EndRecord {
             process: end.process,
             request: end.request,
@@ -384,6 +433,9 @@
         };
         let mut added = PromptParts::new();
         for part in parts {
+            if self.is_outdated(now, *part, &report) {
+                continue;
+            }
             if self
                 .answered
                 .time(*part)
--- a/lovagedock/src/direct/rate.rs
+++ b/lovagedock/src/direct/rate.rs
@@ -23,7 +23,12 @@
     }
 
     pub(super) fn record(&mut self, now: Timestamp) {
-        self.per_second = self.per_second_at(now) + 1.0 / self.window.as_secs_f64();
+        self.record_amount(now, 1.0);
+    }
+
+    /// Records an event that counts as `amount` events.
+    pub(super) fn record_amount(&mut self, now: Timestamp, amount: f64) {
+        self.per_second = self.per_second_at(now) + amount / self.window.as_secs_f64();
         self.last = now;
     }
 
--- a/lovagedock/src/direct/recent.rs
+++ b/lovagedock/src/direct/recent.rs
@@ -34,6 +34,14 @@
         at.is_some_and(|at| now.saturating_sub(*at) <= self.retention)
     }
 
+    /// Returns the number of requests that were inserted within the retention time.
+    pub(super) fn count(&self, now: Timestamp) -> usize {
+        let times = self.times.values();
+        times
+            .filter(|at| now.saturating_sub(**at) <= self.retention)
+            .count()
+    }
+
     /// Returns the latest time at which a request was inserted, if it is remembered.
     pub(super) fn time(&self, fingerprint: RequestFingerprint) -> Option<Timestamp> {
         self.times.get(&fingerprint).copied()
--- a/lovagedock/src/direct/record.rs
+++ b/lovagedock/src/direct/record.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use super::load::{PeerLoad, PlacedWork, WriterTable};
+use super::{
+    load::{PeerLoad, PlacedWork, WriterTable},
+    rate::EventRate,
+};
 use crate::ids::{GatewayId, Timestamp, TokenCount};
 
 /// Time without confirmation after which a peer's load on one endpoint no longer counts, although
@@ -30,6 +33,33 @@
     pub(super) is_used: bool,
     /// Since when the endpoint has been unlisted.
     pub(super) unlisted_at: Option<Timestamp>,
+    /// Prefill time that all gateways place there.
+    pub(super) prefill_rate: PrefillRate,
+}
+
+/// Averaging window of the prefill time that is placed on an endpoint: longer than the prefill of
+/// the longest prompts, which are started some times per minute on each endpoint.
+const PREFILL_RATE_WINDOW: Duration = Duration::from_secs(5);
+
+/// Prefill time placed per second.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PrefillRate(EventRate);
+
+impl Default for PrefillRate {
+    fn default() -> Self {
+        Self(EventRate::new(PREFILL_RATE_WINDOW))
+    }
+}
+
+impl PrefillRate {
+    pub(super) fn record(&mut self, now: Timestamp, prefill_time: Duration) {
+        self.0.record_amount(now, prefill_time.as_secs_f64());
+    }
+
+    /// Returns the seconds of prefill placed per second.
+    pub(super) fn per_second_at(&self, now: Timestamp) -> f64 {
+        self.0.per_second_at(now)
+    }
 }
 
 /// Latest load that a peer reported for an endpoint.
--- a/lovagedock/src/direct/refusals.rs
+++ b/lovagedock/src/direct/refusals.rs
@@ -64,6 +64,11 @@
         self.refused.contains(now, fingerprint)
     }
 
+    /// Returns the number of requests that were refused in the last 8 s, by all gateways.
+    pub fn recent_count(&self, now: Timestamp) -> usize {
+        self.refused.count(now)
+    }
+
     /// Returns the refusals by this gateway that have not been sent to peers, and marks them as
     /// sent.
     pub fn take_unsent(&mut self) -> Vec<RequestFingerprint> {
--- a/lovagedock/src/direct/suspect_queue.rs
+++ b/lovagedock/src/direct/suspect_queue.rs
@@ -37,7 +37,9 @@
             self.requeued_at = now;
             self.requeue_quarantines(now, ledger);
         }
-        self.waiting.take_due(now, MAX_PER_MESSAGE)
+        let mut due = self.waiting.take_due(now, MAX_PER_MESSAGE);
+        due.retain(|update| !ledger.is_outdated(now, update));
+        due
     }
 
     fn requeue_quarantines(&mut self, now: Timestamp, ledger: &SuspectLedger) {
--- a/lovagedock/src/lib.rs
+++ b/lovagedock/src/lib.rs
@@ -81,6 +81,10 @@
     format_fingerprint, format_part, isolate_suspects, max_kept_endpoints, may_book_team,
     organisation_tag, route_tag, service_tag, short_lane_size,
 };
+pub use direct::{
+    DomainState, DrainPreview, DrainVerdict, EndpointCount, OrganisationDemand, PreviewEndpoint,
+    ReleaseNotices, ServicePreview, format_release, parse_release,
+};
 pub use endpoint::{
     EndpointAction, EndpointCore, EndpointEvent, EndpointLimits, EndpointLoad, EndpointSafeguards,
     EndpointSnapshot, EngineAllocation, EngineAnswer, EngineReport, EngineResult, LeaseState,
