--- a/lovagedock-gateway/src/direct/state/fleet_state.rs
+++ b/lovagedock-gateway/src/direct/state/fleet_state.rs
@@ -11,8 +11,9 @@
     LeavingQueue, LengthOutcome, LengthShares, ListingLog, OrganisationShares, OutlierAction,
     OutlierDetector, OutlierEvent, OutlierSettings, PartLedger, PauseDetector, PeerLiveness,
     PlacerCandidate, PoolFlow, PoolSlots, QueueKind, RateLimits, RateVerdict, RefusalLog,
-    RetryShare, RetryShareSettings, ReturnSchedule, SlowdownTracker, SuspectLedger, TeamBookings,
-    WaitingQueue, WatcherSelection, WorkLedger, max_kept_endpoints, prelude::*, short_lane_size,
+    ReleaseNotices, RetryShare, RetryShareSettings, ReturnSchedule, SlowdownTracker, SuspectLedger,
+    TeamBookings, WaitingQueue, WatcherSelection, WorkLedger, max_kept_endpoints, prelude::*,
+    short_lane_size,
 };
 use lovagedock_platform::GatewayEntry;
 use slog::{Logger, info};
@@ -58,6 +59,7 @@
     pub(super) returns: ReturnSchedule,
     pub(super) suspects: SuspectLedger,
     pub(super) parts: PartLedger,
+    pub(super) releases: ReleaseNotices,
     pub(super) peer_liveness: PeerLiveness,
     pub(super) watcher_selection: WatcherSelection,
     pub(super) pause_detector: PauseDetector,
--- a/lovagedock-gateway/src/direct/state/flows.rs
+++ b/lovagedock-gateway/src/direct/state/flows.rs
@@ -32,7 +32,7 @@
     fn new(service: &ServiceId, lane: FlowLane, totals: &FlowTotals) -> Self {
         Self {
             service: service.to_string(),
-            lane: lane_name(lane),
+            lane: lane.as_str(),
             gateways: totals.gateways,
             arrivals: totals.arrivals,
             starts: totals.starts,
@@ -44,14 +44,6 @@
     }
 }
 
-/// Returns the lane's name in reports and metrics.
-pub(super) fn lane_name(lane: FlowLane) -> &'static str {
-    match lane {
-        FlowLane::Short => "short",
-        FlowLane::Long => "long",
-    }
-}
-
 /// Returns the service and lane of a request.
 pub(super) fn flow_key(service: &ServiceId, kind: QueueKind) -> FlowKey {
     (service_tag(service), FlowLane::new(kind.is_long()))
--- a/lovagedock-gateway/src/direct/state/returns.rs
+++ b/lovagedock-gateway/src/direct/state/returns.rs
@@ -8,10 +8,7 @@
 };
 use serde::Serialize;
 
-use super::{
-    GatewayState,
-    flows::{flow_key, lane_name},
-};
+use super::{GatewayState, flows::flow_key};
 
 /// Returns of one service and lane that are due, by this gateway's knowledge.
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -155,7 +152,7 @@
         let reports = slots.filter_map(|(key, slots): ((u32, FlowLane), _)| {
             Some(ReturnReport {
                 service: service(key)?.to_string(),
-                lane: lane_name(key.1),
+                lane: key.1.as_str(),
                 slots,
             })
         });
--- a/lovagedock-gateway/src/direct/state/shares.rs
+++ b/lovagedock-gateway/src/direct/state/shares.rs
@@ -115,7 +115,7 @@
             for lane in [FlowLane::Short, FlowLane::Long] {
                 let rate = shares.fair_rate(now, service_tag(service), lane);
                 metrics::gauge!("lovagedock_share_fair_rate",
-                    "service" => service.to_string(), "lane" => lane_name(lane))
+                    "service" => service.to_string(), "lane" => lane.as_str())
                 .set(rate.unwrap_or(0.0));
             }
         }
@@ -206,7 +206,7 @@
         });
         ShareReport {
             service: name_of(&self.services, lane.service),
-            lane: lane_name(lane.lane),
+            lane: lane.lane.as_str(),
             demand: lane.demand,
             served: lane.served,
             fair_rate: lane.fair_rate,
@@ -219,11 +219,3 @@
     let name = names.get(&tag).cloned();
     name.unwrap_or_else(|| format!("{tag:08x}"))
 }
-
-/// Label value in metrics.
-fn lane_name(lane: FlowLane) -> &'static str {
-    match lane {
-        FlowLane::Short => "short",
-        FlowLane::Long => "long",
-    }
-}
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -20,6 +20,7 @@
 mod decimal;
 mod domain_drains;
 mod domain_relays;
+mod drain_preview;
 mod endpoints;
 mod engine;
 mod events;
@@ -50,6 +51,7 @@
 mod recent;
 mod record;
 mod refusals;
+mod release_log;
 mod resend_queue;
 mod retries;
 mod return_schedule;
@@ -76,6 +78,10 @@
 pub use domain_relays::{
     DomainRelays, HostCapacity, MAX_DIRECT_GATEWAYS, RelayCandidate, SendPlan,
 };
+pub use drain_preview::{
+    DomainState, DrainPreview, DrainVerdict, EndpointCount, PreviewDemand, PreviewEndpoint,
+    ServicePreview,
+};
 pub use endpoints::{DirectEndpoint, EndpointState, EndpointTable, EntryChange};
 pub use engine::EngineProfile;
 pub use events::{EventSplitter, StreamEvent};
@@ -100,11 +106,12 @@
 pub use placer::{DirectPlacer, PoolSlots, isolate_suspects};
 pub use pool_flow::{FlowKey, FlowLane, FlowTotals, FlowUpdate, PoolFlow, ServiceTag, service_tag};
 pub use process::EndpointProcess;
-pub use quarantine_release::QuarantineRelease;
+pub use quarantine_release::{QuarantineRelease, format_release, parse_release};
 pub use rate_limit::{
     AdvertisedLimit, GatewayCount, RateLimitEvent, RateLimits, RateUpdate, RateVerdict, RequestRate,
 };
 pub use refusals::{RefusalLog, RequestFingerprint, format_fingerprint};
+pub use release_log::ReleaseNotices;
 pub use retries::{RetryShare, RetryShareSettings};
 pub use return_schedule::{
     RefusedRequest, ReturnDecision, ReturnOutcome, ReturnSchedule, ReturnUpdate,
--- a/lovagedock/src/direct/pool_flow.rs
+++ b/lovagedock/src/direct/pool_flow.rs
@@ -36,6 +36,14 @@
             true => Self::Long,
         }
     }
+
+    /// Name in logs, metrics and reports.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Short => "short",
+            Self::Long => "long",
+        }
+    }
 }
 
 /// Flow of one service and lane at one gateway, as sent to peers.
