Scheduled returns: shorter tests, slots and capacity in files of their own

The capacity of a lane also lost the rate of a silent peer for the time before that peer had reported; only the steps since its first report lose it now. Reports are sent at different moments by each gateway.

--- a/lovagedock-gateway/src/direct/state/mod.rs
+++ b/lovagedock-gateway/src/direct/state/mod.rs
@@ -166,7 +166,7 @@
                 relays,
                 retries,
                 refusals: RefusalLog::new(),
-                flow: PoolFlow::new(),
+                flow: PoolFlow::new().with_phase(rand::random()),
                 returns: ReturnSchedule::new(),
                 suspects: SuspectLedger::new(),
                 parts: PartLedger::new().with_rank(part_rank),
--- a/lovagedock-gateway/tests/direct_returns.rs
+++ b/lovagedock-gateway/tests/direct_returns.rs
@@ -14,35 +14,14 @@
     time::{Instant, sleep, sleep_until},
 };
 
-struct ReturnCase {
-    name: &'static str,
-    /// Whether the second gateway has the setting; the first one always does.
-    is_enabled: bool,
-    /// Whether the first gateway is killed after the refusal.
-    is_killed: bool,
-    /// How the request returns to the second gateway, and then once more.
-    outcomes: &'static [&'static str],
-}
+/// Whether the second gateway has the setting, whether the first one is killed after the refusal, and
+/// how the request returns to the second one, and then once more.
+struct ReturnCase(&'static str, bool, bool, &'static [&'static str]);
 
 const CASES: &[ReturnCase] = &[
-    ReturnCase {
-        name: "both gateways live",
-        is_enabled: true,
-        is_killed: false,
-        outcomes: &["on_time", "repeated"],
-    },
-    ReturnCase {
-        name: "the first gateway is killed",
-        is_enabled: true,
-        is_killed: true,
-        outcomes: &["on_time", "repeated"],
-    },
-    ReturnCase {
-        name: "the second gateway lacks the setting",
-        is_enabled: false,
-        is_killed: false,
-        outcomes: &[],
-    },
+    ReturnCase("both live", true, false, &["on_time", "repeated"]),
+    ReturnCase("killed", true, true, &["on_time", "repeated"]),
+    ReturnCase("switched off", false, false, &[]),
 ];
 
 /// Guards against schedules that only the gateway that made them knows, a schedule that is used twice,
@@ -57,12 +36,13 @@
 }
 
 async fn play(case: &'static ReturnCase) {
+    let ReturnCase(case, is_enabled, is_killed, outcomes) = case;
     let scripts = vec![script::slow_response(Duration::from_millis(300), "whole"); 4000];
     let endpoint = ScriptedEndpoint::start(scripts).await;
     let feed = TestFeed::new(engine_config(), vec![entry("i-0", endpoint.address)]);
     let lines = LogLines::default();
     let mut gateways = Vec::new();
-    for (name, is_enabled) in [("first", true), ("second", case.is_enabled)] {
+    for (name, is_enabled) in [("first", true), ("second", *is_enabled)] {
         let mut settings = settings(name);
         settings.overload.scheduled_returns = is_enabled;
         let context = DaemonContext::new(lines.logger());
@@ -91,30 +71,23 @@
     drop(callers);
     sleep(Duration::from_millis(300)).await;
     let second = gateways.pop().expect("two gateways were started");
-    if case.is_killed {
+    if *is_killed {
         gateways.clear();
     }
     sleep_until(due_at).await;
     let path = format!("/safe/{}", refused["request"].as_str().unwrap_or_default());
     for id in ["1", "2"] {
         let response = call(second.address(), &path, id).await;
-        assert_eq!(response.status(), 200, "{}: {}", case.name, response.text);
+        assert_eq!(response.status(), 200, "{}: {}", case, response.text);
     }
     let returned = lines.with_message("scheduled return");
     let outcome = |id: &str| returned.iter().find(|line| line["request"] == id);
-    let outcomes: Vec<_> = ["1", "2"].into_iter().filter_map(outcome).collect();
-    let found: Vec<_> = outcomes
-        .iter()
-        .map(|line| line["outcome"].as_str())
-        .collect();
-    let expected: Vec<_> = case.outcomes.iter().copied().map(Some).collect();
-    assert_eq!(found, expected, "{}", case.name);
+    let returns = ["1", "2"].into_iter().filter_map(outcome);
+    let found: Vec<_> = returns.map(|line| line["outcome"].as_str()).collect();
+    let expected: Vec<_> = outcomes.iter().copied().map(Some).collect();
+    assert_eq!(found, expected, "{}", case);
     let refused = lines.with_message("refused");
     let mut of_second = refused.iter().filter(|line| line["gateway"] == "second");
     let has_scheduled = of_second.any(|line| line["is_scheduled"] == true);
-    assert!(
-        case.is_enabled || !has_scheduled,
-        "{}: {refused:?}",
-        case.name
-    );
+    assert!(*is_enabled || !has_scheduled, "{}: {refused:?}", case);
 }
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -8,12 +8,14 @@
 //! [`SuspectLedger`] finds requests that crash the engines that run them, and [`PartLedger`] parts of
 //! prompts that do. [`ConnectionAdmission`] limits what a gateway reads. [`EndpointListing`] decides which endpoint list is valid while the store
 //! is unreachable or restored from an older copy, [`DomainDrains`] to which failure domains nothing
-//! is sent, and [`ColdEndpoints`] which endpoints tolerate only a low rate. [`DomainRelays`] decides
+//! is sent, and [`ColdEndpoints`] which endpoints tolerate only a low rate. [`PoolFlow`] adds up arrivals
+//! and starts of all gateways, and [`ReturnSchedule`] tells refused callers when to return. [`DomainRelays`] decides
 //! how messages reach the other gateways of a large fleet. None of these types reads a clock or performs
 //! input or output.
 
 mod admission;
 mod backoff;
+mod capacity_window;
 mod choice;
 mod cold_endpoints;
 mod config;
@@ -24,6 +26,7 @@
 mod engine;
 mod events;
 mod helper_speeds;
+mod lane_slots;
 mod leaving_queue;
 mod ledger;
 mod ledger_peers;
--- a/lovagedock/src/direct/pool_flow.rs
+++ b/lovagedock/src/direct/pool_flow.rs
@@ -1,13 +1,10 @@
 //! Arrivals and starts of a service over all gateways.
 
-use std::{
-    collections::{HashMap, VecDeque},
-    time::Duration,
-};
+use std::{collections::HashMap, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
-use super::rate::EventRate;
+use super::{capacity_window::CapacityWindow, rate::EventRate};
 use crate::ids::{GatewayId, Timestamp};
 
 /// Short form of a service's name in messages between gateways.
@@ -96,10 +93,6 @@
 /// Time for which sums are reused, so that a request does not add up the reports of all gateways.
 const SUM_TIME: Duration = Duration::from_millis(50);
 
-/// Time for which the highest rate of starts is remembered, and the length of its steps.
-const CAPACITY_TIME: Duration = Duration::from_secs(4);
-const CAPACITY_STEP: Duration = Duration::from_millis(500);
-
 /// Share of the capacity that is offered to returns at least. Without it, no caller would return while
 /// a burst lasts, and all of them would return after it.
 const MIN_SPARE_SHARE: f64 = 0.1;
@@ -181,6 +174,8 @@
 struct PeerFlow {
     flow: FlowUpdate,
     received_at: Timestamp,
+    /// When its first report was received.
+    since: Timestamp,
 }
 
 impl PoolFlow {
@@ -251,14 +246,18 @@
         if flow.refusals > 0.0 || flow.waiting > 0 {
             lane.peer_overloaded_at = Some(now);
         }
-        let received = PeerFlow {
-            flow,
-            received_at: now,
-        };
         match lane.peers.get_mut(peer) {
-            Some(known) => *known = received,
+            Some(known) => {
+                known.flow = flow;
+                known.received_at = now;
+            }
             None => {
-                lane.peers.insert(peer.clone(), received);
+                let first = PeerFlow {
+                    flow,
+                    received_at: now,
+                    since: now,
+                };
+                lane.peers.insert(peer.clone(), first);
             }
         }
     }
@@ -267,7 +266,8 @@
     pub fn forget_peer(&mut self, peer: &GatewayId) {
         for lane in self.lanes.values_mut() {
             if let Some(known) = lane.peers.remove(peer) {
-                lane.capacity.subtract(f64::from(known.flow.starts));
+                lane.capacity
+                    .subtract(known.since, f64::from(known.flow.starts));
                 lane.summed_at = None;
             }
         }
@@ -414,7 +414,7 @@
             match is_current {
                 true => sum.add(&peer.flow),
                 // Its demand is not counted any more either.
-                false => capacity.subtract(f64::from(peer.flow.starts)),
+                false => capacity.subtract(peer.since, f64::from(peer.flow.starts)),
             }
             is_current
         });
@@ -424,47 +424,6 @@
 /// Rate below which a lane counts as idle, per second.
 const MIN_RATE: f64 = 0.01;
 
-/// Highest rate of the last seconds.
-#[derive(Clone, Debug, Default)]
-struct CapacityWindow {
-    /// Highest rate of each step, oldest first.
-    steps: VecDeque<(u128, f64)>,
-}
-
-impl CapacityWindow {
-    fn record(&mut self, now: Timestamp, rate: f64) {
-        let step = capacity_step(now);
-        match self.steps.back_mut() {
-            Some((last, highest)) if *last == step => *highest = highest.max(rate),
-            _ => self.steps.push_back((step, rate)),
-        }
-        let oldest = step.saturating_sub(capacity_step(CAPACITY_TIME));
-        while self.steps.front().is_some_and(|(at, _)| *at <= oldest) && self.steps.len() > 1 {
-            self.steps.pop_front();
-        }
-    }
-
-    fn highest(&self, now: Timestamp) -> f64 {
-        let oldest = capacity_step(now).checked_sub(capacity_step(CAPACITY_TIME));
-        let current = self
-            .steps
-            .iter()
-            .filter(|(step, _)| oldest.is_none_or(|oldest| *step > oldest));
-        current.map(|(_, rate)| *rate).fold(0.0, f64::max)
-    }
-
-    /// Removes the rate of a gateway that no longer reports.
-    fn subtract(&mut self, rate: f64) {
-        for (_, highest) in &mut self.steps {
-            *highest = (*highest - rate).max(0.0);
-        }
-    }
-}
-
-fn capacity_step(at: Timestamp) -> u128 {
-    at.as_millis() / CAPACITY_STEP.as_millis()
-}
-
 fn is_within(now: Timestamp, at: Option<Timestamp>, time: Duration) -> bool {
     at.is_some_and(|at| now.saturating_sub(at) <= time)
 }
--- a/lovagedock/tests/direct_returns.rs
+++ b/lovagedock/tests/direct_returns.rs
@@ -8,212 +8,122 @@
 };
 
 const KEY: FlowKey = (1, FlowLane::Short);
-const START: Duration = Duration::from_secs(100);
 
-/// A pool with spare capacity for 20 returns per second.
-const TOTALS: FlowTotals = FlowTotals {
-    gateways: 1,
-    arrivals: 300.0,
-    starts: 200.0,
-    refusals: 100.0,
-    waiting: 0.0,
-    capacity: 200.0,
-};
-
-fn ms(ms: u64) -> Duration {
-    Duration::from_millis(ms)
-}
-
-fn request(fingerprint: u64) -> RefusedRequest {
-    RefusedRequest {
-        fingerprint,
-        key: KEY,
-        min_delay: ms(700),
-        max_delay: ms(3_000),
-    }
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(100_000 + ms)
 }
 
 fn scheduled(fingerprint: u64, due_in_ms: u32) -> ReturnUpdate {
+    let (service, lane) = KEY;
     ReturnUpdate::Scheduled {
         fingerprint,
-        service: KEY.0,
-        lane: KEY.1,
+        service,
+        lane,
         due_in_ms,
     }
 }
 
-struct ReturnCase {
-    name: &'static str,
-    /// Updates of peers about the request, with the times at which they arrive, in milliseconds.
-    updates: &'static [(u64, PeerUpdate)],
-    /// Times at which the caller comes, in milliseconds, and how it returns.
-    returns: &'static [(u64, Option<ReturnOutcome>)],
-}
-
-#[derive(Clone, Copy)]
-enum PeerUpdate {
-    Scheduled(u32),
-    Used,
-}
+/// Events with their times in milliseconds: a peer's report of a return that is due after a time or
+/// used, and arrivals of the caller.
+struct ReturnCase(&'static str, &'static str);
 
 const RETURN_CASES: &[ReturnCase] = &[
-    ReturnCase {
-        name: "on time, and again",
-        updates: &[(0, PeerUpdate::Scheduled(1000))],
-        returns: &[
-            (1020, Some(ReturnOutcome::OnTime)),
-            (1100, Some(ReturnOutcome::Repeated)),
-        ],
-    },
-    ReturnCase {
-        name: "early, and then on time",
-        updates: &[(0, PeerUpdate::Scheduled(1000))],
-        returns: &[
-            (850, Some(ReturnOutcome::Early)),
-            (950, Some(ReturnOutcome::OnTime)),
-        ],
-    },
-    ReturnCase {
-        name: "just on time",
-        updates: &[(0, PeerUpdate::Scheduled(1000))],
-        returns: &[(1700, Some(ReturnOutcome::OnTime))],
-    },
-    ReturnCase {
-        name: "late",
-        updates: &[(0, PeerUpdate::Scheduled(1000))],
-        returns: &[(1800, Some(ReturnOutcome::Late))],
-    },
-    ReturnCase {
-        name: "after it was forgotten",
-        updates: &[(0, PeerUpdate::Scheduled(1000))],
-        returns: &[(2001, None)],
-    },
-    ReturnCase {
-        name: "unknown, since both messages were lost",
-        updates: &[],
-        returns: &[(1000, None)],
-    },
-    ReturnCase {
-        name: "used at a peer",
-        updates: &[(0, PeerUpdate::Scheduled(1000)), (1010, PeerUpdate::Used)],
-        returns: &[(1030, Some(ReturnOutcome::Repeated))],
-    },
-    ReturnCase {
-        name: "used at a peer before its schedule arrives",
-        updates: &[(0, PeerUpdate::Used), (20, PeerUpdate::Scheduled(500))],
-        returns: &[(520, Some(ReturnOutcome::Repeated))],
-    },
-    ReturnCase {
-        name: "the first message is late, the second is not",
-        updates: &[
-            (400, PeerUpdate::Scheduled(1000)),
-            (410, PeerUpdate::Scheduled(590)),
-        ],
-        returns: &[(1020, Some(ReturnOutcome::OnTime))],
-    },
-    ReturnCase {
-        name: "the second message is late",
-        updates: &[
-            (0, PeerUpdate::Scheduled(1000)),
-            (400, PeerUpdate::Scheduled(1000)),
-        ],
-        returns: &[(950, Some(ReturnOutcome::OnTime))],
-    },
-    ReturnCase {
-        name: "implausibly far ahead",
-        updates: &[(0, PeerUpdate::Scheduled(60_000))],
-        returns: &[(1000, None)],
-    },
+    ReturnCase("twice", "0 due 1000, 1020 on_time, 1100 repeated"),
+    ReturnCase("early", "0 due 1000, 850 early, 950 on_time"),
+    ReturnCase("just on time", "0 due 1000, 1700 on_time"),
+    ReturnCase("late", "0 due 1000, 1800 late, 1900 repeated"),
+    ReturnCase("forgotten", "0 due 1000, 2001 none"),
+    ReturnCase("lost", "1000 none"),
+    ReturnCase("elsewhere", "0 due 1000, 1010 used 0, 1030 repeated"),
+    ReturnCase("order", "0 used 0, 20 due 500, 520 repeated"),
+    ReturnCase("first late", "400 due 1000, 410 due 590, 1020 on_time"),
+    ReturnCase("second late", "0 due 1000, 400 due 1000, 950 on_time"),
+    ReturnCase("implausible", "0 due 60000, 1000 none"),
 ];
 
 /// Guards against returns that are honoured at another time, or more than once.
 #[test]
 fn a_return_is_honoured_once_at_its_time() {
-    for case in RETURN_CASES {
+    for ReturnCase(name, events) in RETURN_CASES {
         let mut schedule = ReturnSchedule::new();
-        let mut updates = case.updates.iter().peekable();
-        for (at, expected) in case.returns {
-            while let Some((sent, update)) = updates.next_if(|(sent, _)| sent <= at) {
-                let update = match update {
-                    PeerUpdate::Scheduled(due_in) => scheduled(7, *due_in),
-                    PeerUpdate::Used => ReturnUpdate::Used { fingerprint: 7 },
-                };
-                schedule.apply_update(START + ms(*sent), &update);
+        for event in events.split(", ") {
+            let words: Vec<&str> = event.split(' ').collect();
+            let now = at(words[0].parse().expect("a time"));
+            let due_in = words.get(2).map(|due_in| due_in.parse().expect("a time"));
+            match (words[1], due_in) {
+                ("due", Some(due_in)) => schedule.apply_update(now, &scheduled(7, due_in)),
+                ("used", _) => schedule.apply_update(now, &ReturnUpdate::Used { fingerprint: 7 }),
+                (expected, _) => {
+                    let outcome = schedule.record_return(now, 7);
+                    let outcome = outcome.map_or("none", ReturnOutcome::as_str);
+                    assert_eq!(outcome, expected, "{name}: {event}");
+                }
             }
-            let outcome = schedule.record_return(START + ms(*at), 7);
-            assert_eq!(outcome, *expected, "{} at {at}", case.name);
         }
     }
 }
 
-/// Guards against memory and messages that grow with the number of refusals, and against returns
-/// that are never forgotten.
+/// Guards against memory and messages that grow with the number of refusals, returns that are never
+/// forgotten, more returns than there is room for, and delays that callers do not follow.
 #[test]
 fn the_schedule_is_bounded() {
     let mut schedule = ReturnSchedule::new();
-    for fingerprint in 0..30_000 {
-        schedule.apply_update(START, &scheduled(fingerprint, 1000));
-    }
+    (0..30_000).for_each(|other| schedule.apply_update(at(0), &scheduled(other, 1000)));
     assert_eq!(schedule.len(), 20_000);
-    let decision = schedule.schedule(START, &request(u64::MAX), &TOTALS, 0.5);
-    assert_eq!(decision, ReturnDecision::NotSchedulable);
-    assert!(
-        schedule.take_updates(START).is_empty(),
-        "only own changes are sent"
-    );
-    let later = START + ms(2_200);
-    assert_eq!(schedule.record_return(later, 1), None);
-    assert!(schedule.is_empty(), "{} returns are left", schedule.len());
-    let huge = FlowTotals {
-        capacity: 1e6,
-        ..TOTALS
+    assert!(schedule.take_updates(at(0)).is_empty());
+    assert_eq!(schedule.record_return(at(2_200), 1), None);
+    assert!(schedule.is_empty());
+    let mut totals = FlowTotals::default();
+    let mut refuse = |fingerprint, capacity| {
+        totals.capacity = capacity;
+        let request = RefusedRequest {
+            fingerprint,
+            key: KEY,
+            min_delay: Duration::from_millis(700),
+            max_delay: Duration::from_millis(3_000),
+        };
+        let draw = (fingerprint % 10) as f64 / 10.0;
+        match schedule.schedule(at(9_000), &request, &totals, draw) {
+            ReturnDecision::Scheduled(delay) => {
+                assert!((request.min_delay..=request.max_delay).contains(&delay));
+                true
+            }
+            ReturnDecision::NoRoom | ReturnDecision::NotSchedulable => false,
+        }
     };
-    for fingerprint in 0..100 {
-        schedule.schedule(later, &request(fingerprint), &huge, 0.5);
-    }
-    let sent = |schedule: &mut ReturnSchedule, at| schedule.take_updates(at).len();
-    assert_eq!(sent(&mut schedule, later), 64);
-    assert_eq!(sent(&mut schedule, later), 36);
-    assert_eq!(
-        sent(&mut schedule, later + ms(100)),
-        0,
-        "too early to repeat"
-    );
-    assert_eq!(sent(&mut schedule, later + ms(300)), 64);
-    assert_eq!(sent(&mut schedule, later + ms(300)), 36);
-    assert_eq!(sent(&mut schedule, later + ms(900)), 0, "sent twice");
+    assert!(!refuse(0, 0.0), "no capacity is known");
+    let count = (0..1000).filter(|other| refuse(*other, 20.0)).count();
+    assert!((23..=48).contains(&count), "{count} in 24 slots");
+    let more = (0..1000).filter(|other| refuse(*other, 1e6)).count();
+    assert_eq!(count + more, 1000, "no request is scheduled twice");
+    let sent = [0, 1, 100, 300, 301, 900].map(|after| {
+        let messages = (0..20).map(|_| schedule.take_updates(at(9_000 + after)).len());
+        messages.inspect(|sent| assert!(*sent <= 64)).sum::<usize>()
+    });
+    assert_eq!(sent, [1000, 0, 0, 1000, 0, 0]);
 }
 
-/// Guards against more returns than there is room for, and against delays that callers do not follow.
-#[test]
-fn delays_stay_within_room_and_bounds() {
-    let mut schedule = ReturnSchedule::new();
-    let mut delays = Vec::new();
-    let mut decision = ReturnDecision::Scheduled(Duration::ZERO);
-    for fingerprint in 0..1000u32 {
-        let draw = f64::from(fingerprint % 10) / 10.0;
-        let refused = request(fingerprint.into());
-        decision = schedule.schedule(START, &refused, &TOTALS, draw);
-        if let ReturnDecision::Scheduled(delay) = decision {
-            delays.push(delay);
-        }
-    }
-    assert_eq!(decision, ReturnDecision::NoRoom);
-    assert!(
-        delays
-            .iter()
-            .all(|delay| (ms(700)..=ms(3_000)).contains(delay))
-    );
-    // 2.3 s at 20 per second.
-    assert!((23..=48).contains(&delays.len()), "{}", delays.len());
-    let again = schedule.schedule(START, &request(0), &TOTALS, 0.5);
-    assert_eq!(again, ReturnDecision::NotSchedulable);
-    let none = FlowTotals::default();
-    let decision = schedule.schedule(START, &request(5000), &none, 0.5);
-    assert_eq!(decision, ReturnDecision::NoRoom);
-}
+/// Reports of peers: arrivals and starts per second, and waiting requests. Totals a time later, in
+/// milliseconds: gateways, arrivals, capacity and waiting requests. This gateway has ten arrivals and
+/// starts per second.
+struct FlowCase(&'static str, &'static [PeerReport], u64, [f64; 4]);
+type PeerReport = (&'static str, f32, f32, u16);
 
-fn report(arrivals: f32, starts: f32, waiting: u16) -> FlowUpdate {
+const TWO: &[PeerReport] = &[("a", 30.0, 20.0, 3), ("b", 10.0, 10.0, 1)];
+const FLOW_CASES: &[FlowCase] = &[
+    FlowCase("hears nobody", &[], 0, [1.0, 10.0, 10.0, 0.0]),
+    FlowCase("reports", TWO, 0, [3.0, 50.0, 40.0, 4.0]),
+    FlowCase("silent", TWO, 1600, [1.0, 4.5, 10.0, 0.0]),
+    FlowCase("again", &[TWO[0], TWO[0]], 0, [2.0, 40.0, 30.0, 3.0]),
+    FlowCase(
+        "damaged",
+        &[("a", f32::NAN, -5.0, 0)],
+        0,
+        [2.0, 10.0, 10.0, 0.0],
+    ),
+];
+
+fn report((_, arrivals, starts, waiting): PeerReport) -> FlowUpdate {
     FlowUpdate {
         service: KEY.0,
         lane: KEY.1,
@@ -228,113 +138,47 @@
 fn measured_flow() -> PoolFlow {
     let mut flow = PoolFlow::new();
     for step in 0..=20 {
-        flow.record_arrival(START + ms(step * 100), KEY);
-        flow.record_start(START + ms(step * 100), KEY);
+        let is_known = flow.totals(at(step * 100), KEY).is_some();
+        assert_eq!(
+            is_known,
+            step >= 10,
+            "rates of less than a second are not used"
+        );
+        flow.record_arrival(at(step * 100), KEY);
+        flow.record_start(at(step * 100), KEY);
     }
     flow
 }
 
-struct FlowCase {
-    name: &'static str,
-    reports: &'static [(&'static str, f32, f32, u16)],
-    forgets: Option<&'static str>,
-    /// Time from the reports to the totals, in milliseconds.
-    after: u64,
-    gateways: usize,
-    /// Totals beyond this gateway's own ten arrivals and starts per second.
-    arrivals: f64,
-    capacity: f64,
-    waiting: f64,
-}
-
-const FLOW_CASES: &[FlowCase] = &[
-    FlowCase {
-        name: "a gateway that hears nobody",
-        reports: &[],
-        forgets: None,
-        after: 0,
-        gateways: 1,
-        arrivals: 0.0,
-        capacity: 0.0,
-        waiting: 0.0,
-    },
-    FlowCase {
-        name: "peers report",
-        reports: &[
-            ("a", 30.0, 20.0, 3),
-            ("b", 10.0, 10.0, 1),
-            ("a", 40.0, 20.0, 4),
-        ],
-        forgets: None,
-        after: 100,
-        gateways: 3,
-        arrivals: 50.0,
-        capacity: 30.0,
-        waiting: 5.0,
-    },
-    FlowCase {
-        name: "silent peers",
-        reports: &[("a", 30.0, 20.0, 3), ("b", 10.0, 10.0, 1)],
-        forgets: None,
-        after: 1_600,
-        gateways: 1,
-        arrivals: 0.0,
-        capacity: 0.0,
-        waiting: 0.0,
-    },
-    FlowCase {
-        name: "a peer restarts",
-        reports: &[("a", 30.0, 20.0, 3), ("b", 10.0, 10.0, 1)],
-        forgets: Some("a"),
-        after: 100,
-        gateways: 2,
-        arrivals: 10.0,
-        capacity: 10.0,
-        waiting: 1.0,
-    },
-    FlowCase {
-        name: "implausible rates",
-        reports: &[("a", f32::NAN, f32::INFINITY, 0), ("b", -5.0, -5.0, 0)],
-        forgets: None,
-        after: 0,
-        gateways: 3,
-        arrivals: 0.0,
-        capacity: 0.0,
-        waiting: 0.0,
-    },
-];
-
-/// Guards against flows of gateways that are gone, or of a former process, in the sums.
+/// Guards against flows of gateways that are gone, or of a former process, in the sums, and against
+/// rates that are used before they are known.
 #[test]
 fn flows_of_reachable_gateways_are_summed() {
-    for case in FLOW_CASES {
+    for FlowCase(name, reports, after, expected) in FLOW_CASES {
         let mut flow = measured_flow();
-        let now = START + ms(2_000);
-        for (peer, arrivals, starts, waiting) in case.reports {
-            let report = report(*arrivals, *starts, *waiting);
-            flow.apply_report(now, &GatewayId::from(*peer), &report);
-        }
-        let known = flow.totals(now, KEY).expect("rates are measured");
-        if let Some(peer) = case.forgets {
-            flow.forget_peer(&GatewayId::from(peer));
-        }
-        let later = now + ms(case.after);
-        let totals = flow.totals(later, KEY).expect("rates are measured");
-        assert_eq!(totals.gateways, case.gateways, "{}", case.name);
-        assert_eq!(totals.waiting, case.waiting, "{}", case.name);
-        // This gateway's own rates decay without further requests.
-        let own = 10.0 * (-(case.after as f64) / 2_000.0).exp();
-        let is_near = |found: f64, expected: f64| (found - expected).abs() < 2.5;
-        assert!(
-            is_near(totals.arrivals, own + case.arrivals),
-            "{}: {totals:?}",
-            case.name
-        );
-        let highest = 10.0 + case.capacity;
+        let sent = reports
+            .iter()
+            .map(|sent| (GatewayId::from(sent.0), report(*sent)));
+        sent.for_each(|(peer, report)| flow.apply_report(at(2_000), &peer, &report));
+        assert!(flow.totals(at(2_000), KEY).is_some());
+        let totals = flow.totals(at(2_060 + after), KEY).unwrap_or_default();
+        let FlowTotals {
+            gateways,
+            arrivals,
+            capacity,
+            waiting,
+            ..
+        } = totals;
+        let found = [gateways as f64, arrivals, capacity, waiting];
+        let is_near = found.iter().zip(expected).all(|(a, b)| (a - b).abs() < 2.5);
+        assert!(is_near, "{name}: {found:?}, expected {expected:?}");
+        reports
+            .iter()
+            .for_each(|sent| flow.forget_peer(&GatewayId::from(sent.0)));
+        let left = flow.totals(at(2_060 + after), KEY).unwrap_or_default();
         assert!(
-            is_near(totals.capacity, highest),
-            "{}: {totals:?}, {known:?}",
-            case.name
+            left.gateways == 1 && left.capacity < 12.5,
+            "{name}: {left:?}"
         );
     }
 }
@@ -343,51 +187,23 @@
 /// reports that exceed their part of the traffic.
 #[test]
 fn flows_are_reported_while_a_lane_is_overloaded() {
-    let mut overloaded = measured_flow();
-    let mut peer = measured_flow();
-    let (mut now, mut reports, mut last) = (START + ms(2_100), 0, START);
-    assert!(
-        overloaded.take_reports(now, 47).is_empty(),
-        "nothing is refused yet"
-    );
-    overloaded.record_refusal(now, KEY);
-    let end = now + ms(8_000);
-    while now < end {
-        for report in overloaded.take_reports(now, 47) {
+    let (mut overloaded, mut peer) = (measured_flow(), measured_flow());
+    assert!(overloaded.take_reports(at(2_100), 47).is_empty());
+    overloaded.record_refusal(at(2_100), KEY);
+    let (mut reports, mut last) = (0, 0);
+    for now in (2_100..10_000).step_by(8) {
+        for report in overloaded.take_reports(at(now), 47) {
             reports += 1;
-            peer.apply_report(now, &GatewayId::from("overloaded"), &report);
+            peer.apply_report(at(now), &GatewayId::from("overloaded"), &report);
         }
-        for report in peer.take_reports(now, 47) {
+        for report in peer.take_reports(at(now), 47) {
             last = now;
-            overloaded.apply_report(now, &GatewayId::from("peer"), &report);
+            overloaded.apply_report(at(now), &GatewayId::from("peer"), &report);
         }
-        now += ms(8);
     }
-    // Two seconds, and at most 3 kB per second to 47 peers.
-    assert!((6..=9).contains(&reports), "{reports}");
-    assert!((ms(3_000)..ms(6_000)).contains(&(last - START)), "{last:?}");
-}
-
-/// Guards against schedules and waits that follow from a few requests after a start.
-#[test]
-fn rates_are_unknown_for_the_first_second() {
-    let mut flow = PoolFlow::new();
-    for step in 0..10 {
-        flow.record_arrival(START + ms(step * 100), KEY);
-        flow.apply_report(
-            START + ms(step * 100),
-            &GatewayId::from("a"),
-            &report(9.0, 9.0, 1),
-        );
-        assert_eq!(flow.totals(START + ms(step * 100), KEY), None);
-    }
-    let totals = flow
-        .totals(START + ms(1_000), KEY)
-        .expect("rates are measured");
-    // The average over two seconds is corrected for the first one.
-    assert!((16.0..22.0).contains(&totals.arrivals), "{totals:?}");
-    assert_eq!(
-        totals.expected_wait(1.0),
-        Some(Duration::from_secs_f64(1.0 / 9.0))
+    assert!(
+        (6..=9).contains(&reports),
+        "{reports} in 2 s, at most 3 kB per second"
     );
+    assert!((4_000..6_000).contains(&last), "{last}");
 }
