--- a/lovagedock-gateway/src/direct/state/mod.rs
+++ b/lovagedock-gateway/src/direct/state/mod.rs
@@ -175,6 +175,7 @@
                 refusals: RefusalLog::new(),
                 shares: OrganisationShares::new(),
                 flow: PoolFlow::new(),
+                flow: PoolFlow::new().with_phase(rand::random()),
                 returns: ReturnSchedule::new(),
                 suspects: SuspectLedger::new(),
                 parts: PartLedger::new().with_rank(part_rank),
