--- a/lovagedock-cli/tests/cli/commands.rs
+++ b/lovagedock-cli/tests/cli/commands.rs
@@ -11,18 +11,18 @@
 
 const REQUEST: &str = "000000000000000000000000000000ab";
 const EXPLAIN: &str = "/explain/000000000000000000000000000000ab";
-const GATEWAY_1: &str = "127.0.0.1:7301";
-const GATEWAY_2: &str = "127.0.0.1:7302";
+pub(crate) const GATEWAY_1: &str = "127.0.0.1:7301";
+pub(crate) const GATEWAY_2: &str = "127.0.0.1:7302";
 const SIDECAR: &str = "127.0.0.1:7401";
 
 /// A command line, the responses of the processes, and the expected output.
-struct CommandCase {
-    line: &'static str,
-    client: ScriptedClient,
-    expected: Expect,
+pub(crate) struct CommandCase {
+    pub(crate) line: &'static str,
+    pub(crate) client: ScriptedClient,
+    pub(crate) expected: Expect,
 }
 
-async fn check_cases(cases: Vec<CommandCase>) {
+pub(crate) async fn check_cases(cases: Vec<CommandCase>) {
     for case in cases {
         let runner = new_runner(Arc::new(MemoryStore::new()), case.client);
         let report = run(&runner, case.line).await;
@@ -30,12 +30,12 @@
     }
 }
 
-fn refused(code: u16) -> Result<serde_json::Value, ProcessError> {
+pub(crate) fn refused(code: u16) -> Result<serde_json::Value, ProcessError> {
     let problem = json!({ "code": code, "title": "no such thing", "detail": "not here" });
     Err(ProcessError::Refused(problem))
 }
 
-fn no_answer() -> Result<serde_json::Value, ProcessError> {
+pub(crate) fn no_answer() -> Result<serde_json::Value, ProcessError> {
     Err(ProcessError::NoAnswer("timeout".to_owned()))
 }
 
--- a/lovagedock-cli/tests/cli/main.rs
+++ b/lovagedock-cli/tests/cli/main.rs
@@ -3,5 +3,6 @@
 mod apply;
 mod commands;
 mod common;
+mod gateways;
 mod http_client;
 mod settings;
--- a/lovagedock-gateway/tests/direct_operators.rs
+++ b/lovagedock-gateway/tests/direct_operators.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use direct_support::{
-    CRASHING, CRASHING_PART, CrashingFleet, TestGateway, call, call_with_parts, daemon, settings,
-    wait_until,
+    CRASHING, CRASHING_PART, CrashingFleet, EVENTS, LogLines, TestGateway, call, call_with_parts,
+    daemon, open_call, read_response, settings, wait_until,
 };
-use serde_json::json;
+use lovagedock_daemon::DaemonContext;
+use serde_json::{Value, json};
 use tokio::time::{sleep, timeout};
 
 const HOSTS: usize = 6;
@@ -23,11 +24,15 @@
 const RELEASE_TIME: Duration = Duration::from_secs(3);
 
 async fn start_gateways(fleet: &CrashingFleet) -> Vec<TestGateway> {
+    start_gateways_with(fleet, &daemon()).await
+}
+
+async fn start_gateways_with(fleet: &CrashingFleet, daemon: &DaemonContext) -> Vec<TestGateway> {
     let mut gateways = Vec::new();
     for number in 0..2 {
         let mut settings = settings(&format!("gateway-{number}"));
         settings.admin.operator_token = Some(TOKEN.to_owned());
-        let gateway = TestGateway::start_with(settings, &fleet.feed, daemon()).await;
+        let gateway = TestGateway::start_with(settings, &fleet.feed, daemon.clone()).await;
         gateways.push(gateway.ready().await);
     }
     gateways
@@ -104,7 +109,9 @@
 async fn an_operator_ends_a_quarantine_on_all_gateways() {
     for case in CASES {
         let fleet = CrashingFleet::start(HOSTS).await;
-        let gateways = start_gateways(&fleet).await;
+        let lines = LogLines::default();
+        let daemon = DaemonContext::new(lines.logger());
+        let gateways = start_gateways_with(&fleet, &daemon).await;
         case.quarantine(&gateways).await;
         fleet.mend();
         wait_until(|| fleet.serving() == HOSTS).await;
@@ -127,6 +134,15 @@
         for (field, value) in expected.as_object().expect("an object") {
             assert_eq!(document[field], *value, "{}: {field}", case.name);
         }
+        let released = lines.with_message("quarantine released");
+        let of_operator = released.iter().find(|line| line["source"] == "operator");
+        let operator = of_operator.and_then(|line| line["operator"].as_str());
+        let operator = operator.unwrap_or_default();
+        assert!(
+            operator.starts_with("127.0.0.1:"),
+            "{}: {released:?}",
+            case.name
+        );
         let (status, text) = case.send(&gateways[0], 1).await;
         assert_eq!(status, 200, "{}: {text}", case.name);
         let served = timeout(RELEASE_TIME, async {
@@ -144,3 +160,73 @@
         }
     }
 }
+
+/// Guards against a target that is no quarantine and is reported as released.
+#[tokio::test]
+async fn a_target_that_is_no_quarantine_is_refused() {
+    let fleet = CrashingFleet::start(1).await;
+    let gateways = start_gateways(&fleet).await;
+    for target in ["7", "part-", "part-xyz", "000000000000000g"] {
+        let path = format!("/release-quarantine/{target}");
+        let (status, document) = gateways[0].operate("POST", &path, TOKEN).await;
+        assert_eq!((status, &document["code"]), (400, &json!(1001)), "{target}");
+    }
+    let path = "/release-quarantine/0000000000000007";
+    let (status, document) = gateways[0].operate("POST", path, TOKEN).await;
+    assert_eq!((status, &document["known"]), (200, &json!(false)));
+}
+
+/// Guards against reports that lack the load of another gateway, the quarantines or the drained
+/// domains.
+#[tokio::test]
+async fn gateways_report_the_load_of_all_gateways() {
+    let fleet = CrashingFleet::start(HOSTS).await;
+    let gateways = start_gateways(&fleet).await;
+    let get = async |path: &str| gateways[0].operate("GET", path, "").await.1;
+
+    let streams = [1, 2, 3].map(|number| {
+        let (address, path) = (gateways[1].address(), format!("/stream/{number}"));
+        tokio::spawn(async move {
+            read_response(open_call(address, &path, &format!("{}", 700 + number), "secret").await)
+                .await
+        })
+    });
+    let reported = timeout(RELEASE_TIME, async {
+        while get("/usage").await["services"][0]["lanes"][0]["slots_in_use"] != 3 {
+            sleep(Duration::from_millis(5)).await;
+        }
+        get("/usage").await
+    });
+    let usage = reported.await.expect("the load of the other gateway");
+    assert_eq!(usage["gateways_heard"], 2, "{usage}");
+    let service = &usage["services"][0];
+    assert_eq!(service["endpoints"].as_array().map(Vec::len), Some(HOSTS));
+    let by_gateway = service["gateways"].as_array().expect("a list");
+    let other = by_gateway.iter().find(|row| row["gateway"] == "gateway-1");
+    assert_eq!(other.map(|row| &row["slots_in_use"]), Some(&json!(3)));
+
+    let preview = get("/drain-preview/a").await;
+    let service = &preview["services"][0];
+    let expected = json!({ "endpoints": HOSTS, "slots": 4 * HOSTS });
+    assert_eq!(service["inside"], expected, "{preview}");
+    assert_eq!(service["verdict"], "short", "{preview}");
+    assert_eq!(service["utilisation"], Value::Null, "{preview}");
+    assert_eq!(get("/drain-preview/b").await["state"], "unknown");
+    for stream in streams {
+        let response = stream.await.expect("no caller panics");
+        assert_eq!(response.event_ids().len(), EVENTS as usize);
+    }
+
+    CASES[0].quarantine(&gateways).await;
+    fleet.feed.set_drained(&["a"]);
+    let drained = timeout(RELEASE_TIME, async {
+        while get("/status").await["direct"]["drained_domains"] != json!(["a"]) {
+            sleep(Duration::from_millis(5)).await;
+        }
+    });
+    drained.await.expect("the drained domain is reported");
+    let status = get("/status").await;
+    assert_eq!(status["generation"], 1, "{status}");
+    assert_eq!(status["direct"]["quarantined_requests"], 1, "{status}");
+    assert_eq!(get("/drain-preview/a").await["state"], "drained");
+}
