--- a/lovagedock-gateway/src/direct/call/mod.rs
+++ b/lovagedock-gateway/src/direct/call/mod.rs
@@ -24,7 +24,7 @@
     liveness::LivenessWatch,
     reservations::{ReservationClient, ReservationGuard, ReservationRefused, ReservationRequest},
     response::{BufferedResponse, ResponseSender},
-    state::{BookingGuard, GatewayState, PlacedRequest, RejectedChoice},
+    state::{BookingGuard, GatewayState, PlacedRequest, RejectedChoice, TeamTiming},
 };
 use crate::front::RequestProblem;
 
@@ -270,6 +270,7 @@
         if end != Some(AttemptEnd::Misdirected) {
             self.state
                 .record_rate_limit(&endpoint, sent_at, head.rate_limit);
+            self.state.record_cold_notice(&endpoint, head.cold_left);
             if head.leaving {
                 self.state.record_leaving(&endpoint);
             }
@@ -294,6 +295,7 @@
                 silent_until,
                 deadline: self.instant(self.deadline),
             };
+            let mut timing = self.team_timing(&placed, resume);
             let work = &mut placed.work;
             let late_at = self.instant(self.late_at);
             let gap = self.parts.route.gap_objective.unwrap_or(Duration::MAX);
@@ -306,6 +308,9 @@
                     &watch,
                     |first_event_at, longest| {
                         work.finish_prefill();
+                        if let Some(timing) = timing.take() {
+                            timing.finish();
+                        }
                         if longest > gap || first_event_at > late_at {
                             work.record_missed_objective();
                         }
@@ -340,6 +345,17 @@
         Some(AttemptEnd::Complete)
     }
 
+    /// Returns what is to be measured until the first event of a long prompt with helpers arrives. A
+    /// resumed response is not measured: its prompt has grown.
+    fn team_timing(&self, placed: &PlacedRequest, resume: bool) -> Option<TeamTiming> {
+        let is_measured =
+            self.state.overload.helper_speeds && !resume && !placed.helpers.is_empty();
+        is_measured.then(|| {
+            let request = &self.parts.head.request;
+            TeamTiming::new(Arc::clone(&self.state), request, placed, self.sent_at)
+        })
+    }
+
     /// Reserves memory on the helpers that store parts of the prompt.
     async fn reserve(
         &self,
--- a/lovagedock-gateway/src/direct/dialect.rs
+++ b/lovagedock-gateway/src/direct/dialect.rs
@@ -142,4 +142,6 @@
     pub at_fault: Option<SocketAddr>,
     /// Rate limit of the endpoint across all gateways.
     pub rate_limit: AdvertisedLimit,
+    /// Time for which the endpoint stays cold; zero if it is not, or says nothing of it.
+    pub cold_left: Duration,
 }
--- a/lovagedock-gateway/src/direct/state/drains.rs
+++ b/lovagedock-gateway/src/direct/state/drains.rs
@@ -155,12 +155,15 @@
         }
     }
 
-    /// Records how much longer an endpoint is cold, as of its latest entry.
-    pub(super) fn record_cold(&mut self, now: Timestamp, endpoint: &DirectEndpoint) {
+    /// Records how much longer an endpoint is cold, as of its latest entry or response. Returns
+    /// whether it was not known to be cold before.
+    pub(super) fn record_cold(&mut self, now: Timestamp, endpoint: &DirectEndpoint) -> bool {
         let process = &endpoint.process;
-        if self.cold.record(now, process, endpoint.cold_left) {
+        let is_new = self.cold.record(now, process, endpoint.cold_left);
+        if is_new {
             self.limit_cold(now, endpoint);
         }
+        is_new
     }
 
     fn limit_cold(&mut self, now: Timestamp, endpoint: &DirectEndpoint) {
--- a/lovagedock-gateway/src/direct/state/fleet_state.rs
+++ b/lovagedock-gateway/src/direct/state/fleet_state.rs
@@ -8,11 +8,11 @@
 use lovagedock::{
     BookedTeam, ColdAllowance, ColdEndpoints, ColdProfile, DirectEndpoint, DomainDrains,
     DomainRelays, EndpointBackoffs, EndpointListing, EndpointProcess, EndpointTable, EntryChange,
-    LeavingQueue, LengthOutcome, LengthShares, ListingLog, OutlierAction, OutlierDetector,
-    OutlierEvent, OutlierSettings, PartLedger, PauseDetector, PeerLiveness, PlacerCandidate,
-    QueueKind, RateLimits, RateVerdict, RefusalLog, RetryShare, RetryShareSettings,
-    SlowdownTracker, SuspectLedger, TeamBookings, WaitingQueue, WatcherSelection, WorkLedger,
-    max_kept_endpoints, prelude::*, short_lane_size,
+    HelperSpeeds, LeavingQueue, LengthOutcome, LengthShares, ListingLog, OutlierAction,
+    OutlierDetector, OutlierEvent, OutlierSettings, PartLedger, PauseDetector, PeerLiveness,
+    PlacerCandidate, QueueKind, RateLimits, RateVerdict, RefusalLog, RetryShare,
+    RetryShareSettings, SlowdownTracker, SuspectLedger, TeamBookings, WaitingQueue,
+    WatcherSelection, WorkLedger, max_kept_endpoints, prelude::*, short_lane_size,
 };
 use lovagedock_platform::GatewayEntry;
 use slog::{Logger, info};
@@ -43,6 +43,8 @@
     /// Whether a booking of this gateway has changed since the last message to peers.
     pub(super) bookings_changed: bool,
     pub(super) slowdowns: SlowdownTracker,
+    /// Speeds of helpers by service; empty if they are not measured.
+    pub(super) helper_speeds: HashMap<ServiceId, HelperSpeeds>,
     pub(super) services: HashMap<ServiceId, ServiceState>,
     pub(super) peers: HashMap<GatewayId, GatewayEntry>,
     /// Known other gateways by the short form of their names.
@@ -168,6 +170,9 @@
     fn forget_endpoint_health(&mut self, now: Timestamp, endpoint: &DirectEndpoint) {
         let id = &endpoint.process.id;
         self.slowdowns.forget(&endpoint.process);
+        if let Some(speeds) = self.helper_speeds.get_mut(&endpoint.service) {
+            speeds.forget(&endpoint.process);
+        }
         let state = self.service(now, &endpoint.service);
         state.ejected.remove(id);
         state.last_activity.remove(id);
@@ -235,6 +240,7 @@
         booked: Option<BookedTeam>,
     ) -> EndpointSearch<'_> {
         let ejected = self.services.get(service).map(|state| &state.ejected);
+        let helper_speeds = self.helper_speeds.get(service);
         let mut candidates = Vec::new();
         let mut positions = Vec::new();
         let mut found = false;
@@ -275,6 +281,10 @@
             load.slowdown = load
                 .slowdown
                 .max(self.slowdowns.slowdown(now, &endpoint.process) as f32);
+            if let Some(speeds) = helper_speeds {
+                let slowdown = speeds.slowdown(now, &endpoint.process);
+                load.slowdown = load.slowdown.max(slowdown as f32);
+            }
             if load.occupied < endpoint.slots {
                 candidates.push(PlacerCandidate {
                     endpoint,
--- a/lovagedock-gateway/src/direct/state/mod.rs
+++ b/lovagedock-gateway/src/direct/state/mod.rs
@@ -47,6 +47,7 @@
 use super::{fleet_tag::FleetTag, log_limiter::LogLimiter, settings::OverloadSettings};
 
 pub(crate) use bookings::BookingGuard;
+pub(crate) use helper_speeds::TeamTiming;
 pub(crate) use listing::EndpointsSnapshot;
 pub(crate) use placement::{PlacedRequest, PlacementResult, PlacementThreshold, RejectedChoice};
 
@@ -158,6 +159,7 @@
                 bookings: TeamBookings::new(),
                 bookings_changed: false,
                 slowdowns: SlowdownTracker::new(),
+                helper_speeds: HashMap::new(),
                 services: HashMap::new(),
                 peers: HashMap::new(),
                 peer_tags: HashMap::new(),
@@ -422,6 +424,7 @@
         }
         self.settle_listing();
         self.settle_drains();
+        self.report_helper_changes(None);
         self.log_ended_backoffs(&ended_backoffs);
         for peer in silent {
             info!(self.log, "peer silent"; "peer" => &*peer);
--- a/lovagedock-gateway/src/direct/state/placement.rs
+++ b/lovagedock-gateway/src/direct/state/placement.rs
@@ -4,8 +4,8 @@
 
 use lovagedock::{
     DirectChoice, DirectEndpoint, DirectPlacer, DirectRequest, EndpointProcess, OutlierEvent,
-    PlacedWork, PlacerCandidate, QueueKind, RateVerdict, TrafficConfig, WaitingQueue, WorkKey,
-    isolate_suspects, prelude::*,
+    PlacedWork, PlacerCandidate, QueueKind, RateVerdict, TeamPrediction, TrafficConfig,
+    WaitingQueue, WorkKey, isolate_suspects, prelude::*,
 };
 
 use super::{
@@ -32,6 +32,8 @@
     pub(crate) occupied: u32,
     /// Prefill time that was placed there before, by all gateways.
     pub(crate) backlog: Duration,
+    /// Predicted times of the endpoints that share the prefill.
+    pub(crate) prediction: TeamPrediction,
     /// Whether the endpoint has a rate limit and the request has consumed a token.
     pub(crate) is_admitted: bool,
     /// Whether the endpoint is cold and the request has consumed a token of its limit.
@@ -323,6 +325,7 @@
             loss: choice.lost_value,
             occupied: placed.occupied,
             backlog: placed.backlog,
+            prediction: placed.prediction,
             is_admitted,
             is_cold_admitted,
             work,
@@ -423,6 +426,7 @@
     helpers: Vec<PlacedHelper>,
     occupied: u32,
     backlog: Duration,
+    prediction: TeamPrediction,
 }
 
 impl PlacementDetails {
@@ -437,6 +441,21 @@
             helpers: helpers.collect(),
             occupied: lead.load.occupied,
             backlog: lead.load.backlog,
+            prediction: predict_team(choice, candidates),
         }
     }
 }
+
+/// Returns the predicted times of a team at its declared speed.
+fn predict_team(choice: &DirectChoice, candidates: &[PlacerCandidate<'_>]) -> TeamPrediction {
+    let helpers = choice.helpers.iter().map(|helper| helper.index);
+    let delays = helpers
+        .chain([choice.lead])
+        .map(|index| candidates[index].load.long_prefill_delay());
+    let prefilled = choice.backlog + choice.part_prefill_time;
+    let passes = choice.first_event.saturating_sub(prefilled);
+    TeamPrediction {
+        part_prefill_time: choice.part_prefill_time,
+        delay: delays.max().unwrap_or_default() + passes,
+    }
+}
--- a/lovagedock-gateway/tests/direct_support/dialect.rs
+++ b/lovagedock-gateway/tests/direct_support/dialect.rs
@@ -74,6 +74,9 @@
                 Some(limit) => AdvertisedLimit::parse(&limit),
                 None => AdvertisedLimit::Unlimited,
             },
+            cold_left: text(headers, "x-cold-ms")
+                .and_then(|value| value.parse().ok())
+                .map_or(Duration::ZERO, Duration::from_millis),
         }
     }
 
--- a/lovagedock/src/direct/helper_speeds.rs
+++ b/lovagedock/src/direct/helper_speeds.rs
@@ -1,10 +1,56 @@
 //! Measured speed of engines that prefill parts of prompts.
 
+use std::{
+    collections::{BTreeMap, HashMap, HashSet, VecDeque},
+    time::Duration,
+};
+
 use serde::{Deserialize, Serialize};
 
-use super::process::EndpointProcess;
+use super::{
+    process::EndpointProcess, slowdown::DECAY_TIME, slowdown::TOLERANCE,
+    team_evidence::TeamEvidence,
+};
+use crate::ids::{GatewayId, Timestamp};
+
+/// Highest slowdown that is assumed of an engine.
+const MAX_SLOWDOWN: f64 = 10.0;
+
+/// Number of this gateway's latest teams by which its predictions are judged.
+const BASELINE_TEAMS: usize = 32;
+
+/// Number of teams without which predictions are assumed to be right.
+const MIN_BASELINE_TEAMS: usize = 8;
+
+/// Share of the teams that are faster than the baseline. With a fifth of the engines slow, about a third
+/// of the teams have no slow member.
+const BASELINE_SHARE: f64 = 0.1;
+
+/// Interval at which an estimate is sent again.
+const RESEND_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Interval at which the measurement of a team is sent again, and number of sends, to tolerate message
+/// loss.
+const TEAM_RESEND_INTERVAL: Duration = Duration::from_millis(250);
+const TEAM_SENDS: u8 = 3;
+
+/// Change of an estimate that is sent at once.
+const MIN_CHANGE: f64 = 0.3;
+
+/// Time without a report after which a peer's estimate no longer counts.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Maximum number of entries per message.
+const MAX_UPDATES_PER_MESSAGE: usize = 24;
+
+/// Maximum number of peers' measurements that are remembered to recognise repeated ones. It exceeds the
+/// number that a fleet measures while one is sent.
+const MAX_KNOWN_TEAMS: usize = 128;
 
 /// Slowdown of an engine as a helper, as measured by one gateway and sent to peers.
+///
+/// Entries of one message with `teams` 1 and the same slowdown are the members of one team: the
+/// slowdown is an upper bound for each of them. An entry with more teams is the sender's estimate.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HelperSpeed {
     /// The engine's process.
@@ -14,3 +60,453 @@
     /// Teams on which the figure rests.
     pub teams: u8,
 }
+
+/// Predicted times of a team that shares the prefill of a prompt.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct TeamPrediction {
+    /// Prefill time of each part at the declared speed.
+    pub part_prefill_time: Duration,
+    /// Time for the prefills placed on the team earlier, and for the passes from the end of the
+    /// prefill to the first event.
+    pub delay: Duration,
+}
+
+impl TeamPrediction {
+    /// Returns the ratio of measured to predicted prefill time, or `None` if too little of the time to
+    /// the first event is prefill time. Backlogs and passes are predicted less accurately.
+    pub fn ratio(&self, first_event: Duration) -> Option<f64> {
+        if self.part_prefill_time.is_zero() || self.delay > self.part_prefill_time {
+            return None;
+        }
+        let measured = first_event.saturating_sub(self.delay).as_secs_f64();
+        Some(measured / self.part_prefill_time.as_secs_f64())
+    }
+}
+
+/// An engine that has been found to be slow as a helper, or no longer is.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HelperChange {
+    /// The engine.
+    pub endpoint: EndpointProcess,
+    /// Ratio of measured to predicted prefill time; 1 if the engine is fast again.
+    pub slowdown: f64,
+    /// Teams on which the figure rests; 0 if the engine is fast again.
+    pub teams: usize,
+}
+
+/// Speeds of the engines of one service as helpers.
+///
+/// The first event of a long prompt comes after the slowest part, so a late team does not tell which
+/// member is slow. [`TeamEvidence`] tells it from several teams, of this gateway and of its peers.
+#[derive(Clone, Debug, Default)]
+pub struct HelperSpeeds {
+    evidence: TeamEvidence,
+    engine_count: usize,
+    /// Ratios of this gateway's latest teams.
+    own_ratios: VecDeque<f64>,
+    estimates: BTreeMap<EndpointProcess, HelperEstimate>,
+    reports: BTreeMap<EndpointProcess, Vec<PeerReport>>,
+    /// Divisor of all estimates, more than 1 if more than a third of the engines seem slow.
+    scale: f64,
+    known_teams: VecDeque<KnownTeam>,
+    unsent_teams: Vec<UnsentTeam>,
+    sent: HashMap<EndpointProcess, SentEstimate>,
+    /// Engines that were slow when changes were last returned.
+    slow: HashSet<EndpointProcess>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct HelperEstimate {
+    slowdown: f64,
+    teams: usize,
+    measured_at: Timestamp,
+    is_own: bool,
+}
+
+#[derive(Clone, Debug)]
+struct PeerReport {
+    peer: GatewayId,
+    slowdown: f64,
+    teams: usize,
+    received_at: Timestamp,
+}
+
+/// Measurement of a peer that was applied, by the bits of its ratio.
+#[derive(Clone, Debug, PartialEq)]
+struct KnownTeam {
+    peer: GatewayId,
+    ratio: u32,
+}
+
+#[derive(Clone, Debug)]
+struct UnsentTeam {
+    entries: Vec<HelperSpeed>,
+    sends_left: u8,
+    due_at: Timestamp,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct SentEstimate {
+    slowdown: f64,
+    sent_at: Timestamp,
+}
+
+impl HelperEstimate {
+    fn slowdown_at(&self, now: Timestamp) -> f64 {
+        let age = now.saturating_sub(self.measured_at);
+        let kept = (-age.as_secs_f64() / DECAY_TIME.as_secs_f64()).exp();
+        1.0 + (self.slowdown - 1.0) * kept
+    }
+}
+
+impl HelperSpeeds {
+    /// Creates a state in which every engine is as fast as declared.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sets the number of engines of the service.
+    pub fn set_engine_count(&mut self, count: usize) {
+        self.engine_count = count;
+    }
+
+    /// Records the ratio of measured to predicted prefill time of a team that this gateway placed.
+    /// Teams of one member are ignored.
+    pub fn record_team(&mut self, now: Timestamp, members: &[EndpointProcess], ratio: f64) {
+        if members.len() < 2 || !ratio.is_finite() {
+            return;
+        }
+        // Peers receive the ratio with this precision.
+        let relative = (ratio / self.baseline()) as f32;
+        self.push_own_ratio(ratio);
+        let ratio = relative;
+        let entries = match f64::from(ratio) < TOLERANCE {
+            true => members
+                .iter()
+                .filter(|member| self.clear(member))
+                .cloned()
+                .collect(),
+            false => {
+                self.evidence
+                    .record_late(now, members, f64::from(ratio), true);
+                members.to_vec()
+            }
+        };
+        let entries = entries
+            .into_iter()
+            .map(|endpoint: EndpointProcess| HelperSpeed {
+                endpoint,
+                slowdown: ratio,
+                teams: 1,
+            });
+        let entries: Vec<HelperSpeed> = entries.take(MAX_UPDATES_PER_MESSAGE).collect();
+        if !entries.is_empty() {
+            self.unsent_teams.push(UnsentTeam {
+                entries,
+                sends_left: TEAM_SENDS,
+                due_at: now,
+            });
+        }
+        self.evaluate(now);
+    }
+
+    /// Applies what a peer measured. `is_known` returns whether a process is listed; a team with
+    /// another member is ignored.
+    pub fn apply_reports(
+        &mut self,
+        now: Timestamp,
+        peer: &GatewayId,
+        updates: Vec<HelperSpeed>,
+        is_known: impl Fn(&EndpointProcess) -> bool,
+    ) {
+        let mut teams: Vec<(f32, Vec<EndpointProcess>)> = Vec::new();
+        for update in updates {
+            if !update.slowdown.is_finite() || update.slowdown < 0.0 {
+                continue;
+            }
+            if update.teams >= 2 {
+                if is_known(&update.endpoint) {
+                    self.apply_estimate(now, peer, update);
+                }
+                continue;
+            }
+            match teams.last_mut() {
+                Some((ratio, members)) if *ratio == update.slowdown => {
+                    members.push(update.endpoint)
+                }
+                _ => teams.push((update.slowdown, vec![update.endpoint])),
+            }
+        }
+        for (ratio, members) in teams {
+            if members.iter().all(&is_known) {
+                self.apply_team(now, peer, ratio, &members);
+            }
+        }
+        self.evaluate(now);
+    }
+
+    /// Returns the measurements and estimates that are due to be sent to peers.
+    ///
+    /// An estimate is sent only by gateways that measured one of its teams, and repeated only if no
+    /// peer has reported the same meanwhile.
+    pub fn take_due(&mut self, now: Timestamp) -> Vec<HelperSpeed> {
+        let mut due = Vec::new();
+        for team in &mut self.unsent_teams {
+            if team.due_at > now || due.len() + team.entries.len() > MAX_UPDATES_PER_MESSAGE {
+                continue;
+            }
+            due.extend(team.entries.iter().cloned());
+            team.sends_left -= 1;
+            team.due_at = now + TEAM_RESEND_INTERVAL;
+        }
+        self.unsent_teams.retain(|team| team.sends_left > 0);
+        let estimates = self.estimates.iter();
+        let mut speeds: Vec<(EndpointProcess, f64, usize)> = estimates
+            .filter(|(_, estimate)| estimate.is_own && estimate.slowdown_at(now) >= TOLERANCE)
+            .map(|(endpoint, estimate)| {
+                let slowdown = estimate.slowdown_at(now);
+                (endpoint.clone(), slowdown, estimate.teams)
+            })
+            .collect();
+        let ended = self.sent.keys().filter(|endpoint| {
+            let mut speeds = speeds.iter();
+            speeds.all(|(slow, _, _)| slow != *endpoint)
+        });
+        let ended: Vec<EndpointProcess> = ended.cloned().collect();
+        speeds.extend(ended.into_iter().map(|endpoint| (endpoint, 1.0, 2)));
+        for (endpoint, slowdown, teams) in speeds {
+            if due.len() >= MAX_UPDATES_PER_MESSAGE {
+                break;
+            }
+            if !self.is_due(now, &endpoint, slowdown) {
+                continue;
+            }
+            if slowdown < TOLERANCE {
+                self.sent.remove(&endpoint);
+            } else {
+                let sent = SentEstimate {
+                    slowdown,
+                    sent_at: now,
+                };
+                self.sent.insert(endpoint.clone(), sent);
+            }
+            due.push(HelperSpeed {
+                endpoint,
+                slowdown: slowdown as f32,
+                teams: u8::try_from(teams).unwrap_or(u8::MAX),
+            });
+        }
+        due
+    }
+
+    /// Returns the ratio of measured to predicted prefill time of an engine, or 1 if it is about as
+    /// fast as predicted.
+    pub fn slowdown(&self, now: Timestamp, endpoint: &EndpointProcess) -> f64 {
+        let slowdown = self.unscaled(now, endpoint) / self.scale.max(1.0);
+        match slowdown < TOLERANCE {
+            true => 1.0,
+            false => slowdown.min(MAX_SLOWDOWN),
+        }
+    }
+
+    /// Returns the number of slow engines, as of the latest call of
+    /// [`take_changes`](Self::take_changes).
+    pub fn slow_count(&self) -> usize {
+        self.slow.len()
+    }
+
+    /// Returns the engines that have become slow or fast since the last call, and drops what no longer
+    /// counts.
+    pub fn take_changes(&mut self, now: Timestamp) -> Vec<HelperChange> {
+        if self.is_idle() {
+            return Vec::new();
+        }
+        self.evidence.forget_old(now);
+        let is_recent = |report: &PeerReport| now < report.received_at + REPORT_TIMEOUT;
+        self.reports.retain(|_, reports| {
+            reports.retain(is_recent);
+            !reports.is_empty()
+        });
+        self.evaluate(now);
+        let candidates = self.estimates.keys().chain(self.reports.keys());
+        let slow: HashSet<EndpointProcess> = candidates
+            .filter(|endpoint| self.slowdown(now, endpoint) > 1.0)
+            .cloned()
+            .collect();
+        let before = std::mem::replace(&mut self.slow, slow);
+        let found = self.slow.difference(&before).map(|endpoint| HelperChange {
+            endpoint: endpoint.clone(),
+            slowdown: self.slowdown(now, endpoint),
+            teams: self.team_count(endpoint),
+        });
+        let ended = before.difference(&self.slow).map(|endpoint| HelperChange {
+            endpoint: endpoint.clone(),
+            slowdown: 1.0,
+            teams: 0,
+        });
+        found.chain(ended).collect()
+    }
+
+    /// Removes the measurements of an engine that is gone.
+    pub fn forget(&mut self, endpoint: &EndpointProcess) {
+        self.evidence.forget(endpoint);
+        self.estimates.remove(endpoint);
+        self.reports.remove(endpoint);
+        self.sent.remove(endpoint);
+        self.slow.remove(endpoint);
+        let has_member = |team: &UnsentTeam| {
+            let mut entries = team.entries.iter();
+            entries.any(|entry| entry.endpoint == *endpoint)
+        };
+        self.unsent_teams.retain(|team| !has_member(team));
+    }
+
+    fn is_idle(&self) -> bool {
+        self.evidence.is_empty()
+            && self.reports.is_empty()
+            && self.slow.is_empty()
+            && self.estimates.is_empty()
+    }
+
+    fn push_own_ratio(&mut self, ratio: f64) {
+        if self.own_ratios.len() >= BASELINE_TEAMS {
+            self.own_ratios.pop_front();
+        }
+        self.own_ratios.push_back(ratio);
+    }
+
+    /// Returns the ratio that only few of this gateway's latest teams were below, at least 1. It is
+    /// more than 1 if all predictions are too short.
+    fn baseline(&self) -> f64 {
+        if self.own_ratios.len() < MIN_BASELINE_TEAMS {
+            return 1.0;
+        }
+        let mut ratios: Vec<f64> = self.own_ratios.iter().copied().collect();
+        let position = (ratios.len() as f64 * BASELINE_SHARE) as usize;
+        let (_, ratio, _) = ratios.select_nth_unstable_by(position, f64::total_cmp);
+        ratio.max(1.0)
+    }
+
+    /// Records that an engine is fast. Returns whether there was evidence that it is slow.
+    fn clear(&mut self, endpoint: &EndpointProcess) -> bool {
+        let was_suspect = self.evidence.clear(endpoint);
+        let was_reported = self.reports.remove(endpoint).is_some();
+        was_suspect || was_reported
+    }
+
+    fn apply_estimate(&mut self, now: Timestamp, peer: &GatewayId, update: HelperSpeed) {
+        let reports = self.reports.entry(update.endpoint).or_default();
+        reports.retain(|report| report.peer != *peer);
+        if f64::from(update.slowdown) >= TOLERANCE {
+            reports.push(PeerReport {
+                peer: peer.clone(),
+                slowdown: f64::from(update.slowdown),
+                teams: usize::from(update.teams),
+                received_at: now,
+            });
+        }
+    }
+
+    fn apply_team(
+        &mut self,
+        now: Timestamp,
+        peer: &GatewayId,
+        ratio: f32,
+        members: &[EndpointProcess],
+    ) {
+        let team = KnownTeam {
+            peer: peer.clone(),
+            ratio: ratio.to_bits(),
+        };
+        if self.known_teams.contains(&team) {
+            return;
+        }
+        if self.known_teams.len() >= MAX_KNOWN_TEAMS {
+            self.known_teams.pop_front();
+        }
+        self.known_teams.push_back(team);
+        if f64::from(ratio) >= TOLERANCE {
+            self.evidence
+                .record_late(now, members, f64::from(ratio), false);
+            return;
+        }
+        for member in members {
+            self.clear(member);
+        }
+    }
+
+    /// Updates the estimates by the late teams.
+    fn evaluate(&mut self, now: Timestamp) {
+        let slow = self.evidence.find_slow().into_iter().map(|engine| {
+            let estimate = HelperEstimate {
+                slowdown: engine.slowdown,
+                teams: engine.teams,
+                measured_at: engine.measured_at,
+                is_own: engine.is_own,
+            };
+            (engine.endpoint, estimate)
+        });
+        self.estimates = slow.collect();
+        self.scale = self.median_slowdown(now);
+    }
+
+    /// Returns the median of all estimates if more than a third of the engines exceed the tolerance,
+    /// or 1.
+    fn median_slowdown(&self, now: Timestamp) -> f64 {
+        let endpoints: HashSet<&EndpointProcess> =
+            self.estimates.keys().chain(self.reports.keys()).collect();
+        let slowdowns = endpoints
+            .into_iter()
+            .map(|endpoint| self.unscaled(now, endpoint));
+        let mut slowdowns: Vec<f64> = slowdowns
+            .filter(|slowdown| *slowdown >= TOLERANCE)
+            .collect();
+        if slowdowns.len() * 3 <= self.engine_count.max(1) {
+            return 1.0;
+        }
+        let middle = slowdowns.len() / 2;
+        let (_, median, _) = slowdowns.select_nth_unstable_by(middle, f64::total_cmp);
+        *median
+    }
+
+    /// Returns the smallest estimate of an engine, of this gateway and of peers.
+    fn unscaled(&self, now: Timestamp, endpoint: &EndpointProcess) -> f64 {
+        let own = self.estimates.get(endpoint);
+        let own = own.map(|estimate| estimate.slowdown_at(now));
+        let reports = self.reports.get(endpoint).into_iter().flatten();
+        let reported = reports
+            .filter(|report| now < report.received_at + REPORT_TIMEOUT)
+            .map(|report| report.slowdown);
+        let smallest = own
+            .into_iter()
+            .chain(reported)
+            .fold(f64::INFINITY, f64::min);
+        if smallest.is_finite() { smallest } else { 1.0 }
+    }
+
+    fn team_count(&self, endpoint: &EndpointProcess) -> usize {
+        let own = self.estimates.get(endpoint).map(|estimate| estimate.teams);
+        let reports = self.reports.get(endpoint).into_iter().flatten();
+        let reported = reports.map(|report| report.teams).max();
+        own.max(reported).unwrap_or(0)
+    }
+
+    /// Returns whether this gateway's estimate of an engine must be sent.
+    fn is_due(&self, now: Timestamp, endpoint: &EndpointProcess, slowdown: f64) -> bool {
+        let is_near = |other: f64| (slowdown - other).abs() <= MIN_CHANGE;
+        let Some(sent) = self
+            .sent
+            .get(endpoint)
+            .filter(|sent| is_near(sent.slowdown))
+        else {
+            return true;
+        };
+        if now.saturating_sub(sent.sent_at) < RESEND_INTERVAL {
+            return false;
+        }
+        let mut reports = self.reports.get(endpoint).into_iter().flatten();
+        !reports.any(|report| {
+            now.saturating_sub(report.received_at) < RESEND_INTERVAL && is_near(report.slowdown)
+        })
+    }
+}
--- a/lovagedock/src/direct/load.rs
+++ b/lovagedock/src/direct/load.rs
@@ -104,6 +104,11 @@
         effective_backlog(self, true) <= MAX_HELPER_BACKLOG
     }
 
+    /// Returns the time until the endpoint can start to prefill a long prompt, at its declared speed.
+    pub fn long_prefill_delay(&self) -> Duration {
+        effective_backlog(self, true)
+    }
+
     /// Returns the value of the writers that do not tolerate a gap of this length.
     pub fn value_delayed_by(&self, gap: Duration) -> f64 {
         let delayed = self.writers.groups().filter(|group| group.gap < gap);
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -8,7 +8,7 @@
 //! [`SuspectLedger`] finds requests that crash the engines that run them, and [`PartLedger`] parts of
 //! prompts that do. [`ConnectionAdmission`] limits what a gateway reads. [`EndpointListing`] decides which endpoint list is valid while the store
 //! is unreachable or restored from an older copy, [`DomainDrains`] to which failure domains nothing
-//! is sent, and [`ColdEndpoints`] which endpoints tolerate only a low rate. [`DomainRelays`] decides
+//! is sent, and [`ColdEndpoints`] which endpoints tolerate only a low rate. [`HelperSpeeds`] finds engines that are slow as helpers. [`DomainRelays`] decides
 //! how messages reach the other gateways of a large fleet. None of these types reads a clock or performs
 //! input or output.
 
@@ -60,6 +60,7 @@
 mod suspect_update;
 mod suspects;
 mod team_bookings;
+mod team_evidence;
 mod waiting_queue;
 mod watcher_selection;
 
@@ -77,7 +78,7 @@
 pub use endpoints::{DirectEndpoint, EndpointState, EndpointTable, EntryChange};
 pub use engine::EngineProfile;
 pub use events::{EventSplitter, StreamEvent};
-pub use helper_speeds::HelperSpeed;
+pub use helper_speeds::{HelperChange, HelperSpeed, HelperSpeeds, TeamPrediction};
 pub use leaving_queue::LeavingQueue;
 pub use ledger::{RELAXED_GAP, WorkLedger};
 pub use length_shares::{LengthBand, LengthOutcome, LengthShares, RouteTag, route_tag};
--- a/lovagedock/src/direct/slowdown.rs
+++ b/lovagedock/src/direct/slowdown.rs
@@ -14,13 +14,13 @@
 
 /// Time in which a slowdown without new samples decays by two thirds towards 1, so that an engine
 /// that was avoided is tried again.
-const DECAY_TIME: Duration = Duration::from_secs(3);
+pub(super) const DECAY_TIME: Duration = Duration::from_secs(3);
 
 /// Lower and upper bound of a sample.
 const SLOWDOWN_RANGE: (f64, f64) = (1.0, 10.0);
 
 /// Slowdown below which an engine counts as fast as declared. Predictions are off by as much.
-const TOLERANCE: f64 = 1.6;
+pub(super) const TOLERANCE: f64 = 1.6;
 
 /// Measures the slowdown of engines by the gaps between their events.
 ///
