--- a/lovagedock-gateway/src/direct/state/fleet_state.rs
+++ b/lovagedock-gateway/src/direct/state/fleet_state.rs
@@ -8,12 +8,12 @@
 use lovagedock::{
     BookedTeam, ColdAllowance, ColdEndpoints, ColdProfile, DirectEndpoint, DomainDrains,
     DomainRelays, EndpointBackoffs, EndpointListing, EndpointProcess, EndpointTable, EntryChange,
-    LeavingQueue, LengthOutcome, LengthShares, ListingLog, OrganisationShares, OutlierAction,
-    OutlierDetector, OutlierEvent, OutlierSettings, PartLedger, PauseDetector, PeerLiveness,
-    PlacerCandidate, PoolFlow, PoolSlots, QueueKind, RateLimits, RateVerdict, RefusalLog,
-    ReleaseNotices, RetryShare, RetryShareSettings, ReturnSchedule, SlowdownTracker, SuspectLedger,
-    TeamBookings, WaitingQueue, WatcherSelection, WorkLedger, max_kept_endpoints, prelude::*,
-    short_lane_size,
+    HelperSpeeds, LeavingQueue, LengthOutcome, LengthShares, ListingLog, OrganisationShares,
+    OutlierAction, OutlierDetector, OutlierEvent, OutlierSettings, PartLedger, PauseDetector,
+    PeerLiveness, PlacerCandidate, PoolFlow, PoolSlots, QueueKind, RateLimits, RateVerdict,
+    RefusalLog, ReleaseNotices, RetryShare, RetryShareSettings, ReturnSchedule, SlowdownTracker,
+    SuspectLedger, TeamBookings, WaitingQueue, WatcherSelection, WorkLedger, max_kept_endpoints,
+    prelude::*, short_lane_size,
 };
 use lovagedock_platform::GatewayEntry;
 use slog::{Logger, info};
@@ -44,6 +44,8 @@
     /// Whether a booking of this gateway has changed since the last message to peers.
     pub(super) bookings_changed: bool,
     pub(super) slowdowns: SlowdownTracker,
+    /// Speeds of helpers by service; empty if they are not measured.
+    pub(super) helper_speeds: HashMap<ServiceId, HelperSpeeds>,
     pub(super) services: HashMap<ServiceId, ServiceState>,
     pub(super) peers: HashMap<GatewayId, GatewayEntry>,
     /// Known other gateways by the short form of their names.
@@ -176,6 +178,9 @@
     fn forget_endpoint_health(&mut self, now: Timestamp, endpoint: &DirectEndpoint) {
         let id = &endpoint.process.id;
         self.slowdowns.forget(&endpoint.process);
+        if let Some(speeds) = self.helper_speeds.get_mut(&endpoint.service) {
+            speeds.forget(&endpoint.process);
+        }
         let state = self.service(now, &endpoint.service);
         state.ejected.remove(id);
         state.last_activity.remove(id);
@@ -243,6 +248,7 @@
         booked: Option<BookedTeam>,
     ) -> EndpointSearch<'_> {
         let ejected = self.services.get(service).map(|state| &state.ejected);
+        let helper_speeds = self.helper_speeds.get(service);
         let mut candidates = Vec::new();
         let mut positions = Vec::new();
         let mut found = false;
@@ -285,6 +291,10 @@
             load.slowdown = load
                 .slowdown
                 .max(self.slowdowns.slowdown(now, &endpoint.process) as f32);
+            if let Some(speeds) = helper_speeds {
+                let slowdown = speeds.slowdown(now, &endpoint.process);
+                load.slowdown = load.slowdown.max(slowdown as f32);
+            }
             if load.occupied < endpoint.slots {
                 candidates.push(PlacerCandidate {
                     endpoint,
--- a/lovagedock-gateway/src/direct/state/mod.rs
+++ b/lovagedock-gateway/src/direct/state/mod.rs
@@ -53,6 +53,7 @@
 };
 
 pub(crate) use bookings::BookingGuard;
+pub(crate) use helper_speeds::TeamTiming;
 pub(crate) use listing::EndpointsSnapshot;
 pub(crate) use placement::{PlacedRequest, PlacementResult, PlacementThreshold, RejectedChoice};
 pub(crate) use returns::{Refusal, ReturnAdvice};
@@ -167,6 +168,7 @@
                 bookings: TeamBookings::new(),
                 bookings_changed: false,
                 slowdowns: SlowdownTracker::new(),
+                helper_speeds: HashMap::new(),
                 services: HashMap::new(),
                 peers: HashMap::new(),
                 peer_tags: HashMap::new(),
@@ -438,6 +440,7 @@
         self.settle_listing();
         self.settle_drains();
         self.tick_shares();
+        self.report_helper_changes(None);
         self.log_ended_backoffs(&ended_backoffs);
         for peer in silent {
             info!(self.log, "peer silent"; "peer" => &*peer);
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -10,6 +10,7 @@
 //! is unreachable or restored from an older copy, [`DomainDrains`] to which failure domains nothing
 //! is sent, and [`ColdEndpoints`] which endpoints tolerate only a low rate. [`PoolFlow`] adds up arrivals
 //! and starts of all gateways, and [`ReturnSchedule`] tells refused callers when to return. [`DomainRelays`] decides
+//! is sent, and [`ColdEndpoints`] which endpoints tolerate only a low rate. [`HelperSpeeds`] finds engines that are slow as helpers. [`DomainRelays`] decides
 //! how messages reach the other gateways of a large fleet. None of these types reads a clock or performs
 //! input or output.
 
@@ -67,6 +68,7 @@
 mod suspect_update;
 mod suspects;
 mod team_bookings;
+mod team_evidence;
 mod waiting_queue;
 mod watcher_selection;
 
@@ -88,7 +90,7 @@
 pub use endpoints::{DirectEndpoint, EndpointState, EndpointTable, EntryChange};
 pub use engine::EngineProfile;
 pub use events::{EventSplitter, StreamEvent};
-pub use helper_speeds::HelperSpeed;
+pub use helper_speeds::{HelperChange, HelperSpeed, HelperSpeeds, TeamPrediction};
 pub use leaving_queue::LeavingQueue;
 pub use ledger::{RELAXED_GAP, WorkLedger};
 pub use length_shares::{LengthBand, LengthOutcome, LengthShares, RouteTag, route_tag};
