--- a/lovagedock-gateway/src/direct/call/mod.rs
+++ b/lovagedock-gateway/src/direct/call/mod.rs
@@ -26,8 +26,7 @@
     liveness::LivenessWatch,
     reservations::{ReservationClient, ReservationGuard, ReservationRefused, ReservationRequest},
     response::{BufferedResponse, ResponseSender},
-    state::{BookingGuard, GatewayState, PlacedRequest, RejectedChoice, ReturnAdvice},
-    state::{BookingGuard, GatewayState, PlacedRequest, RejectedChoice, TeamTiming},
+    state::{BookingGuard, GatewayState, PlacedRequest, RejectedChoice, ReturnAdvice, TeamTiming},
 };
 use crate::front::RequestProblem;
 
--- a/lovagedock-gateway/src/direct/state/mod.rs
+++ b/lovagedock-gateway/src/direct/state/mod.rs
@@ -176,7 +176,6 @@
                 retries,
                 refusals: RefusalLog::new(),
                 shares: OrganisationShares::new(),
-                flow: PoolFlow::new(),
                 flow: PoolFlow::new().with_phase(rand::random()),
                 returns: ReturnSchedule::new(),
                 suspects: SuspectLedger::new(),
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -6,13 +6,15 @@
 //! and [`DirectMachine`] what follows each attempt. [`LengthShares`] tells which sizes of long prompts
 //! are started too seldom, and [`TeamBookings`] how many endpoints are kept for them.
 //! [`SuspectLedger`] finds requests that crash the engines that run them, and [`PartLedger`] parts of
-//! prompts that do. [`ConnectionAdmission`] limits what a gateway reads. [`EndpointListing`] decides which endpoint list is valid while the store
-//! is unreachable or restored from an older copy, [`DomainDrains`] to which failure domains nothing
-//! is sent, and [`ColdEndpoints`] which endpoints tolerate only a low rate. [`PoolFlow`] adds up arrivals
-//! and starts of all gateways, and [`ReturnSchedule`] tells refused callers when to return. [`DomainRelays`] decides
-//! is sent, and [`ColdEndpoints`] which endpoints tolerate only a low rate. [`HelperSpeeds`] finds engines that are slow as helpers. [`DomainRelays`] decides
-//! how messages reach the other gateways of a large fleet. None of these types reads a clock or performs
-//! input or output.
+//! prompts that do. [`ConnectionAdmission`] limits what a gateway reads. [`EndpointListing`] decides
+//! which endpoint list is valid while the store is unreachable or restored from an older copy,
+//! [`DomainDrains`] to which failure domains nothing is sent, and [`ColdEndpoints`] which endpoints
+//! tolerate only a low rate. [`HelperSpeeds`] finds engines that are slow as helpers. [`PoolFlow`]
+//! adds up arrivals and starts of all gateways, [`ReturnSchedule`] tells refused callers when to
+//! return, [`OrganisationShares`] which organisations exceed their share of an overloaded service,
+//! and [`SlotClaim`] when a slot is claimed before it is used. [`DomainRelays`] decides how messages
+//! reach the other gateways of a large fleet. None of these types reads a clock or performs input
+//! or output.
 
 mod admission;
 mod backoff;
--- a/lovagedock/tests/direct_drain_preview.rs
+++ b/lovagedock/tests/direct_drain_preview.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use lovagedock::{
-    DomainState, DrainPreview, DrainVerdict, EndpointProcess, GatewayCount, OrganisationDemand,
-    PeerLoad, PlacedWork, PreviewEndpoint, WorkLedger,
+    DomainState, DrainPreview, DrainVerdict, EndpointProcess, GatewayCount, PeerLoad, PlacedWork,
+    PreviewDemand, PreviewEndpoint, WorkLedger,
 };
 
 const SERVICE: &str = "service";
@@ -221,7 +221,7 @@
             std::iter::repeat_n(endpoint, group.count)
         });
         let endpoints: Vec<PreviewEndpoint> = endpoints.collect();
-        let demand = |service: &str, organisation: usize| OrganisationDemand {
+        let demand = |service: &str, organisation: usize| PreviewDemand {
             service: service.into(),
             organisation: format!("org-{organisation}").as_str().into(),
             share: organisation as f64 / 100.0,
