--- a/lovagedock/src/direct/organisation_shares.rs
+++ b/lovagedock/src/direct/organisation_shares.rs
@@ -6,7 +6,7 @@
 
 use super::{
     pool_flow::{FlowLane, ServiceTag},
-    share_lane::{ShareLane, ShareRates},
+    share_lane::{REPORTING_TIME, ShareLane, ShareRates},
 };
 use crate::ids::{GatewayId, Timestamp};
 
@@ -43,9 +43,6 @@
 /// Time after which a peer's report expires.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Time for which a lane is reported after a refusal for lack of capacity, here or at a peer.
-const REPORTING_TIME: Duration = Duration::from_secs(2);
-
 /// Maximum number of entries in a message. They take about 1,000 bytes of a datagram.
 const MAX_UPDATES: usize = 48;
 
--- a/lovagedock/src/direct/share_lane.rs
+++ b/lovagedock/src/direct/share_lane.rs
@@ -11,6 +11,9 @@
 /// Time after a refusal for lack of capacity during which a lane counts as overloaded.
 const OVERLOAD_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time for which a lane is reported after a refusal for lack of capacity, here or at a peer.
+pub(super) const REPORTING_TIME: Duration = Duration::from_secs(2);
+
 /// Time between the first refusal of an overload and the first use of shares. Meanwhile the peers'
 /// reports arrive; the rates of one of many gateways hold too few requests to tell organisations
 /// apart.
@@ -23,9 +26,10 @@
 /// lasts.
 const OVERLOAD_RATIO: f64 = 1.1;
 
-/// Interval at which the fair rate is computed. A request uses the latest one, so that its decision
-/// takes constant time.
-const FAIR_RATE_INTERVAL: Duration = Duration::from_millis(250);
+/// Minimum interval at which the fair rate is computed, and the same for each organisation. A
+/// request uses the latest rate, so that its decision takes constant time.
+const FAIR_RATE_INTERVAL: Duration = Duration::from_millis(100);
+const FAIR_RATE_INTERVAL_PER_ORGANISATION: Duration = Duration::from_micros(25);
 
 /// Rate below which an organisation is forgotten, in cost per second: one short request counts for
 /// 8 s.
@@ -189,7 +193,7 @@
 
     /// Records a refusal for lack of capacity, here or at a peer.
     pub(super) fn record_overload(&mut self, now: Timestamp) {
-        if !self.has_refused_within(now, OVERLOAD_TIMEOUT) {
+        if !self.has_refused_within(now, REPORTING_TIME) {
             self.overloaded_since = now;
         }
         self.overloaded_at = Some(now);
@@ -268,16 +272,37 @@
             return None;
         }
         if let Some((at, rate)) = self.fair_rate
-            && now < at + FAIR_RATE_INTERVAL
+            && now < at + self.fair_rate_interval()
         {
             return Some(rate);
         }
         let demands = self.rates(now).map(|(_, rates)| rates.demand).collect();
-        let rate = max_min_rate(demands, self.totals(now).served);
+        let rate = max_min_rate(demands, self.admissible(now));
         self.fair_rate = Some((now, rate));
         Some(rate)
     }
 
+    fn fair_rate_interval(&self) -> Duration {
+        let count = u32::try_from(self.organisations.len()).unwrap_or(u32::MAX);
+        FAIR_RATE_INTERVAL.max(FAIR_RATE_INTERVAL_PER_ORGANISATION.saturating_mul(count))
+    }
+
+    /// Returns the cost per second that may be admitted. In the second after the latest refusal for
+    /// lack of capacity it rises from what is served to the whole demand.
+    ///
+    /// Admitting what was served until the overload ends would turn shares off and on: they prevent
+    /// the refusals by which an overload is recognised. The cube keeps the rise small in the first
+    /// half of the second: with refusals that often, the lane is full.
+    fn admissible(&self, now: Timestamp) -> f64 {
+        let totals = self.totals(now);
+        let Some(refused_at) = self.overloaded_at else {
+            return totals.demand;
+        };
+        let since = now.saturating_sub(refused_at);
+        let passed = since.div_duration_f64(OVERLOAD_TIMEOUT).min(1.0);
+        totals.served + (totals.demand - totals.served) * passed.powi(3)
+    }
+
     /// Forgets organisations that no longer send requests.
     pub(super) fn forget_idle(&mut self, now: Timestamp) {
         self.organisations
@@ -294,11 +319,11 @@
     at.is_some_and(|at| now < at + time)
 }
 
-/// Returns the rate at which the sum of `min(demand, rate)` equals `served`, or infinity if all
+/// Returns the rate at which the sum of `min(demand, rate)` equals `admissible`, or infinity if all
 /// demands together are less.
-fn max_min_rate(mut demands: Vec<f64>, served: f64) -> f64 {
+fn max_min_rate(mut demands: Vec<f64>, admissible: f64) -> f64 {
     demands.sort_unstable_by(f64::total_cmp);
-    let mut left = served;
+    let mut left = admissible;
     let mut count = demands.len();
     for demand in demands {
         let rate = left / count as f64;
