--- a/lovagedock/src/direct/pool_flow.rs
+++ b/lovagedock/src/direct/pool_flow.rs
@@ -65,10 +65,7 @@
 /// Time for which a lane counts as overloaded after a request was refused or queued.
 const OVERLOAD_TIME: Duration = Duration::from_secs(2);
 
-/// Time for which the report of an overloaded peer makes this gateway report too: four intervals.
-const PEER_OVERLOAD_TIME: Duration = Duration::from_secs(1);
-
-/// Time after which a report of a peer no longer counts.
+/// Time after which a report of a peer no longer counts, and no longer makes this gateway report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// Minimum and maximum time between two reports of a lane. With a longer time, one lost report would
@@ -123,7 +120,7 @@
         (self.capacity - self.arrivals).max(self.capacity * MIN_SPARE_SHARE)
     }
 
-    /// Returns the time that a new request is expected to wait, or `None` if nothing starts.
+    /// Returns the time that a new request is expected to wait, or `None` if no rate is known.
     ///
     /// `min_rate` is the rate of starts that is assumed for each gateway, per second.
     pub fn expected_wait(&self, min_rate: f64) -> Option<Duration> {
@@ -360,7 +357,7 @@
     }
 
     fn is_active(&self, now: Timestamp) -> bool {
-        self.is_overloaded(now) || is_within(now, self.peer_overloaded_at, PEER_OVERLOAD_TIME)
+        self.is_overloaded(now) || is_within(now, self.peer_overloaded_at, REPORT_TIMEOUT)
     }
 
     /// Returns whether nothing is lost if the lane is removed.
--- a/lovagedock/tests/direct_return_bursts.rs
+++ b/lovagedock/tests/direct_return_bursts.rs
@@ -28,7 +28,6 @@
 /// Gateways and what fails meanwhile. One of them may get no messages.
 #[derive(Clone, Copy, Default)]
 struct Setup {
-    gateways: usize,
     is_random: bool,
     lost_percent: u32,
     late_ms: u64,
@@ -58,10 +57,9 @@
 #[test]
 fn scheduled_returns_find_spare_capacity() {
     for BurstCase(name, gateways, max_unknown, change) in CASES {
-        let mut burst = Burst::new(*gateways);
-        change(&mut burst.setup);
-        let setup = burst.setup;
-        let result = burst.play();
+        let mut setup = Setup::default();
+        change(&mut setup);
+        let result = play(*gateways, setup);
         let unknown = result.followed.saturating_sub(result.on_time) as f64;
         assert!(
             unknown <= max_unknown * result.followed as f64,
@@ -89,10 +87,10 @@
 /// Guards against a schedule that serves callers no better than random delays under the same load.
 #[test]
 fn fewer_returns_are_refused_than_with_random_delays() {
-    let scheduled = Burst::new(48).play();
-    let mut burst = Burst::new(48);
-    burst.setup.is_random = true;
-    let random = burst.play();
+    let mut setup = Setup::default();
+    let scheduled = play(48, setup);
+    setup.is_random = true;
+    let random = play(48, setup);
     println!("scheduled {scheduled:?}\nrandom {random:?}");
     let refused = |result: &BurstResult| result.refused_again as f64 / result.returned as f64;
     assert!(refused(&scheduled) < refused(&random));
@@ -139,52 +137,46 @@
     result: BurstResult,
 }
 
-impl Burst {
-    fn new(gateways: usize) -> Self {
-        let setup = Setup::default();
-        Self {
-            setup: Setup { gateways, ..setup },
-            random: ChaCha8Rng::seed_from_u64(7),
-            gateways: Vec::new(),
-            refusals: RefusalLog::new(),
-            free: 0.0,
-            waiting: Vec::new(),
-            coming: BTreeMap::new(),
-            messages: BTreeMap::new(),
-            result: BurstResult::default(),
+/// Plays a burst of five seconds, before and after which the pool has spare capacity.
+fn play(gateways: usize, setup: Setup) -> BurstResult {
+    let mut burst = Burst {
+        setup,
+        random: ChaCha8Rng::seed_from_u64(7),
+        gateways: Vec::new(),
+        refusals: RefusalLog::new(),
+        free: 0.0,
+        waiting: Vec::new(),
+        coming: BTreeMap::new(),
+        messages: BTreeMap::new(),
+        result: BurstResult::default(),
+    };
+    let (mut due, mut visit) = (0.0, Visit::default());
+    for now in (0..END).step_by(STEP as usize) {
+        if now == 0 || (setup.restarts_all && now == FAILURE_AT) {
+            burst.start_all(gateways);
         }
-    }
-
-    fn play(mut self) -> BurstResult {
-        let (mut due, mut fingerprint) = (0.0, 0);
-        for now in (0..END).step_by(STEP as usize) {
-            if now == 0 || (self.setup.restarts_all && now == FAILURE_AT) {
-                self.start_all();
-            }
-            self.exchange(now);
-            due += rate_in(now / 1000) * STEP as f64 / 1000.0;
-            while due >= 1.0 {
-                due -= 1.0;
-                fingerprint += 1;
-                let visit = Visit {
-                    fingerprint,
-                    ..Visit::default()
-                };
-                self.coming.insert((now, fingerprint), visit);
-            }
-            let later = self.coming.split_off(&(now + 1, 0));
-            for visit in std::mem::replace(&mut self.coming, later).into_values() {
-                self.arrive(now, visit);
-            }
-            self.place(now);
+        burst.exchange(now);
+        due += rate_in(now / 1000) * STEP as f64 / 1000.0;
+        while due >= 1.0 {
+            due -= 1.0;
+            visit.fingerprint += 1;
+            burst.arrive(now, visit);
         }
-        self.result
+        let later = burst.coming.split_off(&(now + 1, 0));
+        let returning = std::mem::replace(&mut burst.coming, later);
+        returning
+            .into_values()
+            .for_each(|visit| burst.arrive(now, visit));
+        burst.place(now);
     }
+    burst.result
+}
 
-    fn start_all(&mut self) {
+impl Burst {
+    fn start_all(&mut self, gateways: usize) {
         self.refusals = RefusalLog::new();
         let random = &mut self.random;
-        let gateways = (0..self.setup.gateways).map(|_| {
+        let gateways = (0..gateways).map(|_| {
             let flow = PoolFlow::new().with_phase(random.random());
             let clock = Duration::from_millis(random.random_range(0..1000));
             Gateway(clock, flow, ReturnSchedule::new())
@@ -198,10 +190,11 @@
 
     fn exchange(&mut self, now: u64) {
         let first = usize::from(self.is_dead(now, 0));
+        let receivers = self.gateways.len() - 1;
         let time = Duration::from_millis(now);
         let gateways = self.gateways.iter_mut().enumerate();
         for (sender, Gateway(clock, flow, returns)) in gateways.skip(first) {
-            let reports = flow.take_reports(*clock + time, self.setup.gateways - 1);
+            let reports = flow.take_reports(*clock + time, receivers);
             let updates = returns.take_updates(*clock + time);
             if !reports.is_empty() || !updates.is_empty() {
                 let arrives_at = now + 15 + self.setup.late_ms;
--- a/lovagedock/tests/direct_waiting.rs
+++ b/lovagedock/tests/direct_waiting.rs
@@ -37,6 +37,17 @@
     );
 }
 
+/// Guards against an estimate of the queue's own starts where the flow over all gateways is known.
+#[test]
+fn a_known_wait_replaces_the_estimate() {
+    let mut queue = waiting_queue();
+    let mut decide = |expected| queue.decide(ms(100), ms(400), ms(10_000), Some(expected), 0.0);
+    let refused = matches!(decide(ms(121)), QueueDecision::Refuse { .. });
+    assert!(refused, "nobody waits here, but at other gateways");
+    let waiting = matches!(decide(ms(120)), QueueDecision::Wait { .. });
+    assert!(waiting);
+}
+
 /// Guards against requests refused at the same moment that get the same retry delay, or a longer
 /// one than callers follow.
 #[test]
