--- a/lovagedock-gateway/src/direct/admin.rs
+++ b/lovagedock-gateway/src/direct/admin.rs
@@ -65,7 +65,15 @@
         })
     }
 
+    /// Predicts a drain. A gateway that does not know the endpoints yet cannot tell whether the
+    /// domain exists.
     fn preview_drain(&self, domain: &str) -> AdminReply {
+        if !self.state.knows_fleet() {
+            return AdminReply::Problem {
+                code: ResultCode::NotConfigured,
+                detail: "this gateway does not know the endpoints yet".to_owned(),
+            };
+        }
         let demands = self.state.overload_reports().demands;
         reply(&self.state.preview_drain(&domain.into(), &demands))
     }
--- a/lovagedock-gateway/tests/direct_operators.rs
+++ b/lovagedock-gateway/tests/direct_operators.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use direct_support::{
-    CRASHING, CRASHING_PART, CrashingFleet, EVENTS, LogLines, TestGateway, call, call_with_parts,
-    daemon, open_call, read_response, settings, wait_until,
+    CRASHING, CRASHING_PART, CrashingFleet, EVENTS, LogLines, TestFeed, TestGateway, call,
+    call_with_parts, daemon, open_call, read_response, settings, wait_until,
 };
 use lovagedock_daemon::DaemonContext;
 use serde_json::{Value, json};
@@ -201,6 +201,9 @@
     assert_eq!(service["verdict"], "short", "{preview}");
     assert_eq!(service["utilisation"], Value::Null, "{preview}");
     assert_eq!(get("/drain-preview/b").await["state"], "unknown");
+    let uninformed = TestGateway::start("gateway-2", &TestFeed::down()).await;
+    let (status, document) = uninformed.operate("GET", "/drain-preview/a", "").await;
+    assert_eq!(status, 503, "{document}");
     for stream in streams {
         let response = stream.await.expect("no caller panics");
         assert_eq!(response.event_ids().len(), EVENTS as usize);
