--- a/lovagedock-cli/src/usage.rs
+++ b/lovagedock-cli/src/usage.rs
@@ -1,6 +1,6 @@
 //! `usage`: who uses which service, as each gateway knows it.
 
-use serde_json::{Value, json};
+use serde_json::{Map, Value, json};
 
 use crate::{
     client::ProcessMethod,
@@ -87,15 +87,50 @@
     rows.collect()
 }
 
+/// Fields that come first in a table, in this order.
+const FIRST_FIELDS: &[&str] = &["service", "lane", "organisation"];
+
 /// Formats a list of objects with the same fields as a table; empty for an empty list.
 fn report_table(title: &str, gateway: &str, report: &Value) -> String {
-    let first = report[0].as_object();
-    let Some(fields) = first.map(|first| first.keys().map(String::as_str).collect::<Vec<_>>())
-    else {
+    let rows: Vec<Map<String, Value>> = elements(report).flat_map(flat_rows).collect();
+    let Some(first) = rows.first() else {
         return String::new();
     };
-    let rows: Vec<Vec<String>> = elements(report)
-        .map(|row| fields.iter().map(|field| cell(&row[*field])).collect())
+    let mut fields: Vec<&str> = first.keys().map(String::as_str).collect();
+    fields.sort_by_key(|field| {
+        let position = FIRST_FIELDS.iter().position(|first| first == field);
+        position.unwrap_or(FIRST_FIELDS.len())
+    });
+    let rows: Vec<Vec<String>> = rows
+        .iter()
+        .map(|row| fields.iter().map(|field| field_cell(row, field)).collect())
         .collect();
     format!("{title}, by {gateway}\n{}", format_table(&fields, &rows))
 }
+
+/// Returns a row for each object in a list within the row. Its fields replace those of the row with
+/// the same name.
+fn flat_rows(row: &Value) -> Vec<Map<String, Value>> {
+    let mut outer = row.as_object().cloned().unwrap_or_default();
+    let is_nested = |value: &Value| elements(value).any(Value::is_object);
+    let nested = outer.iter().find(|(_, value)| is_nested(value));
+    let Some(name) = nested.map(|(name, _)| name.clone()) else {
+        return vec![outer];
+    };
+    let list = outer.remove(&name).unwrap_or_default();
+    let inner = elements(&list).filter_map(Value::as_object);
+    let rows = inner.map(|inner| {
+        let mut row = outer.clone();
+        row.extend(inner.clone());
+        row
+    });
+    rows.collect()
+}
+
+fn field_cell(row: &Map<String, Value>, field: &str) -> String {
+    match row.get(field) {
+        Some(Value::Array(values)) => values.iter().map(cell).collect::<Vec<_>>().join(" "),
+        Some(value) => cell(value),
+        None => cell(&Value::Null),
+    }
+}
--- a/lovagedock-cli/tests/cli/gateways.rs
+++ b/lovagedock-cli/tests/cli/gateways.rs
@@ -58,8 +58,15 @@
     })))
 }
 
-fn usage(gateway: &str, returns: Value) -> Option<Response> {
-    let lane = |lane: &str, used: u32, waiting: u32| json!({ "lane": lane, "slots_in_use": used, "waiting": waiting });
+fn lane(lane: &str, used: u32, waiting: u32) -> Value {
+    json!({ "lane": lane, "slots_in_use": used, "waiting": waiting })
+}
+
+fn organisation(name: &str, demand: f64, exceeds: bool) -> Value {
+    json!({ "organisation": name, "demand": demand, "served": 20.0, "exceeds_share": exceeds })
+}
+
+fn usage(gateway: &str, shares: Value, returns: Value) -> Option<Response> {
     Some(Ok(json!({
         "gateway": gateway, "gateways_heard": 2, "gateways_known": 2, "refused_recently": 7,
         "services": [{
@@ -67,7 +74,7 @@
             "lanes": [lane("short", 14, 2), lane("long", 3, 0)],
             "endpoints": [{ "slots": 12 }, { "slots": 12 }],
         }],
-        "flows": [], "shares": [], "returns": returns,
+        "flows": null, "shares": shares, "returns": returns,
     })))
 }
 
@@ -182,13 +189,21 @@
 /// Guards against a view that leaves out a gateway, or a report of decisions under overload.
 #[tokio::test]
 async fn usage_shows_what_each_gateway_knows() {
-    let returns = json!([{ "in_ms": 700, "lane": "short", "share": 0.25 }]);
+    let returns = json!([{ "lane": "short", "service": "assistant", "slots": [0, 3, 1] }]);
+    let shares = json!([{
+        "service": "assistant", "lane": "short", "demand": 80.5, "served": 40.0, "fair_rate": 20.0,
+        "organisations": [organisation("nablus-tax", 60.5, true), organisation("", 20.0, false)],
+    }]);
+    let none = || json!([]);
     check_cases(vec![
         case(
             "usage",
             answers(
                 "/usage",
-                [usage("gateway-1", returns), usage("gateway-2", json!([]))],
+                [
+                    usage("gateway-1", shares, returns),
+                    usage("gateway-2", none(), none()),
+                ],
             ),
             expect![[r#"
                 exit 0
@@ -198,15 +213,19 @@
                 gateway-2  2 of 2  assistant  short  2          24     14      2
                 gateway-2  2 of 2  assistant  long   2          24     3       0
                 gateway-1: 7 requests refused in the last 8 s
+                organisations, by gateway-1
+                service    lane   organisation  demand  exceeds_share  fair_rate  served
+                assistant  short  nablus-tax    60.50   true           20.00      20.00
+                assistant  short                20.00   false          20.00      20.00
                 scheduled returns, by gateway-1
-                in_ms  lane   share
-                700    short  0.25
+                service    lane   slots
+                assistant  short  0 3 1
                 gateway-2: 7 requests refused in the last 8 s
             "#]],
         ),
         case(
             "usage",
-            answers("/usage", [None, usage("gateway-2", json!([]))]),
+            answers("/usage", [None, usage("gateway-2", none(), none())]),
             expect![[r#"
                 exit 5
                 GATEWAY    HEARD   SERVICE    LANE   ENDPOINTS  SLOTS  IN USE  WAITING HERE
--- a/lovagedock-gateway/src/direct/state/fleet_state.rs
+++ b/lovagedock-gateway/src/direct/state/fleet_state.rs
@@ -5,12 +5,13 @@
     time::Duration,
 };
 
+use lovagedock::ReleaseNotices;
 use lovagedock::{
     BookedTeam, ColdAllowance, ColdEndpoints, ColdProfile, DirectEndpoint, DomainDrains,
     DomainRelays, EndpointBackoffs, EndpointListing, EndpointProcess, EndpointTable, EntryChange,
     LeavingQueue, LengthOutcome, LengthShares, ListingLog, OutlierAction, OutlierDetector,
     OutlierEvent, OutlierSettings, PartLedger, PauseDetector, PeerLiveness, PlacerCandidate,
-    QueueKind, RateLimits, RateVerdict, RefusalLog, ReleaseNotices, RetryShare, RetryShareSettings,
+    QueueKind, RateLimits, RateVerdict, RefusalLog, RetryShare, RetryShareSettings,
     SlowdownTracker, SuspectLedger, TeamBookings, WaitingQueue, WatcherSelection, WorkLedger,
     max_kept_endpoints, prelude::*, short_lane_size,
 };
--- a/lovagedock-gateway/src/direct/state/mod.rs
+++ b/lovagedock-gateway/src/direct/state/mod.rs
@@ -33,9 +33,8 @@
     ColdAllowance, ColdEndpoints, DomainDrains, DomainRelays, EndpointBackoffs, EndpointListing,
     EndpointProcess, EndpointTable, LeavingQueue, LengthShares, ListingLog, OutlierEvent,
     PartLedger, PauseDetector, PeerLiveness, QueueKind, RateLimits, RefusalLog, RelayCandidate,
-    ReleaseNotices, RequestFingerprint, RetryShareSettings, SlowdownTracker, StopPlan,
-    SuspectLedger, TeamBookings, TrafficConfig, WaitingQueue, WatcherSelection, WorkLedger,
-    prelude::*,
+    RequestFingerprint, RetryShareSettings, SlowdownTracker, StopPlan, SuspectLedger, TeamBookings,
+    TrafficConfig, WaitingQueue, WatcherSelection, WorkLedger, prelude::*,
 };
 use lovagedock_daemon::ProcessClock;
 use parking_lot::Mutex;
@@ -47,10 +46,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use self::fleet_state::FleetState;
-use super::{
-    fleet_tag::FleetTag, log_limiter::LogLimiter, settings::OverloadSettings,
-    sheet_writes::SheetWrites,
-};
+use super::sheet_writes::SheetWrites;
+use super::{fleet_tag::FleetTag, log_limiter::LogLimiter, settings::OverloadSettings};
 
 pub(crate) use bookings::BookingGuard;
 pub(crate) use listing::EndpointsSnapshot;
@@ -174,7 +171,7 @@
                 refusals: RefusalLog::new(),
                 suspects: SuspectLedger::new(),
                 parts: PartLedger::new().with_rank(part_rank),
-                releases: ReleaseNotices::new(),
+                releases: Default::default(),
                 peer_liveness: PeerLiveness::new(),
                 watcher_selection: WatcherSelection::new(),
                 pause_detector: PauseDetector::new(),
--- a/lovagedock-gateway/src/direct/state/usage.rs
+++ b/lovagedock-gateway/src/direct/state/usage.rs
@@ -4,7 +4,7 @@
 
 use lovagedock::{DirectEndpoint, FlowLane, OrganisationDemand, PeerLoad, QueueKind, prelude::*};
 use serde::Serialize;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use super::{GatewayState, fleet_state::FleetState};
 
@@ -70,15 +70,16 @@
     slowdown: f64,
 }
 
-/// Reports of the decisions under overload; empty for those that are switched off.
-#[derive(Debug, Default, Serialize)]
+/// Reports of the decisions under overload, each a list of objects; empty for those that are
+/// switched off. The command prints each list as a table.
+#[derive(Debug, Serialize)]
 pub(crate) struct OverloadReports {
     /// Rates by service and lane, across all gateways.
-    flows: Vec<Value>,
-    /// Demand and served requests by organisation.
-    shares: Vec<Value>,
-    /// Scheduled returns.
-    returns: Vec<Value>,
+    flows: Value,
+    /// Demand and served requests by service, lane and organisation.
+    shares: Value,
+    /// Scheduled returns by service and lane.
+    returns: Value,
     /// Demand by organisation, for drain previews.
     #[serde(skip)]
     pub(crate) demands: Vec<OrganisationDemand>,
@@ -87,7 +88,12 @@
 impl GatewayState {
     /// Returns the reports of the decisions under overload.
     pub(crate) fn overload_reports(&self) -> OverloadReports {
-        OverloadReports::default()
+        OverloadReports {
+            flows: json!([]),
+            shares: json!([]),
+            returns: json!([]),
+            demands: Vec::new(),
+        }
     }
 
     /// Returns what this gateway knows about the use of all services.
--- a/lovagedock/src/direct/drain_preview.rs
+++ b/lovagedock/src/direct/drain_preview.rs
@@ -43,7 +43,7 @@
     pub service: ServiceId,
     /// The organisation.
     pub organisation: OrganisationId,
-    /// Share of the service that the organisation demands, from 0 to 1.
+    /// Share of the organisation in the service's demand, from 0 to 1; the larger one of its lanes.
     pub share: f64,
 }
 
--- a/lovagedock/src/direct/rate.rs
+++ b/lovagedock/src/direct/rate.rs
@@ -26,7 +26,7 @@
         self.record_amount(now, 1.0);
     }
 
-    /// Records an event that counts as `amount` events.
+    /// Records an event that counts `amount` times.
     pub(super) fn record_amount(&mut self, now: Timestamp, amount: f64) {
         self.per_second = self.per_second_at(now) + amount / self.window.as_secs_f64();
         self.last = now;
