--- a/lovagedock-gateway/src/direct/state/mod.rs
+++ b/lovagedock-gateway/src/direct/state/mod.rs
@@ -29,14 +29,7 @@
 };
 
 use arc_swap::ArcSwapOption;
-use lovagedock::{
-    ColdAllowance, ColdEndpoints, DomainDrains, DomainRelays, EndpointBackoffs, EndpointListing,
-    EndpointProcess, EndpointTable, LeavingQueue, LengthShares, ListingLog, OrganisationShares,
-    OutlierEvent, PartLedger, PauseDetector, PeerLiveness, PoolFlow, QueueKind, RateLimits,
-    RefusalLog, RelayCandidate, ReleaseNotices, RequestFingerprint, RetryShareSettings,
-    ReturnSchedule, SlowdownTracker, StopPlan, SuspectLedger, TeamBookings, TrafficConfig,
-    WaitingQueue, WatcherSelection, WorkLedger, prelude::*,
-};
+use lovagedock::{ColdAllowance, ColdEndpoints, DomainDrains, DomainRelays, EndpointBackoffs, EndpointListing, EndpointProcess, EndpointTable, LeavingQueue, LengthShares, ListingLog, OrganisationShares, OutlierEvent, PartLedger, PauseDetector, PeerLiveness, PoolFlow, QueueKind, RateLimits, RefusalLog, RelayCandidate, ReleaseNotices, RequestFingerprint, RetryShareSettings, ReturnSchedule, SlowdownTracker, StopPlan, SuspectLedger, TeamBookings, TrafficConfig, WaitingQueue, WatcherSelection, WorkLedger, prelude::*};
 use lovagedock_daemon::ProcessClock;
 use parking_lot::Mutex;
 use slog::{Logger, info};
@@ -47,10 +40,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use self::fleet_state::FleetState;
-use super::{
-    fleet_tag::FleetTag, log_limiter::LogLimiter, settings::OverloadSettings,
-    sheet_writes::SheetWrites,
-};
+use super::sheet_writes::SheetWrites;
+use super::{fleet_tag::FleetTag, log_limiter::LogLimiter, settings::OverloadSettings};
 
 pub(crate) use bookings::BookingGuard;
 pub(crate) use helper_speeds::TeamTiming;
@@ -180,7 +171,7 @@
                 returns: ReturnSchedule::new(),
                 suspects: SuspectLedger::new(),
                 parts: PartLedger::new().with_rank(part_rank),
-                releases: ReleaseNotices::new(),
+                releases: Default::default(),
                 peer_liveness: PeerLiveness::new(),
                 watcher_selection: WatcherSelection::new(),
                 pause_detector: PauseDetector::new(),
--- a/lovagedock-gateway/src/direct/state/usage.rs
+++ b/lovagedock-gateway/src/direct/state/usage.rs
@@ -4,11 +4,9 @@
 
 use lovagedock::{DirectEndpoint, FlowLane, PeerLoad, PreviewDemand, QueueKind, prelude::*};
 use serde::Serialize;
+use serde_json::{Value, json};
 
-use super::{
-    GatewayState, fleet_state::FleetState, flows::FlowReport, returns::ReturnReport,
-    shares::ShareReport,
-};
+use super::{GatewayState, fleet_state::FleetState, flows::FlowReport, returns::ReturnReport, shares::ShareReport};
 
 /// What a gateway knows about the use of all services.
 #[derive(Debug, Serialize)]
@@ -72,8 +70,9 @@
     slowdown: f64,
 }
 
-/// Reports of the decisions under overload; empty for those that are switched off.
-#[derive(Debug, Default, Serialize)]
+/// Reports of the decisions under overload, each a list of objects; empty for those that are
+/// switched off. The command prints each list as a table.
+#[derive(Debug, Serialize)]
 pub(crate) struct OverloadReports {
     /// Rates by service and lane, across all gateways.
     flows: Vec<FlowReport>,
@@ -81,6 +80,11 @@
     shares: Vec<ShareReport>,
     /// Scheduled returns.
     returns: Vec<ReturnReport>,
+    flows: Value,
+    /// Demand and served requests by service, lane and organisation.
+    shares: Value,
+    /// Scheduled returns by service and lane.
+    returns: Value,
     /// Demand by organisation, for drain previews.
     #[serde(skip)]
     pub(crate) demands: Vec<PreviewDemand>,
@@ -95,6 +99,11 @@
             demands: shares.iter().flat_map(preview_demands).collect(),
             shares,
             returns: self.return_report(),
+        OverloadReports {
+            flows: json!([]),
+            shares: json!([]),
+            returns: json!([]),
+            demands: Vec::new(),
         }
     }
 
