--- a/lovagedock/src/direct/helper_speeds.rs
+++ b/lovagedock/src/direct/helper_speeds.rs
@@ -9,29 +9,20 @@
 
 use super::{
     process::EndpointProcess, slowdown::DECAY_TIME, slowdown::TOLERANCE,
-    team_evidence::TeamEvidence,
+    team_baseline::TeamBaseline, team_evidence::TeamEvidence,
 };
 use crate::ids::{GatewayId, Timestamp};
 
 /// Highest slowdown that is assumed of an engine.
 const MAX_SLOWDOWN: f64 = 10.0;
 
-/// Number of this gateway's latest teams by which its predictions are judged.
-const BASELINE_TEAMS: usize = 32;
-
-/// Number of teams without which predictions are assumed to be right.
-const MIN_BASELINE_TEAMS: usize = 8;
-
-/// Share of the teams that are faster than the baseline. With a fifth of the engines slow, about a third
-/// of the teams have no slow member.
-const BASELINE_SHARE: f64 = 0.1;
-
 /// Interval at which an estimate is sent again.
 const RESEND_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Interval at which the measurement of a team is sent again, and number of sends, to tolerate message
-/// loss.
-const TEAM_RESEND_INTERVAL: Duration = Duration::from_millis(250);
+/// loss. A late team that arrives after its members were in a team on time would count against them, so
+/// the interval is short.
+const TEAM_RESEND_INTERVAL: Duration = Duration::from_millis(40);
 const TEAM_SENDS: u8 = 3;
 
 /// Change of an estimate that is sent at once.
@@ -61,28 +52,6 @@
     pub teams: u8,
 }
 
-/// Predicted times of a team that shares the prefill of a prompt.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct TeamPrediction {
-    /// Prefill time of each part at the declared speed.
-    pub part_prefill_time: Duration,
-    /// Time for the prefills placed on the team earlier, and for the passes from the end of the
-    /// prefill to the first event.
-    pub delay: Duration,
-}
-
-impl TeamPrediction {
-    /// Returns the ratio of measured to predicted prefill time, or `None` if too little of the time to
-    /// the first event is prefill time. Backlogs and passes are predicted less accurately.
-    pub fn ratio(&self, first_event: Duration) -> Option<f64> {
-        if self.part_prefill_time.is_zero() || self.delay > self.part_prefill_time {
-            return None;
-        }
-        let measured = first_event.saturating_sub(self.delay).as_secs_f64();
-        Some(measured / self.part_prefill_time.as_secs_f64())
-    }
-}
-
 /// An engine that has been found to be slow as a helper, or no longer is.
 #[derive(Clone, Debug, PartialEq)]
 pub struct HelperChange {
@@ -97,13 +66,12 @@
 /// Speeds of the engines of one service as helpers.
 ///
 /// The first event of a long prompt comes after the slowest part, so a late team does not tell which
-/// member is slow. [`TeamEvidence`] tells it from several teams, of this gateway and of its peers.
+/// member is slow. `TeamEvidence` tells it from several teams, of this gateway and of its peers.
 #[derive(Clone, Debug, Default)]
 pub struct HelperSpeeds {
     evidence: TeamEvidence,
     engine_count: usize,
-    /// Ratios of this gateway's latest teams.
-    own_ratios: VecDeque<f64>,
+    baseline: TeamBaseline,
     estimates: BTreeMap<EndpointProcess, HelperEstimate>,
     reports: BTreeMap<EndpointProcess, Vec<PeerReport>>,
     /// Divisor of all estimates, more than 1 if more than a third of the engines seem slow.
@@ -165,7 +133,8 @@
         Self::default()
     }
 
-    /// Sets the number of engines of the service.
+    /// Sets the number of engines of the service. Without it, estimates are never divided by their
+    /// median.
     pub fn set_engine_count(&mut self, count: usize) {
         self.engine_count = count;
     }
@@ -176,33 +145,14 @@
         if members.len() < 2 || !ratio.is_finite() {
             return;
         }
-        // Peers receive the ratio with this precision.
-        let relative = (ratio / self.baseline()) as f32;
-        self.push_own_ratio(ratio);
-        let ratio = relative;
-        let entries = match f64::from(ratio) < TOLERANCE {
-            true => members
-                .iter()
-                .filter(|member| self.clear(member))
-                .cloned()
-                .collect(),
-            false => {
-                self.evidence
-                    .record_late(now, members, f64::from(ratio), true);
-                members.to_vec()
-            }
-        };
-        let entries = entries
-            .into_iter()
-            .map(|endpoint: EndpointProcess| HelperSpeed {
-                endpoint,
-                slowdown: ratio,
+        if self.record_ratio(now, members, ratio, true) {
+            let entries = members.iter().map(|endpoint| HelperSpeed {
+                endpoint: endpoint.clone(),
+                slowdown: ratio as f32,
                 teams: 1,
             });
-        let entries: Vec<HelperSpeed> = entries.take(MAX_UPDATES_PER_MESSAGE).collect();
-        if !entries.is_empty() {
             self.unsent_teams.push(UnsentTeam {
-                entries,
+                entries: entries.take(MAX_UPDATES_PER_MESSAGE).collect(),
                 sends_left: TEAM_SENDS,
                 due_at: now,
             });
@@ -238,11 +188,10 @@
             }
         }
         for (ratio, members) in teams {
-            if members.iter().all(&is_known) {
-                self.apply_team(now, peer, ratio, &members);
+            if members.iter().all(&is_known) && self.apply_team(now, peer, ratio, &members) {
+                self.evaluate(now);
             }
         }
-        self.evaluate(now);
     }
 
     /// Returns the measurements and estimates that are due to be sent to peers.
@@ -250,6 +199,9 @@
     /// An estimate is sent only by gateways that measured one of its teams, and repeated only if no
     /// peer has reported the same meanwhile.
     pub fn take_due(&mut self, now: Timestamp) -> Vec<HelperSpeed> {
+        if self.unsent_teams.is_empty() && self.estimates.is_empty() && self.sent.is_empty() {
+            return Vec::new();
+        }
         let mut due = Vec::new();
         for team in &mut self.unsent_teams {
             if team.due_at > now || due.len() + team.entries.len() > MAX_UPDATES_PER_MESSAGE {
@@ -327,7 +279,10 @@
             reports.retain(is_recent);
             !reports.is_empty()
         });
-        self.evaluate(now);
+        if self.evidence.is_empty() {
+            self.estimates.clear();
+        }
+        self.scale = self.median_slowdown(now);
         let candidates = self.estimates.keys().chain(self.reports.keys());
         let slow: HashSet<EndpointProcess> = candidates
             .filter(|endpoint| self.slowdown(now, endpoint) > 1.0)
@@ -368,36 +323,20 @@
             && self.estimates.is_empty()
     }
 
-    fn push_own_ratio(&mut self, ratio: f64) {
-        if self.own_ratios.len() >= BASELINE_TEAMS {
-            self.own_ratios.pop_front();
-        }
-        self.own_ratios.push_back(ratio);
-    }
-
-    /// Returns the ratio that only few of this gateway's latest teams were below, at least 1. It is
-    /// more than 1 if all predictions are too short.
-    fn baseline(&self) -> f64 {
-        if self.own_ratios.len() < MIN_BASELINE_TEAMS {
-            return 1.0;
-        }
-        let mut ratios: Vec<f64> = self.own_ratios.iter().copied().collect();
-        let position = (ratios.len() as f64 * BASELINE_SHARE) as usize;
-        let (_, ratio, _) = ratios.select_nth_unstable_by(position, f64::total_cmp);
-        ratio.max(1.0)
-    }
-
     /// Records that an engine is fast. Returns whether there was evidence that it is slow.
-    fn clear(&mut self, endpoint: &EndpointProcess) -> bool {
-        let was_suspect = self.evidence.clear(endpoint);
+    fn clear(&mut self, now: Timestamp, endpoint: &EndpointProcess) -> bool {
+        let was_suspect = self.evidence.clear(now, endpoint);
         let was_reported = self.reports.remove(endpoint).is_some();
         was_suspect || was_reported
     }
 
     fn apply_estimate(&mut self, now: Timestamp, peer: &GatewayId, update: HelperSpeed) {
+        // A peer that missed messages may be wrong about an engine that was fast just now.
+        let is_fast = self.evidence.was_fast(now, &update.endpoint);
         let reports = self.reports.entry(update.endpoint).or_default();
         reports.retain(|report| report.peer != *peer);
-        if f64::from(update.slowdown) >= TOLERANCE {
+        let is_slow = f64::from(update.slowdown) >= TOLERANCE;
+        if is_slow && !is_fast {
             reports.push(PeerReport {
                 peer: peer.clone(),
                 slowdown: f64::from(update.slowdown),
@@ -407,32 +346,46 @@
         }
     }
 
+    /// Applies the measurement of a peer. Returns false if it was applied already.
     fn apply_team(
         &mut self,
         now: Timestamp,
         peer: &GatewayId,
         ratio: f32,
         members: &[EndpointProcess],
-    ) {
+    ) -> bool {
         let team = KnownTeam {
             peer: peer.clone(),
             ratio: ratio.to_bits(),
         };
         if self.known_teams.contains(&team) {
-            return;
+            return false;
         }
         if self.known_teams.len() >= MAX_KNOWN_TEAMS {
             self.known_teams.pop_front();
         }
         self.known_teams.push_back(team);
-        if f64::from(ratio) >= TOLERANCE {
-            self.evidence
-                .record_late(now, members, f64::from(ratio), false);
-            return;
-        }
-        for member in members {
-            self.clear(member);
+        self.record_ratio(now, members, f64::from(ratio), false);
+        true
+    }
+
+    /// Records the ratio of a team of this gateway or of a peer. Returns whether it is evidence that a
+    /// member is slow, or that a suspect is fast.
+    fn record_ratio(
+        &mut self,
+        now: Timestamp,
+        members: &[EndpointProcess],
+        ratio: f64,
+        is_own: bool,
+    ) -> bool {
+        let relative = ratio / self.baseline.ratio();
+        self.baseline.record(ratio);
+        if relative >= TOLERANCE {
+            self.evidence.record_late(now, members, relative, is_own);
+            return true;
         }
+        let cleared = members.iter().filter(|member| self.clear(now, member));
+        cleared.count() > 0
     }
 
     /// Updates the estimates by the late teams.
@@ -461,7 +414,7 @@
         let mut slowdowns: Vec<f64> = slowdowns
             .filter(|slowdown| *slowdown >= TOLERANCE)
             .collect();
-        if slowdowns.len() * 3 <= self.engine_count.max(1) {
+        if self.engine_count == 0 || slowdowns.len() * 3 <= self.engine_count {
             return 1.0;
         }
         let middle = slowdowns.len() / 2;
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -59,6 +59,7 @@
 mod suspect_queue;
 mod suspect_update;
 mod suspects;
+mod team_baseline;
 mod team_bookings;
 mod team_evidence;
 mod waiting_queue;
@@ -78,7 +79,7 @@
 pub use endpoints::{DirectEndpoint, EndpointState, EndpointTable, EntryChange};
 pub use engine::EngineProfile;
 pub use events::{EventSplitter, StreamEvent};
-pub use helper_speeds::{HelperChange, HelperSpeed, HelperSpeeds, TeamPrediction};
+pub use helper_speeds::{HelperChange, HelperSpeed, HelperSpeeds};
 pub use leaving_queue::LeavingQueue;
 pub use ledger::{RELAXED_GAP, WorkLedger};
 pub use length_shares::{LengthBand, LengthOutcome, LengthShares, RouteTag, route_tag};
@@ -109,6 +110,7 @@
 pub use suspect_queue::SuspectQueue;
 pub use suspect_update::{EndEvidence, ProcessEnd, ProcessTag, SuspectReport, SuspectUpdate};
 pub use suspects::SuspectLedger;
+pub use team_baseline::TeamPrediction;
 pub use team_bookings::{
     BookedTeam, BookingKey, TeamBooking, TeamBookings, max_kept_endpoints, may_book_team,
 };
--- a/lovagedock/src/direct/team_evidence.rs
+++ b/lovagedock/src/direct/team_evidence.rs
@@ -18,18 +18,35 @@
 /// evaluation to some tens of microseconds.
 const MAX_TEAMS: usize = 128;
 
+/// Rounds of an evaluation. Each finds at most one engine, and the next evaluation continues.
+const MAX_ROUNDS: usize = 3;
+
+/// Time before a late team within which a member that was in a team on time is assumed to be still
+/// fast.
+const FAST_MEMORY: Duration = Duration::from_secs(10);
+
+/// Probability that a member of a late team is slow: if it is known to be slow, if nothing is known of
+/// it, and if it was in a team on time shortly before.
+const KNOWN_SLOW: f64 = 0.9;
+const UNKNOWN: f64 = 0.2;
+const RECENTLY_FAST: f64 = 0.03;
+
+/// Lower bound of the probability that a team without a slow member is late.
+const LATE_BY_CHANCE: f64 = 0.05;
+
+/// An engine is slow if its teams were late with less than this probability without it, and no longer
+/// if they were with more than the second one.
+const SLOW_PROBABILITY: f64 = 0.01;
+const FAST_PROBABILITY: f64 = 0.3;
+
 /// Number of an engine's latest late teams among which two without another common member are looked
 /// for.
 const MAX_COMPARED_TEAMS: usize = 8;
 
-/// Factor between the lowest and the highest ratio of teams that one slow engine explains. Each
-/// prediction is off by up to a factor of 1.5 either way.
-const EXPLAINED_RANGE: f64 = 2.25;
-
 /// Position of an engine in [`TeamEvidence::engines`].
 type EngineIndex = usize;
 
-/// Members of a late team that have not been in a team on time since.
+/// Members of a late team that have not been in a team on time since, in ascending order.
 type TeamSuspects = SmallVec<[EngineIndex; 8]>;
 
 #[derive(Clone, Debug)]
@@ -40,7 +57,15 @@
     is_own: bool,
 }
 
-/// A slow engine, and the teams that it made late.
+#[derive(Clone, Debug)]
+struct EngineRecord {
+    endpoint: EndpointProcess,
+    /// When the engine was last in a team on time.
+    fast_at: Option<Timestamp>,
+    is_slow: bool,
+}
+
+/// A slow engine, and its late teams.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct SlowEngine {
     pub(super) endpoint: EndpointProcess,
@@ -55,12 +80,13 @@
 
 /// Late teams of one service, measured by this gateway or by peers.
 ///
-/// A late team has at least one slow member, and a team on time has none. The slow engines are those
-/// that explain all late teams with as few engines as possible. An engine counts as slow only if two of
-/// the teams that it explains have no other suspect in common.
+/// A late team has at least one slow member, and a team on time has none. With a fifth of the engines
+/// slow, nine of ten teams of eleven engines are late, so a late team says little about a member unless
+/// its other members are known to be fast. An engine counts as slow if its late teams would be
+/// improbable without it, and if two of them have no other suspect in common.
 #[derive(Clone, Debug, Default)]
 pub(super) struct TeamEvidence {
-    engines: Vec<EndpointProcess>,
+    engines: Vec<EngineRecord>,
     indexes: HashMap<EndpointProcess, EngineIndex>,
     teams: VecDeque<LateTeam>,
 }
@@ -94,10 +120,10 @@
     }
 
     /// Records that an engine was in a team on time. Returns whether it was a suspect before.
-    pub(super) fn clear(&mut self, endpoint: &EndpointProcess) -> bool {
-        let Some(&cleared) = self.indexes.get(endpoint) else {
-            return false;
-        };
+    pub(super) fn clear(&mut self, now: Timestamp, endpoint: &EndpointProcess) -> bool {
+        let cleared = self.index(endpoint);
+        self.engines[cleared].fast_at = Some(now);
+        self.engines[cleared].is_slow = false;
         let mut was_suspect = false;
         self.teams.retain_mut(|team| {
             let before = team.suspects.len();
@@ -108,10 +134,29 @@
         was_suspect
     }
 
+    /// Returns whether an engine was in a team on time shortly before, and has not been found slow
+    /// since.
+    pub(super) fn was_fast(&self, now: Timestamp, endpoint: &EndpointProcess) -> bool {
+        let record = self
+            .indexes
+            .get(endpoint)
+            .map(|index| &self.engines[*index]);
+        record.is_some_and(|record| record.slow_probability(now) == RECENTLY_FAST)
+    }
+
     /// Removes an engine that is gone, and the teams that it may have made late.
     pub(super) fn forget(&mut self, endpoint: &EndpointProcess) {
-        if let Some(forgotten) = self.indexes.get(endpoint) {
-            self.teams.retain(|team| !team.suspects.contains(forgotten));
+        let Some(forgotten) = self.indexes.get(endpoint).copied() else {
+            return;
+        };
+        self.teams
+            .retain(|team| !team.suspects.contains(&forgotten));
+        self.engines.remove(forgotten);
+        self.indexes.remove(endpoint);
+        let positions = self.indexes.values_mut();
+        let teams = self.teams.iter_mut().flat_map(|team| &mut team.suspects);
+        for index in positions.chain(teams).filter(|index| **index > forgotten) {
+            *index -= 1;
         }
     }
 
@@ -121,71 +166,81 @@
         while self.teams.front().is_some_and(is_old) {
             self.teams.pop_front();
         }
-        if self.teams.is_empty() {
-            self.engines.clear();
-            self.indexes.clear();
-        }
     }
 
-    /// Returns the engines that explain the late teams, most teams first.
-    pub(super) fn find_slow(&self) -> Vec<SlowEngine> {
-        let mut counts = vec![0_usize; self.engines.len()];
-        for suspect in self.teams.iter().flat_map(|team| &team.suspects) {
-            counts[*suspect] += 1;
+    /// Returns the slow engines.
+    pub(super) fn find_slow(&mut self) -> Vec<SlowEngine> {
+        for _ in 0..MAX_ROUNDS {
+            if !self.update_slow() {
+                break;
+            }
         }
-        let mut unexplained: Vec<&LateTeam> = self.teams.iter().collect();
-        let mut slow = Vec::new();
-        loop {
-            let mut suspects: Vec<EngineIndex> = (0..counts.len())
-                .filter(|suspect| counts[*suspect] >= 2)
-                .collect();
-            suspects.sort_by_key(|suspect| std::cmp::Reverse(counts[*suspect]));
-            let found = suspects
-                .into_iter()
-                .find(|suspect| is_proven(*suspect, &unexplained, &counts));
-            let Some(found) = found else {
-                return slow;
+        let slow = (0..self.engines.len()).filter(|index| self.engines[*index].is_slow);
+        slow.map(|index| self.slow_engine(index)).collect()
+    }
+
+    /// Marks the engine as slow without which the late teams are least probable, and those as fast
+    /// that are not needed. Returns whether an engine was marked as slow.
+    fn update_slow(&mut self) -> bool {
+        // Probability that all late teams of an engine were late if it is fast.
+        let mut chances = vec![1.0_f64; self.engines.len()];
+        for team in &self.teams {
+            let fast = |suspect: &EngineIndex| {
+                1.0 - self.engines[*suspect].slow_probability(team.measured_at)
             };
-            slow.push(self.explain(found, &mut unexplained, &mut counts));
+            let all_fast: f64 = team.suspects.iter().map(fast).product();
+            for suspect in &team.suspects {
+                let others_fast = all_fast / fast(suspect);
+                chances[*suspect] *= (1.0 - others_fast).max(LATE_BY_CHANCE);
+            }
+        }
+        for (engine, chance) in self.engines.iter_mut().zip(&chances) {
+            engine.is_slow &= *chance <= FAST_PROBABILITY;
+        }
+        let improbable = (0..chances.len())
+            .filter(|index| !self.engines[*index].is_slow && chances[*index] < SLOW_PROBABILITY);
+        let mut improbable: Vec<EngineIndex> = improbable.collect();
+        improbable.sort_by(|a, b| chances[*a].total_cmp(&chances[*b]));
+        let found = improbable
+            .into_iter()
+            .find(|index| self.has_separate_teams(*index));
+        if let Some(found) = found {
+            self.engines[found].is_slow = true;
         }
+        found.is_some()
     }
 
-    /// Removes the teams that an engine explains.
-    fn explain(
-        &self,
-        found: EngineIndex,
-        unexplained: &mut Vec<&LateTeam>,
-        counts: &mut [usize],
-    ) -> SlowEngine {
-        let its_teams = unexplained
-            .iter()
-            .filter(|team| team.suspects.contains(&found));
-        let slowdown = its_teams
-            .map(|team| team.ratio)
-            .fold(f64::INFINITY, f64::min);
+    /// Returns whether two of the engine's latest late teams have no other suspect in common.
+    fn has_separate_teams(&self, index: EngineIndex) -> bool {
+        let teams = self.teams.iter().rev().map(|team| &team.suspects);
+        let its_teams = teams.filter(|suspects| suspects.contains(&index));
+        let latest: SmallVec<[&TeamSuspects; MAX_COMPARED_TEAMS]> =
+            its_teams.take(MAX_COMPARED_TEAMS).collect();
+        latest.iter().enumerate().any(|(position, first)| {
+            let mut earlier = latest[position + 1..].iter();
+            earlier.any(|second| {
+                let mut others = first.iter().filter(|other| **other != index);
+                others.all(|other| !second.contains(other))
+            })
+        })
+    }
+
+    fn slow_engine(&self, index: EngineIndex) -> SlowEngine {
         let mut engine = SlowEngine {
-            endpoint: self.engines[found].clone(),
-            slowdown,
+            endpoint: self.engines[index].endpoint.clone(),
+            slowdown: f64::INFINITY,
             teams: 0,
             measured_at: Duration::ZERO,
             is_own: false,
         };
-        unexplained.retain(|team| {
-            if !team.suspects.contains(&found) {
-                return true;
-            }
-            engine.teams += 1;
-            engine.measured_at = engine.measured_at.max(team.measured_at);
-            engine.is_own |= team.is_own;
-            if team.ratio > slowdown * EXPLAINED_RANGE {
-                return true;
+        for team in &self.teams {
+            if team.suspects.contains(&index) {
+                engine.slowdown = engine.slowdown.min(team.ratio);
+                engine.teams += 1;
+                engine.measured_at = engine.measured_at.max(team.measured_at);
+                engine.is_own |= team.is_own;
             }
-            for suspect in &team.suspects {
-                counts[*suspect] = counts[*suspect].saturating_sub(1);
-            }
-            false
-        });
-        counts[found] = 0;
+        }
         engine
     }
 
@@ -194,27 +249,24 @@
             return *index;
         }
         let index = self.engines.len();
-        self.engines.push(endpoint.clone());
+        self.engines.push(EngineRecord {
+            endpoint: endpoint.clone(),
+            fast_at: None,
+            is_slow: false,
+        });
         self.indexes.insert(endpoint.clone(), index);
         index
     }
 }
 
-/// Returns whether two late teams have no other suspect in common, and in both no other suspect was in
-/// more late teams.
-fn is_proven(suspect: EngineIndex, teams: &[&LateTeam], counts: &[usize]) -> bool {
-    let leads = |team: &&&LateTeam| {
-        let mut others = team.suspects.iter().filter(|other| **other != suspect);
-        team.suspects.contains(&suspect) && others.all(|other| counts[*other] < counts[suspect])
-    };
-    let led = teams.iter().rev().filter(leads).take(MAX_COMPARED_TEAMS);
-    let led: SmallVec<[&TeamSuspects; MAX_COMPARED_TEAMS]> =
-        led.map(|team| &team.suspects).collect();
-    led.iter().enumerate().any(|(position, first)| {
-        let mut later = led[position + 1..].iter();
-        later.any(|second| {
-            let mut others = first.iter().filter(|other| **other != suspect);
-            others.all(|other| !second.contains(other))
-        })
-    })
+impl EngineRecord {
+    /// Returns the probability that the engine was slow at `at`.
+    fn slow_probability(&self, at: Timestamp) -> f64 {
+        let was_fast = |fast_at: Timestamp| at.saturating_sub(fast_at) < FAST_MEMORY;
+        match (self.is_slow, self.fast_at.is_some_and(was_fast)) {
+            (true, _) => KNOWN_SLOW,
+            (false, true) => RECENTLY_FAST,
+            (false, false) => UNKNOWN,
+        }
+    }
 }
