--- a/lovagedock-gateway/tests/direct_support/dialect.rs
+++ b/lovagedock-gateway/tests/direct_support/dialect.rs
@@ -53,6 +53,11 @@
         if let Some(organisation) = outgoing.organisation {
             set("x-organisation", organisation);
         }
+        if !outgoing.helpers.is_empty() {
+            let helpers = outgoing.helpers.iter();
+            let helpers = helpers.map(|helper| helper.address.to_string());
+            set("x-helpers", &helpers.collect::<Vec<_>>().join(","));
+        }
         if let Some(event) = outgoing.resume_after {
             set("x-resume-after", event);
         }
--- a/lovagedock-gateway/tests/direct_support/mod.rs
+++ b/lovagedock-gateway/tests/direct_support/mod.rs
@@ -10,6 +10,7 @@
 mod feed;
 mod log_lines;
 mod notices;
+mod prefilling;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -31,6 +32,7 @@
 pub(crate) use feed::TestFeed;
 pub(crate) use log_lines::LogLines;
 pub(crate) use notices::{NoticeEndpoint, NoticeFleet};
+pub(crate) use prefilling::PrefillingEngines;
 
 /// Name of the service behind all routes.
 pub(crate) const SERVICE: &str = "service";
