Test of a request that was placed before a drain

Cause: no test failed if the check for drained domains right before a request is written was removed; the search already leaves such domains out.

--- a/lovagedock-gateway/tests/direct_drains.rs
+++ b/lovagedock-gateway/tests/direct_drains.rs
@@ -2,16 +2,27 @@
 
 mod direct_support;
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
 
 use direct_support::{
-    EndpointScript, LogLines, NoticeEndpoint, ScriptedEndpoint, TestFeed, TestGateway, call,
-    config, endpoint_scripts as script, entry, open_call, read_response, settings, wait_until,
+    EndpointScript, LogLines, NoticeEndpoint, ScriptedEndpoint, TestFeed, TestGateway, any_port,
+    call, config, endpoint_scripts as script, engine_config, entry, open_call, open_call_with,
+    read_response, settings, wait_until,
 };
 use lovagedock::{DirectEndpoint, DomainId};
 use lovagedock_daemon::DaemonContext;
 use lovagedock_platform::GatewayEntry;
-use tokio::{task::JoinSet, time::sleep};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+    sync::watch,
+    task::JoinSet,
+    time::sleep,
+};
 
 /// Log message about a domain whose state changed.
 const CHANGED: &str = "failure domain drained or restored";
@@ -165,3 +176,65 @@
     let response = call(second.address(), "/safe/x", "2").await;
     assert_eq!(response.status(), 200, "{}", response.text);
 }
+
+/// First lines of the requests that arrived at engines.
+type RequestLines = Arc<Mutex<Vec<String>>>;
+
+/// Starts an engine that grants reservations only once `granted` is set.
+async fn start_granting(lines: RequestLines, granted: watch::Receiver<bool>) -> SocketAddr {
+    let listener = TcpListener::bind(any_port()).await;
+    let listener = listener.expect("a free port is available");
+    let address = listener.local_addr();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let (lines, mut granted) = (Arc::clone(&lines), granted.clone());
+            tokio::spawn(async move {
+                let mut bytes = [0; 4096];
+                let length = stream.read(&mut bytes).await.unwrap_or(0);
+                let text = String::from_utf8_lossy(&bytes[..length]);
+                if let Some(line) = text.lines().next() {
+                    let mut lines = lines.lock().expect("the mutex is not poisoned");
+                    lines.push(line.to_owned());
+                }
+                let _ = granted.wait_for(|is_granted| *is_granted).await;
+                let response = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+                let _ = stream.write_all(response).await;
+            });
+        }
+    });
+    address.expect("the listener has a local address")
+}
+
+/// Guards against a request that is written to an engine whose domain was drained after the request was
+/// placed. The search leaves the domain out, but the gateway was waiting for a helper's memory then.
+#[tokio::test]
+async fn a_request_that_was_placed_before_a_drain_is_not_sent() {
+    let (grant, granted) = watch::channel(false);
+    let requests = RequestLines::default();
+    let mut entries = Vec::new();
+    for index in 0..3 {
+        let address = start_granting(Arc::clone(&requests), granted.clone()).await;
+        // With this many slots, only the first engine is reserved for short prompts.
+        entries.push(DirectEndpoint {
+            slots: 16,
+            ..entry_in("a", &format!("i-{index}"), address)
+        });
+    }
+    let feed = TestFeed::new(engine_config(), entries);
+    let lines = LogLines::default();
+    let gateway = start_logged("gateway", &feed, &lines).await.ready().await;
+    // The response does not fit into the memory of one engine.
+    let header = "x-prompt: 40000\r\nx-answer-limit: 500000\r\n";
+    let stream = open_call_with(gateway.address(), "/stream/x", "1", "secret", header).await;
+    let with_path = |path: &str| {
+        let requests = requests.lock().expect("the mutex is not poisoned");
+        requests.iter().filter(|line| line.contains(path)).count()
+    };
+    wait_until(|| with_path("/order") == 1).await;
+    feed.set_drained(&["a"]);
+    wait_until(|| lines.with_message(CHANGED).len() == 1).await;
+    grant.send_replace(true);
+    let response = read_response(stream).await;
+    assert_eq!(response.status(), 503, "{}", response.text);
+    assert_eq!(with_path("/stream/x"), 0);
+}
