Sessions with sidecars name the fleet

Cause: a gateway that tries the former address of a sidecar may reach a sidecar of another fleet whose endpoint has the same name. Sessions and orders compared the endpoint's name alone, so work ran there.

Change: gateway and sidecar have an optional setting `fleet`. The hello and the welcome carry it, and both sides compare. If both have a name and the names differ, the gateway ends the session (open_session, resume, revoke and orders all use EndpointClient::hello), counts the endpoint as not connected and logs the refusal once; the sidecar carries out no call of the session and closes it after 1 s. Each FleetPlan of the stand-in has a name of its own.

--- a/lovagedock-gateway/src/context.rs
+++ b/lovagedock-gateway/src/context.rs
@@ -5,6 +5,7 @@
 use arc_swap::ArcSwap;
 use lovagedock::{AdoptionStatus, prelude::*};
 use lovagedock_daemon::ProcessClock;
+use lovagedock_wire::{FleetName, PROTOCOL_VERSION, PeerIdentity};
 
 use crate::{active::ActiveConfig, fleet::FleetTable};
 
@@ -16,6 +17,8 @@
 pub(crate) struct GatewayContext {
     /// Name of this gateway.
     pub(crate) name: GatewayId,
+    /// Fleet of this gateway; `None` matches sidecars of any fleet.
+    pub(crate) fleet_name: Option<FleetName>,
     /// Failure domain of the gateway's host.
     pub(crate) domain: DomainId,
     /// Incarnation of this process.
@@ -35,4 +38,15 @@
     pub(crate) fn generation(&self) -> Generation {
         self.config.load().generation
     }
+
+    /// How this gateway introduces itself to sidecars, with the generation of its configuration.
+    pub(crate) fn identity(&self, generation: Generation) -> PeerIdentity {
+        PeerIdentity {
+            version: PROTOCOL_VERSION,
+            name: self.name.to_string(),
+            incarnation: self.incarnation,
+            generation,
+            fleet: self.fleet_name.clone(),
+        }
+    }
 }
--- a/lovagedock-gateway/src/gateway.rs
+++ b/lovagedock-gateway/src/gateway.rs
@@ -62,6 +62,7 @@
             .new(slog::o!("gateway" => settings.name.to_string()));
         let context = GatewayContext {
             name: settings.name.clone(),
+            fleet_name: settings.fleet.clone(),
             domain: settings.failure_domain.clone(),
             incarnation: rand::random(),
             clock: daemon.clock,
--- a/lovagedock-gateway/src/link/mod.rs
+++ b/lovagedock-gateway/src/link/mod.rs
@@ -15,9 +15,9 @@
 use futures::{FutureExt, future::LocalBoxFuture};
 use lovagedock::{AnswerEnd, AttemptKey, RevokeVerdict, prelude::*};
 use lovagedock_wire::{
-    EndpointClient, PROTOCOL_VERSION, PeerIdentity, SubmitReply, WireError, WorkMessage,
+    EndpointClient, FleetName, PeerIdentity, SubmitReply, WireError, WorkMessage,
 };
-use slog::{Logger, debug, info};
+use slog::{Logger, debug, info, warn};
 use tokio::{
     sync::{mpsc, oneshot},
     time::{MissedTickBehavior, interval, sleep},
@@ -71,14 +71,17 @@
 impl EndpointLink {
     /// Runs until the gateway drops the link's command sender.
     pub(crate) async fn run(mut self) {
+        let mut last_fleet: Option<FleetName> = None;
         loop {
             match self.open_session().await {
                 Ok(session) => {
+                    last_fleet = None;
                     if self.run_session(session).await {
                         return;
                     }
                 }
                 Err(error) => {
+                    self.log_other_fleet(&error, &mut last_fleet);
                     debug!(self.log, "cannot open a session"; "endpoint" => &*self.endpoint, "error" => %error);
                     if self.run_without_session(self.times.reconnect).await {
                         return;
@@ -88,6 +91,18 @@
         }
     }
 
+    /// Logs a refusal once until a session opens or the sidecar of a further fleet responds.
+    /// Otherwise each attempt to connect would log a line.
+    fn log_other_fleet(&self, error: &WireError, last_fleet: &mut Option<FleetName>) {
+        let WireError::OtherFleet(other) = error else {
+            return;
+        };
+        if last_fleet.replace(other.clone()).as_ref() != Some(other) {
+            warn!(self.log, "session refused: endpoint belongs to another fleet";
+                "endpoint" => &*self.endpoint, "address" => %self.address, "fleet" => &**other);
+        }
+    }
+
     async fn open_session(&self) -> Result<LinkSession, WireError> {
         let limit = self.times.silence;
         let client = open_client(&*self.connector, self.address, limit).await?;
@@ -112,12 +127,7 @@
     }
 
     fn identity(&self) -> PeerIdentity {
-        PeerIdentity {
-            version: PROTOCOL_VERSION,
-            name: self.context.name.to_string(),
-            incarnation: self.context.incarnation,
-            generation: self.context.generation(),
-        }
+        self.context.identity(self.context.generation())
     }
 
     /// Serves one session; returns true when the gateway has dropped the link.
--- a/lovagedock-gateway/src/orders/pool.rs
+++ b/lovagedock-gateway/src/orders/pool.rs
@@ -9,7 +9,7 @@
     OrderEvent, OrderLimits, OrderPlanner, PoolKind, prelude::*,
 };
 use lovagedock_platform::{CallPurpose, ObjectStore};
-use lovagedock_wire::{OrderMessage, PROTOCOL_VERSION, PeerIdentity};
+use lovagedock_wire::OrderMessage;
 use slog::{Logger, info};
 use tokio::{runtime::Handle, sync::mpsc, task::spawn_local, time::sleep_until};
 
@@ -219,12 +219,7 @@
                 order,
             },
             connector: Rc::clone(&self.parts.connector),
-            identity: PeerIdentity {
-                version: PROTOCOL_VERSION,
-                name: context.name.to_string(),
-                incarnation: context.incarnation,
-                generation: self.generation,
-            },
+            identity: context.identity(self.generation),
             times: self.parts.times,
             holder: Rc::clone(&self.holder),
             clock: context.clock,
--- a/lovagedock-gateway/src/peers/clients.rs
+++ b/lovagedock-gateway/src/peers/clients.rs
@@ -119,5 +119,7 @@
         name: context.name.to_string(),
         incarnation: context.incarnation,
         generation: context.adoption.load().generation,
+        // Only sidecars compare fleets.
+        fleet: None,
     }
 }
--- a/lovagedock-gateway/src/settings.rs
+++ b/lovagedock-gateway/src/settings.rs
@@ -4,6 +4,7 @@
 
 use lovagedock::prelude::*;
 use lovagedock_daemon::{AdminSettings, DaemonSettings, LogSettings, TransportSettings};
+use lovagedock_wire::{FleetName, fleet_name_problem};
 use serde::{Deserialize, Serialize};
 
 use crate::link::LinkTimes;
@@ -17,6 +18,10 @@
 pub struct GatewaySettings {
     /// Name of the gateway, as in the configuration.
     pub name: GatewayId,
+    /// Name of the fleet. Sidecars that have the name of another fleet get no work and no orders;
+    /// without it, or for sidecars without it, fleets are not compared.
+    #[serde(default)]
+    pub fleet: Option<FleetName>,
     /// Failure domain of the gateway's host.
     pub failure_domain: DomainId,
     /// Listener for callers.
@@ -49,7 +54,7 @@
     }
 
     fn problems(&self) -> Vec<String> {
-        let mut problems = Vec::new();
+        let mut problems = Vec::from_iter(fleet_name_problem(self.fleet.as_ref()));
         let links = &self.links;
         if links.heartbeat_ms == 0 {
             problems.push("links.heartbeat_ms: found 0, expected at least 1".to_owned());
--- a/lovagedock-sidecar/src/session.rs
+++ b/lovagedock-sidecar/src/session.rs
@@ -103,6 +103,7 @@
             name: self.state.endpoint.to_string(),
             incarnation: self.state.incarnation,
             generation: self.config.generation(),
+            fleet: self.state.fleet.clone(),
         }
     }
 
--- a/lovagedock-sidecar/src/settings.rs
+++ b/lovagedock-sidecar/src/settings.rs
@@ -4,6 +4,7 @@
 
 use lovagedock::prelude::*;
 use lovagedock_daemon::{AdminSettings, DaemonSettings, LogSettings, TransportSettings};
+use lovagedock_wire::{FleetName, fleet_name_problem};
 use serde::{Deserialize, Serialize};
 
 use crate::adapter::{AdapterOptions, adapter_names};
@@ -14,6 +15,10 @@
 pub struct SidecarSettings {
     /// Name of the endpoint, as in the configuration.
     pub endpoint: EndpointId,
+    /// Name of the fleet. Sessions of gateways that have the name of another fleet are refused;
+    /// without it, or for gateways without it, fleets are not compared.
+    #[serde(default)]
+    pub fleet: Option<FleetName>,
     /// Listener for gateways.
     pub gateways: SessionSettings,
     /// Listener for operators.
@@ -50,7 +55,7 @@
     }
 
     fn problems(&self) -> Vec<String> {
-        let mut problems = Vec::new();
+        let mut problems = Vec::from_iter(fleet_name_problem(self.fleet.as_ref()));
         let adapter = self.engine.adapter.as_str();
         if !adapter_names().contains(&adapter) {
             problems.push(format!(
--- a/lovagedock-sidecar/src/sidecar.rs
+++ b/lovagedock-sidecar/src/sidecar.rs
@@ -63,6 +63,7 @@
         let limits = limits(&settings);
         let state = SidecarState::new(
             settings.endpoint.clone(),
+            settings.fleet.clone(),
             limits.clone(),
             daemon.clock,
             adapter,
--- a/lovagedock-sidecar/src/state.rs
+++ b/lovagedock-sidecar/src/state.rs
@@ -17,6 +17,7 @@
     EngineResult, RevokeVerdict, prelude::*,
 };
 use lovagedock_daemon::ProcessClock;
+use lovagedock_wire::FleetName;
 use parking_lot::{Mutex, MutexGuard};
 use slog::{Logger, debug, info, warn};
 use tokio::sync::watch;
@@ -49,6 +50,8 @@
 pub(crate) struct SidecarState {
     /// Endpoint that this sidecar serves.
     pub(crate) endpoint: EndpointId,
+    /// Fleet of this sidecar; `None` accepts gateways of any fleet.
+    pub(crate) fleet: Option<FleetName>,
     /// Incarnation of this process.
     pub(crate) incarnation: Incarnation,
     /// Clock of the process.
@@ -72,6 +75,7 @@
     /// Creates the state of a sidecar that has just started.
     pub(crate) fn new(
         endpoint: EndpointId,
+        fleet: Option<FleetName>,
         limits: EndpointLimits,
         clock: ProcessClock,
         adapter: Arc<dyn EngineAdapter>,
@@ -80,6 +84,7 @@
         let incarnation = rand::random();
         Arc::new(Self {
             endpoint,
+            fleet,
             incarnation,
             clock,
             adapter,
--- a/lovagedock-standin/src/fleet.rs
+++ b/lovagedock-standin/src/fleet.rs
@@ -1,7 +1,12 @@
 //! Complete fleet in one process: stand-ins for the platform and the endpoints, and the real
 //! daemons on loopback ports.
 
-use std::{fmt, net::SocketAddr, time::Duration};
+use std::{
+    fmt,
+    net::SocketAddr,
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
 
 use error_stack::{Report, ResultExt};
 use futures::future::join_all;
@@ -17,6 +22,7 @@
     ApplyOutcome, ApplyRequest, ConfigStore, HttpObjectStore, canonical_json,
 };
 use lovagedock_sidecar::{EngineSettings, SessionSettings, Sidecar, SidecarSettings};
+use lovagedock_wire::FleetName;
 use slog::Logger;
 use tokio::time::{sleep, timeout};
 
@@ -52,6 +58,9 @@
 pub struct FleetPlan {
     /// Configuration. Its addresses are replaced by free loopback ports.
     pub config: FleetConfig,
+    /// Name of the fleet. Each plan has its own, so that a fleet never works for another one that
+    /// got one of its former ports.
+    pub name: FleetName,
     /// Model time per unit of real time.
     pub time_scale: f64,
     /// Duration of a call at a plain service.
@@ -80,6 +89,7 @@
     pub fn new(config: FleetConfig, log: Logger) -> Self {
         Self {
             config,
+            name: unique_fleet_name(),
             time_scale: 1.0,
             service_time: Duration::from_millis(5),
             heartbeat: Duration::from_millis(500),
@@ -371,6 +381,7 @@
 ) -> SidecarSettings {
     SidecarSettings {
         endpoint: spec.id.clone(),
+        fleet: Some(plan.name.clone()),
         gateways: SessionSettings {
             address: LOOPBACK,
             transport: plain_transport(),
@@ -398,6 +409,7 @@
     };
     GatewaySettings {
         name: spec.id.clone(),
+        fleet: Some(plan.name.clone()),
         failure_domain: spec.failure_domain.clone(),
         callers: listener(),
         peers: listener(),
@@ -419,6 +431,13 @@
     }
 }
 
+/// Returns a name that no other fleet on this host has, in this process or another.
+fn unique_fleet_name() -> FleetName {
+    static PLANS: AtomicU64 = AtomicU64::new(0);
+    let number = PLANS.fetch_add(1, Ordering::Relaxed);
+    format!("fleet-{}-{number}", std::process::id()).into()
+}
+
 fn plain_transport() -> TransportSettings {
     TransportSettings::PlainTcp(PlainConsent::Demo)
 }
--- a/lovagedock-standin/tests/orders.rs
+++ b/lovagedock-standin/tests/orders.rs
@@ -150,6 +150,7 @@
         name: "g1".to_owned(),
         incarnation: 1,
         generation: 0,
+        fleet: None,
     }
 }
 
--- a/lovagedock-standin/tests/peer_session.rs
+++ b/lovagedock-standin/tests/peer_session.rs
@@ -79,6 +79,7 @@
         name: name.to_owned(),
         incarnation: 1,
         generation,
+        fleet: None,
     }
 }
 
--- a/lovagedock-wire/schema/lovagedock.capnp
+++ b/lovagedock-wire/schema/lovagedock.capnp
@@ -15,6 +15,7 @@
 struct PeerHello {
   version @0 :UInt32;
   name @1 :Text;
+  # Between gateway and sidecar, a space and the name of the fleet may follow the process's name.
   incarnation @2 :UInt64;
   generation @3 :UInt64;
 }
@@ -22,6 +23,8 @@
 struct PeerWelcome {
   version @0 :UInt32;
   name @1 :Text;
+  # As in PeerHello; with the name of the fleet only if the hello has one, since older gateways
+  # compare the whole text with the endpoint's name.
   incarnation @2 :UInt64;
   generation @3 :UInt64;
 }
--- a/lovagedock-wire/src/codec.rs
+++ b/lovagedock-wire/src/codec.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::{
+    fleet_name::{join_names, split_names},
     lovagedock_capnp as schema,
     messages::{
         AnswerHead, HeaderField, LoadMessage, PeerIdentity, SpanHolder, WireError, WorkMessage,
@@ -64,17 +65,19 @@
 
 pub(crate) fn write_hello(identity: &PeerIdentity, mut builder: schema::peer_hello::Builder<'_>) {
     builder.set_version(identity.version);
-    builder.set_name(identity.name.as_str());
+    builder.set_name(join_names(&identity.name, identity.fleet.as_ref()).as_str());
     builder.set_incarnation(identity.incarnation);
     builder.set_generation(identity.generation);
 }
 
 pub(crate) fn read_hello(reader: schema::peer_hello::Reader<'_>) -> Decoded<PeerIdentity> {
+    let (name, fleet) = split_names(read_text(reader.get_name())?);
     Ok(PeerIdentity {
         version: reader.get_version(),
-        name: read_text(reader.get_name())?,
+        name,
         incarnation: reader.get_incarnation(),
         generation: reader.get_generation(),
+        fleet,
     })
 }
 
@@ -83,7 +86,7 @@
     mut builder: schema::peer_welcome::Builder<'_>,
 ) {
     builder.set_version(identity.version);
-    builder.set_name(identity.name.as_str());
+    builder.set_name(join_names(&identity.name, identity.fleet.as_ref()).as_str());
     builder.set_incarnation(identity.incarnation);
     builder.set_generation(identity.generation);
 }
@@ -94,11 +97,13 @@
     if version != crate::PROTOCOL_VERSION {
         return Err(WireError::OtherVersion(version));
     }
+    let (name, fleet) = split_names(read_text(reader.get_name())?);
     Ok(PeerIdentity {
         version,
-        name: read_text(reader.get_name())?,
+        name,
         incarnation: reader.get_incarnation(),
         generation: reader.get_generation(),
+        fleet,
     })
 }
 
--- a/lovagedock-wire/src/endpoint_client.rs
+++ b/lovagedock-wire/src/endpoint_client.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     codec,
+    fleet_name::fleets_differ,
     lovagedock_capnp::{answer_sink, endpoint_session},
     messages::{
         AnswerHead, ConfigMessage, LoadMessage, OrderMessage, OrderReply, PeerIdentity,
@@ -54,6 +55,8 @@
     }
 
     /// Introduces this process and returns the identity of the other side.
+    ///
+    /// Fails with [`WireError::OtherFleet`] if the sidecar belongs to another fleet.
     pub async fn hello(
         &self,
         identity: &PeerIdentity,
@@ -62,7 +65,13 @@
         let mut request = self.session.hello_request();
         codec::write_hello(identity, request.get().init_hello());
         let response = with_timeout(limit, request.send().promise).await?;
-        codec::read_welcome(response.get()?.get_welcome()?)
+        let welcome = codec::read_welcome(response.get()?.get_welcome()?)?;
+        match &welcome.fleet {
+            Some(fleet) if fleets_differ(identity.fleet.as_ref(), Some(fleet)) => {
+                Err(WireError::OtherFleet(fleet.clone()))
+            }
+            _ => Ok(welcome),
+        }
     }
 
     /// Submits a request; the answer goes to `receiver`.
--- a/lovagedock-wire/src/endpoint_server.rs
+++ b/lovagedock-wire/src/endpoint_server.rs
@@ -1,13 +1,15 @@
 //! Sidecar side of a session.
 
-use std::{future::Future, rc::Rc};
+use std::{cell::RefCell, future::Future, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use lovagedock::{AnswerEnd, AttemptKey, RevokeVerdict, prelude::*};
+use tokio::{sync::Notify, time::sleep};
 
 use crate::{
     codec,
     endpoint_client::to_capnp_error,
+    fleet_name::{FleetName, fleets_differ},
     lovagedock_capnp::{answer_sink, endpoint_session},
     messages::{
         AnswerHead, ConfigMessage, LoadMessage, OrderMessage, OrderReply, PeerIdentity,
@@ -17,6 +19,9 @@
     stream::{WireStream, server_system},
 };
 
+/// Time for the welcome to reach a gateway of another fleet before its session is closed.
+const REFUSAL_LINGER: Duration = Duration::from_secs(1);
+
 /// Handles the calls of a session at a sidecar.
 pub trait EndpointHandler: 'static {
     /// Returns the sidecar's identity in response to an introduction.
@@ -38,12 +43,7 @@
     /// Receives a configuration; returns the generation in force.
     fn configure(&self, message: ConfigMessage) -> Generation;
     /// Reserves memory for one part of a span.
-    fn reserve(
-        &self,
-        key: AttemptKey,
-        tokens: TokenCount,
-        retention: std::time::Duration,
-    ) -> ReserveReply;
+    fn reserve(&self, key: AttemptKey, tokens: TokenCount, retention: Duration) -> ReserveReply;
     /// Releases a reservation.
     fn release(&self, key: AttemptKey);
     /// Prefills one part of a span.
@@ -59,14 +59,48 @@
 }
 
 /// Runs one session until its connection ends; must be called on a `LocalSet`.
+///
+/// A session of a gateway of another fleet ends with [`WireError::OtherFleet`]. None of its calls
+/// after the hello reaches the handler.
 pub async fn serve_endpoint<H: EndpointHandler>(
     stream: Box<dyn WireStream>,
     handler: Rc<H>,
 ) -> Result<(), WireError> {
-    let client: endpoint_session::Client = capnp_rpc::new_client(SessionServer { handler });
+    let refusal = Rc::new(SessionRefusal::default());
+    let server = SessionServer {
+        handler,
+        refusal: Rc::clone(&refusal),
+    };
+    let client: endpoint_session::Client = capnp_rpc::new_client(server);
     let system = server_system(stream, client.client);
-    system.await?;
-    Ok(())
+    tokio::select! {
+        ended = system => ended?,
+        () = refusal.wait_until_closable() => {}
+    }
+    refusal.check().map_err(WireError::OtherFleet)
+}
+
+/// Whether a session is refused because the gateway belongs to another fleet.
+#[derive(Default)]
+struct SessionRefusal {
+    other_fleet: RefCell<Option<FleetName>>,
+    refused: Notify,
+}
+
+impl SessionRefusal {
+    fn refuse(&self, other_fleet: Option<FleetName>) {
+        self.other_fleet.replace(other_fleet);
+        self.refused.notify_one();
+    }
+
+    async fn wait_until_closable(&self) {
+        self.refused.notified().await;
+        sleep(REFUSAL_LINGER).await;
+    }
+
+    fn check(&self) -> Result<(), FleetName> {
+        self.other_fleet.borrow().clone().map_or(Ok(()), Err)
+    }
 }
 
 /// Sends an answer to the gateway that requested it.
@@ -104,6 +138,17 @@
 
 struct SessionServer<H> {
     handler: Rc<H>,
+    refusal: Rc<SessionRefusal>,
+}
+
+impl<H> SessionServer<H> {
+    /// Returns the handler, or an error if the session is refused.
+    fn handler(&self) -> Result<&H, capnp::Error> {
+        match self.refusal.check() {
+            Ok(()) => Ok(&self.handler),
+            Err(fleet) => Err(to_capnp_error(WireError::OtherFleet(fleet))),
+        }
+    }
 }
 
 impl<H: EndpointHandler> endpoint_session::Server for SessionServer<H> {
@@ -113,7 +158,13 @@
         mut results: endpoint_session::HelloResults,
     ) -> Result<(), capnp::Error> {
         let identity = codec::read_hello(params.get()?.get_hello()?).map_err(to_capnp_error)?;
-        let own = self.handler.hello(identity);
+        let other_fleet = identity.fleet.clone();
+        let mut own = self.handler.hello(identity);
+        if fleets_differ(own.fleet.as_ref(), other_fleet.as_ref()) {
+            self.refusal.refuse(other_fleet);
+        } else if other_fleet.is_none() {
+            own.fleet = None;
+        }
         codec::write_welcome(&own, results.get().init_welcome());
         Ok(())
     }
@@ -126,7 +177,7 @@
         let work = codec::read_work(params.get()?.get_order()?).map_err(to_capnp_error)?;
         let sink = params.get()?.get_sink()?;
         drop(params);
-        match self.handler.submit(work, AnswerSender { sink }).await {
+        match self.handler()?.submit(work, AnswerSender { sink }).await {
             SubmitReply::Accepted => results.get().set_accepted(true),
             SubmitReply::Refused(end) => codec::write_end(&end, results.get().init_refusal()),
         }
@@ -143,7 +194,7 @@
             sink: call.get_sink()?,
         };
         let key = codec::read_key(call.get_key()?);
-        let found = self.handler.resume(key, call.get_offset(), sender);
+        let found = self.handler()?.resume(key, call.get_offset(), sender);
         results.get().set_found(found);
         Ok(())
     }
@@ -154,7 +205,7 @@
         mut results: endpoint_session::RevokeResults,
     ) -> Result<(), capnp::Error> {
         let key = codec::read_key(params.get()?.get_key()?);
-        let verdict = self.handler.revoke(key);
+        let verdict = self.handler()?.revoke(key);
         results.get().set_verdict(codec::write_verdict(verdict));
         Ok(())
     }
@@ -164,7 +215,7 @@
         params: endpoint_session::CancelParams,
         _results: endpoint_session::CancelResults,
     ) -> Result<(), capnp::Error> {
-        self.handler
+        self.handler()?
             .cancel(codec::read_key(params.get()?.get_key()?));
         Ok(())
     }
@@ -176,7 +227,7 @@
     ) -> Result<(), capnp::Error> {
         let call = params.get()?;
         let report = self
-            .handler
+            .handler()?
             .heartbeat(call.get_sequence(), call.get_generation());
         codec::write_load(&report, results.get().init_report());
         Ok(())
@@ -194,7 +245,7 @@
         };
         results
             .get()
-            .set_generation(self.handler.configure(message));
+            .set_generation(self.handler()?.configure(message));
         Ok(())
     }
 
@@ -205,8 +256,8 @@
     ) -> Result<(), capnp::Error> {
         let call = params.get()?;
         let key = codec::read_key(call.get_key()?);
-        let retention = std::time::Duration::from_millis(call.get_hold_ms());
-        let reply = self.handler.reserve(key, call.get_tokens(), retention);
+        let retention = Duration::from_millis(call.get_hold_ms());
+        let reply = self.handler()?.reserve(key, call.get_tokens(), retention);
         results.get().set_granted(reply.granted);
         results.get().set_free_tokens(reply.free_tokens);
         Ok(())
@@ -217,7 +268,7 @@
         params: endpoint_session::ReleaseParams,
         _results: endpoint_session::ReleaseResults,
     ) -> Result<(), capnp::Error> {
-        self.handler
+        self.handler()?
             .release(codec::read_key(params.get()?.get_key()?));
         Ok(())
     }
@@ -234,7 +285,7 @@
             tokens: call.get_tokens(),
         };
         drop(params);
-        let reply = self.handler.segment(work, range).await;
+        let reply = self.handler()?.segment(work, range).await;
         results.get().set_locator(reply.locator.as_str());
         codec::write_end(&reply.end, results.get().init_end());
         Ok(())
@@ -245,7 +296,7 @@
         params: endpoint_session::DrainParams,
         mut results: endpoint_session::DrainResults,
     ) -> Result<(), capnp::Error> {
-        let in_flight = self.handler.drain(params.get()?.get_leaving());
+        let in_flight = self.handler()?.drain(params.get()?.get_leaving());
         results.get().set_in_flight(in_flight);
         Ok(())
     }
@@ -258,7 +309,7 @@
         let message =
             order_codec::read_order(params.get()?.get_order()?).map_err(to_capnp_error)?;
         drop(params);
-        let reply = self.handler.order(message).await;
+        let reply = self.handler()?.order(message).await;
         order_codec::write_reply(&reply, results.get().init_reply());
         Ok(())
     }
--- a/lovagedock-wire/src/lib.rs
+++ b/lovagedock-wire/src/lib.rs
@@ -11,6 +11,7 @@
 mod codec;
 mod endpoint_client;
 mod endpoint_server;
+mod fleet_name;
 #[allow(
     missing_docs,
     unreachable_pub,
@@ -29,6 +30,7 @@
 
 pub use endpoint_client::{AnswerReceiver, EndpointClient};
 pub use endpoint_server::{AnswerSender, EndpointHandler, serve_endpoint};
+pub use fleet_name::{FleetName, fleet_name_problem, fleets_differ};
 pub use messages::{
     AnswerHead, ConfigMessage, HeaderField, LoadMessage, OrderMessage, OrderReply, PeerIdentity,
     ReserveReply, SegmentRange, SegmentReply, SpanHolder, SubmitReply, WireError, WorkMessage,
--- a/lovagedock-wire/src/messages.rs
+++ b/lovagedock-wire/src/messages.rs
@@ -7,6 +7,8 @@
     AnswerEnd, AttemptKey, CostParameters, EndpointBacklog, LoadOrder, LoadedReport, prelude::*,
 };
 
+use crate::fleet_name::FleetName;
+
 /// Identity of one side of a session.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PeerIdentity {
@@ -18,6 +20,8 @@
     pub incarnation: Incarnation,
     /// Generation of the configuration in force; 0 for none.
     pub generation: Generation,
+    /// Fleet of the process; `None` matches any fleet.
+    pub fleet: Option<FleetName>,
 }
 
 /// One HTTP header field.
@@ -199,6 +203,8 @@
     Malformed(String),
     /// The other side uses another protocol version.
     OtherVersion(u32),
+    /// The other side belongs to another fleet, which is named here. It accepts no calls.
+    OtherFleet(FleetName),
     /// No response within the time limit.
     TimedOut,
 }
@@ -211,6 +217,7 @@
             Self::OtherVersion(version) => {
                 write!(formatter, "peer uses protocol version {version}")
             }
+            Self::OtherFleet(fleet) => write!(formatter, "peer belongs to fleet {fleet}"),
             Self::TimedOut => write!(formatter, "no response within the time limit"),
         }
     }
