--- a/lovagedock-gateway/src/direct/state/fleet_state.rs
+++ b/lovagedock-gateway/src/direct/state/fleet_state.rs
@@ -5,8 +5,16 @@
     time::Duration,
 };
 
-use lovagedock::ReleaseNotices;
-use lovagedock::{BookedTeam, ColdAllowance, ColdEndpoints, ColdProfile, DirectEndpoint, DomainDrains, DomainRelays, EndpointBackoffs, EndpointListing, EndpointProcess, EndpointTable, EntryChange, HelperSpeeds, LeavingQueue, LengthOutcome, LengthShares, ListingLog, OrganisationShares, OutlierAction, OutlierDetector, OutlierEvent, OutlierSettings, PartLedger, PauseDetector, PeerLiveness, PlacerCandidate, PoolFlow, PoolSlots, QueueKind, RateLimits, RateVerdict, RefusalLog, ReleaseNotices, RetryShare, RetryShareSettings, ReturnSchedule, SlowdownTracker, SuspectLedger, TeamBookings, WaitingQueue, WatcherSelection, WorkLedger, max_kept_endpoints, prelude::*, short_lane_size};
+use lovagedock::{
+    BookedTeam, ColdAllowance, ColdEndpoints, ColdProfile, DirectEndpoint, DomainDrains,
+    DomainRelays, EndpointBackoffs, EndpointListing, EndpointProcess, EndpointTable, EntryChange,
+    HelperSpeeds, LeavingQueue, LengthOutcome, LengthShares, ListingLog, OrganisationShares,
+    OutlierAction, OutlierDetector, OutlierEvent, OutlierSettings, PartLedger, PauseDetector,
+    PeerLiveness, PlacerCandidate, PoolFlow, PoolSlots, QueueKind, RateLimits, RateVerdict,
+    RefusalLog, ReleaseNotices, RetryShare, RetryShareSettings, ReturnSchedule, SlowdownTracker,
+    SuspectLedger, TeamBookings, WaitingQueue, WatcherSelection, WorkLedger, max_kept_endpoints,
+    prelude::*, short_lane_size,
+};
 use lovagedock_platform::GatewayEntry;
 use slog::{Logger, info};
 
--- a/lovagedock-gateway/src/direct/state/mod.rs
+++ b/lovagedock-gateway/src/direct/state/mod.rs
@@ -29,7 +29,14 @@
 };
 
 use arc_swap::ArcSwapOption;
-use lovagedock::{ColdAllowance, ColdEndpoints, DomainDrains, DomainRelays, EndpointBackoffs, EndpointListing, EndpointProcess, EndpointTable, LeavingQueue, LengthShares, ListingLog, OrganisationShares, OutlierEvent, PartLedger, PauseDetector, PeerLiveness, PoolFlow, QueueKind, RateLimits, RefusalLog, RelayCandidate, ReleaseNotices, RequestFingerprint, RetryShareSettings, ReturnSchedule, SlowdownTracker, StopPlan, SuspectLedger, TeamBookings, TrafficConfig, WaitingQueue, WatcherSelection, WorkLedger, prelude::*};
+use lovagedock::{
+    ColdAllowance, ColdEndpoints, DomainDrains, DomainRelays, EndpointBackoffs, EndpointListing,
+    EndpointProcess, EndpointTable, LeavingQueue, LengthShares, ListingLog, OrganisationShares,
+    OutlierEvent, PartLedger, PauseDetector, PeerLiveness, PoolFlow, QueueKind, RateLimits,
+    RefusalLog, RelayCandidate, ReleaseNotices, RequestFingerprint, RetryShareSettings,
+    ReturnSchedule, SlowdownTracker, StopPlan, SuspectLedger, TeamBookings, TrafficConfig,
+    WaitingQueue, WatcherSelection, WorkLedger, prelude::*,
+};
 use lovagedock_daemon::ProcessClock;
 use parking_lot::Mutex;
 use slog::{Logger, info};
--- a/lovagedock-gateway/src/direct/state/usage.rs
+++ b/lovagedock-gateway/src/direct/state/usage.rs
@@ -4,9 +4,11 @@
 
 use lovagedock::{DirectEndpoint, FlowLane, PeerLoad, PreviewDemand, QueueKind, prelude::*};
 use serde::Serialize;
-use serde_json::{Value, json};
 
-use super::{GatewayState, fleet_state::FleetState, flows::FlowReport, returns::ReturnReport, shares::ShareReport};
+use super::{
+    GatewayState, fleet_state::FleetState, flows::FlowReport, returns::ReturnReport,
+    shares::ShareReport,
+};
 
 /// What a gateway knows about the use of all services.
 #[derive(Debug, Serialize)]
@@ -80,11 +82,6 @@
     shares: Vec<ShareReport>,
     /// Scheduled returns.
     returns: Vec<ReturnReport>,
-    flows: Value,
-    /// Demand and served requests by service, lane and organisation.
-    shares: Value,
-    /// Scheduled returns by service and lane.
-    returns: Value,
     /// Demand by organisation, for drain previews.
     #[serde(skip)]
     pub(crate) demands: Vec<PreviewDemand>,
@@ -99,11 +96,6 @@
             demands: shares.iter().flat_map(preview_demands).collect(),
             shares,
             returns: self.return_report(),
-        OverloadReports {
-            flows: json!([]),
-            shares: json!([]),
-            returns: json!([]),
-            demands: Vec::new(),
         }
     }
 
--- a/lovagedock/tests/direct_drain_preview.rs
+++ b/lovagedock/tests/direct_drain_preview.rs
@@ -3,11 +3,9 @@
 use std::time::Duration;
 
 use lovagedock::{
-    DomainState, DrainPreview, DrainVerdict, EndpointProcess, GatewayCount, PeerLoad, PlacedWork,
-    PreviewDemand, PreviewEndpoint, WorkLedger,
     DomainState, DrainPreview,
     DrainVerdict::{self, Enough, Short, Tight},
-    EndpointProcess, GatewayCount, OrganisationDemand, PeerLoad, PlacedWork, PreviewEndpoint,
+    EndpointProcess, GatewayCount, PeerLoad, PlacedWork, PreviewDemand, PreviewEndpoint,
     WorkLedger,
 };
 
@@ -127,25 +125,11 @@
 
 impl PreviewCase {
     fn preview(&self) -> DrainPreview {
-        let endpoints = self.groups.iter().flat_map(|group| {
-            let endpoint = PreviewEndpoint {
-                service: SERVICE.into(),
-                domain: group.domain.into(),
-                slots: SLOTS,
-                is_available: group.is_available,
-                occupied: group.occupied,
-                prefill_rate: group.prefill_rate,
-                slowdown: group.slowdown,
-            };
-            std::iter::repeat_n(endpoint, group.count)
-        });
-        let endpoints: Vec<PreviewEndpoint> = endpoints.collect();
-        let demand = |service: &str, organisation: usize| PreviewDemand {
         let groups = self.groups.iter();
         let endpoints = groups
             .flat_map(|group| std::iter::repeat_n(group.endpoint.clone(), group.count))
             .collect::<Vec<_>>();
-        let demand = |service: &str, organisation: usize| OrganisationDemand {
+        let demand = |service: &str, organisation: usize| PreviewDemand {
             service: service.into(),
             organisation: format!("org-{organisation}").as_str().into(),
             share: organisation as f64 / 100.0,
