--- a/lovagedock-gateway/src/direct/state/mod.rs
+++ b/lovagedock-gateway/src/direct/state/mod.rs
@@ -33,9 +33,9 @@
     ColdAllowance, ColdEndpoints, DomainDrains, DomainRelays, EndpointBackoffs, EndpointListing,
     EndpointProcess, EndpointTable, LeavingQueue, LengthShares, ListingLog, OrganisationShares,
     OutlierEvent, PartLedger, PauseDetector, PeerLiveness, PoolFlow, QueueKind, RateLimits,
-    RefusalLog, RelayCandidate, ReleaseNotices, RequestFingerprint, RetryShareSettings,
-    ReturnSchedule, SlowdownTracker, StopPlan, SuspectLedger, TeamBookings, TrafficConfig,
-    WaitingQueue, WatcherSelection, WorkLedger, prelude::*,
+    RefusalLog, RelayCandidate, RequestFingerprint, RetryShareSettings, ReturnSchedule,
+    SlowdownTracker, StopPlan, SuspectLedger, TeamBookings, TrafficConfig, WaitingQueue,
+    WatcherSelection, WorkLedger, prelude::*,
 };
 use lovagedock_daemon::ProcessClock;
 use parking_lot::Mutex;
--- a/lovagedock/src/direct/placer.rs
+++ b/lovagedock/src/direct/placer.rs
@@ -113,8 +113,8 @@
         self
     }
 
-    /// Counts the slots of all endpoints of the service for the reserve that returning requests leave
-    /// free, full endpoints included. Without it, only those of the candidates count: while most
+    /// Counts the slots of all endpoints of the service for the reserve that returning short prompts
+    /// leave free, full endpoints included. Without it, only those of the candidates count: while most
     /// endpoints are full, the few with free slots then look as if there were capacity to spare.
     pub fn with_pool(mut self, pool: PoolSlots) -> Self {
         self.pool = Some(pool);
@@ -153,8 +153,7 @@
         let Some(profile) = self.profile else {
             return place_plain(candidates);
         };
-        let pool = || self.pool.unwrap_or_else(|| candidate_slots(candidates));
-        if request.returned && !pool().has_spare_capacity() {
+        if request.returned && !self.reserve_slots(request, candidates).has_spare_capacity() {
             return None;
         }
         let prefill_time = profile.prefill_time(request.prompt);
@@ -172,6 +171,17 @@
         best
     }
 
+    /// Returns the slots that count for the reserve that returning requests leave free.
+    fn reserve_slots(
+        &self,
+        request: &DirectRequest,
+        candidates: &[PlacerCandidate<'_>],
+    ) -> PoolSlots {
+        // Long prompts wait for prefill time and not for slots.
+        let pool = self.pool.filter(|_| !self.is_long(request.prompt));
+        pool.unwrap_or_else(|| candidate_slots(candidates))
+    }
+
     /// Returns whether to start a request that has no time left to wait for a better choice.
     ///
     /// If long prompts arrive faster than the pool can prefill them, each prompt that is started
