--- a/lovagedock/src/direct/helper_speeds.rs
+++ b/lovagedock/src/direct/helper_speeds.rs
@@ -1,7 +1,7 @@
 //! Measured speed of engines that prefill parts of prompts.
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet, VecDeque},
+    collections::{BTreeMap, HashMap, HashSet},
     time::Duration,
 };
 
@@ -9,7 +9,7 @@
 
 use super::{
     process::EndpointProcess, slowdown::DECAY_TIME, slowdown::TOLERANCE,
-    team_baseline::TeamBaseline, team_evidence::TeamEvidence,
+    team_baseline::TeamBaseline, team_evidence::TeamEvidence, team_reports::TeamReports,
 };
 use crate::ids::{GatewayId, Timestamp};
 
@@ -19,12 +19,6 @@
 /// Interval at which an estimate is sent again.
 const RESEND_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Interval at which the measurement of a team is sent again, and number of sends, to tolerate message
-/// loss. A late team that arrives after its members were in a team on time would count against them, so
-/// the interval is short.
-const TEAM_RESEND_INTERVAL: Duration = Duration::from_millis(40);
-const TEAM_SENDS: u8 = 3;
-
 /// Change of an estimate that is sent at once.
 const MIN_CHANGE: f64 = 0.3;
 
@@ -34,10 +28,6 @@
 /// Maximum number of entries per message.
 const MAX_UPDATES_PER_MESSAGE: usize = 24;
 
-/// Maximum number of peers' measurements that are remembered to recognise repeated ones. It exceeds the
-/// number that a fleet measures while one is sent.
-const MAX_KNOWN_TEAMS: usize = 128;
-
 /// Slowdown of an engine as a helper, as measured by one gateway and sent to peers.
 ///
 /// Entries of one message with `teams` 1 and the same slowdown are the members of one team: the
@@ -76,8 +66,7 @@
     reports: BTreeMap<EndpointProcess, Vec<PeerReport>>,
     /// Divisor of all estimates, more than 1 if more than a third of the engines seem slow.
     scale: f64,
-    known_teams: VecDeque<KnownTeam>,
-    unsent_teams: Vec<UnsentTeam>,
+    team_reports: TeamReports,
     sent: HashMap<EndpointProcess, SentEstimate>,
     /// Engines that were slow when changes were last returned.
     slow: HashSet<EndpointProcess>,
@@ -99,20 +88,6 @@
     received_at: Timestamp,
 }
 
-/// Measurement of a peer that was applied, by the bits of its ratio.
-#[derive(Clone, Debug, PartialEq)]
-struct KnownTeam {
-    peer: GatewayId,
-    ratio: u32,
-}
-
-#[derive(Clone, Debug)]
-struct UnsentTeam {
-    entries: Vec<HelperSpeed>,
-    sends_left: u8,
-    due_at: Timestamp,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct SentEstimate {
     slowdown: f64,
@@ -151,11 +126,8 @@
                 slowdown: ratio as f32,
                 teams: 1,
             });
-            self.unsent_teams.push(UnsentTeam {
-                entries: entries.take(MAX_UPDATES_PER_MESSAGE).collect(),
-                sends_left: TEAM_SENDS,
-                due_at: now,
-            });
+            let entries = entries.take(MAX_UPDATES_PER_MESSAGE).collect();
+            self.team_reports.push(now, entries);
         }
         self.evaluate(now);
     }
@@ -199,19 +171,10 @@
     /// An estimate is sent only by gateways that measured one of its teams, and repeated only if no
     /// peer has reported the same meanwhile.
     pub fn take_due(&mut self, now: Timestamp) -> Vec<HelperSpeed> {
-        if self.unsent_teams.is_empty() && self.estimates.is_empty() && self.sent.is_empty() {
+        if self.team_reports.is_empty() && self.estimates.is_empty() && self.sent.is_empty() {
             return Vec::new();
         }
-        let mut due = Vec::new();
-        for team in &mut self.unsent_teams {
-            if team.due_at > now || due.len() + team.entries.len() > MAX_UPDATES_PER_MESSAGE {
-                continue;
-            }
-            due.extend(team.entries.iter().cloned());
-            team.sends_left -= 1;
-            team.due_at = now + TEAM_RESEND_INTERVAL;
-        }
-        self.unsent_teams.retain(|team| team.sends_left > 0);
+        let mut due = self.team_reports.take_due(now, MAX_UPDATES_PER_MESSAGE);
         let estimates = self.estimates.iter();
         let mut speeds: Vec<(EndpointProcess, f64, usize)> = estimates
             .filter(|(_, estimate)| estimate.is_own && estimate.slowdown_at(now) >= TOLERANCE)
@@ -309,11 +272,7 @@
         self.reports.remove(endpoint);
         self.sent.remove(endpoint);
         self.slow.remove(endpoint);
-        let has_member = |team: &UnsentTeam| {
-            let mut entries = team.entries.iter();
-            entries.any(|entry| entry.endpoint == *endpoint)
-        };
-        self.unsent_teams.retain(|team| !has_member(team));
+        self.team_reports.forget(endpoint);
     }
 
     fn is_idle(&self) -> bool {
@@ -354,17 +313,9 @@
         ratio: f32,
         members: &[EndpointProcess],
     ) -> bool {
-        let team = KnownTeam {
-            peer: peer.clone(),
-            ratio: ratio.to_bits(),
-        };
-        if self.known_teams.contains(&team) {
+        if !self.team_reports.record_peer(peer, ratio) {
             return false;
         }
-        if self.known_teams.len() >= MAX_KNOWN_TEAMS {
-            self.known_teams.pop_front();
-        }
-        self.known_teams.push_back(team);
         self.record_ratio(now, members, f64::from(ratio), false);
         true
     }
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -62,6 +62,7 @@
 mod team_baseline;
 mod team_bookings;
 mod team_evidence;
+mod team_reports;
 mod waiting_queue;
 mod watcher_selection;
 
