Measurements of teams are sent twice instead of three times

Cause: with slow engines, most teams of a fleet are sent to all gateways; by arithmetic, 10 teams of 6 per second, three times, take 4 to 5 kB per second.

Change: two sends.

--- a/lovagedock/src/direct/team_reports.rs
+++ b/lovagedock/src/direct/team_reports.rs
@@ -9,7 +9,7 @@
 /// loss. A late team that arrives after its members were in a team on time would count against them, so
 /// the interval is short.
 const TEAM_RESEND_INTERVAL: Duration = Duration::from_millis(40);
-const TEAM_SENDS: u8 = 3;
+const TEAM_SENDS: u8 = 2;
 
 /// Maximum number of peers' measurements that are remembered to recognise repeated ones. It exceeds the
 /// number that a fleet measures while one is sent.
