--- a/lovagedock-gateway/src/direct/caller_server.rs
+++ b/lovagedock-gateway/src/direct/caller_server.rs
@@ -192,16 +192,16 @@
     ) -> bool {
         let now = self.state.clock.now();
         let in_flight = self.in_flight.load(Ordering::Relaxed) + unread;
-        let is_behind = !self.admission.lock().admit(now, in_flight);
         let has_memory = self.state.output.admits_connections();
-        if self.state.is_stopping() || (has_memory && !is_behind) {
+        let admits = || has_memory && self.admission.lock().admit(now, in_flight);
+        if self.state.is_stopping() || admits() {
             let server = Arc::clone(self);
             connections.spawn(async move { server.serve(stream).await });
             return true;
         }
         metrics::counter!("lovagedock_connections_closed_unread_total").increment(1);
         if let Some(left_out) = self.state.log_limiter.admit(now) {
-            let reason = match is_behind {
+            let reason = match has_memory {
                 true => "connection closed unread, the gateway is behind",
                 false => "connection closed unread, output memory is scarce",
             };
