--- a/lovagedock-gateway/src/direct/gateway.rs
+++ b/lovagedock-gateway/src/direct/gateway.rs
@@ -112,6 +112,7 @@
             Arc::clone(&state),
             log.clone(),
         ));
+        tasks.spawn(state.output.clone().run_checks(log.clone()));
         tasks.spawn(follow_settings(
             Arc::clone(&state),
             settings.clone(),
@@ -156,6 +157,12 @@
         self.state.is_ready()
     }
 
+    /// Returns the bytes that callers and endpoints have not read yet, or `None` if this memory is
+    /// not limited.
+    pub fn output_memory_bytes(&self) -> Option<usize> {
+        self.state.output.used()
+    }
+
     /// Waits until shutdown was requested and all connections have ended.
     pub async fn wait(self) -> Result<(), Report<GatewayError>> {
         self.server.await.change_context(GatewayError)
@@ -195,3 +202,46 @@
         .change_context(GatewayError)
         .attach_with(|| format!("address {address}"))
 }
+
+/// Admin endpoints of a gateway.
+struct GatewayAdmin(Arc<GatewayState>);
+
+#[async_trait]
+impl AdminHandler for GatewayAdmin {
+    fn ready(&self) -> bool {
+        self.0.is_ready()
+    }
+
+    fn dump(&self) -> Value {
+        let loads = self.0.own_loads();
+        let peers = self.0.peers();
+        let listing = self.0.listing_version();
+        json!({
+            "config": self.0.config().map(|config| config.version),
+            "store": {
+                "era": listing.position.era,
+                "revision": listing.position.revision,
+                "settled": listing.settled,
+            },
+            "output_memory_bytes": self.0.output.used(),
+            "placed": loads.iter().map(|(process, load)| json!({
+                "endpoint": process.to_string(), "occupied": load.occupied, "context": load.context,
+            })).collect::<Vec<_>>(),
+            "peers": peers.iter().map(|peer| json!({
+                "name": &*peer.name, "address": peer.address,
+            })).collect::<Vec<_>>(),
+            "drained_domains": self.0.drained_domains().iter().map(|domain| &**domain).collect::<Vec<_>>(),
+            "cold_endpoints": self.0.cold_endpoints().iter().map(|process| process.to_string()).collect::<Vec<_>>(),
+            "suspects": self.0.suspect_reports().iter().map(|report| json!({
+                "fingerprint": format_fingerprint(report.fingerprint),
+                "ended_processes": report.ends.len(),
+                "quarantined_for_s": report.quarantined_for.as_secs(),
+            })).collect::<Vec<_>>(),
+            "suspect_parts": self.0.part_reports().iter().map(|report| json!({
+                "part": format_part(report.part),
+                "ended_processes": report.ends.len(),
+                "quarantined_for_s": report.quarantined_for.as_secs(),
+            })).collect::<Vec<_>>(),
+        })
+    }
+}
--- a/lovagedock-gateway/src/direct/state/mod.rs
+++ b/lovagedock-gateway/src/direct/state/mod.rs
@@ -48,6 +48,10 @@
 
 use self::fleet_state::FleetState;
 use super::sheet_writes::SheetWrites;
+use super::{
+    fleet_tag::FleetTag, log_limiter::LogLimiter, output_memory::OutputMemory,
+    settings::OverloadSettings,
+};
 use super::{fleet_tag::FleetTag, log_limiter::LogLimiter, settings::OverloadSettings};
 
 pub(crate) use bookings::BookingGuard;
@@ -131,6 +135,8 @@
     stopping: watch::Sender<Option<StopPlan>>,
     /// Which decisions under overload are switched on.
     pub(crate) overload: OverloadSettings,
+    /// Memory for data that callers and endpoints have not read yet.
+    pub(crate) output: OutputMemory,
     /// Limits the number of log lines about requests.
     pub(crate) log_limiter: LogLimiter,
     /// Logger of the process.
@@ -215,6 +221,7 @@
             store_reachable: AtomicBool::new(false),
             stopping: watch::Sender::new(None),
             overload: OverloadSettings::default(),
+            output: OutputMemory::new(clock, None),
             log_limiter: LogLimiter::new(),
             log,
         }
@@ -222,6 +229,7 @@
 
     /// Switches on decisions under overload.
     pub(crate) fn with_overload(mut self, overload: OverloadSettings) -> Self {
+        self.output = OutputMemory::new(self.clock, overload.output_memory_mb);
         self.overload = overload;
         self
     }
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -42,6 +42,7 @@
 mod machine;
 mod member;
 mod organisation_shares;
+mod output_budget;
 mod part_ledger;
 mod part_record;
 mod part_update;
@@ -107,6 +108,8 @@
     LaneShares, OrganisationDemand, OrganisationShares, OrganisationTag, ShareDecision,
     ShareRequest, ShareUpdate, organisation_tag,
 };
+pub use organisation_shares::{OrganisationTag, ShareUpdate, organisation_tag};
+pub use output_budget::{MAX_READ_BYTES, OutputBudget, OutputId, OutputPhase, SlowCaller};
 pub use part_ledger::{PartLedger, PartVerdict};
 pub use part_update::{PartEnd, PartReport, PartUpdate, PromptPart, PromptParts, format_part};
 pub use pause::PauseDetector;
