--- a/lovagedock/src/direct/release_log.rs
+++ b/lovagedock/src/direct/release_log.rs
@@ -26,7 +26,7 @@
 /// Maximum number of remembered releases.
 const MAX_RELEASES: usize = 256;
 
-/// Maximum number of releases in one message, 20 bytes each.
+/// Maximum number of releases in one message, at most 11 bytes each.
 const MAX_PER_MESSAGE: usize = 16;
 
 /// A request or a part of prompts.
