--- a/lovagedock-gateway/src/direct/admin.rs
+++ b/lovagedock-gateway/src/direct/admin.rs
@@ -130,6 +130,7 @@
                 "revision": listing.position.revision,
                 "settled": listing.settled,
             },
+            "output_memory_bytes": self.state.output.used(),
             "placed": loads.iter().map(|(process, load)| json!({
                 "endpoint": process.to_string(), "occupied": load.occupied, "context": load.context,
             })).collect::<Vec<_>>(),
--- a/lovagedock-gateway/src/direct/call/returns.rs
+++ b/lovagedock-gateway/src/direct/call/returns.rs
@@ -56,8 +56,9 @@
             fingerprint: self.fingerprint,
             time_left: self.deadline.saturating_sub(now),
             unavailable_for,
-            // Only services with engines recognise returning requests.
-            may_return: self.has_engine && is_first,
+            // Only services with engines recognise returning requests. Long prompts wait for prefill
+            // time, which the flow of starts does not tell, and may be on time if they return early.
+            may_return: self.has_engine && is_first && !self.queue.is_long(),
             unscheduled_delay,
         });
         self.retry_after = Some(advice.delay);
--- a/lovagedock-gateway/src/direct/call/shares.rs
+++ b/lovagedock-gateway/src/direct/call/shares.rs
@@ -28,7 +28,10 @@
 impl DirectCall {
     /// Refuses a new request whose organisation exceeds its share.
     pub(super) fn check_share(&mut self, now: Timestamp) -> Result<(), DirectStep> {
+        // Few long prompts arrive in the averaging window, so one large prompt would exceed the share
+        // of its organisation.
         let is_new = self.share == ShareStage::Unchecked
+            && !self.queue.is_long()
             && self.machine.sent_count() == 0
             && self.parts.head.resume_after.is_none();
         if !is_new {
--- a/lovagedock-gateway/src/direct/state/flows.rs
+++ b/lovagedock-gateway/src/direct/state/flows.rs
@@ -117,8 +117,8 @@
     }
 
     /// Records that a request cannot be placed at once, and returns how long it is expected to wait if
-    /// the flow over all gateways is known. Returning requests wait for what others leave, which the
-    /// flow does not tell.
+    /// the flow over all gateways is known. Returning requests wait for what others leave, and long
+    /// prompts for prefill time, which the flow does not tell.
     pub(crate) fn expected_wait(&self, service: &ServiceId, kind: QueueKind) -> Option<Duration> {
         if !self.overload.scheduled_returns {
             return None;
@@ -126,7 +126,7 @@
         let now = self.clock.now();
         let mut fleet = self.fleet.lock();
         fleet.flow.record_queued(now, flow_key(service, kind));
-        if kind.is_return() {
+        if kind.is_return() || kind.is_long() {
             return None;
         }
         let totals = fleet.flow_totals(now, service, kind)?;
--- a/lovagedock-gateway/src/direct/state/mod.rs
+++ b/lovagedock-gateway/src/direct/state/mod.rs
@@ -47,12 +47,11 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use self::fleet_state::FleetState;
-use super::sheet_writes::SheetWrites;
+
 use super::{
     fleet_tag::FleetTag, log_limiter::LogLimiter, output_memory::OutputMemory,
-    settings::OverloadSettings,
+    settings::OverloadSettings, sheet_writes::SheetWrites,
 };
-use super::{fleet_tag::FleetTag, log_limiter::LogLimiter, settings::OverloadSettings};
 
 pub(crate) use bookings::BookingGuard;
 pub(crate) use helper_speeds::TeamTiming;
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -108,7 +108,6 @@
     LaneShares, OrganisationDemand, OrganisationShares, OrganisationTag, ShareDecision,
     ShareRequest, ShareUpdate, organisation_tag,
 };
-pub use organisation_shares::{OrganisationTag, ShareUpdate, organisation_tag};
 pub use output_budget::{MAX_READ_BYTES, OutputBudget, OutputId, OutputPhase, SlowCaller};
 pub use part_ledger::{PartLedger, PartVerdict};
 pub use part_update::{PartEnd, PartReport, PartUpdate, PromptPart, PromptParts, format_part};
