--- a/lovagedock-cli/src/status.rs
+++ b/lovagedock-cli/src/status.rs
@@ -159,9 +159,12 @@
 }
 
 fn report_status(expected: ExpectedGeneration, lines: &[ProcessLine]) -> CommandReport {
-    let (label, accepted) = match expected {
-        ExpectedGeneration::Accepted(accepted) => ("accepted", accepted),
-        ExpectedGeneration::Newest(newest) => ("newest", Ok(newest.unwrap_or_default())),
+    let (label, field, accepted) = match expected {
+        ExpectedGeneration::Accepted(accepted) => ("accepted", "accepted_generation", accepted),
+        ExpectedGeneration::Newest(newest) => {
+            let newest = Ok(newest.unwrap_or_default());
+            ("newest", "newest_generation", newest)
+        }
     };
     let generation = accepted.as_ref().ok().copied();
     let in_force = |line: &&ProcessLine| match (line.generation, generation) {
@@ -185,7 +188,7 @@
     text += &format_table(HEADER, &rows);
     text += &direct_text(lines);
     let value = json!({
-        format!("{label}_generation"): generation,
+        field: generation,
         "in_force": generation.map(|_| count),
         "processes": lines,
         "store_error": accepted.as_ref().err().map_or(Value::Null, |report| report.value.clone()),
