--- a/lovagedock-gateway/src/direct/state/placement.rs
+++ b/lovagedock-gateway/src/direct/state/placement.rs
@@ -317,27 +317,25 @@
         let is_cold_admitted =
             fleet.cold_limits.admit(now, &placed.lead.process) == RateVerdict::Admitted;
         let work = self.claim_work(&mut fleet, works);
-        let slot_claim = SlotClaim {
+        let has_slot_claims = self.overload.placement_claims && placer.is_short_prompt(request);
+        let slot_claim = has_slot_claims.then(|| SlotClaim {
             slots: placed.lead.slots,
             occupied: placed.occupied,
             alternatives: choice.alternatives,
             first_event: choice.first_event,
             prefill_time: choice.part_prefill_time,
             late_at: now + request.objective_left,
+        });
+        let claim_time = match &slot_claim {
+            Some(claim) => claim.claim_time(now, concurrent, fleet.ledger.relay_delay()),
+            None if placed.helpers.is_empty() => Duration::ZERO,
+            None => fleet.ledger.claim_time(),
         };
-        let claim_time = match placed.helpers.is_empty() {
-            false => fleet.ledger.claim_time(),
-            true if !self.overload.placement_claims || !placer.is_short_prompt(request) => {
-                Duration::ZERO
-            }
-            true => slot_claim.claim_time(now, concurrent, fleet.ledger.relay_delay()),
-        };
-        let is_slot_claim = placed.helpers.is_empty() && !claim_time.is_zero();
         let placed = PlacedRequest {
             service: service.clone(),
             queue: kind,
             claim_time,
-            slot_claim: is_slot_claim.then_some(slot_claim),
+            slot_claim: slot_claim.filter(|_| !claim_time.is_zero()),
             lead: placed.lead,
             helpers: placed.helpers,
             first_event_delay: choice.first_event,
