--- a/lovagedock/src/direct/part_ledger/releases.rs
+++ b/lovagedock/src/direct/part_ledger/releases.rs
@@ -13,7 +13,7 @@
 
 impl PartLedger {
     /// Drops the evidence against a part because an operator ended its quarantine, see
-    /// [`SuspectLedger::release`](super::SuspectLedger::release). Returns whether there was any.
+    /// [`SuspectLedger::release`](crate::direct::SuspectLedger::release). Returns whether there was any.
     pub fn release(&mut self, now: Timestamp, part: PromptPart) -> bool {
         let now = ledger_time(now);
         if self.released.recent_time(now, part).is_some() {
