--- /dev/null
+++ b/review/standin.rs
@@ -0,0 +1,940 @@
+//! Stand-ins of the platform, of engines and of callers, and the cases of this folder that use them.
+//!
+//! Uses only the standard library. Built by `review/build.sh`, started by `review/N/run.sh`.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    fmt::Write as _,
+    fs,
+    io::{self, ErrorKind, Read, Write},
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream},
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitCode, Stdio},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+mod hang;
+mod memory;
+
+/// Exit codes of a case.
+pub const HELD: u8 = 0;
+pub const BROKEN: u8 = 1;
+pub const NOT_RUN: u8 = 2;
+
+fn main() -> ExitCode {
+    let mut arguments = std::env::args().skip(1);
+    let case = arguments.next().unwrap_or_default();
+    let folder = PathBuf::from(arguments.next().unwrap_or_default());
+    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let run = match case.as_str() {
+        "hang" => hang::run,
+        "memory" => memory::run,
+        _ => {
+            eprintln!("unknown case {case:?}");
+            return ExitCode::from(NOT_RUN);
+        }
+    };
+    let record = Record::new();
+    let code = match run(&record, trouble) {
+        Ok(true) => HELD,
+        Ok(false) => BROKEN,
+        Err(error) => {
+            record.line(&format!("the case could not run: {error}"));
+            NOT_RUN
+        }
+    };
+    record.line(&format!("exit {code}"));
+    match record.write(&folder.join("record.txt")) {
+        Ok(()) => ExitCode::from(code),
+        Err(error) => {
+            eprintln!("cannot write the record: {error}");
+            ExitCode::from(NOT_RUN)
+        }
+    }
+}
+
+/// What was sent, answered and run, with the time since the start of the case.
+#[derive(Clone)]
+pub struct Record {
+    started: Instant,
+    lines: Arc<Mutex<Vec<(Duration, String)>>>,
+}
+
+impl Record {
+    fn new() -> Self {
+        Self {
+            started: Instant::now(),
+            lines: Arc::default(),
+        }
+    }
+
+    pub fn line(&self, text: &str) {
+        let at = self.started.elapsed();
+        self.lines.lock().unwrap().push((at, text.to_owned()));
+    }
+
+    fn write(&self, file: &Path) -> io::Result<()> {
+        let mut lines = self.lines.lock().unwrap().clone();
+        lines.sort_by_key(|(at, _)| *at);
+        let mut text = String::new();
+        for (at, line) in lines {
+            let _ = writeln!(text, "{:8.3} {line}", at.as_secs_f64());
+        }
+        fs::write(file, text)
+    }
+}
+
+/// Head of an HTTP message, with lower-case header names.
+#[derive(Clone, Debug, Default)]
+pub struct Head {
+    pub first: String,
+    pub headers: HashMap<String, String>,
+}
+
+impl Head {
+    pub fn get(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+
+    /// Method and target of a request.
+    fn request_line(&self) -> (&str, &str) {
+        let mut words = self.first.split(' ');
+        (words.next().unwrap_or(""), words.next().unwrap_or(""))
+    }
+
+    /// Status of a response.
+    pub fn status(&self) -> u16 {
+        let status = self.first.split(' ').nth(1);
+        status.and_then(|status| status.parse().ok()).unwrap_or(0)
+    }
+
+    fn length(&self) -> usize {
+        self.get("content-length").parse().unwrap_or(0)
+    }
+}
+
+/// A connection with its unread bytes.
+pub struct Channel {
+    pub stream: TcpStream,
+    buffer: Vec<u8>,
+}
+
+impl Channel {
+    pub fn new(stream: TcpStream) -> Self {
+        let _ = stream.set_nodelay(true);
+        Self {
+            stream,
+            buffer: Vec::new(),
+        }
+    }
+
+    pub fn connect(address: SocketAddr) -> io::Result<Self> {
+        TcpStream::connect_timeout(&address, Duration::from_secs(1)).map(Self::new)
+    }
+
+    /// Sets until when reads wait.
+    fn read_more(&mut self, until: Instant) -> io::Result<usize> {
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(ErrorKind::TimedOut.into());
+        }
+        self.stream.set_read_timeout(Some(left))?;
+        let mut piece = [0; 65536];
+        let count = self.stream.read(&mut piece)?;
+        self.buffer.extend_from_slice(&piece[..count]);
+        Ok(count)
+    }
+
+    /// Reads a head. `None` if the channel ended before its first byte.
+    pub fn read_head(&mut self, until: Instant) -> io::Result<Option<Head>> {
+        loop {
+            let end = self.buffer.windows(4).position(|four| four == b"\r\n\r\n");
+            if let Some(end) = end {
+                let text = String::from_utf8_lossy(&self.buffer[..end]).into_owned();
+                self.buffer.drain(..end + 4);
+                let mut lines = text.split("\r\n");
+                let first = lines.next().unwrap_or_default().to_owned();
+                let pairs = lines.filter_map(|line| line.split_once(':'));
+                let headers = pairs
+                    .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
+                    .collect();
+                return Ok(Some(Head { first, headers }));
+            }
+            if self.read_more(until)? == 0 {
+                return match self.buffer.is_empty() {
+                    true => Ok(None),
+                    false => Err(ErrorKind::UnexpectedEof.into()),
+                };
+            }
+        }
+    }
+
+    pub fn read_exact(&mut self, length: usize, until: Instant) -> io::Result<Vec<u8>> {
+        while self.buffer.len() < length {
+            if self.read_more(until)? == 0 {
+                return Err(ErrorKind::UnexpectedEof.into());
+            }
+        }
+        Ok(self.buffer.drain(..length).collect())
+    }
+
+    /// Reads and drops bytes, and nothing beyond them.
+    fn read_plain(&mut self, mut length: usize, until: Instant) -> io::Result<()> {
+        let mut piece = [0; 16 << 10];
+        while length > 0 {
+            let left = until.saturating_duration_since(Instant::now());
+            self.stream
+                .set_read_timeout(Some(left.max(Duration::from_millis(1))))?;
+            let most = length.min(piece.len());
+            match self.stream.read(&mut piece[..most])? {
+                0 => return Err(ErrorKind::UnexpectedEof.into()),
+                count => length -= count,
+            }
+        }
+        Ok(())
+    }
+
+    fn read_line(&mut self, until: Instant) -> io::Result<String> {
+        loop {
+            if let Some(end) = self.buffer.windows(2).position(|two| two == b"\r\n") {
+                let line = String::from_utf8_lossy(&self.buffer[..end]).into_owned();
+                self.buffer.drain(..end + 2);
+                return Ok(line);
+            }
+            if self.read_more(until)? == 0 {
+                return Err(ErrorKind::UnexpectedEof.into());
+            }
+        }
+    }
+
+    /// Reads the body of a response. Each wait for more bytes lasts until `until(time of the latest
+    /// bytes)`.
+    pub fn read_body(
+        &mut self,
+        head: &Head,
+        until: impl Fn(Instant) -> Instant,
+    ) -> io::Result<Vec<u8>> {
+        if !head.get("transfer-encoding").contains("chunked") {
+            return self.read_exact(head.length(), until(Instant::now()));
+        }
+        let mut body = Vec::new();
+        let mut latest = Instant::now();
+        loop {
+            let size = self.read_line(until(latest))?;
+            let size = usize::from_str_radix(size.trim(), 16)
+                .map_err(|_| io::Error::from(ErrorKind::InvalidData))?;
+            let chunk = self.read_exact(size + 2, until(latest))?;
+            if size == 0 {
+                return Ok(body);
+            }
+            body.extend_from_slice(&chunk[..size]);
+            latest = Instant::now();
+        }
+    }
+}
+
+/// Returns the text of the value of `key` in a JSON object, without a full parser: the stand-in
+/// reads only what gateways write.
+fn json_value<'a>(text: &'a str, key: &str) -> Option<&'a str> {
+    let pattern = format!("\"{key}\":");
+    let start = text.find(&pattern)? + pattern.len();
+    let rest = &text[start..];
+    let mut depth = 0;
+    let mut in_text = false;
+    let mut escaped = false;
+    for (index, byte) in rest.bytes().enumerate() {
+        if in_text {
+            match byte {
+                _ if escaped => escaped = false,
+                b'\\' => escaped = true,
+                b'"' => in_text = false,
+                _ => {}
+            }
+            continue;
+        }
+        match byte {
+            b'"' => in_text = true,
+            b'{' | b'[' => depth += 1,
+            b'}' | b']' if depth == 0 => return Some(&rest[..index]),
+            b'}' | b']' => depth -= 1,
+            b',' if depth == 0 => return Some(&rest[..index]),
+            _ => {}
+        }
+    }
+    Some(rest)
+}
+
+#[derive(Clone)]
+struct StoredObject {
+    revision: u64,
+    created: u64,
+    spec: String,
+}
+
+impl StoredObject {
+    fn json(&self, name: &str) -> String {
+        format!(
+            "{{\"metadata\":{{\"name\":\"{name}\",\"revision\":{},\"created\":{},\
+             \"finalizers\":[],\"deleting\":false}},\"spec\":{},\"status\":null}}",
+            self.revision, self.created, self.spec
+        )
+    }
+}
+
+#[derive(Default)]
+struct StoreState {
+    revision: u64,
+    kinds: HashMap<String, BTreeMap<String, StoredObject>>,
+    /// Revision, kind and JSON of each event.
+    events: Vec<(u64, String, String)>,
+}
+
+/// The platform's store.
+pub struct Store {
+    pub address: SocketAddr,
+    state: Mutex<StoreState>,
+    changed: Condvar,
+}
+
+impl Store {
+    pub fn start() -> io::Result<Arc<Self>> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let store = Arc::new(Self {
+            address: listener.local_addr()?,
+            state: Mutex::new(StoreState {
+                revision: 100,
+                ..StoreState::default()
+            }),
+            changed: Condvar::new(),
+        });
+        let server = Arc::clone(&store);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let server = Arc::clone(&server);
+                thread::spawn(move || server.serve(Channel::new(stream)));
+            }
+        });
+        Ok(store)
+    }
+
+    /// Writes an object as the operator or an engine does.
+    pub fn put(&self, kind: &str, name: &str, spec: &str) {
+        let mut state = self.state.lock().unwrap();
+        let known = state.kinds.entry(kind.to_owned()).or_default().get(name);
+        if known.is_some_and(|known| known.spec == spec) {
+            return;
+        }
+        let created = known.map(|known| known.created);
+        state.revision += 1;
+        let revision = state.revision;
+        let object = StoredObject {
+            revision,
+            created: created.unwrap_or(revision),
+            spec: spec.to_owned(),
+        };
+        let event = format!("{{\"deleted\":false,\"object\":{}}}", object.json(name));
+        let objects = state.kinds.get_mut(kind).unwrap();
+        objects.insert(name.to_owned(), object);
+        state.events.push((revision, kind.to_owned(), event));
+        self.changed.notify_all();
+    }
+
+    fn serve(&self, mut channel: Channel) {
+        loop {
+            let until = Instant::now() + Duration::from_secs(120);
+            let Ok(Some(head)) = channel.read_head(until) else {
+                return;
+            };
+            let Ok(body) = channel.read_exact(head.length(), until) else {
+                return;
+            };
+            let (status, body) = self.respond(&head, &String::from_utf8_lossy(&body));
+            let response = format!(
+                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+                body.len()
+            );
+            if channel.stream.write_all(response.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn respond(&self, head: &Head, body: &str) -> (u16, String) {
+        let (method, target) = head.request_line();
+        let (path, query) = target.split_once('?').unwrap_or((target, ""));
+        let Some(path) = path.strip_prefix("/api/objects/") else {
+            return (404, "{}".to_owned());
+        };
+        let (kind, name) = path.split_once('/').unwrap_or((path, ""));
+        let query: HashMap<&str, &str> = query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .collect();
+        let watch = query.get("watch").and_then(|from| from.parse().ok());
+        match (method, watch) {
+            ("GET", Some(from)) => {
+                let wait = query.get("waitMs").and_then(|wait| wait.parse().ok());
+                (200, self.watch(kind, from, wait.unwrap_or(0)))
+            }
+            ("GET", None) => (200, self.list(kind)),
+            ("POST", _) => {
+                let name = json_value(body, "name").unwrap_or("\"\"").trim_matches('"');
+                let state = self.state.lock().unwrap();
+                let known = state.kinds.get(kind).and_then(|objects| objects.get(name));
+                if let Some(known) = known {
+                    return (409, known.json(name));
+                }
+                drop(state);
+                self.write(kind, name, body)
+            }
+            ("PUT", _) => self.write(kind, name, body),
+            _ => (404, "{}".to_owned()),
+        }
+    }
+
+    fn write(&self, kind: &str, name: &str, body: &str) -> (u16, String) {
+        self.put(kind, name, json_value(body, "spec").unwrap_or("null"));
+        let state = self.state.lock().unwrap();
+        (200, state.kinds[kind][name].json(name))
+    }
+
+    fn list(&self, kind: &str) -> String {
+        let state = self.state.lock().unwrap();
+        let objects = state.kinds.get(kind);
+        let items: Vec<String> = objects
+            .into_iter()
+            .flatten()
+            .map(|(name, object)| object.json(name))
+            .collect();
+        format!(
+            "{{\"items\":[{}],\"more\":false,\"storeRevision\":{}}}",
+            items.join(","),
+            state.revision
+        )
+    }
+
+    fn watch(&self, kind: &str, from: u64, wait_ms: u64) -> String {
+        let until = Instant::now() + Duration::from_millis(wait_ms);
+        let mut state = self.state.lock().unwrap();
+        loop {
+            let events = state.events.iter();
+            let events: Vec<&str> = events
+                .filter(|(revision, of, _)| *revision > from && of == kind)
+                .map(|(_, _, event)| event.as_str())
+                .collect();
+            let left = until.saturating_duration_since(Instant::now());
+            if !events.is_empty() || left.is_zero() {
+                return format!(
+                    "{{\"events\":[{}],\"storeRevision\":{}}}",
+                    events.join(","),
+                    state.revision
+                );
+            }
+            state = self.changed.wait_timeout(state, left).unwrap().0;
+        }
+    }
+}
+
+/// How an engine reads a request and answers it.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineWork {
+    /// Bytes of a body that the engine reads in a second; `None` for all at once.
+    pub read_per_s: Option<usize>,
+    /// Time until the first byte of the answer.
+    pub first: Duration,
+    /// Events of a stream; 0 for a plain answer.
+    pub events: u32,
+    /// Time between two events.
+    pub gap: Duration,
+}
+
+/// Reads a body, at the given rate if there is one.
+fn read_body(channel: &mut Channel, length: usize, rate: Option<usize>) -> io::Result<()> {
+    const PIECE: usize = 16 << 10;
+    let limit = Instant::now() + Duration::from_secs(60);
+    let started = Instant::now();
+    let mut read = 0;
+    while read < length {
+        let piece = PIECE.min(length - read);
+        // Not through `Channel::read_exact`, which reads ahead.
+        let buffered = channel.buffer.len().min(piece);
+        channel.buffer.drain(..buffered);
+        channel.read_plain(piece - buffered, limit)?;
+        read += piece;
+        if let Some(rate) = rate {
+            let due = started + Duration::from_secs_f64(read as f64 / rate as f64);
+            thread::sleep(due.saturating_duration_since(Instant::now()));
+        }
+    }
+    Ok(())
+}
+
+/// One engine. It runs every request that names its id.
+pub struct Engine {
+    pub id: String,
+    pub service: String,
+    pub zone: String,
+    pub address: SocketAddr,
+    /// Ids of the requests whose heads the engine got.
+    pub got: Mutex<Vec<String>>,
+    /// Ids of the requests that the engine has run and answered whole.
+    pub answered: Mutex<Vec<String>>,
+    active: AtomicU64,
+    slots: u32,
+    record: Record,
+}
+
+impl Engine {
+    pub fn start(
+        record: &Record,
+        id: &str,
+        service: &str,
+        zone: &str,
+        slots: u32,
+        work: fn(&Head) -> EngineWork,
+    ) -> io::Result<Arc<Self>> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let engine = Arc::new(Self {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            zone: zone.to_owned(),
+            address: listener.local_addr()?,
+            got: Mutex::default(),
+            answered: Mutex::default(),
+            active: AtomicU64::new(0),
+            slots,
+            record: record.clone(),
+        });
+        let server = Arc::clone(&engine);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let server = Arc::clone(&server);
+                thread::spawn(move || server.serve(Channel::new(stream), work));
+            }
+        });
+        Ok(engine)
+    }
+
+    /// The engine's entry in the store.
+    pub fn entry(&self, state: &str) -> String {
+        format!(
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
+             \"slots\":{},\"state\":\"{state}\",\"coldLeftMs\":0,\"sequence\":1}}",
+            self.service, self.address, self.zone, self.slots
+        )
+    }
+
+    fn serve(&self, mut channel: Channel, work: fn(&Head) -> EngineWork) {
+        loop {
+            let until = Instant::now() + Duration::from_secs(60);
+            let Ok(Some(head)) = channel.read_head(until) else {
+                return;
+            };
+            let id = head.get("lovagedock-attempt-id").to_owned();
+            self.got.lock().unwrap().push(id);
+            let work = work(&head);
+            if read_body(&mut channel, head.length(), work.read_per_s).is_err() {
+                return;
+            }
+            let expected = head.get("lovagedock-expect-instance");
+            if !expected.is_empty() && expected != self.id {
+                let response = format!(
+                    "HTTP/1.1 421 Misdirected Request\r\nLovagedock-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                    self.id
+                );
+                let _ = channel.stream.write_all(response.as_bytes());
+                continue;
+            }
+            self.active.fetch_add(1, Ordering::Relaxed);
+            let sent = self.answer(&mut channel, &head, work);
+            self.active.fetch_sub(1, Ordering::Relaxed);
+            if sent.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, channel: &mut Channel, head: &Head, work: EngineWork) -> io::Result<()> {
+        let id = head.get("lovagedock-attempt-id").to_owned();
+        self.record.line(&format!("engine {} runs {id}", self.id));
+        thread::sleep(work.first);
+        let active = self.active.load(Ordering::Relaxed);
+        let common = format!(
+            "HTTP/1.1 200 OK\r\nLovagedock-Attempt-Id: {id}\r\n\
+             Lovagedock-Response-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n\
+             Lovagedock-Instance-Load: {active},0,{}\r\n",
+            self.slots
+        );
+        if work.events == 0 {
+            let body = format!("{{\"answer\":\"{id}\"}}");
+            let text = format!("{common}Content-Length: {}\r\n\r\n{body}", body.len());
+            channel.stream.write_all(text.as_bytes())?;
+        } else {
+            let text = format!(
+                "{common}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+            );
+            channel.stream.write_all(text.as_bytes())?;
+            for event in 1..=work.events {
+                let event = format!("id: {event}\ndata: {}\n\n", "x".repeat(48));
+                let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+                channel.stream.write_all(chunk.as_bytes())?;
+                thread::sleep(work.gap);
+            }
+            channel.stream.write_all(b"0\r\n\r\n")?;
+        }
+        self.record
+            .line(&format!("engine {} has answered {id} whole", self.id));
+        self.answered.lock().unwrap().push(id);
+        Ok(())
+    }
+}
+
+/// A gateway process, killed when this is dropped.
+pub struct Gateway {
+    pub callers: SocketAddr,
+    pub ready: SocketAddr,
+    pub child: Child,
+    folder: PathBuf,
+}
+
+/// A loopback address of its own for a process, so that the port that the template fixes is free.
+fn own_address(number: u8) -> Ipv4Addr {
+    let process = std::process::id();
+    Ipv4Addr::new(127, (process >> 8) as u8 | 1, process as u8, 10 + number)
+}
+
+/// Returns a port that is free at the address.
+fn free_port(ip: Ipv4Addr) -> io::Result<u16> {
+    Ok(TcpListener::bind((ip, 0))?.local_addr()?.port())
+}
+
+impl Gateway {
+    /// Starts a gateway with the command of the deploy file, and settings as its template gives them
+    /// for an `edge` machine of a small deployment.
+    pub fn start(number: u8, zone: &str, store: SocketAddr) -> io::Result<Self> {
+        let ip = own_address(number);
+        let folder = std::env::temp_dir().join(format!("review-{}-{number}", std::process::id()));
+        fs::create_dir_all(&folder)?;
+        let template = fs::read_to_string("deploy/gateway.jsonc")?;
+        let callers = free_port(ip)?;
+        let ready = free_port(ip)?;
+        let peers = free_port(ip)?;
+        let values = [
+            ("nodeName", format!("edge-{zone}-{number}")),
+            ("zone", zone.to_owned()),
+            ("limits.cpuShare", "0.19".to_owned()),
+            ("bootstrap", "true".to_owned()),
+            ("listen.frontend", format!("{ip}:{callers}")),
+            ("listen.ready", format!("{ip}:{ready}")),
+            ("ip", ip.to_string()),
+            ("internalPorts.0", peers.to_string()),
+            ("platform.address", store.to_string()),
+            ("bounds.retryBudgetRatio", "0.2".to_owned()),
+            ("bounds.budgetSlack", "104".to_owned()),
+            ("bounds.budgetWindowS", "10".to_owned()),
+            ("bounds.graceS", "8".to_owned()),
+        ];
+        let lines = template.lines().filter(|line| !line.contains("{{#"));
+        let mut text = lines.collect::<Vec<_>>().join("\n");
+        for (name, value) in values {
+            text = text.replace(&format!("{{{{{name}}}}}"), &value);
+        }
+        let settings = folder.join("node.yaml");
+        fs::write(&settings, text)?;
+        let log = fs::File::create(folder.join("log.txt"))?;
+        let child = Command::new("target/release/lovagedock-direct")
+            .arg("--settings")
+            .arg(&settings)
+            .env_clear()
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        Ok(Self {
+            callers: SocketAddrV4::new(ip, callers).into(),
+            ready: SocketAddrV4::new(ip, ready).into(),
+            child,
+            folder,
+        })
+    }
+
+    /// Returns whether the gateway says that it is ready.
+    pub fn is_ready(&self) -> bool {
+        let ask = || -> io::Result<u16> {
+            let mut channel = Channel::connect(self.ready)?;
+            let request = "GET /api/readyz HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n";
+            channel.stream.write_all(request.as_bytes())?;
+            let head = channel.read_head(Instant::now() + Duration::from_secs(1))?;
+            Ok(head.map_or(0, |head| head.status()))
+        };
+        ask().is_ok_and(|status| status == 200)
+    }
+
+    pub fn wait_until_ready(&self) -> io::Result<()> {
+        let until = Instant::now() + Duration::from_secs(20);
+        while Instant::now() < until {
+            if self.is_ready() {
+                return Ok(());
+            }
+            thread::sleep(Duration::from_millis(100));
+        }
+        let log = fs::read_to_string(self.folder.join("log.txt")).unwrap_or_default();
+        eprintln!("{log}");
+        Err(io::Error::other("a gateway does not get ready"))
+    }
+
+    /// Kills the process.
+    pub fn kill(&self) {
+        let id = self.child.id().to_string();
+        let _ = Command::new("kill").args(["-KILL", &id]).status();
+    }
+
+    /// Returns a field of the process in kilobytes, such as `VmHWM`.
+    pub fn memory_kb(&self, field: &str) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with(field));
+        let number = line.and_then(|line| line.split_whitespace().nth(1));
+        number.and_then(|number| number.parse().ok()).unwrap_or(0)
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        if std::env::var_os("KEEP_LOGS").is_none() {
+            let _ = fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+pub const MODEL_SERVICE: &str = "huvo11a";
+pub const PLAIN_SERVICE: &str = "wuno96b";
+pub const HOST: &str = "ficu95.example";
+pub const KEY: &str = "n2ctnfzs989anu6wsjnb";
+
+/// A configuration as the platform's page of examples shows it, with the given routes.
+pub fn config(version: u64, routes: &[String]) -> String {
+    format!(
+        "{{\"version\":{version},\"routes\":[{}],\"services\":[\
+         {{\"name\":\"{MODEL_SERVICE}\",\"healthPath\":\"/healthz\",\"maxConns\":364,\
+         \"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":16,\"kvCapacity\":450000,\
+         \"stride\":46,\"step_ms\":0.925,\"per_seq_ms\":0.00483,\"context_per_k\":0.00254,\
+         \"read_per_s\":256000.0,\"pairs_per_m\":0.0917,\"chunk\":2048,\"report_lag_ms\":200.0,\
+         \"usual\":{{\"prompt\":13199,\"answer\":1541}},\"hopMs\":0.1}}}},\
+         {{\"name\":\"{PLAIN_SERVICE}\",\"healthPath\":\"/healthz\",\"maxConns\":110,\
+         \"protocol\":\"h1\",\"tls\":false}}],\
+         \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\
+         \"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\
+         \"tenants\":[{{\"name\":\"hule930\",\"apiKeys\":[\"{KEY}\"],\"priority\":1}}]}}",
+        routes.join(",")
+    )
+}
+
+/// A caller's request.
+pub struct Request<'a> {
+    pub method: &'a str,
+    pub path: &'a str,
+    pub id: &'a str,
+    pub deadline_ms: u64,
+    /// Prompt tokens and maximum tokens of the answer.
+    pub tokens: Option<(u64, u64)>,
+    pub body: &'a [u8],
+}
+
+impl Request<'_> {
+    pub fn head(&self) -> String {
+        let mut text = format!(
+            "{} {} HTTP/1.1\r\nHost: {HOST}\r\nLovagedock-Attempt-Id: {}\r\n\
+             Lovagedock-Deadline-Ms: {}\r\nAuthorization: Bearer {KEY}\r\n",
+            self.method, self.path, self.id, self.deadline_ms
+        );
+        if let Some((prompt, answer)) = self.tokens {
+            let _ = write!(
+                text,
+                "Lovagedock-Model: m\r\nLovagedock-Token-Count: {prompt},{answer}\r\n\
+                 Lovagedock-Prefix-Hash: 5c1e07a2:40,{}:{}\r\n",
+                self.id,
+                prompt - 40
+            );
+        }
+        let _ = write!(text, "Content-Length: {}\r\n\r\n", self.body.len());
+        text
+    }
+
+    /// Writes the request to the channel.
+    pub fn send(&self, channel: &mut Channel) -> io::Result<()> {
+        channel.stream.write_all(self.head().as_bytes())?;
+        channel.stream.write_all(self.body)
+    }
+}
+
+/// A small deployment: three gateways in as many zones, engines and the store.
+pub struct Deployment {
+    pub engines: Vec<Arc<Engine>>,
+    pub gateways: Vec<Gateway>,
+}
+
+impl Deployment {
+    /// Starts everything, with six model engines and one application engine in each zone.
+    pub fn start(
+        record: &Record,
+        routes: &[String],
+        work: fn(&Head) -> EngineWork,
+    ) -> io::Result<Self> {
+        let store = Store::start()?;
+        store.put("config", "main", &config(7, routes));
+        let zones = ["amman-a", "amman-b", "amman-c"];
+        let mut engines = Vec::new();
+        for (index, zone) in zones.iter().cycle().take(6).enumerate() {
+            let id = format!("i-llm{index}");
+            engines.push(Engine::start(record, &id, MODEL_SERVICE, zone, 16, work)?);
+        }
+        for (index, zone) in zones.iter().enumerate() {
+            let id = format!("i-app{index}");
+            engines.push(Engine::start(record, &id, PLAIN_SERVICE, zone, 6, work)?);
+        }
+        for engine in &engines {
+            store.put("servers", &engine.id, &engine.entry("ready"));
+        }
+        let mut gateways = Vec::new();
+        for (index, zone) in zones.iter().enumerate() {
+            gateways.push(Gateway::start(index as u8, zone, store.address)?);
+        }
+        for gateway in &gateways {
+            gateway.wait_until_ready()?;
+        }
+        thread::sleep(Duration::from_secs(2));
+        record.line("all gateways are ready");
+        Ok(Self { engines, gateways })
+    }
+
+    /// Returns the ids of the requests whose heads engines got.
+    pub fn got(&self) -> Vec<String> {
+        let engines = self.engines.iter();
+        engines
+            .flat_map(|engine| engine.got.lock().unwrap().clone())
+            .collect()
+    }
+
+    /// Returns the ids of the requests that engines have answered whole.
+    pub fn answered(&self) -> Vec<String> {
+        let engines = self.engines.iter();
+        engines
+            .flat_map(|engine| engine.answered.lock().unwrap().clone())
+            .collect()
+    }
+}
+
+/// Route of long prompts: `goalMs` 3000 and `gapGoalMs` 800, as on the sheet.
+pub fn stream_route(timeout_ms: u64) -> String {
+    format!(
+        "{{\"name\":\"r-fi6y7z5\",\"host\":\"{HOST}\",\"pathPrefix\":\"/pufi791/\",\
+         \"kind\":\"stream\",\"timeoutMs\":{timeout_ms},\"goalMs\":3000,\"priority\":1,\
+         \"service\":\"{MODEL_SERVICE}\",\"attempts\":2,\"public\":false,\"sticky\":true,\
+         \"resumable\":true,\"gapGoalMs\":800}}"
+    )
+}
+
+/// Route of the application.
+pub fn unsafe_route() -> String {
+    format!(
+        "{{\"name\":\"r-2yhvz3p\",\"host\":\"{HOST}\",\"pathPrefix\":\"/puxa403/\",\
+         \"kind\":\"unsafe\",\"timeoutMs\":2500,\"goalMs\":150,\"priority\":2,\
+         \"service\":\"{PLAIN_SERVICE}\",\"attempts\":1,\"public\":false,\"sticky\":false}}"
+    )
+}
+
+/// How long a caller of that stream waits for its first event and between events: four times the
+/// objective, which is longer than two seconds and eight times the pause.
+pub const PATIENCE: Duration = Duration::from_secs(12);
+
+/// Opens a channel for each caller and serves a small request on it, so that it is a kept one.
+pub fn keep_channels<'a>(
+    record: &'a Record,
+    gateway: &Gateway,
+    count: usize,
+) -> io::Result<Vec<Caller<'a>>> {
+    thread::scope(|scope| {
+        let open = |number| {
+            let channel = Channel::connect(gateway.callers)?;
+            let mut caller = Caller { record, channel };
+            match caller.call(&format!("{:016x}", 0x1000 + number), b"{}") {
+                (Ending::Answered(200), _) => Ok(caller),
+                (ending, _) => Err(io::Error::other(format!("a small request: {ending:?}"))),
+            }
+        };
+        let threads = (0..count).map(|number| {
+            // Spread over a second, so that the engines' slots suffice.
+            thread::sleep(Duration::from_millis(15));
+            scope.spawn(move || open(number))
+        });
+        let threads: Vec<_> = threads.collect();
+        let callers = threads.into_iter();
+        callers
+            .map(|thread| thread.join().expect("no caller panics"))
+            .collect()
+    })
+}
+
+/// How a request ended for its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// A whole answer with this status.
+    Answered(u16),
+    /// The caller waited in vain.
+    GaveUp,
+    /// The channel ended without a whole answer.
+    Closed,
+}
+
+/// A caller of streams with a kept channel.
+pub struct Caller<'a> {
+    pub record: &'a Record,
+    pub channel: Channel,
+}
+
+impl Caller<'_> {
+    /// Sends a stream request and waits for the whole answer.
+    pub fn call(&mut self, id: &str, body: &[u8]) -> (Ending, Duration) {
+        let sent = Instant::now();
+        let request = Request {
+            method: "POST",
+            path: "/pufi791/2f",
+            id,
+            deadline_ms: 15_000,
+            tokens: Some((5_000, 966)),
+            body,
+        };
+        let result = self.exchange(&request, sent);
+        let took = sent.elapsed();
+        let ending = match &result {
+            Ok(status) => Ending::Answered(*status),
+            Err(error) => match error.kind() {
+                ErrorKind::WouldBlock | ErrorKind::TimedOut => Ending::GaveUp,
+                _ => Ending::Closed,
+            },
+        };
+        let seconds = took.as_secs_f64();
+        self.record
+            .line(&format!("caller {id}: {ending:?} after {seconds:.3} s"));
+        (ending, took)
+    }
+
+    fn exchange(&mut self, request: &Request<'_>, sent: Instant) -> io::Result<u16> {
+        request.send(&mut self.channel)?;
+        let (id, length) = (request.id, request.body.len());
+        self.record
+            .line(&format!("caller sent {id}, a body of {length} bytes"));
+        let head = self.channel.read_head(sent + PATIENCE)?;
+        let head = head.ok_or(ErrorKind::UnexpectedEof)?;
+        self.channel.read_body(&head, |latest| latest + PATIENCE)?;
+        Ok(head.status())
+    }
+}
