--- a/review/hang.rs
+++ b/review/hang.rs
@@ -99,8 +99,8 @@
             for _ in 0..9 {
                 thread::sleep(Duration::from_secs(2));
                 let is_ready = gateway.is_ready();
-                let memory = gateway.memory_kb("VmRSS") / 1000;
-                record.line(&format!("gateway says ready: {is_ready}; {memory} MB"));
+                let memory = gateway.memory_kb("VmRSS") / 1024;
+                record.line(&format!("gateway says ready: {is_ready}; {memory} MiB"));
             }
         });
     });
--- a/review/memory.rs
+++ b/review/memory.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    Deployment, Ending, EngineWork, Gateway, Head, Record, keep_channels, stream_route,
+    Deployment, Ending, EngineWork, Head, Record, enforce_memory, keep_channels, stream_route,
     unsafe_route,
 };
 
@@ -22,8 +22,6 @@
 const INTERVAL: Duration = Duration::from_millis(120);
 /// A slow engine takes 5.2 s for a body.
 const SLOW_READ: usize = 800_000;
-/// `memoryMb` of an `edge` machine. The platform kills a process that exceeds it.
-const MEMORY_KB: u64 = 260_000;
 /// Closed channels beyond which the rule is broken.
 const LOST: usize = 3;
 
@@ -39,23 +37,6 @@
     }
 }
 
-/// Kills the gateway once its process holds more than the machine's memory, as the platform does.
-fn enforce_memory(record: &Record, gateway: &Gateway, ended: &AtomicBool, highest: &AtomicU64) {
-    while !ended.load(Ordering::Relaxed) {
-        let used = gateway.memory_kb("VmRSS");
-        highest.fetch_max(used, Ordering::Relaxed);
-        if used > MEMORY_KB {
-            record.line(&format!(
-                "the platform kills the gateway at {} MB",
-                used / 1000
-            ));
-            gateway.kill();
-            return;
-        }
-        thread::sleep(Duration::from_millis(5));
-    }
-}
-
 pub fn run(record: &Record, trouble: bool) -> io::Result<bool> {
     SLOW.store(trouble, Ordering::Relaxed);
     let routes = [stream_route(15_000), unsafe_route()];
@@ -101,9 +82,9 @@
     record.line(&format!(
         "{CALLERS} long requests: {served} served; {} had been passed on to engines when their \
          channels were closed without an answer, {run} of these had been run and answered whole; \
-         the gateway's process held {} MB at most",
+         the gateway's process held {} MiB at most",
         lost.len(),
-        highest.load(Ordering::Relaxed) / 1000
+        highest.load(Ordering::Relaxed) / 1024
     ));
     Ok(lost.len() <= LOST)
 }
