--- a/review/chunks.rs
+++ b/review/chunks.rs
@@ -111,6 +111,7 @@
         tokens: None,
         body: b"{}",
     };
+    record.line(&format!("caller sends the unsafe request {id}"));
     let until = Instant::now() + Duration::from_secs(3);
     let result = request.send(channel).and_then(|()| {
         let head = channel.read_head(until)?;
@@ -122,9 +123,7 @@
         Ok(status) => Ending::Answered(status),
         Err(error) => Ending::of(&error),
     };
-    if ending != Ending::Answered(200) {
-        record.line(&format!("unsafe request {id}: {ending:?}"));
-    }
+    record.line(&format!("unsafe request {id}: {ending:?}"));
     ending
 }
 
--- a/review/standin.rs
+++ b/review/standin.rs
@@ -60,6 +60,28 @@
     }
 }
 
+/// The platform's messages, with placeholders.
+const MESSAGES: &str = include_str!("messages.txt");
+
+/// Returns a message of the platform with the values filled in.
+pub fn message(name: &str, values: &[(&str, &str)]) -> String {
+    let start = format!("== {name}\n");
+    let start = MESSAGES.find(&start).expect("the message exists") + start.len();
+    let rest = &MESSAGES[start..];
+    let end = rest.find("\n== ").expect("another message follows");
+    let mut text = rest[..end].to_owned();
+    for (key, value) in values {
+        text = text.replace(&format!("<{key}>"), value);
+    }
+    text
+}
+
+/// Returns the lines of an HTTP message or of a part of it.
+pub fn http_message(name: &str, values: &[(&str, &str)]) -> String {
+    let text = message(name, values);
+    text.split('\n').map(|line| format!("{line}\r\n")).collect()
+}
+
 /// What was sent, answered and run, with the time since the start of the case.
 #[derive(Clone)]
 pub struct Record {
@@ -369,7 +391,7 @@
     fn respond(&self, head: &Head, body: &str) -> (u16, String) {
         let (method, target) = head.request_line();
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
-        let Some(path) = path.strip_prefix("/api/objects/") else {
+        let Some(path) = path.strip_prefix(&message("objects", &[])) else {
             return (404, "{}".to_owned());
         };
         let (kind, name) = path.split_once('/').unwrap_or((path, ""));
@@ -413,10 +435,10 @@
             .flatten()
             .map(|(name, object)| object.json(name))
             .collect();
-        format!(
-            "{{\"items\":[{}],\"more\":false,\"storeRevision\":{}}}",
-            items.join(","),
-            state.revision
+        let revision = state.revision.to_string();
+        message(
+            "page",
+            &[("items", &items.join(",")), ("revision", &revision)],
         )
     }
 
@@ -431,11 +453,9 @@
                 .collect();
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
-                return format!(
-                    "{{\"events\":[{}],\"storeRevision\":{}}}",
-                    events.join(","),
-                    state.revision
-                );
+                let revision = state.revision.to_string();
+                let values = [("events", &*events.join(",")), ("revision", &revision)];
+                return message("events", &values);
             }
             state = self.changed.wait_timeout(state, left).unwrap().0;
         }
@@ -524,11 +544,14 @@
 
     /// The engine's entry in the store.
     pub fn entry(&self, state: &str) -> String {
-        format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
-             \"slots\":{},\"state\":\"{state}\",\"coldLeftMs\":0,\"sequence\":1}}",
-            self.service, self.address, self.zone, self.slots
-        )
+        let values = [
+            ("service", &*self.service),
+            ("address", &self.address.to_string()),
+            ("zone", &self.zone),
+            ("slots", &self.slots.to_string()),
+            ("state", state),
+        ];
+        message("engine entry", &values)
     }
 
     fn serve(&self, mut channel: Channel, work: fn(&Head) -> EngineWork) {
@@ -537,18 +560,15 @@
             let Ok(Some(head)) = channel.read_head(until) else {
                 return;
             };
-            let id = head.get("lovagedock-attempt-id").to_owned();
+            let id = head.get(&message("id header", &[])).to_owned();
             self.got.lock().unwrap().push(id);
             let work = work(&head);
             if read_body(&mut channel, head.length(), work.read_per_s).is_err() {
                 return;
             }
-            let expected = head.get("lovagedock-expect-instance");
+            let expected = head.get(&message("expected engine header", &[]));
             if !expected.is_empty() && expected != self.id {
-                let response = format!(
-                    "HTTP/1.1 421 Misdirected Request\r\nLovagedock-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
-                    self.id
-                );
+                let response = http_message("another engine", &[("engine", &self.id)]);
                 let _ = channel.stream.write_all(response.as_bytes());
                 continue;
             }
@@ -562,16 +582,16 @@
     }
 
     fn answer(&self, channel: &mut Channel, head: &Head, work: EngineWork) -> io::Result<()> {
-        let id = head.get("lovagedock-attempt-id").to_owned();
+        let id = head.get(&message("id header", &[])).to_owned();
         self.record.line(&format!("engine {} runs {id}", self.id));
         thread::sleep(work.first);
         let active = self.active.load(Ordering::Relaxed);
-        let common = format!(
-            "HTTP/1.1 200 OK\r\nLovagedock-Attempt-Id: {id}\r\n\
-             Lovagedock-Response-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n\
-             Lovagedock-Instance-Load: {active},0,{}\r\n",
-            self.slots
-        );
+        let values = [
+            ("id", &*id),
+            ("active", &active.to_string()),
+            ("slots", &self.slots.to_string()),
+        ];
+        let common = http_message("answer", &values);
         if work.events == 0 {
             let body = format!("{{\"answer\":\"{id}\"}}");
             let text = format!("{common}Content-Length: {}\r\n\r\n{body}", body.len());
@@ -600,32 +620,48 @@
 pub struct Gateway {
     pub callers: SocketAddr,
     pub ready: SocketAddr,
-    pub child: Child,
+    child: Mutex<Child>,
     folder: PathBuf,
 }
 
-/// A loopback address of its own for a process, so that the port that the template fixes is free.
-fn own_address(number: u8) -> Ipv4Addr {
+/// Port of the administration, which the template fixes.
+const ADMIN_PORT: u16 = 9464;
+
+/// Returns a loopback address for a process on which the port that the template fixes is free.
+fn own_address(number: u8) -> io::Result<Ipv4Addr> {
     let process = std::process::id();
-    Ipv4Addr::new(127, (process >> 8) as u8 | 1, process as u8, 10 + number)
+    for attempt in 0..100 {
+        let [_, high, middle, low] = (process.wrapping_add(attempt * 7919)).to_be_bytes();
+        let ip = Ipv4Addr::new(127, high.wrapping_add(middle) | 1, low, 10 + number);
+        if TcpListener::bind((ip, ADMIN_PORT)).is_ok() {
+            return Ok(ip);
+        }
+    }
+    Err(io::Error::other("no loopback address is free"))
 }
 
-/// Returns a port that is free at the address.
-fn free_port(ip: Ipv4Addr) -> io::Result<u16> {
-    Ok(TcpListener::bind((ip, 0))?.local_addr()?.port())
+/// Returns different ports that are free at the address.
+fn free_ports<const COUNT: usize>(ip: Ipv4Addr) -> io::Result<[u16; COUNT]> {
+    // Held together, so that none is given out twice.
+    let mut held = Vec::new();
+    let mut ports = [0; COUNT];
+    for port in &mut ports {
+        let listener = TcpListener::bind((ip, 0))?;
+        *port = listener.local_addr()?.port();
+        held.push(listener);
+    }
+    Ok(ports)
 }
 
 impl Gateway {
     /// Starts a gateway with the command of the deploy file, and settings as its template gives them
     /// for an `edge` machine of a small deployment.
     pub fn start(number: u8, zone: &str, store: SocketAddr) -> io::Result<Self> {
-        let ip = own_address(number);
+        let ip = own_address(number)?;
         let folder = std::env::temp_dir().join(format!("review-{}-{number}", std::process::id()));
         fs::create_dir_all(&folder)?;
         let template = fs::read_to_string("deploy/gateway.jsonc")?;
-        let callers = free_port(ip)?;
-        let ready = free_port(ip)?;
-        let peers = free_port(ip)?;
+        let [callers, ready, peers] = free_ports(ip)?;
         let values = [
             ("nodeName", format!("edge-{zone}-{number}")),
             ("zone", zone.to_owned()),
@@ -660,7 +696,7 @@
         Ok(Self {
             callers: SocketAddrV4::new(ip, callers).into(),
             ready: SocketAddrV4::new(ip, ready).into(),
-            child,
+            child: Mutex::new(child),
             folder,
         })
     }
@@ -669,7 +705,7 @@
     pub fn is_ready(&self) -> bool {
         let ask = || -> io::Result<u16> {
             let mut channel = Channel::connect(self.ready)?;
-            let request = "GET /api/readyz HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n";
+            let request = http_message("ready request", &[]);
             channel.stream.write_all(request.as_bytes())?;
             let head = channel.read_head(Instant::now() + Duration::from_secs(1))?;
             Ok(head.map_or(0, |head| head.status()))
@@ -692,13 +728,13 @@
 
     /// Kills the process.
     pub fn kill(&self) {
-        let id = self.child.id().to_string();
-        let _ = Command::new("kill").args(["-KILL", &id]).status();
+        let _ = self.child.lock().unwrap().kill();
     }
 
     /// Returns a field of the process in kilobytes, such as `VmHWM`.
     pub fn memory_kb(&self, field: &str) -> u64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let id = self.child.lock().unwrap().id();
+        let status = fs::read_to_string(format!("/proc/{id}/status"));
         let status = status.unwrap_or_default();
         let line = status.lines().find(|line| line.starts_with(field));
         let number = line.and_then(|line| line.split_whitespace().nth(1));
@@ -708,8 +744,9 @@
 
 impl Drop for Gateway {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        let mut child = self.child.lock().unwrap();
+        let _ = child.kill();
+        let _ = child.wait();
         if std::env::var_os("KEEP_LOGS").is_none() {
             let _ = fs::remove_dir_all(&self.folder);
         }
@@ -723,20 +760,14 @@
 
 /// A configuration as the platform's page of examples shows it, with the given routes.
 pub fn config(version: u64, routes: &[String]) -> String {
-    format!(
-        "{{\"version\":{version},\"routes\":[{}],\"services\":[\
-         {{\"name\":\"{MODEL_SERVICE}\",\"healthPath\":\"/healthz\",\"maxConns\":364,\
-         \"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":16,\"kvCapacity\":450000,\
-         \"stride\":46,\"step_ms\":0.925,\"per_seq_ms\":0.00483,\"context_per_k\":0.00254,\
-         \"read_per_s\":256000.0,\"pairs_per_m\":0.0917,\"chunk\":2048,\"report_lag_ms\":200.0,\
-         \"usual\":{{\"prompt\":13199,\"answer\":1541}},\"hopMs\":0.1}}}},\
-         {{\"name\":\"{PLAIN_SERVICE}\",\"healthPath\":\"/healthz\",\"maxConns\":110,\
-         \"protocol\":\"h1\",\"tls\":false}}],\
-         \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\
-         \"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\
-         \"tenants\":[{{\"name\":\"hule930\",\"apiKeys\":[\"{KEY}\"],\"priority\":1}}]}}",
-        routes.join(",")
-    )
+    let values = [
+        ("version", &*version.to_string()),
+        ("routes", &routes.join(",")),
+        ("model_service", MODEL_SERVICE),
+        ("plain_service", PLAIN_SERVICE),
+        ("key", KEY),
+    ];
+    message("configuration", &values)
 }
 
 /// A caller's request.
@@ -752,19 +783,23 @@
 
 impl Request<'_> {
     pub fn head(&self) -> String {
-        let mut text = format!(
-            "{} {} HTTP/1.1\r\nHost: {HOST}\r\nLovagedock-Attempt-Id: {}\r\n\
-             Lovagedock-Deadline-Ms: {}\r\nAuthorization: Bearer {KEY}\r\n",
-            self.method, self.path, self.id, self.deadline_ms
-        );
+        let values = [
+            ("method", self.method),
+            ("path", self.path),
+            ("host", HOST),
+            ("id", self.id),
+            ("deadline", &self.deadline_ms.to_string()),
+            ("key", KEY),
+        ];
+        let mut text = http_message("request", &values);
         if let Some((prompt, answer)) = self.tokens {
-            let _ = write!(
-                text,
-                "Lovagedock-Model: m\r\nLovagedock-Token-Count: {prompt},{answer}\r\n\
-                 Lovagedock-Prefix-Hash: 5c1e07a2:40,{}:{}\r\n",
-                self.id,
-                prompt - 40
-            );
+            let values = [
+                ("prompt", &*prompt.to_string()),
+                ("answer", &answer.to_string()),
+                ("id", self.id),
+                ("rest", &(prompt - 40).to_string()),
+            ];
+            text.push_str(&http_message("prompt", &values));
         }
         let _ = write!(text, "Content-Length: {}\r\n\r\n", self.body.len());
         text
@@ -834,22 +869,22 @@
     }
 }
 
-/// Route of long prompts: `goalMs` 3000 and `gapGoalMs` 800, as on the sheet.
+/// Route of long prompts, with their objectives as on the sheet.
 pub fn stream_route(timeout_ms: u64) -> String {
-    format!(
-        "{{\"name\":\"r-fi6y7z5\",\"host\":\"{HOST}\",\"pathPrefix\":\"/pufi791/\",\
-         \"kind\":\"stream\",\"timeoutMs\":{timeout_ms},\"goalMs\":3000,\"priority\":1,\
-         \"service\":\"{MODEL_SERVICE}\",\"attempts\":2,\"public\":false,\"sticky\":true,\
-         \"resumable\":true,\"gapGoalMs\":800}}"
-    )
+    let timeout = timeout_ms.to_string();
+    let values = [
+        ("host", HOST),
+        ("timeout", &*timeout),
+        ("service", MODEL_SERVICE),
+    ];
+    message("stream route", &values)
 }
 
 /// Route of the application.
 pub fn unsafe_route() -> String {
-    format!(
-        "{{\"name\":\"r-2yhvz3p\",\"host\":\"{HOST}\",\"pathPrefix\":\"/puxa403/\",\
-         \"kind\":\"unsafe\",\"timeoutMs\":2500,\"goalMs\":150,\"priority\":2,\
-         \"service\":\"{PLAIN_SERVICE}\",\"attempts\":1,\"public\":false,\"sticky\":false}}"
+    message(
+        "unsafe route",
+        &[("host", HOST), ("service", PLAIN_SERVICE)],
     )
 }
 
