--- a/review/world-2.rs
+++ b/review/world-2.rs
@@ -44,6 +44,8 @@
     record: Record,
     folder: PathBuf,
     next_id: AtomicU64,
+    /// Runs of requests: when, and at which engine.
+    runs: Mutex<Vec<(Duration, String)>>,
 }
 
 impl World {
@@ -182,7 +184,12 @@
 
 // ---------------------------------------------------------------- the platform's store
 
+#[derive(Clone)]
 struct StoreState {
+    /// Number of returns from a copy, plus one.
+    era: u64,
+    /// Whether the store answers nobody.
+    is_away: bool,
     revision: u64,
     objects: BTreeMap<(String, String), (u64, String)>,
     events: Vec<(u64, String, bool, String)>,
@@ -196,7 +203,13 @@
 
 impl Store {
     fn new() -> Self {
-        let state = StoreState { revision: 100, objects: BTreeMap::new(), events: Vec::new() };
+        let state = StoreState {
+            era: 1,
+            is_away: false,
+            revision: 100,
+            objects: BTreeMap::new(),
+            events: Vec::new(),
+        };
         Self { state: Mutex::new(state), changed: Condvar::new() }
     }
 
@@ -220,6 +233,34 @@
         object
     }
 
+    fn remove(&self, kind: &str, name: &str) {
+        let mut state = self.state.lock().unwrap();
+        state.revision += 1;
+        let revision = state.revision;
+        if let Some((_, object)) = state.objects.remove(&(kind.to_owned(), name.to_owned())) {
+            state.events.push((revision, kind.to_owned(), true, object));
+        }
+        drop(state);
+        self.changed.notify_all();
+    }
+
+    fn copy(&self) -> StoreState {
+        self.state.lock().unwrap().clone()
+    }
+
+    /// Stops answering, and closes the channels of those that wait.
+    fn go_away(&self) {
+        self.state.lock().unwrap().is_away = true;
+        self.changed.notify_all();
+    }
+
+    /// Comes back from a copy.
+    fn come_back(&self, copy: StoreState) {
+        let mut state = self.state.lock().unwrap();
+        let era = state.era + 1;
+        *state = StoreState { era, ..copy };
+    }
+
     fn list(&self, world: &World, kind: &str) -> String {
         let state = self.state.lock().unwrap();
         let objects = state.objects.iter().filter(|((of, _), _)| of == kind);
@@ -229,10 +270,14 @@
         format!("{{\"items\":[{items}],\"more\":false,\"{field}\":{revision}}}")
     }
 
-    fn watch(&self, world: &World, kind: &str, after: u64, wait: Duration) -> String {
+    /// Returns the events after a revision, or `None` if the store doesn't have that revision.
+    fn watch(&self, world: &World, kind: &str, after: u64, wait: Duration) -> Option<String> {
         let until = Instant::now() + wait;
         let mut state = self.state.lock().unwrap();
         loop {
+            if after > state.revision {
+                return None;
+            }
             let found = state.events.iter().filter(|(at, of, _, _)| *at > after && of == kind);
             let events: Vec<String> = found
                 .map(|(_, _, deleted, object)| {
@@ -240,10 +285,10 @@
                 })
                 .collect();
             let left = until.saturating_duration_since(Instant::now());
-            if !events.is_empty() || left.is_zero() {
+            if !events.is_empty() || left.is_zero() || state.is_away {
                 let (events, revision) = (events.join(","), state.revision);
                 let field = world.name("store.revision");
-                return format!("{{\"events\":[{events}],\"{field}\":{revision}}}");
+                return Some(format!("{{\"events\":[{events}],\"{field}\":{revision}}}"));
             }
             state = self.changed.wait_timeout(state, left).unwrap().0;
         }
@@ -254,8 +299,14 @@
         while let Ok(head) = channel.head() {
             let Ok(body) = channel.body(&head) else { return };
             let (status, text) = self.respond(world, &head, &String::from_utf8_lossy(&body));
-            let json = "Content-Type: application/json\r\n";
-            if answer(&mut channel.stream, status, json, &text).is_err() {
+            let state = self.state.lock().unwrap();
+            let (is_away, era) = (state.is_away, state.era);
+            drop(state);
+            if is_away {
+                return;
+            }
+            let headers = format!("Content-Type: application/json\r\n{}: {era}\r\n", world.name("header.era"));
+            if answer(&mut channel.stream, status, &headers, &text).is_err() {
                 return;
             }
         }
@@ -275,7 +326,10 @@
             "GET" => match parameter("watch").and_then(|text| text.parse().ok()) {
                 Some(after) => {
                     let wait = parameter("waitMs").and_then(|text| text.parse().ok());
-                    ("200 OK", self.watch(world, kind, after, ms(wait.unwrap_or(0))))
+                    match self.watch(world, kind, after, ms(wait.unwrap_or(0))) {
+                        Some(text) => ("200 OK", text),
+                        None => ("410 Gone", "{}".to_owned()),
+                    }
                 }
                 None => ("200 OK", self.list(world, kind)),
             },
@@ -362,6 +416,7 @@
     let attempt = header("header.attempt");
     let deadline: u64 = header("header.deadline").parse().unwrap_or(0);
     let until = Instant::now() + ms(deadline);
+    world.runs.lock().unwrap().push((world.record.start.elapsed(), id.to_owned()));
     world.record.line(format!(
         "engine {id} runs {attempt}: {} {}, {} bytes, deadline {deadline} ms",
         head.word(0),
@@ -754,6 +809,110 @@
     Some(unanswered >= 8 && unanswered * 4 > late.len())
 }
 
+// ---------------------------------------------------------------- scenario: the store comes back from a copy
+
+/// Some engines leave: their entries are removed, and they serve on for some seconds. Then the store
+/// is away for a second and comes back from a copy in which these entries still are; with
+/// `TROUBLE=0` it stays.
+fn store_copy(world: &Arc<World>, setup: &Setup, trouble: bool) -> Option<bool> {
+    const LEAVING: usize = 3;
+    const DRAIN_MS: u64 = 2000;
+    const STABLE_MS: u64 = 3000;
+    const CHECK_IN_MS: u64 = 1200;
+    let model = EnginePlan {
+        service: "lovage-llm",
+        slots: 16,
+        first_long: ms(1200),
+        first_short: ms(80),
+        events: 17,
+        event_gap: ms(60),
+    };
+    let plain = EnginePlan { service: "register-app", slots: 6, first_short: ms(30), ..model.clone() };
+    let deployment = deploy(world, setup, &[(21 - LEAVING, model.clone()), (3, plain)], 5)?;
+    let store = &deployment.store;
+    let kind = world.name("kind.engines");
+    let leaving: Vec<Engine> = (0..LEAVING)
+        .map(|index| start_engine(world, host(130 + index as u8), &format!("i-leaving-{index}"), model.clone()))
+        .collect();
+    for engine in &leaving {
+        store.put(kind, &engine.id, &engine_entry(world, engine, &model));
+    }
+    thread::sleep(ms(4000));
+    let until = Instant::now() + ms(14_000);
+    let callers: Vec<_> = (0..60)
+        .map(|index| {
+            let world = Arc::clone(world);
+            let address = deployment.gateways[index % deployment.gateways.len()].callers;
+            thread::spawn(move || {
+                thread::sleep(ms(20 * index as u64));
+                let mut channel = connect(address).ok();
+                while Instant::now() < until {
+                    // Keeps the callers from sending at the same moments.
+                    thread::sleep(ms(37 * index as u64 % 100));
+                    let Some(open) = channel.as_mut() else {
+                        thread::sleep(ms(100));
+                        channel = connect(address).ok();
+                        continue;
+                    };
+                    let summary = Call {
+                        method: "POST",
+                        path: format!("/summary/{index}"),
+                        tokens: Some((4960, 780)),
+                        body: 1200,
+                        deadline: 10_000,
+                    };
+                    let outcome = call(&world, open, &summary, ms(3000));
+                    if !matches!(outcome.end, End::Complete { status: 200, .. }) {
+                        world.record.line(format!("caller {index}: {outcome:?}"));
+                        channel = None;
+                    }
+                }
+            })
+        })
+        .collect();
+    thread::sleep(ms(2500));
+    let copy = store.copy();
+    world.record.line("the copy is taken");
+    thread::sleep(ms(500));
+    for engine in &leaving {
+        store.remove(kind, &engine.id);
+    }
+    let left_at = world.record.start.elapsed();
+    world.record.line(format!("the store has removed the entries of {LEAVING} engines that leave"));
+    thread::sleep(ms(1000));
+    if trouble {
+        store.go_away();
+        world.record.line("the store is away");
+        thread::sleep(ms(1000));
+        store.come_back(copy);
+        world.record.line("the store is back from the copy");
+    } else {
+        thread::sleep(ms(1000));
+    }
+    let back_at = world.record.start.elapsed();
+    thread::sleep(ms(3 * CHECK_IN_MS));
+    for engine in &leaving {
+        store.remove(kind, &engine.id);
+    }
+    world.record.line("the entries of the engines that have left are gone after three check-in intervals");
+    for caller in callers {
+        let _ = caller.join();
+    }
+    let in_touch_at = back_at + ms(STABLE_MS);
+    let bound = in_touch_at.max(left_at + ms(DRAIN_MS));
+    let runs = world.runs.lock().unwrap();
+    let late = |from: Duration| {
+        let late = runs.iter().filter(|(at, id)| *at > from && leaving.iter().any(|engine| engine.id == *id));
+        late.count()
+    };
+    world.record.line(format!(
+        "{} requests reached engines later than {DRAIN_MS} ms after their entries were removed; {} of them later than {STABLE_MS} ms after the store was back",
+        late(left_at + ms(DRAIN_MS)),
+        late(bound)
+    ));
+    Some(late(bound) > 0)
+}
+
 // ---------------------------------------------------------------- main
 
 fn load_names(path: &Path) -> io::Result<HashMap<String, String>> {
@@ -776,6 +935,7 @@
         record: Record { start: Instant::now(), file: Mutex::new(File::create(record).expect("record")) },
         folder: PathBuf::from(folder),
         next_id: AtomicU64::new(1),
+        runs: Mutex::default(),
     });
     let setup = Setup {
         program: PathBuf::from(program),
@@ -783,6 +943,7 @@
     };
     world.record.line(format!("scenario {scenario}, trouble {trouble}"));
     let is_broken = match scenario.as_str() {
+        "store-copy" => store_copy(&world, &setup, trouble),
         "large-bodies" => large_bodies(&world, &setup, trouble),
         _ => None,
     };
