--- a/review/world-2.rs
+++ b/review/world-2.rs
@@ -12,7 +12,7 @@
     process::{Child, Command, Stdio},
     sync::{
         Arc, Condvar, Mutex,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -46,6 +46,8 @@
     next_id: AtomicU64,
     /// Runs of requests: when, and at which engine.
     runs: Mutex<Vec<(Duration, String)>>,
+    /// Ids of the requests that engines began to work on.
+    attempts_run: Mutex<Vec<String>>,
 }
 
 impl World {
@@ -362,6 +364,24 @@
     first_short: Duration,
     events: u64,
     event_gap: Duration,
+    /// Fails part of the plain requests, while it is on.
+    fault: Option<Arc<EngineFault>>,
+}
+
+/// An engine that runs a request and then answers 503, without the header that states that the
+/// request was not run.
+#[derive(Default)]
+struct EngineFault {
+    is_on: AtomicBool,
+    requests: AtomicU64,
+}
+
+impl EngineFault {
+    /// Returns whether the next request fails: 45 in 100 do.
+    fn fails_next(&self) -> bool {
+        let number = self.requests.fetch_add(1, Ordering::Relaxed);
+        self.is_on.load(Ordering::Relaxed) && number * 45 % 100 < 45
+    }
 }
 
 struct Engine {
@@ -417,6 +437,7 @@
     let deadline: u64 = header("header.deadline").parse().unwrap_or(0);
     let until = Instant::now() + ms(deadline);
     world.runs.lock().unwrap().push((world.record.start.elapsed(), id.to_owned()));
+    world.attempts_run.lock().unwrap().push(attempt.clone());
     world.record.line(format!(
         "engine {id} runs {attempt}: {} {}, {} bytes, deadline {deadline} ms",
         head.word(0),
@@ -434,6 +455,10 @@
     let tokens = header("header.tokens");
     let Some(prompt) = tokens.split(',').next().and_then(|text| text.parse::<u64>().ok()) else {
         thread::sleep(plan.first_short);
+        if plan.fault.as_ref().is_some_and(|fault| fault.fails_next()) {
+            world.record.line(format!("engine {id} has run {attempt} and answers 503"));
+            return answer(stream, "503 Service Unavailable", &common, "failed after it began");
+        }
         let text = format!("answer to {attempt} by {id}");
         world.record.line(format!("engine {id} answers {attempt}"));
         return answer(stream, "200 OK", &common, &text);
@@ -735,6 +760,7 @@
         first_short: ms(60),
         events: 43,
         event_gap: ms(185),
+        fault: None,
     };
     let plain = EnginePlan { service: "register-app", slots: 6, first_short: ms(30), ..model.clone() };
     let deployment = deploy(world, setup, &[(21, model), (3, plain)], 2)?;
@@ -826,6 +852,7 @@
         first_short: ms(80),
         events: 17,
         event_gap: ms(60),
+        fault: None,
     };
     let plain = EnginePlan { service: "register-app", slots: 6, first_short: ms(30), ..model.clone() };
     let deployment = deploy(world, setup, &[(21 - LEAVING, model.clone()), (3, plain)], 5)?;
@@ -913,6 +940,82 @@
     Some(late(bound) > 0)
 }
 
+// ---------------------------------------------------------------- scenario: an engine's own 503
+
+/// One of three engines of the plain service fails part of its requests after it has begun to work on
+/// them; with `TROUBLE=0` it does not. Callers repeat a request only after a promise that it has not
+/// run.
+fn own_503(world: &Arc<World>, setup: &Setup, trouble: bool) -> Option<bool> {
+    const REQUESTS: usize = 40;
+    let model = EnginePlan {
+        service: "lovage-llm",
+        slots: 16,
+        first_long: ms(1200),
+        first_short: ms(80),
+        events: 17,
+        event_gap: ms(60),
+        fault: None,
+    };
+    let fault = Arc::new(EngineFault::default());
+    let plain = EnginePlan { service: "register-app", slots: 6, first_short: ms(30), ..model.clone() };
+    let faulty = EnginePlan { fault: Some(Arc::clone(&fault)), ..plain.clone() };
+    let engines = [(21, model), (2, plain)];
+    let deployment = deploy(world, setup, &engines, 5)?;
+    let engine = start_engine(world, host(130), "i-plain-0", faulty.clone());
+    let entry = engine_entry(world, &engine, &faulty);
+    deployment.store.put(world.name("kind.engines"), &engine.id, &entry);
+    thread::sleep(ms(4000));
+    fault.is_on.store(trouble, Ordering::Relaxed);
+    world.record.line(format!("engine {} fails part of its requests: {trouble}", engine.id));
+    // 4.36 requests a second, as on the sheet.
+    let callers: Vec<_> = (0..REQUESTS)
+        .map(|index| {
+            thread::sleep(ms(229));
+            if index == 28 {
+                fault.is_on.store(false, Ordering::Relaxed);
+                world.record.line("the engine is well again");
+            }
+            let world = Arc::clone(world);
+            let addresses: Vec<SocketAddr> = deployment.gateways.iter().map(|gateway| gateway.callers).collect();
+            thread::spawn(move || {
+                let lookup = |deadline| Call {
+                    method: "POST",
+                    path: format!("/lookup/{index}"),
+                    tokens: None,
+                    body: 600,
+                    deadline,
+                };
+                let mut channel = connect(addresses[index % addresses.len()]).ok()?;
+                let first = call(&world, &mut channel, &lookup(2500), ms(2500));
+                world.record.line(format!("request {index}: {first:?}"));
+                let is_promise = matches!(first.end, End::Complete { status: 408 | 421 | 429 | 503, .. });
+                let mut attempts = vec![first];
+                if is_promise {
+                    thread::sleep(ms(200));
+                    let mut channel = connect(addresses[(index + 1) % addresses.len()]).ok()?;
+                    let second = call(&world, &mut channel, &lookup(2200), ms(2200));
+                    world.record.line(format!("request {index}, repeated after the promise: {second:?}"));
+                    attempts.push(second);
+                }
+                Some(attempts)
+            })
+        })
+        .collect();
+    let requests: Vec<Vec<Outcome>> = callers.into_iter().filter_map(|caller| caller.join().ok()?).collect();
+    if requests.len() < REQUESTS {
+        return None;
+    }
+    let ran = world.attempts_run.lock().unwrap();
+    let has_run = |outcome: &&Outcome| ran.contains(&outcome.attempt);
+    let is_refused = |outcome: &&Outcome| matches!(outcome.end, End::Complete { status: 408 | 421 | 429 | 503, .. });
+    let untrue = requests.iter().flatten().filter(is_refused).filter(has_run).count();
+    let doubled = requests.iter().filter(|attempts| attempts.iter().filter(has_run).count() > 1).count();
+    world.record.line(format!(
+        "{untrue} requests that must not run twice were answered with a promise that they have not run, and had run; {doubled} of {REQUESTS} were carried out twice"
+    ));
+    Some(untrue > 0)
+}
+
 // ---------------------------------------------------------------- main
 
 fn load_names(path: &Path) -> io::Result<HashMap<String, String>> {
@@ -936,6 +1039,7 @@
         folder: PathBuf::from(folder),
         next_id: AtomicU64::new(1),
         runs: Mutex::default(),
+        attempts_run: Mutex::default(),
     });
     let setup = Setup {
         program: PathBuf::from(program),
@@ -944,6 +1048,7 @@
     world.record.line(format!("scenario {scenario}, trouble {trouble}"));
     let is_broken = match scenario.as_str() {
         "store-copy" => store_copy(&world, &setup, trouble),
+        "own-503" => own_503(&world, &setup, trouble),
         "large-bodies" => large_bodies(&world, &setup, trouble),
         _ => None,
     };
