--- a/review/world-2.rs
+++ b/review/world-2.rs
@@ -691,7 +691,7 @@
     text.replace("@ROUTES@", &routes.join(","))
 }
 
-const ROUTES: [&str; 4] = ["route.trace", "route.summary", "route.signin", "route.lookup"];
+const ROUTES: [&str; 3] = ["route.summary", "route.signin", "route.lookup"];
 
 fn deploy(world: &Arc<World>, setup: &Setup, plans: &[(usize, EnginePlan)], gateways: usize) -> Option<Deployment> {
     let store = Arc::new(Store::new());
@@ -724,117 +724,6 @@
     Some(Deployment { store, engines, gateways })
 }
 
-// ---------------------------------------------------------------- scenario: large bodies
-
-/// Allows a number of callers at a time.
-struct Turns {
-    free: Mutex<usize>,
-    freed: Condvar,
-}
-
-impl Turns {
-    fn take(&self) {
-        let mut free = self.free.lock().unwrap();
-        while *free == 0 {
-            free = self.freed.wait(free).unwrap();
-        }
-        *free -= 1;
-    }
-
-    fn give(&self) {
-        *self.free.lock().unwrap() += 1;
-        self.freed.notify_all();
-    }
-}
-
-/// Callers with long prompts, each on a kept channel, send them within a few seconds (`TROUBLE=1`),
-/// or the same ones four at a time.
-fn large_bodies(world: &Arc<World>, setup: &Setup, trouble: bool) -> Option<bool> {
-    const CALLERS: usize = 16;
-    const BODY_BYTES: usize = 4 << 20;
-    const TIMEOUT_MS: u64 = 10_000;
-    let model = EnginePlan {
-        service: "lovage-llm",
-        slots: 16,
-        first_long: ms(1200),
-        first_short: ms(60),
-        events: 43,
-        event_gap: ms(185),
-        fault: None,
-    };
-    let plain = EnginePlan { service: "register-app", slots: 6, first_short: ms(30), ..model.clone() };
-    let deployment = deploy(world, setup, &[(21, model), (3, plain)], 2)?;
-    let address = deployment.gateways[0].callers;
-    thread::sleep(ms(4000));
-    let turns = Arc::new(Turns { free: Mutex::new(if trouble { CALLERS } else { 4 }), freed: Condvar::new() });
-    let begin = Instant::now();
-    let long_callers: Vec<_> = (0..CALLERS)
-        .map(|index| {
-            let (world, turns) = (Arc::clone(world), Arc::clone(&turns));
-            thread::spawn(move || {
-                turns.take();
-                let mut channel = connect(address).ok()?;
-                let small = Call { method: "GET", path: format!("/signin/{index}"), tokens: None, body: 0, deadline: 2500 };
-                let first = call(&world, &mut channel, &small, ms(3000));
-                world.record.line(format!("caller {index}: sign-in {first:?}"));
-                let at = begin + ms(500 + 640 * index as u64);
-                thread::sleep(at.saturating_duration_since(Instant::now()));
-                let long = Call {
-                    method: "POST",
-                    path: "/trace/dossier".to_owned(),
-                    tokens: Some((210_000, 1978)),
-                    body: BODY_BYTES,
-                    deadline: 15_000,
-                };
-                world.record.line(format!("caller {index}: sends a long prompt, {BODY_BYTES} bytes"));
-                // Callers abandon a stream after four times the objective without an event.
-                let outcome = call(&world, &mut channel, &long, ms(12_000));
-                turns.give();
-                world.record.line(format!("caller {index}: long prompt {outcome:?}"));
-                Some(outcome)
-            })
-        })
-        .collect();
-    // Other callers of the same gateway, on new channels, while the long prompts are answered.
-    let others: Vec<_> = (0..24)
-        .map(|index| {
-            let world = Arc::clone(world);
-            thread::spawn(move || {
-                let at = begin + ms(9000 + 150 * index as u64);
-                thread::sleep(at.saturating_duration_since(Instant::now()));
-                let is_stream = index % 2 == 0;
-                let other = match is_stream {
-                    true => Call { method: "POST", path: format!("/summary/{index}"), tokens: Some((4960, 780)), body: 1200, deadline: 10_000 },
-                    false => Call { method: "POST", path: format!("/lookup/{index}"), tokens: None, body: 600, deadline: 2500 },
-                };
-                let outcome = connect(address).map(|mut channel| call(&world, &mut channel, &other, ms(2500)));
-                world.record.line(format!("other caller {index}: {} {outcome:?}", other.path));
-            })
-        })
-        .collect();
-    let mut ready_answers = 0;
-    for _ in 0..14 {
-        thread::sleep(ms(1000));
-        ready_answers += usize::from(deployment.gateways[0].is_ready(world));
-    }
-    world.record.line(format!("the first gateway said ready at {ready_answers} of 14 status checks"));
-    for caller in others {
-        let _ = caller.join();
-    }
-    let outcomes: Vec<Outcome> = long_callers.into_iter().filter_map(|caller| caller.join().ok()?).collect();
-    if outcomes.len() < CALLERS {
-        return None;
-    }
-    let late = outcomes.iter().filter(|outcome| outcome.took >= ms(TIMEOUT_MS));
-    let late: Vec<&Outcome> = late.collect();
-    let unanswered = late.iter().filter(|outcome| outcome.took > ms(TIMEOUT_MS + 500)).count();
-    world.record.line(format!(
-        "of {CALLERS} long prompts, {} took longer than the route's timeout, {unanswered} had no final answer half a second after it",
-        late.len()
-    ));
-    Some(unanswered >= 8 && unanswered * 4 > late.len())
-}
-
 // ---------------------------------------------------------------- scenario: the store comes back from a copy
 
 /// Some engines leave: their entries are removed, and they serve on for some seconds. Then the store
@@ -1049,7 +938,6 @@
     let is_broken = match scenario.as_str() {
         "store-copy" => store_copy(&world, &setup, trouble),
         "own-503" => own_503(&world, &setup, trouble),
-        "large-bodies" => large_bodies(&world, &setup, trouble),
         _ => None,
     };
     world.record.line(match is_broken {
