--- a/review/world-2.rs
+++ b/review/world-2.rs
@@ -340,10 +340,19 @@
                 let name = if name.is_empty() { written.unwrap_or_default() } else { name };
                 let spec = body.split_once("\"spec\":").map_or("null", |(_, rest)| rest);
                 let spec = spec.trim_end().strip_suffix('}').unwrap_or("null");
+                let metadata = body.split("\"spec\":").next().unwrap_or_default();
+                let expected = metadata.split_once("\"revision\":").and_then(|(_, rest)| {
+                    let end = rest.find(|letter: char| !letter.is_ascii_digit())?;
+                    rest[..end].parse::<u64>().ok()
+                });
                 let key = (kind.to_owned(), name.to_owned());
                 let known = self.state.lock().unwrap().objects.get(&key).cloned();
                 match known {
                     Some((_, object)) if head.word(0) == "POST" => ("409 Conflict", object),
+                    None if head.word(0) == "PUT" => ("404 Not Found", "{}".to_owned()),
+                    Some((revision, object)) if expected.is_some_and(|expected| expected != revision) => {
+                        ("409 Conflict", object)
+                    }
                     _ => ("200 OK", self.put(kind, name, spec)),
                 }
             }
