Bound the memory of request bodies

Callers that sent many bodies at once, and stopped just short of their ends, ended a gateway: it ran out of memory, and all requests under way were lost.

Cause: a body was collected as a list of frames. Each frame keeps the read buffer that it is a part of, so a chunk of one byte costs many times its size, and whole bodies were copied once more. The bytes were counted, but nothing was refused. The count shared a budget with responses, so bodies also stopped the responses to others.

Change: BodyBudget decides which bodies may grow and which give way; BodyMemory receives bodies into segments whose capacity is reserved before it is allocated. The budget is a fifth of host_memory_mb, a new setting with the default 256. OutputBudget counts responses alone.

--- a/lovagedock-gateway/src/direct/admin.rs
+++ b/lovagedock-gateway/src/direct/admin.rs
@@ -131,6 +131,7 @@
                 "settled": listing.settled,
             },
             "output_memory_bytes": self.state.output.used(),
+            "request_body_bytes": self.state.bodies.used(),
             "placed": loads.iter().map(|(process, load)| json!({
                 "endpoint": process.to_string(), "occupied": load.occupied, "context": load.context,
             })).collect::<Vec<_>>(),
--- a/lovagedock-gateway/src/direct/call/mod.rs
+++ b/lovagedock-gateway/src/direct/call/mod.rs
@@ -9,8 +9,6 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use lovagedock::{
     AttemptEnd, DirectEndpoint, DirectMachine, DirectPlacer, DirectStep, EndpointProcess,
@@ -24,6 +22,7 @@
     dialect::{HelperAddress, HttpDialect, OutgoingHead},
     exchange::EndpointConnection,
     liveness::LivenessWatch,
+    request_body::OutgoingBody,
     reservations::{ReservationClient, ReservationGuard, ReservationRefused, ReservationRequest},
     response::{BufferedResponse, ResponseSender},
     state::{BookingGuard, GatewayState, PlacedRequest, RejectedChoice, ReturnAdvice, TeamTiming},
@@ -409,7 +408,7 @@
         &self,
         placed: &PlacedRequest,
         reservations: &ReservationGuard,
-    ) -> Request<Full<Bytes>> {
+    ) -> Request<OutgoingBody> {
         let now = self.state.clock.now();
         let mut names = reservations.names();
         let helpers = placed.helpers.iter().map(|helper| HelperAddress {
@@ -429,7 +428,7 @@
             helpers: &helpers,
             urgency: UNIFORM_URGENCY,
         };
-        let mut request = Request::new(Full::new(self.parts.body.clone()));
+        let mut request = Request::new(self.parts.body.to_outgoing());
         *request.method_mut() = self.parts.method.clone();
         // The target was parsed from the caller's request, so parsing it again cannot fail.
         if let Ok(target) = self.parts.target.parse() {
--- a/lovagedock-gateway/src/direct/call/parts.rs
+++ b/lovagedock-gateway/src/direct/call/parts.rs
@@ -2,12 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use hyper::{HeaderMap, Method};
 use lovagedock::{RequestFingerprint, RequestOutlook, RouteRule, TrafficConfig, prelude::*};
 use xxhash_rust::xxh3::Xxh3Default;
 
-use crate::direct::dialect::CallerHead;
+use crate::direct::{dialect::CallerHead, request_body::RequestBody};
 
 /// Time before the caller's deadline at which the gateway responds, so that the response arrives in
 /// time.
@@ -37,7 +36,7 @@
     /// All headers.
     pub(crate) headers: HeaderMap,
     /// Body.
-    pub(crate) body: Bytes,
+    pub(crate) body: RequestBody,
     /// When the head of the request was read.
     pub(crate) arrived: Timestamp,
 }
@@ -79,7 +78,9 @@
         let mut hasher = Xxh3Default::new();
         hasher.update(self.target.as_bytes());
         hasher.update(self.organisation.as_deref().unwrap_or_default().as_bytes());
-        hasher.update(&self.body);
+        for segment in self.body.segments() {
+            hasher.update(segment);
+        }
         hasher.digest()
     }
 }
--- a/lovagedock-gateway/src/direct/caller_server.rs
+++ b/lovagedock-gateway/src/direct/caller_server.rs
@@ -14,7 +14,7 @@
 
 use bytes::Bytes;
 use futures::FutureExt;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::{
     Request, Response,
     body::{Body, Frame, Incoming, SizeHint},
@@ -39,6 +39,7 @@
     call::{CallParts, DEFAULT_RETRY_AFTER, DirectCall},
     dialect::{CallerHead, HttpDialect},
     output_memory::ConnectionCut,
+    request_body::RequestBody,
     response::{ResponseSender, problem_response},
     state::GatewayState,
 };
@@ -302,27 +303,21 @@
         let Some(config) = self.state.trusted_config() else {
             return self.reject(&id, ResultCode::NotConfigured);
         };
-        let limit = config.bounds.max_body_bytes;
         let (parts, body) = request.into_parts();
-        let mut reservation = self.state.output.open_body();
-        let body = body.map_frame(|frame| {
-            reservation.grow(frame.data_ref().map_or(0, Bytes::len));
-            frame
-        });
-        let collected = tokio::select! {
-            collected = Limited::new(body, limit).collect() => collected,
+        let holder = head.key.as_deref().and_then(|key| config.key_holder(key));
+        let organisation = holder.map(|(organisation, _)| organisation.clone());
+        let bodies = &self.state.bodies;
+        let received = tokio::select! {
+            received = bodies.receive(body, config.bounds.max_body_bytes, organisation) => received,
             () = self.state.wait_for_stop_end() => {
                 metrics::counter!("lovagedock_requests_cut_by_stop_total", "stage" => "body")
                     .increment(1);
                 return self.reject(&id, ResultCode::GatewayStopping);
             }
         };
-        let body = match collected {
-            Ok(body) => reservation.attach(body.to_bytes()),
-            Err(error) if error.is::<LengthLimitError>() => {
-                return self.reject(&id, ResultCode::BodyTooLarge);
-            }
-            Err(_) => return self.reject(&id, ResultCode::MalformedRequest),
+        let body = match received {
+            Ok(body) => body,
+            Err(error) => return self.reject(&id, error.code()),
         };
         // A body may take seconds to arrive, and the configuration may have changed meanwhile.
         let config = self.state.config().unwrap_or(config);
@@ -399,7 +394,7 @@
     config: &Arc<TrafficConfig>,
     head: &CallerHead,
     parts: &hyper::http::request::Parts,
-    body: Bytes,
+    body: RequestBody,
     arrived: Timestamp,
 ) -> Result<CallParts, ResultCode> {
     let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
--- a/lovagedock-gateway/src/direct/exchange.rs
+++ b/lovagedock-gateway/src/direct/exchange.rs
@@ -2,13 +2,13 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 
+use super::request_body::OutgoingBody;
+
 /// Time limit for opening a connection. A live endpoint in another failure domain responds within 5
 /// ms. A lost packet is retransmitted after a second, and by then another endpoint has responded.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
@@ -48,7 +48,7 @@
 /// closes at the same moment, which would be indistinguishable from a request that ran. The cost is
 /// one round trip, up to 3 ms.
 pub(crate) struct EndpointConnection {
-    sender: http1::SendRequest<Full<Bytes>>,
+    sender: http1::SendRequest<OutgoingBody>,
     task: ConnectionTask,
 }
 
@@ -110,7 +110,7 @@
     /// Sends the request and waits for the head of the response, or until `cancelled` completes.
     pub(crate) async fn send(
         mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<OutgoingBody>,
         cancelled: impl Future<Output = ()>,
     ) -> Result<EndpointResponse, ExchangeError> {
         let response = self.sender.send_request(request);
--- a/lovagedock-gateway/src/direct/gateway.rs
+++ b/lovagedock-gateway/src/direct/gateway.rs
@@ -63,7 +63,8 @@
                 settings.bounds.cold_allowance(),
                 log.clone(),
             )
-            .with_overload(settings.overload),
+            .with_overload(settings.overload)
+            .with_host_memory(settings.host_memory_mb),
         );
         let listener = listen(settings.callers).await?;
         let health_listener = bind_health_checks(settings.health)
--- a/lovagedock-gateway/src/direct/mod.rs
+++ b/lovagedock-gateway/src/direct/mod.rs
@@ -6,6 +6,7 @@
 //! kernel's `DirectMachine` makes all decisions about a request, and `call` executes them.
 
 mod admin;
+mod body_memory;
 mod call;
 mod caller_server;
 mod delivery;
@@ -23,6 +24,7 @@
 mod peer_sync;
 mod peers;
 mod relay_outbox;
+mod request_body;
 mod reservations;
 mod response;
 mod settings;
--- a/lovagedock-gateway/src/direct/output_memory.rs
+++ b/lovagedock-gateway/src/direct/output_memory.rs
@@ -105,14 +105,6 @@
         }))
     }
 
-    /// Starts counting a request body, which is still being received.
-    pub(crate) fn open_body(&self) -> BodyReservation {
-        BodyReservation {
-            shared: self.0.clone(),
-            bytes: 0,
-        }
-    }
-
     /// Disconnects callers that do not read, until it is dropped.
     pub(crate) async fn run_checks(self, log: Logger) {
         let Some(shared) = self.0 else {
@@ -263,7 +255,7 @@
         Bytes::from_owner(HeldBytes {
             // The bytes may be a small part of an allocation that they would keep.
             bytes: Bytes::copy_from_slice(&bytes),
-            _reservation: Self {
+            _reservation: OutputReservation {
                 output: self.output.clone(),
                 bytes: moved,
             },
@@ -283,48 +275,13 @@
     }
 }
 
-/// Bytes of a request body. They are released when it is dropped.
-pub(crate) struct BodyReservation {
-    shared: Option<Arc<SharedBudget>>,
-    bytes: usize,
-}
-
-impl BodyReservation {
-    /// Reserves bytes that were received.
-    pub(crate) fn grow(&mut self, bytes: usize) {
-        if let Some(shared) = &self.shared {
-            shared.state.lock().budget.reserve_body(bytes);
-            self.bytes += bytes;
-        }
-    }
-
-    /// Ties the reservation to the whole body.
-    pub(crate) fn attach(self, body: Bytes) -> Bytes {
-        match self.shared {
-            Some(_) => Bytes::from_owner(HeldBytes {
-                bytes: body,
-                _reservation: self,
-            }),
-            None => body,
-        }
-    }
-}
-
-impl Drop for BodyReservation {
-    fn drop(&mut self) {
-        if let Some(shared) = &self.shared {
-            shared.release(|budget| budget.release_body(self.bytes));
-        }
-    }
-}
-
 /// Bytes with their reservation.
-struct HeldBytes<R> {
+struct HeldBytes {
     bytes: Bytes,
-    _reservation: R,
+    _reservation: OutputReservation,
 }
 
-impl<R> AsRef<[u8]> for HeldBytes<R> {
+impl AsRef<[u8]> for HeldBytes {
     fn as_ref(&self) -> &[u8] {
         &self.bytes
     }
--- a/lovagedock-gateway/src/direct/peer_sync.rs
+++ b/lovagedock-gateway/src/direct/peer_sync.rs
@@ -20,6 +20,7 @@
     caller_server::ACCEPT_RETRY_DELAY,
     exchange::EndpointConnection,
     peer_message::PROTOCOL_VERSION,
+    request_body::RequestBody,
     state::{EndpointsSnapshot, GatewayState},
 };
 
@@ -119,7 +120,7 @@
     peer: SocketAddr,
     name: &'static str,
 ) -> Option<Bytes> {
-    let mut request = Request::new(Full::<Bytes>::default());
+    let mut request = Request::new(RequestBody::empty().to_outgoing());
     *request.uri_mut() = snapshot_path(state, name).parse().ok()?;
     let host = peer.to_string().parse().ok()?;
     request.headers_mut().insert(HOST, host);
--- a/lovagedock-gateway/src/direct/reservations.rs
+++ b/lovagedock-gateway/src/direct/reservations.rs
@@ -2,8 +2,6 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::{
     Method, Request,
     header::{CONTENT_TYPE, HOST, HeaderValue},
@@ -16,6 +14,7 @@
     dialect::{HttpDialect, MemoryCommand},
     exchange::EndpointConnection,
     liveness::LivenessWatch,
+    request_body::RequestBody,
 };
 
 /// Lifetime of a reservation without renewal. Whatever happens to the gateway, or to a command that
@@ -188,7 +187,8 @@
         };
         let endpoint = &reservation.request.endpoint.id;
         let command_request = self.dialect.write_command(endpoint, &command);
-        let mut request = Request::new(Full::<Bytes>::new(command_request.body));
+        let mut request =
+            Request::new(RequestBody::from_vec(command_request.body.to_vec()).to_outgoing());
         *request.method_mut() = Method::POST;
         if let Ok(target) = command_request.target.parse() {
             *request.uri_mut() = target;
--- a/lovagedock-gateway/src/direct/settings.rs
+++ b/lovagedock-gateway/src/direct/settings.rs
@@ -27,6 +27,9 @@
     /// forward the messages of others.
     #[serde(default = "one_core")]
     pub host_cores: f64,
+    /// Memory of the gateway's host, in megabytes. Limits what callers can make the gateway hold.
+    #[serde(default = "default_host_memory")]
+    pub host_memory_mb: f64,
     /// Number of gateways up to which each sends to all others. In a larger fleet, relays of each
     /// failure domain forward messages.
     #[serde(default = "max_direct_gateways")]
@@ -125,6 +128,13 @@
     MAX_DIRECT_GATEWAYS
 }
 
+/// Memory of a host whose settings do not declare it, in megabytes.
+pub(crate) const DEFAULT_HOST_MEMORY_MB: f64 = 256.0;
+
+fn default_host_memory() -> f64 {
+    DEFAULT_HOST_MEMORY_MB
+}
+
 fn one_core() -> f64 {
     1.0
 }
@@ -168,6 +178,7 @@
         self.name != changed.name
             || self.fleet != changed.fleet
             || self.relay_candidate() != changed.relay_candidate()
+            || self.host_memory_mb != changed.host_memory_mb
             || self.max_direct_gateways != changed.max_direct_gateways
             || addresses(self) != addresses(changed)
             || self.bounds.stop_grace_s != changed.bounds.stop_grace_s
@@ -189,6 +200,7 @@
         }
         let limits = [
             ("host_cores", self.host_cores, 0.0),
+            ("host_memory_mb", self.host_memory_mb, MIN_HOST_MEMORY_MB),
             ("bounds.retry_ratio", self.bounds.retry_ratio, 0.0),
             ("bounds.retry_slack", self.bounds.retry_slack, 0.0),
             ("bounds.retry_window_s", self.bounds.retry_window_s, 1.0),
@@ -217,5 +229,8 @@
     }
 }
 
+/// Least memory of a host, in megabytes. With less, a body of 4 MiB might never be received.
+const MIN_HOST_MEMORY_MB: f64 = 32.0;
+
 /// Maximum plausible value of a limit. A larger one probably has the wrong unit.
 const MAX_BOUND: f64 = 1e6;
--- a/lovagedock-gateway/src/direct/state/mod.rs
+++ b/lovagedock-gateway/src/direct/state/mod.rs
@@ -49,8 +49,12 @@
 use self::fleet_state::FleetState;
 
 use super::{
-    fleet_tag::FleetTag, log_limiter::LogLimiter, output_memory::OutputMemory,
-    settings::OverloadSettings, sheet_writes::SheetWrites,
+    body_memory::BodyMemory,
+    fleet_tag::FleetTag,
+    log_limiter::LogLimiter,
+    output_memory::OutputMemory,
+    settings::{DEFAULT_HOST_MEMORY_MB, OverloadSettings},
+    sheet_writes::SheetWrites,
 };
 
 pub(crate) use bookings::BookingGuard;
@@ -136,6 +140,8 @@
     pub(crate) overload: OverloadSettings,
     /// Memory for data that callers and endpoints have not read yet.
     pub(crate) output: OutputMemory,
+    /// Memory for request bodies.
+    pub(crate) bodies: BodyMemory,
     /// Limits the number of log lines about requests.
     pub(crate) log_limiter: LogLimiter,
     /// Logger of the process.
@@ -221,6 +227,7 @@
             stopping: watch::Sender::new(None),
             overload: OverloadSettings::default(),
             output: OutputMemory::new(clock, None),
+            bodies: BodyMemory::new(clock, DEFAULT_HOST_MEMORY_MB),
             log_limiter: LogLimiter::new(),
             log,
         }
@@ -233,6 +240,12 @@
         self
     }
 
+    /// Sets the memory of the host, in megabytes.
+    pub(crate) fn with_host_memory(mut self, megabytes: f64) -> Self {
+        self.bodies = BodyMemory::new(self.clock, megabytes);
+        self
+    }
+
     /// Returns the current configuration, if any.
     pub(crate) fn config(&self) -> Option<Arc<TrafficConfig>> {
         self.config.load_full()
--- a/lovagedock-gateway/tests/direct_support/mod.rs
+++ b/lovagedock-gateway/tests/direct_support/mod.rs
@@ -55,6 +55,7 @@
         fleet: Some(test_fleet()),
         failure_domain: "a".into(),
         host_cores: 1.0,
+        host_memory_mb: 256.0,
         max_direct_gateways: lovagedock::MAX_DIRECT_GATEWAYS,
         bootstrap: false,
         callers: any_port(),
--- a/lovagedock/src/codes.rs
+++ b/lovagedock/src/codes.rs
@@ -87,6 +87,8 @@
     CallerGone = 1009, 499, Unknown, "the caller went away";
     /// The organisation exceeds its own limit.
     OverLimit = 1011, 429, No, "the organisation is over its limit";
+    /// The body did not arrive before the request's deadline or its route's timeout.
+    BodyTimeout = 1012, 408, No, "the body did not arrive in time";
 
     /// No endpoint is predicted to finish the request before its deadline.
     NoCapacity = 2001, 503, No, "no endpoint can finish the request in time";
@@ -119,6 +121,8 @@
     Quarantined = 2014, 503, No, "engines end under this request, so it is not tried for now";
     /// The gateway stopped while an endpoint had the request.
     GatewayStopped = 2015, 502, Unknown, "the gateway stopped and it is not known whether the request ran";
+    /// The gateway has no memory for the body of the request.
+    BodyMemoryFull = 2016, 503, No, "the gateway has no memory for the body";
 
     /// The endpoint was lost while the request may have been running.
     EndpointLost = 3001, 502, Unknown, "the endpoint was lost while the request may have run";
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -6,7 +6,8 @@
 //! and [`DirectMachine`] what follows each attempt. [`LengthShares`] tells which sizes of long prompts
 //! are started too seldom, and [`TeamBookings`] how many endpoints are kept for them.
 //! [`SuspectLedger`] finds requests that crash the engines that run them, and [`PartLedger`] parts of
-//! prompts that do. [`ConnectionAdmission`] limits what a gateway reads. [`EndpointListing`] decides
+//! prompts that do. [`ConnectionAdmission`] limits what a gateway reads, and [`BodyBudget`] the
+//! memory for request bodies. [`EndpointListing`] decides
 //! which endpoint list is valid while the store is unreachable or restored from an older copy,
 //! [`DomainDrains`] to which failure domains nothing is sent, and [`ColdEndpoints`] which endpoints
 //! tolerate only a low rate. [`HelperSpeeds`] finds engines that are slow as helpers. [`PoolFlow`]
@@ -18,6 +19,7 @@
 
 mod admission;
 mod backoff;
+mod body_budget;
 mod capacity_window;
 mod choice;
 mod cold_endpoints;
@@ -79,6 +81,7 @@
 
 pub use admission::ConnectionAdmission;
 pub use backoff::{BackoffEvent, EndpointBackoffs, RetryAfter};
+pub use body_budget::{BodyBudget, BodyGrowth, BodyId, SMALL_BODY_BYTES};
 pub use choice::{DirectChoice, DirectRequest, HelperPart, PlacerCandidate};
 pub use cold_endpoints::{ColdAllowance, ColdEndpoints, ColdProfile};
 pub use config::{
--- a/lovagedock/src/direct/output_budget.rs
+++ b/lovagedock/src/direct/output_budget.rs
@@ -71,15 +71,13 @@
 /// last tenth is left to responses that hold nothing, so callers that read promptly are served
 /// beside those that do not read.
 ///
-/// The equal share is that of nine tenths of the budget without the request bodies. Above nine
-/// tenths some response then always holds more than its share, so that disconnecting callers who do
+/// The equal share is that of nine tenths of the budget. Above nine tenths some response then always holds more than its share, so that disconnecting callers who do
 /// not read leads back below. With shares of the whole budget, all responses could hold a little
 /// less than their share, and no connection would be admitted any more.
 #[derive(Clone, Debug)]
 pub struct OutputBudget {
     limit: usize,
     used: usize,
-    body_bytes: usize,
     outputs: BTreeMap<OutputId, OutputState>,
     next_id: OutputId,
     holder_count: usize,
@@ -95,7 +93,6 @@
         Self {
             limit,
             used: 0,
-            body_bytes: 0,
             outputs: BTreeMap::new(),
             next_id: 0,
             holder_count: 0,
@@ -105,7 +102,7 @@
         }
     }
 
-    /// Returns the reserved bytes, including those of request bodies.
+    /// Returns the reserved bytes.
     pub fn used(&self) -> usize {
         self.used
     }
@@ -187,20 +184,6 @@
         self.collecting.remove(&id) || is_released
     }
 
-    /// Reserves bytes of a request body. Bodies are needed until their request ends.
-    pub fn reserve_body(&mut self, bytes: usize) {
-        self.used += bytes;
-        self.body_bytes += bytes;
-    }
-
-    /// Releases bytes of a request body. Returns the same as [`release`](Self::release).
-    pub fn release_body(&mut self, bytes: usize) -> bool {
-        let level = self.level();
-        self.used = self.used.saturating_sub(bytes);
-        self.body_bytes = self.body_bytes.saturating_sub(bytes);
-        level > BudgetLevel::Free
-    }
-
     /// Returns whether new connections are read. Otherwise they have to be closed unread.
     pub fn admits_connections(&self) -> bool {
         self.used <= self.shared_limit()
@@ -255,8 +238,7 @@
 
     /// Returns the bytes that a response may hold while the budget is shared.
     fn share(&self) -> usize {
-        let available = self.shared_limit().saturating_sub(self.body_bytes);
-        available / self.holder_count.max(1)
+        self.shared_limit() / self.holder_count.max(1)
     }
 
     fn level(&self) -> BudgetLevel {
