Bound the connections of callers by descriptors and memory

Callers that opened connections and sent nothing, or a part of a small body, held as many descriptors of a gateway as they liked: those for engines, peers, the store and the next ordinary caller come from the same table, and each connection costs buffers.

Cause: nothing counted connections, and nothing ended one before its idle time.

Change: ConnectionTable holds at most half of host_descriptors (a new setting, default 4096) beyond those for files, and at most as many connections as a quarter of host_memory_mb holds at 64 KiB each. When it is full, the connection that has been idle for the longest gives way to a new one, or the one whose request has been arriving for the longest, so staying does not keep others out. A connection whose request was received as a whole is never closed for others, nor before its response was flushed. The kernel's receive buffer of a connection is 64 KiB.

--- a/lovagedock-gateway/src/direct/body_memory.rs
+++ b/lovagedock-gateway/src/direct/body_memory.rs
@@ -55,14 +55,15 @@
         }
     }
 
-    /// Returns the value of the label `reason` of the counter.
-    fn reason(self) -> &'static str {
-        match self {
+    /// Counts a body that was not received.
+    pub(crate) fn count(self) {
+        let reason = match self {
             Self::TooLarge => "too_large",
             Self::Malformed => "malformed",
             Self::NoMemory => "no_memory",
             Self::Displaced => "displaced",
-        }
+        };
+        metrics::counter!("lovagedock_bodies_rejected_total", "reason" => reason).increment(1);
     }
 }
 
@@ -88,27 +89,13 @@
     /// Receives a body of at most `max_bytes`. Memory is shared between organisations.
     pub(crate) async fn receive(
         &self,
-        body: Incoming,
+        mut body: Incoming,
         max_bytes: usize,
         organisation: Option<OrganisationId>,
     ) -> Result<RequestBody, BodyError> {
         if body.is_end_stream() {
             return Ok(RequestBody::empty());
         }
-        let received = self.receive_segments(body, max_bytes, organisation).await;
-        if let Err(error) = &received {
-            metrics::counter!("lovagedock_bodies_rejected_total", "reason" => error.reason())
-                .increment(1);
-        }
-        received
-    }
-
-    async fn receive_segments(
-        &self,
-        mut body: Incoming,
-        max_bytes: usize,
-        organisation: Option<OrganisationId>,
-    ) -> Result<RequestBody, BodyError> {
         let reservation = self.open(organisation);
         let displaced = Arc::clone(&reservation.displaced);
         let receiving = async {
--- a/lovagedock-gateway/src/direct/call/parts.rs
+++ b/lovagedock-gateway/src/direct/call/parts.rs
@@ -8,13 +8,6 @@
 
 use crate::direct::{dialect::CallerHead, request_body::RequestBody};
 
-/// Time before the caller's deadline at which the gateway responds, so that the response arrives in
-/// time.
-const RESPONSE_MARGIN: Duration = Duration::from_millis(25);
-
-/// Maximum time from a request to its response if neither the caller nor the route sets one.
-const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
-
 /// A request that passed all checks.
 pub(crate) struct CallParts {
     /// Configuration that the request was checked against.
@@ -44,9 +37,7 @@
 impl CallParts {
     /// Returns the time at which the request expires.
     pub(crate) fn deadline(&self) -> Timestamp {
-        let wanted = self.head.deadline.unwrap_or(DEFAULT_DEADLINE);
-        let allowed = wanted.saturating_sub(RESPONSE_MARGIN);
-        self.arrived + allowed.min(self.route.timeout)
+        self.arrived + self.head.time_limit(self.route.timeout)
     }
 
     /// Returns when the request is expected to end.
--- a/lovagedock-gateway/src/direct/caller_server.rs
+++ b/lovagedock-gateway/src/direct/caller_server.rs
@@ -22,8 +22,8 @@
     server::conn::http1,
     service::service_fn,
 };
-use hyper_util::rt::{TokioIo, TokioTimer};
-use lovagedock::{ConnectionAdmission, RouteMatch, StopPlan, TrafficConfig, prelude::*};
+use hyper_util::rt::TokioTimer;
+use lovagedock::{ConnectionAdmission, RouteMatch, RouteRule, StopPlan, TrafficConfig, prelude::*};
 use lovagedock_daemon::ShutdownSignal;
 use parking_lot::Mutex;
 use slog::{Logger, info, warn};
@@ -37,8 +37,8 @@
 
 use super::{
     call::{CallParts, DEFAULT_RETRY_AFTER, DirectCall},
+    caller_connections::{CallerConnection, CallerConnections, CallerStream},
     dialect::{CallerHead, HttpDialect},
-    output_memory::ConnectionCut,
     request_body::RequestBody,
     response::{ResponseSender, problem_response},
     state::GatewayState,
@@ -73,6 +73,7 @@
     shutdown: ShutdownSignal,
     /// Lock order: this lock is a leaf.
     admission: Mutex<ConnectionAdmission>,
+    connections: Arc<CallerConnections>,
     /// Number of requests whose response has not ended.
     in_flight: Arc<AtomicUsize>,
     log: Logger,
@@ -87,6 +88,15 @@
     }
 }
 
+/// Records the end of a response on its connection.
+struct ResponseEnd(Arc<CallerConnection>);
+
+impl Drop for ResponseEnd {
+    fn drop(&mut self) {
+        self.0.end_response();
+    }
+}
+
 /// Counts a request as in flight until it is dropped.
 struct FlightGuard(Arc<AtomicUsize>);
 
@@ -108,10 +118,12 @@
     pub(crate) fn new(
         state: Arc<GatewayState>,
         dialect: Arc<dyn HttpDialect>,
+        max_connections: usize,
         shutdown: ShutdownSignal,
         log: Logger,
     ) -> Self {
         Self {
+            connections: CallerConnections::new(state.clock, max_connections),
             state,
             dialect,
             shutdown,
@@ -195,16 +207,18 @@
         let in_flight = self.in_flight.load(Ordering::Relaxed) + unread;
         let has_memory = self.state.output.admits_connections();
         let admits = || has_memory && self.admission.lock().admit(now, in_flight);
-        if self.state.is_stopping() || admits() {
+        let is_admitted = self.state.is_stopping() || admits();
+        if is_admitted && let Some(connection) = self.connections.open() {
             let server = Arc::clone(self);
-            connections.spawn(async move { server.serve(stream).await });
+            connections.spawn(async move { server.serve(stream, connection).await });
             return true;
         }
         metrics::counter!("lovagedock_connections_closed_unread_total").increment(1);
         if let Some(left_out) = self.state.log_limiter.admit(now) {
-            let reason = match has_memory {
-                true => "connection closed unread, the gateway is behind",
-                false => "connection closed unread, output memory is scarce",
+            let reason = match (is_admitted, has_memory) {
+                (true, _) => "connection closed unread, all others serve requests",
+                (false, true) => "connection closed unread, the gateway is behind",
+                (false, false) => "connection closed unread, output memory is scarce",
             };
             info!(self.log, "{}", reason;
                 "in_flight" => in_flight, "limit" => self.admission.lock().limit(), "left_out" => left_out);
@@ -212,7 +226,7 @@
         false
     }
 
-    async fn serve(self: Arc<Self>, stream: TcpStream) {
+    async fn serve(self: Arc<Self>, stream: TcpStream, caller: Arc<CallerConnection>) {
         // A failure only makes the connection slower.
         let _ = stream.set_nodelay(true);
         let bounds = self.state.config().map(|config| config.bounds);
@@ -222,16 +236,15 @@
             false => bounds.unwrap_or_default().idle_timeout + IDLE_SLACK,
         };
         let server = Arc::clone(&self);
-        let cut = ConnectionCut::default();
-        let service_cut = Arc::clone(&cut);
+        let service_caller = Arc::clone(&caller);
         let service = service_fn(move |request| {
-            let (server, cut) = (Arc::clone(&server), Arc::clone(&service_cut));
-            async move { Ok::<_, Infallible>(server.respond(request, &cut).await) }
+            let (server, caller) = (Arc::clone(&server), Arc::clone(&service_caller));
+            async move { Ok::<_, Infallible>(server.respond(request, &caller).await) }
         });
         let mut connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(idle)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(CallerStream::new(stream, Arc::clone(&caller)), service);
         let stop = async {
             if is_late {
                 // The response to its only request carries `Connection: close`. If the connection
@@ -253,7 +266,8 @@
         };
         let is_broken = tokio::select! {
             ended = serving => ended.is_err(),
-            () = cut.notified() => {
+            () = caller.wait_for_close() => false,
+            () = caller.cut().notified() => {
                 // The kernel would keep what the caller has not read.
                 let stream = connection.into_parts().io.into_inner();
                 let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
@@ -276,9 +290,12 @@
     async fn respond(
         &self,
         request: Request<Incoming>,
-        cut: &ConnectionCut,
+        connection: &Arc<CallerConnection>,
     ) -> Response<ResponseBody> {
-        let mut response = self.handle_request(request, cut).await;
+        connection.begin_body();
+        let response = self.handle_request(request, connection).await;
+        let end_guard = ResponseEnd(Arc::clone(connection));
+        let mut response = response.map(|body| with_guard(body, end_guard));
         // The caller's next connection may go to a gateway that is not behind.
         let is_behind = self.admission.lock().is_behind();
         if self.state.is_stopping() || is_behind || !self.state.output.admits_connections() {
@@ -291,7 +308,7 @@
     async fn handle_request(
         &self,
         request: Request<Incoming>,
-        cut: &ConnectionCut,
+        connection: &CallerConnection,
     ) -> Response<ResponseBody> {
         let arrived = self.state.clock.now();
         let head = self
@@ -317,18 +334,26 @@
         };
         let body = match received {
             Ok(body) => body,
-            Err(error) => return self.reject(&id, error.code()),
+            Err(error) => {
+                error.count();
+                return self.reject(&id, error.code());
+            }
         };
+        if !connection.begin_serving() {
+            return self.reject(&id, ResultCode::TooManyStreams);
+        }
         // A body may take seconds to arrive, and the configuration may have changed meanwhile.
         let config = self.state.config().unwrap_or(config);
-        let call = match check_request(&config, &head, &parts, body, arrived) {
+        let checked = CheckedHead::new(&config, &head, &parts);
+        let call = match checked.and_then(|checked| checked.into_call(&parts, body, arrived)) {
             Ok(call) => call,
             Err(code) => return self.reject(&id, code),
         };
         if !self.admits_while_stopping(&call) {
             return self.reject(&id, ResultCode::GatewayStopping);
         }
-        let (sender, response) = ResponseSender::channel(self.state.output.open(&id, cut));
+        let (sender, response) =
+            ResponseSender::channel(self.state.output.open(&id, connection.cut()));
         let call = DirectCall::new(
             Arc::clone(&self.state),
             Arc::clone(&self.dialect),
@@ -389,49 +414,72 @@
     }
 }
 
-/// Checks a request against the current configuration.
-fn check_request(
-    config: &Arc<TrafficConfig>,
-    head: &CallerHead,
-    parts: &hyper::http::request::Parts,
-    body: RequestBody,
-    arrived: Timestamp,
-) -> Result<CallParts, ResultCode> {
-    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let host = host.or(parts.uri.host()).unwrap_or_default();
-    let RouteMatch::Found(route) = config.route(host, parts.uri.path()) else {
-        return Err(ResultCode::UnknownService);
-    };
-    let holder = head.key.as_deref().and_then(|key| config.key_holder(key));
-    if config.needs_key(route) && holder.is_none() {
-        return Err(ResultCode::Unauthenticated);
+/// The head of a request that the current configuration allows.
+struct CheckedHead<'a> {
+    config: &'a Arc<TrafficConfig>,
+    head: &'a CallerHead,
+    route: &'a RouteRule,
+    organisation: Option<&'a OrganisationId>,
+    priority: u8,
+}
+
+impl<'a> CheckedHead<'a> {
+    /// Checks the route and the key.
+    fn new(
+        config: &'a Arc<TrafficConfig>,
+        head: &'a CallerHead,
+        parts: &hyper::http::request::Parts,
+    ) -> Result<Self, ResultCode> {
+        let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+        let host = host.or(parts.uri.host()).unwrap_or_default();
+        let RouteMatch::Found(route) = config.route(host, parts.uri.path()) else {
+            return Err(ResultCode::UnknownService);
+        };
+        let holder = head.key.as_deref().and_then(|key| config.key_holder(key));
+        if config.needs_key(route) && holder.is_none() {
+            return Err(ResultCode::Unauthenticated);
+        }
+        let own_priority = holder.and_then(|(_, priority)| priority);
+        Ok(Self {
+            config,
+            head,
+            route,
+            organisation: holder.map(|(organisation, _)| organisation),
+            priority: own_priority.unwrap_or(route.priority),
+        })
+    }
+
+    fn into_call(
+        self,
+        parts: &hyper::http::request::Parts,
+        body: RequestBody,
+        arrived: Timestamp,
+    ) -> Result<CallParts, ResultCode> {
+        let service = self.route.pick_service(rand::random()).cloned();
+        let target = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+        Ok(CallParts {
+            config: Arc::clone(self.config),
+            service: service.ok_or(ResultCode::UnknownService)?,
+            organisation: self.organisation.cloned(),
+            priority: self.priority,
+            route: self.route.clone(),
+            head: self.head.clone(),
+            method: parts.method.clone(),
+            target: target.to_owned(),
+            headers: parts.headers.clone(),
+            body,
+            arrived,
+        })
     }
-    let service = route.pick_service(rand::random()).cloned();
-    let service = service.ok_or(ResultCode::UnknownService)?;
-    let own_priority = holder.and_then(|(_, priority)| priority);
-    let target = parts.uri.path_and_query().map_or("/", |path| path.as_str());
-    Ok(CallParts {
-        config: Arc::clone(config),
-        service,
-        organisation: holder.map(|(organisation, _)| organisation.clone()),
-        priority: own_priority.unwrap_or(route.priority),
-        route: route.clone(),
-        head: head.clone(),
-        method: parts.method.clone(),
-        target: target.to_owned(),
-        headers: parts.headers.clone(),
-        body,
-        arrived,
-    })
 }
 
-/// A response body that aborts its request when it is dropped.
-struct GuardedBody {
+/// A response body that drops its guard with it.
+struct GuardedBody<G> {
     body: ResponseBody,
-    _guard: AbortOnDrop,
+    _guard: G,
 }
 
-impl Body for GuardedBody {
+impl<G: Unpin> Body for GuardedBody<G> {
     type Data = Bytes;
     type Error = io::Error;
 
@@ -452,7 +500,7 @@
 }
 
 /// Ties the guard to the lifetime of the body.
-fn with_guard(body: ResponseBody, guard: AbortOnDrop) -> ResponseBody {
+fn with_guard<G: Send + Unpin + 'static>(body: ResponseBody, guard: G) -> ResponseBody {
     let body = GuardedBody {
         body,
         _guard: guard,
--- a/lovagedock-gateway/src/direct/dialect.rs
+++ b/lovagedock-gateway/src/direct/dialect.rs
@@ -6,6 +6,13 @@
 use hyper::HeaderMap;
 use lovagedock::{AdvertisedLimit, PromptParts, RetryAfter, prelude::*};
 
+/// Time before the caller's deadline at which the gateway responds, so that the response arrives in
+/// time.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(25);
+
+/// Maximum time from a request to its response if neither the caller nor the route sets one.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
+
 /// Reads and writes the headers of one platform.
 pub trait HttpDialect: Send + Sync {
     /// Reads the headers of a caller's request.
@@ -98,6 +105,13 @@
         self
     }
 
+    /// Returns the time from the request's head until the gateway has to respond, for a route with
+    /// the given timeout.
+    pub(crate) fn time_limit(&self, timeout: Duration) -> Duration {
+        let wanted = self.deadline.unwrap_or(DEFAULT_DEADLINE);
+        wanted.saturating_sub(RESPONSE_MARGIN).min(timeout)
+    }
+
     /// Returns the expected number of tokens of the answer.
     pub(crate) fn expected_answer(&self) -> TokenCount {
         let expected = self.answer_hint.or(self.answer_limit);
--- a/lovagedock-gateway/src/direct/gateway.rs
+++ b/lovagedock-gateway/src/direct/gateway.rs
@@ -6,6 +6,7 @@
 use lovagedock_daemon::{AdminServer, DaemonContext, load_checked_settings};
 use lovagedock_platform::{FeedSubject, FleetFeed, GatewayEntry};
 use slog::{info, o, warn};
+use socket2::SockRef;
 use tokio::{net::TcpListener, task::JoinSet};
 
 use super::{
@@ -23,6 +24,9 @@
 };
 use crate::GatewayError;
 
+/// Most bytes of a connection that the kernel holds until the gateway reads them.
+const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
+
 /// Subjects of the store that watchers follow.
 const WATCHED_SUBJECTS: [FeedSubject; 3] = [
     FeedSubject::Traffic,
@@ -119,7 +123,13 @@
             settings.clone(),
             daemon.clone(),
         ));
-        let server = CallerServer::new(Arc::clone(&state), dialect, daemon.shutdown, log.clone());
+        let server = CallerServer::new(
+            Arc::clone(&state),
+            dialect,
+            settings.max_connections(),
+            daemon.shutdown,
+            log.clone(),
+        );
         let server = tokio::spawn(server.run(listener, settings.bounds.stop_grace()));
         info!(log, "serving"; "callers" => %callers, "health" => %health);
         Ok(Self {
@@ -198,8 +208,11 @@
 }
 
 async fn listen(address: SocketAddr) -> Result<TcpListener, Report<GatewayError>> {
-    TcpListener::bind(address)
+    let listener = TcpListener::bind(address)
         .await
         .change_context(GatewayError)
-        .attach_with(|| format!("address {address}"))
+        .attach_with(|| format!("address {address}"))?;
+    // Connections inherit it. A failure only makes the kernel hold more.
+    let _ = SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+    Ok(listener)
 }
--- a/lovagedock-gateway/src/direct/mod.rs
+++ b/lovagedock-gateway/src/direct/mod.rs
@@ -8,6 +8,7 @@
 mod admin;
 mod body_memory;
 mod call;
+mod caller_connections;
 mod caller_server;
 mod delivery;
 mod dialect;
--- a/lovagedock-gateway/src/direct/settings.rs
+++ b/lovagedock-gateway/src/direct/settings.rs
@@ -30,6 +30,9 @@
     /// Memory of the gateway's host, in megabytes. Limits what callers can make the gateway hold.
     #[serde(default = "default_host_memory")]
     pub host_memory_mb: f64,
+    /// Descriptors that the gateway's process may open. Half of them are for callers.
+    #[serde(default = "default_host_descriptors")]
+    pub host_descriptors: usize,
     /// Number of gateways up to which each sends to all others. In a larger fleet, relays of each
     /// failure domain forward messages.
     #[serde(default = "max_direct_gateways")]
@@ -135,6 +138,21 @@
     DEFAULT_HOST_MEMORY_MB
 }
 
+/// Descriptors of a process whose settings do not declare them.
+const DEFAULT_HOST_DESCRIPTORS: usize = 4096;
+
+fn default_host_descriptors() -> usize {
+    DEFAULT_HOST_DESCRIPTORS
+}
+
+/// Descriptors for files; sockets and pipes share the remainder.
+const FILE_DESCRIPTORS: usize = 200;
+
+/// Share of the host's memory for what connections hold beside bodies and responses, and the most
+/// that one holds, in bytes: the buffers of the process and of the kernel.
+const CONNECTION_SHARE: f64 = 0.25;
+const CONNECTION_BYTES: f64 = (64 << 10) as f64;
+
 fn one_core() -> f64 {
     1.0
 }
@@ -162,6 +180,13 @@
             .with_max_direct(self.max_direct_gateways)
     }
 
+    /// Returns the maximum number of connections of callers.
+    pub(crate) fn max_connections(&self) -> usize {
+        let by_descriptors = self.host_descriptors.saturating_sub(FILE_DESCRIPTORS) / 2;
+        let by_memory = self.host_memory_mb * 1e6 * CONNECTION_SHARE / CONNECTION_BYTES;
+        by_descriptors.min(by_memory as usize)
+    }
+
     /// Returns whether a changed file has changes that take effect only after a restart.
     pub fn needs_restart_for(&self, changed: &Self) -> bool {
         let addresses = |settings: &Self| {
@@ -179,6 +204,7 @@
             || self.fleet != changed.fleet
             || self.relay_candidate() != changed.relay_candidate()
             || self.host_memory_mb != changed.host_memory_mb
+            || self.host_descriptors != changed.host_descriptors
             || self.max_direct_gateways != changed.max_direct_gateways
             || addresses(self) != addresses(changed)
             || self.bounds.stop_grace_s != changed.bounds.stop_grace_s
@@ -219,6 +245,12 @@
                 ));
             }
         }
+        if self.host_descriptors < MIN_HOST_DESCRIPTORS {
+            problems.push(format!(
+                "host_descriptors: found {}, expected at least {MIN_HOST_DESCRIPTORS}",
+                self.host_descriptors
+            ));
+        }
         let output_memory_mb = self.overload.output_memory_mb;
         if let Some(found) = output_memory_mb.filter(|mb| !(*mb > 0.0 && *mb <= MAX_BOUND)) {
             problems.push(format!(
@@ -232,5 +264,8 @@
 /// Least memory of a host, in megabytes. With less, a body of 4 MiB might never be received.
 const MIN_HOST_MEMORY_MB: f64 = 32.0;
 
+/// Least number of descriptors of a process.
+const MIN_HOST_DESCRIPTORS: usize = 400;
+
 /// Maximum plausible value of a limit. A larger one probably has the wrong unit.
 const MAX_BOUND: f64 = 1e6;
--- a/lovagedock-gateway/tests/direct_support/mod.rs
+++ b/lovagedock-gateway/tests/direct_support/mod.rs
@@ -56,6 +56,7 @@
         failure_domain: "a".into(),
         host_cores: 1.0,
         host_memory_mb: 256.0,
+        host_descriptors: 4096,
         max_direct_gateways: lovagedock::MAX_DIRECT_GATEWAYS,
         bootstrap: false,
         callers: any_port(),
--- a/lovagedock/src/direct/mod.rs
+++ b/lovagedock/src/direct/mod.rs
@@ -6,8 +6,8 @@
 //! and [`DirectMachine`] what follows each attempt. [`LengthShares`] tells which sizes of long prompts
 //! are started too seldom, and [`TeamBookings`] how many endpoints are kept for them.
 //! [`SuspectLedger`] finds requests that crash the engines that run them, and [`PartLedger`] parts of
-//! prompts that do. [`ConnectionAdmission`] limits what a gateway reads, and [`BodyBudget`] the
-//! memory for request bodies. [`EndpointListing`] decides
+//! prompts that do. [`ConnectionAdmission`] limits what a gateway reads, [`ConnectionTable`]
+//! how many connections it holds, and [`BodyBudget`] the memory for request bodies. [`EndpointListing`] decides
 //! which endpoint list is valid while the store is unreachable or restored from an older copy,
 //! [`DomainDrains`] to which failure domains nothing is sent, and [`ColdEndpoints`] which endpoints
 //! tolerate only a low rate. [`HelperSpeeds`] finds engines that are slow as helpers. [`PoolFlow`]
@@ -24,6 +24,7 @@
 mod choice;
 mod cold_endpoints;
 mod config;
+mod connection_table;
 mod decimal;
 mod domain_drains;
 mod domain_relays;
@@ -87,6 +88,7 @@
 pub use config::{
     CallerBounds, RouteMatch, RouteMode, RouteRule, RouteTarget, ServiceProfile, TrafficConfig,
 };
+pub use connection_table::{ConnectionId, ConnectionPhase, ConnectionTable, ConnectionVerdict};
 pub use domain_drains::{DomainDrains, DrainChange, DrainSnapshot};
 pub use domain_relays::{
     DomainRelays, HostCapacity, MAX_DIRECT_GATEWAYS, RelayCandidate, SendPlan,
