Reject a request before its body ends if it cannot be served

Callers whose request could not be served learned so only after their whole body, or never: with an unknown route or key, with an announced length over the limit, and with a body that did not end before the request's deadline. All of it was received meanwhile. A refusal in the middle of a body could be lost, as a close over unread bytes resets the connection.

Change: the route, the key and the announced length are checked first. After a response to an unread request the gateway shuts its sending side down, reads at most 256 KiB for at most a second, and resets the connection.

--- a/lovagedock-gateway/src/direct/body_memory.rs
+++ b/lovagedock-gateway/src/direct/body_memory.rs
@@ -43,6 +43,8 @@
     NoMemory,
     /// It gave way to other bodies.
     Displaced,
+    /// It was not whole when the request expired.
+    Late,
 }
 
 impl BodyError {
@@ -52,6 +54,7 @@
             Self::TooLarge => ResultCode::BodyTooLarge,
             Self::Malformed => ResultCode::MalformedRequest,
             Self::NoMemory | Self::Displaced => ResultCode::BodyMemoryFull,
+            Self::Late => ResultCode::BodyTimeout,
         }
     }
 
@@ -62,6 +65,7 @@
             Self::Malformed => "malformed",
             Self::NoMemory => "no_memory",
             Self::Displaced => "displaced",
+            Self::Late => "late",
         };
         metrics::counter!("lovagedock_bodies_rejected_total", "reason" => reason).increment(1);
     }
--- a/lovagedock-gateway/src/direct/caller_connections.rs
+++ b/lovagedock-gateway/src/direct/caller_connections.rs
@@ -9,6 +9,7 @@
         atomic::{AtomicBool, Ordering},
     },
     task::{Context, Poll},
+    time::Duration,
 };
 
 use hyper::rt::{Read, ReadBufCursor, Write};
@@ -16,10 +17,16 @@
 use lovagedock::{ConnectionId, ConnectionPhase, ConnectionTable, ConnectionVerdict};
 use lovagedock_daemon::ProcessClock;
 use parking_lot::Mutex;
-use tokio::{net::TcpStream, sync::Notify};
+use socket2::SockRef;
+use tokio::{io::AsyncReadExt, net::TcpStream, sync::Notify, time::timeout};
 
 use super::output_memory::ConnectionCut;
 
+/// Bytes that are read, and the time for it, after a response that was sent before the request was
+/// read. If the connection were closed over unread bytes, the caller might lose the response.
+const CLOSING_READ_BYTES: usize = 256 << 10;
+const CLOSING_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// All connections of callers.
 pub(crate) struct CallerConnections {
     clock: ProcessClock,
@@ -74,6 +81,7 @@
             cut: ConnectionCut::default(),
             is_idle: AtomicBool::new(true),
             is_answered: AtomicBool::new(false),
+            is_unread: AtomicBool::new(false),
         }))
     }
 }
@@ -88,6 +96,8 @@
     is_idle: AtomicBool,
     /// Whether a response was read from its source and not flushed yet.
     is_answered: AtomicBool,
+    /// Whether a response was sent before its request was read.
+    is_unread: AtomicBool,
 }
 
 impl Drop for CallerConnection {
@@ -135,6 +145,35 @@
         state.table.set_phase(now, self.id, phase)
     }
 
+    /// Records that a response is sent before the whole request was read.
+    pub(crate) fn set_unread(&self) {
+        self.is_unread.store(true, Ordering::Relaxed);
+    }
+
+    /// Gives the caller time to read a response that was sent before its request was read. The
+    /// sending side was shut down already.
+    pub(crate) async fn finish(&self, mut stream: TcpStream) {
+        if !self.is_unread.load(Ordering::Relaxed) {
+            return;
+        }
+        self.set_phase(ConnectionPhase::Closing);
+        let discard = async {
+            let mut buffer = [0; 4 << 10];
+            let mut left = CLOSING_READ_BYTES;
+            while left > 0 {
+                match stream.read(&mut buffer).await {
+                    Ok(0) | Err(_) => return,
+                    Ok(bytes) => left = left.saturating_sub(bytes),
+                }
+            }
+        };
+        tokio::select! {
+            _ = timeout(CLOSING_TIMEOUT, discard) => {}
+            () = self.wait_for_close() => {}
+        }
+        let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+    }
+
     fn record_read(&self) {
         if self.is_idle.load(Ordering::Relaxed) {
             self.set_phase(ConnectionPhase::Head);
--- a/lovagedock-gateway/src/direct/caller_server.rs
+++ b/lovagedock-gateway/src/direct/caller_server.rs
@@ -23,7 +23,9 @@
     service::service_fn,
 };
 use hyper_util::rt::TokioTimer;
-use lovagedock::{ConnectionAdmission, RouteMatch, RouteRule, StopPlan, TrafficConfig, prelude::*};
+use lovagedock::{
+    ConnectionAdmission, RouteMatch, RouteRule, StopPlan, TrafficConfig, prelude::*,
+};
 use lovagedock_daemon::ShutdownSignal;
 use parking_lot::Mutex;
 use slog::{Logger, info, warn};
@@ -36,6 +38,7 @@
 use tokio_util::task::TaskTracker;
 
 use super::{
+    body_memory::BodyError,
     call::{CallParts, DEFAULT_RETRY_AFTER, DirectCall},
     caller_connections::{CallerConnection, CallerConnections, CallerStream},
     dialect::{CallerHead, HttpDialect},
@@ -265,7 +268,10 @@
             }
         };
         let is_broken = tokio::select! {
-            ended = serving => ended.is_err(),
+            ended = serving => {
+                caller.finish(connection.into_parts().io.into_inner()).await;
+                ended.is_err()
+            }
             () = caller.wait_for_close() => false,
             () = caller.cut().notified() => {
                 // The kernel would keep what the caller has not read.
@@ -321,11 +327,20 @@
             return self.reject(&id, ResultCode::NotConfigured);
         };
         let (parts, body) = request.into_parts();
-        let holder = head.key.as_deref().and_then(|key| config.key_holder(key));
-        let organisation = holder.map(|(organisation, _)| organisation.clone());
-        let bodies = &self.state.bodies;
+        // What can't be served is rejected before its body is received.
+        let checked = match CheckedHead::new(&config, &head, &parts) {
+            Ok(checked) => checked,
+            Err(code) => return self.reject_unread(&id, code, &body, connection),
+        };
+        let max_bytes = config.bounds.max_body_bytes;
+        if body.size_hint().lower() > max_bytes as u64 {
+            return self.reject_unread(&id, ResultCode::BodyTooLarge, &body, connection);
+        }
+        let expires_at = arrived + head.time_limit(checked.route.timeout);
+        let organisation = checked.organisation.cloned();
         let received = tokio::select! {
-            received = bodies.receive(body, config.bounds.max_body_bytes, organisation) => received,
+            received = self.state.bodies.receive(body, max_bytes, organisation) => received,
+            () = sleep_until(self.instant(expires_at)) => Err(BodyError::Late),
             () = self.state.wait_for_stop_end() => {
                 metrics::counter!("lovagedock_requests_cut_by_stop_total", "stage" => "body")
                     .increment(1);
@@ -336,6 +351,7 @@
             Ok(body) => body,
             Err(error) => {
                 error.count();
+                connection.set_unread();
                 return self.reject(&id, error.code());
             }
         };
@@ -401,6 +417,23 @@
         is_admitted
     }
 
+    /// Rejects a request whose body was not received.
+    fn reject_unread(
+        &self,
+        request: &str,
+        code: ResultCode,
+        body: &Incoming,
+        connection: &CallerConnection,
+    ) -> Response<ResponseBody> {
+        let mut response = self.reject(request, code);
+        if !body.is_end_stream() {
+            connection.set_unread();
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        response
+    }
+
     fn reject(&self, request: &str, code: ResultCode) -> Response<ResponseBody> {
         crate::call_task::count_outcome(code);
         if let Some(left_out) = self.state.log_limiter.admit(self.state.clock.now()) {
