Apply the operator's limits on the head of a request

Cause: maxHeaderBytes and headerTimeoutMs of the configuration were not read. The size was that of the HTTP library's buffer, and the time that of an idle connection.

Change: both are part of CallerBounds and apply to each connection; the time runs from the first byte of a head. The fields travel with the configuration between gateways, so the protocol between them has version 11; gateways of another version are ignored, as before, while a fleet is replaced.

--- a/lovagedock-gateway/src/direct/caller_connections.rs
+++ b/lovagedock-gateway/src/direct/caller_connections.rs
@@ -84,6 +84,16 @@
             is_unread: AtomicBool::new(false),
         }))
     }
+
+    /// Closes connections whose head has been arriving for longer than `timeout`, and returns their
+    /// number.
+    pub(crate) fn close_late_heads(&self, timeout: Duration) -> usize {
+        let mut state = self.state.lock();
+        let late = state.table.take_late_heads(self.clock.now(), timeout);
+        late.iter().for_each(|id| state.close(*id));
+        metrics::counter!("lovagedock_late_heads_total").increment(late.len() as u64);
+        late.len()
+    }
 }
 
 /// A connection of a caller. Dropping it removes it from the table.
--- a/lovagedock-gateway/src/direct/caller_server.rs
+++ b/lovagedock-gateway/src/direct/caller_server.rs
@@ -24,7 +24,7 @@
 };
 use hyper_util::rt::TokioTimer;
 use lovagedock::{
-    ConnectionAdmission, RouteMatch, RouteRule, StopPlan, TrafficConfig, prelude::*,
+    ConnectionAdmission, MAX_READ_BYTES, RouteMatch, RouteRule, StopPlan, TrafficConfig, prelude::*,
 };
 use lovagedock_daemon::ShutdownSignal;
 use parking_lot::Mutex;
@@ -69,6 +69,9 @@
 /// it open.
 const IDLE_SLACK: Duration = Duration::from_secs(1);
 
+/// Time between two checks for heads that are late.
+const HEAD_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Accepts connections and serves the requests on them.
 pub(crate) struct CallerServer {
     state: Arc<GatewayState>,
@@ -153,6 +156,7 @@
         };
         tokio::select! {
             () = server.accept(&listener, &connections) => {}
+            () = server.close_late_heads() => {}
             () = stop => {}
         }
         drop(listener);
@@ -229,6 +233,23 @@
         false
     }
 
+    /// Closes connections whose requests begin and do not go on.
+    async fn close_late_heads(&self) {
+        loop {
+            sleep(HEAD_CHECK_INTERVAL).await;
+            let bounds = self.state.config().map(|config| config.bounds);
+            let timeout = bounds.unwrap_or_default().header_timeout + IDLE_SLACK;
+            let closed = self.connections.close_late_heads(timeout);
+            if closed > 0
+                && let Some(left_out) = self.state.log_limiter.admit(self.state.clock.now())
+            {
+                info!(self.log, "connections closed, the heads of their requests are late";
+                    "connections" => closed, "timeout_ms" => timeout.as_millis() as u64,
+                    "left_out" => left_out);
+            }
+        }
+    }
+
     async fn serve(self: Arc<Self>, stream: TcpStream, caller: Arc<CallerConnection>) {
         // A failure only makes the connection slower.
         let _ = stream.set_nodelay(true);
@@ -244,9 +265,12 @@
             let (server, caller) = (Arc::clone(&server), Arc::clone(&service_caller));
             async move { Ok::<_, Infallible>(server.respond(request, &caller).await) }
         });
+        let max_header_bytes = bounds.unwrap_or_default().max_header_bytes;
         let mut connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(idle)
+            .max_header_size(max_header_bytes)
+            .max_buf_size(max_header_bytes.max(MAX_READ_BYTES))
             .serve_connection(CallerStream::new(stream, Arc::clone(&caller)), service);
         let stop = async {
             if is_late {
--- a/lovagedock-gateway/src/direct/peer_message.rs
+++ b/lovagedock-gateway/src/direct/peer_message.rs
@@ -15,7 +15,7 @@
 
 /// Version of the protocol between gateways, for datagrams and pulls. Messages of other versions
 /// are rejected.
-pub(super) const PROTOCOL_VERSION: u16 = 10;
+pub(super) const PROTOCOL_VERSION: u16 = 11;
 
 /// Precedes each message, so that the receiver can tell whether it can decode the rest.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/lovagedock/src/direct/config.rs
+++ b/lovagedock/src/direct/config.rs
@@ -117,6 +117,10 @@
     pub max_body_bytes: usize,
     /// Maximum time that a connection may be idle.
     pub idle_timeout: Duration,
+    /// Maximum size of a request's head, in bytes.
+    pub max_header_bytes: usize,
+    /// Maximum time from the first byte of a request's head to its last.
+    pub header_timeout: Duration,
 }
 
 impl Default for CallerBounds {
@@ -125,6 +129,8 @@
         Self {
             max_body_bytes: 4 << 20,
             idle_timeout: Duration::from_secs(15),
+            max_header_bytes: 16 << 10,
+            header_timeout: Duration::from_secs(3),
         }
     }
 }
--- a/lovagedock/src/direct/connection_table.rs
+++ b/lovagedock/src/direct/connection_table.rs
@@ -1,6 +1,6 @@
 //! Decides which connections of callers a gateway holds.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use crate::ids::Timestamp;
 
@@ -137,4 +137,23 @@
         let was_closed = closed.is_some_and(|connection| connection.is_closed);
         self.closed_count -= usize::from(was_closed);
     }
+
+    /// Returns the connections to be closed since the head of their request has been arriving for
+    /// longer than `timeout`, each only once.
+    pub fn take_late_heads(&mut self, now: Timestamp, timeout: Duration) -> Vec<ConnectionId> {
+        let open = self.connections.iter_mut();
+        let late = open.filter(|(_, connection)| {
+            !connection.is_closed
+                && connection.phase == ConnectionPhase::Head
+                && now.saturating_sub(connection.since) > timeout
+        });
+        let late: Vec<_> = late
+            .map(|(id, connection)| {
+                connection.is_closed = true;
+                *id
+            })
+            .collect();
+        self.closed_count += late.len();
+        late
+    }
 }
--- a/lovagedock/tests/direct_connection_table.rs
+++ b/lovagedock/tests/direct_connection_table.rs
@@ -66,3 +66,22 @@
         assert_eq!(table.open_count(), LIMIT - 1, "{}", case.name);
     }
 }
+
+/// Guards against heads that arrive without an end, and against closing idle connections or bodies
+/// by the time limit of heads.
+#[test]
+fn only_late_heads_are_closed_by_their_time_limit() {
+    let mut table = ConnectionTable::new(LIMIT);
+    let [idle, head, body, later] = [(); LIMIT].map(|()| admitted(&mut table, Duration::ZERO).0);
+    assert!(table.set_phase(Duration::ZERO, idle, ConnectionPhase::Idle));
+    for id in [head, body] {
+        table.set_phase(Duration::from_secs(1), id, ConnectionPhase::Head);
+    }
+    table.set_phase(Duration::from_secs(2), body, ConnectionPhase::Body);
+    table.set_phase(Duration::from_secs(2), later, ConnectionPhase::Head);
+    let timeout = Duration::from_secs(3);
+    assert!(table.take_late_heads(timeout, timeout).is_empty());
+    let now = Duration::from_millis(4500);
+    assert_eq!(table.take_late_heads(now, timeout), [head]);
+    assert!(table.take_late_heads(now, timeout).is_empty(), "only once");
+}
