--- a/lovagedock-gateway/src/direct/caller_server.rs
+++ b/lovagedock-gateway/src/direct/caller_server.rs
@@ -2,30 +2,24 @@
 
 use std::{
     convert::Infallible,
-    io,
     pin::Pin,
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
     },
-    task::{Context, Poll},
     time::Duration,
 };
 
-use bytes::Bytes;
 use futures::FutureExt;
-use http_body_util::BodyExt;
 use hyper::{
     Request, Response,
-    body::{Body, Frame, Incoming, SizeHint},
-    header::{CONNECTION, HOST, HeaderValue},
+    body::{Body, Incoming},
+    header::{CONNECTION, HeaderValue},
     server::conn::http1,
     service::service_fn,
 };
 use hyper_util::rt::TokioTimer;
-use lovagedock::{
-    ConnectionAdmission, MAX_READ_BYTES, RouteMatch, RouteRule, StopPlan, TrafficConfig, prelude::*,
-};
+use lovagedock::{ConnectionAdmission, MAX_READ_BYTES, StopPlan, prelude::*};
 use lovagedock_daemon::ShutdownSignal;
 use parking_lot::Mutex;
 use slog::{Logger, info, warn};
@@ -41,8 +35,9 @@
     body_memory::BodyError,
     call::{CallParts, DEFAULT_RETRY_AFTER, DirectCall},
     caller_connections::{CallerConnection, CallerConnections, CallerStream},
-    dialect::{CallerHead, HttpDialect},
-    request_body::RequestBody,
+    checked_head::CheckedHead,
+    dialect::HttpDialect,
+    guarded_body::with_guard,
     response::{ResponseSender, problem_response},
     state::GatewayState,
 };
@@ -470,97 +465,3 @@
         problem_response(&RequestProblem::new(code), request, retry_after)
     }
 }
-
-/// The head of a request that the current configuration allows.
-struct CheckedHead<'a> {
-    config: &'a Arc<TrafficConfig>,
-    head: &'a CallerHead,
-    route: &'a RouteRule,
-    organisation: Option<&'a OrganisationId>,
-    priority: u8,
-}
-
-impl<'a> CheckedHead<'a> {
-    /// Checks the route and the key.
-    fn new(
-        config: &'a Arc<TrafficConfig>,
-        head: &'a CallerHead,
-        parts: &hyper::http::request::Parts,
-    ) -> Result<Self, ResultCode> {
-        let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
-        let host = host.or(parts.uri.host()).unwrap_or_default();
-        let RouteMatch::Found(route) = config.route(host, parts.uri.path()) else {
-            return Err(ResultCode::UnknownService);
-        };
-        let holder = head.key.as_deref().and_then(|key| config.key_holder(key));
-        if config.needs_key(route) && holder.is_none() {
-            return Err(ResultCode::Unauthenticated);
-        }
-        let own_priority = holder.and_then(|(_, priority)| priority);
-        Ok(Self {
-            config,
-            head,
-            route,
-            organisation: holder.map(|(organisation, _)| organisation),
-            priority: own_priority.unwrap_or(route.priority),
-        })
-    }
-
-    fn into_call(
-        self,
-        parts: &hyper::http::request::Parts,
-        body: RequestBody,
-        arrived: Timestamp,
-    ) -> Result<CallParts, ResultCode> {
-        let service = self.route.pick_service(rand::random()).cloned();
-        let target = parts.uri.path_and_query().map_or("/", |path| path.as_str());
-        Ok(CallParts {
-            config: Arc::clone(self.config),
-            service: service.ok_or(ResultCode::UnknownService)?,
-            organisation: self.organisation.cloned(),
-            priority: self.priority,
-            route: self.route.clone(),
-            head: self.head.clone(),
-            method: parts.method.clone(),
-            target: target.to_owned(),
-            headers: parts.headers.clone(),
-            body,
-            arrived,
-        })
-    }
-}
-
-/// A response body that drops its guard with it.
-struct GuardedBody<G> {
-    body: ResponseBody,
-    _guard: G,
-}
-
-impl<G: Unpin> Body for GuardedBody<G> {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        Pin::new(&mut self.body).poll_frame(context)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
-/// Ties the guard to the lifetime of the body.
-fn with_guard<G: Send + Unpin + 'static>(body: ResponseBody, guard: G) -> ResponseBody {
-    let body = GuardedBody {
-        body,
-        _guard: guard,
-    };
-    BodyExt::boxed_unsync(body)
-}
